--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets of damaskreach; README says what the two main ones do.
+
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+SEEDS ?= 1000
+
+.PHONY: all build test check fmt clean
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -race ./...
+
+check:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) revive -config revive.toml -set_exit_status ./...
+
+fmt:
+	gofmt -w .
+
+clean:
+	rm -rf bin site
--- /dev/null
+++ b/cmd/damaskreach/main.go
@@ -0,0 +1,4 @@
+// Command damaskreach runs one node.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,65 @@
+// Package call describes one request of a caller on its way through the nodes.
+package call
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// Call is immutable; its With methods return changed copies.
+type Call struct {
+	ID       string    `msgpack:"id"`       // request id, unique per received request
+	Attempt  string    `msgpack:"attempt"`  // attempt id, unique per dispatch; answers are matched by it
+	Tenant   string    `msgpack:"tenant"`   // who asks
+	Adapter  string    `msgpack:"adapter"`  // adapter name; empty for a plain service
+	Version  string    `msgpack:"version"`  // adapter version, resolved by the entry node
+	Group    string    `msgpack:"group"`    // upstream group that serves it
+	Key      string    `msgpack:"key"`      // idempotency key; empty when none was given
+	Once     bool      `msgpack:"once"`     // non-idempotent: at most one dispatch
+	Class    string    `msgpack:"class"`    // traffic class, for metrics and fair shares
+	Priority int       `msgpack:"priority"` // higher is more urgent
+	Deadline time.Time `msgpack:"deadline"` // zero means none
+	Tokens   int       `msgpack:"tokens"`   // answer tokens expected
+	Most     int       `msgpack:"most"`     // answer tokens the caller allows at the most
+	Prefix   string    `msgpack:"prefix"`   // hash of the prompt's opening, for prefix-cache affinity
+	Method   string    `msgpack:"method"`   // HTTP method towards the upstream
+	Path     string    `msgpack:"path"`     // HTTP path towards the upstream
+	Type     string    `msgpack:"type"`     // content type of Body
+	Body     []byte    `msgpack:"body"`     // body towards the upstream
+	Stream   bool      `msgpack:"stream"`   // the caller asked for server-sent events
+	From     int       `msgpack:"from"`     // token at which a resumed stream goes on
+}
+
+// Model returns the adapter and version as engines name them.
+func (c Call) Model() string {
+	return Model(c.Adapter, c.Version)
+}
+
+// Model joins an adapter and a version into the name engines use.
+func Model(adapter, version string) string {
+	return adapter + "@" + version
+}
+
+// Print returns a fingerprint of what the call asks, equal for a caller's repeats of it.
+func (c Call) Print() string {
+	sum := sha256.New()
+	for _, part := range []string{c.Tenant, c.Adapter, c.Group, c.Method, c.Path, c.Key} {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	sum.Write(c.Body)
+	return hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+// WithAttempt returns a copy for one dispatch.
+func (c Call) WithAttempt(id string) Call {
+	c.Attempt = id
+	return c
+}
+
+// WithFrom returns a copy that resumes its stream at token from.
+func (c Call) WithFrom(from int) Call {
+	c.From = from
+	return c
+}
--- /dev/null
+++ b/internal/digest/digest.go
@@ -0,0 +1,29 @@
+// Package digest holds what the owner of a runner tells other nodes about it.
+package digest
+
+// Digest is the state of one runner as its owner knows it.
+type Digest struct {
+	Runner   string   `msgpack:"runner"`
+	Group    string   `msgpack:"group"`
+	Owner    string   `msgpack:"owner"` // node id
+	Addr     string   `msgpack:"addr"`  // peer address of the owner
+	Fence    int64    `msgpack:"fence"` // ownership fence
+	Number   int64    `msgpack:"num"`   // grows with each digest of one fence; older ones are dropped
+	Slots    int      `msgpack:"slots"`
+	Free     int      `msgpack:"free"`     // free slots
+	Batch    int      `msgpack:"batch"`    // requests a step can hold
+	Running  int      `msgpack:"running"`  // requests in progress
+	Waiting  int      `msgpack:"waiting"`  // requests queued at the owner
+	Resident []string `msgpack:"resident"` // models loaded
+	Loading  []string `msgpack:"loading"`  // models being loaded
+	Closed   bool     `msgpack:"closed"`   // takes no new work: leaving, sick or handed over
+	Sick     bool     `msgpack:"sick"`     // answers with errors or not at all
+}
+
+// Newer reports whether d was made after other.
+func (d Digest) Newer(other Digest) bool {
+	if d.Fence != other.Fence {
+		return d.Fence > other.Fence
+	}
+	return d.Number > other.Number
+}
--- /dev/null
+++ b/internal/rows/rows.go
@@ -0,0 +1,24 @@
+// Package rows holds the record that the platform's table service stores.
+package rows
+
+// Row is one record of the table service.
+// In an edit, Rev is the revision the editor last saw: 0 demands that the key does not exist.
+type Row struct {
+	Key   string `json:"key" msgpack:"key"`
+	Value []byte `json:"value,omitempty" msgpack:"value,omitempty"`
+	Rev   int64  `json:"rev" msgpack:"rev"`
+	Gone  bool   `json:"gone,omitempty" msgpack:"gone,omitempty"` // deleted at Rev, or to be deleted
+}
+
+// WithValue returns a copy that carries value.
+func (r Row) WithValue(value []byte) Row {
+	r.Value = value
+	return r
+}
+
+// WithGone returns a copy that deletes the row.
+func (r Row) WithGone() Row {
+	r.Value = nil
+	r.Gone = true
+	return r
+}
--- /dev/null
+++ b/internal/table/table.go
@@ -0,0 +1,57 @@
+// Package table is the only way to the platform's table service.
+package table
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"damaskreach/internal/rows"
+)
+
+// Key prefixes of what the nodes keep in the table service.
+const (
+	PrefixConf    = "conf/"    // operators' configuration, followed by every node
+	PrefixNode    = "node/"    // session rows of nodes
+	PrefixOwn     = "own/"     // ownership rows of runners
+	PrefixOrder   = "order/"   // orders written ahead for engines that ignore fences
+	PrefixClaim   = "claim/"   // idempotency keys
+	PrefixSuspect = "suspect/" // requests that crashed upstreams
+)
+
+var (
+	// ErrConflict means that an expected revision did not hold and that nothing was written.
+	ErrConflict = merry.New("table: revision conflict")
+	// ErrDown means that the service did not take the call: nothing was written.
+	ErrDown = merry.New("table: service unavailable")
+	// ErrLost means that the answer was lost: the write may have taken effect.
+	ErrLost = merry.New("table: answer lost")
+	// ErrAbsent means that no row has the key.
+	ErrAbsent = merry.New("table: no such row")
+)
+
+// Table reaches the table service; each field is one of its operations.
+type Table struct {
+	// Read returns the row of a key or ErrAbsent.
+	Read func(ctx context.Context, key string) (rows.Row, error)
+	// List returns the rows whose keys start with prefix, sorted by key, and the revision of the reading.
+	List func(ctx context.Context, prefix string) ([]rows.Row, int64, error)
+	// Write applies all edits in one transaction or none and returns its revision.
+	// Conflicts names the keys whose revision did not hold.
+	Write func(ctx context.Context, edits ...rows.Row) (int64, error)
+	// Tail returns rows under prefix changed after a revision, oldest first, deletions included, and the newest revision.
+	Tail func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error)
+}
+
+type conflictKey struct{}
+
+// NewConflict returns an ErrConflict that names the keys it is about.
+func NewConflict(keys []string) error {
+	return merry.Wrap(ErrConflict, merry.WithValue(conflictKey{}, keys), merry.AppendMessagef("%q", keys))
+}
+
+// Conflicts returns the keys a conflict names.
+func Conflicts(err error) []string {
+	keys, _ := merry.Value(err, conflictKey{}).([]string)
+	return keys
+}
