Add the table client, its stand-in and a network in memory

Cause: others need a table service and a network with faults to test against. Change: internal/table gets an HTTP and JSON client, ErrInvalid and ErrCompacted; internal/stand/rowdb is the table service with its faults; internal/stand/memnet is a network for synctest bubbles; internal/reply is the body of the table service's answers.

--- /dev/null
+++ b/internal/stand/memnet/net_test.go
@@ -0,0 +1,282 @@
+package memnet_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/stand/memnet"
+)
+
+const (
+	hostA   = "10.0.0.1"
+	hostB   = "10.0.0.2"
+	addrB   = hostB + ":80"
+	latency = 10 * time.Millisecond
+)
+
+// connect returns both ends of a connection from host A to host B.
+func connect(t *testing.T, n *memnet.Net) (a, b net.Conn) {
+	t.Helper()
+	n.SetLatency(hostA, hostB, latency)
+	l, err := n.Listen(addrB)
+	if err != nil {
+		t.Fatalf("Listen(%q) = %v, want nil", addrB, err)
+	}
+	t.Cleanup(func() { l.Close() })
+	a, err = n.Dial(hostA)(t.Context(), addrB)
+	if err != nil {
+		t.Fatalf("Dial(%q) = %v, want nil", addrB, err)
+	}
+	b, err = l.Accept()
+	if err != nil {
+		t.Fatalf("Accept() = %v, want nil", err)
+	}
+	return a, b
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := c.Write([]byte(text)); err != nil {
+		t.Fatalf("Write(%q) = %v, want nil", text, err)
+	}
+}
+
+// expect reads text and checks how long that took.
+func expect(t *testing.T, c net.Conn, text string, after time.Duration) {
+	t.Helper()
+	start := time.Now()
+	buf := make([]byte, len(text))
+	if _, err := io.ReadFull(c, buf); err != nil {
+		t.Fatalf("reading %q: %v, want nil", text, err)
+	}
+	if got := string(buf); got != text {
+		t.Errorf("read %q, want %q", got, text)
+	}
+	if got := time.Since(start); got != after {
+		t.Errorf("%q arrived after %v, want %v", text, got, after)
+	}
+}
+
+func expectError(t *testing.T, c net.Conn, want error) {
+	t.Helper()
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, want) {
+		t.Errorf("Read = %v, want %v", err, want)
+	}
+}
+
+func TestHTTPWorksOverTheNetwork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		n.SetLatency(hostA, hostB, latency)
+		l, err := n.Listen(addrB)
+		if err != nil {
+			t.Fatalf("Listen = %v, want nil", err)
+		}
+		echo := func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) }
+		server := &http.Server{Handler: http.HandlerFunc(echo)}
+		go server.Serve(l)
+		defer server.Close()
+		dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(hostA)(ctx, addr) }
+		transport := &http.Transport{DialContext: dial}
+		defer transport.CloseIdleConnections()
+		start := time.Now()
+		for range 3 {
+			response, err := (&http.Client{Transport: transport}).Post("http://"+addrB, "text/plain", strings.NewReader("hello"))
+			if err != nil {
+				t.Fatalf("Post = %v, want nil", err)
+			}
+			body, _ := io.ReadAll(response.Body)
+			response.Body.Close()
+			if got, want := string(body), "hello"; got != want {
+				t.Errorf("body = %q, want %q", got, want)
+			}
+		}
+		if got, want := time.Since(start), 8*latency; got != want {
+			t.Errorf("a dial and three round trips took %v, want %v", got, want)
+		}
+	})
+}
+
+// A link between two hosts is cut while a connection is open. Neither end is told: what they write is held
+// back, and arrives in order, all of it, once the link works again.
+func TestCutHoldsBytesBackUntilHeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		n.Cut(hostA, hostB)
+		send(t, a, "one")
+		send(t, a, "two")
+		b.SetReadDeadline(time.Now().Add(time.Hour))
+		if _, err := b.Read(make([]byte, 1)); !isTimeout(err) {
+			t.Errorf("Read over a cut link = %v, want a timeout", err)
+		}
+		b.SetReadDeadline(time.Time{})
+		n.Heal(hostA, hostB)
+		expect(t, b, "onetwo", latency)
+	})
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// Only one direction of a link fails. Requests arrive and take effect, but their answers do not come back.
+func TestCutOneWayLeavesTheOtherDirection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		n.CutOneWay(hostB, hostA)
+		send(t, a, "request")
+		expect(t, b, "request", latency)
+		send(t, b, "answer")
+		time.AfterFunc(time.Minute, func() { n.HealOneWay(hostB, hostA) })
+		expect(t, a, "answer", time.Minute+latency)
+	})
+}
+
+// A sender gives up while the link is cut and closes its connection. Nothing of it arrives later, unless
+// the kernel of the sender goes on retransmitting, which linger stands for.
+func TestCloseOverACutLink(t *testing.T) {
+	for _, linger := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n := memnet.NewNet(1)
+			n.SetLinger(linger)
+			a, b := connect(t, n)
+			n.Cut(hostA, hostB)
+			send(t, a, "late")
+			a.Close()
+			n.Heal(hostA, hostB)
+			if !linger {
+				expectError(t, b, syscall.ECONNRESET)
+				return
+			}
+			expect(t, b, "late", latency)
+			expectError(t, b, io.EOF)
+		})
+	}
+}
+
+// A host's process is killed. The other end reads what was under way, then a reset; new dials are refused
+// until something listens there again.
+func TestKillResetsTheOtherEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		send(t, b, "last words")
+		n.Kill(hostB)
+		expect(t, a, "last words", latency)
+		expectError(t, a, syscall.ECONNRESET)
+		expectError(t, b, net.ErrClosed)
+		if _, err := a.Write([]byte("x")); !errors.Is(err, syscall.EPIPE) {
+			t.Errorf("Write after the reset = %v, want %v", err, syscall.EPIPE)
+		}
+		if _, err := n.Dial(hostA)(t.Context(), addrB); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("Dial of a killed host = %v, want %v", err, syscall.ECONNREFUSED)
+		}
+		if l, err := n.Listen(addrB); err != nil {
+			t.Errorf("Listen after a restart = %v, want nil", err)
+		} else {
+			l.Close()
+		}
+	})
+}
+
+// A host is paused for an hour. It notices nothing until it goes on: its reads have not returned, its
+// deadlines have not fired, and what it sent before the pause leaves only now.
+func TestFreezeStopsAHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		send(t, a, "to the frozen host")
+		send(t, b, "from it")
+		n.Freeze(hostB)
+		b.SetReadDeadline(time.Now().Add(time.Minute))
+		time.AfterFunc(time.Hour, func() { n.Thaw(hostB) })
+		start := time.Now()
+		expect(t, a, "from it", time.Hour)
+		_, err := b.Read(make([]byte, 1))
+		if !isTimeout(err) || time.Since(start) != time.Hour {
+			t.Errorf("Read of the frozen host = %v after %v, want a timeout after %v", err, time.Since(start), time.Hour)
+		}
+		b.SetReadDeadline(time.Time{})
+		expect(t, b, "to the frozen host", 0)
+	})
+}
+
+// A receiver stops reading. Its sender must be held up after a bounded number of bytes, not buffer on.
+func TestWritesWaitForASlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		a.SetWriteDeadline(time.Now().Add(time.Second))
+		sent, err := a.Write(make([]byte, 1<<20))
+		if !isTimeout(err) {
+			t.Errorf("Write of a megabyte nobody reads = %v, want a timeout", err)
+		}
+		a.Close()
+		got, err := io.ReadAll(b)
+		if err != nil || len(got) != sent {
+			t.Errorf("read %d bytes, %v, want %d, nil", len(got), err, sent)
+		}
+	})
+}
+
+// A peer closes while a write waits for room. The write must fail, not hang.
+func TestBlockedWriteEndsWhenThePeerCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		time.AfterFunc(time.Minute, func() { b.Close() })
+		if _, err := a.Write(make([]byte, 1<<20)); !errors.Is(err, syscall.EPIPE) {
+			t.Errorf("Write = %v, want %v", err, syscall.EPIPE)
+		}
+	})
+}
+
+// A host is unreachable. A dial hangs as long as its context lets it, or until the link is back.
+func TestDialOverACutLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		l, err := n.Listen(addrB)
+		if err != nil {
+			t.Fatalf("Listen = %v, want nil", err)
+		}
+		defer l.Close()
+		n.Cut(hostA, hostB)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := n.Dial(hostA)(ctx, addrB); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("Dial over a cut link = %v, want %v", err, context.DeadlineExceeded)
+		}
+		time.AfterFunc(time.Minute, func() { n.Heal(hostA, hostB) })
+		if _, err := n.Dial(hostA)(t.Context(), addrB); err != nil {
+			t.Errorf("Dial over a link that heals = %v, want nil", err)
+		}
+	})
+}
+
+func TestSeedFixesLatency(t *testing.T) {
+	measure := func(seed int64) (took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			memnet.NewNet(seed).Dial(hostA)(t.Context(), addrB)
+			took = time.Since(start)
+		})
+		return took
+	}
+	if got, want := measure(7), measure(7); got != want {
+		t.Errorf("a dial took %v with the same seed, want %v", got, want)
+	}
+	if got, other := measure(7), measure(8); got == other {
+		t.Errorf("a dial took %v with either seed, want a difference", got)
+	}
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -28,6 +28,12 @@
 	ErrLost = merry.New("table: answer lost")
 	// ErrAbsent means that no row has the key.
 	ErrAbsent = merry.New("table: no such row")
+	// ErrInvalid means that the service rejects the call itself: nothing was written and a retry is of no use.
+	ErrInvalid = merry.New("table: invalid call")
+	// ErrCompacted comes with the rows of a Tail that reached back beyond the service's history.
+	// The rows are valid and complete, but deletions may be missing: a follower drops each row
+	// it holds that is not among them.
+	ErrCompacted = merry.New("table: history compacted")
 )
 
 // Table reaches the table service; each field is one of its operations.
@@ -40,6 +46,8 @@
 	// Conflicts names the keys whose revision did not hold.
 	Write func(ctx context.Context, edits ...rows.Row) (int64, error)
 	// Tail returns rows under prefix changed after a revision, oldest first, deletions included, and the newest revision.
+	// Of a row changed several times it returns the latest state only.
+	// With ErrCompacted, alone of all errors, rows and revision are valid.
 	Tail func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error)
 }
 
