Give the stand-ins one gate for their faults

Cause: the table, object and host stand-ins have the same faults, and their clients the same error classes.

--- a/internal/stand/rowdb/db.go
+++ b/internal/stand/rowdb/db.go
@@ -5,32 +5,29 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"damaskreach/internal/rows"
+	"damaskreach/internal/stand/gate"
+	"damaskreach/internal/table"
 )
 
-const (
-	defaultHistory = 10000           // deletions remembered
-	replicaHorizon = 2 * time.Minute // how far behind a lagging replica can be
-)
+const defaultHistory = 10000 // deletions remembered
 
 // DB is a transactional table of rows with one revision counter.
 // Its methods may be called from several goroutines. It does nothing of its own accord:
 // the same calls in the same order always have the same outcome.
 type DB struct {
-	mu     sync.Mutex
-	rev    int64
-	keys   map[string]map[string]*record // by first path segment of the key, then by key
-	log    []change                      // one per written key, oldest first
-	graves []change                      // deletions remembered, oldest first
-	lost   int64                         // newest revision whose deletion has been forgotten
-	most   int                           // deletions to remember
-	times  []commit                      // recent commits, oldest first
-	faults faults
-	counts map[string]*count
-	writes *rate.Limiter
-	reads  *rate.Limiter
+	*gate.Gate // faults of the service as a whole
+
+	mu      sync.Mutex
+	rev     int64
+	keys    map[string]map[string]*record // by first path segment of the key, then by key
+	log     []change                      // one per written key, oldest first
+	graves  []change                      // deletions remembered, oldest first
+	lost    int64                         // newest revision whose deletion has been forgotten
+	most    int                           // deletions to remember
+	times   []commit                      // recent commits, oldest first
+	replica replica
+	counts  map[string]*count
 }
 
 // record is one key with its present state and the states lagging replicas may still show.
@@ -58,10 +55,8 @@
 	return &DB{
 		keys:   map[string]map[string]*record{},
 		most:   defaultHistory,
-		faults: faults{cut: map[string]bool{}},
+		Gate:   gate.NewGate(table.ErrDown, table.ErrLost),
 		counts: map[string]*count{},
-		writes: rate.NewLimiter(rate.Inf, 1),
-		reads:  rate.NewLimiter(rate.Inf, 1),
 	}
 }
 
--- a/internal/stand/rowdb/handler.go
+++ b/internal/stand/rowdb/handler.go
@@ -12,6 +12,7 @@
 
 	"damaskreach/internal/reply"
 	"damaskreach/internal/rows"
+	"damaskreach/internal/stand/admin"
 	"damaskreach/internal/table"
 )
 
@@ -25,13 +26,25 @@
 //	POST /v1/write                 a JSON list of edits; 409 names the keys in conflict
 //
 // Every answer is a reply.Reply; 400 means malformed and 503 not taken.
-// An answer that is lost shows as a connection that breaks off.
+// An answer that is lost shows as a connection that breaks off. Beside the paths of gate.Gate, faults are set by
+//
+//	POST /admin/lag?by=5s&every=2  send each second reading to a replica behind by 5 s
+//	POST /admin/history?count=100  remember so many deletions
 func (d *DB) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/row", d.serve(serveRow))
 	mux.HandleFunc("GET /v1/rows", d.serve(serveRows))
 	mux.HandleFunc("GET /v1/tail", d.serve(serveTail))
 	mux.HandleFunc("POST /v1/write", d.serve(serveWrite))
+	d.Admin(mux)
+	admin.Handle(mux, "lag", func(q *admin.Query) func() {
+		by, every := q.Duration("by"), q.Int("every")
+		return func() { d.SetLag(by, every) }
+	})
+	admin.Handle(mux, "history", func(q *admin.Query) func() {
+		count := q.Int("count")
+		return func() { d.SetHistory(count) }
+	})
 	return mux
 }
 
--- a/internal/stand/rowdb/read.go
+++ b/internal/stand/rowdb/read.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -113,28 +112,3 @@
 func copied(row rows.Row) rows.Row {
 	return row.WithValue(slices.Clone(row.Value))
 }
-
-// visible returns the revision that the replica which takes this reading has reached.
-func (d *DB) visible() int64 {
-	if d.faults.lag == 0 {
-		return d.rev
-	}
-	d.faults.turn++
-	if d.faults.turn%d.faults.every != 0 {
-		return d.rev
-	}
-	edge := time.Now().Add(-d.faults.lag)
-	after := sort.Search(len(d.times), func(i int) bool { return d.times[i].at.After(edge) })
-	if after == 0 {
-		return d.oldest()
-	}
-	return d.times[after-1].rev
-}
-
-// oldest returns the revision before the first commit that is still timed.
-func (d *DB) oldest() int64 {
-	if len(d.times) == 0 {
-		return d.rev
-	}
-	return d.times[0].rev - 1
-}
