--- /dev/null
+++ b/internal/place/learn.go
@@ -0,0 +1,35 @@
+package place
+
+import (
+	"time"
+
+	"damaskreach/internal/digest"
+)
+
+// reflected is the age from which a choice counts as contained in a digest that arrives: the way to the owner and back.
+const reflected = 20 * time.Millisecond
+
+// Learn takes a digest in, unless it is older than the one known.
+func (p *Place) Learn(now time.Time, d digest.Digest) {
+	t := p.runners[d.Runner]
+	if t == nil {
+		t = &target{flying: map[string]int{}}
+		p.runners[d.Runner] = t
+	} else if !d.Newer(t.digest) {
+		return
+	}
+	t.digest = d
+	t.learned = now
+	kept := t.recent[:0]
+	for _, c := range t.recent {
+		if now.Sub(c.at) < reflected {
+			kept = append(kept, c)
+		}
+	}
+	t.recent = kept
+}
+
+// Forget drops a runner that left the table or whose owner is gone.
+func (p *Place) Forget(runner string) {
+	delete(p.runners, runner)
+}
--- /dev/null
+++ b/internal/place/score.go
@@ -0,0 +1,106 @@
+package place
+
+import (
+	"time"
+
+	"damaskreach/internal/call"
+)
+
+const (
+	usualLoad   = 400 * time.Millisecond // one load, order to confirmation, with the store at full speed
+	usualAnswer = 4 * time.Second
+	evictCost   = 50 * time.Millisecond // of loading into a taken slot rather than a free one
+	prefillTime = 50 * time.Millisecond // what a cached prefix saves
+)
+
+// best returns the runner among those with room that serves c best, and why.
+func (p *Place) best(now time.Time, c call.Call, from []*target) (*target, string, string) {
+	if !p.policy.Near {
+		return p.least(from), "least", "it had the fewest requests"
+	}
+	model := modelOf(c)
+	near := p.prefix.get(now, c.Prefix)
+	var best *target
+	var bestWait time.Duration
+	for _, t := range p.inTurn(from) {
+		wait := p.wait(t, model)
+		if t.digest.Runner == near {
+			wait -= prefillTime
+		}
+		if best == nil || wait < bestWait || wait == bestWait && t.load() < best.load() {
+			best, bestWait = t, wait
+		}
+	}
+	kind, text := explain(best, model, near)
+	return best, kind, text
+}
+
+// least returns the runner with the fewest requests.
+func (p *Place) least(from []*target) *target {
+	var best *target
+	for _, t := range p.inTurn(from) {
+		if best == nil || t.load() < best.load() {
+			best = t
+		}
+	}
+	return best
+}
+
+// inTurn returns the runners starting with another one each time, so that ties do not all fall on the first.
+func (p *Place) inTurn(from []*target) []*target {
+	first := int(p.serial % uint64(len(from)))
+	return append(append([]*target{}, from[first:]...), from[:first]...)
+}
+
+func explain(t *target, model, near string) (kind, text string) {
+	switch {
+	case t.digest.Runner == near && t.has(model):
+		return "prefix", "it likely caches the prompt's opening and has the model resident"
+	case t.has(model):
+		return "resident", "the model is resident there"
+	case t.coming(model):
+		return "loading", "the model is being loaded there"
+	case t.digest.Free > 0:
+		return "free", "it has a free slot for the model"
+	default:
+		return "replace", "loading the model there has the shortest wait"
+	}
+}
+
+// wait estimates how long a request for a model would wait before it starts on t.
+func (p *Place) wait(t *target, model string) time.Duration {
+	wait := p.queued(t)
+	switch {
+	case t.has(model):
+	case t.coming(model):
+		wait += p.storeWait(t)
+	default:
+		wait += p.load + p.storeWait(nil)
+		if t.digest.Free <= 0 {
+			wait += evictCost
+		}
+	}
+	return wait
+}
+
+// queued estimates the wait for a place in the batch.
+func (p *Place) queued(t *target) time.Duration {
+	over := t.load() - t.batch() + 1
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over) * p.answer / time.Duration(t.batch())
+}
+
+// storeWait estimates how long the store takes for the loads that runners are known to wait for:
+// half of them for one that is among them, all of them for a new one.
+func (p *Place) storeWait(among *target) time.Duration {
+	loads := 0
+	for _, t := range p.runners {
+		loads += len(t.digest.Loading)
+	}
+	if among != nil {
+		return max(p.load/2, time.Duration(loads)*p.load/2)
+	}
+	return time.Duration(loads) * p.load
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,25 @@
+// Package policy names the variants of placement, eviction and loading that the bench compares.
+package policy
+
+// Policy says which ways of deciding a variant uses.
+type Policy struct {
+	Name   string
+	Near   bool // route to where the model is resident; otherwise to the least loaded runner
+	Demand bool // evict by decayed demand; otherwise the least recently used model
+	Urgent bool // the weight store serves the most urgent load first; otherwise the oldest
+}
+
+// Current returns the policy that nodes use.
+func Current() Policy {
+	all := Variants()
+	return all[len(all)-1]
+}
+
+// Variants returns the baseline, then every earlier policy, then the current one.
+func Variants() []Policy {
+	return []Policy{
+		{Name: "baseline"},
+		{Name: "near", Near: true},
+		{Name: "demand", Near: true, Demand: true, Urgent: true},
+	}
+}
--- /dev/null
+++ b/internal/sched/digest.go
@@ -0,0 +1,31 @@
+package sched
+
+import (
+	"time"
+
+	"damaskreach/internal/digest"
+)
+
+// Digest returns the load as other nodes are told it; the driver fills owner, address, fence and number.
+func (s *Sched) Digest(now time.Time) digest.Digest {
+	s.now = now
+	d := digest.Digest{
+		Runner:  s.runner.Name,
+		Group:   s.runner.Group,
+		Slots:   s.slots,
+		Free:    s.free(),
+		Batch:   s.batch,
+		Running: len(s.running),
+		Waiting: len(s.queue),
+		Closed:  s.closed != "",
+	}
+	for _, m := range s.sorted() {
+		switch {
+		case m.state == resident && !m.drain:
+			d.Resident = append(d.Resident, m.name)
+		case m.state == loading:
+			d.Loading = append(d.Loading, m.name)
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/sched/model.go
@@ -0,0 +1,92 @@
+package sched
+
+import (
+	"time"
+)
+
+// state says where a model stands on the runner.
+type state int
+
+const (
+	absent    state = iota
+	loading         // a Load was ordered and not confirmed; its slot is taken
+	resident        // requests may start
+	unloading       // an Unload was ordered and not confirmed; its slot is still taken
+)
+
+// model is what is known of one adapter version on this runner, resident or not.
+type model struct {
+	name     string
+	state    state
+	running  int       // requests in progress
+	waiting  int       // requests queued
+	foreign  int       // requests in progress that the engine reports and this owner did not start
+	pinned   bool      // must not be unloaded yet
+	adopted  bool      // was resident before this owner ordered any load of it
+	drain    bool      // starts nothing more, so that it can be unloaded
+	used     time.Time // latest submit
+	changed  time.Time // latest change of state
+	missing  int       // reports in a row that do not list it though it is held resident
+	failures int       // loads in a row that failed
+	after    time.Time // no load before
+	demand   demand
+}
+
+// turn changes the state.
+func (m *model) turn(now time.Time, next state) {
+	m.state = next
+	m.changed = now
+	m.drain = false
+	m.adopted = false
+	m.missing = 0
+}
+
+// idle reports whether the model may be unloaded without cutting or stranding a request.
+func (m *model) idle() bool {
+	return m.state == resident && m.running == 0 && m.foreign == 0 && !m.pinned
+}
+
+// model returns the record of a model and makes one where there is none.
+func (s *Sched) model(name string) *model {
+	m := s.models[name]
+	if m == nil {
+		m = &model{name: name}
+		s.models[name] = m
+	}
+	return m
+}
+
+// free returns how many slots hold nothing.
+func (s *Sched) free() int {
+	taken := 0
+	for _, m := range s.models {
+		if m.state != absent {
+			taken++
+		}
+	}
+	return max(0, s.slots-taken)
+}
+
+// count returns how many models are in a state.
+func (s *Sched) count(want state) int {
+	n := 0
+	for _, m := range s.models {
+		if m.state == want {
+			n++
+		}
+	}
+	return n
+}
+
+// forget drops records of absent models that nobody asks for, so that the table stays small.
+func (s *Sched) forget(now time.Time) {
+	if len(s.models) < manyModels {
+		return
+	}
+	for name, m := range s.models {
+		unused := m.state == absent && m.waiting == 0 && m.failures == 0 && !m.pinned
+		if unused && m.demand.at(now, s.tune.HalfLife) < littleDemand {
+			delete(s.models, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/recent.go
@@ -0,0 +1,26 @@
+package sched
+
+const recentAttempts = 8192
+
+// recent remembers the latest attempts, so that a submit that arrives twice is not started twice.
+type recent struct {
+	names map[string]bool
+	ring  []string
+	next  int
+}
+
+func newRecent() *recent {
+	return &recent{names: map[string]bool{}, ring: make([]string, recentAttempts)}
+}
+
+// add remembers an attempt and reports whether it was new.
+func (r *recent) add(attempt string) bool {
+	if r.names[attempt] {
+		return false
+	}
+	delete(r.names, r.ring[r.next])
+	r.ring[r.next] = attempt
+	r.names[attempt] = true
+	r.next = (r.next + 1) % len(r.ring)
+	return true
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"damaskreach/internal/order"
+	"damaskreach/internal/report"
+)
+
+const (
+	reportLag    = 30 * time.Second // reports tell nothing about changes younger than this
+	missingLimit = 3                // reports in a row without a model after which it is held gone
+)
+
+// Report takes the engine's own account in. It is late, so this owner's knowledge goes before it,
+// except after a restart, which the engine alone knows of.
+func (s *Sched) Report(now time.Time, r report.Report) []order.Order {
+	if r.Slots > 0 {
+		s.slots = r.Slots
+	}
+	if r.Batch > 0 {
+		s.batch = r.Batch
+	}
+	switch {
+	case s.boot == "":
+		s.adopt(now, r.Resident, 0)
+	case s.boot != r.Boot:
+		s.restart(now)
+	default:
+		s.adopt(now, r.Resident, reportLag)
+		s.miss(now, r.Resident)
+	}
+	s.boot = r.Boot
+	s.foreign(r.Running)
+	return s.plan(now)
+}
+
+// restart drops what a restarted engine has lost: residents, pins and everything in progress.
+// Holding them resident would start requests without their adapter.
+// Loads and unloads that are under way stay so until the driver says how they ended.
+func (s *Sched) restart(now time.Time) {
+	for _, i := range s.running {
+		s.drop(i)
+	}
+	for _, m := range s.models {
+		m.pinned = false
+		m.foreign = 0
+		if m.state == resident {
+			m.turn(now, absent)
+		}
+	}
+}
+
+// adopt takes residents over that this owner did not load, such as a former owner's.
+// A model that this owner unloaded less than age ago is not taken over: the report may be older than that.
+func (s *Sched) adopt(now time.Time, names []string, age time.Duration) {
+	for _, name := range names {
+		m := s.model(name)
+		if m.state == absent && now.Sub(m.changed) >= age && s.free() > 0 {
+			m.turn(now, resident)
+			m.used = now
+			m.adopted = true
+		}
+	}
+}
+
+// miss drops residents that several reports in a row do not list.
+// An engine that evicted a model by itself would otherwise fail every request for it.
+func (s *Sched) miss(now time.Time, names []string) {
+	for _, m := range s.sorted() {
+		if m.state != resident || now.Sub(m.changed) < reportLag {
+			continue
+		}
+		if slices.Contains(names, m.name) {
+			m.missing = 0
+			continue
+		}
+		m.missing++
+		if m.missing >= missingLimit && m.running == 0 && !m.pinned {
+			m.turn(now, absent)
+		}
+	}
+}
+
+// foreign notes requests on adopted models that the engine runs and this owner did not start.
+// They may be a former owner's, so their models are not unloaded. On models that this owner loaded itself
+// the difference is nothing but the lag of the report.
+func (s *Sched) foreign(running map[string]int) {
+	for _, m := range s.models {
+		m.foreign = 0
+		if m.adopted {
+			m.foreign = max(0, running[m.name]-m.running)
+		}
+	}
+}
+
+// Pin keeps a model from being unloaded: a former owner's requests may still use it.
+func (s *Sched) Pin(name string) []order.Order {
+	s.model(name).pinned = true
+	return nil
+}
+
+// Unpin ends a Pin.
+func (s *Sched) Unpin(name string) []order.Order {
+	s.model(name).pinned = false
+	return s.plan(s.now)
+}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,130 @@
+package sched_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"damaskreach/internal/call"
+	"damaskreach/internal/order"
+	"damaskreach/internal/report"
+	"damaskreach/internal/runner"
+	"damaskreach/internal/sched"
+	"damaskreach/internal/tune"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func at(after time.Duration) time.Time {
+	return start.Add(after)
+}
+
+// booted returns a scheduler whose engine has reported, with nothing resident.
+func booted(slots, batch int, tu tune.Tune) *sched.Sched {
+	s := sched.NewSched(runner.Runner{Name: "r1", Group: "g", Slots: slots, Batch: batch}, tu)
+	s.Report(start, report.Report{At: start, Boot: "b1", Slots: slots, Batch: batch})
+	return s
+}
+
+func ask(attempt, adapter string) call.Call {
+	return call.Call{Attempt: attempt, Tenant: "t", Adapter: adapter, Version: "1", Group: "g", Tokens: 10}
+}
+
+// kinds returns the orders of one kind.
+func kinds(orders []order.Order, kind string) []order.Order {
+	var found []order.Order
+	for _, o := range orders {
+		if o.Kind == kind {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
+func TestStartsOnceTheModelIsResident(t *testing.T) {
+	s := booted(1, 4, tune.Default())
+	orders := s.Submit(at(0), ask("a1", "red"))
+	if got, want := len(kinds(orders, order.Load)), 1; got != want {
+		t.Fatalf("loads after the submit: got %d, want %d", got, want)
+	}
+	if got, want := len(kinds(orders, order.Start)), 0; got != want {
+		t.Fatalf("starts before the load: got %d, want %d", got, want)
+	}
+	orders = s.Loaded(at(time.Second), "red@1", nil)
+	if got, want := len(kinds(orders, order.Start)), 1; got != want {
+		t.Fatalf("starts after the load: got %d, want %d", got, want)
+	}
+	if got, want := s.InUse("red@1"), 1; got != want {
+		t.Errorf("in use: got %d, want %d", got, want)
+	}
+}
+
+// An adapter's weights are damaged in the store, so that each load fails. Callers would notice
+// requests that hang until their timeout, though the node has known for long that nothing will come of them.
+func TestFailedLoadsAreGivenUpAtOnce(t *testing.T) {
+	s := booted(2, 4, tune.Default())
+	s.Submit(at(0), ask("a1", "red"))
+	now := time.Duration(0)
+	for try := 1; ; try++ {
+		refused := kinds(s.Loaded(at(now), "red@1", errors.New("checksum")), order.Refuse)
+		if len(refused) == 1 {
+			if got, want := refused[0].Refusal.Code, refuse.LoadFailed; got != want {
+				t.Errorf("code: got %q, want %q", got, want)
+			}
+			if got, want := refused[0].Refusal.Verdict, verd.NotRun; got != want {
+				t.Errorf("verdict: got %v, want %v", got, want)
+			}
+			if refused[0].Refusal.Retry <= 0 {
+				t.Errorf("retry: got %v, want when to come back", refused[0].Refusal.Retry)
+			}
+			if try < 2 || try > 5 {
+				t.Errorf("tries: got %d, want a few", try)
+			}
+			return
+		}
+		if try > 5 {
+			t.Fatal("the attempt was still queued after 5 failed loads")
+		}
+		for len(kinds(s.Tick(at(now)), order.Load)) == 0 {
+			now += 50 * time.Millisecond
+		}
+	}
+}
+
+// An engine crashes and comes back empty. A node that still held its adapters resident
+// would send requests that fail or, worse, run on the base model.
+func TestColdStartForgetsResidents(t *testing.T) {
+	s := booted(2, 4, tune.Default())
+	s.Submit(at(0), ask("a1", "red"))
+	s.Loaded(at(time.Second), "red@1", nil)
+	s.Report(at(2*time.Second), report.Report{Boot: "b2", Slots: 2, Batch: 4})
+	if got, want := s.Running(), 0; got != want {
+		t.Errorf("running: got %d, want %d", got, want)
+	}
+	orders := s.Submit(at(3*time.Second), ask("a2", "red"))
+	if got, want := len(kinds(orders, order.Start)), 0; got != want {
+		t.Errorf("starts without the adapter: got %d, want %d", got, want)
+	}
+	if got, want := len(kinds(orders, order.Load)), 1; got != want {
+		t.Errorf("loads: got %d, want %d", got, want)
+	}
+}
+
+// A runner is handed over while requests are queued. Left in the queue, they would wait for an owner
+// that starts nothing any more, and their callers until the deadline.
+func TestCloseAnswersTheQueueAtOnce(t *testing.T) {
+	s := booted(1, 1, tune.Default())
+	s.Submit(at(0), ask("a1", "red"))
+	refused := kinds(s.Close(at(0), "the runner was handed over"), order.Refuse)
+	refused = append(refused, kinds(s.Submit(at(0), ask("a2", "red")), order.Refuse)...)
+	if got, want := len(refused), 2; got != want {
+		t.Fatalf("refusals: got %d, want %d", got, want)
+	}
+	for _, o := range refused {
+		if got, want := o.Refusal.Code, refuse.Moved; got != want {
+			t.Errorf("code of %s: got %q, want %q", o.Attempt, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/victim.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// victim returns the idle model that is cheapest to lose, or nil.
+func (s *Sched) victim(now time.Time) *model {
+	var best *model
+	for _, m := range s.sorted() {
+		if !m.idle() || m.waiting > 0 && !m.drain {
+			continue
+		}
+		if best == nil || s.cheaper(now, m, best) {
+			best = m
+		}
+	}
+	return best
+}
+
+// cheaper reports whether losing m costs less than losing other.
+func (s *Sched) cheaper(now time.Time, m, other *model) bool {
+	if m.drain != other.drain {
+		return m.drain
+	}
+	if !s.policy.Demand {
+		return m.used.Before(other.used)
+	}
+	return m.demand.at(now, s.tune.HalfLife) < other.demand.at(now, s.tune.HalfLife)
+}
+
+// leastUsed returns the model in use whose requests in progress are fewest, or nil.
+func (s *Sched) leastUsed() *model {
+	var best *model
+	for _, m := range s.sorted() {
+		if m.state != resident || m.pinned || m.foreign > 0 {
+			continue
+		}
+		if best == nil || m.running < best.running {
+			best = m
+		}
+	}
+	return best
+}
+
+// draining reports whether a model is already being drained.
+func (s *Sched) draining() bool {
+	for _, m := range s.models {
+		if m.drain && m.state == resident {
+			return true
+		}
+	}
+	return false
+}
+
+// sorted returns the models that hold a slot by name, so that ties fall alike on every run.
+func (s *Sched) sorted() []*model {
+	held := make([]*model, 0, s.slots)
+	for _, m := range s.models {
+		if m.state != absent {
+			held = append(held, m)
+		}
+	}
+	slices.SortFunc(held, func(a, b *model) int { return cmp.Compare(a.name, b.name) })
+	return held
+}
