--- /dev/null
+++ b/internal/catlog/catlog_test.go
@@ -0,0 +1,125 @@
+package catlog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"damaskreach/internal/adapt"
+	"damaskreach/internal/catlog"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/runner"
+)
+
+func encode(t testing.TB, value any) []byte {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func adapter(t testing.TB, name string, share int, rev int64) rows.Row {
+	t.Helper()
+	value := adapt.Adapter{Name: name, Tenant: "roads", Group: "assist", Versions: map[string]int{"v1": share}}
+	return rows.Row{Key: catlog.Key(catlog.KindAdapter, name), Value: encode(t, value), Rev: rev}
+}
+
+func share(c catlog.Catalog, name string) int {
+	row, _ := c.Adapter(name)
+	return row.Versions["v1"]
+}
+
+// A replica that lags, a peer that is slow or an old snapshot offers a row that was replaced since.
+// Were it applied, an operator would see an accepted edit revert on some nodes.
+func TestOldRevisionIsNotApplied(t *testing.T) {
+	c, _ := catlog.NewCatalog().With([]rows.Row{adapter(t, "a", 90, 9)})
+	c, _ = c.With([]rows.Row{adapter(t, "a", 50, 5), adapter(t, "a", 91, 9)})
+	if got, want := share(c, "a"), 90; got != want {
+		t.Errorf("share after old rows = %d, want %d", got, want)
+	}
+	c, _ = c.With([]rows.Row{{Key: "conf/adapter/a", Rev: 12, Gone: true}})
+	c, _ = c.With([]rows.Row{adapter(t, "a", 90, 9)})
+	if _, ok := c.Adapter("a"); ok {
+		t.Error("a deleted adapter came back with its old row")
+	}
+	c, _ = c.With([]rows.Row{adapter(t, "a", 20, 13)})
+	if got, want := share(c, "a"), 20; got != want {
+		t.Errorf("share after the row was made anew = %d, want %d", got, want)
+	}
+}
+
+// An operator's script writes a row past the checks of damaskctl, and the row cannot be used.
+// Callers of the adapter must go on being served by the last good row, and operators must see why.
+func TestRejectedRowKeepsTheLastGoodOne(t *testing.T) {
+	c, errs := catlog.NewCatalog().With([]rows.Row{adapter(t, "a", 90, 1), adapter(t, "a", -1, 2)})
+	if got, want := share(c, "a"), 90; got != want {
+		t.Errorf("share = %d, want %d", got, want)
+	}
+	if got, want := len(errs), 1; got != want {
+		t.Fatalf("errors = %v, want %d", errs, want)
+	}
+	want := `conf/adapter/a: revision 2: versions: share -1 of "v1" is out of range: 0 to 1000000; versions: no version has a share above 0`
+	if got := c.Rejected()[0].Error(); got != want {
+		t.Errorf("Rejected() = %s, want %s", got, want)
+	}
+	fresh, _ := catlog.NewCatalog().WithWhole(c.Rows(), 2)
+	if got, want := fresh.Rejected(), c.Rejected(); !reflect.DeepEqual(got, want) || share(fresh, "a") != 90 {
+		t.Errorf("after a snapshot Rejected() = %v, want %v; share %d, want 90", got, want, share(fresh, "a"))
+	}
+	c, _ = c.With([]rows.Row{adapter(t, "a", 30, 3)})
+	if got := c.Rejected(); len(got) > 0 || share(c, "a") != 30 {
+		t.Errorf("after a good row Rejected() = %v and share %d, want none and 30", got, share(c, "a"))
+	}
+}
+
+// A peer pushes revision 12 before the node has read 11 from the tail.
+// Were the tail read from 12 on, the node would lack an accepted change for good.
+func TestPushedRowDoesNotHideTheTail(t *testing.T) {
+	c, _ := catlog.NewCatalog().WithTail([]rows.Row{adapter(t, "a", 1, 10)}, 0, 10)
+	c, _ = c.With([]rows.Row{adapter(t, "b", 2, 12)})
+	if c.Complete() != 10 || c.Rev() != 12 {
+		t.Fatalf("Complete, Rev = %d, %d, want 10, 12", c.Complete(), c.Rev())
+	}
+	c, _ = c.WithTail(nil, 11, 12)
+	if got, want := c.Complete(), int64(10); got != want {
+		t.Errorf("Complete() after a tail with a hole before it = %d, want %d", got, want)
+	}
+	c, _ = c.WithTail([]rows.Row{adapter(t, "a", 3, 11), adapter(t, "b", 2, 12)}, 10, 12)
+	if share(c, "a") != 3 || c.Complete() != 12 {
+		t.Errorf("share, Complete() = %d, %d, want 3, 12", share(c, "a"), c.Complete())
+	}
+}
+
+// The node was cut off while rows were deleted, and reads a whole listing when it is back.
+// A row that the listing lacks must go, and an older listing must not bring it back.
+func TestWholeListingDeletesWhatItLacks(t *testing.T) {
+	old := []rows.Row{adapter(t, "a", 1, 1), adapter(t, "b", 1, 2)}
+	c, _ := catlog.NewCatalog().WithWhole(old, 2)
+	c, _ = c.WithWhole([]rows.Row{adapter(t, "b", 1, 2)}, 5)
+	c, _ = c.WithWhole(old, 2)
+	if got, want := fmt.Sprint(c.Adapters()), "[b]"; got != want {
+		t.Errorf("Adapters() = %s, want %s", got, want)
+	}
+}
+
+func TestRunnersFollowTheirGroup(t *testing.T) {
+	row := func(name, group string, rev int64) rows.Row {
+		value := runner.Runner{Name: name, Group: group, Addr: "10.0.0.1:80", Centre: "hall-marcus", Batch: 8}
+		return rows.Row{Key: catlog.Key(catlog.KindRunner, name), Value: encode(t, value), Rev: rev}
+	}
+	c, errs := catlog.NewCatalog().With([]rows.Row{row("r2", "x", 1), row("r1", "x", 2), row("r3", "y", 3)})
+	c, _ = c.With([]rows.Row{row("r2", "y", 4), {Key: "conf/runner/r3", Rev: 5, Gone: true}})
+	names := func(list []runner.Runner) (out []string) {
+		for _, r := range list {
+			out = append(out, r.Name)
+		}
+		return out
+	}
+	got := fmt.Sprint(names(c.Runners("x")), names(c.Runners("y")), names(c.AllRunners()), errs)
+	if want := "[r1] [r2] [r1 r2] []"; got != want {
+		t.Errorf("runners = %s, want %s", got, want)
+	}
+}
