Add the engine client and a stand-in engine, thin

Cause: the path through the system needs an engine to end at. Conclusion: enough to build on; failures are not tested yet.

--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	idleConns   = 256 // kept per upstream
+	idleTime    = 30 * time.Second
+	headerLimit = 64 << 10 // bytes of an answer's headers
+)
+
+// client sends requests to one upstream, each of them at most once.
+//
+// http.Transport sends a request again on its own when a reused connection breaks before an answer, if the
+// request has a method such as GET or an Idempotency-Key header, and a body that it can replay. A booking
+// would run twice and nobody would be told; only the upstream's records would show it. Two things prevent it:
+// every request with a body hides it in a reader that cannot be rewound, and a request that is not to be
+// repeated, or has no body to hide, goes over a connection of its own, where the transport never repeats.
+// Requests also go to the transport itself and not through an http.Client, which would follow redirects.
+type client struct {
+	addr   string
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+func newClient(addr string, dial func(ctx context.Context, addr string) (net.Conn, error)) *client {
+	open := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		conn, err := dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &wire{Conn: conn}, nil
+	}
+	pooled := &http.Transport{
+		DialContext:            open,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConns,
+		IdleConnTimeout:        idleTime,
+		MaxResponseHeaderBytes: headerLimit,
+	}
+	fresh := pooled.Clone()
+	fresh.DisableKeepAlives = true
+	return &client{addr: addr, pooled: pooled, fresh: fresh}
+}
+
+func (c *client) close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// body is a request body that cannot be read a second time.
+type body struct {
+	src bytes.Reader
+}
+
+func newBody(content []byte) io.ReadCloser {
+	if len(content) == 0 {
+		return http.NoBody
+	}
+	b := &body{}
+	b.src.Reset(content)
+	return b
+}
+
+// Read reads on in the body.
+func (b *body) Read(p []byte) (int, error) {
+	return b.src.Read(p)
+}
+
+// Close does nothing; the content is memory.
+func (b *body) Close() error {
+	return nil
+}
+
+// send sends req once and returns the head of its answer. Its errors carry the verdict.
+func (c *client) send(ctx context.Context, req *http.Request, repeatable bool) (*http.Response, error) {
+	var used *wire
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info.Conn.(*wire)
+		used.reset()
+	}}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	transport := c.fresh
+	if repeatable && req.ContentLength > 0 {
+		transport = c.pooled
+	}
+	res, err := transport.RoundTrip(req)
+	if err == nil {
+		return res, nil
+	}
+	verdict := verd.NotRun
+	if used != nil && used.seal() {
+		verdict = verd.MayHaveRun
+	}
+	return nil, c.failed(ctx, verdict, err, fmt.Sprintf("sending %s to %s", req.URL.Path, c.addr))
+}
+
+// failed returns err as a caller may read it.
+func (c *client) failed(ctx context.Context, verdict verd.Verdict, err error, what string) error {
+	if cause := ctx.Err(); cause != nil {
+		return verd.Mark(merry.Prepend(cause, what), verdict)
+	}
+	code := refuse.Cut
+	if verdict == verd.NotRun {
+		code = refuse.NoUpstream
+	}
+	return refuse.NewRefusal(verdict, code, "%s: %v", what, err)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 
 	"damaskreach/internal/call"
 	"damaskreach/internal/report"
@@ -10,7 +11,9 @@
 )
 
 // Emit receives one piece of an answer; an error stops the answer.
-// For a stream, token is the number of the piece's last token, counted from 1; for a plain answer it is 0.
+// For a stream, a piece is the data of one event, without "data: " and line end, and never the closing [DONE];
+// token is the number of the piece's last token, counted from 1. For a plain answer, the piece is the whole
+// body and token is 0. The piece is valid only during the call.
 type emit = func(token int, piece []byte) error
 
 // Engine reaches one upstream; each field is one of its operations.
@@ -25,6 +28,20 @@
 	Unload func(ctx context.Context, fence int64, model string) error
 	// Report returns the engine's latest account of itself.
 	Report func(ctx context.Context) (report.Report, error)
+	// Close drops the idle connections; calls in progress go on.
+	Close func()
+}
+
+// NewEngine returns an engine that is reached by HTTP at addr over connections that dial opens.
+func NewEngine(addr string, dial func(ctx context.Context, addr string) (net.Conn, error)) Engine {
+	c := newClient(addr, dial)
+	return Engine{
+		Generate: c.generate,
+		Load:     c.load,
+		Unload:   c.unload,
+		Report:   c.report,
+		Close:    c.close,
+	}
 }
 
 // NotRun marks err as one that occurred before any byte was written.
--- /dev/null
+++ b/internal/stand/engsim/order.go
@@ -0,0 +1,152 @@
+package engsim
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"damaskreach/internal/stand/recrd"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const orderLimit = 64 << 10 // bytes of an order's body
+
+type order struct {
+	Model string `json:"model"`
+	Fence int64  `json:"fence"`
+}
+
+func readOrder(w http.ResponseWriter, r *http.Request) (order, bool) {
+	var o order
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, orderLimit)).Decode(&o)
+	if err != nil || o.Model == "" {
+		refuse(w, http.StatusBadRequest, "bad_request", "an order needs a model and a fence")
+		return order{}, false
+	}
+	return o, true
+}
+
+// pass reports whether a fencing number is current, and remembers it as the highest. It needs the lock.
+func (e *Engine) pass(fence int64) bool {
+	if e.Fences && fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, fence)
+	return true
+}
+
+func refuseFence(w http.ResponseWriter) {
+	refuse(w, http.StatusPreconditionFailed, "old_fence", "a higher fencing number was seen")
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	o, ok := readOrder(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	b := e.boot
+	switch loading := b.loading[o.Model]; {
+	case !e.pass(o.Fence):
+		e.mu.Unlock()
+		refuseFence(w)
+	case b.models[o.Model]:
+		e.mu.Unlock()
+		reply(w, http.StatusOK, o)
+	case loading != nil:
+		e.mu.Unlock()
+		<-loading
+		e.answerLoad(w, b, o)
+	case len(b.models)+len(b.loading) >= e.Slots:
+		e.mu.Unlock()
+		refuse(w, http.StatusConflict, "slots_full", "every adapter slot is in use")
+	default:
+		b.loading[o.Model] = make(chan struct{})
+		e.mu.Unlock()
+		e.load(b, o.Model)
+		e.answerLoad(w, b, o)
+	}
+}
+
+// load fetches a model on behalf of the boot: like a real engine it goes on when the giver of the order has gone.
+func (e *Engine) load(b *boot, model string) {
+	err := e.fetch(b, model)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(b.loading[model])
+	delete(b.loading, model)
+	if err == nil {
+		b.models[model] = true
+	}
+	e.note()
+}
+
+func (e *Engine) fetch(b *boot, model string) error {
+	e.mu.Lock()
+	fail := e.fails > 0
+	if fail {
+		e.fails--
+	}
+	e.mu.Unlock()
+	if e.Fetch != nil {
+		if err := e.Fetch(b.ctx, model); err != nil {
+			return merry.Prependf(err, "loading %s", model)
+		}
+	}
+	if fail {
+		return merry.Errorf("loading %s: made to fail", model)
+	}
+	return nil
+}
+
+func (e *Engine) answerLoad(w http.ResponseWriter, b *boot, o order) {
+	if b.ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	e.mu.Lock()
+	resident := b.models[o.Model]
+	e.mu.Unlock()
+	if !resident {
+		refuse(w, http.StatusBadGateway, "load_failed", "the model could not be loaded")
+		return
+	}
+	reply(w, http.StatusOK, o)
+}
+
+func (e *Engine) serveUnload(w http.ResponseWriter, r *http.Request) {
+	o, ok := readOrder(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.boot
+	switch {
+	case !e.pass(o.Fence):
+		refuseFence(w)
+	case b.loading[o.Model] != nil:
+		refuse(w, http.StatusConflict, "loading", "the model is being loaded")
+	default:
+		e.unload(b, o)
+		reply(w, http.StatusOK, o)
+	}
+}
+
+// unload obeys even where the model is in use: engines do, and the breach is what a test looks for.
+func (e *Engine) unload(b *boot, o order) {
+	now := time.Now()
+	for _, r := range slices.Concat(b.running, b.waiting) {
+		if r.prefix.model != o.Model {
+			continue
+		}
+		rec := e.log[r.record]
+		rec.Breach = "unloaded while in use, by an order with fence " + decimal(o.Fence)
+		e.wrong = append(e.wrong, rec.WithEnd(recrd.Cut, now))
+		e.settle(r, recrd.Cut)
+	}
+	delete(b.models, o.Model)
+	b.cache.drop(o.Model, now)
+	e.note()
+}
