--- /dev/null
+++ b/internal/hello/talk.go
@@ -0,0 +1,93 @@
+package hello
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"damaskreach/internal/frame"
+)
+
+// limit bounds a frame of the handshake: its sender has proved nothing yet.
+const limit = 4 << 10
+
+// talk is one side of a handshake.
+type talk struct {
+	r       *bufio.Reader
+	w       io.Writer
+	secrets [][]byte
+}
+
+// greet sends a Hello with a fresh nonce and returns it as encoded.
+func (t *talk) greet(self Hello) ([]byte, error) {
+	if len(t.secrets) == 0 {
+		return nil, merry.Append(ErrSecret, "none is set here")
+	}
+	self.Nonce = newNonce()
+	body, err := msgpack.Marshal(self)
+	if err != nil {
+		return nil, merry.Prepend(err, "encoding the hello")
+	}
+	return body, t.send(frame.Hello, body)
+}
+
+// meet reads the other side's Hello and returns it decoded and as it was encoded.
+func (t *talk) meet() (Hello, []byte, error) {
+	body, err := t.expect(frame.Hello)
+	if err != nil {
+		return Hello{}, nil, err
+	}
+	var other Hello
+	if err := msgpack.Unmarshal(body, &other); err != nil {
+		return Hello{}, nil, merry.Appendf(ErrProtocol, "reading the hello: %v", err)
+	}
+	if len(other.Nonce) != sizeNonce {
+		return Hello{}, nil, merry.Appendf(ErrProtocol, "nonce of %d bytes", len(other.Nonce))
+	}
+	return other, body, nil
+}
+
+// prove sends the MAC made with the first secret.
+func (t *talk) prove(label string, dialler, acceptor []byte) error {
+	return t.send(frame.Proof, mac(t.secrets[0], label, dialler, acceptor))
+}
+
+// check reads the other side's MAC and compares it with those of all secrets.
+func (t *talk) check(label string, dialler, acceptor []byte) error {
+	got, err := t.expect(frame.Proof)
+	if err != nil {
+		return err
+	}
+	if !known(t.secrets, got, label, dialler, acceptor) {
+		return ErrSecret
+	}
+	return nil
+}
+
+// reject tells the other side why the handshake ends and returns err.
+func (t *talk) reject(err error) error {
+	// The handshake has failed already; that the reason cannot be sent adds nothing.
+	_ = t.send(frame.Reject, []byte(err.Error()))
+	return err
+}
+
+func (t *talk) send(kind uint8, body []byte) error {
+	_, err := t.w.Write(frame.Append(nil, frame.Frame{Kind: kind, Body: body}))
+	return merry.Prepend(err, "handshake: writing")
+}
+
+func (t *talk) expect(kind uint8) ([]byte, error) {
+	f, err := frame.Read(t.r, limit)
+	if err != nil {
+		return nil, merry.Prepend(err, "handshake: reading")
+	}
+	if f.Kind == frame.Reject {
+		return nil, merry.Appendf(ErrRejected, "%q", f.Body)
+	}
+	if f.Kind != kind {
+		return nil, merry.Appendf(ErrProtocol, "kind %d in place of %d", f.Kind, kind)
+	}
+	return f.Body, nil
+}
--- /dev/null
+++ b/internal/strm/recv.go
@@ -0,0 +1,87 @@
+package strm
+
+import (
+	"context"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"damaskreach/internal/frame"
+)
+
+// Recv reads the next message into v, a pointer. It returns io.EOF after the peer has closed its sending half, and
+// messages that arrived before an error come before the error. An error of ctx ends only this call.
+func (s *Stream) Recv(ctx context.Context, v any) error {
+	for {
+		m, grant, err := s.next()
+		if err != nil {
+			return err
+		}
+		if m.body != nil {
+			s.grant(grant)
+			return s.take(m, v)
+		}
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+			return merry.Prependf(context.Cause(ctx), "waiting for a message of node %s", s.peer)
+		}
+	}
+}
+
+func (s *Stream) take(m message, v any) error {
+	buf := getScratch()
+	defer buf.put()
+	return buf.decode(m.body, v)
+}
+
+// next returns the next message and the credit to grant, or a message without a body where none has arrived.
+func (s *Stream) next() (message, int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.queue.pop()
+	switch {
+	case ok:
+		return m, s.consume(m.cost), nil
+	case s.reset:
+		notify(s.wake)
+		return m, 0, s.err
+	case s.done:
+		notify(s.wake)
+		return m, 0, io.EOF
+	case s.err != nil:
+		notify(s.wake)
+		return m, 0, s.err
+	}
+	return m, 0, nil
+}
+
+// consume counts what was read and returns what to grant: half a window at a time, so that few frames go back.
+func (s *Stream) consume(cost int) int {
+	s.read += cost
+	if s.done || s.err != nil || s.read < s.bounds.Window/2 {
+		return 0
+	}
+	granted := s.read
+	s.due += granted
+	s.read = 0
+	return granted
+}
+
+func (s *Stream) grant(bytes int) {
+	if bytes == 0 {
+		return
+	}
+	// A connection that is gone reports itself through Fail; there is nobody to grant to.
+	_ = Encode(func(body []byte) error {
+		return s.write(s.ctx, frame.Frame{Kind: frame.Credit, Stream: s.id, Body: body})
+	}, bytes)
+}
+
+// credits reads the body of a Credit frame.
+func credits(body []byte) (int, error) {
+	var bytes int
+	err := msgpack.Unmarshal(body, &bytes)
+	return bytes, err
+}
--- /dev/null
+++ b/internal/wire/write.go
@@ -0,0 +1,125 @@
+package wire
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"damaskreach/internal/frame"
+)
+
+const (
+	chunk = 64 << 10 // bytes written under one deadline
+	spare = 1 << 20  // capacity up to which a buffer is kept
+)
+
+// write queues a frame. Data frames with a message wait until the queue has room; all others are queued at once, as
+// the reader must never wait and their number is bounded by what the peer sends.
+func (c *Conn) write(ctx context.Context, f frame.Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f.Kind == frame.Data && len(f.Body) > 0 {
+		if err := c.await(ctx); err != nil {
+			return err
+		}
+	}
+	return c.append(f)
+}
+
+// append queues a frame. It needs the lock.
+func (c *Conn) append(f frame.Frame) error {
+	if c.err != nil {
+		return c.err
+	}
+	before := len(c.pending)
+	c.pending = frame.Append(c.pending, f)
+	c.queued += int64(len(c.pending) - before)
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// await returns when the queue has room. It needs the lock and gives it up while it waits.
+func (c *Conn) await(ctx context.Context) error {
+	for c.err == nil && len(c.pending) >= c.bounds.Queue {
+		if c.room == nil {
+			c.room = make(chan struct{})
+		}
+		room := c.room
+		c.mu.Unlock()
+		var err error
+		select {
+		case <-room:
+		case <-c.ending:
+		case <-ctx.Done():
+			err = merry.Prependf(context.Cause(ctx), "waiting to write to node %s", c.peer.ID)
+		}
+		c.mu.Lock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeAll writes the queue until the connection ends, sends the pings, and then ends the streams.
+func (c *Conn) writeAll() {
+	ticker := time.NewTicker(c.bounds.Interval)
+	defer ticker.Stop()
+	defer c.settle()
+	for {
+		select {
+		case <-c.kick:
+		case <-ticker.C:
+			// The connection may have ended; the next turn sees that.
+			_ = c.write(c.ctx, frame.Frame{Kind: frame.Ping})
+		case <-c.ending:
+			return
+		}
+		if err := c.flush(); err != nil {
+			c.fail(merry.Prependf(err, "writing to node %s", c.peer.ID))
+			return
+		}
+	}
+}
+
+// flush writes what is queued.
+func (c *Conn) flush() error {
+	c.mu.Lock()
+	batch := c.pending
+	c.pending = c.spare[:0]
+	c.spare = nil
+	if c.room != nil {
+		close(c.room)
+		c.room = nil
+	}
+	c.mu.Unlock()
+	err := c.writeBatch(batch)
+	c.mu.Lock()
+	if cap(batch) <= spare {
+		c.spare = batch
+	}
+	c.mu.Unlock()
+	return err
+}
+
+// writeBatch writes in chunks, each with a deadline: a peer that takes no byte for the timeout cannot be reached.
+func (c *Conn) writeBatch(batch []byte) error {
+	for len(batch) > 0 {
+		if err := c.nc.SetWriteDeadline(time.Now().Add(c.bounds.Timeout)); err != nil {
+			return err
+		}
+		n, err := c.nc.Write(batch[:min(chunk, len(batch))])
+		c.mu.Lock()
+		c.written += int64(n)
+		c.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		batch = batch[n:]
+	}
+	return nil
+}
