--- a/internal/stand/gate/admin.go
+++ b/internal/stand/gate/admin.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net"
 	"net/http"
 
 	"damaskreach/internal/stand/admin"
@@ -35,3 +36,12 @@
 		return func() { g.SetRates(writes, reads) }
 	})
 }
+
+// Client returns the name by which CutClient knows the sender of a request: its IP.
+func Client(r *http.Request) string {
+	ip, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return ip
+}
--- a/internal/stand/rowdb/handler.go
+++ b/internal/stand/rowdb/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -13,6 +12,7 @@
 	"damaskreach/internal/reply"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stand/admin"
+	"damaskreach/internal/stand/gate"
 	"damaskreach/internal/table"
 )
 
@@ -52,12 +52,8 @@
 
 func (d *DB) serve(op operation) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		client, _, err := net.SplitHostPort(r.RemoteAddr)
-		if err != nil {
-			client = r.RemoteAddr
-		}
 		r.Body = http.MaxBytesReader(w, r.Body, mostBody)
-		body, err := op(r.Context(), d.TableFor(client), r)
+		body, err := op(r.Context(), d.TableFor(gate.Client(r)), r)
 		respond(w, body, err)
 	}
 }
