Let a network in memory break connections alone

Cause: a reset without a dead host could not be shown. Change: Net.Break resets the connections between two hosts.

--- a/internal/stand/memnet/faults.go
+++ b/internal/stand/memnet/faults.go
@@ -94,6 +94,20 @@
 	n.wake()
 }
 
+// Break resets all connections between two hosts; listeners stay, so that new dials succeed.
+// Neither end is told over a cut link until it heals.
+func (n *Net) Break(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		local, remote := c.host(), c.remote.IP.String()
+		if (local == a && remote == b) || (local == b && remote == a) {
+			c.out.finish(syscall.ECONNRESET)
+		}
+	}
+	n.wake()
+}
+
 // shut closes c; its peer reads end after the bytes under way.
 func (c *conn) shut(end error) {
 	if c.closed {
--- a/internal/stand/memnet/net_test.go
+++ b/internal/stand/memnet/net_test.go
@@ -190,6 +190,24 @@
 	})
 }
 
+// A connection breaks while both hosts live on. Both ends read a reset, what they sent since is lost,
+// and a new connection works.
+func TestBreakResetsBothEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		a, b := connect(t, n)
+		n.Break(hostB, hostA)
+		send(t, a, "lost")
+		expectError(t, b, syscall.ECONNRESET)
+		expectError(t, a, syscall.ECONNRESET)
+		a.Close()
+		expectError(t, b, syscall.ECONNRESET)
+		if _, err := n.Dial(hostA)(t.Context(), addrB); err != nil {
+			t.Errorf("Dial after the break = %v, want nil", err)
+		}
+	})
+}
+
 // A host is paused for an hour. It notices nothing until it goes on: its reads have not returned, its
 // deadlines have not fired, and what it sent before the pause leaves only now.
 func TestFreezeStopsAHost(t *testing.T) {
--- a/internal/stand/memnet/pipe.go
+++ b/internal/stand/memnet/pipe.go
@@ -40,8 +40,11 @@
 	return time.Now().Add(p.link.latency)
 }
 
-// put takes as much of b as fits.
+// put takes as much of b as fits. What is sent over a broken connection before its end shows is gone.
 func (p *pipe) put(b []byte) int {
+	if p.end != nil {
+		return len(b)
+	}
 	n := min(len(b), pipeMost-p.size)
 	if n == 0 {
 		return 0
@@ -118,7 +121,11 @@
 	p.size = 0
 }
 
+// finish ends the pipe, unless it has ended already.
 func (p *pipe) finish(end error) {
+	if p.end != nil {
+		return
+	}
 	p.end = end
 	p.endDue = p.arrival()
 	p.cond.Broadcast()
