--- a/internal/stand/rowdb/db_test.go
+++ b/internal/stand/rowdb/db_test.go
@@ -93,6 +93,21 @@
 	wantTail(t, tab, 3, "a/2=z@4", nil)
 }
 
+func TestTailAfterManyWritesOfOneRow(t *testing.T) {
+	tab := rowdb.NewDB().Table()
+	mustWrite(t, tab, row("a/1", "x", 0))
+	rev := mustWrite(t, tab, row("a/2", "x", 0))
+	for range 5000 {
+		rev = mustWrite(t, tab, row("a/2", "y", rev))
+	}
+	for after, want := range map[int64]int{0: 2, 1: 1, 4000: 1, rev: 0} {
+		found, _, err := tab.Tail(t.Context(), "a/", after)
+		if len(found) != want || err != nil {
+			t.Errorf("Tail(after %d) = %v, %v, want %d rows, nil", after, found, err, want)
+		}
+	}
+}
+
 // A follower was away for longer than the service remembers deletions. It must be told, or it would keep
 // rows that no longer exist.
 func TestTailBeyondTheHistorySaysSo(t *testing.T) {
