--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -19,7 +19,11 @@
 const (
 	idleConns   = 256 // kept per upstream
 	idleTime    = 30 * time.Second
-	headerLimit = 64 << 10 // bytes of an answer's headers
+	dialTime    = 3 * time.Second // a host that is gone answers no dial at all; within a site one takes about a millisecond
+	headerLimit = 64 << 10        // bytes of an answer's headers
+	drainLimit  = 4 << 10         // bytes read after the end of an answer
+	drainTime   = 50 * time.Millisecond
+	agent       = "damaskreach"
 )
 
 // client sends requests to one upstream, each of them at most once.
@@ -37,15 +41,8 @@
 }
 
 func newClient(addr string, dial func(ctx context.Context, addr string) (net.Conn, error)) *client {
-	open := func(ctx context.Context, _, _ string) (net.Conn, error) {
-		conn, err := dial(ctx, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &wire{Conn: conn}, nil
-	}
 	pooled := &http.Transport{
-		DialContext:            open,
+		DialContext:            opener(addr, dial),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleTime,
@@ -92,7 +89,7 @@
 		used = info.Conn.(*wire)
 		used.reset()
 	}}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	req = req.WithContext(withCall(httptrace.WithClientTrace(ctx, trace)))
 	transport := c.fresh
 	if repeatable && req.ContentLength > 0 {
 		transport = c.pooled
@@ -108,6 +105,15 @@
 	return nil, c.failed(ctx, verdict, err, fmt.Sprintf("sending %s to %s", req.URL.Path, c.addr))
 }
 
+// drain reads the little that may follow an answer that was understood, so that its connection can be used
+// again: the transport closes one whose answer was not read to its end. An upstream that
+// does not end its answer gets its connection closed.
+func drain(res *http.Response) {
+	limit := time.AfterFunc(drainTime, func() { res.Body.Close() })
+	defer limit.Stop()
+	io.CopyN(io.Discard, res.Body, drainLimit)
+}
+
 // failed returns err as a caller may read it.
 func (c *client) failed(ctx context.Context, verdict verd.Verdict, err error, what string) error {
 	if cause := ctx.Err(); cause != nil {
--- /dev/null
+++ b/internal/engine/cost_test.go
@@ -0,0 +1,74 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+
+	"damaskreach/internal/engine"
+	"damaskreach/internal/stand/engsim"
+	"damaskreach/internal/stand/memnet"
+)
+
+// streamOf returns a chunked HTTP answer of tokens events, a chunk each as engines send them.
+func streamOf(tokens int) string {
+	var parts []string
+	for _, token := range engsim.Answer(model, "p", tokens) {
+		parts = append(parts, fmt.Sprintf(`data: {"id":"r","model":%q,"choices":[{"index":0,"text":%q,"finish_reason":null}]}`+"\n\n", model, token))
+	}
+	parts = append(parts, "data: [DONE]\n\n", "")
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(parts...)
+}
+
+// allocs returns the allocations of reading a stream of tokens tokens, request and connection included.
+func allocs(t *testing.T, tokens int) float64 {
+	client := canned(t, streamOf(tokens))
+	c := ask(model, "p", tokens)
+	c.Once = true
+	head := func(int, string) error { return nil }
+	return testing.AllocsPerRun(10, func() {
+		last := 0
+		err := client.Generate(t.Context(), 1, c, head, func(token int, _ []byte) error {
+			last = token
+			return nil
+		})
+		if err != nil || last != tokens {
+			t.Fatalf("Generate ended at token %d with %v, want %d, nil", last, err, tokens)
+		}
+	})
+}
+
+func TestAllocationsPerToken(t *testing.T) {
+	const few, many, bound = 100, 10100, 0.01
+	perToken := (allocs(t, many) - allocs(t, few)) / (many - few)
+	t.Logf("%.4f allocations per token", perToken)
+	if perToken > bound {
+		t.Errorf("%.4f allocations per token, want at most %v", perToken, bound)
+	}
+}
+
+// A connection per request would cost a dial each, and on small hosts the ports run out.
+func TestConnectionsAreReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.NewNet()
+		dials := 0
+		client := engine.NewEngine(addr, func(ctx context.Context, addr string) (net.Conn, error) {
+			dials++
+			return network.Dial(ctx, addr)
+		})
+		t.Cleanup(client.Close)
+		run(t, network, engsim.NewEngine())
+		load(t, client, model)
+		before := dials
+		for range 5 {
+			generate(soon(t), client, 1, ask(model, "p", 3), nil)
+			generate(soon(t), client, 1, ask("b@1", "p", 3), nil)
+			synctest.Wait()
+		}
+		if got := dials - before; got != 1 {
+			t.Errorf("%d dials for 10 requests that may be repeated, want 1", got)
+		}
+	})
+}
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -43,8 +43,8 @@
 	if err != nil {
 		return NotRun(merry.Prepend(err, "forming an order"))
 	}
-	req.Header.Set("Content-Type", jsonKind)
-	req.Header.Set(HeaderFence, number(o.Fence))
+	set(req, "Content-Type", jsonKind)
+	set(req, HeaderFence, number(o.Fence))
 	res, err := c.send(ctx, req, false)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/engine/plain_test.go
@@ -0,0 +1,174 @@
+package engine_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/call"
+	"damaskreach/internal/engine"
+	"damaskreach/internal/stand/memnet"
+	"damaskreach/internal/stand/plain"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+func booking() call.Call {
+	return call.Call{
+		ID: "r1", Attempt: "a1", Key: "k1", Once: true, Method: "PUT", Path: "/halls/4%2Fb?status=202&day=a%20b",
+		Type: "text/plain", Body: []byte("from noon"),
+	}
+}
+
+func TestPlainCallIsPassedThroughWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := serve(t, plain.NewService())
+		c := booking()
+		got := generate(soon(t), client, 1, c, nil)
+		want := string(plain.Answer(c.Method, c.Path, c.Type, c.Body))
+		if got.err != nil || got.status != 202 || got.kind != "application/json" || got.raw.String() != want {
+			t.Errorf("Generate = %d %q %q, %v, want 202 application/json %q", got.status, got.kind, got.raw.String(), got.err, want)
+		}
+		for _, status := range []int{404, 409, 412, 503} {
+			c.Path = "/halls?status=" + strconv.Itoa(status)
+			if got := generate(soon(t), client, 1, c, nil); got.err != nil || got.status != status {
+				t.Errorf("Generate = %d, %v, want the service's own %d", got.status, got.err, status)
+			}
+		}
+	})
+}
+
+// A service crashes before or after it has executed a booking, or in the middle of its answer. The
+// caller cannot tell these apart, so none may be called not run, and no half of an answer whole.
+func TestPlainServiceThatFailsMayHaveRun(t *testing.T) {
+	faults := map[string]struct {
+		arm      func(s *plain.Service)
+		executed int
+	}{
+		"crash before executing": {func(s *plain.Service) { s.CrashBefore(1) }, 0},
+		"crash after executing":  {func(s *plain.Service) { s.CrashAfter(1) }, 1},
+		"answer cut":             {func(s *plain.Service) { s.CutAnswers(1) }, 1},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := plain.NewService()
+				s.Delay = time.Second
+				client := serve(t, s)
+				fault.arm(s)
+				got := generate(soon(t), client, 1, booking(), nil)
+				check(t, "Generate", got.err, refuse.Cut, verd.MayHaveRun)
+				if got.status != 0 {
+					t.Errorf("head was called with %d before the answer was whole", got.status)
+				}
+				if n := len(s.Records()); n != fault.executed {
+					t.Errorf("%d executions, want %d", n, fault.executed)
+				}
+			})
+		})
+	}
+}
+
+// canned answers the first request of each connection with the same bytes, and then closes it.
+func canned(t *testing.T, answer string) engine.Engine {
+	network := memnet.NewNet()
+	lis, err := network.Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go reciteTo(conn, answer)
+		}
+	}()
+	client := engine.NewEngine(addr, network.Dial)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func reciteTo(conn net.Conn, answer string) {
+	defer conn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, req.Body)
+	io.WriteString(conn, answer)
+}
+
+// chunks returns parts in HTTP's chunked coding; an empty part ends it.
+func chunks(parts ...string) string {
+	var b strings.Builder
+	for _, part := range parts {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(part), part)
+	}
+	return b.String()
+}
+
+// An answer breaks off in one of the ways in which HTTP lets it look finished, or
+// belongs to someone else. None of them may reach a caller as its whole answer.
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	const (
+		head   = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+		stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	)
+	answers := map[string]string{
+		"shorter than its length":  head + "Content-Length: 9\r\n\r\n{}",
+		"chunks without an end":    head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+		"neither length nor end":   head + "\r\n{}",
+		"malformed chunk":          head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n{}\r\n0\r\n\r\n",
+		"another attempt's":        head + "X-Attempt-Id: a0\r\nContent-Length: 2\r\n\r\n{}",
+		"another's refusal":        "HTTP/1.1 404 Not Found\r\nX-Attempt-Id: a0\r\nContent-Length: 2\r\n\r\n{}",
+		"protocol switch":          "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+		"stream without end mark":  stream + chunks("data: {}\n\n", ""),
+		"stream that ends in half": stream + chunks("data: {}\n\n", "data: [DONE]", ""),
+		"stream given up":          stream + chunks("data: {\"error\":\"x\"}\n\n", "data: [DONE]\n\n", ""),
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := generate(soon(t), canned(t, answer), 1, ask(model, "p", 1), nil)
+				check(t, "Generate", got.err, refuse.Cut, verd.MayHaveRun)
+			})
+		})
+	}
+}
+
+// The canned streams above must fail for the reason that their names give, and not because they are malformed.
+func TestCannedStreamIsWholeWithItsEndMark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+		client := canned(t, stream+chunks("data: {\"text\":\"a\"}\n\n", "data: [DONE]\n\n", ""))
+		got := generate(soon(t), client, 1, ask(model, "p", 1), nil)
+		if got.err != nil || got.raw.String() != `{"text":"a"}` || got.tokens != 1 {
+			t.Errorf("Generate = %q, %d tokens, %v, want one token, nil", got.raw.String(), got.tokens, got.err)
+		}
+	})
+}
+
+// An answer is larger than this program may hold. It ends with an error, not with a part.
+func TestAnswerTooLarge(t *testing.T) {
+	huge := "HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n" + strings.Repeat("x", 20000000)
+	got := generate(soon(t), canned(t, huge), 1, booking(), nil)
+	check(t, "Generate", got.err, refuse.Cut, verd.MayHaveRun)
+}
+
+func TestRequestsThatCannotBeFormed(t *testing.T) {
+	client := engine.NewEngine(addr, memnet.NewNet().Dial)
+	for _, c := range []call.Call{{Method: "GET", Path: "@other/"}, {Method: "G T", Path: "/"}, {Method: "GET", Path: ""}} {
+		got := generate(soon(t), client, 1, c, nil)
+		check(t, "Generate "+c.Method+" "+c.Path, got.err, refuse.BadRequest, verd.NotRun)
+	}
+}
--- a/internal/engine/refusal.go
+++ b/internal/engine/refusal.go
@@ -7,12 +7,14 @@
 
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const refusalLimit = 64 << 10 // bytes read of an engine's refusal
 
 // refused returns the refusal in res where the engine says for certain that nothing was started, or nil.
-func (c *client) refused(res *http.Response) *refuse.Refusal {
+func (c *client) refused(res *http.Response) error {
 	switch res.StatusCode {
 	case http.StatusNotFound:
 		return c.refusal(res, refuse.NoUpstream)
@@ -28,8 +30,10 @@
 	return nil
 }
 
-func (c *client) refusal(res *http.Response, code string) *refuse.Refusal {
-	return refuse.NewRefusal(verd.NotRun, code, "engine %s answered %d: %s", c.addr, res.StatusCode, reasonOf(res))
+func (c *client) refusal(res *http.Response, code string) error {
+	refusal := refuse.NewRefusal(verd.NotRun, code, "engine %s answered %d: %s", c.addr, res.StatusCode, reasonOf(res))
+	drain(res)
+	return merry.Wrap(refusal, merry.WithValue(statusKey{}, res.StatusCode))
 }
 
 // reasonOf returns the engine's own words, which may be missing or cut: the status alone decides.
@@ -45,3 +49,12 @@
 	}
 	return said.Error.Message
 }
+
+type statusKey struct{}
+
+// Status returns the HTTP status with which an engine refused before it started anything, or 0 for any other error.
+// 404 means that the model is not loaded there, 409 that no slot is free, 412 that a higher fencing number was seen.
+func Status(err error) int {
+	status, _ := merry.Value(err, statusKey{}).(int)
+	return status
+}
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -11,8 +11,9 @@
 //
 // A request counts as written before its first Write is passed on, because a byte that the local
 // socket accepted may arrive even when Write then fails. When a call fails, the wire is sealed in the
-// same step in which it is asked: without that, the transport's own goroutine could still write the
-// request after the call was reported as not run, and the caller's repeat would be a second execution.
+// same step in which it is asked: a transport goroutine that still held the request could otherwise write
+// it after the call was reported as not run, and the caller's repeat would be a second execution.
+// The present transport waits for that goroutine almost always; nothing in its contract promises it.
 type wire struct {
 	net.Conn
 
--- a/internal/sseio/sseio.go
+++ b/internal/sseio/sseio.go
@@ -4,19 +4,18 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"io"
 
 	"github.com/ansel1/merry/v2"
 )
 
 // ErrTooLong means that an event is larger than the reader's limit.
-var ErrTooLong = errors.New("event too long")
+var ErrTooLong = merry.Sentinel("event too long")
 
 // ErrBareReturn means that a line holds a carriage return that does not end it.
 // The format lets one end a line; a JSON payload never holds one, and a payload that did
 // would be split in two by whoever reads the answer after it was passed on.
-var ErrBareReturn = errors.New("bare carriage return")
+var ErrBareReturn = merry.Sentinel("bare carriage return")
 
 const bufferSize = 4 << 10
 
--- a/internal/stand/engsim/complete.go
+++ b/internal/stand/engsim/complete.go
@@ -44,6 +44,7 @@
 }
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
 	var q question
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&q)
 	if err != nil || q.Most < 0 || q.Most > mostTokens {
@@ -120,6 +121,7 @@
 		case <-x.broken:
 			panic(http.ErrAbortHandler)
 		case <-x.boot.ctx.Done():
+			e.finish(x, recrd.Cut)
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			e.finish(x, recrd.Cancelled)
--- a/internal/stand/engsim/engsim.go
+++ b/internal/stand/engsim/engsim.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net/http"
 	"sync"
 	"time"
 
 	"damaskreach/internal/stand/recrd"
+	"damaskreach/internal/stand/uptime"
 )
 
 const (
@@ -50,6 +50,7 @@
 	Length func(prompt string, most int) int
 
 	mux   *http.ServeMux
+	power *uptime.Uptime
 	mu    sync.Mutex
 	boot  *boot
 	fence int64
@@ -75,36 +76,34 @@
 		Prefill:    defaultPrefill,
 		Lag:        defaultLag,
 		Restart:    defaultRestart,
+		power:      uptime.NewUptime(),
 		slow:       1,
 	}
-	e.boot = newBoot(time.Time{})
+	e.boot = newBoot(e.power.Boot())
 	e.mux = e.routes()
 	return e
 }
 
 // boot is what lives from one start of the engine to its next crash.
 type boot struct {
-	id      string
 	ctx     context.Context
-	cancel  context.CancelFunc
-	up      time.Time                // requests are accepted from then on
-	models  map[string]bool          // resident
-	loading map[string]chan struct{} // closed when the load has ended
-	running []*run                   // requests in the current batch
+	id      string
+	models  map[string]bool // resident
+	loading map[string]*loading
+	running []*run // requests in the current batch
 	waiting []*run
-	stepped bool // the step loop is running
+	stepped bool          // the step loop is running
+	idle    chan struct{} // holds one signal that the last run has left
 	cache   *cache
 }
 
-func newBoot(up time.Time) *boot {
-	ctx, cancel := context.WithCancel(context.Background())
+func newBoot(ctx context.Context, id string) *boot {
 	return &boot{
-		id:      rand.Text(),
 		ctx:     ctx,
-		cancel:  cancel,
-		up:      up,
+		id:      id,
 		models:  make(map[string]bool),
-		loading: make(map[string]chan struct{}),
+		loading: make(map[string]*loading),
+		idle:    make(chan struct{}, 1),
 		cache:   newCache(),
 	}
 }
--- a/internal/stand/engsim/fault.go
+++ b/internal/stand/engsim/fault.go
@@ -25,12 +25,12 @@
 			e.log[i] = rec.WithEnd(recrd.Cut, time.Now())
 		}
 	}
-	e.boot = newBoot(time.Now().Add(e.Restart))
+	e.power.Crash(e.Restart)
+	e.boot = newBoot(e.power.Boot())
 	e.past = nil
 	if e.Forgets {
 		e.fence = 0
 	}
-	old.cancel()
 }
 
 // FailLoads makes the next n loads fail.
--- a/internal/stand/engsim/order.go
+++ b/internal/stand/engsim/order.go
@@ -41,6 +41,12 @@
 	refuse(w, http.StatusPreconditionFailed, "old_fence", "a higher fencing number was seen")
 }
 
+// loading is a load in progress.
+type loading struct {
+	done chan struct{} // closed when the load has ended
+	err  error         // why it failed; set before done is closed
+}
+
 func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
 	o, ok := readOrder(w, r)
 	if !ok {
@@ -48,34 +54,36 @@
 	}
 	e.mu.Lock()
 	b := e.boot
-	switch loading := b.loading[o.Model]; {
+	now := b.loading[o.Model]
+	switch {
 	case !e.pass(o.Fence):
 		e.mu.Unlock()
 		refuseFence(w)
 	case b.models[o.Model]:
 		e.mu.Unlock()
 		reply(w, http.StatusOK, o)
-	case loading != nil:
+	case now != nil:
 		e.mu.Unlock()
-		<-loading
-		e.answerLoad(w, b, o)
+		answerLoad(w, b, now, o)
 	case len(b.models)+len(b.loading) >= e.Slots:
 		e.mu.Unlock()
 		refuse(w, http.StatusConflict, "slots_full", "every adapter slot is in use")
 	default:
-		b.loading[o.Model] = make(chan struct{})
+		now = &loading{done: make(chan struct{})}
+		b.loading[o.Model] = now
 		e.mu.Unlock()
-		e.load(b, o.Model)
-		e.answerLoad(w, b, o)
+		e.load(b, now, o.Model)
+		answerLoad(w, b, now, o)
 	}
 }
 
 // load fetches a model on behalf of the boot: like a real engine it goes on when the giver of the order has gone.
-func (e *Engine) load(b *boot, model string) {
+func (e *Engine) load(b *boot, now *loading, model string) {
 	err := e.fetch(b, model)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	close(b.loading[model])
+	now.err = err
+	close(now.done)
 	delete(b.loading, model)
 	if err == nil {
 		b.models[model] = true
@@ -84,32 +92,27 @@
 }
 
 func (e *Engine) fetch(b *boot, model string) error {
-	e.mu.Lock()
-	fail := e.fails > 0
-	if fail {
-		e.fails--
-	}
-	e.mu.Unlock()
 	if e.Fetch != nil {
 		if err := e.Fetch(b.ctx, model); err != nil {
-			return merry.Prependf(err, "loading %s", model)
+			return err
 		}
 	}
-	if fail {
-		return merry.Errorf("loading %s: made to fail", model)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fails == 0 {
+		return nil
 	}
-	return nil
+	e.fails--
+	return merry.Errorf("loading %s: made to fail", model)
 }
 
-func (e *Engine) answerLoad(w http.ResponseWriter, b *boot, o order) {
+func answerLoad(w http.ResponseWriter, b *boot, now *loading, o order) {
+	<-now.done
 	if b.ctx.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	e.mu.Lock()
-	resident := b.models[o.Model]
-	e.mu.Unlock()
-	if !resident {
-		refuse(w, http.StatusBadGateway, "load_failed", "the model could not be loaded")
+	if now.err != nil {
+		refuse(w, http.StatusBadGateway, "load_failed", now.err.Error())
 		return
 	}
 	reply(w, http.StatusOK, o)
--- a/internal/stand/engsim/run.go
+++ b/internal/stand/engsim/run.go
@@ -70,6 +70,13 @@
 	same := func(other *run) bool { return other == r }
 	b.running = slices.DeleteFunc(b.running, same)
 	b.waiting = slices.DeleteFunc(b.waiting, same)
+	if len(b.running)+len(b.waiting) > 0 {
+		return
+	}
+	select {
+	case b.idle <- struct{}{}:
+	default:
+	}
 }
 
 // admit moves waiting runs into free places of the batch, the most urgent first.
--- a/internal/stand/engsim/step.go
+++ b/internal/stand/engsim/step.go
@@ -13,10 +13,23 @@
 		if !more {
 			return
 		}
-		if !pause(b, wait) {
-			return
+		if b.pause(wait) {
+			e.advance(b)
 		}
-		e.advance(b)
+	}
+}
+
+// pause waits for d and reports whether it passed in full, which it does not once nothing is left to run.
+func (b *boot) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-b.idle:
+		return false
+	case <-b.ctx.Done():
+		return false
 	}
 }
 
@@ -24,8 +37,12 @@
 func (e *Engine) begin(b *boot) (time.Duration, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	select {
+	case <-b.idle: // of runs that left before this step
+	default:
+	}
 	joined := b.admit(e.Batch)
-	if len(b.running) == 0 {
+	if len(b.running) == 0 || b.ctx.Err() != nil {
 		b.stepped = false
 		return 0, false
 	}
@@ -52,18 +69,6 @@
 	return time.Duration(float64(wait) * e.slow)
 }
 
-// pause waits for d and reports whether the boot is still alive.
-func pause(b *boot, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return b.ctx.Err() == nil
-	case <-b.ctx.Done():
-		return false
-	}
-}
-
 // advance gives each run of the batch one token; runs that have all theirs leave it.
 func (e *Engine) advance(b *boot) {
 	e.mu.Lock()
--- a/internal/stand/engsim/stream.go
+++ b/internal/stand/engsim/stream.go
@@ -79,6 +79,10 @@
 		sent = n
 	}
 	reply(out.w, http.StatusOK, out.whole(strings.Join(tokens, ""), len(tokens)))
+	if http.NewResponseController(out.w).Flush() != nil {
+		e.finish(x, recrd.Cancelled)
+		return
+	}
 	e.finish(x, recrd.Whole)
 }
 
--- a/internal/stand/recrd/recrd.go
+++ b/internal/stand/recrd/recrd.go
@@ -8,9 +8,10 @@
 	Whole     = "whole"     // the last byte of the answer was handed to the connection
 	Cut       = "cut"       // the upstream crashed or gave the execution up
 	Cancelled = "cancelled" // the caller went away
+	Refused   = "refused"   // it was not begun
 )
 
-// Record is one execution of a request, or one breach of the rules that the upstream noticed.
+// Record is one execution of a request, one load of a model, or one breach of the rules that an upstream noticed.
 // An end-to-end checker compares these with what the callers saw.
 type Record struct {
 	Request  string    `json:"request"`          // request id header
@@ -25,8 +26,8 @@
 	Tokens   int       `json:"tokens"`           // tokens generated, without the skipped ones
 	Started  time.Time `json:"started"`          // when the upstream accepted it
 	Finished time.Time `json:"finished"`         // zero while in progress
-	End      string    `json:"end"`              // Whole, Cut, Cancelled or empty
-	Breach   string    `json:"breach,omitempty"` // what was wrong; empty for an execution
+	End      string    `json:"end"`              // one of the ways above, or empty
+	Breach   string    `json:"breach,omitempty"` // what was wrong; empty where nothing was
 }
 
 // WithEnd returns a copy that ended at the given time.
