--- a/internal/sched/loaded.go
+++ b/internal/sched/loaded.go
@@ -64,7 +64,7 @@
 
 // Unloaded ends an Unload order. After an error the model may or may not be there, so its slot stays taken
 // and nothing starts on it until a second Unload is confirmed: taking either for granted would start a request
-// without its adapter, or load into a taken slot.
+// without its adapter, or load into a taken slot. An engine that never had the model counts as success.
 func (s *Sched) Unloaded(now time.Time, name string, err error) []order.Order {
 	m := s.models[name]
 	if m == nil || m.state != unloading {
@@ -74,7 +74,6 @@
 		m.turn(now, absent)
 		return s.plan(now)
 	}
-	m.after = now.Add(firstBackoff)
-	m.failures++
+	m.again = now.Add(firstBackoff)
 	return s.plan(now)
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -29,6 +29,7 @@
 	missing  int       // reports in a row that do not list it though it is held resident
 	failures int       // loads in a row that failed
 	after    time.Time // no load before
+	again    time.Time // when a failed unload is repeated; zero while none is
 	demand   demand
 }
 
@@ -38,6 +39,7 @@
 	m.changed = now
 	m.drain = false
 	m.adopted = false
+	m.again = time.Time{}
 	m.missing = 0
 }
 
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -38,7 +38,8 @@
 
 // restart drops what a restarted engine has lost: residents, pins and everything in progress.
 // Holding them resident would start requests without their adapter.
-// Loads and unloads that are under way stay so until the driver says how they ended.
+// Loads and unloads that are under way stay so until the driver says how they ended;
+// an unload that is to be repeated has no driver at work on it and is no longer needed.
 func (s *Sched) restart(now time.Time) {
 	for _, i := range s.running {
 		s.drop(i)
@@ -46,7 +47,7 @@
 	for _, m := range s.models {
 		m.pinned = false
 		m.foreign = 0
-		if m.state == resident {
+		if m.state == resident || !m.again.IsZero() {
 			m.turn(now, absent)
 		}
 	}
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -135,7 +135,7 @@
 // unloadAgain repeats unloads that failed.
 func (s *Sched) unloadAgain(now time.Time) {
 	for _, m := range s.sorted() {
-		if m.state == unloading && m.after.After(m.changed) && !now.Before(m.after) {
+		if m.state == unloading && !m.pinned && !m.again.IsZero() && !now.Before(m.again) {
 			s.orderUnload(now, m, "its unload failed and is repeated")
 		}
 	}
