Extend leases by peers' promises; judge sessions by fresh readings only

Cause: while the table service is down nobody can renew; a view that counts wall time since the last renewal takes every node for dead, and engines that ignore fences would get no work for the whole outage. Change: a term counts only up to the last successful reading; a node that cannot renew asks all peers to promise one term; a session whose chosen ender fails is ended by any node after 5 s.

--- /dev/null
+++ b/internal/extend/extend.go
@@ -0,0 +1,126 @@
+// Package extend prolongs a node's lease by its peers' promises while the node cannot renew it in the table service.
+//
+// A lease lapses during an outage of the table service, although then nobody can take over. Engines that honour fences
+// refuse an old owner themselves, so their owners go on anyway; engines that ignore fences would stand idle for the whole
+// outage. So a node that cannot renew asks every other node of its site to promise not to end its session for one term,
+// and counts the term from before it asked. The promise must be unanimous: any node left out could be the one that
+// reaches the table service and takes over. A node the host list calls gone need not be asked.
+package extend
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/lease"
+	"damaskreach/internal/loop"
+	"damaskreach/internal/member"
+	"damaskreach/internal/peer"
+	"damaskreach/internal/sess"
+)
+
+const (
+	methodSpare = "spare"
+	askTimeout  = time.Second
+)
+
+// Extend asks for and gives promises. The fields are set before Register and not changed afterwards.
+type Extend struct {
+	Loop    *loop.Loop
+	Lease   *lease.Lease
+	Members *member.Member
+	Mesh    *peer.Mesh
+	Log     *zap.Logger
+	Term    time.Duration // of a lease
+	Every   time.Duration // interval of renewals
+	// Gone reports whether the host list says that the host of an address is gone.
+	Gone func(peer string) bool
+	// Ending reports whether this node is just ending the session of a row; it runs on the control goroutine.
+	Ending func(key string) bool
+}
+
+type spareAsk struct {
+	Session string `msgpack:"session"`
+	Key     string `msgpack:"key"`
+}
+
+type spareSaid struct {
+	Promised bool `msgpack:"promised"`
+}
+
+// Register answers other nodes' requests for a promise.
+func (e *Extend) Register() {
+	peer.Answer(e.Mesh, methodSpare, func(ctx context.Context, _ string, q spareAsk) (spareSaid, error) {
+		promised, err := loop.Get(ctx, e.Loop, func() bool { return e.promise(q) })
+		return spareSaid{Promised: promised}, err
+	})
+}
+
+func (e *Extend) promise(q spareAsk) bool {
+	if e.Ending(q.Key) {
+		return false
+	}
+	now := time.Now()
+	return e.Members.Spare(now, q.Session, now.Add(e.Term))
+}
+
+// Run asks for promises whenever a renewal is overdue, until ctx ends.
+func (e *Extend) Run(ctx context.Context) {
+	timer := time.NewTicker(e.Every)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if left := e.Lease.Left(); left < e.Term-2*e.Every {
+			e.ask(ctx)
+		}
+	}
+}
+
+func (e *Extend) ask(ctx context.Context) {
+	begin := time.Now()
+	me := e.Lease.Session()
+	others, err := loop.Get(ctx, e.Loop, func() []sess.Session { return e.others(me) })
+	if err != nil || !e.unanimous(ctx, me, others) {
+		return
+	}
+	e.Lease.Extend(me.ID(), begin.Add(e.Term))
+	e.Log.Info("peers extended the lease", zap.String("session", me.ID()), zap.Int("peers", len(others)))
+}
+
+func (e *Extend) others(me sess.Session) []sess.Session {
+	var others []sess.Session
+	for _, s := range e.Members.Live(time.Now()) {
+		if s.ID() != me.ID() && !e.Gone(s.Peer) {
+			others = append(others, s)
+		}
+	}
+	return others
+}
+
+// unanimous asks all at once; a node alone has nobody who could take over, and nobody to tell it that this is so.
+func (e *Extend) unanimous(ctx context.Context, me sess.Session, others []sess.Session) bool {
+	if len(others) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answers := make(chan bool, len(others))
+	for _, s := range others {
+		go func() {
+			var said spareSaid
+			err := e.Mesh.Ask(ctx, s.Peer, methodSpare, spareAsk{Session: me.ID(), Key: me.Key()}, &said)
+			answers <- err == nil && said.Promised
+		}()
+	}
+	for range others {
+		if !<-answers {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -132,7 +132,7 @@
 }
 
 func (l *Lease) step(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.term)
+	ctx, cancel := context.WithTimeout(ctx, l.term-l.renew)
 	defer cancel()
 	start := time.Now()
 	next, rev := l.nextBeat()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -15,8 +15,10 @@
 
 // Member is the view one node has of its site's sessions. Only the control goroutine uses it.
 type Member struct {
-	term time.Duration
-	seen map[string]seen // by session id
+	term  time.Duration
+	seen  map[string]seen      // by session id
+	fresh time.Time            // start of the last reading of the session rows that succeeded
+	spare map[string]time.Time // sessions not to be ended before a time, by id
 }
 
 type seen struct {
@@ -27,15 +29,43 @@
 
 // NewMember returns an empty view of sessions with the given lease term.
 func NewMember(term time.Duration) *Member {
-	return &Member{term: term, seen: map[string]seen{}}
+	return &Member{term: term, seen: map[string]seen{}, spare: map[string]time.Time{}}
 }
 
-// Learn takes rows of the session prefix, read at now, deletions included.
-// An older revision than one already seen changes nothing, whichever replica or peer it came from.
-func (m *Member) Learn(now time.Time, site string, changed []rows.Row) {
+// Learn takes the rows of the session prefix that a reading begun at begin brought at now, deletions included.
+// An older revision than one already seen changes nothing, whichever replica it came from.
+func (m *Member) Learn(begin, now time.Time, site string, changed []rows.Row) {
 	for _, row := range changed {
 		m.learn(now, site, row)
 	}
+	if begin.After(m.fresh) {
+		m.fresh = begin
+	}
+}
+
+// LearnWhole is Learn for a listing of all rows at a revision: what is absent from it and older is gone.
+func (m *Member) LearnWhole(begin, now time.Time, site string, all []rows.Row, rev int64) {
+	present := map[string]bool{}
+	for _, row := range all {
+		present[row.Key] = true
+	}
+	for id, s := range m.seen {
+		if !present[s.session.Key()] && s.rev < rev {
+			delete(m.seen, id)
+		}
+	}
+	m.Learn(begin, now, site, all)
+}
+
+// Spare promises not to take a session for ended before a time, and reports whether it can be promised:
+// not for a session that this node does not know or has taken for ended.
+func (m *Member) Spare(now time.Time, id string, until time.Time) bool {
+	s, known := m.seen[id]
+	if !known || m.ended(now, s) {
+		return false
+	}
+	m.spare[id] = until
+	return true
 }
 
 func (m *Member) learn(now time.Time, site string, row rows.Row) {
@@ -46,6 +76,7 @@
 	}
 	if row.Gone {
 		delete(m.seen, id)
+		delete(m.spare, id)
 		return
 	}
 	session, err := sess.Decode(row.Value)
@@ -81,10 +112,11 @@
 // Ended returns, for each session whose term has ended, the edit that deletes its row if it has not been renewed since.
 // Whoever commits that edit has proof that the holder's term is over, even where its own view came from a lagging replica:
 // a renewal would have changed the revision.
-func (m *Member) Ended(now time.Time) []rows.Row {
+// Sessions that ended less than grace ago are left out.
+func (m *Member) Ended(now time.Time, grace time.Duration) []rows.Row {
 	var edits []rows.Row
 	for _, s := range m.seen {
-		if m.ended(now, s) {
+		if m.ended(now, s) && m.over(s) > grace {
 			edits = append(edits, rows.Row{Key: s.session.Key(), Rev: s.rev, Gone: true})
 		}
 	}
@@ -98,6 +130,16 @@
 	return s.session, ok
 }
 
+// ended reports whether a term is over. What counts is the time up to the last successful reading: while the table
+// service is down nobody can renew, and taking every other node for dead would leave no one to serve.
 func (m *Member) ended(now time.Time, s seen) bool {
-	return now.Sub(s.since) > m.term+m.term/driftShare
+	if until, ok := m.spare[s.session.ID()]; ok && now.Before(until) {
+		return false
+	}
+	return m.over(s) > 0
+}
+
+// over returns for how long a term had been over at the last successful reading; it is negative before the end.
+func (m *Member) over(s seen) time.Duration {
+	return m.fresh.Sub(s.since) - m.term - m.term/driftShare
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/audit"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/entry"
+	"damaskreach/internal/extend"
 	"damaskreach/internal/follow"
 	"damaskreach/internal/grant"
 	"damaskreach/internal/home"
@@ -56,6 +57,7 @@
 	share   *share.Share
 	relay   *relay.Relay
 	grant   *grant.Grant
+	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
 
@@ -129,7 +131,11 @@
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
 		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.Gone,
-		Promised: func() bool { return false }, Note: n.note, Changed: n.changed, Pause: n.Pause,
+		Note: n.note, Changed: n.changed, Pause: n.Pause,
+	}
+	n.extend = &extend.Extend{
+		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
+		Ending: n.owner.Ending,
 	}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -22,6 +22,7 @@
 	n.relay.Register()
 	n.share.Register()
 	n.grant.Register()
+	n.extend.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -71,4 +72,5 @@
 	go n.lease.Run(ctx)
 	go n.owner.Follow(ctx)
 	go n.grant.Run(ctx)
+	go n.extend.Run(ctx)
 }
--- a/internal/owner/follow.go
+++ b/internal/owner/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"damaskreach/internal/assign"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/sess"
+	"damaskreach/internal/table"
 )
 
 // follow reads the tails of session and ownership rows until ctx ends.
@@ -46,23 +48,50 @@
 func (o *Owner) readTails(ctx context.Context, at *tails) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	nodes, nodesRev, err := o.Table.Tail(ctx, sess.Prefix(o.Site), at.nodes)
+	begin := time.Now()
+	nodes, err := o.read(ctx, sess.Prefix(o.Site), at.nodes)
 	if err != nil {
 		return err
 	}
-	owns, ownsRev, err := o.Table.Tail(ctx, assign.Prefix(o.Site), at.owns)
+	owns, err := o.read(ctx, assign.Prefix(o.Site), at.owns)
 	if err != nil {
 		return err
 	}
-	at.nodes = max(nodesRev, at.nodes)
-	at.owns = max(ownsRev, at.owns)
+	at.nodes = max(nodes.rev, at.nodes)
+	at.owns = max(owns.rev, at.owns)
 	return o.Loop.Do(ctx, func() {
-		o.Members.Learn(time.Now(), o.Site, nodes)
-		o.learn(owns)
+		o.learnNodes(begin, nodes)
+		o.learn(owns.rows)
 		o.plan(time.Now())
 	})
 }
 
+// reading is what a prefix held or what changed in it.
+type reading struct {
+	rows  []rows.Row
+	rev   int64
+	whole bool // all rows rather than changes
+}
+
+// read returns the changes after a revision, or all rows where the service no longer knows all deletions since.
+func (o *Owner) read(ctx context.Context, prefix string, after int64) (reading, error) {
+	changed, rev, err := o.Table.Tail(ctx, prefix, after)
+	if errors.Is(err, table.ErrCompacted) {
+		all, rev, err := o.Table.List(ctx, prefix)
+		return reading{rows: all, rev: rev, whole: true}, err
+	}
+	return reading{rows: changed, rev: rev}, err
+}
+
+func (o *Owner) learnNodes(begin time.Time, r reading) {
+	now := time.Now()
+	if r.whole {
+		o.Members.LearnWhole(begin, now, o.Site, r.rows, r.rev)
+		return
+	}
+	o.Members.Learn(begin, now, o.Site, r.rows)
+}
+
 // learn takes ownership rows; an older revision than the one seen changes nothing.
 func (o *Owner) learn(changed []rows.Row) {
 	for _, row := range changed {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,7 +40,8 @@
 	engineTimeout = 2 * time.Second
 	loadTimeout   = 2 * time.Minute
 	askTimeout    = time.Second
-	sickAfter     = 2 // reports missed in a row
+	endGrace      = 5 * time.Second // for the node chosen to end a lapsed session before the others do
+	sickAfter     = 2               // reports missed in a row
 )
 
 // Owner holds this node's runners. The fields are set before Follow and not changed afterwards;
@@ -67,8 +68,6 @@
 	Busy func(ctx context.Context, session, peer, runner string, fence int64) ([]string, error)
 	// Gone reports whether the host list says that the host of an address is gone.
 	Gone func(peer string) bool
-	// Promised reports whether every peer has promised not to take over from this node during an outage.
-	Promised func() bool
 	// Note records a decision for operators.
 	Note func(why reason.Reason, attempt string)
 	// Changed is told of the digests of runners held, whenever they have changed.
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -108,12 +108,27 @@
 	for _, s := range serving {
 		ids = append(ids, s.ID())
 	}
-	for _, edit := range o.Members.Ended(now) {
-		if spread.Pick(ids, edit.Key) == o.Lease.Session().ID() && !o.busy[edit.Key] {
-			o.busy[edit.Key] = true
-			go o.declare(edit)
+	for _, edit := range o.Members.Ended(now, 0) {
+		if spread.Pick(ids, edit.Key) == o.Lease.Session().ID() {
+			o.end(edit)
 		}
 	}
+	for _, edit := range o.Members.Ended(now, endGrace) {
+		o.end(edit)
+	}
+}
+
+func (o *Owner) end(edit rows.Row) {
+	if o.busy[edit.Key] {
+		return
+	}
+	o.busy[edit.Key] = true
+	go o.declare(edit)
+}
+
+// Ending reports whether this node is just ending a session. It must be called on the control goroutine.
+func (o *Owner) Ending(key string) bool {
+	return o.busy[key]
 }
 
 func (o *Owner) declare(edit rows.Row) {
--- /dev/null
+++ b/internal/stand/site/site.go
@@ -0,0 +1,196 @@
+// Package site puts nodes and stand-ins together in one process over an in-memory network.
+package site
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/adapt"
+	"damaskreach/internal/conf"
+	"damaskreach/internal/group"
+	"damaskreach/internal/node"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/runner"
+	"damaskreach/internal/stand/engsim"
+	"damaskreach/internal/stand/memnet"
+	"damaskreach/internal/stand/rowdb"
+	"damaskreach/internal/table"
+	"damaskreach/internal/tenant"
+)
+
+// Names and keys of what a site serves.
+const (
+	Name    = "site"
+	Tenant  = "parish"
+	APIKey  = "parish-key"
+	Writers = "writers" // engine group
+)
+
+// Site is a small fleet: the table service, engines and nodes. Its exported fields are settings until Start,
+// but for the stand-ins, whose faults may be set at any time.
+type Site struct {
+	Net     *memnet.Net
+	DB      *rowdb.DB
+	Engines []*engsim.Engine
+	Log     *zap.Logger
+	Conf    conf.Conf // settings common to all nodes
+	// Prepare changes a node before it runs; nil changes nothing.
+	Prepare func(n *node.Node)
+	// Spec changes a runner's row before it is written; nil changes nothing.
+	Spec func(r runner.Runner) runner.Runner
+
+	mu    sync.Mutex
+	nodes map[int]*running
+}
+
+type running struct {
+	node   *node.Node
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// NewSite returns a site with a number of engines; seed fixes the network's latencies.
+func NewSite(seed int64, engines int) *Site {
+	s := &Site{
+		Net:   memnet.NewNet(seed),
+		DB:    rowdb.NewDB(),
+		Log:   zap.NewNop(),
+		Conf:  conf.Default(),
+		nodes: map[int]*running{},
+	}
+	for range engines {
+		s.Engines = append(s.Engines, engsim.NewEngine())
+	}
+	return s
+}
+
+// Host returns the address of the host of node i.
+func Host(i int) string {
+	return fmt.Sprintf("10.0.0.%d", i+1)
+}
+
+// EngineHost returns the address of the host of engine i.
+func EngineHost(i int) string {
+	return fmt.Sprintf("10.0.1.%d", i+1)
+}
+
+// RunnerName returns the name of the runner that engine i is.
+func RunnerName(i int) string {
+	return fmt.Sprintf("runner-%d", i)
+}
+
+// AdapterName returns the name of adapter i, which has the version "v1".
+func AdapterName(i int) string {
+	return fmt.Sprintf("adapter-%d", i)
+}
+
+// Start runs the engines and writes a table with a number of adapters. The engines end with ctx.
+func (s *Site) Start(ctx context.Context, adapters int) error {
+	for i, e := range s.Engines {
+		listen := func() (net.Listener, error) { return s.Net.Listen(EngineHost(i) + ":80") }
+		go func() {
+			if err := e.Run(ctx, listen); err != nil && ctx.Err() == nil {
+				s.Log.Error("an engine ended", zap.Error(err))
+			}
+		}()
+	}
+	_, err := s.DB.Table().Write(ctx, s.rows(adapters)...)
+	return err
+}
+
+func (s *Site) rows(adapters int) []rows.Row {
+	sum := sha256.Sum256([]byte(APIKey))
+	all := []rows.Row{
+		Row("tenant", Tenant, tenant.Tenant{Name: Tenant, Weight: 1, Keys: []string{hex.EncodeToString(sum[:])}}),
+		Row("group", Writers, group.Group{Name: Writers, Base: "base", Store: "weights"}),
+	}
+	for i, e := range s.Engines {
+		r := runner.Runner{
+			Name: RunnerName(i), Group: Writers, Addr: EngineHost(i) + ":80", Centre: "centre-1",
+			Slots: e.Slots, Batch: e.Batch, Fences: e.Fences, Resumes: true,
+		}
+		if s.Spec != nil {
+			r = s.Spec(r)
+		}
+		all = append(all, Row("runner", r.Name, r))
+	}
+	for i := range adapters {
+		name := AdapterName(i)
+		all = append(all, Row("adapter", name, adapt.Adapter{Name: name, Tenant: Tenant, Group: Writers, Versions: map[string]int{"v1": 1}}))
+	}
+	return all
+}
+
+// Row returns a new configuration row.
+func Row(kind, name string, value any) rows.Row {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // rows are structs of plain fields
+	}
+	return rows.Row{Key: table.PrefixConf + kind + "/" + name, Value: text}
+}
+
+// StartNode runs node i until StopNode, KillNode, a finished drain or the end of ctx.
+func (s *Site) StartNode(ctx context.Context, i int) *node.Node {
+	host := Host(i)
+	c := s.Conf
+	c.Node = fmt.Sprintf("node-%d", i)
+	c.Site = Name
+	c.Centre = fmt.Sprintf("centre-%d", i%3+1)
+	c.Peer, c.HTTP, c.Admin = host+":7000", host+":8000", host+":9000"
+	c.Secrets = []string{"a shared key of the site's nodes"}
+	n := node.NewNode(c, s.Net.Dial(host), s.Net.Listen, s.Log.With(zap.String("node", c.Node)))
+	n.Table = s.DB.TableFor(c.Node)
+	if s.Prepare != nil {
+		s.Prepare(n)
+	}
+	s.run(ctx, i, n)
+	return n
+}
+
+func (s *Site) run(ctx context.Context, i int, n *node.Node) {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &running{node: n, cancel: cancel, done: make(chan struct{})}
+	s.mu.Lock()
+	s.nodes[i] = r
+	s.mu.Unlock()
+	go func() {
+		defer close(r.done)
+		defer cancel()
+		if err := n.Run(ctx); err != nil {
+			s.Log.Error("a node ended with a fault", zap.Error(err))
+		}
+	}()
+}
+
+// Node returns node i, which must have been started.
+func (s *Site) Node(i int) *node.Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[i].node
+}
+
+// KillNode ends node i without any warning, its connections included.
+func (s *Site) KillNode(i int) {
+	s.Net.Kill(Host(i))
+	s.mu.Lock()
+	r := s.nodes[i]
+	s.mu.Unlock()
+	r.cancel()
+	<-r.done
+}
+
+// Wait returns when node i has ended.
+func (s *Site) Wait(i int) {
+	s.mu.Lock()
+	r := s.nodes[i]
+	s.mu.Unlock()
+	<-r.done
+}
