--- a/cmd/damaskreach/main.go
+++ b/cmd/damaskreach/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"damaskreach/internal/cli"
+	"damaskreach/internal/launch"
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(launch.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -5,24 +5,18 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/event"
 	"damaskreach/internal/reason"
 )
 
 // Audit is a bounded journal: when it is full the oldest entry makes room. It may be used from several goroutines.
 type Audit struct {
 	mu      sync.Mutex
-	entries []entry
+	entries []event.Event
 	next    int
 	most    int
 }
 
-type entry = struct {
-	At      time.Time     `json:"at" msgpack:"at"`
-	Node    string        `json:"node" msgpack:"node"`
-	Request string        `json:"request,omitempty" msgpack:"request,omitempty"` // request or attempt id
-	Why     reason.Reason `json:"why" msgpack:"why"`
-}
-
 // NewAudit returns a journal of at most most entries.
 func NewAudit(most int) *Audit {
 	return &Audit{most: most}
@@ -32,7 +26,7 @@
 func (a *Audit) Add(node, request string, why reason.Reason) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	e := entry{At: time.Now(), Node: node, Request: request, Why: why}
+	e := event.Event{At: time.Now(), Node: node, Request: request, Why: why}
 	if len(a.entries) < a.most {
 		a.entries = append(a.entries, e)
 		return
@@ -42,10 +36,10 @@
 }
 
 // Find returns the entries, oldest first, whose request, model or runner is name; an empty name finds all.
-func (a *Audit) Find(name string) []entry {
+func (a *Audit) Find(name string) []event.Event {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var found []entry
+	var found []event.Event
 	for i := range a.entries {
 		e := a.entries[(a.next+i)%len(a.entries)]
 		if name == "" || e.Request == name || e.Why.Model == name || e.Why.Runner == name {
--- a/internal/cli/run.go
+++ b/internal/launch/run.go
@@ -1,5 +1,5 @@
-// Package cli is the command line of a node.
-package cli
+// Package launch is the command line of a node.
+package launch
 
 import (
 	"context"
