Let a closing side say which streams it took, and redial a replaced node

A stream opened while its connection was being closed could only be reported as may-have-run. A Bye frame names the newest stream taken, as GOAWAY does in HTTP/2, so later ones are not-run. A stream reset before its Open frame left is withdrawn from the queue and is not-run too. Window and frame size of the peer now come with the handshake.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -6,12 +6,14 @@
 // Bounds is immutable; its With methods return changed copies. Sizes are bytes.
 type Bounds struct {
 	Frame     int           // largest body of a frame
-	Window    int           // unread messages a stream may hold, beside one frame
+	Window    int           // unread messages a stream may hold here, beside one frame
+	Credit    int           // unread messages a stream may hold at the peer; known after the handshake
 	Queue     int           // frames a connection may hold that are not written yet
 	Streams   int           // streams a peer may have open on one connection
 	Interval  time.Duration // between keepalive pings
 	Timeout   time.Duration // without a byte from the peer, or of a write, until the connection counts as cut
 	Handshake time.Duration // for the whole handshake
+	Grace     time.Duration // that handlers have to return when a connection is closed
 	Dial      time.Duration // for one dial without its handshake
 	Least     time.Duration // first pause after a failed dial
 	Most      time.Duration // longest pause after failed dials
@@ -22,11 +24,13 @@
 	return Bounds{
 		Frame:     4 << 20,
 		Window:    256 << 10,
+		Credit:    256 << 10,
 		Queue:     256 << 10,
 		Streams:   16 << 10,
 		Interval:  time.Second,
 		Timeout:   3 * time.Second,
 		Handshake: 3 * time.Second,
+		Grace:     time.Second,
 		Dial:      2 * time.Second,
 		Least:     50 * time.Millisecond,
 		Most:      2 * time.Second,
@@ -45,6 +49,13 @@
 	return b
 }
 
+// WithPeer returns a copy that keeps to the peer's window and frame size too.
+func (b Bounds) WithPeer(window, frame int) Bounds {
+	b.Credit = window
+	b.Frame = min(b.Frame, frame)
+	return b
+}
+
 // WithStreams returns a copy with another number of streams.
 func (b Bounds) WithStreams(n int) Bounds {
 	b.Streams = n
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -16,6 +16,7 @@
 	Ping   uint8 = 8  // asks for a Pong
 	Pong   uint8 = 9  // answers a Ping
 	Skip   uint8 = 10 // an Open that was withdrawn before it was written
+	Bye    uint8 = 11 // the sender takes no more streams; Stream is the newest it took
 )
 
 // Last is the flag of the last frame that a sender writes on a stream.
--- a/internal/hello/hello.go
+++ b/internal/hello/hello.go
@@ -25,6 +25,12 @@
 	Newest = 1
 )
 
+// Sizes of a node that states none, in bytes.
+const (
+	defaultFrame  = 4 << 20
+	defaultWindow = 256 << 10
+)
+
 var (
 	// ErrVersion means that the two sides have no version in common.
 	ErrVersion = merry.Sentinel("handshake: no common version")
@@ -38,18 +44,20 @@
 
 // Hello says who a node is. Fields may be added: an older release skips what it does not know.
 type Hello struct {
-	ID    string `msgpack:"id"`    // node id
-	Epoch string `msgpack:"epoch"` // differs with each start of the node
-	Addr  string `msgpack:"addr"`  // IP and port the node is reached at; empty where it serves none
-	Dest  string `msgpack:"dest"`  // IP and port the dialler dialled; empty from the acceptor
-	Min   int    `msgpack:"min"`   // oldest version it speaks
-	Max   int    `msgpack:"max"`   // newest version it speaks
-	Nonce []byte `msgpack:"nonce"` // fresh for each handshake; set by Dial and Accept
+	ID     string `msgpack:"id"`     // node id
+	Epoch  string `msgpack:"epoch"`  // differs with each start of the node
+	Addr   string `msgpack:"addr"`   // IP and port the node is reached at; empty where it serves none
+	Dest   string `msgpack:"dest"`   // IP and port the dialler dialled; empty from the acceptor
+	Min    int    `msgpack:"min"`    // oldest version it speaks
+	Max    int    `msgpack:"max"`    // newest version it speaks
+	Frame  int    `msgpack:"frame"`  // largest body of a frame it takes, in bytes
+	Window int    `msgpack:"window"` // unread messages of a stream it holds, in bytes
+	Nonce  []byte `msgpack:"nonce"`  // fresh for each handshake; set by Dial and Accept
 }
 
 // NewHello returns the Hello of a node of this release.
 func NewHello(id, epoch string) Hello {
-	return Hello{ID: id, Epoch: epoch, Min: Oldest, Max: Newest}
+	return Hello{ID: id, Epoch: epoch, Min: Oldest, Max: Newest, Frame: defaultFrame, Window: defaultWindow}
 }
 
 // WithAddr returns a copy with the address the node is reached at.
@@ -64,6 +72,13 @@
 	return h
 }
 
+// WithSizes returns a copy that takes other sizes, in bytes; see its fields.
+func (h Hello) WithSizes(frame, window int) Hello {
+	h.Frame = frame
+	h.Window = window
+	return h
+}
+
 // WithVersions returns a copy that speaks another range of versions.
 func (h Hello) WithVersions(oldest, newest int) Hello {
 	h.Min = oldest
--- a/internal/hello/talk.go
+++ b/internal/hello/talk.go
@@ -46,6 +46,9 @@
 	if len(other.Nonce) != sizeNonce {
 		return Hello{}, nil, merry.Appendf(ErrProtocol, "nonce of %d bytes", len(other.Nonce))
 	}
+	if other.Frame <= 0 || other.Window <= 0 {
+		return Hello{}, nil, merry.Appendf(ErrProtocol, "frames of %d bytes, window of %d", other.Frame, other.Window)
+	}
 	return other, body, nil
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
 
 	"damaskreach/internal/wire"
 )
@@ -28,126 +27,70 @@
 	dialing  chan struct{} // closed when the dial under way has ended; nil while there is none
 	failures int           // dials that failed in a row
 	due      time.Time     // when the next dial may start
-	err      error         // why the last dial or connection ended; nil while connected
+	err      error         // why the last dial failed or the connection ended; nil while connected
+	used     time.Time     // when it was last asked for
 }
 
-// link returns the link of an address.
-func (m *Mesh) link(addr string) *link {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	l, ok := m.links[addr]
-	if !ok {
-		l = &link{mesh: m, addr: addr}
-		m.links[addr] = l
+// get returns the connection to node id, dialling if there is none.
+//
+// When another node answers than the expected one, either the caller knows an old owner of the address or the
+// connection is left over from one. A second dial tells which. The connection that is there is not closed for it:
+// requests of callers with newer knowledge may be running on it.
+func (l *link) get(ctx context.Context, id string) (*wire.Conn, error) {
+	c, err := l.await(ctx, false)
+	if err != nil || leads(c, id) {
+		return c, err
+	}
+	c, err = l.await(ctx, true)
+	if err != nil || leads(c, id) {
+		return c, err
 	}
-	return l
+	return nil, merry.Appendf(ErrReplaced, "%s in place of %s", c.Peer().ID, id)
 }
 
-// get returns the connection, dialling if there is none.
-func (l *link) get(ctx context.Context, id string) (*wire.Conn, error) {
+// leads reports whether a connection leads to the node it is wanted for.
+func leads(c *wire.Conn, id string) bool {
+	return id == anyone || c.Peer().ID == id
+}
+
+// await returns the connection when there is one; with stale set, after one more dial if that is due.
+func (l *link) await(ctx context.Context, stale bool) (*wire.Conn, error) {
 	for {
-		c, wait, err := l.look()
-		if err != nil {
-			return nil, err
-		}
-		if c != nil {
-			return c, l.expect(c, id)
+		c, wait, err := l.look(stale)
+		if c != nil || err != nil {
+			return c, err
 		}
 		select {
 		case <-wait:
+			stale = false
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
 		}
 	}
 }
 
-// expect checks that a connection leads to the node it is wanted for.
-func (l *link) expect(c *wire.Conn, id string) error {
-	if id == anyone || c.Peer().ID == id {
-		return nil
-	}
-	return merry.Appendf(ErrReplaced, "%s in place of %s", c.Peer().ID, id)
-}
-
 // look returns the connection, or what to wait for, or why there is neither.
-func (l *link) look() (*wire.Conn, <-chan struct{}, error) {
+// With stale set it dials although there is a connection, if a dial is due, and returns that connection if not.
+func (l *link) look(stale bool) (*wire.Conn, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	l.used = now
+	usable := l.conn != nil && l.conn.Usable()
+	waiting := now.Before(l.due)
 	switch {
-	case l.mesh.ctx.Err() != nil:
-		return nil, nil, wire.ErrClosed
-	case l.conn != nil && l.conn.Err() == nil:
+	case usable && !stale:
 		return l.conn, nil, nil
 	case l.dialing != nil:
 		return nil, l.dialing, nil
-	case time.Now().Before(l.due):
+	case usable && waiting:
+		return l.conn, nil, nil
+	case waiting:
 		return nil, nil, merry.Appendf(ErrBackoff, "%v", l.err)
 	}
+	if !l.mesh.begin(l.dial) {
+		return nil, nil, wire.ErrClosed
+	}
 	l.dialing = make(chan struct{})
-	l.mesh.work.Go(l.dial)
 	return nil, l.dialing, nil
 }
-
-// dial makes a connection in the mesh's own context, so that the first caller's going away does not fail the others.
-func (l *link) dial() {
-	c, err := l.connect()
-	l.mu.Lock()
-	l.conn = c
-	l.err = err
-	if err != nil {
-		l.failures++
-		l.due = time.Now().Add(backoff(l.mesh.bounds, l.failures))
-	} else {
-		l.failures = 0
-	}
-	close(l.dialing)
-	l.dialing = nil
-	l.mu.Unlock()
-	if err != nil {
-		l.mesh.log.Warn("dialling a peer failed", zap.String("addr", l.addr), zap.Error(err))
-		return
-	}
-	l.watch(c)
-}
-
-func (l *link) connect() (*wire.Conn, error) {
-	m := l.mesh
-	ctx, cancel := context.WithTimeout(m.ctx, m.bounds.Dial)
-	defer cancel()
-	nc, err := m.dial(ctx, l.addr)
-	if err != nil {
-		return nil, merry.Prependf(err, "dialling %s", l.addr)
-	}
-	return wire.Dial(m.ctx, nc, m.self.WithDest(l.addr), m.secrets, m.bounds, nil)
-}
-
-// watch notes the end of a connection.
-func (l *link) watch(c *wire.Conn) {
-	<-c.Done()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn == c {
-		l.conn = nil
-		l.err = c.Err()
-	}
-}
-
-// Down reports whether the last dial of addr failed or its connection was cut and none has been made since.
-// It starts the next dial when that is due, so that a caller who avoids addresses that are down finds them again.
-func (m *Mesh) Down(addr string) bool {
-	m.mu.Lock()
-	l, ok := m.links[addr]
-	m.mu.Unlock()
-	if !ok || !l.failed() {
-		return false
-	}
-	// Only the start of a dial is wanted here; the answer is known.
-	_, _, _ = l.look()
-	return true
-}
-
-func (l *link) failed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.err != nil
-}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"maps"
 	"net"
 	"sync"
 
@@ -17,31 +18,43 @@
 // Mesh is a node's side of all its connections. Its methods may be called from several goroutines, but for Handle,
 // Answer and the With methods, which belong before Serve and the first Open.
 type Mesh struct {
-	self     hello.Hello
-	secrets  [][]byte
-	dial     func(ctx context.Context, addr string) (net.Conn, error)
-	log      *zap.Logger
-	bounds   bounds.Bounds
+	settings
 	handlers map[string]func(ctx context.Context, s *strm.Stream) error
 	ctx      context.Context // ends with Close; dials and connections live in it
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
 
-	mu    sync.Mutex
-	links map[string]*link
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+}
+
+// settings do not change while a mesh is used.
+type settings struct {
+	self    hello.Hello
+	secrets [][]byte
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+	log     *zap.Logger
+	bounds  bounds.Bounds
 }
 
 // NewMesh returns the mesh of node self, which proves itself with the first of the secrets and accepts peers that
-// know any of them. Each mesh has an epoch of its own unless WithEpoch sets it.
+// know any of them. It has a random epoch unless WithEpoch sets one. The function dial must end with its context.
 func NewMesh(
 	self string, secrets [][]byte, dial func(ctx context.Context, addr string) (net.Conn, error), log *zap.Logger,
 ) *Mesh {
+	return newMesh(settings{
+		self:    hello.NewHello(self, rand.Text()),
+		secrets: secrets,
+		dial:    dial,
+		log:     log,
+		bounds:  bounds.NewBounds(),
+	})
+}
+
+func newMesh(s settings) *Mesh {
 	m := &Mesh{
-		self:     hello.NewHello(self, rand.Text()),
-		secrets:  secrets,
-		dial:     dial,
-		log:      log,
-		bounds:   bounds.NewBounds(),
+		settings: s,
 		handlers: make(map[string]func(ctx context.Context, s *strm.Stream) error),
 		links:    make(map[string]*link),
 	}
@@ -49,32 +62,57 @@
 	return m
 }
 
-// WithEpoch sets what tells this start of the node from others and returns the mesh.
+// with returns an unused mesh with the same handlers and other settings.
+func (m *Mesh) with(s settings) *Mesh {
+	next := newMesh(s)
+	maps.Copy(next.handlers, m.handlers)
+	return next
+}
+
+// WithEpoch returns a mesh with another epoch: what tells this start of the node from its others.
 func (m *Mesh) WithEpoch(epoch string) *Mesh {
-	m.self.Epoch = epoch
-	return m
+	s := m.settings
+	s.self.Epoch = epoch
+	return m.with(s)
 }
 
-// WithAddr sets the address that peers are told this node is reached at and returns the mesh.
+// WithAddr returns a mesh that tells its peers this address to reach it at.
 func (m *Mesh) WithAddr(addr string) *Mesh {
-	m.self = m.self.WithAddr(addr)
-	return m
+	s := m.settings
+	s.self = s.self.WithAddr(addr)
+	return m.with(s)
 }
 
-// WithBounds sets sizes and times and returns the mesh.
-func (m *Mesh) WithBounds(b bounds.Bounds) *Mesh {
-	m.bounds = b
-	return m
+// WithVersions returns a mesh that speaks another range of protocol versions.
+func (m *Mesh) WithVersions(oldest, newest int) *Mesh {
+	s := m.settings
+	s.self = s.self.WithVersions(oldest, newest)
+	return m.with(s)
 }
 
-// WithVersions sets the range of protocol versions it speaks and returns the mesh.
-func (m *Mesh) WithVersions(oldest, newest int) *Mesh {
-	m.self = m.self.WithVersions(oldest, newest)
-	return m
+// WithBounds returns a mesh with other sizes and times.
+func (m *Mesh) WithBounds(b bounds.Bounds) *Mesh {
+	s := m.settings
+	s.bounds = b
+	return m.with(s)
 }
 
 // Close ends all connections, dials and handlers and returns when they have ended.
 func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.cancel()
 	m.work.Wait()
 }
+
+// begin runs work that Close waits for; it returns false on a closed mesh.
+func (m *Mesh) begin(work func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.work.Go(work)
+	return true
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -41,7 +41,9 @@
 	for {
 		nc, err := l.Accept()
 		if err == nil {
-			m.work.Go(func() { m.accept(nc) })
+			if !m.begin(func() { m.accept(nc) }) {
+				nc.Close()
+			}
 			continue
 		}
 		if m.ctx.Err() != nil {
--- a/internal/strm/end.go
+++ b/internal/strm/end.go
@@ -1,6 +1,10 @@
 package strm
 
 import (
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+
 	"damaskreach/internal/frame"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -9,26 +13,49 @@
 // errOver is the cause of the context of a stream that ended as it should.
 var errOver = refuse.NewRefusal(verd.Ran, refuse.Canceled, "stream is over")
 
+// ErrWithdrawn means that a stream was reset before its Open frame left this process.
+var ErrWithdrawn = merry.Sentinel("stream: withdrawn before it was opened")
+
 // Reset ends the stream at once at both sides. The peer's Recv returns err: a *refuse.Refusal arrives whole, another
 // error as one with its text and verdict. A nil err means canceled. Resetting a stream that is over does nothing.
+//
+// This side's Recv and Send return err too, marked not-run where the peer never heard of the stream.
 func (s *Stream) Reset(err error) {
 	if err == nil {
 		err = refuse.NewRefusal(verd.MayHaveRun, refuse.Canceled, "stream reset")
 	}
-	s.mu.Lock()
-	if s.err != nil || s.over {
-		s.mu.Unlock()
+	if !s.begin() {
 		return
 	}
-	s.err = err
-	s.reset = true
-	s.queue.clear()
+	failed := s.write(s.ctx, frame.Frame{Kind: frame.Reset, Stream: s.id, Body: encodeFault(err)})
+	switch {
+	case errors.Is(failed, ErrWithdrawn):
+		err = verd.Mark(err, verd.NotRun)
+	case failed != nil:
+		// The connection has ended. It alone knows whether the Open frame left, so its Fail sets the error.
+		return
+	}
+	s.mu.Lock()
+	if s.err == nil {
+		s.err = err
+		s.reset = true
+		s.queue.clear()
+	}
 	s.mu.Unlock()
-	// A connection that is gone has ended the peer's side already.
-	_ = s.write(s.ctx, frame.Frame{Kind: frame.Reset, Stream: s.id, Body: encodeFault(err)})
 	s.finish()
 }
 
+// begin reports whether the stream may be reset now.
+func (s *Stream) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil || s.over || s.ending {
+		return false
+	}
+	s.ending = true
+	return true
+}
+
 // Fail ends the stream at this side, because its connection or its peer ended it; only the connection calls it.
 func (s *Stream) Fail(err error) {
 	s.mu.Lock()
@@ -54,7 +81,6 @@
 	}
 	notify(s.wake)
 	notify(s.room)
-	s.unhook()
 	s.drop()
 	s.cancel(cause)
 }
--- a/internal/strm/stream.go
+++ b/internal/strm/stream.go
@@ -25,7 +25,6 @@
 	drop   func()
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	unhook func() bool
 
 	mu     sync.Mutex
 	queue  queue
@@ -34,6 +33,7 @@
 	read   int           // bytes read since the last grant
 	sent   bool          // this side has closed its sending half
 	done   bool          // the peer has closed its sending half
+	ending bool          // this side is resetting the stream
 	reset  bool          // this side has reset the stream
 	over   bool          // the connection has forgotten the stream
 	err    error         // why the stream ended before its time
@@ -43,7 +43,9 @@
 
 // NewStream returns a stream that writes its frames with write and calls drop once when it is over.
 // With closed set this side's sending half is closed from the start.
-// The function write may wait for room with Data frames only. The connection hands over the peer's frames by Accept.
+// The function write may wait for room with Data frames only. For the Reset of a stream whose Open frame has not left
+// this process it withdraws that and returns ErrWithdrawn. The connection hands over the peer's frames by Accept and
+// its own end by Fail, which it must call for every stream that it has not been told to drop.
 func NewStream(
 	ctx context.Context, id uint64, peer string, b bounds.Bounds, closed bool,
 	write func(ctx context.Context, f frame.Frame) error, drop func(),
@@ -55,13 +57,12 @@
 		write:  write,
 		drop:   drop,
 		sent:   closed,
-		credit: b.Window,
+		credit: b.Credit,
 		due:    b.Window,
 		wake:   make(chan struct{}, 1),
 		room:   make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
-	s.unhook = context.AfterFunc(ctx, func() { s.Reset(context.Cause(ctx)) })
 	return s
 }
 
--- a/internal/wire/accept.go
+++ b/internal/wire/accept.go
@@ -14,40 +14,45 @@
 
 // accept starts the handler of a stream that the peer opens.
 func (c *Conn) accept(f frame.Frame) error {
-	if f.Stream <= c.last || f.Stream%step == c.next%step {
+	if f.Stream <= c.last || f.Stream%step == c.parity {
 		return merry.Appendf(ErrProtocol, "node %s opened stream %d after %d", c.peer.ID, f.Stream, c.last)
 	}
-	c.last = f.Stream
 	var method string
 	question, err := strm.Decode(f.Body, &method)
 	if err != nil {
 		return merry.Appendf(ErrProtocol, "node %s: reading a method: %v", c.peer.ID, err)
 	}
 	s := c.newStream(c.ctx, f.Stream, false)
-	if !c.admit(f.Stream, s) {
-		s.Reset(refuse.NewRefusal(verd.NotRun, refuse.Overloaded, "more than %d streams on one connection", c.bounds.Streams))
+	if err := c.admit(f.Stream, s); err != nil {
+		s.Reset(err)
 		return nil
 	}
 	f.Body = question
 	s.Accept(f)
-	c.running.Go(func() { c.handle(s, method) })
+	go c.handle(s, method)
 	return nil
 }
 
-// admit registers a stream of the peer unless there are too many.
-func (c *Conn) admit(id uint64, s *strm.Stream) bool {
+// admit registers a stream of the peer, or returns why it is refused.
+func (c *Conn) admit(id uint64, s *strm.Stream) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.open >= c.bounds.Streams {
-		return false
+	if c.err != nil || c.away {
+		return refuse.NewRefusal(verd.NotRun, refuse.Leaving, "the connection is being closed")
+	}
+	c.last = id
+	if c.open >= c.bounds.Streams {
+		return refuse.NewRefusal(verd.NotRun, refuse.Overloaded, "more than %d streams on one connection", c.bounds.Streams)
 	}
 	c.open++
 	c.streams[id] = entry{stream: s}
-	return true
+	c.running.Add(1)
+	return nil
 }
 
 // handle runs a handler and ends its stream.
 func (c *Conn) handle(s *strm.Stream, method string) {
+	defer c.running.Done()
 	if c.serve == nil {
 		s.Reset(refuse.NewRefusal(verd.NotRun, refuse.Internal, "this side serves no streams"))
 		return
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -21,6 +21,8 @@
 var (
 	// ErrClosed means that this side closed the connection.
 	ErrClosed = merry.Sentinel("connection: closed")
+	// ErrAway means that the connection takes no more streams, as one side is about to close it.
+	ErrAway = merry.Sentinel("connection: takes no more streams")
 	// ErrProtocol means that the peer sent a frame that it must not send.
 	ErrProtocol = merry.Sentinel("connection: protocol violation")
 )
@@ -33,6 +35,7 @@
 	bounds  bounds.Bounds
 	peer    hello.Hello
 	version int
+	parity  uint64 // of the ids of streams opened here
 	serve   func(s *strm.Stream, method string) error
 	ctx     context.Context // of the streams the peer opened
 	cancel  context.CancelCauseFunc
@@ -45,6 +48,9 @@
 	err     error // why it ends
 	streams map[uint64]entry
 	open    int    // streams the peer opened
+	retired bool   // to be closed when it has no streams
+	bye     bool   // the peer was told so
+	away    bool   // no more streams are opened or taken
 	next    uint64 // id of the next stream opened here
 	last    uint64 // newest id the peer opened
 	pending []byte // encoded frames not yet handed to the socket
@@ -59,6 +65,7 @@
 	stream *strm.Stream
 	mine   bool
 	start  int64
+	unhook func() bool // detaches it from the context it was opened with
 }
 
 // Peer returns what the peer said of itself in the handshake.
@@ -76,6 +83,13 @@
 	return c.ended
 }
 
+// Usable reports whether streams can be opened.
+func (c *Conn) Usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err == nil && !c.away
+}
+
 // Err returns why the connection ends, or nil.
 func (c *Conn) Err() error {
 	c.mu.Lock()
--- a/internal/wire/open.go
+++ b/internal/wire/open.go
@@ -38,6 +38,9 @@
 	if err := c.await(ctx); err != nil {
 		return nil, err
 	}
+	if c.away {
+		return nil, ErrAway
+	}
 	id := c.next
 	f := frame.Frame{Kind: frame.Open, Stream: id, Body: body}
 	if last {
@@ -49,24 +52,11 @@
 	}
 	c.next += step
 	s := c.newStream(ctx, id, last)
-	c.streams[id] = entry{stream: s, mine: true, start: start}
+	unhook := context.AfterFunc(ctx, func() { s.Reset(context.Cause(ctx)) })
+	c.streams[id] = entry{stream: s, mine: true, start: start, unhook: unhook}
 	return s, nil
 }
 
 func (c *Conn) newStream(ctx context.Context, id uint64, closed bool) *strm.Stream {
 	return strm.NewStream(ctx, id, c.peer.ID, c.bounds, closed, c.write, func() { c.forget(id) })
 }
-
-// forget drops a stream that is over.
-func (c *Conn) forget(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e, ok := c.streams[id]
-	if !ok {
-		return
-	}
-	delete(c.streams, id)
-	if !e.mine {
-		c.open--
-	}
-}
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -29,10 +29,10 @@
 	return p.nc.Read(buf)
 }
 
-// readAll reads frames until the connection ends.
-func (c *Conn) readAll() {
+// readAll reads frames of at most limit bytes until the connection ends.
+func (c *Conn) readAll(limit int) {
 	for {
-		f, err := frame.Read(c.r, c.bounds.Frame+frame.Overhead)
+		f, err := frame.Read(c.r, limit)
 		if err != nil {
 			c.fail(merry.Prependf(err, "reading from node %s", c.peer.ID))
 			return
@@ -52,6 +52,8 @@
 		return c.accept(f)
 	case frame.Ping:
 		return c.write(c.ctx, frame.Frame{Kind: frame.Pong})
+	case frame.Bye:
+		c.released(f.Stream)
 	case frame.Data, frame.Reset, frame.Credit:
 		c.mu.Lock()
 		e, ok := c.streams[f.Stream]
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -32,8 +32,7 @@
 	ctx context.Context, nc net.Conn, self hello.Hello, secrets [][]byte, b bounds.Bounds,
 	serve func(s *strm.Stream, method string) error,
 ) (*Conn, error) {
-	c := newConn(nc, b, serve)
-	c.next = firstDialled
+	c := newConn(nc, b, serve, firstDialled)
 	if err := c.start(ctx, hello.Dial, self, secrets); err != nil {
 		return nil, err
 	}
@@ -45,15 +44,14 @@
 	ctx context.Context, nc net.Conn, self hello.Hello, secrets [][]byte, b bounds.Bounds,
 	serve func(s *strm.Stream, method string) error,
 ) (*Conn, error) {
-	c := newConn(nc, b, serve)
-	c.next = firstAccepted
+	c := newConn(nc, b, serve, firstAccepted)
 	if err := c.start(ctx, hello.Accept, self, secrets); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func newConn(nc net.Conn, b bounds.Bounds, serve func(s *strm.Stream, method string) error) *Conn {
+func newConn(nc net.Conn, b bounds.Bounds, serve func(s *strm.Stream, method string) error, first uint64) *Conn {
 	p := &patient{nc: nc}
 	return &Conn{
 		nc:      nc,
@@ -64,20 +62,24 @@
 		kick:    make(chan struct{}, 1),
 		ending:  make(chan struct{}),
 		ended:   make(chan struct{}),
+		next:    first,
+		parity:  first % step,
 		streams: make(map[uint64]entry),
 	}
 }
 
 // start does the handshake and starts the reader and the writer.
 func (c *Conn) start(ctx context.Context, shake handshake, self hello.Hello, secrets [][]byte) error {
-	if err := c.shake(ctx, shake, self, secrets); err != nil {
+	if err := c.shake(ctx, shake, self.WithSizes(c.bounds.Frame, c.bounds.Window), secrets); err != nil {
 		c.nc.Close()
 		return err
 	}
+	limit := c.bounds.Frame
+	c.bounds = c.bounds.WithPeer(c.peer.Window, c.peer.Frame)
 	c.patient.timeout = c.bounds.Timeout
 	c.ctx, c.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, c.Close)
-	go c.readAll()
+	go c.readAll(limit)
 	go c.writeAll()
 	return nil
 }
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,3 @@
+package wire_test
+
+var secrets = [][]byte{[]byte("a secret of the site")}
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"damaskreach/internal/frame"
+	"damaskreach/internal/strm"
 )
 
 const (
@@ -24,9 +25,29 @@
 			return err
 		}
 	}
+	if f.Kind == frame.Reset && c.withdraw(f.Stream) {
+		return strm.ErrWithdrawn
+	}
 	return c.append(f)
 }
 
+// withdraw makes the Open frame of a stream that is still in the queue one that the peer ignores. It needs the lock.
+//
+// Without it a request given up while the socket takes no bytes would still reach the peer later, and its caller
+// would have to be told that it may have run.
+func (c *Conn) withdraw(id uint64) bool {
+	e, ok := c.streams[id]
+	if !ok || !e.mine || c.err != nil {
+		return false
+	}
+	at := e.start - (c.queued - int64(len(c.pending)))
+	if at < 0 {
+		return false
+	}
+	frame.Withdraw(c.pending[at:])
+	return true
+}
+
 // append queues a frame. It needs the lock.
 func (c *Conn) append(f frame.Frame) error {
 	if c.err != nil {
