Follow the host list: no new work for runners on leaving hosts

Cause: an upstream that is leaving must get no new work after a few seconds; the platform says so in its host list, which lags and may be wrong. Before: only the operators' row marked a runner leaving.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"damaskreach/internal/follow"
 	"damaskreach/internal/grant"
 	"damaskreach/internal/home"
+	"damaskreach/internal/hosts"
 	"damaskreach/internal/lease"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
@@ -27,6 +28,7 @@
 	"damaskreach/internal/sess"
 	"damaskreach/internal/share"
 	"damaskreach/internal/table"
+	"damaskreach/internal/watch"
 )
 
 const mostDecisions = 4096 // kept in the journal of a node
@@ -41,8 +43,8 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Listen opens an address of this host.
 	Listen func(addr string) (net.Listener, error)
-	// Gone reports whether the host list says that the host of an address is gone.
-	Gone func(peer string) bool
+	// Hosts reads the platform's host list.
+	Hosts hosts.Hosts
 	// Pause is called at points where a test may pause the node; see packages lease and owner.
 	Pause func(point string)
 
@@ -50,6 +52,7 @@
 	mesh    *peer.Mesh
 	lease   *lease.Lease
 	members *member.Member
+	watch   *watch.Watch
 	owner   *owner.Owner
 	home    *home.Home
 	entry   *entry.Entry
@@ -75,7 +78,7 @@
 		Log:    log,
 		Dial:   dial,
 		Listen: listen,
-		Gone:   func(string) bool { return false },
+		Hosts:  hosts.NewHosts(c.Hosts, dial),
 		Pause:  func(string) {},
 		drain:  make(chan struct{}),
 	}
@@ -112,6 +115,7 @@
 	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer)
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
+	n.watch = watch.NewWatch(n.Hosts, n.Log)
 	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.Pause)
 	n.buildRoles()
 	n.buildEntry()
@@ -130,11 +134,11 @@
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
-		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.Gone,
+		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
 		Note: n.note, Changed: n.changed, Pause: n.Pause,
 	}
 	n.extend = &extend.Extend{
-		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
+		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
 		Ending: n.owner.Ending,
 	}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -68,6 +68,7 @@
 // nodes and callers can find must answer.
 func (n *Node) start(ctx context.Context) {
 	go n.loop.Run(ctx)
+	go n.watch.Run(ctx)
 	go n.follow.Run(ctx)
 	go n.lease.Run(ctx)
 	go n.owner.Follow(ctx)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -68,6 +68,8 @@
 	Busy func(ctx context.Context, session, peer, runner string, fence int64) ([]string, error)
 	// Gone reports whether the host list says that the host of an address is gone.
 	Gone func(peer string) bool
+	// Leaving reports whether the host list says that the host of a runner's address is leaving.
+	Leaving func(addr string) bool
 	// Note records a decision for operators.
 	Note func(why reason.Reason, attempt string)
 	// Changed is told of the digests of runners held, whenever they have changed.
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -18,7 +18,7 @@
 func (o *Owner) plan(now time.Time) {
 	me := o.Lease.Session()
 	serving := o.serving(now, me)
-	runners := o.Catalog().AllRunners()
+	runners := o.runners()
 	wish := spread.NewSpread(runners, serving, o.owners(now))
 	for _, r := range runners {
 		o.planRunner(r, wish[r.Name], me)
@@ -27,6 +27,17 @@
 	o.declareEnded(now, serving)
 }
 
+// runners returns the operators' rows, with those marked leaving whose hosts the platform says are.
+func (o *Owner) runners() []runner.Runner {
+	all := o.Catalog().AllRunners()
+	marked := make([]runner.Runner, 0, len(all))
+	for _, r := range all {
+		r.Leaving = r.Leaving || o.Leaving(r.Addr)
+		marked = append(marked, r)
+	}
+	return marked
+}
+
 func (o *Owner) serving(now time.Time, me sess.Session) []sess.Session {
 	var serving []sess.Session
 	for _, s := range o.Members.Serving(now) {
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -19,6 +19,7 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/stand/engsim"
+	"damaskreach/internal/stand/hostdb"
 	"damaskreach/internal/stand/memnet"
 	"damaskreach/internal/stand/rowdb"
 	"damaskreach/internal/table"
@@ -38,6 +39,7 @@
 type Site struct {
 	Net     *memnet.Net
 	DB      *rowdb.DB
+	Hosts   *hostdb.DB
 	Engines []*engsim.Engine
 	Log     *zap.Logger
 	Conf    conf.Conf // settings common to all nodes
@@ -61,6 +63,7 @@
 	s := &Site{
 		Net:   memnet.NewNet(seed),
 		DB:    rowdb.NewDB(),
+		Hosts: hostdb.NewDB(),
 		Log:   zap.NewNop(),
 		Conf:  conf.Default(),
 		nodes: map[int]*running{},
@@ -148,6 +151,7 @@
 	c.Secrets = []string{"a shared key of the site's nodes"}
 	n := node.NewNode(c, s.Net.Dial(host), s.Net.Listen, s.Log.With(zap.String("node", c.Node)))
 	n.Table = s.DB.TableFor(c.Node)
+	n.Hosts = s.Hosts.HostsFor(c.Node)
 	if s.Prepare != nil {
 		s.Prepare(n)
 	}
