Claim idempotency keys in the table before the first dispatch

Cause: a repeat through another node, or at the same moment through all nodes, must not run a second time. Change: one row per key, inserted before dispatch; keepers gather inserts for one transaction per window; repeats wait for the first one's outcome or are told of it; a keyed non-idempotent call outlives its caller. Before: repeats were dispatched anew.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/answer"
 	"damaskreach/internal/call"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/digest"
@@ -24,6 +25,7 @@
 	HeaderPriority = "X-Priority"        // integer, higher is more urgent
 	HeaderTimeout  = "X-Request-Timeout" // duration such as "5s" after which no answer is wanted
 	HeaderClass    = "X-Class"           // traffic class, for metrics and fair shares
+	HeaderReplayed = "X-Replayed"        // "true" on the answer to a repeat
 	HeaderVerdict  = "X-Verdict"         // on answers: whether the request may have run
 )
 
@@ -41,6 +43,8 @@
 	Choose func(ctx context.Context, c call.Call, avoid []string) (digest.Digest, error)
 	// Run sends a call to the owner of a runner and passes its answer on.
 	Run func(ctx context.Context, d digest.Digest, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error
+	// Begin claims the idempotency key of a call; see package claim.
+	Begin func(ctx context.Context, c call.Call) (end func(ctx context.Context, a *answer.Answer), prior *answer.Answer, err error)
 	// Settle tells the home of a call how an attempt ended; a nil outcome is a whole answer.
 	Settle func(ctx context.Context, c call.Call, runner string, outcome *refuse.Refusal)
 	// Serving returns the nodes that serve callers, best first for a model.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -24,8 +24,16 @@
 	ctx, cancel := e.bound(r.Context(), c)
 	defer cancel()
 	w.Header().Set(HeaderRequest, c.ID)
+	if c.Key != "" {
+		e.serveKeyed(ctx, w, c)
+		return
+	}
 	s := newSink(w)
-	refusal := e.attempts(ctx, c, s)
+	e.finish(w, s, c, e.attempts(ctx, c, s))
+}
+
+// finish ends the answer at once, whole or not.
+func (e *Entry) finish(w http.ResponseWriter, s *sink, c call.Call, refusal *refuse.Refusal) {
 	e.Observe(c, s.timing, refusal)
 	switch {
 	case refusal == nil:
@@ -37,7 +45,12 @@
 	}
 }
 
+// bound limits a call to its deadline. A keyed non-idempotent call goes on when its caller goes away: the caller will
+// ask again with the key, and only a finished call has an answer to give.
 func (e *Entry) bound(ctx context.Context, c call.Call) (context.Context, context.CancelFunc) {
+	if c.Once && c.Key != "" {
+		ctx = context.WithoutCancel(ctx)
+	}
 	if c.Deadline.IsZero() {
 		return context.WithTimeout(ctx, e.MaxRequest)
 	}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -15,6 +15,9 @@
 const (
 	kindStream = "text/event-stream"
 	eventDone  = "data: [DONE]\n\n"
+
+	writeTimeout = 30 * time.Second // for a caller to take a piece
+	mostKept     = 64 << 10         // bytes of an answer remembered for repeats
 )
 
 // sink writes one answer to its caller and remembers how far it got.
@@ -26,6 +29,10 @@
 	token   int  // last token written
 	timing  timing.Timing
 	buffer  []byte
+	status  int
+	keep    bool   // remember the answer for repeats
+	kept    []byte // what was written, up to mostKept
+	deaf    bool   // the caller is gone and the answer is only remembered
 }
 
 func newSink(w http.ResponseWriter) *sink {
@@ -41,6 +48,7 @@
 		return nil
 	}
 	s.kind = kind
+	s.status = status
 	s.started = true
 	s.w.Header().Set("Content-Type", kind)
 	s.w.Header().Set(HeaderVerdict, verd.Ran.String())
@@ -68,23 +76,40 @@
 
 func (s *sink) write(piece []byte) error {
 	if s.kind != kindStream {
-		_, err := s.w.Write(piece)
-		return err
+		return s.put(piece)
 	}
 	s.buffer = append(s.buffer[:0], "data: "...)
 	s.buffer = append(s.buffer, piece...)
 	s.buffer = append(s.buffer, "\n\n"...)
-	if _, err := s.w.Write(s.buffer); err != nil {
-		return err
+	return s.put(s.buffer)
+}
+
+// put writes to the caller. A caller that takes nothing for writeTimeout counts as gone; an answer that is remembered
+// for repeats goes on without it.
+func (s *sink) put(data []byte) error {
+	if s.keep && len(s.kept) <= mostKept {
+		s.kept = append(s.kept, data...)
+	}
+	if s.deaf {
+		return nil
+	}
+	_ = s.flush.SetWriteDeadline(time.Now().Add(writeTimeout)) // not every writer has deadlines
+	_, err := s.w.Write(data)
+	if err == nil && s.kind == kindStream {
+		err = s.flush.Flush()
+	}
+	if err != nil && s.keep {
+		s.deaf = true
+		return nil
 	}
-	return s.flush.Flush()
+	return err
 }
 
 // done ends a whole answer.
 func (s *sink) done() {
 	s.timing.End = time.Now()
 	if s.kind == kindStream {
-		_, _ = s.w.Write([]byte(eventDone)) // the caller may be gone
+		_ = s.put([]byte(eventDone)) // the caller may be gone
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,8 @@
 
 	"damaskreach/internal/admin"
 	"damaskreach/internal/audit"
+	"damaskreach/internal/claim"
+	"damaskreach/internal/commit"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/entry"
 	"damaskreach/internal/extend"
@@ -60,6 +62,8 @@
 	share   *share.Share
 	relay   *relay.Relay
 	grant   *grant.Grant
+	commit  *commit.Commit
+	claim   *claim.Claim
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
@@ -141,6 +145,11 @@
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
 		Ending: n.owner.Ending,
 	}
+	n.commit = commit.NewCommit(n.Table, c.ClaimWindow)
+	n.claim = &claim.Claim{
+		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Commit: n.commit, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
+		Self: func() string { return n.lease.Session().Key() },
+	}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
 
@@ -148,7 +157,7 @@
 	c := n.Conf
 	n.entry = &entry.Entry{
 		MaxBody: c.MaxBody, MaxRequest: c.MaxRequest, EntriesLife: c.EntriesLife, RetryShare: c.RetryBudget, Log: n.Log,
-		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Settle: n.home.Settle,
+		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Begin: n.claim.Begin, Settle: n.home.Settle,
 		Serving: n.serving, Closed: n.closed.Load, Observe: n.observe,
 	}
 	n.admin = &admin.Admin{
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -23,6 +23,7 @@
 	n.share.Register()
 	n.grant.Register()
 	n.extend.Register()
+	n.claim.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -74,4 +75,5 @@
 	go n.owner.Follow(ctx)
 	go n.grant.Run(ctx)
 	go n.extend.Run(ctx)
+	go n.commit.Run(ctx)
 }
