--- a/internal/sched/digest.go
+++ b/internal/sched/digest.go
@@ -19,9 +19,9 @@
 		Waiting: len(s.queue),
 		Closed:  s.closed != "",
 	}
-	for _, m := range s.sorted() {
+	for _, m := range s.held {
 		switch {
-		case m.state == resident && !m.drain:
+		case m.open():
 			d.Resident = append(d.Resident, m.name)
 		case m.state == loading:
 			d.Loading = append(d.Loading, m.name)
--- a/internal/sched/finish.go
+++ b/internal/sched/finish.go
@@ -15,8 +15,9 @@
 	s.drop(i)
 	spent := now.Sub(i.started)
 	s.answer.learn(spent)
-	if tokens > 0 {
-		s.pace.learn(spent / time.Duration(tokens))
+	if tokens >= leastTokens {
+		s.pace.learn(spent.Seconds() / float64(tokens))
+		s.short.learn(float64(tokens) / float64(max(1, i.call.Tokens)))
 	}
 	return s.plan(now)
 }
--- a/internal/sched/item.go
+++ b/internal/sched/item.go
@@ -17,7 +17,7 @@
 
 // ready reports whether nothing but room in the batch keeps the item from starting.
 func (i *item) ready() bool {
-	return i.model == nil || i.model.state == resident && !i.model.drain
+	return i.model == nil || i.model.open()
 }
 
 // before reports whether i is to be started or loaded for ahead of other.
--- a/internal/sched/late.go
+++ b/internal/sched/late.go
@@ -6,8 +6,7 @@
 	"damaskreach/pkg/refuse"
 )
 
-// surely is the share of an estimated time that is taken for certain.
-// Estimates err both ways; refusing on the full estimate would refuse attempts that make it.
+// surely is the share of a starting value that is taken for certain until something is learnt.
 const surely = 0.5
 
 // refuseLate refuses attempts that cannot be answered before their deadline any more.
@@ -23,17 +22,23 @@
 	}
 }
 
-// least returns the time an answer surely takes from now.
+// least returns the time an answer surely takes from now. It uses what was learnt of the quickest loads and steps
+// and of the shortest answers: a refusal on averages would hit attempts that make it.
 func (s *Sched) least(now time.Time, i *item) time.Duration {
-	least := surely * float64(s.pace.value) * float64(i.call.Tokens)
-	if i.ready() {
-		return time.Duration(least)
+	least := s.pace.value * s.short.value * float64(i.call.Tokens)
+	if !i.ready() {
+		least += s.leastLoad(now, i.model)
 	}
-	left := surely * float64(s.load.value)
-	if i.model.state == loading {
-		left -= float64(now.Sub(i.model.changed))
+	return time.Duration(least * float64(time.Second))
+}
+
+// leastLoad returns the seconds a load surely takes yet.
+func (s *Sched) leastLoad(now time.Time, m *model) float64 {
+	left := s.fast.value
+	if m.state == loading {
+		left -= now.Sub(m.changed).Seconds()
 	}
-	return time.Duration(least + max(0, left))
+	return max(0, left)
 }
 
 // expected returns how long a like request would have to wait before it starts, for the caller's next try.
--- a/internal/sched/loaded.go
+++ b/internal/sched/loaded.go
@@ -23,11 +23,12 @@
 	}
 	if err == nil {
 		s.load.learn(now.Sub(m.changed))
-		m.turn(now, resident)
+		s.fast.learn(now.Sub(m.changed).Seconds())
+		s.turn(now, m, resident)
 		m.failures = 0
 		return s.plan(now)
 	}
-	m.turn(now, absent)
+	s.turn(now, m, absent)
 	m.failures++
 	m.after = now.Add(backoff(m.failures))
 	if m.failures >= loadTries {
@@ -71,7 +72,7 @@
 		return s.plan(now)
 	}
 	if err == nil {
-		m.turn(now, absent)
+		s.turn(now, m, absent)
 		return s.plan(now)
 	}
 	m.again = now.Add(firstBackoff)
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -19,6 +19,7 @@
 	s.start(now)
 	s.shed(now)
 	s.unloadAgain(now)
+	s.unloadLost(now)
 	s.loadWanted(now)
 	return s.take()
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -26,7 +26,8 @@
 	case s.boot == "":
 		s.adopt(now, r.Resident, 0)
 	case s.boot != r.Boot:
-		s.restart(now)
+		s.restart(r.Resident)
+		s.adopt(now, r.Resident, 0)
 	default:
 		s.adopt(now, r.Resident, reportLag)
 		s.miss(now, r.Resident)
@@ -36,19 +37,27 @@
 	return s.plan(now)
 }
 
-// restart drops what a restarted engine has lost: residents, pins and everything in progress.
-// Holding them resident would start requests without their adapter.
-// Loads and unloads that are under way stay so until the driver says how they ended;
-// an unload that is to be repeated has no driver at work on it and is no longer needed.
-func (s *Sched) restart(now time.Time) {
-	for _, i := range s.running {
-		s.drop(i)
-	}
+// restart marks what a restarted engine does not list as lost. The report is late: requests may have started
+// and loads ended on the new start of the engine already. Dropping those would unload models in use and load into
+// taken slots, so attempts in progress stay until Finish, which comes for those that were cut as well,
+// and a lost model keeps its slot until its unload is confirmed.
+func (s *Sched) restart(listed []string) {
 	for _, m := range s.models {
 		m.pinned = false
 		m.foreign = 0
-		if m.state == resident || !m.again.IsZero() {
-			m.turn(now, absent)
+	}
+	for _, m := range s.held {
+		if m.state == resident && !slices.Contains(listed, m.name) {
+			m.lost = true
+		}
+	}
+}
+
+// unloadLost frees the slots of lost models that nothing uses any more.
+func (s *Sched) unloadLost(now time.Time) {
+	for _, m := range s.held {
+		if m.state == resident && m.lost && m.running == 0 && !m.pinned {
+			s.orderUnload(now, m, "the engine does not list it any more")
 		}
 	}
 }
@@ -59,17 +68,17 @@
 	for _, name := range names {
 		m := s.model(name)
 		if m.state == absent && now.Sub(m.changed) >= age && s.free() > 0 {
-			m.turn(now, resident)
+			s.turn(now, m, resident)
 			m.used = now
 			m.adopted = true
 		}
 	}
 }
 
-// miss drops residents that several reports in a row do not list.
+// miss marks residents as lost that several reports in a row do not list.
 // An engine that evicted a model by itself would otherwise fail every request for it.
 func (s *Sched) miss(now time.Time, names []string) {
-	for _, m := range s.sorted() {
+	for _, m := range s.held {
 		if m.state != resident || now.Sub(m.changed) < reportLag {
 			continue
 		}
@@ -78,9 +87,7 @@
 			continue
 		}
 		m.missing++
-		if m.missing >= missingLimit && m.running == 0 && !m.pinned {
-			m.turn(now, absent)
-		}
+		m.lost = m.lost || m.missing >= missingLimit
 	}
 }
 
@@ -88,7 +95,7 @@
 // They may be a former owner's, so their models are not unloaded. On models that this owner loaded itself
 // the difference is nothing but the lag of the report.
 func (s *Sched) foreign(running map[string]int) {
-	for _, m := range s.models {
+	for _, m := range s.held {
 		m.foreign = 0
 		if m.adopted {
 			m.foreign = max(0, running[m.name]-m.running)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,10 +29,13 @@
 	queue   []*item   // oldest first
 	running map[string]*item
 	models  map[string]*model
+	held    []*model // those that hold a slot, by name
 	shares  *shares
 	seen    *recent
 	load    estimate // time of one load, order to confirmation
-	pace    estimate // time of one answer token
+	fast    floor    // seconds of one load
+	pace    floor    // seconds of one answer token
+	short   floor    // answer tokens as a share of the expected ones
 	answer  estimate // time of one whole answer
 	out     []order.Order
 }
@@ -56,7 +59,9 @@
 		shares:  newShares(),
 		seen:    newRecent(),
 		load:    estimate{value: firstLoad},
-		pace:    estimate{value: firstPace},
+		fast:    floor{value: surely * firstLoad.Seconds()},
+		pace:    floor{value: surely * firstPace.Seconds()},
+		short:   floor{value: surely},
 		answer:  estimate{value: firstAnswer},
 	}
 }
--- a/internal/sched/victim.go
+++ b/internal/sched/victim.go
@@ -1,15 +1,11 @@
 package sched
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // victim returns the idle model that is cheapest to lose, or nil.
 func (s *Sched) victim(now time.Time) *model {
 	var best *model
-	for _, m := range s.sorted() {
+	for _, m := range s.held {
 		if !m.idle() || m.waiting > 0 && !m.drain {
 			continue
 		}
@@ -34,8 +30,8 @@
 // leastUsed returns the model in use whose requests in progress are fewest, or nil.
 func (s *Sched) leastUsed() *model {
 	var best *model
-	for _, m := range s.sorted() {
-		if m.state != resident || m.pinned || m.foreign > 0 {
+	for _, m := range s.held {
+		if m.state != resident || m.lost || m.pinned || m.foreign > 0 {
 			continue
 		}
 		if best == nil || m.running < best.running {
@@ -47,22 +43,10 @@
 
 // draining reports whether a model is already being drained.
 func (s *Sched) draining() bool {
-	for _, m := range s.models {
+	for _, m := range s.held {
 		if m.drain && m.state == resident {
 			return true
 		}
 	}
 	return false
 }
-
-// sorted returns the models that hold a slot by name, so that ties fall alike on every run.
-func (s *Sched) sorted() []*model {
-	held := make([]*model, 0, s.slots)
-	for _, m := range s.models {
-		if m.state != absent {
-			held = append(held, m)
-		}
-	}
-	slices.SortFunc(held, func(a, b *model) int { return cmp.Compare(a.name, b.name) })
-	return held
-}
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -69,7 +69,7 @@
 // orderLoad takes a free slot for the model of i.
 func (s *Sched) orderLoad(now time.Time, i *item) {
 	m := i.model
-	m.turn(now, loading)
+	s.turn(now, m, loading)
 	s.out = append(s.out, order.Order{Kind: order.Load, Model: m.name, Why: s.urgency(now, m)})
 }
 
@@ -112,7 +112,7 @@
 // undrain lets drained models start requests again once nothing waits for their slot;
 // otherwise the requests queued for them would wait for ever.
 func (s *Sched) undrain() {
-	for _, m := range s.models {
+	for _, m := range s.held {
 		m.drain = false
 	}
 }
@@ -128,13 +128,13 @@
 		Wait:    now.Sub(m.used),
 		Demand:  perMinute(m.demand.at(now, s.tune.HalfLife), s.tune.HalfLife),
 	}
-	m.turn(now, unloading)
+	s.turn(now, m, unloading)
 	s.out = append(s.out, order.Order{Kind: order.Unload, Model: m.name, Why: why})
 }
 
 // unloadAgain repeats unloads that failed.
 func (s *Sched) unloadAgain(now time.Time) {
-	for _, m := range s.sorted() {
+	for _, m := range s.held {
 		if m.state == unloading && !m.pinned && !m.again.IsZero() && !now.Before(m.again) {
 			s.orderUnload(now, m, "its unload failed and is repeated")
 		}
