Keep the answer of every keyed call; no unload of lost models while held

Cause: an idempotent keyed call was only answered once in full, its repeat with a bare statement; and a model the engine no longer lists was unloaded although an earlier owner may use it.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -22,7 +22,8 @@
 		return
 	}
 	s := newSink(w)
-	s.keep = c.Once
+	s.keep = true
+	s.lasting = c.Once
 	refusal := e.attempts(ctx, c, s)
 	defer e.record(ctx, c, s, refusal, end)
 	e.finish(w, s, c, refusal)
@@ -44,7 +45,7 @@
 func outcome(c call.Call, s *sink, refusal *refuse.Refusal) *answer.Answer {
 	if refusal == nil {
 		a := answer.NewAnswer(s.status, s.kind, s.kept)
-		if !s.keep || len(s.kept) > mostKept {
+		if len(s.kept) > mostKept {
 			a = a.WithoutBody()
 		}
 		return &a
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -32,6 +32,7 @@
 	status  int
 	keep    bool   // remember the answer for repeats
 	kept    []byte // what was written, up to mostKept
+	lasting bool   // go on without the caller, for its repeats
 	deaf    bool   // the caller is gone and the answer is only remembered
 }
 
@@ -84,8 +85,8 @@
 	return s.put(s.buffer)
 }
 
-// put writes to the caller. A caller that takes nothing for writeTimeout counts as gone; an answer that is remembered
-// for repeats goes on without it.
+// put writes to the caller. A caller that takes nothing for writeTimeout counts as gone; a lasting
+// answer goes on without it.
 func (s *sink) put(data []byte) error {
 	if s.keep && len(s.kept) <= mostKept {
 		s.kept = append(s.kept, data...)
@@ -98,7 +99,7 @@
 	if err == nil && s.kind == kindStream {
 		err = s.flush.Flush()
 	}
-	if err != nil && s.keep {
+	if err != nil && s.lasting {
 		s.deaf = true
 		return nil
 	}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -12,13 +12,13 @@
 // Bar keeps a model from being started or loaded: an earlier owner's unload of it may still reach the engine.
 // A request started meanwhile would lose its adapter.
 func (s *Sched) Bar(name string) {
-	s.model(name).turn(s.now, barred)
+	s.turn(s.now, s.model(name), barred)
 }
 
 // Unbar ends a Bar; the engine's next report tells whether the model is resident.
 func (s *Sched) Unbar(name string) []order.Order {
 	if m := s.models[name]; m != nil && m.state == barred {
-		m.turn(s.now, absent)
+		s.turn(s.now, m, absent)
 	}
 	return s.plan(s.now)
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -56,7 +56,7 @@
 // unloadLost frees the slots of lost models that nothing uses any more.
 func (s *Sched) unloadLost(now time.Time) {
 	for _, m := range s.held {
-		if m.state == resident && m.lost && m.running == 0 && !m.pinned {
+		if !s.hold && m.state == resident && m.lost && m.running == 0 && !m.pinned {
 			s.orderUnload(now, m, "the engine does not list it any more")
 		}
 	}
