--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"damaskreach/internal/engine"
 	"damaskreach/internal/stand/engsim"
 	"damaskreach/internal/stand/memnet"
+	"damaskreach/internal/stand/uptime"
 )
 
 // streamOf returns a chunked HTTP answer of tokens events, a chunk each as engines send them.
@@ -49,17 +52,31 @@
 	}
 }
 
+// slowEnd is an engine whose answers end a moment after their end mark.
+type slowEnd struct {
+	*engsim.Engine
+}
+
+func (s slowEnd) Run(ctx context.Context, listen func() (net.Listener, error)) error {
+	return uptime.NewUptime().Run(ctx, listen, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.ServeHTTP(w, r)
+		http.NewResponseController(w).Flush()
+		time.Sleep(10 * time.Millisecond)
+	}))
+}
+
 // A connection per request would cost a dial each, and on small hosts the ports run out.
+// The end of an answer often arrives only after the mark that makes it whole.
 func TestConnectionsAreReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNet()
+		network := memnet.NewNet(1)
 		dials := 0
 		client := engine.NewEngine(addr, func(ctx context.Context, addr string) (net.Conn, error) {
 			dials++
-			return network.Dial(ctx, addr)
+			return network.Dial(caller)(ctx, addr)
 		})
 		t.Cleanup(client.Close)
-		run(t, network, engsim.NewEngine())
+		run(t, network, slowEnd{engsim.NewEngine()})
 		load(t, client, model)
 		before := dials
 		for range 5 {
--- a/internal/engine/fault_test.go
+++ b/internal/engine/fault_test.go
@@ -73,14 +73,14 @@
 // The connection breaks after the request was sent and before any answer.
 func TestBreakBeforeTheHeadMayHaveRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNet()
+		network := memnet.NewNet(1)
 		lis, _ := network.Listen(addr)
 		go func() {
 			conn, _ := lis.Accept()
 			conn.Read(make([]byte, 1))
 			conn.Close()
 		}()
-		client := engine.NewEngine(addr, network.Dial)
+		client := engine.NewEngine(addr, network.Dial(caller))
 		defer client.Close()
 		got := generate(soon(t), client, 1, ask(model, "p", 5), nil)
 		check(t, "Generate", got.err, refuse.Cut, verd.MayHaveRun)
@@ -91,7 +91,7 @@
 // The caller may go elsewhere at once, also with a booking.
 func TestDialThatFailsHasNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		refused := engine.NewEngine(addr, memnet.NewNet().Dial)
+		refused := engine.NewEngine(addr, memnet.NewNet(1).Dial(caller))
 		got := generate(soon(t), refused, 1, ask(model, "p", 5), nil)
 		check(t, "Generate", got.err, refuse.NoUpstream, verd.NotRun)
 		hangs := engine.NewEngine(addr, func(ctx context.Context, _ string) (net.Conn, error) {
@@ -111,10 +111,10 @@
 // socket took may still arrive after the caller has given up, so it may have run.
 func TestRequestHeldByAFrozenPeerMayHaveRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.NewNet()
+		network := memnet.NewNet(1)
 		lis, _ := network.Listen(addr)
 		defer lis.Close()
-		client := engine.NewEngine(addr, network.Dial)
+		client := engine.NewEngine(addr, network.Dial(caller))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		got := generate(ctx, client, 1, ask(model, "p", 5), nil)
@@ -212,6 +212,7 @@
 		gone := errors.New("caller gone")
 		head := func(int, string) error { return nil }
 		err := client.Generate(soon(t), 1, ask(model, "p", 1000), head, func(int, []byte) error { return gone })
+		time.Sleep(5 * time.Millisecond) // less than a step, and more than the network takes
 		synctest.Wait()
 		if !errors.Is(err, gone) || verd.Of(err) != verd.MayHaveRun {
 			t.Errorf("Generate = %v (%v), want %v (may-have-run)", err, verd.Of(err), gone)
--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -78,22 +79,11 @@
 
 // canned answers the first request of each connection with the same bytes, and then closes it.
 func canned(t *testing.T, answer string) engine.Engine {
-	network := memnet.NewNet()
-	lis, err := network.Listen(addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { lis.Close() })
-	go func() {
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go reciteTo(conn, answer)
-		}
-	}()
-	client := engine.NewEngine(addr, network.Dial)
+	client := engine.NewEngine(addr, func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go reciteTo(far, answer)
+		return near, nil
+	})
 	t.Cleanup(client.Close)
 	return client
 }
@@ -166,7 +156,7 @@
 }
 
 func TestRequestsThatCannotBeFormed(t *testing.T) {
-	client := engine.NewEngine(addr, memnet.NewNet().Dial)
+	client := engine.NewEngine(addr, memnet.NewNet(1).Dial(caller))
 	for _, c := range []call.Call{{Method: "GET", Path: "@other/"}, {Method: "G T", Path: "/"}, {Method: "GET", Path: ""}} {
 		got := generate(soon(t), client, 1, c, nil)
 		check(t, "Generate "+c.Method+" "+c.Path, got.err, refuse.BadRequest, verd.NotRun)
--- a/internal/engine/repeat_test.go
+++ b/internal/engine/repeat_test.go
@@ -35,11 +35,12 @@
 		if err != nil {
 			return err
 		}
-		go b.handle(conn)
+		go b.handle(ctx, conn)
 	}
 }
 
-func (b *breaker) handle(conn net.Conn) {
+func (b *breaker) handle(ctx context.Context, conn net.Conn) {
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for n := range 2 {
@@ -96,11 +97,11 @@
 
 // twiceOverStock sends c twice by a stock transport and returns how often it was executed.
 func twiceOverStock(t *testing.T, c call.Call) int64 {
-	network := memnet.NewNet()
+	network := memnet.NewNet(1)
 	upstream := &breaker{}
 	run(t, network, upstream)
 	stock := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return network.Dial(ctx, addr)
+		return network.Dial(caller)(ctx, addr)
 	}}
 	defer stock.CloseIdleConnections()
 	for range 2 {
--- a/internal/engine/site_test.go
+++ b/internal/engine/site_test.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	addr  = "10.0.0.1:8000"
-	model = "kiln@3"
+	addr   = "10.0.0.1:8000"
+	caller = "10.0.0.2" // the client's host
+	model  = "kiln@3"
 )
 
 // serving is an upstream that can be run on listeners.
@@ -27,8 +28,8 @@
 // serve runs an upstream on a network in memory until the test ends, and returns a client of it.
 func serve(t *testing.T, upstream serving) engine.Engine {
 	t.Helper()
-	net := memnet.NewNet()
-	client := engine.NewEngine(addr, net.Dial)
+	net := memnet.NewNet(1)
+	client := engine.NewEngine(addr, net.Dial(caller))
 	t.Cleanup(client.Close)
 	run(t, net, upstream)
 	return client
