--- /dev/null
+++ b/internal/owner/follow.go
@@ -0,0 +1,122 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/assign"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/sess"
+	"damaskreach/internal/table"
+)
+
+// follow reads the tails of session and ownership rows until ctx ends.
+func (o *Owner) follow(ctx context.Context) {
+	timer := time.NewTicker(o.Poll)
+	defer timer.Stop()
+	var at tails
+	for {
+		if err := o.readTails(ctx, &at); err != nil {
+			o.Log.Warn("reading sessions and ownership rows failed", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-o.wake:
+		}
+	}
+}
+
+// nudge makes the next reading happen now.
+func (o *Owner) nudge() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tails are the revisions up to which rows have been read.
+type tails struct {
+	nodes int64
+	owns  int64
+}
+
+func (o *Owner) readTails(ctx context.Context, at *tails) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	begin := time.Now()
+	nodes, err := o.read(ctx, sess.Prefix(o.Site), at.nodes)
+	if err != nil {
+		return err
+	}
+	owns, err := o.read(ctx, assign.Prefix(o.Site), at.owns)
+	if err != nil {
+		return err
+	}
+	at.nodes = max(nodes.rev, at.nodes)
+	at.owns = max(owns.rev, at.owns)
+	return o.Loop.Do(ctx, func() {
+		o.learnNodes(begin, nodes)
+		o.learn(owns.rows)
+		o.plan(time.Now())
+	})
+}
+
+// reading is what a prefix held or what changed in it.
+type reading struct {
+	rows  []rows.Row
+	rev   int64
+	whole bool // all rows rather than changes
+}
+
+// read returns the changes after a revision, or all rows where the service no longer knows all deletions since.
+func (o *Owner) read(ctx context.Context, prefix string, after int64) (reading, error) {
+	changed, rev, err := o.Table.Tail(ctx, prefix, after)
+	if errors.Is(err, table.ErrCompacted) {
+		all, rev, err := o.Table.List(ctx, prefix)
+		return reading{rows: all, rev: rev, whole: true}, err
+	}
+	return reading{rows: changed, rev: rev}, err
+}
+
+func (o *Owner) learnNodes(begin time.Time, r reading) {
+	now := time.Now()
+	if r.whole {
+		o.Members.LearnWhole(begin, now, o.Site, r.rows, r.rev)
+		return
+	}
+	o.Members.Learn(begin, now, o.Site, r.rows)
+}
+
+// learn takes ownership rows; an older revision than the one seen changes nothing.
+func (o *Owner) learn(changed []rows.Row) {
+	for _, row := range changed {
+		name := row.Key[len(assign.Prefix(o.Site)):]
+		if row.Rev <= o.rows[name].rev {
+			continue
+		}
+		a, err := assign.Decode(row.Value)
+		if err != nil && !row.Gone {
+			o.Log.Error("an ownership row cannot be read", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		o.rows[name] = seenRow{row: a, rev: row.Rev}
+		o.checkOwn(name)
+	}
+}
+
+// checkOwn gives a runner up as soon as its row names another owner.
+func (o *Owner) checkOwn(name string) {
+	h := o.held[name]
+	if h == nil {
+		return
+	}
+	seen := o.rows[name]
+	if seen.rev > h.rev && seen.row.Fence > h.fence {
+		o.giveUp(h, "another node owns the runner now")
+	}
+}
--- a/internal/sched/loaded.go
+++ b/internal/sched/loaded.go
@@ -23,11 +23,12 @@
 	}
 	if err == nil {
 		s.load.learn(now.Sub(m.changed))
-		m.turn(now, resident)
+		s.fast.learn(now.Sub(m.changed).Seconds())
+		s.turn(now, m, resident)
 		m.failures = 0
 		return s.plan(now)
 	}
-	m.turn(now, absent)
+	s.turn(now, m, absent)
 	m.failures++
 	m.after = now.Add(backoff(m.failures))
 	if m.failures >= loadTries {
@@ -64,17 +65,16 @@
 
 // Unloaded ends an Unload order. After an error the model may or may not be there, so its slot stays taken
 // and nothing starts on it until a second Unload is confirmed: taking either for granted would start a request
-// without its adapter, or load into a taken slot.
+// without its adapter, or load into a taken slot. An engine that never had the model counts as success.
 func (s *Sched) Unloaded(now time.Time, name string, err error) []order.Order {
 	m := s.models[name]
 	if m == nil || m.state != unloading {
 		return s.plan(now)
 	}
 	if err == nil {
-		m.turn(now, absent)
+		s.turn(now, m, absent)
 		return s.plan(now)
 	}
-	m.after = now.Add(firstBackoff)
-	m.failures++
+	m.again = now.Add(firstBackoff)
 	return s.plan(now)
 }
