--- a/internal/stand/admin/query.go
+++ b/internal/stand/admin/query.go
@@ -2,6 +2,7 @@
 package admin
 
 import (
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -49,6 +50,17 @@
 	})
 }
 
+// Factor returns a parameter that is a number above 0.
+func (q *Query) Factor(name string) float64 {
+	return parse(q, name, func(text string) (float64, error) {
+		f, err := strconv.ParseFloat(text, 64)
+		if err == nil && (!(f > 0) || math.IsInf(f, 0)) {
+			err = merry.New("not a number above 0")
+		}
+		return f, err
+	})
+}
+
 // Duration returns a parameter in the form of time.ParseDuration, 0 or more.
 func (q *Query) Duration(name string) time.Duration {
 	return parse(q, name, func(text string) (time.Duration, error) {
--- a/internal/stand/serve/serve_test.go
+++ b/internal/stand/serve/serve_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskreach/internal/engine"
 	"damaskreach/internal/host"
 	"damaskreach/internal/hosts"
 	"damaskreach/internal/rows"
@@ -23,10 +24,12 @@
 )
 
 const (
-	tableAddr  = "10.0.1.1:7000"
-	hostsAddr  = "10.0.1.1:7002"
-	adminAddr  = "10.0.1.1:7009"
-	engineAddr = "10.0.2.1:8000"
+	tableAddr   = "10.0.1.1:7000"
+	hostsAddr   = "10.0.1.1:7002"
+	adminAddr   = "10.0.1.1:7009"
+	engineAddr  = "10.0.2.1:8000"
+	plainAddr   = "10.0.3.1:8000"
+	weightsAddr = "10.0.1.1:7003"
 )
 
 // start runs the command over a network in memory until the returned function ends it,
@@ -101,6 +104,37 @@
 	})
 }
 
+// Each fault of the weight store and of a plain service can be set, and the engines load from that store.
+func TestWeightsAndPlainServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.NewNet(1)
+		stop := start(t, n, "--weights", weightsAddr, "--admin", adminAddr, "--engine", "e1="+engineAddr, "--plain", "p1="+plainAddr)
+		for _, fault := range []string{"crash", "before?count=1", "after?count=1", "cut?count=1"} {
+			post(t, n, "http://"+adminAddr+"/p1/admin/"+fault, http.StatusNoContent)
+		}
+		load := func() error {
+			return engine.NewEngine(engineAddr, n.Dial("10.0.0.1")).Load(t.Context(), 1, "a@v1")
+		}
+		post(t, n, "http://"+weightsAddr+"/admin/slow?factor=1.5", http.StatusNoContent)
+		post(t, n, "http://"+weightsAddr+"/admin/fail?count=1", http.StatusNoContent)
+		if err := load(); err == nil {
+			t.Error("Load = nil, want an error")
+		}
+		post(t, n, "http://"+weightsAddr+"/admin/down?on=true", http.StatusNoContent)
+		if err := load(); err == nil {
+			t.Error("Load from a store that is down = nil, want an error")
+		}
+		post(t, n, "http://"+weightsAddr+"/admin/down?on=false", http.StatusNoContent)
+		if err := load(); err != nil {
+			t.Errorf("Load = %v, want nil", err)
+		}
+		n.Kill("10.0.0.1")
+		if code, logs := stop(); code != 0 {
+			t.Errorf("exit code = %d with the logs %s, want 0", code, logs)
+		}
+	})
+}
+
 // An address of the site is taken already. The process ends with an error before it serves anything,
 // rather than leave a site without one of its services.
 func TestTakenAddressEndsTheProcess(t *testing.T) {
