Run the whole path over separate processes, with a kill and a freeze past the lease

Cause: the path had only been run in one process in virtual time. Change: a test outside the product builds the programs, starts the stand-ins and three nodes on loopback addresses, kills one node, freezes another past its lease and wakes it.

--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -104,11 +104,12 @@
 			}
 		}()
 	}
-	_, err := s.DB.Table().Write(ctx, s.rows(adapters)...)
+	_, err := s.DB.Table().Write(ctx, s.Rows(adapters)...)
 	return err
 }
 
-func (s *Site) rows(adapters int) []rows.Row {
+// Rows returns the configuration of the site with a number of adapters.
+func (s *Site) Rows(adapters int) []rows.Row {
 	sum := sha256.Sum256([]byte(APIKey))
 	all := []rows.Row{
 		Row("tenant", Tenant, tenant.Tenant{Name: Tenant, Weight: 1, Keys: []string{hex.EncodeToString(sum[:])}}),
--- /dev/null
+++ b/test/procs/procs_test.go
@@ -0,0 +1,234 @@
+// Package procs_test runs the programs as separate processes on loopback addresses.
+package procs_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"damaskreach/internal/digest"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/stand/engsim"
+	"damaskreach/internal/stand/site"
+	"damaskreach/internal/table"
+)
+
+const (
+	nodes    = 3
+	patience = time.Minute // for a condition; only a hanging test waits that long
+	look     = 50 * time.Millisecond
+	prompt   = "pour schedule for slab four"
+	tokens   = 8
+)
+
+// fleet is a running site: the stand-ins in one process and a process for each node.
+type fleet struct {
+	t     *testing.T
+	dir   string
+	net   string // first three bytes of the loopback addresses used
+	table table.Table
+	procs map[string]*exec.Cmd
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "damaskreach/cmd/damaskreach", "damaskreach/cmd/damaskstand")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building the programs: %v\n%s", err, out)
+	}
+	pid := os.Getpid()
+	f := &fleet{t: t, dir: dir, net: fmt.Sprintf("127.%d.%d.", 100+pid%100, pid/100%250), procs: map[string]*exec.Cmd{}}
+	f.start("stand", "damaskstand", "--table", f.net+"100:7000", "--hosts", f.net+"100:7001", "--admin", f.net+"100:7002",
+		"--engine", "runner-0="+f.net+"110:80,slots=4,fences=true,resumes=true",
+		"--engine", "runner-1="+f.net+"111:80,slots=4,fences=true,resumes=true",
+		"--engine", "runner-2="+f.net+"112:80,slots=4,fences=true,resumes=true")
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	f.table = table.NewTable([]string{f.net + "100:7000"}, dial)
+	f.await("the table service answers", func() bool {
+		_, _, err := f.table.List(context.Background(), table.PrefixConf)
+		return err == nil
+	})
+	f.writeTable()
+	return f
+}
+
+func (f *fleet) writeTable() {
+	s := site.NewSite(1, nodes)
+	all := s.Rows(20)
+	for i, row := range all {
+		for e := range nodes {
+			old, own := site.EngineHost(e)+":80", fmt.Sprintf("%s%d:80", f.net, 110+e)
+			all[i] = rows.Row{Key: row.Key, Value: bytes.ReplaceAll(all[i].Value, []byte(old), []byte(own))}
+		}
+	}
+	if _, err := f.table.Write(context.Background(), all...); err != nil {
+		f.t.Fatalf("writing the table: %v", err)
+	}
+}
+
+// start runs a program; its log goes to the test's folder and is shown when the test fails.
+func (f *fleet) start(name, program string, args ...string) {
+	f.t.Helper()
+	cmd := exec.Command(filepath.Join(f.dir, program), args...)
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		f.t.Fatalf("starting %s: %v", name, err)
+	}
+	f.procs[name] = cmd
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		_ = log.Close()
+		if f.t.Failed() {
+			text, _ := os.ReadFile(log.Name())
+			f.t.Logf("log of %s:\n%s", name, tail(text))
+		}
+	})
+}
+
+func tail(text []byte) []byte {
+	const most = 4000
+	return text[max(0, len(text)-most):]
+}
+
+func (f *fleet) startNode(i int) {
+	f.t.Helper()
+	name := fmt.Sprintf("node-%d", i)
+	host := f.host(i)
+	settings := fmt.Sprintf(`node = %q
+site = "site"
+centre = "centre-1"
+peer = "%s:7000"
+http = "%s:8000"
+admin = "%s:9000"
+tables = ["%s100:7000"]
+hosts = ["%s100:7001"]
+secrets = ["a shared key of the site's nodes"]
+lease = "3s"
+renew = "1s"
+poll = "300ms"
+entries-life = "1s"
+drain = "1500ms"
+`, name, host, host, host, f.net, f.net)
+	path := filepath.Join(f.dir, name+".toml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.start(name, "damaskreach", "--config", path)
+}
+
+func (f *fleet) host(i int) string {
+	return fmt.Sprintf("%s%d", f.net, i+1)
+}
+
+func (f *fleet) signal(i int, s os.Signal) {
+	f.t.Helper()
+	if err := f.procs[fmt.Sprintf("node-%d", i)].Process.Signal(s); err != nil {
+		f.t.Fatalf("signalling node %d: %v", i, err)
+	}
+}
+
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for limit := time.Now().Add(patience); !done(); {
+		if time.Now().After(limit) {
+			f.t.Fatalf("got no state in which %s within %s, want one", what, patience)
+		}
+		time.Sleep(look) // a real wait for another process; synctest cannot pause those
+	}
+}
+
+type status struct {
+	Runners []digest.Digest `json:"runners"`
+}
+
+// owned returns the runners that node i says it owns.
+func (f *fleet) owned(i int) []string {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + f.host(i) + ":9000/status")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	var s status
+	if json.NewDecoder(res.Body).Decode(&s) != nil {
+		return nil
+	}
+	var names []string
+	for _, d := range s.Runners {
+		if !d.Closed {
+			names = append(names, d.Runner)
+		}
+	}
+	return names
+}
+
+// ask sends one completion to node i and returns what was wrong with the answer, or an empty string.
+func (f *fleet) ask(i, adapter int) string {
+	model := site.AdapterName(adapter) + "@v1"
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, tokens)
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.host(i)+":8000/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set("Authorization", "Bearer "+site.APIKey)
+	client := http.Client{Timeout: 10 * time.Second}
+	res, err := client.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return fmt.Sprintf("status %d, error %v, body %s", res.StatusCode, err, answer)
+	}
+	return compare(string(answer), engsim.Answer(model, prompt, tokens))
+}
+
+func compare(answer string, want []string) string {
+	for _, token := range want {
+		text, _ := json.Marshal(token)
+		if !strings.Contains(answer, string(text)) {
+			return fmt.Sprintf("answer %s lacks %s", answer, text)
+		}
+	}
+	if !strings.HasSuffix(answer, "data: [DONE]\n\n") {
+		return "answer without its end mark: " + answer
+	}
+	return ""
+}
+
+func (f *fleet) serves(i int) {
+	f.t.Helper()
+	for adapter := range 6 {
+		last := ""
+		f.await(fmt.Sprintf("node %d answers for adapter %d", i, adapter), func() bool {
+			now := f.ask(i, adapter)
+			if now != "" && now != last {
+				f.t.Logf("node %d, adapter %d: %s", i, adapter, now)
+			}
+			last = now
+			return now == ""
+		})
+	}
+}
