--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,7 +29,8 @@
 type status struct {
 	Node     string          `json:"node"`
 	Session  sess.Session    `json:"session"`
-	Rev      int64           `json:"rev"`
+	Rev      int64           `json:"rev"`      // highest configuration revision seen
+	Complete int64           `json:"complete"` // every configuration change up to it is in force
 	Rejected []string        `json:"rejected"`
 	Nodes    []sess.Session  `json:"nodes"`
 	Runners  []digest.Digest `json:"runners"`
@@ -50,6 +51,7 @@
 		Node:     a.Session().Node,
 		Session:  a.Session(),
 		Rev:      catalog.Rev(),
+		Complete: catalog.Complete(),
 		Rejected: []string{},
 		Nodes:    a.Nodes(),
 		Runners:  a.Digests(),
--- a/internal/group/faults.go
+++ b/internal/group/faults.go
@@ -1,13 +1,19 @@
 package group
 
 import (
+	"slices"
+
 	"damaskreach/internal/fault"
 	"damaskreach/internal/names"
 )
 
 // Faults returns what is wrong with the row by itself.
 func (g Group) Faults() []fault.Fault {
-	faults := names.Faults("name", g.Name)
+	faults := slices.Concat(
+		names.Faults("name", g.Name),
+		names.LabelFaults("base", g.Base),
+		names.LabelFaults("store", g.Store),
+	)
 	if g.Plain && g.Base != "" {
 		faults = append(faults, fault.NewFault("base", "a plain service has no base model"))
 	}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -25,7 +25,7 @@
 		if line, ok := l[path]; ok {
 			return line
 		}
-		path = path[:max(strings.LastIndexByte(path, '.'), 0)]
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
 	}
 	return 0
 }
