--- a/internal/claim/begin.go
+++ b/internal/claim/begin.go
@@ -49,7 +49,7 @@
 
 // insert writes the claim's row; taken means that a row with the key may exist, of this or another request.
 func (c *Claim) insert(ctx context.Context, q beginAsk) (said beginSaid, taken bool, err error) {
-	rev, err := c.Commit.Write(ctx, rows.Row{Key: q.Key, Value: q.record().encode()})
+	rev, err := c.Gather.Write(ctx, rows.Row{Key: q.Key, Value: q.record().encode()})
 	if err == nil {
 		return beginSaid{Rev: rev}, false, nil
 	}
@@ -136,7 +136,7 @@
 	if q.Once {
 		return beginSaid{Prior: lost()}, true, nil
 	}
-	rev, err := c.Commit.Write(ctx, rows.Row{Key: q.Key, Rev: row.Rev, Value: q.record().encode()})
+	rev, err := c.Gather.Write(ctx, rows.Row{Key: q.Key, Rev: row.Rev, Value: q.record().encode()})
 	if err != nil {
 		return beginSaid{}, false, nil // the next reading shows who holds it now
 	}
--- a/internal/claim/end.go
+++ b/internal/claim/end.go
@@ -73,7 +73,7 @@
 	} else {
 		row = row.WithValue(record{Print: q.Print, Nonce: q.Nonce, Ended: true, Answer: q.Answer}.encode())
 	}
-	_, err := c.Commit.Write(ctx, row)
+	_, err := c.Gather.Write(ctx, row)
 	if err != nil {
 		err = c.settleEnd(ctx, q, err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,11 +11,11 @@
 	"damaskreach/internal/admin"
 	"damaskreach/internal/audit"
 	"damaskreach/internal/claim"
-	"damaskreach/internal/commit"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/entry"
 	"damaskreach/internal/extend"
 	"damaskreach/internal/follow"
+	"damaskreach/internal/gather"
 	"damaskreach/internal/grant"
 	"damaskreach/internal/home"
 	"damaskreach/internal/hosts"
@@ -62,7 +62,7 @@
 	share   *share.Share
 	relay   *relay.Relay
 	grant   *grant.Grant
-	commit  *commit.Commit
+	gather  *gather.Gather
 	claim   *claim.Claim
 	extend  *extend.Extend
 	admin   *admin.Admin
@@ -145,9 +145,9 @@
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
 		Ending: n.owner.Ending,
 	}
-	n.commit = commit.NewCommit(n.Table, c.ClaimWindow)
+	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
 	n.claim = &claim.Claim{
-		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Commit: n.commit, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
+		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
