--- a/internal/strm/end.go
+++ b/internal/strm/end.go
@@ -1,6 +1,7 @@
 package strm
 
 import (
+	"context"
 	"errors"
 
 	"github.com/ansel1/merry/v2"
@@ -56,6 +57,22 @@
 	return true
 }
 
+// canceled returns the error of a call whose ctx has ended while it waited. Where the stream follows a context that
+// has ended as well, it returns the stream's own error, which knows the verdict, or nil after a clean end.
+func (s *Stream) canceled(ctx context.Context, waiting string) error {
+	s.mu.Lock()
+	opener := s.opener
+	s.mu.Unlock()
+	if opener == nil || opener.Err() == nil {
+		return merry.Prependf(context.Cause(ctx), "%s of node %s", waiting, s.peer)
+	}
+	s.Reset(context.Cause(opener))
+	<-s.ctx.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
 // Fail ends the stream at this side, because its connection or its peer ended it; only the connection calls it.
 func (s *Stream) Fail(err error) {
 	s.mu.Lock()
@@ -72,6 +89,7 @@
 	first := !s.over && (s.err != nil || s.sent && s.done)
 	s.over = s.over || first
 	cause := s.err
+	unhook := s.unhook
 	s.mu.Unlock()
 	if !first {
 		return
@@ -81,6 +99,9 @@
 	}
 	notify(s.wake)
 	notify(s.room)
+	if unhook != nil {
+		unhook()
+	}
 	s.drop()
 	s.cancel(cause)
 }
--- a/internal/strm/recv.go
+++ b/internal/strm/recv.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"damaskreach/internal/frame"
@@ -25,7 +24,9 @@
 		select {
 		case <-s.wake:
 		case <-ctx.Done():
-			return merry.Prependf(context.Cause(ctx), "waiting for a message of node %s", s.peer)
+			if err := s.canceled(ctx, "waiting for a message"); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/internal/strm/send.go
+++ b/internal/strm/send.go
@@ -58,7 +58,9 @@
 		select {
 		case <-s.room:
 		case <-ctx.Done():
-			return merry.Prependf(context.Cause(ctx), "waiting for node %s to read its stream", s.peer)
+			if err := s.canceled(ctx, "waiting for the window"); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/internal/strm/stream.go
+++ b/internal/strm/stream.go
@@ -27,6 +27,8 @@
 	cancel context.CancelCauseFunc
 
 	mu     sync.Mutex
+	opener context.Context // that it was opened with; nil where the peer opened it
+	unhook func() bool     // detaches it from opener
 	queue  queue
 	credit int           // bytes this side may still send
 	due    int           // bytes the peer may still send
@@ -66,6 +68,14 @@
 	return s
 }
 
+// Follow resets the stream when ctx ends; only the connection calls it, once, on a stream opened at this side.
+func (s *Stream) Follow(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opener = ctx
+	s.unhook = context.AfterFunc(ctx, func() { s.Reset(context.Cause(ctx)) })
+}
+
 // Peer returns the id of the node at the other side.
 func (s *Stream) Peer() string {
 	return s.peer
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -41,6 +41,8 @@
 	cancel  context.CancelCauseFunc
 	kick    chan struct{} // signals the writer that the queue is not empty
 	ending  chan struct{} // closed when the connection begins to end
+	left    chan struct{} // closed when the peer has said Bye
+	silent  chan struct{} // closed when the reader has returned
 	ended   chan struct{} // closed when every stream has been told
 	running sync.WaitGroup
 
@@ -49,6 +51,8 @@
 	streams map[uint64]entry
 	open    int    // streams the peer opened
 	retired bool   // to be closed when it has no streams
+	polite  bool   // wait for the peer before the socket is closed
+	parted  bool   // the peer has said Bye
 	bye     bool   // the peer was told so
 	away    bool   // no more streams are opened or taken
 	next    uint64 // id of the next stream opened here
@@ -65,7 +69,6 @@
 	stream *strm.Stream
 	mine   bool
 	start  int64
-	unhook func() bool // detaches it from the context it was opened with
 }
 
 // Peer returns what the peer said of itself in the handshake.
--- a/internal/wire/forget.go
+++ b/internal/wire/forget.go
@@ -9,9 +9,7 @@
 		return
 	}
 	delete(c.streams, id)
-	if e.mine {
-		e.unhook()
-	} else {
+	if !e.mine {
 		c.open--
 	}
 	c.endIdle()
--- a/internal/wire/open.go
+++ b/internal/wire/open.go
@@ -51,9 +51,9 @@
 		return nil, err
 	}
 	c.next += step
-	s := c.newStream(ctx, id, last)
-	unhook := context.AfterFunc(ctx, func() { s.Reset(context.Cause(ctx)) })
-	c.streams[id] = entry{stream: s, mine: true, start: start, unhook: unhook}
+	s := c.newStream(context.WithoutCancel(ctx), id, last)
+	s.Follow(ctx)
+	c.streams[id] = entry{stream: s, mine: true, start: start}
 	return s, nil
 }
 
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -31,6 +31,7 @@
 
 // readAll reads frames of at most limit bytes until the connection ends.
 func (c *Conn) readAll(limit int) {
+	defer close(c.silent)
 	for {
 		f, err := frame.Read(c.r, limit)
 		if err != nil {
@@ -51,7 +52,8 @@
 	case frame.Open:
 		return c.accept(f)
 	case frame.Ping:
-		return c.write(c.ctx, frame.Frame{Kind: frame.Pong})
+		// A connection that is ending goes on reading, but answers no more.
+		_ = c.write(c.ctx, frame.Frame{Kind: frame.Pong})
 	case frame.Bye:
 		c.released(f.Stream)
 	case frame.Data, frame.Reset, frame.Credit:
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -61,6 +61,8 @@
 		serve:   serve,
 		kick:    make(chan struct{}, 1),
 		ending:  make(chan struct{}),
+		left:    make(chan struct{}),
+		silent:  make(chan struct{}),
 		ended:   make(chan struct{}),
 		next:    first,
 		parity:  first % step,
