Prefer fuller batches when a runner is chosen (variant pack)

Cause: equal waits were settled towards the least loaded runner, so that the site's 50 requests in progress lay in 12 nearly empty batches. Change: a request alone in a batch costs 200 ms times (1 - stall weight), falling with each request beside it. The digest counts idle residents, as a runner without any has no slot to give soon.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -11,6 +11,7 @@
 	Number   int64    `msgpack:"num"`   // grows with each digest of one fence; older ones are dropped
 	Slots    int      `msgpack:"slots"`
 	Free     int      `msgpack:"free"`     // free slots
+	Idle     int      `msgpack:"idle"`     // resident models that no request uses and that may be unloaded
 	Batch    int      `msgpack:"batch"`    // requests a step can hold
 	Running  int      `msgpack:"running"`  // requests in progress
 	Waiting  int      `msgpack:"waiting"`  // requests queued at the owner
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"damaskreach/internal/call"
@@ -9,8 +10,10 @@
 const (
 	usualLoad   = 400 * time.Millisecond // one load, order to confirmation, with the store at full speed
 	usualAnswer = 4 * time.Second
-	evictCost   = 50 * time.Millisecond // of loading into a taken slot rather than a free one
-	prefillTime = 50 * time.Millisecond // what a cached prefix saves
+	evictCost   = 50 * time.Millisecond  // of loading into a taken slot rather than a free one
+	emptyCost   = 200 * time.Millisecond // of a request that has a batch to itself, at a stall weight of 0
+	emptyFade   = 2.0                    // requests in the batch by which that cost falls to a third
+	prefillTime = 50 * time.Millisecond  // what a cached prefix saves
 )
 
 // best returns the runner among those with room that serves c best, and why.
@@ -21,20 +24,28 @@
 	model := modelOf(c)
 	near := p.prefix.get(now, c.Prefix)
 	var best *target
-	var bestWait time.Duration
+	var bestCost time.Duration
 	for _, t := range p.inTurn(from) {
-		wait := p.wait(t, model)
+		cost := p.wait(t, model) + p.emptiness(t)
 		if t.digest.Runner == near {
-			wait -= prefillTime
+			cost -= prefillTime
 		}
-		if best == nil || wait < bestWait || wait == bestWait && t.load() < best.load() {
-			best, bestWait = t, wait
+		if best == nil || cost < bestCost || cost == bestCost && t.load() < best.load() {
+			best, bestCost = t, cost
 		}
 	}
 	kind, text := explain(best, model, near)
 	return best, kind, text
 }
 
+// emptiness returns what sending a request to a nearly empty batch costs: steps that serve few requests.
+func (p *Place) emptiness(t *target) time.Duration {
+	if !p.policy.Pack {
+		return 0
+	}
+	return time.Duration((1 - p.tune.Stall) * float64(emptyCost) * math.Exp(-float64(t.load())/emptyFade))
+}
+
 // least returns the runner with the fewest requests.
 func (p *Place) least(from []*target) *target {
 	var best *target
@@ -76,13 +87,23 @@
 		wait += p.storeWait(t)
 	default:
 		wait += p.load + p.storeWait(nil)
-		if t.digest.Free <= 0 {
-			wait += evictCost
-		}
+		wait += p.slotWait(t)
 	}
 	return wait
 }
 
+// slotWait estimates how long a slot takes to come free.
+func (p *Place) slotWait(t *target) time.Duration {
+	switch {
+	case t.digest.Free > 0:
+		return 0
+	case t.digest.Idle > 0 || !p.policy.Pack:
+		return evictCost
+	default:
+		return p.answer / 2
+	}
+}
+
 // queued estimates the wait for a place in the batch.
 func (p *Place) queued(t *target) time.Duration {
 	over := t.load() - t.batch() + 1
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -6,6 +6,7 @@
 	Name   string
 	Near   bool // route to where the model is resident; otherwise to the least loaded runner
 	Demand bool // evict by decayed demand; otherwise the least recently used model
+	Pack   bool // prefer fuller batches as far as the setting Stall leaves room; otherwise the least loaded among equals
 	Urgent bool // the weight store serves the most urgent load first; otherwise the oldest
 }
 
@@ -21,5 +22,6 @@
 		{Name: "baseline"},
 		{Name: "near", Near: true},
 		{Name: "demand", Near: true, Demand: true, Urgent: true},
+		{Name: "pack", Near: true, Demand: true, Urgent: true, Pack: true},
 	}
 }
--- a/internal/sched/digest.go
+++ b/internal/sched/digest.go
@@ -20,6 +20,9 @@
 		Closed:  s.closed != "",
 	}
 	for _, m := range s.held {
+		if m.idle() && m.waiting == 0 {
+			d.Idle++
+		}
 		switch {
 		case m.open():
 			d.Resident = append(d.Resident, m.name)
