--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 SEEDS ?= 1000
 
-.PHONY: all build test check bench fmt clean
+.PHONY: all build test check bench site site-stop fmt clean
 
 all: build
 
@@ -23,6 +23,12 @@
 bench:
 	$(GO) run ./cmd/damaskbench
 
+site: build
+	scripts/site.sh start
+
+site-stop:
+	scripts/site.sh stop
+
 fmt:
 	gofmt -w .
 
