Leave two places of a batch to requests not in the digests yet (variant room)

Cause: digests are up to 50 ms old, so that homes filled batches beyond their end and requests queued behind answers of seconds.

--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -106,7 +106,7 @@
 
 // queued estimates the wait for a place in the batch.
 func (p *Place) queued(t *target) time.Duration {
-	over := t.load() - t.batch() + 1
+	over := t.load() - max(1, t.batch()-p.policy.Room) + 1
 	if over <= 0 {
 		return 0
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -7,6 +7,7 @@
 	Near   bool // route to where the model is resident; otherwise to the least loaded runner
 	Demand bool // evict by decayed demand; otherwise the least recently used model
 	Pack   bool // prefer fuller batches as far as the setting Stall leaves room; otherwise the least loaded among equals
+	Room   int  // places of a batch that are left to requests the digests do not show yet
 	Urgent bool // the weight store serves the most urgent load first; otherwise the oldest
 }
 
@@ -23,5 +24,6 @@
 		{Name: "near", Near: true},
 		{Name: "demand", Near: true, Demand: true, Urgent: true},
 		{Name: "pack", Near: true, Demand: true, Urgent: true, Pack: true},
+		{Name: "room", Near: true, Demand: true, Urgent: true, Pack: true, Room: 2},
 	}
 }
