Weigh what an unload costs the whole site (variant copies)

Cause: an owner counted only the requests that reached its own runner and did not know of other copies; homes loaded into the fullest runner whatever it had to unload for that. Change: the home's count of a model's requests goes with each call, owners learn how many copies there are, and the digest tells the worth of the idle model to be unloaded first, which the home weighs against the fuller batch.

--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -35,6 +35,7 @@
 		h.run.refused(r, refusal)
 		return
 	}
+	r.call = r.call.WithDemand(h.place.Demand(h.run.clock(), r.call))
 	r.runner = d.Runner
 	r.sent = h.run.now
 	h.run.after(hop, func() { h.run.owners[d.Runner].submit(r) })
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -78,6 +78,7 @@
 
 func (r *run) report() {
 	for _, o := range r.order {
+		o.sched.Copies(r.homes[0].place.Copies(o.engine.runner.Group))
 		o.report()
 	}
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -22,6 +22,7 @@
 	Deadline time.Time `msgpack:"deadline"` // zero means none
 	Tokens   int       `msgpack:"tokens"`   // answer tokens expected
 	Most     int       `msgpack:"most"`     // answer tokens the caller allows at the most
+	Demand   float64   `msgpack:"demand"`   // decayed count of requests for the model at its home; 0 where it is not known
 	Prefix   string    `msgpack:"prefix"`   // hash of the prompt's opening, for prefix-cache affinity
 	Method   string    `msgpack:"method"`   // HTTP method towards the upstream
 	Path     string    `msgpack:"path"`     // HTTP path towards the upstream
@@ -58,6 +59,12 @@
 	return c
 }
 
+// WithDemand returns a copy that tells the owner of the runner what the home has counted.
+func (c Call) WithDemand(count float64) Call {
+	c.Demand = count
+	return c
+}
+
 // WithFrom returns a copy that resumes its stream at token from.
 func (c Call) WithFrom(from int) Call {
 	c.From = from
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -12,6 +12,7 @@
 	Slots    int      `msgpack:"slots"`
 	Free     int      `msgpack:"free"`     // free slots
 	Idle     int      `msgpack:"idle"`     // resident models that no request uses and that may be unloaded
+	Cheap    float64  `msgpack:"cheap"`    // decayed count of requests for the idle model to be unloaded first
 	Batch    int      `msgpack:"batch"`    // requests a step can hold
 	Running  int      `msgpack:"running"`  // requests in progress
 	Waiting  int      `msgpack:"waiting"`  // requests queued at the owner
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -39,6 +39,7 @@
 		probe:  probe,
 	}
 	p.serial++
+	p.count(now, made.model)
 	p.flying[c.Attempt] = made
 	t.recent = append(t.recent, made)
 	t.flying[made.model]++
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"damaskreach/internal/decay"
 	"damaskreach/internal/policy"
 	"damaskreach/internal/tune"
 )
@@ -20,9 +21,10 @@
 	flying  map[string]*choice // by attempt
 	twins   map[string]*twin   // by fingerprint
 	prefix  *affinity
-	load    time.Duration // of one adapter at the store's full speed
-	answer  time.Duration // learnt time of one answer
-	serial  uint64        // of the last choice, to break ties in turn
+	demand  map[string]*decay.Count // by model
+	load    time.Duration           // of one adapter at the store's full speed
+	answer  time.Duration           // learnt time of one answer
+	serial  uint64                  // of the last choice, to break ties in turn
 }
 
 // NewPlace returns a Place that knows no runners and follows the current policy.
@@ -39,6 +41,7 @@
 		flying:  map[string]*choice{},
 		twins:   map[string]*twin{},
 		prefix:  newAffinity(),
+		demand:  map[string]*decay.Count{},
 		load:    usualLoad,
 		answer:  usualAnswer,
 	}
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskreach/internal/call"
+	"damaskreach/internal/decay"
 )
 
 const (
@@ -13,6 +14,7 @@
 	evictCost   = 50 * time.Millisecond  // of loading into a taken slot rather than a free one
 	emptyCost   = 200 * time.Millisecond // of a request that has a batch to itself, at a stall weight of 0
 	emptyFade   = 2.0                    // requests in the batch by which that cost falls to a third
+	soon        = 2 * time.Minute        // for which a model of little demand stays resident
 	prefillTime = 50 * time.Millisecond  // what a cached prefix saves
 )
 
@@ -97,6 +99,8 @@
 	switch {
 	case t.digest.Free > 0:
 		return 0
+	case t.digest.Idle > 0 && p.policy.Copies:
+		return evictCost + p.again(t.digest.Cheap)
 	case t.digest.Idle > 0 || !p.policy.Pack:
 		return evictCost
 	default:
@@ -104,6 +108,13 @@
 	}
 }
 
+// again returns what losing a model costs: a load, as likely as the model is asked for again before long.
+func (p *Place) again(count float64) time.Duration {
+	perMinute := decay.PerMinute(count, p.tune.HalfLife)
+	likely := 1 - math.Exp(-perMinute*soon.Minutes())
+	return time.Duration(likely * float64(p.load))
+}
+
 // queued estimates the wait for a place in the batch.
 func (p *Place) queued(t *target) time.Duration {
 	over := t.load() - max(1, t.batch()-p.policy.Room) + 1
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,6 +8,7 @@
 	Demand bool // evict by decayed demand; otherwise the least recently used model
 	Pack   bool // prefer fuller batches as far as the setting Stall leaves room; otherwise the least loaded among equals
 	Room   int  // places of a batch that are left to requests the digests do not show yet
+	Copies bool // know the demand and the copies of the whole site when choosing what to unload and where
 	Urgent bool // the weight store serves the most urgent load first; otherwise the oldest
 }
 
@@ -25,5 +26,6 @@
 		{Name: "demand", Near: true, Demand: true, Urgent: true},
 		{Name: "pack", Near: true, Demand: true, Urgent: true, Pack: true},
 		{Name: "room", Near: true, Demand: true, Urgent: true, Pack: true, Room: 2},
+		{Name: "copies", Near: true, Demand: true, Urgent: true, Pack: true, Room: 2, Copies: true},
 	}
 }
--- a/internal/sched/digest.go
+++ b/internal/sched/digest.go
@@ -19,6 +19,9 @@
 		Waiting: len(s.queue),
 		Closed:  s.closed != "",
 	}
+	if m := s.victim(now); m != nil {
+		d.Cheap = s.worth(now, m)
+	}
 	for _, m := range s.held {
 		if m.idle() && m.waiting == 0 {
 			d.Idle++
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"damaskreach/internal/decay"
 )
 
 // state says where a model stands on the runner.
@@ -33,7 +35,7 @@
 	failures int       // loads in a row that failed
 	after    time.Time // no load before
 	again    time.Time // when a failed unload is repeated; zero while none is
-	demand   demand
+	demand   decay.Count
 }
 
 // turn changes the state of a model and keeps the list of those that hold a slot.
@@ -101,7 +103,7 @@
 	}
 	for name, m := range s.models {
 		unused := m.state == absent && m.waiting == 0 && m.failures == 0 && !m.pinned
-		if unused && m.demand.at(now, s.tune.HalfLife) < littleDemand {
+		if unused && m.demand.At(now, s.tune.HalfLife) < littleDemand {
 			delete(s.models, name)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,7 +29,8 @@
 	queue   []*item   // oldest first
 	running map[string]*item
 	models  map[string]*model
-	held    []*model // those that hold a slot, by name
+	held    []*model       // those that hold a slot, by name
+	copies  map[string]int // runners that have each model resident
 	shares  *shares
 	seen    *recent
 	load    estimate // time of one load, order to confirmation
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -22,7 +22,8 @@
 		i.model = s.model(c.Model())
 		i.model.waiting++
 		i.model.used = now
-		i.model.demand.add(now, s.tune.HalfLife)
+		i.model.demand.Add(now, s.tune.HalfLife)
+		i.model.demand.Raise(now, s.tune.HalfLife, c.Demand)
 	}
 	s.queue = append(s.queue, i)
 	if s.closed != "" {
--- a/internal/sched/victim.go
+++ b/internal/sched/victim.go
@@ -24,7 +24,26 @@
 	if !s.policy.Demand {
 		return m.used.Before(other.used)
 	}
-	return m.demand.at(now, s.tune.HalfLife) < other.demand.at(now, s.tune.HalfLife)
+	return s.worth(now, m) < s.worth(now, other)
+}
+
+// copyShare is what is left of a model's worth where another runner has it too: the other copy serves most of
+// its requests meanwhile.
+const copyShare = 0.2
+
+// worth returns the decayed count of requests that losing a model would hurt.
+func (s *Sched) worth(now time.Time, m *model) float64 {
+	count := m.demand.At(now, s.tune.HalfLife)
+	if s.policy.Copies && s.copies[m.name] > 1 {
+		count *= copyShare
+	}
+	return count
+}
+
+// Copies tells how many runners have each model resident, this one included, as the digests show it.
+// It only makes better choices: nothing goes wrong where it is late or never called.
+func (s *Sched) Copies(counts map[string]int) {
+	s.copies = counts
 }
 
 // leastUsed returns the model in use whose requests in progress are fewest, or nil.
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"damaskreach/internal/decay"
 	"damaskreach/internal/order"
 	"damaskreach/internal/reason"
 )
@@ -87,7 +88,7 @@
 		Runner:  s.runner.Name,
 		Waiting: m.waiting,
 		Free:    s.free(),
-		Demand:  perMinute(m.demand.at(now, s.tune.HalfLife), s.tune.HalfLife),
+		Demand:  decay.PerMinute(m.demand.At(now, s.tune.HalfLife), s.tune.HalfLife),
 	}
 	for _, i := range s.waitersOf(m) {
 		why.Wait = max(why.Wait, now.Sub(i.arrived))
@@ -126,7 +127,7 @@
 		Runner:  s.runner.Name,
 		Running: len(s.running),
 		Wait:    now.Sub(m.used),
-		Demand:  perMinute(m.demand.at(now, s.tune.HalfLife), s.tune.HalfLife),
+		Demand:  decay.PerMinute(m.demand.At(now, s.tune.HalfLife), s.tune.HalfLife),
 	}
 	s.turn(now, m, unloading)
 	s.out = append(s.out, order.Order{Kind: order.Unload, Model: m.name, Why: why})
