Add the demo and the judge of what callers and upstreams saw

Cause: a newcomer could not see the whole at work, and nothing compared callers' records with upstreams'.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 SEEDS ?= 1000
 
-.PHONY: all build test check bench site site-stop fmt clean
+.PHONY: all build test check bench demo site site-stop fmt clean
 
 all: build
 
@@ -23,6 +23,9 @@
 bench:
 	$(GO) run ./cmd/damaskbench
 
+demo:
+	$(GO) run ./cmd/damaskdemo $(DEMO)
+
 site: build
 	scripts/site.sh start
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	audit   *audit.Audit
 
 	ctx      context.Context
+	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
 	drain    chan struct{}
@@ -98,6 +99,7 @@
 		return err
 	}
 	n.start(ctx)
+	n.started.Store(true)
 	select {
 	case <-ctx.Done():
 	case <-n.drain:
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -92,6 +92,14 @@
 	_ = n.loop.Post(func() { n.home.Learn(digests) }) // a stopped node needs none
 }
 
+// Runners returns the digests of the runners that this node owns; a node that has not started or has ended has none.
+func (n *Node) Runners() []digest.Digest {
+	if n.started.Load() {
+		return n.digests()
+	}
+	return nil
+}
+
 func (n *Node) digests() []digest.Digest {
 	digests, err := loop.Get(n.ctx, n.loop, n.owner.Digests)
 	if err != nil {
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -28,6 +28,7 @@
 	fencedAt time.Time          // since when the engine is known to refuse older fences
 	failures int                // reports missed in a row
 	number   int64
+	plain    bool // a plain service: no reports, no orders
 	leaving  bool // closed to new starts by the operators
 	dirty    bool // row has changed since it was written
 	asking   bool // a report is on its way
@@ -57,6 +58,8 @@
 		orders:   map[string]bool{},
 		barred:   row.Unload,
 	}
+	g, _ := o.Catalog().Group(r.Group)
+	h.plain = g.Plain
 	for _, f := range row.Formers {
 		h.formers[f.Session] = &former{session: f.Session, peer: f.Peer}
 	}
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -7,9 +7,9 @@
 	"damaskreach/internal/report"
 )
 
-// poll asks a runner for its report, one at a time.
+// poll asks a runner for its report, one at a time. A plain service has none; only its answers tell how it is.
 func (o *Owner) poll(h *held) {
-	if h.asking {
+	if h.asking || h.plain {
 		return
 	}
 	h.asking = true
--- a/internal/stand/site/ask.go
+++ b/internal/stand/site/ask.go
@@ -27,10 +27,20 @@
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+Host(i)+":8000/v1/completions", bytes.NewReader(body))
+	return s.post(ctx, "http://"+Host(i)+":8000/v1/completions", body, headers)
+}
+
+// Book posts a booking to the plain services through node i; see Complete for what it returns.
+func (s *Site) Book(ctx context.Context, i int, path, body string, headers map[string]string) (int, http.Header, []byte, error) {
+	return s.post(ctx, "http://"+Host(i)+":8000/plain/"+Plain+path, []byte(body), headers)
+}
+
+func (s *Site) post(ctx context.Context, url string, body []byte, headers map[string]string) (int, http.Header, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, err
 	}
+	req.GetBody = nil // or net/http might send a booking twice itself
 	req.Header.Set("Authorization", "Bearer "+APIKey)
 	for name, value := range headers {
 		req.Header.Set(name, value)
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -21,6 +21,7 @@
 	"damaskreach/internal/stand/engsim"
 	"damaskreach/internal/stand/hostdb"
 	"damaskreach/internal/stand/memnet"
+	"damaskreach/internal/stand/plain"
 	"damaskreach/internal/stand/rowdb"
 	"damaskreach/internal/table"
 	"damaskreach/internal/tenant"
@@ -31,9 +32,12 @@
 	Name    = "site"
 	Tenant  = "parish"
 	APIKey  = "parish-key"
-	Writers = "writers" // engine group
+	Writers = "writers"  // engine group
+	Plain   = "bookings" // group of plain services
 )
 
+const plainBatch = 64 // requests that a plain service takes at once
+
 // Site is a small fleet: the table service, engines and nodes. Its exported fields are settings until Start,
 // but for the stand-ins, whose faults may be set at any time.
 type Site struct {
@@ -41,6 +45,7 @@
 	DB      *rowdb.DB
 	Hosts   *hostdb.DB
 	Engines []*engsim.Engine
+	Plains  []*plain.Service
 	Log     *zap.Logger
 	Conf    conf.Conf // settings common to all nodes
 	// Prepare changes a node before it runs; nil changes nothing.
@@ -84,6 +89,16 @@
 	return fmt.Sprintf("10.0.1.%d", i+1)
 }
 
+// PlainHost returns the address of the host of plain service i.
+func PlainHost(i int) string {
+	return fmt.Sprintf("10.0.3.%d", i+1)
+}
+
+// PlainName returns the name of the runner that plain service i is.
+func PlainName(i int) string {
+	return fmt.Sprintf("booking-%d", i)
+}
+
 // RunnerName returns the name of the runner that engine i is.
 func RunnerName(i int) string {
 	return fmt.Sprintf("runner-%d", i)
@@ -104,6 +119,14 @@
 			}
 		}()
 	}
+	for i, p := range s.Plains {
+		listen := func() (net.Listener, error) { return s.Net.Listen(PlainHost(i) + ":80") }
+		go func() {
+			if err := p.Run(ctx, listen); err != nil && ctx.Err() == nil {
+				s.Log.Error("a plain service ended", zap.Error(err))
+			}
+		}()
+	}
 	_, err := s.DB.Table().Write(ctx, s.Rows(adapters)...)
 	return err
 }
@@ -125,6 +148,13 @@
 		}
 		all = append(all, Row("runner", r.Name, r))
 	}
+	if len(s.Plains) > 0 {
+		all = append(all, Row("group", Plain, group.Group{Name: Plain, Plain: true}))
+	}
+	for i := range s.Plains {
+		r := runner.Runner{Name: PlainName(i), Group: Plain, Addr: PlainHost(i) + ":80", Centre: "centre-1", Batch: plainBatch}
+		all = append(all, Row("runner", r.Name, r))
+	}
 	for i := range adapters {
 		name := AdapterName(i)
 		all = append(all, Row("adapter", name, adapt.Adapter{Name: name, Tenant: Tenant, Group: Writers, Versions: map[string]int{"v1": 1}}))
