--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -19,7 +19,7 @@
 
 	"damaskreach/internal/answer"
 	"damaskreach/internal/call"
-	"damaskreach/internal/commit"
+	"damaskreach/internal/gather"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/sess"
@@ -45,7 +45,7 @@
 	Loop    *loop.Loop
 	Mesh    *peer.Mesh
 	Table   table.Table
-	Commit  *commit.Commit
+	Gather  *gather.Gather
 	Log     *zap.Logger
 	Keepers int // shards
 	// Home returns the node that a key hashes to and whether it is this one.
--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -1,8 +1,4 @@
-// Package commit writes many rows to the table service in few transactions.
-//
-// The service takes several hundred writes a second; at peak there are 15,000 requests a second. Edits that arrive
-// within one window go into one transaction. A conflict fails the whole transaction, so the edits it names are answered
-// and the others are written again at once.
+// Package commit writes operators' edits to the table and finds out what became of each.
 package commit
 
 import (
@@ -15,155 +11,105 @@
 	"damaskreach/internal/table"
 )
 
+// Size is the largest number of rows written in one transaction.
+const Size = 500
+
 const (
-	mostEdits = 1000            // in one transaction
-	timeout   = 5 * time.Second // for one transaction
-	backlog   = 4096
+	firstPause = 100 * time.Millisecond
+	maxPause   = 2 * time.Second
+	callTime   = 10 * time.Second // for one call of the table
 )
 
-// Commit gathers edits for one table.
-type Commit struct {
-	table  table.Table
-	window time.Duration
-	queue  chan edit
-	done   chan struct{}
-}
-
-type edit struct {
-	row    rows.Row
-	answer chan outcome // holds one
-}
-
-type outcome struct {
-	rev int64
-	err error
-}
-
-// NewCommit returns a gatherer that waits window for more edits before it writes.
-func NewCommit(t table.Table, window time.Duration) *Commit {
-	return &Commit{table: t, window: window, queue: make(chan edit, backlog), done: make(chan struct{})}
-}
-
-// Write applies one edit and returns its revision, with the errors of table.Table: ErrConflict and ErrDown mean that
-// it was not applied; any other error leaves that open.
-func (c *Commit) Write(ctx context.Context, row rows.Row) (int64, error) {
-	e := edit{row: row, answer: make(chan outcome, 1)}
-	select {
-	case c.queue <- e:
-	case <-c.done:
-		return 0, table.ErrDown
-	case <-ctx.Done():
-		return 0, table.ErrDown
-	}
-	select {
-	case o := <-e.answer:
-		return o.rev, o.err
-	case <-c.done:
-		return 0, table.ErrLost
-	case <-ctx.Done():
-		return 0, table.ErrLost
-	}
-}
-
-// Run writes gathered edits until ctx ends. While one transaction is on its way the next one is gathered.
-func (c *Commit) Run(ctx context.Context) {
-	defer close(c.done)
-	for {
-		batch := c.gather(ctx)
-		if batch == nil {
-			return
-		}
-		c.write(ctx, batch)
-	}
-}
-
-func (c *Commit) gather(ctx context.Context) []edit {
-	var batch []edit
-	select {
-	case <-ctx.Done():
-		return nil
-	case e := <-c.queue:
-		batch = append(batch, e)
-	}
-	timer := time.NewTimer(c.window)
-	defer timer.Stop()
-	for len(batch) < mostEdits {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-			return batch
-		case e := <-c.queue:
-			batch = append(batch, e)
+// Write writes edits in their order, in transactions of Size rows at the most, and returns one outcome for each.
+// Each value must carry the stamp of the edit id, by which a write whose answer was lost is recognised.
+// Rows that others changed are reported and left alone, and the other rows of their batch are written all the same.
+// After a batch whose outcome stays unknown nothing more is written.
+func Write(ctx context.Context, t table.Table, edit string, edits []rows.Row) []Outcome {
+	w := writer{table: t, edit: edit}
+	var outcomes []Outcome
+	stopped := false
+	for batch := range slices.Chunk(edits, Size) {
+		if stopped {
+			outcomes = append(outcomes, all(batch, Outcome{State: NotTried})...)
+			continue
 		}
+		done := w.batch(ctx, batch)
+		stopped = slices.ContainsFunc(done, func(o Outcome) bool { return o.State == Unknown || o.State == Failed })
+		outcomes = append(outcomes, done...)
 	}
-	return batch
+	return outcomes
 }
 
-// write applies a batch, with edits of one key in transactions of their own, since the service takes a key once.
-func (c *Commit) write(ctx context.Context, batch []edit) {
-	for len(batch) > 0 {
-		now, later := split(batch)
-		c.apply(ctx, now)
-		batch = later
-	}
+type writer struct {
+	table table.Table
+	edit  string
 }
 
-func split(batch []edit) (now, later []edit) {
-	seen := map[string]bool{}
-	for _, e := range batch {
-		if seen[e.row.Key] {
-			later = append(later, e)
-			continue
+// batch writes one batch; rows in conflict are taken out until the rest is written.
+func (w writer) batch(ctx context.Context, edits []rows.Row) []Outcome {
+	var outcomes []Outcome
+	for len(edits) > 0 {
+		rev, lost, err := w.persist(ctx, edits)
+		switch {
+		case err == nil:
+			return append(outcomes, all(edits, Outcome{State: Applied, Rev: rev})...)
+		case !errors.Is(err, table.ErrConflict):
+			return append(outcomes, all(edits, failure(lost, err))...)
 		}
-		seen[e.row.Key] = true
-		now = append(now, e)
+		settled, rest := w.settle(ctx, edits, table.Conflicts(err), lost)
+		outcomes = append(outcomes, settled...)
+		edits = rest
 	}
-	return now, later
+	return outcomes
 }
 
-func (c *Commit) apply(ctx context.Context, batch []edit) {
-	for len(batch) > 0 {
-		rev, err := c.transact(ctx, batch)
-		if !errors.Is(err, table.ErrConflict) {
-			answer(batch, outcome{rev, err})
-			return
+// persist repeats a write until the table decides on it or ctx ends. lost says that the answer to a try was lost.
+// Repeating is safe: each edit names the revision it replaces, so that of two tries only one can take effect,
+// also when the first one arrives late.
+func (w writer) persist(ctx context.Context, edits []rows.Row) (rev int64, lost bool, err error) {
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		rev, err = w.once(ctx, edits)
+		if err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrInvalid) {
+			return rev, lost, err
+		}
+		lost = lost || !errors.Is(err, table.ErrDown)
+		if !sleep(ctx, pause) {
+			return 0, lost, err
 		}
-		batch = withoutConflicts(batch, err)
 	}
 }
 
-func (c *Commit) transact(ctx context.Context, batch []edit) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (w writer) once(ctx context.Context, edits []rows.Row) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	edits := make([]rows.Row, 0, len(batch))
-	for _, e := range batch {
-		edits = append(edits, e.row)
-	}
-	return c.table.Write(ctx, edits...)
+	return w.table.Write(ctx, edits...)
 }
 
-func answer(batch []edit, o outcome) {
-	for _, e := range batch {
-		e.answer <- o
+// sleep waits and reports whether ctx still holds.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
 
-// withoutConflicts answers the edits a conflict names and returns the others. A conflict that names none of them
-// answers all, so that a service which breaks its word cannot keep the batch going round.
-func withoutConflicts(batch []edit, err error) []edit {
-	var left []edit
-	keys := table.Conflicts(err)
-	for _, e := range batch {
-		if slices.Contains(keys, e.row.Key) {
-			e.answer <- outcome{0, err}
-			continue
-		}
-		left = append(left, e)
+func failure(lost bool, err error) Outcome {
+	if lost {
+		return Outcome{State: Unknown, Err: err}
 	}
-	if len(left) == len(batch) {
-		answer(batch, outcome{0, err})
-		return nil
+	return Outcome{State: Failed, Err: err}
+}
+
+// all returns one outcome for each edit, like the one given.
+func all(edits []rows.Row, like Outcome) []Outcome {
+	outcomes := make([]Outcome, len(edits))
+	for i, e := range edits {
+		outcomes[i] = like
+		outcomes[i].Edit = e
 	}
-	return left
+	return outcomes
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -75,5 +75,5 @@
 	go n.owner.Follow(ctx)
 	go n.grant.Run(ctx)
 	go n.extend.Run(ctx)
-	go n.commit.Run(ctx)
+	go n.gather.Run(ctx)
 }
