Poll reports over kept connections

Cause: reports have no body, so each poll dialled a connection of its own. A report asked for twice does no harm. Change: the call names its transport; reports use the pooled one. Measured: 1 dial for 10 repeatable requests and 5 reports in the test of reused connections.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -82,19 +82,23 @@
 	return nil
 }
 
-// send sends req once and returns the head of its answer. Its errors carry the verdict.
-func (c *client) send(ctx context.Context, req *http.Request, repeatable bool) (*http.Response, error) {
+// transport returns the one for a call with a body of size bytes.
+func (c *client) transport(once bool, size int) *http.Transport {
+	if once || size == 0 {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+// send sends req once by the transport and returns the head of its answer. Its errors carry the verdict.
+func (c *client) send(ctx context.Context, by *http.Transport, req *http.Request) (*http.Response, error) {
 	var used *wire
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*wire)
 		used.reset()
 	}}
 	req = req.WithContext(withCall(httptrace.WithClientTrace(ctx, trace)))
-	transport := c.fresh
-	if repeatable && req.ContentLength > 0 {
-		transport = c.pooled
-	}
-	res, err := transport.RoundTrip(req)
+	res, err := by.RoundTrip(req)
 	if err == nil {
 		return res, nil
 	}
--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -82,10 +82,13 @@
 		for range 5 {
 			generate(soon(t), client, 1, ask(model, "p", 3), nil)
 			generate(soon(t), client, 1, ask("b@1", "p", 3), nil)
+			if _, err := client.Report(t.Context()); err != nil {
+				t.Errorf("Report = %v, want nil", err)
+			}
 			synctest.Wait()
 		}
 		if got := dials - before; got != 1 {
-			t.Errorf("%d dials for 10 requests that may be repeated, want 1", got)
+			t.Errorf("%d dials for 15 requests that may be repeated, want 1", got)
 		}
 	})
 }
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "forming a request to %s: %v", c.addr, err)
 	}
-	res, err := c.send(ctx, req, !what.Once)
+	res, err := c.send(ctx, c.transport(what.Once, len(what.Body)), req)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -45,7 +45,7 @@
 	}
 	set(req, "Content-Type", jsonKind)
 	set(req, HeaderFence, number(o.Fence))
-	res, err := c.send(ctx, req, false)
+	res, err := c.send(ctx, c.fresh, req)
 	if err != nil {
 		return err
 	}
@@ -68,7 +68,7 @@
 	if err != nil {
 		return said, NotRun(merry.Prepend(err, "forming a request for a report"))
 	}
-	res, err := c.send(ctx, req, true)
+	res, err := c.send(ctx, c.pooled, req) // a report asked for twice does no harm
 	if err != nil {
 		return said, err
 	}
@@ -80,6 +80,7 @@
 	if err != nil {
 		return said, merry.Prepend(err, fmt.Sprintf("reading the report of %s", c.addr))
 	}
+	drain(res)
 	return said, nil
 }
 
