Send requests with a close deadline to emptier batches (variant hurry)

Cause: a full batch takes 30 ms and more for a step, an emptier one 22 ms; long answers with a close deadline missed it there. Change: where three times the expected tokens at the token-gap target would miss the deadline, the fuller batch costs more instead of less.

--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -12,8 +12,9 @@
 	usualLoad   = 400 * time.Millisecond // one load, order to confirmation, with the store at full speed
 	usualAnswer = 4 * time.Second
 	evictCost   = 50 * time.Millisecond  // of loading into a taken slot rather than a free one
-	emptyCost   = 200 * time.Millisecond // of a request that has a batch to itself, at a stall weight of 0
 	emptyFade   = 2.0                    // requests in the batch by which that cost falls to a third
+	hurryCost   = 400 * time.Millisecond // of a full batch to a hurried request
+	longAnswer  = 3                      // times the expected tokens that an answer may have
 	soon        = 2 * time.Minute        // for which a model of little demand stays resident
 	prefillTime = 50 * time.Millisecond  // what a cached prefix saves
 )
@@ -24,11 +25,12 @@
 		return p.least(from), "least", "it had the fewest requests"
 	}
 	model := modelOf(c)
+	hurried := p.hurried(now, c)
 	near := p.prefix.get(now, c.Prefix)
 	var best *target
 	var bestCost time.Duration
 	for _, t := range p.inTurn(from) {
-		cost := p.wait(t, model) + p.emptiness(t)
+		cost := p.wait(t, model) + p.fullness(t, hurried)
 		if t.digest.Runner == near {
 			cost -= prefillTime
 		}
@@ -40,12 +42,26 @@
 	return best, kind, text
 }
 
-// emptiness returns what sending a request to a nearly empty batch costs: steps that serve few requests.
-func (p *Place) emptiness(t *target) time.Duration {
-	if !p.policy.Pack {
+// fullness returns what the number of requests in the batch costs. For most calls an empty batch costs steps that
+// serve few requests; for a hurried one a full batch costs longer steps.
+func (p *Place) fullness(t *target, hurried bool) time.Duration {
+	switch {
+	case p.policy.Empty == 0:
 		return 0
+	case hurried:
+		return time.Duration(float64(hurryCost) * float64(t.load()) / float64(t.batch()))
+	default:
+		return time.Duration((1 - p.tune.Stall) * float64(p.policy.Empty) * math.Exp(-float64(t.load())/emptyFade))
+	}
+}
+
+// hurried reports whether a call would miss its deadline in a full batch if its answer came out long.
+func (p *Place) hurried(now time.Time, c call.Call) bool {
+	if !p.policy.Hurry || c.Deadline.IsZero() {
+		return false
 	}
-	return time.Duration((1 - p.tune.Stall) * float64(emptyCost) * math.Exp(-float64(t.load())/emptyFade))
+	long := time.Duration(longAnswer * float64(c.Tokens) * float64(p.tune.Gap))
+	return now.Add(long).After(c.Deadline)
 }
 
 // least returns the runner with the fewest requests.
@@ -101,7 +117,7 @@
 		return 0
 	case t.digest.Idle > 0 && p.policy.Copies:
 		return evictCost + p.again(t.digest.Cheap)
-	case t.digest.Idle > 0 || !p.policy.Pack:
+	case t.digest.Idle > 0 || p.policy.Empty == 0:
 		return evictCost
 	default:
 		return p.answer / 2
