Set the time of each load permit; a group names its store's rate

Cause: permits were looked at every 100 ms, so a store of 3 loads a second gave about 2.3; and the rate was a constant. Change: a timer at the next grant; group rows carry rate (CSV column added, the fixture with it).

--- a/internal/decl/decl_test.go
+++ b/internal/decl/decl_test.go
@@ -14,7 +14,7 @@
 
 // files of a small declaration in both forms.
 var sheet = map[string]string{
-	"groups.csv":   "name,base,store,plain\nassist,llama,main,\ndesk,,,true\n",
+	"groups.csv":   "name,base,store,rate,plain\nassist,llama,main,,\ndesk,,,,true\n",
 	"tenants.csv":  "name,weight,requests,tokens,keys\nroads,3,600,,\"" + strings.Repeat("a1", 32) + ";" + strings.Repeat("b2", 32) + "\"\n",
 	"runners.csv":  "name,group,addr,centre,slots,batch,fences,resumes,leaving\nr1,assist,10.0.0.1:80,hall-marcus,4,16,true,,\n",
 	"adapters.csv": "name,tenant,group,versions,requests,tokens,pinned\nmix-2,roads,assist,v1:90;v2:10,60,9000,true\nmix-1,roads,assist,1.0:1,,,\n",
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -36,6 +36,7 @@
 	settleTime  = 20 * time.Second // for the fleet to come up
 	settlePoll  = 50 * time.Millisecond
 	drainTime   = 2 * time.Second
+	loadRate    = 30 // loads a second, ten times a real store's, so that the demo ends soon
 	entriesLife = time.Second
 )
 
@@ -112,6 +113,7 @@
 	for range plains {
 		d.site.Plains = append(d.site.Plains, plain.NewService())
 	}
+	d.site.LoadRate = loadRate
 	d.site.Conf.Drain = drainTime
 	d.site.Conf.EntriesLife = entriesLife
 	if d.options.Verbose {
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -22,8 +22,8 @@
 func (d *Demo) report(ctx context.Context, breaches []string, took time.Duration) {
 	whole, refused := d.judge.Count()
 	executed := len(d.records())
-	fmt.Fprintf(d.out, "%s, seed %d: %d nodes, %d engines, %d booking services, %d adapters, %.1f s\n",
-		d.options.Site, d.options.Seed, nodes, engines, plains, adapters, took.Seconds())
+	fmt.Fprintf(d.out, "%s, seed %d: %d nodes, %d engines, %d booking services, %d adapters, a store of %d loads a second, %.1f s\n",
+		d.options.Site, d.options.Seed, nodes, engines, plains, adapters, loadRate, took.Seconds())
 	for _, stage := range d.stages {
 		fmt.Fprintln(d.out, "  "+stage)
 	}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -20,16 +20,16 @@
 
 const (
 	methodPermit = "permit"
-	storeRate    = 3.0 // loads a second that a weight store allows
 	permitTerm   = time.Minute
 	fallbackWait = time.Second
-	tick         = 100 * time.Millisecond
 )
 
 // Grant is a node's part in ordering loads. The fields are set before Register and not changed afterwards.
 type Grant struct {
 	Loop *loop.Loop
 	Mesh *peer.Mesh
+	// Rate returns how many loads a second a weight store allows.
+	Rate func(store string) float64
 	// Home returns the node that a key hashes to and whether it is this one.
 	Home func(ctx context.Context, key string) (sess.Session, bool, error)
 
@@ -39,6 +39,7 @@
 type store struct {
 	loads   *loads.Loads
 	waiting map[ask]chan struct{}
+	timer   *time.Timer // runs at the time of the next grant
 }
 
 type ask struct {
@@ -57,28 +58,6 @@
 	g.Mesh.Handle(methodPermit, g.serve)
 }
 
-// Run grants waiting permits as time passes, until ctx ends.
-func (g *Grant) Run(ctx context.Context) {
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		if g.Loop.Do(ctx, g.tick) != nil {
-			return
-		}
-	}
-}
-
-func (g *Grant) tick() {
-	for _, s := range g.stores {
-		s.give(s.loads.Tick(time.Now()))
-	}
-}
-
 // Get waits for a permit and returns the function that gives it back.
 func (g *Grant) Get(ctx context.Context, storeName, owner, runner, model string, urgency float64) (func(), error) {
 	q := ask{Store: storeName, Owner: owner, Runner: runner, Model: model, Urgency: urgency}
@@ -154,19 +133,19 @@
 func (g *Grant) request(q ask, ready chan struct{}) {
 	s := g.store(q.Store)
 	s.waiting[q.key()] = ready
-	s.give(s.loads.Request(time.Now(), q.Owner, q.Runner, q.Model, q.Urgency))
+	g.give(s, s.loads.Request(time.Now(), q.Owner, q.Runner, q.Model, q.Urgency))
 }
 
 func (g *Grant) done(q ask) {
 	s := g.store(q.Store)
 	delete(s.waiting, q.key())
-	s.give(s.loads.Done(time.Now(), q.Runner, q.Model))
+	g.give(s, s.loads.Done(time.Now(), q.Runner, q.Model))
 }
 
 func (g *Grant) store(name string) *store {
 	s := g.stores[name]
 	if s == nil {
-		s = &store{loads: loads.NewLoads(storeRate, permitTerm), waiting: map[ask]chan struct{}{}}
+		s = &store{loads: loads.NewLoads(g.Rate(name), permitTerm), waiting: map[ask]chan struct{}{}}
 		g.stores[name] = s
 	}
 	return s
@@ -177,7 +156,9 @@
 	return ask{Runner: q.Runner, Model: q.Model}
 }
 
-func (s *store) give(permits []permit.Permit) {
+// give passes permits on and sets the time of the next one. A fixed interval would waste the store: at three loads a
+// second, a wait of up to 100 ms after each would cost a quarter of them.
+func (g *Grant) give(s *store, permits []permit.Permit) {
 	for _, p := range permits {
 		key := ask{Runner: p.Runner, Model: p.Model}
 		if ready := s.waiting[key]; ready != nil {
@@ -185,4 +166,14 @@
 			close(ready)
 		}
 	}
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	next := s.loads.Next()
+	if next.IsZero() {
+		return
+	}
+	s.timer = time.AfterFunc(time.Until(next), func() {
+		_ = g.Loop.Post(func() { g.give(s, s.loads.Tick(time.Now())) }) // a stopped node grants nothing
+	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,7 @@
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
 		Place: place.NewPlace(n.follow.Catalog().Tune()),
 	}
-	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of}
+	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate}
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -10,6 +10,7 @@
 	"damaskreach/internal/conf"
 	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
+	"damaskreach/internal/group"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/reason"
@@ -81,6 +82,17 @@
 	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, why.Wait.Seconds())
 }
 
+// storeRate returns the rate of a weight store by the first group that names it.
+func (n *Node) storeRate(store string) float64 {
+	catalog := n.follow.Catalog()
+	for _, name := range catalog.Groups() {
+		if g, _ := catalog.Group(name); g.Store == store {
+			return g.LoadRate()
+		}
+	}
+	return group.Group{}.LoadRate()
+}
+
 // changed takes the digests of this node's runners. It runs on the control goroutine.
 func (n *Node) changed(digests []digest.Digest) {
 	n.home.Learn(digests)
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -73,7 +73,6 @@
 	go n.follow.Run(ctx)
 	go n.lease.Run(ctx)
 	go n.owner.Follow(ctx)
-	go n.grant.Run(ctx)
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
 }
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -41,13 +41,14 @@
 // Site is a small fleet: the table service, engines and nodes. Its exported fields are settings until Start,
 // but for the stand-ins, whose faults may be set at any time.
 type Site struct {
-	Net     *memnet.Net
-	DB      *rowdb.DB
-	Hosts   *hostdb.DB
-	Engines []*engsim.Engine
-	Plains  []*plain.Service
-	Log     *zap.Logger
-	Conf    conf.Conf // settings common to all nodes
+	Net      *memnet.Net
+	DB       *rowdb.DB
+	Hosts    *hostdb.DB
+	Engines  []*engsim.Engine
+	Plains   []*plain.Service
+	LoadRate float64 // loads a second that the weight store allows; 0 means the usual rate
+	Log      *zap.Logger
+	Conf     conf.Conf // settings common to all nodes
 	// Prepare changes a node before it runs; nil changes nothing.
 	Prepare func(n *node.Node)
 	// Spec changes a runner's row before it is written; nil changes nothing.
@@ -136,7 +137,7 @@
 	sum := sha256.Sum256([]byte(APIKey))
 	all := []rows.Row{
 		Row("tenant", Tenant, tenant.Tenant{Name: Tenant, Weight: 1, Keys: []string{hex.EncodeToString(sum[:])}}),
-		Row("group", Writers, group.Group{Name: Writers, Base: "base", Store: "weights"}),
+		Row("group", Writers, group.Group{Name: Writers, Base: "base", Store: "weights", Rate: s.LoadRate}),
 	}
 	for i, e := range s.Engines {
 		r := runner.Runner{
