--- a/internal/demo/ask.go
+++ b/internal/demo/ask.go
@@ -37,7 +37,7 @@
 		r := d.once(ctx, q, id, d.entries.pick(ctx, q.node+try))
 		d.judge.Got(id, r.status, r.verdict, r.whole, r.text)
 		if r.whole || ctx.Err() != nil {
-			d.noteFirst(time.Since(start))
+			d.note(id, time.Since(start))
 			return
 		}
 		pause(ctx, r.retry)
@@ -51,10 +51,13 @@
 	return fmt.Sprintf("booking-%d", q.number)
 }
 
-func (d *Demo) noteFirst(took time.Duration) {
+func (d *Demo) note(id string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.firsts = append(d.firsts, took)
+	d.took = append(d.took, took)
+	if took > d.most {
+		d.most, d.slow = took, id
+	}
 }
 
 func (d *Demo) once(ctx context.Context, q demand, id string, node int) result {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -57,7 +57,9 @@
 	out     io.Writer
 
 	mu     sync.Mutex
-	firsts []time.Duration // times to the first byte of answers
+	took   []time.Duration // times to whole answers
+	slow   string          // id of the slowest request
+	most   time.Duration   // its time
 	stages []string        // what was done on the way
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -29,7 +29,7 @@
 	}
 	fmt.Fprintf(d.out, "  %d of %d requests answered in full, by %d executions\n", whole, d.options.Requests, executed)
 	fmt.Fprintf(d.out, "  tries that were refused or cut, by verdict: %s\n", list(refused))
-	fmt.Fprintf(d.out, "  time to the whole answer: %s\n", quantiles(d.firsts))
+	fmt.Fprintf(d.out, "  time to the whole answer: %s\n", quantiles(d.took))
 	d.explain(ctx)
 	if whole < d.options.Requests {
 		fmt.Fprintf(d.out, "  %d requests were not answered within %s\n", d.options.Requests-whole, limit)
@@ -69,13 +69,21 @@
 func (d *Demo) explain(ctx context.Context) {
 	kinds := map[string]int{}
 	shown := map[string]string{}
+	var slow []event.Event
 	for i := range nodes {
 		for _, e := range d.journal(ctx, i) {
 			kinds[e.Why.Kind]++
 			shown[e.Why.Kind] = e.Node + ": " + e.Why.String()
+			if e.Request == d.slow {
+				slow = append(slow, e)
+			}
 		}
 	}
 	fmt.Fprintf(d.out, "  decisions in the journals: %s\n", list(kinds))
+	slices.SortFunc(slow, func(a, b event.Event) int { return a.At.Compare(b.At) })
+	for _, e := range slow {
+		fmt.Fprintf(d.out, "  the slowest, %s, at %s, %s: %s\n", d.slow, e.At.Format("05.000"), e.Node, e.Why)
+	}
 	count := 0
 	for _, kind := range []string{"unload", "load", "near", "resident"} {
 		if shown[kind] != "" && count < examples {
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/assign"
@@ -15,7 +16,7 @@
 // carry hands the decisions of a runner's scheduler to the goroutines that carry them out.
 func (o *Owner) carry(h *held, orders []order.Order) {
 	for _, next := range orders {
-		o.Note(next.Why, next.Attempt)
+		o.Note(next.Why, h.request(next.Attempt))
 		switch next.Kind {
 		case order.Start:
 			h.decide(next.Attempt, nil)
@@ -29,6 +30,14 @@
 	}
 }
 
+// request returns the request id of an attempt, by which operators ask about it.
+func (h *held) request(attempt string) string {
+	if a := h.attempts[attempt]; a != nil {
+		return a.call.ID
+	}
+	return attempt
+}
+
 // decide tells a waiting attempt whether it starts or is refused; a nil refusal starts it.
 func (h *held) decide(id string, refusal *refuse.Refusal) {
 	a := h.attempts[id]
@@ -42,17 +51,35 @@
 	}
 }
 
+// errUnreachable fails a load before it asks for a permit. An engine that does not answer would hold the store's only
+// permit until the order times out, and every other runner's loads would wait for it.
+var errUnreachable = merry.New("owner: the engine does not answer")
+
 func (o *Owner) load(h *held, next order.Order) {
 	h.orders[next.Model] = true
+	ordered := time.Now()
+	reachable := h.failures == 0
 	go func() {
-		err := o.sendLoad(h, next.Model, next.Why)
+		err := errUnreachable
+		if reachable {
+			err = o.sendLoad(h, next.Model, next.Why)
+		}
 		_ = o.Loop.Post(func() {
 			delete(h.orders, next.Model)
+			o.noteLoad(h, next.Model, time.Since(ordered), err)
 			o.carry(h, h.sched.Loaded(time.Now(), next.Model, err))
 		})
 	}()
 }
 
+func (o *Owner) noteLoad(h *held, model string, took time.Duration, err error) {
+	why := reason.Reason{Kind: "loaded", Text: "the adapter is loaded", Model: model, Runner: h.spec.Name, Wait: took}
+	if err != nil {
+		why.Kind, why.Text = "load-failed", "loading the adapter failed: "+err.Error()
+	}
+	o.Note(why, "")
+}
+
 func (o *Owner) sendLoad(h *held, model string, why reason.Reason) error {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
