Let a repeated load take its permit over

Change: requests for one load carry a nonce; the newest holds the permit. Before: TestTryingALoadAgainTakesItsPermitOver fails (the second request never returns). After: passes, and permits come exactly at the store's rate.

--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"math/rand/v2"
 	"time"
 
@@ -39,6 +40,8 @@
 type store struct {
 	loads   *loads.Loads
 	waiting map[ask]chan struct{}
+	asked   map[ask]string // nonce of the newest request for a load that waits or is under way
+	granted map[ask]bool
 	timer   *time.Timer // runs at the time of the next grant
 }
 
@@ -48,6 +51,7 @@
 	Runner  string  `msgpack:"runner"`
 	Model   string  `msgpack:"model"`
 	Urgency float64 `msgpack:"urgency"`
+	Nonce   string  `msgpack:"nonce"` // tells requests for the same load apart
 }
 
 type granted struct{}
@@ -60,7 +64,7 @@
 
 // Get waits for a permit and returns the function that gives it back.
 func (g *Grant) Get(ctx context.Context, storeName, owner, runner, model string, urgency float64) (func(), error) {
-	q := ask{Store: storeName, Owner: owner, Runner: runner, Model: model, Urgency: urgency}
+	q := ask{Store: storeName, Owner: owner, Runner: runner, Model: model, Urgency: urgency, Nonce: crand.Text()}
 	at, local, err := g.Home(ctx, "store/"+storeName)
 	if err != nil {
 		return nil, err
@@ -130,22 +134,37 @@
 	}
 }
 
+// request queues a load. When a load is tried again, its first permit may not have been given back yet, since that
+// message travels on another stream: the new request then takes that permit over. Queued behind it, it would wait for
+// itself, as the store has only one.
 func (g *Grant) request(q ask, ready chan struct{}) {
 	s := g.store(q.Store)
-	s.waiting[q.key()] = ready
+	key := q.key()
+	s.asked[key] = q.Nonce
+	if s.granted[key] {
+		close(ready)
+		return
+	}
+	s.waiting[key] = ready
 	g.give(s, s.loads.Request(time.Now(), q.Owner, q.Runner, q.Model, q.Urgency))
 }
 
 func (g *Grant) done(q ask) {
 	s := g.store(q.Store)
-	delete(s.waiting, q.key())
+	key := q.key()
+	if s.asked[key] != q.Nonce {
+		return // a newer request holds the permit now
+	}
+	delete(s.asked, key)
+	delete(s.granted, key)
+	delete(s.waiting, key)
 	g.give(s, s.loads.Done(time.Now(), q.Runner, q.Model))
 }
 
 func (g *Grant) store(name string) *store {
 	s := g.stores[name]
 	if s == nil {
-		s = &store{loads: loads.NewLoads(g.Rate(name), permitTerm), waiting: map[ask]chan struct{}{}}
+		s = &store{loads: loads.NewLoads(g.Rate(name), permitTerm), waiting: map[ask]chan struct{}{}, asked: map[ask]string{}, granted: map[ask]bool{}}
 		g.stores[name] = s
 	}
 	return s
@@ -163,6 +182,7 @@
 		key := ask{Runner: p.Runner, Model: p.Model}
 		if ready := s.waiting[key]; ready != nil {
 			delete(s.waiting, key)
+			s.granted[key] = true
 			close(ready)
 		}
 	}
