--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 SEEDS ?= 1000
 
-.PHONY: all build test check fmt clean
+.PHONY: all build test check bench site site-stop fmt clean
 
 all: build
 
@@ -20,6 +20,15 @@
 	$(TOOL) staticcheck ./...
 	$(TOOL) revive -config revive.toml -set_exit_status ./...
 
+bench:
+	$(GO) run ./cmd/damaskbench
+
+site: build
+	scripts/site.sh start
+
+site-stop:
+	scripts/site.sh stop
+
 fmt:
 	gofmt -w .
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -22,6 +22,8 @@
 	n.relay.Register()
 	n.share.Register()
 	n.grant.Register()
+	n.extend.Register()
+	n.claim.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -67,8 +69,11 @@
 // nodes and callers can find must answer.
 func (n *Node) start(ctx context.Context) {
 	go n.loop.Run(ctx)
+	go n.watch.Run(ctx)
 	go n.follow.Run(ctx)
 	go n.lease.Run(ctx)
 	go n.owner.Follow(ctx)
 	go n.grant.Run(ctx)
+	go n.extend.Run(ctx)
+	go n.gather.Run(ctx)
 }
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -18,7 +18,7 @@
 func (o *Owner) plan(now time.Time) {
 	me := o.Lease.Session()
 	serving := o.serving(now, me)
-	runners := o.Catalog().AllRunners()
+	runners := o.runners()
 	wish := spread.NewSpread(runners, serving, o.owners(now))
 	for _, r := range runners {
 		o.planRunner(r, wish[r.Name], me)
@@ -27,6 +27,17 @@
 	o.declareEnded(now, serving)
 }
 
+// runners returns the operators' rows, with those marked leaving whose hosts the platform says are.
+func (o *Owner) runners() []runner.Runner {
+	all := o.Catalog().AllRunners()
+	marked := make([]runner.Runner, 0, len(all))
+	for _, r := range all {
+		r.Leaving = r.Leaving || o.Leaving(r.Addr)
+		marked = append(marked, r)
+	}
+	return marked
+}
+
 func (o *Owner) serving(now time.Time, me sess.Session) []sess.Session {
 	var serving []sess.Session
 	for _, s := range o.Members.Serving(now) {
@@ -108,12 +119,27 @@
 	for _, s := range serving {
 		ids = append(ids, s.ID())
 	}
-	for _, edit := range o.Members.Ended(now) {
-		if spread.Pick(ids, edit.Key) == o.Lease.Session().ID() && !o.busy[edit.Key] {
-			o.busy[edit.Key] = true
-			go o.declare(edit)
+	for _, edit := range o.Members.Ended(now, 0) {
+		if spread.Pick(ids, edit.Key) == o.Lease.Session().ID() {
+			o.end(edit)
 		}
 	}
+	for _, edit := range o.Members.Ended(now, endGrace) {
+		o.end(edit)
+	}
+}
+
+func (o *Owner) end(edit rows.Row) {
+	if o.busy[edit.Key] {
+		return
+	}
+	o.busy[edit.Key] = true
+	go o.declare(edit)
+}
+
+// Ending reports whether this node is just ending a session. It must be called on the control goroutine.
+func (o *Owner) Ending(key string) bool {
+	return o.busy[key]
 }
 
 func (o *Owner) declare(edit rows.Row) {
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -1,16 +1,21 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"damaskreach/internal/call"
+	"damaskreach/internal/decay"
 )
 
 const (
 	usualLoad   = 400 * time.Millisecond // one load, order to confirmation, with the store at full speed
 	usualAnswer = 4 * time.Second
-	evictCost   = 50 * time.Millisecond // of loading into a taken slot rather than a free one
-	prefillTime = 50 * time.Millisecond // what a cached prefix saves
+	evictCost   = 50 * time.Millisecond  // of loading into a taken slot rather than a free one
+	emptyCost   = 200 * time.Millisecond // of a request that has a batch to itself, at a stall weight of 0
+	emptyFade   = 2.0                    // requests in the batch by which that cost falls to a third
+	soon        = 2 * time.Minute        // for which a model of little demand stays resident
+	prefillTime = 50 * time.Millisecond  // what a cached prefix saves
 )
 
 // best returns the runner among those with room that serves c best, and why.
@@ -21,20 +26,28 @@
 	model := modelOf(c)
 	near := p.prefix.get(now, c.Prefix)
 	var best *target
-	var bestWait time.Duration
+	var bestCost time.Duration
 	for _, t := range p.inTurn(from) {
-		wait := p.wait(t, model)
+		cost := p.wait(t, model) + p.emptiness(t)
 		if t.digest.Runner == near {
-			wait -= prefillTime
+			cost -= prefillTime
 		}
-		if best == nil || wait < bestWait || wait == bestWait && t.load() < best.load() {
-			best, bestWait = t, wait
+		if best == nil || cost < bestCost || cost == bestCost && t.load() < best.load() {
+			best, bestCost = t, cost
 		}
 	}
 	kind, text := explain(best, model, near)
 	return best, kind, text
 }
 
+// emptiness returns what sending a request to a nearly empty batch costs: steps that serve few requests.
+func (p *Place) emptiness(t *target) time.Duration {
+	if !p.policy.Pack {
+		return 0
+	}
+	return time.Duration((1 - p.tune.Stall) * float64(emptyCost) * math.Exp(-float64(t.load())/emptyFade))
+}
+
 // least returns the runner with the fewest requests.
 func (p *Place) least(from []*target) *target {
 	var best *target
@@ -76,16 +89,35 @@
 		wait += p.storeWait(t)
 	default:
 		wait += p.load + p.storeWait(nil)
-		if t.digest.Free <= 0 {
-			wait += evictCost
-		}
+		wait += p.slotWait(t)
 	}
 	return wait
 }
 
+// slotWait estimates how long a slot takes to come free.
+func (p *Place) slotWait(t *target) time.Duration {
+	switch {
+	case t.digest.Free > 0:
+		return 0
+	case t.digest.Idle > 0 && p.policy.Copies:
+		return evictCost + p.again(t.digest.Cheap)
+	case t.digest.Idle > 0 || !p.policy.Pack:
+		return evictCost
+	default:
+		return p.answer / 2
+	}
+}
+
+// again returns what losing a model costs: a load, as likely as the model is asked for again before long.
+func (p *Place) again(count float64) time.Duration {
+	perMinute := decay.PerMinute(count, p.tune.HalfLife)
+	likely := 1 - math.Exp(-perMinute*soon.Minutes())
+	return time.Duration(likely * float64(p.load))
+}
+
 // queued estimates the wait for a place in the batch.
 func (p *Place) queued(t *target) time.Duration {
-	over := t.load() - t.batch() + 1
+	over := t.load() - max(1, t.batch()-p.policy.Room) + 1
 	if over <= 0 {
 		return 0
 	}
--- a/internal/sched/digest.go
+++ b/internal/sched/digest.go
@@ -19,9 +19,15 @@
 		Waiting: len(s.queue),
 		Closed:  s.closed != "",
 	}
-	for _, m := range s.sorted() {
+	if m := s.victim(now); m != nil {
+		d.Cheap = s.worth(now, m)
+	}
+	for _, m := range s.held {
+		if m.idle() && m.waiting == 0 {
+			d.Idle++
+		}
 		switch {
-		case m.state == resident && !m.drain:
+		case m.open():
 			d.Resident = append(d.Resident, m.name)
 		case m.state == loading:
 			d.Loading = append(d.Loading, m.name)
--- a/internal/sched/victim.go
+++ b/internal/sched/victim.go
@@ -1,10 +1,6 @@
 package sched
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // victim returns the idle model that is cheapest to lose, or nil.
 func (s *Sched) victim(now time.Time) *model {
@@ -12,7 +8,7 @@
 		return nil
 	}
 	var best *model
-	for _, m := range s.sorted() {
+	for _, m := range s.held {
 		if !m.idle() || m.waiting > 0 && !m.drain {
 			continue
 		}
@@ -31,7 +27,26 @@
 	if !s.policy.Demand {
 		return m.used.Before(other.used)
 	}
-	return m.demand.at(now, s.tune.HalfLife) < other.demand.at(now, s.tune.HalfLife)
+	return s.worth(now, m) < s.worth(now, other)
+}
+
+// copyShare is what is left of a model's worth where another runner has it too: the other copy serves most of
+// its requests meanwhile.
+const copyShare = 0.2
+
+// worth returns the decayed count of requests that losing a model would hurt.
+func (s *Sched) worth(now time.Time, m *model) float64 {
+	count := m.demand.At(now, s.tune.HalfLife)
+	if s.policy.Copies && s.copies[m.name] > 1 {
+		count *= copyShare
+	}
+	return count
+}
+
+// Copies tells how many runners have each model resident, this one included, as the digests show it.
+// It only makes better choices: nothing goes wrong where it is late or never called.
+func (s *Sched) Copies(counts map[string]int) {
+	s.copies = counts
 }
 
 // leastUsed returns the model in use whose requests in progress are fewest, or nil.
@@ -40,8 +55,8 @@
 		return nil
 	}
 	var best *model
-	for _, m := range s.sorted() {
-		if m.state != resident || m.pinned || m.foreign > 0 {
+	for _, m := range s.held {
+		if m.state != resident || m.lost || m.pinned || m.foreign > 0 {
 			continue
 		}
 		if best == nil || m.running < best.running {
@@ -53,22 +68,10 @@
 
 // draining reports whether a model is already being drained.
 func (s *Sched) draining() bool {
-	for _, m := range s.models {
+	for _, m := range s.held {
 		if m.drain && m.state == resident {
 			return true
 		}
 	}
 	return false
 }
-
-// sorted returns the models that hold a slot by name, so that ties fall alike on every run.
-func (s *Sched) sorted() []*model {
-	held := make([]*model, 0, s.slots)
-	for _, m := range s.models {
-		if m.state != absent {
-			held = append(held, m)
-		}
-	}
-	slices.SortFunc(held, func(a, b *model) int { return cmp.Compare(a.name, b.name) })
-	return held
-}
--- a/internal/stand/memnet/pipe.go
+++ b/internal/stand/memnet/pipe.go
@@ -15,7 +15,6 @@
 	cond     *sync.Cond // shared by both directions: one of them, an end or a deadline changed
 	parts    []part     // oldest first
 	size     int        // bytes in parts
-	last     time.Time  // when the newest part arrives
 	end      error      // what the reader gets after the parts; nil while the writer is open
 	endDue   time.Time
 	alarm    *time.Timer
@@ -36,18 +35,16 @@
 	return !p.net.open(p.from, p.to)
 }
 
-// arrival returns when something sent now arrives; nothing overtakes what was sent before it.
+// arrival returns when something sent now arrives at the earliest; it waits for what was sent before it.
 func (p *pipe) arrival() time.Time {
-	due := time.Now().Add(p.link.latency)
-	if due.Before(p.last) {
-		due = p.last
-	}
-	p.last = due
-	return due
+	return time.Now().Add(p.link.latency)
 }
 
-// put takes as much of b as fits.
+// put takes as much of b as fits. What is sent over a broken connection before its end shows is gone.
 func (p *pipe) put(b []byte) int {
+	if p.end != nil {
+		return len(b)
+	}
 	n := min(len(b), pipeMost-p.size)
 	if n == 0 {
 		return 0
@@ -124,7 +121,11 @@
 	p.size = 0
 }
 
+// finish ends the pipe, unless it has ended already.
 func (p *pipe) finish(end error) {
+	if p.end != nil {
+		return
+	}
 	p.end = end
 	p.endDue = p.arrival()
 	p.cond.Broadcast()
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -21,6 +21,8 @@
 var (
 	// ErrClosed means that this side closed the connection.
 	ErrClosed = merry.Sentinel("connection: closed")
+	// ErrAway means that the connection takes no more streams, as one side is about to close it.
+	ErrAway = merry.Sentinel("connection: takes no more streams")
 	// ErrProtocol means that the peer sent a frame that it must not send.
 	ErrProtocol = merry.Sentinel("connection: protocol violation")
 )
@@ -33,11 +35,14 @@
 	bounds  bounds.Bounds
 	peer    hello.Hello
 	version int
+	parity  uint64 // of the ids of streams opened here
 	serve   func(s *strm.Stream, method string) error
 	ctx     context.Context // of the streams the peer opened
 	cancel  context.CancelCauseFunc
 	kick    chan struct{} // signals the writer that the queue is not empty
 	ending  chan struct{} // closed when the connection begins to end
+	left    chan struct{} // closed when the peer has said Bye
+	silent  chan struct{} // closed when the reader has returned
 	ended   chan struct{} // closed when every stream has been told
 	running sync.WaitGroup
 
@@ -45,6 +50,11 @@
 	err     error // why it ends
 	streams map[uint64]entry
 	open    int    // streams the peer opened
+	retired bool   // to be closed when it has no streams
+	polite  bool   // wait for the peer before the socket is closed
+	parted  bool   // the peer has said Bye
+	bye     bool   // the peer was told so
+	away    bool   // no more streams are opened or taken
 	next    uint64 // id of the next stream opened here
 	last    uint64 // newest id the peer opened
 	pending []byte // encoded frames not yet handed to the socket
@@ -76,6 +86,13 @@
 	return c.ended
 }
 
+// Usable reports whether streams can be opened.
+func (c *Conn) Usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err == nil && !c.away
+}
+
 // Err returns why the connection ends, or nil.
 func (c *Conn) Err() error {
 	c.mu.Lock()
--- a/internal/wire/end.go
+++ b/internal/wire/end.go
@@ -6,21 +6,16 @@
 	"damaskreach/pkg/verd"
 )
 
-// Close ends the connection and its streams. What is queued is written first, within the timeout of a write.
-func (c *Conn) Close() {
-	c.end(ErrClosed)
-}
-
 // fail ends the connection at once.
 func (c *Conn) fail(err error) {
+	c.mu.Lock()
 	c.end(err)
+	c.mu.Unlock()
 	c.nc.Close()
 }
 
-// end notes why the connection ends; the first reason counts.
+// end notes why the connection ends; the first reason counts. It needs the lock.
 func (c *Conn) end(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.err != nil {
 		return
 	}
@@ -32,6 +27,7 @@
 func (c *Conn) settle() {
 	// After a failed write the socket is of no use and this fails too.
 	_ = c.flush()
+	c.linger()
 	c.nc.Close()
 	c.mu.Lock()
 	streams := c.streams
