--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -56,6 +56,11 @@
 	return "node " + c.Node + " at " + c.Site + "/" + c.Centre + ", peers on " + c.Peer + ", callers on " + c.HTTP + ", operators on " + c.Admin
 }
 
+// GoString keeps secrets out of debugging output.
+func (c Conf) GoString() string {
+	return c.String()
+}
+
 // MarshalText keeps secrets out of structured logs as String does out of plain ones.
 func (c Conf) MarshalText() ([]byte, error) {
 	return []byte(c.String()), nil
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -41,7 +41,7 @@
 	if got, want := fmt.Sprint(c.Lease, c.Renew, c.Keepers), "20s 5s 4"; got != want {
 		t.Errorf("lease, renew, keepers = %s, want %s", got, want)
 	}
-	if text := fmt.Sprintf("%v %+v %s", c, c, c); strings.Contains(text, secret) {
+	if text := fmt.Sprintf("%v %+v %#v %s", c, c, c, c); strings.Contains(text, secret) {
 		t.Errorf("the settings print a secret: %s", text)
 	}
 }
--- a/internal/decl/decl_test.go
+++ b/internal/decl/decl_test.go
@@ -136,18 +136,21 @@
 
 func TestRoundTripOf57000Rows(t *testing.T) {
 	for _, form := range forms {
-		d := large(t, form)
-		out := t.TempDir()
-		if err := d.Save(out); err != nil {
-			t.Fatal(err)
-		}
-		if found, _ := filepath.Glob(filepath.Join(out, "*."+form)); len(found) == 0 {
-			t.Errorf("no %s file was written", form)
-		}
-		again := mustRead(t, out)
-		if got, want := again.Rows(), d.Rows(); !reflect.DeepEqual(got, want) {
-			t.Errorf("%s: %d rows came back changed or not at all, want %d", form, len(got), len(want))
-		}
+		t.Run(form, func(t *testing.T) {
+			t.Parallel()
+			d := large(t, form)
+			out := t.TempDir()
+			if err := d.Save(out); err != nil {
+				t.Fatal(err)
+			}
+			if found, _ := filepath.Glob(filepath.Join(out, "*."+form)); len(found) == 0 {
+				t.Errorf("no %s file was written", form)
+			}
+			again := mustRead(t, out)
+			if got, want := again.Rows(), d.Rows(); !reflect.DeepEqual(got, want) {
+				t.Errorf("%d rows came back changed or not at all, want %d", len(got), len(want))
+			}
+		})
 	}
 }
 
--- a/internal/opctl/get.go
+++ b/internal/opctl/get.go
@@ -15,11 +15,13 @@
 const getText = `get writes the table into a folder or file, each row into the file where it stood, and notes the revisions in .revisions. A folder that does not exist is made, with CSV files. Edits in the files that were not applied yet are not overwritten unless --overwrite is given or the row is named.`
 
 type get struct {
-	Overwrite bool `long:"overwrite" description:"give up edits in the files that were not applied"`
-	Args      struct {
-		Path string   `positional-arg-name:"DIR" description:"folder of CSV and TOML files, or one TOML file" required:"yes"`
-		Rows []string `positional-arg-name:"ROW" description:"only these rows, such as adapter/NAME"`
-	} `positional-args:"yes"`
+	Overwrite bool    `long:"overwrite" description:"give up edits in the files that were not applied"`
+	Args      getArgs `positional-args:"yes"`
+}
+
+type getArgs struct {
+	Path string   `positional-arg-name:"DIR" description:"folder of CSV and TOML files, or one TOML file" required:"yes"`
+	Rows []string `positional-arg-name:"ROW" description:"only these rows, such as adapter/NAME"`
 }
 
 func (c *get) run(ctx context.Context, t *Tool) error {
--- a/internal/opctl/weights.go
+++ b/internal/opctl/weights.go
@@ -23,10 +23,12 @@
 )
 
 type weights struct {
-	Args struct {
-		Name   string   `positional-arg-name:"ADAPTER" required:"yes"`
-		Shares []string `positional-arg-name:"VERSION=SHARE" required:"1"`
-	} `positional-args:"yes"`
+	Args weightsArgs `positional-args:"yes"`
+}
+
+type weightsArgs struct {
+	Name   string   `positional-arg-name:"ADAPTER" required:"yes"`
+	Shares []string `positional-arg-name:"VERSION=SHARE" required:"1"`
 }
 
 func (c *weights) run(ctx context.Context, t *Tool) error {
@@ -38,9 +40,11 @@
 }
 
 type rollback struct {
-	Args struct {
-		Name string `positional-arg-name:"ADAPTER" required:"yes"`
-	} `positional-args:"yes"`
+	Args rollbackArgs `positional-args:"yes"`
+}
+
+type rollbackArgs struct {
+	Name string `positional-arg-name:"ADAPTER" required:"yes"`
 }
 
 func (c *rollback) run(ctx context.Context, t *Tool) error {
@@ -48,9 +52,11 @@
 }
 
 type remove struct {
-	Args struct {
-		Row string `positional-arg-name:"ROW" required:"yes"`
-	} `positional-args:"yes"`
+	Args removeArgs `positional-args:"yes"`
+}
+
+type removeArgs struct {
+	Row string `positional-arg-name:"ROW" required:"yes"`
 }
 
 func (c *remove) run(ctx context.Context, t *Tool) error {
