Keep a node up when the table holds a key of an unknown kind

Cause: a row such as conf/adaptor/a reached a map that was never made, and every node that read it ended with a nil pointer. Seen first in a test, with a panic. A bad row that a peer pushed ahead of an older good one also hid the good one, so that nodes could differ.

The zero shard.Map is empty now, and a row is compared with the good revision and the deletion only; a property test brings the same rows in any order.

Conclusion: what is in force depends on the rows, not on the order they came in.

--- a/internal/catlog/batch.go
+++ b/internal/catlog/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 
 	"damaskreach/internal/fault"
@@ -12,71 +11,81 @@
 
 // batch gathers the changes of one With, so that each shard touched is copied once.
 type batch struct {
-	from    Catalog
-	rev     int64
-	seen    map[string]int64
-	good    map[string]map[string]held // by kind and name; an empty value marks a deletion
-	refused map[string]refused
-	cleared map[string]bool // keys whose rejected row was replaced
-	gone    map[string]int64
-	errs    []error
+	from  Catalog
+	rev   int64
+	state map[string]*state // by row key, of the rows touched
+	errs  []error
+}
+
+// state is all that is known of one row key.
+type state struct {
+	good held    // highest revision that passed its check since the deletion; without value if there is none
+	bad  refused // highest revision that failed it, if that is above good
+	gone int64   // highest deletion
 }
 
 func newBatch(from Catalog) *batch {
-	return &batch{
-		from:    from,
-		rev:     from.rev,
-		seen:    make(map[string]int64),
-		good:    make(map[string]map[string]held),
-		refused: make(map[string]refused),
-		cleared: make(map[string]bool),
-		gone:    make(map[string]int64),
+	return &batch{from: from, rev: from.rev, state: make(map[string]*state)}
+}
+
+// of returns what is known of a key, to be changed in place.
+func (b *batch) of(key string) *state {
+	known, ok := b.state[key]
+	if !ok {
+		kind, name := Split(key)
+		known = new(state)
+		known.good, _ = b.from.good[kind].Get(name)
+		known.bad, _ = b.from.refused.Get(key)
+		known.gone, _ = b.from.gone.Get(key)
+		b.state[key] = known
 	}
+	return known
 }
 
 // add takes in a row unless a revision at least as high is known.
 // A lagging replica, an old snapshot or a slow peer may offer a row that was replaced or deleted since;
 // were it applied, an accepted change would revert.
+// A revision up to Complete cannot be news: every change up to there has been seen,
+// so that an unknown row with such a revision was deleted since.
 func (b *batch) add(row rows.Row) {
-	if row.Rev <= max(b.seen[row.Key], b.from.seen(row.Key)) {
+	known := b.of(row.Key)
+	b.rev = max(b.rev, row.Rev)
+	if row.Rev <= max(known.good.rev, known.gone, b.from.complete) {
 		return
 	}
-	b.seen[row.Key] = row.Rev
-	b.rev = max(b.rev, row.Rev)
-	delete(b.refused, row.Key)
-	delete(b.gone, row.Key)
-	b.cleared[row.Key] = true
 	if row.Gone {
-		b.gone[row.Key] = row.Rev
-		b.set(row.Key, held{rev: row.Rev})
+		known.gone = row.Rev
+		known.good = held{}
+		known.settle()
 		return
 	}
 	if faults := Check(row.Key, row.Value); len(faults) > 0 {
-		b.refuse(row, faults)
+		b.refuse(known, row, faults)
 		return
 	}
-	b.set(row.Key, held{value: string(stamp.Strip(row.Value)), rev: row.Rev}) // the stamp is a third of a usual row
+	known.good = held{value: string(stamp.Strip(row.Value)), rev: row.Rev} // the stamp is a third of a usual row
+	known.gone = 0
+	known.settle()
 }
 
-func (b *batch) set(key string, value held) {
-	kind, name := Split(key)
-	if _, ok := kinds[kind]; !ok {
-		return
+// settle forgets a rejected row that was replaced or deleted since.
+func (s *state) settle() {
+	if s.bad.row.Rev < max(s.good.rev, s.gone) {
+		s.bad = refused{}
 	}
-	if b.good[kind] == nil {
-		b.good[kind] = make(map[string]held)
-	}
-	b.good[kind][name] = value
 }
 
 // refuse keeps the last good row in force.
-func (b *batch) refuse(row rows.Row, faults []fault.Fault) {
+func (b *batch) refuse(known *state, row rows.Row, faults []fault.Fault) {
+	if row.Rev <= known.bad.row.Rev {
+		return
+	}
 	texts := make([]string, len(faults))
 	for i, f := range faults {
 		texts[i] = f.Error()
 	}
 	why := fault.NewFault(row.Key, "%s", strings.Join(texts, "; ")).WithRev(row.Rev)
-	b.refused[row.Key] = refused{row: row, fault: why}
+	known.bad = refused{row: row, fault: why}
 	b.errs = append(b.errs, why)
 }
 
@@ -84,40 +93,27 @@
 func (b *batch) finish() Catalog {
 	next := b.from
 	next.rev = b.rev
-	next.refused = next.refused.With(b.refused, b.stale(b.refused)...)
-	next.gone = next.gone.With(b.gone, slices.Sorted(maps.Keys(without(b.cleared, b.gone)))...)
-	next = b.index(next)
-	next.good = maps.Clone(next.good)
-	for kind, changes := range b.good {
-		set, drop := parted(changes)
-		next.good[kind] = next.good[kind].With(set, drop...)
-	}
-	return next
-}
-
-// stale returns the keys whose rejected row was replaced by a row that is not rejected.
-func (b *batch) stale(now map[string]refused) []string {
-	return slices.Sorted(maps.Keys(without(b.cleared, now)))
-}
-
-func without[V any](keys map[string]bool, present map[string]V) map[string]bool {
-	rest := make(map[string]bool)
-	for key := range keys {
-		if _, ok := present[key]; !ok {
-			rest[key] = true
-		}
-	}
-	return rest
-}
-
-func parted(changes map[string]held) (set map[string]held, drop []string) {
-	set = make(map[string]held, len(changes))
-	for name, row := range changes {
-		if row.value == "" {
-			drop = append(drop, name)
+	good := make(map[string]change[held])
+	bad := newChange[refused]()
+	gone := newChange[int64]()
+	for key, now := range b.state {
+		bad.put(key, now.bad, now.bad.row.Rev > 0)
+		gone.put(key, now.gone, now.gone > 0)
+		kind, name := Split(key)
+		if _, ok := kinds[kind]; !ok {
 			continue
 		}
-		set[name] = row
+		if _, ok := good[kind]; !ok {
+			good[kind] = newChange[held]()
+		}
+		good[kind].put(name, now.good, now.good.rev > 0)
 	}
-	return set, drop
+	next.refused = next.refused.With(bad.set, bad.drop()...)
+	next.gone = next.gone.With(gone.set, gone.drop()...)
+	next = next.index(good)
+	next.good = maps.Clone(next.good)
+	for kind, c := range good {
+		next.good[kind] = next.good[kind].With(c.set, c.drop()...)
+	}
+	return next
 }
--- a/internal/catlog/catlog_test.go
+++ b/internal/catlog/catlog_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"damaskreach/internal/adapt"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/rows"
@@ -123,3 +125,59 @@
 		t.Errorf("runners = %s, want %s", got, want)
 	}
 }
+
+// The tail, peers and a snapshot bring the same rows to different nodes in different orders, some of them bad,
+// some of them deletions. Nodes that ended up with different rows in force would treat one caller differently.
+func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(p *rapid.T) {
+		var all []rows.Row
+		for rev := range rapid.Int64Range(1, 12).Draw(p, "count") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(p, "name")
+			row := adapter(t, name, rapid.SampledFrom([]int{-1, 7, 8}).Draw(p, "share"), rev+1)
+			if rapid.Bool().Draw(p, "gone") {
+				row = row.WithGone()
+			}
+			all = append(all, row)
+		}
+		want, _ := catlog.NewCatalog().With(all)
+		got := catlog.NewCatalog()
+		for _, row := range rapid.Permutation(all).Draw(p, "order") {
+			got, _ = got.With([]rows.Row{row})
+		}
+		if !reflect.DeepEqual(got.Rows(), want.Rows()) || !reflect.DeepEqual(got.Rejected(), want.Rejected()) {
+			p.Errorf("rows = %v, rejected = %v, want %v, %v", got.Rows(), got.Rejected(), want.Rows(), want.Rejected())
+		}
+		again, _ := catlog.NewCatalog().With(want.Rows())
+		if !reflect.DeepEqual(again.Rows(), want.Rows()) {
+			p.Errorf("rows of a snapshot = %v, want %v", again.Rows(), want.Rows())
+		}
+	})
+}
+
+// A later release or a slip puts rows of an unknown kind into the table, or a key without a name.
+// The node must say so and go on.
+func TestUnknownKindsAreRejected(t *testing.T) {
+	c := catlog.NewCatalog()
+	for i, key := range []string{"conf/adaptor/a", "conf/", "conf/adapter", "conf/tune/x", "other"} {
+		c, _ = c.With([]rows.Row{{Key: key, Value: []byte("{}"), Rev: int64(i + 1)}, {Key: key + "/gone", Rev: 9, Gone: true}})
+	}
+	if got, want := len(c.Rejected()), 5; got != want {
+		t.Errorf("rejected rows = %v, want %d", c.Rejected(), want)
+	}
+}
+
+func FuzzWith(f *testing.F) {
+	f.Add("conf/adapter/a", []byte(`{"name":"a","stamp":{"by":"x"}}`))
+	f.Add("conf/tune", []byte(`{"stall":0.3}`))
+	f.Add("conf/runner/r", []byte(`{"name":"r","group":"g","addr":"10.0.0.1:80","centre":"c","batch":1}`))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		c, errs := catlog.NewCatalog().With([]rows.Row{{Key: key, Value: value, Rev: 1}})
+		if got, want := len(c.Rejected()), len(errs); got != want {
+			t.Errorf("Rejected() = %v, want the %d errors %v", c.Rejected(), want, errs)
+		}
+		again, _ := catlog.NewCatalog().WithWhole(c.Rows(), 1)
+		if got, want := again.Rows(), c.Rows(); !reflect.DeepEqual(got, want) {
+			t.Errorf("rows of a snapshot = %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/catlog/index.go
+++ b/internal/catlog/index.go
@@ -9,34 +9,35 @@
 	"damaskreach/internal/tune"
 )
 
-// index updates what is kept decoded; next still holds the rows before the change.
-func (b *batch) index(next Catalog) Catalog {
-	for name, row := range b.good[KindTenant] {
-		next = next.claim(name, row)
+// index updates what is kept decoded; c still holds the rows before the change.
+func (c Catalog) index(good map[string]change[held]) Catalog {
+	tenants := good[KindTenant]
+	for _, name := range tenants.keys() {
+		c = c.claim(name, tenants.set[name])
 	}
-	if changed := b.good[KindRunner]; len(changed) > 0 {
-		next = next.enlist(changed)
-		next.all = sync.OnceValue(next.sortRunners)
+	if runners := good[KindRunner]; len(runners.keys()) > 0 {
+		c = c.enlist(runners)
+		c.all = sync.OnceValue(c.sortRunners)
 	}
-	if row, ok := b.good[KindTune][""]; ok {
-		next.tune = tune.Default()
-		if row.value != "" {
-			next.tune, _ = decodeTune([]byte(row.value))
+	if options := good[KindTune]; len(options.keys()) > 0 {
+		c.tune = tune.Default()
+		if row, ok := options.set[""]; ok {
+			c.tune, _ = decodeTune([]byte(row.value))
 		}
 	}
-	return next
+	return c
 }
 
 // enlist renews the lists of the groups that the changed runners belong to or belonged to.
 // Each list is built once a batch: one insertion at a time would be quadratic when all rows are read at the start.
-func (c Catalog) enlist(changed map[string]held) Catalog {
+func (c Catalog) enlist(runners change[held]) Catalog {
 	touched := make(map[string]bool) // groups that a runner left or joined
 	joined := make(map[string][]runner.Runner)
-	for name, row := range changed {
+	for _, name := range runners.keys() {
 		if before, ok := c.Runner(name); ok {
 			touched[before.Group] = true
 		}
-		if row.value != "" {
+		if row, ok := runners.set[name]; ok {
 			now, _ := decode[runner.Runner]([]byte(row.value))
 			touched[now.Group] = true
 			joined[now.Group] = append(joined[now.Group], now)
@@ -47,7 +48,7 @@
 	for group := range touched {
 		list := joined[group]
 		for _, r := range c.Runners(group) {
-			if _, ok := changed[r.Name]; !ok {
+			if _, ok := runners.set[r.Name]; !ok && !runners.lost[r.Name] {
 				list = append(list, r)
 			}
 		}
--- a/internal/catlog/with.go
+++ b/internal/catlog/with.go
@@ -44,9 +44,9 @@
 		present[row.Key] = true
 	}
 	changed := slices.Clone(all)
-	for key, known := range c.revisions() {
-		if !present[key] && known < rev {
-			changed = append(changed, rows.Row{Key: key, Rev: rev, Gone: true})
+	for _, row := range c.Rows() {
+		if !present[row.Key] && row.Rev < rev {
+			changed = append(changed, rows.Row{Key: row.Key, Rev: rev, Gone: true})
 		}
 	}
 	return c.WithTail(changed, c.complete, rev)
@@ -75,30 +75,6 @@
 	return c
 }
 
-// seen returns the highest revision known of a key. A revision up to Complete cannot be news:
-// every change up to there has been seen, so an unknown row with such a revision was deleted since.
-func (c Catalog) seen(key string) int64 {
-	kind, name := Split(key)
-	good, _ := c.good[kind].Get(name)
-	bad, _ := c.refused.Get(key)
-	gone, _ := c.gone.Get(key)
-	return max(good.rev, bad.row.Rev, gone, c.complete)
-}
-
-// revisions returns the highest revision of each row that is in force or rejected.
-func (c Catalog) revisions() map[string]int64 {
-	known := make(map[string]int64)
-	for kind, part := range c.good {
-		for name, row := range part.All() {
-			known[Key(kind, name)] = row.rev
-		}
-	}
-	for key, bad := range c.refused.All() {
-		known[key] = max(known[key], bad.row.Rev)
-	}
-	return known
-}
-
 // Rejected returns a fault for each row that failed its check and was not replaced since, sorted by key,
 // and one for each API key that more than one tenant claims.
 func (c Catalog) Rejected() []fault.Fault {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -15,7 +15,8 @@
 // seed is the same for all maps of a process, so that a copy finds its entries in the same shards.
 var seed = maphash.MakeSeed()
 
-// Map is immutable; With returns a changed copy that shares every shard that did not change.
+// Map is immutable; its zero value is empty.
+// With returns a changed copy that shares every shard that did not change.
 // Shards are sorted slices, which need no spare room and are searched in a few steps.
 type Map[K cmp.Ordered, V any] struct {
 	shards *[count][]entry[K, V]
@@ -39,10 +40,13 @@
 
 // Get returns the value of a key and whether there is one.
 func (m Map[K, V]) Get(key K) (V, bool) {
+	var none V
+	if m.shards == nil {
+		return none, false
+	}
 	part := m.shards[place(key)]
 	at, ok := find(part, key)
 	if !ok {
-		var none V
 		return none, false
 	}
 	return part[at].value, true
@@ -53,7 +57,11 @@
 	if len(set) == 0 && len(drop) == 0 {
 		return m
 	}
-	next := Map[K, V]{shards: new(*m.shards), size: m.size}
+	next := NewMap[K, V]()
+	next.size = m.size
+	if m.shards != nil {
+		*next.shards = *m.shards
+	}
 	touched := make(map[int][]entry[K, V])
 	for _, key := range slices.Sorted(maps.Keys(set)) {
 		at := place(key)
@@ -85,6 +93,9 @@
 // All yields the entries in no particular order.
 func (m Map[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
+		if m.shards == nil {
+			return
+		}
 		for _, part := range m.shards {
 			for _, e := range part {
 				if !yield(e.key, e.value) {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -15,7 +15,8 @@
 // since traffic goroutines go on reading the configuration they began with.
 func TestMapMatchesBuiltInMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		now, want := shard.NewMap[int, int](), map[int]int{}
+		var now shard.Map[int, int]
+		want := map[int]int{}
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
 			earlier, before := now, maps.Clone(want)
 			set := rapid.MapOfN(rapid.IntRange(0, 2000), rapid.Int(), 0, 300).Draw(t, "set")
