Read columns of decimal numbers from CSV

Cause: groups gained a rate, a decimal number, which the CSV reader passed over in silence: the next get and apply would have taken every rate out of the table.

A column of a type that cells cannot hold is a fault now, and a test fills every field of every row and takes it through CSV and TOML; it failed on rate before. The test of dangling names no longer writes out the columns of groups.csv, which made it fail when one was added.

--- a/internal/decl/cell.go
+++ b/internal/decl/cell.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"reflect"
 	"slices"
 	"strconv"
@@ -33,6 +34,12 @@
 			return merry.Errorf("%q is no whole number", text)
 		}
 		*target = value
+	case *float64:
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(value) || math.IsInf(value, 0) {
+			return merry.Errorf("%q is no number", text)
+		}
+		*target = value
 	case *bool:
 		value, err := strconv.ParseBool(strings.ToLower(text))
 		if err != nil {
@@ -45,6 +52,8 @@
 		shares, err := parseShares(text)
 		*target = shares
 		return err
+	default:
+		return merry.Errorf("%q stands in a column of a type that cells cannot hold", text)
 	}
 	return nil
 }
--- a/internal/decl/decl_test.go
+++ b/internal/decl/decl_test.go
@@ -1,6 +1,7 @@
 package decl_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -8,8 +9,12 @@
 	"strings"
 	"testing"
 
+	"damaskreach/internal/adapt"
 	"damaskreach/internal/decl"
+	"damaskreach/internal/group"
 	"damaskreach/internal/rows"
+	"damaskreach/internal/runner"
+	"damaskreach/internal/tenant"
 )
 
 // files of a small declaration in both forms.
@@ -199,3 +204,62 @@
 		}
 	})
 }
+
+// A field of a type that cells cannot hold was added to a row. Operators who keep CSV files would lose its values
+// with the next get, and nobody would notice until limits or rates are wrong.
+func TestEveryFieldSurvivesBothForms(t *testing.T) {
+	examples := map[string]any{
+		"adapter": new(adapt.Adapter), "tenant": new(tenant.Tenant), "group": new(group.Group), "runner": new(runner.Runner),
+	}
+	var all []rows.Row
+	for kind, example := range examples {
+		fill(t, reflect.ValueOf(example).Elem())
+		value, err := json.Marshal(example)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, rows.Row{Key: "conf/" + kind + "/x1", Value: value})
+	}
+	toml, _ := decl.Read(folder(t, map[string]string{"all.toml": "[[adapter]]\nname='x1'\n[[tenant]]\nname='x1'\n[[group]]\nname='x1'\n[[runner]]\nname='x1'\n"}))
+	for form, d := range map[string]decl.Decl{"csv": decl.NewDecl(), "toml": toml} {
+		d, errs := d.WithRows(all)
+		dir := t.TempDir()
+		if err := d.Save(dir); err != nil || len(errs) > 0 {
+			t.Fatal(err, errs)
+		}
+		again, _ := decl.Read(dir) // the values are not sensible, which does not matter here
+		if got, want := again.Rows(), d.Rows(); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: rows came back as\n%s\nwant\n%s", form, show(got), show(want))
+		}
+	}
+}
+
+// fill gives each field a value that is not its zero.
+func fill(t *testing.T, row reflect.Value) {
+	for i := range row.NumField() {
+		switch field := row.Field(i); field.Interface().(type) {
+		case string:
+			field.SetString("x1")
+		case int:
+			field.SetInt(7)
+		case float64:
+			field.SetFloat(2.5)
+		case bool:
+			field.SetBool(true)
+		case []string:
+			field.Set(reflect.ValueOf([]string{"k1", "k2"}))
+		case map[string]int:
+			field.Set(reflect.ValueOf(map[string]int{"v1": 3, "v2": 4}))
+		default:
+			t.Errorf("no cell form is known for %s of type %s", row.Type().Field(i).Name, field.Type())
+		}
+	}
+}
+
+func show(all []rows.Row) string {
+	var lines []string
+	for _, row := range all {
+		lines = append(lines, row.Key+" "+string(row.Value))
+	}
+	return strings.Join(lines, "\n")
+}
--- a/internal/group/faults.go
+++ b/internal/group/faults.go
@@ -7,6 +7,8 @@
 	"damaskreach/internal/names"
 )
 
+const maxRate = 1e6 // loads a second
+
 // Faults returns what is wrong with the row by itself.
 func (g Group) Faults() []fault.Fault {
 	faults := slices.Concat(
@@ -14,6 +16,9 @@
 		names.LabelFaults("base", g.Base),
 		names.LabelFaults("store", g.Store),
 	)
+	if !(g.Rate >= 0 && g.Rate <= maxRate) { // also true for a value that is not a number
+		faults = append(faults, fault.NewFault("rate", "%v is out of range: 0 to %v", g.Rate, maxRate))
+	}
 	if g.Plain && g.Base != "" {
 		faults = append(faults, fault.NewFault("base", "a plain service has no base model"))
 	}
--- a/internal/opctl/tool_test.go
+++ b/internal/opctl/tool_test.go
@@ -216,7 +216,7 @@
 		kim.must(t, "apply", kim.dir)
 		amina := newOperator(t, "amina", db)
 		amina.must(t, "get", amina.dir)
-		amina.replace(t, "groups.csv", "spare,llama,,\n", "")
+		amina.put(t, map[string]string{"groups.csv": files["groups.csv"]})
 		amina.must(t, "apply", amina.dir)
 		kim.replace(t, "adapters.csv", "a,roads,assist", "a,roads,spare")
 		kim.fails(t, opctl.ExitFault, []string{"adapter/a: it names conf/group/spare, which would not be there"}, "apply", kim.dir)
