--- a/internal/opctl/apply.go
+++ b/internal/opctl/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"damaskreach/internal/commit"
 	"damaskreach/internal/plan"
@@ -11,8 +12,15 @@
 
 const applyText = `apply checks a declaration whole before it writes anything. Each row is written against the revision that 'get' or an earlier 'apply' noted in the .revisions file, so that an edit of someone else is never overwritten. Rows that were changed by others in the meantime are reported one by one. Then it waits until the change is in force on every node and names those that lag.`
 
+// Removals that apply makes without being told that they are meant: so many, or this share of the rows known.
+const (
+	fewRemovals   = 20
+	removalsShare = 0.1
+)
+
 type apply struct {
-	Args declaration `positional-args:"yes"`
+	RemoveMany bool        `long:"remove-many" description:"remove rows even if they are more than 20 and more than a tenth of all"`
+	Args       declaration `positional-args:"yes"`
 }
 
 func (c *apply) run(ctx context.Context, t *Tool) error {
@@ -27,7 +35,7 @@
 		return err
 	}
 	t.summary(w)
-	if err := t.refuse(w); err != nil {
+	if err := errors.Join(t.refuse(w), c.guard(t, w)); err != nil {
 		t.warn("nothing was written")
 		return err
 	}
@@ -43,6 +51,24 @@
 	return verdict
 }
 
+// guard refuses to remove a large part of the table. A file that is missing or empty, after a broken checkout
+// or a spreadsheet saved with one sheet, reads like the removal of all its rows; callers of every adapter in it
+// would be refused within seconds.
+func (c *apply) guard(t *Tool, w work) error {
+	removals := 0
+	for _, e := range w.plan.Edits {
+		if e.Gone {
+			removals++
+		}
+	}
+	known := len(w.basis.Keys())
+	if c.RemoveMany || removals <= fewRemovals || float64(removals) <= removalsShare*float64(known) {
+		return nil
+	}
+	t.warn("%s of %d would be removed; give --remove-many if that is meant", count(removals, "row"), known)
+	return coded(ExitFault)
+}
+
 // write stamps and writes the edits of a plan; it returns them with their canonical values.
 func (t *Tool) write(ctx context.Context, tab table.Table, w work) ([]rows.Row, []commit.Outcome) {
 	id := t.Edit()
--- a/internal/opctl/tool_test.go
+++ b/internal/opctl/tool_test.go
@@ -223,6 +223,25 @@
 	})
 }
 
+// A file is lost from the folder, and what is left is right by itself. It reads like the removal of every adapter.
+// Nothing may be removed unless the operator says that it is meant.
+func TestApplyDoesNotRemoveManyRowsUnasked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, kim := start(t)
+		sheet := "name,tenant,group,versions\n"
+		for i := range 30 {
+			sheet += fmt.Sprintf("x%d,roads,assist,v1:1\n", i)
+		}
+		kim.put(t, map[string]string{"adapters.csv": sheet})
+		kim.must(t, "apply", kim.dir)
+		if err := os.Remove(filepath.Join(kim.dir, "adapters.csv")); err != nil {
+			t.Fatal(err)
+		}
+		kim.fails(t, opctl.ExitFault, []string{"30 rows of 34 would be removed", "nothing was written"}, "apply", kim.dir)
+		kim.must(t, "apply", "--remove-many", kim.dir)
+	})
+}
+
 // The answer to the write of a whole batch is lost. The rows are in the table, and the operator must hear so.
 func TestApplyWithALostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
