--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -63,12 +63,22 @@
 		select {
 		case <-wait:
 			stale = false
+			if err := l.lost(); err != nil {
+				return nil, err
+			}
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
 		}
 	}
 }
 
+// lost returns why there is no connection after a dial, or nil.
+func (l *link) lost() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.err
+}
+
 // look returns the connection, or what to wait for, or why there is neither.
 // With stale set it dials although there is a connection, if a dial is due, and returns that connection if not.
 func (l *link) look(stale bool) (*wire.Conn, <-chan struct{}, error) {
@@ -86,7 +96,7 @@
 	case usable && waiting:
 		return l.conn, nil, nil
 	case waiting:
-		return nil, nil, merry.Appendf(ErrBackoff, "%v", l.err)
+		return nil, nil, merry.Wrap(ErrBackoff, merry.WithCause(l.err))
 	}
 	if !l.mesh.begin(l.dial) {
 		return nil, nil, wire.ErrClosed
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -41,16 +41,10 @@
 	m.mu.Lock()
 	l, ok := m.links[addr]
 	m.mu.Unlock()
-	if !ok || !l.down() {
+	if !ok || l.lost() == nil {
 		return false
 	}
 	// Only the start of a dial is wanted here.
 	_, _, _ = l.look(false)
 	return true
 }
-
-func (l *link) down() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.err != nil
-}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,110 +4,16 @@
 	"context"
 	"errors"
 	"io"
-	"net"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
-
 	"damaskreach/internal/peer"
 	"damaskreach/internal/strm"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
 
-// plane is a network of pipes: listeners by address.
-type plane struct {
-	mu  sync.Mutex
-	at  map[string]*listener
-	all []net.Conn
-}
-
-func newPlane() *plane {
-	return &plane{at: make(map[string]*listener)}
-}
-
-type listener struct {
-	addr  string
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (p *plane) listen(addr string) *listener {
-	l := &listener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.at[addr] = l
-	return l
-}
-
-func (p *plane) dial(ctx context.Context, addr string) (net.Conn, error) {
-	p.mu.Lock()
-	l := p.at[addr]
-	p.mu.Unlock()
-	if l == nil {
-		return nil, errors.New("connection refused")
-	}
-	near, far := net.Pipe()
-	select {
-	case l.conns <- far:
-	case <-l.done:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	p.mu.Lock()
-	p.all = append(p.all, near)
-	p.mu.Unlock()
-	return near, nil
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return address(l.addr) }
-
-type address string
-
-func (a address) Network() string { return "pipe" }
-func (a address) String() string  { return string(a) }
-
-var secrets = [][]byte{[]byte("a secret of the site")}
-
-func newMesh(p *plane, id string) *peer.Mesh {
-	return peer.NewMesh(id, secrets, p.dial, zap.NewNop())
-}
-
-func serve(t *testing.T, m *peer.Mesh, l net.Listener) context.CancelFunc {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := m.Serve(ctx, l); err != nil {
-			t.Errorf("Serve: got %v, want nil", err)
-		}
-	}()
-	return func() {
-		cancel()
-		<-done
-	}
-}
-
 type question struct {
 	Text string `msgpack:"text"`
 }
--- a/internal/strm/codec.go
+++ b/internal/strm/codec.go
@@ -53,7 +53,11 @@
 func (s *scratch) decode(body []byte, v any) error {
 	s.reader.Reset(body)
 	s.dec.Reset(&s.reader)
-	return merry.Prependf(s.dec.Decode(v), "decoding a message into %T", v)
+	// Prependf allocates even for a nil error, and this runs for each message.
+	if err := s.dec.Decode(v); err != nil {
+		return merry.Prependf(err, "decoding a message into %T", v)
+	}
+	return nil
 }
 
 // Encode hands the encoded values to use, which must not keep them.
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -39,6 +39,7 @@
 	serve   func(s *strm.Stream, method string) error
 	ctx     context.Context // of the streams the peer opened
 	cancel  context.CancelCauseFunc
+	unhook  func() bool   // detaches it from the context it was made with
 	kick    chan struct{} // signals the writer that the queue is not empty
 	ending  chan struct{} // closed when the connection begins to end
 	left    chan struct{} // closed when the peer has said Bye
--- a/internal/wire/cut_test.go
+++ b/internal/wire/cut_test.go
@@ -49,6 +49,27 @@
 	})
 }
 
+// The far host loses its power. The near kernel still takes all bytes, so writing shows nothing: only the silence
+// does. Without the timeout of reads callers would wait until their deadlines.
+func TestSilentPeerIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := bounds.NewBounds()
+		conn, peer := dialByHand(t, b)
+		s := open(t, conn, 0)
+		start := time.Now()
+		err := s.Recv(t.Context(), new(int))
+		if err == nil || verd.Of(err) != verd.MayHaveRun {
+			t.Errorf("Recv: got %v, %v, want may-have-run", err, verd.Of(err))
+		}
+		if got := time.Since(start); got != b.Timeout {
+			t.Errorf("silence noticed after %v, want %v", got, b.Timeout)
+		}
+		if f := <-peer.frames; f.Kind != frame.Open {
+			t.Errorf("first frame: got kind %d, want Open", f.Kind)
+		}
+	})
+}
+
 // A caller gives up while the peer takes no bytes, so its request is still in the queue. When the network comes back
 // the request must not run after all, as its caller was told that it did not.
 func TestRequestGivenUpInTheQueueDoesNotRun(t *testing.T) {
--- a/internal/wire/end.go
+++ b/internal/wire/end.go
@@ -28,6 +28,7 @@
 	// After a failed write the socket is of no use and this fails too.
 	_ = c.flush()
 	c.linger()
+	c.unhook()
 	c.nc.Close()
 	c.mu.Lock()
 	streams := c.streams
--- /dev/null
+++ b/internal/wire/plain_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package wire_test
+
+// mostAllocations is the bound of TestMessageAllocations for one message, sent and received.
+const mostAllocations = 2
--- /dev/null
+++ b/internal/wire/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package wire_test
+
+// mostAllocations is higher here: under the race detector pools drop a part of what is put into them.
+const mostAllocations = 6
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -80,7 +80,7 @@
 	c.bounds = c.bounds.WithPeer(c.peer.Window, c.peer.Frame)
 	c.patient.timeout = c.bounds.Timeout
 	c.ctx, c.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
-	context.AfterFunc(ctx, c.Close)
+	c.unhook = context.AfterFunc(ctx, c.Close)
 	go c.readAll(limit)
 	go c.writeAll()
 	return nil
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -154,6 +154,7 @@
 		b := bounds.NewBounds().WithWindow(1 << 10).WithFrame(4 << 10)
 		conn, peer := dialByHand(t, b)
 		s := open(t, conn, 0)
+		synctest.Wait()
 		for range 3 {
 			peer.send(t, frame.Data, 0, 1, make([]byte, 600))
 		}
@@ -212,3 +213,31 @@
 		recv(t, open(t, conn, 1), 1)
 	})
 }
+
+// Messages are the bulk of the traffic between nodes: an answer is one for each few tokens. A change that allocates
+// more for each would show as garbage collection under load.
+func TestMessageAllocations(t *testing.T) {
+	conn, _ := overTCP(t, func(s *strm.Stream, _ string) error {
+		var m token
+		for s.Recv(s.Context(), &m) == nil {
+			if err := s.Send(s.Context(), &m); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	s := open(t, conn, &token{Text: []byte("a word or two")})
+	var m token
+	got := testing.AllocsPerRun(1000, func() {
+		if err := s.Recv(t.Context(), &m); err != nil {
+			t.Fatalf("Recv: got %v, want nil", err)
+		}
+		if err := s.Send(t.Context(), &m); err != nil {
+			t.Fatalf("Send: got %v, want nil", err)
+		}
+	})
+	t.Logf("%v allocations a message", got/2)
+	if perMessage := got / 2; perMessage > mostAllocations {
+		t.Errorf("got %v allocations a message, want at most %v", perMessage, mostAllocations)
+	}
+}
