--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -62,6 +62,14 @@
 		}
 		_, err = askName(t.Context(), a, "old", "x:1")
 		wantErr(t, "asking the old node", err, peer.ErrReplaced, verd.NotRun)
+		for range 100 {
+			_, err = askName(t.Context(), a, "old", "x:1")
+			wantErr(t, "asking the old node again", err, peer.ErrReplaced, verd.NotRun)
+		}
+		synctest.Wait()
+		if got := p.open(); got != 2 {
+			t.Errorf("got %d open connections, want 2: of the old and the new node", got)
+		}
 		if got, err := askName(t.Context(), a, "", "x:1"); got != "new" {
 			t.Errorf("asking anyone: got %q, %v", got, err)
 		}
--- a/internal/peer/plane_test.go
+++ b/internal/peer/plane_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"go.uber.org/zap"
@@ -18,7 +19,18 @@
 type plane struct {
 	mu  sync.Mutex
 	at  map[string]*listener
-	all []net.Conn
+	all []*socket
+}
+
+// socket knows whether it was closed.
+type socket struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (s *socket) Close() error {
+	s.closed.Store(true)
+	return s.Conn.Close()
 }
 
 func newPlane() *plane {
@@ -55,10 +67,11 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	s := &socket{Conn: near}
 	p.mu.Lock()
-	p.all = append(p.all, near)
+	p.all = append(p.all, s)
 	p.mu.Unlock()
-	return near, nil
+	return s, nil
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -104,6 +117,19 @@
 	}
 }
 
+// open returns the number of dialled sockets that were not closed.
+func (p *plane) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.all {
+		if !s.closed.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // cut closes every socket that was dialled, as the death of a host does.
 func (p *plane) cut() {
 	p.mu.Lock()
