Limit requests and tokens by actual use and a learnt expectation

Change: a call is charged the mean of past answers, or what it has by now where that is more, and its actual tokens once complete. Nodes tell each other their use once a second and take no more than their part of the rest in between.

A property test found that only the first limit passed gave the time to come back, which was too early where another one was passed for longer; mended.

--- a/cmd/damaskbench/main.go
+++ b/cmd/damaskbench/main.go
@@ -11,6 +11,7 @@
 
 	"damaskreach/internal/bench"
 	"damaskreach/internal/policy"
+	"damaskreach/internal/quota"
 	"damaskreach/internal/trace"
 	"damaskreach/internal/tune"
 )
@@ -30,6 +31,7 @@
 	for _, site := range trace.Sites() {
 		table(site, o)
 	}
+	limits(o)
 }
 
 // table writes the table of one site.
@@ -58,3 +60,15 @@
 	w.Flush()
 	fmt.Println()
 }
+
+// limits writes the comparison of the ways of charging against a limit.
+func limits(o options) {
+	fmt.Printf("limits on answer tokens, seed %d\n", o.Seed)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "way\tnodes\tdemand\tasked\trefused\tfalse\tovershoot\tserved\t")
+	for _, q := range quota.Run(o.Seed) {
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t\n",
+			q.Way, q.Nodes, q.Demand, q.Asked, q.Refused, q.False, 100*q.Overshoot, 100*q.Served)
+	}
+	w.Flush()
+}
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"damaskreach/internal/event"
 	"damaskreach/internal/runner"
 )
 
@@ -33,7 +34,7 @@
 
 // engine is one runner's upstream: it batches continuously and caches prompt prefixes.
 type engine struct {
-	sim      *sim
+	sim      *event.Queue
 	stats    *stats
 	runner   runner.Runner
 	up       bool
@@ -49,7 +50,7 @@
 	block    int           // serial of the block, to void ends that were moved
 }
 
-func newEngine(s *sim, st *stats, r runner.Runner) *engine {
+func newEngine(s *event.Queue, st *stats, r runner.Runner) *engine {
 	return &engine{sim: s, stats: st, runner: r, up: true, boot: 1, resident: map[string]time.Duration{}}
 }
 
@@ -66,7 +67,7 @@
 
 // shorten ends the block at the next boundary between steps.
 func (e *engine) shorten() {
-	over := e.sim.now - e.from
+	over := e.sim.Now() - e.from
 	steps := int((over + e.step - 1) / e.step)
 	if steps = max(1, steps); steps < e.steps {
 		e.schedule(steps)
@@ -78,7 +79,7 @@
 	e.steps = steps
 	e.block++
 	block := e.block
-	e.sim.at(e.from+time.Duration(steps)*e.step, func() {
+	e.sim.At(e.from+time.Duration(steps)*e.step, func() {
 		if block == e.block {
 			e.end()
 		}
@@ -87,7 +88,7 @@
 
 // begin starts a block: one step where requests join, else steps until the first answer is complete.
 func (e *engine) begin() {
-	e.from = e.sim.now
+	e.from = e.sim.Now()
 	entering := min(joinAtOnce, len(e.joining))
 	prefill := time.Duration(0)
 	for _, j := range e.joining[:entering] {
@@ -154,7 +155,7 @@
 	kept := e.jobs[:0]
 	for _, j := range e.jobs {
 		if j.given == 0 {
-			j.req.firstToken(e.sim.now)
+			j.req.firstToken(e.sim.Now())
 		}
 		j.given += steps
 		j.left -= steps
@@ -186,5 +187,5 @@
 	for _, j := range lost {
 		j.done(j.given, true)
 	}
-	e.sim.after(lasts, func() { e.up = true })
+	e.sim.After(lasts, func() { e.up = true })
 }
--- a/internal/bench/fit.go
+++ b/internal/bench/fit.go
@@ -15,7 +15,7 @@
 	}
 	if within > 0 {
 		q.deadline = at + within
-		q.call.Deadline = epoch.Add(q.deadline)
+		q.call.Deadline = r.Wall(q.deadline)
 	}
 	return q
 }
@@ -31,7 +31,7 @@
 		case refuse.NoUpstream:
 			return true
 		case refuse.Overloaded:
-			if o.sched.Digest(r.clock()).Waiting < r.tune.Queue || r.room(o, q) {
+			if o.sched.Digest(r.Clock()).Waiting < r.tune.Queue || r.room(o, q) {
 				return true
 			}
 		case refuse.Deadline:
@@ -65,5 +65,5 @@
 
 		wait += time.Duration(float64(loadTime)/r.store.speed) * time.Duration(1+r.store.loads.Waiting())
 	}
-	return r.now+wait <= q.deadline
+	return r.Now()+wait <= q.deadline
 }
--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -30,20 +30,20 @@
 func (h *home) dispatch(r *request) {
 	r.attempt++
 	r.call = r.call.WithAttempt(fmt.Sprintf("%s-%d", r.call.ID, r.attempt))
-	d, _, refusal := h.place.Choose(h.run.clock(), r.call, r.avoid)
+	d, _, refusal := h.place.Choose(h.run.Clock(), r.call, r.avoid)
 	if refusal != nil {
 		h.run.refused(r, refusal)
 		return
 	}
-	r.call = r.call.WithDemand(h.place.Demand(h.run.clock(), r.call))
+	r.call = r.call.WithDemand(h.place.Demand(h.run.Clock(), r.call))
 	r.runner = d.Runner
-	r.sent = h.run.now
-	h.run.after(hop, func() { h.run.owners[d.Runner].submit(r) })
+	r.sent = h.run.Now()
+	h.run.After(hop, func() { h.run.owners[d.Runner].submit(r) })
 }
 
 // settle ends an attempt: it is the answer, or it is tried elsewhere where that is safe.
 func (h *home) settle(r *request, attempt string, why *refuse.Refusal) {
-	h.place.Settle(h.run.clock(), r.call.WithAttempt(attempt), r.runner, why)
+	h.place.Settle(h.run.Clock(), r.call.WithAttempt(attempt), r.runner, why)
 	switch {
 	case why == nil:
 		h.run.answered(r)
--- a/internal/bench/owner.go
+++ b/internal/bench/owner.go
@@ -40,7 +40,7 @@
 // submit takes an attempt in.
 func (o *owner) submit(r *request) {
 	o.pending[r.call.Attempt] = r
-	o.apply(o.sched.Submit(o.run.clock(), r.call))
+	o.apply(o.sched.Submit(o.run.Clock(), r.call))
 }
 
 // apply carries orders out.
@@ -68,7 +68,7 @@
 	_, has := o.engine.resident[r.model]
 	if !o.engine.up || r.model != "" && !has {
 		attempt := r.call.Attempt
-		o.run.after(dialTime, func() {
+		o.run.After(dialTime, func() {
 			o.finish(attempt, 0)
 			o.settle(r, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "the engine is down"))
 		})
@@ -92,14 +92,14 @@
 	}
 	since, has := o.engine.resident[r.model]
 	if !has {
-		since = o.run.now
+		since = o.run.Now()
 	}
 	return max(0, since-r.sent)
 }
 
 func (o *owner) finish(attempt string, tokens int) {
 	o.dirty = true
-	o.apply(o.sched.Finish(o.run.clock(), attempt, tokens))
+	o.apply(o.sched.Finish(o.run.Clock(), attempt, tokens))
 }
 
 func (o *owner) refuse(r *request, why *refuse.Refusal) {
@@ -111,13 +111,13 @@
 func (o *owner) settle(r *request, why *refuse.Refusal) {
 	delete(o.pending, r.call.Attempt)
 	attempt := r.call.Attempt
-	o.run.after(hop, func() { o.run.homes[r.home].settle(r, attempt, why) })
+	o.run.After(hop, func() { o.run.homes[r.home].settle(r, attempt, why) })
 }
 
 // load asks for a permit.
 func (o *owner) load(d order.Order) {
 	s := o.run.store
-	s.grant(s.loads.Request(o.run.clock(), "node", o.engine.runner.Name, d.Model, urgency(d.Why)))
+	s.grant(s.loads.Request(o.run.Clock(), "node", o.engine.runner.Name, d.Model, urgency(d.Why)))
 }
 
 // permitted runs a load.
@@ -128,22 +128,22 @@
 		takes, fails = dialTime, true
 	}
 	boot := o.engine.boot
-	o.run.after(takes, func() { o.loaded(p.Model, fails || boot != o.engine.boot) })
+	o.run.After(takes, func() { o.loaded(p.Model, fails || boot != o.engine.boot) })
 }
 
 // loaded ends a load.
 func (o *owner) loaded(model string, failed bool) {
 	s := o.run.store
-	s.grant(s.loads.Done(o.run.clock(), o.engine.runner.Name, model))
+	s.grant(s.loads.Done(o.run.Clock(), o.engine.runner.Name, model))
 	if failed {
-		o.apply(o.sched.Loaded(o.run.clock(), model, errLoad))
+		o.apply(o.sched.Loaded(o.run.Clock(), model, errLoad))
 		return
 	}
-	o.engine.resident[model] = o.run.now
+	o.engine.resident[model] = o.run.Now()
 	if len(o.engine.resident) > o.engine.runner.Slots {
 		o.run.stats.broken++
 	}
-	o.apply(o.sched.Loaded(o.run.clock(), model, nil))
+	o.apply(o.sched.Loaded(o.run.Clock(), model, nil))
 }
 
 // unload takes a model out; one in use would break answers, which is counted.
@@ -154,7 +154,7 @@
 		}
 	}
 	delete(o.engine.resident, model)
-	o.run.after(unloadTime, func() { o.apply(o.sched.Unloaded(o.run.clock(), model, nil)) })
+	o.run.After(unloadTime, func() { o.apply(o.sched.Unloaded(o.run.Clock(), model, nil)) })
 }
 
 // report tells the scheduler what the engine said a moment ago.
@@ -163,7 +163,7 @@
 		return
 	}
 	rep := report.Report{
-		At:    o.run.clock(),
+		At:    o.run.Clock(),
 		Boot:  fmt.Sprint(o.engine.boot),
 		Slots: o.engine.runner.Slots,
 		Batch: o.engine.runner.Batch,
@@ -177,7 +177,7 @@
 	for model := range o.engine.resident {
 		rep.Resident = append(rep.Resident, model)
 	}
-	o.run.after(reportLag, func() { o.apply(o.sched.Report(o.run.clock(), rep)) })
+	o.run.After(reportLag, func() { o.apply(o.sched.Report(o.run.Clock(), rep)) })
 }
 
 // publish tells the homes of a changed load.
@@ -187,11 +187,11 @@
 	}
 	o.dirty = false
 	o.number++
-	d := o.sched.Digest(o.run.clock())
+	d := o.sched.Digest(o.run.Clock())
 	d.Number = o.number
-	o.run.after(hop, func() {
+	o.run.After(hop, func() {
 		for _, h := range o.run.homes {
-			h.place.Learn(o.run.clock(), d)
+			h.place.Learn(o.run.Clock(), d)
 		}
 	})
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -1,9 +1,13 @@
+// Package bench runs the decision packages against a small model of engines and weight store in virtual time.
+//
+// It models what decides load stalls and batch efficiency, not a network. Equal arguments give equal results.
 package bench
 
 import (
 	"hash/fnv"
 	"time"
 
+	"damaskreach/internal/event"
 	"damaskreach/internal/permit"
 	"damaskreach/internal/policy"
 	"damaskreach/internal/trace"
@@ -19,7 +23,7 @@
 
 // run is one policy on one trace.
 type run struct {
-	*sim
+	*event.Queue
 	policy policy.Policy
 	tune   tune.Tune
 	stats  *stats
@@ -32,24 +36,24 @@
 // Run returns the figures of a policy on a trace. The seed decides which loads fail.
 func Run(tr *trace.Trace, p policy.Policy, t tune.Tune, seed uint64) Result {
 	r := newRun(tr, p, t, seed)
-	r.every(tick, tr.Span+lastWait, r.tick)
-	r.every(reports, tr.Span+lastWait, r.report)
+	r.Every(tick, tr.Span+lastWait, r.tick)
+	r.Every(reports, tr.Span+lastWait, r.report)
 	for _, a := range tr.Arrivals {
-		r.at(a.At, func() { r.arrive(r.request(a.At, a.Within, a.Tokens, a.Prompt, a.Call)) })
+		r.At(a.At, func() { r.arrive(r.request(a.At, a.Within, a.Tokens, a.Prompt, a.Call)) })
 	}
 	for _, f := range tr.Faults {
-		r.at(f.At, func() { r.fault(f.Kind, f.Runner, f.Share, f.Lasts) })
+		r.At(f.At, func() { r.fault(f.Kind, f.Runner, f.Share, f.Lasts) })
 	}
-	r.run(tr.Span + lastWait)
+	r.Run(tr.Span + lastWait)
 	return r.stats.result(p.Name)
 }
 
 func newRun(tr *trace.Trace, p policy.Policy, t tune.Tune, seed uint64) *run {
-	r := &run{sim: &sim{}, policy: p, tune: t, stats: &stats{}, owners: map[string]*owner{}}
-	r.store = newStore(r.sim, p, seed)
+	r := &run{Queue: &event.Queue{}, policy: p, tune: t, stats: &stats{}, owners: map[string]*owner{}}
+	r.store = newStore(r.Queue, p, seed)
 	r.store.start = func(granted permit.Permit) { r.owners[granted.Runner].permitted(granted) }
 	for _, row := range tr.Runners {
-		o := newOwner(r, newEngine(r.sim, r.stats, row))
+		o := newOwner(r, newEngine(r.Queue, r.stats, row))
 		r.owners[row.Name] = o
 		r.order = append(r.order, o)
 	}
@@ -71,7 +75,7 @@
 
 func (r *run) tick() {
 	for _, o := range r.order {
-		o.apply(o.sched.Tick(r.clock()))
+		o.apply(o.sched.Tick(r.Clock()))
 		o.publish()
 	}
 }
@@ -108,7 +112,7 @@
 // answered ends a request with its whole answer.
 func (r *run) answered(q *request) {
 	q.over = true
-	r.stats.answered(q, r.now)
+	r.stats.answered(q, r.Now())
 }
 
 // refused ends a request without an answer.
--- a/internal/bench/store.go
+++ b/internal/bench/store.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"damaskreach/internal/event"
 	"damaskreach/internal/loads"
 	"damaskreach/internal/permit"
 	"damaskreach/internal/policy"
@@ -19,7 +20,7 @@
 
 // store is the weight store with its load scheduler: it runs one load at a time.
 type store struct {
-	sim   *sim
+	sim   *event.Queue
 	rand  *rand.Rand
 	loads *loads.Loads
 	speed float64
@@ -28,7 +29,7 @@
 	wake  time.Duration // of the last planned tick
 }
 
-func newStore(s *sim, p policy.Policy, seed uint64) *store {
+func newStore(s *event.Queue, p policy.Policy, seed uint64) *store {
 	return &store{
 		sim:   s,
 		rand:  rand.New(rand.NewPCG(seed, 42)),
@@ -47,12 +48,12 @@
 	if next.IsZero() {
 		return
 	}
-	wake := next.Sub(epoch)
-	if s.wake > s.sim.now && s.wake <= wake {
+	wake := s.sim.Since(next)
+	if s.wake > s.sim.Now() && s.wake <= wake {
 		return
 	}
 	s.wake = wake
-	s.sim.at(wake, func() { s.grant(s.loads.Tick(s.sim.clock())) })
+	s.sim.At(wake, func() { s.grant(s.loads.Tick(s.sim.Clock())) })
 }
 
 // load returns how long a load takes now and whether it fails.
@@ -65,9 +66,9 @@
 	switch kind {
 	case trace.Slow:
 		s.speed = share
-		s.sim.after(lasts, func() { s.speed = 1 })
+		s.sim.After(lasts, func() { s.speed = 1 })
 	case trace.Failing:
 		s.fails = share
-		s.sim.after(lasts, func() { s.fails = usualFails })
+		s.sim.After(lasts, func() { s.fails = usualFails })
 	}
 }
