Test placement and load scheduling

The tests found that a home refused as overloaded a request for a resident model though the batch had room, when enough others waited for loads there: while the batch has room, whatever waits on a runner waits for loads.

--- a/internal/place/target.go
+++ b/internal/place/target.go
@@ -36,9 +36,10 @@
 	return t.flying[model] > 0 || slices.Contains(t.digest.Loading, model)
 }
 
-// fits reports whether the runner would take one more request for a model.
+// fits reports whether the runner would take one more request for a model. While its batch has room,
+// everything that waits there waits for loads, and a request for a resident model starts past it.
 func (t *target) fits(model string, queue int) bool {
-	if t.has(model) && t.load() < t.batch() {
+	if t.has(model) && t.digest.Running+len(t.recent) < t.batch() {
 		return true
 	}
 	return t.digest.Waiting+len(t.recent) < max(1, queue)
