Halve the demand half-life to five minutes

Cause: popularity moves within a shift; ten minutes kept adapters resident that nobody asked for any more.

--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -22,7 +22,7 @@
 		Queue:      64,
 		First:      410 * time.Millisecond,
 		Gap:        35 * time.Millisecond,
-		HalfLife:   10 * time.Minute,
+		HalfLife:   5 * time.Minute,
 		RetryShare: 0.1,
 	}
 }
