Leave refusals for full queues to the owners (variant exact)

Cause: homes refused as overloaded on digests up to 50 ms old, whoever asked. Change: where every queue looks full the home still sends the request to the least full owner, which knows its queue to the request and refuses the least urgent one of the tenant that used most. A driver publishes the digest at once when a full queue has a place.

--- a/cmd/damaskbench/main.go
+++ b/cmd/damaskbench/main.go
@@ -44,7 +44,7 @@
 	}
 	fmt.Printf("%s, seed %d, stall weight %.2f, clairvoyant bound %d loads\n", site, o.Seed, t.Stall, bench.Belady(tr))
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "policy\tstall mean ms\tp95\tp99\tefficiency\tloads\tfalse\trefused\tcut\tfirst p95 ms\tgap p95 ms\tmissed\tof\twhole\t")
+	fmt.Fprintln(w, "policy\tstall mean ms\tp95\tp99\tefficiency\tloads\tfalse\trefused\tothers\tcut\tfirst p95 ms\tgap p95 ms\tmissed\tof\twhole\t")
 	for _, p := range policy.Variants() {
 		if o.Only != "" && o.Only != p.Name {
 			continue
@@ -53,8 +53,8 @@
 		if r.Broken > 0 {
 			fmt.Fprintf(w, "%s BROKE %d RULES\t\n", r.Policy, r.Broken)
 		}
-		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.4f\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t%d/%d\t\n",
-			r.Policy, r.StallMean, r.Stall95, r.Stall99, r.Efficiency, r.Loads, r.False, r.Refused, r.Cut,
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.4f\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t%d/%d\t\n",
+			r.Policy, r.StallMean, r.Stall95, r.Stall99, r.Efficiency, r.Loads, r.False, r.Refused, r.Others, r.Cut,
 			r.First95, r.Gap95, r.Missed, r.Hurried, r.Whole, r.Asked)
 	}
 	w.Flush()
--- a/internal/bench/fit.go
+++ b/internal/bench/fit.go
@@ -8,8 +8,8 @@
 )
 
 // request makes a request of an arrival.
-func (r *run) request(at, within time.Duration, tokens int, prompt time.Duration, c call.Call) *request {
-	q := &request{call: c, tokens: tokens, prompt: prompt, arrived: at}
+func (r *run) request(at, within time.Duration, tokens int, prompt time.Duration, rush bool, c call.Call) *request {
+	q := &request{call: c, tokens: tokens, prompt: prompt, rush: rush, arrived: at}
 	if c.Adapter != "" {
 		q.model = c.Model()
 	}
--- a/internal/bench/request.go
+++ b/internal/bench/request.go
@@ -11,6 +11,7 @@
 	call     call.Call
 	model    string // empty for a plain service
 	home     int
+	rush     bool // of a tenant that asks for more than the site can serve
 	tokens   int
 	prompt   time.Duration
 	arrived  time.Duration
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -15,6 +15,7 @@
 	Loads      int     `json:"loads"`
 	False      int     `json:"false"`   // refusals though a runner could have served in time
 	Refused    int     `json:"refused"` // false ones included
+	Others     int     `json:"others"`  // refused, of tenants that did not ask for too much
 	Cut        int     `json:"cut"`     // answers broken off by a restart
 	First95    float64 `json:"first95"`
 	Gap95      float64 `json:"gap95"`
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -39,7 +39,7 @@
 	r.Every(tick, tr.Span+lastWait, r.tick)
 	r.Every(reports, tr.Span+lastWait, r.report)
 	for _, a := range tr.Arrivals {
-		r.At(a.At, func() { r.arrive(r.request(a.At, a.Within, a.Tokens, a.Prompt, a.Call)) })
+		r.At(a.At, func() { r.arrive(r.request(a.At, a.Within, a.Tokens, a.Prompt, a.Rush, a.Call)) })
 	}
 	for _, f := range tr.Faults {
 		r.At(f.At, func() { r.fault(f.Kind, f.Runner, f.Share, f.Lasts) })
--- a/internal/bench/stats.go
+++ b/internal/bench/stats.go
@@ -21,6 +21,7 @@
 	refusals int
 	fitted   int // refusals though a runner could have served
 	cuts     int
+	others   int // refusals of requests that are not part of a rush
 	hurried  int
 	missed   int
 	broken   int // rules broken: a model unloaded in use, more models than slots
@@ -63,6 +64,9 @@
 	} else {
 		s.refusals++
 	}
+	if !q.rush && why.Code != refuse.Cut {
+		s.others++
+	}
 	if fits {
 		s.fitted++
 	}
@@ -87,6 +91,7 @@
 		Loads:      s.loads,
 		False:      s.fitted,
 		Refused:    s.refusals,
+		Others:     s.others,
 		Cut:        s.cuts,
 		First95:    millis(quantile(s.firsts, 0.95)),
 		Gap95:      millis(s.gap(0.95)),
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -15,6 +15,9 @@
 // Choose returns the runner for c, or why none can take it. Runners named in avoid are left out.
 func (p *Place) Choose(now time.Time, c call.Call, avoid []string) (digest.Digest, reason.Reason, *refuse.Refusal) {
 	open := p.open(c.Group, avoid)
+	if len(open) == 0 && len(avoid) > 0 {
+		return p.full(c, p.open(c.Group, nil))
+	}
 	if len(open) == 0 {
 		return p.none(c)
 	}
@@ -29,9 +32,12 @@
 		well = open
 	}
 	fitting := p.fitting(c, well)
-	if len(fitting) == 0 {
+	if len(fitting) == 0 && !p.policy.Exact {
 		return p.full(c, well)
 	}
+	if len(fitting) == 0 {
+		return p.take(now, c, p.shortest(well), "full", "every queue looked full and this one the least so")
+	}
 	t, kind, text := p.best(now, c, fitting)
 	return p.take(now, c, t, kind, text)
 }
@@ -93,6 +99,14 @@
 	return found
 }
 
+// shortest returns the runner with the fewest waiting requests. Where all queues looked full, digests may be behind,
+// and only the owner knows whose request is the least urgent one there: it refuses that one, which may be another.
+func (p *Place) shortest(from []*target) *target {
+	return slices.MinFunc(p.inTurn(from), func(a, b *target) int {
+		return cmp.Compare(a.digest.Waiting+len(a.recent), b.digest.Waiting+len(b.recent))
+	})
+}
+
 // take settles on a runner.
 func (p *Place) take(now time.Time, c call.Call, t *target, kind, text string) (digest.Digest, reason.Reason, *refuse.Refusal) {
 	probe := t.ill()
@@ -123,6 +137,9 @@
 
 // full refuses a call that every runner of its group is too full for.
 func (p *Place) full(c call.Call, open []*target) (digest.Digest, reason.Reason, *refuse.Refusal) {
+	if len(open) == 0 {
+		return p.none(c)
+	}
 	why := reason.Reason{Kind: refuse.Overloaded, Text: "every admission queue of group " + c.Group + " is full", Model: modelOf(c)}
 	for _, t := range open {
 		why.Running += t.digest.Running
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -72,6 +72,12 @@
 	return len(s.running)
 }
 
+// Full reports whether the admission queue is at its bound. A driver publishes the digest at once when this ends:
+// other nodes would refuse requests in the meantime that have a place.
+func (s *Sched) Full() bool {
+	return len(s.queue) >= max(1, s.tune.Queue)
+}
+
 // InUse returns how many requests in progress use model.
 func (s *Sched) InUse(name string) int {
 	if m := s.models[name]; m != nil {
--- a/internal/trace/make.go
+++ b/internal/trace/make.go
@@ -13,12 +13,12 @@
 
 // Sites returns the names that New knows.
 func Sites() []string {
-	return []string{kingston().name, almaty().name}
+	return []string{kingston().name, almaty().name, rush().name}
 }
 
 // New returns the trace of a site that a seed stands for, or nil where the site is unknown.
 func New(name string, seed uint64, span time.Duration) *Trace {
-	for _, s := range []site{kingston(), almaty()} {
+	for _, s := range []site{kingston(), almaty(), rush()} {
 		if s.name == name {
 			m := &maker{site: s, span: span, rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
 			return m.trace()
@@ -43,6 +43,7 @@
 	m.adapterRequests()
 	m.plainRequests()
 	m.suddenNeeds()
+	m.rush()
 	slices.SortStableFunc(m.out, func(a, b arrival) int { return int(a.At - b.At) })
 	for i := range m.out {
 		id := fmt.Sprintf("q%06d", i)
@@ -116,6 +117,32 @@
 	}
 }
 
+// rush draws the traffic of the tenant with the most popular adapter while it asks for too much.
+func (m *maker) rush() {
+	if m.site.rush == 0 {
+		return
+	}
+	const from, to = 0.75, 0.82 // of the span
+	rate := m.site.rush * m.site.rate
+	tenant := m.ranks[0] % tenants
+	end := time.Duration(to * float64(m.span))
+	for at := time.Duration(from * float64(m.span)); at < end; at += m.gap(rate) {
+		adapter := m.pick()
+		for adapter%tenants != tenant {
+			adapter = m.pick()
+		}
+		m.add(at, adapter, false)
+	}
+	name := tenantName(tenant)
+	for i := range m.out {
+		m.out[i].Rush = m.out[i].Call.Tenant == name
+	}
+}
+
+func tenantName(n int) string {
+	return fmt.Sprintf("tenant-%02d", n)
+}
+
 // plainRequests draws the calls to plain services.
 func (m *maker) plainRequests() {
 	for at := m.gap(m.site.services); at < m.span; at += m.gap(m.site.services) {
@@ -134,7 +161,7 @@
 	a := arrival{
 		At: at,
 		Call: call.Call{
-			Tenant:  fmt.Sprintf("tenant-%02d", adapter%40),
+			Tenant:  tenantName(adapter % tenants),
 			Adapter: fmt.Sprintf("a%04d", adapter),
 			Version: "1",
 			Group:   m.site.models,
--- a/internal/trace/site.go
+++ b/internal/trace/site.go
@@ -10,6 +10,7 @@
 // Sizes both sites share.
 const (
 	adapters = 3000
+	tenants  = 40
 	slots    = 8
 	batch    = 16
 )
@@ -27,6 +28,7 @@
 	shift    time.Duration // between shifts of popularity
 	moved    float64       // share of the popular ranks that a shift gives to other adapters
 	bursts   time.Duration // mean time between sudden needs of a rare adapter; zero means none
+	rush     float64       // times the usual traffic that one tenant adds for a while; zero means none
 	hurry    float64       // share of requests with a deadline
 	within   time.Duration // typical time to a deadline
 }
@@ -52,6 +54,14 @@
 	}
 }
 
+// rush is Kingston with one tenant that asks for more than the site can serve, for some minutes.
+func rush() site {
+	s := kingston()
+	s.name = "rush"
+	s.rush = 4
+	return s
+}
+
 // runners returns the site's 12 engines and 3 plain services.
 func (s site) runners() []runner.Runner {
 	var all []runner.Runner
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -27,6 +27,7 @@
 	Call   call.Call     // without Deadline and Attempt
 	Within time.Duration // of At in which the answer has to be complete; zero means no deadline
 	Tokens int           // that the answer will have, which no policy is told
+	Rush   bool          // of the tenant that asks for too much at some time
 	Prompt time.Duration // prefill without a cached prefix
 }
 
