--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,8 @@
 	Choose func(ctx context.Context, c call.Call, avoid []string) (digest.Digest, error)
 	// Run sends a call to the owner of a runner and passes its answer on.
 	Run func(ctx context.Context, d digest.Digest, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error
+	// Admit charges a call to its limits; done settles the charge.
+	Admit func(ctx context.Context, c call.Call) (done func(tokens int, ran bool), refusal *refuse.Refusal)
 	// Begin claims the idempotency key of a call; see package claim.
 	Begin func(ctx context.Context, c call.Call) (end func(ctx context.Context, a *answer.Answer), prior *answer.Answer, err error)
 	// Settle tells the home of a call how an attempt ended; a nil outcome is a whole answer.
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -11,7 +11,7 @@
 )
 
 // serveKeyed answers a call with an idempotency key: the first is dispatched, repeats get its outcome.
-func (e *Entry) serveKeyed(ctx context.Context, w http.ResponseWriter, c call.Call) {
+func (e *Entry) serveKeyed(ctx context.Context, w http.ResponseWriter, s *sink, c call.Call) {
 	end, prior, err := e.Begin(ctx, c)
 	if err != nil {
 		e.refuse(w, asRefusal(err))
@@ -21,7 +21,6 @@
 		e.replay(w, *prior)
 		return
 	}
-	s := newSink(w)
 	s.keep = true
 	s.lasting = c.Once
 	refusal := e.attempts(ctx, c, s)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -11,6 +11,7 @@
 
 	"damaskreach/internal/call"
 	"damaskreach/internal/digest"
+	"damaskreach/internal/timing"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -21,19 +22,27 @@
 		e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this node is shutting down").WithRetry(time.Second))
 		return
 	}
+	w.Header().Set(HeaderRequest, c.ID)
+	charged, refusal := e.Admit(r.Context(), c)
+	if refusal != nil {
+		e.Observe(c, timing.Timing{}, refusal)
+		e.refuse(w, refusal)
+		return
+	}
+	s := newSink(w)
+	defer func() { charged(s.tokens(), s.ran) }()
 	ctx, cancel := e.bound(r.Context(), c)
 	defer cancel()
-	w.Header().Set(HeaderRequest, c.ID)
 	if c.Key != "" {
-		e.serveKeyed(ctx, w, c)
+		e.serveKeyed(ctx, w, s, c)
 		return
 	}
-	s := newSink(w)
 	e.finish(w, s, c, e.attempts(ctx, c, s))
 }
 
 // finish ends the answer at once, whole or not.
 func (e *Entry) finish(w http.ResponseWriter, s *sink, c call.Call, refusal *refuse.Refusal) {
+	s.ran = refusal == nil || refusal.Verdict != verd.NotRun
 	e.Observe(c, s.timing, refusal)
 	switch {
 	case refusal == nil:
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -29,6 +29,8 @@
 	token   int  // last token written
 	timing  timing.Timing
 	buffer  []byte
+	usage   int  // answer tokens that a plain answer states
+	ran     bool // the call may have run
 	status  int
 	keep    bool   // remember the answer for repeats
 	kept    []byte // what was written, up to mostKept
@@ -72,9 +74,32 @@
 	s.timing.End = now
 	s.timing.Count++
 	s.token = max(token, s.token)
+	if token == 0 {
+		s.usage += usage(piece)
+	}
 	return s.write(piece)
 }
 
+// tokens returns how many answer tokens the call has had.
+func (s *sink) tokens() int {
+	return max(s.token, s.usage)
+}
+
+type usageBody struct {
+	Usage struct {
+		Tokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// usage returns the answer tokens that a whole JSON answer states, or 0.
+func usage(answer []byte) int {
+	var body usageBody
+	if json.Unmarshal(answer, &body) != nil {
+		return 0
+	}
+	return body.Usage.Tokens
+}
+
 func (s *sink) write(piece []byte) error {
 	if s.kind != kindStream {
 		return s.put(piece)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/admin"
+	"damaskreach/internal/admit"
 	"damaskreach/internal/audit"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
@@ -64,6 +65,7 @@
 	grant   *grant.Grant
 	gather  *gather.Gather
 	claim   *claim.Claim
+	admit   *admit.Admit
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
@@ -152,6 +154,7 @@
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
+	n.admit = &admit.Admit{Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Peers: n.peers}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
 
@@ -159,7 +162,7 @@
 	c := n.Conf
 	n.entry = &entry.Entry{
 		MaxBody: c.MaxBody, MaxRequest: c.MaxRequest, EntriesLife: c.EntriesLife, RetryShare: c.RetryBudget, Log: n.Log,
-		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Begin: n.claim.Begin, Settle: n.home.Settle,
+		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Admit: n.admit.Ask, Begin: n.claim.Begin, Settle: n.home.Settle,
 		Serving: n.serving, Closed: n.closed.Load, Observe: n.observe,
 	}
 	n.admin = &admin.Admin{
