Measure what the whole path adds; make the owner's state before the control loop runs

Cause: the cost of the path was unknown; measuring it under the race detector showed that a node answered questions about its runners while the owner's maps were still being made.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 bench:
 	$(GO) run ./cmd/damaskbench
+	$(GO) test -run '^$$' -bench Path ./internal/stand/site
 
 demo:
 	$(GO) run ./cmd/damaskdemo $(DEMO)
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -69,6 +69,7 @@
 // start begins the node's own work. The session is written only once the addresses are open: a node that other
 // nodes and callers can find must answer.
 func (n *Node) start(ctx context.Context) {
+	n.owner.Prepare(ctx)
 	go n.loop.Run(ctx)
 	go n.watch.Run(ctx)
 	go n.follow.Run(ctx)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -44,7 +44,7 @@
 	sickAfter     = 2               // reports missed in a row
 )
 
-// Owner holds this node's runners. The fields are set before Follow and not changed afterwards;
+// Owner holds this node's runners. The fields are set before Prepare and not changed afterwards;
 // everything below them belongs to the control goroutine.
 type Owner struct {
 	Site       string
@@ -93,7 +93,6 @@
 
 // Follow reads sessions and ownership rows and keeps this node's share of runners until ctx ends.
 func (o *Owner) Follow(ctx context.Context) {
-	o.prepare(ctx)
 	go o.follow(ctx)
 	timer := time.NewTicker(tick)
 	defer timer.Stop()
@@ -109,7 +108,9 @@
 	}
 }
 
-func (o *Owner) prepare(ctx context.Context) {
+// Prepare makes the control state, whose work ends with ctx. It comes before the control loop runs: other nodes' questions
+// may arrive as soon as it does.
+func (o *Owner) Prepare(ctx context.Context) {
 	o.ctx = ctx
 	o.rows = map[string]seenRow{}
 	o.held = map[string]*held{}
