--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -81,8 +81,13 @@
 }
 
 func (r *run) report() {
+	copies := map[string]map[string]int{}
 	for _, o := range r.order {
-		o.sched.Copies(r.homes[0].place.Copies(o.engine.runner.Group))
+		group := o.engine.runner.Group
+		if copies[group] == nil {
+			copies[group] = r.homes[0].place.Copies(group)
+		}
+		o.sched.Copies(copies[group])
 		o.report()
 	}
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -21,6 +21,7 @@
 	s.unloadAgain(now)
 	s.unloadLost(now)
 	s.loadWanted(now)
+	s.loadAhead(now)
 	return s.take()
 }
 
