--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -58,11 +58,7 @@
 	away    bool   // no more streams are opened or taken
 	next    uint64 // id of the next stream opened here
 	last    uint64 // newest id the peer opened
-	pending []byte // encoded frames not yet handed to the socket
-	spare   []byte // the writer's other buffer
-	queued  int64  // bytes ever appended to pending
-	written int64  // bytes the socket took
-	room    chan struct{}
+	out     outbox
 }
 
 // entry is a stream with the place of its Open frame among all bytes sent.
--- a/internal/wire/end.go
+++ b/internal/wire/end.go
@@ -32,7 +32,7 @@
 	c.nc.Close()
 	c.mu.Lock()
 	streams := c.streams
-	written := c.written
+	written := c.out.written
 	c.streams = nil
 	err := c.err
 	c.mu.Unlock()
--- a/internal/wire/open.go
+++ b/internal/wire/open.go
@@ -46,7 +46,7 @@
 	if last {
 		f.Flags = frame.Last
 	}
-	start := c.queued
+	start := c.out.queued
 	if err := c.append(f); err != nil {
 		return nil, err
 	}
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -10,10 +10,8 @@
 	"damaskreach/internal/strm"
 )
 
-const (
-	chunk = 64 << 10 // bytes written under one deadline
-	spare = 1 << 20  // capacity up to which a buffer is kept
-)
+// chunk is the number of bytes written under one deadline.
+const chunk = 64 << 10
 
 // write queues a frame. Data frames with a message wait until the queue has room; all others are queued at once, as
 // the reader must never wait and their number is bounded by what the peer sends.
@@ -37,15 +35,7 @@
 // would have to be told that it may have run.
 func (c *Conn) withdraw(id uint64) bool {
 	e, ok := c.streams[id]
-	if !ok || !e.mine || c.err != nil {
-		return false
-	}
-	at := e.start - (c.queued - int64(len(c.pending)))
-	if at < 0 {
-		return false
-	}
-	frame.Withdraw(c.pending[at:])
-	return true
+	return ok && e.mine && c.err == nil && c.out.withdraw(e.start)
 }
 
 // append queues a frame. It needs the lock.
@@ -53,9 +43,7 @@
 	if c.err != nil {
 		return c.err
 	}
-	before := len(c.pending)
-	c.pending = frame.Append(c.pending, f)
-	c.queued += int64(len(c.pending) - before)
+	c.out.add(f)
 	select {
 	case c.kick <- struct{}{}:
 	default:
@@ -65,11 +53,8 @@
 
 // await returns when the queue has room. It needs the lock and gives it up while it waits.
 func (c *Conn) await(ctx context.Context) error {
-	for c.err == nil && len(c.pending) >= c.bounds.Queue {
-		if c.room == nil {
-			c.room = make(chan struct{})
-		}
-		room := c.room
+	for c.err == nil && len(c.out.pending) >= c.bounds.Queue {
+		room := c.out.wait()
 		c.mu.Unlock()
 		var err error
 		select {
@@ -110,19 +95,11 @@
 // flush writes what is queued.
 func (c *Conn) flush() error {
 	c.mu.Lock()
-	batch := c.pending
-	c.pending = c.spare[:0]
-	c.spare = nil
-	if c.room != nil {
-		close(c.room)
-		c.room = nil
-	}
+	batch := c.out.take()
 	c.mu.Unlock()
 	err := c.writeBatch(batch)
 	c.mu.Lock()
-	if cap(batch) <= spare {
-		c.spare = batch
-	}
+	c.out.recycle(batch)
 	c.mu.Unlock()
 	return err
 }
@@ -135,7 +112,7 @@
 		}
 		n, err := c.nc.Write(batch[:min(chunk, len(batch))])
 		c.mu.Lock()
-		c.written += int64(n)
+		c.out.written += int64(n)
 		c.mu.Unlock()
 		if err != nil {
 			return err
