--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -26,7 +26,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := fabric.NewFabric()
 		defer serve(t, newMesh(f, "old"), f.Listen("x:1"))()
-		a := newMesh(f, "a")
+		dials := 0
+		a := peer.NewMesh("a", secrets, func(ctx context.Context, addr string) (net.Conn, error) {
+			dials++
+			return f.Dial(ctx, addr)
+		}, zap.NewNop())
 		defer a.Close()
 		running, err := a.OpenTo(t.Context(), "old", "x:1", "echo", 1)
 		if err != nil {
@@ -40,8 +44,8 @@
 			wantErr(t, "asking the old node", err, peer.ErrReplaced, verd.NotRun)
 		}
 		synctest.Wait()
-		if got := f.Connections(); got != 2 {
-			t.Errorf("got %d open connections, want 2: of the old and the new node", got)
+		if got := f.Connections(); got != 2 || dials != 3 {
+			t.Errorf("got %d open connections of %d, want 2 of 3: of the old and the new node", got, dials)
 		}
 		wantName(t, a, "", "x:1", "new")
 		wantEcho(t, running, 1)
