--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -86,9 +86,11 @@
 }
 
 type usageBody struct {
-	Usage struct {
-		Tokens int `json:"completion_tokens"`
-	} `json:"usage"`
+	Usage usageCount `json:"usage"`
+}
+
+type usageCount struct {
+	Tokens int `json:"completion_tokens"`
 }
 
 // usage returns the answer tokens that a whole JSON answer states, or 0.
