--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -51,10 +51,19 @@
 	case hurried:
 		return time.Duration(float64(hurryCost) * float64(t.load()) / float64(t.batch()))
 	default:
-		return time.Duration((1 - p.tune.Stall) * float64(p.policy.Empty) * math.Exp(-float64(t.load())/emptyFade))
+		return time.Duration(p.emptyShare() * float64(p.policy.Empty) * math.Exp(-float64(t.load())/emptyFade))
 	}
 }
 
+// emptyShare returns how much of the full cost of an empty batch the setting Stall leaves.
+func (p *Place) emptyShare() float64 {
+	share := 1 - p.tune.Stall
+	if p.policy.Square {
+		share *= share
+	}
+	return share
+}
+
 // hurried reports whether a call would miss its deadline in a full batch if its answer came out long.
 func (p *Place) hurried(now time.Time, c call.Call) bool {
 	if !p.policy.Hurry || c.Deadline.IsZero() {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -13,6 +13,7 @@
 	Room   int           // places of a batch that are left to requests the digests do not show yet
 	Copies bool          // know the demand and the copies of the whole site when choosing what to unload and where
 	Hurry  bool          // send requests with a close deadline to emptier batches, whose steps are shorter
+	Square bool          // let the cost of an empty batch fall with the square of 1 - Stall instead of in proportion
 	Ahead  bool          // load models of known demand that nobody has resident into free slots
 	Exact  bool          // leave refusals for full queues to the owners, who know them to the request and shed by fair share
 }
@@ -40,5 +41,6 @@
 	add("hurry", func(p *Policy) { p.Hurry, p.Empty = true, 400*time.Millisecond })
 	add("exact", func(p *Policy) { p.Exact = true })
 	add("ahead", func(p *Policy) { p.Ahead = true })
+	add("square", func(p *Policy) { p.Square, p.Empty = true, time.Second })
 	return all
 }
