--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -124,3 +124,19 @@
 		t.Errorf("second run: got %+v, want %+v", got, want)
 	}
 }
+
+// The bars that the users set for the policy against least-loaded routing with LRU eviction.
+func TestCurrentPolicyAgainstTheBaseline(t *testing.T) {
+	baseline := policy.Variants()[0]
+	before, now := run("almaty", baseline), run("almaty", policy.Current())
+	if got, want := now.Stall99, before.Stall99/3; got > want {
+		t.Errorf("almaty stall p99: got %v ms, want at most %v", got, want)
+	}
+	before, now = run("kingston", baseline), run("kingston", policy.Current())
+	if got, want := now.Efficiency, 1.25*before.Efficiency; got < want {
+		t.Errorf("kingston efficiency: got %v, want at least %v", got, want)
+	}
+	if got, want := now.First95, before.First95; got > want {
+		t.Errorf("kingston first token p95: got %v ms, want at most %v", got, want)
+	}
+}
