--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -54,6 +54,14 @@
 	return l.Tick(now)
 }
 
+// Hold grants nothing before a time. A scheduler that takes over holds for a lease: its predecessor may have granted
+// a load that still runs, and a second one beside it would slow both down.
+func (l *Loads) Hold(until time.Time) {
+	if until.After(l.next) {
+		l.next = until
+	}
+}
+
 // Done returns a permit or takes a request back.
 func (l *Loads) Done(now time.Time, runner, model string) []permit.Permit {
 	if l.holds(runner, model) {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -24,7 +24,7 @@
 	if t := p.twin(c, open); t != nil {
 		return p.take(now, c, t, "twin", "the same request is in progress there")
 	}
-	if t := p.probe(now, open); t != nil {
+	if t := p.probe(now, c, open); t != nil {
 		return p.take(now, c, t, "probe", "the runner failed before and is probed")
 	}
 	well := slices.DeleteFunc(slices.Clone(open), func(t *target) bool { return t.ill() })
@@ -70,9 +70,9 @@
 }
 
 // probe returns a sick runner that is due for a request, or nil.
-func (p *Place) probe(now time.Time, open []*target) *target {
+func (p *Place) probe(now time.Time, c call.Call, open []*target) *target {
 	for _, t := range open {
-		if t.ill() && t.health.due(now) {
+		if t.ill() && t.health.due(now, c.Once) {
 			return t
 		}
 	}
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -26,9 +26,14 @@
 	return h.failures >= sickAfter
 }
 
-// due reports whether a probe may be sent.
-func (h *health) due(now time.Time) bool {
-	return !h.probing && !now.Before(h.next)
+// due reports whether a probe may be sent. A call that may not be repeated is only risked on one
+// where nothing else has probed the runner for long.
+func (h *health) due(now time.Time, once bool) bool {
+	next := h.next
+	if once {
+		next = next.Add(mostProbe)
+	}
+	return !h.probing && !now.Before(next)
 }
 
 // settle takes an outcome in.
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -18,6 +18,7 @@
 	} else if !d.Newer(t.digest) {
 		return
 	}
+	p.loading += len(d.Loading) - len(t.digest.Loading)
 	t.digest = d
 	t.learned = now
 	kept := t.recent[:0]
@@ -31,5 +32,8 @@
 
 // Forget drops a runner that left the table or whose owner is gone.
 func (p *Place) Forget(runner string) {
-	delete(p.runners, runner)
+	if t := p.runners[runner]; t != nil {
+		p.loading -= len(t.digest.Loading)
+		delete(p.runners, runner)
+	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -22,6 +22,7 @@
 	twins   map[string]*twin   // by fingerprint
 	prefix  *affinity
 	demand  map[string]*decay.Count // by model
+	loading int                     // models that runners are loading or wait to load
 	load    time.Duration           // of one adapter at the store's full speed
 	answer  time.Duration           // learnt time of one answer
 	serial  uint64                  // of the last choice, to break ties in turn
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -126,6 +126,11 @@
 	if got, want := choose(t, p, at(0), ask("b1", "red")), "r2"; got != want {
 		t.Errorf("runner while r1 is sick: got %s, want %s", got, want)
 	}
+	once := ask("b0", "red")
+	once.Once = true
+	if got, want := choose(t, p, at(2*time.Second), once), "r2"; got != want {
+		t.Errorf("runner of a call that may not be repeated: got %s, want %s", got, want)
+	}
 	probe := ask("b2", "red")
 	if got, want := choose(t, p, at(2*time.Second), probe), "r1"; got != want {
 		t.Fatalf("probe: got %s, want %s", got, want)
@@ -192,3 +197,24 @@
 		p.Settle(at(2*time.Second), again, first, nil)
 	}
 }
+
+func TestPlainServicesGetTheLeastLoaded(t *testing.T) {
+	busy, idle := engine("r1"), engine("r2")
+	busy.Running = 5
+	p := fresh(busy, idle)
+	if got, want := choose(t, p, at(0), ask("a1", "")), "r2"; got != want {
+		t.Errorf("runner: got %s, want %s", got, want)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	p := place.NewPlace(tune.Default())
+	for n := range 1300 {
+		p.Learn(start, engine(fmt.Sprint("r", n), fmt.Sprint("m", n, "@1")))
+	}
+	for n := range b.N {
+		c := ask(fmt.Sprint("a", n), fmt.Sprint("m", n%1300))
+		d, _, _ := p.Choose(start, c, nil)
+		p.Settle(start, c, d.Runner, nil)
+	}
+}
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -21,10 +21,10 @@
 
 // best returns the runner among those with room that serves c best, and why.
 func (p *Place) best(now time.Time, c call.Call, from []*target) (*target, string, string) {
-	if !p.policy.Near {
+	model := modelOf(c)
+	if model == "" || !p.policy.Near {
 		return p.least(from), "least", "it had the fewest requests"
 	}
-	model := modelOf(c)
 	hurried := p.hurried(now, c)
 	near := p.prefix.get(now, c.Prefix)
 	var best *target
@@ -152,12 +152,8 @@
 // storeWait estimates how long the store takes for the loads that runners are known to wait for:
 // half of them for one that is among them, all of them for a new one.
 func (p *Place) storeWait(among *target) time.Duration {
-	loads := 0
-	for _, t := range p.runners {
-		loads += len(t.digest.Loading)
-	}
 	if among != nil {
-		return max(p.load/2, time.Duration(loads)*p.load/2)
+		return max(p.load/2, time.Duration(p.loading)*p.load/2)
 	}
-	return time.Duration(loads) * p.load
+	return time.Duration(p.loading) * p.load
 }
--- a/internal/sched/ahead.go
+++ b/internal/sched/ahead.go
@@ -12,7 +12,7 @@
 // loadAhead fills free slots, such as those of a restarted engine, with models that were asked for before and that
 // no runner has. One load at a time, and none while requests wait for theirs: those must not queue behind it.
 func (s *Sched) loadAhead(now time.Time) {
-	if !s.policy.Ahead || s.boot == "" || s.copies == nil {
+	if !s.policy.Ahead || !s.known || s.copies == nil {
 		return
 	}
 	if len(s.held) > 0 && s.count(loading)+s.count(unloading) > 0 || s.free() <= s.tune.Rare {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -23,16 +23,16 @@
 		s.batch = r.Batch
 	}
 	switch {
-	case s.boot == "":
+	case !s.known:
 		s.adopt(now, r.Resident, 0)
 	case s.boot != r.Boot:
 		s.restart(r.Resident)
-		s.adopt(now, r.Resident, 0)
+		s.adopt(now, r.Resident, reportLag)
 	default:
 		s.adopt(now, r.Resident, reportLag)
 		s.miss(now, r.Resident)
 	}
-	s.boot = r.Boot
+	s.boot, s.known = r.Boot, true
 	s.foreign(r.Running)
 	return s.plan(now)
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,7 +22,8 @@
 	policy  policy.Policy
 	slots   int
 	batch   int
-	boot    string    // of the engine's last report; empty before the first one
+	boot    string    // of the engine's last report
+	known   bool      // a report has come
 	now     time.Time // latest time seen, for the methods that get none
 	closed  string    // why no work is taken; empty while it is
 	serial  int64     // of the last submitted item
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -130,6 +130,24 @@
 	}
 }
 
+// Before the engine has reported, its slots may hold anything. A load into one that is taken fails or, on some
+// engines, pushes a model out that a former owner's request still uses.
+func TestNothingIsLoadedBeforeTheFirstReport(t *testing.T) {
+	s := sched.NewSched(runner.Runner{Name: "r1", Group: "g", Slots: 1, Batch: 4}, tune.Default())
+	orders := append(s.Submit(at(0), ask("a1", "red")), s.Tick(at(time.Second))...)
+	if got, want := len(orders), 0; got != want {
+		t.Fatalf("orders before the report: got %v, want none", orders)
+	}
+	s.Pin("blue@1")
+	orders = s.Report(at(time.Second), report.Report{Resident: []string{"blue@1"}, Slots: 1, Batch: 4})
+	if got, want := len(kinds(orders, order.Unload)), 0; got != want {
+		t.Fatalf("unloads of a pinned model: got %d, want %d", got, want)
+	}
+	if got, want := len(kinds(s.Unpin("blue@1"), order.Unload)), 1; got != want {
+		t.Errorf("unloads after the pin: got %d, want %d", got, want)
+	}
+}
+
 // A runner is handed over while requests are queued. Left in the queue, they would wait for an owner
 // that starts nothing any more, and their callers until the deadline.
 func TestCloseAnswersTheQueueAtOnce(t *testing.T) {
--- a/internal/sched/submit.go
+++ b/internal/sched/submit.go
@@ -30,9 +30,15 @@
 		s.refuseMoved(i)
 		return s.take()
 	}
+	if i.model != nil && s.known && s.slots <= 0 {
+		s.refuse(i, refuse.NoUpstream, "the runner has no adapter slots", noSlotRetry)
+	}
 	return s.plan(now)
 }
 
+// noSlotRetry is when to come back after a runner turned out to have no slots: operators have to mend its row.
+const noSlotRetry = 10 * time.Second
+
 // Close takes no more work: queued attempts are refused at once, those in progress go on.
 func (s *Sched) Close(now time.Time, why string) []order.Order {
 	s.now = now
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -16,7 +16,7 @@
 
 // loadWanted orders loads for the models that queued attempts wait for, and unloads to make room.
 func (s *Sched) loadWanted(now time.Time) {
-	if s.boot == "" {
+	if !s.known {
 		return
 	}
 	room := loadsAtOnce - s.count(loading)
