--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -99,7 +99,7 @@
 // makeRoom unloads the cheapest idle model, or drains one in use where i has waited long.
 func (s *Sched) makeRoom(now time.Time, i *item) {
 	if victim := s.victim(now); victim != nil {
-		s.orderUnload(now, victim, "it was the cheapest to load again")
+		s.orderUnload(now, victim, "it was in least demand of those that nothing uses")
 		return
 	}
 	if now.Sub(i.arrived) < drainAfter || s.draining() {
