--- a/internal/sched/referee_test.go
+++ b/internal/sched/referee_test.go
@@ -147,7 +147,7 @@
 // act takes one random step.
 func (r *referee) act() {
 	r.now = r.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(r.t, "ms")) * time.Millisecond)
-	switch rapid.IntRange(0, 11).Draw(r.t, "step") {
+	switch rapid.IntRange(0, 12).Draw(r.t, "step") {
 	case 0, 1, 2, 3:
 		r.submit()
 	case 4, 5:
@@ -166,11 +166,24 @@
 			return
 		}
 		r.report()
+	case 11:
+		r.stray()
 	default:
 		r.apply(r.s.Tick(r.now))
 	}
 }
 
+// stray confirms what was not ordered, as a driver may after a restart of its own.
+func (r *referee) stray() {
+	model := rapid.SampledFrom([]string{"m1@", "m2@", "m7@"}).Draw(r.t, "stray")
+	if r.held[model] != "loading" {
+		r.apply(r.s.Loaded(r.now, model, nil))
+	}
+	if r.held[model] != "unloading" {
+		r.apply(r.s.Unloaded(r.now, model, nil))
+	}
+}
+
 func (r *referee) submit() {
 	r.serial++
 	c := call.Call{
