Put the urgency of a load beside the scheduler that compares it

Loads ahead of demand now come after those that requests wait for, and a load for several requests before one for a single one.

--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"damaskreach/internal/place"
-	"damaskreach/internal/reason"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -65,8 +64,3 @@
 	}
 	return !r.call.Once && r.first == 0
 }
-
-// urgency turns the reason of a Load order into the seconds of age that the load scheduler compares.
-func urgency(why reason.Reason) float64 {
-	return why.Wait.Seconds()
-}
--- a/internal/bench/owner.go
+++ b/internal/bench/owner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"damaskreach/internal/loads"
 	"damaskreach/internal/order"
 	"damaskreach/internal/permit"
 	"damaskreach/internal/report"
@@ -124,7 +125,7 @@
 // load asks for a permit.
 func (o *owner) load(d order.Order) {
 	s := o.run.store
-	s.grant(s.loads.Request(o.run.Clock(), "node", o.engine.runner.Name, d.Model, urgency(d.Why)))
+	s.grant(s.loads.Request(o.run.Clock(), "node", o.engine.runner.Name, d.Model, loads.Urgency(d.Why)))
 }
 
 // permitted runs a load.
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -10,6 +10,12 @@
 
 	"damaskreach/internal/permit"
 	"damaskreach/internal/policy"
+	"damaskreach/internal/reason"
+)
+
+const (
+	aheadUrgency  = -30.0
+	waiterUrgency = 0.2
 )
 
 // Loads is the load scheduler of one weight store: it grants one load at a time, which then runs at full speed,
@@ -62,6 +68,15 @@
 	}
 }
 
+// Urgency turns the reason of a load order into seconds of age: the longest wait, and a part of a second for each
+// further request that waits. A load ahead of demand comes after every load that requests wait for.
+func Urgency(why reason.Reason) float64 {
+	if why.Waiting == 0 {
+		return aheadUrgency
+	}
+	return why.Wait.Seconds() + waiterUrgency*float64(why.Waiting-1)
+}
+
 // Done returns a permit or takes a request back.
 func (l *Loads) Done(now time.Time, runner, model string) []permit.Permit {
 	if l.holds(runner, model) {
