--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -13,10 +13,8 @@
 	"damaskreach/internal/reason"
 )
 
-const (
-	aheadUrgency  = -30.0
-	waiterUrgency = 0.2
-)
+// aheadUrgency puts a load that nobody waits for behind every other one.
+const aheadUrgency = -30.0
 
 // Loads is the load scheduler of one weight store: it grants one load at a time, which then runs at full speed,
 // never above the store's rate, the most urgent first.
@@ -68,13 +66,13 @@
 	}
 }
 
-// Urgency turns the reason of a load order into seconds of age: the longest wait, and a part of a second for each
-// further request that waits. A load ahead of demand comes after every load that requests wait for.
+// Urgency turns the reason of a load order into seconds of age: the longest wait of a request for it.
+// A load ahead of demand comes after every load that requests wait for.
 func Urgency(why reason.Reason) float64 {
 	if why.Waiting == 0 {
 		return aheadUrgency
 	}
-	return why.Wait.Seconds() + waiterUrgency*float64(why.Waiting-1)
+	return why.Wait.Seconds()
 }
 
 // Done returns a permit or takes a request back.
