--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"reflect"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,10 +41,37 @@
 	return bound{Figure: figure, Bound: figure*1.1 + 5}
 }
 
+// measured is one policy on one trace.
+type measured struct {
+	site   string
+	policy string
+}
+
+// results holds the runs that the tests share; they are independent and run side by side.
+var results = sync.OnceValue(func() map[measured]bench.Result {
+	var lock sync.Mutex
+	var group sync.WaitGroup
+	all := map[measured]bench.Result{}
+	run := func(site string, p policy.Policy) {
+		t := tune.Default()
+		t.Stall = bench.Stall(site)
+		r := bench.Run(trace.New(site, seed, span), p, t, seed)
+		lock.Lock()
+		defer lock.Unlock()
+		all[measured{site, p.Name}] = r
+	}
+	for _, site := range trace.Sites() {
+		group.Go(func() { run(site, policy.Current()) })
+	}
+	group.Go(func() { run("almaty", policy.Variants()[0]) })
+	group.Go(func() { run("kingston", policy.Variants()[0]) })
+	group.Wait()
+	return all
+})
+
+// run returns the figures of a policy on a site's trace.
 func run(site string, p policy.Policy) bench.Result {
-	t := tune.Default()
-	t.Stall = bench.Stall(site)
-	return bench.Run(trace.New(site, seed, span), p, t, seed)
+	return results()[measured{site, p.Name}]
 }
 
 // figures returns what is held to bounds.
@@ -124,3 +152,19 @@
 		t.Errorf("second run: got %+v, want %+v", got, want)
 	}
 }
+
+// The bars that the users set for the policy against least-loaded routing with LRU eviction.
+func TestCurrentPolicyAgainstTheBaseline(t *testing.T) {
+	baseline := policy.Variants()[0]
+	before, now := run("almaty", baseline), run("almaty", policy.Current())
+	if got, want := now.Stall99, before.Stall99/3; got > want {
+		t.Errorf("almaty stall p99: got %v ms, want at most %v", got, want)
+	}
+	before, now = run("kingston", baseline), run("kingston", policy.Current())
+	if got, want := now.Efficiency, 1.25*before.Efficiency; got < want {
+		t.Errorf("kingston efficiency: got %v, want at least %v", got, want)
+	}
+	if got, want := now.First95, before.First95; got > want {
+		t.Errorf("kingston first token p95: got %v ms, want at most %v", got, want)
+	}
+}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -10,8 +10,12 @@
 
 	"damaskreach/internal/permit"
 	"damaskreach/internal/policy"
+	"damaskreach/internal/reason"
 )
 
+// aheadUrgency puts a load that nobody waits for behind every other one.
+const aheadUrgency = -30.0
+
 // Loads is the load scheduler of one weight store: it grants one load at a time, which then runs at full speed,
 // never above the store's rate, the most urgent first.
 type Loads struct {
@@ -54,6 +58,23 @@
 	return l.Tick(now)
 }
 
+// Hold grants nothing before a time. A scheduler that takes over holds for a lease: its predecessor may have granted
+// a load that still runs, and a second one beside it would slow both down.
+func (l *Loads) Hold(until time.Time) {
+	if until.After(l.next) {
+		l.next = until
+	}
+}
+
+// Urgency turns the reason of a load order into seconds of age: the longest wait of a request for it.
+// A load ahead of demand comes after every load that requests wait for.
+func Urgency(why reason.Reason) float64 {
+	if why.Waiting == 0 {
+		return aheadUrgency
+	}
+	return why.Wait.Seconds()
+}
+
 // Done returns a permit or takes a request back.
 func (l *Loads) Done(now time.Time, runner, model string) []permit.Permit {
 	if l.holds(runner, model) {
