--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -120,14 +120,15 @@
 	}
 }
 
-// Release deletes the session row, so that nobody has to wait for the term to end.
-// The caller must have stopped acting on the session before.
+// Release says in the session row that the session has ended, so that nobody has to wait for the term to end and its
+// successors know that no request of its is left. The caller must have stopped acting on the session before.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
-	row := rows.Row{Key: l.now.Key(), Rev: l.rev}
+	l.now = l.now.WithState(sess.Ended)
 	l.until = time.Time{}
+	row := rows.Row{Key: l.now.Key(), Rev: l.rev, Value: l.now.Encode()}
 	l.mu.Unlock()
-	_, err := l.table.Write(ctx, row.WithGone())
+	_, err := l.table.Write(ctx, row)
 	return err
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -90,7 +90,7 @@
 func (m *Member) Live(now time.Time) []sess.Session {
 	var live []sess.Session
 	for _, s := range m.seen {
-		if !m.ended(now, s) {
+		if s.session.State != sess.Ended && !m.ended(now, s) {
 			live = append(live, s.session)
 		}
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -9,7 +9,10 @@
 	"damaskreach/internal/loop"
 )
 
-const drainPoll = 100 * time.Millisecond
+const (
+	drainPoll    = 100 * time.Millisecond
+	releaseTries = 3
+)
 
 // Drain starts a graceful shutdown; Run returns once it is complete. Further calls change nothing.
 //
@@ -30,12 +33,22 @@
 	for ctx.Err() == nil && !n.idle(ctx) {
 		sleep(ctx, drainPoll)
 	}
+	n.release(ctx)
+	n.Log.Info("drained")
+}
+
+// release ends the session. A renewal may come in between and raise the row's revision, so it tries again.
+func (n *Node) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease)
 	defer cancel()
-	if err := n.lease.Release(ctx); err != nil {
-		n.Log.Warn("deleting the session row failed; others wait for the lease to end", zap.Error(err))
+	for range releaseTries {
+		err := n.lease.Release(ctx)
+		if err == nil {
+			return
+		}
+		n.Log.Warn("ending the session failed; others wait for the lease to end", zap.Error(err))
+		sleep(ctx, drainPoll)
 	}
-	n.Log.Info("drained")
 }
 
 // idle reports whether no request runs through this node, as entry or as owner.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
 		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Changed: n.changed, Pause: n.Pause,
+		Note: n.note, Changed: n.changed, Copies: n.home.Place.Copies, Pause: n.Pause,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -11,6 +11,7 @@
 	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
 	"damaskreach/internal/group"
+	"damaskreach/internal/loads"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/reason"
@@ -79,7 +80,7 @@
 
 func (n *Node) permit(ctx context.Context, r runner.Runner, why reason.Reason) (func(), error) {
 	g, _ := n.follow.Catalog().Group(r.Group)
-	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, why.Wait.Seconds())
+	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, loads.Urgency(why))
 }
 
 // storeRate returns the rate of a weight store by the first group that names it.
--- a/internal/owner/former.go
+++ b/internal/owner/former.go
@@ -23,6 +23,10 @@
 // askFormers asks each earlier owner what its requests still use, and notes which are gone.
 func (o *Owner) askFormers(h *held) {
 	for _, f := range h.formers {
+		if o.over(f.session) {
+			o.formerDone(h, f, "the earlier owner has ended with no request left")
+			continue
+		}
 		o.noteGone(f)
 		if !f.asking {
 			f.asking = true
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -15,6 +15,7 @@
 
 // carry hands the decisions of a runner's scheduler to the goroutines that carry them out.
 func (o *Owner) carry(h *held, orders []order.Order) {
+	o.news = o.news || len(orders) > 0
 	for _, next := range orders {
 		o.Note(next.Why, h.request(next.Attempt))
 		switch next.Kind {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -35,7 +35,8 @@
 )
 
 const (
-	tick          = time.Second
+	tick          = 50 * time.Millisecond // of the schedulers
+	slowTick      = time.Second           // of everything that is asked of others
 	tableTimeout  = 5 * time.Second
 	engineTimeout = 2 * time.Second
 	loadTimeout   = 2 * time.Minute
@@ -72,6 +73,8 @@
 	Leaving func(addr string) bool
 	// Note records a decision for operators.
 	Note func(why reason.Reason, attempt string)
+	// Copies returns how many runners of a group have each model resident, as far as this node knows.
+	Copies func(group string) map[string]int
 	// Changed is told of the digests of runners held, whenever they have changed.
 	Changed func(digests []digest.Digest)
 	// Pause is called at the named points; only tests set it.
@@ -83,6 +86,9 @@
 	busy    map[string]bool    // runners with a table write on its way
 	wake    chan struct{}
 	leaving bool
+	slow    time.Time // of the last slow tick
+	news    bool      // digests have changed since they were announced
+	told    time.Time // when they were announced
 	ctx     context.Context
 }
 
@@ -124,19 +130,39 @@
 // tick runs on the control goroutine.
 func (o *Owner) tick() {
 	now := time.Now()
-	o.dropLost(now)
 	for _, h := range o.held {
 		o.carry(h, h.sched.Tick(now))
+	}
+	if now.Sub(o.slow) >= slowTick {
+		o.slow = now
+		o.slowly(now)
+	}
+	if o.news {
+		o.announce(now)
+	}
+}
+
+func (o *Owner) slowly(now time.Time) {
+	o.dropLost(now)
+	for _, h := range o.held {
+		h.sched.Copies(o.Copies(h.spec.Group))
 		o.poll(h)
 		o.askFormers(h)
 		o.writeNext(h)
 	}
 	o.plan(now)
-	o.announce(now)
+	o.news = true
 }
 
-// announce passes on the digests of all runners held.
+// announce passes on the digests of all runners held, at most once in a tick: between two of them many requests start
+// and end, and the other nodes count their own choices themselves.
 func (o *Owner) announce(now time.Time) {
+	if now.Sub(o.told) < tick {
+		o.news = true
+		return
+	}
+	o.news = false
+	o.told = now
 	o.Changed(o.digests(now))
 }
 
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -79,7 +79,7 @@
 		return true
 	}
 	_, known := o.Members.Get(seen.row.Session)
-	return !known
+	return !known || o.over(seen.row.Session)
 }
 
 // respec follows a change of the operators' row: a runner marked leaving is closed to new starts,
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -51,6 +51,8 @@
 	}
 	a := newAttempt(c)
 	h.attempts[c.Attempt] = a
+	t, _ := o.Catalog().Tenant(c.Tenant)
+	h.sched.Weigh(c.Tenant, t.Weight)
 	o.carry(h, h.sched.Submit(time.Now(), c))
 	return submitted{held: h, attempt: a}
 }
@@ -108,6 +110,7 @@
 }
 
 func (o *Owner) finish(h *held, attempt string, tokens int) {
+	o.news = true
 	delete(h.attempts, attempt)
 	o.carry(h, h.sched.Finish(time.Now(), attempt, tokens))
 	o.dropClosed()
--- a/internal/owner/take.go
+++ b/internal/owner/take.go
@@ -21,23 +21,31 @@
 		return
 	}
 	seen := o.rows[r.Name]
+	former := seen.row.Session
+	lapsed := former != "" && former != me.ID() && !seen.row.Released && !o.over(former)
 	o.busy[r.Name] = true
 	go func() {
-		row, rev, err := o.writeTake(seen, r, me)
+		row, rev, err := o.writeTake(seen, r, me, lapsed)
 		_ = o.Loop.Post(func() { o.taken(r, row, rev, err) })
 	}()
 }
 
-func (o *Owner) writeTake(seen seenRow, r runner.Runner, me sess.Session) (assign.Assignment, int64, error) {
+// over reports whether a session has said itself that it has ended, which it never takes back.
+func (o *Owner) over(id string) bool {
+	s, known := o.Members.Get(id)
+	return known && s.State == sess.Ended
+}
+
+func (o *Owner) writeTake(seen seenRow, r runner.Runner, me sess.Session, lapsed bool) (assign.Assignment, int64, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, tableTimeout)
 	defer cancel()
 	next := seen.row.WithOwner(me.ID(), me.Peer)
 	next.Runner = r.Name
 	edits := []rows.Row{{Key: assign.Key(o.Site, r.Name), Rev: seen.rev, Value: next.Encode()}}
-	if former := seen.row; former.Session != "" && former.Session != me.ID() && !former.Released {
+	if lapsed {
 		// The view may come from a lagging replica that does not have the former's session yet:
 		// the transaction demands that the session really has ended.
-		edits = append(edits, rows.Row{Key: sess.Key(o.Site, former.Session), Gone: true})
+		edits = append(edits, rows.Row{Key: sess.Key(o.Site, seen.row.Session), Gone: true})
 	}
 	o.Pause(BeforeTake)
 	rev, err := o.Table.Write(ctx, edits...)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -64,10 +64,12 @@
 
 // adopt takes residents over that this owner did not load, such as a former owner's.
 // A model that this owner unloaded less than age ago is not taken over: the report may be older than that.
+// It counts even where this owner holds every slot for taken, since one of its loads is then about to fail: passed over,
+// the slot would look free again after that failure and the owner would go on loading into a full engine.
 func (s *Sched) adopt(now time.Time, names []string, age time.Duration) {
 	for _, name := range names {
 		m := s.model(name)
-		if m.state == absent && now.Sub(m.changed) >= age && s.free() > 0 {
+		if m.state == absent && now.Sub(m.changed) >= age {
 			s.turn(now, m, resident)
 			m.used = now
 			m.adopted = true
--- a/internal/sess/sess.go
+++ b/internal/sess/sess.go
@@ -13,6 +13,7 @@
 const (
 	Live    = "live"    // serves
 	Leaving = "leaving" // finishes what runs and takes no new role
+	Ended   = "ended"   // has finished everything and will never act again
 )
 
 // Session is one life of a node process; a restarted process has another epoch.
