--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -132,11 +132,11 @@
 }
 
 func (l *Lease) step(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.term-l.renew)
-	defer cancel()
 	start := time.Now()
 	next, rev := l.nextBeat()
 	l.at(BeforeRenew)
+	ctx, cancel := context.WithTimeout(ctx, l.term-l.renew)
+	defer cancel()
 	row := rows.Row{Key: next.Key(), Rev: rev, Value: next.Encode()}
 	rev, err := l.table.Write(ctx, row)
 	l.at(AfterRenew)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,8 +10,11 @@
 
 	"damaskreach/internal/admin"
 	"damaskreach/internal/audit"
+	"damaskreach/internal/catlog"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
+	"damaskreach/internal/digest"
+	"damaskreach/internal/engine"
 	"damaskreach/internal/entry"
 	"damaskreach/internal/extend"
 	"damaskreach/internal/follow"
@@ -27,6 +30,7 @@
 	"damaskreach/internal/place"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/relay"
+	"damaskreach/internal/runner"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/share"
 	"damaskreach/internal/table"
@@ -47,8 +51,8 @@
 	Listen func(addr string) (net.Listener, error)
 	// Hosts reads the platform's host list.
 	Hosts hosts.Hosts
-	// Pause is called at points where a test may pause the node; see packages lease and owner.
-	Pause func(point string)
+	// Connect returns the way to a runner.
+	Connect func(r runner.Runner) engine.Engine
 
 	loop    *loop.Loop
 	mesh    *peer.Mesh
@@ -72,19 +76,22 @@
 	draining atomic.Bool
 	closed   atomic.Bool
 	drain    chan struct{}
+	built    chan struct{} // closed once the parts exist
+	paused   atomic.Pointer[func(point string)]
 }
 
 // NewNode returns a node with the settings c that reaches everything over dial.
 func NewNode(c conf.Conf, dial func(ctx context.Context, addr string) (net.Conn, error), listen func(addr string) (net.Listener, error), log *zap.Logger) *Node {
 	return &Node{
-		Conf:   c,
-		Table:  table.NewTable(c.Tables, dial),
-		Log:    log,
-		Dial:   dial,
-		Listen: listen,
-		Hosts:  hosts.NewHosts(c.Hosts, dial),
-		Pause:  func(string) {},
-		drain:  make(chan struct{}),
+		Conf:    c,
+		Table:   table.NewTable(c.Tables, dial),
+		Log:     log,
+		Dial:    dial,
+		Listen:  listen,
+		Hosts:   hosts.NewHosts(c.Hosts, dial),
+		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
+		drain:   make(chan struct{}),
+		built:   make(chan struct{}),
 	}
 }
 
@@ -94,6 +101,7 @@
 	defer cancel()
 	n.ctx = ctx
 	n.build()
+	close(n.built)
 	if err := n.serve(ctx); err != nil {
 		return err
 	}
@@ -120,7 +128,7 @@
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
 	n.watch = watch.NewWatch(n.Hosts, n.Log)
-	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.Pause)
+	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.pause)
 	n.buildRoles()
 	n.buildEntry()
 }
@@ -138,8 +146,8 @@
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
-		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Changed: n.changed, Pause: n.Pause,
+		Catalog: n.follow.Catalog, Connect: n.Connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
+		Note: n.note, Changed: n.changed, Pause: n.pause,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
@@ -169,3 +177,26 @@
 func (n *Node) self() string {
 	return n.lease.Session().ID()
 }
+
+// Catalog returns the configuration in force on the node; it waits for Run to begin.
+func (n *Node) Catalog() catlog.Catalog {
+	<-n.built
+	return n.follow.Catalog()
+}
+
+// SetPause sets a function called at points where a test may pause the node; see packages lease and owner.
+func (n *Node) SetPause(at func(point string)) {
+	n.paused.Store(&at)
+}
+
+func (n *Node) pause(point string) {
+	if at := n.paused.Load(); at != nil {
+		(*at)(point)
+	}
+}
+
+// Digests returns the state of the runners this node owns.
+func (n *Node) Digests() []digest.Digest {
+	<-n.built
+	return n.digests()
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -9,7 +9,6 @@
 	"damaskreach/internal/call"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/digest"
-	"damaskreach/internal/engine"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/reason"
@@ -72,10 +71,6 @@
 	return serving, nil
 }
 
-func (n *Node) connect(r runner.Runner) engine.Engine {
-	return engine.NewEngine(r.Addr, n.Dial)
-}
-
 func (n *Node) permit(ctx context.Context, r runner.Runner, why reason.Reason) (func(), error) {
 	g, _ := n.follow.Catalog().Group(r.Group)
 	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, why.Wait.Seconds())
--- a/internal/owner/take.go
+++ b/internal/owner/take.go
@@ -29,8 +29,6 @@
 }
 
 func (o *Owner) writeTake(seen seenRow, r runner.Runner, me sess.Session) (assign.Assignment, int64, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, tableTimeout)
-	defer cancel()
 	next := seen.row.WithOwner(me.ID(), me.Peer)
 	next.Runner = r.Name
 	edits := []rows.Row{{Key: assign.Key(o.Site, r.Name), Rev: seen.rev, Value: next.Encode()}}
@@ -40,6 +38,8 @@
 		edits = append(edits, rows.Row{Key: sess.Key(o.Site, former.Session), Gone: true})
 	}
 	o.Pause(BeforeTake)
+	ctx, cancel := context.WithTimeout(o.ctx, tableTimeout)
+	defer cancel()
 	rev, err := o.Table.Write(ctx, edits...)
 	if err != nil {
 		rev, err = o.settle(ctx, next, err)
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/action"
 	"damaskreach/internal/adapt"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/group"
@@ -48,14 +49,17 @@
 	// Spec changes a runner's row before it is written; nil changes nothing.
 	Spec func(r runner.Runner) runner.Runner
 
-	mu    sync.Mutex
-	nodes map[int]*running
+	mu      sync.Mutex
+	nodes   map[int]*running
+	lives   map[int]int // how often each node was started
+	journal journal
 }
 
 type running struct {
-	node   *node.Node
-	cancel context.CancelFunc
-	done   chan struct{}
+	node    *node.Node
+	process string // names this life of the node
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // NewSite returns a site with a number of engines; seed fixes the network's latencies.
@@ -67,6 +71,7 @@
 		Log:   zap.NewNop(),
 		Conf:  conf.Default(),
 		nodes: map[int]*running{},
+		lives: map[int]int{},
 	}
 	for range engines {
 		s.Engines = append(s.Engines, engsim.NewEngine())
@@ -164,38 +169,67 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &running{node: n, cancel: cancel, done: make(chan struct{})}
 	s.mu.Lock()
+	s.lives[i]++
+	r.process = fmt.Sprintf("%s#%d", n.Conf.Node, s.lives[i])
 	s.nodes[i] = r
 	s.mu.Unlock()
+	s.watch(n, r.process)
+	s.Note(action.Action{Kind: action.Join, Process: r.process})
 	go func() {
 		defer close(r.done)
 		defer cancel()
-		if err := n.Run(ctx); err != nil {
+		err := n.Run(ctx)
+		if err != nil {
 			s.Log.Error("a node ended with a fault", zap.Error(err))
 		}
+		if err == nil && ctx.Err() == nil {
+			s.Note(action.Action{Kind: action.Exit, Process: r.process})
+		}
+		s.Note(action.Action{Kind: action.Part, Process: r.process})
 	}()
+	go s.follow(r)
 }
 
 // Node returns node i, which must have been started.
 func (s *Site) Node(i int) *node.Node {
+	return s.running(i).node
+}
+
+// Process returns the name under which the present life of node i is recorded.
+func (s *Site) Process(i int) string {
+	return s.running(i).process
+}
+
+func (s *Site) running(i int) *running {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.nodes[i].node
+	return s.nodes[i]
+}
+
+// Up reports whether node i runs.
+func (s *Site) Up(i int) bool {
+	r := s.running(i)
+	if r == nil {
+		return false
+	}
+	select {
+	case <-r.done:
+		return false
+	default:
+		return true
+	}
 }
 
 // KillNode ends node i without any warning, its connections included.
 func (s *Site) KillNode(i int) {
+	r := s.running(i)
+	s.Note(action.Action{Kind: action.Part, Process: r.process})
 	s.Net.Kill(Host(i))
-	s.mu.Lock()
-	r := s.nodes[i]
-	s.mu.Unlock()
 	r.cancel()
 	<-r.done
 }
 
 // Wait returns when node i has ended.
 func (s *Site) Wait(i int) {
-	s.mu.Lock()
-	r := s.nodes[i]
-	s.mu.Unlock()
-	<-r.done
+	<-s.running(i).done
 }
