--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -35,7 +35,7 @@
 	if point == owner.BeforeTake {
 		w.pauseTaker()
 	} else {
-		<-w.pauseAt(0, point, lapse)
+		w.await(w.pauseAt(0, point, lapse))
 	}
 	time.Sleep(quiet)
 	since := time.Now()
@@ -53,6 +53,8 @@
 	select {
 	case <-woke[0]:
 	case <-woke[1]:
+	case <-time.After(patience):
+		w.t.Errorf("got no takeover within %s, want one", patience)
 	}
 	w.StartNode(w.ctx, 2)
 }
@@ -67,7 +69,7 @@
 				other := 1 - first
 				woke := w.pauseAt(first, owner.BeforeStart, lapse)
 				go w.Ask(w.ctx, first, "late", model, "long", 2000)
-				<-woke
+				w.await(woke)
 				for a := range adapters {
 					w.Ask(w.ctx, other, "evicting", site.AdapterName(a)+"@v1", "short", 2)
 				}
--- a/internal/stand/site/world_test.go
+++ b/internal/stand/site/world_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 const (
 	adapters = 8
 	quiet    = 30 * time.Second // for a site to settle after a fault has ended
+	patience = 2 * time.Minute  // for a condition
 	lapse    = 25 * time.Second // longer than a lease and the takeover after it
 )
 
@@ -118,21 +120,32 @@
 // pauseAt makes node i pause for d when it next comes to a point, and returns a channel that tells when it woke.
 func (w *world) pauseAt(i int, point string, d time.Duration) <-chan struct{} {
 	woke := make(chan struct{})
-	var once sync.Once
+	var reached atomic.Bool
 	w.Node(i).SetPause(func(p string) {
-		if p != point {
-			return
-		}
-		once.Do(func() {
+		switch {
+		case p != point:
+		case !reached.CompareAndSwap(false, true):
+			<-woke
+		default:
 			w.freeze(i)
 			time.Sleep(d)
 			w.thaw(i)
 			close(woke)
-		})
+		}
 	})
 	return woke
 }
 
+// await waits for the end of a pause.
+func (w *world) await(woke <-chan struct{}) {
+	w.t.Helper()
+	select {
+	case <-woke:
+	case <-time.After(patience):
+		w.t.Errorf("got no pause within %s, want one", patience)
+	}
+}
+
 // serves demands that each of the nodes answers for each adapter.
 func (w *world) serves(when string, nodes ...int) {
 	w.t.Helper()
