--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -80,3 +80,28 @@
 		})
 	}
 }
+
+// The owner of a runner is paused just before it sends an unload, and its successor gets requests for that model. The
+// engine still holds it, so they could start, and the unload that arrives late would cut their answers.
+func TestUnloadSentLateCutsNoAnswer(t *testing.T) {
+	for _, fences := range []bool{true, false} {
+		t.Run(kind(fences), func(t *testing.T) {
+			play(t, 2, 1, fences, func(w *world) {
+				first := w.owners("at first", 0, 1)[site.RunnerName(0)]
+				other := 1 - first
+				w.Ask(w.ctx, first, "one", site.AdapterName(1)+"@v1", "short", 2)
+				w.Ask(w.ctx, first, "two", site.AdapterName(2)+"@v1", "short", 2)
+				woke := w.pauseAt(first, owner.BeforeUnload, lapse)
+				go w.Ask(w.ctx, first, "three", site.AdapterName(3)+"@v1", "short", 2)
+				time.Sleep(lapse - 3*time.Second)
+				since := time.Now()
+				go w.Ask(w.ctx, other, "late one", site.AdapterName(1)+"@v1", "long", 2000)
+				go w.Ask(w.ctx, other, "late two", site.AdapterName(2)+"@v1", "long", 2000)
+				w.await(woke)
+				time.Sleep(quiet)
+				w.whole(since)
+				w.serves("after the pause", 0, 1)
+			})
+		})
+	}
+}
