--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,6 +31,7 @@
 	Stream   bool      `msgpack:"stream"`   // the caller asked for server-sent events
 	Sum      string    `msgpack:"sum"`      // Print, kept where the body is left out
 	From     int       `msgpack:"from"`     // token at which a resumed stream goes on
+	Alone    bool      `msgpack:"alone"`    // a suspect, to be placed away from other requests
 }
 
 // Model returns the adapter and version as engines name them.
@@ -82,6 +83,12 @@
 	return c
 }
 
+// WithAlone returns a copy that is placed away from other requests where alone is set.
+func (c Call) WithAlone(alone bool) Call {
+	c.Alone = alone
+	return c
+}
+
 // WithFrom returns a copy that resumes its stream at token from.
 func (c Call) WithFrom(from int) Call {
 	c.From = from
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -30,6 +30,7 @@
 	RetryBudget float64       `toml:"retry-budget"` // retries as a share of requests
 	Keepers     int           `toml:"keepers"`      // claim shards
 	ClaimWindow time.Duration `toml:"claim-window"` // how long claims are gathered for one write
+	SuspectLife time.Duration `toml:"suspect-life"` // how long a request that crashed upstreams is held back
 	LogLevel    string        `toml:"log-level"`    // debug, info, warn or error
 }
 
@@ -47,6 +48,7 @@
 		RetryBudget: 0.1,
 		Keepers:     4,
 		ClaimWindow: 20 * time.Millisecond,
+		SuspectLife: 10 * time.Minute,
 		LogLevel:    "info",
 	}
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -20,6 +20,7 @@
 	Loading  []string `msgpack:"loading"`  // models being loaded
 	Closed   bool     `msgpack:"closed"`   // takes no new work: leaving, sick or handed over
 	Sick     bool     `msgpack:"sick"`     // answers with errors or not at all
+	Suspects int      `msgpack:"suspects"` // requests that may crash it, running alone there or waiting to
 }
 
 // Newer reports whether d was made after other.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"damaskreach/internal/sseio"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 
@@ -118,14 +120,18 @@
 	io.CopyN(io.Discard, res.Body, drainLimit)
 }
 
-// failed returns err as a caller may read it.
+// failed returns err as a caller may read it. A connection that broke under a request counts as a crash of the upstream:
+// nothing tells at once whether it was one, and the request may be its cause.
 func (c *client) failed(ctx context.Context, verdict verd.Verdict, err error, what string) error {
 	if cause := ctx.Err(); cause != nil {
 		return verd.Mark(merry.Prepend(cause, what), verdict)
 	}
-	code := refuse.Cut
-	if verdict == verd.NotRun {
+	code := refuse.Crashed
+	switch {
+	case verdict == verd.NotRun:
 		code = refuse.NoUpstream
+	case errors.Is(err, sseio.ErrTooLong), errors.Is(err, sseio.ErrBareReturn):
+		code = refuse.Cut
 	}
 	return refuse.NewRefusal(verdict, code, "%s: %v", what, err)
 }
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -53,7 +53,7 @@
 	if refusal.Verdict == verd.NotRun || !c.Once {
 		return nil
 	}
-	a := answer.NewRefused(refusal)
+	a := answer.NewRefused(refusal.WithRetry(0)) // what is said of it will not change
 	return &a
 }
 
@@ -62,7 +62,7 @@
 	w.Header().Set(HeaderReplayed, "true")
 	switch {
 	case a.Refusal != nil:
-		e.refuse(w, a.Refusal)
+		e.answerRefusal(w, a.Refusal)
 	case !a.Kept:
 		e.refuse(w, refuse.NewRefusal(verd.Ran, refuse.Repeat, "the first request with this idempotency key was answered in full; its answer was not kept"))
 	default:
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -55,8 +55,29 @@
 	}}
 }
 
-// refuse answers with a refusal at once. Retry-After is in whole seconds, rounded up.
+// usualRetry is when a caller may come back where whoever refused named no time: by then a break of connection or a
+// change of owner is over.
+const usualRetry = time.Second
+
+// withRetry returns the refusal with a time to come back, unless a repeat is of no use.
+func withRetry(r *refuse.Refusal) *refuse.Refusal {
+	if r.Retry > 0 {
+		return r
+	}
+	switch r.Code {
+	case refuse.BadRequest, refuse.TooLarge, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
+		return r
+	}
+	return r.WithRetry(usualRetry)
+}
+
+// refuse answers with a refusal at once, and with when to come back.
 func (e *Entry) refuse(w http.ResponseWriter, r *refuse.Refusal) {
+	e.answerRefusal(w, withRetry(r))
+}
+
+// answerRefusal writes a refusal. Retry-After is in whole seconds, rounded up.
+func (e *Entry) answerRefusal(w http.ResponseWriter, r *refuse.Refusal) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderVerdict, r.Verdict.String())
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -118,7 +118,7 @@
 // without its end mark, and every cut answer's connection is broken.
 func (s *sink) cut(r *refuse.Refusal) {
 	if s.kind == kindStream {
-		text, err := json.Marshal(newErrorBody(r))
+		text, err := json.Marshal(newErrorBody(withRetry(r)))
 		if err == nil {
 			_, _ = s.w.Write([]byte("event: error\n"))
 			_ = s.write(text)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -22,12 +22,16 @@
 	"damaskreach/internal/sess"
 	"damaskreach/internal/spread"
 	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
 )
 
 const (
 	methodPlace  = "place"
 	methodSettle = "settle"
 	askTimeout   = time.Second
+	twinWait     = 500 * time.Millisecond // below askTimeout, or the asker would decide itself
+	twinRetry    = time.Second
+	twinLook     = 20 * time.Millisecond
 )
 
 // Home is a node's part in placement: its own decisions and the way to other nodes'.
@@ -39,6 +43,10 @@
 	Place   *place.Place
 	Mesh    *peer.Mesh
 	Log     *zap.Logger
+	// Alone reports whether a call is a suspect; see package suspct.
+	Alone func(c call.Call) bool
+	// Suspect returns why a call may not be tried again, or nil where it may.
+	Suspect func(c call.Call) *refuse.Refusal
 	// Note records a decision for operators.
 	Note func(why reason.Reason, request string)
 }
@@ -76,6 +84,9 @@
 // A home that cannot be reached is replaced by this node, whose view may be a little older.
 func (h *Home) Choose(ctx context.Context, c call.Call, avoid []string) (digest.Digest, error) {
 	q := placeAsk{Call: c.WithoutBody(), Avoid: avoid}
+	if refusal := h.Suspect(q.Call); refusal != nil {
+		return digest.Digest{}, refusal
+	}
 	said, err := h.ask(ctx, q)
 	if err != nil {
 		said, err = h.decide(ctx, q)
@@ -161,6 +172,15 @@
 }
 
 func (h *Home) decide(ctx context.Context, q placeAsk) (placeSaid, error) {
+	failing := h.awaitTwin(ctx, q)
+	if refusal := h.Suspect(q.Call); refusal != nil {
+		return placeSaid{Refusal: refusal}, nil
+	}
+	if failing {
+		refusal := refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "the same request is in progress on a runner where this one failed; its outcome decides what follows")
+		return placeSaid{Refusal: refusal.WithRetry(twinRetry)}, nil
+	}
+	q.Call = q.Call.WithAlone(h.Alone(q.Call))
 	said, err := loop.Get(ctx, h.Loop, func() placeSaid {
 		d, why, refusal := h.Place.Choose(time.Now(), q.Call, q.Avoid)
 		return placeSaid{Digest: d, Why: why, Refusal: refusal}
@@ -171,6 +191,26 @@
 	return said, err
 }
 
+// awaitTwin waits a little while the same request is in flight on a runner where this one has failed, and reports
+// whether it still is; see place.Failing.
+func (h *Home) awaitTwin(ctx context.Context, q placeAsk) bool {
+	if len(q.Avoid) == 0 {
+		return false
+	}
+	for range twinWait / twinLook {
+		failing, err := loop.Get(ctx, h.Loop, func() bool { return h.Place.Failing(q.Call, q.Avoid) })
+		if err != nil || !failing {
+			return false
+		}
+		select {
+		case <-time.After(twinLook):
+		case <-ctx.Done():
+			return true
+		}
+	}
+	return true
+}
+
 func (h *Home) settle(ctx context.Context, q settleAsk) error {
 	return h.Loop.Do(ctx, func() {
 		h.Place.Settle(time.Now(), q.Call, q.Runner, q.Outcome)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"damaskreach/internal/relay"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/share"
+	"damaskreach/internal/suspct"
 	"damaskreach/internal/table"
 	"damaskreach/internal/watch"
 )
@@ -64,6 +65,7 @@
 	grant   *grant.Grant
 	gather  *gather.Gather
 	claim   *claim.Claim
+	suspect *suspct.Suspect
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
@@ -132,7 +134,13 @@
 	n.share = &share.Share{Mesh: n.mesh, Peers: n.peers, Learn: n.learn}
 	n.follow = &follow.Follow{Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers}
 	n.follow.Register()
+	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
+	n.suspect = &suspct.Suspect{
+		Mesh: n.mesh, Table: n.Table, Life: c.SuspectLife, Poll: c.Poll, Log: n.Log,
+		Write: n.gather.Write, Peers: n.peers, Home: func(ctx context.Context, key string) (sess.Session, bool, error) { return n.home.Of(ctx, key) },
+	}
 	n.home = &home.Home{
+		Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
 		Place: place.NewPlace(n.follow.Catalog().Tune()),
 	}
@@ -141,13 +149,12 @@
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
 		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Changed: n.changed, Pause: n.Pause,
+		Note: n.note, Changed: n.changed, Pause: n.Pause, Enter: n.suspect.Enter, Suspects: n.suspect.Waiting,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
 		Ending: n.owner.Ending,
 	}
-	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
 	n.claim = &claim.Claim{
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -24,6 +24,7 @@
 	n.grant.Register()
 	n.extend.Register()
 	n.claim.Register()
+	n.suspect.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -76,4 +77,5 @@
 	go n.grant.Run(ctx)
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
+	go n.suspect.Run(ctx)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/assign"
+	"damaskreach/internal/call"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
@@ -74,6 +75,10 @@
 	Note func(why reason.Reason, attempt string)
 	// Changed is told of the digests of runners held, whenever they have changed.
 	Changed func(digests []digest.Digest)
+	// Enter waits until a call may be sent to a runner; see package suspct. Nil lets every call through.
+	Enter func(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(ctx context.Context, err error), err error)
+	// Suspects returns how many suspects run on a runner or wait for it here. Nil means none.
+	Suspects func(runner string) int
 	// Pause is called at the named points; only tests set it.
 	Pause func(point string)
 
@@ -118,6 +123,12 @@
 	if o.Pause == nil {
 		o.Pause = func(string) {}
 	}
+	if o.Suspects == nil {
+		o.Suspects = func(string) int { return 0 }
+	}
+	if o.Enter == nil {
+		o.Enter = enterFreely
+	}
 }
 
 // tick runs on the control goroutine.
@@ -163,6 +174,7 @@
 	d.Number = h.number
 	d.Sick = h.failures >= sickAfter
 	d.Closed = d.Closed || h.leaving
+	d.Suspects = o.Suspects(h.spec.Name)
 	return d
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -17,9 +17,23 @@
 	return refuse.NewRefusal(verd.NotRun, refuse.Moved, "runner %s is not owned by this node now", runner).WithRetry(retryMoved)
 }
 
+func enterFreely(context.Context, string, call.Call) (begin func() error, leave func(ctx context.Context, err error), err error) {
+	return func() error { return nil }, func(context.Context, error) {}, nil
+}
+
 // Run sends a call to a runner this node owns under fence and passes its answer on piece by piece.
 // It returns nil only for a whole answer; any error carries a verdict.
 func (o *Owner) Run(ctx context.Context, name string, fence int64, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
+	begin, leave, err := o.Enter(ctx, name, c)
+	if err != nil {
+		return err
+	}
+	err = o.run(ctx, name, fence, c, begin, head, emit)
+	leave(ctx, err)
+	return err
+}
+
+func (o *Owner) run(ctx context.Context, name string, fence int64, c call.Call, begin func() error, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
 	s, err := loop.Get(ctx, o.Loop, func() submitted { return o.submit(name, fence, c) })
 	if err != nil {
 		// The step may still run; cancelling makes sure that the attempt it submits does not start.
@@ -32,7 +46,7 @@
 	if err := o.await(ctx, s, c); err != nil {
 		return err
 	}
-	return o.generate(ctx, s.held, c, head, emit)
+	return o.generate(ctx, s.held, c, begin, head, emit)
 }
 
 type submitted struct {
@@ -90,7 +104,7 @@
 	o.dropClosed()
 }
 
-func (o *Owner) generate(ctx context.Context, h *held, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
+func (o *Owner) generate(ctx context.Context, h *held, c call.Call, begin func() error, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, o.MaxRequest)
 	defer cancel()
 	tokens := 0
@@ -100,6 +114,9 @@
 	if err := o.mayAct(h); err != nil {
 		return err
 	}
+	if err := begin(); err != nil {
+		return err
+	}
 	o.Pause(BeforeStart)
 	return h.engine.Generate(ctx, h.fence, c, head, func(token int, piece []byte) error {
 		tokens = max(tokens, token)
--- a/internal/place/choice.go
+++ b/internal/place/choice.go
@@ -13,6 +13,7 @@
 	print  string
 	at     time.Time
 	probe  bool
+	alone  bool
 }
 
 // twin is a fingerprint with requests in flight, all on one runner.
@@ -37,12 +38,16 @@
 		print:  c.Print(),
 		at:     now,
 		probe:  probe,
+		alone:  c.Alone,
 	}
 	p.serial++
 	p.count(now, made.model)
 	p.flying[c.Attempt] = made
 	t.recent = append(t.recent, made)
 	t.flying[made.model]++
+	if made.alone {
+		t.alone++
+	}
 	p.prefix.put(now, c.Prefix, made.runner)
 	known := p.twins[made.print]
 	if known == nil {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -21,6 +21,9 @@
 	if t := p.twin(c, open); t != nil {
 		return p.take(now, c, t, "twin", "the same request is in progress there")
 	}
+	if c.Alone {
+		return p.take(now, c, loneliest(open), "alone", "the request ran on an upstream that crashed")
+	}
 	if t := p.probe(now, open); t != nil {
 		return p.take(now, c, t, "probe", "the runner failed before and is probed")
 	}
@@ -32,7 +35,7 @@
 	if len(fitting) == 0 {
 		return p.full(c, well)
 	}
-	t, kind, text := p.best(now, c, fitting)
+	t, kind, text := p.best(now, c, quiet(fitting))
 	return p.take(now, c, t, kind, text)
 }
 
@@ -56,7 +59,7 @@
 		return nil
 	}
 	for _, t := range open {
-		if t.digest.Runner == known.runner && t.fits(modelOf(c), p.tune.Queue) {
+		if t.digest.Runner == known.runner && (c.Alone || t.fits(modelOf(c), p.tune.Queue)) {
 			return t
 		}
 	}
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -53,7 +53,7 @@
 // blames reports whether an outcome speaks against the runner rather than against the request, its adapter or the load.
 func blames(code string) bool {
 	switch code {
-	case refuse.Cut, refuse.NoUpstream, refuse.Internal:
+	case refuse.Cut, refuse.Crashed, refuse.NoUpstream, refuse.Internal:
 		return true
 	}
 	return false
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -25,6 +25,9 @@
 	if t == nil {
 		return
 	}
+	if made.alone {
+		t.alone--
+	}
 	if t.flying[made.model]--; t.flying[made.model] <= 0 {
 		delete(t.flying, made.model)
 	}
--- a/internal/place/target.go
+++ b/internal/place/target.go
@@ -14,6 +14,7 @@
 	health  health
 	recent  []*choice      // own choices that the digest does not reflect yet
 	flying  map[string]int // own choices in flight by model
+	alone   int            // own choices in flight that are suspects
 }
 
 // load returns the requests on the runner, own ones not yet reflected included.
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -22,6 +22,7 @@
 	Suspect      = "suspect"       // earlier tries of it crashed two upstreams
 	Repeat       = "repeat"        // an earlier request with its idempotency key is running or its outcome is unknown
 	Cut          = "cut"           // the answer broke off before its end
+	Crashed      = "crashed"       // the connection to the upstream broke while the request ran
 	Leaving      = "leaving"       // this node is shutting down
 	TableDown    = "table-down"    // the table service cannot record the claim
 	LoadFailed   = "load-failed"   // the adapter could not be loaded
@@ -86,7 +87,7 @@
 		return http.StatusUnprocessableEntity
 	case Deadline:
 		return http.StatusGatewayTimeout
-	case Cut:
+	case Cut, Crashed:
 		return http.StatusBadGateway
 	case Internal:
 		return http.StatusInternalServerError
