--- a/internal/seen/seen.go
+++ b/internal/seen/seen.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"damaskreach/internal/entry"
@@ -25,8 +26,9 @@
 
 type errorBody struct {
 	Error struct {
-		Code    string `json:"code"`
-		Message string `json:"message"`
+		Code    string  `json:"code"`
+		Message string  `json:"message"`
+		Retry   float64 `json:"retry_after_seconds"`
 	} `json:"error"`
 }
 
@@ -48,8 +50,18 @@
 	return s
 }
 
-// WithText returns a copy with the text of a streamed answer and whether the stream came to its end.
+const errorEvent = "event: error\ndata: "
+
+// WithText returns a copy with the text of a streamed answer and whether the stream came to its end. Where the stream
+// ends in an error event, its code is the copy's.
 func (s Seen) WithText(text string, whole bool) Seen {
+	if _, event, cut := strings.Cut(s.Text, errorEvent); cut {
+		var refused errorBody
+		if json.Unmarshal([]byte(strings.TrimSpace(event)), &refused) == nil {
+			s.Code = refused.Error.Code
+			s.Retry = time.Duration(refused.Error.Retry * float64(time.Second))
+		}
+	}
 	s.Text = text
 	s.Whole = s.Whole && whole
 	return s
--- a/test/deliv/break_test.go
+++ b/test/deliv/break_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"damaskreach/internal/entry"
 	"damaskreach/internal/seen"
 	"damaskreach/internal/stand/site"
 	"damaskreach/internal/trial"
@@ -39,7 +40,8 @@
 	upstreams := func(f *trial.Trial, _ int) [][2]string {
 		var pairs [][2]string
 		for i := range f.Nodes {
-			pairs = append(pairs, [2]string{site.Host(i), site.EngineHost(0)}, [2]string{site.Host(i), site.PlainHost(0)})
+			pairs = append(pairs, [2]string{site.Host(i), site.EngineHost(0)}, [2]string{site.Host(i), site.PlainHost(0)},
+				[2]string{site.Host(i), site.PlainHost(1)})
 		}
 		return pairs
 	}
@@ -88,22 +90,22 @@
 }
 
 func breakAt(t *testing.T, f *trial.Trial, h hop, i int, at time.Duration) {
-	entry := i % f.Nodes
+	node := i % f.Nodes
 	time.AfterFunc(at, func() {
-		for _, p := range h.pairs(f, entry) {
+		for _, p := range h.pairs(f, node) {
 			f.Site.Net.Break(p[0], p[1])
 		}
 	})
 	done := make(chan seen.Seen)
 	go func() {
-		done <- f.Complete(t.Context(), entry, trial.Model(i), fmt.Sprintf("note %d", i), tokens, nil)
+		done <- f.Complete(t.Context(), node, trial.Model(i), fmt.Sprintf("note %d", i), tokens, nil)
 	}()
 	key, body := fmt.Sprintf("key-%d", i), fmt.Sprintf(`{"slot":%d}`, i)
-	f.Book(t.Context(), entry, key, body)
+	f.Book(t.Context(), node, key, body)
 	<-done
 	pass(time.Second)
-	again(t, f, (entry+1)%f.Nodes, key, body)
-	s := f.Complete(t.Context(), entry, trial.Model(i), fmt.Sprintf("note %d", i), tokens, nil)
+	again(t, f, (node+1)%f.Nodes, key, body)
+	s := f.Complete(t.Context(), node, trial.Model(i), fmt.Sprintf("note %d", i), tokens, nil)
 	if !s.Whole {
 		t.Errorf("after a break at %v the repeat got %+v, want a whole answer", at, s)
 	}
@@ -128,3 +130,23 @@
 		}
 	})
 }
+
+// One service executes an idempotent call and dies before its answer, and the other is down. The last try certainly did
+// not run, but the call did: were its caller told what became of the last try only, it would take the call for not run.
+func TestVerdictCoversAllTries(t *testing.T) {
+	run(t, 3, 0, 2, func(t *testing.T, f *trial.Trial) {
+		for n := range 2 {
+			f.Site.Plains[n].CrashAfter(1)
+			f.Site.Plains[1-n].Crash()
+			headers := map[string]string{entry.HeaderOnce: "false", entry.HeaderRequest: f.ID()}
+			f.Judge.Sent(headers[entry.HeaderRequest], "", false, "", "")
+			status, h, body, err := f.Site.Book(t.Context(), 0, "/slots", `{"slot":1}`, headers)
+			s := seen.NewSeen(status, h, body, err, 0)
+			f.Judge.Got(headers[entry.HeaderRequest], s.Status, s.Verdict, s.Whole, s.Text)
+			if s.Whole || s.Verdict != "may-have-run" {
+				t.Errorf("the caller got %+v, want a refusal that says may-have-run", s)
+			}
+			pass(time.Minute)
+		}
+	})
+}
