--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,9 +4,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
+	"strings"
 	"time"
 )
 
+const attemptMark = "."
+
 // Call is immutable; its With methods return changed copies.
 type Call struct {
 	ID       string    `msgpack:"id"`       // request id, unique per received request
@@ -71,6 +75,18 @@
 	return c
 }
 
+// Attempt returns the id of the nth attempt of a request that an entry node has named. Names are the node's own, since
+// callers may give all their requests one id.
+func Attempt(name string, n int) string {
+	return name + attemptMark + strconv.Itoa(n)
+}
+
+// Name returns what all attempts of one request have in common.
+func (c Call) Name() string {
+	name, _, _ := strings.Cut(c.Attempt, attemptMark)
+	return name
+}
+
 // WithAttempt returns a copy for one dispatch.
 func (c Call) WithAttempt(id string) Call {
 	c.Attempt = id
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -70,6 +70,9 @@
 			}
 			return emit(0, []byte("answer"))
 		},
+		Admit: func(context.Context, call.Call) (func(int, bool), *refuse.Refusal) {
+			return func(int, bool) {}, nil
+		},
 		Begin: func(context.Context, call.Call) (func(context.Context, *answer.Answer), *answer.Answer, error) {
 			return func(context.Context, *answer.Answer) {}, nil, nil
 		},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/admin"
+	"damaskreach/internal/admit"
 	"damaskreach/internal/audit"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
@@ -66,6 +67,7 @@
 	gather  *gather.Gather
 	claim   *claim.Claim
 	suspect *suspct.Suspect
+	admit   *admit.Admit
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
@@ -136,15 +138,15 @@
 	n.follow.Register()
 	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
 	n.suspect = &suspct.Suspect{
-		Mesh: n.mesh, Table: n.Table, Life: c.SuspectLife, Poll: c.Poll, Log: n.Log,
+		Ctx: n.ctx, Mesh: n.mesh, Table: n.Table, Life: c.SuspectLife, Poll: c.Poll, Log: n.Log,
 		Write: n.gather.Write, Peers: n.peers, Home: func(ctx context.Context, key string) (sess.Session, bool, error) { return n.home.Of(ctx, key) },
 	}
 	n.home = &home.Home{
-		Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
+		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
 		Place: place.NewPlace(n.follow.Catalog().Tune()),
 	}
-	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of}
+	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate}
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
@@ -156,9 +158,11 @@
 		Ending: n.owner.Ending,
 	}
 	n.claim = &claim.Claim{
+		Ctx:  n.ctx,
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
+	n.admit = &admit.Admit{Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Peers: n.peers}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
 
@@ -166,7 +170,7 @@
 	c := n.Conf
 	n.entry = &entry.Entry{
 		MaxBody: c.MaxBody, MaxRequest: c.MaxRequest, EntriesLife: c.EntriesLife, RetryShare: c.RetryBudget, Log: n.Log,
-		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Begin: n.claim.Begin, Settle: n.home.Settle,
+		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Admit: n.admit.Ask, Begin: n.claim.Begin, Settle: n.home.Settle,
 		Serving: n.serving, Closed: n.closed.Load, Observe: n.observe,
 	}
 	n.admin = &admin.Admin{
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -25,6 +25,7 @@
 	n.extend.Register()
 	n.claim.Register()
 	n.suspect.Register()
+	n.admit.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -69,13 +70,14 @@
 // start begins the node's own work. The session is written only once the addresses are open: a node that other
 // nodes and callers can find must answer.
 func (n *Node) start(ctx context.Context) {
+	n.owner.Prepare(ctx)
 	go n.loop.Run(ctx)
 	go n.watch.Run(ctx)
 	go n.follow.Run(ctx)
 	go n.lease.Run(ctx)
 	go n.owner.Follow(ctx)
-	go n.grant.Run(ctx)
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
 	go n.suspect.Run(ctx)
+	go n.admit.Run(ctx)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,7 +45,7 @@
 	sickAfter     = 2               // reports missed in a row
 )
 
-// Owner holds this node's runners. The fields are set before Follow and not changed afterwards;
+// Owner holds this node's runners. The fields are set before Prepare and not changed afterwards;
 // everything below them belongs to the control goroutine.
 type Owner struct {
 	Site       string
@@ -76,7 +76,7 @@
 	// Changed is told of the digests of runners held, whenever they have changed.
 	Changed func(digests []digest.Digest)
 	// Enter waits until a call may be sent to a runner; see package suspct. Nil lets every call through.
-	Enter func(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(ctx context.Context, err error), err error)
+	Enter func(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(err error), err error)
 	// Suspects returns how many suspects run on a runner or wait for it here. Nil means none.
 	Suspects func(runner string) int
 	// Pause is called at the named points; only tests set it.
@@ -98,7 +98,6 @@
 
 // Follow reads sessions and ownership rows and keeps this node's share of runners until ctx ends.
 func (o *Owner) Follow(ctx context.Context) {
-	o.prepare(ctx)
 	go o.follow(ctx)
 	timer := time.NewTicker(tick)
 	defer timer.Stop()
@@ -114,7 +113,9 @@
 	}
 }
 
-func (o *Owner) prepare(ctx context.Context) {
+// Prepare makes the control state, whose work ends with ctx. It comes before the control loop runs: other nodes' questions
+// may arrive as soon as it does.
+func (o *Owner) Prepare(ctx context.Context) {
 	o.ctx = ctx
 	o.rows = map[string]seenRow{}
 	o.held = map[string]*held{}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -17,8 +17,8 @@
 	return refuse.NewRefusal(verd.NotRun, refuse.Moved, "runner %s is not owned by this node now", runner).WithRetry(retryMoved)
 }
 
-func enterFreely(context.Context, string, call.Call) (begin func() error, leave func(ctx context.Context, err error), err error) {
-	return func() error { return nil }, func(context.Context, error) {}, nil
+func enterFreely(context.Context, string, call.Call) (begin func() error, leave func(err error), err error) {
+	return func() error { return nil }, func(error) {}, nil
 }
 
 // Run sends a call to a runner this node owns under fence and passes its answer on piece by piece.
@@ -29,7 +29,7 @@
 		return err
 	}
 	err = o.run(ctx, name, fence, c, begin, head, emit)
-	leave(ctx, err)
+	leave(err)
 	return err
 }
 
--- a/internal/place/alone.go
+++ b/internal/place/alone.go
@@ -7,12 +7,19 @@
 	"damaskreach/internal/call"
 )
 
-// Failing reports whether the same request is still in flight on one of the runners in avoid, where c has failed. What
-// comes of it decides whether c may be sent to another runner: sent there at once, copies of a request that crashes its
-// upstream would spread before anyone knows that it does.
+// Failing reports whether a copy of a request is in flight on one of the runners in avoid, where c has failed. What
+// comes of the copy decides whether c may be sent to another runner: sent there at once, copies of a request that crashes
+// its upstream would spread before anyone knows that it does.
 func (p *Place) Failing(c call.Call, avoid []string) bool {
-	known := p.twins[c.Print()]
-	return known != nil && slices.Contains(avoid, known.runner)
+	if p.twins[c.Print()] == nil {
+		return false
+	}
+	for _, made := range p.flying {
+		if made.print == c.Print() && made.request != c.Name() && slices.Contains(avoid, made.runner) {
+			return true
+		}
+	}
+	return false
 }
 
 // loneliest returns the runner for a suspect: one without other suspects and without failures, and with the fewest requests.
--- a/internal/seen/seen.go
+++ b/internal/seen/seen.go
@@ -17,7 +17,8 @@
 	Status  int           // HTTP status; 0 where no answer came
 	Verdict string        // verdict header; may-have-run where no answer came
 	Code    string        // of a refusal
-	Text    string        // of the answer or the refusal
+	Why     string        // message of a refusal
+	Text    string        // of the answer
 	Whole   bool          // an answer that came to its proper end
 	Retry   time.Duration // of Retry-After; 0 where there was none
 	Replay  bool          // an answer given again to a repeat
@@ -25,11 +26,13 @@
 }
 
 type errorBody struct {
-	Error struct {
-		Code    string  `json:"code"`
-		Message string  `json:"message"`
-		Retry   float64 `json:"retry_after_seconds"`
-	} `json:"error"`
+	Error detail `json:"error"`
+}
+
+type detail struct {
+	Code    string  `json:"code"`
+	Message string  `json:"message"`
+	Retry   float64 `json:"retry_after_seconds"`
 }
 
 // NewSeen reads a caller's outcome. The body is whole unless err is set; took is how long all of it took.
@@ -45,7 +48,7 @@
 	}
 	var refused errorBody
 	if status != http.StatusOK && json.Unmarshal(body, &refused) == nil {
-		s.Code, s.Text = refused.Error.Code, refused.Error.Message
+		s.Code, s.Why = refused.Error.Code, refused.Error.Message
 	}
 	return s
 }
@@ -58,7 +61,7 @@
 	if _, event, cut := strings.Cut(s.Text, errorEvent); cut {
 		var refused errorBody
 		if json.Unmarshal([]byte(strings.TrimSpace(event)), &refused) == nil {
-			s.Code = refused.Error.Code
+			s.Code, s.Why = refused.Error.Code, refused.Error.Message
 			s.Retry = time.Duration(refused.Error.Retry * float64(time.Second))
 		}
 	}
--- a/internal/suspct/enter.go
+++ b/internal/suspct/enter.go
@@ -13,7 +13,7 @@
 
 // Enter waits until a call may be sent to a runner that this node owns. The caller calls begin at the moment of the
 // dispatch, which may still refuse, and leave with the outcome; leave returns once all nodes know of a crash.
-func (s *Suspect) Enter(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(ctx context.Context, err error), err error) {
+func (s *Suspect) Enter(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(err error), err error) {
 	for {
 		p := s.queue(runner, s.Alone(c))
 		if err := s.await(ctx, runner, p); err != nil {
@@ -25,7 +25,7 @@
 		}
 		if p.alone || !s.Alone(c) {
 			begin = func() error { return s.begin(c, p) }
-			leave = func(ctx context.Context, err error) { s.leave(ctx, runner, c, p, err) }
+			leave = func(err error) { s.leave(runner, c, p, err) }
 			return begin, leave, nil
 		}
 		s.out(runner, p) // it became a suspect while it waited among the others
@@ -91,13 +91,13 @@
 	return nil
 }
 
-func (s *Suspect) leave(ctx context.Context, runner string, c call.Call, p *pass, err error) {
+func (s *Suspect) leave(runner string, c call.Call, p *pass, err error) {
 	var refusal *refuse.Refusal
 	switch {
 	case err == nil && s.Alone(c):
-		s.clear(ctx, key(c))
+		s.clear(key(c))
 	case errors.As(err, &refusal) && refusal.Code == refuse.Crashed:
-		s.crashed(ctx, key(c), c.ID, s.note(runner, p))
+		s.crashed(key(c), c.ID, s.note(runner, p))
 	}
 	s.out(runner, p)
 }
--- a/internal/suspct/suspct.go
+++ b/internal/suspct/suspct.go
@@ -38,6 +38,8 @@
 	Life  time.Duration // of a record, from its last crash
 	Poll  time.Duration // interval of readings of other nodes' records
 	Log   *zap.Logger
+	// Ctx ends with the node and all work left over from requests.
+	Ctx context.Context
 	// Write writes one row, gathered with others.
 	Write func(ctx context.Context, row rows.Row) (int64, error)
 	// Peers returns the addresses of the other nodes.
--- a/internal/suspct/tell.go
+++ b/internal/suspct/tell.go
@@ -56,8 +56,7 @@
 // crashed records that a request was running when its upstream broke down. It returns once the other nodes know, so that
 // no repeat of the request, through whichever node, is taken for an ordinary one. Nodes that cannot be told directly have
 // the row to read; with the table down as well, they are left out after tellTime.
-func (s *Suspect) crashed(ctx context.Context, key, request string, c crash) {
-	ctx = context.WithoutCancel(ctx)
+func (s *Suspect) crashed(key, request string, c crash) {
 	s.mu.Lock()
 	r, grown := s.merge(key, request, []crash{c})
 	if grown {
@@ -68,19 +67,20 @@
 	stored := make(chan struct{})
 	go func() {
 		defer close(stored)
-		s.store(ctx, key)
+		s.store(s.Ctx, key)
 	}()
-	if s.tell(ctx, news{Key: key, Request: request, Crashes: r.Crashes}) {
+	if s.tell(s.Ctx, news{Key: key, Request: request, Crashes: r.Crashes}) {
 		return
 	}
 	select {
 	case <-stored:
 	case <-time.After(tellTime):
+	case <-s.Ctx.Done():
 	}
 }
 
 // clear ends a suspicion after a whole answer. Nobody waits for it: until the others know, the request runs alone.
-func (s *Suspect) clear(ctx context.Context, key string) {
+func (s *Suspect) clear(key string) {
 	s.mu.Lock()
 	r, ok := s.known[key]
 	delete(s.known, key)
@@ -91,9 +91,8 @@
 	if !ok {
 		return
 	}
-	ctx = context.WithoutCancel(ctx)
 	go func() {
-		s.tell(ctx, news{Key: key, Cleared: true})
-		s.remove(ctx, key)
+		s.tell(s.Ctx, news{Key: key, Cleared: true})
+		s.remove(s.Ctx, key)
 	}()
 }
--- a/internal/wire/end.go
+++ b/internal/wire/end.go
@@ -28,10 +28,11 @@
 	// After a failed write the socket is of no use and this fails too.
 	_ = c.flush()
 	c.linger()
+	c.unhook()
 	c.nc.Close()
 	c.mu.Lock()
 	streams := c.streams
-	written := c.written
+	written := c.out.written
 	c.streams = nil
 	err := c.err
 	c.mu.Unlock()
