--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -69,7 +69,7 @@
 // attempts dispatches a call until it is answered or given up, and returns nil for a whole answer.
 func (e *Entry) attempts(ctx context.Context, c call.Call, s *sink) *refuse.Refusal {
 	e.budget.earn(e.RetryShare)
-	t := try{entry: e, sink: s, verdict: verd.NotRun}
+	t := try{entry: e, sink: s, name: rand.Text(), verdict: verd.NotRun}
 	for {
 		refusal := t.once(ctx, c)
 		if refusal == nil {
@@ -88,6 +88,7 @@
 type try struct {
 	entry   *Entry
 	sink    *sink
+	name    string // opening of its attempts' ids
 	count   int
 	avoid   []string     // runners that failed
 	resumes bool         // the last runner can resume a stream
@@ -97,7 +98,7 @@
 func (t *try) once(ctx context.Context, c call.Call) *refuse.Refusal {
 	e := t.entry
 	t.count++
-	c = c.WithAttempt(rand.Text())
+	c = c.WithAttempt(call.Attempt(t.name, t.count))
 	d, err := e.Choose(ctx, c, t.avoid)
 	if err != nil {
 		return asRefusal(err)
@@ -135,8 +136,10 @@
 		return false
 	case refusal.Verdict != verd.NotRun && c.Once:
 		return false
-	case t.sink.started && !t.resumes:
-		return false
+	case t.sink.started:
+		// A resume repeats no work, so that the budget need not bound it; a caller with half an answer cannot be told to
+		// come back for the rest.
+		return t.resumes
 	}
 	return t.entry.budget.spend()
 }
@@ -144,7 +147,7 @@
 // retriable reports whether another runner may do better.
 func retriable(refusal *refuse.Refusal) bool {
 	switch refusal.Code {
-	case refuse.Moved, refuse.NoUpstream, refuse.Cut, refuse.LoadFailed, refuse.Leaving:
+	case refuse.Moved, refuse.NoUpstream, refuse.Cut, refuse.Crashed, refuse.LoadFailed, refuse.Leaving:
 		return true
 	}
 	return false
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -24,6 +24,7 @@
 	n.grant.Register()
 	n.extend.Register()
 	n.claim.Register()
+	n.suspect.Register()
 	n.admit.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
@@ -77,5 +78,6 @@
 	go n.owner.Follow(ctx)
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
+	go n.suspect.Run(ctx)
 	go n.admit.Run(ctx)
 }
