Count and time what a node does, for scrapers

Change: package meter keeps histograms with fixed bounds by tenant, class and adapter, and counters of refusals and decisions, on go-metrics counters; GET /metrics on the operators' port writes them in the text exposition format. Each label keeps its busiest names and sums the rest as other. The scheduler's reason for a start tells which part of the wait was a load stall.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -8,6 +8,7 @@
 	"damaskreach/internal/audit"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/digest"
+	"damaskreach/internal/meter"
 	"damaskreach/internal/sess"
 )
 
@@ -24,6 +25,7 @@
 	// Drain starts a graceful shutdown.
 	Drain func()
 	Audit *audit.Audit
+	Meter *meter.Meter
 }
 
 type status struct {
@@ -41,6 +43,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", a.serveStatus)
 	mux.HandleFunc("GET /explain", a.serveExplain)
+	mux.HandleFunc("GET /metrics", a.serveMetrics)
 	mux.HandleFunc("POST /drain", a.serveDrain)
 	return mux
 }
@@ -76,6 +79,11 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+func (a *Admin) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", meter.Kind)
+	_ = a.Meter.Write(w) // the scraper may be gone
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // the operator may be gone
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"damaskreach/internal/lease"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
+	"damaskreach/internal/meter"
 	"damaskreach/internal/owner"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/place"
@@ -67,6 +68,7 @@
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
+	meter   *meter.Meter
 
 	ctx      context.Context
 	started  atomic.Bool
@@ -111,6 +113,7 @@
 
 // note records a decision for operators.
 func (n *Node) note(why reason.Reason, request string) {
+	n.meter.Decided(why)
 	n.audit.Add(n.lease.Session().Node, request, why)
 }
 
@@ -118,6 +121,7 @@
 	c := n.Conf
 	n.loop = loop.NewLoop()
 	n.audit = audit.NewAudit(mostDecisions)
+	n.meter = meter.NewMeter()
 	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer)
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
@@ -125,6 +129,7 @@
 	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.Pause)
 	n.buildRoles()
 	n.buildEntry()
+	n.buildGauges()
 }
 
 func (n *Node) buildRoles() {
@@ -141,7 +146,7 @@
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
 		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Changed: n.changed, Pause: n.Pause,
+		Note: n.note, Started: n.meter.Started, Changed: n.changed, Pause: n.Pause,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
@@ -164,7 +169,7 @@
 	}
 	n.admin = &admin.Admin{
 		Session: n.lease.Session, Nodes: n.nodes, Digests: n.digests, Catalog: n.follow.Catalog,
-		Drain: n.Drain, Audit: n.audit,
+		Drain: n.Drain, Audit: n.audit, Meter: n.meter,
 	}
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -159,7 +159,8 @@
 }
 
 // observe records the outcome of a request for operators.
-func (n *Node) observe(c call.Call, _ timing.Timing, outcome *refuse.Refusal) {
+func (n *Node) observe(c call.Call, t timing.Timing, outcome *refuse.Refusal) {
+	n.meter.Answered(c, t, outcome)
 	if outcome == nil {
 		return
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -19,6 +19,9 @@
 		o.Note(next.Why, h.request(next.Attempt))
 		switch next.Kind {
 		case order.Start:
+			if a := h.attempts[next.Attempt]; a != nil {
+				o.Started(a.call, next.Why)
+			}
 			h.decide(next.Attempt, nil)
 		case order.Refuse:
 			h.decide(next.Attempt, next.Refusal)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/assign"
+	"damaskreach/internal/call"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
@@ -72,6 +73,8 @@
 	Leaving func(addr string) bool
 	// Note records a decision for operators.
 	Note func(why reason.Reason, attempt string)
+	// Started is told of each start and its reason, which holds how long the call waited and for what.
+	Started func(c call.Call, why reason.Reason)
 	// Changed is told of the digests of runners held, whenever they have changed.
 	Changed func(digests []digest.Digest)
 	// Pause is called at the named points; only tests set it.
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -17,6 +17,7 @@
 	Waiting int           `json:"waiting,omitempty" msgpack:"waiting,omitempty"` // requests queued before this one
 	Free    int           `json:"free,omitempty" msgpack:"free,omitempty"`       // free adapter slots
 	Wait    time.Duration `json:"wait,omitempty" msgpack:"wait,omitempty"`       // expected or past wait
+	Stall   time.Duration `json:"stall,omitempty" msgpack:"stall,omitempty"`     // part of Wait until the adapter was resident
 	Demand  float64       `json:"demand,omitempty" msgpack:"demand,omitempty"`   // decayed requests per minute
 	Limit   float64       `json:"limit,omitempty" msgpack:"limit,omitempty"`     // configured bound
 	Used    float64       `json:"used,omitempty" msgpack:"used,omitempty"`       // amount used against Limit
@@ -36,6 +37,7 @@
 	add(r.Waiting != 0, "%d waiting", r.Waiting)
 	add(r.Free != 0, "%d free slots", r.Free)
 	add(r.Wait != 0, "wait %s", r.Wait.Round(time.Millisecond))
+	add(r.Stall != 0, "of it %s until the adapter was resident", r.Stall.Round(time.Millisecond))
 	add(r.Demand != 0, "demand %.2f per minute", r.Demand)
 	add(r.Limit != 0, "used %.0f of %.0f", r.Used, r.Limit)
 	if len(figures) == 0 {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -75,6 +75,7 @@
 	if i.model != nil {
 		i.model.running++
 		why.Model = i.model.name
+		why.Stall = max(0, i.model.changed.Sub(i.arrived))
 	}
 	s.out = append(s.out, order.Order{Kind: order.Start, Attempt: i.call.Attempt, Model: why.Model, Why: why})
 }
