Explain every decision from any node, check operators' keys, show a page

Change: journals are bounded in bytes, with a half for what is rarer than placements. Unloads and changes of ownership go to one keeper per site, which writes one row a window; a node that ends gracefully leaves its refusals there too. GET /explain asks all nodes. Refusals before dispatch are observed. damaskctl has status, explain and drain. Changing needs an operator's key. SIGHUP reads keys anew. GET / is a page for browsers.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,14 +1,16 @@
-// Package admin serves operators: status, explanations and draining.
+// Package admin serves operators: status, explanations, metrics and draining.
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
-	"damaskreach/internal/audit"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/digest"
+	"damaskreach/internal/event"
 	"damaskreach/internal/meter"
+	"damaskreach/internal/query"
 	"damaskreach/internal/sess"
 )
 
@@ -24,56 +26,24 @@
 	Catalog func() catlog.Catalog
 	// Drain starts a graceful shutdown.
 	Drain func()
-	Audit *audit.Audit
-	Meter *meter.Meter
+	// Explain returns the decisions of all nodes that a query matches, and who did not answer.
+	Explain func(ctx context.Context, q query.Query) (events []event.Event, silent []string)
+	// Operators returns the SHA-256 of the operators' keys in hexadecimal.
+	Operators func() []string
+	Meter     *meter.Meter
 }
 
-type status struct {
-	Node     string          `json:"node"`
-	Session  sess.Session    `json:"session"`
-	Rev      int64           `json:"rev"`      // highest configuration revision seen
-	Complete int64           `json:"complete"` // every configuration change up to it is in force
-	Rejected []string        `json:"rejected"`
-	Nodes    []sess.Session  `json:"nodes,omitempty"`
-	Runners  []digest.Digest `json:"runners,omitempty"`
-}
-
-// Handler returns the operators' routes.
+// Handler returns the operators' routes. Reading needs a key only where the settings name any; changing always does.
 func (a *Admin) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /status", a.serveStatus)
-	mux.HandleFunc("GET /explain", a.serveExplain)
-	mux.HandleFunc("GET /metrics", a.serveMetrics)
-	mux.HandleFunc("POST /drain", a.serveDrain)
+	mux.HandleFunc("GET /status", a.reading(a.serveStatus))
+	mux.HandleFunc("GET /explain", a.reading(a.serveExplain))
+	mux.HandleFunc("GET /metrics", a.reading(a.serveMetrics))
+	mux.HandleFunc("GET /{$}", a.reading(a.servePage))
+	mux.HandleFunc("POST /drain", a.changing(a.serveDrain))
 	return mux
 }
 
-// serveStatus answers with the node's state; ?short leaves out what it knows of nodes and runners.
-// An operator's tool that asks 1,300 nodes again and again would else be sent 1,300 lists of 1,300 nodes.
-func (a *Admin) serveStatus(w http.ResponseWriter, r *http.Request) {
-	catalog := a.Catalog()
-	s := status{
-		Node:     a.Session().Node,
-		Session:  a.Session(),
-		Rev:      catalog.Rev(),
-		Complete: catalog.Complete(),
-		Rejected: []string{},
-	}
-	if !r.URL.Query().Has("short") {
-		s.Nodes = a.Nodes()
-		s.Runners = a.Digests()
-	}
-	for _, f := range catalog.Rejected() {
-		s.Rejected = append(s.Rejected, f.Error())
-	}
-	writeJSON(w, s)
-}
-
-// serveExplain answers with the decisions about a request, model or runner, one plain sentence each.
-func (a *Admin) serveExplain(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, a.Audit.Find(r.URL.Query().Get("about")))
-}
-
 func (a *Admin) serveDrain(w http.ResponseWriter, _ *http.Request) {
 	a.Drain()
 	w.WriteHeader(http.StatusAccepted)
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -2,49 +2,66 @@
 package audit
 
 import (
+	"slices"
 	"sync"
-	"time"
 
 	"damaskreach/internal/event"
+	"damaskreach/internal/query"
 	"damaskreach/internal/reason"
 )
 
-// Audit is a bounded journal: when it is full the oldest entry makes room. It may be used from several goroutines.
+// Audit is a journal bounded in bytes. Placements and starts come with every request and have a half of their own, so that
+// at peak they do not push out refusals, loads and unloads. It may be used from several goroutines.
 type Audit struct {
-	mu      sync.Mutex
-	entries []event.Event
-	next    int
-	most    int
+	mu    sync.Mutex
+	usual ring // placements and starts
+	rare  ring
 }
 
-// NewAudit returns a journal of at most most entries.
+// NewAudit returns a journal that keeps at most most bytes.
 func NewAudit(most int) *Audit {
-	return &Audit{most: most}
+	return &Audit{usual: ring{most: most / 2}, rare: ring{most: most / 2}}
 }
 
-// Add records a decision of a node about a request; request is empty where it concerns none.
-func (a *Audit) Add(node, request string, why reason.Reason) {
+// Add records a decision; the oldest of its half make room.
+func (a *Audit) Add(e event.Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	e := event.Event{At: time.Now(), Node: node, Request: request, Why: why}
-	if len(a.entries) < a.most {
-		a.entries = append(a.entries, e)
+	if usual(e.Why) {
+		a.usual.add(e)
 		return
 	}
-	a.entries[a.next] = e
-	a.next = (a.next + 1) % a.most
+	a.rare.add(e)
 }
 
-// Find returns the entries, oldest first, whose request, model or runner is name; an empty name finds all.
-func (a *Audit) Find(name string) []event.Event {
+// usual reports whether a decision is one that nearly every request causes.
+func usual(why reason.Reason) bool {
+	switch why.Kind {
+	case reason.Started, "resident", "near", "twin", "free":
+		return true
+	}
+	return false
+}
+
+// Find returns the entries that a query matches, oldest first.
+func (a *Audit) Find(q query.Query) []event.Event {
+	a.mu.Lock()
+	found := append(a.usual.find(q), a.rare.find(q)...)
+	a.mu.Unlock()
+	slices.SortStableFunc(found, func(a, b event.Event) int { return a.At.Compare(b.At) })
+	return q.Newest(found)
+}
+
+// Rare returns the newest entries that few requests cause, such as refusals; at most most of them.
+func (a *Audit) Rare(most int) []event.Event {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var found []event.Event
-	for i := range a.entries {
-		e := a.entries[(a.next+i)%len(a.entries)]
-		if name == "" || e.Request == name || e.Why.Model == name || e.Why.Runner == name {
-			found = append(found, e)
-		}
-	}
-	return found
+	return query.Query{Most: most}.Newest(a.rare.find(query.Query{}))
+}
+
+// Bytes returns how much is kept.
+func (a *Audit) Bytes() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usual.bytes + a.rare.bytes
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -68,7 +68,7 @@
 	var o options
 	parser := flags.NewNamedParser("damaskdemo", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "damaskdemo runs six nodes and fifteen upstreams in one process, drains a node and crashes an engine on the way,\n" +
-		"and exits with 1 if any answer was wrong, lost or doubled."
+		"and exits with 1 if any answer was wrong, lost or doubled, or if nobody can tell why a request was refused or an adapter unloaded."
 	if _, err := parser.AddGroup("Options", "", &o); err != nil {
 		panic(err) // the options above are a constant of the program
 	}
@@ -106,8 +106,10 @@
 	d.send(sendCtx)
 	d.site.Wait(drainNode)
 	breaches := d.judge.Breaches(d.records())
-	d.report(ctx, breaches, time.Since(begin))
-	return breaches, nil
+	took := time.Since(begin)
+	unexplained := d.explain(ctx)
+	d.report(ctx, breaches, unexplained, took)
+	return append(breaches, unexplained...), nil
 }
 
 func (d *Demo) start(ctx context.Context) error {
--- a/internal/demo/entries.go
+++ b/internal/demo/entries.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"damaskreach/internal/stand/site"
@@ -14,7 +13,7 @@
 type entries struct {
 	site *site.Site
 
-	mu    sync.Mutex
+	lock  chan struct{} // holds one while the fields below are used; virtual time goes on while a caller waits for it
 	nodes []int
 	until time.Time
 }
@@ -25,7 +24,7 @@
 }
 
 func newEntries(s *site.Site) *entries {
-	e := &entries{site: s}
+	e := &entries{site: s, lock: make(chan struct{}, 1)}
 	for i := range nodes {
 		e.nodes = append(e.nodes, i)
 	}
@@ -34,8 +33,8 @@
 
 // pick returns the nth of the nodes that discovery names.
 func (e *entries) pick(ctx context.Context, n int) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.lock <- struct{}{}
+	defer func() { <-e.lock }()
 	if time.Now().After(e.until) {
 		e.refresh(ctx)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,5 +71,5 @@
 }
 
 func (e *Entry) serveUnknown(w http.ResponseWriter, r *http.Request) {
-	e.refuse(w, badRequest("no route for %s %s", r.Method, r.URL.Path))
+	e.reject(w, r, call.Call{}, badRequest("no route for %s %s", r.Method, r.URL.Path))
 }
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -14,11 +14,11 @@
 func (e *Entry) serveKeyed(ctx context.Context, w http.ResponseWriter, c call.Call) {
 	end, prior, err := e.Begin(ctx, c)
 	if err != nil {
-		e.refuse(w, asRefusal(err))
+		e.finish(w, newSink(w), c, asRefusal(err))
 		return
 	}
 	if prior != nil {
-		e.replay(w, *prior)
+		e.replay(w, c, *prior)
 		return
 	}
 	s := newSink(w)
@@ -58,13 +58,13 @@
 }
 
 // replay answers a repeat with the first one's outcome.
-func (e *Entry) replay(w http.ResponseWriter, a answer.Answer) {
+func (e *Entry) replay(w http.ResponseWriter, c call.Call, a answer.Answer) {
 	w.Header().Set(HeaderReplayed, "true")
 	switch {
 	case a.Refusal != nil:
-		e.refuse(w, a.Refusal)
+		e.finish(w, newSink(w), c, a.Refusal)
 	case !a.Kept:
-		e.refuse(w, refuse.NewRefusal(verd.Ran, refuse.Repeat, "the first request with this idempotency key was answered in full; its answer was not kept"))
+		e.finish(w, newSink(w), c, refuse.NewRefusal(verd.Ran, refuse.Repeat, "the first request with this idempotency key was answered in full; its answer was not kept"))
 	default:
 		w.Header().Set("Content-Type", a.Kind)
 		w.Header().Set(HeaderVerdict, a.Verdict.String())
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 
+	"damaskreach/internal/call"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -24,7 +25,7 @@
 func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
 	owner, refusal := e.tenant(r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.reject(w, r, call.Call{}, refusal)
 		return
 	}
 	list := modelList{Object: "list", Data: []modelItem{}}
@@ -51,7 +52,7 @@
 func (e *Entry) serveEntries(w http.ResponseWriter, r *http.Request) {
 	serving, err := e.Serving(r.Context(), r.URL.Query().Get("model"))
 	if err != nil {
-		e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "listing entries: %v", err))
+		e.reject(w, r, call.Call{}, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "listing entries: %v", err))
 		return
 	}
 	list := entryList{Entries: []string{}, Life: e.EntriesLife.Seconds()}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -17,7 +17,7 @@
 func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
 	c, refusal := e.parseModel(w, r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.reject(w, r, c, refusal)
 		return
 	}
 	e.serve(w, r, c)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,7 +13,7 @@
 func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request) {
 	c, refusal := e.parsePlain(w, r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.reject(w, r, c, refusal)
 		return
 	}
 	e.serve(w, r, c)
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"math"
@@ -8,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"damaskreach/internal/call"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -55,6 +57,19 @@
 	}}
 }
 
+// reject refuses a request before it is dispatched. Its refusal is observed like any other, under the caller's request id
+// or a new one, which the answer names: an operator may be asked about it.
+func (e *Entry) reject(w http.ResponseWriter, r *http.Request, c call.Call, refusal *refuse.Refusal) {
+	if c.ID == "" || len(c.ID) > mostHeader {
+		c.ID = r.Header.Get(HeaderRequest)
+	}
+	if c.ID == "" || len(c.ID) > mostHeader {
+		c.ID = rand.Text()
+	}
+	w.Header().Set(HeaderRequest, c.ID)
+	e.finish(w, newSink(w), c, refusal)
+}
+
 // refuse answers with a refusal at once. Retry-After is in whole seconds, rounded up.
 func (e *Entry) refuse(w http.ResponseWriter, r *refuse.Refusal) {
 	h := w.Header()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -18,7 +18,7 @@
 // serve answers one checked call.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, c call.Call) {
 	if e.Closed() {
-		e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this node is shutting down").WithRetry(time.Second))
+		e.reject(w, r, c, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this node is shutting down").WithRetry(time.Second))
 		return
 	}
 	ctx, cancel := e.bound(r.Context(), c)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -108,6 +108,19 @@
 	return false
 }
 
+// Refused returns the ids of the requests that were answered with a refusal, in no order.
+func (j *Judge) Refused() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var ids []string
+	for id, r := range j.seen {
+		if r.status >= http.StatusBadRequest {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Count returns how many requests were answered in full and how many were not, by verdict.
 func (j *Judge) Count() (whole int, refused map[string]int) {
 	j.mu.Lock()
--- a/internal/launch/run.go
+++ b/internal/launch/run.go
@@ -89,7 +89,7 @@
 		fmt.Fprintln(errOut, err)
 		return exitUsage
 	}
-	if err := serve(c, log); err != nil {
+	if err := serve(path, c, log); err != nil {
 		log.Error("the node ended with a fault", zap.Error(err))
 		return exitFault
 	}
@@ -112,7 +112,7 @@
 }
 
 // serve runs the node. The first signal drains it, a second one stops it at once.
-func serve(c conf.Conf, log *zap.Logger) error {
+func serve(path string, c conf.Conf, log *zap.Logger) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -122,6 +122,7 @@
 	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	n := node.NewNode(c, dial, listen, log)
+	go rekey(ctx, path, n)
 	go func() {
 		<-signals
 		n.Drain()
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -107,5 +108,5 @@
 		kept = append(kept, m)
 	}
 	b.ReportMetric(float64(heap()-before)/float64(b.N), "kept-B")
-	b.ReportMetric(float64(len(kept)), "meters")
+	runtime.KeepAlive(kept)
 }
--- a/internal/meter/write.go
+++ b/internal/meter/write.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
+
+	"damaskreach/internal/reason"
 )
 
 // Kind is the content type of what Write writes.
@@ -20,14 +22,15 @@
 
 // Kinds of decisions that have a counter of their own, and the counter's name.
 var counters = []struct{ kind, name, help string }{
-	{"loaded", "loads_total", "adapters loaded"},
-	{"load-failed", "load_failures_total", "loads that failed"},
-	{"unload", "unloads_total", "unloads ordered"},
-	{"taken", "takeovers_total", "runners taken over"},
+	{reason.Loaded, "loads_total", "adapters loaded"},
+	{reason.LoadFailed, "load_failures_total", "loads that failed"},
+	{reason.Unload, "unloads_total", "unloads ordered"},
+	{reason.Taken, "takeovers_total", "runners taken over"},
 }
 
 // Write writes everything in the text exposition format of Prometheus, in a fixed order.
 func (m *Meter) Write(w io.Writer) error {
+	gauges := m.readGauges()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := bufio.NewWriter(w)
@@ -36,13 +39,23 @@
 	m.writeTimes(out, "queue_wait_seconds", "time at the owner before the start, without the load stall", func(s *series) *times { return s.wait })
 	m.writeTimes(out, "load_stall_seconds", "time at the owner until the adapter was resident", func(s *series) *times { return s.stall })
 	m.writeCounters(out)
-	for _, g := range m.gauges {
+	for i, g := range m.gauges {
 		head(out, g.name, g.help, "gauge")
-		fmt.Fprintf(out, "%s%s %s\n", prefix, g.name, strconv.FormatFloat(g.read(), 'g', -1, 64))
+		fmt.Fprintf(out, "%s%s %s\n", prefix, g.name, strconv.FormatFloat(gauges[i], 'g', -1, 64))
 	}
 	return out.Flush()
 }
 
+// readGauges is called without the lock: gauges wait for the control goroutine, which may just be waiting to count.
+// With the lock the node would stand still at the first scrape that meets a decision.
+func (m *Meter) readGauges() []float64 {
+	var values []float64
+	for _, g := range m.gauges {
+		values = append(values, g.read())
+	}
+	return values
+}
+
 func (m *Meter) writeTimes(out io.Writer, name, help string, pick func(s *series) *times) {
 	for _, l := range m.labels {
 		full := l.name + "_" + name
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -9,7 +9,10 @@
 	"damaskreach/internal/loop"
 )
 
-const drainPoll = 100 * time.Millisecond
+const (
+	drainPoll   = 100 * time.Millisecond
+	mostBequest = 1000 // decisions of an ending node that are kept, beside those that are in any case
+)
 
 // Drain starts a graceful shutdown; Run returns once it is complete. Further calls change nothing.
 //
@@ -32,12 +35,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease)
 	defer cancel()
+	n.bequeath(ctx)
 	if err := n.lease.Release(ctx); err != nil {
 		n.Log.Warn("deleting the session row failed; others wait for the lease to end", zap.Error(err))
 	}
 	n.Log.Info("drained")
 }
 
+// bequeath has the ledger keep this node's refusals, failed loads and the like, which its journal would take along. No caller
+// is served any more, so that none is refused afterwards and unexplained.
+func (n *Node) bequeath(ctx context.Context) {
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.Log.Info("closing the callers' connections took too long", zap.Error(err))
+	}
+	for _, e := range n.audit.Rare(mostBequest) {
+		if !e.Why.Lasting() {
+			n.ledger.Add(e)
+		}
+	}
+	n.ledger.Flush(ctx)
+}
+
 // idle reports whether no request runs through this node, as entry or as owner.
 func (n *Node) idle(ctx context.Context) bool {
 	running, err := loop.Get(ctx, n.loop, n.owner.Running)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,15 +4,19 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"damaskreach/internal/admin"
+	"damaskreach/internal/asker"
 	"damaskreach/internal/audit"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/entry"
+	"damaskreach/internal/event"
 	"damaskreach/internal/extend"
 	"damaskreach/internal/follow"
 	"damaskreach/internal/gather"
@@ -20,12 +24,14 @@
 	"damaskreach/internal/home"
 	"damaskreach/internal/hosts"
 	"damaskreach/internal/lease"
+	"damaskreach/internal/ledger"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
 	"damaskreach/internal/meter"
 	"damaskreach/internal/owner"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/place"
+	"damaskreach/internal/query"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/relay"
 	"damaskreach/internal/sess"
@@ -34,7 +40,7 @@
 	"damaskreach/internal/watch"
 )
 
-const mostDecisions = 4096 // kept in the journal of a node
+const journalSize = 4 << 20 // bytes of decisions kept in memory
 
 // Node is one process that serves callers and owns runners.
 // The exported fields may be changed between NewNode and Run.
@@ -69,17 +75,22 @@
 	admin   *admin.Admin
 	audit   *audit.Audit
 	meter   *meter.Meter
+	ledger  *ledger.Ledger
+	asker   *asker.Asker
+	callers *http.Server
 
+	keys     atomic.Pointer[[]string] // SHA-256 of operators' keys in force
 	ctx      context.Context
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
+	ready    chan struct{} // closed once the parts are built
 	drain    chan struct{}
 }
 
 // NewNode returns a node with the settings c that reaches everything over dial.
 func NewNode(c conf.Conf, dial func(ctx context.Context, addr string) (net.Conn, error), listen func(addr string) (net.Listener, error), log *zap.Logger) *Node {
-	return &Node{
+	n := &Node{
 		Conf:   c,
 		Table:  table.NewTable(c.Tables, dial),
 		Log:    log,
@@ -87,8 +98,11 @@
 		Listen: listen,
 		Hosts:  hosts.NewHosts(c.Hosts, dial),
 		Pause:  func(string) {},
+		ready:  make(chan struct{}),
 		drain:  make(chan struct{}),
 	}
+	n.keys.Store(&c.Operators)
+	return n
 }
 
 // Run serves until ctx ends, or until a drain is complete.
@@ -114,13 +128,22 @@
 // note records a decision for operators.
 func (n *Node) note(why reason.Reason, request string) {
 	n.meter.Decided(why)
-	n.audit.Add(n.lease.Session().Node, request, why)
+	e := event.Event{At: time.Now().Round(0).UTC(), Node: n.Conf.Node, Request: request, Why: why}
+	n.audit.Add(e)
+	if why.Lasting() {
+		n.ledger.Add(e)
+	}
+}
+
+// explain returns the decisions that this node knows of.
+func (n *Node) explain(q query.Query) []event.Event {
+	return event.Merge(n.audit.Find(q), n.ledger.Own(q))
 }
 
 func (n *Node) build() {
 	c := n.Conf
 	n.loop = loop.NewLoop()
-	n.audit = audit.NewAudit(mostDecisions)
+	n.audit = audit.NewAudit(journalSize)
 	n.meter = meter.NewMeter()
 	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer)
 	n.members = member.NewMember(c.Lease)
@@ -130,6 +153,7 @@
 	n.buildRoles()
 	n.buildEntry()
 	n.buildGauges()
+	close(n.ready)
 }
 
 func (n *Node) buildRoles() {
@@ -157,6 +181,8 @@
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
+	n.ledger = &ledger.Ledger{Site: c.Site, Mesh: n.mesh, Table: n.Table, Log: n.Log, Home: n.home.Of}
+	n.asker = &asker.Asker{Mesh: n.mesh, Peers: n.peers, Own: n.explain, Kept: n.ledger.Find}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
 
@@ -169,7 +195,7 @@
 	}
 	n.admin = &admin.Admin{
 		Session: n.lease.Session, Nodes: n.nodes, Digests: n.digests, Catalog: n.follow.Catalog,
-		Drain: n.Drain, Audit: n.audit, Meter: n.meter,
+		Drain: n.Drain, Explain: n.asker.Find, Operators: n.operators, Meter: n.meter,
 	}
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -164,5 +165,9 @@
 	if outcome == nil {
 		return
 	}
-	n.note(reason.Reason{Kind: outcome.Code, Text: outcome.Text, Model: c.Model()}, c.ID)
+	why := reason.Reason{Kind: outcome.Code, Text: strings.TrimSuffix(outcome.Text, "."), Wait: outcome.Retry, Verdict: outcome.Verdict.String()}
+	if c.Adapter != "" {
+		why.Model = c.Model()
+	}
+	n.note(why, c.ID)
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -24,6 +24,8 @@
 	n.grant.Register()
 	n.extend.Register()
 	n.claim.Register()
+	n.ledger.Register()
+	n.asker.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -34,19 +36,19 @@
 			n.Log.Error("serving other nodes ended", zap.Error(err))
 		}
 	}()
-	if err := n.serveHTTP(ctx, n.Conf.HTTP, n.entry.Handler()); err != nil {
+	if n.callers, err = n.serveHTTP(ctx, n.Conf.HTTP, n.entry.Handler()); err != nil {
 		return merry.Prependf(err, "opening the address for callers")
 	}
-	if err := n.serveHTTP(ctx, n.Conf.Admin, n.admin.Handler()); err != nil {
+	if _, err = n.serveHTTP(ctx, n.Conf.Admin, n.admin.Handler()); err != nil {
 		return merry.Prependf(err, "opening the address for operators")
 	}
 	return nil
 }
 
-func (n *Node) serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+func (n *Node) serveHTTP(ctx context.Context, addr string, h http.Handler) (*http.Server, error) {
 	lis, err := n.Listen(addr)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	server := &http.Server{
 		Handler:           h,
@@ -62,7 +64,7 @@
 			n.Log.Error("serving HTTP ended", zap.String("addr", addr), zap.Error(err))
 		}
 	}()
-	return nil
+	return server, nil
 }
 
 // start begins the node's own work. The session is written only once the addresses are open: a node that other
@@ -75,4 +77,5 @@
 	go n.owner.Follow(ctx)
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
+	go n.ledger.Run(ctx)
 }
--- /dev/null
+++ b/internal/opctl/status.go
@@ -0,0 +1,123 @@
+package opctl
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"damaskreach/internal/digest"
+	"damaskreach/internal/sess"
+)
+
+const statusText = `status asks every node of the site and shows sums first: nodes, runners, slots, loads waiting, the revision in force and who lags, refusals by reason. Up to 20 nodes are listed one by one; of more, only those that lag, do not answer, leave or reject rows are, unless --all is given.`
+
+const (
+	watchEvery = 2 * time.Second
+	asked      = 64 // nodes asked at once
+	clear      = "\x1b[H\x1b[2J"
+)
+
+type status struct {
+	Watch bool `long:"watch" description:"show it anew every 2 seconds until interrupted"`
+	All   bool `long:"all" description:"list every node"`
+}
+
+// nodeStatus is what a node says of itself, or why it says nothing.
+type nodeStatus struct {
+	Session  sess.Session     `json:"session"`
+	Rev      int64            `json:"rev"`
+	Complete int64            `json:"complete"`
+	Rejected []string         `json:"rejected"`
+	Known    int              `json:"known"`
+	Totals   totals           `json:"totals"`
+	Refusals map[string]int64 `json:"refusals"`
+	Ill      []digest.Digest  `json:"ill"`
+	Nodes    []sess.Session   `json:"nodes"`
+	silent   string
+}
+
+// totals are sums over runners.
+type totals struct {
+	Runners int `json:"runners"`
+	Slots   int `json:"slots"`
+	Free    int `json:"free"`
+	Loading int `json:"loading"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Batch   int `json:"batch"`
+}
+
+func (t totals) plus(more totals) totals {
+	return totals{
+		Runners: t.Runners + more.Runners,
+		Slots:   t.Slots + more.Slots,
+		Free:    t.Free + more.Free,
+		Loading: t.Loading + more.Loading,
+		Running: t.Running + more.Running,
+		Waiting: t.Waiting + more.Waiting,
+		Batch:   t.Batch + more.Batch,
+	}
+}
+
+func (c *status) run(ctx context.Context, t *Tool) error {
+	n, err := t.nodes()
+	if err != nil {
+		return err
+	}
+	defer n.http.CloseIdleConnections()
+	for {
+		text, err := c.look(ctx, t, n)
+		switch {
+		case !c.Watch && err != nil:
+			return err
+		case !c.Watch:
+			t.say("%s", text)
+			return nil
+		case err != nil:
+			text = err.Error()
+		}
+		t.say("%s%s\n\n%s", clear, time.Now().Format(time.TimeOnly), text)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(watchEvery):
+		}
+	}
+}
+
+func (c *status) look(ctx context.Context, t *Tool, n nodes) (string, error) {
+	sessions, err := t.sessions(ctx, n)
+	if err != nil {
+		return "", err
+	}
+	all := make([]nodeStatus, len(sessions))
+	var group errgroup.Group
+	group.SetLimit(asked)
+	for i, s := range sessions {
+		group.Go(func() error {
+			all[i] = n.about(ctx, s)
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	return newView(all, c.All).String(), nil
+}
+
+// about asks a node for its short status.
+func (n nodes) about(ctx context.Context, s sess.Session) nodeStatus {
+	said, err := n.status(ctx, s.Admin, "?short")
+	switch {
+	case err != nil:
+		return nodeStatus{Session: s, silent: "does not answer: " + err.Error()}
+	case said.Session.ID() != s.ID():
+		return nodeStatus{Session: s, silent: "its address has been taken by " + said.Session.ID()}
+	}
+	return said
+}
+
+func (n nodes) status(ctx context.Context, addr, query string) (nodeStatus, error) {
+	var s nodeStatus
+	err := n.call(ctx, "GET", addr, "/status"+query, &s)
+	return s, err
+}
--- a/internal/opctl/tool.go
+++ b/internal/opctl/tool.go
@@ -44,6 +44,7 @@
 type options struct {
 	Tables  []string      `long:"table" value-name:"ADDR" description:"IP and port of the table service; may be given several times"`
 	Config  string        `long:"config" value-name:"FILE" description:"settings file of a node, read for the table's addresses and the site"`
+	Node    string        `long:"node" value-name:"ADDR" description:"IP and port for operators of one node, to ask in place of the table for the others"`
 	By      string        `long:"by" value-name:"NAME" env:"USER" description:"who edits; others see it when edits race"`
 	KeyFile string        `long:"key-file" value-name:"FILE" description:"file with your operator's key for the nodes' operator port"`
 	Wait    time.Duration `long:"wait" value-name:"TIME" default:"15s" description:"how long to wait until a change is in force on every node"`
--- a/internal/owner/former.go
+++ b/internal/owner/former.go
@@ -156,7 +156,7 @@
 		o.carry(h, h.sched.Unbar(h.barred))
 		h.barred = ""
 	}
-	o.Note(reason.Reason{Kind: "former-done", Text: why, Runner: h.spec.Name}, "")
+	o.Note(reason.Reason{Kind: reason.FormerDone, Text: why + " (session " + f.session + ")", Runner: h.spec.Name, Fence: h.fence}, "")
 	o.Log.Info("an earlier owner is done", zap.String("runner", h.spec.Name), zap.String("session", f.session), zap.String("why", why))
 	h.row = h.row.WithoutFormer(f.session)
 	h.dirty = true
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -76,9 +76,9 @@
 }
 
 func (o *Owner) noteLoad(h *held, model string, took time.Duration, err error) {
-	why := reason.Reason{Kind: "loaded", Text: "the adapter is loaded", Model: model, Runner: h.spec.Name, Wait: took}
+	why := reason.Reason{Kind: reason.Loaded, Text: "the adapter is loaded", Model: model, Runner: h.spec.Name, Wait: took}
 	if err != nil {
-		why.Kind, why.Text = "load-failed", "loading the adapter failed: "+err.Error()
+		why.Kind, why.Text = reason.LoadFailed, "loading the adapter failed: "+err.Error()
 	}
 	o.Note(why, "")
 }
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"path"
 	"time"
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/reason"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/sess"
@@ -150,6 +152,7 @@
 		o.Log.Warn("ending a lapsed session failed", zap.String("key", edit.Key), zap.Error(err))
 	}
 	if err == nil {
+		o.Note(reason.Reason{Kind: reason.Ended, Text: "the lapsed session " + path.Base(edit.Key) + " was ended, so that its runners can be taken over"}, "")
 		o.Log.Info("ended a lapsed session", zap.String("key", edit.Key))
 	}
 	_ = o.Loop.Post(func() { delete(o.busy, edit.Key) })
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -49,7 +49,7 @@
 	delete(o.held, h.spec.Name)
 	o.closing = append(o.closing, h)
 	o.carry(h, h.sched.Close(now, why))
-	o.Note(reason.Reason{Kind: "given-up", Text: why, Runner: h.spec.Name, Running: h.sched.Running()}, "")
+	o.Note(reason.Reason{Kind: reason.GivenUp, Text: why, Runner: h.spec.Name, Fence: h.fence, Running: h.sched.Running()}, "")
 	o.Log.Info("gave a runner up", zap.String("runner", h.spec.Name), zap.Int64("fence", h.fence), zap.String("why", why))
 	d := o.digest(now, h)
 	d.Closed = true
--- a/internal/owner/take.go
+++ b/internal/owner/take.go
@@ -77,7 +77,7 @@
 	now := time.Now()
 	h := o.newHeld(r, row, rev)
 	o.held[r.Name] = h
-	o.Note(reason.Reason{Kind: "taken", Text: "This node took the runner over", Runner: r.Name}, "")
+	o.Note(reason.Reason{Kind: reason.Taken, Text: "this node took the runner over", Runner: r.Name, Fence: row.Fence}, "")
 	o.Log.Info("took a runner over", zap.String("runner", r.Name), zap.Int64("fence", row.Fence))
 	if r.Leaving {
 		h.leaving = true
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, merry.Prependf(err, "dialling %s", l.addr)
 	}
-	return wire.Dial(m.ctx, nc, m.self.WithDest(l.addr), m.secrets, m.bounds, nil)
+	return wire.Dial(m.ctx, nc, m.self.WithDest(l.addr), *m.secrets.Load(), m.bounds, nil)
 }
 
 // failed notes a failed dial.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -19,6 +20,7 @@
 // Answer and the With methods, which belong before Serve and the first Open.
 type Mesh struct {
 	settings
+	secrets  atomic.Pointer[[][]byte]
 	handlers map[string]func(ctx context.Context, s *strm.Stream) error
 	ctx      context.Context // ends with Close; dials and connections live in it
 	cancel   context.CancelFunc
@@ -31,11 +33,11 @@
 
 // settings do not change while a mesh is used.
 type settings struct {
-	self    hello.Hello
-	secrets [][]byte
-	dial    func(ctx context.Context, addr string) (net.Conn, error)
-	log     *zap.Logger
-	bounds  bounds.Bounds
+	self   hello.Hello
+	keys   [][]byte // secrets at the start
+	dial   func(ctx context.Context, addr string) (net.Conn, error)
+	log    *zap.Logger
+	bounds bounds.Bounds
 }
 
 // NewMesh returns the mesh of node self, which proves itself with the first of the secrets and accepts peers that
@@ -44,11 +46,11 @@
 	self string, secrets [][]byte, dial func(ctx context.Context, addr string) (net.Conn, error), log *zap.Logger,
 ) *Mesh {
 	return newMesh(settings{
-		self:    hello.NewHello(self, rand.Text()),
-		secrets: secrets,
-		dial:    dial,
-		log:     log,
-		bounds:  bounds.NewBounds(),
+		self:   hello.NewHello(self, rand.Text()),
+		keys:   secrets,
+		dial:   dial,
+		log:    log,
+		bounds: bounds.NewBounds(),
 	})
 }
 
@@ -58,6 +60,7 @@
 		handlers: make(map[string]func(ctx context.Context, s *strm.Stream) error),
 		links:    make(map[string]*link),
 	}
+	m.secrets.Store(&s.keys)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
@@ -97,6 +100,11 @@
 	return m.with(s)
 }
 
+// Rekey changes the secrets for the handshakes that begin from now on. Connections that are open stay.
+func (m *Mesh) Rekey(secrets [][]byte) {
+	m.secrets.Store(&secrets)
+}
+
 // Close ends all connections, dials and handlers and returns when they have ended.
 func (m *Mesh) Close() {
 	m.mu.Lock()
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -59,7 +59,7 @@
 
 // accept runs one connection that a peer dialled.
 func (m *Mesh) accept(nc net.Conn) {
-	c, err := wire.Accept(m.ctx, nc, m.self, m.secrets, m.bounds, m.serve)
+	c, err := wire.Accept(m.ctx, nc, m.self, *m.secrets.Load(), m.bounds, m.serve)
 	if err != nil {
 		m.log.Warn("refused a connection", zap.Stringer("from", nc.RemoteAddr()), zap.Error(err))
 		return
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -65,7 +65,7 @@
 	s.running[i.call.Attempt] = i
 	s.shares.start(i.call.Tenant, i.call.Tokens)
 	why := reason.Reason{
-		Kind:    "started",
+		Kind:    reason.Started,
 		Text:    "the batch had room and the model was resident",
 		Runner:  s.runner.Name,
 		Running: len(s.running),
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -82,7 +82,7 @@
 
 func (s *Sched) urgency(now time.Time, m *model) reason.Reason {
 	why := reason.Reason{
-		Kind:    "load",
+		Kind:    reason.Load,
 		Text:    "requests wait for the adapter",
 		Model:   m.name,
 		Runner:  s.runner.Name,
@@ -121,7 +121,7 @@
 // orderUnload gives a model's slot up.
 func (s *Sched) orderUnload(now time.Time, m *model, text string) {
 	why := reason.Reason{
-		Kind:    "unload",
+		Kind:    reason.Unload,
 		Text:    text,
 		Model:   m.name,
 		Runner:  s.runner.Name,
--- a/internal/stand/engsim/engsim.go
+++ b/internal/stand/engsim/engsim.go
@@ -49,17 +49,18 @@
 	// Length chooses how many tokens an answer has, of the most that were asked for; nil means all of them.
 	Length func(prompt string, most int) int
 
-	mux   *http.ServeMux
-	power *uptime.Uptime
-	mu    sync.Mutex
-	boot  *boot
-	fence int64
-	slow  float64 // factor on the time of a step
-	fails int     // loads still to fail
-	seq   int64   // arrivals, for the order among equal priorities
-	log   []recrd.Record
-	wrong []recrd.Record
-	past  []snapshot
+	mux     *http.ServeMux
+	power   *uptime.Uptime
+	mu      sync.Mutex
+	boot    *boot
+	fence   int64
+	slow    float64 // factor on the time of a step
+	fails   int     // loads still to fail
+	seq     int64   // arrivals, for the order among equal priorities
+	log     []recrd.Record
+	wrong   []recrd.Record
+	unloads []recrd.Record
+	past    []snapshot
 }
 
 // NewEngine returns an engine with nothing loaded and middling settings.
--- a/internal/stand/engsim/order.go
+++ b/internal/stand/engsim/order.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// Unloads returns a record of every unload that was carried out.
+func (e *Engine) Unloads() []recrd.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.unloads)
+}
+
 // unload obeys even where the model is in use: engines do, and the breach is what a test looks for.
 func (e *Engine) unload(b *boot, o order) {
 	now := time.Now()
@@ -149,6 +156,7 @@
 		e.wrong = append(e.wrong, rec.WithEnd(recrd.Cut, now))
 		e.settle(r, recrd.Cut)
 	}
+	e.unloads = append(e.unloads, recrd.Record{Model: o.Model, Boot: b.id, Fence: o.Fence, Started: now, Finished: now, End: recrd.Whole})
 	delete(b.models, o.Model)
 	b.cache.drop(o.Model, now)
 	e.note()
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -17,6 +17,7 @@
 	PrefixOrder   = "order/"   // orders written ahead for engines that ignore fences
 	PrefixClaim   = "claim/"   // idempotency keys
 	PrefixSuspect = "suspect/" // requests that crashed upstreams
+	PrefixWhy     = "why/"     // decisions that outlast their node
 )
 
 var (
