--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/admin"
+	"damaskreach/internal/admit"
 	"damaskreach/internal/asker"
 	"damaskreach/internal/audit"
 	"damaskreach/internal/claim"
@@ -71,6 +72,7 @@
 	grant   *grant.Grant
 	gather  *gather.Gather
 	claim   *claim.Claim
+	admit   *admit.Admit
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
@@ -183,6 +185,7 @@
 	}
 	n.ledger = &ledger.Ledger{Site: c.Site, Mesh: n.mesh, Table: n.Table, Log: n.Log, Home: n.home.Of}
 	n.asker = &asker.Asker{Mesh: n.mesh, Peers: n.peers, Own: n.explain, Kept: n.ledger.Find}
+	n.admit = &admit.Admit{Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Peers: n.peers}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
 
@@ -190,7 +193,7 @@
 	c := n.Conf
 	n.entry = &entry.Entry{
 		MaxBody: c.MaxBody, MaxRequest: c.MaxRequest, EntriesLife: c.EntriesLife, RetryShare: c.RetryBudget, Log: n.Log,
-		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Begin: n.claim.Begin, Settle: n.home.Settle,
+		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Admit: n.admit.Ask, Begin: n.claim.Begin, Settle: n.home.Settle,
 		Serving: n.serving, Closed: n.closed.Load, Observe: n.observe,
 	}
 	n.admin = &admin.Admin{
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -26,6 +26,7 @@
 	n.claim.Register()
 	n.ledger.Register()
 	n.asker.Register()
+	n.admit.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
 	if err != nil {
@@ -70,6 +71,7 @@
 // start begins the node's own work. The session is written only once the addresses are open: a node that other
 // nodes and callers can find must answer.
 func (n *Node) start(ctx context.Context) {
+	n.owner.Prepare(ctx)
 	go n.loop.Run(ctx)
 	go n.watch.Run(ctx)
 	go n.follow.Run(ctx)
@@ -78,4 +80,5 @@
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
 	go n.ledger.Run(ctx)
+	go n.admit.Run(ctx)
 }
--- a/internal/wire/cut_test.go
+++ b/internal/wire/cut_test.go
@@ -131,6 +131,24 @@
 	})
 }
 
+// A node closes its connection while the peer still writes. A socket closed with bytes unread makes the kernel throw
+// away what it was sending, so the peer would miss the goodbye: the node reads on until the peer has closed.
+func TestClosingSideWaitsForThePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conn, peer := dialByHand(t, bounds.NewBounds())
+		start := time.Now()
+		go conn.Close()
+		peer.wantFrame(t, frame.Bye, 0)
+		synctest.Wait()
+		peer.send(t, frame.Data, 0, 1, "late")
+		peer.nc.Close()
+		<-conn.Done()
+		if got := time.Since(start); got != 0 {
+			t.Errorf("closed after %v, want at once after the peer", got)
+		}
+	})
+}
+
 // Something connects and says nothing. It must not hold a socket and a goroutine for ever.
 func TestSilentHandshakeEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
