--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -9,6 +9,7 @@
 	"damaskreach/internal/admin"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/digest"
+	"damaskreach/internal/meter"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/sess"
 )
@@ -17,10 +18,12 @@
 	c, _ := catlog.NewCatalog().WithTail([]rows.Row{{Key: "conf/tenant/x", Value: []byte(`{"name":"x"}`), Rev: 3}}, 0, 5)
 	c, _ = c.With([]rows.Row{{Key: "conf/group/g", Value: []byte(`{"name":"h"}`), Rev: 9}})
 	a := &admin.Admin{
-		Session: func() sess.Session { return sess.Session{Node: "n1"} },
-		Nodes:   func() []sess.Session { return []sess.Session{{Node: "n2"}} },
-		Digests: func() []digest.Digest { return []digest.Digest{{Runner: "r1"}} },
-		Catalog: func() catlog.Catalog { return c },
+		Session:   func() sess.Session { return sess.Session{Node: "n1"} },
+		Nodes:     func() []sess.Session { return []sess.Session{{Node: "n2"}} },
+		Digests:   func() []digest.Digest { return []digest.Digest{{Runner: "r1"}} },
+		Catalog:   func() catlog.Catalog { return c },
+		Operators: func() []string { return nil },
+		Meter:     meter.NewMeter(),
 	}
 	full, short := get(a, "/status"), get(a, "/status?short")
 	for _, want := range []string{`"node":"n1"`, `"rev":9`, `"complete":5`, `"rejected":["conf/group/g: revision 9: `} {
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -37,7 +37,7 @@
 // usual reports whether a decision is one that nearly every request causes.
 func usual(why reason.Reason) bool {
 	switch why.Kind {
-	case reason.Started, "resident", "near", "twin", "free":
+	case reason.Started, "resident", "prefix", "loading", "free", "replace", "least":
 		return true
 	}
 	return false
