--- a/internal/opctl/status.go
+++ b/internal/opctl/status.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
 	"damaskreach/internal/digest"
 	"damaskreach/internal/sess"
+	"damaskreach/internal/table"
 )
 
 const statusText = `status asks every node of the site and shows sums first: nodes, runners, slots, loads waiting, the revision in force and who lags, refusals by reason. Up to 20 nodes are listed one by one; of more, only those that lag, do not answer, leave or reject rows are, unless --all is given.`
@@ -101,7 +104,45 @@
 		})
 	}
 	_ = group.Wait() // the functions return no error
-	return newView(all, c.All).String(), nil
+	newest, err := t.newest(ctx, all)
+	v := newView(all, newest, c.All)
+	if err != nil {
+		v.doubt = err.Error()
+	}
+	return v.String(), nil
+}
+
+// newest returns the revision of the newest configuration change that some node may not have yet, or 0. Nodes' own revisions
+// are not compared with each other: the table's revision rises with every write of anything, so that the node which read
+// the table last always has the highest.
+func (t *Tool) newest(ctx context.Context, all []nodeStatus) (int64, error) {
+	if len(t.options.Tables) == 0 && t.options.Config == "" {
+		return 0, merry.New("the table was not asked; give --table or --config")
+	}
+	tab, _, err := t.connect()
+	if err != nil {
+		return 0, err
+	}
+	changed, _, err := tab.Tail(ctx, table.PrefixConf, oldest(all))
+	if err != nil && !errors.Is(err, table.ErrCompacted) {
+		return 0, err
+	}
+	newest := int64(0)
+	for _, row := range changed {
+		newest = max(newest, row.Rev)
+	}
+	return newest, nil
+}
+
+// oldest returns the revision up to which every node that answers has every change.
+func oldest(all []nodeStatus) int64 {
+	least := int64(-1)
+	for _, n := range all {
+		if n.silent == "" && (least < 0 || n.Complete < least) {
+			least = n.Complete
+		}
+	}
+	return max(0, least)
 }
 
 // about asks a node for its short status.
--- a/internal/opctl/view.go
+++ b/internal/opctl/view.go
@@ -24,7 +24,8 @@
 	all      bool
 	sums     totals
 	known    int
-	complete int64 // highest revision in force anywhere
+	newest   int64  // revision of a configuration change that some node may not have; 0 for none
+	doubt    string // why newest is not known; empty where it is
 	silent   int
 	lagging  int
 	refusals map[string]int64
@@ -36,10 +37,9 @@
 	totals totals
 }
 
-func newView(nodes []nodeStatus, all bool) *view {
-	v := &view{nodes: nodes, all: all, refusals: map[string]int64{}, centres: map[string]centre{}}
+func newView(nodes []nodeStatus, newest int64, all bool) *view {
+	v := &view{nodes: nodes, newest: newest, all: all, refusals: map[string]int64{}, centres: map[string]centre{}}
 	for _, n := range nodes {
-		v.complete = max(v.complete, n.Complete)
 		v.known = max(v.known, n.Known)
 	}
 	for _, n := range nodes {
@@ -58,7 +58,7 @@
 	switch {
 	case n.silent != "":
 		v.silent++
-	case n.Complete < v.complete:
+	case n.Complete < v.newest:
 		v.lagging++
 	}
 }
@@ -77,13 +77,25 @@
 	s := v.sums
 	count := len(v.nodes)
 	fmt.Fprintf(b, "nodes      %d, of which %d do not answer\n", count, v.silent)
-	fmt.Fprintf(b, "revision   %d in force on %d of %d nodes, %d lag\n", v.complete, count-v.silent-v.lagging, count, v.lagging)
+	fmt.Fprintf(b, "revision   %s\n", v.revision())
 	fmt.Fprintf(b, "runners    %d in the table, %d with an owner\n", v.known, s.Runners)
 	fmt.Fprintf(b, "slots      %d, of which %d free; %d loads waiting\n", s.Slots, s.Free, s.Loading)
 	fmt.Fprintf(b, "requests   %d running, room for %d; %d queued\n", s.Running, s.Batch, s.Waiting)
 	fmt.Fprintf(b, "refusals   %s\n", refusals(v.refusals))
 }
 
+// revision says what is in force.
+func (v *view) revision() string {
+	all := fmt.Sprintf("every change up to %d is in force on every node that answers", oldest(v.nodes))
+	switch {
+	case v.doubt != "":
+		return all + "; not known whether there are newer ones: " + v.doubt
+	case v.lagging > 0:
+		return fmt.Sprintf("%s; %d lag behind change %d", all, v.lagging, v.newest)
+	}
+	return all + ", and there is none newer"
+}
+
 // refusals lists codes, the most frequent first.
 func refusals(counts map[string]int64) string {
 	if len(counts) == 0 {
@@ -150,8 +162,8 @@
 		return n.silent
 	case len(n.Rejected) > 0:
 		return "rejects " + n.Rejected[0]
-	case n.Complete < v.complete:
-		return fmt.Sprintf("lags by %d revisions", v.complete-n.Complete)
+	case n.Complete < v.newest:
+		return fmt.Sprintf("lags: has no change after %d", n.Complete)
 	}
 	return n.Session.State
 }
