--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -21,10 +21,10 @@
 
 // best returns the runner among those with room that serves c best, and why.
 func (p *Place) best(now time.Time, c call.Call, from []*target) (*target, string, string) {
-	if !p.policy.Near {
+	model := modelOf(c)
+	if model == "" || !p.policy.Near {
 		return p.least(from), "least", "it had the fewest requests"
 	}
-	model := modelOf(c)
 	hurried := p.hurried(now, c)
 	near := p.prefix.get(now, c.Prefix)
 	var best *target
@@ -51,8 +51,17 @@
 	case hurried:
 		return time.Duration(float64(hurryCost) * float64(t.load()) / float64(t.batch()))
 	default:
-		return time.Duration((1 - p.tune.Stall) * float64(p.policy.Empty) * math.Exp(-float64(t.load())/emptyFade))
+		return time.Duration(p.emptyShare() * float64(p.policy.Empty) * math.Exp(-float64(t.load())/emptyFade))
+	}
+}
+
+// emptyShare returns how much of the full cost of an empty batch the setting Stall leaves.
+func (p *Place) emptyShare() float64 {
+	share := 1 - p.tune.Stall
+	if p.policy.Square {
+		share *= share
 	}
+	return share
 }
 
 // hurried reports whether a call would miss its deadline in a full batch if its answer came out long.
@@ -143,12 +152,8 @@
 // storeWait estimates how long the store takes for the loads that runners are known to wait for:
 // half of them for one that is among them, all of them for a new one.
 func (p *Place) storeWait(among *target) time.Duration {
-	loads := 0
-	for _, t := range p.runners {
-		loads += len(t.digest.Loading)
-	}
 	if among != nil {
-		return max(p.load/2, time.Duration(loads)*p.load/2)
+		return max(p.load/2, time.Duration(p.loading)*p.load/2)
 	}
-	return time.Duration(loads) * p.load
+	return time.Duration(p.loading) * p.load
 }
