--- a/internal/opctl/status.go
+++ b/internal/opctl/status.go
@@ -16,9 +16,9 @@
 const statusText = `status asks every node of the site and shows sums first: nodes, runners, slots, loads waiting, the revision in force and who lags, refusals by reason. Up to 20 nodes are listed one by one; of more, only those that lag, do not answer, leave or reject rows are, unless --all is given.`
 
 const (
-	watchEvery = 2 * time.Second
-	asked      = 64 // nodes asked at once
-	clear      = "\x1b[H\x1b[2J"
+	watchEvery  = 2 * time.Second
+	asked       = 64 // nodes asked at once
+	clearScreen = "\x1b[H\x1b[2J"
 )
 
 type status struct {
@@ -80,7 +80,7 @@
 		case err != nil:
 			text = err.Error()
 		}
-		t.say("%s%s\n\n%s", clear, time.Now().Format(time.TimeOnly), text)
+		t.say("%s%s\n\n%s", clearScreen, time.Now().Format(time.TimeOnly), text)
 		select {
 		case <-ctx.Done():
 			return nil
