--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -18,6 +18,7 @@
 objects = ["$net.100:7001"]
 hosts = ["$net.100:7002"]
 secrets = ["a shared key of the site's nodes"]
+operators = ["$(printf site-operator-key | sha256sum | cut -d' ' -f1)"]
 EOF
 }
 
@@ -49,11 +50,16 @@
     launch "node-$i" bin/damaskreach --config "$dir/node-$i.toml"
   done
   declarations
-  bin/damaskctl --config "$dir/node-1.toml" --by site.sh apply "$dir/table"
+  echo site-operator-key >"$dir/operator.key"
+  bin/damaskctl --config "$dir/node-1.toml" --key-file "$dir/operator.key" --by site.sh apply "$dir/table"
   cat <<EOF
 The site runs. Ask it, for instance:
   curl -sN -H 'Authorization: Bearer parish-key' http://$net.1:8000/v1/completions \\
     -d '{"model":"adapter-1","prompt":"pour schedule","max_tokens":8,"stream":true}'
+Look at it, and ask why:
+  bin/damaskctl --config $dir/node-1.toml --key-file $dir/operator.key status
+  bin/damaskctl --config $dir/node-1.toml --key-file $dir/operator.key explain --adapter adapter-1
+or in a browser, with any name and the password site-operator-key: http://$net.1:9000/
 Stop it with 'make site-stop'.
 EOF
 }
