--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -6,6 +6,7 @@
 
 	"damaskreach/internal/answer"
 	"damaskreach/internal/call"
+	"damaskreach/internal/timing"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -14,11 +15,11 @@
 func (e *Entry) serveKeyed(ctx context.Context, w http.ResponseWriter, s *sink, c call.Call) {
 	end, prior, err := e.Begin(ctx, c)
 	if err != nil {
-		e.refuse(w, asRefusal(err))
+		e.finish(w, newSink(w), c, asRefusal(err))
 		return
 	}
 	if prior != nil {
-		e.replay(w, *prior)
+		e.replay(w, c, *prior)
 		return
 	}
 	s.keep = true
@@ -57,13 +58,14 @@
 }
 
 // replay answers a repeat with the first one's outcome.
-func (e *Entry) replay(w http.ResponseWriter, a answer.Answer) {
+func (e *Entry) replay(w http.ResponseWriter, c call.Call, a answer.Answer) {
 	w.Header().Set(HeaderReplayed, "true")
 	switch {
 	case a.Refusal != nil:
+		e.Observe(c, timing.Timing{}, a.Refusal)
 		e.answerRefusal(w, a.Refusal)
 	case !a.Kept:
-		e.refuse(w, refuse.NewRefusal(verd.Ran, refuse.Repeat, "the first request with this idempotency key was answered in full; its answer was not kept"))
+		e.finish(w, newSink(w), c, refuse.NewRefusal(verd.Ran, refuse.Repeat, "the first request with this idempotency key was answered in full; its answer was not kept"))
 	default:
 		w.Header().Set("Content-Type", a.Kind)
 		w.Header().Set(HeaderVerdict, a.Verdict.String())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,12 +4,15 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"damaskreach/internal/admin"
 	"damaskreach/internal/admit"
+	"damaskreach/internal/asker"
 	"damaskreach/internal/audit"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/claim"
@@ -17,6 +20,7 @@
 	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
 	"damaskreach/internal/entry"
+	"damaskreach/internal/event"
 	"damaskreach/internal/extend"
 	"damaskreach/internal/follow"
 	"damaskreach/internal/gather"
@@ -24,11 +28,14 @@
 	"damaskreach/internal/home"
 	"damaskreach/internal/hosts"
 	"damaskreach/internal/lease"
+	"damaskreach/internal/ledger"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
+	"damaskreach/internal/meter"
 	"damaskreach/internal/owner"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/place"
+	"damaskreach/internal/query"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/relay"
 	"damaskreach/internal/runner"
@@ -39,7 +46,7 @@
 	"damaskreach/internal/watch"
 )
 
-const mostDecisions = 4096 // kept in the journal of a node
+const journalSize = 4 << 20 // bytes of decisions kept in memory
 
 // Node is one process that serves callers and owns runners.
 // The exported fields may be changed between NewNode and Run.
@@ -75,19 +82,24 @@
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
+	meter   *meter.Meter
+	ledger  *ledger.Ledger
+	asker   *asker.Asker
+	callers *http.Server
 
+	keys     atomic.Pointer[[]string] // SHA-256 of operators' keys in force
 	ctx      context.Context
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
+	ready    chan struct{} // closed once the parts are built
 	drain    chan struct{}
-	built    chan struct{} // closed once the parts exist
 	paused   atomic.Pointer[func(point string)]
 }
 
 // NewNode returns a node with the settings c that reaches everything over dial.
 func NewNode(c conf.Conf, dial func(ctx context.Context, addr string) (net.Conn, error), listen func(addr string) (net.Listener, error), log *zap.Logger) *Node {
-	return &Node{
+	n := &Node{
 		Conf:    c,
 		Table:   table.NewTable(c.Tables, dial),
 		Log:     log,
@@ -96,8 +108,10 @@
 		Hosts:   hosts.NewHosts(c.Hosts, dial),
 		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
 		drain:   make(chan struct{}),
-		built:   make(chan struct{}),
+		ready:   make(chan struct{}),
 	}
+	n.keys.Store(&c.Operators)
+	return n
 }
 
 // Run serves until ctx ends, or until a drain is complete.
@@ -106,7 +120,6 @@
 	defer cancel()
 	n.ctx = ctx
 	n.build()
-	close(n.built)
 	if err := n.serve(ctx); err != nil {
 		return err
 	}
@@ -123,13 +136,24 @@
 
 // note records a decision for operators.
 func (n *Node) note(why reason.Reason, request string) {
-	n.audit.Add(n.lease.Session().Node, request, why)
+	n.meter.Decided(why)
+	e := event.Event{At: time.Now().Round(0).UTC(), Node: n.Conf.Node, Request: request, Why: why}
+	n.audit.Add(e)
+	if why.Lasting() {
+		n.ledger.Add(e)
+	}
+}
+
+// explain returns the decisions that this node knows of.
+func (n *Node) explain(q query.Query) []event.Event {
+	return event.Merge(n.audit.Find(q), n.ledger.Own(q))
 }
 
 func (n *Node) build() {
 	c := n.Conf
 	n.loop = loop.NewLoop()
-	n.audit = audit.NewAudit(mostDecisions)
+	n.audit = audit.NewAudit(journalSize)
+	n.meter = meter.NewMeter()
 	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer)
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
@@ -137,6 +161,8 @@
 	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.pause)
 	n.buildRoles()
 	n.buildEntry()
+	n.buildGauges()
+	close(n.ready)
 }
 
 func (n *Node) buildRoles() {
@@ -159,7 +185,7 @@
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
 		Catalog: n.follow.Catalog, Connect: n.Connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Changed: n.changed, Copies: n.home.Place.Copies, Pause: n.pause,
+		Note: n.note, Started: n.meter.Started, Changed: n.changed, Copies: n.home.Place.Copies, Pause: n.pause,
 		Enter: n.suspect.Enter, Suspects: n.suspect.Waiting,
 	}
 	n.extend = &extend.Extend{
@@ -171,6 +197,8 @@
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
+	n.ledger = &ledger.Ledger{Site: c.Site, Mesh: n.mesh, Table: n.Table, Log: n.Log, Home: n.home.Of}
+	n.asker = &asker.Asker{Mesh: n.mesh, Peers: n.peers, Own: n.explain, Kept: n.ledger.Find}
 	n.admit = &admit.Admit{Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Peers: n.peers}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
@@ -184,7 +212,7 @@
 	}
 	n.admin = &admin.Admin{
 		Session: n.lease.Session, Nodes: n.nodes, Digests: n.digests, Catalog: n.follow.Catalog,
-		Drain: n.Drain, Audit: n.audit,
+		Drain: n.Drain, Explain: n.asker.Find, Operators: n.operators, Meter: n.meter,
 	}
 }
 
@@ -194,7 +222,7 @@
 
 // Catalog returns the configuration in force on the node; it waits for Run to begin.
 func (n *Node) Catalog() catlog.Catalog {
-	<-n.built
+	<-n.ready
 	return n.follow.Catalog()
 }
 
@@ -211,6 +239,6 @@
 
 // Digests returns the state of the runners this node owns.
 func (n *Node) Digests() []digest.Digest {
-	<-n.built
+	<-n.ready
 	return n.digests()
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -155,9 +156,14 @@
 }
 
 // observe records the outcome of a request for operators.
-func (n *Node) observe(c call.Call, _ timing.Timing, outcome *refuse.Refusal) {
+func (n *Node) observe(c call.Call, t timing.Timing, outcome *refuse.Refusal) {
+	n.meter.Answered(c, t, outcome)
 	if outcome == nil {
 		return
 	}
-	n.note(reason.Reason{Kind: outcome.Code, Text: outcome.Text, Model: c.Model()}, c.ID)
+	why := reason.Reason{Kind: outcome.Code, Text: strings.TrimSuffix(outcome.Text, "."), Wait: outcome.Retry, Verdict: outcome.Verdict.String()}
+	if c.Adapter != "" {
+		why.Model = c.Model()
+	}
+	n.note(why, c.ID)
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -20,6 +20,9 @@
 		o.Note(next.Why, h.request(next.Attempt))
 		switch next.Kind {
 		case order.Start:
+			if a := h.attempts[next.Attempt]; a != nil {
+				o.Started(a.call, next.Why)
+			}
 			h.decide(next.Attempt, nil)
 		case order.Refuse:
 			h.decide(next.Attempt, next.Refusal)
@@ -74,9 +77,9 @@
 }
 
 func (o *Owner) noteLoad(h *held, model string, took time.Duration, err error) {
-	why := reason.Reason{Kind: "loaded", Text: "the adapter is loaded", Model: model, Runner: h.spec.Name, Wait: took}
+	why := reason.Reason{Kind: reason.Loaded, Text: "the adapter is loaded", Model: model, Runner: h.spec.Name, Wait: took}
 	if err != nil {
-		why.Kind, why.Text = "load-failed", "loading the adapter failed: "+err.Error()
+		why.Kind, why.Text = reason.LoadFailed, "loading the adapter failed: "+err.Error()
 	}
 	o.Note(why, "")
 }
