Keep one in-memory network: memnet in place of fabric

Cause: internal/fabric was a second network in memory, used only by the tests of internal/peer and internal/wire; internal/stand/memnet does the same with real addresses, buffers and errors.

Call by call: NewFabric() -> memnet.NewNet(1) with SetLatency(hostA, hostB, 0): fabric had no latency either Fabric.Dial -> Net.Dial(hostA) Fabric.Listen -> Net.Listen; replacing a listener that still serves -> Net.Detach (new) and Listen Fabric.Connections() -> Net.Ends() (new): 2 connections are 4 open ends, so that a half-closed one counts too Fabric.Cut() -> Net.Cut(hostA, hostB); where the test needs a writer that is held up, Net.SetBuffer(1) (new) before it: fabric had no buffers, memnet's 64 KiB would take the queued frames Fabric.Mend() -> Net.Heal(hostA, hostB) Fabric.Break() -> Net.Break(hostA, hostB) Addresses "b:1" and "x:1" became an IP and port.

Conclusion: one network, and peer and wire are now also tested over one with buffers and real errors.

--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"damaskreach/internal/fabric"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/stand/memnet"
 	"damaskreach/internal/strm"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -17,9 +17,31 @@
 
 var secrets = [][]byte{[]byte("a secret of the site")}
 
+const (
+	hostA = "10.0.0.1" // of all that dial
+	hostB = "10.0.0.2"
+	addrB = hostB + ":1"
+)
+
+// newNet returns a network without latency.
+func newNet() *memnet.Net {
+	n := memnet.NewNet(1)
+	n.SetLatency(hostA, hostB, 0)
+	return n
+}
+
+func listen(t *testing.T, n *memnet.Net, addr string) net.Listener {
+	t.Helper()
+	l, err := n.Listen(addr)
+	if err != nil {
+		t.Fatalf("Listen: got %v, want nil", err)
+	}
+	return l
+}
+
 // newMesh returns the mesh of a node that answers "name" with its id and echoes numbers on "echo".
-func newMesh(f *fabric.Fabric, id string) *peer.Mesh {
-	m := peer.NewMesh(id, secrets, f.Dial, zap.NewNop())
+func newMesh(n *memnet.Net, id string) *peer.Mesh {
+	m := peer.NewMesh(id, secrets, n.Dial(hostA), zap.NewNop())
 	peer.Answer(m, "name", func(context.Context, string, int) (string, error) { return id, nil })
 	m.Handle("echo", func(ctx context.Context, s *strm.Stream) error {
 		var n int
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"damaskreach/internal/fabric"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/strm"
 	"damaskreach/pkg/refuse"
@@ -23,24 +22,24 @@
 
 func TestAskAndOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fabric.NewFabric()
-		b := newMesh(f, "b")
+		n := newNet()
+		b := newMesh(n, "b")
 		peer.Answer(b, "say", func(_ context.Context, from string, q question) (question, error) {
 			if q.Text == "no" {
 				return question{}, refuse.NewRefusal(verd.NotRun, refuse.Limited, "no")
 			}
 			return question{Text: from + " said " + q.Text}, nil
 		})
-		defer serve(t, b, f.Listen("b:1"))()
-		a := newMesh(f, "a")
+		defer serve(t, b, listen(t, n, addrB))()
+		a := newMesh(n, "a")
 		defer a.Close()
 		var got question
-		if err := a.Ask(t.Context(), "b:1", "say", question{Text: "hi"}, &got); err != nil || got.Text != "a said hi" {
+		if err := a.Ask(t.Context(), addrB, "say", question{Text: "hi"}, &got); err != nil || got.Text != "a said hi" {
 			t.Errorf("Ask: got %q, %v, want %q", got.Text, err, "a said hi")
 		}
-		err := a.Ask(t.Context(), "b:1", "say", question{Text: "no"}, &got)
+		err := a.Ask(t.Context(), addrB, "say", question{Text: "no"}, &got)
 		wantCode(t, "Ask that is refused", err, refuse.Limited, verd.NotRun)
-		s, err := a.Open(t.Context(), "b:1", "echo", 0)
+		s, err := a.Open(t.Context(), addrB, "echo", 0)
 		if err != nil || s.Peer() != "b" {
 			t.Fatalf("Open: got %v, want a stream of node b", err)
 		}
@@ -57,7 +56,7 @@
 		if err := s.Recv(t.Context(), new(int)); !errors.Is(err, io.EOF) {
 			t.Errorf("Recv at the end: got %v, want EOF", err)
 		}
-		wantDown(t, a, "b:1", false)
+		wantDown(t, a, addrB, false)
 	})
 }
 
@@ -68,7 +67,7 @@
 		t.Fatalf("Listen: got %v, want nil", err)
 	}
 	addr := l.Addr().String()
-	b := newMesh(fabric.NewFabric(), "b")
+	b := newMesh(newNet(), "b")
 	b.Handle("count", func(ctx context.Context, s *strm.Stream) error {
 		for i := range 1000 {
 			if err := s.Send(ctx, i); err != nil {
--- a/internal/stand/memnet/faults.go
+++ b/internal/stand/memnet/faults.go
@@ -23,6 +23,22 @@
 	n.linger = linger
 }
 
+// SetBuffer sets how many bytes a direction of a connection holds, 64 KiB at first, before its writer waits.
+// With few bytes a writer waits as soon as its link is cut.
+func (n *Net) SetBuffer(bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.buffer = bytes
+	n.wake()
+}
+
+// Ends returns how many ends of connections are open; a connection has two.
+func (n *Net) Ends() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
 // Cut holds back all bytes between two hosts until Heal. Connections stay up and dials hang.
 func (n *Net) Cut(a, b string) {
 	n.setCut(true, pair{a, b}, pair{b, a})
--- a/internal/stand/memnet/listener.go
+++ b/internal/stand/memnet/listener.go
@@ -65,7 +65,9 @@
 		return &net.OpError{Op: "close", Net: "tcp", Addr: l.addr, Err: net.ErrClosed}
 	}
 	l.closed = true
-	delete(l.net.listeners, l.addr.String())
+	if l.net.listeners[l.addr.String()] == l {
+		delete(l.net.listeners, l.addr.String())
+	}
 	for _, c := range l.queue {
 		c.shut(syscall.ECONNRESET)
 	}
@@ -74,5 +76,13 @@
 	return nil
 }
 
+// Detach takes an address from its listener, as when it moves to another host: what listens there next gets the new
+// connections, and the old listener keeps those it accepted.
+func (n *Net) Detach(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.listeners, addr)
+}
+
 // Addr returns the address listened at.
 func (l *listener) Addr() net.Addr { return l.addr }
--- a/internal/stand/memnet/net.go
+++ b/internal/stand/memnet/net.go
@@ -26,6 +26,7 @@
 	seed      int64
 	port      int
 	linger    bool
+	buffer    int // bytes a direction of a connection holds before its writer waits
 	listeners map[string]*listener
 	links     map[pair]*link
 	frozen    map[string]bool
@@ -46,6 +47,7 @@
 	n := &Net{
 		seed:      seed,
 		port:      firstPort,
+		buffer:    bufferMost,
 		listeners: map[string]*listener{},
 		links:     map[pair]*link{},
 		frozen:    map[string]bool{},
--- a/internal/stand/memnet/pipe.go
+++ b/internal/stand/memnet/pipe.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-const pipeMost = 64 << 10 // bytes a direction holds before its writer waits
+const bufferMost = 64 << 10 // see Net.buffer
 
 // pipe carries bytes in one direction of a connection.
 type pipe struct {
@@ -45,8 +45,8 @@
 	if p.end != nil {
 		return len(b)
 	}
-	n := min(len(b), pipeMost-p.size)
-	if n == 0 {
+	n := min(len(b), p.net.buffer-p.size)
+	if n <= 0 {
 		return 0
 	}
 	p.parts = append(p.parts, part{append([]byte(nil), b[:n]...), p.arrival()})
--- a/internal/wire/cut_test.go
+++ b/internal/wire/cut_test.go
@@ -21,11 +21,12 @@
 func TestCutCableEndsStreamsWithTheirVerdicts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := bounds.NewBounds()
-		f, conn, _ := join(t, b, echo)
+		n, conn, _ := join(t, b, echo)
 		running := open(t, conn, 1)
 		recv(t, running, 1)
-		f.Cut()
-		defer f.Mend()
+		n.SetBuffer(1)
+		n.Cut(hostA, hostB)
+		defer n.Heal(hostA, hostB)
 		written := open(t, conn, 2)
 		synctest.Wait()
 		queued := open(t, conn, 3)
@@ -64,13 +65,14 @@
 func TestRequestGivenUpInTheQueueDoesNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		served := make(chan int, 10)
-		f, conn, _ := join(t, bounds.NewBounds(), func(s *strm.Stream, _ string) error {
+		n, conn, _ := join(t, bounds.NewBounds(), func(s *strm.Stream, _ string) error {
 			var n int
 			defer func() { served <- n }()
 			return s.Recv(s.Context(), &n)
 		})
-		f.Cut()
-		for range 2 { // one is on the way, one in the socket
+		n.SetBuffer(1)
+		n.Cut(hostA, hostB)
+		for range 2 { // one is on the way in part, one in the queue
 			open(t, conn, 1)
 			synctest.Wait()
 		}
@@ -82,7 +84,7 @@
 		open(t, conn, 3)
 		cancel()
 		wantErr(t, s, context.Canceled, verd.NotRun)
-		f.Mend()
+		n.Heal(hostA, hostB)
 		synctest.Wait()
 		close(served)
 		ran := make(map[int]bool)
@@ -114,17 +116,17 @@
 // crossed the shutdown on its way is not-run, so that its caller can go to another node.
 func TestClosingSideSaysWhatRan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, conn, far := join(t, bounds.NewBounds(), func(s *strm.Stream, _ string) error {
+		n, conn, far := join(t, bounds.NewBounds(), func(s *strm.Stream, _ string) error {
 			<-s.Context().Done()
 			return refuse.NewRefusal(verd.NotRun, refuse.Leaving, "had not started")
 		})
 		taken := open(t, conn, 1)
 		synctest.Wait()
-		f.Cut()
+		n.Cut(hostA, hostB)
 		go far.Close()
 		synctest.Wait()
 		crossed := open(t, conn, 2)
-		f.Mend()
+		n.Heal(hostA, hostB)
 		<-conn.Done()
 		wantCode(t, taken.Recv(t.Context(), new(int)), refuse.Leaving, verd.NotRun)
 		wantCode(t, crossed.Recv(t.Context(), new(int)), refuse.Leaving, verd.NotRun)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,13 +11,18 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"damaskreach/internal/bounds"
-	"damaskreach/internal/fabric"
 	"damaskreach/internal/frame"
 	"damaskreach/internal/hello"
+	"damaskreach/internal/stand/memnet"
 	"damaskreach/internal/strm"
 	"damaskreach/internal/wire"
 )
 
+const (
+	hostA = "10.0.0.1"
+	hostB = "10.0.0.2"
+)
+
 var secrets = [][]byte{[]byte("a secret of the site")}
 
 // connect runs the handshake of nodes a and b over two ends; b serves with serve. They are closed with the test.
@@ -56,12 +61,18 @@
 }
 
 // join connects nodes a and b over a network that can be cut.
-func join(tb testing.TB, b bounds.Bounds, serve func(s *strm.Stream, method string) error) (*fabric.Fabric, *wire.Conn, *wire.Conn) {
+func join(tb testing.TB, b bounds.Bounds, serve func(s *strm.Stream, method string) error) (*memnet.Net, *wire.Conn, *wire.Conn) {
 	tb.Helper()
-	f := fabric.NewFabric()
-	near, far := ends(tb, f.Listen("b:1"), f.Dial)
+	n := memnet.NewNet(1)
+	n.SetLatency(hostA, hostB, 0)
+	l, err := n.Listen(hostB + ":1")
+	if err != nil {
+		tb.Fatalf("Listen: got %v, want nil", err)
+	}
+	defer l.Close()
+	near, far := ends(tb, l, n.Dial(hostA))
 	dialled, accepted := connect(tb, near, far, b, serve)
-	return f, dialled, accepted
+	return n, dialled, accepted
 }
 
 // byHand is a peer whose frames the test writes itself.
