Stream a token between two nodes without allocations

By the allocation profile, one each: the body of the frame (frame.Read), the part passed to Send as a value (boxed), the list of its non-empty fields (msgpack's omitempty), the part that Recv fills, and its piece. Besides, the queue of a stream only gave memory back when it was empty, so a reader that is always a little behind let it grow with the length of the answer.

Change: the connection reads bodies into one buffer (frame.ReadInto) and a stream keeps copies in one run of bytes that it uses again and compacts; relay sends and receives one part per answer and encodes it by hand as an array. Encoders of strm write compact integers, nine bytes each before.

The test of allocations needs no more slack.

--- a/internal/frame/read.go
+++ b/internal/frame/read.go
@@ -15,12 +15,17 @@
 // ErrShort means that a peer announced a frame that cannot hold its header.
 var ErrShort = merry.Sentinel("frame: shorter than its header")
 
-// Read reads one frame whose body has at most limit bytes.
+// Read is ReadInto with a new body for each frame.
+func Read(r *bufio.Reader, limit int) (Frame, error) {
+	return ReadInto(r, limit, nil)
+}
+
+// ReadInto reads one frame whose body has at most limit bytes, into the memory of buf where the body fits there.
 // It returns io.EOF at the end of the stream and io.ErrUnexpectedEOF in the middle of a frame.
 //
 // The length comes from the other side. Without the bound a broken or foreign peer could make this process
 // allocate gigabytes for one frame; one would notice a node killed for its memory.
-func Read(r *bufio.Reader, limit int) (Frame, error) {
+func ReadInto(r *bufio.Reader, limit int, buf []byte) (Frame, error) {
 	head, err := r.Peek(Overhead)
 	if err != nil {
 		return Frame{}, headError(head, err, limit)
@@ -40,7 +45,10 @@
 	if size == 0 {
 		return f, nil
 	}
-	f.Body = make([]byte, size)
+	if size > cap(buf) {
+		buf = make([]byte, size)
+	}
+	f.Body = buf[:size]
 	if _, err := io.ReadFull(r, f.Body); err != nil {
 		return Frame{}, unexpected(err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,7 +20,7 @@
 	Mesh *peer.Mesh
 	// Self returns this node's session id.
 	Self func() string
-	// Local runs a call on a runner this node owns.
+	// Local runs a call on a runner this node owns. A piece is valid until emit returns.
 	Local func(ctx context.Context, runner string, fence int64, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error
 }
 
@@ -30,14 +30,6 @@
 	Call   call.Call `msgpack:"call"`
 }
 
-// part is one message of an answer: first its head, then its pieces.
-type part struct {
-	Status int    `msgpack:"status,omitempty"`
-	Kind   string `msgpack:"kind,omitempty"`
-	Token  int    `msgpack:"token,omitempty"`
-	Piece  []byte `msgpack:"piece,omitempty"`
-}
-
 // Register serves other nodes' calls.
 func (r *Relay) Register() {
 	r.Mesh.Handle(methodRun, r.serve)
@@ -48,11 +40,14 @@
 	if err := s.Recv(ctx, &q); err != nil {
 		return err
 	}
+	var p part // one for the whole answer, as Send needs it on the heap
 	head := func(status int, kind string) error {
-		return s.Send(ctx, part{Status: status, Kind: kind})
+		p = part{status: status, kind: kind}
+		return s.Send(ctx, &p)
 	}
 	emit := func(token int, piece []byte) error {
-		return s.Send(ctx, part{Token: token, Piece: piece})
+		p = part{token: token, piece: piece}
+		return s.Send(ctx, &p)
 	}
 	return r.Local(ctx, q.Runner, q.Fence, q.Call, head, emit)
 }
@@ -73,8 +68,8 @@
 }
 
 func receive(ctx context.Context, s *strm.Stream, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
+	var p part // each piece is written over the last one, which emit has passed on
 	for {
-		var p part
 		err := s.Recv(ctx, &p)
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -87,10 +82,3 @@
 		}
 	}
 }
-
-func (p part) pass(head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
-	if p.Status != 0 {
-		return head(p.Status, p.Kind)
-	}
-	return emit(p.Token, p.Piece)
-}
--- a/internal/stand/site/cost_test.go
+++ b/internal/stand/site/cost_test.go
@@ -26,7 +26,6 @@
 const (
 	shortStream    = 100
 	longStream     = 10100
-	mostAllocs     = 12 // per token through two nodes, the canned engine's and the caller's own included
 	benchTokens    = 32
 	benchStep      = 8 * time.Millisecond // between the tokens of the canned engine in the benchmark
 	readyPatience  = 20 * time.Second
@@ -178,7 +177,7 @@
 		got := (allocs(longStream) - allocs(shortStream)) / (longStream - shortStream)
 		t.Logf("node %d: %.2f allocations per token", i, got)
 		if got > mostAllocs {
-			t.Errorf("node %d: got %.2f allocations per streamed token, want at most %d", i, got, mostAllocs)
+			t.Errorf("node %d: got %.2f allocations per streamed token, want at most %v", i, got, mostAllocs)
 		}
 	}
 }
--- a/internal/strm/accept.go
+++ b/internal/strm/accept.go
@@ -9,7 +9,7 @@
 // ErrWindow means that the peer sent more than it was allowed to.
 var ErrWindow = merry.Sentinel("stream: peer overran its window")
 
-// Accept takes a frame of the peer; only the connection calls it. It never waits.
+// Accept takes a frame of the peer; only the connection calls it. It never waits and does not keep the frame's body.
 func (s *Stream) Accept(f frame.Frame) {
 	switch f.Kind {
 	case frame.Open, frame.Data:
@@ -22,9 +22,9 @@
 }
 
 func (s *Stream) acceptData(f frame.Frame) {
-	m := message{body: f.Body}
+	taken := 0
 	if f.Kind == frame.Data {
-		m.cost = cost(f.Body)
+		taken = cost(f.Body)
 	}
 	s.mu.Lock()
 	if s.err != nil || s.done {
@@ -32,10 +32,10 @@
 		return
 	}
 	// Without this check a peer with a fault in its accounting could fill this process's memory.
-	overrun := s.due <= 0 && len(m.body) > 0
+	overrun := s.due <= 0 && len(f.Body) > 0
 	if !overrun {
-		s.due -= m.cost
-		s.store(m, f.Flags)
+		s.due -= taken
+		s.store(f, taken)
 	}
 	s.mu.Unlock()
 	if overrun {
@@ -46,11 +46,11 @@
 }
 
 // store queues a message and notes the end of the peer's half; an empty body is no message.
-func (s *Stream) store(m message, flags uint8) {
-	if len(m.body) > 0 {
-		s.queue.push(m)
+func (s *Stream) store(f frame.Frame, taken int) {
+	if len(f.Body) > 0 {
+		s.queue.push(f.Body, taken)
 	}
-	s.done = flags&frame.Last != 0
+	s.done = f.Flags&frame.Last != 0
 	notify(s.wake)
 }
 
--- a/internal/strm/codec.go
+++ b/internal/strm/codec.go
@@ -22,6 +22,7 @@
 var scratches = sync.Pool{New: func() any {
 	s := &scratch{}
 	s.enc = msgpack.NewEncoder(&s.buf)
+	s.enc.UseCompactInts(true) // or each int takes nine bytes
 	s.dec = msgpack.NewDecoder(&s.reader)
 	return s
 }}
--- a/internal/strm/recv.go
+++ b/internal/strm/recv.go
@@ -13,13 +13,13 @@
 // messages that arrived before an error come before the error. An error of ctx ends only this call.
 func (s *Stream) Recv(ctx context.Context, v any) error {
 	for {
-		m, grant, err := s.next()
+		buf, grant, err := s.next()
 		if err != nil {
 			return err
 		}
-		if m.body != nil {
+		if buf != nil {
 			s.grant(grant)
-			return s.take(m, v)
+			return decodeAndPut(buf, v)
 		}
 		select {
 		case <-s.wake:
@@ -31,31 +31,30 @@
 	}
 }
 
-func (s *Stream) take(m message, v any) error {
-	buf := getScratch()
+func decodeAndPut(buf *scratch, v any) error {
 	defer buf.put()
-	return buf.decode(m.body, v)
+	return buf.decode(buf.buf.Bytes(), v)
 }
 
-// next returns the next message and the credit to grant, or a message without a body where none has arrived.
-func (s *Stream) next() (message, int, error) {
+// next returns a buffer with the next message and the credit to grant, or no buffer where none has arrived.
+func (s *Stream) next() (*scratch, int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m, ok := s.queue.pop()
 	switch {
-	case ok:
-		return m, s.consume(m.cost), nil
+	case !s.queue.empty():
+		buf := getScratch()
+		return buf, s.consume(s.queue.pop(&buf.buf)), nil
 	case s.reset:
 		notify(s.wake)
-		return m, 0, s.err
+		return nil, 0, s.err
 	case s.done:
 		notify(s.wake)
-		return m, 0, io.EOF
+		return nil, 0, io.EOF
 	case s.err != nil:
 		notify(s.wake)
-		return m, 0, s.err
+		return nil, 0, s.err
 	}
-	return m, 0, nil
+	return nil, 0, nil
 }
 
 // consume counts what was read and returns what to grant: half a window at a time, so that few frames go back.
--- a/internal/wire/plain_test.go
+++ b/internal/wire/plain_test.go
@@ -3,4 +3,4 @@
 package wire_test
 
 // mostAllocations is the bound of TestMessageAllocations for one message, sent and received.
-const mostAllocations = 2
+const mostAllocations = 0
--- a/internal/wire/race_test.go
+++ b/internal/wire/race_test.go
@@ -3,4 +3,4 @@
 package wire_test
 
 // mostAllocations is higher here: under the race detector pools drop a part of what is put into them.
-const mostAllocations = 6
+const mostAllocations = 4
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -9,6 +9,9 @@
 	"damaskreach/internal/frame"
 )
 
+// sizeBody is the size up to which bodies are read into one buffer.
+const sizeBody = 4 << 10
+
 // patient reads from a socket and fails when nothing arrives for the timeout.
 //
 // A cut cable or a host that lost power sends no end of stream. Without the deadline requests would wait on such a
@@ -32,8 +35,9 @@
 // readAll reads frames of at most limit bytes until the connection ends.
 func (c *Conn) readAll(limit int) {
 	defer close(c.silent)
+	buf := make([]byte, sizeBody)
 	for {
-		f, err := frame.Read(c.r, limit)
+		f, err := frame.ReadInto(c.r, limit, buf)
 		if err != nil {
 			c.fail(merry.Prependf(err, "reading from node %s", c.peer.ID))
 			return
@@ -45,7 +49,7 @@
 	}
 }
 
-// dispatch hands a frame to its stream. A frame of a stream that is over or was never opened is dropped: it is late,
+// dispatch hands a frame to its stream, which does not keep the body. A frame of a stream that is over or was never opened is dropped: it is late,
 // and as ids are never reused it cannot reach another stream.
 func (c *Conn) dispatch(f frame.Frame) error {
 	switch f.Kind {
