Make no room for what a stranger announces in its Hello

Cause: msgpack makes room for a field of bytes as large as its sender announces before it reads it. Hello had one, the nonce, and is decoded before the sender has proved anything: 17 bytes of a stranger took 2 GiB of a node.

Messages of peers that have proved themselves still decode into fields of bytes; a frame is bounded, an announced length in its body is not, so that only a fault in a node's own encoder could ask for too much.

--- a/internal/hello/hello.go
+++ b/internal/hello/hello.go
@@ -43,6 +43,9 @@
 )
 
 // Hello says who a node is. Fields may be added: an older release skips what it does not know.
+//
+// It has no field of bytes: msgpack makes room for as many bytes as the sender announces before it reads them, so a
+// stranger could take gigabytes of a node with a frame of few bytes. Room for strings grows as they arrive.
 type Hello struct {
 	ID     string `msgpack:"id"`     // node id
 	Epoch  string `msgpack:"epoch"`  // differs with each start of the node
@@ -52,7 +55,7 @@
 	Max    int    `msgpack:"max"`    // newest version it speaks
 	Frame  int    `msgpack:"frame"`  // largest body of a frame it takes, in bytes
 	Window int    `msgpack:"window"` // unread messages of a stream it holds, in bytes
-	Nonce  []byte `msgpack:"nonce"`  // fresh for each handshake; set by Dial and Accept
+	Nonce  string `msgpack:"nonce"`  // fresh for each handshake; set by Dial and Accept
 }
 
 // NewHello returns the Hello of a node of this release.
--- a/internal/hello/mac.go
+++ b/internal/hello/mac.go
@@ -13,10 +13,10 @@
 	labelAcceptor = "damaskreach acceptor"
 )
 
-func newNonce() []byte {
+func newNonce() string {
 	nonce := make([]byte, sizeNonce)
 	rand.Read(nonce)
-	return nonce
+	return string(nonce)
 }
 
 // mac covers the role of its sender and both Hellos as encoded.
