--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 SEEDS ?= 1000
+FUZZTIME ?= 10s
 
-.PHONY: all build test check bench demo site site-stop fmt clean
+.PHONY: all build test check bench fuzz demo site site-stop fmt clean
 
 all: build
 
@@ -24,6 +25,9 @@
 	$(GO) run ./cmd/damaskbench
 	$(GO) test -run '^$$' -bench Path ./internal/stand/site
 
+fuzz:
+	scripts/fuzz.sh $(FUZZTIME)
+
 demo:
 	$(GO) run ./cmd/damaskdemo $(DEMO)
 
