List sessions in one place, without those that have ended

Cause: a drained node stayed in damaskctl status as one that does not answer, since it now says that it has ended instead of deleting its row; opctl and force each had the listing. Change: sess.List for both. Before: TestStatusExplainAndDrainOnASite fails (3 nodes, of which 1 do not answer). After: passes.

--- a/internal/force/force.go
+++ b/internal/force/force.go
@@ -82,22 +82,10 @@
 }
 
 func (f Force) sessions(ctx context.Context) ([]sess.Session, error) {
-	prefix := table.PrefixNode
-	if f.site != "" {
-		prefix = sess.Prefix(f.site)
-	}
-	found, _, err := f.table.List(ctx, prefix)
+	sessions, err := sess.List(ctx, f.table, f.site)
 	if err != nil {
 		return nil, merry.Prepend(err, "listing the nodes")
 	}
-	var sessions []sess.Session
-	for _, row := range found {
-		s, err := sess.Decode(row.Value)
-		if err != nil {
-			return nil, err
-		}
-		sessions = append(sessions, s)
-	}
 	return sessions, nil
 }
 
--- a/internal/opctl/nodes.go
+++ b/internal/opctl/nodes.go
@@ -6,14 +6,12 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"damaskreach/internal/sess"
-	"damaskreach/internal/table"
 )
 
 const (
@@ -49,23 +47,10 @@
 	if err != nil {
 		return nil, err
 	}
-	prefix := table.PrefixNode
-	if site != "" {
-		prefix = sess.Prefix(site)
-	}
-	found, _, err := tab.List(ctx, prefix)
+	all, err := sess.List(ctx, tab, site)
 	if err != nil {
 		return nil, merry.Prepend(err, "listing the nodes; --node ADDR asks a node in place of the table")
 	}
-	var all []sess.Session
-	for _, row := range found {
-		s, err := sess.Decode(row.Value)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, s)
-	}
-	slices.SortFunc(all, func(a, b sess.Session) int { return strings.Compare(a.ID(), b.ID()) })
 	return all, nil
 }
 
