--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -143,10 +143,13 @@
 // tick runs on the control goroutine.
 func (o *Owner) tick() {
 	now := time.Now()
+	slow := now.Sub(o.slow) >= slowTick
 	for _, h := range o.held {
-		o.carry(h, h.sched.Tick(now))
+		if slow || h.sched.Waiting() > 0 {
+			o.carry(h, h.sched.Tick(now))
+		}
 	}
-	if now.Sub(o.slow) >= slowTick {
+	if slow {
 		o.slow = now
 		o.slowly(now)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -80,6 +80,11 @@
 	return len(s.queue) >= max(1, s.tune.Queue)
 }
 
+// Waiting returns how many attempts are queued. While none is, the passing of time changes little.
+func (s *Sched) Waiting() int {
+	return len(s.queue)
+}
+
 // InUse returns how many requests in progress use model.
 func (s *Sched) InUse(name string) int {
 	if m := s.models[name]; m != nil {
