Mend ownership after outages of the table service and after lost answers

After an outage the first node to reach the table service ended every session at once, its own included, and all runners changed owner: terms now count anew after a gap in the readings. Promises of peers were asked for only once the term had ended. A node whose session was ended by others could act under its next session on what it held under the first. A former owner with an order on its way but no request answered that it used nothing. An ownership row written by a lost write blocked every later write. A node left out of its own view handed its runners over.

--- a/internal/extend/extend.go
+++ b/internal/extend/extend.go
@@ -75,12 +75,18 @@
 			return
 		case <-timer.C:
 		}
-		if left := e.Lease.Left(); left < e.Term-2*e.Every {
+		if e.overdue() {
 			e.ask(ctx)
 		}
 	}
 }
 
+// overdue reports whether less is left of the term than one renewal missed explains. Asked for any later, a promise
+// would come after the term had ended, and engines that ignore fences would stand idle in between.
+func (e *Extend) overdue() bool {
+	return e.Lease.Left() < e.Term-e.Every-e.Every/2
+}
+
 func (e *Extend) ask(ctx context.Context) {
 	begin := time.Now()
 	me := e.Lease.Session()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,6 +78,14 @@
 	return l.Left() > 0
 }
 
+// Holds reports whether the node may still act on a session: it is the present one and its term has not ended.
+// After its session was ended by others a node starts another, whose term must not cover what it did under the first.
+func (l *Lease) Holds(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now.ID() == id && time.Until(l.until) > 0
+}
+
 // Left returns how much of the term is left; it is negative once the term has ended.
 func (l *Lease) Left() time.Duration {
 	l.mu.Lock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,6 +13,9 @@
 // that differ slightly; too early an end would let two nodes act as owner of one runner.
 const driftShare = 20
 
+// gapShare is the part of a term after which readings count as interrupted.
+const gapShare = 2
+
 // Member is the view one node has of its site's sessions. Only the control goroutine uses it.
 type Member struct {
 	term  time.Duration
@@ -38,6 +41,19 @@
 	for _, row := range changed {
 		m.learn(now, site, row)
 	}
+	m.refresh(begin)
+}
+
+// refresh notes a reading. After a gap in the readings every term counts anew from it: in an outage nobody could renew,
+// and the node that first reaches the service again would otherwise end every other node's session at once, which moves
+// all runners for nothing.
+func (m *Member) refresh(begin time.Time) {
+	if begin.Sub(m.fresh) > m.term/gapShare {
+		for id, s := range m.seen {
+			s.since = begin
+			m.seen[id] = s
+		}
+	}
 	if begin.After(m.fresh) {
 		m.fresh = begin
 	}
--- a/internal/owner/follow.go
+++ b/internal/owner/follow.go
@@ -45,6 +45,8 @@
 	owns  int64
 }
 
+// readTails takes what has changed. A reading of sessions from a replica that is behind an earlier reading is left out:
+// it would make live nodes look as if they had not renewed, and bring back sessions that have ended.
 func (o *Owner) readTails(ctx context.Context, at *tails) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -57,10 +59,13 @@
 	if err != nil {
 		return err
 	}
+	stale := nodes.rev < at.nodes
 	at.nodes = max(nodes.rev, at.nodes)
 	at.owns = max(owns.rev, at.owns)
 	return o.Loop.Do(ctx, func() {
-		o.learnNodes(begin, nodes)
+		if !stale {
+			o.learnNodes(begin, nodes)
+		}
 		o.learn(owns.rows)
 		o.plan(time.Now())
 	})
@@ -116,6 +121,11 @@
 		return
 	}
 	seen := o.rows[name]
+	if seen.row.Fence == h.fence && seen.row.Session == h.row.Session && !o.busy[name] {
+		// An earlier write of this owner took effect after its answer was given up. Built on the revision before it,
+		// every later write would fail, and nothing could be unloaded any more.
+		h.rev = max(h.rev, seen.rev)
+	}
 	if seen.rev > h.rev && seen.row.Fence > h.fence {
 		o.giveUp(h, "another node owns the runner now")
 	}
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -80,11 +80,12 @@
 	return nil
 }
 
-// dropClosed forgets runners given up once their last request has ended.
+// dropClosed forgets runners given up once their last request has ended and their last order is answered.
+// A successor that was told of nothing while an unload is on its way would start requests on that model.
 func (o *Owner) dropClosed() {
 	var left []*held
 	for _, h := range o.closing {
-		if len(h.attempts) > 0 {
+		if len(h.attempts)+len(h.orders) > 0 {
 			left = append(left, h)
 		}
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -49,6 +49,7 @@
 		_ = o.Loop.Post(func() {
 			delete(h.orders, next.Model)
 			o.carry(h, h.sched.Loaded(time.Now(), next.Model, err))
+			o.dropClosed()
 		})
 	}()
 }
@@ -118,7 +119,7 @@
 }
 
 func (o *Owner) wrote(h *held, written assign.Assignment, rev int64) {
-	h.rev = rev
+	h.rev = max(h.rev, rev)
 	h.row.Unload = written.Unload
 	if o.rows[written.Runner].rev < rev {
 		o.rows[written.Runner] = seenRow{row: written, rev: rev}
@@ -164,12 +165,13 @@
 	}
 	o.carry(h, h.sched.Unloaded(time.Now(), model, err))
 	o.writeNext(h)
+	o.dropClosed()
 }
 
 // mayAct is the last check before anything is sent to a runner. An engine that honours fences refuses an old owner
 // itself, so its owner may go on when the table service is down; on others the lease must hold, which peers may extend.
 func (o *Owner) mayAct(h *held) error {
-	if h.spec.Fences || o.Lease.Valid() {
+	if h.spec.Fences || o.Lease.Holds(h.row.Session) {
 		return nil
 	}
 	return notOwner(h.spec.Name)
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -41,10 +41,14 @@
 func (o *Owner) serving(now time.Time, me sess.Session) []sess.Session {
 	var serving []sess.Session
 	for _, s := range o.Members.Serving(now) {
-		if s.ID() != me.ID() || !o.leaving {
+		if s.ID() != me.ID() {
 			serving = append(serving, s)
 		}
 	}
+	if !o.leaving {
+		// The view may be too old to have this node; that is no reason for it to hand its runners over.
+		serving = append(serving, me)
+	}
 	return serving
 }
 
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -48,6 +48,7 @@
 	now := time.Now()
 	delete(o.held, h.spec.Name)
 	o.closing = append(o.closing, h)
+	h.dropUnloads()
 	o.carry(h, h.sched.Close(now, why))
 	o.Note(reason.Reason{Kind: "given-up", Text: why, Runner: h.spec.Name, Running: h.sched.Running()}, "")
 	o.Log.Info("gave a runner up", zap.String("runner", h.spec.Name), zap.Int64("fence", h.fence), zap.String("why", why))
@@ -57,6 +58,14 @@
 	o.dropClosed()
 }
 
+// dropUnloads forgets unloads that were decided and not announced: they are never sent.
+func (h *held) dropUnloads() {
+	for _, model := range h.unloads {
+		delete(h.orders, model)
+	}
+	h.unloads = nil
+}
+
 // dropLost gives up runners held under a session that others have ended.
 func (o *Owner) dropLost(now time.Time) {
 	me := o.Lease.Session().ID()
--- a/internal/stand/site/record.go
+++ b/internal/stand/site/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -11,7 +12,9 @@
 	"damaskreach/internal/check"
 	"damaskreach/internal/engine"
 	"damaskreach/internal/node"
+	"damaskreach/internal/rows"
 	"damaskreach/internal/runner"
+	"damaskreach/internal/table"
 )
 
 const (
@@ -108,3 +111,34 @@
 		s.Note(action.Action{Kind: action.Force, Process: r.process, Rev: r.node.Catalog().Complete()})
 	}
 }
+
+// Apply writes configuration rows as operators do and records the accepted revision.
+func (s *Site) Apply(ctx context.Context, edits ...rows.Row) (int64, error) {
+	rev, err := s.DB.Table().Write(ctx, edits...)
+	if err == nil {
+		s.Note(action.Action{Kind: action.Commit, Rev: rev})
+	}
+	return rev, err
+}
+
+// MarkLeaving has operators mark the runner of engine i as leaving, or take the mark back.
+func (s *Site) MarkLeaving(ctx context.Context, i int, leaving bool) error {
+	row, err := s.DB.Table().Read(ctx, table.PrefixConf+"runner/"+RunnerName(i))
+	if err != nil {
+		return err
+	}
+	var r runner.Runner
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return err
+	}
+	r.Leaving = leaving
+	if _, err := s.Apply(ctx, rows.Row{Key: row.Key, Rev: row.Rev, Value: Row("runner", r.Name, r).Value}); err != nil {
+		return err
+	}
+	kind := action.Return
+	if leaving {
+		kind = action.Leave
+	}
+	s.Note(action.Action{Kind: kind, Runner: r.Name})
+	return nil
+}
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -132,11 +132,16 @@
 	}
 	for i := range adapters {
 		name := AdapterName(i)
-		all = append(all, Row("adapter", name, adapt.Adapter{Name: name, Tenant: Tenant, Group: Writers, Versions: map[string]int{"v1": 1}}))
+		all = append(all, Row("adapter", name, s.Adapter(name)))
 	}
 	return all
 }
 
+// Adapter returns an adapter of the site's tenant with the version "v1".
+func (s *Site) Adapter(name string) adapt.Adapter {
+	return adapt.Adapter{Name: name, Tenant: Tenant, Group: Writers, Versions: map[string]int{"v1": 1}}
+}
+
 // Row returns a new configuration row.
 func Row(kind, name string, value any) rows.Row {
 	text, err := json.Marshal(value)
--- /dev/null
+++ b/internal/stand/site/table_test.go
@@ -0,0 +1,207 @@
+package site_test
+
+import (
+	"testing"
+	"time"
+
+	"damaskreach/internal/action"
+	"damaskreach/internal/stand/site"
+)
+
+// both runs a script on engines of both kinds.
+func both(t *testing.T, nodes, engines int, script func(w *world, fences bool)) {
+	for _, fences := range []bool{true, false} {
+		t.Run(kind(fences), func(t *testing.T) {
+			play(t, nodes, engines, fences, func(w *world) { script(w, fences) })
+		})
+	}
+}
+
+// partAll notes that no node can learn of new revisions, and joinAll that all can.
+func (w *world) partAll(nodes int) {
+	for i := range nodes {
+		w.Note(action.Action{Kind: action.Part, Process: w.Process(i)})
+	}
+}
+
+func (w *world) joinAll(nodes int) {
+	for i := range nodes {
+		w.Note(action.Action{Kind: action.Join, Process: w.Process(i)})
+	}
+}
+
+// busyHour lets an hour pass with callers in its first and last minutes.
+func (w *world) busyHour() {
+	stop := w.load(4, 3)
+	time.Sleep(time.Minute)
+	stop()
+	time.Sleep(58 * time.Minute)
+	stop = w.load(4, 3)
+	time.Sleep(time.Minute)
+	stop()
+}
+
+// Writes take effect and their answers are lost, among them renewals and takeovers. A node that took them for failed
+// would give up its runners, or leave a runner with an owner that does not know of it: callers would be refused.
+func TestLostAnswersOfWrites(t *testing.T) {
+	both(t, 3, 3, func(w *world, _ bool) {
+		stop := w.load(6, 3)
+		since := time.Now()
+		for range 10 {
+			w.DB.LoseAnswers(4)
+			time.Sleep(7 * time.Second)
+		}
+		w.DB.LoseAnswers(0)
+		w.whole(since)
+		w.DB.LoseAnswers(4)
+		w.KillNode(2)
+		time.Sleep(lapse)
+		w.DB.LoseAnswers(0)
+		w.owners("after a takeover with lost answers", 0, 1)
+		since = time.Now()
+		time.Sleep(quiet)
+		stop()
+		w.whole(since)
+		w.StartNode(w.ctx, 2)
+	})
+}
+
+// The table service is down for an hour. Nobody can take runners over, and nobody has to: requests for resident models
+// go on being answered. Where engines honour fences models are loaded and unloaded as before; elsewhere nothing is
+// unloaded, since the order could not be announced. Afterwards everything goes on and no owner has changed.
+func TestTableDownForAnHour(t *testing.T) {
+	both(t, 3, 3, func(w *world, fences bool) {
+		w.serves("before the outage", 0, 1, 2)
+		owners := w.owners("before the outage", 0, 1, 2)
+		w.partAll(3)
+		w.DB.SetDown(true)
+		since := time.Now()
+		w.busyHour()
+		stop := w.load(4, 3)
+		time.Sleep(time.Minute)
+		if fences {
+			w.serves("in the outage", 0, 1, 2)
+		} else if got := w.count(action.Unload, since.Add(time.Minute)); got != 0 {
+			w.t.Errorf("got %d unloads on engines that ignore fences, want 0", got)
+		}
+		w.whole(since, "overloaded", "deadline", "load")
+		if got, want := w.count(action.Answer, since), 400; got < want {
+			w.t.Errorf("got %d whole answers in the outage, want at least %d", got, want)
+		}
+		w.DB.SetDown(false)
+		w.joinAll(3)
+		time.Sleep(quiet)
+		stop()
+		for runner, owner := range w.owners("after the outage", 0, 1, 2) {
+			if owner != owners[runner] {
+				w.t.Errorf("after the outage: got node %d as owner of %s, want %d as before", owner, runner, owners[runner])
+			}
+		}
+		w.serves("after the outage", 0, 1, 2)
+	})
+}
+
+// The table service takes seconds for every call for hours: renewals come late and readings time out. A node that
+// took slow answers for dead nodes would move runners to and fro, and callers would be refused meanwhile.
+func TestTableSlowForHours(t *testing.T) {
+	both(t, 3, 3, func(w *world, _ bool) {
+		owners := w.owners("before", 0, 1, 2)
+		w.partAll(3)
+		since := time.Now()
+		for _, slow := range []time.Duration{time.Second, 4 * time.Second, 20 * time.Second} {
+			w.DB.SetSlow(slow)
+			w.busyHour()
+			w.owners("slow by "+slow.String(), 0, 1, 2)
+		}
+		stop := w.load(4, 3)
+		w.DB.SetSlow(0)
+		w.joinAll(3)
+		time.Sleep(quiet)
+		stop()
+		w.whole(since, "overloaded", "deadline", "load")
+		for runner, owner := range w.owners("after", 0, 1, 2) {
+			if owner != owners[runner] {
+				w.t.Errorf("got node %d as owner of %s, want %d as before", owner, runner, owners[runner])
+			}
+		}
+		w.serves("after", 0, 1, 2)
+	})
+}
+
+// One node is cut off from the table but reaches its peers, its runners and its callers. It learns of a new revision
+// from its peers as fast as the others do, and its callers are served.
+func TestNodeCutOffFromTheTableAlone(t *testing.T) {
+	both(t, 3, 3, func(w *world, _ bool) {
+		stop := w.load(4, 3)
+		since := time.Now()
+		w.DB.CutClient(w.Node(1).Conf.Node, true)
+		time.Sleep(time.Minute)
+		if _, err := w.Apply(w.ctx, site.Row("adapter", "adapter-new", w.Adapter("adapter-new"))); err != nil {
+			w.t.Fatal(err)
+		}
+		time.Sleep(site.ForceGrace)
+		if fault := w.Ask(w.ctx, 1, "new", "adapter-new@v1", "prompt", 3); fault != "" {
+			w.t.Errorf("got %q for a new adapter on the node cut off, want a whole answer", fault)
+		}
+		time.Sleep(quiet)
+		w.whole(since, "overloaded")
+		w.DB.CutClient(w.Node(1).Conf.Node, false)
+		time.Sleep(quiet)
+		stop()
+		w.owners("after the cut", 0, 1, 2)
+		w.serves("after the cut", 0, 1, 2)
+	})
+}
+
+// One node reaches the table and its callers, but neither its peers nor most runners. It keeps its session, so
+// nobody may take its runners over; its callers get what it can serve, and the others' callers notice nothing.
+func TestNodeCutOffFromPeersAndRunners(t *testing.T) {
+	both(t, 3, 3, func(w *world, _ bool) {
+		stop := w.load(4, 3)
+		w.use(1, false)
+		for i := range 3 {
+			if i != 1 {
+				w.Net.Cut(site.Host(1), site.Host(i))
+			}
+			w.Net.Cut(site.Host(1), site.EngineHost(i))
+		}
+		time.Sleep(quiet)
+		since := time.Now()
+		time.Sleep(time.Minute)
+		w.whole(since, "overloaded")
+		for i := range 3 {
+			w.Net.Heal(site.Host(1), site.Host(i))
+			w.Net.Heal(site.Host(1), site.EngineHost(i))
+		}
+		time.Sleep(quiet)
+		w.use(1, true)
+		stop()
+		w.owners("after the cut", 0, 1, 2)
+		w.serves("after the cut", 0, 1, 2)
+	})
+}
+
+// Two nodes claim one runner at the same moment. Both have read that it has no owner; the transaction lets one win, and
+// the other must see that it lost rather than send orders too.
+func TestTwoNodesClaimOneRunner(t *testing.T) {
+	both(t, 3, 4, func(w *world, _ bool) {
+		for range 3 {
+			held := make(chan struct{})
+			for i := range 2 {
+				w.Node(i).SetPause(func(point string) {
+					if point == "before take" {
+						<-held
+					}
+				})
+			}
+			w.KillNode(2)
+			time.Sleep(lapse)
+			close(held)
+			time.Sleep(quiet)
+			w.owners("after a race", 0, 1)
+			w.serves("after a race", 0, 1)
+			w.StartNode(w.ctx, 2)
+			time.Sleep(quiet)
+		}
+	})
+}
--- a/internal/stand/site/world_test.go
+++ b/internal/stand/site/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"damaskreach/internal/action"
 	"damaskreach/internal/host"
 	"damaskreach/internal/stand/site"
@@ -40,6 +43,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{Site: site.NewSite(1, engines), t: t, ctx: ctx, shut: map[int]bool{}}
+		if os.Getenv("SITE_LOG") != "" {
+			w.Log, _ = zap.NewDevelopment()
+		}
 		for i, e := range w.Engines {
 			e.Slots, e.Fences = 2, fences
 			w.Hosts.Set(host.Host{Addr: site.EngineHost(i), State: host.Live})
@@ -210,4 +216,3 @@
 	}
 	return n
 }
-
