Keep nodes that cannot reach the table in step and useful

A node that cannot read the table asks a peer for its configuration, which carries a complete revision; pushes between nodes carry the revisions they span, so that a receiver knows it misses nothing. Owners near the end of their lease are closed to new work.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -15,6 +15,7 @@
 	Admin       string        `toml:"admin"`        // IP and port for operators
 	Tables      []string      `toml:"tables"`       // addresses of the table service
 	Objects     []string      `toml:"objects"`      // addresses of the object store
+	Seeds       []string      `toml:"seeds"`        // addresses of other nodes to ask for the configuration in an outage
 	Hosts       []string      `toml:"hosts"`        // addresses of the host list
 	Secrets     []string      `toml:"secrets"`      // keys shared by nodes: the first signs, all are accepted
 	SecretsFile string        `toml:"secrets-file"` // file with one shared key a line, in place of Secrets
--- a/internal/conf/rules.go
+++ b/internal/conf/rules.go
@@ -35,6 +35,7 @@
 	add("admin", checkOwn(c.Admin))
 	add("tables", checkAddrs(c.Tables, true))
 	add("objects", checkAddrs(c.Objects, false))
+	add("seeds", checkAddrs(c.Seeds, false))
 	add("hosts", checkAddrs(c.Hosts, false))
 	add(keySecrets, c.checkSecrets())
 	add("operators", checkSums(c.Operators))
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,16 +10,14 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/catlog"
+	"damaskreach/internal/object"
 	"damaskreach/internal/peer"
-	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 )
 
 const (
-	methodRows   = "rows"
 	tableTimeout = 5 * time.Second
 	askTimeout   = time.Second
-	mostSpread   = 256 // rows passed on at once; a node that misses more reads them from the table itself
 )
 
 // Follow reads the tail of configuration changes and passes them on to the other nodes at once, so that a change is
@@ -31,20 +29,21 @@
 	Log   *zap.Logger
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
+	// Seeds are addresses of nodes to ask while no others are known; see askPeer.
+	Seeds []string
+	// Objects holds snapshots; without functions none are read or written.
+	Objects object.Object
+	// Chosen reports whether this node, of all that serve, is the one to do a task.
+	Chosen func(task string) bool
 
 	mu      sync.Mutex
 	catalog catlog.Catalog
 }
 
-type rowsSaid struct{}
-
 // Register takes the changes that other nodes pass on.
 func (f *Follow) Register() {
 	f.catalog = catlog.NewCatalog()
-	peer.Answer(f.Mesh, methodRows, func(_ context.Context, _ string, changed []rows.Row) (rowsSaid, error) {
-		f.update(func(c catlog.Catalog) (catlog.Catalog, []error) { return c.With(changed) })
-		return rowsSaid{}, nil
-	})
+	f.register()
 }
 
 // Catalog returns the configuration in force.
@@ -56,11 +55,14 @@
 
 // Run follows the table until ctx ends.
 func (f *Follow) Run(ctx context.Context) {
+	f.loadSnapshot(ctx)
+	go f.keepSnapshots(ctx)
 	timer := time.NewTicker(f.Poll)
 	defer timer.Stop()
 	for {
 		if err := f.Read(ctx); err != nil {
-			f.Log.Warn("reading the configuration tail failed", zap.Error(err))
+			f.Log.Warn("reading the configuration tail failed; a peer is asked", zap.Error(err))
+			f.askPeer(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -84,7 +86,7 @@
 	}
 	news := f.update(func(c catlog.Catalog) (catlog.Catalog, []error) { return c.WithTail(changed, after, rev) })
 	if news {
-		f.spread(ctx, changed)
+		f.spread(ctx, push{After: after, UpTo: rev, Rows: changed})
 	}
 	return nil
 }
@@ -110,16 +112,3 @@
 	}
 	return next.Rev() > before
 }
-
-func (f *Follow) spread(ctx context.Context, changed []rows.Row) {
-	if len(changed) == 0 || len(changed) > mostSpread {
-		return
-	}
-	for _, addr := range f.Peers() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
-			defer cancel()
-			_ = f.Mesh.Ask(ctx, addr, methodRows, changed, &rowsSaid{}) // the peer's own poll repeats it
-		}()
-	}
-}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,6 +109,10 @@
 		ids = append(ids, s.ID())
 		byID[s.ID()] = s
 	}
+	if len(ids) > 1 && !h.Lease.Valid() {
+		// Others may have ended this node's session and send it no digests any more: its own choices would be stale.
+		ids = slices.DeleteFunc(ids, func(id string) bool { return id == me.ID() })
+	}
 	id := spread.Pick(ids, key)
 	if id == "" || id == me.ID() {
 		return me, true
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -74,10 +74,12 @@
 }
 
 // Spare promises not to take a session for ended before a time, and reports whether it can be promised:
-// not for a session that this node does not know or has taken for ended.
+// not for a session that this node does not know or has taken for ended, and not while this node reads the session rows
+// itself: then the asker alone is cut off from the table service, and a node that can write there does better by its
+// runners.
 func (m *Member) Spare(now time.Time, id string, until time.Time) bool {
 	s, known := m.seen[id]
-	if !known || m.ended(now, s) {
+	if !known || m.ended(now, s) || now.Sub(m.fresh) < m.term/gapShare {
 		return false
 	}
 	m.spare[id] = until
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
 	"damaskreach/internal/meter"
+	"damaskreach/internal/object"
 	"damaskreach/internal/owner"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/place"
@@ -60,6 +61,8 @@
 	Listen func(addr string) (net.Listener, error)
 	// Hosts reads the platform's host list.
 	Hosts hosts.Hosts
+	// Objects reaches the platform's object store; without functions the node does without.
+	Objects object.Object
 	// Connect returns the way to a runner.
 	Connect func(r runner.Runner) engine.Engine
 
@@ -106,6 +109,7 @@
 		Dial:    dial,
 		Listen:  listen,
 		Hosts:   hosts.NewHosts(c.Hosts, dial),
+		Objects: object.NewObject(c.Objects, dial),
 		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
 		drain:   make(chan struct{}),
 		ready:   make(chan struct{}),
@@ -168,7 +172,10 @@
 func (n *Node) buildRoles() {
 	c := n.Conf
 	n.share = &share.Share{Mesh: n.mesh, Peers: n.peers, Learn: n.learn}
-	n.follow = &follow.Follow{Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers}
+	n.follow = &follow.Follow{
+		Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers,
+		Seeds: c.Seeds, Objects: n.Objects, Chosen: n.chosen,
+	}
 	n.follow.Register()
 	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
 	n.suspect = &suspct.Suspect{
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -74,6 +74,18 @@
 	return serving, nil
 }
 
+// chosen reports whether this node is the one, of all that serve, to do a task.
+func (n *Node) chosen(task string) bool {
+	id, err := loop.Get(n.ctx, n.loop, func() string {
+		var ids []string
+		for _, s := range n.members.Serving(time.Now()) {
+			ids = append(ids, s.ID())
+		}
+		return spread.Pick(ids, task)
+	})
+	return err == nil && id == n.self()
+}
+
 func (n *Node) permit(ctx context.Context, r runner.Runner, why reason.Reason) (func(), error) {
 	g, _ := n.follow.Catalog().Group(r.Group)
 	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, loads.Urgency(why))
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -207,3 +207,9 @@
 	}
 	return notOwner(h.spec.Name)
 }
+
+// lapsing reports whether this node is about to lose the right to act on a runner. Homes are told in time: a request
+// sent here after the lapse would be refused until another node has taken the runner.
+func (o *Owner) lapsing(h *held) bool {
+	return !h.spec.Fences && o.Lease.Left() < lapsingBefore
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,6 +43,7 @@
 	loadTimeout   = 2 * time.Minute
 	askTimeout    = time.Second
 	endGrace      = 5 * time.Second // for the node chosen to end a lapsed session before the others do
+	lapsingBefore = 2 * tick        // end of a lease
 	sickAfter     = 2               // reports missed in a row
 )
 
@@ -202,7 +203,7 @@
 	d.Fence = h.fence
 	d.Number = h.number
 	d.Sick = h.failures >= sickAfter
-	d.Closed = d.Closed || h.leaving
+	d.Closed = d.Closed || h.leaving || o.lapsing(h)
 	d.Suspects = o.Suspects(h.spec.Name)
 	return d
 }
