--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -72,6 +72,7 @@
 			delete(h.orders, next.Model)
 			o.noteLoad(h, next.Model, time.Since(ordered), err)
 			o.carry(h, h.sched.Loaded(time.Now(), next.Model, err))
+			o.dropClosed()
 		})
 	}()
 }
@@ -149,7 +150,7 @@
 }
 
 func (o *Owner) wrote(h *held, written assign.Assignment, rev int64) {
-	h.rev = rev
+	h.rev = max(h.rev, rev)
 	h.row.Unload = written.Unload
 	if o.rows[written.Runner].rev < rev {
 		o.rows[written.Runner] = seenRow{row: written, rev: rev}
@@ -195,13 +196,20 @@
 	}
 	o.carry(h, h.sched.Unloaded(time.Now(), model, err))
 	o.writeNext(h)
+	o.dropClosed()
 }
 
 // mayAct is the last check before anything is sent to a runner. An engine that honours fences refuses an old owner
 // itself, so its owner may go on when the table service is down; on others the lease must hold, which peers may extend.
 func (o *Owner) mayAct(h *held) error {
-	if h.spec.Fences || o.Lease.Valid() {
+	if h.spec.Fences || o.Lease.Holds(h.row.Session) {
 		return nil
 	}
 	return notOwner(h.spec.Name)
 }
+
+// lapsing reports whether this node is about to lose the right to act on a runner. Homes are told in time: a request
+// sent here after the lapse would be refused until another node has taken the runner.
+func (o *Owner) lapsing(h *held) bool {
+	return !h.spec.Fences && o.Lease.Left() < lapsingBefore
+}
