--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -17,6 +17,7 @@
 	for _, fences := range []bool{true, false} {
 		for _, point := range points {
 			t.Run(kind(fences)+", "+point, func(t *testing.T) {
+				t.Parallel()
 				play(t, 3, 3, fences, func(w *world) { w.pausePast(point) })
 			})
 		}
@@ -64,6 +65,7 @@
 func TestStartSentLateKeepsItsModel(t *testing.T) {
 	for _, fences := range []bool{true, false} {
 		t.Run(kind(fences), func(t *testing.T) {
+			t.Parallel()
 			play(t, 2, 1, fences, func(w *world) {
 				first := w.owners("at first", 0, 1)[site.RunnerName(0)]
 				other := 1 - first
@@ -86,6 +88,7 @@
 func TestUnloadSentLateCutsNoAnswer(t *testing.T) {
 	for _, fences := range []bool{true, false} {
 		t.Run(kind(fences), func(t *testing.T) {
+			t.Parallel()
 			play(t, 2, 1, fences, func(w *world) {
 				first := w.owners("at first", 0, 1)[site.RunnerName(0)]
 				other := 1 - first
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -22,6 +22,7 @@
 	"damaskreach/internal/stand/engsim"
 	"damaskreach/internal/stand/hostdb"
 	"damaskreach/internal/stand/memnet"
+	"damaskreach/internal/stand/objdb"
 	"damaskreach/internal/stand/plain"
 	"damaskreach/internal/stand/rowdb"
 	"damaskreach/internal/table"
@@ -45,6 +46,7 @@
 	Net      *memnet.Net
 	DB       *rowdb.DB
 	Hosts    *hostdb.DB
+	Objects  *objdb.DB
 	Engines  []*engsim.Engine
 	Plains   []*plain.Service
 	LoadRate float64 // loads a second that the weight store allows; 0 means the usual rate
@@ -71,13 +73,14 @@
 // NewSite returns a site with a number of engines; seed fixes the network's latencies.
 func NewSite(seed int64, engines int) *Site {
 	s := &Site{
-		Net:   memnet.NewNet(seed),
-		DB:    rowdb.NewDB(),
-		Hosts: hostdb.NewDB(),
-		Log:   zap.NewNop(),
-		Conf:  conf.Default(),
-		nodes: map[int]*running{},
-		lives: map[int]int{},
+		Net:     memnet.NewNet(seed),
+		DB:      rowdb.NewDB(),
+		Hosts:   hostdb.NewDB(),
+		Objects: objdb.NewDB(),
+		Log:     zap.NewNop(),
+		Conf:    conf.Default(),
+		nodes:   map[int]*running{},
+		lives:   map[int]int{},
 	}
 	for range engines {
 		s.Engines = append(s.Engines, engsim.NewEngine())
@@ -194,6 +197,7 @@
 	n := node.NewNode(c, s.Net.Dial(host), s.Net.Listen, s.Log.With(zap.String("node", c.Node)))
 	n.Table = s.DB.TableFor(c.Node)
 	n.Hosts = s.Hosts.HostsFor(c.Node)
+	n.Objects = s.Objects.ObjectFor(c.Node)
 	if s.Prepare != nil {
 		s.Prepare(n)
 	}
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -12,6 +12,7 @@
 func both(t *testing.T, nodes, engines int, script func(w *world, fences bool)) {
 	for _, fences := range []bool{true, false} {
 		t.Run(kind(fences), func(t *testing.T) {
+			t.Parallel()
 			play(t, nodes, engines, fences, func(w *world) { script(w, fences) })
 		})
 	}
