--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 1000
 FUZZTIME ?= 10s
 
-.PHONY: all build test check bench fuzz demo site site-stop fmt clean
+.PHONY: all build test check bench soak slopes fuzz demo site site-stop fmt clean
 
 all: build
 
@@ -42,3 +42,11 @@
 
 clean:
 	rm -rf bin site
+
+# SEEDS runs of combined failures in virtual time, on all cores but four.
+soak:
+	$(GO) test ./internal/soak -run TestSoak -seeds $(SEEDS) -timeout 4h
+
+# Takeover times, times in force, and what control costs at several sizes.
+slopes:
+	$(GO) test ./internal/stand/site -run xxx -bench Slopes -benchtime 1x -timeout 1h
--- a/internal/action/action.go
+++ b/internal/action/action.go
@@ -31,4 +31,5 @@
 	Request string
 	Rev     int64  // configuration revision
 	Fault   string // why it failed; empty for success
+	NotRun  bool   // the caller was told that its request did not run
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -44,6 +44,10 @@
 	unloads := func(records, noticed []recrd.Record) func(actions) []check.Breach {
 		return func(a actions) []check.Breach { return check.Unloads("r", records, noticed, a) }
 	}
+	refused := action.Action{Kind: action.Answer, Request: "q", At: at(1), End: at(3), Fault: "refused", NotRun: true}
+	refusals := func(records []recrd.Record) func(actions) []check.Breach {
+		return func(a actions) []check.Breach { return check.Refusals(records, a) }
+	}
 	tests := []struct {
 		name  string
 		check func(actions) []check.Breach
@@ -57,9 +61,15 @@
 		{"unload of a model in use", unloads(run(9, 12), nil), actions{unload}, 1},
 		{"unload under an endless request", unloads(endless, nil), actions{unload}, 1},
 		{"breach an engine noticed", unloads(nil, noticed), nil, 1},
-		{"start within grace", leaving, actions{mark(action.Leave, 1), start("a", 1, 6)}, 0},
-		{"start after the mark was taken back", leaving, actions{mark(action.Leave, 1), mark(action.Return, 5), start("a", 1, 9)}, 0},
-		{"start on a leaving runner", leaving, actions{mark(action.Leave, 1), mark(action.Leave, 4), start("a", 1, 6.1)}, 1},
+		{"start within grace", leaving, actions{mark(action.Join, 0), mark(action.Leave, 1), start("a", 1, 6)}, 0},
+		{"start after the mark was taken back", leaving,
+			actions{mark(action.Join, 0), mark(action.Leave, 1), mark(action.Return, 5), start("a", 1, 9)}, 0},
+		{"start on a leaving runner", leaving,
+			actions{mark(action.Join, 0), mark(action.Leave, 1), mark(action.Leave, 4), start("a", 1, 6.1)}, 1},
+		{"start by a process cut off", leaving,
+			actions{mark(action.Join, 0), mark(action.Leave, 1), mark(action.Part, 2), start("a", 1, 9)}, 0},
+		{"start by a process connected again", leaving,
+			actions{mark(action.Part, 0), mark(action.Leave, 1), mark(action.Join, 9), start("a", 1, 15)}, 1},
 		{"revisions that grow", check.Reverts, actions{force("a", 1, 1), force("b", 5, 2), force("a", 2, 3)}, 0},
 		{"revision that goes back", check.Reverts, actions{force("a", 2, 1), force("a", 1, 2)}, 1},
 		{"revision in force in time", missing, actions{mark(action.Join, 0), mark(action.Commit, 1), force("a", 7, 6)}, 0},
@@ -70,6 +80,8 @@
 			actions{mark(action.Commit, 1), mark(action.Join, 20), force("a", 7, 24)}, 0},
 		{"revision missing on a node that joined later", missing, actions{mark(action.Commit, 1), mark(action.Join, 20)}, 1},
 		{"run too short to tell", missing, actions{mark(action.Join, 0), mark(action.Commit, 96)}, 0},
+		{"refused as not run and not run", refusals(nil), actions{refused}, 0},
+		{"refused as not run and run", refusals(run(1, 2)), actions{refused}, 1},
 		{"answers before an exit", check.Cuts, actions{answer(1, 2, "full"), answer(2, 5, ""), mark(action.Exit, 5)}, 0},
 		{"answer that failed after the exit of another node", check.Cuts,
 			actions{answer(1, 5, "cut"), {Kind: action.Exit, Process: "b", At: at(5)}}, 0},
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,44 @@
+package soak_test
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"damaskreach/internal/soak"
+)
+
+var (
+	seeds = flag.Int("seeds", 15, "number of seeds to run")
+	first = flag.Uint64("first", 1, "first seed")
+)
+
+// sparedCores are left to others while many seeds run.
+const sparedCores = 4
+
+// Failures of every kind come alone, together and twice over, while callers send requests. Whatever comes, none of what
+// must always hold is broken, and once the failures have ended every node serves and every runner has one owner.
+func TestSoak(t *testing.T) {
+	places := make(chan struct{}, max(1, runtime.GOMAXPROCS(0)-sparedCores))
+	for n := range uint64(*seeds) {
+		t.Run(fmt.Sprintf("seed %d", *first+n), func(t *testing.T) {
+			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
+			run(t, *first+n)
+		})
+	}
+}
+
+func run(t *testing.T, seed uint64) {
+	synctest.Test(t, func(t *testing.T) {
+		s := soak.NewSoak(seed)
+		if found := s.Run(t.Context()); len(found) > 0 {
+			t.Errorf("seed %d, fences %v: got breaches\n%s\nwant none; played\n%s",
+				seed, s.Fences, strings.Join(found, "\n"), strings.Join(s.Log(), "\n"))
+		}
+	})
+}
--- a/internal/stand/site/load.go
+++ b/internal/stand/site/load.go
@@ -35,6 +35,7 @@
 	status, _, body, err := s.Complete(ctx, i, model, prompt, tokens, map[string]string{"X-Request-Id": id})
 	a.End = time.Now()
 	a.Fault = judge(status, string(body), err, engsim.Answer(model, prompt, tokens))
+	a.NotRun = strings.Contains(a.Fault, `"verdict":"not-run"`)
 	s.journal.add(a)
 	return a.Fault
 }
--- a/internal/stand/site/record.go
+++ b/internal/stand/site/record.go
@@ -55,6 +55,7 @@
 	all := s.Actions()
 	found := check.Givers(all)
 	for i, e := range s.Engines {
+		found = append(found, check.Refusals(e.Records(), all)...)
 		found = append(found, check.Unloads(RunnerName(i), e.Records(), e.Breaches(), all)...)
 	}
 	found = append(found, check.Leaving(all, LeavingGrace)...)
