--- a/internal/stand/site/change_test.go
+++ b/internal/stand/site/change_test.go
@@ -19,7 +19,7 @@
 			w.drain(i)
 			w.start(i)
 			w.use(i, true)
-			time.Sleep(quiet)
+			w.pass(quiet)
 		}
 		stop()
 		w.whole(since, "overloaded")
@@ -35,7 +35,7 @@
 		for a := range 4 {
 			go func() { done <- w.Ask(w.ctx, 0, "long", site.AdapterName(a)+"@v1", "long", 3000) }()
 		}
-		time.Sleep(2 * time.Second)
+		w.pass(2 * time.Second)
 		w.drain(0)
 		for range 4 {
 			if fault := <-done; fault != "" {
@@ -45,7 +45,7 @@
 		if got, want := w.count(action.Exit, time.Time{}), 1; got != want {
 			w.t.Errorf("got %d complete shutdowns, want %d", got, want)
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 		w.serves("after the shutdown", 1)
 	})
 }
@@ -58,10 +58,10 @@
 		for i := range 3 {
 			w.kill(i)
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 		w.owners("half a minute later", 3, 4, 5)
 		since := time.Now()
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		w.whole(since, "overloaded")
 		w.serves("a minute later", 3, 4, 5)
@@ -82,9 +82,9 @@
 		}
 		w.Hosts.Set(host.Host{Addr: site.EngineHost(1), State: host.Leaving})
 		w.Note(action.Action{Kind: action.Leave, Runner: site.RunnerName(1)})
-		time.Sleep(quiet)
+		w.pass(quiet)
 		w.kill(2) // the successor must know of the mark too
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		if got := w.count(action.Start, since); got < 100 {
 			w.t.Errorf("got %d starts on other runners, want 100 or more", got)
@@ -101,10 +101,10 @@
 		stop := w.load(4, 3)
 		for range 3 {
 			w.Engines[0].Crash()
-			time.Sleep(quiet)
+			w.pass(quiet)
 		}
 		since := time.Now()
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		w.whole(since, "overloaded")
 		w.serves("after", 0, 1, 2)
@@ -120,15 +120,15 @@
 		for range 3 {
 			w.Net.Cut(site.Host(0), site.Host(1))
 			w.Net.Cut(site.Host(1), site.EngineHost(0))
-			time.Sleep(time.Second)
+			w.pass(time.Second)
 			w.kill(1)
 			w.start(1)
 			w.Net.Heal(site.Host(0), site.Host(1))
 			w.Net.Heal(site.Host(1), site.EngineHost(0))
-			time.Sleep(quiet)
+			w.pass(quiet)
 		}
 		since := time.Now()
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		w.whole(since, "overloaded")
 		w.owners("after", 0, 1, 2)
@@ -147,14 +147,14 @@
 		}
 		stop := w.load(4, 3)
 		since := time.Now()
-		time.Sleep(time.Minute)
+		w.pass(time.Minute)
 		w.whole(since, "overloaded")
 		for i := range 3 {
 			w.Hosts.Lie(site.Host(i), host.Live)
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 		w.KillNode(2)
-		time.Sleep(lapse)
+		w.pass(lapse)
 		w.owners("after the death", 0, 1)
 		stop()
 		if fences {
@@ -179,13 +179,13 @@
 				if _, err := w.Apply(w.ctx, site.Row("adapter", name, w.Adapter(name))); err != nil {
 					w.t.Fatal(err)
 				}
-				time.Sleep(20 * time.Second)
+				w.pass(20 * time.Second)
 			}
 			stop()
 			w.whole(since, "overloaded")
 			w.DB.SetLag(0, 1)
 			w.joinAll(3)
-			time.Sleep(quiet)
+			w.pass(quiet)
 			for runner, owner := range w.owners("after", 0, 1, 2) {
 				if owner != owners[runner] {
 					w.t.Errorf("got node %d as owner of %s, want %d as before", owner, runner, owners[runner])
@@ -224,8 +224,8 @@
 			if winners != 1 {
 				w.t.Errorf("got %d edits accepted, want 1", winners)
 			}
-			time.Sleep(time.Second)
+			w.pass(time.Second)
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 	})
 }
--- a/internal/stand/site/cold_test.go
+++ b/internal/stand/site/cold_test.go
@@ -11,7 +11,7 @@
 func (w *world) cold(seeds ...string) int64 {
 	w.Conf.Seeds = seeds
 	w.start(3)
-	time.Sleep(site.ForceGrace)
+	w.pass(site.ForceGrace)
 	return w.Node(3).Catalog().Complete()
 }
 
@@ -37,7 +37,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			play(t, 3, 1, true, func(w *world) {
-				time.Sleep(2 * time.Minute) // a snapshot is written by then
+				w.pass(2 * time.Minute) // a snapshot is written by then
 				want := w.Node(0).Catalog()
 				test.fault(w)
 				got := w.cold(test.seeds...)
@@ -54,7 +54,7 @@
 // for the present state would go back behind what it had in force.
 func TestOldSnapshotIsNeverPutInForce(t *testing.T) {
 	play(t, 3, 1, true, func(w *world) {
-		time.Sleep(2 * time.Minute)
+		w.pass(2 * time.Minute)
 		w.Objects.SetDown(true) // the snapshot stays as it is
 		rev, err := w.Apply(w.ctx, site.Row("adapter", "newer", w.Adapter("newer")))
 		if err != nil {
@@ -65,7 +65,7 @@
 			t.Errorf("got revision %d in force after a start from an old snapshot, want %d", got, rev)
 		}
 		w.DB.SetLag(time.Minute, 1)
-		time.Sleep(quiet)
+		w.pass(quiet)
 		if _, known := w.Node(3).Catalog().Adapter("newer"); !known {
 			t.Error("got no row of the newer revision, want it to stay in force")
 		}
--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -38,9 +38,9 @@
 	} else {
 		w.await(w.pauseAt(0, point, lapse))
 	}
-	time.Sleep(quiet)
+	w.pass(quiet)
 	since := time.Now()
-	time.Sleep(quiet)
+	w.pass(quiet)
 	stop()
 	w.whole(since)
 	w.owners("after the pause", 0, 1, 2)
@@ -75,7 +75,7 @@
 				for a := range adapters {
 					w.Ask(w.ctx, other, "evicting", site.AdapterName(a)+"@v1", "short", 2)
 				}
-				time.Sleep(quiet)
+				w.pass(quiet)
 				w.owners("after the pause", 0, 1)
 				w.serves("after the pause", 0, 1)
 			})
@@ -96,12 +96,12 @@
 				w.Ask(w.ctx, first, "two", site.AdapterName(2)+"@v1", "short", 2)
 				woke := w.pauseAt(first, owner.BeforeUnload, lapse)
 				go w.Ask(w.ctx, first, "three", site.AdapterName(3)+"@v1", "short", 2)
-				time.Sleep(lapse - 3*time.Second)
+				w.pass(lapse - 3*time.Second)
 				since := time.Now()
 				go w.Ask(w.ctx, other, "late one", site.AdapterName(1)+"@v1", "long", 2000)
 				go w.Ask(w.ctx, other, "late two", site.AdapterName(2)+"@v1", "long", 2000)
 				w.await(woke)
-				time.Sleep(quiet)
+				w.pass(quiet)
 				w.whole(since)
 				w.serves("after the pause", 0, 1)
 			})
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -34,11 +34,11 @@
 // busyHour lets an hour pass with callers in its first and last minutes.
 func (w *world) busyHour() {
 	stop := w.load(4, 3)
-	time.Sleep(time.Minute)
+	w.pass(time.Minute)
 	stop()
-	time.Sleep(58 * time.Minute)
+	w.pass(58 * time.Minute)
 	stop = w.load(4, 3)
-	time.Sleep(time.Minute)
+	w.pass(time.Minute)
 	stop()
 }
 
@@ -46,7 +46,7 @@
 // honour fences.
 func (w *world) quietHour(fences bool) {
 	for range 60 {
-		time.Sleep(time.Minute)
+		w.pass(time.Minute)
 		if fences {
 			w.serves("in the outage", 0, 1, 2)
 			continue
@@ -69,17 +69,17 @@
 		since := time.Now()
 		for range 10 {
 			w.DB.LoseAnswers(4)
-			time.Sleep(7 * time.Second)
+			w.pass(7 * time.Second)
 		}
 		w.DB.LoseAnswers(0)
 		w.whole(since)
 		w.DB.LoseAnswers(4)
 		w.kill(2)
-		time.Sleep(lapse)
+		w.pass(lapse)
 		w.DB.LoseAnswers(0)
 		w.owners("after a takeover with lost answers", 0, 1)
 		since = time.Now()
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		w.whole(since)
 		w.start(2)
@@ -103,7 +103,7 @@
 		w.whole(since)
 		w.DB.SetDown(false)
 		w.joinAll(3)
-		time.Sleep(quiet)
+		w.pass(quiet)
 		for runner, owner := range w.owners("after the outage", 0, 1, 2) {
 			if owner != owners[runner] {
 				w.t.Errorf("after the outage: got node %d as owner of %s, want %d as before", owner, runner, owners[runner])
@@ -128,7 +128,7 @@
 		stop := w.load(4, 3)
 		w.DB.SetSlow(0)
 		w.joinAll(3)
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		w.whole(since, "overloaded", "deadline", "load")
 		for runner, owner := range w.owners("after", 0, 1, 2) {
@@ -147,18 +147,18 @@
 		stop := w.load(4, 3)
 		since := time.Now()
 		w.DB.CutClient(w.Node(1).Conf.Node, true)
-		time.Sleep(time.Minute)
+		w.pass(time.Minute)
 		if _, err := w.Apply(w.ctx, site.Row("adapter", "adapter-new", w.Adapter("adapter-new"))); err != nil {
 			w.t.Fatal(err)
 		}
-		time.Sleep(site.ForceGrace)
+		w.pass(site.ForceGrace)
 		if fault := w.Ask(w.ctx, 1, "new", "adapter-new@v1", "prompt", 3); fault != "" {
 			w.t.Errorf("got %q for a new adapter on the node cut off, want a whole answer", fault)
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 		w.whole(since, "overloaded")
 		w.DB.CutClient(w.Node(1).Conf.Node, false)
-		time.Sleep(quiet)
+		w.pass(quiet)
 		stop()
 		w.owners("after the cut", 0, 1, 2)
 		w.serves("after the cut", 0, 1, 2)
@@ -177,15 +177,15 @@
 			}
 			w.Net.Cut(site.Host(1), site.EngineHost(i))
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 		since := time.Now()
-		time.Sleep(time.Minute)
+		w.pass(time.Minute)
 		w.whole(since, "overloaded")
 		for i := range 3 {
 			w.Net.Heal(site.Host(1), site.Host(i))
 			w.Net.Heal(site.Host(1), site.EngineHost(i))
 		}
-		time.Sleep(quiet)
+		w.pass(quiet)
 		w.use(1, true)
 		stop()
 		w.owners("after the cut", 0, 1, 2)
@@ -207,13 +207,13 @@
 				})
 			}
 			w.kill(2)
-			time.Sleep(lapse)
+			w.pass(lapse)
 			close(held)
-			time.Sleep(quiet)
+			w.pass(quiet)
 			w.owners("after a race", 0, 1)
 			w.serves("after a race", 0, 1)
 			w.start(2)
-			time.Sleep(quiet)
+			w.pass(quiet)
 		}
 	})
 }
--- a/internal/stand/site/world_test.go
+++ b/internal/stand/site/world_test.go
@@ -32,9 +32,8 @@
 	t   *testing.T
 	ctx context.Context
 
-	mu     sync.Mutex
-	shut   map[int]bool // nodes that callers do not use
-	paused map[string]bool
+	mu   sync.Mutex
+	shut map[int]bool // nodes that callers do not use
 }
 
 // play starts a site of nodes and engines of few slots, runs script and reports every breach of what must always hold.
@@ -69,6 +68,11 @@
 	})
 }
 
+// pass lets virtual time pass.
+func (w *world) pass(d time.Duration) {
+	time.Sleep(d)
+}
+
 // load puts callers on the site and returns the function that stops them and waits for their last answers.
 func (w *world) load(callers, nodes int) (stop func()) {
 	ctx, cancel := context.WithCancel(w.ctx)
