--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -17,6 +17,7 @@
 	for _, fences := range []bool{true, false} {
 		for _, point := range points {
 			t.Run(kind(fences)+", "+point, func(t *testing.T) {
+				t.Parallel()
 				play(t, 3, 3, fences, func(w *world) { w.pausePast(point) })
 			})
 		}
@@ -37,9 +38,9 @@
 	} else {
 		w.await(w.pauseAt(0, point, lapse))
 	}
-	time.Sleep(quiet)
+	w.pass(quiet)
 	since := time.Now()
-	time.Sleep(quiet)
+	w.pass(quiet)
 	stop()
 	w.whole(since)
 	w.owners("after the pause", 0, 1, 2)
@@ -64,6 +65,7 @@
 func TestStartSentLateKeepsItsModel(t *testing.T) {
 	for _, fences := range []bool{true, false} {
 		t.Run(kind(fences), func(t *testing.T) {
+			t.Parallel()
 			play(t, 2, 1, fences, func(w *world) {
 				first := w.owners("at first", 0, 1)[site.RunnerName(0)]
 				other := 1 - first
@@ -73,7 +75,7 @@
 				for a := range adapters {
 					w.Ask(w.ctx, other, "evicting", site.AdapterName(a)+"@v1", "short", 2)
 				}
-				time.Sleep(quiet)
+				w.pass(quiet)
 				w.owners("after the pause", 0, 1)
 				w.serves("after the pause", 0, 1)
 			})
@@ -86,6 +88,7 @@
 func TestUnloadSentLateCutsNoAnswer(t *testing.T) {
 	for _, fences := range []bool{true, false} {
 		t.Run(kind(fences), func(t *testing.T) {
+			t.Parallel()
 			play(t, 2, 1, fences, func(w *world) {
 				first := w.owners("at first", 0, 1)[site.RunnerName(0)]
 				other := 1 - first
@@ -93,12 +96,12 @@
 				w.Ask(w.ctx, first, "two", site.AdapterName(2)+"@v1", "short", 2)
 				woke := w.pauseAt(first, owner.BeforeUnload, lapse)
 				go w.Ask(w.ctx, first, "three", site.AdapterName(3)+"@v1", "short", 2)
-				time.Sleep(lapse - 3*time.Second)
+				w.pass(lapse - 3*time.Second)
 				since := time.Now()
 				go w.Ask(w.ctx, other, "late one", site.AdapterName(1)+"@v1", "long", 2000)
 				go w.Ask(w.ctx, other, "late two", site.AdapterName(2)+"@v1", "long", 2000)
 				w.await(woke)
-				time.Sleep(quiet)
+				w.pass(quiet)
 				w.whole(since)
 				w.serves("after the pause", 0, 1)
 			})
