Add the callers' client and use it in the demo

Cause: callers had to find nodes, keep discovery's answer and decide by themselves what may be sent again; the demo did so with code of its own.

Change: pkg/client. It keeps discovery's answer for its life, goes on to another node only where a request did not run, waits as long as Retry-After says, and repeats what may have run only if it is idempotent or has a key. net/http cannot repeat anything by itself: bodies cannot be rewound, and what may run once goes over a connection of its own. pkg/head names the headers for both sides. Ordinary requests wait half a second at most for a runner that a suspect has to itself and then go to another one: in the demo some had waited 13 s behind several suspects.

--- a/internal/demo/ask.go
+++ b/internal/demo/ask.go
@@ -2,48 +2,71 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
-	"damaskreach/internal/entry"
 	"damaskreach/internal/stand/site"
+	"damaskreach/pkg/head"
+	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
 
 const (
 	mostTries = 20
-	usualWait = 200 * time.Millisecond // before another try, where no Retry-After says otherwise
+	usualWait = 200 * time.Millisecond // before another try where a refusal names no time
 	longWait  = time.Second
 )
 
-// result is the outcome of one try.
-type result struct {
-	status  int
-	verdict string
-	whole   bool
-	text    string
-	retry   time.Duration
+type completion struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"max_tokens"`
+	Stream bool   `json:"stream"`
 }
 
-// ask sends a request until it is answered in full or nothing more may be tried. A completion that may have run is asked
-// again, since it is idempotent; a booking is asked again only with its key, which makes that safe.
+type chunk struct {
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Text string `json:"text"`
+}
+
+// ask sends a request until it is answered in full or nothing more may be tried. The client repeats what may be repeated;
+// what it has given up on is asked again as long as that is safe: a completion is idempotent, and a booking has a key.
 func (d *Demo) ask(ctx context.Context, q demand) {
 	for try := range mostTries {
+		start := time.Now()
 		id := fmt.Sprintf("request-%d-%d", q.number, try)
 		d.judge.Sent(id, q.key(), q.booking, q.model, q.want())
-		start := time.Now()
-		r := d.once(ctx, q, id, d.entries.pick(ctx, q.node+try))
-		d.judge.Got(id, r.status, r.verdict, r.whole, r.text)
-		if r.whole || ctx.Err() != nil {
+		text, err := d.once(ctx, q, id)
+		if err == nil {
+			d.judge.Got(id, http.StatusOK, verd.Ran.String(), true, text)
 			d.note(id, time.Since(start))
 			return
 		}
-		pause(ctx, r.retry)
+		refusal := asRefusal(err)
+		d.judge.Got(id, refusal.Status(), refusal.Verdict.String(), false, text)
+		if ctx.Err() != nil {
+			return
+		}
+		pause(ctx, min(max(refusal.Retry, usualWait), longWait))
 	}
 }
 
+func asRefusal(err error) *refuse.Refusal {
+	var refusal *refuse.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "%v", err)
+}
+
 func (q demand) key() string {
 	if !q.booking {
 		return ""
@@ -60,30 +83,53 @@
 	}
 }
 
-func (d *Demo) once(ctx context.Context, q demand, id string, node int) result {
-	headers := map[string]string{entry.HeaderRequest: id}
+// once returns a request's text and nil where the answer is whole.
+func (d *Demo) once(ctx context.Context, q demand, id string) (string, error) {
 	if q.booking {
-		headers[entry.HeaderKey] = q.key()
-		headers["Content-Type"] = bookingType
-		return parse(d.site.Book(ctx, node, bookingPath, q.body, headers))
+		return d.book(ctx, q, id)
+	}
+	return d.complete(ctx, q, id)
+}
+
+func (d *Demo) book(ctx context.Context, q demand, id string) (string, error) {
+	req, err := http.NewRequest(http.MethodPost, "/plain/"+site.Plain+bookingPath, strings.NewReader(q.body))
+	if err != nil {
+		return "", err
 	}
-	r := parse(d.site.Complete(ctx, node, q.model, q.prompt, q.tokens, headers))
-	if r.status == http.StatusOK {
-		r.text, r.whole = site.Text([]byte(r.text))
+	req.Header.Set("Content-Type", bookingType)
+	req.Header.Set(head.Request, id)
+	req.Header.Set(head.Key, q.key())
+	res, err := d.client.Do(ctx, "", req)
+	if err != nil {
+		return "", err
 	}
-	return r
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return string(text), err
 }
 
-func parse(status int, header http.Header, body []byte, err error) result {
-	r := result{status: status, verdict: header.Get(entry.HeaderVerdict), text: string(body), retry: usualWait}
-	r.whole = err == nil && status == http.StatusOK
-	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil {
-		r.retry = min(longWait, time.Duration(seconds)*time.Second)
+func (d *Demo) complete(ctx context.Context, q demand, id string) (string, error) {
+	body, err := json.Marshal(completion{Model: q.model, Prompt: q.prompt, Tokens: q.tokens, Stream: true})
+	if err != nil {
+		return "", err
 	}
-	if r.verdict == "" && status == 0 {
-		r.verdict = verd.MayHaveRun.String()
+	req, err := http.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return "", err
 	}
-	return r
+	req.Header.Set(head.Request, id)
+	var text strings.Builder
+	err = d.client.Stream(ctx, q.model, req, func(data []byte) error {
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			return err
+		}
+		for _, choice := range c.Choices {
+			text.WriteString(choice.Text)
+		}
+		return nil
+	})
+	return text.String(), err
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/stand/plain"
 	"damaskreach/internal/stand/recrd"
 	"damaskreach/internal/stand/site"
+	"damaskreach/pkg/client"
 )
 
 const (
@@ -53,7 +54,7 @@
 	site    *site.Site
 	judge   *judge.Judge
 	traffic *traffic
-	entries *entries
+	client  *client.Client
 	out     io.Writer
 
 	mu     sync.Mutex
@@ -131,10 +132,19 @@
 	for i := range nodes {
 		d.site.StartNode(ctx, i)
 	}
-	d.entries = newEntries(d.site)
+	d.client = client.NewClient(site.APIKey, firstEntries(), d.site.Net.Dial(site.CallerHost))
 	return d.settle(ctx)
 }
 
+// firstEntries returns the addresses that callers know without asking.
+func firstEntries() []string {
+	var all []string
+	for i := range nodes {
+		all = append(all, site.Host(i)+":8000")
+	}
+	return all
+}
+
 // settle waits until every runner has an owner.
 func (d *Demo) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -38,7 +38,6 @@
 	prompt  string
 	tokens  int
 	body    string // of a booking
-	node    int    // entry tried first, as an index into discovery's answer
 }
 
 func newTraffic(o options) *traffic {
@@ -59,7 +58,6 @@
 	random := pick(t.options.Seed, n)
 	d := demand{
 		number: n,
-		node:   random.IntN(nodes),
 		tokens: leastTokens + random.IntN(moreTokens),
 		prompt: fmt.Sprintf("request %d of seed %d", n, t.options.Seed),
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,19 +14,20 @@
 	"damaskreach/internal/digest"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/timing"
+	"damaskreach/pkg/head"
 	"damaskreach/pkg/refuse"
 )
 
-// Headers callers use.
+// Headers callers use; see package head.
 const (
-	HeaderRequest  = "X-Request-Id"      // names the request in logs and explanations; made up where absent
-	HeaderKey      = "Idempotency-Key"   // repeats with one key are answered once
-	HeaderOnce     = "X-Non-Idempotent"  // "true": at most one dispatch
-	HeaderPriority = "X-Priority"        // integer, higher is more urgent
-	HeaderTimeout  = "X-Request-Timeout" // duration such as "5s" after which no answer is wanted
-	HeaderClass    = "X-Class"           // traffic class, for metrics and fair shares
-	HeaderReplayed = "X-Replayed"        // "true" on the answer to a repeat
-	HeaderVerdict  = "X-Verdict"         // on answers: whether the request may have run
+	HeaderRequest  = head.Request
+	HeaderKey      = head.Key
+	HeaderOnce     = head.Once
+	HeaderPriority = head.Priority
+	HeaderTimeout  = head.Timeout
+	HeaderClass    = head.Class
+	HeaderReplayed = head.Replayed
+	HeaderVerdict  = head.Verdict
 )
 
 // Entry is the callers' side of a node. The fields are set before Handler and not changed afterwards.
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"damaskreach/pkg/head"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -48,7 +49,7 @@
 func newErrorBody(r *refuse.Refusal) errorBody {
 	return errorBody{Error: errorDetail{
 		Message: r.Text,
-		Type:    "damaskreach",
+		Type:    head.Kind,
 		Code:    r.Code,
 		Verdict: r.Verdict,
 		Retry:   r.Retry.Seconds(),
--- a/internal/suspct/enter.go
+++ b/internal/suspct/enter.go
@@ -11,6 +11,13 @@
 	"damaskreach/pkg/verd"
 )
 
+const (
+	// othersWait is how long an ordinary request waits for a suspect to be done. Homes send other requests to other
+	// runners once they know; those that came before must not stand in line for as long as a suspect's answer takes.
+	othersWait  = 500 * time.Millisecond
+	retryOthers = time.Second
+)
+
 // Enter waits until a call may be sent to a runner that this node owns. The caller calls begin at the moment of the
 // dispatch, which may still refuse, and leave with the outcome; leave returns once all nodes know of a crash.
 func (s *Suspect) Enter(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(err error), err error) {
@@ -59,9 +66,18 @@
 }
 
 func (s *Suspect) await(ctx context.Context, runner string, p *pass) error {
+	var tooLong <-chan time.Time
+	if !p.alone {
+		timer := time.NewTimer(othersWait)
+		defer timer.Stop()
+		tooLong = timer.C
+	}
 	select {
 	case <-p.granted:
 		return nil
+	case <-tooLong:
+		s.out(runner, p)
+		return refuse.NewRefusal(verd.NotRun, refuse.Held, "runner %s is kept for a request that may crash it", runner).WithRetry(retryOthers)
 	case <-ctx.Done():
 		s.out(runner, p)
 		return refuse.NewRefusal(verd.NotRun, refuse.Canceled, "the caller went away while requests that may crash the runner had it to themselves")
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -28,6 +28,7 @@
 	LoadFailed   = "load-failed"   // the adapter could not be loaded
 	Canceled     = "canceled"      // the caller went away
 	Moved        = "moved"         // the node asked is not the owner of the runner
+	Held         = "held"          // the runner is kept for a request that may crash it
 	Internal     = "internal"      // a fault of this program
 )
 
