--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -19,6 +19,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.active.count.Add(1)
 		defer e.active.count.Add(-1)
+		if id := r.Header.Get(HeaderRequest); id != "" && len(id) <= mostHeader {
+			w.Header().Set(HeaderRequest, id)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"damaskreach/internal/timing"
 	"damaskreach/pkg/head"
 	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
 )
 
 // Headers callers use; see package head.
@@ -61,18 +62,37 @@
 	active active
 }
 
+type route struct {
+	method, path string
+	serve        http.HandlerFunc
+}
+
 // Handler returns the callers' routes.
 func (e *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/completions", e.serveModel)
-	mux.HandleFunc("POST /v1/chat/completions", e.serveModel)
-	mux.HandleFunc("GET /v1/models", e.serveModels)
-	mux.HandleFunc("GET /v1/entries", e.serveEntries)
+	for _, t := range []route{
+		{http.MethodPost, "/v1/completions", e.serveModel},
+		{http.MethodPost, "/v1/chat/completions", e.serveModel},
+		{http.MethodGet, "/v1/models", e.serveModels},
+		{http.MethodGet, "/v1/entries", e.serveEntries},
+	} {
+		mux.HandleFunc(t.method+" "+t.path, t.serve)
+		mux.HandleFunc(t.path, e.refuseMethod(t.method))
+	}
 	mux.HandleFunc("/plain/{group}/{path...}", e.servePlain)
 	mux.HandleFunc("/", e.serveUnknown)
 	return e.count(mux)
 }
 
 func (e *Entry) serveUnknown(w http.ResponseWriter, r *http.Request) {
-	e.refuse(w, badRequest("no route for %s %s", r.Method, r.URL.Path))
+	e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "there is no path %s", r.URL.Path))
+}
+
+// refuseMethod answers requests to a path that takes another method. The mux by itself would answer in plain text,
+// without a verdict.
+func (e *Entry) refuseMethod(takes string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", takes)
+		e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.BadMethod, "%s takes %s, not %s", r.URL.Path, takes, r.Method))
+	}
 }
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -22,6 +22,8 @@
 	prefixBytes  = 256 // of the prompt, that prefix-cache affinity looks at
 	mostHeader   = 256 // bytes of a request id or idempotency key
 	mostPriority = 9
+	bodyTimeout  = 30 * time.Second // for a caller to send a request's body
+	modelField   = "model"
 )
 
 // question is what the model paths read of a body; everything else is passed on unread.
@@ -34,7 +36,11 @@
 }
 
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refuse.Refusal) {
+	// A caller that sends its body byte by byte would hold its connection and a part of the memory for as long as it likes.
+	flow := http.NewResponseController(w)
+	_ = flow.SetReadDeadline(time.Now().Add(bodyTimeout)) // not every reader has deadlines
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.MaxBody))
+	_ = flow.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "the body exceeds %d bytes", e.MaxBody)
@@ -69,7 +75,13 @@
 	if err != nil {
 		return nil, badRequest("the model name cannot be encoded: %v", err)
 	}
-	fields["model"] = name
+	for field := range fields {
+		// JSON decoders that ignore case, as Go's does, would let a field such as "Model" overrule the model resolved here.
+		if strings.EqualFold(field, modelField) {
+			delete(fields, field)
+		}
+	}
+	fields[modelField] = name
 	changed, err := json.Marshal(fields)
 	if err != nil {
 		return nil, badRequest("the body cannot be encoded: %v", err)
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -66,7 +66,7 @@
 		return r
 	}
 	switch r.Code {
-	case refuse.BadRequest, refuse.TooLarge, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
+	case refuse.BadRequest, refuse.BadMethod, refuse.NoRoute, refuse.TooLarge, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
 		return r
 	}
 	return r.WithRetry(usualRetry)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -90,9 +90,11 @@
 	sink    *sink
 	name    string // opening of its attempts' ids
 	count   int
-	avoid   []string     // runners that failed
-	resumes bool         // the last runner can resume a stream
-	verdict verd.Verdict // MayHaveRun once any attempt may have run
+	avoid   []string        // runners that failed
+	last    *refuse.Refusal // of the attempt before
+	over    bool            // no runner is left to try
+	resumes bool            // the last runner can resume a stream
+	verdict verd.Verdict    // MayHaveRun once any attempt may have run
 }
 
 func (t *try) once(ctx context.Context, c call.Call) *refuse.Refusal {
@@ -101,7 +103,7 @@
 	c = c.WithAttempt(call.Attempt(t.name, t.count))
 	d, err := e.Choose(ctx, c, t.avoid)
 	if err != nil {
-		return asRefusal(err)
+		return t.unplaced(asRefusal(err))
 	}
 	r, _ := e.Catalog().Runner(d.Runner)
 	t.resumes = r.Resumes
@@ -115,10 +117,22 @@
 	return refusal
 }
 
+// unplaced returns why a call that found no further runner is refused: where others failed before, what the last one
+// said, since "no runner left" tells a caller nothing.
+func (t *try) unplaced(refusal *refuse.Refusal) *refuse.Refusal {
+	left := refusal.Code == refuse.NoUpstream || refusal.Code == refuse.Overloaded
+	if t.last == nil || !left {
+		return refusal
+	}
+	t.over = true
+	return t.last
+}
+
 func (t *try) learn(d digest.Digest, refusal *refuse.Refusal) {
 	if refusal == nil {
 		return
 	}
+	t.last = refusal
 	if refusal.Verdict != verd.NotRun {
 		t.verdict = verd.MayHaveRun
 	}
@@ -130,7 +144,7 @@
 // again decides whether a failed attempt is followed by another.
 func (t *try) again(ctx context.Context, c call.Call, refusal *refuse.Refusal) bool {
 	switch {
-	case ctx.Err() != nil || t.count >= mostAttempts:
+	case ctx.Err() != nil || t.over || t.count >= mostAttempts:
 		return false
 	case !retriable(refusal):
 		return false
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -16,7 +16,7 @@
 func (p *Place) Choose(now time.Time, c call.Call, avoid []string) (digest.Digest, reason.Reason, *refuse.Refusal) {
 	open := p.open(c.Group, avoid)
 	if len(open) == 0 && len(avoid) > 0 {
-		return p.tried(c, p.open(c.Group, nil))
+		return p.full(c, p.open(c.Group, nil))
 	}
 	if len(open) == 0 {
 		return p.none(c)
@@ -138,21 +138,12 @@
 	return digest.Digest{}, why, refusal
 }
 
-// tried refuses a call that each runner of its group has turned down or failed.
-func (p *Place) tried(c call.Call, open []*target) (digest.Digest, reason.Reason, *refuse.Refusal) {
-	return p.refuse(c, open, "every runner of group "+c.Group+" was tried")
-}
-
 // full refuses a call that every runner of its group is too full for.
 func (p *Place) full(c call.Call, open []*target) (digest.Digest, reason.Reason, *refuse.Refusal) {
-	return p.refuse(c, open, "every admission queue of group "+c.Group+" is full")
-}
-
-func (p *Place) refuse(c call.Call, open []*target, text string) (digest.Digest, reason.Reason, *refuse.Refusal) {
 	if len(open) == 0 {
 		return p.none(c)
 	}
-	why := reason.Reason{Kind: refuse.Overloaded, Text: text, Model: modelOf(c)}
+	why := reason.Reason{Kind: refuse.Overloaded, Text: "every admission queue of group " + c.Group + " is full", Model: modelOf(c)}
 	for _, t := range open {
 		why.Running += t.digest.Running
 		why.Waiting += t.digest.Waiting + len(t.recent)
--- a/internal/suspct/suspct.go
+++ b/internal/suspct/suspct.go
@@ -90,7 +90,7 @@
 		return nil
 	}
 	text := "the connection to its upstream broke while it ran, at %s and at %s; it is not tried on a third"
-	return refuse.NewRefusal(verd.NotRun, refuse.Suspect, text, r.Crashes[0].Runner, r.Crashes[1].Runner).WithRetry(time.Until(r.until))
+	return refuse.NewRefusal(verd.NotRun, refuse.Suspect, text, r.Crashes[0].Runner, r.Crashes[1].Runner).WithRetry(time.Until(r.until).Round(time.Second))
 }
 
 // Waiting returns how many suspects run on a runner or wait for it here.
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -12,6 +12,8 @@
 // Codes of refusals, stable for callers to switch on.
 const (
 	BadRequest   = "bad-request"   // the request itself is malformed
+	BadMethod    = "bad-method"    // the path does not take the method
+	NoRoute      = "no-route"      // there is no such path
 	TooLarge     = "too-large"     // the body or headers exceed the configured size
 	UnknownModel = "unknown-model" // no such adapter or version for this tenant
 	Forbidden    = "forbidden"     // the credentials do not allow it
@@ -74,6 +76,10 @@
 	switch r.Code {
 	case BadRequest:
 		return http.StatusBadRequest
+	case BadMethod:
+		return http.StatusMethodNotAllowed
+	case NoRoute:
+		return http.StatusNotFound
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
 	case UnknownModel:
