Delete claims at the end of their life and measure what they cost

Cause: rows of claims stayed for good; a keeper remembered claims that had ended through another one. Change: claim-life (24 h).

--- a/internal/claim/begin.go
+++ b/internal/claim/begin.go
@@ -60,6 +60,12 @@
 	return beginSaid{}, true, nil
 }
 
+// waiting is a claim that is open as far as this keeper knows.
+type waiting struct {
+	ended chan struct{} // closed when it ends through this keeper
+	since time.Time
+}
+
 // entered is what a request meets at the keeper of its key.
 type entered struct {
 	first bool          // no other request with the key is known here
@@ -68,26 +74,28 @@
 
 func (c *Claim) enter(ctx context.Context, key string) (entered, error) {
 	return loop.Get(ctx, c.Loop, func() entered {
-		if ended := c.waits[key]; ended != nil {
-			return entered{ended: ended}
+		if w, known := c.waits[key]; known {
+			return entered{ended: w.ended}
 		}
-		c.waits[key] = make(chan struct{})
-		return entered{first: true, ended: c.waits[key]}
+		c.waits[key] = waiting{ended: make(chan struct{}), since: time.Now()}
+		return entered{first: true, ended: c.waits[key].ended}
 	})
 }
 
 // leave wakes the requests that wait for a claim.
 func (c *Claim) leave(key string) {
-	_ = c.Loop.Post(func() {
-		if ended := c.waits[key]; ended != nil {
-			close(ended)
-			delete(c.waits, key)
-		}
-	})
+	_ = c.Loop.Post(func() { c.wake(key) })
+}
+
+func (c *Claim) wake(key string) {
+	if w, known := c.waits[key]; known {
+		close(w.ended)
+		delete(c.waits, key)
+	}
 }
 
 func (q beginAsk) record() record {
-	return record{Print: q.Print, Nonce: q.Nonce, Session: q.Session}
+	return record{Print: q.Print, Nonce: q.Nonce, Session: q.Session, At: time.Now()}
 }
 
 // present decides by the row that is there; again means that there is none and the insert may be tried anew.
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -47,7 +47,8 @@
 	Table   table.Table
 	Gather  *gather.Gather
 	Log     *zap.Logger
-	Keepers int // shards
+	Keepers int           // shards
+	Life    time.Duration // of a claim, from its end
 	// Ctx ends with the node and all work left over from requests.
 	Ctx context.Context
 	// Home returns the node that a key hashes to and whether it is this one.
@@ -55,7 +56,7 @@
 	// Self returns the key of this node's session row.
 	Self func() string
 
-	waits map[string]chan struct{} // closed when the claim of a row key ends; control state
+	waits map[string]waiting // by row key; control state
 }
 
 // record is the value of a claim's row.
@@ -64,6 +65,7 @@
 	Nonce   string         `json:"nonce"`   // tells one's own write from another's
 	Session string         `json:"session"` // session row key of the entry node that dispatches it
 	Ended   bool           `json:"ended"`
+	At      time.Time      `json:"at"`               // of the claim, or of its end, by the clock of the node that wrote it
 	Answer  *answer.Answer `json:"answer,omitempty"` // once ended
 }
 
@@ -110,7 +112,7 @@
 
 // Register answers other nodes' requests for claims.
 func (c *Claim) Register() {
-	c.waits = map[string]chan struct{}{}
+	c.waits = map[string]waiting{}
 	peer.Answer(c.Mesh, methodBegin, func(ctx context.Context, _ string, q beginAsk) (beginSaid, error) {
 		return c.begin(ctx, q)
 	})
--- a/internal/claim/end.go
+++ b/internal/claim/end.go
@@ -71,7 +71,7 @@
 	if q.Answer == nil {
 		row = row.WithGone()
 	} else {
-		row = row.WithValue(record{Print: q.Print, Nonce: q.Nonce, Ended: true, Answer: q.Answer}.encode())
+		row = row.WithValue(record{Print: q.Print, Nonce: q.Nonce, Ended: true, At: time.Now(), Answer: q.Answer}.encode())
 	}
 	_, err := c.Gather.Write(ctx, row)
 	if err != nil {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -30,6 +30,7 @@
 	RetryBudget float64       `toml:"retry-budget"` // retries as a share of requests
 	Keepers     int           `toml:"keepers"`      // claim shards
 	ClaimWindow time.Duration `toml:"claim-window"` // how long claims are gathered for one write
+	ClaimLife   time.Duration `toml:"claim-life"`   // how long an idempotency key is remembered after its request
 	SuspectLife time.Duration `toml:"suspect-life"` // how long a request that crashed upstreams is held back
 	LogLevel    string        `toml:"log-level"`    // debug, info, warn or error
 }
@@ -48,6 +49,7 @@
 		RetryBudget: 0.1,
 		Keepers:     4,
 		ClaimWindow: 20 * time.Millisecond,
+		ClaimLife:   24 * time.Hour,
 		SuspectLife: 10 * time.Minute,
 		LogLevel:    "info",
 	}
--- a/internal/conf/rules.go
+++ b/internal/conf/rules.go
@@ -49,6 +49,7 @@
 	add("retry-budget", between(c.RetryBudget, 0, 1))
 	add("keepers", between(c.Keepers, 1, maxKeepers))
 	add("claim-window", between(c.ClaimWindow, time.Millisecond, time.Second))
+	add("claim-life", between(c.ClaimLife, 10*time.Minute, 30*24*time.Hour))
 	add("suspect-life", between(c.SuspectLife, time.Minute, 24*time.Hour))
 	add("log-level", checkLevel(c.LogLevel))
 	return out
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -136,9 +136,8 @@
 	if refusal.Verdict != verd.NotRun {
 		t.verdict = verd.MayHaveRun
 	}
-	if refusal.Code != refuse.Moved {
-		t.avoid = append(t.avoid, d.Runner)
-	}
+	// A runner that has moved is avoided too: its new owner may be seconds away, and the attempts would be used up by then.
+	t.avoid = append(t.avoid, d.Runner)
 }
 
 // again decides whether a failed attempt is followed by another.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 		Ending: n.owner.Ending,
 	}
 	n.claim = &claim.Claim{
+		Life: n.Conf.ClaimLife,
 		Ctx:  n.ctx,
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -79,5 +79,6 @@
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
 	go n.suspect.Run(ctx)
+	go n.claim.Sweep(ctx)
 	go n.admit.Run(ctx)
 }
--- /dev/null
+++ b/test/deliv/expire_test.go
@@ -0,0 +1,70 @@
+package deliv_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"damaskreach/internal/table"
+	"damaskreach/internal/trial"
+)
+
+// Callers use a new key for each booking. Unless claims are deleted at the end of their life, the table grows with every
+// request there ever was. Until then each key must be answered with its first outcome, also when its keeper is gone.
+func TestClaimsExpire(t *testing.T) {
+	set := func(f *trial.Trial) { f.Site.Conf.ClaimLife = time.Hour }
+	runSet(t, 4, 0, 1, set, func(t *testing.T, f *trial.Trial) {
+		for i := range 50 {
+			f.Book(t.Context(), i%4, fmt.Sprintf("key-%d", i), fmt.Sprintf(`{"slot":%d}`, i))
+		}
+		f.Kill((f.Owner("booking-0") + 1) % 4)
+		alive := f.Owner("booking-0")
+		pass(50 * time.Minute)
+		for i := range 50 {
+			s := f.Book(t.Context(), alive, fmt.Sprintf("key-%d", i), fmt.Sprintf(`{"slot":%d}`, i))
+			if !s.Whole || !s.Replay {
+				t.Errorf("within its life key %d got %+v, want the first answer", i, s)
+			}
+		}
+		if got := len(f.Records()); got != 50 {
+			t.Errorf("%d executions, want 50", got)
+		}
+		pass(30 * time.Minute)
+		rows, _, err := f.Site.DB.Table().List(t.Context(), table.PrefixClaim)
+		if err != nil || len(rows) != 0 {
+			t.Errorf("%d claims after their life, error %v, want none", len(rows), err)
+		}
+	})
+}
+
+// The table service takes several hundred writes a second. Claims must be gathered, so that more bookings a second cost
+// fewer transactions each; the log has the figures.
+func TestCostOfClaims(t *testing.T) {
+	for _, load := range []struct {
+		rate int
+		most float64 // transactions of a booking
+	}{{10, 2.1}, {100, 1.5}, {1000, 0.35}, {4000, 0.1}} {
+		t.Run(fmt.Sprint(load.rate), func(t *testing.T) {
+			run(t, 6, 0, 3, func(t *testing.T, f *trial.Trial) {
+				before := f.Site.DB.Rev()
+				_, rowsBefore, _ := f.Site.DB.Count("claim")
+				var all sync.WaitGroup
+				for i := range load.rate {
+					all.Go(func() {
+						pass(time.Duration(i) * time.Second / time.Duration(load.rate))
+						again(t, f, i%6, fmt.Sprintf("key-%d", i), fmt.Sprintf(`{"slot":%d}`, i))
+					})
+				}
+				all.Wait()
+				pass(100 * time.Millisecond)
+				_, rows, _ := f.Site.DB.Count("claim")
+				cost := float64(f.Site.DB.Rev()-before) / float64(load.rate)
+				t.Logf("%d bookings a second: %.3f transactions and %.2f rows each", load.rate, cost, float64(rows-rowsBefore)/float64(load.rate))
+				if cost > load.most {
+					t.Errorf("%.3f transactions of a booking, want at most %.2f", cost, load.most)
+				}
+			})
+		})
+	}
+}
