--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,9 +4,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
+	"strings"
 	"time"
 )
 
+const attemptMark = "."
+
 // Call is immutable; its With methods return changed copies.
 type Call struct {
 	ID       string    `msgpack:"id"`       // request id, unique per received request
@@ -31,6 +35,7 @@
 	Stream   bool      `msgpack:"stream"`   // the caller asked for server-sent events
 	Sum      string    `msgpack:"sum"`      // Print, kept where the body is left out
 	From     int       `msgpack:"from"`     // token at which a resumed stream goes on
+	Alone    bool      `msgpack:"alone"`    // a suspect, to be placed away from other requests
 }
 
 // Model returns the adapter and version as engines name them.
@@ -70,6 +75,18 @@
 	return c
 }
 
+// Attempt returns the id of the nth attempt of a request that an entry node has named. Names are the node's own, since
+// callers may give all their requests one id.
+func Attempt(name string, n int) string {
+	return name + attemptMark + strconv.Itoa(n)
+}
+
+// Name returns what all attempts of one request have in common.
+func (c Call) Name() string {
+	name, _, _ := strings.Cut(c.Attempt, attemptMark)
+	return name
+}
+
 // WithAttempt returns a copy for one dispatch.
 func (c Call) WithAttempt(id string) Call {
 	c.Attempt = id
@@ -82,6 +99,12 @@
 	return c
 }
 
+// WithAlone returns a copy that is placed away from other requests where alone is set.
+func (c Call) WithAlone(alone bool) Call {
+	c.Alone = alone
+	return c
+}
+
 // WithFrom returns a copy that resumes its stream at token from.
 func (c Call) WithFrom(from int) Call {
 	c.From = from
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -6,6 +6,7 @@
 
 	"damaskreach/internal/answer"
 	"damaskreach/internal/call"
+	"damaskreach/internal/timing"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -52,7 +53,7 @@
 	if refusal.Verdict == verd.NotRun || !c.Once {
 		return nil
 	}
-	a := answer.NewRefused(refusal)
+	a := answer.NewRefused(refusal.WithRetry(0)) // what is said of it will not change
 	return &a
 }
 
@@ -61,7 +62,8 @@
 	w.Header().Set(HeaderReplayed, "true")
 	switch {
 	case a.Refusal != nil:
-		e.finish(w, newSink(w), c, a.Refusal)
+		e.Observe(c, timing.Timing{}, a.Refusal)
+		e.answerRefusal(w, a.Refusal)
 	case !a.Kept:
 		e.finish(w, newSink(w), c, refuse.NewRefusal(verd.Ran, refuse.Repeat, "the first request with this idempotency key was answered in full; its answer was not kept"))
 	default:
--- a/internal/ledger/find.go
+++ b/internal/ledger/find.go
@@ -80,7 +80,14 @@
 	return s2.EncodeBetter(nil, data), nil
 }
 
-func decode(value []byte) ([]event.Event, error) {
+// decode reads the value of a row. The decoder panics on a nil in the place of a time; without the recovery a damaged row
+// would end every node that is asked for an explanation.
+func decode(value []byte) (events []event.Event, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = merry.Errorf("decoding kept decisions: %v", r)
+		}
+	}()
 	size, err := s2.DecodedLen(value)
 	if err != nil || size > mostValue {
 		return nil, merry.Errorf("kept decisions are damaged or too long: %d bytes", size)
@@ -89,7 +96,6 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "decompressing kept decisions")
 	}
-	var events []event.Event
 	if err := msgpack.Unmarshal(data, &events); err != nil {
 		return nil, merry.Prepend(err, "decoding kept decisions")
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	drainPoll   = 100 * time.Millisecond
-	mostBequest = 1000 // decisions of an ending node that are kept, beside those that are in any case
+	drainPoll    = 100 * time.Millisecond
+	releaseTries = 3
+	mostBequest  = 1000 // decisions of an ending node that are kept, beside those that are in any case
 )
 
 // Drain starts a graceful shutdown; Run returns once it is complete. Further calls change nothing.
@@ -33,18 +34,30 @@
 	for ctx.Err() == nil && !n.idle(ctx) {
 		sleep(ctx, drainPoll)
 	}
+	n.bequeath(ctx)
+	n.release(ctx)
+	n.Log.Info("drained")
+}
+
+// release ends the session. A renewal may come in between and raise the row's revision, so it tries again.
+func (n *Node) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease)
 	defer cancel()
-	n.bequeath(ctx)
-	if err := n.lease.Release(ctx); err != nil {
-		n.Log.Warn("deleting the session row failed; others wait for the lease to end", zap.Error(err))
+	for range releaseTries {
+		err := n.lease.Release(ctx)
+		if err == nil {
+			return
+		}
+		n.Log.Warn("ending the session failed; others wait for the lease to end", zap.Error(err))
+		sleep(ctx, drainPoll)
 	}
-	n.Log.Info("drained")
 }
 
 // bequeath has the ledger keep this node's refusals, failed loads and the like, which its journal would take along. No caller
 // is served any more, so that none is refused afterwards and unexplained.
 func (n *Node) bequeath(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease)
+	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.Log.Info("closing the callers' connections took too long", zap.Error(err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,8 +14,11 @@
 	"damaskreach/internal/admit"
 	"damaskreach/internal/asker"
 	"damaskreach/internal/audit"
+	"damaskreach/internal/catlog"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
+	"damaskreach/internal/digest"
+	"damaskreach/internal/engine"
 	"damaskreach/internal/entry"
 	"damaskreach/internal/event"
 	"damaskreach/internal/extend"
@@ -35,8 +38,10 @@
 	"damaskreach/internal/query"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/relay"
+	"damaskreach/internal/runner"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/share"
+	"damaskreach/internal/suspct"
 	"damaskreach/internal/table"
 	"damaskreach/internal/watch"
 )
@@ -55,8 +60,8 @@
 	Listen func(addr string) (net.Listener, error)
 	// Hosts reads the platform's host list.
 	Hosts hosts.Hosts
-	// Pause is called at points where a test may pause the node; see packages lease and owner.
-	Pause func(point string)
+	// Connect returns the way to a runner.
+	Connect func(r runner.Runner) engine.Engine
 
 	loop    *loop.Loop
 	mesh    *peer.Mesh
@@ -72,6 +77,7 @@
 	grant   *grant.Grant
 	gather  *gather.Gather
 	claim   *claim.Claim
+	suspect *suspct.Suspect
 	admit   *admit.Admit
 	extend  *extend.Extend
 	admin   *admin.Admin
@@ -86,22 +92,23 @@
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
-	ready    chan struct{} // closed once the parts are built
 	drain    chan struct{}
+	built    chan struct{} // closed once the parts exist
+	paused   atomic.Pointer[func(point string)]
 }
 
 // NewNode returns a node with the settings c that reaches everything over dial.
 func NewNode(c conf.Conf, dial func(ctx context.Context, addr string) (net.Conn, error), listen func(addr string) (net.Listener, error), log *zap.Logger) *Node {
 	n := &Node{
-		Conf:   c,
-		Table:  table.NewTable(c.Tables, dial),
-		Log:    log,
-		Dial:   dial,
-		Listen: listen,
-		Hosts:  hosts.NewHosts(c.Hosts, dial),
-		Pause:  func(string) {},
-		ready:  make(chan struct{}),
-		drain:  make(chan struct{}),
+		Conf:    c,
+		Table:   table.NewTable(c.Tables, dial),
+		Log:     log,
+		Dial:    dial,
+		Listen:  listen,
+		Hosts:   hosts.NewHosts(c.Hosts, dial),
+		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
+		drain:   make(chan struct{}),
+		built:   make(chan struct{}),
 	}
 	n.keys.Store(&c.Operators)
 	return n
@@ -113,6 +120,7 @@
 	defer cancel()
 	n.ctx = ctx
 	n.build()
+	close(n.built)
 	if err := n.serve(ctx); err != nil {
 		return err
 	}
@@ -151,11 +159,10 @@
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
 	n.watch = watch.NewWatch(n.Hosts, n.Log)
-	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.Pause)
+	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.pause)
 	n.buildRoles()
 	n.buildEntry()
 	n.buildGauges()
-	close(n.ready)
 }
 
 func (n *Node) buildRoles() {
@@ -163,7 +170,13 @@
 	n.share = &share.Share{Mesh: n.mesh, Peers: n.peers, Learn: n.learn}
 	n.follow = &follow.Follow{Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers}
 	n.follow.Register()
+	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
+	n.suspect = &suspct.Suspect{
+		Ctx: n.ctx, Mesh: n.mesh, Table: n.Table, Life: c.SuspectLife, Poll: c.Poll, Log: n.Log,
+		Write: n.gather.Write, Peers: n.peers, Home: func(ctx context.Context, key string) (sess.Session, bool, error) { return n.home.Of(ctx, key) },
+	}
 	n.home = &home.Home{
+		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
 		Place: place.NewPlace(n.follow.Catalog().Tune()),
 	}
@@ -171,15 +184,16 @@
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
-		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Started: n.meter.Started, Changed: n.changed, Pause: n.Pause,
+		Catalog: n.follow.Catalog, Connect: n.Connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
+		Note: n.note, Started: n.meter.Started, Changed: n.changed, Copies: n.home.Place.Copies, Pause: n.pause,
+		Enter: n.suspect.Enter, Suspects: n.suspect.Waiting,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
 		Ending: n.owner.Ending,
 	}
-	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
 	n.claim = &claim.Claim{
+		Ctx:  n.ctx,
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
@@ -205,3 +219,26 @@
 func (n *Node) self() string {
 	return n.lease.Session().ID()
 }
+
+// Catalog returns the configuration in force on the node; it waits for Run to begin.
+func (n *Node) Catalog() catlog.Catalog {
+	<-n.built
+	return n.follow.Catalog()
+}
+
+// SetPause sets a function called at points where a test may pause the node; see packages lease and owner.
+func (n *Node) SetPause(at func(point string)) {
+	n.paused.Store(&at)
+}
+
+func (n *Node) pause(point string) {
+	if at := n.paused.Load(); at != nil {
+		(*at)(point)
+	}
+}
+
+// Digests returns the state of the runners this node owns.
+func (n *Node) Digests() []digest.Digest {
+	<-n.built
+	return n.digests()
+}
--- a/internal/node/rekey.go
+++ b/internal/node/rekey.go
@@ -12,7 +12,7 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-n.ready:
+	case <-n.built:
 	}
 	n.mesh.Rekey(secrets(c))
 	n.keys.Store(&c.Operators)
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -26,6 +26,7 @@
 	n.claim.Register()
 	n.ledger.Register()
 	n.asker.Register()
+	n.suspect.Register()
 	n.admit.Register()
 	n.registerBusy()
 	lis, err := n.Listen(n.Conf.Peer)
@@ -80,5 +81,6 @@
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
 	go n.ledger.Run(ctx)
+	go n.suspect.Run(ctx)
 	go n.admit.Run(ctx)
 }
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -16,7 +16,7 @@
 func (p *Place) Choose(now time.Time, c call.Call, avoid []string) (digest.Digest, reason.Reason, *refuse.Refusal) {
 	open := p.open(c.Group, avoid)
 	if len(open) == 0 && len(avoid) > 0 {
-		return p.full(c, p.open(c.Group, nil))
+		return p.tried(c, p.open(c.Group, nil))
 	}
 	if len(open) == 0 {
 		return p.none(c)
@@ -24,6 +24,9 @@
 	if t := p.twin(c, open); t != nil {
 		return p.take(now, c, t, "twin", "the same request is in progress there")
 	}
+	if c.Alone {
+		return p.take(now, c, loneliest(open), "alone", "the request ran on an upstream that crashed")
+	}
 	if t := p.probe(now, c, open); t != nil {
 		return p.take(now, c, t, "probe", "the runner failed before and is probed")
 	}
@@ -38,7 +41,7 @@
 	if len(fitting) == 0 {
 		return p.take(now, c, p.shortest(well), "full", "every queue looked full and this one the least so")
 	}
-	t, kind, text := p.best(now, c, fitting)
+	t, kind, text := p.best(now, c, quiet(fitting))
 	return p.take(now, c, t, kind, text)
 }
 
@@ -62,7 +65,7 @@
 		return nil
 	}
 	for _, t := range open {
-		if t.digest.Runner == known.runner && t.fits(modelOf(c), p.tune.Queue) {
+		if t.digest.Runner == known.runner && (c.Alone || t.fits(modelOf(c), p.tune.Queue)) {
 			return t
 		}
 	}
@@ -135,12 +138,21 @@
 	return digest.Digest{}, why, refusal
 }
 
+// tried refuses a call that each runner of its group has turned down or failed.
+func (p *Place) tried(c call.Call, open []*target) (digest.Digest, reason.Reason, *refuse.Refusal) {
+	return p.refuse(c, open, "every runner of group "+c.Group+" was tried")
+}
+
 // full refuses a call that every runner of its group is too full for.
 func (p *Place) full(c call.Call, open []*target) (digest.Digest, reason.Reason, *refuse.Refusal) {
+	return p.refuse(c, open, "every admission queue of group "+c.Group+" is full")
+}
+
+func (p *Place) refuse(c call.Call, open []*target, text string) (digest.Digest, reason.Reason, *refuse.Refusal) {
 	if len(open) == 0 {
 		return p.none(c)
 	}
-	why := reason.Reason{Kind: refuse.Overloaded, Text: "every admission queue of group " + c.Group + " is full", Model: modelOf(c)}
+	why := reason.Reason{Kind: refuse.Overloaded, Text: text, Model: modelOf(c)}
 	for _, t := range open {
 		why.Running += t.digest.Running
 		why.Waiting += t.digest.Waiting + len(t.recent)
--- a/internal/place/settle.go
+++ b/internal/place/settle.go
@@ -10,12 +10,13 @@
 
 const smooth = 0.1 // weight of the newest sample
 
-// Settle ends a choice. The outcome is nil where the whole answer came, else why it did not.
+// Settle ends a choice; an empty runner means whichever was chosen. The outcome is nil where the whole answer came, else why it did not.
 func (p *Place) Settle(now time.Time, c call.Call, runner string, outcome *refuse.Refusal) {
 	made := p.flying[c.Attempt]
-	if made == nil || made.runner != runner {
+	if made == nil || made.runner != runner && runner != "" {
 		return
 	}
+	runner = made.runner
 	delete(p.flying, c.Attempt)
 	p.separate(made)
 	if outcome == nil {
@@ -25,6 +26,9 @@
 	if t == nil {
 		return
 	}
+	if made.alone {
+		t.alone--
+	}
 	if t.flying[made.model]--; t.flying[made.model] <= 0 {
 		delete(t.flying, made.model)
 	}
--- a/internal/strm/codec.go
+++ b/internal/strm/codec.go
@@ -49,8 +49,14 @@
 	return nil
 }
 
-// decode reads one message.
-func (s *scratch) decode(body []byte, v any) error {
+// decode reads one message. The decoder panics on a nil in the place of a time, which a peer with a fault may send; without
+// the recovery one message of one peer would end the whole process.
+func (s *scratch) decode(body []byte, v any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = merry.Errorf("decoding a message into %T: %v", v, r)
+		}
+	}()
 	s.reader.Reset(body)
 	s.dec.Reset(&s.reader)
 	// Prependf allocates even for a nil error, and this runs for each message.
