--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -34,7 +34,6 @@
 	for ctx.Err() == nil && !n.idle(ctx) {
 		sleep(ctx, drainPoll)
 	}
-	n.bequeath(ctx)
 	n.release(ctx)
 	n.Log.Info("drained")
 }
@@ -43,6 +42,7 @@
 func (n *Node) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease)
 	defer cancel()
+	n.bequeath(ctx)
 	for range releaseTries {
 		err := n.lease.Release(ctx)
 		if err == nil {
@@ -56,7 +56,7 @@
 // bequeath has the ledger keep this node's refusals, failed loads and the like, which its journal would take along. No caller
 // is served any more, so that none is refused afterwards and unexplained.
 func (n *Node) bequeath(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease)
+	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease/2) // the rest is for ending the session
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.Log.Info("closing the callers' connections took too long", zap.Error(err))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,8 +92,8 @@
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
+	ready    chan struct{} // closed once the parts are built
 	drain    chan struct{}
-	built    chan struct{} // closed once the parts exist
 	paused   atomic.Pointer[func(point string)]
 }
 
@@ -108,7 +108,7 @@
 		Hosts:   hosts.NewHosts(c.Hosts, dial),
 		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
 		drain:   make(chan struct{}),
-		built:   make(chan struct{}),
+		ready:   make(chan struct{}),
 	}
 	n.keys.Store(&c.Operators)
 	return n
@@ -120,7 +120,6 @@
 	defer cancel()
 	n.ctx = ctx
 	n.build()
-	close(n.built)
 	if err := n.serve(ctx); err != nil {
 		return err
 	}
@@ -163,6 +162,7 @@
 	n.buildRoles()
 	n.buildEntry()
 	n.buildGauges()
+	close(n.ready)
 }
 
 func (n *Node) buildRoles() {
@@ -222,7 +222,7 @@
 
 // Catalog returns the configuration in force on the node; it waits for Run to begin.
 func (n *Node) Catalog() catlog.Catalog {
-	<-n.built
+	<-n.ready
 	return n.follow.Catalog()
 }
 
@@ -239,6 +239,6 @@
 
 // Digests returns the state of the runners this node owns.
 func (n *Node) Digests() []digest.Digest {
-	<-n.built
+	<-n.ready
 	return n.digests()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -74,10 +74,10 @@
 	Leaving func(addr string) bool
 	// Note records a decision for operators.
 	Note func(why reason.Reason, attempt string)
-	// Started is told of each start and its reason, which holds how long the call waited and for what.
-	Started func(c call.Call, why reason.Reason)
 	// Copies returns how many runners of a group have each model resident, as far as this node knows.
 	Copies func(group string) map[string]int
+	// Started is told of each start and its reason, which holds how long the call waited and for what.
+	Started func(c call.Call, why reason.Reason)
 	// Changed is told of the digests of runners held, whenever they have changed.
 	Changed func(digests []digest.Digest)
 	// Enter waits until a call may be sent to a runner; see package suspct. Nil lets every call through.
