--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,10 @@
 fuzz:
 	scripts/fuzz.sh $(FUZZTIME)
 
+# slopes measures what parts of a node cost and writes the figures into docs/CAPACITY.md; about a minute.
+slopes:
+	$(GO) test ./test/slopes -run TestSlopes -count 1 -args -write $(CURDIR)/docs/CAPACITY.md
+
 demo:
 	$(GO) run ./cmd/damaskdemo $(DEMO)
 
