--- a/internal/stand/site/world_test.go
+++ b/internal/stand/site/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"damaskreach/internal/action"
 	"damaskreach/internal/host"
 	"damaskreach/internal/stand/site"
@@ -40,6 +43,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{Site: site.NewSite(1, engines), t: t, ctx: ctx, shut: map[int]bool{}}
+		if os.Getenv("SITE_LOG") != "" {
+			w.Log, _ = zap.NewDevelopment()
+		}
 		for i, e := range w.Engines {
 			e.Slots, e.Fences = 2, fences
 			w.Hosts.Set(host.Host{Addr: site.EngineHost(i), State: host.Live})
@@ -95,6 +101,18 @@
 	w.shut[i] = !on
 }
 
+// kill ends node i without warning; the host list says so a little later.
+func (w *world) kill(i int) {
+	w.KillNode(i)
+	w.Hosts.Set(host.Host{Addr: site.Host(i), State: host.Gone})
+}
+
+// start runs node i again.
+func (w *world) start(i int) {
+	w.Hosts.Set(host.Host{Addr: site.Host(i), State: host.Live})
+	w.StartNode(w.ctx, i)
+}
+
 // drain shuts node i down gracefully; callers learn of it as late as a discovery answer allows.
 func (w *world) drain(i int) {
 	n := w.Node(i)
@@ -187,7 +205,7 @@
 	w.t.Helper()
 	owner := map[string]int{}
 	for _, i := range nodes {
-		for _, d := range w.Node(i).Digests() {
+		for _, d := range w.Node(i).Runners() {
 			if other, known := owner[d.Runner]; known {
 				w.t.Errorf("%s: got nodes %d and %d as owners of %s, want one", when, other, i, d.Runner)
 			}
