--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 1000
 FUZZTIME ?= 10s
 
-.PHONY: all build test check bench fuzz demo site site-stop fmt clean
+.PHONY: all build test check bench slopes fuzz demo site site-stop fmt clean
 
 all: build
 
--- a/test/slopes/page_test.go
+++ b/test/slopes/page_test.go
@@ -22,10 +22,13 @@
 // shapes are the nodes and engines of the sites that are run.
 var shapes = [][2]int{{3, 6}, {6, 6}, {12, 6}, {24, 6}, {6, 24}, {12, 48}, {24, 24}}
 
+const few = 4 // of shapes, the first ones, whose engines are as many
+
 // sites are the uses of sites by their shapes.
 type sites struct {
 	uses                []use
 	mesh, table, cpu    plane // by other nodes and by engines
+	change              line  // by other nodes, with few engines
 	reads, writes, each float64
 	off                 float64 // largest relative distance of a measured from a computed mesh figure
 }
@@ -46,6 +49,7 @@
 		s.writes = max(s.writes, u.writes)
 		s.each = u.request // of the last shape, in which most requests pass between nodes
 	}
+	s.change = fit(peers[:few], []float64{s.uses[0].change, s.uses[1].change, s.uses[2].change, s.uses[3].change})
 	s.mesh, s.table, s.cpu = fitPlane(peers, engines, mesh), fitPlane(peers, engines, table), fitPlane(peers, engines, cpu)
 	for i := range mesh {
 		s.off = max(s.off, math.Abs(s.mesh.at(peers[i], engines[i])/mesh[i]-1))
@@ -56,12 +60,12 @@
 func (s sites) text() string {
 	var b strings.Builder
 	b.WriteString("\nIdle sites in virtual time, per node and second; bytes between nodes count both directions, processor time includes the stand-ins' share:\n\n")
-	b.WriteString("| nodes | engines | bytes between nodes | reads of the table | writes | bytes of the table | processor ms | bytes between nodes for one request |\n|---|---|---|---|---|---|---|---|\n")
+	b.WriteString("| nodes | engines | bytes between nodes | reads of the table | writes | bytes of the table | processor ms | bytes at each node for one changed row | bytes at all nodes for one request |\n|---|---|---|---|---|---|---|---|---|\n")
 	for i, u := range s.uses {
-		fmt.Fprintf(&b, "| %d | %d | %.0f | %.2f | %.2f | %.0f | %.2f | %.0f |\n", shapes[i][0], shapes[i][1], u.mesh, u.reads, u.writes, u.table, u.cpu, u.request)
+		fmt.Fprintf(&b, "| %d | %d | %.0f | %.2f | %.2f | %.0f | %.2f | %.0f | %.0f |\n", shapes[i][0], shapes[i][1], u.mesh, u.reads, u.writes, u.table, u.cpu, u.change, u.request)
 	}
-	fmt.Fprintf(&b, "\nFitted: bytes between nodes = %.0f + %.1f for each other node + %.1f for each engine (within %.0f%% of each row); bytes of the table = %.0f + %.1f + %.1f.\n",
-		s.mesh.base, s.mesh.a, s.mesh.b, 100*s.off, s.table.base, s.table.a, s.table.b)
+	fmt.Fprintf(&b, "\nFitted: bytes between nodes = %.0f + %.1f for each other node + %.1f for each engine (within %.0f%% of each row); bytes of the table = %.0f + %.1f + %.1f; bytes for a changed row = %.0f + %.1f for each other node.\n",
+		s.mesh.base, s.mesh.a, s.mesh.b, 100*s.off, s.table.base, s.table.a, s.table.b, s.change.base, s.change.slope)
 	return b.String()
 }
 
@@ -135,6 +139,8 @@
 		{"digests, in and out", 2 * siteRunners * float64(f.bytes) / 1000},
 		{"keeping connections to every node, and what is sent to each every second beside digests", s.mesh.a * (siteNodes - 1) / 1000},
 		{"from the table: sessions, each renewed every 5 s and read by each node", siteNodes / 5 * float64(f.row) / 1000},
+		{"configuration changes, pushed between nodes", changes / day * s.change.at(siteNodes-1) / 1000},
+		{"limits: what 12 adapters used, to each other node each second", 2 * (siteNodes - 1) * float64(f.used) / 1000},
 		{"from the table: configuration changes", changes / day * float64(len(adapterRow(1).Value)+80) / 1000},
 	}
 	var b strings.Builder
--- a/test/slopes/site_test.go
+++ b/test/slopes/site_test.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	settleTime = 15 * time.Second
-	idleTime   = 30 * time.Second
-	busyCount  = 200 // requests, of which every node is entry in turn
+	settleTime  = 15 * time.Second
+	idleTime    = 30 * time.Second
+	changeCount = 10
+	changeTime  = 6 * time.Second
+	busyCount   = 200 // requests, of which every node is entry in turn
 )
 
 // use is what one node uses a second, idle, and what one request costs beside.
@@ -28,7 +30,8 @@
 	writes  float64
 	table   float64 // bytes from and to the table service
 	cpu     float64 // milliseconds, with the share of the stand-ins
-	request float64 // bytes between nodes for one request
+	change  float64 // bytes between nodes, in and out, for one changed row, at each node
+	request float64 // bytes between nodes for one request, at all nodes together
 }
 
 // measureSite runs a site in virtual time and counts. Bytes between nodes are those of connections to port 7000.
@@ -67,6 +70,7 @@
 		r, w, b := s.DB.Count("")
 		per := float64(nodes) * idleTime.Seconds()
 		u = use{mesh: 2 * idle / per, reads: float64(r-reads) / per, writes: float64(w-writes) / per, table: float64(b-table) / per, cpu: 1000 * spent / per}
+		u.change = change(ctx, t, s, &bytes, idle/idleTime.Seconds()) * 2 / float64(nodes)
 		before = bytes.Load()
 		begin := time.Now()
 		for i := range busyCount {
@@ -84,6 +88,22 @@
 	return u
 }
 
+// change changes a row several times and returns the bytes between nodes for each, without the idle ones.
+func change(ctx context.Context, t *testing.T, s *site.Site, bytes *atomic.Int64, idle float64) float64 {
+	row, err := s.DB.Table().Read(ctx, "conf/adapter/"+site.AdapterName(7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := bytes.Load()
+	for range changeCount {
+		if row.Rev, err = s.DB.Table().Write(ctx, row); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(changeTime)
+	}
+	return (float64(bytes.Load()-before) - idle*changeTime.Seconds()*changeCount) / changeCount
+}
+
 // processor returns the seconds of processor time that this process has used.
 func processor() float64 {
 	var r syscall.Rusage
--- a/test/slopes/slopes_test.go
+++ b/test/slopes/slopes_test.go
@@ -87,6 +87,7 @@
 	change                                          figure
 	bytes                                           int // of one digest on the wire
 	row                                             int // of a session row with its key
+	used                                            int // bytes of a report of what 12 adapters used of their limits
 }
 
 func measureParts(t *testing.T) figures {
@@ -135,6 +136,11 @@
 
 func measureSmall(f *figures) {
 	f.bytes = len(encoded(newDigest(1234)))
+	used := map[string]float64{}
+	for i := range int(math.Round(ownRequests)) {
+		used["adapter/"+model(i)] = float64(i)
+	}
+	f.used = len(encoded(used))
 	s := session(1)
 	f.row = len(s.Key()) + len(s.Encode())
 	f.learn = newFigure("decoding and learning digests", "us", siteRunners, []float64{15, 300, 1667}, func(n int) float64 {
