--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -56,6 +56,8 @@
 // bequeath has the ledger keep this node's refusals, failed loads and the like, which its journal would take along. No caller
 // is served any more, so that none is refused afterwards and unexplained.
 func (n *Node) bequeath(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.Conf.Lease/2) // the rest is for ending the session
+	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.Log.Info("closing the callers' connections took too long", zap.Error(err))
 	}
