--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -48,6 +48,8 @@
 	Gather  *gather.Gather
 	Log     *zap.Logger
 	Keepers int // shards
+	// Ctx ends with the node and all work left over from requests.
+	Ctx context.Context
 	// Home returns the node that a key hashes to and whether it is this one.
 	Home func(ctx context.Context, key string) (sess.Session, bool, error)
 	// Self returns the key of this node's session row.
@@ -140,13 +142,13 @@
 	q := beginAsk{Key: rowKey(r), Print: r.Print(), Nonce: rand.Text(), Session: c.Self(), Once: r.Once}
 	said, err := c.askBegin(ctx, q)
 	if err != nil {
-		return nil, nil, c.refusal(ctx, q, err)
+		return nil, nil, c.refusal(q, err)
 	}
 	if said.Prior != nil {
 		return nil, said.Prior, nil
 	}
-	end = func(ctx context.Context, a *answer.Answer) {
-		c.finish(ctx, endAsk{Key: q.Key, Rev: said.Rev, Print: q.Print, Nonce: q.Nonce, Answer: a})
+	end = func(_ context.Context, a *answer.Answer) {
+		c.finish(endAsk{Key: q.Key, Rev: said.Rev, Print: q.Print, Nonce: q.Nonce, Answer: a})
 	}
 	return end, nil, nil
 }
@@ -172,10 +174,10 @@
 
 // refusal turns a failure to claim into a refusal that is true: this request was not dispatched. A claim that may have
 // been written all the same is given free, or no later request with its key would ever be served.
-func (c *Claim) refusal(ctx context.Context, q beginAsk, err error) error {
+func (c *Claim) refusal(q beginAsk, err error) error {
 	if isRefusal(err) {
 		return err
 	}
-	go c.finish(context.WithoutCancel(ctx), endAsk{Key: q.Key, Print: q.Print, Nonce: q.Nonce})
+	go c.finish(endAsk{Key: q.Key, Print: q.Print, Nonce: q.Nonce})
 	return refuse.NewRefusal(verd.NotRun, refuse.TableDown, "the idempotency key could not be claimed: %v", err).WithRetry(retryTable)
 }
--- a/internal/claim/end.go
+++ b/internal/claim/end.go
@@ -18,20 +18,20 @@
 
 // finish ends a claim, through its keeper where that can be reached. It tries for a while, since a claim that is never
 // ended makes every repeat be told that the outcome is unknown.
-func (c *Claim) finish(ctx context.Context, q endAsk) {
+func (c *Claim) finish(q endAsk) {
 	if a := q.Answer; a != nil && len(a.Body) > mostBody {
 		short := a.WithoutBody()
 		q.Answer = &short
 	}
 	pause := firstWait
 	for range endTries {
-		err := c.askEnd(ctx, q)
+		err := c.askEnd(c.Ctx, q)
 		if err == nil {
 			return
 		}
 		c.Log.Warn("ending a claim failed", zap.String("key", q.Key), zap.Error(err))
 		select {
-		case <-ctx.Done():
+		case <-c.Ctx.Done():
 			return
 		case <-time.After(pause):
 		}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,7 @@
 	"damaskreach/internal/sess"
 	"damaskreach/internal/spread"
 	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
 )
 
 const (
@@ -39,8 +41,17 @@
 	Place   *place.Place
 	Mesh    *peer.Mesh
 	Log     *zap.Logger
+	// Ctx ends with the node and all work left over from requests.
+	Ctx context.Context
+	// Alone reports whether a call is a suspect; see package suspct.
+	Alone func(c call.Call) bool
+	// Suspect returns why a call may not be tried again, or nil where it may.
+	Suspect func(c call.Call) *refuse.Refusal
 	// Note records a decision for operators.
 	Note func(why reason.Reason, request string)
+
+	mu    sync.Mutex
+	chose map[string]string // peer address of the node that decided, by attempt; empty for this one
 }
 
 type placeAsk struct {
@@ -64,6 +75,7 @@
 
 // Register answers other nodes' questions.
 func (h *Home) Register() {
+	h.chose = map[string]string{}
 	peer.Answer(h.Mesh, methodPlace, func(ctx context.Context, _ string, q placeAsk) (placeSaid, error) {
 		return h.decide(ctx, q)
 	})
@@ -72,55 +84,6 @@
 	})
 }
 
-// Choose asks the home of a call's adapter version for a runner other than those to avoid.
-// A home that cannot be reached is replaced by this node, whose view may be a little older.
-func (h *Home) Choose(ctx context.Context, c call.Call, avoid []string) (digest.Digest, error) {
-	q := placeAsk{Call: c.WithoutBody(), Avoid: avoid}
-	said, err := h.ask(ctx, q)
-	if err != nil {
-		said, err = h.decide(ctx, q)
-	}
-	if err != nil {
-		return digest.Digest{}, err
-	}
-	if said.Refusal != nil {
-		return digest.Digest{}, said.Refusal
-	}
-	return said.Digest, nil
-}
-
-// Settle tells the home how an attempt ended; a nil outcome is a whole answer.
-func (h *Home) Settle(ctx context.Context, c call.Call, runner string, outcome *refuse.Refusal) {
-	q := settleAsk{Call: c.WithoutBody(), Runner: runner, Outcome: outcome}
-	at, local, err := h.Of(ctx, Key(q.Call))
-	if err != nil {
-		return
-	}
-	if !local {
-		ctx, cancel := context.WithTimeout(ctx, askTimeout)
-		defer cancel()
-		err = h.Mesh.Ask(ctx, at.Peer, methodSettle, q, &settleSaid{})
-	}
-	if local || err != nil {
-		_ = h.settle(ctx, q) // only this node's counts suffer
-	}
-}
-
-func (h *Home) ask(ctx context.Context, q placeAsk) (placeSaid, error) {
-	at, local, err := h.Of(ctx, Key(q.Call))
-	if err != nil {
-		return placeSaid{}, err
-	}
-	if local {
-		return h.decide(ctx, q)
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var said placeSaid
-	err = h.Mesh.Ask(ctx, at.Peer, methodPlace, q, &said)
-	return said, err
-}
-
 // Of returns the home of a key and whether it is this node.
 func (h *Home) Of(ctx context.Context, key string) (sess.Session, bool, error) {
 	type found struct {
@@ -161,6 +124,15 @@
 }
 
 func (h *Home) decide(ctx context.Context, q placeAsk) (placeSaid, error) {
+	failing := h.awaitTwin(ctx, q)
+	if refusal := h.Suspect(q.Call); refusal != nil {
+		return placeSaid{Refusal: refusal}, nil
+	}
+	if failing {
+		refusal := refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "the same request is in progress on a runner where this one failed; its outcome decides what follows")
+		return placeSaid{Refusal: refusal.WithRetry(twinRetry)}, nil
+	}
+	q.Call = q.Call.WithAlone(h.Alone(q.Call))
 	said, err := loop.Get(ctx, h.Loop, func() placeSaid {
 		d, why, refusal := h.Place.Choose(time.Now(), q.Call, q.Avoid)
 		return placeSaid{Digest: d, Why: why, Refusal: refusal}
@@ -171,12 +143,6 @@
 	return said, err
 }
 
-func (h *Home) settle(ctx context.Context, q settleAsk) error {
-	return h.Loop.Do(ctx, func() {
-		h.Place.Settle(time.Now(), q.Call, q.Runner, q.Outcome)
-	})
-}
-
 // Learn takes digests of runners, from this node's owner or from other nodes. It must be called on the control goroutine.
 func (h *Home) Learn(digests []digest.Digest) {
 	now := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,16 +4,23 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"damaskreach/internal/admin"
 	"damaskreach/internal/admit"
+	"damaskreach/internal/asker"
 	"damaskreach/internal/audit"
+	"damaskreach/internal/catlog"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
+	"damaskreach/internal/digest"
+	"damaskreach/internal/engine"
 	"damaskreach/internal/entry"
+	"damaskreach/internal/event"
 	"damaskreach/internal/extend"
 	"damaskreach/internal/follow"
 	"damaskreach/internal/gather"
@@ -21,20 +28,25 @@
 	"damaskreach/internal/home"
 	"damaskreach/internal/hosts"
 	"damaskreach/internal/lease"
+	"damaskreach/internal/ledger"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
+	"damaskreach/internal/meter"
 	"damaskreach/internal/owner"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/place"
+	"damaskreach/internal/query"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/relay"
+	"damaskreach/internal/runner"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/share"
+	"damaskreach/internal/suspct"
 	"damaskreach/internal/table"
 	"damaskreach/internal/watch"
 )
 
-const mostDecisions = 4096 // kept in the journal of a node
+const journalSize = 4 << 20 // bytes of decisions kept in memory
 
 // Node is one process that serves callers and owns runners.
 // The exported fields may be changed between NewNode and Run.
@@ -48,8 +60,8 @@
 	Listen func(addr string) (net.Listener, error)
 	// Hosts reads the platform's host list.
 	Hosts hosts.Hosts
-	// Pause is called at points where a test may pause the node; see packages lease and owner.
-	Pause func(point string)
+	// Connect returns the way to a runner.
+	Connect func(r runner.Runner) engine.Engine
 
 	loop    *loop.Loop
 	mesh    *peer.Mesh
@@ -65,30 +77,41 @@
 	grant   *grant.Grant
 	gather  *gather.Gather
 	claim   *claim.Claim
+	suspect *suspct.Suspect
 	admit   *admit.Admit
 	extend  *extend.Extend
 	admin   *admin.Admin
 	audit   *audit.Audit
+	meter   *meter.Meter
+	ledger  *ledger.Ledger
+	asker   *asker.Asker
+	callers *http.Server
 
+	keys     atomic.Pointer[[]string] // SHA-256 of operators' keys in force
 	ctx      context.Context
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
+	ready    chan struct{} // closed once the parts are built
 	drain    chan struct{}
+	paused   atomic.Pointer[func(point string)]
 }
 
 // NewNode returns a node with the settings c that reaches everything over dial.
 func NewNode(c conf.Conf, dial func(ctx context.Context, addr string) (net.Conn, error), listen func(addr string) (net.Listener, error), log *zap.Logger) *Node {
-	return &Node{
-		Conf:   c,
-		Table:  table.NewTable(c.Tables, dial),
-		Log:    log,
-		Dial:   dial,
-		Listen: listen,
-		Hosts:  hosts.NewHosts(c.Hosts, dial),
-		Pause:  func(string) {},
-		drain:  make(chan struct{}),
+	n := &Node{
+		Conf:    c,
+		Table:   table.NewTable(c.Tables, dial),
+		Log:     log,
+		Dial:    dial,
+		Listen:  listen,
+		Hosts:   hosts.NewHosts(c.Hosts, dial),
+		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
+		drain:   make(chan struct{}),
+		ready:   make(chan struct{}),
 	}
+	n.keys.Store(&c.Operators)
+	return n
 }
 
 // Run serves until ctx ends, or until a drain is complete.
@@ -113,20 +136,33 @@
 
 // note records a decision for operators.
 func (n *Node) note(why reason.Reason, request string) {
-	n.audit.Add(n.lease.Session().Node, request, why)
+	n.meter.Decided(why)
+	e := event.Event{At: time.Now().Round(0).UTC(), Node: n.Conf.Node, Request: request, Why: why}
+	n.audit.Add(e)
+	if why.Lasting() {
+		n.ledger.Add(e)
+	}
+}
+
+// explain returns the decisions that this node knows of.
+func (n *Node) explain(q query.Query) []event.Event {
+	return event.Merge(n.audit.Find(q), n.ledger.Own(q))
 }
 
 func (n *Node) build() {
 	c := n.Conf
 	n.loop = loop.NewLoop()
-	n.audit = audit.NewAudit(mostDecisions)
+	n.audit = audit.NewAudit(journalSize)
+	n.meter = meter.NewMeter()
 	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer)
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
 	n.watch = watch.NewWatch(n.Hosts, n.Log)
-	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.Pause)
+	n.lease = lease.NewLease(n.Table, session, c.Lease, c.Renew, n.Log).WithPause(n.pause)
 	n.buildRoles()
 	n.buildEntry()
+	n.buildGauges()
+	close(n.ready)
 }
 
 func (n *Node) buildRoles() {
@@ -134,7 +170,13 @@
 	n.share = &share.Share{Mesh: n.mesh, Peers: n.peers, Learn: n.learn}
 	n.follow = &follow.Follow{Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers}
 	n.follow.Register()
+	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
+	n.suspect = &suspct.Suspect{
+		Ctx: n.ctx, Mesh: n.mesh, Table: n.Table, Life: c.SuspectLife, Poll: c.Poll, Log: n.Log,
+		Write: n.gather.Write, Peers: n.peers, Home: func(ctx context.Context, key string) (sess.Session, bool, error) { return n.home.Of(ctx, key) },
+	}
 	n.home = &home.Home{
+		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
 		Place: place.NewPlace(n.follow.Catalog().Tune()),
 	}
@@ -142,18 +184,21 @@
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
-		Catalog: n.follow.Catalog, Connect: n.connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
-		Note: n.note, Changed: n.changed, Pause: n.Pause,
+		Catalog: n.follow.Catalog, Connect: n.Connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
+		Note: n.note, Started: n.meter.Started, Changed: n.changed, Copies: n.home.Place.Copies, Pause: n.pause,
+		Enter: n.suspect.Enter, Suspects: n.suspect.Waiting,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
 		Ending: n.owner.Ending,
 	}
-	n.gather = gather.NewGather(n.Table, c.ClaimWindow)
 	n.claim = &claim.Claim{
+		Ctx:  n.ctx,
 		Loop: n.loop, Mesh: n.mesh, Table: n.Table, Gather: n.gather, Log: n.Log, Keepers: c.Keepers, Home: n.home.Of,
 		Self: func() string { return n.lease.Session().Key() },
 	}
+	n.ledger = &ledger.Ledger{Site: c.Site, Mesh: n.mesh, Table: n.Table, Log: n.Log, Home: n.home.Of}
+	n.asker = &asker.Asker{Mesh: n.mesh, Peers: n.peers, Own: n.explain, Kept: n.ledger.Find}
 	n.admit = &admit.Admit{Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Peers: n.peers}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
@@ -167,10 +212,33 @@
 	}
 	n.admin = &admin.Admin{
 		Session: n.lease.Session, Nodes: n.nodes, Digests: n.digests, Catalog: n.follow.Catalog,
-		Drain: n.Drain, Audit: n.audit,
+		Drain: n.Drain, Explain: n.asker.Find, Operators: n.operators, Meter: n.meter,
 	}
 }
 
 func (n *Node) self() string {
 	return n.lease.Session().ID()
 }
+
+// Catalog returns the configuration in force on the node; it waits for Run to begin.
+func (n *Node) Catalog() catlog.Catalog {
+	<-n.ready
+	return n.follow.Catalog()
+}
+
+// SetPause sets a function called at points where a test may pause the node; see packages lease and owner.
+func (n *Node) SetPause(at func(point string)) {
+	n.paused.Store(&at)
+}
+
+func (n *Node) pause(point string) {
+	if at := n.paused.Load(); at != nil {
+		(*at)(point)
+	}
+}
+
+// Digests returns the state of the runners this node owns.
+func (n *Node) Digests() []digest.Digest {
+	<-n.ready
+	return n.digests()
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -9,8 +10,8 @@
 	"damaskreach/internal/call"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/digest"
-	"damaskreach/internal/engine"
 	"damaskreach/internal/group"
+	"damaskreach/internal/loads"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/reason"
@@ -73,13 +74,9 @@
 	return serving, nil
 }
 
-func (n *Node) connect(r runner.Runner) engine.Engine {
-	return engine.NewEngine(r.Addr, n.Dial)
-}
-
 func (n *Node) permit(ctx context.Context, r runner.Runner, why reason.Reason) (func(), error) {
 	g, _ := n.follow.Catalog().Group(r.Group)
-	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, why.Wait.Seconds())
+	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, loads.Urgency(why))
 }
 
 // storeRate returns the rate of a weight store by the first group that names it.
@@ -159,9 +156,14 @@
 }
 
 // observe records the outcome of a request for operators.
-func (n *Node) observe(c call.Call, _ timing.Timing, outcome *refuse.Refusal) {
+func (n *Node) observe(c call.Call, t timing.Timing, outcome *refuse.Refusal) {
+	n.meter.Answered(c, t, outcome)
 	if outcome == nil {
 		return
 	}
-	n.note(reason.Reason{Kind: outcome.Code, Text: outcome.Text, Model: c.Model()}, c.ID)
+	why := reason.Reason{Kind: outcome.Code, Text: strings.TrimSuffix(outcome.Text, "."), Wait: outcome.Retry, Verdict: outcome.Verdict.String()}
+	if c.Adapter != "" {
+		why.Model = c.Model()
+	}
+	n.note(why, c.ID)
 }
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -16,7 +16,7 @@
 
 // loadWanted orders loads for the models that queued attempts wait for, and unloads to make room.
 func (s *Sched) loadWanted(now time.Time) {
-	if s.boot == "" {
+	if !s.known {
 		return
 	}
 	room := loadsAtOnce - s.count(loading)
@@ -82,7 +82,7 @@
 
 func (s *Sched) urgency(now time.Time, m *model) reason.Reason {
 	why := reason.Reason{
-		Kind:    "load",
+		Kind:    reason.Load,
 		Text:    "requests wait for the adapter",
 		Model:   m.name,
 		Runner:  s.runner.Name,
@@ -99,7 +99,7 @@
 // makeRoom unloads the cheapest idle model, or drains one in use where i has waited long.
 func (s *Sched) makeRoom(now time.Time, i *item) {
 	if victim := s.victim(now); victim != nil {
-		s.orderUnload(now, victim, "it was the cheapest to load again")
+		s.orderUnload(now, victim, "it was in least demand of those that nothing uses")
 		return
 	}
 	if now.Sub(i.arrived) < drainAfter || s.draining() {
@@ -121,7 +121,7 @@
 // orderUnload gives a model's slot up.
 func (s *Sched) orderUnload(now time.Time, m *model, text string) {
 	why := reason.Reason{
-		Kind:    "unload",
+		Kind:    reason.Unload,
 		Text:    text,
 		Model:   m.name,
 		Runner:  s.runner.Name,
