--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -13,29 +13,29 @@
 
 // Call is immutable; its With methods return changed copies.
 type Call struct {
-	ID       string    `msgpack:"id"`       // request id, unique per received request
-	Attempt  string    `msgpack:"attempt"`  // attempt id, unique per dispatch; answers are matched by it
-	Tenant   string    `msgpack:"tenant"`   // who asks
-	Adapter  string    `msgpack:"adapter"`  // adapter name; empty for a plain service
-	Version  string    `msgpack:"version"`  // adapter version, resolved by the entry node
-	Group    string    `msgpack:"group"`    // upstream group that serves it
-	Key      string    `msgpack:"key"`      // idempotency key; empty when none was given
-	Once     bool      `msgpack:"once"`     // non-idempotent: at most one dispatch
-	Class    string    `msgpack:"class"`    // traffic class, for metrics and fair shares
-	Priority int       `msgpack:"priority"` // higher is more urgent
-	Deadline time.Time `msgpack:"deadline"` // zero means none
-	Tokens   int       `msgpack:"tokens"`   // answer tokens expected
-	Most     int       `msgpack:"most"`     // answer tokens the caller allows at the most
-	Demand   float64   `msgpack:"demand"`   // decayed count of requests for the model at its home; 0 where it is not known
-	Prefix   string    `msgpack:"prefix"`   // hash of the prompt's opening, for prefix-cache affinity
-	Method   string    `msgpack:"method"`   // HTTP method towards the upstream
-	Path     string    `msgpack:"path"`     // HTTP path towards the upstream
-	Type     string    `msgpack:"type"`     // content type of Body
-	Body     []byte    `msgpack:"body"`     // body towards the upstream
-	Stream   bool      `msgpack:"stream"`   // the caller asked for server-sent events
-	Sum      string    `msgpack:"sum"`      // Print, kept where the body is left out
-	From     int       `msgpack:"from"`     // token at which a resumed stream goes on
-	Alone    bool      `msgpack:"alone"`    // a suspect, to be placed away from other requests
+	ID       string    `msgpack:"id,omitempty"`       // request id, unique per received request
+	Attempt  string    `msgpack:"attempt,omitempty"`  // attempt id, unique per dispatch; answers are matched by it
+	Tenant   string    `msgpack:"tenant,omitempty"`   // who asks
+	Adapter  string    `msgpack:"adapter,omitempty"`  // adapter name; empty for a plain service
+	Version  string    `msgpack:"version,omitempty"`  // adapter version, resolved by the entry node
+	Group    string    `msgpack:"group,omitempty"`    // upstream group that serves it
+	Key      string    `msgpack:"key,omitempty"`      // idempotency key; empty when none was given
+	Once     bool      `msgpack:"once,omitempty"`     // non-idempotent: at most one dispatch
+	Class    string    `msgpack:"class,omitempty"`    // traffic class, for metrics and fair shares
+	Priority int       `msgpack:"priority,omitempty"` // higher is more urgent
+	Deadline time.Time `msgpack:"deadline,omitempty"` // zero means none
+	Tokens   int       `msgpack:"tokens,omitempty"`   // answer tokens expected
+	Most     int       `msgpack:"most,omitempty"`     // answer tokens the caller allows at the most
+	Demand   float64   `msgpack:"demand,omitempty"`   // decayed count of requests for the model at its home; 0 where it is not known
+	Prefix   string    `msgpack:"prefix,omitempty"`   // hash of the prompt's opening, for prefix-cache affinity
+	Method   string    `msgpack:"method,omitempty"`   // HTTP method towards the upstream
+	Path     string    `msgpack:"path,omitempty"`     // HTTP path towards the upstream
+	Type     string    `msgpack:"type,omitempty"`     // content type of Body
+	Body     []byte    `msgpack:"body,omitempty"`     // body towards the upstream
+	Stream   bool      `msgpack:"stream,omitempty"`   // the caller asked for server-sent events
+	Sum      string    `msgpack:"sum,omitempty"`      // Print, kept where the body is left out
+	From     int       `msgpack:"from,omitempty"`     // token at which a resumed stream goes on
+	Alone    bool      `msgpack:"alone,omitempty"`    // a suspect, to be placed away from other requests
 }
 
 // Model returns the adapter and version as engines name them.
