--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,6 +43,7 @@
 	loadTimeout   = 2 * time.Minute
 	askTimeout    = time.Second
 	endGrace      = 5 * time.Second // for the node chosen to end a lapsed session before the others do
+	lapsingBefore = 2 * tick        // end of a lease
 	sickAfter     = 2               // reports missed in a row
 )
 
@@ -143,10 +144,13 @@
 // tick runs on the control goroutine.
 func (o *Owner) tick() {
 	now := time.Now()
+	slow := now.Sub(o.slow) >= slowTick
 	for _, h := range o.held {
-		o.carry(h, h.sched.Tick(now))
+		if slow || h.sched.Waiting() > 0 {
+			o.carry(h, h.sched.Tick(now))
+		}
 	}
-	if now.Sub(o.slow) >= slowTick {
+	if slow {
 		o.slow = now
 		o.slowly(now)
 	}
@@ -202,7 +206,7 @@
 	d.Fence = h.fence
 	d.Number = h.number
 	d.Sick = h.failures >= sickAfter
-	d.Closed = d.Closed || h.leaving
+	d.Closed = d.Closed || h.leaving || o.lapsing(h)
 	d.Suspects = o.Suspects(h.spec.Name)
 	return d
 }
