Name the parts of hello, wire, strm and peer after what they do

Cause: a newcomer's reading of these packages met names that need the code to be understood: talk, greet and meet of a handshake, patient, kick, polite, parted, silent of a connection, two constants keep and kept, lost and leads of a link. The connection kept "the peer has said Bye" twice, as a channel and as a bool.

No test was touched.

Tests of wire, peer, hello, strm, frame pass twice under -race.

Conclusion: behaviour is the same.

--- a/internal/hello/accept.go
+++ b/internal/hello/accept.go
@@ -7,23 +7,23 @@
 
 // Accept does the handshake of the side that was dialled; see Dial.
 func Accept(r *bufio.Reader, w io.Writer, self Hello, secrets [][]byte) (Hello, int, error) {
-	t := &talk{r: r, w: w, secrets: secrets}
-	other, theirs, err := t.meet()
+	e := &exchange{r: r, w: w, secrets: secrets}
+	other, theirs, err := e.readHello()
 	if err != nil {
 		return Hello{}, 0, err
 	}
 	version, err := self.Common(other)
 	if err != nil {
-		return Hello{}, 0, t.reject(err)
+		return Hello{}, 0, e.reject(err)
 	}
-	mine, err := t.greet(self)
+	mine, err := e.sendHello(self)
 	if err != nil {
 		return Hello{}, 0, err
 	}
-	if err := t.check(labelDialler, theirs, mine); err != nil {
-		return Hello{}, 0, t.reject(err)
+	if err := e.checkProof(labelDialler, theirs, mine); err != nil {
+		return Hello{}, 0, e.reject(err)
 	}
-	if err := t.prove(labelAcceptor, theirs, mine); err != nil {
+	if err := e.sendProof(labelAcceptor, theirs, mine); err != nil {
 		return Hello{}, 0, err
 	}
 	return other, version, nil
--- a/internal/hello/talk.go
+++ b/internal/hello/exchange.go
@@ -13,16 +13,16 @@
 // limit bounds a frame of the handshake: its sender has proved nothing yet.
 const limit = 4 << 10
 
-// talk is one side of a handshake.
-type talk struct {
+// exchange is one side of a handshake.
+type exchange struct {
 	r       *bufio.Reader
 	w       io.Writer
 	secrets [][]byte
 }
 
-// greet sends a Hello with a fresh nonce and returns it as encoded.
-func (t *talk) greet(self Hello) ([]byte, error) {
-	if len(t.secrets) == 0 {
+// sendHello sends a Hello with a fresh nonce and returns it as encoded.
+func (e *exchange) sendHello(self Hello) ([]byte, error) {
+	if len(e.secrets) == 0 {
 		return nil, merry.Append(ErrSecret, "none is set here")
 	}
 	self.Nonce = newNonce()
@@ -30,12 +30,12 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "encoding the hello")
 	}
-	return body, t.send(frame.Hello, body)
+	return body, e.send(frame.Hello, body)
 }
 
-// meet reads the other side's Hello and returns it decoded and as it was encoded.
-func (t *talk) meet() (Hello, []byte, error) {
-	body, err := t.expect(frame.Hello)
+// readHello reads the other side's Hello and returns it decoded and as it was encoded.
+func (e *exchange) readHello() (Hello, []byte, error) {
+	body, err := e.expect(frame.Hello)
 	if err != nil {
 		return Hello{}, nil, err
 	}
@@ -52,37 +52,37 @@
 	return other, body, nil
 }
 
-// prove sends the MAC made with the first secret.
-func (t *talk) prove(label string, dialler, acceptor []byte) error {
-	return t.send(frame.Proof, mac(t.secrets[0], label, dialler, acceptor))
+// sendProof sends the MAC made with the first secret.
+func (e *exchange) sendProof(label string, dialler, acceptor []byte) error {
+	return e.send(frame.Proof, mac(e.secrets[0], label, dialler, acceptor))
 }
 
-// check reads the other side's MAC and compares it with those of all secrets.
-func (t *talk) check(label string, dialler, acceptor []byte) error {
-	got, err := t.expect(frame.Proof)
+// checkProof reads the other side's MAC and compares it with those of all secrets.
+func (e *exchange) checkProof(label string, dialler, acceptor []byte) error {
+	got, err := e.expect(frame.Proof)
 	if err != nil {
 		return err
 	}
-	if !known(t.secrets, got, label, dialler, acceptor) {
+	if !matchesAny(e.secrets, got, label, dialler, acceptor) {
 		return ErrSecret
 	}
 	return nil
 }
 
 // reject tells the other side why the handshake ends and returns err.
-func (t *talk) reject(err error) error {
+func (e *exchange) reject(err error) error {
 	// The handshake has failed already; that the reason cannot be sent adds nothing.
-	_ = t.send(frame.Reject, []byte(err.Error()))
+	_ = e.send(frame.Reject, []byte(err.Error()))
 	return err
 }
 
-func (t *talk) send(kind uint8, body []byte) error {
-	_, err := t.w.Write(frame.Append(nil, frame.Frame{Kind: kind, Body: body}))
+func (e *exchange) send(kind uint8, body []byte) error {
+	_, err := e.w.Write(frame.Append(nil, frame.Frame{Kind: kind, Body: body}))
 	return merry.Prepend(err, "handshake: writing")
 }
 
-func (t *talk) expect(kind uint8) ([]byte, error) {
-	f, err := frame.Read(t.r, limit)
+func (e *exchange) expect(kind uint8) ([]byte, error) {
+	f, err := frame.Read(e.r, limit)
 	if err != nil {
 		return nil, merry.Prepend(err, "handshake: reading")
 	}
--- a/internal/hello/mac.go
+++ b/internal/hello/mac.go
@@ -33,8 +33,8 @@
 	return h.Sum(nil)
 }
 
-// known reports whether one of the secrets gives the MAC.
-func known(secrets [][]byte, got []byte, label string, dialler, acceptor []byte) bool {
+// matchesAny reports whether one of the secrets gives the MAC.
+func matchesAny(secrets [][]byte, got []byte, label string, dialler, acceptor []byte) bool {
 	found := false
 	for _, secret := range secrets {
 		if hmac.Equal(got, mac(secret, label, dialler, acceptor)) {
--- a/internal/peer/ask.go
+++ b/internal/peer/ask.go
@@ -11,13 +11,13 @@
 	"damaskreach/pkg/verd"
 )
 
-// anyone is the expected id of a caller that does not care which node has the address.
-const anyone = ""
+// anyNode is the expected id of a caller that does not care which node has the address.
+const anyNode = ""
 
 // Open opens a stream to the node at addr; the question is its first message. The stream is reset at the other side
 // when ctx ends. An error of Open itself is not-run.
 func (m *Mesh) Open(ctx context.Context, addr, method string, question any) (*strm.Stream, error) {
-	return m.open(ctx, anyone, addr, method, question, false)
+	return m.open(ctx, anyNode, addr, method, question, false)
 }
 
 // OpenTo is Open for node id: where another node has taken the address it fails and is not-run.
@@ -27,7 +27,7 @@
 
 // Ask asks the node at addr one question and reads its answer into the pointer answer.
 func (m *Mesh) Ask(ctx context.Context, addr, method string, question, answer any) error {
-	return m.AskTo(ctx, anyone, addr, method, question, answer)
+	return m.AskTo(ctx, anyNode, addr, method, question, answer)
 }
 
 // AskTo is Ask for node id: where another node has taken the address it fails and is not-run.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -38,19 +38,19 @@
 // requests of callers with newer knowledge may be running on it.
 func (l *link) get(ctx context.Context, id string) (*wire.Conn, error) {
 	c, err := l.await(ctx, false)
-	if err != nil || leads(c, id) {
+	if err != nil || reaches(c, id) {
 		return c, err
 	}
 	c, err = l.await(ctx, true)
-	if err != nil || leads(c, id) {
+	if err != nil || reaches(c, id) {
 		return c, err
 	}
 	return nil, merry.Appendf(ErrReplaced, "%s in place of %s", c.Peer().ID, id)
 }
 
-// leads reports whether a connection leads to the node it is wanted for.
-func leads(c *wire.Conn, id string) bool {
-	return id == anyone || c.Peer().ID == id
+// reaches reports whether a connection leads to the node it is wanted for.
+func reaches(c *wire.Conn, id string) bool {
+	return id == anyNode || c.Peer().ID == id
 }
 
 // await returns the connection when there is one; with stale set, after one more dial if that is due.
@@ -63,7 +63,7 @@
 		select {
 		case <-wait:
 			stale = false
-			if err := l.lost(); err != nil {
+			if err := l.lastError(); err != nil {
 				return nil, err
 			}
 		case <-ctx.Done():
@@ -72,8 +72,8 @@
 	}
 }
 
-// lost returns why there is no connection after a dial, or nil.
-func (l *link) lost() error {
+// lastError returns why there is no connection after a dial, or nil.
+func (l *link) lastError() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.err
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -41,7 +41,7 @@
 	m.mu.Lock()
 	l, ok := m.links[addr]
 	m.mu.Unlock()
-	if !ok || l.lost() == nil {
+	if !ok || l.lastError() == nil {
 		return false
 	}
 	// Only the start of a dial is wanted here.
--- a/internal/strm/codec.go
+++ b/internal/strm/codec.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// keep is the capacity up to which a buffer is kept for later messages.
-const keep = 64 << 10
+// keepScratch is the capacity up to which a buffer is kept for later messages.
+const keepScratch = 64 << 10
 
 // scratch is a buffer with the encoder that writes to it and a reader with the decoder that reads from it.
 type scratch struct {
@@ -32,7 +32,7 @@
 }
 
 func (s *scratch) put() {
-	if s.buf.Cap() > keep {
+	if s.buf.Cap() > keepScratch {
 		return
 	}
 	s.buf.Reset()
--- a/internal/wire/accept.go
+++ b/internal/wire/accept.go
@@ -37,7 +37,7 @@
 func (c *Conn) admit(id uint64, s *strm.Stream) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.away {
+	if c.err != nil || c.draining {
 		return refuse.NewRefusal(verd.NotRun, refuse.Leaving, "the connection is being closed")
 	}
 	c.last = id
--- a/internal/wire/close.go
+++ b/internal/wire/close.go
@@ -21,7 +21,7 @@
 	c.cancel(errLeaving)
 	returned := c.awaitHandlers()
 	c.mu.Lock()
-	c.polite = returned && c.err == nil
+	c.awaitsPeer = returned && c.err == nil
 	c.end(ErrClosed)
 	c.mu.Unlock()
 	<-c.ended
@@ -34,11 +34,11 @@
 func (c *Conn) leave() []*strm.Stream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bye {
+	if c.saidBye {
 		return nil
 	}
-	c.away = true
-	c.bye = true
+	c.draining = true
+	c.saidBye = true
 	// A connection that has ended cannot say goodbye.
 	_ = c.append(frame.Frame{Kind: frame.Bye, Stream: c.last})
 	return c.openedAfter(0)
@@ -58,12 +58,13 @@
 // released handles the peer's Bye: streams opened after the newest one it took did not run.
 func (c *Conn) released(last uint64) {
 	c.mu.Lock()
-	c.away = true
+	c.draining = true
 	c.retired = true
 	refused := c.openedAfter(last)
-	if !c.parted {
-		c.parted = true
-		close(c.left)
+	select {
+	case <-c.peerBye: // it said so before
+	default:
+		close(c.peerBye)
 	}
 	c.endIdle()
 	c.mu.Unlock()
@@ -96,7 +97,7 @@
 // the Bye that are still on their way to it: its callers would be told may-have-run for what was answered.
 func (c *Conn) linger() {
 	c.mu.Lock()
-	polite := c.polite
+	polite := c.awaitsPeer
 	c.mu.Unlock()
 	if !polite {
 		return
@@ -104,8 +105,8 @@
 	timer := time.NewTimer(c.bounds.Grace)
 	defer timer.Stop()
 	select {
-	case <-c.silent:
-	case <-c.left:
+	case <-c.readerDone:
+	case <-c.peerBye:
 	case <-timer.C:
 	}
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -29,36 +29,35 @@
 
 // Conn is one connection. It ends by Close, with the context it was made with, or when the peer is gone.
 type Conn struct {
-	nc      net.Conn
-	patient *patient
-	r       *bufio.Reader
-	bounds  bounds.Bounds
-	peer    hello.Hello
-	version int
-	parity  uint64 // of the ids of streams opened here
-	serve   func(s *strm.Stream, method string) error
-	ctx     context.Context // of the streams the peer opened
-	cancel  context.CancelCauseFunc
-	unhook  func() bool   // detaches it from the context it was made with
-	kick    chan struct{} // signals the writer that the queue is not empty
-	ending  chan struct{} // closed when the connection begins to end
-	left    chan struct{} // closed when the peer has said Bye
-	silent  chan struct{} // closed when the reader has returned
-	ended   chan struct{} // closed when every stream has been told
-	running sync.WaitGroup
+	nc         net.Conn
+	timed      *timedReader
+	r          *bufio.Reader
+	bounds     bounds.Bounds
+	peer       hello.Hello
+	version    int
+	parity     uint64 // of the ids of streams opened here
+	serve      func(s *strm.Stream, method string) error
+	ctx        context.Context // of the streams the peer opened
+	cancel     context.CancelCauseFunc
+	unhook     func() bool   // detaches it from the context it was made with
+	wake       chan struct{} // signals the writer that the queue is not empty
+	ending     chan struct{} // closed when the connection begins to end
+	peerBye    chan struct{} // closed when the peer has said Bye
+	readerDone chan struct{} // closed when the reader has returned
+	ended      chan struct{} // closed when every stream has been told
+	running    sync.WaitGroup
 
-	mu      sync.Mutex
-	err     error // why it ends
-	streams map[uint64]entry
-	open    int    // streams the peer opened
-	retired bool   // to be closed when it has no streams
-	polite  bool   // wait for the peer before the socket is closed
-	parted  bool   // the peer has said Bye
-	bye     bool   // the peer was told so
-	away    bool   // no more streams are opened or taken
-	next    uint64 // id of the next stream opened here
-	last    uint64 // newest id the peer opened
-	out     outbox
+	mu         sync.Mutex
+	err        error // why it ends
+	streams    map[uint64]entry
+	open       int    // streams the peer opened
+	retired    bool   // to be closed when it has no streams
+	awaitsPeer bool   // wait for the peer before the socket is closed
+	saidBye    bool   // this side has said Bye
+	draining   bool   // no more streams are opened or taken
+	next       uint64 // id of the next stream opened here
+	last       uint64 // newest id the peer opened
+	out        outbox
 }
 
 // entry is a stream with the place of its Open frame among all bytes sent.
@@ -87,7 +86,7 @@
 func (c *Conn) Usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.err == nil && !c.away
+	return c.err == nil && !c.draining
 }
 
 // Err returns why the connection ends, or nil.
--- a/internal/wire/end.go
+++ b/internal/wire/end.go
@@ -23,8 +23,8 @@
 	close(c.ending)
 }
 
-// settle runs when nothing more will be written, so that it is known which Open frames left this process.
-func (c *Conn) settle() {
+// finish runs when nothing more will be written, so that it is known which Open frames left this process.
+func (c *Conn) finish() {
 	// After a failed write the socket is of no use and this fails too.
 	_ = c.flush()
 	c.linger()
--- a/internal/wire/forget.go
+++ b/internal/wire/forget.go
@@ -26,7 +26,7 @@
 func (c *Conn) Retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.away = true
+	c.draining = true
 	c.retired = true
 	c.endIdle()
 }
--- a/internal/wire/open.go
+++ b/internal/wire/open.go
@@ -38,7 +38,7 @@
 	if err := c.await(ctx); err != nil {
 		return nil, err
 	}
-	if c.away {
+	if c.draining {
 		return nil, ErrAway
 	}
 	id := c.next
--- a/internal/wire/outbox.go
+++ b/internal/wire/outbox.go
@@ -2,8 +2,8 @@
 
 import "damaskreach/internal/frame"
 
-// kept is the capacity up to which the outbox keeps a buffer that was written.
-const kept = 1 << 20
+// keepBatch is the capacity up to which the outbox keeps a buffer that was written.
+const keepBatch = 1 << 20
 
 // outbox holds encoded frames until the writer takes them all at once. It is guarded by the connection's lock.
 type outbox struct {
@@ -45,7 +45,7 @@
 
 // recycle takes back a buffer whose frames were written.
 func (o *outbox) recycle(batch []byte) {
-	if cap(batch) <= kept {
+	if cap(batch) <= keepBatch {
 		o.spare = batch
 	}
 }
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -12,17 +12,17 @@
 // sizeBody is the size up to which bodies are read into one buffer.
 const sizeBody = 4 << 10
 
-// patient reads from a socket and fails when nothing arrives for the timeout.
+// timedReader reads from a socket and fails when nothing arrives for the timeout.
 //
 // A cut cable or a host that lost power sends no end of stream. Without the deadline requests would wait on such a
 // connection for ever; as a living peer sends at least its pings, silence means that it cannot be reached.
-type patient struct {
+type timedReader struct {
 	nc      net.Conn
 	timeout time.Duration // zero during the handshake, which has a deadline of its own
 }
 
 // Read implements io.Reader.
-func (p *patient) Read(buf []byte) (int, error) {
+func (p *timedReader) Read(buf []byte) (int, error) {
 	if p.timeout == 0 {
 		return p.nc.Read(buf)
 	}
@@ -34,7 +34,7 @@
 
 // readAll reads frames of at most limit bytes until the connection ends.
 func (c *Conn) readAll(limit int) {
-	defer close(c.silent)
+	defer close(c.readerDone)
 	buf := make([]byte, sizeBody)
 	for {
 		f, err := frame.ReadInto(c.r, limit, buf)
--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -52,21 +52,21 @@
 }
 
 func newConn(nc net.Conn, b bounds.Bounds, serve func(s *strm.Stream, method string) error, first uint64) *Conn {
-	p := &patient{nc: nc}
+	p := &timedReader{nc: nc}
 	return &Conn{
-		nc:      nc,
-		patient: p,
-		r:       bufio.NewReaderSize(p, sizeReader),
-		bounds:  b,
-		serve:   serve,
-		kick:    make(chan struct{}, 1),
-		ending:  make(chan struct{}),
-		left:    make(chan struct{}),
-		silent:  make(chan struct{}),
-		ended:   make(chan struct{}),
-		next:    first,
-		parity:  first % step,
-		streams: make(map[uint64]entry),
+		nc:         nc,
+		timed:      p,
+		r:          bufio.NewReaderSize(p, sizeReader),
+		bounds:     b,
+		serve:      serve,
+		wake:       make(chan struct{}, 1),
+		ending:     make(chan struct{}),
+		peerBye:    make(chan struct{}),
+		readerDone: make(chan struct{}),
+		ended:      make(chan struct{}),
+		next:       first,
+		parity:     first % step,
+		streams:    make(map[uint64]entry),
 	}
 }
 
@@ -78,7 +78,7 @@
 	}
 	limit := c.bounds.Frame
 	c.bounds = c.bounds.WithPeer(c.peer.Window, c.peer.Frame)
-	c.patient.timeout = c.bounds.Timeout
+	c.timed.timeout = c.bounds.Timeout
 	c.ctx, c.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	c.unhook = context.AfterFunc(ctx, c.Close)
 	go c.readAll(limit)
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -45,7 +45,7 @@
 	}
 	c.out.add(f)
 	select {
-	case c.kick <- struct{}{}:
+	case c.wake <- struct{}{}:
 	default:
 	}
 	return nil
@@ -75,10 +75,10 @@
 func (c *Conn) writeAll() {
 	ticker := time.NewTicker(c.bounds.Interval)
 	defer ticker.Stop()
-	defer c.settle()
+	defer c.finish()
 	for {
 		select {
-		case <-c.kick:
+		case <-c.wake:
 		case <-ticker.C:
 			// The connection may have ended; the next turn sees that.
 			_ = c.write(c.ctx, frame.Frame{Kind: frame.Ping})
