Bound the allocations of a question between nodes

Cause: a streamed token allocates nothing any more; what a stream takes to begin and end had no bound.

By the profile they are the state of the stream and its contexts on both sides.

Conclusion: left as it is; a request needs few of them.

--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -216,3 +216,26 @@
 		t.Errorf("got %v allocations a message, want at most %v", perMessage, mostAllocations)
 	}
 }
+
+// Each request of a caller is several questions between nodes. A stream that needs more memory to begin and end would
+// show as garbage collection under load.
+func TestQuestionAllocations(t *testing.T) {
+	conn := overTCP(t, sendTokens)
+	got := testing.AllocsPerRun(1000, func() {
+		s, err := conn.Open(t.Context(), "tokens", 1, true)
+		if err != nil {
+			t.Fatalf("Open: got %v, want nil", err)
+		}
+		var m token
+		for err == nil {
+			err = s.Recv(t.Context(), &m)
+		}
+		if !errors.Is(err, io.EOF) {
+			t.Fatalf("Recv: got %v, want EOF", err)
+		}
+	})
+	t.Logf("%v allocations a question", got)
+	if got > mostQuestion {
+		t.Errorf("got %v allocations a question, want at most %v", got, mostQuestion)
+	}
+}
