--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,11 @@
 fuzz:
 	scripts/fuzz.sh $(FUZZTIME)
 
-# slopes measures what parts of a node cost and writes the figures into docs/CAPACITY.md; about a minute.
+# slopes measures what parts of a node cost and writes the figures into docs/CAPACITY.md, about a minute; then it prints
+# takeover times, times in force and what control costs at several sizes, in virtual time.
 slopes:
 	$(GO) test ./test/slopes -run TestSlopes -count 1 -args -write $(CURDIR)/docs/CAPACITY.md
+	$(GO) test ./internal/stand/site -run xxx -bench Slopes -benchtime 1x -timeout 1h
 
 demo:
 	$(GO) run ./cmd/damaskdemo $(DEMO)
@@ -52,7 +54,3 @@
 # SEEDS runs of combined failures in virtual time, on all cores but four.
 soak:
 	$(GO) test ./internal/soak -run TestSoak -seeds $(SEEDS) -timeout 4h
-
-# Takeover times, times in force, and what control costs at several sizes.
-slopes:
-	$(GO) test ./internal/stand/site -run xxx -bench Slopes -benchtime 1x -timeout 1h
--- a/test/slopes/parts_test.go
+++ b/test/slopes/parts_test.go
@@ -88,10 +88,10 @@
 	return rows.Row{Key: catlog.Key(catlog.KindRunner, r.Name), Value: value, Rev: int64(i + 1)}
 }
 
-func many[T any](count int, make func(i int) T) []T {
+func many[T any](count int, one func(i int) T) []T {
 	all := []T{}
 	for i := range count {
-		all = append(all, make(i))
+		all = append(all, one(i))
 	}
 	return all
 }
