Pass large bodies between nodes; no control state read outside its goroutine

Cause: under the race detector an unload read the ownership row while the control goroutine changed it; and a body of 6 MiB was refused with 413 on every node but the owner, since a message between nodes held 4 MiB.

--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	plainLimit = 16 << 20 // bytes of an answer that is not a stream
-	eventLimit = 1 << 20  // bytes of one event of a stream
+	// PlainLimit is the most bytes of an answer that is not a stream.
+	PlainLimit = 16 << 20
+	eventLimit = 1 << 20 // bytes of one event of a stream
 	streamKind = "text/event-stream"
 )
 
@@ -145,12 +146,12 @@
 	if endsUnmarked(res) {
 		return refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "reading an answer of %s: neither its length nor its end is marked", c.addr)
 	}
-	content, err := io.ReadAll(io.LimitReader(res.Body, plainLimit+1))
+	content, err := io.ReadAll(io.LimitReader(res.Body, PlainLimit+1))
 	if err != nil {
 		return c.failed(ctx, verd.MayHaveRun, err, "reading an answer of "+c.addr)
 	}
-	if len(content) > plainLimit {
-		return refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "reading an answer of %s: over %d bytes", c.addr, plainLimit)
+	if len(content) > PlainLimit {
+		return refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "reading an answer of %s: over %d bytes", c.addr, PlainLimit)
 	}
 	if err := head(res.StatusCode, res.Header.Get("Content-Type")); err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,7 @@
 	n.loop = loop.NewLoop()
 	n.audit = audit.NewAudit(journalSize)
 	n.meter = meter.NewMeter()
-	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer)
+	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer).WithBounds(meshBounds(c))
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
 	n.watch = watch.NewWatch(n.Hosts, n.Log)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -7,9 +7,11 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"damaskreach/internal/bounds"
 	"damaskreach/internal/call"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/digest"
+	"damaskreach/internal/engine"
 	"damaskreach/internal/group"
 	"damaskreach/internal/loads"
 	"damaskreach/internal/loop"
@@ -24,6 +26,7 @@
 
 const (
 	methodBusy = "busy"
+	callRoom   = 64 << 10         // bytes of a message beside its body
 	reportLag  = 10 * time.Second // how late an engine's report may be at the most
 )
 
@@ -35,6 +38,12 @@
 	return keys
 }
 
+// meshBounds lets a message between nodes hold the largest body of a caller and the largest answer of an upstream:
+// with a smaller frame such a request would fail on every node but the owner.
+func meshBounds(c conf.Conf) bounds.Bounds {
+	return bounds.NewBounds().WithFrame(max(int(c.MaxBody), engine.PlainLimit) + callRoom)
+}
+
 // nodes returns the live sessions of the site.
 func (n *Node) nodes() []sess.Session {
 	live, err := loop.Get(n.ctx, n.loop, func() []sess.Session { return n.members.Live(time.Now()) })
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -15,6 +15,7 @@
 type held struct {
 	spec     runner.Runner // as of the takeover
 	fence    int64
+	session  string // this node's session at the takeover; row belongs to the control goroutine, this may be read by others
 	row      assign.Assignment
 	rev      int64 // revision of row
 	sched    *sched.Sched
@@ -49,6 +50,7 @@
 	h := &held{
 		spec:     r,
 		fence:    row.Fence,
+		session:  row.Session,
 		row:      row,
 		rev:      rev,
 		sched:    sched.NewSched(r, o.Catalog().Tune()),
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -202,7 +202,7 @@
 // mayAct is the last check before anything is sent to a runner. An engine that honours fences refuses an old owner
 // itself, so its owner may go on when the table service is down; on others the lease must hold, which peers may extend.
 func (o *Owner) mayAct(h *held) error {
-	if h.spec.Fences || o.Lease.Holds(h.row.Session) {
+	if h.spec.Fences || o.Lease.Holds(h.session) {
 		return nil
 	}
 	return notOwner(h.spec.Name)
