--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,7 +43,7 @@
 	loadTimeout   = 2 * time.Minute
 	askTimeout    = time.Second
 	endGrace      = 5 * time.Second // for the node chosen to end a lapsed session before the others do
-	lapsingBefore = 2 * tick        // end of a lease
+	lapsingBefore = 2 * slowTick    // end of a lease
 	sickAfter     = 2               // reports missed in a row
 )
 
@@ -97,6 +97,7 @@
 	slow    time.Time // of the last slow tick
 	news    bool      // digests have changed since they were announced
 	told    time.Time // when they were announced
+	known   []string  // ids of the live sessions that were told of all runners
 	ctx     context.Context
 }
 
@@ -165,21 +166,10 @@
 		o.writeNext(h)
 	}
 	o.plan(now)
+	o.welcome(now)
 	o.news = true
 }
 
-// announce passes on the digests of all runners held, at most once in a tick: between two of them many requests start
-// and end, and the other nodes count their own choices themselves.
-func (o *Owner) announce(now time.Time) {
-	if now.Sub(o.told) < tick {
-		o.news = true
-		return
-	}
-	o.news = false
-	o.told = now
-	o.Changed(o.digests(now))
-}
-
 // Digests returns the digests of all runners held. It must be called on the control goroutine.
 func (o *Owner) Digests() []digest.Digest {
 	return o.digests(time.Now())
--- a/internal/stand/site/world_test.go
+++ b/internal/stand/site/world_test.go
@@ -222,6 +222,27 @@
 	return owner
 }
 
+// fences returns the fence under which each runner is owned; it grows with every change of owner.
+func (w *world) fences(nodes int) map[string]int64 {
+	held := map[string]int64{}
+	for i := range nodes {
+		for _, d := range w.Node(i).Runners() {
+			held[d.Runner] = d.Fence
+		}
+	}
+	return held
+}
+
+// unmoved demands that no runner has changed its owner since fences were noted.
+func (w *world) unmoved(when string, before map[string]int64, nodes int) {
+	w.t.Helper()
+	for runner, fence := range w.fences(nodes) {
+		if fence != before[runner] {
+			w.t.Errorf("%s: got fence %d of %s, want %d as before", when, fence, runner, before[runner])
+		}
+	}
+}
+
 // count returns how many actions of a kind succeeded since a time.
 func (w *world) count(kind string, since time.Time) int {
 	n := 0
