--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -71,12 +71,16 @@
 				other := 1 - first
 				woke := w.pauseAt(first, owner.BeforeStart, lapse)
 				go w.Ask(w.ctx, first, "late", model, "long", 2000)
+				w.pass(time.Second)
+				w.Net.Cut(site.Host(0), site.Host(1)) // the successor cannot ask the former owner
 				w.await(woke)
 				w.pass(100 * time.Millisecond) // the late request has arrived, and no report shows it yet
 				for a := 2; a < adapters; a++ {
 					go w.Ask(w.ctx, other, "evicting", site.AdapterName(a)+"@v1", "short", 2)
 				}
 				w.pass(quiet)
+				w.Net.Heal(site.Host(0), site.Host(1))
+				w.pass(quiet)
 				w.owners("after the pause", 0, 1)
 				w.serves("after the pause", 0, 1)
 			})
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -212,3 +212,25 @@
 		}
 	})
 }
+
+// The table service is down and two nodes cannot reach each other, so that nobody gets promises from all peers. The
+// first node to reach the table again sees rows that nobody could renew. If it ended those sessions, every runner
+// would change its owner and callers would be refused meanwhile.
+func TestNoRunnerMovesAfterAnOutageWithoutPromises(t *testing.T) {
+	play(t, 3, 3, true, func(w *world) {
+		before := w.fences(3)
+		w.partAll(3)
+		w.DB.SetDown(true)
+		w.Net.Cut(site.Host(0), site.Host(1))
+		w.Net.Cut(site.Host(1), site.Host(2))
+		w.pass(5 * time.Minute)
+		w.DB.SetDown(false)
+		w.pass(2 * time.Second)
+		w.Net.Heal(site.Host(0), site.Host(1))
+		w.Net.Heal(site.Host(1), site.Host(2))
+		w.joinAll(3)
+		w.pass(quiet)
+		w.unmoved("after the outage", before, 3)
+		w.serves("after the outage", 0, 1, 2)
+	})
+}
--- /dev/null
+++ b/test/procs/cut_test.go
@@ -0,0 +1,149 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"damaskreach/internal/rows"
+	"damaskreach/internal/stand/site"
+)
+
+// forwarder passes connections on to an address until it is cut.
+type forwarder struct {
+	to string
+
+	mu    sync.Mutex
+	lis   net.Listener
+	conns []net.Conn
+}
+
+func newForwarder(t *testing.T, at, to string) *forwarder {
+	t.Helper()
+	f := &forwarder{to: to}
+	f.open(t, at)
+	t.Cleanup(f.cut)
+	return f
+}
+
+func (f *forwarder) open(t *testing.T, at string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mu.Lock()
+	f.lis = lis
+	f.mu.Unlock()
+	go f.serve(lis)
+}
+
+func (f *forwarder) serve(lis net.Listener) {
+	for {
+		c, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", f.to)
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		f.mu.Lock()
+		f.conns = append(f.conns, c, out)
+		f.mu.Unlock()
+		go func() { _, _ = io.Copy(out, c); _ = out.Close() }()
+		go func() { _, _ = io.Copy(c, out); _ = c.Close() }()
+	}
+}
+
+// cut breaks all connections and takes no more.
+func (f *forwarder) cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.lis.Close()
+	for _, c := range f.conns {
+		_ = c.Close()
+	}
+	f.conns = nil
+}
+
+// apply adds an adapter to the table.
+func (f *fleet) apply(n int) {
+	f.t.Helper()
+	s := site.NewSite(1, 0)
+	row := site.Row("adapter", site.AdapterName(n), s.Adapter(site.AdapterName(n)))
+	if _, err := f.table.Write(context.Background(), row); err != nil {
+		f.t.Fatalf("writing an adapter: %v", err)
+	}
+}
+
+// One node is cut off from the table service and reaches everything else. The others take its runner, and its callers
+// are served all the same, for an adapter too that was added meanwhile. After the cut it takes its share again.
+func TestNodeCutOffFromTheTable(t *testing.T) {
+	f := newFleet(t)
+	at := f.net + "150:7000"
+	way := newForwarder(t, at, f.net+"100:7000")
+	f.tables = map[int]string{1: at}
+	for i := range nodes {
+		f.startNode(i)
+	}
+	f.await("every node owns one runner", func() bool {
+		return len(f.owned(0)) == 1 && len(f.owned(1)) == 1 && len(f.owned(2)) == 1
+	})
+
+	way.cut()
+	f.await("the other nodes own all runners", func() bool { return len(f.owned(0))+len(f.owned(2)) == 3 })
+	f.apply(100)
+	f.await("the node cut off answers for a new adapter", func() bool { return f.ask(1, 100) == "" })
+	f.serves(1)
+
+	way.open(t, at)
+	f.await("the node takes its share again", func() bool { return len(f.owned(1)) == 1 })
+	f.serves(1)
+}
+
+// The table service goes down for longer than a lease. Callers of every node are served meanwhile, an edit is refused,
+// and afterwards an edit is in force everywhere.
+func TestTableDownOverProcesses(t *testing.T) {
+	f := newFleet(t)
+	for i := range nodes {
+		f.startNode(i)
+	}
+	f.await("every node owns one runner", func() bool {
+		return len(f.owned(0)) == 1 && len(f.owned(1)) == 1 && len(f.owned(2)) == 1
+	})
+	f.serves(0)
+
+	f.tableDown(true)
+	row := rows.Row{Key: "conf/adapter/never", Value: []byte("{}")}
+	if _, err := f.table.Write(context.Background(), row); err == nil {
+		t.Error("got an edit accepted by a table that is down, want an error")
+	}
+	for range 3 {
+		for i := range nodes {
+			f.serves(i)
+		}
+	}
+	f.tableDown(false)
+	f.apply(101)
+	f.await("all nodes answer for a new adapter", func() bool {
+		return f.ask(0, 101) == "" && f.ask(1, 101) == "" && f.ask(2, 101) == ""
+	})
+}
+
+func (f *fleet) tableDown(on bool) {
+	f.t.Helper()
+	res, err := http.Post(fmt.Sprintf("http://%s100:7000/admin/down?on=%v", f.net, on), "", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode >= http.StatusBadRequest {
+		f.t.Fatalf("setting the table down: got status %d, want success", res.StatusCode)
+	}
+}
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -34,11 +34,12 @@
 
 // fleet is a running site: the stand-ins in one process and a process for each node.
 type fleet struct {
-	t     *testing.T
-	dir   string
-	net   string // first three bytes of the loopback addresses used
-	table table.Table
-	procs map[string]*exec.Cmd
+	t      *testing.T
+	dir    string
+	net    string // first three bytes of the loopback addresses used
+	table  table.Table
+	procs  map[string]*exec.Cmd
+	tables map[int]string // ways of nodes to the table service other than the straight one
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -121,7 +122,7 @@
 peer = "%s:7000"
 http = "%s:8000"
 admin = "%s:9000"
-tables = ["%s100:7000"]
+tables = [%q]
 hosts = ["%s100:7001"]
 secrets = ["a shared key of the site's nodes"]
 lease = "3s"
@@ -129,7 +130,7 @@
 poll = "300ms"
 entries-life = "1s"
 drain = "1500ms"
-`, name, host, host, host, f.net, f.net)
+`, name, host, host, host, f.tableOf(i), f.net)
 	path := filepath.Join(f.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -137,6 +138,14 @@
 	f.start(name, "damaskreach", "--config", path)
 }
 
+// tableOf returns the address at which node i reaches the table service.
+func (f *fleet) tableOf(i int) string {
+	if addr := f.tables[i]; addr != "" {
+		return addr
+	}
+	return f.net + "100:7000"
+}
+
 func (f *fleet) host(i int) string {
 	return fmt.Sprintf("%s%d", f.net, i+1)
 }
