--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -85,6 +85,8 @@
 		{"answers before an exit", check.Cuts, actions{answer(1, 2, "full"), answer(2, 5, ""), mark(action.Exit, 5)}, 0},
 		{"answer that failed after the exit of another node", check.Cuts,
 			actions{answer(1, 5, "cut"), {Kind: action.Exit, Process: "b", At: at(5)}}, 0},
+		{"caller that found the node gone", check.Cuts,
+			actions{{Kind: action.Answer, Process: "a", At: at(4), End: at(5), Fault: "refused", NotRun: true}, mark(action.Exit, 5)}, 0},
 		{"answer cut by an exit", check.Cuts, actions{answer(1, 5.01, "cut"), mark(action.Exit, 5)}, 1},
 		{"start cut by an exit", check.Cuts,
 			actions{{Kind: action.Start, Process: "a", At: at(4), End: at(5), Fault: "cut"}, mark(action.Exit, 5)}, 1},
--- a/internal/stand/site/load.go
+++ b/internal/stand/site/load.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -35,11 +37,17 @@
 	status, _, body, err := s.Complete(ctx, i, model, prompt, tokens, map[string]string{"X-Request-Id": id})
 	a.End = time.Now()
 	a.Fault = judge(status, string(body), err, engsim.Answer(model, prompt, tokens))
-	a.NotRun = strings.Contains(a.Fault, `"verdict":"not-run"`)
+	a.NotRun = strings.Contains(a.Fault, `"verdict":"not-run"`) || isDial(err)
 	s.journal.add(a)
 	return a.Fault
 }
 
+// isDial reports whether a request was never sent, since no connection came about.
+func isDial(err error) bool {
+	var fault *net.OpError
+	return errors.As(err, &fault) && fault.Op == "dial"
+}
+
 // judge returns what is wrong with an answer. One that looks whole but is not the engine's own is worst.
 func judge(status int, body string, err error, want []string) string {
 	switch {
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -187,6 +187,24 @@
 	})
 }
 
+// used demands that load reaches every runner.
+func (w *world) used(when string) {
+	w.t.Helper()
+	since := time.Now()
+	stop := w.load(8, 2)
+	w.pass(quiet)
+	stop()
+	starts := map[string]int{}
+	for _, a := range w.Actions() {
+		if a.Kind == action.Start && a.At.After(since) {
+			starts[a.Runner]++
+		}
+	}
+	if got, want := len(starts), len(w.Engines); got != want {
+		w.t.Errorf("%s: got %d runners used, want %d: %v", when, got, want, starts)
+	}
+}
+
 // Two nodes claim one runner at the same moment. Both have read that it has no owner; the transaction lets one win, and
 // the other must see that it lost rather than send orders too.
 func TestTwoNodesClaimOneRunner(t *testing.T) {
@@ -207,6 +225,7 @@
 			w.pass(quiet)
 			w.owners("after a race", 0, 1)
 			w.serves("after a race", 0, 1)
+			w.used("after a race")
 			w.start(2)
 			w.pass(quiet)
 		}
