--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 # takeover times, times in force and what control costs at several sizes, in virtual time.
 slopes:
 	$(GO) test ./test/slopes -run TestSlopes -count 1 -args -write $(CURDIR)/docs/CAPACITY.md
-	$(GO) test ./internal/stand/site -run xxx -bench Slopes -benchtime 1x -timeout 1h
+	$(GO) test ./internal/stand/site -run TestSlopes -v -sizes 7,20,50,100 -timeout 1h
 
 demo:
 	$(GO) run ./cmd/damaskdemo $(DEMO)
--- a/internal/stand/site/world_test.go
+++ b/internal/stand/site/world_test.go
@@ -21,9 +21,10 @@
 
 const (
 	adapters = 8
-	quiet    = 30 * time.Second // for a site to settle after a fault has ended
-	patience = 2 * time.Minute  // for a condition
-	lapse    = 25 * time.Second // longer than a lease and the takeover after it
+	quiet    = 30 * time.Second        // for a site to settle after a fault has ended
+	stagger  = 1700 * time.Millisecond // between the starts of nodes, whose clocks would tick together otherwise
+	patience = 2 * time.Minute         // for a condition
+	lapse    = 25 * time.Second        // longer than a lease and the takeover after it
 )
 
 // world is a site under test in virtual time.
@@ -54,6 +55,7 @@
 		}
 		for i := range nodes {
 			w.StartNode(ctx, i)
+			time.Sleep(stagger)
 		}
 		time.Sleep(quiet)
 		script(w)
@@ -222,6 +224,27 @@
 	return owner
 }
 
+// fences returns the fence under which each runner is owned; it grows with every change of owner.
+func (w *world) fences(nodes int) map[string]int64 {
+	held := map[string]int64{}
+	for i := range nodes {
+		for _, d := range w.Node(i).Runners() {
+			held[d.Runner] = d.Fence
+		}
+	}
+	return held
+}
+
+// unmoved demands that no runner has changed its owner since fences were noted.
+func (w *world) unmoved(when string, before map[string]int64, nodes int) {
+	w.t.Helper()
+	for runner, fence := range w.fences(nodes) {
+		if fence != before[runner] {
+			w.t.Errorf("%s: got fence %d of %s, want %d as before", when, fence, runner, before[runner])
+		}
+	}
+}
+
 // count returns how many actions of a kind succeeded since a time.
 func (w *world) count(kind string, since time.Time) int {
 	n := 0
