--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 1000
 FUZZTIME ?= 10s
 
-.PHONY: all build test check bench soak slopes fuzz demo site site-stop fmt clean
+.PHONY: all build test check bench soak soak-delivery slopes fuzz demo site site-stop fmt clean
 
 all: build
 
@@ -28,6 +28,10 @@
 	$(TOOL) staticcheck ./...
 	$(TOOL) revive -config revive.toml -set_exit_status ./...
 
+# soak-delivery runs seeds of combined failures with callers' and upstreams' records compared.
+soak-delivery:
+	$(GO) test ./test/deliv -count=1 -timeout 60m -run TestSoak -seeds $(SEEDS)
+
 bench:
 	$(GO) run ./cmd/damaskbench
 	$(GO) test -run '^$$' -bench Path ./internal/stand/site
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -6,11 +6,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// part is one message of an answer: first its head, then its pieces.
+// part is one message of an answer: first its head, then its pieces, then the mark of its end. Only the mark makes the
+// answer whole. The end of the stream alone does not: where a node's connection is closed under an answer, the stream
+// ends as well, and half of the answer would pass for all of it.
 //
 // There is one for each token, so it is encoded as an array without names and by hand: the reflection of msgpack
 // allocates for each struct.
 type part struct {
+	whole  bool // the mark of the end, which has no fields
 	token  int
 	piece  []byte
 	status int
@@ -27,12 +30,16 @@
 )
 
 const (
+	sizeMark  = 0
 	sizePiece = fieldPiece + 1
 	sizeHead  = fieldKind + 1
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (p *part) EncodeMsgpack(e *msgpack.Encoder) error {
+	if p.whole {
+		return e.EncodeArrayLen(sizeMark)
+	}
 	size := sizePiece
 	if p.status != 0 {
 		size = sizeHead
@@ -51,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	p.whole = size == sizeMark
 	for field := range size {
 		if err := p.decode(d, field); err != nil {
 			return err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,8 +3,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
+
+	"github.com/ansel1/merry/v2"
 
 	"damaskreach/internal/call"
 	"damaskreach/internal/digest"
@@ -49,7 +49,11 @@
 		p = part{token: token, piece: piece}
 		return s.Send(ctx, &p)
 	}
-	return r.Local(ctx, q.Runner, q.Fence, q.Call, head, emit)
+	if err := r.Local(ctx, q.Runner, q.Fence, q.Call, head, emit); err != nil {
+		return err
+	}
+	p = part{whole: true}
+	return s.Send(ctx, &p)
 }
 
 // Run sends a call to the owner named in d and passes the answer on. It returns nil only for a whole answer.
@@ -71,11 +75,11 @@
 	var p part // each piece is written over the last one, which emit has passed on
 	for {
 		err := s.Recv(ctx, &p)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
 		if err != nil {
-			return err
+			return merry.Prepend(err, "receiving an answer")
+		}
+		if p.whole {
+			return nil
 		}
 		if err := p.pass(head, emit); err != nil {
 			return err
