--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -77,6 +77,25 @@
 	})
 }
 
+// The keeper itself is drained while it gathers decisions for the next row, its own among them. They must be in the table
+// before it ends, and not go with it.
+func TestFlushWritesWhatIsBeingGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		db := rowdb.NewDB()
+		l := alone(db)
+		go l.Run(ctx)
+		l.Add(unload("a@v1"))
+		time.Sleep(1500 * time.Millisecond) // passed on, and gathered
+		l.Flush(ctx)
+		cancel()
+		found, err := alone(db).Find(t.Context(), query.Query{Adapter: "a"})
+		if err != nil || len(found) != 1 {
+			t.Errorf("found %v, error %v, want the one unload", found, err)
+		}
+	})
+}
+
 // A row may be damaged, or written by another program. Reading it must fail and not bring the node down.
 func FuzzFind(f *testing.F) {
 	f.Add([]byte{})
--- a/internal/stand/site/operat_test.go
+++ b/internal/stand/site/operat_test.go
@@ -96,6 +96,38 @@
 	})
 }
 
+// Two of three nodes are drained right after they refused requests and unloaded adapters, one of them the keeper of decisions.
+// An operator asks the third afterwards; each refusal and unload of the other two must still be explained.
+func TestDrainedNodesLeaveTheirDecisions(t *testing.T) {
+	quick := func(s *site.Site) { s.Conf.EntriesLife, s.Conf.Drain = time.Second, 2*time.Second }
+	run(t, quick, nil, func(ctx context.Context, s *site.Site) {
+		for n := range 60 {
+			s.Complete(ctx, n%3, fmt.Sprintf("adapter-%d", n%30), "prompt", 2, nil)
+		}
+		for i := range 2 {
+			s.Complete(ctx, i, "nobody", "prompt", 2, map[string]string{entry.HeaderRequest: fmt.Sprint("refused-", i)})
+		}
+		unloads := 0
+		for _, e := range s.Engines {
+			unloads += len(e.Unloads())
+		}
+		for i := range 2 {
+			s.Node(i).Drain()
+		}
+		for i := range 2 {
+			s.Wait(i)
+		}
+		for i := range 2 {
+			if got := asked(ctx, t, s, 2, url.Values{"request": {fmt.Sprint("refused-", i)}}); len(got) != 1 {
+				t.Errorf("the refusal of drained node %d: got %v, want one decision", i, got)
+			}
+		}
+		if got := len(asked(ctx, t, s, 2, url.Values{"kind": {"unload"}})); unloads == 0 || got < unloads {
+			t.Errorf("%d unloads are known, want %d, more than none", got, unloads)
+		}
+	})
+}
+
 // The table service is down while adapters are unloaded and does not come back for minutes. Decisions must reach it later.
 func TestDecisionsAreKeptOverAnOutageOfTheTable(t *testing.T) {
 	run(t, nothing, nil, func(ctx context.Context, s *site.Site) {
