--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damaskreach/internal/call"
+	"damaskreach/pkg/head"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -50,7 +51,7 @@
 func newErrorBody(r *refuse.Refusal) errorBody {
 	return errorBody{Error: errorDetail{
 		Message: r.Text,
-		Type:    "damaskreach",
+		Type:    head.Kind,
 		Code:    r.Code,
 		Verdict: r.Verdict,
 		Retry:   r.Retry.Seconds(),
@@ -80,7 +81,7 @@
 		return r
 	}
 	switch r.Code {
-	case refuse.BadRequest, refuse.TooLarge, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
+	case refuse.BadRequest, refuse.BadMethod, refuse.NoRoute, refuse.TooLarge, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
 		return r
 	}
 	return r.WithRetry(usualRetry)
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -82,5 +82,6 @@
 	go n.gather.Run(ctx)
 	go n.suspect.Run(ctx)
 	go n.ledger.Run(ctx)
+	go n.claim.Sweep(ctx)
 	go n.admit.Run(ctx)
 }
