--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 SEEDS ?= 1000
+FUZZTIME ?= 10s
 
-.PHONY: all build test check soak-delivery bench demo site site-stop fmt clean
+.PHONY: all build test check bench soak soak-delivery slopes fuzz demo site site-stop fmt clean
 
 all: build
 
@@ -27,6 +28,17 @@
 bench:
 	$(GO) run ./cmd/damaskbench
 	$(GO) test -run '^$$' -bench Path ./internal/stand/site
+	$(GO) test -run '^$$' -bench . ./internal/wire
+	$(GO) test -count=1 -v -run 'Traffic|Bytes|Allocations' ./internal/stand/site
+
+fuzz:
+	scripts/fuzz.sh $(FUZZTIME)
+
+# slopes measures what parts of a node cost and writes the figures into docs/CAPACITY.md, about a minute; then it prints
+# takeover times, times in force and what control costs at several sizes, in virtual time.
+slopes:
+	$(GO) test ./test/slopes -run TestSlopes -count 1 -args -write $(CURDIR)/docs/CAPACITY.md
+	$(GO) test ./internal/stand/site -run xxx -bench Slopes -benchtime 1x -timeout 1h
 
 demo:
 	$(GO) run ./cmd/damaskdemo $(DEMO)
@@ -42,3 +54,7 @@
 
 clean:
 	rm -rf bin site
+
+# SEEDS runs of combined failures in virtual time, on all cores but four.
+soak:
+	$(GO) test ./internal/soak -run TestSoak -seeds $(SEEDS) -timeout 4h
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,7 @@
 }
 
 func (e *Entry) serveUnknown(w http.ResponseWriter, r *http.Request) {
-	e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "there is no path %s", r.URL.Path))
+	e.reject(w, r, call.Call{}, refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "there is no path %s", r.URL.Path))
 }
 
 // refuseMethod answers requests to a path that takes another method. The mux by itself would answer in plain text,
@@ -93,6 +93,6 @@
 func (e *Entry) refuseMethod(takes string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Allow", takes)
-		e.refuse(w, refuse.NewRefusal(verd.NotRun, refuse.BadMethod, "%s takes %s, not %s", r.URL.Path, takes, r.Method))
+		e.reject(w, r, call.Call{}, refuse.NewRefusal(verd.NotRun, refuse.BadMethod, "%s takes %s, not %s", r.URL.Path, takes, r.Method))
 	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,6 +78,14 @@
 	return l.Left() > 0
 }
 
+// Holds reports whether the node may still act on a session: it is the present one and its term has not ended.
+// After its session was ended by others a node starts another, whose term must not cover what it did under the first.
+func (l *Lease) Holds(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now.ID() == id && time.Until(l.until) > 0
+}
+
 // Left returns how much of the term is left; it is negative once the term has ended.
 func (l *Lease) Left() time.Duration {
 	l.mu.Lock()
@@ -120,23 +128,24 @@
 	}
 }
 
-// Release deletes the session row, so that nobody has to wait for the term to end.
-// The caller must have stopped acting on the session before.
+// Release says in the session row that the session has ended, so that nobody has to wait for the term to end and its
+// successors know that no request of its is left. The caller must have stopped acting on the session before.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
-	row := rows.Row{Key: l.now.Key(), Rev: l.rev}
+	l.now = l.now.WithState(sess.Ended)
 	l.until = time.Time{}
+	row := rows.Row{Key: l.now.Key(), Rev: l.rev, Value: l.now.Encode()}
 	l.mu.Unlock()
-	_, err := l.table.Write(ctx, row.WithGone())
+	_, err := l.table.Write(ctx, row)
 	return err
 }
 
 func (l *Lease) step(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.term-l.renew)
-	defer cancel()
 	start := time.Now()
 	next, rev := l.nextBeat()
 	l.at(BeforeRenew)
+	ctx, cancel := context.WithTimeout(ctx, l.term-l.renew)
+	defer cancel()
 	row := rows.Row{Key: next.Key(), Rev: rev, Value: next.Encode()}
 	rev, err := l.table.Write(ctx, row)
 	l.at(AfterRenew)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,12 +36,14 @@
 )
 
 const (
-	tick          = time.Second
+	tick          = 50 * time.Millisecond // of the schedulers
+	slowTick      = time.Second           // of everything that is asked of others
 	tableTimeout  = 5 * time.Second
 	engineTimeout = 2 * time.Second
 	loadTimeout   = 2 * time.Minute
 	askTimeout    = time.Second
 	endGrace      = 5 * time.Second // for the node chosen to end a lapsed session before the others do
+	lapsingBefore = 2 * tick        // end of a lease
 	sickAfter     = 2               // reports missed in a row
 )
 
@@ -73,6 +75,10 @@
 	Leaving func(addr string) bool
 	// Note records a decision for operators.
 	Note func(why reason.Reason, attempt string)
+	// Copies returns how many runners of a group have each model resident, as far as this node knows.
+	Copies func(group string) map[string]int
+	// Started is told of each start and its reason, which holds how long the call waited and for what.
+	Started func(c call.Call, why reason.Reason)
 	// Changed is told of the digests of runners held, whenever they have changed.
 	Changed func(digests []digest.Digest)
 	// Enter waits until a call may be sent to a runner; see package suspct. Nil lets every call through.
@@ -88,6 +94,9 @@
 	busy    map[string]bool    // runners with a table write on its way
 	wake    chan struct{}
 	leaving bool
+	slow    time.Time // of the last slow tick
+	news    bool      // digests have changed since they were announced
+	told    time.Time // when they were announced
 	ctx     context.Context
 }
 
@@ -135,19 +144,42 @@
 // tick runs on the control goroutine.
 func (o *Owner) tick() {
 	now := time.Now()
+	slow := now.Sub(o.slow) >= slowTick
+	for _, h := range o.held {
+		if slow || h.sched.Waiting() > 0 {
+			o.carry(h, h.sched.Tick(now))
+		}
+	}
+	if slow {
+		o.slow = now
+		o.slowly(now)
+	}
+	if o.news {
+		o.announce(now)
+	}
+}
+
+func (o *Owner) slowly(now time.Time) {
 	o.dropLost(now)
 	for _, h := range o.held {
-		o.carry(h, h.sched.Tick(now))
+		h.sched.Copies(o.Copies(h.spec.Group))
 		o.poll(h)
 		o.askFormers(h)
 		o.writeNext(h)
 	}
 	o.plan(now)
-	o.announce(now)
+	o.news = true
 }
 
-// announce passes on the digests of all runners held.
+// announce passes on the digests of all runners held, at most once in a tick: between two of them many requests start
+// and end, and the other nodes count their own choices themselves.
 func (o *Owner) announce(now time.Time) {
+	if now.Sub(o.told) < tick {
+		o.news = true
+		return
+	}
+	o.news = false
+	o.told = now
 	o.Changed(o.digests(now))
 }
 
@@ -174,7 +206,7 @@
 	d.Fence = h.fence
 	d.Number = h.number
 	d.Sick = h.failures >= sickAfter
-	d.Closed = d.Closed || h.leaving
+	d.Closed = d.Closed || h.leaving || o.lapsing(h)
 	d.Suspects = o.Suspects(h.spec.Name)
 	return d
 }
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"path"
 	"time"
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/reason"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/sess"
@@ -41,10 +43,14 @@
 func (o *Owner) serving(now time.Time, me sess.Session) []sess.Session {
 	var serving []sess.Session
 	for _, s := range o.Members.Serving(now) {
-		if s.ID() != me.ID() || !o.leaving {
+		if s.ID() != me.ID() {
 			serving = append(serving, s)
 		}
 	}
+	if !o.leaving {
+		// The view may be too old to have this node; that is no reason for it to hand its runners over.
+		serving = append(serving, me)
+	}
 	return serving
 }
 
@@ -79,7 +85,7 @@
 		return true
 	}
 	_, known := o.Members.Get(seen.row.Session)
-	return !known
+	return !known || o.over(seen.row.Session)
 }
 
 // respec follows a change of the operators' row: a runner marked leaving is closed to new starts,
@@ -150,6 +156,7 @@
 		o.Log.Warn("ending a lapsed session failed", zap.String("key", edit.Key), zap.Error(err))
 	}
 	if err == nil {
+		o.Note(reason.Reason{Kind: reason.Ended, Text: "the lapsed session " + path.Base(edit.Key) + " was ended, so that its runners can be taken over"}, "")
 		o.Log.Info("ended a lapsed session", zap.String("key", edit.Key))
 	}
 	_ = o.Loop.Post(func() { delete(o.busy, edit.Key) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,7 +20,7 @@
 	Mesh *peer.Mesh
 	// Self returns this node's session id.
 	Self func() string
-	// Local runs a call on a runner this node owns.
+	// Local runs a call on a runner this node owns. A piece is valid until emit returns.
 	Local func(ctx context.Context, runner string, fence int64, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error
 }
 
@@ -30,17 +30,6 @@
 	Call   call.Call `msgpack:"call"`
 }
 
-// part is one message of an answer: first its head, then its pieces, then the mark of its end. Only the mark makes the
-// answer whole. The end of the stream alone does not: where a node's connection is closed under an answer, the stream
-// ends as well, and half of the answer would pass for all of it.
-type part struct {
-	Whole  bool   `msgpack:"whole,omitempty"`
-	Status int    `msgpack:"status,omitempty"`
-	Kind   string `msgpack:"kind,omitempty"`
-	Token  int    `msgpack:"token,omitempty"`
-	Piece  []byte `msgpack:"piece,omitempty"`
-}
-
 // Register serves other nodes' calls.
 func (r *Relay) Register() {
 	r.Mesh.Handle(methodRun, r.serve)
@@ -51,16 +40,20 @@
 	if err := s.Recv(ctx, &q); err != nil {
 		return err
 	}
+	var p part // one for the whole answer, as Send needs it on the heap
 	head := func(status int, kind string) error {
-		return s.Send(ctx, part{Status: status, Kind: kind})
+		p = part{status: status, kind: kind}
+		return s.Send(ctx, &p)
 	}
 	emit := func(token int, piece []byte) error {
-		return s.Send(ctx, part{Token: token, Piece: piece})
+		p = part{token: token, piece: piece}
+		return s.Send(ctx, &p)
 	}
 	if err := r.Local(ctx, q.Runner, q.Fence, q.Call, head, emit); err != nil {
 		return err
 	}
-	return s.Send(ctx, part{Whole: true})
+	p = part{whole: true}
+	return s.Send(ctx, &p)
 }
 
 // Run sends a call to the owner named in d and passes the answer on. It returns nil only for a whole answer.
@@ -79,13 +72,13 @@
 }
 
 func receive(ctx context.Context, s *strm.Stream, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
+	var p part // each piece is written over the last one, which emit has passed on
 	for {
-		var p part
 		err := s.Recv(ctx, &p)
 		if err != nil {
 			return merry.Prepend(err, "receiving an answer")
 		}
-		if p.Whole {
+		if p.whole {
 			return nil
 		}
 		if err := p.pass(head, emit); err != nil {
@@ -93,10 +86,3 @@
 		}
 	}
 }
-
-func (p part) pass(head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
-	if p.Status != 0 {
-		return head(p.Status, p.Kind)
-	}
-	return emit(p.Token, p.Piece)
-}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -66,7 +66,7 @@
 	s.running[i.call.Attempt] = i
 	s.shares.start(i.call.Tenant, i.call.Tokens)
 	why := reason.Reason{
-		Kind:    "started",
+		Kind:    reason.Started,
 		Text:    "the batch had room and the model was resident",
 		Runner:  s.runner.Name,
 		Running: len(s.running),
@@ -76,6 +76,7 @@
 	if i.model != nil {
 		i.model.running++
 		why.Model = i.model.name
+		why.Stall = max(0, i.model.changed.Sub(i.arrived))
 	}
 	s.out = append(s.out, order.Order{Kind: order.Start, Attempt: i.call.Attempt, Model: why.Model, Why: why})
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,7 +22,8 @@
 	policy  policy.Policy
 	slots   int
 	batch   int
-	boot    string    // of the engine's last report; empty before the first one
+	boot    string    // of the engine's last report
+	known   bool      // a report has come
 	now     time.Time // latest time seen, for the methods that get none
 	hold    bool      // no unloads, since earlier owners may use any model
 	closed  string    // why no work is taken; empty while it is
@@ -79,6 +80,11 @@
 	return len(s.queue) >= max(1, s.tune.Queue)
 }
 
+// Waiting returns how many attempts are queued. While none is, the passing of time changes little.
+func (s *Sched) Waiting() int {
+	return len(s.queue)
+}
+
 // InUse returns how many requests in progress use model.
 func (s *Sched) InUse(name string) int {
 	if m := s.models[name]; m != nil {
--- /dev/null
+++ b/internal/stand/site/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package site_test
+
+const raceDetector = true
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/action"
 	"damaskreach/internal/adapt"
 	"damaskreach/internal/conf"
 	"damaskreach/internal/group"
@@ -21,6 +22,7 @@
 	"damaskreach/internal/stand/engsim"
 	"damaskreach/internal/stand/hostdb"
 	"damaskreach/internal/stand/memnet"
+	"damaskreach/internal/stand/objdb"
 	"damaskreach/internal/stand/plain"
 	"damaskreach/internal/stand/rowdb"
 	"damaskreach/internal/table"
@@ -44,6 +46,7 @@
 	Net      *memnet.Net
 	DB       *rowdb.DB
 	Hosts    *hostdb.DB
+	Objects  *objdb.DB
 	Engines  []*engsim.Engine
 	Plains   []*plain.Service
 	LoadRate float64 // loads a second that the weight store allows; 0 means the usual rate
@@ -54,25 +57,30 @@
 	// Spec changes a runner's row before it is written; nil changes nothing.
 	Spec func(r runner.Runner) runner.Runner
 
-	mu    sync.Mutex
-	nodes map[int]*running
+	mu      sync.Mutex
+	nodes   map[int]*running
+	lives   map[int]int // how often each node was started
+	journal journal
 }
 
 type running struct {
-	node   *node.Node
-	cancel context.CancelFunc
-	done   chan struct{}
+	node    *node.Node
+	process string // names this life of the node
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // NewSite returns a site with a number of engines; seed fixes the network's latencies.
 func NewSite(seed int64, engines int) *Site {
 	s := &Site{
-		Net:   memnet.NewNet(seed),
-		DB:    rowdb.NewDB(),
-		Hosts: hostdb.NewDB(),
-		Log:   zap.NewNop(),
-		Conf:  conf.Default(),
-		nodes: map[int]*running{},
+		Net:     memnet.NewNet(seed),
+		DB:      rowdb.NewDB(),
+		Hosts:   hostdb.NewDB(),
+		Objects: objdb.NewDB(),
+		Log:     zap.NewNop(),
+		Conf:    conf.Default(),
+		nodes:   map[int]*running{},
+		lives:   map[int]int{},
 	}
 	for range engines {
 		s.Engines = append(s.Engines, engsim.NewEngine())
@@ -158,11 +166,16 @@
 	}
 	for i := range adapters {
 		name := AdapterName(i)
-		all = append(all, Row("adapter", name, adapt.Adapter{Name: name, Tenant: Tenant, Group: Writers, Versions: map[string]int{"v1": 1}}))
+		all = append(all, Row("adapter", name, s.Adapter(name)))
 	}
 	return all
 }
 
+// Adapter returns an adapter of the site's tenant with the version "v1".
+func (s *Site) Adapter(name string) adapt.Adapter {
+	return adapt.Adapter{Name: name, Tenant: Tenant, Group: Writers, Versions: map[string]int{"v1": 1}}
+}
+
 // Row returns a new configuration row.
 func Row(kind, name string, value any) rows.Row {
 	text, err := json.Marshal(value)
@@ -184,6 +197,7 @@
 	n := node.NewNode(c, s.Net.Dial(host), s.Net.Listen, s.Log.With(zap.String("node", c.Node)))
 	n.Table = s.DB.TableFor(c.Node)
 	n.Hosts = s.Hosts.HostsFor(c.Node)
+	n.Objects = s.Objects.ObjectFor(c.Node)
 	if s.Prepare != nil {
 		s.Prepare(n)
 	}
@@ -195,38 +209,67 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &running{node: n, cancel: cancel, done: make(chan struct{})}
 	s.mu.Lock()
+	s.lives[i]++
+	r.process = fmt.Sprintf("%s#%d", n.Conf.Node, s.lives[i])
 	s.nodes[i] = r
 	s.mu.Unlock()
+	s.watch(n, r.process)
+	s.Note(action.Action{Kind: action.Join, Process: r.process})
 	go func() {
 		defer close(r.done)
 		defer cancel()
-		if err := n.Run(ctx); err != nil {
+		err := n.Run(ctx)
+		if err != nil {
 			s.Log.Error("a node ended with a fault", zap.Error(err))
 		}
+		if err == nil && ctx.Err() == nil {
+			s.Note(action.Action{Kind: action.Exit, Process: r.process})
+		}
+		s.Note(action.Action{Kind: action.Part, Process: r.process})
 	}()
+	go s.follow(r)
 }
 
 // Node returns node i, which must have been started.
 func (s *Site) Node(i int) *node.Node {
+	return s.running(i).node
+}
+
+// Process returns the name under which the present life of node i is recorded.
+func (s *Site) Process(i int) string {
+	return s.running(i).process
+}
+
+func (s *Site) running(i int) *running {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.nodes[i].node
+	return s.nodes[i]
+}
+
+// Up reports whether node i runs.
+func (s *Site) Up(i int) bool {
+	r := s.running(i)
+	if r == nil {
+		return false
+	}
+	select {
+	case <-r.done:
+		return false
+	default:
+		return true
+	}
 }
 
 // KillNode ends node i without any warning, its connections included.
 func (s *Site) KillNode(i int) {
+	r := s.running(i)
+	s.Note(action.Action{Kind: action.Part, Process: r.process})
 	s.Net.Kill(Host(i))
-	s.mu.Lock()
-	r := s.nodes[i]
-	s.mu.Unlock()
 	r.cancel()
 	<-r.done
 }
 
 // Wait returns when node i has ended.
 func (s *Site) Wait(i int) {
-	s.mu.Lock()
-	r := s.nodes[i]
-	s.mu.Unlock()
-	<-r.done
+	<-s.running(i).done
 }
--- a/internal/strm/codec.go
+++ b/internal/strm/codec.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// keep is the capacity up to which a buffer is kept for later messages.
-const keep = 64 << 10
+// keepScratch is the capacity up to which a buffer is kept for later messages.
+const keepScratch = 64 << 10
 
 // scratch is a buffer with the encoder that writes to it and a reader with the decoder that reads from it.
 type scratch struct {
@@ -22,6 +22,7 @@
 var scratches = sync.Pool{New: func() any {
 	s := &scratch{}
 	s.enc = msgpack.NewEncoder(&s.buf)
+	s.enc.UseCompactInts(true) // or each int takes nine bytes
 	s.dec = msgpack.NewDecoder(&s.reader)
 	return s
 }}
@@ -31,7 +32,7 @@
 }
 
 func (s *scratch) put() {
-	if s.buf.Cap() > keep {
+	if s.buf.Cap() > keepScratch {
 		return
 	}
 	s.buf.Reset()
@@ -49,8 +50,14 @@
 	return nil
 }
 
-// decode reads one message.
-func (s *scratch) decode(body []byte, v any) error {
+// decode reads one message. The decoder panics on a nil in the place of a time, which a peer with a fault may send; without
+// the recovery one message of one peer would end the whole process.
+func (s *scratch) decode(body []byte, v any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = merry.Errorf("decoding a message into %T: %v", v, r)
+		}
+	}()
 	s.reader.Reset(body)
 	s.dec.Reset(&s.reader)
 	// Prependf allocates even for a nil error, and this runs for each message.
