--- a/internal/home/choose.go
+++ b/internal/home/choose.go
@@ -17,7 +17,8 @@
 		return digest.Digest{}, refusal
 	}
 	said, err := h.ask(ctx, q)
-	if err != nil {
+	if err != nil || said.blind() {
+		// A home that has just started has not heard of any runner yet, and one that stops hears of none any more.
 		h.chosen(c, "")
 		said, err = h.decide(ctx, q)
 	}
@@ -33,6 +34,11 @@
 	return said.Digest, nil
 }
 
+// blind reports whether the home knew of no runner at all.
+func (s placeSaid) blind() bool {
+	return s.Refusal != nil && s.Refusal.Code == refuse.NoUpstream
+}
+
 func (h *Home) ask(ctx context.Context, q placeAsk) (placeSaid, error) {
 	at, local, err := h.Of(ctx, Key(q.Call))
 	if err != nil {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -134,7 +134,7 @@
 		return placeSaid{Refusal: refusal}, nil
 	}
 	if failing {
-		refusal := refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "the same request is in progress on a runner where this one failed; its outcome decides what follows")
+		refusal := refuse.NewRefusal(verd.NotRun, refuse.Held, "the same request is in progress on a runner where this one failed; its outcome decides what follows")
 		return placeSaid{Refusal: refusal.WithRetry(twinRetry)}, nil
 	}
 	q.Call = q.Call.WithAlone(h.Alone(q.Call))
--- a/internal/relay/part.go
+++ b/internal/relay/part.go
@@ -13,11 +13,11 @@
 // There is one for each token, so it is encoded as an array without names and by hand: the reflection of msgpack
 // allocates for each struct.
 type part struct {
-	whole  bool // the mark of the end, which has no fields
 	token  int
 	piece  []byte
 	status int
 	kind   string
+	whole  bool
 }
 
 // The order of the fields in a head; a piece has only the first two. New fields go to the end, where older nodes
@@ -27,28 +27,37 @@
 	fieldPiece
 	fieldStatus
 	fieldKind
+	fieldWhole
 )
 
 const (
-	sizeMark  = 0
 	sizePiece = fieldPiece + 1
 	sizeHead  = fieldKind + 1
+	sizeEnd   = fieldWhole + 1
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (p *part) EncodeMsgpack(e *msgpack.Encoder) error {
-	if p.whole {
-		return e.EncodeArrayLen(sizeMark)
-	}
-	size := sizePiece
-	if p.status != 0 {
-		size = sizeHead
-	}
+	size := p.size()
 	err := errors.Join(e.EncodeArrayLen(size), e.EncodeInt(int64(p.token)), e.EncodeBytes(p.piece))
 	if err != nil || size == sizePiece {
 		return err
 	}
-	return errors.Join(e.EncodeInt(int64(p.status)), e.EncodeString(p.kind))
+	err = errors.Join(e.EncodeInt(int64(p.status)), e.EncodeString(p.kind))
+	if err != nil || size == sizeHead {
+		return err
+	}
+	return e.EncodeBool(p.whole)
+}
+
+func (p *part) size() int {
+	switch {
+	case p.whole:
+		return sizeEnd
+	case p.status != 0:
+		return sizeHead
+	}
+	return sizePiece
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder. It writes the piece over the one that p has.
@@ -58,7 +67,6 @@
 	if err != nil {
 		return err
 	}
-	p.whole = size == sizeMark
 	for field := range size {
 		if err := p.decode(d, field); err != nil {
 			return err
@@ -77,6 +85,8 @@
 		return d.Decode(&p.status)
 	case fieldKind:
 		return d.Decode(&p.kind)
+	case fieldWhole:
+		return d.Decode(&p.whole)
 	default:
 		return d.Skip()
 	}
