Count digests by what a busy runner sends

Cause: owners now send a runner's digest when something has happened on it, not each second; idle sites send a fifth of the bytes they did, busy ones more. Change: CAPACITY counts 3.2 digests a second for a runner with 1.5 requests a second.

--- a/test/slopes/page_test.go
+++ b/test/slopes/page_test.go
@@ -114,6 +114,9 @@
 
 const mb = 1e6
 
+// digestRate is how often a second the digest of a runner goes to every node: at each start and end of a request, and every 5 s.
+const digestRate = 2*requests/runners + 0.2
+
 // compute returns what a node uses at the size to design for.
 func (f figures) compute(s sites) string {
 	memory := []part{
@@ -128,15 +131,15 @@
 	}
 	cpu := []part{
 		{"owner: who should own which runner", plansEach * f.plan.value() / 1000},
-		{"home: decoding and learning digests", f.learn.value() / 1000},
-		{"owner: encoding digests for each other node", siteNodes * f.encode.value() / 1000},
+		{"home: decoding and learning digests", digestRate * f.learn.value() / 1000},
+		{"owner: encoding digests for each other node", digestRate * siteNodes * f.encode.value() / 1000},
 		{"entry: finding homes, twice a request", 2 * ownRequests * f.home.value() / 1000},
 		{"home: choosing runners", ownRequests * f.choose.value() / 1000},
 		{"owner: decisions", ownRequests * f.decide.value() / 24 / 1000},
 		{"configuration: changes", changes / day * f.change.value() / 1000},
 	}
 	bytes := []part{
-		{"digests, in and out", 2 * siteRunners * float64(f.bytes) / 1000},
+		{"digests, in and out", 2 * digestRate * siteRunners * float64(f.bytes) / 1000},
 		{"keeping connections to every node, and what is sent to each every second beside digests", s.mesh.a * (siteNodes - 1) / 1000},
 		{"from the table: sessions, each renewed every 5 s and read by each node", siteNodes / 5 * float64(f.row) / 1000},
 		{"configuration changes, pushed between nodes", changes / day * s.change.at(siteNodes-1) / 1000},
@@ -151,7 +154,7 @@
 	fmt.Fprintf(&b, "\nRequests beside that, their answers of 16 tokens included: %.0f KB a second (%.1f KB between nodes for each, counted at both ends).\n", ownRequests*2*s.each/1000, s.each/1000)
 	fmt.Fprintf(&b, "\nOf the table service: %.0f reads and %.0f writes a second for a region, %.0f and %.0f for all nodes together.\n",
 		s.reads*siteNodes, s.writes*siteNodes, s.reads*nodes, s.writes*nodes)
-	fmt.Fprintf(&b, "\nThe bytes for control are over the budget from %.0f runners in a site on by digests alone, and from %.0f nodes on by keeping connections alone.\n",
-		budgetBytes*1000/(2*float64(f.bytes)), budgetBytes*1000/s.mesh.a)
+	fmt.Fprintf(&b, "\nThe bytes for control are over the budget from %.1f busy runners in a site on by digests alone, and from %.0f nodes on by keeping connections alone.\n",
+		budgetBytes*1000/(2*digestRate*float64(f.bytes)), budgetBytes*1000/s.mesh.a)
 	return b.String()
 }
