Send a node only the digests it does not have

Cause: every owner sent every runner's digest to every node each second, changed or not; docs/CAPACITY.md names this as the first thing to break the 3 KB/s. Change: the sender remembers what each address took, sends what differs, and all of it every 5 s or to another process at the address. With the check for a replaced process taken out TestReplacedPeerGetsEveryDigest fails (0 digests, want 2).

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -1,6 +1,11 @@
 // Package digest holds what the owner of a runner tells other nodes about it.
 package digest
 
+import (
+	"math"
+	"reflect"
+)
+
 // Digest is the state of one runner as its owner knows it.
 type Digest struct {
 	Runner   string   `msgpack:"runner,omitempty"`
@@ -30,3 +35,15 @@
 	}
 	return d.Number > other.Number
 }
+
+// cheapShare is the change of Cheap, which decays all the time, that is worth a message.
+const cheapShare = 0.2
+
+// Same reports whether two digests say the same, whatever their numbers.
+func (d Digest) Same(other Digest) bool {
+	if math.Abs(d.Cheap-other.Cheap) > cheapShare*other.Cheap {
+		return false
+	}
+	d.Number, d.Cheap = other.Number, other.Cheap
+	return reflect.DeepEqual(d, other)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,7 +171,7 @@
 
 func (n *Node) buildRoles() {
 	c := n.Conf
-	n.share = &share.Share{Mesh: n.mesh, Peers: n.peers, Learn: n.learn}
+	n.share = &share.Share{Mesh: n.mesh, Self: n.self, Peers: n.peers, Learn: n.learn}
 	n.follow = &follow.Follow{
 		Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers,
 		Seeds: c.Seeds, Objects: n.Objects, Chosen: n.chosen,
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -13,6 +13,7 @@
 const (
 	methodDigests = "digests"
 	askTimeout    = time.Second
+	refresh       = 5 * time.Second // after which all are sent, changed or not: homes drop old choices of their own by them
 )
 
 // Share sends this node's digests to the others and takes theirs. The fields are set before Register.
@@ -23,25 +24,40 @@
 	// Learn takes the digests that another node sent.
 	Learn func(digests []digest.Digest)
 
+	// Self names this life of the node.
+	Self func() string
+
 	mu      sync.Mutex
 	sending map[string]bool            // by address
 	waiting map[string][]digest.Digest // newest digests not yet sent, by address
+	told    map[string]told            // what the others have, by address
+}
+
+// told is what one other node has taken. A process that replaces it at its address has nothing.
+type told struct {
+	life    string
+	all     time.Time                // when it was last sent all
+	digests map[string]digest.Digest // by runner
 }
 
-type digestsSaid struct{}
+type digestsSaid struct {
+	Life string `msgpack:"life"`
+}
 
 // Register takes other nodes' digests.
 func (s *Share) Register() {
 	s.sending = map[string]bool{}
 	s.waiting = map[string][]digest.Digest{}
+	s.told = map[string]told{}
 	peer.Answer(s.Mesh, methodDigests, func(_ context.Context, _ string, digests []digest.Digest) (digestsSaid, error) {
 		s.Learn(digests)
-		return digestsSaid{}, nil
+		return digestsSaid{Life: s.Self()}, nil
 	})
 }
 
-// Send passes digests to every other node without waiting. To a node that is slow to take them only the newest
-// go next, so that a backlog of old ones cannot build up.
+// Send passes this node's digests to every other node without waiting, to each those that it does not have yet: most
+// runners stand as they stood a second ago. To a node that is slow to take them only the newest go next, so that a
+// backlog of old ones cannot build up.
 func (s *Share) Send(ctx context.Context, digests []digest.Digest) {
 	if len(digests) == 0 {
 		return
@@ -74,7 +90,52 @@
 func (s *Share) send(ctx context.Context, addr string, digests []digest.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	_ = s.Mesh.Ask(ctx, addr, methodDigests, digests, &digestsSaid{}) // the next round repeats it
+	changed := s.changed(addr, digests)
+	if len(changed) == 0 {
+		return
+	}
+	var said digestsSaid
+	err := s.Mesh.Ask(ctx, addr, methodDigests, changed, &said)
+	s.note(addr, changed, said.Life, len(changed) == len(digests), err)
+}
+
+// changed returns the digests that differ from those an address has, their running number aside.
+func (s *Share) changed(addr string, digests []digest.Digest) []digest.Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.told[addr].all) >= refresh {
+		return digests
+	}
+	var changed []digest.Digest
+	for _, d := range digests {
+		known, ok := s.told[addr].digests[d.Runner]
+		if !ok || !known.Same(d) {
+			changed = append(changed, d)
+		}
+	}
+	return changed
+}
+
+// note remembers what an address has taken. After a failure, or an answer from another process than before, it counts
+// as having nothing, and the next round sends all.
+func (s *Share) note(addr string, sent []digest.Digest, life string, all bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, known := s.told[addr]
+	if err != nil || known && t.life != life {
+		delete(s.told, addr)
+		return
+	}
+	if !known {
+		t = told{life: life, digests: map[string]digest.Digest{}}
+	}
+	if all {
+		t.all = time.Now()
+	}
+	s.told[addr] = t
+	for _, d := range sent {
+		t.digests[d.Runner] = d
+	}
 }
 
 func (s *Share) next(addr string) []digest.Digest {
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,78 @@
+package share_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/digest"
+	"damaskreach/internal/peer"
+	"damaskreach/internal/share"
+	"damaskreach/internal/stand/memnet"
+)
+
+const (
+	hostA = "10.0.0.1"
+	hostB = "10.0.0.2"
+	addrB = hostB + ":7000"
+	pause = 100 * time.Millisecond
+)
+
+// receiver counts the digests a node takes; its life changes when its process is replaced.
+type receiver struct {
+	life  string
+	taken int
+}
+
+// A node is replaced by another process at the same address. The sender sends only what has changed, and would go on as
+// if the new process had the rest: its callers would be told that no runner serves their adapter.
+func TestReplacedPeerGetsEveryDigest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := memnet.NewNet(1)
+		b := &receiver{life: "first"}
+		serve(ctx, t, n, b)
+		a := newShare(n, hostA, func() string { return "a" }, func([]digest.Digest) {})
+		digests := []digest.Digest{{Runner: "r1", Running: 1, Number: 1}, {Runner: "r2", Number: 1}}
+		send := func(what string, want int) {
+			t.Helper()
+			b.taken = 0
+			a.Send(ctx, digests)
+			time.Sleep(pause)
+			if b.taken != want {
+				t.Errorf("%s: got %d digests, want %d", what, b.taken, want)
+			}
+		}
+		send("at first", 2)
+		digests[0].Number++
+		send("unchanged but for its number", 0)
+		digests[0].Running++
+		send("one changed", 1)
+		b.life = "second"
+		digests[1].Running++
+		send("one changed, to another process", 1)
+		send("after its answer", 2)
+		cancel()
+		time.Sleep(time.Minute) // lets connections end
+	})
+}
+
+func serve(ctx context.Context, t *testing.T, n *memnet.Net, r *receiver) {
+	t.Helper()
+	s := newShare(n, hostB, func() string { return r.life }, func(digests []digest.Digest) { r.taken += len(digests) })
+	lis, err := n.Listen(addrB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Mesh.Serve(ctx, lis) }() // ends with ctx
+}
+
+func newShare(n *memnet.Net, host string, self func() string, learn func([]digest.Digest)) *share.Share {
+	mesh := peer.NewMesh(host, [][]byte{[]byte("a shared key")}, n.Dial(host), zap.NewNop())
+	s := &share.Share{Mesh: mesh, Self: self, Peers: func() []string { return []string{addrB} }, Learn: learn}
+	s.Register()
+	return s
+}
