--- a/internal/stand/site/cold_test.go
+++ b/internal/stand/site/cold_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
+			parallel(t)
 			play(t, 3, 1, true, func(w *world) {
 				w.pass(2 * time.Minute) // a snapshot is written by then
 				want := w.Node(0).Catalog()
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -10,9 +10,10 @@
 
 // both runs a script on engines of both kinds.
 func both(t *testing.T, nodes, engines int, script func(w *world, fences bool)) {
+	inFull(t)
 	for _, fences := range []bool{true, false} {
 		t.Run(kind(fences), func(t *testing.T) {
-			t.Parallel()
+			parallel(t)
 			play(t, nodes, engines, fences, func(w *world) { script(w, fences) })
 		})
 	}
