Wait for the first digests in a node that has just started; count claims' own transactions

TestCostOfClaims counted every write to the table, session renewals included, and failed once at 10 bookings a second (2.200, want at most 2.10).

The test counts transactions of claims only, and its bound at 10 a second is now 2.

TestTableSlowForHours failed once beside other tests and passed twice since; its cause is not known, and the untrue refusals that it then named were requests of an earlier load with the same ids.

--- a/internal/home/choose.go
+++ b/internal/home/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"damaskreach/internal/call"
 	"damaskreach/internal/digest"
@@ -9,6 +10,12 @@
 	"damaskreach/pkg/verd"
 )
 
+// A node that has just started refuses nothing for want of runners until it has had time to hear of them.
+const (
+	warmUp   = 3 * time.Second
+	warmLook = 100 * time.Millisecond
+)
+
 // Choose asks the home of a call's adapter version for a runner other than those to avoid.
 // A home that cannot be reached is replaced by this node, whose view may be a little older.
 func (h *Home) Choose(ctx context.Context, c call.Call, avoid []string) (digest.Digest, error) {
@@ -22,6 +29,10 @@
 		h.chosen(c, "")
 		said, err = h.decide(ctx, q)
 	}
+	for err == nil && said.blind() && time.Since(h.begun) < warmUp {
+		h.sleep(warmLook)
+		said, err = h.decide(ctx, q)
+	}
 	if err != nil {
 		h.forget(c)
 		h.settleHere(lapsed(c)) // the decision may still be taken after this call has given up
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -51,6 +51,7 @@
 	// Note records a decision for operators.
 	Note func(why reason.Reason, request string)
 
+	begun time.Time
 	mu    sync.Mutex
 	chose map[string]string // peer address of the node that decided, by attempt; empty for this one
 }
@@ -77,6 +78,7 @@
 // Register answers other nodes' questions.
 func (h *Home) Register() {
 	h.chose = map[string]string{}
+	h.begun = time.Now()
 	peer.Answer(h.Mesh, methodPlace, func(ctx context.Context, _ string, q placeAsk) (placeSaid, error) {
 		return h.decide(ctx, q)
 	})
--- a/test/deliv/expire_test.go
+++ b/test/deliv/expire_test.go
@@ -1,11 +1,16 @@
 package deliv_test
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"damaskreach/internal/node"
+	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 	"damaskreach/internal/trial"
 )
@@ -31,24 +36,37 @@
 			t.Errorf("%d executions, want 50", got)
 		}
 		pass(30 * time.Minute)
-		rows, _, err := f.Site.DB.Table().List(t.Context(), table.PrefixClaim)
-		if err != nil || len(rows) != 0 {
-			t.Errorf("%d claims after their life, error %v, want none", len(rows), err)
+		left, _, err := f.Site.DB.Table().List(t.Context(), table.PrefixClaim)
+		if err != nil || len(left) != 0 {
+			t.Errorf("%d claims after their life, error %v, want none", len(left), err)
 		}
 	})
 }
 
+// counted has a node's writes of claims counted.
+func counted(writes *atomic.Int64) func(n *node.Node) {
+	return func(n *node.Node) {
+		write := n.Table.Write
+		n.Table.Write = func(ctx context.Context, edits ...rows.Row) (int64, error) {
+			if strings.HasPrefix(edits[0].Key, table.PrefixClaim) {
+				writes.Add(1)
+			}
+			return write(ctx, edits...)
+		}
+	}
+}
+
 // The table service takes several hundred writes a second. Claims must be gathered, so that more bookings a second cost
 // fewer transactions each; the log has the figures.
 func TestCostOfClaims(t *testing.T) {
 	for _, load := range []struct {
 		rate int
 		most float64 // transactions of a booking
-	}{{10, 2.1}, {100, 1.5}, {1000, 0.35}, {4000, 0.1}} {
+	}{{10, 2}, {100, 1.5}, {1000, 0.35}, {4000, 0.1}} {
 		t.Run(fmt.Sprint(load.rate), func(t *testing.T) {
-			run(t, 6, 0, 3, func(t *testing.T, f *trial.Trial) {
-				before := f.Site.DB.Rev()
-				_, rowsBefore, _ := f.Site.DB.Count("claim")
+			var writes atomic.Int64
+			set := func(f *trial.Trial) { f.Site.Prepare = counted(&writes) }
+			runSet(t, 6, 0, 3, set, func(t *testing.T, f *trial.Trial) {
 				var all sync.WaitGroup
 				for i := range load.rate {
 					all.Go(func() {
@@ -58,9 +76,9 @@
 				}
 				all.Wait()
 				pass(100 * time.Millisecond)
-				_, rows, _ := f.Site.DB.Count("claim")
-				cost := float64(f.Site.DB.Rev()-before) / float64(load.rate)
-				t.Logf("%d bookings a second: %.3f transactions and %.2f rows each", load.rate, cost, float64(rows-rowsBefore)/float64(load.rate))
+				_, written, _ := f.Site.DB.Count("claim")
+				cost := float64(writes.Load()) / float64(load.rate)
+				t.Logf("%d bookings a second: %.3f transactions and %.2f rows each", load.rate, cost, float64(written)/float64(load.rate))
 				if cost > load.most {
 					t.Errorf("%.3f transactions of a booking, want at most %.2f", cost, load.most)
 				}
