Tell owners a model's demand at the whole site; try another runner when one's queue is full

Without the first, an owner unloads by its own count alone; without the second, a call was refused as overloaded although another runner had room. Change: a home's answer carries the demand and only what the entry needs of the digest; a full queue is tried on another runner within the retry budget.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -25,6 +25,7 @@
 	Loading  []string `msgpack:"loading,omitempty"`  // models being loaded
 	Closed   bool     `msgpack:"closed,omitempty"`   // takes no new work: leaving, sick or handed over
 	Sick     bool     `msgpack:"sick,omitempty"`     // answers with errors or not at all
+	Demand   float64  `msgpack:"demand,omitempty"`   // only in a home's answer: decayed count of requests for the model asked about
 	Suspects int      `msgpack:"suspects,omitempty"` // requests that may crash it, running alone there or waiting to
 }
 
@@ -36,6 +37,11 @@
 	return d.Number > other.Number
 }
 
+// Brief returns what an entry needs of a digest to send a call, with the home's count of requests for its model.
+func (d Digest) Brief(demand float64) Digest {
+	return Digest{Runner: d.Runner, Group: d.Group, Owner: d.Owner, Addr: d.Addr, Fence: d.Fence, Demand: demand}
+}
+
 // cheapShare is the change of Cheap, which decays all the time, that is worth a message.
 const cheapShare = 0.2
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -107,6 +107,7 @@
 	}
 	r, _ := e.Catalog().Runner(d.Runner)
 	t.resumes = r.Resumes
+	c = c.WithDemand(d.Demand)
 	err = e.Run(ctx, d, c, t.sink.head, t.sink.emit)
 	refusal := asRefusal(err)
 	e.Settle(context.WithoutCancel(ctx), c, d.Runner, refusal)
@@ -160,7 +161,7 @@
 // retriable reports whether another runner may do better.
 func retriable(refusal *refuse.Refusal) bool {
 	switch refusal.Code {
-	case refuse.Moved, refuse.NoUpstream, refuse.Cut, refuse.Crashed, refuse.LoadFailed, refuse.Leaving, refuse.Held:
+	case refuse.Moved, refuse.NoUpstream, refuse.Cut, refuse.Crashed, refuse.LoadFailed, refuse.Leaving, refuse.Held, refuse.Overloaded:
 		return true
 	}
 	return false
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -142,7 +142,7 @@
 	q.Call = q.Call.WithAlone(h.Alone(q.Call))
 	said, err := loop.Get(ctx, h.Loop, func() placeSaid {
 		d, why, refusal := h.Place.Choose(time.Now(), q.Call, q.Avoid)
-		return placeSaid{Digest: d, Why: why, Refusal: refusal}
+		return placeSaid{Digest: d.Brief(h.Place.Demand(time.Now(), q.Call)), Why: why, Refusal: refusal}
 	})
 	if err == nil {
 		h.Note(said.Why, q.Call.ID)
