--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -1,6 +1,11 @@
 // Package digest holds what the owner of a runner tells other nodes about it.
 package digest
 
+import (
+	"math"
+	"reflect"
+)
+
 // Digest is the state of one runner as its owner knows it.
 type Digest struct {
 	Runner   string   `msgpack:"runner,omitempty"`
@@ -20,6 +25,7 @@
 	Loading  []string `msgpack:"loading,omitempty"`  // models being loaded
 	Closed   bool     `msgpack:"closed,omitempty"`   // takes no new work: leaving, sick or handed over
 	Sick     bool     `msgpack:"sick,omitempty"`     // answers with errors or not at all
+	Demand   float64  `msgpack:"demand,omitempty"`   // only in a home's answer: decayed count of requests for the model asked about
 	Suspects int      `msgpack:"suspects,omitempty"` // requests that may crash it, running alone there or waiting to
 }
 
@@ -30,3 +36,20 @@
 	}
 	return d.Number > other.Number
 }
+
+// Brief returns what an entry needs of a digest to send a call, with the home's count of requests for its model.
+func (d Digest) Brief(demand float64) Digest {
+	return Digest{Runner: d.Runner, Group: d.Group, Owner: d.Owner, Addr: d.Addr, Fence: d.Fence, Demand: demand}
+}
+
+// cheapShare is the change of Cheap, which decays all the time, that is worth a message.
+const cheapShare = 0.2
+
+// Same reports whether two digests say the same, whatever their numbers.
+func (d Digest) Same(other Digest) bool {
+	if math.Abs(d.Cheap-other.Cheap) > cheapShare*other.Cheap {
+		return false
+	}
+	d.Number, d.Cheap = other.Number, other.Cheap
+	return reflect.DeepEqual(d, other)
+}
