--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -111,7 +111,8 @@
 		t.Fatal(err)
 	}
 	want := conf.Default()
-	want.Objects, want.Hosts, want.Secrets, want.Operators = []string{}, []string{}, []string{}, []string{}
+	want.Objects, want.Seeds, want.Hosts = []string{}, []string{}, []string{}
+	want.Secrets, want.Operators = []string{}, []string{}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("defaults on the page = %+v, want %+v", got, want)
 	}
