--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -160,5 +160,9 @@
 		o.Log.Info("ended a lapsed session", zap.String("key", edit.Key))
 	}
 	_ = o.Loop.Post(func() { delete(o.busy, edit.Key) })
-	o.nudge()
+	if err == nil {
+		// After a conflict the view is too old. Read again at once from the same lagging replica it would lead to the
+		// same write, and the node would load the table service with nothing but that.
+		o.nudge()
+	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,7 +18,7 @@
 )
 
 // found are seeds that failed once; the commit that added each tells the cause.
-var found = []uint64{38}
+var found = []uint64{38, 555}
 
 // shortSeeds are run in short mode, one after another: it is the mode for the race detector, under which the runtime
 // crashes with several bubbles at once.
