--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -5,7 +5,6 @@
 
 	"damaskreach/internal/assign"
 	"damaskreach/internal/call"
-	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/sched"
@@ -34,9 +33,6 @@
 	leaving  bool // closed to new starts by the operators
 	dirty    bool // row has changed since it was written
 	asking   bool // a report is on its way
-	stirred  bool // a request came or went since the last digest
-	told     digest.Digest
-	toldAt   time.Time
 }
 
 // attempt is one dispatch of a call that waits for its start or runs.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -51,7 +51,6 @@
 	a.started = true
 	a.decided <- refusal
 	if refusal != nil {
-		h.stirred = true
 		delete(h.attempts, id)
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -97,7 +97,6 @@
 	slow    time.Time // of the last slow tick
 	news    bool      // digests have changed since they were announced
 	told    time.Time // when they were announced
-	known   []string  // ids of the live sessions that were told of all runners
 	ctx     context.Context
 }
 
@@ -169,7 +168,6 @@
 		o.writeNext(h)
 	}
 	o.plan(now)
-	o.welcome(now)
 	o.news = true
 }
 
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -64,7 +64,6 @@
 		return submitted{refusal: notOwner(name)}
 	}
 	a := newAttempt(c)
-	h.stirred = true
 	h.attempts[c.Attempt] = a
 	t, _ := o.Catalog().Tenant(c.Tenant)
 	h.sched.Weigh(c.Tenant, t.Weight)
@@ -98,7 +97,6 @@
 	if a == nil {
 		return
 	}
-	h.stirred = true
 	delete(h.attempts, attempt)
 	if a.started {
 		o.carry(h, h.sched.Finish(time.Now(), attempt, 0))
@@ -130,7 +128,6 @@
 
 func (o *Owner) finish(h *held, attempt string, tokens int) {
 	o.news = true
-	h.stirred = true
 	delete(h.attempts, attempt)
 	o.carry(h, h.sched.Finish(time.Now(), attempt, tokens))
 	o.dropClosed()
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,10 +25,38 @@
 
 // receiver counts the digests a node takes; its life changes when its process is replaced.
 type receiver struct {
+	mu    sync.Mutex
 	life  string
 	taken int
 }
 
+func (r *receiver) become(life string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.life = life
+}
+
+func (r *receiver) name() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.life
+}
+
+func (r *receiver) learn(digests []digest.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken += len(digests)
+}
+
+// count returns how many digests were taken since it was last called.
+func (r *receiver) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := r.taken
+	r.taken = 0
+	return taken
+}
+
 // A node is replaced by another process at the same address. The sender sends only what has changed, and would go on as
 // if the new process had the rest: its callers would be told that no runner serves their adapter.
 func TestReplacedPeerGetsEveryDigest(t *testing.T) {
@@ -39,11 +69,10 @@
 		digests := []digest.Digest{{Runner: "r1", Running: 1, Number: 1}, {Runner: "r2", Number: 1}}
 		send := func(what string, want int) {
 			t.Helper()
-			b.taken = 0
-			a.Send(ctx, digests)
+			a.Send(ctx, slices.Clone(digests))
 			time.Sleep(pause)
-			if b.taken != want {
-				t.Errorf("%s: got %d digests, want %d", what, b.taken, want)
+			if got := b.count(); got != want {
+				t.Errorf("%s: got %d digests, want %d", what, got, want)
 			}
 		}
 		send("at first", 2)
@@ -51,7 +80,7 @@
 		send("unchanged but for its number", 0)
 		digests[0].Running++
 		send("one changed", 1)
-		b.life = "second"
+		b.become("second")
 		digests[1].Running++
 		send("one changed, to another process", 1)
 		send("after its answer", 2)
@@ -62,7 +91,7 @@
 
 func serve(ctx context.Context, t *testing.T, n *memnet.Net, r *receiver) {
 	t.Helper()
-	s := newShare(n, hostB, func() string { return r.life }, func(digests []digest.Digest) { r.taken += len(digests) })
+	s := newShare(n, hostB, r.name, r.learn)
 	lis, err := n.Listen(addrB)
 	if err != nil {
 		t.Fatal(err)
