--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/limit"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/turns"
 	"damaskreach/pkg/refuse"
 )
 
@@ -49,14 +50,7 @@
 
 // Run tells the other nodes what this one used, until ctx ends.
 func (a *Admit) Run(ctx context.Context) {
-	timer := time.NewTicker(every)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	for range turns.Every(ctx, every) {
 		a.tell(ctx)
 	}
 }
--- a/internal/extend/extend.go
+++ b/internal/extend/extend.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/member"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/sess"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -67,14 +68,7 @@
 
 // Run asks for promises whenever a renewal is overdue, until ctx ends.
 func (e *Extend) Run(ctx context.Context) {
-	timer := time.NewTicker(e.Every)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	for range turns.Every(ctx, e.Every) {
 		if e.overdue() {
 			e.ask(ctx)
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,6 +13,7 @@
 	"damaskreach/internal/object"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -57,18 +58,11 @@
 func (f *Follow) Run(ctx context.Context) {
 	f.loadSnapshot(ctx)
 	go f.keepSnapshots(ctx)
-	timer := time.NewTicker(f.Poll)
-	defer timer.Stop()
-	for {
+	for range turns.Now(ctx, f.Poll, nil) {
 		if err := f.Read(ctx); err != nil {
 			f.Log.Warn("reading the configuration tail failed; a peer is asked", zap.Error(err))
 			f.askPeer(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
 	}
 }
 
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -9,6 +9,7 @@
 
 	"damaskreach/internal/object"
 	"damaskreach/internal/snap"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -38,15 +39,8 @@
 	if f.Objects.Put == nil {
 		return
 	}
-	timer := time.NewTicker(snapshotRate)
-	defer timer.Stop()
 	var written int64
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	for range turns.Every(ctx, snapshotRate) {
 		if c := f.Catalog(); c.Complete() > written && f.Chosen(snapshotName) {
 			written = f.writeSnapshot(ctx, written)
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 // Points at which a test may pause the holder.
@@ -115,16 +116,8 @@
 
 // Run renews the lease until ctx ends.
 func (l *Lease) Run(ctx context.Context) {
-	timer := time.NewTicker(l.renew)
-	defer timer.Stop()
-	for {
+	for range turns.Now(ctx, l.renew, l.wake) {
 		l.step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-l.wake:
-		}
 	}
 }
 
--- a/internal/ledger/keep.go
+++ b/internal/ledger/keep.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/event"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -48,14 +49,7 @@
 
 // write writes what was gathered, window by window, until ctx ends.
 func (l *Ledger) write(ctx context.Context) {
-	timer := time.NewTicker(tick / 4)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	for range turns.Every(ctx, tick/4) {
 		if events, waiting := l.due(time.Now()); len(events) > 0 {
 			err := l.writeRow(ctx, events)
 			for _, done := range waiting {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,6 +19,7 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -96,16 +97,9 @@
 // Run passes events on and writes, as keeper, those of others until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	go l.write(ctx)
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			if batch := l.take(); len(batch) > 0 {
-				go func() { _ = l.pass(ctx, batch, false) }() // a later pass repeats it
-			}
+	for range turns.Every(ctx, tick) {
+		if batch := l.take(); len(batch) > 0 {
+			go func() { _ = l.pass(ctx, batch, false) }() // a later pass repeats it
 		}
 	}
 }
--- a/internal/owner/follow.go
+++ b/internal/owner/follow.go
@@ -11,23 +11,16 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 // follow reads the tails of session and ownership rows until ctx ends.
 func (o *Owner) follow(ctx context.Context) {
-	timer := time.NewTicker(o.Poll)
-	defer timer.Stop()
 	var at tails
-	for {
+	for range turns.Now(ctx, o.Poll, o.wake) {
 		if err := o.readTails(ctx, &at); err != nil {
 			o.Log.Warn("reading sessions and ownership rows failed", zap.Error(err))
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-o.wake:
-		}
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -26,6 +26,7 @@
 	"damaskreach/internal/reason"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 // Points at which a test may pause an owner.
@@ -108,14 +109,7 @@
 // Follow reads sessions and ownership rows and keeps this node's share of runners until ctx ends.
 func (o *Owner) Follow(ctx context.Context) {
 	go o.follow(ctx)
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	for range turns.Every(ctx, tick) {
 		if o.Loop.Do(ctx, o.tick) != nil {
 			return
 		}
--- a/internal/suspct/follow.go
+++ b/internal/suspct/follow.go
@@ -9,23 +9,17 @@
 
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 // Run reads other nodes' records, writes what could not be written before and ends lives, until ctx ends.
 func (s *Suspect) Run(ctx context.Context) {
-	timer := time.NewTicker(s.Poll)
-	defer timer.Stop()
-	for {
+	for range turns.Now(ctx, s.Poll, nil) {
 		if err := s.read(ctx); err != nil {
 			s.Log.Warn("reading the suspects failed; other nodes pass theirs on", zap.Error(err))
 		}
 		s.expire(ctx)
 		s.catchUp(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
 	}
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -11,6 +11,7 @@
 
 	"damaskreach/internal/host"
 	"damaskreach/internal/hosts"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -35,15 +36,8 @@
 
 // Run reads the list until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
-	timer := time.NewTicker(every)
-	defer timer.Stop()
-	for {
+	for range turns.Now(ctx, every, nil) {
 		w.read(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
 	}
 }
 
