Pin what an earlier owner uses before unloads are allowed again

The trace shows the unload at the moment the earlier owner answered which models it uses: the successor lifted its hold first, the scheduler ordered an unload at once, and the pins came after it. Ruled out: the lease (the pause had ended), the fence (the order carried the present one), reports (the hold covers them). Change: pins first, then the hold, then unpins.

--- a/internal/owner/former.go
+++ b/internal/owner/former.go
@@ -131,17 +131,19 @@
 			used[model] = true
 		}
 	}
+	// The pins come before the hold is lifted: lifting it lets the scheduler unload at once, and it would take a model
+	// that is not pinned yet. Callers would see answers through the earlier owner end early.
+	for model := range used {
+		if !h.pinned[model] {
+			o.carry(h, h.sched.Pin(model))
+		}
+	}
 	o.carry(h, h.sched.Hold(hold))
 	for model := range h.pinned {
 		if !used[model] {
 			o.carry(h, h.sched.Unpin(model))
 		}
 	}
-	for model := range used {
-		if !h.pinned[model] {
-			o.carry(h, h.sched.Pin(model))
-		}
-	}
 	h.pinned = used
 }
 
