Sum over runners in one place; drop a prefix no row has

Cause: a node's status and damaskctl each declared the same sums with the same JSON names, and order/ rows were given up when the ownership row took their part (DECISIONS 3). Change: package totals serves both; table.PrefixOrder is gone.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -5,6 +5,7 @@
 
 	"damaskreach/internal/digest"
 	"damaskreach/internal/sess"
+	"damaskreach/internal/totals"
 )
 
 type status struct {
@@ -14,35 +15,13 @@
 	Complete int64            `json:"complete"` // every configuration change up to it is in force
 	Rejected []string         `json:"rejected"`
 	Known    int              `json:"known"`    // runners in the table
-	Runners  totals           `json:"totals"`   // of the runners this node owns
+	Runners  totals.Totals    `json:"totals"`   // of the runners this node owns
 	Refusals map[string]int64 `json:"refusals"` // since the node's start, by code
 	Ill      []digest.Digest  `json:"ill,omitempty"`
 	Nodes    []sess.Session   `json:"nodes,omitempty"`
 	Digests  []digest.Digest  `json:"runners,omitempty"`
 }
 
-// totals are sums over runners.
-type totals struct {
-	Runners int `json:"runners"`
-	Slots   int `json:"slots"`
-	Free    int `json:"free"`
-	Loading int `json:"loading"`
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
-	Batch   int `json:"batch"`
-}
-
-func (t totals) with(d digest.Digest) totals {
-	t.Runners++
-	t.Slots += d.Slots
-	t.Free += d.Free
-	t.Loading += len(d.Loading)
-	t.Running += d.Running
-	t.Waiting += d.Waiting
-	t.Batch += d.Batch
-	return t
-}
-
 // serveStatus answers with the node's state; ?short leaves out what it knows of nodes and of runners that are well.
 // An operator's tool that asks 1,300 nodes again and again would else be sent 1,300 lists of 1,300 nodes.
 func (a *Admin) serveStatus(w http.ResponseWriter, r *http.Request) {
@@ -62,7 +41,7 @@
 	}
 	digests := a.Digests()
 	for _, d := range digests {
-		s.Runners = s.Runners.with(d)
+		s.Runners = s.Runners.With(d)
 		if d.Sick || d.Closed {
 			s.Ill = append(s.Ill, d)
 		}
--- a/internal/opctl/status.go
+++ b/internal/opctl/status.go
@@ -11,6 +11,7 @@
 	"damaskreach/internal/digest"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/table"
+	"damaskreach/internal/totals"
 )
 
 const statusText = `status asks every node of the site and shows sums first: nodes, runners, slots, loads waiting, the revision in force and who lags, refusals by reason. Up to 20 nodes are listed one by one; of more, only those that lag, do not answer, leave or reject rows are, unless --all is given.`
@@ -33,36 +34,13 @@
 	Complete int64            `json:"complete"`
 	Rejected []string         `json:"rejected"`
 	Known    int              `json:"known"`
-	Totals   totals           `json:"totals"`
+	Totals   totals.Totals    `json:"totals"`
 	Refusals map[string]int64 `json:"refusals"`
 	Ill      []digest.Digest  `json:"ill"`
 	Nodes    []sess.Session   `json:"nodes"`
 	silent   string
 }
 
-// totals are sums over runners.
-type totals struct {
-	Runners int `json:"runners"`
-	Slots   int `json:"slots"`
-	Free    int `json:"free"`
-	Loading int `json:"loading"`
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
-	Batch   int `json:"batch"`
-}
-
-func (t totals) plus(more totals) totals {
-	return totals{
-		Runners: t.Runners + more.Runners,
-		Slots:   t.Slots + more.Slots,
-		Free:    t.Free + more.Free,
-		Loading: t.Loading + more.Loading,
-		Running: t.Running + more.Running,
-		Waiting: t.Waiting + more.Waiting,
-		Batch:   t.Batch + more.Batch,
-	}
-}
-
 func (c *status) run(ctx context.Context, t *Tool) error {
 	n, err := t.nodes()
 	if err != nil {
--- a/internal/opctl/view.go
+++ b/internal/opctl/view.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 
 	"damaskreach/internal/sess"
+	"damaskreach/internal/totals"
 )
 
 const (
@@ -22,7 +23,7 @@
 type view struct {
 	nodes    []nodeStatus
 	all      bool
-	sums     totals
+	sums     totals.Totals
 	known    int
 	newest   int64  // revision of a configuration change that some node may not have; 0 for none
 	doubt    string // why newest is not known; empty where it is
@@ -34,7 +35,7 @@
 
 type centre struct {
 	nodes  int
-	totals totals
+	totals totals.Totals
 }
 
 func newView(nodes []nodeStatus, newest int64, all bool) *view {
@@ -50,8 +51,8 @@
 
 func (v *view) add(n nodeStatus) {
 	c := v.centres[n.Session.Centre]
-	v.centres[n.Session.Centre] = centre{nodes: c.nodes + 1, totals: c.totals.plus(n.Totals)}
-	v.sums = v.sums.plus(n.Totals)
+	v.centres[n.Session.Centre] = centre{nodes: c.nodes + 1, totals: c.totals.Plus(n.Totals)}
+	v.sums = v.sums.Plus(n.Totals)
 	for code, times := range n.Refusals {
 		v.refusals[code] += times
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -14,7 +14,6 @@
 	PrefixConf    = "conf/"    // operators' configuration, followed by every node
 	PrefixNode    = "node/"    // session rows of nodes
 	PrefixOwn     = "own/"     // ownership rows of runners
-	PrefixOrder   = "order/"   // orders written ahead for engines that ignore fences
 	PrefixClaim   = "claim/"   // idempotency keys
 	PrefixSuspect = "suspect/" // requests that crashed upstreams
 	PrefixWhy     = "why/"     // decisions that outlast their node
