Show a successor's fence to an engine that nothing is sent to

After a takeover from an owner that the host list goes on calling live, unloads wait until the engine's report shows the new fence, and only starts and orders bring the fence to the engine. Where every request needs an unload first, nothing is ever sent: the hold lasts for good. Homes made it worse, as a held runner's digest went on offering idle models. Change: an owner orders a load of a model that is resident already, under its permit, until the engine's report has the fence; a held runner names no idle model in its digest; the stand-in engine's report shows a raised fence at once after its lag, not at the next change.

--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -27,6 +27,7 @@
 	orders   map[string]bool    // models with an order of this node on its way
 	unloads  []string           // unloads that wait for their announcement
 	fencedAt time.Time          // since when the engine is known to refuse older fences
+	shown    time.Time          // when the engine was last sent an order for no more than its fence
 	failures int                // reports missed in a row
 	number   int64
 	plain    bool // a plain service: no reports, no orders
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -30,5 +30,6 @@
 	h.failures = 0
 	now := time.Now()
 	o.checkFormers(h, now, r)
+	o.showFence(h, now, r)
 	o.carry(h, h.sched.Report(now, r))
 }
--- a/internal/sched/digest.go
+++ b/internal/sched/digest.go
@@ -23,7 +23,8 @@
 		d.Cheap = s.worth(now, m)
 	}
 	for _, m := range s.held {
-		if m.idle() && m.waiting == 0 {
+		// Counted under a hold, they would bring requests for other models here that wait until it ends.
+		if !s.hold && m.idle() && m.waiting == 0 {
 			d.Idle++
 		}
 		switch {
--- a/internal/stand/engsim/order.go
+++ b/internal/stand/engsim/order.go
@@ -33,7 +33,10 @@
 	if e.Fences && fence < e.fence {
 		return false
 	}
-	e.fence = max(e.fence, fence)
+	if fence > e.fence {
+		e.fence = fence
+		e.note()
+	}
 	return true
 }
 
