Pass the path of a plain service on as the caller sent it

Cause: the mux decodes a path and redirects one that is not in its shortest form. "/plain/bookings/a%3Fb=c" reached the service as path "a" with a query, "a%2Fb" as two segments, and "//", ".." or "." were answered 307 in plain text without a verdict, which callers follow. Ruled out: the engine client, which keeps escapes (its test now has empty segments, dots and an empty query too). Change: paths below /plain/GROUP are taken from the escaped form before the mux sees them; other paths that are not in their shortest form are refused as no-route, not run.

--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -38,6 +38,13 @@
 		if got.err != nil || got.status != 202 || got.kind != "application/json" || got.raw.String() != want {
 			t.Errorf("Generate = %d %q %q, %v, want 202 application/json %q", got.status, got.kind, got.raw.String(), got.err, want)
 		}
+		for _, path := range []string{"//halls", "/halls/../4", "/halls//4", "/halls?"} {
+			c.Path = path
+			want := string(plain.Answer(c.Method, c.Path, c.Type, c.Body))
+			if got := generate(soon(t), client, 1, c, nil); got.err != nil || got.raw.String() != want {
+				t.Errorf("path %s: got %q, %v, want %q", path, got.raw.String(), got.err, want)
+			}
+		}
 		for _, status := range []int{404, 409, 412, 503} {
 			c.Path = "/halls?status=" + strconv.Itoa(status)
 			if got := generate(soon(t), client, 1, c, nil); got.err != nil || got.status != status {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,9 +80,24 @@
 		mux.HandleFunc(t.method+" "+t.path, t.serve)
 		mux.HandleFunc(t.path, e.refuseMethod(t.method))
 	}
-	mux.HandleFunc("/plain/{group}/{path...}", e.servePlain)
 	mux.HandleFunc("/", e.serveUnknown)
-	return e.count(mux)
+	return e.count(e.check(mux))
+}
+
+// check keeps from the mux what it would answer without a verdict, and what it would change: it redirects paths that are
+// not in their shortest form and decodes them, so that a plain service would get another path than the caller sent.
+func (e *Entry) check(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		group, at, plain := plainPath(r.URL)
+		switch {
+		case plain:
+			e.servePlain(w, r, group, at)
+		case path.Clean(r.URL.Path) != r.URL.Path:
+			e.serveUnknown(w, r)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
 }
 
 func (e *Entry) serveUnknown(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"strings"
 
 	"damaskreach/internal/call"
 	"damaskreach/pkg/refuse"
@@ -10,8 +12,8 @@
 
 // servePlain passes a call to a plain service through with its method, path, body and status.
 // Calls with methods that HTTP calls safe may be repeated; all others are non-idempotent unless the caller says otherwise.
-func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request) {
-	c, refusal := e.parsePlain(w, r)
+func (e *Entry) servePlain(w http.ResponseWriter, r *http.Request, group, path string) {
+	c, refusal := e.parsePlain(w, r, group, path)
 	if refusal != nil {
 		e.reject(w, r, c, refusal)
 		return
@@ -19,14 +21,14 @@
 	e.serve(w, r, c)
 }
 
-func (e *Entry) parsePlain(w http.ResponseWriter, r *http.Request) (call.Call, *refuse.Refusal) {
+func (e *Entry) parsePlain(w http.ResponseWriter, r *http.Request, group, path string) (call.Call, *refuse.Refusal) {
 	owner, refusal := e.tenant(r)
 	if refusal != nil {
 		return call.Call{}, refusal
 	}
-	g, known := e.Catalog().Group(r.PathValue("group"))
+	g, known := e.Catalog().Group(group)
 	if !known || !g.Plain {
-		return call.Call{}, refuse.NewRefusal(verd.NotRun, refuse.UnknownModel, "there is no plain service %q", r.PathValue("group"))
+		return call.Call{}, refuse.NewRefusal(verd.NotRun, refuse.UnknownModel, "there is no plain service %q", group)
 	}
 	body, refusal := e.readBody(w, r)
 	if refusal != nil {
@@ -36,7 +38,7 @@
 		Tenant: owner.Name,
 		Group:  g.Name,
 		Method: r.Method,
-		Path:   plainPath(r),
+		Path:   path,
 		Type:   r.Header.Get("Content-Type"),
 		Body:   body,
 		Once:   !safe(r.Method),
@@ -45,12 +47,26 @@
 	return c.WithSum(), refusal
 }
 
-func plainPath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+// plainPath returns the group that a URL names under /plain/, and the path and query for its service just as the caller
+// escaped them.
+func plainPath(u *url.URL) (group, path string, ok bool) {
+	rest, ok := strings.CutPrefix(u.EscapedPath(), "/plain/")
+	if !ok {
+		return "", "", false
 	}
-	return path
+	escaped, path, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", "", false
+	}
+	group, err := url.PathUnescape(escaped)
+	if err != nil {
+		return "", "", false
+	}
+	path = "/" + path
+	if u.RawQuery != "" || u.ForceQuery {
+		path += "?" + u.RawQuery
+	}
+	return group, path, true
 }
 
 func safe(method string) bool {
