Refuse slow bodies and large headers at once, with a verdict

Cause: the HTTP library reads what is left of a body before it sends an answer, unless the connection ends with it. Change: a refusal of a request with a body closes its connection; a body that is late is refused as slow-body (408, with when to come back); headers between max-header and twice that are refused as large-header (431) in JSON.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,7 @@
 // Entry is the callers' side of a node. The fields are set before Handler and not changed afterwards.
 type Entry struct {
 	MaxBody     int64         // bytes of a request body
+	MaxHeader   int           // bytes of a request's line and headers
 	MaxRequest  time.Duration // longest allowed request
 	EntriesLife time.Duration // stated life of a discovery answer
 	RetryShare  float64       // retries as a share of requests
@@ -90,6 +91,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		group, at, plain := plainPath(r.URL)
 		switch {
+		case headerSize(r) > e.MaxHeader:
+			e.reject(w, r, call.Call{}, refuse.NewRefusal(verd.NotRun, refuse.LargeHeader, "the headers exceed %d bytes", e.MaxHeader))
 		case plain:
 			e.servePlain(w, r, group, at)
 		case path.Clean(r.URL.Path) != r.URL.Path:
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -73,6 +73,7 @@
 		{"timeout in the past", "POST", completions, good, []string{head.Timeout, "-1s"}, 400, refuse.BadRequest},
 		{"non-idempotent", "POST", completions, good, []string{head.Once, "perhaps"}, 400, refuse.BadRequest},
 		{"long key", "POST", completions, good, []string{head.Key, strings.Repeat("k", 300)}, 400, refuse.BadRequest},
+		{"headers too large", "POST", completions, good, []string{"X-Note", strings.Repeat("n", maxHeader)}, 431, refuse.LargeHeader},
 		{"wrong method", "GET", completions, "", nil, 405, refuse.BadMethod},
 		{"wrong method of discovery", "POST", "/v1/entries", "", nil, 405, refuse.BadMethod},
 		{"no such route", "GET", "/v2/models", "", nil, 404, refuse.NoRoute},
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 	prefixBytes  = 256 // of the prompt, that prefix-cache affinity looks at
 	mostHeader   = 256 // bytes of a request id or idempotency key
 	mostPriority = 9
+	headerMarks  = len(": \r\n")
 	bodyTimeout  = 30 * time.Second // for a caller to send a request's body
 	modelField   = "model"
 )
@@ -40,17 +42,33 @@
 	flow := http.NewResponseController(w)
 	_ = flow.SetReadDeadline(time.Now().Add(bodyTimeout)) // not every reader has deadlines
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.MaxBody))
-	_ = flow.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = flow.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "the body exceeds %d bytes", e.MaxBody)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, refuse.NewRefusal(verd.NotRun, refuse.SlowBody, "the body did not arrive within %s", bodyTimeout)
+	}
 	if err != nil {
 		return nil, badRequest("reading the body: %v", err)
 	}
 	return body, nil
 }
 
+// headerSize returns the bytes of a request's line and headers as the caller may have sent them.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerMarks
+		}
+	}
+	return size
+}
+
 func parseQuestion(body []byte) (question, *refuse.Refusal) {
 	var q question
 	if err := json.Unmarshal(body, &q); err != nil {
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -68,6 +68,11 @@
 		c.ID = rand.Text()
 	}
 	w.Header().Set(HeaderRequest, c.ID)
+	if r.ContentLength != 0 {
+		// The HTTP library reads the rest of a body before it sends the answer, unless the connection ends with it. A caller
+		// that sends slowly would learn of the refusal late.
+		w.Header().Set("Connection", "close")
+	}
 	e.finish(w, newSink(w), c, refusal)
 }
 
@@ -81,7 +86,7 @@
 		return r
 	}
 	switch r.Code {
-	case refuse.BadRequest, refuse.BadMethod, refuse.NoRoute, refuse.TooLarge, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
+	case refuse.BadRequest, refuse.BadMethod, refuse.NoRoute, refuse.TooLarge, refuse.LargeHeader, refuse.UnknownModel, refuse.Forbidden, refuse.Suspect, refuse.Repeat, refuse.Internal:
 		return r
 	}
 	return r.WithRetry(usualRetry)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -214,7 +214,7 @@
 func (n *Node) buildEntry() {
 	c := n.Conf
 	n.entry = &entry.Entry{
-		MaxBody: c.MaxBody, MaxRequest: c.MaxRequest, EntriesLife: c.EntriesLife, RetryShare: c.RetryBudget, Log: n.Log,
+		MaxBody: c.MaxBody, MaxHeader: c.MaxHeader, MaxRequest: c.MaxRequest, EntriesLife: c.EntriesLife, RetryShare: c.RetryBudget, Log: n.Log,
 		Catalog: n.follow.Catalog, Choose: n.home.Choose, Run: n.relay.Run, Admit: n.admit.Ask, Begin: n.claim.Begin, Settle: n.home.Settle,
 		Serving: n.serving, Closed: n.closed.Load, Observe: n.observe,
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -14,6 +14,7 @@
 const (
 	headerTimeout = 10 * time.Second // for a caller to send a request's headers
 	idleTimeout   = 2 * time.Minute  // of a caller's connection between requests
+	headerRoom    = 2                // times max-header, above which net/http refuses by itself, in plain text and without a verdict
 )
 
 // serve opens the node's three addresses: for other nodes, callers and operators.
@@ -56,7 +57,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    n.Conf.MaxHeader,
+		MaxHeaderBytes:    headerRoom * n.Conf.MaxHeader,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ErrorLog:          zap.NewStdLog(n.Log),
 	}
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -14,7 +14,9 @@
 	BadRequest   = "bad-request"   // the request itself is malformed
 	BadMethod    = "bad-method"    // the path does not take the method
 	NoRoute      = "no-route"      // there is no such path
-	TooLarge     = "too-large"     // the body or headers exceed the configured size
+	TooLarge     = "too-large"     // the body exceeds the configured size
+	LargeHeader  = "large-header"  // the headers exceed the configured size
+	SlowBody     = "slow-body"     // the body did not arrive in time
 	UnknownModel = "unknown-model" // no such adapter or version for this tenant
 	Forbidden    = "forbidden"     // the credentials do not allow it
 	Limited      = "limited"       // a limit of the adapter or tenant is used up
@@ -82,6 +84,10 @@
 		return http.StatusNotFound
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case LargeHeader:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case SlowBody:
+		return http.StatusRequestTimeout
 	case UnknownModel:
 		return http.StatusNotFound
 	case Forbidden:
