Put changed options of the tune row in force on homes and owners

Cause: Place.Tune and Sched.Tune had no caller outside tests. A home kept the default options of its start, whatever the table said, and an owner those of the moment it took a runner: the setting that weighs load stalls against batches, and the bound of queues, changed nothing until runners changed hands, while damaskctl reported the edit in force. Found by reading. Ruled out: the catalogue, which has the row within one reading. Change: owners compare the options once a second and pass a change on to their schedulers; homes take them with each decision. Before: TestTuneIsFollowedWithoutRestart fails (at stall 1 requests still go to the fuller runner; with a queue of 1 none of 96 requests at once is refused).

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -23,6 +23,7 @@
 	"damaskreach/internal/reason"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/spread"
+	"damaskreach/internal/tune"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -44,6 +45,8 @@
 	Log     *zap.Logger
 	// Ctx ends with the node and all work left over from requests.
 	Ctx context.Context
+	// Tune returns the options in force.
+	Tune func() tune.Tune
 	// Alone reports whether a call is a suspect; see package suspct.
 	Alone func(c call.Call) bool
 	// Suspect returns why a call may not be tried again, or nil where it may.
@@ -141,6 +144,7 @@
 	}
 	q.Call = q.Call.WithAlone(h.Alone(q.Call))
 	said, err := loop.Get(ctx, h.Loop, func() placeSaid {
+		h.Place.Tune(h.Tune()) // operators change them while nodes serve
 		d, why, refusal := h.Place.Choose(time.Now(), q.Call, q.Avoid)
 		return placeSaid{Digest: d.Brief(h.Place.Demand(time.Now(), q.Call)), Why: why, Refusal: refusal}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	"damaskreach/internal/share"
 	"damaskreach/internal/suspct"
 	"damaskreach/internal/table"
+	"damaskreach/internal/tune"
 	"damaskreach/internal/watch"
 )
 
@@ -185,7 +186,7 @@
 	n.home = &home.Home{
 		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
-		Place: place.NewPlace(n.follow.Catalog().Tune()),
+		Place: place.NewPlace(tune.Default()), Tune: func() tune.Tune { return n.follow.Catalog().Tune() },
 	}
 	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate}
 	n.owner = &owner.Owner{
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -54,7 +54,7 @@
 		session:  row.Session,
 		row:      row,
 		rev:      rev,
-		sched:    sched.NewSched(r, o.Catalog().Tune()),
+		sched:    sched.NewSched(r, o.tune),
 		engine:   o.Connect(r),
 		attempts: map[string]*attempt{},
 		formers:  map[string]*former{},
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -26,6 +26,7 @@
 	"damaskreach/internal/reason"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/table"
+	"damaskreach/internal/tune"
 	"damaskreach/internal/turns"
 )
 
@@ -97,6 +98,7 @@
 	leaving bool
 	slow    time.Time // of the last slow tick
 	news    bool      // digests have changed since they were announced
+	tune    tune.Tune // options the runners held follow
 	told    time.Time // when they were announced
 	ctx     context.Context
 }
@@ -155,6 +157,7 @@
 
 func (o *Owner) slowly(now time.Time) {
 	o.dropLost(now)
+	o.retune()
 	for _, h := range o.held {
 		h.sched.Copies(o.Copies(h.spec.Group))
 		o.poll(h)
@@ -165,6 +168,18 @@
 	o.news = true
 }
 
+// retune puts options that operators have changed in force on the runners held.
+func (o *Owner) retune() {
+	next := o.Catalog().Tune()
+	if next == o.tune {
+		return
+	}
+	o.tune = next
+	for _, h := range o.held {
+		o.carry(h, h.sched.Tune(next))
+	}
+}
+
 // Digests returns the digests of all runners held. It must be called on the control goroutine.
 func (o *Owner) Digests() []digest.Digest {
 	return o.digests(time.Now())
--- a/internal/owner/take.go
+++ b/internal/owner/take.go
@@ -83,6 +83,7 @@
 	}
 	o.rows[r.Name] = seenRow{row: row, rev: rev}
 	now := time.Now()
+	o.retune()
 	h := o.newHeld(r, row, rev)
 	o.held[r.Name] = h
 	o.Note(reason.Reason{Kind: reason.Taken, Text: "this node took the runner over", Runner: r.Name, Fence: row.Fence}, "")
