Follow a changed rate of a weight store

Cause: the load scheduler took the group's rate when it met the store for the first time and kept it, so an operators' edit of the rate was in force nowhere until another node ordered the loads. Change: the rate is compared with each request for a permit. Loads.Hold and Loads.Gone, which nothing called, are gone: permits end with their streams, and a hold after each change of scheduler would cost more than the one load that two of them may grant at once. Before: TestChangedRateIsFollowed fails (four permits take 1 s at 30 and at 1 a second). After: 100 ms and 3 s.

--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -139,6 +139,7 @@
 // itself, as the store has only one.
 func (g *Grant) request(q ask, ready chan struct{}) {
 	s := g.store(q.Store)
+	s.loads.Pace(g.Rate(q.Store)) // operators may have changed it
 	key := q.key()
 	s.asked[key] = q.Nonce
 	if s.granted[key] {
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -62,6 +62,36 @@
 	})
 }
 
+// Operators change a store's rate. If its scheduler went on at the rate it began with, the store would refuse loads or
+// stand idle until another node orders them.
+func TestChangedRateIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		g := newGrant(ctx)
+		rate := 3.0
+		g.Rate = func(string) float64 { return rate }
+		for _, c := range []struct {
+			rate float64
+			want time.Duration
+		}{{3, time.Second}, {30, 100 * time.Millisecond}, {1, 3 * time.Second}} {
+			rate = c.rate
+			start := time.Now()
+			for i := range 4 {
+				done, err := g.Get(ctx, "store", "node", "runner", string(rune('a'+i)), 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				done()
+			}
+			if got := time.Since(start).Round(time.Millisecond); got != c.want {
+				t.Errorf("at %v a second: four permits took %s, want %s", c.rate, got, c.want)
+			}
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
 func newGrant(ctx context.Context) *grant.Grant {
 	l := loop.NewLoop()
 	go l.Run(ctx)
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -58,12 +58,11 @@
 	return l.Tick(now)
 }
 
-// Hold grants nothing before a time. A scheduler that takes over holds for a lease: its predecessor may have granted
-// a load that still runs, and a second one beside it would slow both down.
-func (l *Loads) Hold(until time.Time) {
-	if until.After(l.next) {
-		l.next = until
-	}
+// Pace puts another rate of the store in force, in loads a second.
+func (l *Loads) Pace(rate float64) {
+	every := time.Duration(float64(time.Second) / rate)
+	l.next = l.next.Add(every - l.every)
+	l.every = every
 }
 
 // Urgency turns the reason of a load order into seconds of age: the longest wait of a request for it.
@@ -84,12 +83,6 @@
 	return l.Tick(now)
 }
 
-// Gone takes everything of an owner back that no longer answers.
-func (l *Loads) Gone(now time.Time, owner string) []permit.Permit {
-	l.queue = slices.DeleteFunc(l.queue, func(a *ask) bool { return a.owner == owner })
-	return l.Tick(now)
-}
-
 // Tick voids a permit whose lease ran out and grants the next one when it is due.
 // A holder that died would otherwise stop every load of the site.
 func (l *Loads) Tick(now time.Time) []permit.Permit {
