Hurry a load ahead of demand once its adapter is asked for

Cause: a load that no request waits for is ordered 30 s behind all others, and kept that place when a request for its adapter came while it waited for the store. Behind a busy store, as after an engine's restart, callers of that adapter waited longest. Sched.Urgency was written to tell the scheduler and had no caller. Ruled out: the order of loads itself: with the adapter asked for last, it rightly comes last (first form of the test, which was wrong). Change: the owner gives up the waiting request for a permit and asks anew, as soon as a request for the model is submitted; the bench's driver does the same. Before: TestLoadAheadIsHurriedOnceItIsAskedFor fails, 43.5 s of 12 allowed.

--- a/internal/bench/owner.go
+++ b/internal/bench/owner.go
@@ -30,11 +30,12 @@
 	pending map[string]*request // by attempt, submitted and not settled
 	number  int64
 	dirty   bool
-	full    bool // as the last digest said
+	full    bool            // as the last digest said
+	ahead   map[string]bool // models whose load waits for its permit and was ordered before any request
 }
 
 func newOwner(r *run, e *engine) *owner {
-	o := &owner{run: r, engine: e, pending: map[string]*request{}}
+	o := &owner{run: r, engine: e, pending: map[string]*request{}, ahead: map[string]bool{}}
 	o.sched = sched.NewVariant(e.runner, r.tune, r.policy)
 	return o
 }
@@ -43,6 +44,9 @@
 func (o *owner) submit(r *request) {
 	o.pending[r.call.Attempt] = r
 	o.apply(o.sched.Submit(o.run.Clock(), r.call))
+	if o.ahead[r.model] {
+		o.ask(r.model, loads.Urgency(o.sched.Urgency(o.run.Clock(), r.model)))
+	}
 }
 
 // apply carries orders out.
@@ -124,12 +128,18 @@
 
 // load asks for a permit.
 func (o *owner) load(d order.Order) {
+	o.ahead[d.Model] = d.Why.Waiting == 0
+	o.ask(d.Model, loads.Urgency(d.Why))
+}
+
+func (o *owner) ask(model string, urgency float64) {
 	s := o.run.store
-	s.grant(s.loads.Request(o.run.Clock(), "node", o.engine.runner.Name, d.Model, loads.Urgency(d.Why)))
+	s.grant(s.loads.Request(o.run.Clock(), "node", o.engine.runner.Name, model, urgency))
 }
 
 // permitted runs a load.
 func (o *owner) permitted(p permit.Permit) {
+	delete(o.ahead, p.Model)
 	o.run.stats.loads++
 	takes, fails := o.run.store.load()
 	if !o.engine.up {
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -27,6 +27,7 @@
 	orders   map[string]bool    // models with an order of this node on its way
 	unloads  []string           // unloads that wait for their announcement
 	fencedAt time.Time          // since when the engine is known to refuse older fences
+	patient  map[string]func()  // hurries the load of a model that nobody waited for when it was ordered
 	shown    time.Time          // when the engine was last sent an order for no more than its fence
 	failures int                // reports missed in a row
 	number   int64
@@ -59,6 +60,7 @@
 		attempts: map[string]*attempt{},
 		formers:  map[string]*former{},
 		orders:   map[string]bool{},
+		patient:  map[string]func(){},
 		barred:   row.Unload,
 	}
 	g, _ := o.Catalog().Group(r.Group)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -88,7 +88,7 @@
 func (o *Owner) sendLoad(h *held, model string, why reason.Reason) error {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
-	done, err := o.Permit(ctx, h.spec, why)
+	done, err := o.permit(ctx, h, why)
 	if err != nil {
 		return err
 	}
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -74,8 +74,8 @@
 	s.out = append(s.out, order.Order{Kind: order.Load, Model: m.name, Why: s.urgency(now, m)})
 }
 
-// Urgency returns how long and how many attempts wait for a model, as the Load order's Why does:
-// the driver passes it on while the load waits for its permit.
+// Urgency returns how long and how many attempts wait for a model, as the Load order's Why does. The driver asks it
+// while a load waits for its permit.
 func (s *Sched) Urgency(now time.Time, name string) reason.Reason {
 	return s.urgency(now, s.model(name))
 }
