Keep a resident copy of pinned adapters

Cause: the column pinned of adapters ("keep at least one resident copy") was read, checked, written back, and used by nothing. Change: the catalogue lists pinned adapters by group; one runner of the group, by rendezvous hash, loads each of their versions where no runner has it, and unloads another model for it where it has no free slot; the last copy is unloaded only where nothing else can be, so that a pin never has a request refused. Weighed: never unloading a last copy (a runner whose slots are all pinned would refuse everything else).

--- a/internal/catlog/catlog.go
+++ b/internal/catlog/catlog.go
@@ -4,6 +4,7 @@
 import (
 	"sync"
 
+	"damaskreach/internal/adapt"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/shard"
 	"damaskreach/internal/tune"
@@ -18,6 +19,7 @@
 	claims   shard.Map[string, []string]        // tenants by the SHA-256 of their API keys
 	runners  shard.Map[string, []runner.Runner] // runners by group, each sorted by name
 	all      func() []runner.Runner             // all runners, sorted on the first call
+	pinned   shard.Map[string, adapt.Adapter]   // pinned adapters by name
 	tune     tune.Tune
 	rev      int64 // highest revision seen
 	complete int64 // every change up to it has been seen
@@ -38,6 +40,7 @@
 		gone:    shard.NewMap[string, int64](),
 		claims:  shard.NewMap[string, []string](),
 		runners: shard.NewMap[string, []runner.Runner](),
+		pinned:  shard.NewMap[string, adapt.Adapter](),
 		tune:    tune.Default(),
 	}
 	for kind := range kinds {
--- a/internal/catlog/catlog_test.go
+++ b/internal/catlog/catlog_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -126,6 +127,22 @@
 	}
 }
 
+func TestPinnedAdaptersAreListedByGroup(t *testing.T) {
+	row := func(name, group string, pinned bool, rev int64) rows.Row {
+		value := adapt.Adapter{Name: name, Tenant: "t", Group: group, Versions: map[string]int{"v1": 1}, Pinned: pinned}
+		return rows.Row{Key: catlog.Key(catlog.KindAdapter, name), Value: encode(t, value), Rev: rev}
+	}
+	c, _ := catlog.NewCatalog().With([]rows.Row{row("c", "x", true, 1), row("a", "x", true, 2), row("b", "y", true, 3), row("d", "x", false, 4), row("e", "x", true, 5)})
+	c, _ = c.With([]rows.Row{row("a", "x", false, 6), row("b", "x", true, 7), {Key: "conf/adapter/e", Rev: 8, Gone: true}})
+	var got []string
+	for _, a := range c.Pinned("x") {
+		got = append(got, a.Name)
+	}
+	if want := []string{"b", "c"}; !slices.Equal(got, want) || len(c.Pinned("y")) > 0 {
+		t.Errorf("pinned in x = %v, in y = %v, want %v and none", got, c.Pinned("y"), want)
+	}
+}
+
 // The tail, peers and a snapshot bring the same rows to different nodes in different orders, some of them bad,
 // some of them deletions. Nodes that ended up with different rows in force would treat one caller differently.
 func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
--- a/internal/catlog/index.go
+++ b/internal/catlog/index.go
@@ -19,6 +19,7 @@
 		c = c.enlist(runners)
 		c.all = sync.OnceValue(c.sortRunners)
 	}
+	c = c.pin(good[KindAdapter])
 	if options := good[KindTune]; len(options.keys()) > 0 {
 		c.tune = tune.Default()
 		if row, ok := options.set[""]; ok {
--- /dev/null
+++ b/internal/owner/kept.go
@@ -0,0 +1,31 @@
+package owner
+
+import (
+	"damaskreach/internal/call"
+	"damaskreach/internal/spread"
+)
+
+// kept returns the versions in use of a runner's group's pinned adapters, and which of them are this runner's to load
+// where no runner has them: one runner for each, or all of them would load it at once.
+func (o *Owner) kept(h *held) map[string]bool {
+	pinned := o.Catalog().Pinned(h.spec.Group)
+	if len(pinned) == 0 {
+		return nil
+	}
+	var open []string
+	for _, r := range o.Catalog().Runners(h.spec.Group) {
+		if !r.Leaving && !o.Leaving(r.Addr) {
+			open = append(open, r.Name)
+		}
+	}
+	names := map[string]bool{}
+	for _, a := range pinned {
+		for version, share := range a.Versions {
+			if share > 0 {
+				model := call.Model(a.Name, version)
+				names[model] = spread.Pick(open, model) == h.spec.Name
+			}
+		}
+	}
+	return names
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -160,6 +160,7 @@
 	o.retune()
 	for _, h := range o.held {
 		h.sched.Copies(o.Copies(h.spec.Group))
+		h.sched.Keep(o.kept(h))
 		o.poll(h)
 		o.askFormers(h)
 		o.writeNext(h)
--- a/internal/sched/ahead.go
+++ b/internal/sched/ahead.go
@@ -15,7 +15,7 @@
 	if !s.policy.Ahead || !s.known || s.copies == nil {
 		return
 	}
-	if len(s.held) > 0 && s.count(loading)+s.count(unloading) > 0 || s.free() <= s.tune.Rare {
+	if s.count(loading)+s.count(unloading) > 0 || s.loadKept(now) || s.free() <= s.tune.Rare {
 		return
 	}
 	m := s.sought(now)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -33,6 +33,7 @@
 	models  map[string]*model
 	held    []*model       // those that hold a slot, by name
 	copies  map[string]int // runners that have each model resident
+	kept    map[string]bool
 	shares  *shares
 	seen    *recent
 	load    estimate // time of one load, order to confirmation
--- a/internal/sched/victim.go
+++ b/internal/sched/victim.go
@@ -24,6 +24,9 @@
 	if m.drain != other.drain {
 		return m.drain
 	}
+	if s.lastKept(m) != s.lastKept(other) {
+		return s.lastKept(other)
+	}
 	if !s.policy.Demand {
 		return m.used.Before(other.used)
 	}
--- a/internal/stand/site/tune_test.go
+++ b/internal/stand/site/tune_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -43,6 +44,31 @@
 	})
 }
 
+// Operators pin an adapter that nobody has asked for yet. One runner has it before long, and only one: a slot of each
+// runner would be lost to it otherwise.
+func TestPinnedAdapterIsResidentOnOneRunner(t *testing.T) {
+	play(t, 2, 3, false, func(w *world) {
+		w.serves("before", 0)
+		pinned := w.Adapter("sundown")
+		pinned.Pinned = true
+		if _, err := w.Apply(w.ctx, site.Row("adapter", pinned.Name, pinned)); err != nil {
+			t.Fatal(err)
+		}
+		w.pass(quiet)
+		has := 0
+		for i := range 2 {
+			for _, d := range w.Node(i).Runners() {
+				if slices.Contains(d.Resident, "sundown@v1") {
+					has++
+				}
+			}
+		}
+		if got, want := has, 1; got != want {
+			t.Errorf("got %d runners with the pinned adapter, want %d", got, want)
+		}
+	})
+}
+
 // tuneTo changes the options in the table and waits until they must hold.
 func (w *world) tuneTo(change func(o tune.Tune) tune.Tune) {
 	w.t.Helper()
