--- a/internal/catlog/read.go
+++ b/internal/catlog/read.go
@@ -59,11 +59,6 @@
 	return c.good[KindAdapter].Keys()
 }
 
-// Tenants returns the names of all tenants, sorted.
-func (c Catalog) Tenants() []string {
-	return c.good[KindTenant].Keys()
-}
-
 // Groups returns the names of all upstream groups, sorted.
 func (c Catalog) Groups() []string {
 	return c.good[KindGroup].Keys()
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -32,6 +32,7 @@
 	methodPlace  = "place"
 	methodSettle = "settle"
 	askTimeout   = time.Second
+	sweepEvery   = time.Minute // of runners that have left the table
 )
 
 // Home is a node's part in placement: its own decisions and the way to other nodes'.
@@ -47,6 +48,8 @@
 	Ctx context.Context
 	// Tune returns the options in force.
 	Tune func() tune.Tune
+	// Known reports whether the table has a runner.
+	Known func(runner string) bool
 	// Alone reports whether a call is a suspect; see package suspct.
 	Alone func(c call.Call) bool
 	// Suspect returns why a call may not be tried again, or nil where it may.
@@ -55,6 +58,7 @@
 	Note func(why reason.Reason, request string)
 
 	begun time.Time
+	swept time.Time // control state
 	mu    sync.Mutex
 	chose map[string]string // peer address of the node that decided, by attempt; empty for this one
 }
@@ -160,4 +164,8 @@
 	for _, d := range digests {
 		h.Place.Learn(now, d)
 	}
+	if now.Sub(h.swept) >= sweepEvery {
+		h.swept = now
+		h.Place.Sweep(h.Known)
+	}
 }
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -14,6 +14,7 @@
 	n.meter.Gauge("runners_owned", "runners that this node owns", func() float64 { return float64(len(n.Runners())) })
 	n.meter.Gauge("requests_running", "requests in progress on runners of this node", n.sum(func(d digest.Digest) int { return d.Running }))
 	n.meter.Gauge("requests_waiting", "requests queued at this node for its runners", n.sum(func(d digest.Digest) int { return d.Waiting }))
+	n.meter.Gauge("decisions_dropped", "unloads and changes of ownership that no table has kept", func() float64 { return float64(n.ledger.Dropped()) })
 	n.meter.Gauge("memory_bytes", "memory held by the process", memory)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,6 @@
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/claim"
 	"damaskreach/internal/conf"
-	"damaskreach/internal/digest"
 	"damaskreach/internal/engine"
 	"damaskreach/internal/entry"
 	"damaskreach/internal/event"
@@ -159,7 +158,7 @@
 	n.loop = loop.NewLoop()
 	n.audit = audit.NewAudit(journalSize)
 	n.meter = meter.NewMeter()
-	n.meter.Targets = func() tune.Tune { return n.follow.Catalog().Tune() }
+	n.meter.Targets = n.tune
 	n.mesh = peer.NewMesh(c.Node, secrets(c), n.Dial, n.Log).WithAddr(c.Peer).WithBounds(meshBounds(c))
 	n.members = member.NewMember(c.Lease)
 	session := sess.Session{Node: c.Node, Site: c.Site, Centre: c.Centre, Peer: c.Peer, HTTP: c.HTTP, Admin: c.Admin}
@@ -187,7 +186,7 @@
 	n.home = &home.Home{
 		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
-		Place: place.NewPlace(tune.Default()), Tune: func() tune.Tune { return n.follow.Catalog().Tune() },
+		Place: place.NewPlace(tune.Default()), Tune: n.tune, Known: n.known,
 	}
 	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate}
 	n.owner = &owner.Owner{
@@ -246,9 +245,3 @@
 		(*at)(point)
 	}
 }
-
-// Digests returns the state of the runners this node owns.
-func (n *Node) Digests() []digest.Digest {
-	<-n.ready
-	return n.digests()
-}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -21,6 +21,7 @@
 	"damaskreach/internal/sess"
 	"damaskreach/internal/spread"
 	"damaskreach/internal/timing"
+	"damaskreach/internal/tune"
 	"damaskreach/pkg/refuse"
 )
 
@@ -100,6 +101,17 @@
 	return n.grant.Get(ctx, g.Store, n.self(), r.Name, why.Model, loads.Urgency(why))
 }
 
+// tune returns the options in force.
+func (n *Node) tune() tune.Tune {
+	return n.follow.Catalog().Tune()
+}
+
+// known reports whether the table has a runner.
+func (n *Node) known(runner string) bool {
+	_, known := n.follow.Catalog().Runner(runner)
+	return known
+}
+
 // storeRate returns the rate of a weight store by the first group that names it.
 func (n *Node) storeRate(store string) float64 {
 	catalog := n.follow.Catalog()
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -30,10 +30,13 @@
 	t.recent = kept
 }
 
-// Forget drops a runner that left the table or whose owner is gone.
-func (p *Place) Forget(runner string) {
-	if t := p.runners[runner]; t != nil {
-		p.loading -= len(t.digest.Loading)
-		delete(p.runners, runner)
+// Sweep drops the runners that are not known any more. Kept, those that operators replace would add up, and what they
+// were loading last would count against the store for good.
+func (p *Place) Sweep(known func(runner string) bool) {
+	for name, t := range p.runners {
+		if !known(name) {
+			p.loading -= len(t.digest.Loading)
+			delete(p.runners, name)
+		}
 	}
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -218,3 +218,20 @@
 		p.Settle(start, c, d.Runner, nil)
 	}
 }
+
+// Operators replace a runner that was loading adapters when it was last heard of. Were it kept, its loads would count
+// against the weight store for good, and callers would be sent to far busier runners to save a load that takes no time.
+func TestRemovedRunnersAreForgotten(t *testing.T) {
+	gone := engine("old")
+	gone.Loading = []string{"a@1", "b@1", "c@1", "d@1", "e@1", "f@1"}
+	p := fresh(engine("r1"), engine("r2"), gone)
+	_, before, _ := p.Choose(at(0), ask("a1", "red"), []string{"old"})
+	p.Sweep(func(runner string) bool { return runner != "old" })
+	_, after, _ := p.Choose(at(time.Second), ask("a2", "blue"), nil)
+	if got, want := after.Wait, before.Wait/2; got > want {
+		t.Errorf("expected wait for a load: got %s, want at most %s, half of what it was", got, want)
+	}
+	if got := choose(t, p, at(2*time.Second), ask("a3", "green")); got == "old" {
+		t.Error("got the removed runner")
+	}
+}
