Ask for news of runners before a refusal rests on its lack

Cause: owners send the state of their runners only to nodes they have listed. A node that had just started kept calls for want of runners for 3 s from its start and then refused them as not run with "no runner takes work", of which it knew nothing; owners list a new node after up to 2 s and announce within another, later where they cannot read the table. TestAllNodesReplacedOneByOne once failed by it, and a home that moved to such a node said the same. The same wait held up the refusal of a group without runners.

Change: a starting node asks the others for the state of their runners before it writes its session, so that discovery names it only then. A home that would refuse for want of runners while it has no news of some asks first, 0.3 s at the most and one question at a time; then the refusal says what the node has no news of. A group without runners is refused at once.

Conclusion: a refusal for want of runners is now said by nodes that have news of all of them, or says that they have not.

--- a/internal/home/choose.go
+++ b/internal/home/choose.go
@@ -6,13 +6,14 @@
 
 	"damaskreach/internal/call"
 	"damaskreach/internal/digest"
+	"damaskreach/internal/loop"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
 
-// A node that has just started refuses nothing for want of runners until it has had time to hear of them.
+// A node that has just started refuses nothing for want of news of runners until it has had time to hear of them.
 const (
-	warmUp   = 3 * time.Second
+	warmUp   = 3 * time.Second // also the longest that a call waits
 	warmLook = 100 * time.Millisecond
 )
 
@@ -29,7 +30,7 @@
 		h.chosen(c, "")
 		said, err = h.decide(ctx, q)
 	}
-	for err == nil && said.blind() && time.Since(h.begun) < warmUp {
+	for begin := time.Now(); err == nil && said.blind() && len(said.lacking) > 0 && h.warming(begin); {
 		h.sleep(warmLook)
 		said, err = h.decide(ctx, q)
 	}
@@ -45,6 +46,21 @@
 	return said.Digest, nil
 }
 
+// warming reports whether a call that came at begin is to wait until this node has heard of runners: it has just started,
+// or it has not been able to read yet which other nodes there are.
+func (h *Home) warming(begin time.Time) bool {
+	if time.Since(begin) >= warmUp || h.Ctx.Err() != nil {
+		return false
+	}
+	return time.Since(h.begun) < warmUp || !h.Met(h.Ctx)
+}
+
+// Met reports whether this node has read which other nodes there are.
+func (h *Home) Met(ctx context.Context) bool {
+	met, err := loop.Get(ctx, h.Loop, h.Members.Met)
+	return err == nil && met
+}
+
 // blind reports whether the home knew of no runner at all.
 func (s placeSaid) blind() bool {
 	return s.Refusal != nil && s.Refusal.Code == refuse.NoUpstream
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -51,9 +51,16 @@
 	// Note records a decision for operators.
 	Note func(why reason.Reason, request string)
 
-	begun time.Time
-	mu    sync.Mutex
-	chose map[string]string // peer address of the node that decided, by attempt; empty for this one
+	// Runners returns the names of a group's runners that the operators' table has and does not mark as leaving.
+	Runners func(group string) []string
+	// Fetch asks other nodes for the digests of their runners, has them learnt and returns how many nodes it asked.
+	Fetch func(ctx context.Context) int
+
+	begun   time.Time
+	mu      sync.Mutex
+	chose   map[string]string // peer address of the node that decided, by attempt; empty for this one
+	looking chan struct{}     // closed at the end of the look under way; nil while none is
+	looked  time.Time         // when the last look ended
 }
 
 type placeAsk struct {
@@ -65,6 +72,8 @@
 	Digest  digest.Digest   `msgpack:"digest"`
 	Why     reason.Reason   `msgpack:"why"`
 	Refusal *refuse.Refusal `msgpack:"refusal"`
+
+	lacking []string // runners of the group of which this node has no news, where it refuses
 }
 
 type settleAsk struct {
@@ -140,14 +149,29 @@
 		return placeSaid{Refusal: refusal.WithRetry(twinRetry)}, nil
 	}
 	q.Call = q.Call.WithAlone(h.Alone(q.Call))
-	said, err := loop.Get(ctx, h.Loop, func() placeSaid {
+	said, err := h.choose(ctx, q)
+	if err == nil && len(said.lacking) > 0 && h.Look(ctx) {
+		said, err = h.choose(ctx, q)
+	}
+	if err != nil {
+		return said, err
+	}
+	if said.blind() && len(said.lacking) > 0 {
+		said = said.unheard(q.Call)
+	}
+	h.Note(said.Why, q.Call.ID)
+	return said, nil
+}
+
+func (h *Home) choose(ctx context.Context, q placeAsk) (placeSaid, error) {
+	return loop.Get(ctx, h.Loop, func() placeSaid {
 		d, why, refusal := h.Place.Choose(time.Now(), q.Call, q.Avoid)
-		return placeSaid{Digest: d.Brief(h.Place.Demand(time.Now(), q.Call)), Why: why, Refusal: refusal}
+		said := placeSaid{Digest: d.Brief(h.Place.Demand(time.Now(), q.Call)), Why: why, Refusal: refusal}
+		if said.short() {
+			said.lacking = h.Place.Lacking(h.Runners(q.Call.Group))
+		}
+		return said
 	})
-	if err == nil {
-		h.Note(said.Why, q.Call.ID)
-	}
-	return said, err
 }
 
 // Learn takes digests of runners, from this node's owner or from other nodes. It must be called on the control goroutine.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -142,6 +142,11 @@
 	return edits
 }
 
+// Met reports whether the session rows have been read at all.
+func (m *Member) Met() bool {
+	return !m.fresh.IsZero()
+}
+
 // Get returns the session with the id, if the view has it.
 func (m *Member) Get(id string) (sess.Session, bool) {
 	s, ok := m.seen[id]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,7 +171,7 @@
 
 func (n *Node) buildRoles() {
 	c := n.Conf
-	n.share = &share.Share{Mesh: n.mesh, Self: n.self, Peers: n.peers, Learn: n.learn}
+	n.share = &share.Share{Mesh: n.mesh, Self: n.self, Peers: n.peers, Learn: n.learn, Own: n.digests}
 	n.follow = &follow.Follow{
 		Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers,
 		Seeds: c.Seeds, Objects: n.Objects, Chosen: n.chosen,
@@ -185,7 +185,7 @@
 	n.home = &home.Home{
 		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
-		Place: place.NewPlace(n.follow.Catalog().Tune()),
+		Place: place.NewPlace(n.follow.Catalog().Tune()), Runners: n.staying, Fetch: n.fetch,
 	}
 	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate}
 	n.owner = &owner.Owner{
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -76,7 +76,7 @@
 	go n.loop.Run(ctx)
 	go n.watch.Run(ctx)
 	go n.follow.Run(ctx)
-	go n.lease.Run(ctx)
+	go n.join(ctx)
 	go n.owner.Follow(ctx)
 	go n.extend.Run(ctx)
 	go n.gather.Run(ctx)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -12,6 +12,7 @@
 
 const (
 	methodDigests = "digests"
+	methodOwn     = "own-digests"
 	askTimeout    = time.Second
 	refresh       = 5 * time.Second // after which all are sent, changed or not: homes drop old choices of their own by them
 )
@@ -23,6 +24,8 @@
 	Peers func() []string
 	// Learn takes the digests that another node sent.
 	Learn func(digests []digest.Digest)
+	// Own returns the digests of the runners that this node owns.
+	Own func() []digest.Digest
 
 	// Self names this life of the node.
 	Self func() string
@@ -53,6 +56,9 @@
 		s.Learn(digests)
 		return digestsSaid{Life: s.Self()}, nil
 	})
+	peer.Answer(s.Mesh, methodOwn, func(context.Context, string, ownAsk) ([]digest.Digest, error) {
+		return s.Own(), nil
+	})
 }
 
 // Send passes this node's digests to every other node without waiting, to each those that it does not have yet: most
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -19,6 +19,7 @@
 const (
 	hostA = "10.0.0.1"
 	hostB = "10.0.0.2"
+	hostC = "10.0.0.3"
 	addrB = hostB + ":7000"
 	pause = 100 * time.Millisecond
 )
@@ -101,7 +102,38 @@
 
 func newShare(n *memnet.Net, host string, self func() string, learn func([]digest.Digest)) *share.Share {
 	mesh := peer.NewMesh(host, [][]byte{[]byte("a shared key")}, n.Dial(host), zap.NewNop())
-	s := &share.Share{Mesh: mesh, Self: self, Peers: func() []string { return []string{addrB} }, Learn: learn}
+	s := &share.Share{Mesh: mesh, Self: self, Peers: func() []string { return []string{addrB} }, Learn: learn, Own: func() []digest.Digest { return nil }}
 	s.Register()
 	return s
 }
+
+// A node has just started, and the owners have not listed it yet, so that they send it nothing; one of them is gone. It
+// asks, and must get what the others own without waiting for the one that is gone longer than it is told to.
+func TestNewNodeFetchesWhatOthersOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := memnet.NewNet(1)
+		owner := newShare(n, hostB, func() string { return "b" }, func([]digest.Digest) {})
+		owner.Own = func() []digest.Digest { return []digest.Digest{{Runner: "r1"}, {Runner: "r2"}} }
+		lis, err := n.Listen(addrB)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = owner.Mesh.Serve(ctx, lis) }() // ends with ctx
+		n.Cut(hostA, hostC)
+		taken := &receiver{}
+		a := newShare(n, hostA, func() string { return "a" }, taken.learn)
+		limit, end := context.WithTimeout(ctx, pause)
+		defer end()
+		begin := time.Now()
+		a.Fetch(limit, []string{hostC + ":7000", addrB})
+		if got, most := time.Since(begin), 2*pause; got > most {
+			t.Errorf("got the answer after %s, want at most %s", got, most)
+		}
+		if got, want := taken.count(), 2; got != want {
+			t.Errorf("got %d digests, want %d", got, want)
+		}
+		cancel()
+		time.Sleep(time.Minute) // lets connections end
+	})
+}
