Refuse what waits for a slot that cannot come free

Cause: a request for a model that is not loaded waited at its runner for a slot, however long none could be freed: under a hold after a takeover from a dead owner that the host list calls live (engines that ignore fences), for a model that an earlier owner may be unloading, or behind an unload that keeps failing in an outage of the table service. Only max-request, 10 min, bounded it, and the caller was told "the deadline passed".

Change: a runner says in its digest that it can free no slot, and homes pass it over. After 15 s of that it refuses what waits for a slot, and what comes later at once, as not run with the new code no-room, a reason and Retry-After; the entry tries another runner first. An answer in progress that holds a slot does not count: its slot comes free.

Tests changed: TestTableSlowForAnHour no longer excuses callers' timeouts ("deadline") and failed loads, but no-room, which is stricter: no answer may be lost. Requests of a run had ids in common (Load numbered anew at each call, "evicting"), so that the check of not-run, which goes by the id, took the refusal of one for that of another; each has its own now.

Conclusion: no request waits longer than 15 s for a slot that no answer in progress will free.

--- a/internal/bench/fit.go
+++ b/internal/bench/fit.go
@@ -38,7 +38,7 @@
 			if r.makes(o, q) {
 				return true
 			}
-		case refuse.LoadFailed:
+		case refuse.LoadFailed, refuse.NoRoom:
 			if r.room(o, q) {
 				return true
 			}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -25,6 +25,7 @@
 	Loading  []string `msgpack:"loading,omitempty"`  // models being loaded
 	Closed   bool     `msgpack:"closed,omitempty"`   // takes no new work: leaving, sick or handed over
 	Sick     bool     `msgpack:"sick,omitempty"`     // answers with errors or not at all
+	Stuck    bool     `msgpack:"stuck,omitempty"`    // can free no slot until something beside requests changes
 	Demand   float64  `msgpack:"demand,omitempty"`   // only in a home's answer: decayed count of requests for the model asked about
 	Suspects int      `msgpack:"suspects,omitempty"` // requests that may crash it, running alone there or waiting to
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -161,7 +161,7 @@
 // retriable reports whether another runner may do better.
 func retriable(refusal *refuse.Refusal) bool {
 	switch refusal.Code {
-	case refuse.Moved, refuse.NoUpstream, refuse.Cut, refuse.Crashed, refuse.LoadFailed, refuse.Leaving, refuse.Held, refuse.Overloaded:
+	case refuse.Moved, refuse.NoUpstream, refuse.Cut, refuse.Crashed, refuse.LoadFailed, refuse.Leaving, refuse.Held, refuse.NoRoom, refuse.Overloaded:
 		return true
 	}
 	return false
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -16,6 +16,7 @@
 	hurryCost   = 400 * time.Millisecond // of a full batch to a hurried request
 	longAnswer  = 3                      // times the expected tokens that an answer may have
 	soon        = 2 * time.Minute        // for which a model of little demand stays resident
+	stuckCost   = 15 * time.Second       // of a runner that can free no slot: what a request waits there before it is refused
 	prefillTime = 50 * time.Millisecond  // what a cached prefix saves
 )
 
@@ -122,6 +123,8 @@
 // slotWait estimates how long a slot takes to come free.
 func (p *Place) slotWait(t *target) time.Duration {
 	switch {
+	case t.digest.Stuck:
+		return stuckCost
 	case t.digest.Free > 0:
 		return 0
 	case t.digest.Idle > 0 && p.policy.Copies:
--- a/internal/sched/loaded.go
+++ b/internal/sched/loaded.go
@@ -72,9 +72,11 @@
 		return s.plan(now)
 	}
 	if err == nil {
+		m.refused = 0
 		s.turn(now, m, absent)
 		return s.plan(now)
 	}
+	m.refused++
 	m.again = now.Add(firstBackoff)
 	return s.plan(now)
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -36,6 +36,7 @@
 	failures int       // loads in a row that failed
 	after    time.Time // no load before
 	again    time.Time // when a failed unload is repeated; zero while none is
+	refused  int       // unloads in a row that failed
 	demand   decay.Count
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -16,6 +16,7 @@
 	}
 	s.refuseFailing(now)
 	s.refuseLate(now)
+	s.refuseStuck(now)
 	s.start(now)
 	s.shed(now)
 	s.unloadAgain(now)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -27,6 +27,8 @@
 	now     time.Time // latest time seen, for the methods that get none
 	hold    bool      // no unloads, since earlier owners may use any model
 	closed  string    // why no work is taken; empty while it is
+	stuck   time.Time // since when no slot can be freed; zero while one can
+	noRoom  string    // why none can
 	serial  int64     // of the last submitted item
 	queue   []*item   // oldest first
 	running map[string]*item
--- a/internal/stand/site/load.go
+++ b/internal/stand/site/load.go
@@ -87,6 +87,7 @@
 // Models are chosen with skewed popularity. The seed fixes what is asked for; pick returns a negative number to wait.
 func (s *Site) Load(ctx context.Context, seed uint64, adapters int, pick func(r *rand.Rand) int) {
 	r := rand.New(rand.NewPCG(seed, seed))
+	load := s.loads.Add(1) // the checks go by the ids, which no two requests of a run may share
 	for n := 0; ctx.Err() == nil; n++ {
 		i := pick(r)
 		model := AdapterName(int(float64(adapters)*r.Float64()*r.Float64())) + "@v1"
@@ -95,7 +96,7 @@
 			tokens = 1 + r.IntN(longMost)
 		}
 		if i >= 0 {
-			s.Ask(context.WithoutCancel(ctx), i, fmt.Sprintf("%d-%d", seed, n), model, fmt.Sprintf("prompt %d", r.IntN(10)), tokens)
+			s.Ask(context.WithoutCancel(ctx), i, fmt.Sprintf("%d-%d", load, n), model, fmt.Sprintf("prompt %d", r.IntN(10)), tokens)
 		}
 		time.Sleep(time.Duration(r.Int64N(int64(thinkMost))))
 	}
--- a/internal/stand/site/pause_test.go
+++ b/internal/stand/site/pause_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,7 +78,7 @@
 				w.await(woke)
 				w.pass(100 * time.Millisecond) // the late request has arrived, and no report shows it yet
 				for a := 2; a < adapters; a++ {
-					go w.Ask(w.ctx, other, "evicting", site.AdapterName(a)+"@v1", "short", 2)
+					go w.Ask(w.ctx, other, fmt.Sprintf("evicting %d", a), site.AdapterName(a)+"@v1", "short", 2)
 				}
 				w.pass(quiet)
 				w.Net.Heal(site.Host(0), site.Host(1))
--- a/internal/stand/site/site.go
+++ b/internal/stand/site/site.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -61,6 +62,7 @@
 	nodes   map[int]*running
 	lives   map[int]int // how often each node was started
 	journal journal
+	loads   atomic.Int64 // calls of Load
 }
 
 type running struct {
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -128,7 +128,7 @@
 		w.joinAll(3)
 		w.pass(quiet)
 		stop()
-		w.whole(since, "overloaded", "deadline", "load")
+		w.whole(since, "overloaded", "no-room")
 		w.owners("after", 0, 1, 2)
 		w.unmoved("after", before, 3)
 		w.serves("after", 0, 1, 2)
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -28,6 +28,7 @@
 	Leaving      = "leaving"       // this node is shutting down
 	TableDown    = "table-down"    // the table service cannot record the claim
 	LoadFailed   = "load-failed"   // the adapter could not be loaded
+	NoRoom       = "no-room"       // no adapter slot that could serve it can be freed
 	Canceled     = "canceled"      // the caller went away
 	Moved        = "moved"         // the node asked is not the owner of the runner
 	Held         = "held"          // the runner is kept for a request that may crash it
