Name every unanswered unload in the ownership row

Cause: an unload given up without an answer and the next one announced after it shared one field of the row, and the later overwrote the earlier. A successor barred the last one alone, started requests on the first model, and the late order cut their answers. A successor's own announcements overwrote its predecessor's as well. Change: the row keeps unloads without an answer in `late` beside the announced one until a repeat is confirmed; a successor bars them all and keeps them named until every earlier owner is done. Before: TestEveryUnansweredUnloadIsAnnounced 20 of 20 runs fail ("unloaded while in use"). After: 20 of 20 pass; `go test ./internal/stand/site -run 'Unload|Late|Handover|Pause|Replaced|Takeover|LostAnswers'` and `go test ./internal/soak` pass.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 
@@ -25,6 +26,7 @@
 	Released bool     `json:"released,omitempty"` // the owner has closed starts and wants a successor
 	Formers  []former `json:"formers,omitempty"`  // earlier owners that may still use the runner
 	Unload   string   `json:"unload,omitempty"`   // model whose unload may be on its way to an engine that ignores fences
+	Late     []string `json:"late,omitempty"`     // models whose earlier unloads got no answer and may still be on their way
 }
 
 // Prefix returns the key prefix of a site's ownership rows.
@@ -63,6 +65,21 @@
 	return a
 }
 
+// WithLate returns the row that names a model whose unload got no answer. It stays named beside the next one announced:
+// overwritten, it would be unknown to a successor, which would start requests on the model.
+func (a Assignment) WithLate(model string) Assignment {
+	if model != "" && !slices.Contains(a.Late, model) {
+		a.Late = append(slices.Clone(a.Late), model)
+	}
+	return a
+}
+
+// WithoutLate returns the row without a model whose unload cannot be on its way any more.
+func (a Assignment) WithoutLate(model string) Assignment {
+	a.Late = slices.DeleteFunc(slices.Clone(a.Late), func(late string) bool { return late == model })
+	return a
+}
+
 // WithoutFormer returns the row without an earlier owner, which has stopped using the runner.
 func (a Assignment) WithoutFormer(session string) Assignment {
 	var left []former
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -23,7 +23,7 @@
 	attempts map[string]*attempt
 	formers  map[string]*former // earlier owners not known to have stopped, by session id
 	pinned   map[string]bool    // models earlier owners may still use
-	barred   string             // model an earlier owner may be unloading
+	barred   []string           // models an earlier owner may be unloading
 	orders   map[string]bool    // models with an order of this node on its way
 	unloads  []string           // unloads that wait for their announcement
 	fencedAt time.Time          // since when the engine is known to refuse older fences
@@ -59,16 +59,18 @@
 		attempts: map[string]*attempt{},
 		formers:  map[string]*former{},
 		orders:   map[string]bool{},
-		barred:   row.Unload,
 	}
+	// What the earlier owner announced stays named in this owner's row beside what this one announces.
+	h.row = row.WithLate(row.Unload).WithUnload("")
+	h.barred = h.row.Late
 	g, _ := o.Catalog().Group(r.Group)
 	h.plain = g.Plain
 	for _, f := range row.Formers {
 		h.formers[f.Session] = &former{session: f.Session, peer: f.Peer}
 	}
 	h.sched.Hold(len(h.formers) > 0)
-	if h.barred != "" {
-		h.sched.Bar(h.barred)
+	for _, model := range h.barred {
+		h.sched.Bar(model)
 	}
 	return h
 }
