Let a node listen at another address than others are told

Cause: a node opens the address it hands out. Where something between hosts translates or forwards, the two differ; a forwarder in front of a node could not be set up, in a test either. Change: the setting `listen` names what the node opens for other nodes; empty means `peer`, as before. Connections come from that IP, or from `peer`'s as they did; an unspecified IP leaves the choice to the system. `damaskreach check` names a malformed one. Before and after: with the check left out and ListenAddr returning `peer`, TestCheckNamesEveryFault and TestListenStandsInForPeerAtTheNodeOnly fail; with both in place `go test ./internal/conf` passes. Conclusion: the usual host sets nothing new.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -2,6 +2,7 @@
 package conf
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -11,6 +12,7 @@
 	Site        string        `toml:"site"`         // site the node is at
 	Centre      string        `toml:"centre"`       // data centre
 	Peer        string        `toml:"peer"`         // IP and port for other nodes
+	Listen      string        `toml:"listen"`       // IP and port that the node opens for other nodes; empty means Peer
 	HTTP        string        `toml:"http"`         // IP and port for callers
 	Admin       string        `toml:"admin"`        // IP and port for operators
 	Tables      []string      `toml:"tables"`       // addresses of the table service
@@ -56,6 +58,11 @@
 	}
 }
 
+// ListenAddr returns the IP and port that the node opens for other nodes.
+func (c Conf) ListenAddr() string {
+	return cmp.Or(c.Listen, c.Peer)
+}
+
 // String names the node without its secrets, so that a log line which prints the settings gives none away.
 func (c Conf) String() string {
 	return "node " + c.Node + " at " + c.Site + "/" + c.Centre + ", peers on " + c.Peer + ", callers on " + c.HTTP + ", operators on " + c.Admin
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -51,6 +51,7 @@
 func TestCheckNamesEveryFault(t *testing.T) {
 	text := `site = "kingston"
 peer = "0.0.0.0:7000"
+listen = "10.0.0.7"
 http = "localhost:80"
 admin = 9000
 tables = [
@@ -67,15 +68,16 @@
 	want := []string{
 		`centre: is missing`,
 		`2: peer: "0.0.0.0:7000" cannot be handed out to others; name the host's own IP`,
-		`3: http: "localhost:80" is not an IP and port such as 10.0.0.7:7000`,
-		`4: admin: incompatible types: TOML value has type int64; destination has type string`,
-		`5: tables: "10.0.0.1:5000" is named twice`,
-		`9: secrets: a key has 5 bytes; at least 16 are needed`,
-		`10: renew: 10s is more than half of lease (15s)`,
-		`11: colour: unknown key`,
-		`12: drain: 3s must be longer than entries-life (5s)`,
-		`13: max-body: 1 is out of range: 1024 to 1073741824`,
-		`14: retry-budget: 2 is out of range: 0 to 1`,
+		`3: listen: "10.0.0.7" is not an IP and port such as 10.0.0.7:7000`,
+		`4: http: "localhost:80" is not an IP and port such as 10.0.0.7:7000`,
+		`5: admin: incompatible types: TOML value has type int64; destination has type string`,
+		`6: tables: "10.0.0.1:5000" is named twice`,
+		`10: secrets: a key has 5 bytes; at least 16 are needed`,
+		`11: renew: 10s is more than half of lease (15s)`,
+		`12: colour: unknown key`,
+		`13: drain: 3s must be longer than entries-life (5s)`,
+		`14: max-body: 1 is out of range: 1024 to 1073741824`,
+		`15: retry-budget: 2 is out of range: 0 to 1`,
 	}
 	var got []string
 	for _, f := range conf.Check([]byte(text)) {
@@ -90,6 +92,26 @@
 	}
 }
 
+// Others are told an address that is translated on the way. The node must open its own: opening the other's would fail,
+// and a node that opened nothing else could not be reached.
+func TestListenStandsInForPeerAtTheNodeOnly(t *testing.T) {
+	for _, c := range []struct{ listen, want string }{
+		{"", "10.0.0.7:7000"},
+		{"192.168.0.7:7000", "192.168.0.7:7000"},
+		{"0.0.0.0:7000", "0.0.0.0:7000"},
+	} {
+		path := filepath.Join(t.TempDir(), "node.toml")
+		put(t, path, good+fmt.Sprintf("listen = %q\nsecrets = [%q]\n", c.listen, secret))
+		got, err := conf.Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.ListenAddr() != c.want || got.Peer != "10.0.0.7:7000" {
+			t.Errorf("listen %q: opens %s and names %s, want %s and 10.0.0.7:7000", c.listen, got.ListenAddr(), got.Peer, c.want)
+		}
+	}
+}
+
 func TestPageNamesEverySetting(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	if err != nil {
--- a/internal/conf/rules.go
+++ b/internal/conf/rules.go
@@ -31,6 +31,7 @@
 	add("site", checkName(c.Site))
 	add("centre", checkName(c.Centre))
 	add("peer", checkOwn(c.Peer))
+	add("listen", checkListen(c.Listen))
 	add("http", checkOwn(c.HTTP))
 	add("admin", checkOwn(c.Admin))
 	add("tables", checkAddrs(c.Tables, true))
@@ -78,6 +79,14 @@
 	return ""
 }
 
+// checkListen checks an address that is handed to nobody, so that any of the host's own will do.
+func checkListen(addr string) string {
+	if addr == "" {
+		return ""
+	}
+	return checkAddr(addr)
+}
+
 func checkAddr(addr string) string {
 	parsed, err := netip.ParseAddrPort(addr)
 	if err != nil {
--- a/internal/launch/run.go
+++ b/internal/launch/run.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -132,11 +133,13 @@
 	return n.Run(ctx)
 }
 
-// local makes a node dial from its own address, so that what it does can be told from what other nodes on a test host do.
+// local makes a node dial from the address that it listens at, so that a host with several addresses is known to others
+// by one, and firewalls, logs and tests can tell which node dials. Without one address of its own it leaves the choice
+// to the system.
 func local(c conf.Conf) net.Addr {
-	host, _, err := net.SplitHostPort(c.Peer)
-	if err != nil {
+	addr, err := netip.ParseAddrPort(c.ListenAddr())
+	if err != nil || addr.Addr().IsUnspecified() {
 		return nil
 	}
-	return &net.TCPAddr{IP: net.ParseIP(host)}
+	return &net.TCPAddr{IP: addr.Addr().AsSlice()}
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -29,7 +29,7 @@
 	n.asker.Register()
 	n.admit.Register()
 	n.registerBusy()
-	lis, err := n.Listen(n.Conf.Peer)
+	lis, err := n.Listen(n.Conf.ListenAddr())
 	if err != nil {
 		return merry.Prependf(err, "opening the address for other nodes")
 	}
