--- a/test/procs/cut_test.go
+++ b/test/procs/cut_test.go
@@ -3,75 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stand/site"
 )
 
-// forwarder passes connections on to an address until it is cut.
-type forwarder struct {
-	to string
-
-	mu    sync.Mutex
-	lis   net.Listener
-	conns []net.Conn
-}
-
-func newForwarder(t *testing.T, at, to string) *forwarder {
-	t.Helper()
-	f := &forwarder{to: to}
-	f.open(t, at)
-	t.Cleanup(f.cut)
-	return f
-}
-
-func (f *forwarder) open(t *testing.T, at string) {
-	t.Helper()
-	lis, err := net.Listen("tcp", at)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.mu.Lock()
-	f.lis = lis
-	f.mu.Unlock()
-	go f.serve(lis)
-}
-
-func (f *forwarder) serve(lis net.Listener) {
-	for {
-		c, err := lis.Accept()
-		if err != nil {
-			return
-		}
-		out, err := net.Dial("tcp", f.to)
-		if err != nil {
-			_ = c.Close()
-			continue
-		}
-		f.mu.Lock()
-		f.conns = append(f.conns, c, out)
-		f.mu.Unlock()
-		go func() { _, _ = io.Copy(out, c); _ = out.Close() }()
-		go func() { _, _ = io.Copy(c, out); _ = c.Close() }()
-	}
-}
-
-// cut breaks all connections and takes no more.
-func (f *forwarder) cut() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_ = f.lis.Close()
-	for _, c := range f.conns {
-		_ = c.Close()
-	}
-	f.conns = nil
-}
-
 // apply adds an adapter to the table.
 func (f *fleet) apply(n int) {
 	f.t.Helper()
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -40,6 +41,7 @@
 	table  table.Table
 	procs  map[string]*exec.Cmd
 	tables map[int]string // ways of nodes to the table service other than the straight one
+	peers  map[int]string // addresses of nodes that others are told, where they differ from those opened
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -119,7 +121,8 @@
 	settings := fmt.Sprintf(`node = %q
 site = "site"
 centre = "centre-1"
-peer = "%s:7000"
+peer = %q
+listen = "%s:7000"
 http = "%s:8000"
 admin = "%s:9000"
 tables = [%q]
@@ -130,7 +133,7 @@
 poll = "300ms"
 entries-life = "1s"
 drain = "1500ms"
-`, name, host, host, host, f.tableOf(i), f.net)
+`, name, cmp.Or(f.peers[i], host+":7000"), host, host, host, cmp.Or(f.tables[i], f.net+"100:7000"), f.net)
 	path := filepath.Join(f.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -138,14 +141,6 @@
 	f.start(name, "damaskreach", "--config", path)
 }
 
-// tableOf returns the address at which node i reaches the table service.
-func (f *fleet) tableOf(i int) string {
-	if addr := f.tables[i]; addr != "" {
-		return addr
-	}
-	return f.net + "100:7000"
-}
-
 func (f *fleet) host(i int) string {
 	return fmt.Sprintf("%s%d", f.net, i+1)
 }
@@ -192,6 +187,19 @@
 	return names
 }
 
+// shared reports whether each runner is owned by exactly one node and each node owns one.
+func (f *fleet) shared() bool {
+	found := map[string]bool{}
+	for i := range nodes {
+		names := f.owned(i)
+		if len(names) != 1 {
+			return false
+		}
+		found[names[0]] = true
+	}
+	return len(found) == nodes
+}
+
 // ask sends one completion to node i and returns what was wrong with the answer, or an empty string.
 func (f *fleet) ask(i, adapter int) string {
 	model := site.AdapterName(adapter) + "@v1"
