Pass on only the rows of a tail that are news

Cause: Follow.update took a reading of the tail for news when it raised the highest revision seen. A tail's revision is that of the whole table and rises with every session renewed, so a node whose reading begins before the place from which a push was complete passed the row on again. The other way round, a row that a node had missed was not passed on where a push of a later row had raised its highest revision already. Change: catlog.News returns the rows of which no revision as high is known; Follow passes on these. Where they are a part of the tail, the push no longer says that it is all up to a revision: its receiver would miss the rest for good.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/object"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 	"damaskreach/internal/turns"
 )
@@ -66,7 +67,10 @@
 	}
 }
 
-// Read takes all changes since the last reading and passes them on.
+// Read takes all changes since the last reading and passes on those that were not in force before.
+//
+// A tail brings what a peer has pushed meanwhile once more, and the table's revision rises with every session that is
+// renewed: neither tells what is news. Were known rows passed on, each of n nodes might push one change to all others.
 func (f *Follow) Read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -78,10 +82,12 @@
 	if err != nil {
 		return err
 	}
-	news := f.update(func(c catlog.Catalog) (catlog.Catalog, []error) { return c.WithTail(changed, after, rev) })
-	if news {
-		f.spread(ctx, push{After: after, UpTo: rev, Rows: changed})
-	}
+	var news []rows.Row
+	f.update(func(c catlog.Catalog) (catlog.Catalog, []error) {
+		news = c.News(changed)
+		return c.WithTail(changed, after, rev)
+	})
+	f.spread(ctx, newPush(news, push{After: after, UpTo: rev, Rows: changed}))
 	return nil
 }
 
@@ -94,15 +100,13 @@
 	return nil
 }
 
-// update puts changes in force and reports whether any of them was new.
-func (f *Follow) update(change func(c catlog.Catalog) (catlog.Catalog, []error)) bool {
+// update puts changes in force.
+func (f *Follow) update(change func(c catlog.Catalog) (catlog.Catalog, []error)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.catalog.Rev()
 	next, faults := change(f.catalog)
 	f.catalog = next
 	for _, fault := range faults {
 		f.Log.Warn("a configuration row was rejected; the last good one stays", zap.Error(fault))
 	}
-	return next.Rev() > before
 }
--- a/internal/follow/push.go
+++ b/internal/follow/push.go
@@ -19,13 +19,22 @@
 	mostPushed  = 256 // rows passed on at once; a node that misses more asks for them
 )
 
-// push carries all changes after one revision up to another.
+// push carries all changes after one revision up to another, or some rows without a claim to be all; then both are zero.
 type push struct {
 	After int64      `msgpack:"after"`
 	UpTo  int64      `msgpack:"upto"`
 	Rows  []rows.Row `msgpack:"rows"`
 }
 
+// newPush returns what is to be passed on of a tail: its news. Where that is a part of it only, the push must not say that
+// it is all: a node that lost the push of the other rows would never read them.
+func newPush(news []rows.Row, tail push) push {
+	if len(news) == len(tail.Rows) {
+		return tail
+	}
+	return push{Rows: news}
+}
+
 type pushSaid struct{}
 
 // wholeAsk asks for the whole configuration of a node that has every change beyond a revision.
