Let nodes that start together read the table apart

Cause: nodes started in the same moment read the configuration tail in the same moments from then on. Each finds a change before another's push arrives, and pushes it to all others: n x (n-1) pushes for each change. Change: after its first reading, which is at once, a node waits for a part of the interval that the hash of its name gives. A change is also read sooner, since somebody reads more often than every 2 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"sync"
 	"time"
@@ -29,6 +31,8 @@
 	Mesh  *peer.Mesh
 	Poll  time.Duration
 	Log   *zap.Logger
+	// Name is the node's; it says when within the interval this node reads.
+	Name string
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
 	// Seeds are addresses of nodes to ask while no others are known; see askPeer.
@@ -56,17 +60,36 @@
 }
 
 // Run follows the table until ctx ends.
+//
+// A site's nodes are often started in the same moment. Did they go on to read in the same moments, each would be the
+// first to see every change and push it to all others; therefore each waits for its own part of the interval once.
 func (f *Follow) Run(ctx context.Context) {
 	f.loadSnapshot(ctx)
 	go f.keepSnapshots(ctx)
+	f.turn(ctx)
+	select {
+	case <-time.After(phase(f.Name, f.Poll)):
+	case <-ctx.Done():
+		return
+	}
 	for range turns.Now(ctx, f.Poll, nil) {
-		if err := f.Read(ctx); err != nil {
-			f.Log.Warn("reading the configuration tail failed; a peer is asked", zap.Error(err))
-			f.askPeer(ctx)
-		}
+		f.turn(ctx)
 	}
 }
 
+func (f *Follow) turn(ctx context.Context) {
+	if err := f.Read(ctx); err != nil {
+		f.Log.Warn("reading the configuration tail failed; a peer is asked", zap.Error(err))
+		f.askPeer(ctx)
+	}
+}
+
+// phase returns a part of the interval by the hash of a name.
+func phase(name string, interval time.Duration) time.Duration {
+	sum := sha256.Sum256([]byte(name))
+	return time.Duration(binary.BigEndian.Uint64(sum[:]) % uint64(interval))
+}
+
 // Read takes all changes since the last reading and passes on those that were not in force before.
 //
 // A tail brings what a peer has pushed meanwhile once more, and the table's revision rises with every session that is
--- a/internal/follow/push_test.go
+++ b/internal/follow/push_test.go
@@ -66,7 +66,7 @@
 			others = append(others, addr(k))
 		}
 	}
-	f := &follow.Follow{Table: m.db.Table(), Mesh: mesh, Poll: poll, Log: zap.NewNop(), Peers: func() []string { return others }}
+	f := &follow.Follow{Table: m.db.Table(), Mesh: mesh, Poll: poll, Log: zap.NewNop(), Name: host, Peers: func() []string { return others }}
 	f.Register()
 	lis, err := network.Listen(addr(i))
 	if err != nil {
@@ -161,6 +161,30 @@
 	})
 }
 
+// All nodes of a site are started at once, by a script. Did they read the table in the same moments from then on, each of
+// them would be the first to see every change, and would push it to all others; and a change would wait for an interval
+// although there are many readers.
+func TestNodesThatStartTogetherReadApart(t *testing.T) {
+	withTeam(t, func(ctx context.Context, t *testing.T, m *team) {
+		m.write(t, "a", 1)
+		for _, f := range m.nodes {
+			go f.Run(ctx)
+		}
+		time.Sleep(2*poll + apart)
+		m.reset()
+		m.write(t, "a", 2)
+		time.Sleep(2 * poll)
+		for i, f := range m.nodes {
+			if got, want := share(f, "a"), 2; got != want {
+				t.Errorf("node %d: share = %d, want %d", i, got, want)
+			}
+		}
+		if pushers, total := m.pushed(); pushers != 1 || total != followers-1 {
+			t.Errorf("got %d pushes by %d nodes for one change, want %d by 1", total, pushers, followers-1)
+		}
+	})
+}
+
 // A node holds a row by a push while it misses an earlier one, and its tail then brings both. The row that it knew is not
 // passed on. A third node that lost the push of that row must not take the rest for all there was up to the tail's
 // revision: it would miss an accepted change for good, and callers would be treated differently node by node.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 	c := n.Conf
 	n.share = &share.Share{Mesh: n.mesh, Self: n.self, Peers: n.peers, Learn: n.learn}
 	n.follow = &follow.Follow{
-		Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Peers: n.peers,
+		Table: n.Table, Mesh: n.mesh, Poll: c.Poll, Log: n.Log, Name: c.Node, Peers: n.peers,
 		Seeds: c.Seeds, Objects: n.Objects, Chosen: n.chosen,
 	}
 	n.follow.Register()
