Report the use of a limit to its home alone

Cause: each node told every other each second what it used of its limits: n x (n-1) messages a second, 176 KB/s at a node of 217 with 12 limited adapters in use (docs/CAPACITY.md). Change: a limit has a home by rendezvous hash over the sessions. Nodes report their use to it twice a second and hear what the others used, so that what a node knows is at most 1 s old, as before; before the first call in a while it asks. Where the home is silent a node's use grows by no more than its part of what was left; a former home's word counts for a minute beside its successor's; a home that may not have heard of all says so. limit.Others is replaced by Learn, and the test that used it by the same with Learn, bounds unchanged. Nodes of the release before do not know the method 'limits': while a site is being renewed, old and new nodes hold a limit apart. Left: nodes that begin within a minute of a home's being killed do not learn of what it used itself.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -1,7 +1,8 @@
 // Package admit holds callers to their limits at the node they reach.
 //
-// Every node counts what passes through it and tells the others each second, so that a limit holds over all nodes to
-// the bound that package limit states, without a message for each request.
+// Every node counts what passes through it. Of each limit in use it tells one node, the home of the adapter or tenant by
+// rendezvous hash, twice a second, and hears from it what the others used, so that a limit holds over all nodes to the
+// bound that package limit states, without a message for each request.
 package admit
 
 import (
@@ -9,20 +10,22 @@
 	"crypto/rand"
 	"time"
 
+	mrand "math/rand/v2"
+
+	"github.com/ansel1/merry/v2"
+
 	"damaskreach/internal/call"
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/limit"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/sess"
+	"damaskreach/internal/sums"
 	"damaskreach/internal/turns"
 	"damaskreach/pkg/refuse"
 )
 
-const (
-	methodUsed = "used"
-	every      = time.Second
-	askTimeout = time.Second
-)
+var errReport = merry.Sentinel("limits: a report without an amount for each key")
 
 // Admit is a node's part in limits. The fields are set before Register and not changed afterwards.
 type Admit struct {
@@ -30,47 +33,36 @@
 	Mesh *peer.Mesh
 	// Catalog returns the configuration in force.
 	Catalog func() catlog.Catalog
+	// Self is this node's address.
+	Self string
 	// Peers returns the addresses of the site's other nodes.
 	Peers func() []string
+	// Serving returns the site's nodes that take part, of which each limit has its home.
+	Serving func() []sess.Session
 
 	limit *limit.Limit // control state
-	sent  bool         // the last report was not empty
+	sums  *sums.Sums   // control state
+	life  uint32       // tells this process from another at its address
+	homes homes
+	sent  map[string]bool // keys of the last report; of Run alone
 }
 
-type usedSaid struct{}
-
 // Register takes other nodes' use.
 func (a *Admit) Register() {
 	a.limit = limit.NewLimit(limit.Learnt)
-	peer.Answer(a.Mesh, methodUsed, func(ctx context.Context, from string, used map[string]float64) (usedSaid, error) {
-		peers := len(a.Peers())
-		return usedSaid{}, a.Loop.Do(ctx, func() { a.limit.Others(time.Now(), from, used, peers) })
-	})
+	a.sums = sums.NewSums(time.Now())
+	a.life = mrand.Uint32()
+	a.register()
 }
 
-// Run tells the other nodes what this one used, until ctx ends.
+// Run tells the homes of limits what this node used, until ctx ends.
 func (a *Admit) Run(ctx context.Context) {
-	for range turns.Every(ctx, every) {
+	for range turns.Now(ctx, every, nil) {
+		a.look(ctx)
 		a.tell(ctx)
 	}
 }
 
-// tell sends nothing while nothing limited is used, but for one empty report that ends the last one.
-func (a *Admit) tell(ctx context.Context) {
-	used, err := loop.Get(ctx, a.Loop, func() map[string]float64 { return a.limit.Used(time.Now()) })
-	if err != nil || len(used) == 0 && !a.sent {
-		return
-	}
-	a.sent = len(used) > 0
-	for _, addr := range a.Peers() {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			_ = a.Mesh.Ask(ctx, addr, methodUsed, used, &usedSaid{}) // the next second repeats it
-		}()
-	}
-}
-
 // Ask charges a call to its adapter and tenant, or refuses it. The function it returns must be called once: with the
 // answer's tokens, or with ran false where the call did not run and costs nothing.
 func (a *Admit) Ask(ctx context.Context, c call.Call) (done func(tokens int, ran bool), refusal *refuse.Refusal) {
@@ -82,7 +74,12 @@
 	}
 	c = c.WithoutBody()
 	c.ID = rand.Text() // callers may give two requests one id
-	refusal, err := loop.Get(ctx, a.Loop, func() *refuse.Refusal { return a.limit.Admit(time.Now(), c, adapter, owner) })
+	unheard, err := loop.Get(ctx, a.Loop, func() []string { return a.limit.Unheard(time.Now(), adapter, owner) })
+	if err != nil {
+		return func(int, bool) {}, nil
+	}
+	a.first(ctx, unheard)
+	refusal, err = loop.Get(ctx, a.Loop, func() *refuse.Refusal { return a.limit.Admit(time.Now(), c, adapter, owner) })
 	if err != nil || refusal != nil {
 		return func(int, bool) {}, refusal
 	}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -29,7 +29,7 @@
 	meters map[string]*meter
 	means  map[string]*mean   // answer tokens by adapter and by tenant
 	open   map[string]*charge // by request id
-	peers  int                // other nodes that were heard of within the last minute
+	peers  int                // other nodes that share the limits
 }
 
 // charge is what a request was charged when it was admitted.
@@ -63,12 +63,7 @@
 // Admit charges a call to its adapter and tenant, or refuses it and says when it would fit.
 func (l *Limit) Admit(now time.Time, c call.Call, a adapt.Adapter, t tenant.Tenant) *refuse.Refusal {
 	booked := l.expect(now, c)
-	bounds := []bound{
-		{key: requestKey(adapterKey(a.Name)), name: "adapter " + a.Name, unit: "requests", limit: float64(a.Requests), need: 1},
-		{key: tokenKey(adapterKey(a.Name)), name: "adapter " + a.Name, unit: "answer tokens", limit: float64(a.Tokens), need: booked.mean},
-		{key: requestKey(tenantKey(t.Name)), name: "tenant " + t.Name, unit: "requests", limit: float64(t.Requests), need: 1},
-		{key: tokenKey(tenantKey(t.Name)), name: "tenant " + t.Name, unit: "answer tokens", limit: float64(t.Tokens), need: booked.mean},
-	}
+	bounds := boundsOf(a, t, booked.mean)
 	if refusal := l.longest(now, bounds); refusal != nil {
 		return refusal
 	}
@@ -76,6 +71,16 @@
 	return nil
 }
 
+// boundsOf returns the limits of a call that is expected to take so many answer tokens.
+func boundsOf(a adapt.Adapter, t tenant.Tenant, tokens float64) []bound {
+	return []bound{
+		{key: requestKey(adapterKey(a.Name)), name: "adapter " + a.Name, unit: "requests", limit: float64(a.Requests), need: 1},
+		{key: tokenKey(adapterKey(a.Name)), name: "adapter " + a.Name, unit: "answer tokens", limit: float64(a.Tokens), need: tokens},
+		{key: requestKey(tenantKey(t.Name)), name: "tenant " + t.Name, unit: "requests", limit: float64(t.Requests), need: 1},
+		{key: tokenKey(tenantKey(t.Name)), name: "tenant " + t.Name, unit: "answer tokens", limit: float64(t.Tokens), need: tokens},
+	}
+}
+
 // longest returns the refusal with the longest wait: the call fits once all limits have room.
 func (l *Limit) longest(now time.Time, bounds []bound) *refuse.Refusal {
 	var worst *refuse.Refusal
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -80,17 +80,21 @@
 	row := tenant.Tenant{Name: "t", Requests: allowed}
 	var all []*limit.Limit
 	for range nodes {
-		all = append(all, limit.NewLimit(limit.Learnt))
+		l := limit.NewLimit(limit.Learnt)
+		l.Among(nodes - 1)
+		all = append(all, l)
 	}
 	admitted, serial := 0, 0
 	for second := range 50 {
 		now := start.Add(time.Duration(second) * time.Second)
 		for i, to := range all {
+			elsewhere := map[string]float64{"requests/tenant/t": 0}
 			for k, from := range all {
 				if i != k {
-					to.Others(now, fmt.Sprint(k), from.Used(now), nodes-1)
+					elsewhere["requests/tenant/t"] += from.Used(now)["requests/tenant/t"]
 				}
 			}
+			to.Learn(now, "home", true, elsewhere)
 		}
 		for range 20 {
 			for _, l := range all {
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Used returns what this node used of each limit within the last minute, for the other nodes.
+// Used returns what this node used of each limit within the last minute, for the homes of the limits.
 func (l *Limit) Used(now time.Time) map[string]float64 {
+	l.trim(now)
 	all := map[string]float64{}
 	for key, m := range l.meters {
 		if own := m.own(now); own > 0 {
@@ -13,23 +14,6 @@
 	return all
 }
 
-// Others takes in what another node used, and the number of other nodes there are.
-// With an exchange every second the nodes together pass a limit by at most one request a node,
-// and by what answers turn out longer than expected.
-func (l *Limit) Others(now time.Time, node string, used map[string]float64, peers int) {
-	l.peers = peers
-	for key := range used {
-		l.meter(key)
-	}
-	for key, m := range l.meters {
-		if m.others == nil {
-			m.others = map[string]other{}
-		}
-		m.others[node] = other{used: used[key], at: now}
-	}
-	l.trim(now)
-}
-
 // trim drops meters that hold nothing any more.
 func (l *Limit) trim(now time.Time) {
 	for key, m := range l.meters {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,7 +207,10 @@
 	}
 	n.ledger = &ledger.Ledger{Site: c.Site, Mesh: n.mesh, Table: n.Table, Log: n.Log, Home: n.home.Of}
 	n.asker = &asker.Asker{Mesh: n.mesh, Peers: n.peers, Own: n.explain, Kept: n.ledger.Find}
-	n.admit = &admit.Admit{Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Peers: n.peers}
+	n.admit = &admit.Admit{
+		Loop: n.loop, Mesh: n.mesh, Catalog: n.follow.Catalog, Self: c.Peer, Peers: n.peers,
+		Serving: func() []sess.Session { all, _ := n.serving(n.ctx, ""); return all }, // none when the node has stopped
+	}
 	n.relay = &relay.Relay{Mesh: n.mesh, Self: n.self, Local: n.owner.Run}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -68,7 +69,9 @@
 	q := &run{sim: &agenda.Queue{}, rand: rand.New(rand.NewPCG(seed, 7))}
 	q.Way, q.Nodes, q.Demand = way, nodes, demand
 	for range nodes {
-		q.nodes = append(q.nodes, limit.NewLimit(way))
+		l := limit.NewLimit(way)
+		l.Among(nodes - 1)
+		q.nodes = append(q.nodes, l)
 	}
 	rate := demand * quotaTokens / quotaMean / 60
 	for at := 0.0; at < quotaSpan.Seconds(); at += q.rand.ExpFloat64() / rate {
@@ -93,7 +96,9 @@
 	q.Asked++
 	c := call.Call{ID: fmt.Sprint(q.Asked), Adapter: "a", Tenant: "t", Most: quotaMost}
 	l := q.nodes[node]
-	refusal := l.Admit(q.sim.Clock(), c, adapt.Adapter{Name: "a", Tokens: quotaTokens}, tenant.Tenant{Name: "t"})
+	a, t := adapt.Adapter{Name: "a", Tokens: quotaTokens}, tenant.Tenant{Name: "t"}
+	q.first(l, l.Unheard(q.sim.Clock(), a, t))
+	refusal := l.Admit(q.sim.Clock(), c, a, t)
 	if refusal != nil {
 		q.Refused++
 		if q.window()+q.flying+tokens <= quotaTokens {
@@ -119,16 +124,40 @@
 	return sum
 }
 
-// exchange lets the nodes tell each other what they used.
+// exchange lets every node ask what the others used.
 func (q *run) exchange() {
-	for i, from := range q.nodes {
-		used := from.Used(q.sim.Clock())
-		for k, to := range q.nodes {
-			if k != i {
-				to.Others(q.sim.Clock(), fmt.Sprint(i), used, len(q.nodes)-1)
-			}
+	all := map[string]float64{}
+	for _, l := range q.nodes {
+		for key, used := range l.Used(q.sim.Clock()) {
+			all[key] += used
 		}
 	}
+	for _, l := range q.nodes {
+		q.tell(l, all)
+	}
+}
+
+// tell tells a node what the others used of all that was used.
+func (q *run) tell(l *limit.Limit, all map[string]float64) {
+	elsewhere := maps.Clone(all)
+	own := l.Used(q.sim.Clock())
+	for key := range elsewhere {
+		elsewhere[key] -= own[key]
+	}
+	l.Learn(q.sim.Clock(), "home", true, elsewhere)
+}
+
+// first tells a node of the keys that it begins to use.
+func (q *run) first(l *limit.Limit, keys []string) {
+	all := map[string]float64{}
+	for _, key := range keys {
+		for _, from := range q.nodes {
+			all[key] += from.Used(q.sim.Clock())[key]
+		}
+	}
+	if len(keys) > 0 {
+		q.tell(l, all)
+	}
 }
 
 func (q *run) figures() Quota {
--- a/internal/stand/site/limit_test.go
+++ b/internal/stand/site/limit_test.go
@@ -29,7 +29,7 @@
 		if err := s.Start(ctx, 2); err != nil {
 			t.Fatal(err)
 		}
-		limitAdapter(ctx, t, s)
+		limitAdapter(ctx, t, s, limitRate)
 		for i := range limitNodes {
 			s.StartNode(ctx, i)
 		}
@@ -59,14 +59,14 @@
 	})
 }
 
-func limitAdapter(ctx context.Context, t *testing.T, s *site.Site) {
+func limitAdapter(ctx context.Context, t *testing.T, s *site.Site, rate int) {
 	t.Helper()
 	old, err := s.DB.Table().Read(ctx, table.PrefixConf+"adapter/"+site.AdapterName(1))
 	if err != nil {
 		t.Fatal(err)
 	}
 	row := site.Row("adapter", site.AdapterName(1), adapt.Adapter{
-		Name: site.AdapterName(1), Tenant: site.Tenant, Group: site.Writers, Versions: map[string]int{"v1": 1}, Requests: limitRate,
+		Name: site.AdapterName(1), Tenant: site.Tenant, Group: site.Writers, Versions: map[string]int{"v1": 1}, Requests: rate,
 	})
 	row.Rev = old.Rev
 	if _, err := s.DB.Table().Write(ctx, row); err != nil {
--- a/test/slopes/page_test.go
+++ b/test/slopes/page_test.go
@@ -143,7 +143,7 @@
 		{"keeping connections to every node, and what is sent to each every second beside digests", s.mesh.a * (siteNodes - 1) / 1000},
 		{"from the table: sessions, each renewed every 5 s and read by each node", siteNodes / 5 * float64(f.row) / 1000},
 		{"configuration changes, pushed between nodes", changes / day * s.change.at(siteNodes-1) / 1000},
-		{"limits: what 12 adapters used, to each other node each second", 2 * (siteNodes - 1) * float64(f.used) / 1000},
+		{"limits: what 12 adapters used, to the home of each twice a second, and the same as a home", 2 * 2 * 12 * float64(f.used) / 1000},
 		{"from the table: configuration changes", changes / day * float64(len(adapterRow(1).Value)+80) / 1000},
 	}
 	var b strings.Builder
--- a/test/slopes/slopes_test.go
+++ b/test/slopes/slopes_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"damaskreach/internal/call"
+	"damaskreach/internal/frame"
 	"damaskreach/internal/rows"
 )
 
@@ -87,7 +88,7 @@
 	change                                          figure
 	bytes                                           int // of one digest on the wire
 	row                                             int // of a session row with its key
-	used                                            int // bytes of a report of what 12 adapters used of their limits
+	used                                            int // bytes of a report of what one adapter used of its limit, and of the answer
 }
 
 func measureParts(t *testing.T) figures {
@@ -136,11 +137,9 @@
 
 func measureSmall(f *figures) {
 	f.bytes = len(encoded(newDigest(1234)))
-	used := map[string]float64{}
-	for i := range int(math.Round(ownRequests)) {
-		used["adapter/"+model(i)] = float64(i)
-	}
-	f.used = len(encoded(used))
+	question := map[string]any{"l": uint32(1 << 31), "k": []string{"requests/adapter/" + model(1)}, "u": []float64{1}}
+	answer := map[string]any{"l": uint32(1 << 31), "s": true, "u": []float64{1}}
+	f.used = 2*frame.Overhead + len("limits") + 1 + len(encoded(question)) + len(encoded(answer))
 	s := session(1)
 	f.row = len(s.Key()) + len(s.Encode())
 	f.learn = newFigure("decoding and learning digests", "us", siteRunners, []float64{15, 300, 1667}, func(n int) float64 {
