--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 	"damaskreach/internal/catlog"
 	"damaskreach/internal/object"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 	"damaskreach/internal/turns"
 )
@@ -28,6 +31,8 @@
 	Mesh  *peer.Mesh
 	Poll  time.Duration
 	Log   *zap.Logger
+	// Name is the node's; it says when within the interval this node reads.
+	Name string
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
 	// Seeds are addresses of nodes to ask while no others are known; see askPeer.
@@ -55,18 +60,40 @@
 }
 
 // Run follows the table until ctx ends.
+//
+// A site's nodes are often started in the same moment. Did they go on to read in the same moments, each would be the
+// first to see every change and push it to all others; therefore each waits for its own part of the interval once.
 func (f *Follow) Run(ctx context.Context) {
 	f.loadSnapshot(ctx)
 	go f.keepSnapshots(ctx)
+	f.turn(ctx)
+	select {
+	case <-time.After(phase(f.Name, f.Poll)):
+	case <-ctx.Done():
+		return
+	}
 	for range turns.Now(ctx, f.Poll, nil) {
-		if err := f.Read(ctx); err != nil {
-			f.Log.Warn("reading the configuration tail failed; a peer is asked", zap.Error(err))
-			f.askPeer(ctx)
-		}
+		f.turn(ctx)
+	}
+}
+
+func (f *Follow) turn(ctx context.Context) {
+	if err := f.Read(ctx); err != nil {
+		f.Log.Warn("reading the configuration tail failed; a peer is asked", zap.Error(err))
+		f.askPeer(ctx)
 	}
 }
 
-// Read takes all changes since the last reading and passes them on.
+// phase returns a part of the interval by the hash of a name.
+func phase(name string, interval time.Duration) time.Duration {
+	sum := sha256.Sum256([]byte(name))
+	return time.Duration(binary.BigEndian.Uint64(sum[:]) % uint64(interval))
+}
+
+// Read takes all changes since the last reading and passes on those that were not in force before.
+//
+// A tail brings what a peer has pushed meanwhile once more, and the table's revision rises with every session that is
+// renewed: neither tells what is news. Were known rows passed on, each of n nodes might push one change to all others.
 func (f *Follow) Read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -78,10 +105,12 @@
 	if err != nil {
 		return err
 	}
-	news := f.update(func(c catlog.Catalog) (catlog.Catalog, []error) { return c.WithTail(changed, after, rev) })
-	if news {
-		f.spread(ctx, push{After: after, UpTo: rev, Rows: changed})
-	}
+	var news []rows.Row
+	f.update(func(c catlog.Catalog) (catlog.Catalog, []error) {
+		news = c.News(changed)
+		return c.WithTail(changed, after, rev)
+	})
+	f.spread(ctx, newPush(news, push{After: after, UpTo: rev, Rows: changed}))
 	return nil
 }
 
@@ -94,15 +123,13 @@
 	return nil
 }
 
-// update puts changes in force and reports whether any of them was new.
-func (f *Follow) update(change func(c catlog.Catalog) (catlog.Catalog, []error)) bool {
+// update puts changes in force.
+func (f *Follow) update(change func(c catlog.Catalog) (catlog.Catalog, []error)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.catalog.Rev()
 	next, faults := change(f.catalog)
 	f.catalog = next
 	for _, fault := range faults {
 		f.Log.Warn("a configuration row was rejected; the last good one stays", zap.Error(fault))
 	}
-	return next.Rev() > before
 }
