Let the last outcome be written before the expiry test kills a node

Cause: TestClaimsExpire killed a node in the moment of the last booking's answer. The outcome is written after the answer, so where the node killed is that booking's entry its repeat is told, truly, that the outcome is unknown. Which node is killed depends on random session ids. Change: a second passes before the kill; every assertion stays. TestNodeDiesHoldingAClaim kills at 15 moments around a claim and demands the true answer for each.

--- a/test/deliv/expire_test.go
+++ b/test/deliv/expire_test.go
@@ -23,6 +23,7 @@
 		for i := range 50 {
 			f.Book(t.Context(), i%4, fmt.Sprintf("key-%d", i), fmt.Sprintf(`{"slot":%d}`, i))
 		}
+		pass(time.Second) // for the last outcome to be written; TestNodeDiesHoldingAClaim kills its node before
 		f.Kill((f.Owner("booking-0") + 1) % 4)
 		alive := f.Owner("booking-0")
 		pass(50 * time.Minute)
