Compare policies on whole sites

Cause: the policies were measured on the decision packages alone; what late digests, messages, leases and takeovers leave of their gain was known from the demo only. Change: package replay plays a trace against nodes, stand-in engines and a weight store in virtual time; a node's policy is a field that only comparisons set. make bench-sites prints ten minutes of both sites; make test holds the current policy to the baseline's first token and loads on a short run.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 FUZZTIME ?= 10s
 SKIP ?=
 
-.PHONY: all build test check bench soak soak-delivery slopes fuzz demo site site-stop fmt clean
+.PHONY: all build test check bench bench-sites soak soak-delivery slopes fuzz demo site site-stop fmt clean
 
 all: build
 
@@ -23,7 +23,7 @@
 
 test:
 	$(GO) test -race -short $(PASS_OVER) $$($(GO) list ./... | grep -v 'test/deliv$$\|internal/demo$$')
-	$(GO) test $(PASS_OVER) ./internal/demo ./internal/stand/site ./internal/soak ./test/deliv
+	$(GO) test $(PASS_OVER) ./internal/demo ./internal/replay ./internal/stand/site ./internal/soak ./test/deliv
 	$(GO) test -race -run $(UNDER_RACE) $(PASS_OVER) ./test/deliv
 
 check:
@@ -43,6 +43,11 @@
 	$(GO) test -run '^$$' -bench . ./internal/wire
 	$(GO) test -count=1 -v -run 'Traffic|Bytes|Allocations' ./internal/stand/site
 
+# bench-sites compares the baseline and the current policy on whole sites, ten minutes of virtual time each, some five
+# minutes of real time.
+bench-sites:
+	$(GO) test ./internal/replay -count=1 -v -timeout 30m -run TestPoliciesOnWholeSites -span 10m
+
 fuzz:
 	scripts/fuzz.sh $(FUZZTIME)
 
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -15,6 +15,7 @@
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/permit"
+	"damaskreach/internal/policy"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/strm"
 )
@@ -29,6 +30,8 @@
 type Grant struct {
 	Loop *loop.Loop
 	Mesh *peer.Mesh
+	// Policy says in which order loads are granted.
+	Policy policy.Policy
 	// Rate returns how many loads a second a weight store allows.
 	Rate func(store string) float64
 	// Home returns the node that a key hashes to and whether it is this one.
@@ -165,7 +168,7 @@
 func (g *Grant) store(name string) *store {
 	s := g.stores[name]
 	if s == nil {
-		s = &store{loads: loads.NewLoads(g.Rate(name), permitTerm), waiting: map[ask]chan struct{}{}, asked: map[ask]string{}, granted: map[ask]bool{}}
+		s = &store{loads: loads.NewVariant(g.Rate(name), permitTerm, g.Policy), waiting: map[ask]chan struct{}{}, asked: map[ask]string{}, granted: map[ask]bool{}}
 		g.stores[name] = s
 	}
 	return s
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/grant"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/policy"
 	"damaskreach/internal/sess"
 )
 
@@ -99,7 +100,7 @@
 	g := &grant.Grant{
 		Loop: l,
 		Mesh: peer.NewMesh("node", [][]byte{[]byte("key")}, noDial, zap.NewNop()),
-		Rate: func(string) float64 { return 3 },
+		Rate: func(string) float64 { return 3 }, Policy: policy.Current(),
 		Home: func(context.Context, string) (sess.Session, bool, error) { return sess.Session{}, true, nil },
 	}
 	g.Register()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"damaskreach/internal/owner"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/place"
+	"damaskreach/internal/policy"
 	"damaskreach/internal/query"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/relay"
@@ -65,6 +66,8 @@
 	Objects object.Object
 	// Connect returns the way to a runner.
 	Connect func(r runner.Runner) engine.Engine
+	// Policy is the variant of placement and scheduling; only comparisons change it.
+	Policy policy.Policy
 
 	loop    *loop.Loop
 	mesh    *peer.Mesh
@@ -111,6 +114,7 @@
 		Hosts:   hosts.NewHosts(c.Hosts, dial),
 		Objects: object.NewObject(c.Objects, dial),
 		Connect: func(r runner.Runner) engine.Engine { return engine.NewEngine(r.Addr, dial) },
+		Policy:  policy.Current(),
 		drain:   make(chan struct{}),
 		ready:   make(chan struct{}),
 	}
@@ -186,15 +190,15 @@
 	n.home = &home.Home{
 		Ctx: n.ctx, Alone: n.suspect.Alone, Suspect: n.suspect.Refusal,
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Log: n.Log, Note: n.note,
-		Place: place.NewPlace(tune.Default()), Tune: n.tune, Known: n.known,
+		Place: place.NewVariant(tune.Default(), n.Policy), Tune: n.tune, Known: n.known,
 	}
-	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate}
+	n.grant = &grant.Grant{Loop: n.loop, Mesh: n.mesh, Home: n.home.Of, Rate: n.storeRate, Policy: n.Policy}
 	n.owner = &owner.Owner{
 		Site: c.Site, MaxRequest: c.MaxRequest, ReportLag: reportLag, Poll: c.Poll,
 		Loop: n.loop, Lease: n.lease, Table: n.Table, Members: n.members, Log: n.Log,
 		Catalog: n.follow.Catalog, Connect: n.Connect, Permit: n.permit, Busy: n.busy, Gone: n.watch.Gone, Leaving: n.watch.Leaving,
 		Note: n.note, Started: n.meter.Started, Changed: n.changed, Copies: n.home.Place.Copies, Pause: n.pause,
-		Enter: n.suspect.Enter, Suspects: n.suspect.Waiting,
+		Enter: n.suspect.Enter, Suspects: n.suspect.Waiting, Policy: n.Policy,
 	}
 	n.extend = &extend.Extend{
 		Loop: n.loop, Lease: n.lease, Members: n.members, Mesh: n.mesh, Gone: n.watch.Gone, Term: c.Lease, Every: c.Renew, Log: n.Log,
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -55,7 +55,7 @@
 		session:  row.Session,
 		row:      row,
 		rev:      rev,
-		sched:    sched.NewSched(r, o.tune),
+		sched:    sched.NewVariant(r, o.tune, o.Policy),
 		engine:   o.Connect(r),
 		attempts: map[string]*attempt{},
 		formers:  map[string]*former{},
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,6 +23,7 @@
 	"damaskreach/internal/lease"
 	"damaskreach/internal/loop"
 	"damaskreach/internal/member"
+	"damaskreach/internal/policy"
 	"damaskreach/internal/reason"
 	"damaskreach/internal/runner"
 	"damaskreach/internal/table"
@@ -56,6 +57,7 @@
 	MaxRequest time.Duration // longest allowed request
 	ReportLag  time.Duration // how late an engine's report may be at the most
 	Poll       time.Duration // interval of readings of sessions and ownership rows
+	Policy     policy.Policy // of the schedulers
 
 	Loop    *loop.Loop
 	Lease   *lease.Lease
--- a/internal/stand/engsim/engsim.go
+++ b/internal/stand/engsim/engsim.go
@@ -61,6 +61,7 @@
 	wrong   []recrd.Record
 	unloads []recrd.Record
 	past    []snapshot
+	stepped int // steps made
 }
 
 // NewEngine returns an engine with nothing loaded and middling settings.
--- a/internal/stand/engsim/step.go
+++ b/internal/stand/engsim/step.go
@@ -73,6 +73,7 @@
 func (e *Engine) advance(b *boot) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stepped++
 	left := b.running[:0]
 	for _, r := range b.running {
 		r.done = min(r.done+1, r.total)
@@ -89,6 +90,13 @@
 	e.note()
 }
 
+// Steps returns how many steps the engine has made.
+func (e *Engine) Steps() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stepped
+}
+
 // progress returns how many tokens of r are generated.
 func (e *Engine) progress(r *run) int {
 	e.mu.Lock()
