Go on serving a model whose unload could not be announced

Cause: on engines that ignore fences an unload is written into the ownership row before it is sent. Where the write failed, the model was held for unloaded until a repetition worked, although nothing had been sent and the engine had it. In an outage of the table service each runner so lost a resident model to the first request that needed a slot, and a second to a second one; their callers waited, or were refused, until the outage was over.

Change: an unload that was not sent is taken back (sched.Kept), unless an earlier one of the model was sent and failed.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -138,10 +138,15 @@
 	row, rev := h.row.WithUnload(model), h.rev
 	go func() {
 		rev, err := o.writeRow(row, rev)
-		if err == nil {
-			_ = o.Loop.Post(func() { o.wrote(h, row, rev) })
-			err = o.sendUnload(h, model)
+		if err != nil {
+			_ = o.Loop.Post(func() {
+				delete(o.busy, h.spec.Name)
+				o.unsent(h, model, err)
+			})
+			return
 		}
+		_ = o.Loop.Post(func() { o.wrote(h, row, rev) })
+		err = o.sendUnload(h, model)
 		_ = o.Loop.Post(func() {
 			delete(o.busy, h.spec.Name)
 			o.unloaded(h, model, err)
@@ -149,6 +154,16 @@
 	}()
 }
 
+// unsent takes back an unload that could not be announced. The write may still take effect: the row then names an unload
+// that never comes, and a successor starts nothing on the model until this node is known to have stopped.
+func (o *Owner) unsent(h *held, model string, err error) {
+	delete(h.orders, model)
+	o.Log.Warn("announcing an unload failed; the model stays", zap.String("runner", h.spec.Name), zap.String("model", model), zap.Error(err))
+	o.carry(h, h.sched.Kept(time.Now(), model))
+	o.writeNext(h)
+	o.dropClosed()
+}
+
 func (o *Owner) wrote(h *held, written assign.Assignment, rev int64) {
 	h.rev = max(h.rev, rev)
 	h.row.Unload = written.Unload
--- a/internal/sched/digest.go
+++ b/internal/sched/digest.go
@@ -18,7 +18,7 @@
 		Running: len(s.running),
 		Waiting: len(s.queue),
 		Closed:  s.closed != "",
-		Stuck:   !s.stuck.IsZero(),
+		Stuck:   s.blocked(now),
 	}
 	if m := s.victim(now); m != nil {
 		d.Cheap = s.worth(now, m)
--- a/internal/sched/hold_test.go
+++ b/internal/sched/hold_test.go
@@ -98,6 +98,49 @@
 	}
 }
 
+// The table service is down, so that an unload cannot be announced and is not sent. The model is as loaded as before, and a
+// caller that asks for it would be refused until the end of the outage if it were held for unloaded. Nor may the engine's
+// order be tried on one model after the other without a pause.
+func TestUnsentUnloadLeavesItsModelInUse(t *testing.T) {
+	s := booted(1, 4, tune.Default())
+	s.Submit(at(0), ask("a1", "red"))
+	s.Loaded(at(time.Second), "red@1", nil)
+	s.Finish(at(2*time.Second), "a1", 10)
+	if got, want := len(kinds(s.Submit(at(3*time.Second), ask("a2", "blue")), order.Unload)), 1; got != want {
+		t.Fatalf("unloads for a request: got %d, want %d", got, want)
+	}
+	if got, want := len(kinds(s.Kept(at(4*time.Second), "red@1"), order.Unload)), 0; got != want {
+		t.Errorf("unloads right after one that was not sent: got %d, want %d", got, want)
+	}
+	if got, want := len(kinds(s.Submit(at(4100*time.Millisecond), ask("a3", "red")), order.Start)), 1; got != want {
+		t.Errorf("starts on the model: got %d, want %d", got, want)
+	}
+	s.Finish(at(5*time.Second), "a3", 10)
+	var refused []order.Order
+	tries := 0
+	for now := 6 * time.Second; now < 20*time.Second; now += 50 * time.Millisecond {
+		orders := s.Tick(at(now))
+		tries += len(kinds(orders, order.Unload))
+		orders = append(orders, s.Kept(at(now), "red@1")...)
+		refused = append(refused, kinds(orders, order.Refuse)...)
+	}
+	wantNoRoom(t, "request that waited", refused)
+	if most := 10; tries > most {
+		t.Errorf("tries of an unload in 14 s: got %d, want at most %d", tries, most)
+	}
+	for when, want := range map[time.Duration]bool{20 * time.Second: true, 31 * time.Second: false} {
+		if got := s.Digest(at(when)).Stuck; got != want {
+			t.Errorf("digest's word of the runner %s after the start: got stuck %v, want %v", when, got, want)
+		}
+	}
+	if got, want := len(kinds(s.Submit(at(31*time.Second), ask("a4", "blue")), order.Unload)), 1; got != want {
+		t.Fatalf("unloads for a later request: got %d, want %d", got, want)
+	}
+	if got, want := len(kinds(s.Unloaded(at(32*time.Second), "red@1", nil), order.Load)), 1; got != want {
+		t.Errorf("loads after the outage: got %d, want %d", got, want)
+	}
+}
+
 // wantNoRoom demands one refusal for want of room, as not run and with a time to come back.
 func wantNoRoom(t *testing.T, what string, refused []order.Order) {
 	t.Helper()
--- a/internal/sched/loaded.go
+++ b/internal/sched/loaded.go
@@ -72,7 +72,7 @@
 		return s.plan(now)
 	}
 	if err == nil {
-		m.refused = 0
+		m.refused, m.gone, s.kept = 0, false, 0
 		s.turn(now, m, absent)
 		return s.plan(now)
 	}
@@ -80,3 +80,22 @@
 	m.again = now.Add(firstBackoff)
 	return s.plan(now)
 }
+
+// Kept ends an Unload order that was never sent: the model is resident as before and serves requests. The next unload waits
+// a little. Where orders must be announced in the table service and it is down, models whose unload is under way would be
+// of no use to anybody until the end of the outage.
+func (s *Sched) Kept(now time.Time, name string) []order.Order {
+	m := s.models[name]
+	if m == nil || m.state != unloading {
+		return s.plan(now)
+	}
+	s.kept++
+	s.unloads = now.Add(backoff(s.kept))
+	if m.refused > 0 {
+		m.again = s.unloads // an earlier order was sent, and the model may be gone
+		return s.plan(now)
+	}
+	s.turn(now, m, resident)
+	m.lost, m.gone = m.gone, false
+	return s.plan(now)
+}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -37,6 +37,7 @@
 	after    time.Time // no load before
 	again    time.Time // when a failed unload is repeated; zero while none is
 	refused  int       // unloads in a row that failed
+	gone     bool      // the engine did not list it when its unload was ordered or since
 	demand   decay.Count
 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -16,12 +16,12 @@
 	}
 	s.refuseFailing(now)
 	s.refuseLate(now)
-	s.refuseStuck(now)
 	s.start(now)
 	s.shed(now)
 	s.unloadAgain(now)
 	s.unloadLost(now)
 	s.loadWanted(now)
+	s.refuseStuck(now)
 	s.loadAhead(now)
 	return s.take()
 }
--- a/internal/sched/referee_test.go
+++ b/internal/sched/referee_test.go
@@ -1,7 +1,6 @@
 package sched_test
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -34,6 +33,8 @@
 	running map[string]call.Call
 	loads   []string
 	unloads []string
+	sent    map[string]bool // models of which an unload was sent and failed
+	emptied map[string]bool // models the engine lost whose unload is under way
 	log     []order.Order
 }
 
@@ -47,6 +48,8 @@
 	r.s = sched.NewSched(runner.Runner{Name: "r1", Group: "g", Slots: slots, Batch: batch}, tu)
 	r.held = map[string]string{}
 	r.pinned = map[string]bool{}
+	r.sent = map[string]bool{}
+	r.emptied = map[string]bool{}
 	r.queued = map[string]call.Call{}
 	r.running = map[string]call.Call{}
 	r.report()
@@ -113,6 +116,7 @@
 	if !repeated && r.held[o.Model] != "resident" && r.held[o.Model] != "lost" || r.inUse(o.Model) > 0 || r.pinned[o.Model] {
 		r.t.Fatalf("unload of %s: state %q, %d in use, pinned %t", o.Model, r.held[o.Model], r.inUse(o.Model), r.pinned[o.Model])
 	}
+	r.emptied[o.Model] = r.emptied[o.Model] || r.held[o.Model] == "lost"
 	r.held[o.Model] = "unloading"
 	r.unloads = append(r.unloads, o.Model)
 }
@@ -136,7 +140,7 @@
 		clear(r.pinned)
 	}
 	for model, state := range r.held {
-		if state == "resident" || state == "unloading" {
+		if state == "resident" || state == "unloading" && !r.emptied[model] {
 			rep.Resident = append(rep.Resident, model)
 		}
 	}
@@ -155,7 +159,7 @@
 	case 6:
 		r.confirmLoad(rapid.IntRange(0, 3).Draw(r.t, "luck") == 0)
 	case 7:
-		r.confirmUnload(rapid.IntRange(0, 3).Draw(r.t, "luck") == 0)
+		r.confirmUnload(rapid.SampledFrom([]string{"works", "works", "fails", "unsent"}).Draw(r.t, "luck"))
 	case 8:
 		r.pin()
 	case 9:
@@ -225,35 +229,6 @@
 	r.apply(r.s.Cancel(r.now, first(r.running)))
 }
 
-func (r *referee) confirmLoad(fails bool) {
-	if len(r.loads) == 0 {
-		return
-	}
-	model := r.loads[0]
-	r.loads = r.loads[1:]
-	if fails {
-		delete(r.held, model)
-		r.apply(r.s.Loaded(r.now, model, errors.New("load failed")))
-		return
-	}
-	r.held[model] = "resident"
-	r.apply(r.s.Loaded(r.now, model, nil))
-}
-
-func (r *referee) confirmUnload(fails bool) {
-	if len(r.unloads) == 0 {
-		return
-	}
-	model := r.unloads[0]
-	r.unloads = r.unloads[1:]
-	if fails {
-		r.apply(r.s.Unloaded(r.now, model, errors.New("unload failed")))
-		return
-	}
-	delete(r.held, model)
-	r.apply(r.s.Unloaded(r.now, model, nil))
-}
-
 func (r *referee) pin() {
 	model := rapid.SampledFrom([]string{"m1@", "m2@", "m3@"}).Draw(r.t, "pin")
 	r.pinned[model] = !r.pinned[model]
@@ -268,8 +243,11 @@
 func (r *referee) crash() {
 	r.boot++
 	for model, state := range r.held {
-		if state == "resident" {
+		switch state {
+		case "resident":
 			r.held[model] = "lost"
+		case "unloading":
+			r.emptied[model] = true
 		}
 	}
 }
@@ -289,7 +267,7 @@
 		}
 		r.now = r.now.Add(200 * time.Millisecond)
 		r.confirmLoad(false)
-		r.confirmUnload(false)
+		r.confirmUnload("works")
 		if len(r.running) > 0 {
 			r.finish(10)
 		}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -47,14 +47,21 @@
 		m.foreign = 0
 	}
 	for _, m := range s.held {
-		if m.state == resident && !slices.Contains(listed, m.name) {
+		switch {
+		case slices.Contains(listed, m.name):
+		case m.state == resident:
 			m.lost = true
+		case m.state == unloading:
+			m.gone = true
 		}
 	}
 }
 
 // unloadLost frees the slots of lost models that nothing uses any more.
 func (s *Sched) unloadLost(now time.Time) {
+	if now.Before(s.unloads) {
+		return
+	}
 	for _, m := range s.held {
 		if !s.hold && m.state == resident && m.lost && m.running == 0 && !m.pinned {
 			s.orderUnload(now, m, "the engine does not list it any more")
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -15,7 +15,7 @@
 
 // Sched is what the owner of one runner knows and decides.
 // The driver carries its orders out and tells it of the results: Finish for every Start,
-// Loaded for every Load and Unloaded for every Unload, whether they worked or not.
+// Loaded for every Load and Unloaded for every Unload, whether they worked or not, or Kept where an Unload was not sent.
 type Sched struct {
 	runner  runner.Runner
 	tune    tune.Tune
@@ -29,6 +29,8 @@
 	closed  string    // why no work is taken; empty while it is
 	stuck   time.Time // since when no slot can be freed; zero while one can
 	noRoom  string    // why none can
+	kept    int       // unloads in a row that could not be sent
+	unloads time.Time // no unload before, after one could not be sent
 	serial  int64     // of the last submitted item
 	queue   []*item   // oldest first
 	running map[string]*item
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -30,16 +30,26 @@
 	}
 }
 
+// blocked reports whether homes should send requests that need a slot elsewhere. Once an unload that could not be announced
+// may be tried again it takes such a request to do so; passed over, the runner would stay as it is after the outage.
+func (s *Sched) blocked(now time.Time) bool {
+	return !s.stuck.IsZero() && (s.kept == 0 || now.Before(s.unloads))
+}
+
 // whyStuck returns what keeps the runner from making room for a model that it does not hold, empty while nothing does.
-// A load waits for an unload that fails rather than for another: in an outage of the table service every unload fails, and
-// tried on one model after the other they would leave nothing that can be served.
+// A load waits for an unload that was sent and failed rather than for another: an engine that fails one is likely to fail
+// the next, and models in the middle of an unload serve nobody.
 func (s *Sched) whyStuck() string {
 	switch {
 	case !s.known:
 		return "the engine has not answered since this node took the runner over"
 	case s.slots <= 0:
 		return "the runner has no adapter slots"
-	case s.free() > 0 || slices.ContainsFunc(s.held, (*model).going):
+	case s.free() > 0:
+		return ""
+	case s.kept > 0:
+		return "no adapter slot could be freed, since the order to take an adapter off the engine could not be announced"
+	case s.going():
 		return ""
 	case slices.ContainsFunc(s.held, func(m *model) bool { return m.refused > 0 }):
 		return "no adapter slot could be freed, since taking an adapter off the engine keeps failing"
@@ -49,9 +59,9 @@
 	return "no adapter slot may be freed, since an earlier owner of the runner may still use what is on it"
 }
 
-// going reports whether the model's unload is on its way and has not failed.
-func (m *model) going() bool {
-	return m.state == unloading && m.refused == 0
+// going reports whether an unload is on its way that has not failed before.
+func (s *Sched) going() bool {
+	return slices.ContainsFunc(s.held, func(m *model) bool { return m.state == unloading && m.refused == 0 })
 }
 
 // mayGo reports whether a model may be unloaded, if only after its requests have ended.
@@ -82,6 +92,8 @@
 		return ""
 	case m.state == barred && now.Sub(m.changed) >= stuckWait:
 		return "an earlier owner of the runner may be taking the adapter off the engine"
+	case s.going(): // if only tried again; it ends within seconds
+		return ""
 	case (m.state == absent || m.refused > 0) && !s.stuck.IsZero() && now.Sub(s.stuck) >= stuckWait:
 		return s.noRoom
 	}
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -98,6 +98,9 @@
 
 // makeRoom unloads the cheapest idle model, or drains one in use where i has waited long.
 func (s *Sched) makeRoom(now time.Time, i *item) {
+	if now.Before(s.unloads) {
+		return
+	}
 	if victim := s.victim(now); victim != nil {
 		s.orderUnload(now, victim, "it was in least demand of those that nothing uses")
 		return
@@ -129,7 +132,9 @@
 		Wait:    now.Sub(m.used),
 		Demand:  decay.PerMinute(m.demand.At(now, s.tune.HalfLife), s.tune.HalfLife),
 	}
+	gone := m.lost || m.gone
 	s.turn(now, m, unloading)
+	m.gone = gone
 	s.out = append(s.out, order.Order{Kind: order.Unload, Model: m.name, Why: why})
 }
 
--- a/internal/stand/site/stuck_test.go
+++ b/internal/stand/site/stuck_test.go
@@ -92,3 +92,31 @@
 		w.StartNode(w.ctx, dead)
 	})
 }
+
+// The table service is down, and a request needs a slot on engines that ignore fences. Its unload cannot be announced and
+// is not sent, so that the adapter is still loaded. Were it held for unloaded, its own callers would be refused until the
+// outage is over, and after a few such requests nothing would be served.
+func TestOutageKeepsWhatIsLoaded(t *testing.T) {
+	play(t, 2, 2, false, func(w *world) {
+		w.serves("before", 0, 1)
+		resident, missing := w.residents(0, 1), w.absent(0, 1)
+		w.partAll(2)
+		w.DB.SetDown(true)
+		for n := range 30 {
+			status, _, text, took := w.probe(n%2, n, missing[n%len(missing)])
+			if status != http.StatusServiceUnavailable || !strings.Contains(text, `"no-room"`) || took > 2*stuckMost {
+				w.t.Errorf("absent model %s: got status %d after %s, %s; want 503 and no-room within %s", missing[n%len(missing)], status, took, text, 2*stuckMost)
+			}
+			for _, model := range resident {
+				if status, _, text, took := w.probe(n%2, 100*n, model); status != http.StatusOK || took > stuckSoon {
+					w.t.Errorf("resident model %s: got status %d after %s, %s; want 200 within %s", model, status, took, text, stuckSoon)
+				}
+			}
+			w.pass(time.Second)
+		}
+		w.DB.SetDown(false)
+		w.joinAll(2)
+		w.pass(quiet)
+		w.serves("after the outage", 0, 1)
+	})
+}
