--- a/internal/sched/keep.go
+++ b/internal/sched/keep.go
@@ -38,7 +38,7 @@
 		s.out = append(s.out, order.Order{Kind: order.Load, Model: m.name, Why: why})
 		return true
 	}
-	if victim := s.victim(now); victim != nil && !s.lastKept(victim) {
+	if victim := s.victim(now); victim != nil && !s.lastKept(victim) && !now.Before(s.unloads) {
 		s.orderUnload(now, victim, "an adapter that operators want resident needs the slot")
 	}
 	return true
