Load no model again while an unload without an answer may arrive

Cause: an unload that is held up in the network is given up and repeated. Its repeat is answered, the model is loaded again for the next request, and the first order arrives under a fence that is still the owner's: the engine obeys and cuts answers. A successor met the same after its predecessor had said that nothing of it was left. Change: after an unload without an answer the owner starts and loads nothing on that model until the engine has reported without a gap for as long as reports may lag; its ownership row names the model as long on engines that ignore fences. A successor waits the same time once its predecessors are done. docs/DECISIONS.md 17 has what was weighed. Cost: requests for that one model wait some 10 s on that runner, once per unload that got no answer.

--- a/internal/owner/former.go
+++ b/internal/owner/former.go
@@ -159,7 +159,7 @@
 	delete(h.formers, f.session)
 	o.repin(h)
 	if len(h.formers) == 0 {
-		o.unbar(h)
+		h.inherit(time.Now())
 	}
 	o.Note(reason.Reason{Kind: reason.FormerDone, Text: why + " (session " + f.session + ")", Runner: h.spec.Name, Fence: h.fence}, "")
 	o.Log.Info("an earlier owner is done", zap.String("runner", h.spec.Name), zap.String("session", f.session), zap.String("why", why))
@@ -167,15 +167,6 @@
 	h.dirty = true
 }
 
-// unbar lets models be used again whose unload no earlier owner can have on its way.
-func (o *Owner) unbar(h *held) {
-	for _, model := range h.barred {
-		h.row = h.row.WithoutLate(model)
-		o.carry(h, h.sched.Unbar(model))
-	}
-	h.barred = nil
-}
-
 // InUse answers a successor: which models this node's requests use on a runner it owned before fence.
 // It closes the runner first if this node has not learnt of the takeover. It must be called on the control goroutine.
 func (o *Owner) InUse(name string, fence int64) []string {
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -21,14 +21,16 @@
 	sched    *sched.Sched
 	engine   engine.Engine
 	attempts map[string]*attempt
-	formers  map[string]*former // earlier owners not known to have stopped, by session id
-	pinned   map[string]bool    // models earlier owners may still use
-	barred   []string           // models an earlier owner may be unloading
-	orders   map[string]bool    // models with an order of this node on its way
-	unloads  []string           // unloads that wait for their announcement
-	fencedAt time.Time          // since when the engine is known to refuse older fences
-	shown    time.Time          // when the engine was last sent an order for no more than its fence
-	failures int                // reports missed in a row
+	formers  map[string]*former   // earlier owners not known to have stopped, by session id
+	pinned   map[string]bool      // models earlier owners may still use
+	barred   []string             // models an earlier owner may be unloading
+	late     map[string]time.Time // models with an unload that has no answer and may still arrive, and since when
+	steady   time.Time            // since when the engine's reports have come without a gap; zero while they do not
+	orders   map[string]bool      // models with an order of this node on its way
+	unloads  []string             // unloads that wait for their announcement
+	fencedAt time.Time            // since when the engine is known to refuse older fences
+	shown    time.Time            // when the engine was last sent an order for no more than its fence
+	failures int                  // reports missed in a row
 	number   int64
 	plain    bool // a plain service: no reports, no orders
 	leaving  bool // closed to new starts by the operators
@@ -59,6 +61,7 @@
 		attempts: map[string]*attempt{},
 		formers:  map[string]*former{},
 		orders:   map[string]bool{},
+		late:     map[string]time.Time{},
 	}
 	// What the earlier owner announced stays named in this owner's row beside what this one announces.
 	h.row = row.WithLate(row.Unload).WithUnload("")
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -190,7 +190,7 @@
 
 func (o *Owner) unloaded(h *held, model string, err error) {
 	delete(h.orders, model)
-	h.settle(model, err)
+	h.answered(time.Now(), model, err)
 	if err != nil {
 		o.Log.Warn("unloading a model failed", zap.String("runner", h.spec.Name), zap.String("model", model), zap.Error(err))
 	}
@@ -199,19 +199,6 @@
 	o.dropClosed()
 }
 
-// settle notes in the row of an engine that ignores fences whether an unload may still be on its way.
-func (h *held) settle(model string, err error) {
-	switch {
-	case h.spec.Fences:
-	case err == nil:
-		h.row = h.row.WithUnload("").WithoutLate(model)
-		h.dirty = true
-	case verd.Of(err) != verd.NotRun:
-		h.row = h.row.WithLate(model)
-		h.dirty = true
-	}
-}
-
 // mayAct is the last check before anything is sent to a runner. An engine that honours fences refuses an old owner
 // itself, so its owner may go on when the table service is down; on others the lease must hold, which peers may extend.
 func (o *Owner) mayAct(h *held) error {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -25,10 +25,12 @@
 	h.asking = false
 	if err != nil {
 		h.failures++
+		h.steady = time.Time{}
 		return
 	}
 	h.failures = 0
 	now := time.Now()
+	o.settleLate(h, now)
 	o.checkFormers(h, now, r)
 	o.showFence(h, now, r)
 	o.carry(h, h.sched.Report(now, r))
--- a/internal/sched/ahead.go
+++ b/internal/sched/ahead.go
@@ -34,7 +34,7 @@
 	var best *model
 	most := aheadDemand
 	for _, m := range s.models {
-		if m.state != absent || m.waiting > 0 || m.failures > 0 || s.copies[m.name] > 0 {
+		if m.state != absent || m.late || m.waiting > 0 || m.failures > 0 || s.copies[m.name] > 0 {
 			continue
 		}
 		count := m.demand.At(now, s.tune.HalfLife)
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -15,10 +15,19 @@
 	s.turn(s.now, s.model(name), barred)
 }
 
-// Unbar ends a Bar; the engine's next report tells whether the model is resident.
+// Late keeps a model from being started or loaded again after an unload without an answer: its repeat may be answered, and
+// the first order still arrive. Unlike Bar it leaves the slot to other models once the repeat is.
+func (s *Sched) Late(name string) {
+	s.model(name).late = true
+}
+
+// Unbar ends a Bar or Late; the engine's next report tells whether the model is resident.
 func (s *Sched) Unbar(name string) []order.Order {
-	if m := s.models[name]; m != nil && m.state == barred {
-		s.turn(s.now, m, absent)
+	if m := s.models[name]; m != nil {
+		m.late = false
+		if m.state == barred {
+			s.turn(s.now, m, absent)
+		}
 	}
 	return s.plan(s.now)
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -28,6 +28,7 @@
 	foreign  int       // requests in progress that the engine reports and this owner did not start
 	pinned   bool      // must not be unloaded yet
 	adopted  bool      // was resident before this owner ordered any load of it
+	late     bool      // an unload of it without an answer may still arrive: starts nothing and is not loaded
 	drain    bool      // starts nothing more, so that it can be unloaded
 	used     time.Time // latest submit
 	lost     bool      // the engine does not list it: starts nothing and is unloaded once unused
@@ -63,7 +64,7 @@
 
 // open reports whether requests may start.
 func (m *model) open() bool {
-	return m.state == resident && !m.drain && !m.lost
+	return m.state == resident && !m.drain && !m.lost && !m.late
 }
 
 // idle reports whether the model may be unloaded without cutting or stranding a request.
@@ -103,7 +104,7 @@
 		return
 	}
 	for name, m := range s.models {
-		unused := m.state == absent && m.waiting == 0 && m.failures == 0 && !m.pinned
+		unused := m.state == absent && m.waiting == 0 && m.failures == 0 && !m.pinned && !m.late
 		if unused && m.demand.At(now, s.tune.HalfLife) < littleDemand {
 			delete(s.models, name)
 		}
--- a/internal/sched/want.go
+++ b/internal/sched/want.go
@@ -47,7 +47,7 @@
 	first := map[*model]*item{}
 	for _, i := range s.queue {
 		m := i.model
-		if m == nil || m.state != absent || now.Before(m.after) {
+		if m == nil || m.state != absent || m.late || now.Before(m.after) {
 			continue
 		}
 		if best := first[m]; best == nil || s.before(i, best) {
