Sharpen the membership tests that no edit made fail

TestRacingEdits compares each node's versions with the winner's, after each of its rounds. No fault of the code was found by them.

--- a/internal/stand/site/change_test.go
+++ b/internal/stand/site/change_test.go
@@ -1,6 +1,9 @@
 package site_test
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,36 +197,56 @@
 }
 
 // Several operators edit one row from the same revision. One of them wins, the others are told, and every node has the
-// winner's row.
+// winner's row; with another's in force, callers would be refused versions that the operators were told are there.
 func TestRacingEdits(t *testing.T) {
 	both(t, 3, 2, func(w *world, _ bool) {
 		for n := range 10 {
-			row := site.Row("adapter", "contested", w.Adapter("contested"))
+			key := site.Row("adapter", "contested", nil).Key
+			var rev int64
 			if n > 0 {
-				now, err := w.DB.Table().Read(w.ctx, row.Key)
+				now, err := w.DB.Table().Read(w.ctx, key)
 				if err != nil {
 					w.t.Fatal(err)
 				}
-				row.Rev = now.Rev
+				rev = now.Rev
 			}
-			won := make(chan error, 4)
-			for range 4 {
-				go func() {
-					_, err := w.Apply(w.ctx, row)
-					won <- err
-				}()
+			winners := w.race(rev, n)
+			if len(winners) != 1 {
+				w.t.Fatalf("got %d edits accepted, want 1", len(winners))
 			}
-			winners := 0
-			for range 4 {
-				if <-won == nil {
-					winners++
+			w.pass(site.ForceGrace)
+			for i := range 3 {
+				a, _ := w.Node(i).Catalog().Adapter("contested")
+				if got, want := slices.Collect(maps.Keys(a.Versions)), winners; !slices.Equal(got, want) {
+					w.t.Errorf("round %d, node %d: got versions %v in force, want %v", n, i, got, want)
 				}
 			}
-			if winners != 1 {
-				w.t.Errorf("got %d edits accepted, want 1", winners)
-			}
-			w.pass(time.Second)
 		}
 		w.pass(quiet)
 	})
 }
+
+// race has four operators edit a row at once from a revision and returns the versions that those accepted wrote.
+func (w *world) race(rev int64, n int) []string {
+	results := make(chan string, 4)
+	for k := range 4 {
+		go func() {
+			version := fmt.Sprintf("v%d-%d", n, k)
+			a := w.Adapter("contested")
+			a.Versions = map[string]int{version: 1}
+			row := site.Row("adapter", "contested", a)
+			row.Rev = rev
+			if _, err := w.Apply(w.ctx, row); err != nil {
+				version = ""
+			}
+			results <- version
+		}()
+	}
+	var winners []string
+	for range 4 {
+		if version := <-results; version != "" {
+			winners = append(winners, version)
+		}
+	}
+	return winners
+}
--- a/internal/stand/site/cold_test.go
+++ b/internal/stand/site/cold_test.go
@@ -72,3 +72,57 @@
 		w.KillNode(3)
 	})
 }
+
+// A node that starts gets an edit from its peers before it has read the snapshot in the object store, which is older, and
+// the replica it reads next has not got the edit either. Were the snapshot's row put in force over the edit, callers would
+// be refused a version that operators were told is there.
+func TestOldSnapshotDoesNotUndoAPush(t *testing.T) {
+	play(t, 3, 1, true, func(w *world) {
+		w.pass(2 * time.Minute)
+		key := site.Row("adapter", site.AdapterName(0), nil).Key
+		old, err := w.DB.Table().Read(w.ctx, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Objects.SetSlow(4500 * time.Millisecond)
+		w.start(3)
+		w.pass(3500 * time.Millisecond) // its peers know of it by now
+		edited := w.Adapter(site.AdapterName(0))
+		edited.Versions = map[string]int{"v2": 1}
+		row := site.Row("adapter", site.AdapterName(0), edited)
+		row.Rev = old.Rev
+		if _, err := w.Apply(w.ctx, row); err != nil {
+			t.Fatal(err)
+		}
+		w.await(w.forced(0, "v2"))
+		w.partAll(4)
+		w.DB.SetLag(time.Minute, 1)
+		w.await(w.forced(3, "v2"))
+		w.pass(5 * time.Second) // the snapshot has come
+		if _, known := w.Node(3).Catalog().Adapter(site.AdapterName(1)); !known {
+			t.Error("got no row of the snapshot, want it in force")
+		}
+		if a, _ := w.Node(3).Catalog().Adapter(site.AdapterName(0)); a.Versions["v2"] != 1 {
+			t.Errorf("got versions %v in force after the snapshot, want v2", a.Versions)
+		}
+		w.DB.SetLag(0, 1)
+		w.joinAll(4)
+		w.pass(quiet)
+		w.KillNode(3)
+	})
+}
+
+// forced returns a channel that is closed once a node has a version of the first adapter in force.
+func (w *world) forced(i int, version string) <-chan struct{} {
+	seen := make(chan struct{})
+	go func() {
+		for w.ctx.Err() == nil {
+			if a, _ := w.Node(i).Catalog().Adapter(site.AdapterName(0)); a.Versions[version] > 0 {
+				close(seen)
+				return
+			}
+			w.pass(10 * time.Millisecond)
+		}
+	}()
+	return seen
+}
