--- a/internal/sched/keep.go
+++ b/internal/sched/keep.go
@@ -48,7 +48,7 @@
 	var first *model
 	for name, here := range s.kept {
 		m := s.models[name]
-		if !here || m == nil || m.state != absent || m.waiting > 0 || m.failures > 0 || s.copies[name] > 0 {
+		if !here || m == nil || m.state != absent || m.late || m.waiting > 0 || m.failures > 0 || s.copies[name] > 0 {
 			continue
 		}
 		if first == nil || name < first.name {
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -92,6 +92,8 @@
 		return ""
 	case m.state == barred && now.Sub(m.changed) >= stuckWait:
 		return "an earlier owner of the runner may be taking the adapter off the engine"
+	case m.late && now.Sub(m.since) >= stuckWait:
+		return "an order to take the adapter off the engine has no answer and may still arrive"
 	case s.going(): // if only tried again; it ends within seconds
 		return ""
 	case (m.state == absent || m.refused > 0) && !s.stuck.IsZero() && now.Sub(s.stuck) >= stuckWait:
