--- a/test/procs/cut_test.go
+++ b/test/procs/cut_test.go
@@ -57,7 +57,7 @@
 	})
 	f.serves(0)
 
-	f.tableDown(true)
+	f.tableFault("down?on=true")
 	row := rows.Row{Key: "conf/adapter/never", Value: []byte("{}")}
 	if _, err := f.table.Write(context.Background(), row); err == nil {
 		t.Error("got an edit accepted by a table that is down, want an error")
@@ -67,21 +67,22 @@
 			f.serves(i)
 		}
 	}
-	f.tableDown(false)
+	f.tableFault("down?on=false")
 	f.apply(101)
 	f.await("all nodes answer for a new adapter", func() bool {
 		return f.ask(0, 101) == "" && f.ask(1, 101) == "" && f.ask(2, 101) == ""
 	})
 }
 
-func (f *fleet) tableDown(on bool) {
+// tableFault sets a fault of the table service.
+func (f *fleet) tableFault(fault string) {
 	f.t.Helper()
-	res, err := http.Post(fmt.Sprintf("http://%s100:7000/admin/down?on=%v", f.net, on), "", nil)
+	res, err := http.Post(fmt.Sprintf("http://%s100:7000/admin/%s", f.net, fault), "", nil)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	_ = res.Body.Close()
 	if res.StatusCode >= http.StatusBadRequest {
-		f.t.Fatalf("setting the table down: got status %d, want success", res.StatusCode)
+		f.t.Fatalf("setting the table's fault %s: got status %d, want success", fault, res.StatusCode)
 	}
 }
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -47,7 +47,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	dir := t.TempDir()
-	build := exec.Command("go", "build", "-o", dir, "damaskreach/cmd/damaskreach", "damaskreach/cmd/damaskstand")
+	build := exec.Command("go", "build", "-o", dir, "damaskreach/cmd/damaskreach", "damaskreach/cmd/damaskctl", "damaskreach/cmd/damaskstand")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("building the programs: %v\n%s", err, out)
 	}
@@ -200,9 +200,15 @@
 	return len(found) == nodes
 }
 
-// ask sends one completion to node i and returns what was wrong with the answer, or an empty string.
+// ask has node i serve an adapter's version "v1".
 func (f *fleet) ask(i, adapter int) string {
 	model := site.AdapterName(adapter) + "@v1"
+	return f.askModel(i, model, model)
+}
+
+// askModel sends one completion to node i and returns what was wrong with the answer, or an empty string. The model asked
+// for may leave the version open.
+func (f *fleet) askModel(i int, model, served string) string {
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, tokens)
 	req, err := http.NewRequest(http.MethodPost, "http://"+f.host(i)+":8000/v1/completions", strings.NewReader(body))
 	if err != nil {
@@ -219,7 +225,7 @@
 	if err != nil || res.StatusCode != http.StatusOK {
 		return fmt.Sprintf("status %d, error %v, body %s", res.StatusCode, err, answer)
 	}
-	return compare(string(answer), engsim.Answer(model, prompt, tokens))
+	return compare(string(answer), engsim.Answer(served, prompt, tokens))
 }
 
 func compare(answer string, want []string) string {
