Ping only where nothing else is sent, and answer no pings

Cause: both ends of each connection pinged each second, whatever else they sent, and answered each other's pings: four messages a second where two say the same. Change: a side pings when it has written nothing for a second, and no Pong is sent. The longest silence of a living peer stays one second, and the 3 s after which silence counts as a cut stay; nodes of the release before ping by themselves. A longer interval on idle connections was weighed and left: with 3 s to notice a cut it would leave less room for delays.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -13,8 +13,8 @@
 	Data   uint8 = 5  // one message of a stream; an empty body carries none
 	Reset  uint8 = 6  // ends a stream at once; body: the error
 	Credit uint8 = 7  // allows the receiver to send more; body: bytes
-	Ping   uint8 = 8  // asks for a Pong
-	Pong   uint8 = 9  // answers a Ping
+	Ping   uint8 = 8  // says that the sender is there
+	Pong   uint8 = 9  // answered a Ping in an earlier release
 	Skip   uint8 = 10 // an Open that was withdrawn before it was written
 	Bye    uint8 = 11 // the sender takes no more streams; Stream is the newest it took
 )
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -55,9 +55,6 @@
 	switch f.Kind {
 	case frame.Open:
 		return c.accept(f)
-	case frame.Ping:
-		// A connection that is ending goes on reading, but answers no more.
-		_ = c.write(c.ctx, frame.Frame{Kind: frame.Pong})
 	case frame.Bye:
 		c.released(f.Stream)
 	case frame.Data, frame.Reset, frame.Credit:
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -71,15 +71,16 @@
 	return nil
 }
 
-// writeAll writes the queue until the connection ends, sends the pings, and then ends the streams.
+// writeAll writes the queue until the connection ends, and then ends the streams. Where nothing else was written for the
+// interval it sends a ping: any byte tells the peer that this side is there.
 func (c *Conn) writeAll() {
-	ticker := time.NewTicker(c.bounds.Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(c.bounds.Interval)
+	defer timer.Stop()
 	defer c.finish()
 	for {
 		select {
 		case <-c.wake:
-		case <-ticker.C:
+		case <-timer.C:
 			// The connection may have ended; the next turn sees that.
 			_ = c.write(c.ctx, frame.Frame{Kind: frame.Ping})
 		case <-c.ending:
@@ -89,6 +90,7 @@
 			c.fail(merry.Prependf(err, "writing to node %s", c.peer.ID))
 			return
 		}
+		timer.Reset(c.bounds.Interval)
 	}
 }
 
