Read with a large buffer only while a stream is open

Cause: each end of a connection kept a reader of 32 KB and a body of 4 KB, also where only pings came: most of the memory that a node of 217 needs for connections, and the reason why it is over its budget of memory.

--- a/internal/wire/start.go
+++ b/internal/wire/start.go
@@ -14,8 +14,6 @@
 	"damaskreach/internal/strm"
 )
 
-const sizeReader = 32 << 10
-
 // Stream ids: the dialler's are odd and the acceptor's even, and both only grow, so none is ever used twice.
 const (
 	firstDialled  = 1
@@ -56,7 +54,7 @@
 	return &Conn{
 		nc:         nc,
 		timed:      p,
-		r:          bufio.NewReaderSize(p, sizeReader),
+		r:          bufio.NewReaderSize(p, sizeIdle),
 		bounds:     b,
 		serve:      serve,
 		wake:       make(chan struct{}, 1),
