--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -12,6 +12,10 @@
 	// themselves, after a takeover from an owner known to be gone, last no longer.
 	stuckWait  = 15 * time.Second
 	stuckRetry = 5 * time.Second // when to come back after that; what ends it is not known here
+
+	// lateWait is the same for a model that an order may still take off the engine. The owner lifts that by itself within
+	// two lags of the engine's reports, once for earlier owners and once for the order, unless one of them stays unheard of.
+	lateWait = 30 * time.Second
 )
 
 // watchRoom notes since when no slot can be freed, whatever requests do, and since when models are barred, which they are
@@ -90,9 +94,9 @@
 	switch {
 	case m == nil:
 		return ""
-	case m.state == barred && now.Sub(m.changed) >= stuckWait:
+	case m.state == barred && now.Sub(m.changed) >= lateWait:
 		return "an earlier owner of the runner may be taking the adapter off the engine"
-	case m.late && now.Sub(m.since) >= stuckWait:
+	case m.late && now.Sub(m.since) >= lateWait:
 		return "an order to take the adapter off the engine has no answer and may still arrive"
 	case s.going(): // if only tried again; it ends within seconds
 		return ""
