Send mere counters of runners once a second

Cause: an owner sent a runner's digest to every node up to 20 times a second, whenever a request began or ended on it. Change: package share sends a digest that differs from what a node has in counters alone (running, waiting, idle models) at the earliest a second after the last one. At once go residence, loads, closed, sick, and counters that cross empty or full: the batch, the queue, slots to be had.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -53,3 +53,23 @@
 	d.Number, d.Cheap = other.Number, other.Cheap
 	return reflect.DeepEqual(d, other)
 }
+
+// Alike reports whether two digests differ in counters alone, and in none that crosses empty or full: what a choice of a
+// runner hardly depends on. Whether an idle model may be unloaded counts only while there is no free slot.
+func (d Digest) Alike(other Digest) bool {
+	if d.full() != other.full() || d.stuck() != other.stuck() || (d.Waiting == 0) != (other.Waiting == 0) {
+		return false
+	}
+	d.Running, d.Waiting, d.Idle, d.Cheap = other.Running, other.Waiting, other.Idle, other.Cheap
+	return d.Same(other)
+}
+
+// full reports whether the batch has no place left.
+func (d Digest) full() bool {
+	return d.Running >= max(1, d.Batch)
+}
+
+// stuck reports whether no slot can be had for another model.
+func (d Digest) stuck() bool {
+	return d.Free == 0 && d.Idle == 0
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -13,6 +13,7 @@
 const (
 	methodDigests = "digests"
 	askTimeout    = time.Second
+	counters      = time.Second     // least time between digests of a runner that differ in counters alone
 	refresh       = 5 * time.Second // after which all are sent, changed or not: homes drop old choices of their own by them
 )
 
@@ -36,8 +37,14 @@
 // told is what one other node has taken. A process that replaces it at its address has nothing.
 type told struct {
 	life    string
-	all     time.Time                // when it was last sent all
-	digests map[string]digest.Digest // by runner
+	all     time.Time        // when it was last sent all
+	digests map[string]known // by runner
+}
+
+// known is the digest that another node has of a runner.
+type known struct {
+	digest digest.Digest
+	at     time.Time
 }
 
 type digestsSaid struct {
@@ -99,7 +106,8 @@
 	s.note(addr, changed, said.Life, len(changed) == len(digests), err)
 }
 
-// changed returns the digests that differ from those an address has, their running number aside.
+// changed returns the digests that differ from those an address has, their running number aside. Counters alone go once
+// a second: a home adds its own choices to them until they are over, and sees the others' a second late.
 func (s *Share) changed(addr string, digests []digest.Digest) []digest.Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,8 +116,8 @@
 	}
 	var changed []digest.Digest
 	for _, d := range digests {
-		known, ok := s.told[addr].digests[d.Runner]
-		if !ok || !known.Same(d) {
+		k, ok := s.told[addr].digests[d.Runner]
+		if !ok || !k.digest.Same(d) && (!k.digest.Alike(d) || time.Since(k.at) >= counters) {
 			changed = append(changed, d)
 		}
 	}
@@ -121,20 +129,20 @@
 func (s *Share) note(addr string, sent []digest.Digest, life string, all bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, known := s.told[addr]
-	if err != nil || known && t.life != life {
+	t, before := s.told[addr]
+	if err != nil || before && t.life != life {
 		delete(s.told, addr)
 		return
 	}
-	if !known {
-		t = told{life: life, digests: map[string]digest.Digest{}}
+	if !before {
+		t = told{life: life, digests: map[string]known{}}
 	}
 	if all {
 		t.all = time.Now()
 	}
 	s.told[addr] = t
 	for _, d := range sent {
-		t.digests[d.Runner] = d
+		t.digests[d.Runner] = known{digest: d, at: time.Now()}
 	}
 }
 
