Shorten the process tests of cuts and of operators

Cause: the new process tests had grown longer than they need be, and the forwarders stood in front of two nodes only. Change: forwarders stand in front of all nodes where a test asks for it, so that any two can be cut off from each other; the fleet can have plain services, which run in the test's own process; getting JSON and posting to a node stand once. The table loses six answers in place of three while operators race. The cut outlasts 24 writes of the table, nearly all of them renewals, in place of six renewals of each session. Conclusion: the same is demanded in fewer lines, the loss of answers more surely.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -95,19 +95,12 @@
 // Others are told an address that is translated on the way. The node must open its own: opening the other's would fail,
 // and a node that opened nothing else could not be reached.
 func TestListenStandsInForPeerAtTheNodeOnly(t *testing.T) {
-	for _, c := range []struct{ listen, want string }{
-		{"", "10.0.0.7:7000"},
-		{"192.168.0.7:7000", "192.168.0.7:7000"},
-		{"0.0.0.0:7000", "0.0.0.0:7000"},
-	} {
-		path := filepath.Join(t.TempDir(), "node.toml")
-		put(t, path, good+fmt.Sprintf("listen = %q\nsecrets = [%q]\n", c.listen, secret))
+	path := filepath.Join(t.TempDir(), "node.toml")
+	for listen, want := range map[string]string{"": "10.0.0.7:7000", "0.0.0.0:7000": "0.0.0.0:7000"} {
+		put(t, path, good+fmt.Sprintf("listen = %q\nsecrets = [%q]\n", listen, secret))
 		got, err := conf.Load(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got.ListenAddr() != c.want || got.Peer != "10.0.0.7:7000" {
-			t.Errorf("listen %q: opens %s and names %s, want %s and 10.0.0.7:7000", c.listen, got.ListenAddr(), got.Peer, c.want)
+		if err != nil || got.ListenAddr() != want || got.Peer != "10.0.0.7:7000" {
+			t.Errorf("listen %q: got %s opened, %s named, %v, want %s and 10.0.0.7:7000", listen, got.ListenAddr(), got.Peer, err, want)
 		}
 	}
 }
--- a/test/procs/forward_test.go
+++ b/test/procs/forward_test.go
@@ -12,14 +12,20 @@
 
 	mu     sync.Mutex
 	lis    net.Listener
-	conns  map[net.Conn]string // IP of the dialler, by either end
-	barred string              // IP of a dialler whose connections are silent
-	held   int                 // times that something of it was held back
+	conns  []dialled
+	barred string // IP of a dialler whose connections are silent
+	felt   bool   // something of it was held back
+}
+
+// dialled is an end of a connection, with the IP of its dialler.
+type dialled struct {
+	net.Conn
+	by string
 }
 
 func newForwarder(t *testing.T, at, to string) *forwarder {
 	t.Helper()
-	f := &forwarder{to: to, conns: map[net.Conn]string{}}
+	f := &forwarder{to: to}
 	f.open(t, at)
 	t.Cleanup(f.cut)
 	return f
@@ -48,29 +54,24 @@
 			_ = c.Close()
 			continue
 		}
-		from := c.RemoteAddr().(*net.TCPAddr).IP.String()
+		by := c.RemoteAddr().(*net.TCPAddr).IP.String()
 		f.mu.Lock()
-		f.conns[c], f.conns[out] = from, from
+		f.conns = append(f.conns, dialled{c, by}, dialled{out, by})
 		f.mu.Unlock()
-		go f.pass(out, c, from)
-		go f.pass(c, out, from)
+		go f.pass(out, c, by)
+		go f.pass(c, out, by)
 	}
 }
 
 // pass carries bytes until either end is closed. Those of a barred dialler are lost, as on a broken way between hosts:
 // neither end is told.
-func (f *forwarder) pass(to, from net.Conn, dialler string) {
-	defer f.forget(to, from)
+func (f *forwarder) pass(to, from net.Conn, by string) {
+	defer func() { _, _ = to.Close(), from.Close() }()
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buf)
-		if f.holds(dialler) {
-			n = 0
-		}
-		if n > 0 {
-			if _, err := to.Write(buf[:n]); err != nil {
-				return
-			}
+		if err == nil && !f.holds(by) {
+			_, err = to.Write(buf[:n])
 		}
 		if err != nil {
 			return
@@ -78,23 +79,11 @@
 	}
 }
 
-func (f *forwarder) holds(dialler string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.barred != dialler {
-		return false
-	}
-	f.held++
-	return true
-}
-
-func (f *forwarder) forget(conns ...net.Conn) {
+func (f *forwarder) holds(by string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-		delete(f.conns, c)
-	}
+	f.felt = f.felt || f.barred == by
+	return f.barred == by
 }
 
 // bar silences a dialler's connections, those to come included; an empty IP ends that and breaks the silenced ones, in
@@ -102,19 +91,19 @@
 func (f *forwarder) bar(ip string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, from := range f.conns {
-		if ip == "" && from == f.barred {
+	for _, c := range f.conns {
+		if ip == "" && c.by == f.barred {
 			_ = c.Close()
 		}
 	}
-	f.barred = ip
+	f.barred, f.felt = ip, false
 }
 
-// felt reports whether something was held back.
-func (f *forwarder) felt() bool {
+// feels reports whether something was held back since the last bar.
+func (f *forwarder) feels() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.held > 0
+	return f.felt
 }
 
 // cut breaks all connections and takes no more.
@@ -122,7 +111,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_ = f.lis.Close()
-	for c := range f.conns {
+	for _, c := range f.conns {
 		_ = c.Close()
 	}
 }
--- a/test/procs/operators_test.go
+++ b/test/procs/operators_test.go
@@ -1,20 +1,16 @@
 package procs_test
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 
-	"damaskreach/internal/adapt"
 	"damaskreach/internal/opctl"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stamp"
@@ -26,50 +22,36 @@
 
 // operator is somebody with a folder of files and damaskctl.
 type operator struct {
-	f    *fleet
-	name string
-	dir  string
-	rows []int // adapters edited since the last get
-	code int   // exit code of the last command, and what it said
-	text string
+	f         *fleet
+	name, dir string
+	rows      []int // adapters edited since the last get
+	code      int   // exit code of the last command, and what it said
+	text      string
 }
 
 // run runs damaskctl as a process.
 func (o *operator) run(args ...string) {
-	o.f.t.Helper()
 	all := append([]string{"--config", filepath.Join(o.f.dir, "node-2.toml"), "--by", o.name, "--wait", "1m"}, args...)
-	out, err := exec.Command(filepath.Join(o.f.dir, "damaskctl"), all...).CombinedOutput()
-	var exit *exec.ExitError
-	if err != nil && !errors.As(err, &exit) {
-		o.f.t.Errorf("running damaskctl: %v", err)
-	}
-	o.code, o.text = 0, string(out)
-	if exit != nil {
-		o.code = exit.ExitCode()
-	}
+	cmd := exec.Command(filepath.Join(o.f.dir, "damaskctl"), all...)
+	text, _ := cmd.CombinedOutput()
+	o.code, o.text = cmd.ProcessState.ExitCode(), string(text)
 }
 
 // edit takes the table into the operator's files and has adapters served in a version of the operator's own.
 func (o *operator) edit(version string, adapters ...int) {
 	o.f.t.Helper()
-	if o.run("get", "--overwrite", o.dir); o.code != opctl.ExitOK {
-		o.f.t.Fatalf("%s: get ends with %d: %s", o.name, o.code, o.text)
-	}
+	o.run("get", "--overwrite", o.dir)
 	path := filepath.Join(o.dir, "adapters.csv")
 	sheet, err := os.ReadFile(path)
-	if err != nil {
-		o.f.t.Fatal(err)
+	if err != nil || o.code != opctl.ExitOK {
+		o.f.t.Fatalf("%s: get ends with %d: %s, %v", o.name, o.code, o.text, err)
 	}
 	o.rows = adapters
-	lines := bytes.Split(sheet, []byte("\n"))
-	for i, line := range lines {
-		cells := bytes.Split(line, []byte(","))
-		if slices.ContainsFunc(adapters, func(a int) bool { return string(cells[0]) == site.AdapterName(a) }) {
-			cells[3] = []byte(version + ":1") // name, tenant, group, versions
-			lines[i] = bytes.Join(cells, []byte(","))
-		}
+	for _, n := range adapters {
+		cells := regexp.MustCompile("(?m)^(" + site.AdapterName(n) + ",[^,]*,[^,]*,)[^,]*") // name, tenant, group, versions
+		sheet = cells.ReplaceAll(sheet, []byte("${1}"+version+o.name+":1"))
 	}
-	if err := os.WriteFile(path, bytes.Join(lines, []byte("\n")), 0o600); err != nil {
+	if err := os.WriteFile(path, sheet, 0o600); err != nil {
 		o.f.t.Fatal(err)
 	}
 }
@@ -100,14 +82,13 @@
 func (f *fleet) race(operators []*operator) map[int]rows.Row {
 	f.t.Helper()
 	f.tableFault("slow?by=400ms") // so that most have read the table before the first one writes
-	f.tableFault("lose?count=3")
+	f.tableFault("lose?count=6")
 	var all sync.WaitGroup
 	for _, o := range operators {
 		all.Go(func() { o.run("apply", o.dir) })
 	}
 	all.Wait()
 	f.tableFault("slow?by=0s")
-	f.tableFault("lose?count=0")
 	held := map[int]rows.Row{}
 	for _, row := range f.rows(table.PrefixConf + "adapter/") {
 		var n int
@@ -131,13 +112,13 @@
 	operators := make([]*operator, racers)
 	for i := range operators {
 		operators[i] = &operator{f: f, name: fmt.Sprint("op", i), dir: filepath.Join(f.dir, fmt.Sprint("op", i))}
-		operators[i].edit("by-"+operators[i].name, 0, 1+i%4, 5+i)
+		operators[i].edit("by-", 0, 1+i%4, 5+i)
 	}
 	held := f.race(operators)
 	for _, o := range operators {
 		o.settled(held)
 	}
-	f.inForce(held, 13)
+	f.inForce(held, "by-", 0, 5+racers)
 	winner := stamp.Of(held[0].Value).By
 	late := operators[slices.IndexFunc(operators, func(o *operator) bool { return o.name != winner })]
 	late.run("apply", late.dir)
@@ -147,7 +128,7 @@
 	}
 
 	for i, o := range operators {
-		o.edit("again-by-"+o.name, 5+i)
+		o.edit("again-by-", 5+i)
 	}
 	held = f.race(operators)
 	for i, o := range operators {
@@ -155,22 +136,17 @@
 			t.Errorf("%s edited a row alone: got exit code %d, want 0\n%s", o.name, o.code, o.text)
 		}
 	}
-	f.inForce(held, 13)
+	f.inForce(held, "again-by-", 5, 5+racers)
 }
 
-// inForce waits until every node serves the first adapters in the version that the table says.
-func (f *fleet) inForce(held map[int]rows.Row, adapters int) {
+// inForce waits until every node serves adapters in the versions of those whose edits the table holds.
+func (f *fleet) inForce(held map[int]rows.Row, version string, from, to int) {
 	f.t.Helper()
-	for n := range adapters {
-		var row adapt.Adapter
-		if err := json.Unmarshal(held[n].Value, &row); err != nil {
-			f.t.Fatalf("reading %s: %v", held[n].Key, err)
-		}
-		version := slices.Collect(maps.Keys(row.Versions))[0]
+	for n := from; n < to; n++ {
+		name := site.AdapterName(n)
+		want := name + "@" + version + stamp.Of(held[n].Value).By
 		for i := range nodes {
-			f.await(fmt.Sprintf("node %d serves %s in version %s", i, site.AdapterName(n), version), func() bool {
-				return f.askModel(i, site.AdapterName(n), site.AdapterName(n)+"@"+version) == ""
-			})
+			f.await(fmt.Sprintf("node %d serves %s", i, want), func() bool { return f.askModel(i, name, want) == "" })
 		}
 	}
 }
--- a/test/procs/pair_test.go
+++ b/test/procs/pair_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
-	"slices"
 	"testing"
 
 	"damaskreach/internal/assign"
@@ -12,34 +12,35 @@
 	"damaskreach/internal/table"
 )
 
-// pair stands between nodes 0 and 1.
-type pair struct {
-	f    *fleet
-	ways [2]*forwarder // to each of them
+// ways are the ways to the nodes, on which two nodes can be kept from each other.
+type ways struct {
+	f  *fleet
+	to [nodes]*forwarder
 }
 
-// newPair has nodes 0 and 1 reached by way of forwarders; it belongs before their start.
-func newPair(f *fleet) *pair {
-	p := &pair{f: f}
+// newWays has all nodes reached by way of forwarders; it belongs before their start.
+func newWays(f *fleet) *ways {
+	w := &ways{f: f}
 	f.peers = map[int]string{}
-	for i := range p.ways {
-		f.peers[i] = f.net + []string{"160", "161"}[i] + ":7000"
-		p.ways[i] = newForwarder(f.t, f.peers[i], f.host(i)+":7000")
+	for i := range w.to {
+		f.peers[i] = fmt.Sprintf("%s%d:7000", f.net, 160+i)
+		w.to[i] = newForwarder(f.t, f.peers[i], f.host(i)+":7000")
 	}
-	return p
+	return w
 }
 
-// cut keeps the two from each other and waits until they feel it.
-func (p *pair) cut() {
-	p.f.t.Helper()
-	p.ways[0].bar(p.f.host(1))
-	p.ways[1].bar(p.f.host(0))
-	p.f.await("both ways hold something back", func() bool { return p.ways[0].felt() && p.ways[1].felt() })
+// cut keeps two nodes from each other and waits until they feel it.
+func (w *ways) cut(a, b int) {
+	w.f.t.Helper()
+	w.to[a].bar(w.f.host(b))
+	w.to[b].bar(w.f.host(a))
+	w.f.await("both ways hold something back", func() bool { return w.to[a].feels() && w.to[b].feels() })
 }
 
-func (p *pair) heal() {
-	p.ways[0].bar("")
-	p.ways[1].bar("")
+func (w *ways) heal() {
+	for _, f := range w.to {
+		f.bar("")
+	}
 }
 
 // rows returns what the table has under a prefix.
@@ -66,33 +67,18 @@
 	return found
 }
 
-// outlast waits until every node has renewed its session so often that one which the others had left alone for a lease
-// would have ended.
-func (f *fleet) outlast() {
-	f.t.Helper()
-	const renewals = 6
-	seen := map[string][]int64{}
-	f.await("every session is renewed several times", func() bool {
-		for _, row := range f.rows(table.PrefixNode) {
-			if !slices.Contains(seen[row.Key], row.Rev) {
-				seen[row.Key] = append(seen[row.Key], row.Rev)
-			}
-		}
-		for _, revs := range seen {
-			if len(revs) <= renewals {
-				return false
-			}
-		}
-		return len(seen) == nodes
-	})
+// rev returns the table's revision, which grows with every renewal of a session.
+func (f *fleet) rev() int64 {
+	_, rev, _ := f.table.List(context.Background(), table.PrefixNode)
+	return rev
 }
 
-// answers demands that node i answers for some adapters at the first asking.
-func (f *fleet) answers(i int) {
+// answers demands that every node answers for some adapters at the first asking.
+func (f *fleet) answers() {
 	f.t.Helper()
-	for adapter := range 6 {
-		if wrong := f.ask(i, adapter); wrong != "" {
-			f.t.Errorf("got from node %d for adapter %d: %s, want a whole answer", i, adapter, wrong)
+	for n := range nodes * 6 {
+		if wrong := f.ask(n%nodes, n/nodes); wrong != "" {
+			f.t.Errorf("got from node %d for adapter %d: %s, want a whole answer", n%nodes, n/nodes, wrong)
 		}
 	}
 }
@@ -102,31 +88,24 @@
 // a node that renews its session is not taken for dead by the one that cannot reach it.
 func TestTwoNodesCutOffFromEachOther(t *testing.T) {
 	f := newFleet(t)
-	p := newPair(f)
+	w := newWays(f)
 	for i := range nodes {
 		f.startNode(i)
 	}
 	f.await("every node owns one runner", f.shared)
 	before := f.fences()
 
-	p.cut()
-	for i := range nodes {
-		f.answers(i)
-	}
+	w.cut(0, 1)
+	f.answers()
 	f.apply(100)
-	f.await("all nodes answer for a new adapter", func() bool {
-		return f.ask(0, 100) == "" && f.ask(1, 100) == "" && f.ask(2, 100) == ""
-	})
-	f.outlast()
+	f.await("all nodes answer for a new adapter", func() bool { return f.ask(0, 100)+f.ask(1, 100)+f.ask(2, 100) == "" })
+	first := f.rev()
+	f.await("sessions, renewed three times a lease, are renewed for some leases", func() bool { return f.rev() >= first+8*nodes })
 	f.await("every node owns one runner during the cut", f.shared)
-	for i := range nodes {
-		f.answers(i)
-	}
+	f.answers()
 
-	p.heal()
-	for i := range nodes {
-		f.answers(i)
-	}
+	w.heal()
+	f.answers()
 	f.await("every node owns one runner after the cut", f.shared)
 	if after := f.fences(); !maps.Equal(after, before) {
 		t.Errorf("got fences %v after the cut, want %v as before it", after, before)
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -2,7 +2,6 @@
 package procs_test
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -21,6 +20,7 @@
 	"damaskreach/internal/digest"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stand/engsim"
+	"damaskreach/internal/stand/plain"
 	"damaskreach/internal/stand/site"
 	"damaskreach/internal/table"
 )
@@ -44,7 +44,8 @@
 	peers  map[int]string // addresses of nodes that others are told, where they differ from those opened
 }
 
-func newFleet(t *testing.T) *fleet {
+// newFleet starts the stand-ins; plain services run in the test's own process.
+func newFleet(t *testing.T, plains ...*plain.Service) *fleet {
 	t.Helper()
 	dir := t.TempDir()
 	build := exec.Command("go", "build", "-o", dir, "damaskreach/cmd/damaskreach", "damaskreach/cmd/damaskctl", "damaskreach/cmd/damaskstand")
@@ -66,18 +67,26 @@
 		_, _, err := f.table.List(context.Background(), table.PrefixConf)
 		return err == nil
 	})
-	f.writeTable()
+	for i, p := range plains {
+		go func() {
+			_ = p.Run(t.Context(), func() (net.Listener, error) { return net.Listen("tcp", fmt.Sprintf("%s%d:80", f.net, 120+i)) })
+		}()
+	}
+	f.writeTable(plains)
 	return f
 }
 
-func (f *fleet) writeTable() {
+func (f *fleet) writeTable(plains []*plain.Service) {
 	s := site.NewSite(1, nodes)
+	s.Plains = plains
 	all := s.Rows(20)
 	for i, row := range all {
+		text := string(row.Value)
 		for e := range nodes {
-			old, own := site.EngineHost(e)+":80", fmt.Sprintf("%s%d:80", f.net, 110+e)
-			all[i] = rows.Row{Key: row.Key, Value: bytes.ReplaceAll(all[i].Value, []byte(old), []byte(own))}
+			text = strings.ReplaceAll(text, site.EngineHost(e)+":80", fmt.Sprintf("%s%d:80", f.net, 110+e))
+			text = strings.ReplaceAll(text, site.PlainHost(e)+":80", fmt.Sprintf("%s%d:80", f.net, 120+e))
 		}
+		all[i] = rows.Row{Key: row.Key, Value: []byte(text)}
 	}
 	if _, err := f.table.Write(context.Background(), all...); err != nil {
 		f.t.Fatalf("writing the table: %v", err)
@@ -162,20 +171,25 @@
 	}
 }
 
+// get reads a JSON answer.
+func get(url string, into any) error {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
 type status struct {
 	Runners []digest.Digest `json:"runners"`
 }
 
 // owned returns the runners that node i says it owns.
 func (f *fleet) owned(i int) []string {
-	client := http.Client{Timeout: time.Second}
-	res, err := client.Get("http://" + f.host(i) + ":9000/status")
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = res.Body.Close() }()
 	var s status
-	if json.NewDecoder(res.Body).Decode(&s) != nil {
+	if get("http://"+f.host(i)+":9000/status", &s) != nil {
 		return nil
 	}
 	var names []string
@@ -210,22 +224,32 @@
 // for may leave the version open.
 func (f *fleet) askModel(i int, model, served string) string {
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, tokens)
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.host(i)+":8000/v1/completions", strings.NewReader(body))
+	status, _, answer, err := f.post(i, "/v1/completions", body, nil)
+	if err != nil || status != http.StatusOK {
+		return fmt.Sprintf("status %d, error %v, body %s", status, err, answer)
+	}
+	return compare(string(answer), engsim.Answer(served, prompt, tokens))
+}
+
+// post sends a request to node i; the answer's body is whole unless err is set.
+func (f *fleet) post(i int, path, body string, headers map[string]string) (int, http.Header, []byte, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.host(i)+":8000"+path, strings.NewReader(body))
 	if err != nil {
-		return err.Error()
+		return 0, nil, nil, err
 	}
+	req.Close, req.GetBody = true, nil // or net/http might send a booking twice itself
 	req.Header.Set("Authorization", "Bearer "+site.APIKey)
-	client := http.Client{Timeout: 10 * time.Second}
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	client := http.Client{Timeout: patience}
 	res, err := client.Do(req)
 	if err != nil {
-		return err.Error()
+		return 0, nil, nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	answer, err := io.ReadAll(res.Body)
-	if err != nil || res.StatusCode != http.StatusOK {
-		return fmt.Sprintf("status %d, error %v, body %s", res.StatusCode, err, answer)
-	}
-	return compare(string(answer), engsim.Answer(served, prompt, tokens))
+	return res.StatusCode, res.Header, answer, err
 }
 
 func compare(answer string, want []string) string {
