--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -58,7 +58,7 @@
 // Alike reports whether two digests differ in counters alone, and in none that crosses empty or full: what a choice of a
 // runner hardly depends on. Whether an idle model may be unloaded counts only while there is no free slot.
 func (d Digest) Alike(other Digest) bool {
-	if d.full() != other.full() || d.stuck() != other.stuck() || (d.Waiting == 0) != (other.Waiting == 0) {
+	if d.full() != other.full() || d.crowded() != other.crowded() || (d.Waiting == 0) != (other.Waiting == 0) {
 		return false
 	}
 	d.Running, d.Waiting, d.Idle, d.Cheap = other.Running, other.Waiting, other.Idle, other.Cheap
@@ -70,7 +70,7 @@
 	return d.Running >= max(1, d.Batch)
 }
 
-// stuck reports whether no slot can be had for another model.
-func (d Digest) stuck() bool {
+// crowded reports whether no slot can be had for another model.
+func (d Digest) crowded() bool {
 	return d.Free == 0 && d.Idle == 0
 }
