Read the sessions again before asking for news of runners

Cause: nodes that start together read which others there are before these have written their sessions, and again only after a poll of 2 s. A request on a node that owns no runner waited for that; seen in a demo built with the race detector (three at once on one core), whose slowest request was told nothing but "no news" for 0.8 s.

Change: in its first 3 s, and while it knows no other node, a node reads the rows again before it asks.

Conclusion: callers of a site that has just come up no longer wait for a poll.

--- a/internal/node/greet.go
+++ b/internal/node/greet.go
@@ -8,6 +8,7 @@
 const (
 	greetWait = 3 * time.Second // for the first reading of the session rows
 	greetPoll = 20 * time.Millisecond
+	rereadFor = 100 * time.Millisecond // for a reading of the session rows that is brought forward
 )
 
 // join takes part in the site: it learns what runners the other nodes own before its session row tells them and callers
@@ -27,8 +28,15 @@
 }
 
 // fetch asks the other nodes, or where none is known those that the settings name, for the digests of their runners.
+// Nodes that start together read the session rows before the others have written theirs: those are read again first, or
+// calls would wait for the next poll.
 func (n *Node) fetch(ctx context.Context) int {
 	addrs := n.peers()
+	if len(addrs) == 0 || time.Since(n.begun) < greetWait {
+		n.owner.Nudge()
+		sleep(ctx, rereadFor)
+		addrs = n.peers()
+	}
 	if len(addrs) == 0 {
 		addrs = n.seeds()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,7 @@
 
 	keys     atomic.Pointer[[]string] // SHA-256 of operators' keys in force
 	ctx      context.Context
+	begun    time.Time // when Run began
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
@@ -123,6 +124,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.ctx = ctx
+	n.begun = time.Now()
 	n.build()
 	if err := n.serve(ctx); err != nil {
 		return err
--- a/internal/owner/follow.go
+++ b/internal/owner/follow.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// nudge makes the next reading happen now.
-func (o *Owner) nudge() {
+// Nudge makes the next reading of sessions and ownership rows happen now.
+func (o *Owner) Nudge() {
 	select {
 	case o.wake <- struct{}{}:
 	default:
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -163,6 +163,6 @@
 	if err == nil {
 		// After a conflict the view is too old. Read again at once from the same lagging replica it would lead to the
 		// same write, and the node would load the table service with nothing but that.
-		o.nudge()
+		o.Nudge()
 	}
 }
--- a/internal/stand/site/fresh_test.go
+++ b/internal/stand/site/fresh_test.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	unread   = 6 * time.Second        // for which the owners read no sessions, well within their lease
-	freshGap = 100 * time.Millisecond // between requests to a node that has just started
-	atOnce   = 100 * time.Millisecond // for a refusal that has nothing to wait for
-	shortly  = 4 * time.Second        // for a refusal that waits for what it could not learn yet
+	unread    = 6 * time.Second        // for which the owners read no sessions, well within their lease
+	freshGap  = 100 * time.Millisecond // between requests to a node that has just started
+	atOnce    = 100 * time.Millisecond // for a refusal that has nothing to wait for
+	shortly   = 4 * time.Second        // for a refusal that waits for what it could not learn yet
+	foundSoon = time.Second            // for an answer on a node that does not know the others yet
 )
 
 // partTable cuts nodes off from the table service, or joins them again.
@@ -121,3 +122,35 @@
 		w.KillNode(1)
 	})
 }
+
+// All nodes of a site start at once. Each reads which others there are before these have written their sessions, and would
+// read again only after its poll: callers of a node that owns no runner would wait for that, although every runner has its
+// owner already.
+func TestNodesThatStartTogetherFindEachOtherSoon(t *testing.T) {
+	play(t, 0, 2, true, func(w *world) {
+		for i := range 4 {
+			w.StartNode(w.ctx, i)
+		}
+		for w.owned(4) < 2 {
+			w.pass(freshGap)
+		}
+		for i := range 4 {
+			status, _, text, took := w.probe(i, i, site.AdapterName(i)+"@v1")
+			if status != http.StatusOK || took > foundSoon {
+				w.t.Errorf("node %d: got status %d after %s, %s; want 200 within %s", i, status, took, text, foundSoon)
+			}
+		}
+		for i := range 4 {
+			w.KillNode(i)
+		}
+	})
+}
+
+// owned returns how many runners the nodes own.
+func (w *world) owned(nodes int) int {
+	count := 0
+	for i := range nodes {
+		count += len(w.Node(i).Runners())
+	}
+	return count
+}
