End the use of a model with the last token generated

In the run traced, all 1,326 tokens were generated 13 s before the unload; the paused owner had not taken them yet, and the stand-in's record counted the request as running until it was handed on. No caller lost a byte and the engine noticed nothing: the case is allowed, since generating needs the adapter and handing on does not. Change: a record says when its last token was generated; the check counts the use of a model up to then. Both sides are in the check's own test: an unload while an answer is handed on passes, one while it is generated is caught. Conclusion: kept for the traced case.

--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -26,6 +26,9 @@
 	run := func(from, to float64) []recrd.Record {
 		return []recrd.Record{{Model: "m", Request: "q", Started: at(from), Finished: at(to), End: recrd.Whole}}
 	}
+	handed := func(made float64) []recrd.Record {
+		return []recrd.Record{{Model: "m", Request: "q", Started: at(8), Made: at(made), Finished: at(20), End: recrd.Cancelled}}
+	}
 	endless := []recrd.Record{{Model: "m", Request: "q", Started: at(9)}}
 	noticed := []recrd.Record{{Model: "m", Breach: "unloaded while in use", Finished: at(3)}}
 	force := func(process string, rev int64, when float64) action.Action {
@@ -58,6 +61,8 @@
 		{"two owners under one fence", givers, actions{start("a", 1, 1), start("b", 1, 2)}, 1},
 		{"unload before a request", unloads(run(12, 13), nil), actions{unload}, 0},
 		{"unload after a request", unloads(run(8, 9), nil), actions{unload}, 0},
+		{"unload while an answer is handed on", unloads(handed(9), nil), actions{unload}, 0},
+		{"unload while an answer is generated", unloads(handed(12), nil), actions{unload}, 1},
 		{"unload of a model in use", unloads(run(9, 12), nil), actions{unload}, 1},
 		{"unload under an endless request", unloads(endless, nil), actions{unload}, 1},
 		{"breach an engine noticed", unloads(nil, noticed), nil, 1},
--- a/internal/stand/engsim/step.go
+++ b/internal/stand/engsim/step.go
@@ -83,7 +83,9 @@
 		}
 		if r.done < r.total {
 			left = append(left, r)
+			continue
 		}
+		e.log[r.record].Made = time.Now()
 	}
 	clear(b.running[len(left):])
 	b.running = left
--- a/internal/stand/recrd/recrd.go
+++ b/internal/stand/recrd/recrd.go
@@ -26,6 +26,7 @@
 	Tokens   int       `json:"tokens"`           // tokens generated, without the skipped ones
 	Started  time.Time `json:"started"`          // when the upstream accepted it
 	Finished time.Time `json:"finished"`         // zero while in progress
+	Made     time.Time `json:"made"`             // when its last token was generated and its model not needed any more; zero before
 	End      string    `json:"end"`              // one of the ways above, or empty
 	Breach   string    `json:"breach,omitempty"` // what was wrong; empty where nothing was
 }
