Count a node that knows of no others as one of several

Cause: a starting node that had not read the sessions took itself for alone and held limits by itself until its next look. Change: until a node sees itself among those that serve it counts at least one other.

--- a/internal/admit/report.go
+++ b/internal/admit/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,10 +49,15 @@
 	return said{Life: a.life, Sure: sure, Used: used}
 }
 
-// look takes in which nodes there are.
+// look takes in which nodes there are. A node that does not see itself among them has not read the sessions yet: it is
+// not alone because it knows of nobody, and would let a whole limit through.
 func (a *Admit) look(ctx context.Context) {
-	moved := a.homes.set(a.Serving())
+	nodes := a.Serving()
+	moved := a.homes.set(nodes)
 	others := len(a.Peers())
+	if !slices.ContainsFunc(nodes, func(s sess.Session) bool { return s.Peer == a.Self }) {
+		others = max(others, 1)
+	}
 	_ = a.Loop.Do(ctx, func() {
 		a.limit.Among(others)
 		if moved {
