Move the measuring of slopes out of the test files

A process test also looped with a sleep of its own. Change: package slope measures, computes and writes the page, and returns errors in place of ending a test; its test makes the bubbles. The process tests share one loop that waits for a condition.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 # slopes measures what parts of a node cost and writes the figures into docs/CAPACITY.md, about a minute; then it prints
 # takeover times, times in force and what control costs at several sizes, in virtual time.
 slopes:
-	$(GO) test ./test/slopes -run TestSlopes -count 1 -args -write $(CURDIR)/docs/CAPACITY.md
+	$(GO) test ./internal/slope -run TestSlopes -count 1 -args -write $(CURDIR)/docs/CAPACITY.md
 	$(GO) test ./internal/stand/site -run TestSlopes -v -sizes 7,20,50,100 -timeout 1h
 
 demo:
--- a/test/slopes/slopes_test.go
+++ b/internal/slope/figure.go
@@ -1,24 +1,23 @@
-// Package slopes_test measures what each part of a node costs at several sizes and computes from the slopes what it costs at
-// the size to design for. 'make slopes' runs it and writes the figures into docs/CAPACITY.md.
-package slopes_test
+// Package slope measures what each part of a node costs at several sizes and computes from the slopes what it costs at the
+// size to design for. 'make slopes' runs it and writes the figures into docs/CAPACITY.md.
+package slope
 
 import (
-	"flag"
+	"errors"
 	"fmt"
 	"math"
 	"os"
 	"runtime"
 	"strings"
-	"testing"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"damaskreach/internal/call"
 	"damaskreach/internal/frame"
 	"damaskreach/internal/rows"
 )
 
-var write = flag.String("write", "", "page whose figures are replaced; without it nothing is measured")
-
 // The size to design for.
 const (
 	nodes    = 1300.0
@@ -91,8 +90,9 @@
 	used                                            int // bytes of a report of what one adapter used of its limit, and of the answer
 }
 
-func measureParts(t *testing.T) figures {
+func measureParts(b bubble) (figures, error) {
 	var f figures
+	var fault error
 	small := []float64{1000, 3000, 10000}
 	fleet := []float64{15, 300, 1667}
 	f.adapter = newFigure("memory of adapter rows in force", "B", adapters, []float64{3000, 14000, 57000}, func(n int) float64 {
@@ -110,7 +110,11 @@
 		return kept(func() any { return many(n, newOwned) })
 	})
 	f.session = newFigure("memory of sessions", "B", siteNodes, []float64{200, 600, 1300}, func(n int) float64 { return kept(func() any { return newMember(n) }) })
-	f.conn = newFigure("memory of idle ends of connections", "B", 2*siteNodes, []float64{50, 100, 200}, func(n int) float64 { return float64(n) * measureConn(t, n/2) })
+	f.conn = newFigure("memory of idle ends of connections", "B", 2*siteNodes, []float64{50, 100, 200}, func(n int) float64 {
+		each, err := measureConn(b, n/2)
+		fault = errors.Join(fault, err)
+		return float64(n) * each
+	})
 	f.cold = newFigure("who should own which runner, 7.7 runners a node, none has an owner", "us", siteRunners, fleet, func(n int) float64 {
 		c, m := newCatalog(many(n, runnerRow)), newMember(max(2, n*13/100))
 		return cost(func() { plan(c, m, nil) })
@@ -132,7 +136,7 @@
 			p.Settle(time.Now(), c, d.Runner, nil)
 		})
 	})
-	return f
+	return f, fault
 }
 
 func measureSmall(f *figures) {
@@ -179,19 +183,25 @@
 	})
 }
 
-func TestSlopes(t *testing.T) {
-	if *write == "" {
-		t.Skip("it measures, which 'make slopes' asks for")
-	}
+// bubble runs a function in virtual time.
+type bubble = func(run func())
+
+// Write measures everything, for about a minute, and replaces the figures of a page. What needs virtual time runs in
+// bubbles, which only tests can make.
+func Write(page string, bubble func(run func())) error {
 	begin := time.Now()
-	f := measureParts(t)
+	f, err := measureParts(bubble)
+	if err != nil {
+		return err
+	}
 	measureSmall(&f)
-	w := measureSites(t)
+	w, err := measureSites(bubble)
+	if err != nil {
+		return err
+	}
 	text := fmt.Sprintf("Go %s, %d cores shared with other work, %d rounds, %.0f s in all.\n\n", strings.TrimPrefix(runtime.Version(), "go"), runtime.NumCPU(), rounds, time.Since(begin).Seconds()) +
 		f.table() + w.text() + f.compute(w)
-	if err := replace(*write, text); err != nil {
-		t.Fatal(err)
-	}
+	return replace(page, text)
 }
 
 const (
@@ -208,7 +218,7 @@
 	before, rest, found := strings.Cut(string(data), mark)
 	_, after, ended := strings.Cut(rest, endMark)
 	if !found || !ended {
-		return fmt.Errorf("%s has no marks for the figures", path)
+		return merry.Errorf("%s has no marks for the figures", path)
 	}
 	return os.WriteFile(path, []byte(before+mark+text+endMark+after), 0o644)
 }
--- a/test/slopes/page_test.go
+++ b/internal/slope/page.go
@@ -1,10 +1,9 @@
-package slopes_test
+package slope
 
 import (
 	"fmt"
 	"math"
 	"strings"
-	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -33,11 +32,14 @@
 	off                 float64 // largest relative distance of a measured from a computed mesh figure
 }
 
-func measureSites(t *testing.T) sites {
+func measureSites(b bubble) (sites, error) {
 	var s sites
 	var peers, engines, mesh, table, cpu []float64
 	for _, shape := range shapes {
-		u := measureSite(t, shape[0], shape[1])
+		u, err := measureSite(b, shape[0], shape[1])
+		if err != nil {
+			return sites{}, err
+		}
 		s.uses = append(s.uses, u)
 		others := float64(shape[0] - 1)
 		peers = append(peers, others)
@@ -54,7 +56,7 @@
 	for i := range mesh {
 		s.off = max(s.off, math.Abs(s.mesh.at(peers[i], engines[i])/mesh[i]-1))
 	}
-	return s
+	return s, nil
 }
 
 func (s sites) text() string {
--- a/test/slopes/parts_test.go
+++ b/internal/slope/parts.go
@@ -1,4 +1,4 @@
-package slopes_test
+package slope
 
 import (
 	"encoding/json"
--- a/test/procs/delivery_test.go
+++ b/test/procs/delivery_test.go
@@ -106,9 +106,8 @@
 	var whole atomic.Int64
 	ask := func(send func() seen.Seen) {
 		all.Go(func() {
-			s := send()
-			for ; notRun(s); s = send() { // callers repeat what did not run
-				time.Sleep(look) // a real wait for other processes
+			if !until(func() bool { return !notRun(send()) }) { // callers repeat what did not run
+				d.f.t.Errorf("%s: a request was refused as not run for %s", name, patience)
 			}
 		})
 	}
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -163,12 +163,20 @@
 
 func (f *fleet) await(what string, done func() bool) {
 	f.t.Helper()
+	if !until(done) {
+		f.t.Fatalf("got no state in which %s within %s, want one", what, patience)
+	}
+}
+
+// until looks again and again and reports whether a condition came to hold.
+func until(done func() bool) bool {
 	for limit := time.Now().Add(patience); !done(); {
 		if time.Now().After(limit) {
-			f.t.Fatalf("got no state in which %s within %s, want one", what, patience)
+			return false
 		}
 		time.Sleep(look) // a real wait for another process; synctest cannot pause those
 	}
+	return true
 }
 
 // get reads a JSON answer.
