--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -75,8 +75,8 @@
 }
 
 // refuseStuck refuses attempts that would wait for what may never come: a slot on a runner that has been unable to free one
-// for a while, a model whose own unload keeps failing, or one that an earlier owner may be unloading. They are answered while the caller can still act on it,
-// not after the longest allowed request, and the entry tries another runner first.
+// for a while, a model whose own unload keeps failing, or one that an order may still take off the engine. They are answered
+// while the caller can still act on it, not after the longest allowed request, and the entry tries another runner first.
 func (s *Sched) refuseStuck(now time.Time) {
 	s.watchRoom(now)
 	for k := 0; k < len(s.queue); {
