--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -9,6 +9,7 @@
 
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 // Size is the largest number of rows written in one transaction.
@@ -73,7 +74,7 @@
 			return rev, lost, err
 		}
 		lost = lost || !errors.Is(err, table.ErrDown)
-		if !sleep(ctx, pause) {
+		if !turns.Sleep(ctx, pause) {
 			return 0, lost, err
 		}
 	}
@@ -85,18 +86,6 @@
 	return w.table.Write(ctx, edits...)
 }
 
-// sleep waits and reports whether ctx still holds.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func failure(lost bool, err error) Outcome {
 	if lost {
 		return Outcome{State: Unknown, Err: err}
--- a/internal/force/force.go
+++ b/internal/force/force.go
@@ -16,6 +16,7 @@
 
 	"damaskreach/internal/sess"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -70,7 +71,7 @@
 				lags = append(lags, a.node.ID()+" "+a.lag)
 			}
 		}
-		if len(waiting) == 0 || !sleep(ctx) {
+		if len(waiting) == 0 || !turns.Sleep(ctx, pause) {
 			break
 		}
 	}
@@ -157,14 +158,3 @@
 	}
 	return found
 }
-
-func sleep(ctx context.Context) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/opctl/plan.go
+++ b/internal/opctl/plan.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/plan"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 const retryPause = 500 * time.Millisecond
@@ -30,23 +31,12 @@
 		if err == nil {
 			err = merry.Errorf("the replica read is at revision %d, and %d was seen already", rev, floor)
 		}
-		if !pause(ctx) {
+		if !turns.Sleep(ctx, retryPause) {
 			return nil, 0, merry.Prepend(err, "reading the configuration")
 		}
 	}
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // work is what diff and apply begin with.
 type work struct {
 	decl  decl.Decl
--- a/internal/opctl/weights.go
+++ b/internal/opctl/weights.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stamp"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
 )
 
 const (
@@ -121,7 +122,7 @@
 		if err == nil {
 			return now, nil
 		}
-		if errors.Is(err, table.ErrAbsent) || !pause(ctx) {
+		if errors.Is(err, table.ErrAbsent) || !turns.Sleep(ctx, retryPause) {
 			return now, err
 		}
 	}
--- /dev/null
+++ b/internal/turns/sleep.go
@@ -0,0 +1,18 @@
+package turns
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d and reports whether ctx still holds.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
