--- /dev/null
+++ b/internal/demand/demand.go
@@ -0,0 +1,24 @@
+// Package demand holds a caller's request as the entry decoded it.
+package demand
+
+import (
+	"net/http"
+	"time"
+)
+
+// Demand is immutable.
+type Demand struct {
+	ID       string // attempt of the caller; each has its own
+	Method   string
+	Host     string
+	URI      string      // path and query as sent, never cleaned or decoded
+	Header   http.Header // to pass on; hop-by-hop headers and those that only this program sets are left out
+	Body     []byte
+	Wait     time.Duration // how long the caller waits; zero means it did not say
+	Model    string        // base model; empty for plain upstreams
+	Adapter  string        // "model/adapter"; empty for the base model itself
+	Prompt   int           // tokens of the prompt
+	Most     int           // tokens that the answer may have
+	Prefix   string        // what the prompt shares with others
+	LastSeen string        // id of the last event that the caller has, where it resumes
+}
--- /dev/null
+++ b/internal/direct/direct.go
@@ -0,0 +1,134 @@
+// Package direct serves callers by sending each request straight to an upstream.
+//
+// An engine guards its own adapters: an unload waits for the requests that use the adapter, and a request for what the
+// engine does not hold is rejected as not run. So no other host stands between the one that the caller reached and the
+// engine: one hop less for each event, and no stream ends with the host of somebody else.
+package direct
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/demand"
+	"damaskreach/internal/holds"
+	"damaskreach/internal/pick"
+	"damaskreach/internal/resp"
+	"damaskreach/internal/spare"
+	"damaskreach/internal/view"
+	"damaskreach/internal/want"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+const (
+	// noConf is when to come back to a host that knows no configuration yet: it reads one within some calls to the store.
+	noConf = 500 * time.Millisecond
+	// comeBack is when to come back where nothing better is known: about the time in which a crashed upstream's neighbours
+	// take over or a load completes.
+	comeBack = 700 * time.Millisecond
+	// forHeader is how long a caller may take for its body where the configuration has no bound.
+	forHeader = 10 * time.Second
+)
+
+// Direct serves callers. Its fields are set before the first request.
+type Direct struct {
+	// Decode takes the fields of a request from its headers; its error is the caller's fault.
+	Decode func(r *http.Request) (demand.Demand, error)
+	// Headers returns what goes beside the caller's headers to an upstream: the incarnation that must have the address, the
+	// time left, the version that must be loaded (0 for any), and the last event that was passed on.
+	Headers func(id string, left time.Duration, version int, last string) http.Header
+	// NotRun reports whether an upstream's answer says that it did not run the request.
+	NotRun func(status int, h http.Header) bool
+	// Do sends a request to an upstream.
+	Do func(ctx context.Context, addr string, d demand.Demand, extra http.Header) (resp.Resp, error)
+	// Owner reports whether loads on an engine can be asked for now.
+	Owner func(id string) bool
+	// Load has an adapter loaded and returns once it is.
+	Load func(ctx context.Context, w want.Want) error
+	// Used records that a request uses an adapter at an engine.
+	Used func(id, adapter string)
+	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
+	Grace func() time.Duration
+	View  func() view.View
+	Holds *holds.Holds
+	Pick  *pick.Pick
+	Spare *spare.Spare
+	Log   *zap.Logger
+	// Count takes the outcome of each request: its route's kind and priority, the code of its refusal or "ok", and times.
+	Count func(class, code string, took, first time.Duration)
+
+	spread spread
+}
+
+// ServeHTTP serves one request of a caller.
+func (x *Direct) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	d, err := x.Decode(r)
+	if err != nil {
+		x.refuse(w, &job{d: d, begun: begun}, refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "%v", err))
+		return
+	}
+	j := &job{d: d, begun: begun, w: w, view: x.View()}
+	if !j.view.Known() {
+		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(noConf))
+		return
+	}
+	path, _, _ := strings.Cut(d.URI, "?")
+	rt, ok := j.view.Rules.Match(d.Host, path)
+	if !ok {
+		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "no route for %s%s in version %d", d.Host, path, j.view.Rules.Version))
+		return
+	}
+	j.route = rt
+	j.group = rt.Group(hash(d.ID))
+	if refusal := x.body(w, r, j); refusal != nil {
+		x.refuse(w, j, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
+	defer cancel()
+	x.serve(ctx, j)
+}
+
+// body reads the whole body: it may have to be sent twice, and the upstream gets its length.
+func (x *Direct) body(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	// Without a bound a caller that stops sending would hold the request's memory for as long as it likes.
+	if err := control.SetReadDeadline(j.deadline()); err != nil {
+		x.Log.Debug("read deadline not set", zap.Error(err))
+	}
+	limit := j.view.Rules.MaxBody
+	if limit <= 0 {
+		limit = 1 << 20
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "body over %d bytes", limit)
+	}
+	if err != nil {
+		return refuse.NewRefusal(verd.NotRun, refuse.SlowBody, "reading the body: %v", err)
+	}
+	j.d.Body = data
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		x.Log.Debug("read deadline not cleared", zap.Error(err))
+	}
+	return nil
+}
+
+// hash spreads requests over the groups of a split route; an attempt always goes to the same one.
+func hash(text string) uint32 {
+	sum := fnv.New32a()
+	sum.Write([]byte(text))
+	return sum.Sum32()
+}
--- /dev/null
+++ b/internal/direct/finish.go
@@ -0,0 +1,71 @@
+package direct
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+// status returns the status of a refusal. A 503 promises that the request has not run and never will: it is given for no
+// other verdict.
+func status(r *refuse.Refusal) int {
+	switch r.Code {
+	case refuse.BadRequest, refuse.NoRoute, refuse.TooLarge:
+		return r.Status()
+	case refuse.SlowBody:
+		return http.StatusRequestTimeout
+	}
+	if r.Verdict == verd.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	if r.Code == refuse.Deadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// refuse gives the caller its final answer. Where part of another answer has gone out, the connection is broken off, so
+// that what the caller has does not look whole.
+func (x *Direct) refuse(w http.ResponseWriter, j *job, r *refuse.Refusal) {
+	x.finish(j, r.Code, "", status(r))
+	x.Log.Info("refused", zap.String("request", j.d.ID), zap.String("code", r.Code), zap.Stringer("verdict", r.Verdict),
+		zap.String("why", r.Text), zap.String("route", j.route.Name), zap.String("adapter", j.d.Adapter),
+		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.Duration("after", time.Since(j.begun)),
+		zap.Int64("rules", j.view.Rules.Version), zap.Duration("age", time.Since(j.view.Read)))
+	if j.headed {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		x.Log.Error("refusal not encoded", zap.Error(err))
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if r.Retry > 0 && r.Verdict == verd.NotRun {
+		h.Set("Retry-After", strconv.FormatFloat(r.Retry.Seconds(), 'f', 2, 64))
+	}
+	w.WriteHeader(status(r))
+	if _, err := w.Write(body); err != nil {
+		x.Log.Debug("caller left", zap.String("request", j.d.ID), zap.Error(err))
+	}
+}
+
+// finish counts and logs the end of a request.
+func (x *Direct) finish(j *job, code, id string, status int) {
+	now := time.Now()
+	first := time.Duration(0)
+	if !j.first.IsZero() {
+		first = j.first.Sub(j.begun)
+	}
+	x.Count(j.class(), code, now.Sub(j.begun), first)
+	x.Log.Debug("request ended", zap.String("request", j.d.ID), zap.String("code", code), zap.Int("status", status),
+		zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("sends", j.sends), zap.String("note", j.note),
+		zap.Duration("first", first), zap.Duration("took", now.Sub(j.begun)))
+}
--- /dev/null
+++ b/internal/direct/job.go
@@ -0,0 +1,75 @@
+package direct
+
+import (
+	"net/http"
+	"time"
+
+	"damaskreach/internal/demand"
+	"damaskreach/internal/kinds"
+	"damaskreach/internal/route"
+	"damaskreach/internal/view"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+// forever is the longest that any request is kept.
+const forever = 5 * time.Minute
+
+// job is one request on its way. It belongs to the goroutine that serves it.
+type job struct {
+	d     demand.Demand
+	w     http.ResponseWriter
+	view  view.View
+	route route.Route
+	group string
+	begun time.Time
+
+	sends  int             // to upstreams, rejected ones included
+	runs   int             // sends that may have run
+	tried  map[string]bool // upstreams that did not serve it
+	fault  *refuse.Refusal // why the last send failed
+	last   string          // id of the last event that was passed on
+	headed bool            // the status has gone to the caller
+	first  time.Time       // when the first byte of the answer went to the caller
+	note   string          // what was decided on the way, for the line at its end
+}
+
+// deadline is when the request gets its final answer at the latest.
+func (j *job) deadline() time.Time {
+	left := forever
+	if j.route.Timeout > 0 {
+		left = min(left, j.route.Timeout)
+	}
+	if j.d.Wait > 0 {
+		left = min(left, j.d.Wait)
+	}
+	return j.begun.Add(left)
+}
+
+// again reports whether the request may be sent to another upstream after a send that may have run.
+func (j *job) again() bool {
+	return j.route.Repeatable() && j.runs < max(1, j.route.Attempts)
+}
+
+// class names the request in metrics.
+func (j *job) class() string {
+	names := map[kinds.Kind]string{kinds.Once: "once", kinds.Idempotent: "idempotent", kinds.Stream: "stream"}
+	return names[j.route.Kind]
+}
+
+// fail remembers why a send did not serve the request.
+func (j *job) fail(id string, r *refuse.Refusal) {
+	if j.tried == nil {
+		j.tried = map[string]bool{}
+	}
+	j.tried[id] = true
+	j.fault = r
+}
+
+// verdict says whether the request may have run at any upstream so far.
+func (j *job) verdict() verd.Verdict {
+	if j.runs > 0 {
+		return verd.MayHaveRun
+	}
+	return verd.NotRun
+}
--- /dev/null
+++ b/internal/direct/place.go
@@ -0,0 +1,254 @@
+package direct
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/pool"
+	"damaskreach/internal/target"
+	"damaskreach/internal/want"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+const (
+	// choices is how many engines an adapter may be loaded to for its first request; the least busy of them gets it. With
+	// one alone a busy engine's adapters wait; many make it come to an engine that has not held it before.
+	choices = 3
+	// loadFor bounds the wait for a load: an engine that does not load within it is in trouble.
+	loadFor = 1200 * time.Millisecond
+	// crowded and slack say when an adapter gets one more engine: where those that hold it have so many times the mean of
+	// running requests, and so many more.
+	crowded = 1.4
+	slack   = 3
+	// spreadEvery is the shortest time between two such loads of one adapter.
+	spreadEvery = 400 * time.Millisecond
+)
+
+// spread remembers when adapters last got one more engine.
+type spread struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// due reports whether an adapter may get one more engine now.
+func (s *spread) due(adapter string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.at[adapter]) < spreadEvery {
+		return false
+	}
+	if s.at == nil || len(s.at) > 10000 {
+		s.at = map[string]time.Time{}
+	}
+	s.at[adapter] = now
+	return true
+}
+
+// place returns the upstream for the next send and the version of the adapter that it must have, 0 for any.
+func (x *Direct) place(ctx context.Context, j *job) (target.Target, int, *refuse.Refusal) {
+	j.view = x.View()
+	now := time.Now()
+	p := j.view.Rules.Pools[j.group]
+	all := x.candidates(j)
+	if len(all) == 0 {
+		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
+	}
+	if !p.Engine || j.d.Model == "" {
+		return x.Pick.Order(all, now)[0], 0, nil
+	}
+	able := make([]target.Target, 0, len(all))
+	for _, t := range all {
+		if t.Has(j.d.Model) {
+			able = append(able, t)
+		}
+	}
+	if len(able) == 0 {
+		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine holds %s", j.d.Model).WithRetry(comeBack)
+	}
+	if j.d.Adapter == "" {
+		return x.Pick.Order(able, now)[0], 0, nil
+	}
+	return x.placeAdapter(ctx, j, p, able)
+}
+
+// candidates returns the ready upstreams of the group that have not failed this request.
+func (x *Direct) candidates(j *job) []target.Target {
+	var list []target.Target
+	for _, t := range j.view.Targets {
+		if t.Group == j.group && !t.Draining && !j.tried[t.ID] {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// placeAdapter prefers an engine that holds the adapter in the newest version.
+func (x *Direct) placeAdapter(ctx context.Context, j *job, p pool.Pool, able []target.Target) (target.Target, int, *refuse.Refusal) {
+	now := time.Now()
+	version := j.view.Versions[j.d.Adapter]
+	var holders, older, others []target.Target
+	for _, t := range able {
+		held, ok := x.Holds.Version(t, j.d.Adapter, now)
+		switch {
+		case ok && held >= version:
+			holders = append(holders, t)
+		case ok:
+			older = append(older, t)
+		default:
+			others = append(others, t)
+		}
+	}
+	if len(holders) > 0 {
+		best := x.Pick.Order(holders, now)[0]
+		x.relieve(j, best, able, others, older, now)
+		if !x.Pick.Resting(best.ID, now) || len(others)+len(older) == 0 {
+			return best, version, nil
+		}
+	}
+	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
+		if x.spread.due(j.d.Adapter, now) {
+			go x.loadAside(x.first(j, others, older), j, version)
+		}
+		return x.Pick.Order(older, now)[0], 0, nil
+	}
+	return x.load(ctx, j, others, older, version)
+}
+
+// first returns the engine at which an adapter is loaded next: the least busy of the few that it hashes to.
+func (x *Direct) first(j *job, others, older []target.Target) target.Target {
+	now := time.Now()
+	usable := x.usable(others, now)
+	if len(usable) == 0 {
+		usable = x.usable(older, now)
+	}
+	if len(usable) == 0 {
+		return target.Target{}
+	}
+	return x.Pick.Order(ranked(j.d.Adapter, usable), now)[0]
+}
+
+// usable returns the engines to which something can be loaded now.
+func (x *Direct) usable(list []target.Target, now time.Time) []target.Target {
+	var usable []target.Target
+	for _, t := range list {
+		if x.Owner(t.ID) && !x.Pick.Resting(t.ID, now) {
+			usable = append(usable, t)
+		}
+	}
+	return usable
+}
+
+// ranked returns the few engines that an adapter hashes to. The choice is steady, so that an adapter which was evicted
+// comes back to an engine that still has its weights at hand, and changes little when engines come and go.
+func ranked(adapter string, list []target.Target) []target.Target {
+	top := make([]target.Target, 0, choices+1)
+	ranks := make([]uint32, 0, choices+1)
+	for _, t := range list {
+		rank := mix(hash(t.ID + "/" + adapter))
+		at := len(top)
+		for at > 0 && ranks[at-1] < rank {
+			at--
+		}
+		if at >= choices {
+			continue
+		}
+		top = append(top[:at], append([]target.Target{t}, top[at:]...)...)
+		ranks = append(ranks[:at], append([]uint32{rank}, ranks[at:]...)...)
+		if len(top) > choices {
+			top, ranks = top[:choices], ranks[:choices]
+		}
+	}
+	return top
+}
+
+// mix spreads the bits of a hash of texts that differ in a few letters.
+func mix(x uint32) uint32 {
+	x ^= x >> 16
+	x *= 0x85ebca6b
+	x ^= x >> 13
+	x *= 0xc2b2ae35
+	return x ^ x>>16
+}
+
+// load has the adapter loaded and waits for it.
+func (x *Direct) load(ctx context.Context, j *job, others, older []target.Target, version int) (target.Target, int, *refuse.Refusal) {
+	none := refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine can load %s now", j.d.Adapter).WithRetry(comeBack)
+	for range 2 {
+		t := x.first(j, others, older)
+		if t.ID == "" {
+			return target.Target{}, 0, none
+		}
+		loadCtx, cancel := context.WithTimeout(ctx, loadFor)
+		began := time.Now()
+		err := x.Load(loadCtx, want.Want{ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version})
+		cancel()
+		if err == nil {
+			j.note = "loaded"
+			x.Holds.Hit(t.ID, j.d.Adapter)
+			return t, version, nil
+		}
+		x.Log.Info("load failed", zap.String("request", j.d.ID), zap.String("adapter", j.d.Adapter), zap.String("target", t.ID),
+			zap.Duration("waited", time.Since(began)), zap.Error(err))
+		if ctx.Err() != nil {
+			return target.Target{}, 0, x.ended(ctx, j)
+		}
+		others, older = without(others, t.ID), without(older, t.ID)
+	}
+	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
+}
+
+func without(list []target.Target, id string) []target.Target {
+	var left []target.Target
+	for _, t := range list {
+		if t.ID != id {
+			left = append(left, t)
+		}
+	}
+	return left
+}
+
+// relieve gives the adapter one more engine where those that hold it are much busier than the others. A hot adapter may
+// need more prompts read than one engine can read.
+func (x *Direct) relieve(j *job, best target.Target, able, others, older []target.Target, now time.Time) {
+	if len(others)+len(older) == 0 {
+		return
+	}
+	sum := 0
+	for _, t := range able {
+		sum += x.Pick.Load(t.ID, now)
+	}
+	mean := float64(sum) / float64(len(able))
+	busy := float64(x.Pick.Load(best.ID, now))
+	if busy < crowded*mean+slack || !x.spread.due(j.d.Adapter, now) {
+		return
+	}
+	t := x.first(j, others, older)
+	if t.ID == "" || float64(x.Pick.Load(t.ID, now))+slack > busy {
+		return
+	}
+	go x.loadAside(t, j, j.view.Versions[j.d.Adapter])
+}
+
+// loadAside has an adapter loaded that nobody waits for.
+func (x *Direct) loadAside(t target.Target, j *job, version int) {
+	if t.ID == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*loadFor)
+	defer cancel()
+	err := x.Load(ctx, want.Want{ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version})
+	x.Log.Info("adapter spread", zap.String("adapter", j.d.Adapter), zap.String("target", t.ID), zap.Int("version", version),
+		zap.Error(err))
+}
+
+// ended returns the refusal of a request whose caller left or whose time is over.
+func (x *Direct) ended(ctx context.Context, j *job) *refuse.Refusal {
+	if ctx.Err() == context.Canceled {
+		return refuse.NewRefusal(verd.MayHaveRun, refuse.Canceled, "the caller left")
+	}
+	return refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", time.Since(j.begun).Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/direct/relay.go
@@ -0,0 +1,136 @@
+package direct
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/resp"
+	"damaskreach/internal/target"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+// mostGap is how many of a route's longest pauses a stream may fall silent before it goes on at another engine, where it
+// may. Engines pause for long prompts of others; a pause of so many is a lost connection or a dead engine.
+const mostGap = 4
+
+// leastGap bounds the same from below.
+const leastGap = 1200 * time.Millisecond
+
+// relay passes a stream on event by event. Only whole events go to the caller: an engine may stop in the middle of one,
+// and another engine then goes on behind the last whole one.
+func (x *Direct) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (failed, done bool) {
+	if !j.headed {
+		head(j.w.Header(), r.Header)
+		j.w.WriteHeader(r.Status)
+		j.headed = true
+		j.first = time.Now()
+	}
+	err := x.events(ctx, j, t, r)
+	if err == nil {
+		x.finish(j, "ok", t.ID, r.Status)
+		return false, true
+	}
+	var gone *callerError
+	if errors.As(err, &gone) || ctx.Err() == context.Canceled && !errors.Is(err, errSilent) && !j.over(time.Now()) {
+		x.finish(j, refuse.Canceled, t.ID, r.Status)
+		panic(http.ErrAbortHandler)
+	}
+	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
+		zap.Duration("since", time.Since(j.begun)), zap.Error(err))
+	x.Pick.Rest(t.ID, time.Now())
+	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
+	if !j.over(time.Now()) && j.again() {
+		return true, false
+	}
+	x.refuse(j.w, j, j.fault)
+	return true, true
+}
+
+// errSilent means that a stream paused for too long.
+var errSilent = errors.New("no event for too long")
+
+// callerError means that the caller does not take the answer any more.
+type callerError struct{ error }
+
+// events copies events until the stream ends as complete.
+func (x *Direct) events(ctx context.Context, j *job, t target.Target, r resp.Resp) error {
+	control := http.NewResponseController(j.w)
+	in := bufio.NewReader(r.Body)
+	silent := false
+	gap := max(leastGap, mostGap*j.route.Gap)
+	// An engine whose connection fell silent never tells; closing the connection ends the read below.
+	timer := time.AfterFunc(gap, func() { silent = true; r.Cut() })
+	defer timer.Stop()
+	var event bytes.Buffer
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			if errors.Is(err, io.EOF) && len(line) == 0 && event.Len() == 0 {
+				return nil
+			}
+			if silent {
+				return errSilent
+			}
+			if errors.Is(err, io.EOF) {
+				return io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		event.Write(line)
+		if !bytes.HasSuffix(event.Bytes(), []byte("\n\n")) {
+			continue
+		}
+		timer.Reset(gap)
+		if err := j.pass(event.Bytes()); err != nil {
+			return err
+		}
+		event.Reset()
+		if in.Buffered() == 0 {
+			x.Pick.Heard(t.ID, time.Now())
+			if err := control.Flush(); err != nil {
+				return &callerError{err}
+			}
+		}
+	}
+}
+
+// pass gives one whole event to the caller, unless it has it already.
+func (j *job) pass(event []byte) error {
+	id := eventID(event)
+	if id != "" && j.last != "" {
+		number, err := strconv.Atoi(id)
+		last, lastErr := strconv.Atoi(j.last)
+		if err == nil && lastErr == nil && number <= last {
+			return nil
+		}
+		if err == nil && lastErr == nil && number > last+1 {
+			return errors.New("event " + id + " follows event " + j.last)
+		}
+	}
+	if _, err := j.w.Write(event); err != nil {
+		return &callerError{err}
+	}
+	if id != "" {
+		j.last = id
+	}
+	return nil
+}
+
+// eventID returns the id that an event carries.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/direct/send.go
@@ -0,0 +1,198 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/kinds"
+	"damaskreach/internal/resp"
+	"damaskreach/internal/target"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+const (
+	// mostSends bounds the sends of one request, rejected ones included.
+	mostSends = 3
+	// mostBody is the largest answer that is read before it is passed on.
+	mostBody = 8 << 20
+	// patience is how many times its target time a repeatable request waits for one upstream before it tries another.
+	patience = 3
+)
+
+// serve sends a request until it is answered or refused.
+func (x *Direct) serve(ctx context.Context, j *job) {
+	for {
+		t, version, refusal := x.place(ctx, j)
+		if refusal != nil {
+			if j.fault != nil {
+				refusal = j.fault
+			}
+			x.refuse(j.w, j, refusal)
+			return
+		}
+		if j.sends == 0 {
+			x.Spare.First(j.group, time.Now())
+		} else if !x.Spare.Again(j.group, time.Now()) {
+			x.refuse(j.w, j, j.fault)
+			return
+		}
+		j.sends++
+		if done := x.send(ctx, j, t, version); done {
+			return
+		}
+		if j.sends >= mostSends {
+			x.refuse(j.w, j, j.fault)
+			return
+		}
+	}
+}
+
+// send sends the request to one upstream; it reports true where the caller has its final answer.
+func (x *Direct) send(ctx context.Context, j *job, t target.Target, version int) (done bool) {
+	left := time.Until(j.deadline())
+	if left <= 0 {
+		x.refuse(j.w, j, x.ended(ctx, j))
+		return true
+	}
+	if j.d.Adapter != "" {
+		x.Used(t.ID, j.d.Adapter)
+	}
+	x.Pick.Begin(t.ID)
+	failed := false
+	defer func() { x.Pick.End(t.ID, failed) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := x.watch(j, left, cancel)
+	defer watch.Stop()
+	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last))
+	if err != nil {
+		failed = true
+		return x.sendFailed(ctx, j, t, err)
+	}
+	defer r.Close()
+	x.Pick.Heard(t.ID, time.Now())
+	if x.NotRun(r.Status, r.Header) {
+		failed = r.Status != http.StatusMisdirectedRequest
+		x.rejected(j, t, r)
+		return false
+	}
+	j.runs++
+	if r.Status >= http.StatusInternalServerError {
+		failed = true
+		if j.again() && j.sends < mostSends && j.route.Kind == kinds.Idempotent {
+			j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Crashed, "the upstream answered %d", r.Status))
+			return false
+		}
+	}
+	if j.route.Kind == kinds.Stream && r.Status == http.StatusOK {
+		watch.Stop()
+		failed, done = x.relay(ctx, j, t, r)
+		return done
+	}
+	failed, done = x.whole(ctx, j, t, r)
+	return done
+}
+
+// watch cancels a send that could be repeated elsewhere and has not been answered for long: an upstream may take requests
+// and never answer them while its health check is good.
+func (x *Direct) watch(j *job, left time.Duration, cancel context.CancelFunc) *time.Timer {
+	wait := left
+	if j.again() && j.runs+1 < max(1, j.route.Attempts) && j.route.Target > 0 {
+		wait = min(patience*j.route.Target, left*6/10)
+	}
+	return time.AfterFunc(wait, cancel)
+}
+
+// sendFailed takes a send without an answer.
+func (x *Direct) sendFailed(ctx context.Context, j *job, t target.Target, err error) (done bool) {
+	now := time.Now()
+	verdict := verd.Of(err)
+	if verdict != verd.NotRun {
+		j.runs++
+	}
+	if outer := j.w; outer != nil && j.over(now) {
+		x.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.begun).Round(time.Millisecond)))
+		return true
+	}
+	x.Pick.Rest(t.ID, now)
+	x.Log.Info("send failed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Stringer("verdict", verdict),
+		zap.Int("sends", j.sends), zap.Duration("since", now.Sub(j.begun)), zap.Error(err))
+	code := refuse.Crashed
+	if verdict == verd.NotRun {
+		code = refuse.NoUpstream
+	}
+	j.fail(t.ID, refuse.NewRefusal(j.verdict(), code, "sending to %s failed", t.ID).WithRetry(comeBack))
+	if verdict == verd.NotRun || j.route.Repeatable() && j.runs < max(1, j.route.Attempts) {
+		return false
+	}
+	x.refuse(j.w, j, j.fault)
+	return true
+}
+
+// over reports whether the request's time has ended.
+func (j *job) over(now time.Time) bool {
+	return !now.Before(j.deadline().Add(-time.Millisecond))
+}
+
+// rejected takes an answer that says the request was not run.
+func (x *Direct) rejected(j *job, t target.Target, r resp.Resp) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, mostBody)); err != nil {
+		x.Log.Debug("rejection cut off", zap.String("target", t.ID), zap.Error(err))
+	}
+	now := time.Now()
+	if r.Status == http.StatusMisdirectedRequest && j.d.Adapter != "" {
+		x.Holds.Miss(t.ID, j.d.Adapter, now)
+	}
+	x.Log.Info("rejected", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("status", r.Status),
+		zap.String("adapter", j.d.Adapter), zap.Duration("since", now.Sub(j.begun)), zap.String("note", j.note))
+	j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.Overloaded, "%s rejected the request", t.ID).WithRetry(comeBack))
+}
+
+// whole passes on an answer that is read to its end first, so that one which breaks off can be replaced.
+func (x *Direct) whole(ctx context.Context, j *job, t target.Target, r resp.Resp) (failed, done bool) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
+	if err == nil && len(data) > mostBody {
+		err = errors.New("the answer is too large")
+	}
+	if err != nil {
+		x.Log.Info("answer cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
+		j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the answer of %s broke off", t.ID))
+		if ctx.Err() == nil && j.again() {
+			return true, false
+		}
+		x.refuse(j.w, j, j.fault)
+		return true, true
+	}
+	head(j.w.Header(), r.Header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	j.w.WriteHeader(r.Status)
+	j.headed = true
+	j.first = time.Now()
+	if _, err := j.w.Write(data); err != nil {
+		x.Log.Debug("caller left", zap.String("request", j.d.ID), zap.Error(err))
+	}
+	x.finish(j, "ok", t.ID, r.Status)
+	return r.Status >= http.StatusInternalServerError, true
+}
+
+// hop are the headers that concern one connection only.
+var hop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true, "Te": true, "Trailer": true,
+	"Upgrade": true, "Proxy-Connection": true,
+}
+
+// head copies an answer's headers but for those that concern the connection to the upstream.
+func head(dst, src http.Header) {
+	for name, values := range src {
+		if !hop[name] {
+			dst[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,248 @@
+// Package edge puts the parts of an entry host on the users' platform together.
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/change"
+	"damaskreach/internal/demand"
+	"damaskreach/internal/direct"
+	"damaskreach/internal/effect"
+	"damaskreach/internal/giver"
+	"damaskreach/internal/gossip"
+	"damaskreach/internal/holds"
+	"damaskreach/internal/intake"
+	"damaskreach/internal/mates"
+	"damaskreach/internal/pick"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/rules"
+	"damaskreach/internal/setup"
+	"damaskreach/internal/spare"
+	"damaskreach/internal/state"
+	"damaskreach/internal/table"
+	"damaskreach/internal/tally"
+	"damaskreach/internal/target"
+	"damaskreach/internal/tenure"
+	"damaskreach/internal/turns"
+	"damaskreach/internal/uplink"
+	"damaskreach/internal/uptime"
+)
+
+const (
+	// sweepEvery is how often idle connections and records of what is gone are dropped.
+	sweepEvery = time.Second
+	// answerLife is how long callers may keep the answer to a lookup. It bounds how long a host that leaves or died still
+	// gets new connections; each answer costs a host some ten microseconds.
+	answerLife = 2 * time.Second
+	// stayFor is how long a leaving host serves as before: lookups stop naming it at once, and callers keep their answers.
+	stayFor = 2 * time.Second
+	// endSlack is how much of the grace is kept for the end of the process itself.
+	endSlack = 600 * time.Millisecond
+	// readTimeout bounds how long a caller may take for its headers where the configuration has no bound.
+	readTimeout = 10 * time.Second
+)
+
+// Edge is one entry host. Its exported fields are set before Run; the functions speak the platform's protocols.
+type Edge struct {
+	Setup   func() setup.Setup
+	Table   table.Table
+	Conf    string // prefix of the operators' rows
+	Targets string // prefix of the registrations
+	Rules   func(row rows.Row) (rules.Rules, bool, error)
+	Target  func(row rows.Row) (target.Target, error)
+	Version func(row rows.Row) (adapter string, version int, ok bool, err error)
+	Decode  func(r *http.Request) (demand.Demand, error)
+	Headers func(id string, left time.Duration, version int, last string) http.Header
+	NotRun  func(status int, h http.Header) bool
+	Matches func(h http.Header, id string) bool
+	Give    func(ctx context.Context, c change.Change) (effect.Effect, error)
+	Ask     func(ctx context.Context, c change.Change) (state.State, error)
+	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	Listen  func(addr string) (net.Listener, error)
+	// Serve returns the handlers for lookups and for the platform's question whether the host is ready.
+	Lookup func(names func(centre string) (addrs []string, life time.Duration)) http.Handler
+	Ready  func(ready func() bool) http.Handler
+	Log    *zap.Logger
+	Tally  *tally.Tally
+
+	intake  *intake.Intake
+	tenure  *tenure.Tenure
+	giver   *giver.Giver
+	mates   atomic.Pointer[mates.Mates]
+	holds   *holds.Holds
+	pick    *pick.Pick
+	uplink  *uplink.Uplink
+	spare   *spare.Spare
+	news    *news
+	leaving atomic.Bool
+}
+
+// build makes the parts and connects them.
+func (e *Edge) build() *direct.Direct {
+	s := e.Setup()
+	e.holds = holds.NewHolds()
+	e.pick = pick.NewPick(s.Centre)
+	e.news = newNews()
+	e.intake = intake.NewIntake()
+	e.intake.Table, e.intake.Conf, e.intake.Targets = e.Table, e.Conf, e.Targets
+	e.intake.Every = func() time.Duration { return e.Setup().Beat }
+	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
+	e.tenure = &tenure.Tenure{
+		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Clock: uptime.Now, Log: e.Log,
+		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines,
+	}
+	e.giver = &giver.Giver{
+		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
+		Others: func() (int, int) { return e.news.loading(), 0 }, Holder: s.IP, Log: e.Log,
+	}
+	e.uplink = &uplink.Uplink{
+		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Tally.Add("connections.opened", 1) },
+	}
+	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
+		s := e.Setup()
+		return s.Share, s.Extra, s.Window
+	}}
+	return &direct.Direct{
+		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Load: e.load, Used: e.used,
+		Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
+		Spare: e.spare, Log: e.Log, Count: e.Tally.Count,
+	}
+}
+
+// engines returns the upstreams that need a host for their orders.
+func (e *Edge) engines() map[string]target.Target {
+	v := e.intake.View()
+	engines := map[string]target.Target{}
+	for id, t := range v.Targets {
+		if v.Rules.Pools[t.Group].Engine {
+			engines[id] = t
+		}
+	}
+	return engines
+}
+
+// mostConns returns this host's part of the connections that an upstream takes.
+func (e *Edge) mostConns(addr string) int {
+	v := e.intake.View()
+	for _, t := range v.Targets {
+		if t.Addr == addr {
+			return max(2, v.Rules.Pools[t.Group].MaxConns*9/10/e.count())
+		}
+	}
+	return 0
+}
+
+// count returns how many hosts serve callers, this one included.
+func (e *Edge) count() int {
+	if m := e.mates.Load(); m != nil {
+		return len(m.Serving()) + 1
+	}
+	return max(1, len(e.tenure.Hosts()))
+}
+
+// Run serves until ctx ends, and then as long as the requests under way need, within the grace.
+func (e *Edge) Run(ctx context.Context) error {
+	handler := e.build()
+	s := e.Setup()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go e.intake.RunConf(work)
+	go e.intake.RunTargets(work)
+	go e.tenure.Run(work)
+	go e.giver.Run(work)
+	go e.runPeers(work, s)
+	go e.sweep(work)
+	callers := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readTimeout, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
+	}
+	servers := []struct {
+		addr   string
+		server *http.Server
+	}{
+		{s.Callers, callers},
+		{s.Lookup, &http.Server{Handler: e.Lookup(e.names), ReadHeaderTimeout: readTimeout}},
+		{s.Ready, &http.Server{Handler: e.Ready(e.ready), ReadHeaderTimeout: readTimeout}},
+		{s.Metrics, &http.Server{Handler: http.HandlerFunc(e.metrics), ReadHeaderTimeout: readTimeout}},
+	}
+	failed := make(chan error, len(servers))
+	for _, part := range servers {
+		if part.addr == "" {
+			continue
+		}
+		l, err := e.Listen(part.addr)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- part.server.Serve(l) }()
+	}
+	e.Log.Info("started", zap.String("name", s.Name), zap.String("callers", s.Callers), zap.String("centre", s.Centre))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	e.leave(callers)
+	return nil
+}
+
+// leave takes the host out of lookups, serves on while callers keep their answers, and waits for requests under way.
+func (e *Edge) leave(callers *http.Server) {
+	began := time.Now()
+	grace := e.Setup().Grace - endSlack
+	e.leaving.Store(true)
+	e.Log.Info("leaving", zap.Duration("grace", grace))
+	time.Sleep(min(stayFor, grace/3))
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Error(err))
+}
+
+func (e *Edge) sweep(ctx context.Context) {
+	for range turns.Every(ctx, sweepEvery) {
+		v, now := e.intake.View(), time.Now()
+		e.uplink.Sweep()
+		e.holds.Forget(v.Targets, now)
+		e.pick.Forget(v.Targets, now)
+	}
+}
+
+func (e *Edge) ready() bool {
+	v := e.intake.View()
+	return !e.leaving.Load() && v.Known() && len(v.Targets) > 0
+}
+
+func (e *Edge) metrics(w http.ResponseWriter, _ *http.Request) {
+	if err := e.Tally.Write(w); err != nil {
+		e.Log.Debug("metrics not written", zap.Error(err))
+	}
+}
+
+// names returns the addresses for callers of hosts that serve, this one first.
+func (e *Edge) names(string) ([]string, time.Duration) {
+	var addrs []string
+	if e.ready() {
+		addrs = append(addrs, e.Setup().Callers)
+	}
+	if m := e.mates.Load(); m != nil {
+		for _, h := range m.Serving() {
+			addrs = append(addrs, h[1])
+		}
+	}
+	return addrs, min(answerLife, e.Setup().Life)
+}
+
+// told returns what this host tells another one.
+func (e *Edge) told(to string) gossip.Gossip {
+	return gossip.Gossip{
+		IP: e.Setup().IP, Leaving: e.leaving.Load(), Running: e.pick.Running(), Loading: e.giver.Loading(),
+		Held: e.news.held(to), Used: e.news.uses(to),
+	}
+}
--- /dev/null
+++ b/internal/edge/news.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"damaskreach/internal/stock"
+)
+
+// news is what this host has to tell others, and what they told of their loads.
+type news struct {
+	mu     sync.Mutex
+	stocks map[string]stamped         // newest of each engine that this host orders
+	number int64                      // counts changes of stocks
+	sent   map[string]int64           // number up to which each host was told
+	used   map[string]map[string]uses // by host that orders, by engine
+	loads  map[string]loads           // adapters on their way, by host
+}
+
+type stamped struct {
+	stock.Stock
+	number int64
+}
+
+type uses map[string]bool
+
+type loads struct {
+	count int
+	at    time.Time
+}
+
+// loadsLife is how long what another host said of its loads is believed.
+const loadsLife = 2 * time.Second
+
+func newNews() *news {
+	return &news{
+		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]map[string]uses{}, loads: map[string]loads{},
+	}
+}
+
+// put takes what an engine holds now.
+func (n *news) put(s stock.Stock) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.number++
+	n.stocks[s.ID] = stamped{s, n.number}
+}
+
+// drop forgets an engine that this host does not order any more.
+func (n *news) drop(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.stocks, id)
+}
+
+// held returns what changed since the last message to a host. A message that got lost is made up for by registrations.
+func (n *news) held(to string) []stock.Stock {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []stock.Stock
+	for _, s := range n.stocks {
+		if s.number > n.sent[to] {
+			list = append(list, s.Stock)
+		}
+	}
+	n.sent[to] = n.number
+	return list
+}
+
+// use records that an adapter is used at an engine that another host orders.
+func (n *news) use(owner, id, adapter string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	engines := n.used[owner]
+	if engines == nil {
+		engines = map[string]uses{}
+		n.used[owner] = engines
+	}
+	if engines[id] == nil {
+		engines[id] = uses{}
+	}
+	engines[id][adapter] = true
+}
+
+// uses returns the uses to tell a host, once.
+func (n *news) uses(to string) map[string][]string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := map[string][]string{}
+	for id, adapters := range n.used[to] {
+		for a := range adapters {
+			list[id] = append(list[id], a)
+		}
+	}
+	delete(n.used, to)
+	return list
+}
+
+func (n *news) heard(ip string, count int, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads[ip] = loads{count, now}
+}
+
+// loading returns how many adapters other hosts have on their way to engines.
+func (n *news) loading() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for _, l := range n.loads {
+		if time.Since(l.at) < loadsLife {
+			sum += l.count
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,109 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/bounds"
+	"damaskreach/internal/giver"
+	"damaskreach/internal/gossip"
+	"damaskreach/internal/mates"
+	"damaskreach/internal/peer"
+	"damaskreach/internal/setup"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/want"
+)
+
+const (
+	// pingEvery and cutAfter find connections to other hosts that fell silent without a reset, before the hosts would count
+	// as dead.
+	pingEvery = 400 * time.Millisecond
+	cutAfter  = 1200 * time.Millisecond
+	// redialLeast and redialMost bound the pause before a host is dialled again.
+	redialLeast = 100 * time.Millisecond
+	redialMost  = 700 * time.Millisecond
+	// secretWait is the pause before the hosts' secret is looked for again.
+	secretWait = 50 * time.Millisecond
+)
+
+// runPeers joins the other hosts once their secret is known.
+func (e *Edge) runPeers(ctx context.Context, s setup.Setup) {
+	for e.tenure.Secret() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(secretWait):
+		}
+	}
+	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
+		WithBounds(bounds.NewBounds().WithKeepalive(pingEvery, cutAfter).WithBackoff(redialLeast, redialMost))
+	m := &mates.Mates{
+		Mesh: mesh, IP: s.IP, Hosts: e.tenure.Hosts, Tell: e.told, Hear: e.hear, Load: e.giver.Load, Log: e.Log,
+	}
+	m.Register()
+	l, err := e.Listen(s.Peers)
+	if err != nil {
+		e.Log.Error("no port for other hosts", zap.String("addr", s.Peers), zap.Error(err))
+		return
+	}
+	e.mates.Store(m)
+	go m.Run(ctx)
+	if err := mesh.Serve(ctx, l); err != nil {
+		e.Log.Error("port for other hosts lost", zap.Error(err))
+	}
+}
+
+// hear takes what another host said.
+func (e *Edge) hear(g gossip.Gossip) {
+	now := time.Now()
+	e.pick.Peer(g.IP, g.Running, now)
+	e.news.heard(g.IP, g.Loading, now)
+	for _, s := range g.Held {
+		e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
+	}
+	for id, adapters := range g.Used {
+		e.giver.Used(id, adapters, now)
+	}
+}
+
+// learn takes what an engine holds that this host orders.
+func (e *Edge) learn(s stock.Stock) {
+	e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
+	e.news.put(s)
+}
+
+// used records a use of an adapter and tells the host that orders the engine, so that it is not the first to go.
+func (e *Edge) used(id, adapter string) {
+	owner := e.tenure.Owner(id)
+	if owner == e.Setup().IP {
+		e.giver.Used(id, []string{adapter}, time.Now())
+		return
+	}
+	e.news.use(owner, id, adapter)
+}
+
+// ordered reports whether some host that is alive gives an engine its orders.
+func (e *Edge) ordered(id string) bool {
+	owner := e.tenure.Owner(id)
+	if owner == e.Setup().IP {
+		_, ok := e.tenure.Fence(id)
+		return ok
+	}
+	m := e.mates.Load()
+	return m != nil && m.Live(owner)
+}
+
+// load has an adapter loaded by the host that orders the engine.
+func (e *Edge) load(ctx context.Context, w want.Want) error {
+	owner := e.tenure.Owner(w.ID)
+	if owner == e.Setup().IP {
+		return e.giver.Load(ctx, w)
+	}
+	m := e.mates.Load()
+	if m == nil {
+		return giver.ErrElsewhere
+	}
+	return m.AskLoad(ctx, owner, w)
+}
--- /dev/null
+++ b/internal/giver/desk.go
@@ -0,0 +1,345 @@
+package giver
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"damaskreach/internal/change"
+	"damaskreach/internal/effect"
+	"damaskreach/internal/pool"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/target"
+	"damaskreach/internal/want"
+)
+
+const (
+	// giveFor bounds an order. Engines answer within milliseconds; an order that gets no answer is given again with the
+	// same count, which is safe.
+	giveFor = 250 * time.Millisecond
+	// tries is how often one load is tried when its order is not taken.
+	tries = 4
+	// reportLag is how long a report may be behind; after a conflict the next one is asked for after that.
+	reportLag = 130 * time.Millisecond
+	// transit is how many adapters may be on their way to one engine.
+	transit = 4
+	// lately is how recently an adapter must have been used to count as in use.
+	lately = time.Second
+	// firstCold and firstWarm are guesses of how long loads take until some were measured here.
+	firstCold = 200 * time.Millisecond
+	firstWarm = 30 * time.Millisecond
+	// again is the pause between two looks at whether a load is complete.
+	again = 25 * time.Millisecond
+	// giveUp is how long a load may take before it is taken as failed.
+	giveUp = 8 * time.Second
+	// idle is the pause of a desk with nothing to do.
+	idle = 300 * time.Millisecond
+	// weight is that of the newest measured load in the mean.
+	weight = 0.2
+)
+
+type waiter struct {
+	want.Want
+	done  chan error
+	since time.Time
+}
+
+// load is an adapter on its way to the engine.
+type load struct {
+	version int
+	since   time.Time
+	due     time.Time // when to look next
+	warm    bool
+	waiters []waiter
+}
+
+// desk gives the orders to one engine, one after the other, on a goroutine of its own.
+type desk struct {
+	g       *Giver
+	id      string
+	ctx     context.Context
+	end     context.CancelFunc
+	wants   chan waiter
+	loading atomic.Int32
+
+	mu   sync.Mutex
+	used map[string]time.Time
+
+	// The rest belongs to the goroutine.
+	known    bool // what the engine holds is known
+	born     int64
+	sequence int64
+	models   map[string]bool
+	held     map[string]int
+	leaving  map[string]bool // unloads that wait for running requests; their places are not free yet
+	pending  map[string]*load
+	recent   map[string]bool // adapters that the engine held in this incarnation: they load sooner
+	queue    []waiter        // loads that wait for others to complete
+	model    time.Time       // when to look next at the load of the base model
+	cold     time.Duration
+	warm     time.Duration
+	asked    time.Time
+}
+
+func newDesk(parent context.Context, g *Giver, id string) *desk {
+	ctx, cancel := context.WithCancel(parent)
+	d := &desk{
+		g: g, id: id, ctx: ctx, end: cancel, wants: make(chan waiter, backlog), used: map[string]time.Time{},
+		cold: firstCold, warm: firstWarm,
+	}
+	d.reset()
+	go d.run()
+	return d
+}
+
+func (d *desk) reset() {
+	d.known = false
+	d.held = map[string]int{}
+	d.models = map[string]bool{}
+	d.leaving = map[string]bool{}
+	d.recent = map[string]bool{}
+	d.fail(merry.Prepend(ErrFailed, "the engine restarted"))
+}
+
+// fail ends all loads under way.
+func (d *desk) fail(err error) {
+	for _, l := range d.pending {
+		for _, w := range l.waiters {
+			w.done <- err
+		}
+	}
+	d.pending = map[string]*load{}
+	d.loading.Store(0)
+}
+
+func (d *desk) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case w := <-d.wants:
+			d.queue = append(d.queue, w)
+		case <-timer.C:
+		}
+		timer.Reset(d.step())
+	}
+}
+
+func (d *desk) touch(adapters []string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range adapters {
+		d.used[a] = now
+	}
+}
+
+// step does what is due and returns when it wants to be called again at the latest.
+func (d *desk) step() time.Duration {
+	t, ok := d.g.View().Targets[d.id]
+	if !ok || t.Draining {
+		d.refuseQueue(merry.Prepend(ErrFailed, "the engine leaves"))
+		return idle
+	}
+	if t.Born > d.born {
+		d.reset()
+		d.born = t.Born
+	}
+	if !d.known && !d.sync(t) {
+		d.expire()
+		return idle / 3
+	}
+	d.poll(t)
+	d.adopt(t)
+	if !d.ensureModel(t) {
+		d.expire()
+		return idle / 3
+	}
+	d.serve(t)
+	return d.pause()
+}
+
+func (d *desk) pause() time.Duration {
+	wait := idle
+	now := time.Now()
+	for _, l := range d.pending {
+		wait = min(wait, l.due.Sub(now))
+	}
+	if len(d.queue) > 0 {
+		wait = min(wait, again)
+	}
+	return max(wait, time.Millisecond)
+}
+
+func (d *desk) refuseQueue(err error) {
+	for _, w := range d.queue {
+		w.done <- err
+	}
+	d.queue = nil
+}
+
+// expire refuses loads that waited too long for the engine to be of use.
+func (d *desk) expire() {
+	kept := d.queue[:0]
+	for _, w := range d.queue {
+		if time.Since(w.since) < time.Second {
+			kept = append(kept, w)
+			continue
+		}
+		w.done <- merry.Prepend(ErrFailed, "the engine cannot load now")
+	}
+	d.queue = kept
+}
+
+// sync learns from the engine what it holds.
+func (d *desk) sync(t target.Target) bool {
+	if time.Since(d.asked) < reportLag {
+		return false
+	}
+	d.asked = time.Now()
+	ctx, cancel := context.WithTimeout(d.ctx, 2*giveFor)
+	defer cancel()
+	s, err := d.g.Ask(ctx, change.Change{Target: t})
+	if err != nil {
+		d.g.Log.Info("engine's report failed", zap.String("target", d.id), zap.Error(err))
+		return false
+	}
+	if s.Born > 0 && s.Born < t.Born {
+		return false
+	}
+	if s.Born > d.born {
+		d.born = s.Born
+	}
+	d.sequence = s.Sequence
+	d.held = maps.Clone(s.Adapters)
+	if d.held == nil {
+		d.held = map[string]int{}
+	}
+	d.models = map[string]bool{}
+	for _, m := range s.Models {
+		d.models[m] = true
+	}
+	for a := range d.held {
+		d.recent[a] = true
+	}
+	d.merge(s.Pending)
+	d.known = true
+	d.leaving = map[string]bool{}
+	d.tell()
+	return true
+}
+
+// merge takes the loads under way from a report: new ones were ordered by an earlier process, others have ended.
+func (d *desk) merge(reported map[string]int) {
+	now := time.Now()
+	for a, l := range d.pending {
+		if v, ok := d.held[a]; ok && (l.version == 0 || v >= l.version) {
+			d.complete(a, l, v)
+			continue
+		}
+		if _, ok := reported[a]; !ok {
+			d.drop(a, l, merry.Prepend(ErrFailed, "the load is gone"))
+		}
+	}
+	for a, v := range reported {
+		if d.pending[a] == nil {
+			d.pending[a] = &load{version: v, since: now, due: now.Add(again)}
+		}
+	}
+	d.loading.Store(int32(len(d.pending)))
+}
+
+func (d *desk) complete(adapter string, l *load, version int) {
+	delete(d.pending, adapter)
+	d.loading.Store(int32(len(d.pending)))
+	d.held[adapter] = version
+	delete(d.leaving, adapter)
+	d.recent[adapter] = true
+	d.touch([]string{adapter}, time.Now())
+	took := time.Since(l.since)
+	if l.warm {
+		d.warm += time.Duration(weight * float64(took-d.warm))
+	} else {
+		d.cold += time.Duration(weight * float64(took-d.cold))
+	}
+	d.g.Log.Debug("adapter loaded", zap.String("target", d.id), zap.String("adapter", adapter), zap.Int("version", version),
+		zap.Bool("warm", l.warm), zap.Duration("took", took), zap.Int64("sequence", d.sequence))
+	d.tell()
+	for _, w := range l.waiters {
+		w.done <- nil
+	}
+}
+
+func (d *desk) drop(adapter string, l *load, err error) {
+	delete(d.pending, adapter)
+	d.loading.Store(int32(len(d.pending)))
+	for _, w := range l.waiters {
+		w.done <- err
+	}
+}
+
+func (d *desk) tell() {
+	held := maps.Clone(d.held)
+	for a := range d.leaving {
+		delete(held, a)
+	}
+	d.g.Tell(stock.Stock{ID: d.id, Born: d.born, Sequence: d.sequence, Adapters: held})
+}
+
+// adopt takes versions that a registration tells and this host did not know, and loads that it shows as complete.
+func (d *desk) adopt(t target.Target) {
+	if t.Born != d.born || t.Sequence != d.sequence {
+		return
+	}
+	changed := false
+	for a, v := range t.Adapters {
+		if old, ok := d.held[a]; ok && old == 0 && v > 0 {
+			d.held[a] = v
+			changed = true
+		}
+	}
+	if changed {
+		d.tell()
+	}
+}
+
+// give gives one order and takes its effect into account.
+func (d *desk) give(t target.Target, c change.Change) effect.Effect {
+	fence, ok := d.g.Fence(d.id)
+	if !ok {
+		return effect.Rejected
+	}
+	c.Target, c.Sequence, c.Holder, c.Fence = t, d.sequence, d.g.Holder, fence
+	ctx, cancel := context.WithTimeout(d.ctx, giveFor)
+	defer cancel()
+	e, err := d.g.Give(ctx, c)
+	switch e {
+	case effect.Accepted:
+		d.sequence++
+	case effect.Done:
+	default:
+		d.known = false
+		d.asked = time.Now()
+	}
+	d.g.Log.Debug("order given", zap.String("target", d.id), zap.Bool("load", c.Load), zap.String("adapter", c.Adapter),
+		zap.Int("version", c.Version), zap.Int64("sequence", c.Sequence), zap.Int64("fence", fence),
+		zap.Stringer("effect", e), zap.Error(err))
+	return e
+}
+
+// name splits "model/adapter".
+func name(adapter string) (model, short string) {
+	model, short, _ = strings.Cut(adapter, "/")
+	return model, short
+}
+
+func (d *desk) pool(t target.Target) pool.Pool {
+	return d.g.View().Rules.Pools[t.Group]
+}
--- /dev/null
+++ b/internal/giver/giver.go
@@ -0,0 +1,141 @@
+// Package giver gives orders to the engines that this host holds.
+//
+// Every order names how many orders the engine must have accepted before it. What the engine holds after that many
+// orders is known exactly, so an order that would overfill it is never accepted, not even where an earlier order got no
+// answer and is carried out late: of two orders with one count the engine takes one. Without the count, an order giver
+// that did not know what a runner held would overfill it; the engine crashes then and comes back empty.
+package giver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"damaskreach/internal/change"
+	"damaskreach/internal/effect"
+	"damaskreach/internal/state"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/turns"
+	"damaskreach/internal/view"
+	"damaskreach/internal/want"
+)
+
+const (
+	// checkEvery is how often engines gained or lost are noticed; a store's reading is rarer than that.
+	checkEvery = 100 * time.Millisecond
+	// backlog is how many loads may wait at one engine: more than its places would only evict each other.
+	backlog = 64
+)
+
+var (
+	// ErrElsewhere means that this host does not order the engine now.
+	ErrElsewhere = merry.Sentinel("giver: this host does not order the engine")
+	// ErrBusy means that too many loads wait for the engine.
+	ErrBusy = merry.Sentinel("giver: too many loads wait for the engine")
+	// ErrNoPlace means that no place for the adapter can be freed now.
+	ErrNoPlace = merry.Sentinel("giver: all places of the engine are in use")
+	// ErrFailed means that the engine did not take the order.
+	ErrFailed = merry.Sentinel("giver: the engine did not take the order")
+)
+
+// Giver may be used from several goroutines. Its fields are set before Run.
+type Giver struct {
+	Give  func(ctx context.Context, c change.Change) (effect.Effect, error)
+	Ask   func(ctx context.Context, c change.Change) (state.State, error) // only the target of c counts
+	Fence func(id string) (int64, bool)
+	Mine  func() []string
+	View  func() view.View
+	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
+	// Others returns how many adapters other hosts have on their way to engines, and how many of all may be at once.
+	Others func() (loading, most int)
+	Holder string
+	Log    *zap.Logger
+
+	mu    sync.Mutex
+	desks map[string]*desk
+}
+
+// Run keeps a desk for each engine that this host orders until ctx ends.
+func (g *Giver) Run(ctx context.Context) {
+	for range turns.Now(ctx, checkEvery, nil) {
+		g.check(ctx)
+	}
+}
+
+// check opens desks for engines that this host has got and closes those of engines that it has lost.
+func (g *Giver) check(ctx context.Context) {
+	mine := map[string]bool{}
+	v := g.View()
+	for _, id := range g.Mine() {
+		if t, ok := v.Targets[id]; ok && v.Rules.Pools[t.Group].Engine {
+			mine[id] = true
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.desks == nil {
+		g.desks = map[string]*desk{}
+	}
+	for id, d := range g.desks {
+		if !mine[id] {
+			g.Log.Info("engine given up", zap.String("target", id))
+			d.end()
+			delete(g.desks, id)
+		}
+	}
+	for id := range mine {
+		if g.desks[id] == nil {
+			g.Log.Info("engine taken", zap.String("target", id))
+			g.desks[id] = newDesk(ctx, g, id)
+		}
+	}
+}
+
+func (g *Giver) desk(id string) *desk {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.desks[id]
+}
+
+// Load returns once the engine holds the adapter, or why it will not.
+func (g *Giver) Load(ctx context.Context, w want.Want) error {
+	d := g.desk(w.ID)
+	if d == nil {
+		return merry.Wrap(ErrElsewhere)
+	}
+	done := make(chan error, 1)
+	select {
+	case d.wants <- waiter{Want: w, done: done, since: time.Now()}:
+	default:
+		return merry.Wrap(ErrBusy)
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-d.ctx.Done():
+		return merry.Wrap(ErrElsewhere)
+	case <-ctx.Done():
+		return merry.Prepend(ctx.Err(), "waiting for a load")
+	}
+}
+
+// Used records that requests use adapters at an engine, so that they are not the first to go.
+func (g *Giver) Used(id string, adapters []string, now time.Time) {
+	if d := g.desk(id); d != nil {
+		d.touch(adapters, now)
+	}
+}
+
+// Loading returns how many adapters are on their way to engines that this host orders.
+func (g *Giver) Loading() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, d := range g.desks {
+		n += int(d.loading.Load())
+	}
+	return n
+}
--- /dev/null
+++ b/internal/giver/serve.go
@@ -0,0 +1,172 @@
+package giver
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"damaskreach/internal/change"
+	"damaskreach/internal/effect"
+	"damaskreach/internal/target"
+)
+
+// poll looks at the loads that should be complete by now: an order that holds already is answered as done and costs
+// a hundredth of a report.
+func (d *desk) poll(t target.Target) {
+	now := time.Now()
+	for adapter, l := range d.pending {
+		if now.Before(l.due) || !d.known {
+			continue
+		}
+		if now.Sub(l.since) > giveUp {
+			d.drop(adapter, l, merry.Prepend(ErrFailed, "the load does not end"))
+			d.known = false
+			continue
+		}
+		model, short := name(adapter)
+		e := d.give(t, change.Change{Load: true, Model: model, Adapter: short, Version: l.version})
+		switch e {
+		case effect.Done:
+			d.complete(adapter, l, l.version)
+		default:
+			l.due = time.Now().Add(again)
+		}
+	}
+}
+
+// ensureModel has the base model loaded; it reports false while there is none.
+func (d *desk) ensureModel(t target.Target) bool {
+	models := d.pool(t).Models
+	if len(d.models) > 0 || len(models) == 0 {
+		return len(models) > 0
+	}
+	if time.Now().Before(d.model) || !d.known {
+		return false
+	}
+	m := models[0]
+	e := d.give(t, change.Change{Load: true, Model: m.Name})
+	d.model = time.Now().Add(10 * again)
+	if e == effect.Done {
+		d.models[m.Name] = true
+		return true
+	}
+	return false
+}
+
+// serve starts the loads that wait, as far as places and transit allow.
+func (d *desk) serve(t target.Target) {
+	queue := d.queue
+	d.queue = nil
+	for i, w := range queue {
+		if !d.known {
+			d.queue = append(d.queue, queue[i:]...)
+			break
+		}
+		if !d.start(t, w) {
+			d.queue = append(d.queue, w)
+		}
+	}
+	d.expire()
+}
+
+// start starts one load or answers it; it reports false where the load must wait.
+func (d *desk) start(t target.Target, w waiter) bool {
+	if v, ok := d.held[w.Adapter]; ok && !d.leaving[w.Adapter] && (w.Version == 0 || v >= w.Version) {
+		w.done <- nil
+		return true
+	}
+	if l := d.pending[w.Adapter]; l != nil && l.version >= w.Version {
+		l.waiters = append(l.waiters, w)
+		return true
+	}
+	others, most := d.g.Others()
+	if len(d.pending) >= transit || d.leaving[w.Adapter] || most > 0 && others+d.g.Loading() >= most && len(d.pending) > 0 {
+		return false
+	}
+	if !d.room(t, w) {
+		return false
+	}
+	model, short := name(w.Adapter)
+	started := time.Now()
+	e := d.give(t, change.Change{Load: true, Model: model, Adapter: short, Version: w.Version})
+	switch e {
+	case effect.Done:
+		d.held[w.Adapter] = w.Version
+		d.tell()
+		w.done <- nil
+		return true
+	case effect.Accepted:
+		l := &load{version: w.Version, since: started, warm: d.recent[w.Adapter], waiters: []waiter{w}}
+		l.due = started.Add(d.expected(l.warm))
+		d.pending[w.Adapter] = l
+		delete(d.held, w.Adapter)
+		d.loading.Store(int32(len(d.pending)))
+		d.tell()
+		return true
+	}
+	return false
+}
+
+// expected returns when a load that starts now is worth a look.
+func (d *desk) expected(warm bool) time.Duration {
+	if warm {
+		return d.warm * 9 / 10
+	}
+	return d.cold * 9 / 10
+}
+
+// room frees a place where there is none. An adapter that was used a moment ago stays.
+func (d *desk) room(t target.Target, w waiter) bool {
+	p := d.pool(t)
+	m, ok := p.Model(w.Model)
+	if !ok {
+		w.done <- merry.Prependf(ErrFailed, "the configuration has no model %q", w.Model)
+		return false
+	}
+	taken := len(d.held) + len(d.pending)
+	if taken < p.Room(m) {
+		return true
+	}
+	victim, idle := d.oldest()
+	if victim == "" || idle < lately && len(d.pending) > 0 {
+		return false
+	}
+	model, short := name(victim)
+	e := d.give(t, change.Change{Model: model, Adapter: short})
+	switch e {
+	case effect.Done:
+		// The place is free at once. The count of accepted orders went up all the same.
+		delete(d.held, victim)
+	case effect.Accepted:
+		d.leaving[victim] = true
+	default:
+		return false
+	}
+	d.g.Log.Debug("adapter unloaded", zap.String("target", d.id), zap.String("adapter", victim), zap.Duration("idle", idle),
+		zap.String("for", w.Adapter), zap.Stringer("effect", e))
+	d.tell()
+	return e == effect.Done
+}
+
+// oldest returns the adapter that was not used for the longest time, and for how long.
+func (d *desk) oldest() (adapter string, idle time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	idle = -1
+	for a := range d.held {
+		if d.leaving[a] {
+			continue
+		}
+		if since := now.Sub(d.used[a]); since > idle {
+			adapter, idle = a, since
+		}
+	}
+	for a := range d.used {
+		if _, ok := d.held[a]; !ok && now.Sub(d.used[a]) > time.Minute {
+			delete(d.used, a)
+		}
+	}
+	return adapter, idle
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,15 @@
+// Package gossip holds what a host tells the others several times a second.
+package gossip
+
+import "damaskreach/internal/stock"
+
+// Gossip is one message. Lists are short: what did not change since the last message to a host is left out.
+type Gossip struct {
+	IP      string              `msgpack:"i"`
+	Leaving bool                `msgpack:"l,omitempty"`
+	Running map[string]int      `msgpack:"r,omitempty"` // requests at each upstream
+	Loading int                 `msgpack:"p,omitempty"` // adapters on their way to engines that this host orders
+	Held    []stock.Stock       `msgpack:"h,omitempty"` // engines that this host orders, where changed
+	Used    map[string][]string `msgpack:"u,omitempty"` // adapters used at engines that the receiver orders
+	Gone    []string            `msgpack:"g,omitempty"` // upstreams seen to leave
+}
--- /dev/null
+++ b/internal/holds/holds.go
@@ -0,0 +1,102 @@
+// Package holds keeps what each engine holds as far as this host knows.
+//
+// Engines' registrations are up to seconds old, so that a request for an adapter loaded a moment ago would seem to need
+// another load. The host that gives an engine its orders knows sooner and tells the others. The higher count of orders
+// wins.
+package holds
+
+import (
+	"sync"
+	"time"
+
+	"damaskreach/internal/target"
+)
+
+// missFor is how long an engine that rejected a request for an adapter is taken not to hold it, where nothing newer is
+// known: a registration's interval and some.
+const missFor = 2 * time.Second
+
+// Unknown is the version of an adapter that is held in a version nobody told.
+const Unknown = 0
+
+// Holds may be used from several goroutines.
+type Holds struct {
+	mu     sync.RWMutex
+	told   map[string]told
+	misses map[miss]time.Time
+}
+
+type told struct {
+	born     int64
+	sequence int64
+	adapters map[string]int
+}
+
+type miss struct {
+	id      string
+	adapter string
+}
+
+// NewHolds returns an empty record.
+func NewHolds() *Holds {
+	return &Holds{told: map[string]told{}, misses: map[miss]time.Time{}}
+}
+
+// Tell records what an engine's order giver knows it to hold after so many orders. The map must not be changed any more.
+func (h *Holds) Tell(id string, born, sequence int64, adapters map[string]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old, ok := h.told[id]
+	if ok && old.born == born && old.sequence > sequence {
+		return
+	}
+	if ok && old.born > born {
+		return
+	}
+	h.told[id] = told{born: born, sequence: sequence, adapters: adapters}
+}
+
+// Miss records that an engine rejected a request because it does not hold the adapter.
+func (h *Holds) Miss(id, adapter string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.misses[miss{id, adapter}] = now
+}
+
+// Hit records that an engine serves an adapter after all.
+func (h *Holds) Hit(id, adapter string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.misses, miss{id, adapter})
+}
+
+// Version returns the version of an adapter that an engine holds, and whether it holds it at all.
+func (h *Holds) Version(t target.Target, adapter string, now time.Time) (int, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if at, ok := h.misses[miss{t.ID, adapter}]; ok && now.Sub(at) < missFor {
+		return Unknown, false
+	}
+	held := t.Adapters
+	if known, ok := h.told[t.ID]; ok && known.born == t.Born && known.sequence >= t.Sequence {
+		held = known.adapters
+	}
+	version, ok := held[adapter]
+	return version, ok
+}
+
+// Forget drops engines that are gone and misses that have ended.
+func (h *Holds) Forget(targets map[string]target.Target, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.told {
+		if _, ok := targets[id]; !ok {
+			delete(h.told, id)
+		}
+	}
+	for m, at := range h.misses {
+		if now.Sub(at) >= missFor {
+			delete(h.misses, m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,256 @@
+// Package intake keeps a host's view of the platform up to date from the platform's store.
+package intake
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/rows"
+	"damaskreach/internal/rules"
+	"damaskreach/internal/table"
+	"damaskreach/internal/target"
+	"damaskreach/internal/view"
+)
+
+const (
+	// callFor bounds a reading; a connection that fell silent shows in nothing else.
+	callFor = 700 * time.Millisecond
+	// after is the pause after a failed reading.
+	after = 250 * time.Millisecond
+	// absent is how long an upstream is still used that vanished while the store was away: registrations that lapsed with it
+	// are back within two seconds of its return.
+	absent = 2200 * time.Millisecond
+	// away is how long a reading must have failed for the store to count as having been away.
+	away = 1500 * time.Millisecond
+)
+
+// Intake holds the newest view. Its fields are set before Run.
+type Intake struct {
+	Table   table.Table
+	Conf    string // prefix of the operators' rows; its Tail waits for a change
+	Targets string // prefix of the upstreams' registrations
+	Every   func() time.Duration
+	// Rules, Target and Version decode rows; a row that is none of their kind is an error and changes nothing.
+	Rules   func(row rows.Row) (rules.Rules, bool, error)
+	Target  func(row rows.Row) (target.Target, error)
+	Version func(row rows.Row) (adapter string, version int, ok bool, err error)
+	Log     *zap.Logger
+
+	current atomic.Pointer[view.View]
+	at      int64 // revision up to which registrations are read
+	missing map[string]time.Time
+	lost    time.Time // when readings of registrations began to fail
+	back    time.Time // when they succeeded again after the store was away
+	bad     map[string]int64
+}
+
+// NewIntake returns an intake that knows nothing yet.
+func NewIntake() *Intake {
+	i := &Intake{missing: map[string]time.Time{}, bad: map[string]int64{}}
+	i.current.Store(&view.View{})
+	return i
+}
+
+// View returns the newest view.
+func (i *Intake) View() view.View {
+	return *i.current.Load()
+}
+
+// swap applies a change. Two goroutines write: one for the operators' rows and one for registrations.
+func (i *Intake) swap(change func(v view.View) view.View) {
+	for {
+		old := i.current.Load()
+		changed := change(*old)
+		if i.current.CompareAndSwap(old, &changed) {
+			return
+		}
+	}
+}
+
+// RunConf follows the operators' rows until ctx ends.
+func (i *Intake) RunConf(ctx context.Context) {
+	rev := int64(0)
+	for ctx.Err() == nil {
+		list, next, err := i.readConf(ctx, rev)
+		if err != nil {
+			i.Log.Debug("configuration not read", zap.Error(err))
+			pause(ctx, after)
+			continue
+		}
+		for _, row := range list {
+			i.takeConf(row)
+		}
+		rev = max(rev, next)
+	}
+}
+
+func (i *Intake) readConf(ctx context.Context, rev int64) ([]rows.Row, int64, error) {
+	if rev == 0 {
+		callCtx, cancel := context.WithTimeout(ctx, callFor)
+		defer cancel()
+		return i.Table.List(callCtx, i.Conf)
+	}
+	list, next, err := i.Table.Tail(ctx, i.Conf, rev)
+	if errors.Is(err, table.ErrCompacted) {
+		i.Log.Info("history of the configuration is gone; reading all of it", zap.Int64("after", rev))
+		callCtx, cancel := context.WithTimeout(ctx, callFor)
+		defer cancel()
+		return i.Table.List(callCtx, i.Conf)
+	}
+	return list, next, err
+}
+
+func (i *Intake) takeConf(row rows.Row) {
+	if row.Gone {
+		return
+	}
+	if r, ok, err := i.Rules(row); err != nil {
+		i.Log.Warn("configuration cannot be read", zap.String("row", row.Key), zap.Int64("revision", row.Rev), zap.Error(err))
+	} else if ok {
+		i.swap(func(v view.View) view.View { return v.WithRules(r) })
+		i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
+			zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
+	}
+	if adapter, version, ok, err := i.Version(row); err != nil {
+		i.Log.Warn("version of an adapter cannot be read", zap.String("row", row.Key), zap.Error(err))
+	} else if ok {
+		i.swap(func(v view.View) view.View { return v.WithVersion(adapter, version, time.Now()) })
+		i.Log.Info("version named", zap.String("adapter", adapter), zap.Int("version", version), zap.Int64("revision", row.Rev))
+	}
+}
+
+// RunTargets follows the upstreams' registrations until ctx ends.
+func (i *Intake) RunTargets(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		if err := i.readTargets(ctx); err != nil {
+			i.Log.Debug("registrations not read", zap.Error(err))
+			if i.lost.IsZero() {
+				i.lost = began
+			}
+			pause(ctx, after)
+			continue
+		}
+		pause(ctx, i.Every()-time.Since(began))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (i *Intake) readTargets(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	whole := i.at == 0
+	var list []rows.Row
+	var rev int64
+	var err error
+	if !whole {
+		list, rev, err = i.Table.Tail(callCtx, i.Targets, i.at)
+		whole = errors.Is(err, table.ErrCompacted)
+	}
+	if whole {
+		list, rev, err = i.Table.List(callCtx, i.Targets)
+	}
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if !i.lost.IsZero() && now.Sub(i.lost) > away {
+		i.back = now
+		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
+	}
+	i.lost = time.Time{}
+	i.at = rev
+	i.apply(list, whole, now)
+	return nil
+}
+
+// apply works out which upstreams there are. One that vanished is gone, unless the store was away a moment ago: then its
+// registration may have lapsed with the store, and it gets the time in which it registers again.
+func (i *Intake) apply(list []rows.Row, whole bool, now time.Time) {
+	targets := maps.Clone(i.View().Targets)
+	if targets == nil {
+		targets = map[string]target.Target{}
+	}
+	present := map[string]bool{}
+	for _, row := range list {
+		id := row.Key[len(i.Targets):]
+		if row.Gone {
+			i.miss(targets, id, now)
+			continue
+		}
+		t, err := i.Target(row)
+		if err != nil {
+			i.warnBad(id, row.Rev, err)
+			i.miss(targets, id, now)
+			continue
+		}
+		present[id] = true
+		delete(i.missing, id)
+		i.logChange(targets[id], t)
+		targets[id] = t
+	}
+	for id := range targets {
+		if whole && !present[id] {
+			i.miss(targets, id, now)
+		}
+	}
+	for id, since := range i.missing {
+		if now.Sub(since) > absent {
+			delete(i.missing, id)
+			delete(targets, id)
+			i.Log.Info("upstream gone", zap.String("target", id), zap.Duration("missing", now.Sub(since)))
+		}
+	}
+	i.swap(func(v view.View) view.View { return v.WithTargets(targets, now) })
+}
+
+func (i *Intake) miss(targets map[string]target.Target, id string, now time.Time) {
+	t, ok := targets[id]
+	if !ok {
+		return
+	}
+	if now.Sub(i.back) < absent && !t.Draining {
+		if _, ok := i.missing[id]; !ok {
+			i.missing[id] = now
+		}
+		return
+	}
+	delete(targets, id)
+	i.Log.Info("upstream gone", zap.String("target", id))
+}
+
+// warnBad says once for each revision that a registration cannot be read.
+func (i *Intake) warnBad(id string, rev int64, err error) {
+	if i.bad[id] == 0 {
+		i.Log.Warn("registration cannot be read", zap.String("target", id), zap.Error(err))
+	}
+	i.bad[id] = rev
+}
+
+func (i *Intake) logChange(old, t target.Target) {
+	switch {
+	case old.ID == "":
+		i.Log.Info("upstream found", zap.String("target", t.ID), zap.String("group", t.Group), zap.String("addr", t.Addr),
+			zap.String("centre", t.Centre), zap.Int64("born", t.Born), zap.Bool("draining", t.Draining))
+	case old.Born != t.Born:
+		i.Log.Info("upstream restarted", zap.String("target", t.ID), zap.Int64("born", t.Born))
+	case old.Draining != t.Draining:
+		i.Log.Info("upstream leaves", zap.String("target", t.ID), zap.Bool("draining", t.Draining))
+	}
+}
--- /dev/null
+++ b/internal/mates/mates.go
@@ -0,0 +1,161 @@
+// Package mates keeps the hosts of a site in touch: each tells the others several times a second how busy it is and what
+// its engines hold, and asks them to load adapters.
+package mates
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/gossip"
+	"damaskreach/internal/peer"
+	"damaskreach/internal/want"
+)
+
+const (
+	// tellEvery is the pause between two messages to one host. Counts a fifth of a second old still tell a busy runner from
+	// an idle one, where a request runs for seconds.
+	tellEvery = 200 * time.Millisecond
+	// mostTold is how many messages a second a host sends; with more hosts each hears less often.
+	mostTold = 100
+	// tellFor bounds one message.
+	tellFor = 800 * time.Millisecond
+	// alive is how long a host that answered counts as alive: some messages may be lost, and a host that froze must leave
+	// the answers to lookups within the time that callers take to try another address.
+	alive = 1200 * time.Millisecond
+)
+
+const (
+	methodTell = "tell"
+	methodLoad = "load"
+)
+
+// Mates may be used from several goroutines. Its fields are set before Run.
+type Mates struct {
+	Mesh  *peer.Mesh
+	IP    string
+	Hosts func() map[string][3]string // see tenure.Hosts
+	Tell  func(to string) gossip.Gossip
+	Hear  func(g gossip.Gossip)
+	Load  func(ctx context.Context, w want.Want) error
+	Log   *zap.Logger
+
+	mu   sync.Mutex
+	live map[string]mate
+}
+
+type mate struct {
+	at      time.Time // of its last message or answer
+	asked   bool      // a message to it is under way
+	leaving bool
+}
+
+// Register takes what other hosts say. It belongs before the mesh serves.
+func (m *Mates) Register() {
+	m.live = map[string]mate{}
+	peer.Answer(m.Mesh, methodTell, func(_ context.Context, _ string, g gossip.Gossip) (bool, error) {
+		m.heard(g)
+		m.Hear(g)
+		return true, nil
+	})
+	peer.Answer(m.Mesh, methodLoad, func(ctx context.Context, _ string, w want.Want) (bool, error) {
+		return true, m.Load(ctx, w)
+	})
+}
+
+func (m *Mates) heard(g gossip.Gossip) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.live[g.IP]
+	if !old.leaving && g.Leaving {
+		m.Log.Info("host leaves", zap.String("host", g.IP))
+	}
+	old.at = time.Now()
+	old.leaving = g.Leaving
+	m.live[g.IP] = old
+}
+
+// Run tells the other hosts until ctx ends.
+func (m *Mates) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		hosts := m.Hosts()
+		for ip, addrs := range hosts {
+			if ip != m.IP && m.begin(ip) {
+				go m.tell(ctx, ip, addrs[0])
+			}
+		}
+		pause(ctx, max(tellEvery, time.Duration(len(hosts))*time.Second/mostTold))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// begin reports whether a message to a host may be sent now: one at a time, so that a silent host holds up one goroutine.
+func (m *Mates) begin(ip string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.live[ip]
+	if old.asked {
+		return false
+	}
+	old.asked = true
+	m.live[ip] = old
+	return true
+}
+
+func (m *Mates) tell(ctx context.Context, ip, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, tellFor)
+	defer cancel()
+	var ok bool
+	err := m.Mesh.Ask(ctx, addr, methodTell, m.Tell(ip), &ok)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.live[ip]
+	old.asked = false
+	was := time.Since(old.at) < alive
+	if err == nil {
+		if !was {
+			m.Log.Info("host reached", zap.String("host", ip))
+		}
+		old.at = time.Now()
+	} else if was && time.Since(old.at) > alive/2 {
+		m.Log.Info("host does not answer", zap.String("host", ip), zap.Duration("silent", time.Since(old.at)), zap.Error(err))
+	}
+	m.live[ip] = old
+}
+
+// Live reports whether a host answered a moment ago.
+func (m *Mates) Live(ip string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.live[ip].at) < alive
+}
+
+// Serving returns the hosts, but for this one, that callers may be sent to.
+func (m *Mates) Serving() map[string][3]string {
+	hosts := m.Hosts()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for ip := range hosts {
+		known := m.live[ip]
+		if ip == m.IP || known.leaving || time.Since(known.at) >= alive {
+			delete(hosts, ip)
+		}
+	}
+	return hosts
+}
+
+// AskLoad asks the host that orders an engine to have an adapter loaded and returns once it is.
+func (m *Mates) AskLoad(ctx context.Context, ip string, w want.Want) error {
+	var ok bool
+	return m.Mesh.Ask(ctx, m.Hosts()[ip][0], methodLoad, w, &ok)
+}
--- /dev/null
+++ b/internal/pick/pick.go
@@ -0,0 +1,211 @@
+// Package pick chooses among upstreams that could serve a request, by how busy and how sound each seems.
+package pick
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"damaskreach/internal/target"
+)
+
+const (
+	// memory is the weight of the newest outcome in an upstream's share of failures: some ten outcomes count.
+	memory = 0.12
+	// blame is how many times busier an upstream counts that fails always.
+	blame = 6.0
+	// leastRest and mostRest bound how long an upstream is left alone after it could not be reached or broke off. The first
+	// is short, since a lost connection may be the only trouble; crashed engines are back after seconds.
+	leastRest = 150 * time.Millisecond
+	mostRest  = 3 * time.Second
+	// peerLife is how long another host's counts are believed.
+	peerLife = 2 * time.Second
+	// far is what a send to another data centre counts beside requests that run: bytes between data centres cost, and
+	// they are the first that a cut stops.
+	far = 0.7
+)
+
+// Pick may be used from several goroutines.
+type Pick struct {
+	centre string
+
+	mu    sync.Mutex
+	loads map[string]*load
+	peers map[string]peer
+}
+
+type load struct {
+	running int
+	failed  float64 // share of recent requests that failed for reasons of the upstream
+	streak  int     // times it was left alone, one after the other
+	until   time.Time
+	heard   time.Time // when it last sent a byte
+}
+
+type peer struct {
+	at      time.Time
+	running map[string]int
+}
+
+// NewPick returns a chooser for a host in a data centre.
+func NewPick(centre string) *Pick {
+	return &Pick{centre: centre, loads: map[string]*load{}, peers: map[string]peer{}}
+}
+
+func (p *Pick) of(id string) *load {
+	l, ok := p.loads[id]
+	if !ok {
+		l = &load{}
+		p.loads[id] = l
+	}
+	return l
+}
+
+// Begin counts a request that is sent to an upstream.
+func (p *Pick) Begin(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(id).running++
+}
+
+// End counts its end, and whether the upstream failed it.
+func (p *Pick) End(id string, failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.of(id)
+	l.running--
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	l.failed += memory * (value - l.failed)
+	if !failed {
+		l.streak = 0
+	}
+}
+
+// Rest leaves an upstream alone for a while, longer each time until it serves a request again.
+func (p *Pick) Rest(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.of(id)
+	if now.Before(l.until) {
+		return
+	}
+	rest := min(mostRest, leastRest<<min(l.streak, 5))
+	l.streak++
+	l.until = now.Add(rest)
+}
+
+// Heard records that an upstream sent something.
+func (p *Pick) Heard(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(id).heard = now
+}
+
+// Silent returns how long an upstream has sent nothing to this host; zero where it never did.
+func (p *Pick) Silent(id string, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.of(id)
+	if l.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(l.heard)
+}
+
+// Peer records the requests that another host has running.
+func (p *Pick) Peer(host string, running map[string]int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers[host] = peer{at: now, running: running}
+}
+
+// Running returns the requests that this host has running at each upstream.
+func (p *Pick) Running() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := map[string]int{}
+	for id, l := range p.loads {
+		if l.running > 0 {
+			counts[id] = l.running
+		}
+	}
+	return counts
+}
+
+// Forget drops upstreams that are gone and hosts that fell silent.
+func (p *Pick) Forget(targets map[string]target.Target, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.loads {
+		if _, ok := targets[id]; !ok && l.running == 0 {
+			delete(p.loads, id)
+		}
+	}
+	for host, told := range p.peers {
+		if now.Sub(told.at) > peerLife {
+			delete(p.peers, host)
+		}
+	}
+}
+
+// Load returns how many requests all hosts are known to have running at an upstream.
+func (p *Pick) Load(id string, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total(id, now)
+}
+
+func (p *Pick) total(id string, now time.Time) int {
+	n := 0
+	if l, ok := p.loads[id]; ok {
+		n = l.running
+	}
+	for _, told := range p.peers {
+		if now.Sub(told.at) <= peerLife {
+			n += told.running[id]
+		}
+	}
+	return n
+}
+
+// Order returns the candidates, the best first. Those that rest come last, the one that rests least first: a request
+// that has no other way is better tried there than refused.
+func (p *Pick) Order(candidates []target.Target, now time.Time) []target.Target {
+	type scored struct {
+		target target.Target
+		rest   time.Duration
+		score  float64
+	}
+	p.mu.Lock()
+	list := make([]scored, 0, len(candidates))
+	for _, t := range candidates {
+		l := p.of(t.ID)
+		s := scored{target: t, rest: max(0, l.until.Sub(now))}
+		s.score = float64(p.total(t.ID, now)+1) * (1 + blame*l.failed)
+		if t.Centre != p.centre {
+			s.score += far
+		}
+		list = append(list, s)
+	}
+	p.mu.Unlock()
+	slices.SortStableFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.rest, b.rest), cmp.Compare(a.score, b.score))
+	})
+	sorted := make([]target.Target, len(list))
+	for i, s := range list {
+		sorted[i] = s.target
+	}
+	return sorted
+}
+
+// Resting reports whether an upstream is left alone at present.
+func (p *Pick) Resting(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.loads[id]
+	return ok && now.Before(l.until)
+}
--- /dev/null
+++ b/internal/resp/resp.go
@@ -0,0 +1,16 @@
+// Package resp holds an upstream's answer whose body is still being read.
+package resp
+
+import (
+	"io"
+	"net/http"
+)
+
+// Resp is one answer. Close must be called once its body was read or is not wanted any more.
+type Resp struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+	Cut    func() // closes the connection at once, from any goroutine
+	Close  func() // gives the connection back where the body was read to its end, else closes it
+}
--- /dev/null
+++ b/internal/tenure/row.go
@@ -0,0 +1,39 @@
+package tenure
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// Prefix is the prefix of all rows that hosts keep in the store. They lie together so that one reading finds all changes.
+const Prefix = "fleet/"
+
+const (
+	hostPrefix = Prefix + "host:"
+	ownPrefix  = Prefix + "own:"
+	// keyRow holds the secret by which hosts know each other.
+	keyRow = Prefix + "secret"
+)
+
+// session is the row of one host. Its revision changes with each renewal, which is all that others look at.
+type session struct {
+	IP      string `msgpack:"ip"`
+	Peers   string `msgpack:"peers"`   // address for other hosts
+	Callers string `msgpack:"callers"` // address for callers
+	Centre  string `msgpack:"centre"`
+	Start   string `msgpack:"start"` // tells one start of the program from another
+	Epoch   int64  `msgpack:"epoch"` // counts the sessions that ended; an engine's row names the one it belongs to
+	Ended   bool   `msgpack:"ended"` // others have seen it lapse; it holds nothing any more
+}
+
+// ownership is the row of one engine: which host gives it its orders.
+type ownership struct {
+	IP    string `msgpack:"ip"`
+	Epoch int64  `msgpack:"epoch"` // of the host's session
+	Fence int64  `msgpack:"fence"`
+}
+
+func encode(v any) []byte {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		panic("tenure: encoding a row of plain fields: " + err.Error())
+	}
+	return data
+}
