Pass on the last event of a caller that resumes

The caller's id of its last event was decoded and then dropped, so a resumed stream began anew. Ruled out: the resumption within one answer, which passes its own last event and has its own check of ids.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -75,7 +75,7 @@
 		x.refuse(w, &job{d: d, begun: begun}, refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "%v", err))
 		return
 	}
-	j := &job{d: d, begun: begun, w: w, view: x.View()}
+	j := &job{d: d, begun: begun, w: w, view: x.View(), last: d.LastSeen}
 	if !j.view.Known() {
 		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(noConf))
 		return
--- /dev/null
+++ b/internal/direct/fake_test.go
@@ -0,0 +1,186 @@
+package direct_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/demand"
+	"damaskreach/internal/direct"
+	"damaskreach/internal/holds"
+	"damaskreach/internal/kinds"
+	"damaskreach/internal/model"
+	"damaskreach/internal/pick"
+	"damaskreach/internal/pool"
+	"damaskreach/internal/resp"
+	"damaskreach/internal/route"
+	"damaskreach/internal/rules"
+	"damaskreach/internal/spare"
+	"damaskreach/internal/target"
+	"damaskreach/internal/view"
+	"damaskreach/internal/want"
+)
+
+// Headers of the fakes' own protocol.
+const (
+	headID   = "Fake-Id"
+	headLast = "Fake-Last"
+	headNot  = "Fake-Not-Run"
+	headFor  = "Fake-For"
+	headVer  = "Fake-Version"
+)
+
+// sent is one request as an upstream got it.
+type sent struct {
+	addr  string
+	extra http.Header
+	d     demand.Demand
+}
+
+// bench is a Direct between a caller and upstreams that are functions.
+type bench struct {
+	*direct.Direct
+	t *testing.T
+
+	mu       sync.Mutex
+	view     view.View
+	answers  []func(s sent) (resp.Resp, error)
+	sent     []sent
+	loads    []want.Want
+	loadErr  error
+	codes    []string
+	upstream func(s sent) (resp.Resp, error)
+}
+
+func newBench(t *testing.T, rt route.Route) *bench {
+	rt.Host, rt.Prefix, rt.Groups, rt.Weights = "a.example", "/p/", []string{"g"}, []int{1}
+	if rt.Timeout == 0 {
+		rt.Timeout = 10 * time.Second
+	}
+	b := &bench{t: t}
+	b.view = view.View{
+		Rules: rules.Rules{
+			Version: 1, Routes: map[string][]route.Route{"a.example": {rt}},
+			Pools: map[string]pool.Pool{"g": {Name: "g", Engine: true, Models: []model.Model{{Name: "m"}}, Places: 4}},
+		},
+		Targets: map[string]target.Target{},
+		Read:    time.Now(),
+	}
+	b.add("one", nil)
+	b.add("two", nil)
+	b.Direct = &direct.Direct{
+		Decode: func(r *http.Request) (demand.Demand, error) {
+			return demand.Demand{
+				ID: "r1", Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: http.Header{}, Model: r.Header.Get("M"),
+				Adapter: r.Header.Get("A"), LastSeen: r.Header.Get(headLast),
+			}, nil
+		},
+		Headers: func(id string, left time.Duration, version int, last string) http.Header {
+			h := http.Header{headFor: {id}, "Left": {left.String()}}
+			if last != "" {
+				h.Set(headLast, last)
+			}
+			if version > 0 {
+				h.Set(headVer, "new")
+			}
+			return h
+		},
+		NotRun: func(status int, h http.Header) bool { return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest },
+		Do:     b.do, Owner: func(string) bool { return true }, Load: b.load, Used: func(string, string) {},
+		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
+		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(),
+		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
+		Count: func(_, code string, _, _ time.Duration) { b.codes = append(b.codes, code) },
+	}
+	return b
+}
+
+// add registers an upstream that holds adapters.
+func (b *bench) add(id string, adapters map[string]int) {
+	b.view.Targets[id] = target.Target{
+		ID: id, Born: 1, Group: "g", Addr: id + ":1", Centre: "dc", Slots: 4, Models: []string{"m"}, Adapters: adapters,
+	}
+}
+
+func (b *bench) do(_ context.Context, addr string, d demand.Demand, extra http.Header) (resp.Resp, error) {
+	b.mu.Lock()
+	s := sent{addr, extra, d}
+	b.sent = append(b.sent, s)
+	var next func(s sent) (resp.Resp, error)
+	if len(b.answers) > 0 {
+		next = b.answers[0]
+		b.answers = b.answers[1:]
+	}
+	b.mu.Unlock()
+	if next == nil {
+		b.t.Fatalf("send %d to %s, want none", len(b.sent), addr)
+	}
+	return next(s)
+}
+
+func (b *bench) load(_ context.Context, w want.Want) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads = append(b.loads, w)
+	return b.loadErr
+}
+
+// then sets what the upstreams answer, in the order of the sends.
+func (b *bench) then(answers ...func(s sent) (resp.Resp, error)) {
+	b.answers = answers
+}
+
+// call sends one request and returns the answer; broken reports that the connection was broken off.
+func (b *bench) call(header http.Header) (rec *httptest.ResponseRecorder, broken bool) {
+	r := httptest.NewRequestWithContext(b.t.Context(), http.MethodPost, "/p/x?q=%2f", nil)
+	r.Host = "a.example"
+	r.Header = header
+	if header == nil {
+		r.Header = http.Header{}
+	}
+	rec = httptest.NewRecorder()
+	defer func() {
+		if v := recover(); v != nil {
+			if v != http.ErrAbortHandler {
+				panic(v)
+			}
+			broken = true
+		}
+	}()
+	b.ServeHTTP(rec, r)
+	return rec, false
+}
+
+// answers returns an answer with a status, headers and a body that ends with err.
+func answers(status int, h http.Header, body string, err error) func(s sent) (resp.Resp, error) {
+	return func(sent) (resp.Resp, error) {
+		if h == nil {
+			h = http.Header{}
+		}
+		r := io.Reader(strings.NewReader(body))
+		if err != nil {
+			r = io.MultiReader(r, failing{err})
+		}
+		return resp.Resp{Status: status, Header: h, Body: r, Cut: func() {}, Close: func() {}}, nil
+	}
+}
+
+// fails returns a send without an answer.
+func fails(err error) func(s sent) (resp.Resp, error) {
+	return func(sent) (resp.Resp, error) { return resp.Resp{}, err }
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+func streamRoute() route.Route {
+	return route.Route{Kind: kinds.Stream, Resumable: true, Attempts: 2, Target: time.Second, Gap: 300 * time.Millisecond}
+}
--- /dev/null
+++ b/internal/direct/refuse_test.go
@@ -0,0 +1,80 @@
+package direct_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"damaskreach/internal/kinds"
+	"damaskreach/internal/route"
+	"damaskreach/pkg/verd"
+)
+
+// The connection to an upstream breaks after a booking was sent. It may have run: the caller must not be told that it has
+// not, and it must not be sent again.
+func TestBookingThatMayHaveRunIsNotPromisedAndNotRepeated(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+	b.then(fails(verd.Mark(errors.New("reset"), verd.MayHaveRun)))
+	rec, _ := b.call(nil)
+	if got, want := rec.Code, http.StatusBadGateway; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+	if got, want := len(b.sent), 1; got != want {
+		t.Errorf("sends = %d, want %d", got, want)
+	}
+}
+
+// An upstream rejects a booking because it is full. It has not run, so another upstream gets it.
+func TestRejectedBookingGoesToAnotherUpstream(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+	b.then(answers(503, http.Header{headNot: {"1"}}, "", nil), answers(200, nil, "done", nil))
+	rec, _ := b.call(nil)
+	if got, want := rec.Body.String(), "done"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
+
+// No upstream is ready. The caller is told at once that its request has not run and when to come back.
+func TestRefusalNamesATimeToComeBack(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once})
+	clear(b.view.Targets)
+	rec, _ := b.call(nil)
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+	if rec.Header().Get("Retry-After") == "" {
+		t.Error("no time to come back, want one")
+	}
+}
+
+// An answer that is to be passed on whole breaks off, and the request may run again: the caller gets the other upstream's
+// answer and no part of the first.
+func TestCutAnswerIsReplaced(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Idempotent, Attempts: 2})
+	b.then(answers(200, nil, "half", errors.New("reset")), answers(200, nil, "whole", nil))
+	rec, _ := b.call(nil)
+	if got, want := rec.Body.String(), "whole"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
+
+// A request for an adapter in a new version reaches an engine only once that holds it; for a while after the version was
+// named, engines with the older one still serve, so that callers do not wait for the load.
+func TestNewVersionIsLoadedAsideAndThenRequired(t *testing.T) {
+	b := newBench(t, streamRoute())
+	b.add("one", map[string]int{"m/a": 1})
+	b.view = b.view.WithVersion("m/a", 2, time.Now())
+	header := http.Header{"M": {"m"}, "A": {"m/a"}}
+	b.then(answers(200, nil, "", nil))
+	b.call(header)
+	if got, want := b.sent[0].addr, "one:1"; got != want {
+		t.Errorf("sent to %s, want %s, which holds the older version", got, want)
+	}
+	b.view.Named["m/a"] = time.Now().Add(-time.Minute)
+	b.then(answers(200, nil, "", nil))
+	b.call(header)
+	if got, want := b.sent[1].extra.Get(headVer), "new"; got != want {
+		t.Errorf("version required = %q, want %q", got, want)
+	}
+}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,10 +66,10 @@
 func (x *Direct) events(ctx context.Context, j *job, t target.Target, r resp.Resp) error {
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(r.Body)
-	silent := false
+	var silent atomic.Bool
 	gap := max(leastGap, mostGap*j.route.Gap)
 	// An engine whose connection fell silent never tells; closing the connection ends the read below.
-	timer := time.AfterFunc(gap, func() { silent = true; r.Cut() })
+	timer := time.AfterFunc(gap, func() { silent.Store(true); r.Cut() })
 	defer timer.Stop()
 	var event bytes.Buffer
 	for {
@@ -77,7 +78,7 @@
 			if errors.Is(err, io.EOF) && len(line) == 0 && event.Len() == 0 {
 				return nil
 			}
-			if silent {
+			if silent.Load() {
 				return errSilent
 			}
 			if errors.Is(err, io.EOF) {
