--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -92,8 +92,10 @@
 			}
 			return h
 		},
-		NotRun: func(status int, h http.Header) bool { return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest },
-		Do:     b.do, Owner: func(string) bool { return true }, Load: b.load, Used: func(string, string) {},
+		NotRun: func(status int, h http.Header) bool {
+			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
+		},
+		Do: b.do, Owner: func(string) bool { return true }, Load: b.load, Used: func(string, string) {},
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(),
 		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -91,6 +91,10 @@
 			return false
 		}
 	}
+	if j.headed && r.Status != http.StatusOK {
+		failed = true
+		return x.notResumed(j, t, r)
+	}
 	if j.route.Kind == kinds.Stream && r.Status == http.StatusOK {
 		watch.Stop()
 		failed, done = x.relay(ctx, j, t, r)
@@ -100,6 +104,18 @@
 	return done
 }
 
+// notResumed takes an answer other than a stream from an engine at which a stream should go on. Nothing of it may reach the
+// caller: behind the events that went out it would look like the end of the stream.
+func (x *Direct) notResumed(j *job, t target.Target, r resp.Resp) (done bool) {
+	x.Log.Info("not resumed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("status", r.Status))
+	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream could not go on at %s", t.ID))
+	if j.again() {
+		return false
+	}
+	x.refuse(j.w, j, j.fault)
+	return true
+}
+
 // watch cancels a send that could be repeated elsewhere and has not been answered for long: an upstream may take requests
 // and never answer them while its health check is good.
 func (x *Direct) watch(j *job, left time.Duration, cancel context.CancelFunc) *time.Timer {
--- a/internal/direct/stream_test.go
+++ b/internal/direct/stream_test.go
@@ -72,3 +72,20 @@
 		t.Errorf("body = %q, want %q", got, want)
 	}
 }
+
+// The engine at which a stream should go on answers with an error. Were that answer passed on behind the events that the
+// caller has, the stream would end as if it were whole.
+func TestStreamThatIsNotResumedBreaksOff(t *testing.T) {
+	b := newBench(t, streamRoute())
+	b.then(
+		answers(200, nil, "id: 1\ndata: a\n\n", errors.New("reset")),
+		answers(500, nil, "no", nil),
+	)
+	rec, broken := b.call(nil)
+	if !broken {
+		t.Error("the answer looks whole, want the connection broken off")
+	}
+	if got, want := rec.Body.String(), "id: 1\ndata: a\n\n"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
