Close idle connections of callers without losing a request

Ruled out: the grace, which had 6 s left; the runner, which was gone and did not run it.

Change: internal/conns gives a connection either to a request or to the close. The listener closes after the two seconds. Idle connections are closed after the configured time too.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/change"
+	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
 	"damaskreach/internal/effect"
@@ -44,6 +45,11 @@
 	stayFor = 2 * time.Second
 	// endSlack is how much of the grace is kept for the end of the process itself.
 	endSlack = 600 * time.Millisecond
+	// leastIdle is how long a connection to a leaving host must have been idle to be closed: the next request of a caller
+	// that has just got an answer is likely.
+	leastIdle = 50 * time.Millisecond
+	// idleSlack is added to the time that a caller may leave its connection idle, for the way of its next request.
+	idleSlack = 500 * time.Millisecond
 	// readTimeout bounds how long a caller may take for its headers where the configuration has no bound.
 	readTimeout = 10 * time.Second
 )
@@ -80,6 +86,7 @@
 	uplink  *uplink.Uplink
 	spare   *spare.Spare
 	news    *news
+	conns   conns.Conns
 	leaving atomic.Bool
 }
 
@@ -159,7 +166,12 @@
 	go e.runPeers(work, s)
 	go e.sweep(work)
 	callers := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readTimeout, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
+		Handler: e.follow(handler), ReadHeaderTimeout: readTimeout, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
+		ConnContext: e.conns.Context, ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateClosed || state == http.StateHijacked {
+				e.conns.Gone(c)
+			}
+		},
 	}
 	servers := []struct {
 		addr   string
@@ -171,6 +183,7 @@
 		{s.Metrics, &http.Server{Handler: http.HandlerFunc(e.metrics), ReadHeaderTimeout: readTimeout}},
 	}
 	failed := make(chan error, len(servers))
+	var front net.Listener
 	for _, part := range servers {
 		if part.addr == "" {
 			continue
@@ -179,6 +192,9 @@
 		if err != nil {
 			return err
 		}
+		if part.server == callers {
+			front = l
+		}
 		go func() { failed <- part.server.Serve(l) }()
 	}
 	e.Log.Info("started", zap.String("name", s.Name), zap.String("callers", s.Callers), zap.String("centre", s.Centre))
@@ -187,28 +203,50 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.leave(callers)
+	e.leave(front)
 	return nil
 }
 
+// follow keeps a request's connection from being closed as idle, and tells callers of a leaving host to go elsewhere.
+func (e *Edge) follow(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		done, ok := e.conns.Enter(r.Context())
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		defer done()
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // leave takes the host out of lookups, serves on while callers keep their answers, and waits for requests under way.
-func (e *Edge) leave(callers *http.Server) {
+func (e *Edge) leave(callers net.Listener) {
 	began := time.Now()
 	grace := e.Setup().Grace - endSlack
 	e.leaving.Store(true)
 	e.Log.Info("leaving", zap.Duration("grace", grace))
 	time.Sleep(min(stayFor, grace/3))
-	callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Error(err))
+	if err := callers.Close(); err != nil {
+		e.Log.Debug("port for callers not closed", zap.Error(err))
+	}
+	left := 1
+	for left > 0 && time.Since(began) < grace {
+		left = e.conns.CloseIdle(leastIdle)
+		time.Sleep(leastIdle)
+	}
+	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Int("connections", left))
 }
 
 func (e *Edge) sweep(ctx context.Context) {
 	for range turns.Every(ctx, sweepEvery) {
 		v, now := e.intake.View(), time.Now()
 		e.uplink.Sweep()
+		if limit := v.Rules.IdleFor; limit > 0 {
+			e.conns.CloseIdle(limit + idleSlack)
+		}
 		e.holds.Forget(v.Targets, now)
 		e.pick.Forget(v.Targets, now)
 	}
