--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -34,8 +34,6 @@
 	// comeBack is when to come back where nothing better is known: about the time in which a crashed upstream's neighbours
 	// take over or a load completes.
 	comeBack = 700 * time.Millisecond
-	// forHeader is how long a caller may take for its body where the configuration has no bound.
-	forHeader = 10 * time.Second
 )
 
 // Direct serves callers. Its fields are set before the first request.
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -50,14 +50,13 @@
 	*direct.Direct
 	t *testing.T
 
-	mu       sync.Mutex
-	view     view.View
-	answers  []func(s sent) (resp.Resp, error)
-	sent     []sent
-	loads    []want.Want
-	loadErr  error
-	codes    []string
-	upstream func(s sent) (resp.Resp, error)
+	mu      sync.Mutex
+	view    view.View
+	answers []func(s sent) (resp.Resp, error)
+	sent    []sent
+	loads   []want.Want
+	loadErr error
+	codes   []string
 }
 
 func newBench(t *testing.T, rt route.Route) *bench {
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -24,19 +24,19 @@
 	group string
 	begun time.Time
 
-	sends  int             // to upstreams, rejected ones included
-	runs   int             // sends that may have run
-	tried  map[string]bool // upstreams that did not serve it
-	fault  *refuse.Refusal // why the last send failed
-	last   string          // id of the last event that was passed on
-	headed bool            // the status has gone to the caller
-	first  time.Time       // when the first byte of the answer went to the caller
+	sends      int             // to upstreams, rejected ones included
+	runs       int             // sends that may have run
+	tried      map[string]bool // upstreams that did not serve it
+	fault      *refuse.Refusal // why the last send failed
+	last       string          // id of the last event that was passed on
+	headed     bool            // the status has gone to the caller
+	first      time.Time       // when the first byte of the answer went to the caller
 	cost, room time.Duration
-	sent   time.Time       // when it was last sent
-	heard  time.Time       // when the newest events went to the caller
-	pause  time.Duration   // longest between two events
-	at     time.Duration   // when it ended, from the start
-	note   string          // what was decided on the way, for the line at its end
+	sent       time.Time     // when it was last sent
+	heard      time.Time     // when the newest events went to the caller
+	pause      time.Duration // longest between two events
+	at         time.Duration // when it ended, from the start
+	note       string        // what was decided on the way, for the line at its end
 }
 
 // deadline is when the request gets its final answer at the latest.
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -47,13 +47,6 @@
 	n.stocks[s.ID] = stamped{s, n.number}
 }
 
-// drop forgets an engine that this host does not order any more.
-func (n *news) drop(id string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.stocks, id)
-}
-
 // held returns what changed since the last message to a host. A message that got lost is made up for by registrations.
 func (n *news) held(to string) []stock.Stock {
 	n.mu.Lock()
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	methodTell = "tell"
+	methodTell  = "tell"
 	methodAdmit = "admit"
 )
 
