--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -38,9 +38,12 @@
 	}
 	return table.Table{
 		List: func(_ context.Context, prefix string) ([]rows.Row, int64, error) { return list(prefix) },
-		Tail: func(_ context.Context, prefix string, _ int64) ([]rows.Row, int64, error) {
+		Tail: func(ctx context.Context, prefix string, _ int64) ([]rows.Row, int64, error) {
 			if prefix == "op/" {
-				time.Sleep(time.Second)
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Second):
+				}
 			}
 			s.mu.Lock()
 			gone := s.gone
