Let loads flow by how long they take; refuse requests on a host that stops

Hosts that stop. After the two seconds in which callers keep their lookups' answers a request is refused as not run, to come back at once. The test fails without.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -31,6 +31,8 @@
 const (
 	// noConf is when to come back to a host that knows no configuration yet: it reads one within some calls to the store.
 	noConf = 500 * time.Millisecond
+	// elsewhere is when to come back from a host that stops: at once, since another one gets the request.
+	elsewhere = 20 * time.Millisecond
 	// comeBack is when to come back where nothing better is known: about the time in which a crashed upstream's neighbours
 	// take over or a load completes.
 	comeBack = 700 * time.Millisecond
@@ -53,6 +55,8 @@
 	Admit func(ctx context.Context, w want.Want) error
 	// Use records that a request uses an adapter at an engine, until done is called.
 	Use func(id, adapter string) (done func())
+	// Late reports whether the host leaves too soon to serve another request to its end.
+	Late func() bool
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
@@ -76,6 +80,11 @@
 		return
 	}
 	j := &job{d: d, begun: begun, w: w, view: x.View(), last: d.LastSeen}
+	if x.Late() {
+		// Taken, it would be cut off at the end of the grace, and a booking that was cut off may not be sent again.
+		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this host is about to stop").WithRetry(elsewhere))
+		return
+	}
 	if !j.view.Known() {
 		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(noConf))
 		return
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -57,6 +57,7 @@
 	loads   []want.Want
 	loadErr error
 	codes   []string
+	late    bool
 }
 
 func newBench(t *testing.T, rt route.Route) *bench {
@@ -96,6 +97,7 @@
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
 		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
+		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(),
 		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -18,8 +18,13 @@
 	// choices is how many engines an adapter may be loaded to for its first request; the least busy of them gets it. With
 	// one alone a busy engine's adapters wait; many make it come to an engine that has not held it before.
 	choices = 3
-	// loadFor bounds the wait for a load: an engine that does not load within it is in trouble.
-	loadFor = 1200 * time.Millisecond
+	// loadFor bounds the wait for a load. Where many adapters are on their way a load takes seconds; an answer that is late
+	// is worth something, and a caller that is refused comes back to the same queue.
+	loadFor = 3 * time.Second
+	// loadShare is the part of the time left that one load may take, so that a second engine can be tried.
+	loadShare = 3
+	// elsewheres is how many engines are tried whose hosts have just lost them; that costs a round trip each.
+	elsewheres = 4
 	// crowded and slack say when an adapter gets one more engine: where those that hold it have so many times the mean of
 	// running requests, and so many more.
 	crowded = 1.4
@@ -32,6 +37,9 @@
 	// gapSlack is kept free of the longest pause that a stream may have, for its way to the caller and for steps that are
 	// longer than usual.
 	gapSlack = 25 * time.Millisecond
+	// careful is how much longer than estimated a prompt counts. The estimate is a median; where reading takes longer, the next
+	// prompts come before streams got their event, and the pauses of both add up.
+	careful = 1.3
 	// leastRoom lets prompts through where a route names no pause or a very short one.
 	leastRoom = 60 * time.Millisecond
 	// spreadEvery is the shortest time between two such loads of one adapter.
@@ -208,14 +216,16 @@
 	if j.route.Gap == 0 {
 		room = leastRoom
 	}
-	j.cost, j.room = x.Speed.Cost(j.d.Prompt), room
+	cost := time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
+	j.cost, j.room = cost, room
 	return want.Want{
-		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Cost: max(time.Millisecond, x.Speed.Cost(j.d.Prompt)),
-		Room: max(leastRoom, room), Tail: gap * 2 / 3, Bound: bound, Rank: j.route.Priority,
+		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound, Rank: j.route.Priority,
+		Patience: max(0, j.route.Target-time.Since(j.begun)-cost-2*gap),
 	}
 }
 
-// first returns the engine at which an adapter is loaded next: the least busy of the few that it hashes to.
+// first returns the engine at which an adapter is loaded next: the one that has its weights at hand, unless that is much
+// busier than others, or the least busy of the few that the adapter hashes to.
 func (x *Direct) first(j *job, others, older []target.Target) target.Target {
 	now := time.Now()
 	usable := x.usable(others, now)
@@ -225,7 +235,13 @@
 	if len(usable) == 0 {
 		return target.Target{}
 	}
-	return x.Pick.Order(ranked(j.d.Adapter, usable), now)[0]
+	best := x.Pick.Order(ranked(j.d.Adapter, usable), now)[0]
+	for _, t := range usable {
+		if x.Holds.Left(t, j.d.Adapter) && x.Pick.Load(t.ID, now) <= 2*x.Pick.Load(best.ID, now)+slack {
+			return t
+		}
+	}
+	return best
 }
 
 // usable returns the engines to which something can be loaded now.
@@ -274,12 +290,13 @@
 // load has the adapter loaded and waits for it.
 func (x *Direct) load(ctx context.Context, j *job, others, older []target.Target, version int) (target.Target, int, *refuse.Refusal) {
 	none := refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine can load %s now", j.d.Adapter).WithRetry(comeBack)
-	for range 2 {
+	waits := 0
+	for range elsewheres {
 		t := x.first(j, others, older)
-		if t.ID == "" {
+		if t.ID == "" || waits == 2 {
 			return target.Target{}, 0, none
 		}
-		loadCtx, cancel := context.WithTimeout(ctx, loadFor)
+		loadCtx, cancel := context.WithTimeout(ctx, min(loadFor, time.Until(j.deadline())/loadShare))
 		began := time.Now()
 		err := x.Admit(loadCtx, x.want(j, t, version, 0))
 		cancel()
@@ -293,6 +310,9 @@
 		if ctx.Err() != nil {
 			return target.Target{}, 0, x.ended(ctx, j)
 		}
+		if !errors.Is(err, want.ErrElsewhere) {
+			waits++
+		}
 		others, older = without(others, t.ID), without(older, t.ID)
 	}
 	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -78,3 +78,21 @@
 		t.Errorf("version required = %q, want %q", got, want)
 	}
 }
+
+// A host was told to stop and has little of its grace left. A caller's stream that began before ends, and its next request
+// comes on the same connection. Sent to an upstream it would be cut off with the host; it is refused as not run, and the
+// caller gets it served by another host at once.
+func TestHostThatStopsTakesNoMoreRequests(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+	b.late = true
+	rec, _ := b.call(nil)
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+	if got, want := len(b.sent), 0; got != want {
+		t.Errorf("sends = %d, want %d", got, want)
+	}
+	if rec.Header().Get("Retry-After") == "" {
+		t.Error("no time to come back, want one")
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/holds"
@@ -91,6 +92,7 @@
 	news    *news
 	conns   conns.Conns
 	leaving atomic.Bool
+	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
 
 // build makes the parts and connects them.
@@ -109,7 +111,7 @@
 	}
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
-		Others: func() (int, int) { return e.news.loading(), 0 }, Holder: s.IP, Log: e.Log,
+		Flow: flow.NewFlow(), Holder: s.IP, Log: e.Log,
 	}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Tally.Add("connections.opened", 1) },
@@ -120,7 +122,7 @@
 	}}
 	return &direct.Direct{
 		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: &speed.Speed{}, Use: e.use,
-		Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
+		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
 		Spare: e.spare, Log: e.Log, Count: e.Tally.Count,
 	}
 }
@@ -226,10 +228,20 @@
 	})
 }
 
+// late reports whether a request that comes now may not end before the host does. Streams run for seconds; a caller whose
+// stream began before the signal may send its next request on the same connection at any time.
+func (e *Edge) late() bool {
+	if !e.leaving.Load() {
+		return false
+	}
+	return time.Since(time.Unix(0, e.leftAt.Load())) > min(stayFor, e.Setup().Grace/3)+leastIdle
+}
+
 // leave takes the host out of lookups, serves on while callers keep their answers, and waits for requests under way.
 func (e *Edge) leave(callers net.Listener) {
 	began := time.Now()
 	grace := e.Setup().Grace - endSlack
+	e.leftAt.Store(began.UnixNano())
 	e.leaving.Store(true)
 	e.Log.Info("leaving", zap.Duration("grace", grace))
 	time.Sleep(min(stayFor, grace/3))
@@ -294,7 +306,7 @@
 // told returns what this host tells another one.
 func (e *Edge) told(to string) gossip.Gossip {
 	return gossip.Gossip{
-		IP: e.Setup().IP, Leaving: e.leaving.Load(), Running: e.pick.Running(), Loading: e.giver.Loading(),
+		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Running: e.pick.Running(),
 		Held: e.news.held(to), Used: e.news.uses(func(id string) bool { return e.tenure.Owner(id) == to }), Waits: e.waits(),
 	}
 }
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"damaskreach/internal/stock"
 )
@@ -14,7 +13,6 @@
 	number int64              // counts changes of stocks
 	sent   map[string]int64   // number up to which each host was told
 	used   map[string]uses    // adapters in use at each engine, or since the last message to the host that orders it
-	loads  map[string]loads   // adapters on their way, by host
 }
 
 type stamped struct {
@@ -25,17 +23,9 @@
 // uses counts the requests under way by adapter; one with none stays until it was told.
 type uses map[string]int
 
-type loads struct {
-	count int
-	at    time.Time
-}
-
-// loadsLife is how long what another host said of its loads is believed.
-const loadsLife = 2 * time.Second
-
 func newNews() *news {
 	return &news{
-		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]uses{}, loads: map[string]loads{},
+		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]uses{},
 	}
 }
 
@@ -99,22 +89,3 @@
 	}
 	return list
 }
-
-func (n *news) heard(ip string, count int, now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.loads[ip] = loads{count, now}
-}
-
-// loading returns how many adapters other hosts have on their way to engines.
-func (n *news) loading() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	sum := 0
-	for _, l := range n.loads {
-		if time.Since(l.at) < loadsLife {
-			sum += l.count
-		}
-	}
-	return sum
-}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -58,7 +58,6 @@
 func (e *Edge) hear(g gossip.Gossip) {
 	now := time.Now()
 	e.pick.Peer(g.IP, g.Running, now)
-	e.news.heard(g.IP, g.Loading, now)
 	for _, s := range g.Held {
 		e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
 	}
@@ -94,7 +93,7 @@
 		return ok
 	}
 	m := e.mates.Load()
-	return m != nil && m.Live(owner)
+	return m != nil && m.Ordering(owner)
 }
 
 // admit has an adapter loaded by the host that orders the engine and waits until a prompt may be sent.
--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,93 @@
+// Package flow bounds how many loads a host has on their way, by how long loads take.
+//
+// A weight store serves some loads at full speed; with more on their way each takes longer in proportion, so that nothing
+// is gained and the first one comes as late as the last. One would notice loads that take three times as long as usual
+// while requests could have waited in an order of their own. The store's bound is not told and all hosts share it, so
+// each finds its part as hosts on a network find theirs: a little more while loads take as long as they should, less as
+// soon as they take longer.
+package flow
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// least and most bound the window.
+	least = 1
+	most  = 64
+	// first is the window until something was measured: with a handful of hosts some loads at once each.
+	first = 4
+	// slow is how many times the usual a load takes when there are too many.
+	slow = 1.8
+	// cut is what is left of the window after a slow load.
+	cut = 0.9
+	// usualFor is how long the shortest load is taken for the usual one; the store may have become slower for good.
+	usualFor = 20 * time.Second
+	// stuck is when a load that has not ended stops counting: its engine is gone.
+	stuck = 5 * time.Second
+)
+
+// Flow may be used from several goroutines.
+type Flow struct {
+	mu     sync.Mutex
+	window float64
+	under  map[int64]time.Time // loads on their way, by number
+	number int64
+	usual  time.Duration
+	usedAt time.Time // when usual was measured
+	cutAt  time.Time
+}
+
+// NewFlow returns a flow that has measured nothing.
+func NewFlow() *Flow {
+	return &Flow{window: first, under: map[int64]time.Time{}}
+}
+
+// Begin reports whether one more load may begin, and begins it; end takes whether it came from the store and succeeded.
+func (f *Flow) Begin(now time.Time) (end func(now time.Time, counts bool), ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n, since := range f.under {
+		if now.Sub(since) > stuck {
+			delete(f.under, n)
+		}
+	}
+	if float64(len(f.under)+1) > max(least, f.window) {
+		return nil, false
+	}
+	f.number++
+	n := f.number
+	f.under[n] = now
+	return func(at time.Time, counts bool) { f.end(n, now, at, counts) }, true
+}
+
+func (f *Flow) end(n int64, since, now time.Time, counts bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	full := float64(len(f.under)+1) > f.window
+	delete(f.under, n)
+	if !counts {
+		return
+	}
+	took := now.Sub(since)
+	if f.usual == 0 || took < f.usual || now.Sub(f.usedAt) > usualFor {
+		f.usual, f.usedAt = took, now
+	}
+	switch {
+	case float64(took) > slow*float64(f.usual):
+		if now.Sub(f.cutAt) > f.usual {
+			f.window = max(least, cut*f.window)
+			f.cutAt = now
+		}
+	case full:
+		f.window = min(most, f.window+1/f.window)
+	}
+}
+
+// Usual returns how long a load takes that nothing holds up; zero before one was measured.
+func (f *Flow) Usual() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.usual
+}
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -21,6 +21,8 @@
 	// giveFor bounds an order. Engines answer within milliseconds; an order that gets no answer is given again with the
 	// same count, which is safe.
 	giveFor = 80 * time.Millisecond
+	// queueFor is how long a load may wait for its turn at an engine.
+	queueFor = 2500 * time.Millisecond
 	// askFor bounds a report.
 	askFor = 400 * time.Millisecond
 	// reportLag is how long a report may be behind; after a conflict the next one is asked for after that.
@@ -48,6 +50,20 @@
 	done  chan error
 	gone  <-chan struct{} // closed once nobody waits any more
 	since time.Time
+	block *string // what holds it up
+}
+
+// before orders loads that wait: those that can still be on time go first, the earliest first; those that are late already
+// follow, so that a burst does not make everything late that comes behind it.
+func (w waiter) before(other waiter, now time.Time) int {
+	late, otherLate := now.Sub(w.since) > w.Patience, now.Sub(other.since) > other.Patience
+	if late != otherLate {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	return w.since.Compare(other.since)
 }
 
 // left reports whether nobody waits any more.
@@ -66,9 +82,19 @@
 	since   time.Time
 	due     time.Time // when to look next
 	warm    bool
+	waited  time.Duration                    // from being asked for to its order
+	block   string                           // what held it up last
+	end     func(now time.Time, counts bool) // ends it at the flow of loads
 	waiters []waiter
 }
 
+// finish ends the load at the flow of loads.
+func (l *load) finish(counts bool) {
+	if l.end != nil {
+		l.end(time.Now(), counts && !l.warm)
+	}
+}
+
 // desk gives the orders to one engine, one after the other, on a goroutine of its own.
 type desk struct {
 	g       *Giver
@@ -76,7 +102,7 @@
 	ctx     context.Context
 	end     context.CancelFunc
 	wants   chan waiter
-	loading atomic.Int32
+	backlog atomic.Int32 // loads that wait or are on their way
 	lane    *lane
 	ready   atomic.Pointer[map[string]int] // what the engine holds and serves; read by other goroutines
 
@@ -126,12 +152,12 @@
 // fail ends all loads under way.
 func (d *desk) fail(err error) {
 	for _, l := range d.pending {
+		l.finish(false)
 		for _, w := range l.waiters {
 			w.done <- err
 		}
 	}
 	d.pending = map[string]*load{}
-	d.loading.Store(0)
 }
 
 func (d *desk) run() {
@@ -150,6 +176,11 @@
 	}
 }
 
+// loadWait returns how long a load that comes now would wait for others at this engine.
+func (d *desk) loadWait() time.Duration {
+	return time.Duration(d.backlog.Load()) * d.g.Flow.Usual() / transit
+}
+
 // serves reports whether the engine holds what is wanted, as far as its orders go.
 func (d *desk) serves(w want.Want) bool {
 	if w.Adapter == "" {
@@ -211,6 +242,7 @@
 		return idle / 3
 	}
 	d.serve(t)
+	d.backlog.Store(int32(len(d.queue) + len(d.pending)))
 	return d.pause()
 }
 
@@ -241,10 +273,14 @@
 		if w.left() {
 			continue
 		}
-		if time.Since(w.since) < time.Second {
+		if time.Since(w.since) < queueFor {
 			kept = append(kept, w)
 			continue
 		}
+		_, idle := d.oldest()
+		d.g.Log.Info("load given up", zap.String("target", d.id), zap.String("adapter", w.Adapter), zap.Bool("known", d.known),
+			zap.Int("held", len(d.held)), zap.Int("pending", len(d.pending)), zap.Int("leaving", len(d.leaving)),
+			zap.Int("queue", len(d.queue)), zap.Duration("idle", idle), zap.Duration("cold", d.cold))
 		w.done <- merry.Prepend(want.ErrFailed, "the engine cannot load now")
 	}
 	d.queue = kept
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -13,6 +13,7 @@
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
 	"damaskreach/internal/model"
 	"damaskreach/internal/pool"
@@ -148,7 +149,7 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: func() []string { return []string{"e"} },
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Others: func() (int, int) { return 0, 0 }, Holder: "h",
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Flow: flow.NewFlow(), Holder: "h",
 		Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -16,6 +16,7 @@
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/flow"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/turns"
@@ -38,8 +39,8 @@
 	Mine  func() []string
 	View  func() view.View
 	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
-	// Others returns how many adapters other hosts have on their way to engines, and how many of all may be at once.
-	Others func() (loading, most int)
+	// Flow bounds the loads that are on their way to all engines of this host.
+	Flow   *flow.Flow
 	Holder string
 	Log    *zap.Logger
 
@@ -96,7 +97,7 @@
 		return merry.Wrap(want.ErrElsewhere)
 	}
 	done := make(chan error, 1)
-	waiting := waiter{Want: w, done: done, gone: ctx.Done(), since: time.Now()}
+	waiting := waiter{Want: w, done: done, gone: ctx.Done(), since: time.Now(), block: new(string)}
 	if d.serves(w) {
 		d.lane.add(waiting)
 	} else if !d.ask(waiting) {
@@ -125,18 +126,7 @@
 	defer g.mu.Unlock()
 	waits := map[string]time.Duration{}
 	for id, d := range g.desks {
-		waits[id] = d.lane.wait()
+		waits[id] = d.lane.wait() + d.loadWait()
 	}
 	return waits
 }
-
-// Loading returns how many adapters are on their way to engines that this host orders.
-func (g *Giver) Loading() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	for _, d := range g.desks {
-		n += int(d.loading.Load())
-	}
-	return n
-}
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -69,12 +69,11 @@
 			d.pending[a] = &load{version: v, since: now, due: now.Add(again)}
 		}
 	}
-	d.loading.Store(int32(len(d.pending)))
 }
 
 func (d *desk) complete(adapter string, l *load, version int) {
 	delete(d.pending, adapter)
-	d.loading.Store(int32(len(d.pending)))
+	l.finish(true)
 	d.held[adapter] = version
 	delete(d.leaving, adapter)
 	d.recent[adapter] = true
@@ -86,7 +85,7 @@
 		d.cold += time.Duration(weight * float64(took-d.cold))
 	}
 	d.g.Log.Debug("adapter loaded", zap.String("target", d.id), zap.String("adapter", adapter), zap.Int("version", version),
-		zap.Bool("warm", l.warm), zap.Duration("took", took), zap.Int64("sequence", d.sequence))
+		zap.Bool("warm", l.warm), zap.Duration("took", took), zap.Duration("waited", l.waited), zap.String("held up by", l.block), zap.Int64("sequence", d.sequence))
 	d.tell()
 	for _, w := range l.waiters {
 		d.lane.add(w)
@@ -95,7 +94,7 @@
 
 func (d *desk) drop(adapter string, l *load, err error) {
 	delete(d.pending, adapter)
-	d.loading.Store(int32(len(d.pending)))
+	l.finish(false)
 	for _, w := range l.waiters {
 		w.done <- err
 	}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -1,6 +1,7 @@
 package giver
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -65,6 +66,8 @@
 // serve starts the loads that wait, as far as places and transit allow.
 func (d *desk) serve(t target.Target) {
 	queue := d.queue
+	now := time.Now()
+	slices.SortStableFunc(queue, func(a, b waiter) int { return a.before(b, now) })
 	d.queue = nil
 	for i, w := range queue {
 		if !d.known {
@@ -88,13 +91,28 @@
 		l.waiters = append(l.waiters, w)
 		return true
 	}
-	others, most := d.g.Others()
-	if len(d.pending) >= transit || d.leaving[w.Adapter] || most > 0 && others+d.g.Loading() >= most && len(d.pending) > 0 {
+	if len(d.pending) >= transit || d.leaving[w.Adapter] {
+		*w.block = "transit"
 		return false
 	}
-	if !d.room(t, w) {
+	end, ok := func(time.Time, bool) {}, true
+	if !d.recent[w.Adapter] {
+		// Only what is not at hand at the engine comes from the store.
+		end, ok = d.g.Flow.Begin(time.Now())
+	}
+	if !ok {
+		*w.block = "flow"
 		return false
 	}
+	if !d.room(t, w) || !d.begin(t, w, end) {
+		end(time.Now(), false)
+		return false
+	}
+	return true
+}
+
+// begin gives the order of a load; it reports false where the engine did not take it.
+func (d *desk) begin(t target.Target, w waiter, end func(now time.Time, counts bool)) bool {
 	model, short := name(w.Adapter)
 	started := time.Now()
 	e := d.give(t, change.Change{Load: true, Model: model, Adapter: short, Version: w.Version})
@@ -103,13 +121,13 @@
 		d.held[w.Adapter] = w.Version
 		d.tell()
 		d.lane.add(w)
+		end(time.Now(), false)
 		return true
 	case effect.Accepted:
-		l := &load{version: w.Version, since: started, warm: d.recent[w.Adapter], waiters: []waiter{w}}
+		l := &load{version: w.Version, since: started, waited: started.Sub(w.since), block: *w.block, warm: d.recent[w.Adapter], end: end, waiters: []waiter{w}}
 		l.due = started.Add(d.expected(l.warm))
 		d.pending[w.Adapter] = l
 		delete(d.held, w.Adapter)
-		d.loading.Store(int32(len(d.pending)))
 		d.tell()
 		return true
 	}
@@ -138,6 +156,7 @@
 	}
 	victim, idle := d.oldest()
 	if victim == "" || idle < lately {
+		*w.block = "places"
 		return false
 	}
 	model, short := name(victim)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -7,8 +7,8 @@
 type Gossip struct {
 	IP      string              `msgpack:"i"`
 	Leaving bool                `msgpack:"l,omitempty"`
+	Lapsed  bool                `msgpack:"n,omitempty"` // it may give no orders now
 	Running map[string]int      `msgpack:"r,omitempty"` // requests at each upstream
-	Loading int                 `msgpack:"p,omitempty"` // adapters on their way to engines that this host orders
 	Held    []stock.Stock       `msgpack:"h,omitempty"` // engines that this host orders, where changed
 	Used    map[string][]string `msgpack:"u,omitempty"` // adapters used at engines that the receiver orders
 	Waits   map[string]int      `msgpack:"w,omitempty"` // ms that a prompt would wait at engines that this host orders
--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -16,6 +16,9 @@
 // known: a registration's interval and some.
 const missFor = 2 * time.Second
 
+// mostLeft is how many evicted adapters are remembered, some 100 bytes each; engines keep the weights of a hundred or so.
+const mostLeft = 20000
+
 // Unknown is the version of an adapter that is held in a version nobody told.
 const Unknown = 0
 
@@ -24,6 +27,13 @@
 	mu     sync.RWMutex
 	told   map[string]told
 	misses map[miss]time.Time
+	left   map[string]place // where an adapter was last that nobody may hold now
+}
+
+// place is an engine in one incarnation.
+type place struct {
+	id   string
+	born int64
 }
 
 type told struct {
@@ -39,7 +49,7 @@
 
 // NewHolds returns an empty record.
 func NewHolds() *Holds {
-	return &Holds{told: map[string]told{}, misses: map[miss]time.Time{}}
+	return &Holds{told: map[string]told{}, misses: map[miss]time.Time{}, left: map[string]place{}}
 }
 
 // Tell records what an engine's order giver knows it to hold after so many orders. The map must not be changed any more.
@@ -54,6 +64,30 @@
 		return
 	}
 	h.told[id] = told{born: born, sequence: sequence, adapters: adapters}
+	if !ok || old.born != born {
+		return
+	}
+	for a := range old.adapters {
+		if _, still := adapters[a]; !still {
+			h.remember(a, place{id, born})
+		}
+	}
+}
+
+// remember notes where an adapter was evicted: its weights are still at hand there, and a load takes a tenth of the time and
+// brings nothing from the weight store.
+func (h *Holds) remember(adapter string, at place) {
+	if len(h.left) >= mostLeft {
+		clear(h.left)
+	}
+	h.left[adapter] = at
+}
+
+// Left reports whether an engine is the one from which an adapter was last evicted.
+func (h *Holds) Left(t target.Target, adapter string) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.left[adapter] == place{t.ID, t.Born}
 }
 
 // Miss records that an engine rejected a request because it does not hold the adapter.
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -50,6 +50,7 @@
 	at      time.Time // of its last message or answer
 	asked   bool      // a message to it is under way
 	leaving bool
+	lapsed  bool // it may give no orders
 }
 
 // Register takes what other hosts say. It belongs before the mesh serves.
@@ -74,6 +75,7 @@
 	}
 	old.at = time.Now()
 	old.leaving = g.Leaving
+	old.lapsed = g.Lapsed
 	m.live[g.IP] = old
 }
 
@@ -133,11 +135,12 @@
 	m.live[ip] = old
 }
 
-// Live reports whether a host answered a moment ago.
-func (m *Mates) Live(ip string) bool {
+// Ordering reports whether a host answered a moment ago and may give orders.
+func (m *Mates) Ordering(ip string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.live[ip].at) < alive
+	known := m.live[ip]
+	return time.Since(known.at) < alive && !known.lapsed
 }
 
 // Serving returns the hosts, but for this one, that callers may be sent to.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -33,7 +33,7 @@
 	// renewEvery leaves room for two lost renewals within a lease, at less than half a call a second.
 	renewEvery = 2500 * time.Millisecond
 	// readEvery is how often the rows of all hosts are read: takeovers are rare and slower than this anyway.
-	readEvery = 3 * time.Second
+	readEvery = 4 * time.Second
 	// firstEvery is how often they are read in the first seconds, when all hosts start and engines have no host yet.
 	firstEvery = 500 * time.Millisecond
 	firstFor   = 5 * time.Second
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -5,13 +5,14 @@
 
 // Want is immutable.
 type Want struct {
-	ID      string        `msgpack:"i"` // of the engine
-	Model   string        `msgpack:"m"`
-	Adapter string        `msgpack:"a,omitempty"` // "model/adapter"; empty where the base model itself is asked for
-	Version int           `msgpack:"v,omitempty"` // at least this one; 0 takes any
-	Cost    time.Duration `msgpack:"c,omitempty"` // to read the prompt; 0 where nothing will be sent
-	Room    time.Duration `msgpack:"r,omitempty"` // that reading prompts may hold up a stream
-	Tail    time.Duration `msgpack:"t,omitempty"` // after a prompt was read in which the next falls into the same pause
-	Bound   time.Duration `msgpack:"b,omitempty"` // longest wait for other prompts that is of use; 0 means any
-	Rank    int           `msgpack:"p,omitempty"` // lower goes first
+	ID       string        `msgpack:"i"` // of the engine
+	Model    string        `msgpack:"m"`
+	Adapter  string        `msgpack:"a,omitempty"` // "model/adapter"; empty where the base model itself is asked for
+	Version  int           `msgpack:"v,omitempty"` // at least this one; 0 takes any
+	Cost     time.Duration `msgpack:"c,omitempty"` // to read the prompt; 0 where nothing will be sent
+	Room     time.Duration `msgpack:"r,omitempty"` // that reading prompts may hold up a stream
+	Tail     time.Duration `msgpack:"t,omitempty"` // after a prompt was read in which the next falls into the same pause
+	Bound    time.Duration `msgpack:"b,omitempty"` // longest wait for other prompts that is of use; 0 means any
+	Patience time.Duration `msgpack:"e,omitempty"` // from now within which the answer can still be on time
+	Rank     int           `msgpack:"p,omitempty"` // lower goes first
 }
