--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -29,6 +29,8 @@
 	// running requests, and so many more.
 	crowded = 1.4
 	slack   = 3
+	// full is the part of its slots from which an engine counts as crowded whatever the others have: beyond them requests queue.
+	full = 0.75
 	// shortWait is how long a request waits for other prompts at one engine before it looks at the next that holds its
 	// adapter: less than a prompt takes to read.
 	shortWait = 40 * time.Millisecond
@@ -146,14 +148,15 @@
 	return sound
 }
 
-// crowded reports whether the least busy of the engines that hold an adapter is much busier than engines are on average.
+// crowded reports whether the least busy of the engines that hold an adapter is much busier than engines are on average, or nearly full.
 func (x *Direct) crowded(holders, able []target.Target, now time.Time) bool {
 	sum := 0
 	for _, t := range able {
 		sum += x.Pick.Load(t.ID, now)
 	}
 	best := x.Pick.Order(holders, now)[0]
-	return float64(x.Pick.Load(best.ID, now)) > crowded*float64(sum)/float64(len(able))+slack
+	limit := crowded*float64(sum)/float64(len(able)) + slack
+	return float64(x.Pick.Load(best.ID, now)) > min(limit, full*float64(best.Slots))
 }
 
 // spreadTo has an adapter loaded at one more engine, without waiting for it.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -306,8 +306,10 @@
 
 // told returns what this host tells another one.
 func (e *Edge) told(to string) gossip.Gossip {
+	owned := func(id string) bool { return e.tenure.Owner(id) == to }
 	return gossip.Gossip{
-		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Held: e.news.held(to), Used: e.news.uses(func(id string) bool { return e.tenure.Owner(id) == to }), Waits: e.waits(),
+		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Read: e.marks(), Loads: e.loads(),
+		Waits: e.waits(), Held: e.news.held(to), Used: e.news.uses(owned),
 	}
 }
 
