--- a/cmd/damaskedge/main.go
+++ b/cmd/damaskedge/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(platform.Run(os.Stdout, os.Stderr))
+	os.Exit(platform.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/dialer/dialer.go
@@ -0,0 +1,40 @@
+// Package dialer opens TCP connections that do not stay open in silence.
+package dialer
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// idle, every and count find connections on which nothing is sent; ackFor finds those where bytes wait for the other side.
+	// A host without power or behind a partition answers nothing, and the kernel alone would wait for many minutes.
+	idle   = time.Second
+	every  = time.Second
+	count  = 3
+	ackFor = 3 * time.Second
+)
+
+// Dial opens a connection to an IP and port.
+func Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idle, Interval: every, Count: count},
+		Control:         control,
+	}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+func control(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackFor.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -65,8 +65,9 @@
 		first = j.first.Sub(j.begun)
 	}
 	x.Count(j.class(), code, now.Sub(j.begun), first)
-	x.Log.Debug("request ended", zap.String("request", j.d.ID), zap.String("code", code), zap.Int("status", status),
-		zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("sends", j.sends), zap.String("note", j.note),
-		zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("at", j.at), zap.Int("prompt", j.d.Prompt),
-		zap.Duration("cost", x.Speed.Cost(j.d.Prompt)), zap.Duration("gap", x.Speed.Gap()), zap.Duration("sent", j.sent.Sub(j.begun)), zap.Duration("asked", j.cost), zap.Duration("room", j.room), zap.Duration("took", now.Sub(j.begun)))
+	x.Log.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("code", code),
+		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("version", j.version),
+		zap.Int("prompt", j.d.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
+		zap.Duration("turn", j.turn()), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
+		zap.Int64("rules", j.view.Rules.Version), zap.Duration("age", now.Sub(j.view.Read)))
 }
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -24,19 +24,18 @@
 	group string
 	begun time.Time
 
-	sends      int             // to upstreams, rejected ones included
-	runs       int             // sends that may have run
-	tried      map[string]bool // upstreams that did not serve it
-	fault      *refuse.Refusal // why the last send failed
-	last       string          // id of the last event that was passed on
-	headed     bool            // the status has gone to the caller
-	first      time.Time       // when the first byte of the answer went to the caller
-	cost, room time.Duration
-	sent       time.Time     // when it was last sent
-	heard      time.Time     // when the newest events went to the caller
-	pause      time.Duration // longest between two events
-	at         time.Duration // when it ended, from the start
-	note       string        // what was decided on the way, for the line at its end
+	sends   int             // to upstreams, rejected ones included
+	runs    int             // sends that may have run
+	tried   map[string]bool // upstreams that did not serve it
+	fault   *refuse.Refusal // why the last send failed
+	version int             // of the adapter that was asked of the upstream; 0 means any
+	last    string          // id of the last event that was passed on
+	headed  bool            // the status has gone to the caller
+	first   time.Time       // when the first byte of the answer went to the caller
+	sent    time.Time       // when it was last sent
+	heard   time.Time       // when the newest events went to the caller
+	pause   time.Duration   // longest between two events
+	note    string          // what was decided on the way, for the line at its end
 }
 
 // deadline is when the request gets its final answer at the latest.
@@ -78,3 +77,11 @@
 	}
 	return verd.NotRun
 }
+
+// turn returns how long the request waited here before it was last sent: for its adapter, and for the prompts of others.
+func (j *job) turn() time.Duration {
+	if j.sent.IsZero() {
+		return 0
+	}
+	return j.sent.Sub(j.begun)
+}
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -220,7 +220,6 @@
 		room = leastRoom
 	}
 	cost := time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
-	j.cost, j.room = cost, room
 	return want.Want{
 		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound, Rank: j.route.Priority,
 		Patience: max(0, j.route.Target-time.Since(j.begun)-cost-2*gap),
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -103,10 +103,7 @@
 		if in.Buffered() == 0 {
 			now := time.Now()
 			if !j.heard.IsZero() {
-				if now.Sub(j.heard) > j.pause {
-					j.pause = now.Sub(j.heard)
-					j.at = now.Sub(j.begun)
-				}
+				j.pause = max(j.pause, now.Sub(j.heard))
 				x.Speed.Event(now.Sub(j.heard))
 			}
 			j.heard = now
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -72,6 +72,7 @@
 	watch := x.watch(j, left, cancel)
 	defer watch.Stop()
 	j.sent = time.Now()
+	j.version = version
 	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last))
 	if err != nil {
 		failed = true
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,7 +112,7 @@
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
-		Flow: flow.NewFlow(), Holder: s.IP, Log: e.Log,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP, Log: e.Log,
 	}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Tally.Add("connections.opened", 1) },
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
@@ -40,10 +41,14 @@
 	View  func() view.View
 	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
 	// Flow bounds the loads that are on their way to all engines of this host.
-	Flow   *flow.Flow
+	Flow *flow.Flow
+	// Window returns the time over which loads of base models from the weight store are counted.
+	Window func() time.Duration
 	Holder string
 	Log    *zap.Logger
 
+	models *rate.Limiter
+
 	mu    sync.Mutex
 	desks map[string]*desk
 }
@@ -84,6 +89,31 @@
 	}
 }
 
+// mayLoadModel reports whether one more base model may be loaded now. The weight store allows a rate over all hosts; each
+// keeps to its engines' part of it, half as a burst and half as a rate, so that no window gets more than the whole.
+func (g *Giver) mayLoadModel(perSecond float64) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	v := g.View()
+	all := 0
+	for _, t := range v.Targets {
+		if v.Rules.Pools[t.Group].Engine {
+			all++
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	part := perSecond / 2 * float64(len(g.desks)) / float64(max(1, all))
+	burst := max(1, int(part*g.Window().Seconds()))
+	if g.models == nil {
+		g.models = rate.NewLimiter(rate.Limit(part), burst)
+	}
+	g.models.SetLimit(rate.Limit(part))
+	g.models.SetBurst(burst)
+	return g.models.Allow()
+}
+
 func (g *Giver) desk(id string) *desk {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -84,8 +84,8 @@
 	} else {
 		d.cold += time.Duration(weight * float64(took-d.cold))
 	}
-	d.g.Log.Debug("adapter loaded", zap.String("target", d.id), zap.String("adapter", adapter), zap.Int("version", version),
-		zap.Bool("warm", l.warm), zap.Duration("took", took), zap.Duration("waited", l.waited), zap.String("held up by", l.block), zap.Int64("sequence", d.sequence))
+	d.g.Log.Info("adapter loaded", zap.String("target", d.id), zap.String("adapter", adapter), zap.Int("version", version),
+		zap.Bool("warm", l.warm), zap.Duration("took", took), zap.Duration("waited", l.waited), zap.String("behind", l.block), zap.Int64("sequence", d.sequence))
 	d.tell()
 	for _, w := range l.waiters {
 		d.lane.add(w)
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -51,6 +51,9 @@
 	e := effect.Unknown
 	if d.ordered {
 		e = d.look(t, order)
+	} else if !d.g.mayLoadModel(d.pool(t).LoadRate) {
+		d.model = time.Now().Add(again)
+		return false
 	} else {
 		e = d.give(t, order)
 		d.ordered = e == effect.Accepted
@@ -173,7 +176,7 @@
 	default:
 		return false
 	}
-	d.g.Log.Debug("adapter unloaded", zap.String("target", d.id), zap.String("adapter", victim), zap.Duration("idle", idle),
+	d.g.Log.Info("adapter unloaded", zap.String("target", d.id), zap.String("adapter", victim), zap.Duration("idle", idle),
 		zap.String("for", w.Adapter), zap.Stringer("effect", e))
 	d.tell()
 	return e == effect.Done
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -157,6 +157,7 @@
 			i.Log.Debug("registrations not read", zap.Error(err))
 			if i.lost.IsZero() {
 				i.lost = began
+				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
 			}
 			pause(ctx, after)
 			continue
@@ -196,9 +197,11 @@
 		return err
 	}
 	now := time.Now()
-	if !i.lost.IsZero() && now.Sub(i.lost) > away {
-		i.back = now
+	if !i.lost.IsZero() {
 		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
+		if now.Sub(i.lost) > away {
+			i.back = now
+		}
 	}
 	i.lost = time.Time{}
 	i.at = rev
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"damaskreach/internal/marks"
 )
 
@@ -22,7 +20,6 @@
 // rest waits while another host reads, until that one knows of something newer.
 func (i *Intake) rest(ctx context.Context, wake <-chan struct{}) {
 	begun := time.Now()
-	defer func() { i.Log.Debug("rested", zap.Duration("for", time.Since(begun)), zap.Bool("relaxed", i.Relaxed())) }()
 	timer := time.NewTicker(restCheck)
 	defer timer.Stop()
 	for i.Relaxed() && time.Since(begun) < restMost {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -2,11 +2,13 @@
 package setup
 
 import (
+	"net/netip"
 	"os"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap/zapcore"
 
 	"damaskreach/internal/bind"
 	"damaskreach/internal/fault"
@@ -78,6 +80,11 @@
 			faults = append(faults, fault.NewFault(t.key, "is missing"))
 		}
 	}
+	for _, t := range texts[3:] {
+		if _, err := netip.ParseAddrPort(t.value); t.value != "" && err != nil {
+			faults = append(faults, fault.NewFault(t.key, "is no IP and port: %q", t.value))
+		}
+	}
 	times := []struct {
 		key   string
 		value time.Duration
@@ -90,6 +97,12 @@
 			faults = append(faults, fault.NewFault(t.key, "must be above zero"))
 		}
 	}
+	if _, err := zapcore.ParseLevel(s.Level); err != nil {
+		faults = append(faults, fault.NewFault("level", "is none of debug, info, warn and error"))
+	}
+	if s.Share < 0 || s.Extra < 0 {
+		faults = append(faults, fault.NewFault("share", "and extra must not be below zero"))
+	}
 	if s.Memory <= 0 {
 		faults = append(faults, fault.NewFault("memory", "must be above zero"))
 	}
--- /dev/null
+++ b/internal/start/start.go
@@ -0,0 +1,192 @@
+// Package start is the command line of an entry host: it reads the settings, opens the log and runs the host.
+package start
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"damaskreach/internal/edge"
+	"damaskreach/internal/logger"
+	"damaskreach/internal/setup"
+	"damaskreach/internal/tally"
+	"damaskreach/internal/turns"
+)
+
+// Version of the program, shown by --version.
+const Version = "0.2.0"
+
+// Exit codes.
+const (
+	exitOK    = 0
+	exitFault = 1 // the host could not run
+	exitUsage = 2 // the command line or the settings are wrong
+)
+
+const (
+	// reloadEvery is how often the settings file is compared: it may change without a signal.
+	reloadEvery = 2 * time.Second
+	// memoryShare is the part of the allowed memory at which the collector works harder.
+	memoryShare = 0.6
+)
+
+type options struct {
+	Config  string `short:"c" long:"config" value-name:"FILE" description:"TOML file with the host's settings; in place of the one that the environment names"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+// Start is the way from the command line to a running host.
+type Start struct {
+	// Path returns the settings file where the command line names none.
+	Path func() string
+	// Build returns a host whose parts speak the platform's protocols.
+	Build func(s setup.Setup) *edge.Edge
+	Out   io.Writer // for the log
+	Err   io.Writer
+}
+
+// Run runs the host with command-line arguments and returns the exit code.
+func (s Start) Run(args []string) int {
+	var o options
+	parser := flags.NewNamedParser("damaskedge", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "damaskedge runs one entry host on the users' platform.\n" +
+		"'damaskedge check FILE' checks a settings file and names the key of every fault."
+	parser.Usage = "[OPTIONS] [check FILE]"
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		panic(err) // the options above are a constant of the program
+	}
+	rest, err := parser.ParseArgs(args)
+	var flagErr *flags.Error
+	switch {
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(s.Out, err)
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(s.Err, err)
+		return exitUsage
+	case o.Version:
+		fmt.Fprintln(s.Out, "damaskedge", Version)
+		return exitOK
+	case len(rest) == 2 && rest[0] == "check":
+		return s.check(rest[1])
+	case len(rest) > 0:
+		fmt.Fprintln(s.Err, "damaskedge: give --config FILE or check FILE; see --help")
+		return exitUsage
+	case o.Config == "":
+		o.Config = s.Path()
+	}
+	return s.run(o.Config)
+}
+
+func (s Start) check(path string) int {
+	if _, err := setup.Load(path); err != nil {
+		fmt.Fprintln(s.Err, err)
+		return exitUsage
+	}
+	fmt.Fprintln(s.Out, path+": no fault found")
+	return exitOK
+}
+
+func (s Start) run(path string) int {
+	first, err := setup.Load(path)
+	if err != nil {
+		fmt.Fprintln(s.Err, err)
+		return exitUsage
+	}
+	debug.SetMemoryLimit(int64(float64(first.Memory<<20) * memoryShare))
+	log := logger.NewLogger(s.Out, level(first.Level))
+	ctx, stop := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		log.Run(ctx)
+	}()
+	err = s.serve(path, first, log)
+	if err != nil {
+		log.Zap().Error("the host ended with a fault", zap.Error(err))
+	}
+	stop()
+	<-written
+	if err != nil {
+		return exitFault
+	}
+	return exitOK
+}
+
+// level returns the level of a text that was checked.
+func level(text string) zapcore.Level {
+	l, err := zapcore.ParseLevel(text)
+	if err != nil {
+		return zapcore.InfoLevel
+	}
+	return l
+}
+
+// serve runs the host until it is told to stop.
+func (s Start) serve(path string, first setup.Setup, log *logger.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var current atomic.Pointer[setup.Setup]
+	current.Store(&first)
+	lines := log.Zap().With(zap.String("node", first.Name))
+	go reload(ctx, path, &current, log, lines)
+	e := s.Build(first)
+	e.Setup = func() setup.Setup { return *current.Load() }
+	e.Log = lines
+	e.Tally = tally.NewTally()
+	e.Tally.Gauge("log.dropped", log.Dropped)
+	return e.Run(ctx)
+}
+
+// reload reads the settings anew at each SIGHUP and every reloadEvery. With a fault in the file the earlier ones stay: a host
+// with half of its settings would serve wrongly, and one that stopped would not serve at all.
+func reload(ctx context.Context, path string, current *atomic.Pointer[setup.Setup], log *logger.Logger, lines *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	wake := make(chan struct{}, 1)
+	go forward(ctx, hangups, wake)
+	faulty := ""
+	for range turns.Now(ctx, reloadEvery, wake) {
+		next, err := setup.Load(path)
+		if err != nil {
+			if err.Error() != faulty {
+				faulty = err.Error()
+				lines.Error("settings refused; the earlier ones stay", zap.Error(err))
+			}
+			continue
+		}
+		faulty = ""
+		if *current.Load() != next {
+			current.Store(&next)
+			log.SetLevel(level(next.Level))
+			lines.Info("settings reloaded", zap.String("file", path))
+		}
+	}
+}
+
+// forward turns signals into wakes.
+func forward(ctx context.Context, signals <-chan os.Signal, wake chan<- struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
