Turns wait for slots, waits for older versions end in time, leases outlast most outages

The host that orders an engine now counts what runs there and holds prompts back; hosts choose with some noise, since what they know is tenths of a second old; an adapter gets one more engine where all that were asked have a long wait.

The wait now ends with the grace and the request is placed anew; the test fails without. Ruled out: the reading of versions (named within 10 ms of the write).

--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -34,8 +34,10 @@
 	// shortWait is how long a request waits for other prompts at one engine before it looks at the next that holds its
 	// adapter: less than a prompt takes to read.
 	shortWait = 40 * time.Millisecond
+	// longWait is the wait at the best of the engines that hold an adapter from which it gets one more: about what the load takes.
+	longWait = 200 * time.Millisecond
 	// mostAsked is how many engines are asked for a short wait; each costs a round trip between hosts.
-	mostAsked = 3
+	mostAsked = 4
 	// gapSlack is kept free of the longest pause that a stream may have, for its way to the caller and for steps that are
 	// longer than usual.
 	gapSlack = 25 * time.Millisecond
@@ -89,7 +91,7 @@
 		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine holds %s", j.d.Model).WithRetry(comeBack)
 	}
 	if j.d.Adapter == "" {
-		return x.admitAny(ctx, j, able, 0)
+		return x.admitAny(ctx, j, able, 0, func() {})
 	}
 	return x.placeAdapter(ctx, j, able)
 }
@@ -125,18 +127,31 @@
 		if x.crowded(sound, able, now) {
 			x.spreadTo(j, others, older, version, now)
 		}
-		return x.admitAny(ctx, j, sound, version)
+		return x.admitAny(ctx, j, sound, version, func() { x.spreadTo(j, others, older, version, time.Now()) })
 	}
 	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
 		x.spreadTo(j, others, older, version, now)
-		return x.admitAny(ctx, j, older, 0)
+		return x.admitOlder(ctx, j, older)
 	}
 	if len(x.usable(others, now))+len(x.usable(older, now)) == 0 && len(holders) > 0 {
-		return x.admitAny(ctx, j, holders, version)
+		return x.admitAny(ctx, j, holders, version, func() {})
 	}
 	return x.load(ctx, j, others, older, version)
 }
 
+// admitOlder waits for a turn at an engine with an older version, but not beyond the time for which that still serves. The
+// request begins there after the wait; without this bound a long wait would let it begin on a version that is out of force.
+func (x *Direct) admitOlder(ctx context.Context, j *job, older []target.Target) (target.Target, int, *refuse.Refusal) {
+	until := j.view.Named[j.d.Adapter].Add(x.Grace())
+	waitCtx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	t, version, refusal := x.admitAny(waitCtx, j, older, 0, func() {})
+	if waitCtx.Err() != nil && ctx.Err() == nil {
+		return x.place(ctx, j)
+	}
+	return t, version, refusal
+}
+
 // sound returns the upstreams that are not left alone at present.
 func (x *Direct) sound(list []target.Target, now time.Time) []target.Target {
 	var sound []target.Target
@@ -168,13 +183,18 @@
 }
 
 // admitAny waits for its turn at one of the engines, trying the less busy ones first and those that know of a long wait
-// last. An engine whose host cannot be asked is sent the request all the same: it holds the adapter.
-func (x *Direct) admitAny(ctx context.Context, j *job, list []target.Target, version int) (target.Target, int, *refuse.Refusal) {
+// last; crowd is called where all that were asked have a long wait. An engine whose host cannot be asked is sent the request all the same: it holds the adapter.
+func (x *Direct) admitAny(
+	ctx context.Context, j *job, list []target.Target, version int, crowd func(),
+) (target.Target, int, *refuse.Refusal) {
 	ordered := x.Pick.Order(list, time.Now())
 	for i, t := range ordered {
 		bound := shortWait
 		if i == len(ordered)-1 || i == mostAsked {
 			t, bound = ordered[0], 0
+			if i > 0 && x.Pick.Waiting(t.ID, time.Now()) > longWait {
+				crowd()
+			}
 		}
 		err := x.ask(ctx, j, t, version, bound)
 		if errors.Is(err, want.ErrCrowded) {
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -1,13 +1,16 @@
 package direct_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/route"
+	"damaskreach/internal/want"
 	"damaskreach/pkg/verd"
 )
 
@@ -96,3 +99,25 @@
 		t.Error("no time to come back, want one")
 	}
 }
+
+// A request waits for its turn at an engine with the older version until that is out of force. Sent then, it would begin on
+// the older version; it goes to an engine that has the newer one loaded instead.
+func TestWaitForAnOlderVersionEndsWithItsGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, streamRoute())
+		b.add("one", map[string]int{"m/a": 1})
+		b.view = b.view.WithVersion("m/a", 2, time.Now())
+		b.Admit = func(ctx context.Context, w want.Want) error {
+			if w.Version == 0 {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			return nil
+		}
+		b.then(answers(200, nil, "", nil))
+		b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+		if got, want := b.sent[0].extra.Get(headVer), "new"; got != want {
+			t.Errorf("version required = %q, want %q", got, want)
+		}
+	})
+}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -61,7 +61,7 @@
 		x.refuse(j.w, j, x.ended(ctx, j))
 		return true
 	}
-	if j.d.Adapter != "" {
+	if j.d.Model != "" {
 		defer x.Use(t.ID, j.d.Adapter)()
 	}
 	x.Pick.Begin(t.ID)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -273,9 +273,12 @@
 func (e *Edge) tellSelf(ctx context.Context) {
 	for range turns.Every(ctx, selfEvery) {
 		now := time.Now()
-		for id, adapters := range e.news.uses(func(id string) bool { return e.tenure.Owner(id) == e.Setup().IP }) {
+		ip := e.Setup().IP
+		used, running := e.news.uses(func(id string) bool { return e.tenure.Owner(id) == ip })
+		for id, adapters := range used {
 			e.giver.Used(id, adapters, now)
 		}
+		e.giver.Running(ip, running, now)
 	}
 }
 
@@ -306,10 +309,10 @@
 
 // told returns what this host tells another one.
 func (e *Edge) told(to string) gossip.Gossip {
-	owned := func(id string) bool { return e.tenure.Owner(id) == to }
+	used, running := e.news.uses(func(id string) bool { return e.tenure.Owner(id) == to })
 	return gossip.Gossip{
 		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Read: e.marks(), Loads: e.loads(),
-		Waits: e.waits(), Held: e.news.held(to), Used: e.news.uses(owned),
+		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running,
 	}
 }
 
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -68,17 +68,20 @@
 	n.used[id][adapter]--
 }
 
-// uses returns what to tell the host that orders the given engines.
-func (n *news) uses(owned func(id string) bool) map[string][]string {
+// uses returns what to tell the host that orders the given engines: the adapters in use, and the requests under way.
+func (n *news) uses(owned func(id string) bool) (list map[string][]string, running map[string]int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	list := map[string][]string{}
+	list, running = map[string][]string{}, map[string]int{}
 	for id, adapters := range n.used {
 		if !owned(id) {
 			continue
 		}
 		for a, count := range adapters {
-			list[id] = append(list[id], a)
+			if a != "" {
+				list[id] = append(list[id], a)
+			}
+			running[id] += count
 			if count <= 0 {
 				delete(adapters, a)
 			}
@@ -87,5 +90,5 @@
 			delete(n.used, id)
 		}
 	}
-	return list
+	return list, running
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,6 +73,7 @@
 	for id, adapters := range g.Used {
 		e.giver.Used(id, adapters, now)
 	}
+	e.giver.Running(g.IP, g.Running, now)
 }
 
 // learn takes what an engine holds that this host orders.
@@ -85,7 +86,7 @@
 // not the first to go.
 func (e *Edge) use(id, adapter string) (done func()) {
 	e.news.begin(id, adapter)
-	if e.tenure.Owner(id) == e.Setup().IP {
+	if adapter != "" && e.tenure.Owner(id) == e.Setup().IP {
 		e.giver.Used(id, []string{adapter}, time.Now())
 	}
 	return func() { e.news.end(id, adapter) }
@@ -105,7 +106,8 @@
 // admit has an adapter loaded by the host that orders the engine and waits until a prompt may be sent.
 func (e *Edge) admit(ctx context.Context, w want.Want) error {
 	owner := e.tenure.Owner(w.ID)
-	if owner == e.Setup().IP {
+	w.Host = e.Setup().IP
+	if owner == w.Host {
 		return e.giver.Admit(ctx, w)
 	}
 	m := e.mates.Load()
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -227,6 +227,7 @@
 		d.refuseQueue(merry.Prepend(want.ErrFailed, "the engine leaves"))
 		return idle
 	}
+	d.lane.resize(d.pool(t).Slots)
 	if t.Born > d.born {
 		d.reset()
 		d.born = t.Born
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -161,13 +161,22 @@
 	return waits
 }
 
-// Loads returns how many prompts were sent of late to each engine that this host orders.
+// Running takes how many requests a host has under way at engines; those that it leaves out have none of its.
+func (g *Giver) Running(host string, running map[string]int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, d := range g.desks {
+		d.lane.told(host, running[id], now)
+	}
+}
+
+// Loads returns how many requests run at each engine that this host orders.
 func (g *Giver) Loads() map[string]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	loads := map[string]int{}
 	for id, d := range g.desks {
-		if n := d.lane.recent(); n > 0 {
+		if n := d.lane.running(); n > 0 {
 			loads[id] = n
 		}
 	}
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -10,8 +10,12 @@
 	"damaskreach/internal/want"
 )
 
-// lateness is how long a prompt counts as sent of late: streams run for some seconds.
-const lateness = 2500 * time.Millisecond
+const (
+	// toldFor is how long a host's count of its requests is believed.
+	toldFor = 4 * time.Second
+	// slotWait is how long a prompt is taken to wait for a slot where all are taken, for those who compare engines.
+	slotWait = 200 * time.Millisecond
+)
 
 // lane lets prompts go to one engine in turn. It has a goroutine of its own: an order that gets no answer must not hold up
 // requests for what the engine holds already.
@@ -21,11 +25,19 @@
 	mu      sync.Mutex
 	waiting []waiter
 	pace    pace.Pace
-	sent    []time.Time // of the newest prompts
+	hosts   map[string]*share
+	slots   int // requests that the engine runs at once; 0 means unknown
+}
+
+// share is what one host has at the engine.
+type share struct {
+	under   int // requests under way, as it told
+	granted int // since then
+	at      time.Time
 }
 
 func newLane(ctx context.Context) *lane {
-	l := &lane{wake: make(chan struct{}, 1)}
+	l := &lane{wake: make(chan struct{}, 1), hosts: map[string]*share{}}
 	go l.run(ctx)
 	return l
 }
@@ -73,21 +85,24 @@
 	kept := l.waiting[:0]
 	next := idle
 	ahead := l.pace.Backlog(now)
+	free := l.free()
 	for _, w := range l.waiting {
 		if w.left() {
 			continue
 		}
 		wait := l.pace.Wait(now, w.Cost, w.Room, w.Tail)
 		switch {
-		case len(kept) == 0 && wait == 0:
-			l.pace.Send(now, w.Cost, w.Tail)
-			l.sent = append(l.sent, now)
-			w.done <- nil
-		case w.Bound > 0 && max(wait, ahead) > w.Bound:
+		case len(kept) == 0 && wait == 0 && free > 0:
+			free--
+			l.grant(w, now)
+		case w.Bound > 0 && (free <= 0 || max(wait, ahead) > w.Bound):
 			w.done <- want.ErrCrowded
 		default:
 			// Nothing overtakes it: small prompts would keep a large one waiting for ever.
 			next = min(next, max(wait, time.Millisecond))
+			if free <= 0 {
+				next = min(next, again)
+			}
 			kept = append(kept, w)
 			ahead += w.Cost
 		}
@@ -96,16 +111,44 @@
 	return next
 }
 
-// recent returns how many prompts were sent of late, which is about as many as run.
-func (l *lane) recent() int {
+// told takes how many requests a host has under way at the engine.
+func (l *lane) told(host string, n int, now time.Time) {
+	l.mu.Lock()
+	l.hosts[host] = &share{under: n, at: now}
+	l.mu.Unlock()
+	l.nudge()
+}
+
+// running returns how many requests run at the engine.
+func (l *lane) running() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := 0
-	for old < len(l.sent) && time.Since(l.sent[old]) > lateness {
-		old++
+	return l.count()
+}
+
+// count adds what hosts told and what was granted to them since; a host that has told nothing for long has nothing.
+func (l *lane) count() int {
+	sum := 0
+	for host, s := range l.hosts {
+		if time.Since(s.at) > toldFor {
+			delete(l.hosts, host)
+			continue
+		}
+		sum += s.under + s.granted
 	}
-	l.sent = l.sent[old:]
-	return len(l.sent)
+	return sum
+}
+
+// grant lets a prompt go.
+func (l *lane) grant(w waiter, now time.Time) {
+	l.pace.Send(now, w.Cost, w.Tail)
+	s := l.hosts[w.Host]
+	if s == nil {
+		s = &share{at: now}
+		l.hosts[w.Host] = s
+	}
+	s.granted++
+	w.done <- nil
 }
 
 // wait returns how long a prompt would wait that comes now.
@@ -116,9 +159,28 @@
 	for _, w := range l.waiting {
 		sum += w.Cost
 	}
+	if free := l.free(); free <= 0 {
+		sum += slotWait * time.Duration(1-free+len(l.waiting))
+	}
 	return sum
 }
 
+// free returns how many more requests the engine can run at once. Sent beyond that they would wait there, out of reach of
+// engines that have room.
+func (l *lane) free() int {
+	if l.slots <= 0 {
+		return len(l.waiting) + 1
+	}
+	return l.slots - l.count()
+}
+
+// resize takes how many requests the engine runs at once.
+func (l *lane) resize(slots int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slots = slots
+}
+
 // refuse ends all waiting.
 func (l *lane) refuse(err error) {
 	l.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,6 +14,7 @@
 	Read    *marks.Marks        `msgpack:"m,omitempty"` // set by a host that reads the store for others
 	Loads   map[string]int      `msgpack:"r,omitempty"` // requests sent of late to engines that the sender orders
 	Held    []stock.Stock       `msgpack:"h,omitempty"` // engines that this host orders, where changed
+	Running map[string]int      `msgpack:"x,omitempty"` // requests under way at engines that the receiver orders
 	Used    map[string][]string `msgpack:"u,omitempty"` // adapters used at engines that the receiver orders
 	Waits   map[string]int      `msgpack:"w,omitempty"` // ms that a prompt would wait at engines that this host orders
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	toldLife = 3 * time.Second
 	// perWait is the wait for prompts of others that weighs as much as one request that runs.
 	perWait = 20 * time.Millisecond
+	// noise spreads the choices of hosts that know the same: what they were told is some tenths of a second old, and without it
+	// all would send to the engine that was the least busy then.
+	noise = 0.3
 	// far is what a send to another data centre counts beside requests that run: bytes between data centres cost, and
 	// they are the first that a cut stops.
 	far = 0.7
@@ -45,6 +49,7 @@
 	wait    time.Duration
 	waitAt  time.Time // when wait was told
 	told    int
+	begun   int // requests that this host has sent since
 	toldAt  time.Time
 }
 
@@ -66,7 +71,9 @@
 func (p *Pick) Begin(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(id).running++
+	l := p.of(id)
+	l.running++
+	l.begun++
 }
 
 // End counts its end, and whether the upstream failed it.
@@ -106,6 +113,17 @@
 	l.wait, l.waitAt = wait, now
 }
 
+// Waiting returns how long a prompt would wait at an engine.
+func (p *Pick) Waiting(id string, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.loads[id]
+	if !ok {
+		return 0
+	}
+	return l.waiting(now)
+}
+
 // waiting returns what is left of a wait that was told a moment ago.
 func (l *load) waiting(now time.Time) time.Duration {
 	return max(0, l.wait-now.Sub(l.waitAt))
@@ -134,7 +152,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.of(id)
-	l.told, l.toldAt = n, now
+	l.told, l.toldAt, l.begun = n, now, 0
 }
 
 // Forget drops upstreams that are gone.
@@ -163,7 +181,7 @@
 	case now.Sub(l.toldAt) > toldLife:
 		return l.running
 	default:
-		return max(l.running, l.told)
+		return max(l.running, l.told+l.begun)
 	}
 }
 
@@ -184,6 +202,7 @@
 		if t.Centre != p.centre {
 			s.score += far
 		}
+		s.score *= 1 + noise*rand.Float64()
 		list = append(list, s)
 	}
 	p.mu.Unlock()
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -27,9 +27,10 @@
 )
 
 const (
-	// Lease is how long a host may act after a renewal. It outlasts the short outages of the store, in which all loads
-	// would stop otherwise; a dead host's engines wait that much longer for their next load, and keep serving what they hold.
-	Lease = 6 * time.Second
+	// Lease is how long a host may act after a renewal. It outlasts most outages of the store, in which all loads would stop
+	// otherwise; the engines of a host that is lost for good wait that much longer for their next load, and keep serving
+	// what they hold. A host that restarts goes on at once.
+	Lease = 10 * time.Second
 	// renewEvery leaves room for two lost renewals within a lease, at less than half a call a second.
 	renewEvery = 2500 * time.Millisecond
 	// readEvery is how often the rows of all hosts are read: takeovers are rare and slower than this anyway.
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -31,6 +31,11 @@
 	// idleSlack is how much earlier than the upstream's own time a connection is given up, for the time a request takes
 	// to reach it.
 	idleSlack = 700 * time.Millisecond
+	// leastIdle is the shortest bound that is learnt: requests that follow each other closely share a connection whatever comes.
+	leastIdle = 100 * time.Millisecond
+	// shrink and grow change the bound after a connection broke, and after one did not: some hundred that hold undo a break.
+	shrink = 0.7
+	grow   = 1.01
 	// strays is how many answers to other requests are skipped before a connection is given up.
 	strays = 2
 )
@@ -53,9 +58,10 @@
 	// Opened counts new connections; it may be nil.
 	Opened func(addr string)
 
-	mu   sync.Mutex
-	idle map[string][]*conn
-	open map[string]int
+	mu      sync.Mutex
+	longest time.Duration // that a connection is left idle, as learnt from those that broke; 0 means no bound
+	idle    map[string][]*conn
+	open    map[string]int
 }
 
 // conn is one connection with at most one request on it.
@@ -66,6 +72,7 @@
 	read   *bufio.Reader
 	since  time.Time     // when it last became idle
 	keep   time.Duration // how long it may be idle
+	idled  time.Duration // how long it was idle before the request that is on it now; 0 for a new one
 	closed sync.Once
 }
 
@@ -102,6 +109,7 @@
 	// An upstream may answer before it has read a long body: the answer is read meanwhile.
 	go func() { written <- write(c, d, extra) }()
 	r, err := c.answer(d)
+	u.learn(c.idled, err != nil && ctx.Err() == nil)
 	if err != nil {
 		return fail(err, "waiting for the answer of")
 	}
@@ -163,7 +171,8 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.since) < c.keep && quiet(c.Conn) {
+		c.idled = time.Since(c.since)
+		if c.idled < u.bound(c.keep) && quiet(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -186,6 +195,32 @@
 	return &conn{Conn: raw, up: u, addr: addr, read: bufio.NewReader(raw)}, nil
 }
 
+// bound returns how long a connection may have been idle to be used.
+func (u *Uplink) bound(keep time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.longest == 0 {
+		return keep
+	}
+	return min(keep, u.longest)
+}
+
+// learn takes whether a connection that was idle for so long broke under its next request. Some upstreams drop idle
+// connections without a word and sooner than they say: a request on one is reset, and a booking cannot be sent again.
+func (u *Uplink) learn(idled time.Duration, broke bool) {
+	if idled == 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case broke:
+		u.longest = max(leastIdle, time.Duration(shrink*float64(idled)))
+	case u.longest > 0 && idled > u.longest/2:
+		u.longest = min(idleFor, time.Duration(float64(u.longest)*grow))
+	}
+}
+
 func (u *Uplink) pop(addr string) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -169,3 +169,33 @@
 		t.Errorf("connections %s and %s, want one", froms[0], froms[1])
 	}
 }
+
+// An upstream drops idle connections without a word, so that the next request on one is reset. After the first such request
+// connections that were idle as long are not used any more.
+func TestConnectionsThatBreakWhenIdleAreNotKeptAsLong(t *testing.T) {
+	s := newServer(t, answer("1", "one"), "", answer("3", "tri"), answer("4", "for"))
+	u := newUplink()
+	wait := 200 * time.Millisecond
+	if _, err := ask(t, u, s, "1"); err != nil {
+		t.Fatalf("first answer: %v, want none", err)
+	}
+	time.Sleep(wait)
+	if _, err := ask(t, u, s, "2"); err == nil {
+		t.Fatal("second answer, want the reset that it is all about")
+	}
+	if _, err := ask(t, u, s, "3"); err != nil {
+		t.Fatalf("third answer: %v, want none", err)
+	}
+	time.Sleep(wait)
+	if _, err := ask(t, u, s, "4"); err != nil {
+		t.Fatalf("fourth answer: %v, want none", err)
+	}
+	var froms []string
+	for range 4 {
+		_, from, _ := strings.Cut(<-s.seen, " from ")
+		froms = append(froms, from)
+	}
+	if froms[2] == froms[3] {
+		t.Error("the connection was used again after the same idle time, want a new one")
+	}
+}
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -6,6 +6,7 @@
 // Want is immutable.
 type Want struct {
 	ID       string        `msgpack:"i"` // of the engine
+	Host     string        `msgpack:"h"` // that asks
 	Model    string        `msgpack:"m"`
 	Adapter  string        `msgpack:"a,omitempty"` // "model/adapter"; empty where the base model itself is asked for
 	Version  int           `msgpack:"v,omitempty"` // at least this one; 0 takes any
