--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -307,6 +307,8 @@
 	c.Target, c.Sequence, c.Holder, c.Fence = t, d.sequence, d.g.Holder, fence
 	e, err := d.once(c)
 	if e == effect.Unknown {
+		d.g.Log.Info("order unanswered", zap.String("target", d.id), zap.Bool("load", c.Load), zap.String("adapter", c.Adapter),
+			zap.Int64("sequence", c.Sequence), zap.Int64("fence", fence), zap.Error(err))
 		// With the same count the engine takes only one of the two, whenever the first one arrives.
 		e, err = d.once(c)
 	}
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -47,6 +47,8 @@
 	}
 	d.merge(s.Pending)
 	d.known = true
+	d.g.Log.Info("engine known", zap.String("target", d.id), zap.Int64("born", d.born), zap.Int64("sequence", d.sequence),
+		zap.Int("held", len(d.held)), zap.Int("pending", len(d.pending)), zap.Strings("models", s.Models))
 	d.leaving = map[string]bool{}
 	d.tell()
 	return true
--- /dev/null
+++ b/internal/holds/holds_test.go
@@ -0,0 +1,66 @@
+package holds_test
+
+import (
+	"testing"
+	"time"
+
+	"damaskreach/internal/holds"
+	"damaskreach/internal/target"
+)
+
+var now = time.Unix(1000, 0)
+
+func engine(born, sequence int64, adapters map[string]int) target.Target {
+	return target.Target{ID: "e", Born: born, Sequence: sequence, Adapters: adapters}
+}
+
+// The order giver has had an adapter loaded, and the engine's registration is a second old. Requests go there at once
+// instead of asking for a second load.
+func TestOrderGiverKnowsBeforeTheRegistration(t *testing.T) {
+	h := holds.NewHolds()
+	h.Tell("e", 1, 5, map[string]int{"m/a": 2})
+	if v, ok := h.Version(engine(1, 4, nil), "m/a", now); !ok || v != 2 {
+		t.Errorf("Version() = %d, %v, want 2, true", v, ok)
+	}
+}
+
+// The engine has restarted under its id and holds nothing. What was told of its former life must not send requests there.
+func TestRestartEndsWhatWasTold(t *testing.T) {
+	h := holds.NewHolds()
+	h.Tell("e", 1, 5, map[string]int{"m/a": 2})
+	if _, ok := h.Version(engine(2, 0, nil), "m/a", now); ok {
+		t.Error("the adapter is taken for held after the restart")
+	}
+	h.Tell("e", 2, 1, map[string]int{})
+	h.Tell("e", 1, 9, map[string]int{"m/a": 2})
+	if _, ok := h.Version(engine(2, 0, nil), "m/a", now); ok {
+		t.Error("a late word of the former life counts")
+	}
+}
+
+// An engine rejects a request for what it should hold. It is not asked again until something newer is known.
+func TestRejectedAdapterIsNotHeldForAWhile(t *testing.T) {
+	h := holds.NewHolds()
+	e := engine(1, 4, map[string]int{"m/a": 1})
+	h.Miss("e", "m/a", now)
+	if _, ok := h.Version(e, "m/a", now); ok {
+		t.Error("the adapter is taken for held right after the rejection")
+	}
+	if _, ok := h.Version(e, "m/a", now.Add(time.Minute)); !ok {
+		t.Error("the adapter is not taken for held a minute later")
+	}
+}
+
+// An adapter is evicted and asked for again. It goes back to the engine that still has its weights, where the load takes a
+// tenth of the time.
+func TestEvictedAdapterIsRemembered(t *testing.T) {
+	h := holds.NewHolds()
+	h.Tell("e", 1, 5, map[string]int{"m/a": 1, "m/b": 1})
+	h.Tell("e", 1, 6, map[string]int{"m/b": 1})
+	if !h.Left(engine(1, 6, nil), "m/a") {
+		t.Error("the engine that held the adapter last is not known")
+	}
+	if h.Left(engine(2, 0, nil), "m/a") {
+		t.Error("a new life of the engine is taken to have the weights")
+	}
+}
--- /dev/null
+++ b/internal/pick/pick_test.go
@@ -0,0 +1,84 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	"damaskreach/internal/pick"
+	"damaskreach/internal/target"
+)
+
+var (
+	near  = target.Target{ID: "near", Centre: "dc"}
+	other = target.Target{ID: "other", Centre: "dc"}
+	now   = time.Unix(1000, 0)
+)
+
+// chosen counts how often each of two upstreams comes first.
+func chosen(p *pick.Pick, list []target.Target) map[string]int {
+	counts := map[string]int{}
+	for range 200 {
+		counts[p.Order(list, now)[0].ID]++
+	}
+	return counts
+}
+
+// An upstream breaks every connection. Requests go to the other one and come back to it after a while; without the rest each
+// request would be tried there first.
+func TestUpstreamThatBreaksIsLeftAloneForAWhile(t *testing.T) {
+	p := pick.NewPick("dc")
+	p.Rest("near", now)
+	if got := chosen(p, []target.Target{near, other})["near"]; got != 0 {
+		t.Errorf("chosen %d times of 200, want 0", got)
+	}
+	if p.Resting("near", now.Add(10*time.Second)) {
+		t.Error("left alone after 10 s, want it tried again")
+	}
+}
+
+// All upstreams were left alone a moment ago. A request is better tried than refused.
+func TestUpstreamsThatRestAreStillTried(t *testing.T) {
+	p := pick.NewPick("dc")
+	p.Rest("near", now)
+	p.Rest("other", now)
+	if got, want := len(p.Order([]target.Target{near, other}, now)), 2; got != want {
+		t.Errorf("upstreams = %d, want %d", got, want)
+	}
+}
+
+// An upstream answers half of its requests with a fault while its health check is good. It gets fewer requests than its
+// sound neighbour.
+func TestUpstreamThatFailsOftenGetsFewer(t *testing.T) {
+	p := pick.NewPick("dc")
+	for i := range 40 {
+		p.Begin("near")
+		p.End("near", i%2 == 0)
+		p.Begin("other")
+		p.End("other", false)
+	}
+	if got := chosen(p, []target.Target{near, other})["near"]; got > 20 {
+		t.Errorf("chosen %d times of 200, want at most 20", got)
+	}
+}
+
+// Many hosts know the same of two engines that are about as busy. With one strict order all of them would send to the same
+// engine until they hear of it again.
+func TestHostsThatKnowTheSameSpreadTheirRequests(t *testing.T) {
+	p := pick.NewPick("dc")
+	p.Told("near", 10, now)
+	p.Told("other", 11, now)
+	counts := chosen(p, []target.Target{near, other})
+	if counts["near"] < 40 || counts["other"] < 40 {
+		t.Errorf("chosen %v, want both at least 40 times of 200", counts)
+	}
+}
+
+// An engine has prompts for half a second to read. Another one that runs a few requests more is the better choice.
+func TestLongWaitCountsAgainstAnEngine(t *testing.T) {
+	p := pick.NewPick("dc")
+	p.Told("other", 4, now)
+	p.Waits("near", 500*time.Millisecond, now)
+	if got := chosen(p, []target.Target{near, other})["near"]; got != 0 {
+		t.Errorf("chosen %d times of 200, want 0", got)
+	}
+}
