--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,118 @@
+// Package blame remembers requests whose upstreams broke off, to find those that crash whatever runs them.
+//
+// Now and then one request crashes each upstream that runs it, and its caller, or this program, sends it again. Without a
+// memory it takes down one upstream after the other, and every request beside it each time; one would notice upstreams that
+// restart in turn. A request that merely ran beside the cause breaks off too, but seldom at three upstreams.
+package blame
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+)
+
+const (
+	// enough is how many upstreams must have broken off under a request for it to be held back.
+	enough = 3
+	// life is how long a request is remembered from its last break: callers that repeat one do so within minutes.
+	life = 2 * time.Minute
+	// most is how many requests are remembered, some 200 bytes each. A loss of many upstreams breaks thousands at once.
+	most = 20000
+	// mostTold is how many breaks one message to another host holds.
+	mostTold = 200
+)
+
+// Blame may be used from several goroutines. The zero value remembers nothing.
+type Blame struct {
+	mu    sync.Mutex
+	known map[string]*record
+	fresh map[string][]string // breaks seen here that hosts were not told of yet, by host
+}
+
+type record struct {
+	places map[string]bool // upstreams, each in one incarnation
+	until  time.Time
+}
+
+// Print returns what requests that are the same have in common.
+func Print(parts ...string) string {
+	sum := sha256.New()
+	for _, p := range parts {
+		sum.Write([]byte(p))
+		sum.Write([]byte{0})
+	}
+	return hex.EncodeToString(sum.Sum(nil)[:12])
+}
+
+// Broke records that an upstream broke off under a request, and returns how many have so far.
+func (b *Blame) Broke(print, place string, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for host, list := range b.fresh {
+		if len(list) < mostTold {
+			b.fresh[host] = append(list, print+" "+place)
+		}
+	}
+	return b.note(print, place, now)
+}
+
+func (b *Blame) note(print, place string, now time.Time) int {
+	if b.known == nil || len(b.known) >= most {
+		b.known = map[string]*record{}
+	}
+	r := b.known[print]
+	if r == nil || now.After(r.until) {
+		r = &record{places: map[string]bool{}}
+		b.known[print] = r
+	}
+	r.places[place] = true
+	r.until = now.Add(life)
+	return len(r.places)
+}
+
+// Barred reports whether a request is held back.
+func (b *Blame) Barred(print string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.known[print]
+	return r != nil && len(r.places) >= enough && now.Before(r.until)
+}
+
+// Served forgets a request that was answered whole: it was not the cause.
+func (b *Blame) Served(print string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.known, print)
+}
+
+// News returns the breaks seen here since the last message to a host.
+func (b *Blame) News(host string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fresh == nil {
+		b.fresh = map[string][]string{}
+	}
+	list := b.fresh[host]
+	b.fresh[host] = nil
+	return list
+}
+
+// Hear takes breaks that another host has seen.
+func (b *Blame) Hear(list []string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, text := range list {
+		if print, place, ok := cut(text); ok {
+			b.note(print, place, now)
+		}
+	}
+}
+
+func cut(text string) (print, place string, ok bool) {
+	const size = 24 // letters of a print
+	if len(text) <= size || text[size] != ' ' {
+		return "", "", false
+	}
+	return text[:size], text[size+1:], true
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/pick"
@@ -33,6 +34,8 @@
 	noConf = 500 * time.Millisecond
 	// elsewhere is when to come back from a host that stops: at once, since another one gets the request.
 	elsewhere = 20 * time.Millisecond
+	// suspect is when a request may be tried again that seems to crash upstreams: its record has ended then.
+	suspect = 2 * time.Minute
 	// comeBack is when to come back where nothing better is known: about the time in which a crashed upstream's neighbours
 	// take over or a load completes.
 	comeBack = 700 * time.Millisecond
@@ -63,6 +66,7 @@
 	Holds *holds.Holds
 	Pick  *pick.Pick
 	Spare *spare.Spare
+	Blame *blame.Blame
 	Speed *speed.Speed
 	Log   *zap.Logger
 	// Count takes the outcome of each request: its route's kind and priority, the code of its refusal or "ok", and times.
@@ -101,6 +105,11 @@
 		x.refuse(w, j, refusal)
 		return
 	}
+	j.print = blame.Print(d.Method, d.Host, d.URI, d.Adapter, string(j.d.Body))
+	if x.Blame.Barred(j.print, time.Now()) {
+		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.Suspect, "upstreams broke off under earlier tries of it").WithRetry(suspect))
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
 	x.serve(ctx, j)
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
 	"damaskreach/internal/holds"
@@ -96,7 +97,7 @@
 		NotRun: func(status int, h http.Header) bool {
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
-		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
+		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Blame: &blame.Blame{}, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(),
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -64,6 +64,9 @@
 	if !j.first.IsZero() {
 		first = j.first.Sub(j.begun)
 	}
+	if code == "ok" && j.runs > 0 && j.print != "" {
+		x.Blame.Served(j.print)
+	}
 	x.Count(j.class(), code, now.Sub(j.begun), first)
 	x.Log.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("code", code),
 		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("version", j.version),
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"damaskreach/internal/demand"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/route"
+	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -22,6 +24,7 @@
 	view  view.View
 	route route.Route
 	group string
+	print string // what it has in common with repeats of it
 	begun time.Time
 
 	sends   int             // to upstreams, rejected ones included
@@ -61,6 +64,11 @@
 	return names[j.route.Kind]
 }
 
+// place names an upstream in one incarnation.
+func place(t target.Target) string {
+	return t.ID + "/" + strconv.FormatInt(t.Born, 36)
+}
+
 // fail remembers why a send did not serve the request.
 func (j *job) fail(id string, r *refuse.Refusal) {
 	if j.tried == nil {
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -121,3 +121,27 @@
 		}
 	})
 }
+
+// A request crashes every upstream that runs it and comes again and again. After the third upstream it is refused at once
+// and reaches no other one.
+func TestRequestThatCrashesUpstreamsIsHeldBack(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Idempotent, Attempts: 2})
+	b.add("three", nil)
+	b.add("four", nil)
+	crash := fails(verd.Mark(errors.New("reset"), verd.MayHaveRun))
+	b.then(crash, crash, crash, crash, crash, crash, crash, crash)
+	for range 6 {
+		b.call(nil)
+		for id, t := range b.view.Targets {
+			t.Born++
+			b.view.Targets[id] = t
+		}
+	}
+	if got, most := len(b.sent), 4; got > most {
+		t.Errorf("sends = %d, want at most %d", got, most)
+	}
+	rec, _ := b.call(nil)
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -46,9 +46,10 @@
 	}
 	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
 		zap.Duration("since", time.Since(j.begun)), zap.Error(err))
+	x.broke(j, t)
 	x.Pick.Rest(t.ID, time.Now())
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
-	if !j.over(time.Now()) && j.again() {
+	if !j.over(time.Now()) && j.again() && !x.Blame.Barred(j.print, time.Now()) {
 		return true, false
 	}
 	x.refuse(j.w, j, j.fault)
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -139,6 +139,9 @@
 		x.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.begun).Round(time.Millisecond)))
 		return true
 	}
+	if verdict != verd.NotRun && ctx.Err() == nil {
+		x.broke(j, t)
+	}
 	x.Pick.Rest(t.ID, now)
 	x.Log.Info("send failed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Stringer("verdict", verdict),
 		zap.Int("sends", j.sends), zap.Duration("since", now.Sub(j.begun)), zap.Error(err))
@@ -147,13 +150,21 @@
 		code = refuse.NoUpstream
 	}
 	j.fail(t.ID, refuse.NewRefusal(j.verdict(), code, "sending to %s failed", t.ID).WithRetry(comeBack))
-	if verdict == verd.NotRun || j.route.Repeatable() && j.runs < max(1, j.route.Attempts) {
+	if verdict == verd.NotRun || j.again() && !x.Blame.Barred(j.print, now) {
 		return false
 	}
 	x.refuse(j.w, j, j.fault)
 	return true
 }
 
+// broke records that an upstream broke off under a request.
+func (x *Direct) broke(j *job, t target.Target) {
+	if n := x.Blame.Broke(j.print, place(t), time.Now()); n > 1 {
+		x.Log.Info("upstreams broke off under one request", zap.String("request", j.d.ID), zap.String("print", j.print),
+			zap.String("target", t.ID), zap.Int("upstreams", n))
+	}
+}
+
 // over reports whether the request's time has ended.
 func (j *job) over(now time.Time) bool {
 	return !now.Before(j.deadline().Add(-time.Millisecond))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/blame"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
@@ -91,6 +92,7 @@
 	spare   *spare.Spare
 	news    *news
 	conns   conns.Conns
+	blame   blame.Blame
 	leaving atomic.Bool
 	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
@@ -124,7 +126,7 @@
 	return &direct.Direct{
 		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: &speed.Speed{}, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
-		Spare: e.spare, Log: e.Log, Count: e.Tally.Count,
+		Spare: e.spare, Blame: &e.blame, Log: e.Log, Count: e.Tally.Count,
 	}
 }
 
@@ -312,7 +314,7 @@
 	used, running := e.news.uses(func(id string) bool { return e.tenure.Owner(id) == to })
 	return gossip.Gossip{
 		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Read: e.marks(), Loads: e.loads(),
-		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running,
+		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running, Broke: e.blame.News(to),
 	}
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,6 +73,7 @@
 	for id, adapters := range g.Used {
 		e.giver.Used(id, adapters, now)
 	}
+	e.blame.Hear(g.Broke, now)
 	e.giver.Running(g.IP, g.Running, now)
 }
 
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -179,14 +179,14 @@
 	if _, err := ask(t, u, s, "1"); err != nil {
 		t.Fatalf("first answer: %v, want none", err)
 	}
-	time.Sleep(wait)
+	<-time.After(wait)
 	if _, err := ask(t, u, s, "2"); err == nil {
 		t.Fatal("second answer, want the reset that it is all about")
 	}
 	if _, err := ask(t, u, s, "3"); err != nil {
 		t.Fatalf("third answer: %v, want none", err)
 	}
-	time.Sleep(wait)
+	<-time.After(wait)
 	if _, err := ask(t, u, s, "4"); err != nil {
 		t.Fatalf("fourth answer: %v, want none", err)
 	}
