Refuse before callers leave, claim engines as they register, send nothing to one that began to leave

A load failed after 3 s and the request went to an engine that had begun to leave meanwhile; new engines had no host for up to 4 s, and requests waited 6 s for loads where callers leave after 4. Ruled out: the reading of registrations (all hosts knew within 330 ms).

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -53,6 +53,26 @@
 	return j.begun.Add(left)
 }
 
+const (
+	// leastPatience, targets and gaps say how long callers wait for the first event of a stream: the longest of a time, so
+	// many times the route's target, and so many of its longest pauses. The users' pages tell it of their callers.
+	leastPatience = 2 * time.Second
+	targets       = 4
+	gaps          = 8
+	// hope is the part of that for which a request may wait here. Beyond it, it would be sent for a caller that has left.
+	hope = 0.7
+)
+
+// hopeless is when a request that has not been sent yet is refused, so that its caller comes back instead of giving up.
+func (j *job) hopeless() time.Time {
+	until := j.deadline()
+	if j.route.Kind == kinds.Stream {
+		patience := max(leastPatience, targets*j.route.Target, gaps*j.route.Gap)
+		until = j.begun.Add(min(until.Sub(j.begun), patience))
+	}
+	return j.begun.Add(time.Duration(hope * float64(until.Sub(j.begun))))
+}
+
 // again reports whether the request may be sent to another upstream after a send that may have run.
 func (j *job) again() bool {
 	return j.route.Repeatable() && j.runs < max(1, j.route.Attempts)
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -21,8 +21,8 @@
 	// loadFor bounds the wait for a load. Where many adapters are on their way a load takes seconds; an answer that is late
 	// is worth something, and a caller that is refused comes back to the same queue.
 	loadFor = 3 * time.Second
-	// loadShare is the part of the time left that one load may take, so that a second engine can be tried.
-	loadShare = 3
+	// leastTurn is the shortest wait for a turn: a round trip between hosts and some.
+	leastTurn = 50 * time.Millisecond
 	// elsewheres is how many engines are tried whose hosts have just lost them; that costs a round trip each.
 	elsewheres = 4
 	// crowded and slack say when an adapter gets one more engine: where those that hold it have so many times the mean of
@@ -224,7 +224,7 @@
 		j.note += " unasked"
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, loadFor)
+	ctx, cancel := context.WithTimeout(ctx, min(loadFor, max(leastTurn, time.Until(j.hopeless()))))
 	defer cancel()
 	err := x.Admit(ctx, x.want(j, t, version, bound))
 	if err != nil {
@@ -242,7 +242,7 @@
 	cost := time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
 	return want.Want{
 		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound, Rank: j.route.Priority,
-		Patience: max(0, j.route.Target-time.Since(j.begun)-cost-2*gap),
+		Limit: time.Until(j.hopeless()), Patience: max(0, j.route.Target-time.Since(j.begun)-cost-2*gap),
 	}
 }
 
@@ -314,15 +314,17 @@
 	none := refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine can load %s now", j.d.Adapter).WithRetry(comeBack)
 	waits := 0
 	for range elsewheres {
+		others, older = x.staying(others), x.staying(older)
 		t := x.first(j, others, older)
-		if t.ID == "" || waits == 2 {
+		left := time.Until(j.hopeless())
+		if t.ID == "" || waits == 2 || left <= 0 {
 			return target.Target{}, 0, none
 		}
-		loadCtx, cancel := context.WithTimeout(ctx, min(loadFor, time.Until(j.deadline())/loadShare))
+		loadCtx, cancel := context.WithTimeout(ctx, min(loadFor, left))
 		began := time.Now()
 		err := x.Admit(loadCtx, x.want(j, t, version, 0))
 		cancel()
-		if err == nil {
+		if err == nil && x.still(t) {
 			j.note = "loaded"
 			x.Holds.Hit(t.ID, j.d.Adapter)
 			return t, version, nil
@@ -340,6 +342,17 @@
 	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
 }
 
+// staying returns the engines of a list that have not begun to leave since it was made: a load before may have taken seconds.
+func (x *Direct) staying(list []target.Target) []target.Target {
+	var stay []target.Target
+	for _, t := range list {
+		if x.still(t) {
+			stay = append(stay, t)
+		}
+	}
+	return stay
+}
+
 func without(list []target.Target, id string) []target.Target {
 	var left []target.Target
 	for _, t := range list {
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -145,3 +145,48 @@
 		t.Errorf("status = %d, want %d", got, want)
 	}
 }
+
+// The load for a request fails after seconds, and the engine that would be next has begun to leave meanwhile. A request sent
+// there would be new work for an engine that must get none any more.
+func TestEngineThatBeganToLeaveDuringALoadIsNotUsed(t *testing.T) {
+	b := newBench(t, streamRoute())
+	loads := 0
+	b.Admit = func(_ context.Context, w want.Want) error {
+		loads++
+		if loads > 1 {
+			t.Errorf("load asked of %s, want no other engine asked", w.ID)
+			return nil
+		}
+		for id, other := range b.view.Targets {
+			if id != w.ID {
+				other.Draining = true
+				b.view.Targets[id] = other
+			}
+		}
+		return want.ErrFailed
+	}
+	rec, _ := b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+}
+
+// Loads take longer than callers wait. The request is refused before its caller leaves, with a time to come back; sent
+// later, it would keep an engine busy for nobody.
+func TestRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, streamRoute())
+		b.Admit = func(ctx context.Context, _ want.Want) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		began := time.Now()
+		rec, _ := b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+		if got, most := time.Since(began), 3*time.Second; got > most {
+			t.Errorf("refused after %v, want at most %v", got, most)
+		}
+		if rec.Code != http.StatusServiceUnavailable || rec.Header().Get("Retry-After") == "" {
+			t.Errorf("status %d, Retry-After %q, want a refusal to come back", rec.Code, rec.Header().Get("Retry-After"))
+		}
+	})
+}
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -53,8 +53,9 @@
 	return &read
 }
 
-// nudge tells others of a change at once.
+// nudge tells others of a change at once, and looks for engines that have no host yet.
 func (e *Edge) nudge() {
+	e.tenure.Look()
 	if m := e.mates.Load(); m != nil && len(e.tenure.Hosts()) > everyone && e.reader() {
 		m.Nudge()
 	}
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -130,7 +130,7 @@
 	waiting := waiter{Want: w, done: done, gone: ctx.Done(), since: time.Now(), block: new(string)}
 	if d.serves(w) {
 		d.lane.add(waiting)
-	} else if !d.ask(waiting) {
+	} else if w.Limit > 0 && d.loadWait() > w.Limit || !d.ask(waiting) {
 		return merry.Wrap(want.ErrBusy)
 	}
 	select {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -142,6 +142,20 @@
 	}
 }
 
+// Look reads the rows now, and claims what has no host: an engine that has just registered holds nothing, and the load of its
+// base model takes seconds.
+func (t *Tenure) Look() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wake == nil || !t.renewed {
+		return
+	}
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Mark returns the revision of the newest change read that matters to others.
 func (t *Tenure) Mark() int64 {
 	t.mu.Lock()
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -14,6 +14,7 @@
 	Room     time.Duration `msgpack:"r,omitempty"` // that reading prompts may hold up a stream
 	Tail     time.Duration `msgpack:"t,omitempty"` // after a prompt was read in which the next falls into the same pause
 	Bound    time.Duration `msgpack:"b,omitempty"` // longest wait for other prompts that is of use; 0 means any
+	Limit    time.Duration `msgpack:"l,omitempty"` // longest wait for a load that is of use; 0 means any
 	Patience time.Duration `msgpack:"e,omitempty"` // from now within which the answer can still be on time
 	Rank     int           `msgpack:"p,omitempty"` // lower goes first
 }
