Load base models in turn

They are loaded in turn now, beginning with one at once and learning from how long loads take; weights at hand are not counted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,7 +114,7 @@
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP, Log: e.Log,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Holder: s.IP, Log: e.Log,
 	}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Tally.Add("connections.opened", 1) },
@@ -314,7 +314,7 @@
 	used, running := e.news.uses(func(id string) bool { return e.tenure.Owner(id) == to })
 	return gossip.Gossip{
 		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Read: e.marks(), Loads: e.loads(),
-		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running, Broke: e.blame.News(to),
+		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running, Broke: e.blame.News(to), Models: e.giver.Models(),
 	}
 }
 
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -12,6 +12,7 @@
 	stocks map[string]stamped // newest of each engine that this host orders
 	number int64              // counts changes of stocks
 	sent   map[string]int64   // number up to which each host was told
+	models map[string]int     // base models on their way, by host
 	used   map[string]uses    // adapters in use at each engine, or since the last message to the host that orders it
 }
 
@@ -25,7 +26,7 @@
 
 func newNews() *news {
 	return &news{
-		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]uses{},
+		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]uses{}, models: map[string]int{},
 	}
 }
 
@@ -92,3 +93,23 @@
 	}
 	return list, running
 }
+
+// loading takes how many base models are on their way to engines of a host.
+func (n *news) loading(host string, count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.models[host] = count
+}
+
+// modelLoads adds them over the hosts that are alive.
+func (n *news) modelLoads(alive func(host string) bool) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for host, count := range n.models {
+		if alive(host) {
+			sum += count
+		}
+	}
+	return sum
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -23,6 +23,10 @@
 	// redialLeast and redialMost bound the pause before a host is dialled again.
 	redialLeast = 100 * time.Millisecond
 	redialMost  = 700 * time.Millisecond
+	// modelStep is the time between hosts that may begin to load a base model: a message between hosts and some; mostFirst is
+	// how many of them it counts.
+	modelStep = 250 * time.Millisecond
+	mostFirst = 8
 	// secretWait is the pause before the hosts' secret is looked for again.
 	secretWait = 50 * time.Millisecond
 )
@@ -73,6 +77,7 @@
 	for id, adapters := range g.Used {
 		e.giver.Used(id, adapters, now)
 	}
+	e.news.loading(g.IP, g.Models)
 	e.blame.Hear(g.Broke, now)
 	e.giver.Running(g.IP, g.Running, now)
 }
@@ -117,3 +122,16 @@
 	}
 	return m.AskAdmit(ctx, owner, w)
 }
+
+// modelLoads returns how many base models are on their way to engines of other hosts, and how long this host lets others go
+// first: hosts that wait for the same load to end have different times, so that the next one is seen before a third begins.
+func (e *Edge) modelLoads() (loading int, first time.Duration) {
+	ip := e.Setup().IP
+	before := 0
+	for other := range e.tenure.Hosts() {
+		if readRank(other) < readRank(ip) {
+			before++
+		}
+	}
+	return e.news.modelLoads(e.live), time.Duration(min(before, mostFirst)) * modelStep
+}
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -12,6 +12,7 @@
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/model"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
@@ -120,7 +121,8 @@
 	recent   map[string]bool // adapters that the engine held in this incarnation: they load sooner
 	queue    []waiter        // loads that wait for others to complete
 	model    time.Time       // when to look next at the load of the base model
-	ordered  bool            // the load of the base model was accepted
+	modelAt  time.Time       // when the load of the base model began that is under way
+	counted  bool            // it comes from the weight store
 	cold     time.Duration
 	warm     time.Duration
 	asked    time.Time
@@ -141,7 +143,7 @@
 func (d *desk) reset() {
 	d.ready.Store(&map[string]int{})
 	d.known = false
-	d.ordered = false
+	d.endModel(model.Model{}, false)
 	d.held = map[string]int{}
 	d.models = map[string]bool{}
 	d.leaving = map[string]bool{}
@@ -166,6 +168,7 @@
 	for {
 		select {
 		case <-d.ctx.Done():
+			d.endModel(model.Model{}, false)
 			return
 		case w := <-d.wants:
 			d.queue = append(d.queue, w)
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -149,7 +149,7 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: func() []string { return []string{"e"} },
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Flow: flow.NewFlow(), Window: func() time.Duration { return 5 * time.Second }, Holder: "h",
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Flow: flow.NewFlow(), Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -13,7 +13,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
@@ -42,15 +41,17 @@
 	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
 	// Flow bounds the loads that are on their way to all engines of this host.
 	Flow *flow.Flow
+	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
+	// first after one of theirs.
+	Others func() (loading int, first time.Duration)
 	// Window returns the time over which loads of base models from the weight store are counted.
 	Window func() time.Duration
 	Holder string
 	Log    *zap.Logger
 
-	models *rate.Limiter
-
-	mu    sync.Mutex
-	desks map[string]*desk
+	mu     sync.Mutex
+	models models
+	desks  map[string]*desk
 }
 
 // Run keeps a desk for each engine that this host orders until ctx ends.
@@ -89,31 +90,6 @@
 	}
 }
 
-// mayLoadModel reports whether one more base model may be loaded now. The weight store allows a rate over all hosts; each
-// keeps to its engines' part of it, half as a burst and half as a rate, so that no window gets more than the whole.
-func (g *Giver) mayLoadModel(perSecond float64) bool {
-	if perSecond <= 0 {
-		return true
-	}
-	v := g.View()
-	all := 0
-	for _, t := range v.Targets {
-		if v.Rules.Pools[t.Group].Engine {
-			all++
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	part := perSecond / 2 * float64(len(g.desks)) / float64(max(1, all))
-	burst := max(1, int(part*g.Window().Seconds()))
-	if g.models == nil {
-		g.models = rate.NewLimiter(rate.Limit(part), burst)
-	}
-	g.models.SetLimit(rate.Limit(part))
-	g.models.SetBurst(burst)
-	return g.models.Allow()
-}
-
 func (g *Giver) desk(id string) *desk {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -9,6 +9,7 @@
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/model"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
 )
@@ -48,22 +49,44 @@
 	}
 	m := models[0]
 	order := change.Change{Load: true, Model: m.Name}
+	d.model = time.Now().Add(again)
 	e := effect.Unknown
-	if d.ordered {
+	switch {
+	case !d.modelAt.IsZero():
 		e = d.look(t, order)
-	} else if !d.g.mayLoadModel(d.pool(t).LoadRate) {
-		d.model = time.Now().Add(again)
-		return false
-	} else {
+		d.model = time.Now().Add(10 * again)
+	case t.AtHand(m.Name) || d.g.beginModel(d.pool(t).LoadRate):
+		d.counted = !t.AtHand(m.Name)
+		d.modelAt = time.Now()
 		e = d.give(t, order)
-		d.ordered = e == effect.Accepted
+		if e != effect.Accepted && e != effect.Done {
+			d.endModel(m, false)
+		}
 	}
-	d.model = time.Now().Add(10 * again)
-	if e == effect.Done {
-		d.models[m.Name] = true
-		return true
+	if e != effect.Done {
+		return false
 	}
-	return false
+	d.models[m.Name] = true
+	d.endModel(m, true)
+	return true
+}
+
+// endModel ends the load of a base model under way.
+func (d *desk) endModel(m model.Model, done bool) {
+	if d.modelAt.IsZero() {
+		return
+	}
+	took := time.Since(d.modelAt)
+	d.g.Log.Info("base model load ended", zap.String("target", d.id), zap.String("model", m.Name), zap.Bool("done", done),
+		zap.Bool("counted", d.counted), zap.Duration("took", took))
+	d.modelAt = time.Time{}
+	if !d.counted {
+		return
+	}
+	if !done {
+		took = 0
+	}
+	d.g.endModel(took, m)
 }
 
 // serve starts the loads that wait, as far as places and transit allow.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 	Held    []stock.Stock       `msgpack:"h,omitempty"` // engines that this host orders, where changed
 	Running map[string]int      `msgpack:"x,omitempty"` // requests under way at engines that the receiver orders
 	Used    map[string][]string `msgpack:"u,omitempty"` // adapters used at engines that the receiver orders
+	Models  int                 `msgpack:"o,omitempty"` // base models on their way to engines that the sender orders
 	Broke   []string            `msgpack:"b,omitempty"` // requests under which upstreams broke off, see package blame
 	Waits   map[string]int      `msgpack:"w,omitempty"` // ms that a prompt would wait at engines that this host orders
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -1,7 +1,10 @@
 // Package target holds one upstream as it registered itself.
 package target
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Target is immutable.
 type Target struct {
@@ -15,6 +18,7 @@
 	Gone     time.Time      // by when it is gone, where it said so
 	Sequence int64          // orders that it has accepted since it started
 	Models   []string       // base models that it holds
+	Cached   []string       // base models whose weights it need not bring from the weight store
 	Adapters map[string]int // "model/adapter" and its version, as of Sequence
 }
 
@@ -25,10 +29,10 @@
 
 // Has reports whether it holds a base model.
 func (t Target) Has(model string) bool {
-	for _, m := range t.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(t.Models, model)
+}
+
+// AtHand reports whether a base model's weights need not come from the weight store.
+func (t Target) AtHand(model string) bool {
+	return slices.Contains(t.Cached, model)
 }
