--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -49,7 +49,8 @@
 // bench is a Direct between a caller and upstreams that are functions.
 type bench struct {
 	*direct.Direct
-	t *testing.T
+	t   *testing.T
+	ctx context.Context // of the caller; nil means that of the test
 
 	mu      sync.Mutex
 	view    view.View
@@ -144,7 +145,11 @@
 
 // call sends one request and returns the answer; broken reports that the connection was broken off.
 func (b *bench) call(header http.Header) (rec *httptest.ResponseRecorder, broken bool) {
-	r := httptest.NewRequestWithContext(b.t.Context(), http.MethodPost, "/p/x?q=%2f", nil)
+	ctx := b.ctx
+	if ctx == nil {
+		ctx = b.t.Context()
+	}
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/p/x?q=%2f", nil)
 	r.Host = "a.example"
 	r.Header = header
 	if header == nil {
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"damaskreach/internal/kinds"
+	"damaskreach/internal/resp"
 	"damaskreach/internal/route"
 	"damaskreach/internal/want"
+	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
 
@@ -190,3 +192,26 @@
 		}
 	})
 }
+
+// A caller leaves while its request runs. The upstream did nothing wrong: it must not be left alone for it, or an upstream
+// whose callers are impatient would get no requests.
+func TestCallerThatLeavesBlamesNoUpstream(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once})
+	ctx, leave := context.WithCancel(t.Context())
+	b.ctx = ctx
+	b.then(func(sent) (resp.Resp, error) {
+		leave()
+		return resp.Resp{}, verd.Mark(context.Canceled, verd.MayHaveRun)
+	})
+	if _, broken := b.call(nil); !broken {
+		t.Error("an answer was written, want none")
+	}
+	for id := range b.view.Targets {
+		if b.Pick.Resting(id, time.Now()) {
+			t.Errorf("%s is left alone, want it used", id)
+		}
+	}
+	if got, want := b.codes[len(b.codes)-1], refuse.Canceled; got != want {
+		t.Errorf("code = %q, want %q", got, want)
+	}
+}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -67,6 +67,7 @@
 	x.Pick.Begin(t.ID)
 	failed := false
 	defer func() { x.Pick.End(t.ID, failed) }()
+	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := x.watch(j, left, cancel)
@@ -74,6 +75,11 @@
 	j.sent = time.Now()
 	j.version = version
 	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last))
+	if err != nil && caller.Err() == context.Canceled {
+		// The caller left, and the upstream was told by the end of its connection; it is not to blame.
+		x.finish(j, refuse.Canceled, t.ID, 0)
+		panic(http.ErrAbortHandler)
+	}
 	if err != nil {
 		failed = true
 		return x.sendFailed(ctx, j, t, err)
@@ -135,7 +141,7 @@
 	if verdict != verd.NotRun {
 		j.runs++
 	}
-	if outer := j.w; outer != nil && j.over(now) {
+	if j.over(now) {
 		x.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.begun).Round(time.Millisecond)))
 		return true
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -9,6 +9,12 @@
 
 import "time"
 
+// rest is the part of the time that prompts took to read in which none is read afterwards. An engine that is asked for more
+// than it can do would read prompts nearly all the time, and each stream would get one event in a reading: none pauses too
+// long, and the long ones do not end before their callers leave. With it an event comes about every 80 ms at the worst
+// instead of every 280.
+const rest = 0.35
+
 // Pace is the record of one engine. It is used from one goroutine.
 type Pace struct {
 	end  time.Time     // when the prompts that were sent should be read
@@ -20,16 +26,21 @@
 // fit into the room: an event may need several steps, and each of them may read prompts. Others wait for the next tail, and
 // so does a prompt that needs more than the room by itself.
 func (p *Pace) Wait(now time.Time, cost, room, tail time.Duration) time.Duration {
-	free := p.end.Add(tail).Sub(now)
+	free := p.end.Add(p.pause(tail)).Sub(now)
 	if free <= 0 || p.read+cost <= room {
 		return 0
 	}
 	return free
 }
 
+// pause returns how long nothing is read after the prompts that were read last.
+func (p *Pace) pause(tail time.Duration) time.Duration {
+	return max(tail, time.Duration(rest*float64(p.read)))
+}
+
 // Send records a prompt that is sent now.
 func (p *Pace) Send(now time.Time, cost, tail time.Duration) {
-	if !now.Before(p.end.Add(tail)) {
+	if !now.Before(p.end.Add(p.pause(tail))) {
 		p.read = 0
 	}
 	p.read += cost
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -113,3 +113,23 @@
 		t.Logf("seed %d: long pauses %.2f as they come, %.2f paced; mean wait %v", seed, plain, paced, wait)
 	}
 }
+
+// An engine is asked for much more than it can read, as after the loss of most of its neighbours. Streams must go on at a
+// pace at which the long ones end before their callers leave: a third of the time goes to plain steps, in which they get
+// their events.
+func TestFullEngineLeavesTimeForItsStreams(t *testing.T) {
+	var p pace.Pace
+	now, begun, read := time.Unix(0, 0), time.Unix(0, 0), time.Duration(0)
+	for now.Sub(begun) < time.Minute {
+		cost := 70 * time.Millisecond
+		if wait := p.Wait(now, cost, room, tail); wait > 0 {
+			now = now.Add(wait)
+			continue
+		}
+		p.Send(now, cost, tail)
+		read += cost
+	}
+	if got, most := float64(read)/float64(time.Minute), 0.76; got > most {
+		t.Errorf("share of the time in which prompts are read = %.2f, want at most %.2f", got, most)
+	}
+}
