--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
@@ -15,16 +12,8 @@
 )
 
 const (
-	// choices is how many engines an adapter may be loaded to for its first request; the least busy of them gets it. With
-	// one alone a busy engine's adapters wait; many make it come to an engine that has not held it before.
-	choices = 3
-	// loadFor bounds the wait for a load. Where many adapters are on their way a load takes seconds; an answer that is late
-	// is worth something, and a caller that is refused comes back to the same queue.
-	loadFor = 3 * time.Second
 	// leastTurn is the shortest wait for a turn: a round trip between hosts and some.
 	leastTurn = 50 * time.Millisecond
-	// elsewheres is how many engines are tried whose hosts have just lost them; that costs a round trip each.
-	elsewheres = 4
 	// crowded and slack say when an adapter gets one more engine: where those that hold it have so many times the mean of
 	// running requests, and so many more.
 	crowded = 1.4
@@ -46,30 +35,8 @@
 	careful = 1.3
 	// leastRoom lets prompts through where a route names no pause or a very short one.
 	leastRoom = 60 * time.Millisecond
-	// spreadEvery is the shortest time between two such loads of one adapter.
-	spreadEvery = 400 * time.Millisecond
 )
 
-// spread remembers when adapters last got one more engine.
-type spread struct {
-	mu sync.Mutex
-	at map[string]time.Time
-}
-
-// due reports whether an adapter may get one more engine now.
-func (s *spread) due(adapter string, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Sub(s.at[adapter]) < spreadEvery {
-		return false
-	}
-	if s.at == nil || len(s.at) > 10000 {
-		s.at = map[string]time.Time{}
-	}
-	s.at[adapter] = now
-	return true
-}
-
 // place returns the upstream for the next send and the version of the adapter that it must have, 0 for any.
 func (x *Direct) place(ctx context.Context, j *job) (target.Target, int, *refuse.Refusal) {
 	j.view = x.View()
@@ -246,135 +213,6 @@
 	}
 }
 
-// first returns the engine at which an adapter is loaded next: the one that has its weights at hand, unless that is much
-// busier than others, or the least busy of the few that the adapter hashes to.
-func (x *Direct) first(j *job, others, older []target.Target) target.Target {
-	now := time.Now()
-	usable := x.usable(others, now)
-	if len(usable) == 0 {
-		usable = x.usable(older, now)
-	}
-	if len(usable) == 0 {
-		return target.Target{}
-	}
-	best := x.Pick.Order(ranked(j.d.Adapter, usable), now)[0]
-	for _, t := range usable {
-		if x.Holds.Left(t, j.d.Adapter) && x.Pick.Load(t.ID, now) <= 2*x.Pick.Load(best.ID, now)+slack {
-			return t
-		}
-	}
-	return best
-}
-
-// usable returns the engines to which something can be loaded now.
-func (x *Direct) usable(list []target.Target, now time.Time) []target.Target {
-	var usable []target.Target
-	for _, t := range list {
-		if x.Owner(t.ID) && !x.Pick.Resting(t.ID, now) {
-			usable = append(usable, t)
-		}
-	}
-	return usable
-}
-
-// ranked returns the few engines that an adapter hashes to. The choice is steady, so that an adapter which was evicted
-// comes back to an engine that still has its weights at hand, and changes little when engines come and go.
-func ranked(adapter string, list []target.Target) []target.Target {
-	top := make([]target.Target, 0, choices+1)
-	ranks := make([]uint32, 0, choices+1)
-	for _, t := range list {
-		rank := mix(hash(t.ID + "/" + adapter))
-		at := len(top)
-		for at > 0 && ranks[at-1] < rank {
-			at--
-		}
-		if at >= choices {
-			continue
-		}
-		top = append(top[:at], append([]target.Target{t}, top[at:]...)...)
-		ranks = append(ranks[:at], append([]uint32{rank}, ranks[at:]...)...)
-		if len(top) > choices {
-			top, ranks = top[:choices], ranks[:choices]
-		}
-	}
-	return top
-}
-
-// mix spreads the bits of a hash of texts that differ in a few letters.
-func mix(x uint32) uint32 {
-	x ^= x >> 16
-	x *= 0x85ebca6b
-	x ^= x >> 13
-	x *= 0xc2b2ae35
-	return x ^ x>>16
-}
-
-// load has the adapter loaded and waits for it.
-func (x *Direct) load(ctx context.Context, j *job, others, older []target.Target, version int) (target.Target, int, *refuse.Refusal) {
-	none := refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine can load %s now", j.d.Adapter).WithRetry(comeBack)
-	waits := 0
-	for range elsewheres {
-		others, older = x.staying(others), x.staying(older)
-		t := x.first(j, others, older)
-		left := time.Until(j.hopeless())
-		if t.ID == "" || waits == 2 || left <= 0 {
-			return target.Target{}, 0, none
-		}
-		loadCtx, cancel := context.WithTimeout(ctx, min(loadFor, left))
-		began := time.Now()
-		err := x.Admit(loadCtx, x.want(j, t, version, 0))
-		cancel()
-		if err == nil && x.still(t) {
-			j.note = "loaded"
-			x.Holds.Hit(t.ID, j.d.Adapter)
-			return t, version, nil
-		}
-		x.Log.Info("load failed", zap.String("request", j.d.ID), zap.String("adapter", j.d.Adapter), zap.String("target", t.ID),
-			zap.Duration("waited", time.Since(began)), zap.Error(err))
-		if ctx.Err() != nil {
-			return target.Target{}, 0, x.ended(ctx, j)
-		}
-		if !errors.Is(err, want.ErrElsewhere) {
-			waits++
-		}
-		others, older = without(others, t.ID), without(older, t.ID)
-	}
-	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
-}
-
-// staying returns the engines of a list that have not begun to leave since it was made: a load before may have taken seconds.
-func (x *Direct) staying(list []target.Target) []target.Target {
-	var stay []target.Target
-	for _, t := range list {
-		if x.still(t) {
-			stay = append(stay, t)
-		}
-	}
-	return stay
-}
-
-func without(list []target.Target, id string) []target.Target {
-	var left []target.Target
-	for _, t := range list {
-		if t.ID != id {
-			left = append(left, t)
-		}
-	}
-	return left
-}
-
-// loadAside has an adapter loaded that nobody waits for.
-func (x *Direct) loadAside(t target.Target, j *job, version int) {
-	if t.ID == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*loadFor)
-	defer cancel()
-	err := x.Admit(ctx, want.Want{ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version})
-	x.Log.Info("adapter spread", zap.String("adapter", j.d.Adapter), zap.String("target", t.ID), zap.Int("version", version),
-		zap.Error(err))
-}
-
 // ended returns the refusal of a request whose caller left or whose time is over.
 func (x *Direct) ended(ctx context.Context, j *job) *refuse.Refusal {
 	if ctx.Err() == context.Canceled {
