--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -46,25 +46,25 @@
 }
 
 // Broke records that an upstream broke off under a request, and returns how many have so far.
-func (b *Blame) Broke(print, place string, now time.Time) int {
+func (b *Blame) Broke(mark, place string, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for host, list := range b.fresh {
 		if len(list) < mostTold {
-			b.fresh[host] = append(list, print+" "+place)
+			b.fresh[host] = append(list, mark+" "+place)
 		}
 	}
-	return b.note(print, place, now)
+	return b.note(mark, place, now)
 }
 
-func (b *Blame) note(print, place string, now time.Time) int {
+func (b *Blame) note(mark, place string, now time.Time) int {
 	if b.known == nil || len(b.known) >= most {
 		b.known = map[string]*record{}
 	}
-	r := b.known[print]
+	r := b.known[mark]
 	if r == nil || now.After(r.until) {
 		r = &record{places: map[string]bool{}}
-		b.known[print] = r
+		b.known[mark] = r
 	}
 	r.places[place] = true
 	r.until = now.Add(life)
@@ -72,18 +72,18 @@
 }
 
 // Barred reports whether a request is held back.
-func (b *Blame) Barred(print string, now time.Time) bool {
+func (b *Blame) Barred(mark string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.known[print]
+	r := b.known[mark]
 	return r != nil && len(r.places) >= enough && now.Before(r.until)
 }
 
 // Served forgets a request that was answered whole: it was not the cause.
-func (b *Blame) Served(print string) {
+func (b *Blame) Served(mark string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.known, print)
+	delete(b.known, mark)
 }
 
 // News returns the breaks seen here since the last message to a host.
@@ -103,13 +103,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, text := range list {
-		if print, place, ok := cut(text); ok {
-			b.note(print, place, now)
+		if mark, place, ok := cut(text); ok {
+			b.note(mark, place, now)
 		}
 	}
 }
 
-func cut(text string) (print, place string, ok bool) {
+func cut(text string) (mark, place string, ok bool) {
 	const size = 24 // letters of a print
 	if len(text) <= size || text[size] != ' ' {
 		return "", "", false
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -13,12 +13,12 @@
 // crash only; together they know of three, and none sends it on any more.
 func TestHostsKnowTogetherOfARequestThatCrashesUpstreams(t *testing.T) {
 	hosts := []*blame.Blame{{}, {}, {}}
-	print := blame.Print("POST", "/p/x", "body")
+	mark := blame.Print("POST", "/p/x", "body")
 	for _, h := range hosts {
 		h.News("other")
 	}
 	for i, h := range hosts {
-		h.Broke(print, string(rune('a'+i)), now)
+		h.Broke(mark, string(rune('a'+i)), now)
 		for _, other := range hosts {
 			if other != h {
 				other.Hear([]string{print + " " + string(rune('a'+i))}, now)
@@ -29,10 +29,10 @@
 		}
 	}
 	for i, h := range hosts {
-		if !h.Barred(print, now) {
+		if !h.Barred(mark, now) {
 			t.Errorf("host %d sends the request on, want it held back", i)
 		}
-		if h.Barred(print, now.Add(time.Hour)) {
+		if h.Barred(mark, now.Add(time.Hour)) {
 			t.Errorf("host %d holds it back an hour later", i)
 		}
 	}
@@ -42,11 +42,11 @@
 // is served on.
 func TestBreaksOfOneUpstreamDoNotAddUp(t *testing.T) {
 	var b blame.Blame
-	print := blame.Print("x")
+	mark := blame.Print("x")
 	for range 5 {
-		b.Broke(print, "a", now)
+		b.Broke(mark, "a", now)
 	}
-	if b.Barred(print, now) {
+	if b.Barred(mark, now) {
 		t.Error("held back after breaks of one upstream, want it served")
 	}
 }
@@ -54,12 +54,12 @@
 // A request that broke off twice beside the cause is then served whole. It starts anew.
 func TestWholeAnswerClearsARequest(t *testing.T) {
 	var b blame.Blame
-	print := blame.Print("x")
-	b.Broke(print, "a", now)
-	b.Broke(print, "b", now)
-	b.Served(print)
-	b.Broke(print, "c", now)
-	if b.Barred(print, now) {
+	mark := blame.Print("x")
+	b.Broke(mark, "a", now)
+	b.Broke(mark, "b", now)
+	b.Served(mark)
+	b.Broke(mark, "c", now)
+	if b.Barred(mark, now) {
 		t.Error("held back, want the earlier breaks forgotten")
 	}
 }
