--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -110,7 +110,7 @@
 }
 
 func cut(text string) (mark, place string, ok bool) {
-	const size = 24 // letters of a print
+	const size = 24 // letters of a mark
 	if len(text) <= size || text[size] != ' ' {
 		return "", "", false
 	}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -21,7 +21,7 @@
 		h.Broke(mark, string(rune('a'+i)), now)
 		for _, other := range hosts {
 			if other != h {
-				other.Hear([]string{print + " " + string(rune('a'+i))}, now)
+				other.Hear([]string{mark + " " + string(rune('a'+i))}, now)
 			}
 		}
 		if got, want := len(h.News("other")), 1; got != want {
