--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -30,8 +30,11 @@
 )
 
 const (
-	// noConf is when to come back to a host that knows no configuration yet: it reads one within some calls to the store.
-	noConf = 500 * time.Millisecond
+	// leastNoConf and mostNoConf bound when to come back to a host that knows no configuration yet: after as long as it has
+	// tried to read one. Right after the start that is some calls to the store; where the store is away, a caller that
+	// may come back only once should not do so while it still is.
+	leastNoConf = 500 * time.Millisecond
+	mostNoConf  = 3 * time.Second
 	// elsewhere is when to come back from a host that stops: at once, since another one gets the request.
 	elsewhere = 20 * time.Millisecond
 	// suspect is when a request may be tried again that seems to crash upstreams: its record has ended then.
@@ -63,12 +66,14 @@
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
-	Holds *holds.Holds
-	Pick  *pick.Pick
-	Spare *spare.Spare
-	Blame *blame.Blame
-	Speed *speed.Speed
-	Log   *zap.Logger
+	// Started is when this host began to read the store.
+	Started time.Time
+	Holds   *holds.Holds
+	Pick    *pick.Pick
+	Spare   *spare.Spare
+	Blame   *blame.Blame
+	Speed   *speed.Speed
+	Log     *zap.Logger
 	// Count takes the outcome of each request: its route's kind and priority, the code of its refusal or "ok", and times.
 	Count func(class, code string, took, first time.Duration)
 
@@ -90,7 +95,7 @@
 		return
 	}
 	if !j.view.Known() {
-		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(noConf))
+		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(x.noConf(begun)))
 		return
 	}
 	path, _, _ := strings.Cut(d.URI, "?")
@@ -115,6 +120,11 @@
 	x.serve(ctx, j)
 }
 
+// noConf returns when a configuration is likely to be there.
+func (x *Direct) noConf(now time.Time) time.Duration {
+	return min(mostNoConf, max(leastNoConf, now.Sub(x.Started)))
+}
+
 // body reads the whole body: it may have to be sent twice, and the upstream gets its length.
 func (x *Direct) body(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
 	if r.Body == nil || r.Body == http.NoBody {
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -11,6 +11,7 @@
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/route"
+	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -215,3 +216,24 @@
 		t.Errorf("code = %q, want %q", got, want)
 	}
 }
+
+// The store is away as a host starts, and the host knows no configuration. Callers that are sent back soon come back to the
+// same refusal, and most come back only once; the longer the store was away, the later they are told to come.
+func TestHostWithoutConfigurationSendsCallersBackLaterAndLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, streamRoute())
+		b.view = view.View{}
+		b.Started = time.Now()
+		for _, c := range []struct{ pass, want string }{{"100ms", "0.50"}, {"1900ms", "2.00"}, {"1m", "3.00"}} {
+			d, err := time.ParseDuration(c.pass)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(d)
+			rec, _ := b.call(nil)
+			if got := rec.Header().Get("Retry-After"); got != c.want {
+				t.Errorf("Retry-After after another %s = %s, want %s", c.pass, got, c.want)
+			}
+		}
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -126,7 +126,7 @@
 	return &direct.Direct{
 		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: &speed.Speed{}, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
-		Spare: e.spare, Blame: &e.blame, Log: e.Log, Count: e.Tally.Count,
+		Spare: e.spare, Blame: &e.blame, Log: e.Log, Started: time.Now(), Count: e.Tally.Count,
 	}
 }
 
