Apply to a site once its nodes are listed, and start a second one

Cause: make site reported 'revision 1 in force on 0 of 0 nodes', since it applied before a node was listed; a second start applied nothing, since it kept the revisions of the first. Now 'revision 4 in force on 3 of 3 nodes', twice in a row.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -39,9 +39,21 @@
   echo "$!" >>"$dir/pids"
 }
 
+# listed waits until all nodes are listed: a change that is applied before is in force on none of them yet.
+listed() {
+  for _ in $(seq 100); do
+    if bin/damaskctl --config "$dir/node-1.toml" --key-file "$dir/operator.key" status 2>/dev/null | grep -qE '^nodes +3[^0-9]'; then
+      return
+    fi
+    sleep 0.1
+  done
+  echo "site: not all nodes are listed after 10 s" >&2
+}
+
 start() {
   [ ! -e "$dir/pids" ] || { echo "site: $dir/pids exists; run '$0 stop' first" >&2; exit 1; }
   mkdir -p "$dir"
+  rm -rf "$dir/table" # what was applied to an earlier site is not known to this one
   launch stand bin/damaskstand --table "$net.100:7000" --objects "$net.100:7001" --hosts "$net.100:7002" --admin "$net.100:7003" \
     --engine "runner-0=$net.110:8000,slots=4,resumes=true" --engine "runner-1=$net.111:8000,slots=4,resumes=true" \
     --engine "runner-2=$net.112:8000,slots=4,resumes=true"
@@ -51,6 +63,7 @@
   done
   declarations
   echo site-operator-key >"$dir/operator.key"
+  listed
   bin/damaskctl --config "$dir/node-1.toml" --key-file "$dir/operator.key" --by site.sh apply "$dir/table"
   cat <<EOF
 The site runs. Ask it, for instance:
