--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -83,3 +83,17 @@
 		}
 	}
 }
+
+// The page of settings is what operators go by: an option that it leaves out is as good as none.
+func TestPageNamesEverySetting(t *testing.T) {
+	data, err := os.ReadFile("../../docs/HOST.md")
+	if err != nil {
+		t.Fatalf("ReadFile() = %v, want nil", err)
+	}
+	for line := range strings.Lines(whole + "loads = ") {
+		key, _, ok := strings.Cut(line, " = ")
+		if ok && !strings.Contains(string(data), "`"+key+"`") {
+			t.Errorf("the page does not name %q", key)
+		}
+	}
+}
