--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -73,49 +73,65 @@
 	defer timer.Stop()
 	var event bytes.Buffer
 	for {
-		line, err := in.ReadSlice('\n')
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			if errors.Is(err, io.EOF) && len(line) == 0 && event.Len() == 0 {
-				return nil
-			}
-			if silent.Load() {
-				return errSilent
-			}
-			if errors.Is(err, io.EOF) {
-				return io.ErrUnexpectedEOF
-			}
+		switch err := readEvent(in, &event); {
+		case errors.Is(err, io.EOF) && event.Len() == 0:
+			return nil
+		case err != nil && silent.Load():
+			return errSilent
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
 			return err
 		}
-		event.Write(line)
-		if !bytes.HasSuffix(event.Bytes(), []byte("\n\n")) {
-			continue
-		}
 		timer.Reset(gap)
 		if j.first.IsZero() {
-			j.first = time.Now()
-			if j.sends == 1 && j.d.Prompt > 0 {
-				x.Speed.First(j.d.Prompt, j.first.Sub(j.sent))
-			}
+			x.begun(j)
 		}
 		if err := j.pass(event.Bytes()); err != nil {
 			return err
 		}
 		event.Reset()
-		if in.Buffered() == 0 {
-			now := time.Now()
-			if !j.heard.IsZero() {
-				j.pause = max(j.pause, now.Sub(j.heard))
-				x.Speed.Event(now.Sub(j.heard))
-			}
-			j.heard = now
-			x.Pick.Heard(t.ID, now)
-			if err := control.Flush(); err != nil {
-				return &callerError{err}
-			}
+		if in.Buffered() > 0 {
+			continue
+		}
+		x.passed(j, t)
+		if err := control.Flush(); err != nil {
+			return &callerError{err}
 		}
 	}
 }
 
+// readEvent reads up to the end of one event. An event of which only a part was there stays in the buffer with the error.
+func readEvent(in *bufio.Reader, event *bytes.Buffer) error {
+	for !bytes.HasSuffix(event.Bytes(), []byte("\n\n")) {
+		line, err := in.ReadSlice('\n')
+		event.Write(line)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+	return nil
+}
+
+// begun notes the first event of a stream, which tells how long its prompt took to read.
+func (x *Direct) begun(j *job) {
+	j.first = time.Now()
+	if j.sends == 1 && j.d.Prompt > 0 {
+		x.Speed.First(j.d.Prompt, j.first.Sub(j.sent))
+	}
+}
+
+// passed notes that events go to the caller.
+func (x *Direct) passed(j *job, t target.Target) {
+	now := time.Now()
+	if !j.heard.IsZero() {
+		j.pause = max(j.pause, now.Sub(j.heard))
+		x.Speed.Event(now.Sub(j.heard))
+	}
+	j.heard = now
+	x.Pick.Heard(t.ID, now)
+}
+
 // pass gives one whole event to the caller, unless it has it already.
 func (j *job) pass(event []byte) error {
 	id := eventID(event)
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -86,30 +86,30 @@
 	}
 	defer r.Close()
 	x.Pick.Heard(t.ID, time.Now())
+	failed, done = x.answered(ctx, j, t, r, watch)
+	return done
+}
+
+// answered takes an upstream's answer: whether the upstream failed the request, and whether the caller has its final answer.
+func (x *Direct) answered(ctx context.Context, j *job, t target.Target, r resp.Resp, watch *time.Timer) (failed, done bool) {
 	if x.NotRun(r.Status, r.Header) {
-		failed = r.Status != http.StatusMisdirectedRequest
 		x.rejected(j, t, r)
-		return false
+		return r.Status != http.StatusMisdirectedRequest, false
 	}
 	j.runs++
-	if r.Status >= http.StatusInternalServerError {
-		failed = true
-		if j.again() && j.sends < mostSends && j.route.Kind == kinds.Idempotent {
-			j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Crashed, "the upstream answered %d", r.Status))
-			return false
-		}
+	broken := r.Status >= http.StatusInternalServerError
+	if broken && j.again() && j.sends < mostSends && j.route.Kind == kinds.Idempotent {
+		j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Crashed, "the upstream answered %d", r.Status))
+		return true, false
 	}
 	if j.headed && r.Status != http.StatusOK {
-		failed = true
-		return x.notResumed(j, t, r)
+		return true, x.notResumed(j, t, r)
 	}
 	if j.route.Kind == kinds.Stream && r.Status == http.StatusOK {
 		watch.Stop()
-		failed, done = x.relay(ctx, j, t, r)
-		return done
+		return x.relay(ctx, j, t, r)
 	}
-	failed, done = x.whole(ctx, j, t, r)
-	return done
+	return x.whole(ctx, j, t, r)
 }
 
 // notResumed takes an answer other than a stream from an engine at which a stream should go on. Nothing of it may reach the
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,99 +164,33 @@
 // Run serves until ctx ends, and then as long as the requests under way need, within the grace.
 func (e *Edge) Run(ctx context.Context) error {
 	handler := e.build()
-	s := e.Setup()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go e.intake.RunConf(work)
-	go e.intake.RunTargets(work)
-	go e.tenure.Run(work)
-	go e.giver.Run(work)
-	go e.runPeers(work, s)
-	go e.sweep(work)
-	go e.tellSelf(work)
-	callers := &http.Server{
-		Handler: e.follow(handler), ReadHeaderTimeout: readTimeout, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
-		ConnContext: e.conns.Context, ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateClosed || state == http.StateHijacked {
-				e.conns.Gone(c)
-			}
-		},
-	}
-	servers := []struct {
-		addr   string
-		server *http.Server
-	}{
-		{s.Callers, callers},
-		{s.Lookup, &http.Server{Handler: e.Lookup(e.names), ReadHeaderTimeout: readTimeout}},
-		{s.Ready, &http.Server{Handler: e.Ready(e.ready), ReadHeaderTimeout: readTimeout}},
-		{s.Metrics, &http.Server{Handler: http.HandlerFunc(e.metrics), ReadHeaderTimeout: readTimeout}},
-	}
-	failed := make(chan error, len(servers))
-	var front net.Listener
-	for _, part := range servers {
-		if part.addr == "" {
-			continue
-		}
-		l, err := e.Listen(part.addr)
-		if err != nil {
-			return err
-		}
-		if part.server == callers {
-			front = l
-		}
-		go func() { failed <- part.server.Serve(l) }()
+	e.begin(work)
+	callers, failed, err := e.listen(handler)
+	if err != nil {
+		return err
 	}
+	s := e.Setup()
 	e.Log.Info("started", zap.String("name", s.Name), zap.String("callers", s.Callers), zap.String("centre", s.Centre))
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	e.leave(front)
+	e.leave(callers)
 	return nil
 }
 
-// follow keeps a request's connection from being closed as idle, and tells callers of a leaving host to go elsewhere.
-func (e *Edge) follow(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		done, ok := e.conns.Enter(r.Context())
-		if !ok {
-			panic(http.ErrAbortHandler)
-		}
-		defer done()
-		if e.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// late reports whether a request that comes now may not end before the host does. Streams run for seconds; a caller whose
-// stream began before the signal may send its next request on the same connection at any time.
-func (e *Edge) late() bool {
-	if !e.leaving.Load() {
-		return false
-	}
-	return time.Since(time.Unix(0, e.leftAt.Load())) > min(stayFor, e.Setup().Grace/3)+leastIdle
-}
-
-// leave takes the host out of lookups, serves on while callers keep their answers, and waits for requests under way.
-func (e *Edge) leave(callers net.Listener) {
-	began := time.Now()
-	grace := e.Setup().Grace - endSlack
-	e.leftAt.Store(began.UnixNano())
-	e.leaving.Store(true)
-	e.Log.Info("leaving", zap.Duration("grace", grace))
-	time.Sleep(min(stayFor, grace/3))
-	if err := callers.Close(); err != nil {
-		e.Log.Debug("port for callers not closed", zap.Error(err))
-	}
-	left := 1
-	for left > 0 && time.Since(began) < grace {
-		left = e.conns.CloseIdle(leastIdle)
-		time.Sleep(leastIdle)
-	}
-	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Int("connections", left))
+// begin starts all that goes on beside requests.
+func (e *Edge) begin(work context.Context) {
+	go e.intake.RunConf(work)
+	go e.intake.RunTargets(work)
+	go e.tenure.Run(work)
+	go e.giver.Run(work)
+	go e.runPeers(work, e.Setup())
+	go e.sweep(work)
+	go e.tellSelf(work)
 }
 
 func (e *Edge) sweep(ctx context.Context) {
