Read registrations as the bound of leaving upstreams asks; bound connections by descriptors

Cause: found in the reading of the whole change: two settings were checked, documented and read by nothing. On sites whose registrations come less often than the bound, a leaving upstream would have got new work for too long.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,10 @@
 	leastIdle = 50 * time.Millisecond
 	// idleSlack is added to the time that a caller may leave its connection idle, for the way of its next request.
 	idleSlack = 500 * time.Millisecond
+	// leastConns is how many connections to an upstream a host may have at least, however many hosts there are.
+	leastConns = 2
+	// filesShare is the part of the process's descriptors that the connections to one upstream may take.
+	filesShare = 4
 	// readTimeout bounds how long a caller may take for its headers where the configuration has no bound.
 	readTimeout = 10 * time.Second
 )
@@ -105,7 +109,7 @@
 	e.news = newNews()
 	e.intake = intake.NewIntake()
 	e.intake.Table, e.intake.Conf, e.intake.Targets = e.Table, e.Conf, e.Targets
-	e.intake.Every = func() time.Duration { return e.Setup().Beat }
+	e.intake.Every = e.readEvery
 	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
 	e.tenure = &tenure.Tenure{
 		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Clock: uptime.Now, Log: e.Log,
@@ -142,12 +146,20 @@
 	return engines
 }
 
+// readEvery returns how often the upstreams' registrations are read: as often as they change, and often enough for one that
+// leaves to get no new work in time though a reading fails.
+func (e *Edge) readEvery() time.Duration {
+	s := e.Setup()
+	return min(s.Beat, s.Drain*6/10)
+}
+
 // mostConns returns this host's part of the connections that an upstream takes.
 func (e *Edge) mostConns(addr string) int {
 	v := e.intake.View()
 	for _, t := range v.Targets {
 		if t.Addr == addr {
-			return max(2, v.Rules.Pools[t.Group].MaxConns*9/10/e.count())
+			share := v.Rules.Pools[t.Group].MaxConns * 9 / 10 / e.count()
+			return max(leastConns, min(share, e.Setup().Files/filesShare))
 		}
 	}
 	return 0
