Rely on another host's reading by its age

Hosts now count the age of the reading and read for themselves 0.8 s before the bound. Ruled out: the small sites, where every host reads.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -12,6 +12,10 @@
 // brought nothing new.
 const everyone = 12
 
+// ownReading is how much sooner than a leaving upstream must get no new work a host reads for itself where others do not: a
+// reading, a try that fails, and the choice that is under way.
+const ownReading = 800 * time.Millisecond
+
 // reader reports whether this host reads the store for others.
 func (e *Edge) reader() bool {
 	m := e.mates.Load()
@@ -37,7 +41,7 @@
 // relaxed reports whether another host reads for this one.
 func (e *Edge) relaxed() bool {
 	m := e.mates.Load()
-	return m != nil && len(e.tenure.Hosts()) > everyone && m.Reads() && !e.reader()
+	return m != nil && len(e.tenure.Hosts()) > everyone && m.Reads(e.Setup().Drain-ownReading) && !e.reader()
 }
 
 // marks returns how far this host has read, where it reads for others.
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -53,6 +53,7 @@
 // Marks returns the revisions of the newest changes read, and whether this host reads well enough to do it for others.
 func (i *Intake) Marks() (m marks.Marks, ok bool) {
 	now := time.Now()
-	fresh := now.Sub(time.Unix(0, i.confRead.Load())) < recent && now.Sub(time.Unix(0, i.targetRead.Load())) < recent
-	return marks.Marks{Conf: i.confMark.Load(), Targets: i.targetMark.Load()}, fresh
+	age := now.Sub(time.Unix(0, i.targetRead.Load()))
+	ok = now.Sub(time.Unix(0, i.confRead.Load())) < recent && age < recent
+	return marks.Marks{Conf: i.confMark.Load(), Targets: i.targetMark.Load(), Age: age.Milliseconds()}, ok
 }
--- a/internal/marks/marks.go
+++ b/internal/marks/marks.go
@@ -5,5 +5,6 @@
 type Marks struct {
 	Conf    int64 `msgpack:"c"` // of the operators' rows
 	Targets int64 `msgpack:"t"` // of the upstreams: found, gone, restarted or leaving
+	Age     int64 `msgpack:"a"` // of the last reading of the upstreams, in ms, when the marks were sent
 	Fleet   int64 `msgpack:"f"` // of the rows of hosts: begun, ended, or an engine that changed hands
 }
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -11,6 +11,7 @@
 
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/trust"
 	"damaskreach/internal/want"
 )
 
@@ -25,8 +26,6 @@
 	// alive is how long a host that answered counts as alive: some messages may be lost, and a host that froze must leave
 	// the answers to lookups within the time that callers take to try another address.
 	alive = 1200 * time.Millisecond
-	// readsFor is how long a host that reads for others is relied on after its last message.
-	readsFor = 1600 * time.Millisecond
 )
 
 const (
@@ -44,7 +43,8 @@
 	Admit func(ctx context.Context, w want.Want) error
 	Log   *zap.Logger
 
-	nudge chan struct{}
+	nudge   chan struct{}
+	readers trust.Trust
 
 	mu   sync.Mutex
 	live map[string]mate
@@ -54,9 +54,7 @@
 	at      time.Time // of its last message or answer
 	asked   bool      // a message to it is under way
 	leaving bool
-	lapsed  bool      // it may give no orders
-	reads   bool      // it reads the store for others
-	heard   time.Time // of its last message
+	lapsed  bool // it may give no orders
 }
 
 // Register takes what other hosts say. It belongs before the mesh serves.
@@ -83,8 +81,11 @@
 	old.at = time.Now()
 	old.leaving = g.Leaving
 	old.lapsed = g.Lapsed
-	old.reads = g.Read != nil
-	old.heard = old.at
+	age := time.Duration(-1)
+	if g.Read != nil {
+		age = time.Duration(g.Read.Age) * time.Millisecond
+	}
+	m.readers.Note(g.IP, age, old.at)
 	m.live[g.IP] = old
 }
 
@@ -152,16 +153,9 @@
 	return time.Since(m.live[ip].at) < alive
 }
 
-// Reads reports whether some other host has just said that it reads the store for others.
-func (m *Mates) Reads() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, known := range m.live {
-		if known.reads && time.Since(known.heard) < readsFor {
-			return true
-		}
-	}
-	return false
+// Reads reports whether some other host has read the store for others within the limit.
+func (m *Mates) Reads(limit time.Duration) bool {
+	return m.readers.Fresh(limit, time.Now())
 }
 
 // Nudge sends the next messages at once.
--- /dev/null
+++ b/internal/trust/trust.go
@@ -0,0 +1,43 @@
+// Package trust tells whether some other host reads the store well enough for this one not to.
+//
+// A host that reads for others may itself lose the store, and says so only with its next message. Were it relied on until
+// then, the others would send new work to upstreams that have left for longer than they may. So what counts is the age of
+// its last reading, and not of its last message.
+package trust
+
+import (
+	"sync"
+	"time"
+)
+
+// Trust may be used from several goroutines. The zero value trusts nobody.
+type Trust struct {
+	mu   sync.Mutex
+	read map[string]time.Time // when each host that reads for others has last read
+}
+
+// Note takes what a host said at now: the age of its last reading, negative where it does not read for others.
+func (t *Trust) Note(host string, age time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if age < 0 {
+		delete(t.read, host)
+		return
+	}
+	if t.read == nil {
+		t.read = map[string]time.Time{}
+	}
+	t.read[host] = now.Add(-age)
+}
+
+// Fresh reports whether some host has read within the limit.
+func (t *Trust) Fresh(limit time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range t.read {
+		if now.Sub(at) < limit {
+			return true
+		}
+	}
+	return false
+}
