Make a test's verdict independent of luck; remove what nobody read

TestHostsThatKnowTheSameSpreadTheirRequests failed once: 34 of 200 choices where 40 were wanted and 44.5 are expected. Pick.Heard was fed at each event and read by nothing; it is gone, behaviour stays.

--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -34,7 +34,7 @@
 		j.w.WriteHeader(r.Status)
 		j.headed = true
 	}
-	err := x.events(ctx, j, t, r)
+	err := x.events(j, r)
 	if err == nil {
 		x.finish(j, "ok", t.ID, r.Status)
 		return false, true
@@ -63,7 +63,7 @@
 type callerError struct{ error }
 
 // events copies events until the stream ends as complete.
-func (x *Direct) events(ctx context.Context, j *job, t target.Target, r resp.Resp) error {
+func (x *Direct) events(j *job, r resp.Resp) error {
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(r.Body)
 	var silent atomic.Bool
@@ -94,7 +94,7 @@
 		if in.Buffered() > 0 {
 			continue
 		}
-		x.passed(j, t)
+		x.passed(j)
 		if err := control.Flush(); err != nil {
 			return &callerError{err}
 		}
@@ -122,14 +122,13 @@
 }
 
 // passed notes that events go to the caller.
-func (x *Direct) passed(j *job, t target.Target) {
+func (x *Direct) passed(j *job) {
 	now := time.Now()
 	if !j.heard.IsZero() {
 		j.pause = max(j.pause, now.Sub(j.heard))
 		x.Speed.Event(now.Sub(j.heard))
 	}
 	j.heard = now
-	x.Pick.Heard(t.ID, now)
 }
 
 // pass gives one whole event to the caller, unless it has it already.
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -85,7 +85,6 @@
 		return x.sendFailed(ctx, j, t, err)
 	}
 	defer r.Close()
-	x.Pick.Heard(t.ID, time.Now())
 	failed, done = x.answered(ctx, j, t, r, watch)
 	return done
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -45,7 +45,6 @@
 	failed  float64 // share of recent requests that failed for reasons of the upstream
 	streak  int     // times it was left alone, one after the other
 	until   time.Time
-	heard   time.Time // when it last sent a byte
 	wait    time.Duration
 	waitAt  time.Time // when wait was told
 	told    int
@@ -129,24 +128,6 @@
 	return max(0, l.wait-now.Sub(l.waitAt))
 }
 
-// Heard records that an upstream sent something.
-func (p *Pick) Heard(id string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.of(id).heard = now
-}
-
-// Silent returns how long an upstream has sent nothing to this host; zero where it never did.
-func (p *Pick) Silent(id string, now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.of(id)
-	if l.heard.IsZero() {
-		return 0
-	}
-	return now.Sub(l.heard)
-}
-
 // Told records how many requests were sent of late to an engine, as the host knows that gives it its orders.
 func (p *Pick) Told(id string, n int, now time.Time) {
 	p.mu.Lock()
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -14,10 +14,13 @@
 	now   = time.Unix(1000, 0)
 )
 
+// draws is how often a choice is made: so often that shares do not depend on luck.
+const draws = 20000
+
 // chosen counts how often each of two upstreams comes first.
 func chosen(p *pick.Pick, list []target.Target) map[string]int {
 	counts := map[string]int{}
-	for range 200 {
+	for range draws {
 		counts[p.Order(list, now)[0].ID]++
 	}
 	return counts
@@ -29,7 +32,7 @@
 	p := pick.NewPick("dc")
 	p.Rest("near", now)
 	if got := chosen(p, []target.Target{near, other})["near"]; got != 0 {
-		t.Errorf("chosen %d times of 200, want 0", got)
+		t.Errorf("chosen %d times of %d, want 0", got, draws)
 	}
 	if p.Resting("near", now.Add(10*time.Second)) {
 		t.Error("left alone after 10 s, want it tried again")
@@ -56,8 +59,8 @@
 		p.Begin("other")
 		p.End("other", false)
 	}
-	if got := chosen(p, []target.Target{near, other})["near"]; got > 20 {
-		t.Errorf("chosen %d times of 200, want at most 20", got)
+	if got := chosen(p, []target.Target{near, other})["near"]; got > draws/10 {
+		t.Errorf("chosen %d times of %d, want at most a tenth", got, draws)
 	}
 }
 
@@ -68,8 +71,8 @@
 	p.Told("near", 10, now)
 	p.Told("other", 11, now)
 	counts := chosen(p, []target.Target{near, other})
-	if counts["near"] < 40 || counts["other"] < 40 {
-		t.Errorf("chosen %v, want both at least 40 times of 200", counts)
+	if counts["near"] < draws/5 || counts["other"] < draws/5 {
+		t.Errorf("chosen %v, want both at least a fifth of %d", counts, draws)
 	}
 }
 
@@ -79,6 +82,6 @@
 	p.Told("other", 4, now)
 	p.Waits("near", 500*time.Millisecond, now)
 	if got := chosen(p, []target.Target{near, other})["near"]; got != 0 {
-		t.Errorf("chosen %d times of 200, want 0", got)
+		t.Errorf("chosen %d times of %d, want 0", got, draws)
 	}
 }
