Tell scrapers what each host decides; keep rare lines; end though nobody reads

Cause: the entry host counted requests by kind alone, with sampled quantiles that cannot be added up, and nothing of upstreams, store calls, the lease, loads, waits and the age of what it believes. Lines on upstreams and loads shared a queue and a bound with the line that every request ends with. A process whose reader of standard output had stopped waited for it for ever when told to stop.

Ruled out: a second set of histograms. Those of the node (fixed buckets, text format) moved to internal/prom, and internal/stats, which replaces internal/tally, uses them.

Tests of tally went with it; internal/stats proves the page, its bound and its help texts.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 	"damaskreach/internal/digest"
 	"damaskreach/internal/event"
 	"damaskreach/internal/meter"
+	"damaskreach/internal/prom"
 	"damaskreach/internal/query"
 	"damaskreach/internal/sess"
 )
@@ -50,7 +51,7 @@
 }
 
 func (a *Admin) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", meter.Kind)
+	w.Header().Set("Content-Type", prom.Kind)
 	_ = a.Meter.Write(w) // the scraper may be gone
 }
 
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -23,6 +23,7 @@
 	"damaskreach/internal/resp"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
@@ -74,8 +75,9 @@
 	Blame   *blame.Blame
 	Speed   *speed.Speed
 	Log     *zap.Logger
-	// Count takes the outcome of each request: its route's kind and priority, the code of its refusal or "ok", and times.
-	Count func(class, code string, took, first time.Duration)
+	// Requests takes the line that every request ends with.
+	Requests *zap.Logger
+	Stats    *stats.Stats
 
 	spread spread
 }
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -25,6 +25,7 @@
 	"damaskreach/internal/rules"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
@@ -58,7 +59,6 @@
 	sent    []sent
 	loads   []want.Want
 	loadErr error
-	codes   []string
 	late    bool
 }
 
@@ -101,9 +101,9 @@
 		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Blame: &blame.Blame{}, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
-		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(),
+		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
 		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
-		Count: func(_, code string, _, _ time.Duration) { b.codes = append(b.codes, code) },
+		Stats: stats.NewStats(),
 	}
 	return b
 }
@@ -194,3 +194,17 @@
 func streamRoute() route.Route {
 	return route.Route{Kind: kinds.Stream, Resumable: true, Attempts: 2, Target: time.Second, Gap: 300 * time.Millisecond}
 }
+
+// counted fails the test where a line of the metrics does not end so.
+func (b *bench) counted(ends ...string) {
+	b.t.Helper()
+	var page strings.Builder
+	if err := b.Stats.Write(&page); err != nil {
+		b.t.Fatalf("metrics: %v", err)
+	}
+	for _, end := range ends {
+		if !strings.Contains(page.String(), end+"\n") {
+			b.t.Errorf("no metric ends in %q:\n%s", end, page.String())
+		}
+	}
+}
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/stats"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -33,7 +34,7 @@
 // refuse gives the caller its final answer. Where part of another answer has gone out, the connection is broken off, so
 // that what the caller has does not look whole.
 func (x *Direct) refuse(w http.ResponseWriter, j *job, r *refuse.Refusal) {
-	x.finish(j, r.Code, "", status(r))
+	x.finish(j, r.Code, r.Verdict, "", status(r))
 	x.Log.Info("refused", zap.String("request", j.d.ID), zap.String("code", r.Code), zap.Stringer("verdict", r.Verdict),
 		zap.String("why", r.Text), zap.String("route", j.route.Name), zap.String("adapter", j.d.Adapter),
 		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.Duration("after", time.Since(j.begun)),
@@ -58,7 +59,7 @@
 }
 
 // finish counts and logs the end of a request.
-func (x *Direct) finish(j *job, code, id string, status int) {
+func (x *Direct) finish(j *job, code string, verdict verd.Verdict, id string, status int) {
 	now := time.Now()
 	first := time.Duration(0)
 	if !j.first.IsZero() {
@@ -67,10 +68,26 @@
 	if code == "ok" && j.runs > 0 && j.print != "" {
 		x.Blame.Served(j.print)
 	}
-	x.Count(j.class(), code, now.Sub(j.begun), first)
-	x.Log.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("code", code),
+	x.count(j, code, verdict, now, first)
+	x.Requests.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("code", code),
 		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("version", j.version),
 		zap.Int("prompt", j.d.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
 		zap.Duration("turn", j.turn()), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
 		zap.Int64("rules", j.view.Rules.Version), zap.Duration("age", now.Sub(j.view.Read)))
 }
+
+// count counts a request that has ended, by its route.
+func (x *Direct) count(j *job, code string, verdict verd.Verdict, now time.Time, first time.Duration) {
+	route := j.route.Name
+	x.Stats.Add(stats.Requests, 1, "route", route, "code", code, "verdict", verdict.String())
+	x.Stats.Time(stats.Took, now.Sub(j.begun), "route", route)
+	if first > 0 {
+		x.Stats.Time(stats.First, first, "route", route)
+	}
+	if !j.sent.IsZero() {
+		x.Stats.Time(stats.Turn, j.turn(), "route", route)
+	}
+	if j.pause > 0 {
+		x.Stats.Time(stats.Pause, j.pause, "route", route)
+	}
+}
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -78,12 +78,6 @@
 	return j.route.Repeatable() && j.runs < max(1, j.route.Attempts)
 }
 
-// class names the request in metrics.
-func (j *job) class() string {
-	names := map[kinds.Kind]string{kinds.Once: "once", kinds.Idempotent: "idempotent", kinds.Stream: "stream"}
-	return names[j.route.Kind]
-}
-
 // place names an upstream in one incarnation.
 func place(t target.Target) string {
 	return t.ID + "/" + strconv.FormatInt(t.Born, 36)
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -124,6 +124,7 @@
 		began := time.Now()
 		err := x.Admit(loadCtx, x.want(j, t, version, 0))
 		cancel()
+		x.turned(err)
 		if err == nil && x.still(t) {
 			j.note = "loaded"
 			x.Holds.Hit(t.ID, j.d.Adapter)
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
@@ -194,12 +195,22 @@
 	ctx, cancel := context.WithTimeout(ctx, min(loadFor, max(leastTurn, time.Until(j.hopeless()))))
 	defer cancel()
 	err := x.Admit(ctx, x.want(j, t, version, bound))
+	x.turned(err)
 	if err != nil {
 		j.note += " " + want.Code(err)
 	}
 	return err
 }
 
+// turned counts the outcome of asking for a turn.
+func (x *Direct) turned(err error) {
+	outcome := "granted"
+	if err != nil {
+		outcome = want.Code(err)
+	}
+	x.Stats.Add(stats.Admits, 1, "outcome", outcome)
+}
+
 func (x *Direct) want(j *job, t target.Target, version int, bound time.Duration) want.Want {
 	gap := x.Speed.Gap()
 	room := j.route.Gap - gap - gapSlack
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -13,7 +13,6 @@
 	"damaskreach/internal/route"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
-	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
 
@@ -212,9 +211,7 @@
 			t.Errorf("%s is left alone, want it used", id)
 		}
 	}
-	if got, want := b.codes[len(b.codes)-1], refuse.Canceled; got != want {
-		t.Errorf("code = %q, want %q", got, want)
-	}
+	b.counted(`requests_total{route="",code="canceled",verdict="may-have-run"} 1`, `outcome="left"} 1`)
 }
 
 // The store is away as a host starts, and the host knows no configuration. Callers that are sent back soon come back to the
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -36,14 +36,17 @@
 	}
 	err := x.events(j, r)
 	if err == nil {
-		x.finish(j, "ok", t.ID, r.Status)
+		x.outcome(t, "ok")
+		x.finish(j, "ok", verd.Ran, t.ID, r.Status)
 		return false, true
 	}
 	var gone *callerError
 	if errors.As(err, &gone) || ctx.Err() == context.Canceled && !errors.Is(err, errSilent) && !j.over(time.Now()) {
-		x.finish(j, refuse.Canceled, t.ID, r.Status)
+		x.outcome(t, "left")
+		x.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, r.Status)
 		panic(http.ErrAbortHandler)
 	}
+	x.outcome(t, "cut")
 	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
 		zap.Duration("since", time.Since(j.begun)), zap.Error(err))
 	x.broke(j, t)
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -12,6 +12,7 @@
 
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -77,7 +78,8 @@
 	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last))
 	if err != nil && caller.Err() == context.Canceled {
 		// The caller left, and the upstream was told by the end of its connection; it is not to blame.
-		x.finish(j, refuse.Canceled, t.ID, 0)
+		x.outcome(t, "left")
+		x.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
@@ -98,6 +100,7 @@
 	j.runs++
 	broken := r.Status >= http.StatusInternalServerError
 	if broken && j.again() && j.sends < mostSends && j.route.Kind == kinds.Idempotent {
+		x.outcome(t, strconv.Itoa(r.Status/100)+"xx")
 		j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Crashed, "the upstream answered %d", r.Status))
 		return true, false
 	}
@@ -114,6 +117,7 @@
 // notResumed takes an answer other than a stream from an engine at which a stream should go on. Nothing of it may reach the
 // caller: behind the events that went out it would look like the end of the stream.
 func (x *Direct) notResumed(j *job, t target.Target, r resp.Resp) (done bool) {
+	x.outcome(t, "not-resumed")
 	x.Log.Info("not resumed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("status", r.Status))
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream could not go on at %s", t.ID))
 	if j.again() {
@@ -137,6 +141,7 @@
 func (x *Direct) sendFailed(ctx context.Context, j *job, t target.Target, err error) (done bool) {
 	now := time.Now()
 	verdict := verd.Of(err)
+	x.outcome(t, "failed")
 	if verdict != verd.NotRun {
 		j.runs++
 	}
@@ -162,6 +167,11 @@
 	return true
 }
 
+// outcome counts how a send ended: "ok", "cut", "failed", "left", "rejected", "not-resumed", or a class of statuses.
+func (x *Direct) outcome(t target.Target, outcome string) {
+	x.Stats.Add(stats.Sends, 1, "upstream", t.ID, "outcome", outcome)
+}
+
 // broke records that an upstream broke off under a request.
 func (x *Direct) broke(j *job, t target.Target) {
 	if n := x.Blame.Broke(j.print, place(t), time.Now()); n > 1 {
@@ -184,6 +194,7 @@
 	if r.Status == http.StatusMisdirectedRequest && j.d.Adapter != "" {
 		x.Holds.Miss(t.ID, j.d.Adapter, now)
 	}
+	x.outcome(t, "rejected")
 	x.Log.Info("rejected", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("status", r.Status),
 		zap.String("adapter", j.d.Adapter), zap.Duration("since", now.Sub(j.begun)), zap.String("note", j.note))
 	j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.Overloaded, "%s rejected the request", t.ID).WithRetry(comeBack))
@@ -196,6 +207,7 @@
 		err = errors.New("the answer is too large")
 	}
 	if err != nil {
+		x.outcome(t, "cut")
 		x.Log.Info("answer cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
 		j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the answer of %s broke off", t.ID))
 		if ctx.Err() == nil && j.again() {
@@ -212,7 +224,8 @@
 	if _, err := j.w.Write(data); err != nil {
 		x.Log.Debug("caller left", zap.String("request", j.d.ID), zap.Error(err))
 	}
-	x.finish(j, "ok", t.ID, r.Status)
+	x.outcome(t, strconv.Itoa(r.Status/100)+"xx")
+	x.finish(j, "ok", verd.Ran, t.ID, r.Status)
 	return r.Status >= http.StatusInternalServerError, true
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,8 +29,8 @@
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
 	"damaskreach/internal/state"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
-	"damaskreach/internal/tally"
 	"damaskreach/internal/target"
 	"damaskreach/internal/tenure"
 	"damaskreach/internal/turns"
@@ -84,7 +84,9 @@
 	Lookup func(names func(centre string) (addrs []string, life time.Duration)) http.Handler
 	Ready  func(ready func() bool) http.Handler
 	Log    *zap.Logger
-	Tally  *tally.Tally
+	// Requests takes the line that every request ends with; it is the first to lose lines where there are too many.
+	Requests *zap.Logger
+	Stats    *stats.Stats
 
 	intake  *intake.Intake
 	tenure  *tenure.Tenure
@@ -104,6 +106,7 @@
 // build makes the parts and connects them.
 func (e *Edge) build() *direct.Direct {
 	s := e.Setup()
+	e.Table = measured(e.Table, e.Stats)
 	e.holds = holds.NewHolds()
 	e.pick = pick.NewPick(s.Centre)
 	e.news = newNews()
@@ -112,16 +115,16 @@
 	e.intake.Every = e.readEvery
 	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
 	e.tenure = &tenure.Tenure{
-		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Clock: uptime.Now, Log: e.Log,
+		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Clock: uptime.Now, Log: e.Log, Stats: e.Stats,
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed,
 	}
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Holder: s.IP, Log: e.Log,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
 	e.uplink = &uplink.Uplink{
-		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Tally.Add("connections.opened", 1) },
+		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
 	}
 	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
@@ -130,7 +133,7 @@
 	return &direct.Direct{
 		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: &speed.Speed{}, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
-		Spare: e.spare, Blame: &e.blame, Log: e.Log, Started: time.Now(), Count: e.Tally.Count,
+		Spare: e.spare, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Started: time.Now(), Stats: e.Stats,
 	}
 }
 
@@ -196,6 +199,7 @@
 
 // begin starts all that goes on beside requests.
 func (e *Edge) begin(work context.Context) {
+	e.gauges()
 	go e.intake.RunConf(work)
 	go e.intake.RunTargets(work)
 	go e.tenure.Run(work)
@@ -235,12 +239,6 @@
 	return !e.leaving.Load() && v.Known() && len(v.Targets) > 0
 }
 
-func (e *Edge) metrics(w http.ResponseWriter, _ *http.Request) {
-	if err := e.Tally.Write(w); err != nil {
-		e.Log.Debug("metrics not written", zap.Error(err))
-	}
-}
-
 // names returns the addresses for callers of hosts that serve, this one first.
 func (e *Edge) names(string) ([]string, time.Duration) {
 	var addrs []string
--- /dev/null
+++ b/internal/edge/gauge.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/prom"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/stats"
+	"damaskreach/internal/table"
+)
+
+// unknown is the age of what this host has never learned.
+const unknown = -1
+
+// metrics answers scrapers.
+func (e *Edge) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", prom.Kind)
+	if err := e.Stats.Write(w); err != nil {
+		e.Log.Debug("metrics not written", zap.Error(err))
+	}
+}
+
+// gauges adds the values that are read at each scrape: how much this host knows, and how old that is.
+func (e *Edge) gauges() {
+	age := func(belief string, read func() float64) { e.Stats.Gauge(stats.Age, read, "belief", belief) }
+	age("upstreams", func() float64 {
+		read := e.intake.View().Read
+		if read.IsZero() {
+			return unknown
+		}
+		return time.Since(read).Seconds()
+	})
+	age("configuration", func() float64 {
+		old, ok := e.intake.Age()
+		if !ok {
+			return unknown
+		}
+		return old.Seconds()
+	})
+	age("hosts", func() float64 {
+		m := e.mates.Load()
+		if m == nil {
+			return unknown
+		}
+		return m.Oldest().Seconds()
+	})
+	e.Stats.Gauge(stats.LeaseLeft, func() float64 { return e.tenure.Left().Seconds() })
+	e.Stats.Gauge(stats.Engines, func() float64 { return float64(len(e.tenure.Mine())) })
+	e.Stats.Gauge(stats.Upstreams, func() float64 { return float64(len(e.intake.View().Targets)) })
+	e.Stats.Gauge(stats.Hosts, func() float64 { return float64(e.count() - 1) })
+}
+
+// measured times and counts the calls to the store, by the rows that they are about.
+func measured(t table.Table, s *stats.Stats) table.Table {
+	note := func(call, key string, begun time.Time, err error) {
+		group, _, _ := strings.Cut(key, "/")
+		s.Time(stats.Store, time.Since(begun), "call", call, "rows", group)
+		if err != nil {
+			s.Add(stats.StoreFails, 1, "call", call, "rows", group, "error", failure(err))
+		}
+	}
+	return table.Table{
+		Read: func(ctx context.Context, key string) (rows.Row, error) {
+			begun := time.Now()
+			row, err := t.Read(ctx, key)
+			note("read", key, begun, err)
+			return row, err
+		},
+		List: func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
+			begun := time.Now()
+			list, rev, err := t.List(ctx, prefix)
+			note("list", prefix, begun, err)
+			return list, rev, err
+		},
+		Write: func(ctx context.Context, edits ...rows.Row) (int64, error) {
+			begun := time.Now()
+			rev, err := t.Write(ctx, edits...)
+			note("write", edits[0].Key, begun, err)
+			return rev, err
+		},
+		Tail: func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
+			begun := time.Now()
+			list, rev, err := t.Tail(ctx, prefix, after)
+			note("tail", prefix, begun, err)
+			return list, rev, err
+		},
+	}
+}
+
+// failure names an error of the store.
+func failure(err error) string {
+	names := map[string]error{
+		"conflict": table.ErrConflict, "down": table.ErrDown, "absent": table.ErrAbsent, "compacted": table.ErrCompacted,
+		"invalid": table.ErrInvalid,
+	}
+	for name, known := range names {
+		if errors.Is(err, known) {
+			return name
+		}
+	}
+	return "lost"
+}
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/model"
 	"damaskreach/internal/pool"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
 )
@@ -244,15 +245,29 @@
 // counting it.
 func (d *desk) look(t target.Target, c change.Change) effect.Effect {
 	before := d.sequence
-	e := d.give(t, c)
+	e := d.order(t, c)
 	if e == effect.Accepted {
 		d.sequence = before
 	}
 	return e
 }
 
-// give gives one order and takes its effect into account.
+// give gives an order that changes something, and says so.
 func (d *desk) give(t target.Target, c change.Change) effect.Effect {
+	sequence := d.sequence
+	e := d.order(t, c)
+	operation := "unload"
+	if c.Load {
+		operation = "load"
+	}
+	d.g.Stats.Add(stats.Orders, 1, "operation", operation, "effect", e.String())
+	d.g.Log.Info("order given", zap.String("target", d.id), zap.String("operation", operation), zap.String("adapter", full(c)),
+		zap.Int("version", c.Version), zap.Int64("sequence", sequence), zap.Stringer("effect", e))
+	return e
+}
+
+// order gives one order and takes its effect into account.
+func (d *desk) order(t target.Target, c change.Change) effect.Effect {
 	fence, ok := d.g.Fence(d.id)
 	if !ok {
 		return effect.Rejected
@@ -260,7 +275,7 @@
 	c.Target, c.Sequence, c.Holder, c.Fence = t, d.sequence, d.g.Holder, fence
 	e, err := d.once(c)
 	if e == effect.Unknown {
-		d.g.Log.Info("order unanswered", zap.String("target", d.id), zap.Bool("load", c.Load), zap.String("adapter", c.Adapter),
+		d.g.Log.Info("order unanswered", zap.String("target", d.id), zap.Bool("load", c.Load), zap.String("adapter", full(c)),
 			zap.Int64("sequence", c.Sequence), zap.Int64("fence", fence), zap.Error(err))
 		// With the same count the engine takes only one of the two, whenever the first one arrives.
 		e, err = d.once(c)
@@ -273,9 +288,10 @@
 		d.known = false
 		d.asked = time.Now()
 	}
-	d.g.Log.Debug("order given", zap.String("target", d.id), zap.Bool("load", c.Load), zap.String("adapter", c.Adapter),
-		zap.Int("version", c.Version), zap.Int64("sequence", c.Sequence), zap.Int64("fence", fence),
-		zap.Stringer("effect", e), zap.Error(err))
+	if err != nil {
+		d.g.Log.Info("order failed", zap.String("target", d.id), zap.String("adapter", full(c)), zap.Int64("sequence", c.Sequence),
+			zap.Int64("fence", fence), zap.Stringer("effect", e), zap.Error(err))
+	}
 	return e
 }
 
@@ -285,6 +301,14 @@
 	return d.g.Give(ctx, c)
 }
 
+// full returns the name that lines give the adapter of an order: "model/adapter", or the model alone.
+func full(c change.Change) string {
+	if c.Adapter == "" {
+		return c.Model
+	}
+	return c.Model + "/" + c.Adapter
+}
+
 // name splits "model/adapter".
 func name(adapter string) (model, short string) {
 	model, short, _ = strings.Cut(adapter, "/")
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
 	"damaskreach/internal/state"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/view"
@@ -48,6 +49,7 @@
 	Window func() time.Duration
 	Holder string
 	Log    *zap.Logger
+	Stats  *stats.Stats
 
 	mu     sync.Mutex
 	models models
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/change"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
@@ -81,6 +82,16 @@
 	d.recent[adapter] = true
 	d.touch([]string{adapter}, time.Now())
 	took := time.Since(l.since)
+	from := "store"
+	if l.warm {
+		from = "engine"
+	}
+	d.g.Stats.Time(stats.Loads, took, "from", from)
+	behind := l.block
+	if behind == "" {
+		behind = "nothing"
+	}
+	d.g.Stats.Time(stats.LoadWaits, l.waited, "behind", behind)
 	if l.warm {
 		d.warm += time.Duration(weight * float64(took-d.warm))
 	} else {
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -10,6 +10,7 @@
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/model"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
 )
@@ -79,6 +80,7 @@
 	took := time.Since(d.modelAt)
 	d.g.Log.Info("base model load ended", zap.String("target", d.id), zap.String("model", m.Name), zap.Bool("done", done),
 		zap.Bool("counted", d.counted), zap.Duration("took", took))
+	d.g.Stats.Time(stats.Loads, took, "from", "model")
 	d.modelAt = time.Time{}
 	if !d.counted {
 		return
@@ -199,6 +201,7 @@
 	default:
 		return false
 	}
+	d.g.Stats.Add(stats.Unloads, 1, "effect", e.String())
 	d.g.Log.Info("adapter unloaded", zap.String("target", d.id), zap.String("adapter", victim), zap.Duration("idle", idle),
 		zap.String("for", w.Adapter), zap.Stringer("effect", e))
 	d.tell()
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -50,6 +50,12 @@
 	}
 }
 
+// Age returns how long ago the operators' rows were last read, and whether they ever were.
+func (i *Intake) Age() (age time.Duration, ok bool) {
+	at := i.confRead.Load()
+	return time.Since(time.Unix(0, at)), at > 0
+}
+
 // Marks returns the revisions of the newest changes read, and whether this host reads well enough to do it for others.
 func (i *Intake) Marks() (m marks.Marks, ok bool) {
 	now := time.Now()
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -1,8 +1,9 @@
 // Package logger writes structured lines without ever holding up what they are about.
 //
 // Whoever reads standard output may be slow or stopped. Were lines written by the goroutine that serves a request, the
-// request would wait for that reader. Lines go into two bounded queues instead, one for warnings and worse; lines that
-// find their queue full are dropped and counted.
+// request would wait for that reader. Lines go into two bounded queues instead: one for the line that every request ends
+// with, and one for all others, which are rare and go first. Lines that find their queue full, or come faster than their
+// bound, are dropped and counted.
 package logger
 
 import (
@@ -16,32 +17,35 @@
 )
 
 const (
+	// Requests is the name of the logger for the line that every request ends with.
+	Requests = "requests"
 	// common and rare are the lengths of the queues, in lines: a second of a loaded host, and what a burst of changes says.
 	common = 1024
-	rare   = 256
-	// mostEach is how many common lines a second are written; formatting and writing more would take processor time from
-	// requests just when there is least of it.
-	mostEach = 400
+	rare   = 512
+	// mostCommon and mostRare are how many lines of each kind a second are written; formatting and writing more would take
+	// processor time from requests just when there is least of it. A host of the sites measured ends some 40 requests a second
+	// and decides some 30 other things, five times as many in a burst.
+	mostCommon = 300
+	mostRare   = 300
 	// sayEvery is how often dropped lines are counted in a line of their own.
 	sayEvery = 5 * time.Second
 )
 
 // Logger is the writing end of a log.
 type Logger struct {
-	common  chan []byte
-	rare    chan []byte
+	common  *queue
+	rare    *queue
 	dropped atomic.Int64
 	out     io.Writer
 	level   zap.AtomicLevel
-	second  atomic.Int64
-	count   atomic.Int64
 }
 
 // NewLogger returns a writer of lines of a level and above.
 func NewLogger(out io.Writer, level zapcore.Level) *Logger {
-	return &Logger{
-		common: make(chan []byte, common), rare: make(chan []byte, rare), out: out, level: zap.NewAtomicLevelAt(level),
-	}
+	l := &Logger{out: out, level: zap.NewAtomicLevelAt(level)}
+	l.common = newQueue(&l.dropped, common, mostCommon)
+	l.rare = newQueue(&l.dropped, rare, mostRare)
+	return l
 }
 
 // Zap returns the logger that product code writes with.
@@ -50,11 +54,11 @@
 	settings.EncodeTime = zapcore.ISO8601TimeEncoder
 	settings.EncodeDuration = zapcore.StringDurationEncoder
 	encoder := zapcore.NewJSONEncoder(settings)
-	below := zap.LevelEnablerFunc(func(v zapcore.Level) bool { return l.level.Enabled(v) && v < zapcore.WarnLevel })
-	above := zap.LevelEnablerFunc(func(v zapcore.Level) bool { return l.level.Enabled(v) && v >= zapcore.WarnLevel })
+	ends := func(entry zapcore.Entry) bool { return entry.LoggerName == Requests && entry.Level < zapcore.WarnLevel }
+	others := func(entry zapcore.Entry) bool { return !ends(entry) }
 	return zap.New(zapcore.NewTee(
-		plain{zapcore.NewCore(encoder, queue{l, l.common, true}, below)},
-		plain{zapcore.NewCore(encoder, queue{l, l.rare, false}, above)},
+		plain{zapcore.NewCore(encoder, l.common, l.level), ends},
+		plain{zapcore.NewCore(encoder, l.rare, l.level), others},
 	))
 }
 
@@ -75,15 +79,15 @@
 	said := int64(0)
 	for {
 		select {
-		case line := <-l.rare:
+		case line := <-l.rare.lines:
 			l.write(line)
 			continue
 		default:
 		}
 		select {
-		case line := <-l.rare:
+		case line := <-l.rare.lines:
 			l.write(line)
-		case line := <-l.common:
+		case line := <-l.common.lines:
 			l.write(line)
 		case <-say.C:
 			if n := l.dropped.Load(); n != said {
@@ -100,9 +104,9 @@
 func (l *Logger) flush() {
 	for {
 		select {
-		case line := <-l.rare:
+		case line := <-l.rare.lines:
 			l.write(line)
-		case line := <-l.common:
+		case line := <-l.common.lines:
 			l.write(line)
 		default:
 			return
@@ -114,66 +118,3 @@
 func (l *Logger) write(line []byte) {
 	_, _ = l.out.Write(line)
 }
-
-// admit counts a common line against its rate.
-func (l *Logger) admit() bool {
-	now := time.Now().Unix()
-	if l.second.Swap(now) != now {
-		l.count.Store(0)
-	}
-	return l.count.Add(1) <= mostEach
-}
-
-// queue is the end of one of the queues that lines are put into.
-type queue struct {
-	l       *Logger
-	lines   chan []byte
-	bounded bool
-}
-
-// Write queues a copy of a line or drops it.
-func (q queue) Write(line []byte) (int, error) {
-	if q.bounded && !q.l.admit() {
-		q.l.dropped.Add(1)
-		return len(line), nil
-	}
-	select {
-	case q.lines <- append([]byte(nil), line...):
-	default:
-		q.l.dropped.Add(1)
-	}
-	return len(line), nil
-}
-
-// Sync does nothing: the writer writes each line at once.
-func (q queue) Sync() error { return nil }
-
-// plain writes errors as their text alone: the stacks that they carry make a line twenty times as long.
-type plain struct{ zapcore.Core }
-
-// With adds fields to all lines.
-func (p plain) With(fields []zapcore.Field) zapcore.Core {
-	return plain{p.Core.With(flat(fields))}
-}
-
-// Check lets this core write the line, where its level is enabled.
-func (p plain) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if p.Enabled(entry.Level) {
-		return checked.AddCore(entry, p)
-	}
-	return checked
-}
-
-// Write writes one line.
-func (p plain) Write(entry zapcore.Entry, fields []zapcore.Field) error {
-	return p.Core.Write(entry, flat(fields))
-}
-
-func flat(fields []zapcore.Field) []zapcore.Field {
-	for i, f := range fields {
-		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
-			fields[i] = zap.String(f.Key, err.Error())
-		}
-	}
-	return fields
-}
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -153,6 +153,19 @@
 	return time.Since(m.live[ip].at) < alive
 }
 
+// Oldest returns how long ago the host was heard that was heard longest ago, of those that count as alive.
+func (m *Mates) Oldest() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, known := range m.live {
+		if age := time.Since(known.at); age < alive {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // Reads reports whether some other host has read the store for others within the limit.
 func (m *Mates) Reads(limit time.Duration) bool {
 	return m.readers.Fresh(limit, time.Now())
--- a/internal/meter/label.go
+++ b/internal/meter/label.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"damaskreach/internal/call"
+	"damaskreach/internal/prom"
 	"damaskreach/internal/timing"
 	"damaskreach/internal/tune"
 )
@@ -83,17 +84,17 @@
 
 // series are the histograms of one name.
 type series struct {
-	first   *times
-	between *times
-	wait    *times
-	stall   *times
+	first   *prom.Times
+	between *prom.Times
+	wait    *prom.Times
+	stall   *prom.Times
 	late    metrics.Counter // answers whose first piece came after its target
 	slow    metrics.Counter // answers whose pieces came further apart than their target
 }
 
 func newSeries() *series {
 	return &series{
-		first: newTimes(), between: newTimes(), wait: newTimes(), stall: newTimes(),
+		first: prom.NewTimes(), between: prom.NewTimes(), wait: prom.NewTimes(), stall: prom.NewTimes(),
 		late: metrics.NewCounter(), slow: metrics.NewCounter(),
 	}
 }
@@ -103,12 +104,12 @@
 		return
 	}
 	first, gap := t.First.Sub(t.Start), between(t)
-	s.first.add(first)
+	s.first.Add(first)
 	if first > target.First {
 		s.late.Inc(1)
 	}
 	if gap > 0 {
-		s.between.add(gap)
+		s.between.Add(gap)
 	}
 	if gap > target.Gap {
 		s.slow.Inc(1)
@@ -116,15 +117,15 @@
 }
 
 func (s *series) started(wait, stall time.Duration) {
-	s.wait.add(wait)
-	s.stall.add(stall)
+	s.wait.Add(wait)
+	s.stall.Add(stall)
 }
 
 func (s *series) add(more *series) {
-	s.first.merge(more.first)
-	s.between.merge(more.between)
-	s.wait.merge(more.wait)
-	s.stall.merge(more.stall)
+	s.first.Merge(more.first)
+	s.between.Merge(more.between)
+	s.wait.Merge(more.wait)
+	s.stall.Merge(more.stall)
 	s.late.Inc(more.late.Count())
 	s.slow.Inc(more.slow.Count())
 }
--- a/internal/meter/write.go
+++ b/internal/meter/write.go
@@ -6,20 +6,14 @@
 	"io"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
 
+	"damaskreach/internal/prom"
 	"damaskreach/internal/reason"
 )
 
-// Kind is the content type of what Write writes.
-const Kind = "text/plain; version=0.0.4; charset=utf-8"
-
-// prefix of every metric's name.
-const prefix = "damaskreach_"
-
 // Kinds of decisions that have a counter of their own, and the counter's name.
 var counters = []struct{ kind, name, help string }{
 	{reason.Loaded, "loads_total", "adapters loaded"},
@@ -34,16 +28,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := bufio.NewWriter(w)
-	m.writeTimes(out, "first_token_seconds", "time from request to first piece of the answer", func(s *series) *times { return s.first })
-	m.writeTimes(out, "between_tokens_seconds", "mean time between pieces of one answer", func(s *series) *times { return s.between })
-	m.writeTimes(out, "queue_wait_seconds", "time at the owner before the start, without the load stall", func(s *series) *times { return s.wait })
-	m.writeTimes(out, "load_stall_seconds", "time at the owner until the adapter was resident", func(s *series) *times { return s.stall })
+	m.writeTimes(out, "first_token_seconds", "time from request to first piece of the answer", func(s *series) *prom.Times { return s.first })
+	m.writeTimes(out, "between_tokens_seconds", "mean time between pieces of one answer", func(s *series) *prom.Times { return s.between })
+	m.writeTimes(out, "queue_wait_seconds", "time at the owner before the start, without the load stall", func(s *series) *prom.Times { return s.wait })
+	m.writeTimes(out, "load_stall_seconds", "time at the owner until the adapter was resident", func(s *series) *prom.Times { return s.stall })
 	m.writeCounts(out, "first_tokens_late_total", "answers whose first piece came after the target first of the tune row", func(s *series) metrics.Counter { return s.late })
 	m.writeCounts(out, "tokens_slow_total", "answers whose pieces came further apart than the target gap of the tune row", func(s *series) metrics.Counter { return s.slow })
 	m.writeCounters(out)
 	for i, g := range m.gauges {
-		head(out, g.name, g.help, "gauge")
-		fmt.Fprintf(out, "%s%s %s\n", prefix, g.name, strconv.FormatFloat(gauges[i], 'g', -1, 64))
+		prom.Head(out, g.name, g.help, "gauge")
+		fmt.Fprintf(out, "%s%s %s\n", prom.Prefix, g.name, prom.Float(gauges[i]))
 	}
 	return out.Flush()
 }
@@ -58,63 +52,43 @@
 	return values
 }
 
-func (m *Meter) writeTimes(out io.Writer, name, help string, pick func(s *series) *times) {
+func (m *Meter) writeTimes(out io.Writer, name, help string, pick func(s *series) *prom.Times) {
 	for _, l := range m.labels {
 		full := l.name + "_" + name
-		head(out, full, help+", by "+l.name, "histogram")
+		prom.Head(out, full, help+", by "+l.name, "histogram")
 		for _, value := range slices.Sorted(maps.Keys(l.series)) {
-			pick(l.series[value]).write(out, full, l.name, value)
+			pick(l.series[value]).Write(out, full, l.name+"="+prom.Quote(value))
 		}
-		pick(l.other).write(out, full, l.name, other)
+		pick(l.other).Write(out, full, l.name+"="+prom.Quote(other))
 	}
 }
 
 func (m *Meter) writeCounts(out io.Writer, name, help string, pick func(s *series) metrics.Counter) {
 	for _, l := range m.labels {
 		full := l.name + "_" + name
-		head(out, full, help+", by "+l.name, "counter")
+		prom.Head(out, full, help+", by "+l.name, "counter")
 		for _, value := range slices.Sorted(maps.Keys(l.series)) {
-			fmt.Fprintf(out, "%s%s{%s=%s} %d\n", prefix, full, l.name, quote(value), pick(l.series[value]).Count())
+			fmt.Fprintf(out, "%s%s{%s=%s} %d\n", prom.Prefix, full, l.name, prom.Quote(value), pick(l.series[value]).Count())
 		}
-		fmt.Fprintf(out, "%s%s{%s=%s} %d\n", prefix, full, l.name, quote(other), pick(l.other).Count())
-	}
-}
-
-// write writes one histogram; one that counted nothing is left out.
-func (t *times) write(out io.Writer, name, label, value string) {
-	count := int64(0)
-	for _, b := range t.buckets {
-		count += b.Count()
-	}
-	if count == 0 {
-		return
+		fmt.Fprintf(out, "%s%s{%s=%s} %d\n", prom.Prefix, full, l.name, prom.Quote(other), pick(l.other).Count())
 	}
-	tag := label + "=" + quote(value)
-	below := int64(0)
-	for i, bound := range bounds {
-		below += t.buckets[i].Count()
-		fmt.Fprintf(out, "%s%s_bucket{%s,le=%q} %d\n", prefix, name, tag, strconv.FormatFloat(bound.Seconds(), 'g', -1, 64), below)
-	}
-	fmt.Fprintf(out, "%s%s_bucket{%s,le=\"+Inf\"} %d\n", prefix, name, tag, count)
-	fmt.Fprintf(out, "%s%s_sum{%s} %s\n", prefix, name, tag, strconv.FormatFloat(float64(t.sum.Count())/1e9, 'g', -1, 64))
-	fmt.Fprintf(out, "%s%s_count{%s} %d\n", prefix, name, tag, count)
 }
 
 func (m *Meter) writeCounters(out io.Writer) {
-	head(out, "refusals_total", "answers other than whole ones, by code and verdict", "counter")
+	prom.Head(out, "refusals_total", "answers other than whole ones, by code and verdict", "counter")
 	keys := slices.SortedFunc(maps.Keys(m.refusals), func(a, b refusal) int {
 		return strings.Compare(a.code+" "+a.verdict, b.code+" "+b.verdict)
 	})
 	for _, key := range keys {
-		fmt.Fprintf(out, "%srefusals_total{code=%s,verdict=%s} %d\n", prefix, quote(key.code), quote(key.verdict), m.refusals[key].Count())
+		fmt.Fprintf(out, "%srefusals_total{code=%s,verdict=%s} %d\n", prom.Prefix, prom.Quote(key.code), prom.Quote(key.verdict), m.refusals[key].Count())
 	}
-	head(out, "decisions_total", "decisions by kind", "counter")
+	prom.Head(out, "decisions_total", "decisions by kind", "counter")
 	for _, kind := range slices.Sorted(maps.Keys(m.kinds)) {
-		fmt.Fprintf(out, "%sdecisions_total{kind=%s} %d\n", prefix, quote(kind), m.kinds[kind].Count())
+		fmt.Fprintf(out, "%sdecisions_total{kind=%s} %d\n", prom.Prefix, prom.Quote(kind), m.kinds[kind].Count())
 	}
 	for _, c := range counters {
-		head(out, c.name, c.help, "counter")
-		fmt.Fprintf(out, "%s%s %d\n", prefix, c.name, value(m.kinds[c.kind]))
+		prom.Head(out, c.name, c.help, "counter")
+		fmt.Fprintf(out, "%s%s %d\n", prom.Prefix, c.name, value(m.kinds[c.kind]))
 	}
 }
 
@@ -124,14 +98,3 @@
 	}
 	return c.Count()
 }
-
-func head(out io.Writer, name, help, kind string) {
-	fmt.Fprintf(out, "# HELP %s%s %s\n# TYPE %s%s %s\n", prefix, name, help, prefix, name, kind)
-}
-
-// escapes are those that the format knows; a tenant's or class's name with a line end would otherwise break the whole page.
-var escapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
-
-func quote(value string) string {
-	return `"` + escapes.Replace(value) + `"`
-}
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -20,7 +20,7 @@
 	"damaskreach/internal/edge"
 	"damaskreach/internal/logger"
 	"damaskreach/internal/setup"
-	"damaskreach/internal/tally"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/turns"
 )
 
@@ -39,6 +39,8 @@
 	reloadEvery = 2 * time.Second
 	// memoryShare is the part of the allowed memory at which the collector works harder.
 	memoryShare = 0.6
+	// flushFor is how long the last lines may take to be written: a queue of them takes some milliseconds where they are read.
+	flushFor = 300 * time.Millisecond
 )
 
 type options struct {
@@ -117,7 +119,12 @@
 		log.Zap().Error("the host ended with a fault", zap.Error(err))
 	}
 	stop()
-	<-written
+	select {
+	case <-written:
+	case <-time.After(flushFor):
+		// Whoever reads the output has stopped. Waiting for it would keep the process from ending in time, and the platform from
+		// starting the next one.
+	}
 	if err != nil {
 		return exitFault
 	}
@@ -143,9 +150,9 @@
 	go reload(ctx, path, &current, log, lines)
 	e := s.Build(first)
 	e.Setup = func() setup.Setup { return *current.Load() }
-	e.Log = lines
-	e.Tally = tally.NewTally()
-	e.Tally.Gauge("log.dropped", log.Dropped)
+	e.Log, e.Requests = lines, lines.Named(logger.Requests)
+	e.Stats = stats.NewStats()
+	e.Stats.Gauge(stats.Dropped, func() float64 { return float64(log.Dropped()) })
 	return e.Run(ctx)
 }
 
--- /dev/null
+++ b/internal/stats/names.go
@@ -0,0 +1,55 @@
+package stats
+
+// Names of metrics. The labels that each one takes stand behind it.
+const (
+	Requests    = "requests_total"              // route, code, verdict
+	Took        = "request_seconds"             // route
+	First       = "request_first_seconds"       // route
+	Turn        = "request_turn_seconds"        // route
+	Pause       = "request_pause_seconds"       // route
+	Sends       = "sends_total"                 // upstream, outcome
+	Connections = "connections_opened_total"    // none
+	Admits      = "turns_total"                 // outcome
+	Store       = "store_seconds"               // call, rows
+	StoreFails  = "store_failures_total"        // call, rows, error
+	Claims      = "engines_claimed_total"       // none
+	Renewals    = "lease_renewals_total"        // outcome
+	Orders      = "orders_total"                // operation, effect
+	Loads       = "load_seconds"                // from
+	LoadWaits   = "load_wait_seconds"           // behind
+	Unloads     = "unloads_total"               // effect
+	Age         = "belief_age_seconds"          // belief
+	LeaseLeft   = "lease_left_seconds"          // none
+	Engines     = "engines_ordered"             // none
+	Hosts       = "hosts_serving"               // none
+	Upstreams   = "upstreams_known"             // none
+	Dropped     = "log_lines_dropped_total"     // none
+	Other       = "metric_series_dropped_total" // metric
+)
+
+// help says what each metric is, for the page that scrapers read.
+var help = map[string]string{
+	Requests:    "requests of callers by route, outcome and whether they may have run",
+	Took:        "time from a request to the end of its answer",
+	First:       "time from a request to the first byte of its answer",
+	Turn:        "time that a request waited here before it was last sent",
+	Pause:       "longest time between two events of a stream",
+	Sends:       "sends of requests to upstreams by outcome",
+	Connections: "new connections to upstreams",
+	Admits:      "turns asked for at engines by outcome",
+	Store:       "time of calls to the store; those of the feed include the wait for a change",
+	StoreFails:  "calls to the store that failed",
+	Claims:      "engines that this host took",
+	Renewals:    "renewals of this host's lease by outcome",
+	Orders:      "orders to engines by effect",
+	Loads:       "time that loads took, by where the weights came from",
+	LoadWaits:   "time that loads waited for their order, by what held them up last",
+	Unloads:     "adapters unloaded to make room, by effect",
+	Age:         "time since what this host believes was last confirmed",
+	LeaseLeft:   "time for which this host may still give orders",
+	Engines:     "engines that this host gives orders to",
+	Hosts:       "other hosts that lookups name",
+	Upstreams:   "upstreams that are registered",
+	Dropped:     "lines of the log that were not written",
+	Other:       "values counted under \"other\" because a metric has too many series",
+}
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/rows"
+	"damaskreach/internal/stats"
 )
 
 const (
@@ -78,7 +79,11 @@
 	if len(edits) == 0 {
 		return left == 0
 	}
-	return t.write(ctx, "engines claimed", strconv.Itoa(len(edits)), edits...) && left == len(edits)
+	if !t.write(ctx, "engines claimed", strconv.Itoa(len(edits)), edits...) {
+		return false
+	}
+	t.Stats.Add(stats.Claims, int64(len(edits)))
+	return left == len(edits)
 }
 
 func (t *Tenure) makeSecret(ctx context.Context) {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/rows"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
 	"damaskreach/internal/target"
 )
@@ -65,6 +66,7 @@
 	// Relaxed reports whether another host reads the rows for this one at present.
 	Relaxed func() bool
 	Log     *zap.Logger
+	Stats   *stats.Stats
 
 	wake    chan struct{}
 	mu      sync.Mutex
@@ -190,9 +192,11 @@
 	}
 	rev, err := t.Table.Write(ctx, rows.Row{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev})
 	if err != nil {
+		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
 		t.renewFailed(ctx, err)
 		return firstEvery
 	}
+	t.Stats.Add(stats.Renewals, 1, "outcome", "ok")
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known.Ended || !t.renewed && !passive {
