Let prompts go first that can be on time; refuse those without a turn in time

Cause: turns at an engine were given in order of rank and asking. Where more was asked for than an engine can read, every request waited until it was late, and those whose wait had become hopeless were sent without a turn all the same.

Now those that can be on time go first, by rank and by when they must be on time; the late ones follow in order of asking; one whose turn would come too late is refused at once, with the engine's wait as the time to come back, unless an engine that has nothing to do could load the adapter.

Large prompts keep their share.

--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -59,6 +59,7 @@
 	sent    []sent
 	loads   []want.Want
 	loadErr error
+	busy    map[string]bool // engines that have no turn in time
 	late    bool
 }
 
@@ -135,6 +136,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.loads = append(b.loads, w)
+	if b.busy[w.ID] {
+		return want.ErrBusy
+	}
 	return b.loadErr
 }
 
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +12,7 @@
 	"damaskreach/internal/route"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
+	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -73,6 +76,11 @@
 	return j.begun.Add(time.Duration(hope * float64(until.Sub(j.begun))))
 }
 
+// waited reports whether asking for a turn ended because there is none in time.
+func (j *job) waited(err error) bool {
+	return errors.Is(err, want.ErrBusy) || errors.Is(err, context.DeadlineExceeded) && !time.Now().Before(j.hopeless())
+}
+
 // again reports whether the request may be sent to another upstream after a send that may have run.
 func (j *job) again() bool {
 	return j.route.Repeatable() && j.runs < max(1, j.route.Attempts)
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -95,7 +95,12 @@
 		if x.crowded(sound, able, now) {
 			x.spreadTo(j, others, older, version, now)
 		}
-		return x.admitAny(ctx, j, sound, version, func() { x.spreadTo(j, others, older, version, time.Now()) })
+		t, v, refusal := x.admitAny(ctx, j, sound, version, func() { x.spreadTo(j, others, older, version, time.Now()) })
+		idle := x.idle(others)
+		if refusal == nil || refusal.Code != refuse.Overloaded || len(idle) == 0 {
+			return t, v, refusal
+		}
+		return x.load(ctx, j, idle, nil, version)
 	}
 	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
 		x.spreadTo(j, others, older, version, now)
@@ -107,6 +112,19 @@
 	return x.load(ctx, j, others, older, version)
 }
 
+// idle returns the engines of a list where a prompt would hardly wait. A request is not refused while one of them could have
+// its adapter loaded in time; where all are busy, a load would only take the place of what others use.
+func (x *Direct) idle(list []target.Target) []target.Target {
+	now := time.Now()
+	var idle []target.Target
+	for _, t := range x.usable(list, now) {
+		if x.Pick.Waiting(t.ID, now) < longWait {
+			idle = append(idle, t)
+		}
+	}
+	return idle
+}
+
 // admitOlder waits for a turn at an engine with an older version, but not beyond the time for which that still serves. The
 // request begins there after the wait; without this bound a long wait would let it begin on a version that is out of force.
 func (x *Direct) admitOlder(ctx context.Context, j *job, older []target.Target) (target.Target, int, *refuse.Refusal) {
@@ -171,6 +189,9 @@
 		if ctx.Err() != nil {
 			return target.Target{}, 0, x.ended(ctx, j)
 		}
+		if j.waited(err) {
+			return target.Target{}, 0, x.full(j, t)
+		}
 		if errors.Is(err, want.ErrFailed) || !x.still(t) {
 			j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
 			return x.place(ctx, j)
@@ -180,6 +201,13 @@
 	return ordered[0], version, nil
 }
 
+// full returns the refusal of a request for which no engine that holds its adapter has a turn in time. Sent all the same, its
+// prompt would hold up the streams of others. Its caller comes back when the prompts that wait now should be read.
+func (x *Direct) full(j *job, t target.Target) *refuse.Refusal {
+	wait := max(comeBack, x.Pick.Waiting(t.ID, time.Now()))
+	return refuse.NewRefusal(j.verdict(), refuse.Overloaded, "no turn for a prompt within %v", time.Until(j.hopeless()).Round(time.Millisecond)).WithRetry(wait)
+}
+
 // still reports whether an upstream that was chosen before a wait may still get new requests.
 func (x *Direct) still(t target.Target) bool {
 	now, ok := x.View().Targets[t.ID]
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -76,12 +76,14 @@
 	}
 }
 
-// send grants the prompts that may go now, the most urgent first, and returns when the next one may.
+// send grants the prompts that may go now, and returns when the next one may. Where more is asked for than the engine can
+// read, those that can be on time go first: in order of asking, all would wait until they are late. Those whose turn would
+// come too late for their callers are refused at once, so that they can come back while there is time.
 func (l *lane) send() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	slices.SortStableFunc(l.waiting, func(a, b waiter) int { return a.Rank - b.Rank })
+	slices.SortStableFunc(l.waiting, func(a, b waiter) int { return a.before(b, now) })
 	kept := l.waiting[:0]
 	next := idle
 	ahead := l.pace.Backlog(now)
@@ -97,14 +99,16 @@
 			l.grant(w, now)
 		case w.Bound > 0 && (free <= 0 || max(wait, ahead) > w.Bound):
 			w.done <- want.ErrCrowded
+		case w.hopeless(now, ahead):
+			w.done <- want.ErrBusy
 		default:
-			// Nothing overtakes it: small prompts would keep a large one waiting for ever.
+			// Nothing behind it overtakes it: small prompts would keep a large one waiting for ever.
 			next = min(next, max(wait, time.Millisecond))
 			if free <= 0 {
 				next = min(next, again)
 			}
 			kept = append(kept, w)
-			ahead += w.Cost
+			ahead += l.pace.Takes(w.Cost)
 		}
 	}
 	l.waiting = kept
@@ -157,7 +161,7 @@
 	defer l.mu.Unlock()
 	sum := l.pace.Backlog(time.Now())
 	for _, w := range l.waiting {
-		sum += w.Cost
+		sum += l.pace.Takes(w.Cost)
 	}
 	if free := l.free(); free <= 0 {
 		sum += slotWait * time.Duration(1-free+len(l.waiting))
--- /dev/null
+++ b/internal/giver/lane_test.go
@@ -0,0 +1,130 @@
+package giver_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/giver"
+	"damaskreach/internal/want"
+)
+
+// turn is one request for a turn: how large its prompt is, how long it waited, and what came of it.
+type turn struct {
+	cost   time.Duration
+	waited time.Duration
+	err    error
+}
+
+const (
+	patience = 850 * time.Millisecond  // of callers, for an answer on time
+	hopeless = 2800 * time.Millisecond // from which on callers leave before the first event
+)
+
+// ask asks for turns at the engine as the callers of assistants do: Poisson arrivals, prompts with a mean of 70 ms to read
+// and some of four times that. Half the prompts are of a less urgent kind.
+func ask(t *testing.T, g *giver.Giver, seed uint64, perSecond float64, span time.Duration) []turn {
+	r := rand.New(rand.NewPCG(seed, 5))
+	var mu sync.Mutex
+	var turns []turn
+	var group sync.WaitGroup
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		time.Sleep(time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)))
+		cost := min(280*time.Millisecond, time.Duration((0.3+r.ExpFloat64())*float64(54*time.Millisecond)))
+		w := want.Want{
+			ID: "e", Host: "h", Model: "m", Adapter: name(0), Cost: cost, Room: 230 * time.Millisecond, Tail: 30 * time.Millisecond,
+			Patience: patience - cost, Limit: hopeless, Rank: r.IntN(2),
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			ctx, cancel := context.WithTimeout(t.Context(), hopeless)
+			defer cancel()
+			begun := time.Now()
+			err := g.Admit(ctx, w)
+			mu.Lock()
+			defer mu.Unlock()
+			turns = append(turns, turn{cost, time.Since(begun), err})
+		}()
+	}
+	group.Wait()
+	return turns
+}
+
+// Half of the engines are lost at a busy hour, and those that are left are asked for twice what they can read. In order of
+// asking, every request would wait for seconds and every answer would be late; the callers that could be served in time
+// must be, and those that cannot must be told before they have waited in vain.
+func TestFullEngineServesThoseInTimeThatCanBe(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			g := desk(t, newEngine(2))
+			g.Running("h", nil, time.Now())
+			if err := admit(t, g, name(0)); err != nil {
+				t.Fatalf("load: %v", err)
+			}
+			turns := ask(t, g, seed, 20, 20*time.Second)
+			var read, late time.Duration
+			var told []time.Duration
+			for _, u := range turns {
+				switch {
+				case u.err == nil && u.waited <= patience-u.cost:
+					read += u.cost
+				case u.err == nil:
+					late += u.cost
+				case errors.Is(u.err, want.ErrBusy):
+					told = append(told, u.waited)
+				}
+			}
+			t.Logf("seed %d: %d asked; read in time %v, late %v; %d told", seed, len(turns), read, late, len(told))
+			// An engine reads for 0.74 of the time at most.
+			if got, want := read.Seconds(), 0.6*20; got < want {
+				t.Errorf("seed %d: prompts read in time = %.1f s of 20 s, want at least %.1f", seed, got, want)
+			}
+			if len(told) == 0 {
+				t.Errorf("seed %d: nobody was told that there is no turn in time", seed)
+			}
+			if sum := mean(told); sum > hopeless*7/10 {
+				t.Errorf("seed %d: mean wait of those that were told = %v, want less than seven tenths of %v", seed, sum, hopeless)
+			}
+		})
+	}
+}
+
+func mean(list []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, d := range list {
+		sum += d
+	}
+	return sum / time.Duration(max(1, len(list)))
+}
+
+// Large prompts must not be pushed out by small ones where an engine is full: their callers have waited as long as others.
+func TestFullEngineServesLargePromptsToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := desk(t, newEngine(2))
+		g.Running("h", nil, time.Now())
+		if err := admit(t, g, name(0)); err != nil {
+			t.Fatalf("load: %v", err)
+		}
+		var asked, served, allAsked, allServed float64
+		for _, u := range ask(t, g, 9, 20, 40*time.Second) {
+			allAsked++
+			if u.err == nil {
+				allServed++
+			}
+			if u.cost > 140*time.Millisecond {
+				asked++
+				if u.err == nil {
+					served++
+				}
+			}
+		}
+		if got, want := served/asked, 0.5*allServed/allAsked; got < want {
+			t.Errorf("share of large prompts served = %.2f, want at least %.2f: all have %.2f", got, want, allServed/allAsked)
+		}
+	})
+}
--- a/internal/giver/waiter.go
+++ b/internal/giver/waiter.go
@@ -15,17 +15,33 @@
 	block *string // what holds it up
 }
 
-// before orders loads that wait: those that can still be on time go first, the earliest first; those that are late already
-// follow, so that a burst does not make everything late that comes behind it.
+// before orders those that wait: those that can still be on time go first; those that are late already follow, so that a
+// burst does not make everything late that comes behind it. Among each, the more urgent go first, then those that must be
+// on time the soonest, and of those that are late the ones that have waited longest.
 func (w waiter) before(other waiter, now time.Time) int {
-	late, otherLate := now.Sub(w.since) > w.Patience, now.Sub(other.since) > other.Patience
-	if late != otherLate {
+	if late := w.late(now); late != other.late(now) {
 		if late {
 			return 1
 		}
 		return -1
 	}
-	return w.since.Compare(other.since)
+	if w.Rank != other.Rank {
+		return w.Rank - other.Rank
+	}
+	if w.late(now) {
+		return w.since.Compare(other.since)
+	}
+	return w.since.Add(w.Patience).Compare(other.since.Add(other.Patience))
+}
+
+// late reports whether the answer cannot be on time any more.
+func (w waiter) late(now time.Time) bool {
+	return now.Sub(w.since) > w.Patience
+}
+
+// hopeless reports whether a wait that goes on for so long would be of no use.
+func (w waiter) hopeless(now time.Time, wait time.Duration) bool {
+	return w.Limit > 0 && now.Sub(w.since)+wait > w.Limit
 }
 
 // left reports whether nobody waits any more.
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -50,6 +50,11 @@
 	p.end = p.end.Add(cost)
 }
 
+// Takes returns how much later the next prompt may go behind one that takes cost to read, where many wait.
+func (p *Pace) Takes(cost time.Duration) time.Duration {
+	return time.Duration((1 + rest) * float64(cost))
+}
+
 // Backlog returns how long the engine has prompts to read.
 func (p *Pace) Backlog(now time.Time) time.Duration {
 	return max(0, p.end.Sub(now))
