Give no place in use, and no full way from the store, to loads that nobody waits for

Cause: with half of Kingston's engines, 582 of 1,122 loads waited behind 'places': a busy adapter that engines held already was loaded to one more engine 442 times, and each took the place of an adapter with callers of its own, or the way from the weight store from a request that waited.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -62,6 +62,19 @@
 	return func(at time.Time, counts bool) { f.end(n, now, at, counts) }, true
 }
 
+// Spare reports whether less than half of what may be on its way is: enough for one more that nobody waits for.
+func (f *Flow) Spare(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	under := 0
+	for _, since := range f.under {
+		if now.Sub(since) <= stuck {
+			under++
+		}
+	}
+	return float64(2*under) < f.window
+}
+
 func (f *Flow) end(n int64, since, now time.Time, counts bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -34,6 +34,9 @@
 	// lately is how recently an adapter must have been in use for its unload to be put off: hosts tell of requests under way
 	// every fifth of a second, and an unload that waits for a request keeps the engine from any other.
 	lately = 500 * time.Millisecond
+	// unused is how long an adapter must not have been in use for its place to go to one that nobody waits for: some times what a
+	// stream takes, so that the place is not one that the next request asks for.
+	unused = 5 * time.Second
 	// firstCold and firstWarm are guesses of how long loads take until some were measured here.
 	firstCold = 200 * time.Millisecond
 	firstWarm = 30 * time.Millisecond
--- a/internal/giver/giver_test.go
+++ b/internal/giver/giver_test.go
@@ -1,11 +1,14 @@
 package giver_test
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"damaskreach/internal/want"
 )
 
 // An engine's places are all taken and one adapter after the other is asked for. Each load needs one unload before it; were
@@ -103,3 +106,26 @@
 		}
 	})
 }
+
+// All places of an engine are taken by adapters in use, and a busy adapter that others hold already is to come to it too, for
+// nobody in particular. Given a place, it would push out an adapter whose next caller then waits for a load.
+func TestSpreadingTakesNoPlaceThatIsInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(3)
+		g := desk(t, e)
+		for i := range 3 {
+			if err := admit(t, g, name(i)); err != nil {
+				t.Fatalf("load %d: %v, want none", i, err)
+			}
+		}
+		spread := want.Want{ID: "e", Model: "m", Adapter: name(9), Spread: true}
+		time.Sleep(2 * time.Second)
+		if err := g.Admit(t.Context(), spread); !errors.Is(err, want.ErrBusy) {
+			t.Errorf("spread 2 s after the last use: %v, want %v", err, want.ErrBusy)
+		}
+		time.Sleep(10 * time.Second)
+		if err := g.Admit(t.Context(), spread); err != nil {
+			t.Errorf("spread 12 s after the last use: %v, want none", err)
+		}
+	})
+}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -123,6 +123,10 @@
 		*w.block = "transit"
 		return false
 	}
+	if w.Spread && !d.spare(t, w) {
+		w.done <- want.ErrBusy
+		return true
+	}
 	end, ok := func(time.Time, bool) {}, true
 	if !d.recent[w.Adapter] {
 		// Only what is not at hand at the engine comes from the store.
@@ -139,6 +143,20 @@
 	return true
 }
 
+// spare reports whether the engine has room for a load that no request waits for. Where every place is in use, one more engine
+// for a busy adapter costs another adapter its only one, and where loads queue up, a request its time.
+func (d *desk) spare(t target.Target, w waiter) bool {
+	if !d.recent[w.Adapter] && !d.g.Flow.Spare(time.Now()) {
+		return false
+	}
+	m, ok := d.pool(t).Model(w.Model)
+	if !ok {
+		return false
+	}
+	_, idle := d.oldest()
+	return len(d.held)+len(d.pending) < d.pool(t).Room(m) || idle >= unused
+}
+
 // begin gives the order of a load; it reports false where the engine did not take it.
 func (d *desk) begin(t target.Target, w waiter, end func(now time.Time, counts bool)) bool {
 	model, short := name(w.Adapter)
