--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -57,7 +57,7 @@
 	if len(usable) == 0 {
 		return target.Target{}
 	}
-	best := x.Pick.Order(ranked(j.d.Adapter, usable), now)[0]
+	best := x.steady(ranked(j.d.Adapter, usable), now)
 	for _, t := range usable {
 		if x.Holds.Left(t, j.d.Adapter) && x.Pick.Load(t.ID, now) <= 2*x.Pick.Load(best.ID, now)+slack {
 			return t
@@ -66,6 +66,23 @@
 	return best
 }
 
+// steady returns the first of the engines that an adapter hashes to which is not much busier than the others. Hosts that
+// get requests for one adapter at the same time choose the same engine; chosen by who is the least busy at the moment, they
+// would have it loaded to several.
+func (x *Direct) steady(top []target.Target, now time.Time) target.Target {
+	least, shortest := x.Pick.Load(top[0].ID, now), x.Pick.Waiting(top[0].ID, now)
+	for _, t := range top[1:] {
+		least = min(least, x.Pick.Load(t.ID, now))
+		shortest = min(shortest, x.Pick.Waiting(t.ID, now))
+	}
+	for _, t := range top {
+		if float64(x.Pick.Load(t.ID, now)) <= crowded*float64(least)+slack && x.Pick.Waiting(t.ID, now) <= shortest+longWait {
+			return t
+		}
+	}
+	return x.Pick.Order(top, now)[0]
+}
+
 // usable returns the engines to which something can be loaded now.
 func (x *Direct) usable(list []target.Target, now time.Time) []target.Target {
 	var usable []target.Target
