Wait a moment for a host to claim engines before refusing a load

A request whose adapter no engine holds now looks every 50 ms for up to 1.8 s whether an engine can be ordered.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -30,18 +30,19 @@
 	print string // what it has in common with repeats of it
 	begun time.Time
 
-	sends   int             // to upstreams, rejected ones included
-	runs    int             // sends that may have run
-	tried   map[string]bool // upstreams that did not serve it
-	fault   *refuse.Refusal // why the last send failed
-	version int             // of the adapter that was asked of the upstream; 0 means any
-	last    string          // id of the last event that was passed on
-	headed  bool            // the status has gone to the caller
-	first   time.Time       // when the first byte of the answer went to the caller
-	sent    time.Time       // when it was last sent
-	heard   time.Time       // when the newest events went to the caller
-	pause   time.Duration   // longest between two events
-	note    string          // what was decided on the way, for the line at its end
+	sends     int             // to upstreams, rejected ones included
+	runs      int             // sends that may have run
+	tried     map[string]bool // upstreams that did not serve it
+	fault     *refuse.Refusal // why the last send failed
+	version   int             // of the adapter that was asked of the upstream; 0 means any
+	last      string          // id of the last event that was passed on
+	ownerless time.Time       // since when it waits for an engine that can be given orders
+	headed    bool            // the status has gone to the caller
+	first     time.Time       // when the first byte of the answer went to the caller
+	sent      time.Time       // when it was last sent
+	heard     time.Time       // when the newest events went to the caller
+	pause     time.Duration   // longest between two events
+	note      string          // what was decided on the way, for the line at its end
 }
 
 // deadline is when the request gets its final answer at the latest.
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -22,6 +22,10 @@
 	loadFor = 3 * time.Second
 	// elsewheres is how many engines are tried whose hosts have just lost them; that costs a round trip each.
 	elsewheres = 4
+	// ownerWait is how long a request waits for some engine to which its adapter can be loaded, and ownerLook the pause between
+	// two looks: hosts that restart settle for a second before they claim engines, and a reading of the store follows.
+	ownerWait = 1800 * time.Millisecond
+	ownerLook = 50 * time.Millisecond
 	// spreadEvery is the shortest time between two loads of one adapter that nobody waits for.
 	spreadEvery = 400 * time.Millisecond
 )
@@ -134,6 +138,9 @@
 		others, older = x.staying(others), x.staying(older)
 		t := x.first(j, others, older)
 		left := time.Until(j.hopeless())
+		if t.ID == "" && waits == 0 && x.awaitOwner(ctx, j) {
+			return x.place(ctx, j)
+		}
 		if t.ID == "" || waits == 2 || left <= 0 {
 			return target.Target{}, 0, none
 		}
@@ -160,6 +167,27 @@
 	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
 }
 
+// awaitOwner waits a moment where no engine can be given orders; it reports false where the request has waited long enough.
+// After many hosts have ended together, engines have no host for a second or two. A caller that is refused then comes back
+// once, to the same refusal, while engines have room for it.
+func (x *Direct) awaitOwner(ctx context.Context, j *job) bool {
+	now := time.Now()
+	if j.ownerless.IsZero() {
+		j.ownerless = now
+	}
+	if now.Sub(j.ownerless) > ownerWait || !now.Add(ownerLook).Before(j.hopeless()) {
+		return false
+	}
+	timer := time.NewTimer(ownerLook)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // staying returns the engines of a list that have not begun to leave since it was made: a load before may have taken seconds.
 func (x *Direct) staying(list []target.Target) []target.Target {
 	var stay []target.Target
