Begin first the loads that can be on time, over all engines of a host

Engines that want a load now tell by when it must begin; the most pressing that can be on time goes first. Whether a place is free is asked before, so that an engine without one holds nobody up.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -26,6 +26,8 @@
 	usualFor = 20 * time.Second
 	// stuck is when a load that has not ended stops counting: its engine is gone.
 	stuck = 5 * time.Second
+	// asking is how long an engine counts as wanting a load after it has asked: some times the pause between two tries.
+	asking = 80 * time.Millisecond
 )
 
 // Flow may be used from several goroutines.
@@ -37,15 +39,33 @@
 	usual  time.Duration
 	usedAt time.Time // when usual was measured
 	cutAt  time.Time
+	asks   map[string]ask // engines that want a load to begin
+}
+
+// ask is how urgent the next load of an engine is.
+type ask struct {
+	late bool      // nobody would be on time
+	by   time.Time // when it must begin for somebody to be on time
+	at   time.Time
+}
+
+// before reports whether one load goes before another one.
+func (a ask) before(b ask) bool {
+	if a.late != b.late {
+		return b.late
+	}
+	return a.by.Before(b.by)
 }
 
 // NewFlow returns a flow that has measured nothing.
 func NewFlow() *Flow {
-	return &Flow{window: first, under: map[int64]time.Time{}}
+	return &Flow{window: first, under: map[int64]time.Time{}, asks: map[string]ask{}}
 }
 
-// Begin reports whether one more load may begin, and begins it; end takes whether it came from the store and succeeded.
-func (f *Flow) Begin(now time.Time) (end func(now time.Time, counts bool), ok bool) {
+// Begin reports whether a load at an engine may begin, and begins it; end takes whether it came from the store and succeeded.
+// By is when it must begin for its request to be on time. Where more engines ask than may begin, those that can be on time go
+// first, the most pressing before others: in order of asking, a burst makes all that come behind it late as well.
+func (f *Flow) Begin(engine string, by, now time.Time) (end func(now time.Time, counts bool), ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for n, since := range f.under {
@@ -53,15 +73,32 @@
 			delete(f.under, n)
 		}
 	}
-	if float64(len(f.under)+1) > max(least, f.window) {
+	mine := ask{late: by.Before(now), by: by, at: now}
+	f.asks[engine] = mine
+	if float64(len(f.under)+1) > max(least, f.window) || f.behind(engine, mine) {
 		return nil, false
 	}
+	delete(f.asks, engine)
 	f.number++
 	n := f.number
 	f.under[n] = now
 	return func(at time.Time, counts bool) { f.end(n, now, at, counts) }, true
 }
 
+// behind reports whether another engine wants a load that is more urgent.
+func (f *Flow) behind(engine string, mine ask) bool {
+	for other, a := range f.asks {
+		if mine.at.Sub(a.at) > asking {
+			delete(f.asks, other)
+			continue
+		}
+		if other != engine && a.before(mine) {
+			return true
+		}
+	}
+	return false
+}
+
 // Spare reports whether less than half of what may be on its way is: enough for one more that nobody waits for.
 func (f *Flow) Spare(now time.Time) bool {
 	f.mu.Lock()
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -83,7 +83,7 @@
 		}
 		j := queue[next]
 		if bound {
-			end, ok := f.Begin(begin.Add(now))
+			end, ok := f.Begin("e", begin.Add(now), begin.Add(now))
 			if !ok {
 				return queue
 			}
@@ -120,11 +120,50 @@
 	f := flow.NewFlow()
 	now := time.Unix(0, 0)
 	for {
-		if _, ok := f.Begin(now); !ok {
+		if _, ok := f.Begin("e", now, now); !ok {
 			break
 		}
 	}
-	if _, ok := f.Begin(now.Add(time.Minute)); !ok {
+	if _, ok := f.Begin("e", now.Add(time.Minute), now.Add(time.Minute)); !ok {
 		t.Error("no load may begin a minute later, want one")
 	}
 }
+
+// Three engines want loads and one may begin. The one whose request can still be on time goes first, the soonest of those,
+// also where others have asked before; one that has stopped asking holds up nobody.
+func TestLoadsThatCanBeOnTimeGoFirst(t *testing.T) {
+	f := flow.NewFlow()
+	now := time.Unix(0, 0)
+	var ends []func(now time.Time, counts bool)
+	for {
+		end, ok := f.Begin("full", now.Add(time.Hour), now)
+		if !ok {
+			break
+		}
+		ends = append(ends, end)
+	}
+	by := map[string]time.Time{"late": now.Add(-time.Second), "later": now.Add(time.Second), "soon": now.Add(200 * time.Millisecond)}
+	for engine, when := range by {
+		if _, ok := f.Begin(engine, when, now); ok {
+			t.Errorf("%s began, want none to begin while the store is full", engine)
+		}
+	}
+	for _, want := range []string{"soon", "later", "late"} {
+		now = now.Add(30 * time.Millisecond)
+		ends[0](now, false)
+		ends = ends[1:]
+		var began []string
+		for _, engine := range []string{"late", "later", "soon"} {
+			if by[engine].IsZero() {
+				continue
+			}
+			if _, ok := f.Begin(engine, by[engine], now); ok {
+				began = append(began, engine)
+				delete(by, engine)
+			}
+		}
+		if len(began) != 1 || began[0] != want {
+			t.Errorf("began %v, want %s", began, want)
+		}
+	}
+}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -127,10 +127,14 @@
 		w.done <- want.ErrBusy
 		return true
 	}
+	if !d.place(t, w) {
+		*w.block = "places"
+		return false
+	}
 	end, ok := func(time.Time, bool) {}, true
 	if !d.recent[w.Adapter] {
 		// Only what is not at hand at the engine comes from the store.
-		end, ok = d.g.Flow.Begin(time.Now())
+		end, ok = d.g.Flow.Begin(d.id, w.since.Add(w.Patience-d.cold), time.Now())
 	}
 	if !ok {
 		*w.block = "flow"
@@ -188,6 +192,16 @@
 	return d.cold * 9 / 10
 }
 
+// place reports whether a place is free or can be freed now.
+func (d *desk) place(t target.Target, w waiter) bool {
+	m, ok := d.pool(t).Model(w.Model)
+	if !ok || len(d.held)+len(d.pending) < d.pool(t).Room(m) {
+		return true // a model that the configuration does not have is refused behind
+	}
+	victim, idle := d.oldest()
+	return victim != "" && idle >= lately
+}
+
 // room frees a place where there is none. An adapter that was used a moment ago stays.
 func (d *desk) room(t target.Target, w waiter) bool {
 	p := d.pool(t)
