--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -36,6 +36,9 @@
 	// may come back only once should not do so while it still is.
 	leastNoConf = 500 * time.Millisecond
 	mostNoConf  = 3 * time.Second
+	// leastAway is the same where the store does not answer: outages that a host meets at its start last for seconds, and most
+	// callers come back once only.
+	leastAway = 2 * time.Second
 	// elsewhere is when to come back from a host that stops: at once, since another one gets the request.
 	elsewhere = 20 * time.Millisecond
 	// suspect is when a request may be tried again that seems to crash upstreams: its record has ended then.
@@ -67,6 +70,8 @@
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
+	// Away reports whether the store did not answer the last reading.
+	Away func() bool
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
@@ -124,7 +129,11 @@
 
 // noConf returns when a configuration is likely to be there.
 func (x *Direct) noConf(now time.Time) time.Duration {
-	return min(mostNoConf, max(leastNoConf, now.Sub(x.Started)))
+	least := leastNoConf
+	if x.Away() {
+		least = leastAway
+	}
+	return min(mostNoConf, max(least, now.Sub(x.Started)))
 }
 
 // body reads the whole body: it may have to be sent twice, and the upstream gets its length.
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -60,6 +60,7 @@
 	loads   []want.Want
 	loadErr error
 	busy    map[string]bool // engines that have no turn in time
+	away    bool            // the store does not answer
 	late    bool
 }
 
@@ -103,6 +104,7 @@
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
+		Away:  func() bool { return b.away },
 		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
 		Stats: stats.NewStats(),
 	}
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -273,3 +273,18 @@
 		t.Errorf("status = %d, want %d", rec.Code, http.StatusOK)
 	}
 }
+
+// A host starts while the store does not answer. Its callers come back once as a rule: sent back for half a second they would
+// meet the same refusal, for good, though the store was back a second later.
+func TestHostThatStartsInAnOutageSendsCallersBackForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, streamRoute())
+		b.view = view.View{}
+		b.away = true
+		b.Started = time.Now()
+		rec, _ := b.call(nil)
+		if got, want := rec.Header().Get("Retry-After"), "2.00"; got != want {
+			t.Errorf("Retry-After = %s, want %s", got, want)
+		}
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -49,6 +49,7 @@
 	at      int64 // revision up to which registrations are read
 	missing map[string]time.Time
 	lost    time.Time // when readings of registrations began to fail
+	away    atomic.Bool
 	back    time.Time // when they succeeded again after the store was away
 	bad     map[string]int64
 
@@ -155,6 +156,7 @@
 		began := time.Now()
 		if err := i.readTargets(ctx); err != nil {
 			i.Log.Debug("registrations not read", zap.Error(err))
+			i.away.Store(true)
 			if i.lost.IsZero() {
 				i.lost = began
 				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
@@ -196,6 +198,7 @@
 	if err != nil {
 		return err
 	}
+	i.away.Store(false)
 	now := time.Now()
 	if !i.lost.IsZero() {
 		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// Away reports whether the store did not answer the last reading.
+func (i *Intake) Away() bool {
+	return i.away.Load()
+}
+
 // Age returns how long ago the operators' rows were last read, and whether they ever were.
 func (i *Intake) Age() (age time.Duration, ok bool) {
 	at := i.confRead.Load()
