Spread engines over as many hosts as give orders

Cause: on the grown Kingston one host of 73 held 47 of 140 engines and eight hosts held all: how many hosts give orders was decided when few engines were known, hosts that gave none looked again only after 2.5 s, and whoever looked first took all engines that hashed to it or that were left over.

Ruled out: the bound on loads itself (loads took 0.316 s at the median, 0.288 undisturbed), and places.

Now hosts wait for a second without new engines before the first claims, those that give no orders look every half second whether they should, and nobody takes more than twice the mean within three seconds. The new test failed with 8 hosts and 39 engines at one.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -19,8 +19,12 @@
 	leastHolders = 8
 	// perHolder is how many engines one host gives orders to, where there are many: each asks for some loads a second.
 	perHolder = 6
-	// settleFor is how long a host that starts waits before it claims engines, so that it knows of the others that start.
+	// settleFor is how long a host that starts waits before it claims engines. Where no engine has a host yet it also waits as
+	// long after the last that it learned of: how many hosts give orders follows from how many engines there are, and those
+	// must have renewed their sessions by then.
 	settleFor = time.Second
+	// evenFor is how long an engine stays without a host before one takes it that holds twice the mean already.
+	evenFor = 3 * time.Second
 	// settled is how long a host counts as alive after its row was seen to change.
 	settled = 10 * time.Second
 	// passiveFor is how long a host that does not renew its row must have been silent for the row to be ended.
@@ -107,6 +111,10 @@
 		return nil, 0
 	}
 	now := t.Clock()
+	if t.growing(now, len(engines)) {
+		return nil, len(engines)
+	}
+	room := t.room(len(engines))
 	for id, engine := range engines {
 		o, ok := t.own[id]
 		holder, live := t.hosts[o.IP]
@@ -123,12 +131,43 @@
 		if len(edits) >= most || t.first(id, engine.Centre) != t.IP && now-since < 2*firstEvery {
 			continue
 		}
+		if len(edits) >= room && now-since < evenFor {
+			continue
+		}
 		next := ownership{IP: t.IP, Epoch: t.epoch, Fence: o.Fence + 1}
 		edits = append(edits, rows.Row{Key: ownPrefix + id, Value: encode(next), Rev: o.rev})
 	}
 	return edits, left
 }
 
+// growing reports whether this host has just learned of more engines and none has a host yet.
+func (t *Tenure) growing(now time.Duration, engines int) bool {
+	if len(t.own) > 0 {
+		return false
+	}
+	if engines > t.known {
+		t.known, t.knownAt = engines, now
+	}
+	return now-t.knownAt < settleFor
+}
+
+// room returns how many more engines this host may take before others: up to twice the mean. The weight store's full speed is
+// shared by hosts, not by engines; a host with a third of all engines would load to one after the other while others idle.
+func (t *Tenure) room(engines int) int {
+	active, mine := 0, 0
+	for _, h := range t.hosts {
+		if !h.Ended && !h.Passive {
+			active++
+		}
+	}
+	for _, o := range t.own {
+		if o.IP == t.IP && o.Epoch == t.epoch {
+			mine++
+		}
+	}
+	return max(0, 2*engines/max(1, active)+1-mine)
+}
+
 // holder reports whether this host should give orders: it does already, or it is one of as many hosts as the engines need.
 // Each host that may give orders renews its session; with a hundred hosts those renewals would be most calls to the store.
 func (t *Tenure) holder() bool {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -80,6 +80,8 @@
 	mark    int64 // revision of the newest change that matters to others
 	secret  []byte
 	fresh   map[string]time.Duration // engines without a host, since when
+	known   int                      // most engines that it has known of while none had a host
+	knownAt time.Duration            // since when
 }
 
 type seen struct {
@@ -181,7 +183,8 @@
 	passive := !t.holder()
 	t.mu.Unlock()
 	if passive && known.Passive && !known.Ended && known.Start == t.start {
-		return renewEvery
+		// Once it knows of more engines, or fewer hosts, it may be one of those that give orders.
+		return firstEvery
 	}
 	sent := t.Clock()
 	s := session{
@@ -209,7 +212,7 @@
 	t.epoch = s.Epoch
 	t.sent = sent
 	t.hosts[t.IP] = seen{session: s, rev: rev, since: sent}
-	if t.at == 0 {
+	if t.at == 0 || passive {
 		return firstEvery
 	}
 	return renewEvery
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,6 +36,7 @@
 	db      *rowdb.DB
 	begun   time.Time
 	engines map[string]target.Target
+	unknown time.Duration // how long after the start hosts learn of the engines
 }
 
 func newSite(t *testing.T, engines ...string) *site {
@@ -45,6 +47,14 @@
 	return s
 }
 
+// known returns the engines that hosts know of now.
+func (s *site) known() map[string]target.Target {
+	if time.Since(s.begun) < s.unknown {
+		return nil
+	}
+	return s.engines
+}
+
 // start starts the program on a host.
 func (s *site) start(ip string) *host {
 	h := &host{}
@@ -53,7 +63,7 @@
 	h.Tenure = &tenure.Tenure{
 		Table: h.through(s.db.TableFor(ip)), IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
 		Turn: func() time.Duration { return turn }, Clock: func() time.Duration { return time.Since(s.begun) },
-		Engines: func() map[string]target.Target { return s.engines }, Log: zap.NewNop(),
+		Engines: s.known, Log: zap.NewNop(),
 		Live: func(string) bool { return true }, Relaxed: func() bool { return false },
 	}
 	go h.Run(ctx)
@@ -248,3 +258,40 @@
 		}
 	})
 }
+
+// Forty hosts start and learn of a hundred engines only after their sessions have begun. Were the number of hosts that give
+// orders taken from what is known by then, a handful would hold all engines for good, some of them half; their share of the
+// weight store would serve those engines one load after the other while the rest of the hosts had nothing to load.
+func TestEnginesAreSpreadThoughLearntOfLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ids []string
+		for i := range 100 {
+			ids = append(ids, fmt.Sprint("e", i))
+		}
+		s := newSite(t, ids...)
+		s.unknown = 1500 * time.Millisecond
+		var hosts []*host
+		for i := range 40 {
+			hosts = append(hosts, s.start(fmt.Sprint("10.0.0.", i+1)))
+		}
+		time.Sleep(10 * time.Second)
+		held, most, all := 0, 0, 0
+		for _, h := range hosts {
+			n := len(h.Mine())
+			all += n
+			most = max(most, n)
+			if n > 0 {
+				held++
+			}
+		}
+		if all != len(ids) {
+			t.Errorf("engines with a host = %d, want %d", all, len(ids))
+		}
+		if least := 12; held < least {
+			t.Errorf("hosts that hold engines = %d, want at least %d", held, least)
+		}
+		if want := 14; most > want {
+			t.Errorf("engines of one host = %d, want at most %d", most, want)
+		}
+	})
+}
