Take the shortest wait that engines told; load at an idle one rather than be late

The engines that held those were asked one after the other for a short wait, and the request then waited at the one that had looked least busy, without bound; 73 hosts look at counts that are 0.7 s old and queue up at the same engine. New engines came one at a time, since a host learned a second later that the last one held the adapter.

Now a crowded engine's host tells the wait, the request takes the shortest, and where that is longer than a load takes and another engine has nothing to do, the adapter is loaded there for it. A busy adapter comes to a quarter more engines at once.

--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -59,8 +59,9 @@
 	sent    []sent
 	loads   []want.Want
 	loadErr error
-	busy    map[string]bool // engines that have no turn in time
-	away    bool            // the store does not answer
+	waits   map[string]time.Duration // for a prompt at each engine
+	busy    map[string]bool          // engines that have no turn in time
+	away    bool                     // the store does not answer
 	late    bool
 }
 
@@ -141,6 +142,9 @@
 	if b.busy[w.ID] {
 		return want.ErrBusy
 	}
+	if wait := b.waits[w.ID]; w.Bound > 0 && wait > w.Bound {
+		return want.NewCrowded(wait)
+	}
 	return b.loadErr
 }
 
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -217,6 +217,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*loadFor)
 	defer cancel()
 	err := x.Admit(ctx, want.Want{ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Spread: true})
+	if err == nil {
+		x.Holds.Hit(t.ID, j.d.Adapter)
+	}
 	x.Log.Info("adapter spread", zap.String("adapter", j.d.Adapter), zap.String("target", t.ID), zap.Int("version", version),
 		zap.Error(err))
 }
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -26,6 +26,9 @@
 	shortWait = 40 * time.Millisecond
 	// longWait is the wait at the best of the engines that hold an adapter from which it gets one more: about what the load takes.
 	longWait = 200 * time.Millisecond
+	// worthLoad is the wait at engines that hold an adapter from which a request has it loaded at one that has nothing to do: what
+	// a load takes, and the way there.
+	worthLoad = 400 * time.Millisecond
 	// mostAsked is how many engines are asked for a short wait; each costs a round trip between hosts.
 	mostAsked = 4
 	// gapSlack is kept free of the longest pause that a stream may have, for its way to the caller and for steps that are
@@ -59,7 +62,7 @@
 		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine holds %s", j.d.Model).WithRetry(comeBack)
 	}
 	if j.d.Adapter == "" {
-		return x.admitAny(ctx, j, able, 0, func() {})
+		return x.admitAny(ctx, j, able, 0, 0, func() {})
 	}
 	return x.placeAdapter(ctx, j, able)
 }
@@ -92,22 +95,26 @@
 		}
 	}
 	if sound := x.sound(holders, now); len(sound) > 0 {
+		more := 1 + len(sound)/4
 		if x.crowded(sound, able, now) {
-			x.spreadTo(j, others, older, version, now)
+			x.spreadTo(j, others, older, version, more, now)
 		}
-		t, v, refusal := x.admitAny(ctx, j, sound, version, func() { x.spreadTo(j, others, older, version, time.Now()) })
-		idle := x.idle(others)
+		idle, most := x.idle(others), time.Duration(0)
+		if len(idle) > 0 {
+			most = worthLoad
+		}
+		t, v, refusal := x.admitAny(ctx, j, sound, version, most, func() { x.spreadTo(j, others, older, version, more, time.Now()) })
 		if refusal == nil || refusal.Code != refuse.Overloaded || len(idle) == 0 {
 			return t, v, refusal
 		}
 		return x.load(ctx, j, idle, nil, version)
 	}
 	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
-		x.spreadTo(j, others, older, version, now)
+		x.spreadTo(j, others, older, version, 1, now)
 		return x.admitOlder(ctx, j, older)
 	}
 	if len(x.usable(others, now))+len(x.usable(older, now)) == 0 && len(holders) > 0 {
-		return x.admitAny(ctx, j, holders, version, func() {})
+		return x.admitAny(ctx, j, holders, version, 0, func() {})
 	}
 	return x.load(ctx, j, others, older, version)
 }
@@ -131,7 +138,7 @@
 	until := j.view.Named[j.d.Adapter].Add(x.Grace())
 	waitCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	t, version, refusal := x.admitAny(waitCtx, j, older, 0, func() {})
+	t, version, refusal := x.admitAny(waitCtx, j, older, 0, 0, func() {})
 	if waitCtx.Err() != nil && ctx.Err() == nil {
 		return x.place(ctx, j)
 	}
@@ -160,30 +167,47 @@
 	return float64(x.Pick.Load(best.ID, now)) > min(limit, full*float64(best.Slots))
 }
 
-// spreadTo has an adapter loaded at one more engine, without waiting for it.
-func (x *Direct) spreadTo(j *job, others, older []target.Target, version int, now time.Time) {
+// spreadTo has an adapter loaded at some more engines, without waiting for it. The callers of one adapter may need twenty
+// engines; coming to one after the other, each of which is known to all hosts a second later, it would take half a minute.
+func (x *Direct) spreadTo(j *job, others, older []target.Target, version, more int, now time.Time) {
 	if len(others)+len(older) == 0 || !x.spread.due(j.d.Adapter, now) {
 		return
 	}
-	go x.loadAside(x.first(j, others, older), j, version)
+	for range more {
+		t := x.first(j, others, older)
+		if t.ID == "" {
+			return
+		}
+		go x.loadAside(t, j, version)
+		others, older = without(others, t.ID), without(older, t.ID)
+	}
 }
 
 // admitAny waits for its turn at one of the engines, trying the less busy ones first and those that know of a long wait
-// last; crowd is called where all that were asked have a long wait. An engine whose host cannot be asked is sent the request all the same: it holds the adapter.
+// last; most bounds the wait at the one that is taken in the end, 0 means any; crowd is called where all that were asked have a long wait. An engine whose host cannot be asked is sent the request all the same: it holds the adapter.
 func (x *Direct) admitAny(
-	ctx context.Context, j *job, list []target.Target, version int, crowd func(),
+	ctx context.Context, j *job, list []target.Target, version int, most time.Duration, crowd func(),
 ) (target.Target, int, *refuse.Refusal) {
 	ordered := x.Pick.Order(list, time.Now())
+	best, shortest := ordered[0], time.Duration(-1)
 	for i, t := range ordered {
 		bound := shortWait
 		if i == len(ordered)-1 || i == mostAsked {
-			t, bound = ordered[0], 0
+			t, bound = best, most
 			if i > 0 && x.Pick.Waiting(t.ID, time.Now()) > longWait {
 				crowd()
 			}
 		}
 		err := x.ask(ctx, j, t, version, bound)
 		if errors.Is(err, want.ErrCrowded) {
+			wait := want.Wait(err)
+			x.Pick.Waits(t.ID, wait, time.Now())
+			if shortest < 0 || wait < shortest {
+				best, shortest = t, wait
+			}
+			if bound == most {
+				return target.Target{}, 0, x.full(j, t)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -288,3 +288,34 @@
 		}
 	})
 }
+
+// Every engine that holds an adapter has prompts waiting. The request goes where the wait is shortest, as they told, and not
+// back to the one that looked least busy before: many hosts look at the same old counts, and all would wait in one queue.
+func TestRequestWaitsWhereTheWaitIsShortest(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Stream, Target: time.Second})
+	b.add("one", map[string]int{"m/a": 1})
+	b.add("two", map[string]int{"m/a": 1})
+	b.add("three", map[string]int{"m/a": 1})
+	b.waits = map[string]time.Duration{"one": 900 * time.Millisecond, "two": 100 * time.Millisecond, "three": 800 * time.Millisecond}
+	for _, busy := range []string{"two", "three"} {
+		b.Pick.Told(busy, 3, time.Now())
+	}
+	b.then(answers(http.StatusOK, nil, "id: 1\ndata: x\n\n", nil))
+	b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+	if got, want := b.sent[0].addr, "two:1"; got != want {
+		t.Errorf("sent to %s, want %s", got, want)
+	}
+}
+
+// The engines that hold an adapter would make a request wait longer than a load takes, and another one has nothing to do. The
+// request has its adapter loaded there instead of being late.
+func TestRequestGoesToAnIdleEngineWhenHoldersAreSlow(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Stream, Target: time.Second})
+	b.add("one", map[string]int{"m/a": 1})
+	b.waits = map[string]time.Duration{"one": 900 * time.Millisecond}
+	b.then(answers(http.StatusOK, nil, "id: 1\ndata: x\n\n", nil))
+	b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+	if got, want := b.sent[0].addr, "two:1"; got != want {
+		t.Errorf("sent to %s, want %s", got, want)
+	}
+}
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -98,7 +98,7 @@
 			free--
 			l.grant(w, now)
 		case w.Bound > 0 && (free <= 0 || max(wait, ahead) > w.Bound):
-			w.done <- want.ErrCrowded
+			w.done <- want.NewCrowded(max(wait, ahead) + slotTime(free))
 		case w.hopeless(now, ahead):
 			w.done <- want.ErrBusy
 		default:
@@ -163,10 +163,19 @@
 	for _, w := range l.waiting {
 		sum += l.pace.Takes(w.Cost)
 	}
-	if free := l.free(); free <= 0 {
-		sum += slotWait * time.Duration(1-free+len(l.waiting))
+	free := l.free()
+	if free <= 0 {
+		free -= len(l.waiting)
 	}
-	return sum
+	return sum + slotTime(free)
+}
+
+// slotTime returns how long a prompt is taken to wait for a slot where so many are free, or fewer than none.
+func slotTime(free int) time.Duration {
+	if free > 0 {
+		return 0
+	}
+	return slotWait * time.Duration(1-free)
 }
 
 // free returns how many more requests the engine can run at once. Sent beyond that they would wait there, out of reach of
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -67,7 +67,7 @@
 		return true, nil
 	})
 	peer.Answer(m.Mesh, methodAdmit, func(ctx context.Context, _ string, w want.Want) (string, error) {
-		return want.Code(m.Admit(ctx, w)), nil
+		return want.Text(m.Admit(ctx, w)), nil
 	})
 }
 
@@ -203,9 +203,9 @@
 
 // AskAdmit asks the host that orders an engine to have an adapter loaded, and returns once a prompt may be sent.
 func (m *Mates) AskAdmit(ctx context.Context, ip string, w want.Want) error {
-	var code string
-	if err := m.Mesh.Ask(ctx, m.Hosts()[ip][0], methodAdmit, w, &code); err != nil {
+	var text string
+	if err := m.Mesh.Ask(ctx, m.Hosts()[ip][0], methodAdmit, w, &text); err != nil {
 		return err
 	}
-	return want.FromCode(code)
+	return want.FromText(text)
 }
--- a/internal/want/errors.go
+++ b/internal/want/errors.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -17,6 +19,20 @@
 	ErrFailed = merry.Sentinel("want: the engine does not load it")
 )
 
+// waitKey holds how long a prompt would wait.
+type waitKey struct{}
+
+// NewCrowded returns an ErrCrowded that tells how long a prompt would wait.
+func NewCrowded(wait time.Duration) error {
+	return merry.Wrap(ErrCrowded, merry.WithValue(waitKey{}, wait))
+}
+
+// Wait returns the wait that an error tells, zero where it tells none.
+func Wait(err error) time.Duration {
+	wait, _ := merry.Value(err, waitKey{}).(time.Duration)
+	return wait
+}
+
 // codes name the errors between hosts.
 var codes = map[string]error{"elsewhere": ErrElsewhere, "busy": ErrBusy, "crowded": ErrCrowded, "failed": ErrFailed}
 
@@ -33,8 +49,30 @@
 	return "failed"
 }
 
-// FromCode returns the error that a code names, nil for the empty one.
-func FromCode(code string) error {
+// Text returns the name of an error and, where it tells one, the wait, as hosts send it to each other.
+func Text(err error) string {
+	if wait := Wait(err); wait > 0 {
+		return Code(err) + " " + wait.String()
+	}
+	return Code(err)
+}
+
+// FromText returns the error that a text of Text stands for.
+func FromText(text string) error {
+	code, rest, ok := strings.Cut(text, " ")
+	err := fromCode(code)
+	if !ok || !errors.Is(err, ErrCrowded) {
+		return err
+	}
+	wait, wrong := time.ParseDuration(rest)
+	if wrong != nil {
+		return err // another version of the program: what it tells beside the name is not needed
+	}
+	return NewCrowded(wait)
+}
+
+// fromCode returns the error that a code names, nil for the empty one.
+func fromCode(code string) error {
 	if code == "" {
 		return nil
 	}
