Count adapters as in use for as long as hosts may not have told

Seventy-three hosts tell of their requests every 0.73 s, and an adapter counted as unused after 0.5 s: it was unloaded under a request, and an unload that waits for a request blocks every other one. The new test failed with 11 orders for 5.

Also, of three engines that hold an adapter only two were asked for a short wait before the request waited at one: the last was never asked.

--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -95,22 +95,21 @@
 		}
 	}
 	if sound := x.sound(holders, now); len(sound) > 0 {
-		more := 1 + len(sound)/4
 		if x.crowded(sound, able, now) {
-			x.spreadTo(j, others, older, version, more, now)
+			x.spreadTo(j, others, older, version, now)
 		}
 		idle, most := x.idle(others), time.Duration(0)
 		if len(idle) > 0 {
 			most = worthLoad
 		}
-		t, v, refusal := x.admitAny(ctx, j, sound, version, most, func() { x.spreadTo(j, others, older, version, more, time.Now()) })
+		t, v, refusal := x.admitAny(ctx, j, sound, version, most, func() { x.spreadTo(j, others, older, version, time.Now()) })
 		if refusal == nil || refusal.Code != refuse.Overloaded || len(idle) == 0 {
 			return t, v, refusal
 		}
 		return x.load(ctx, j, idle, nil, version)
 	}
 	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
-		x.spreadTo(j, others, older, version, 1, now)
+		x.spreadTo(j, others, older, version, now)
 		return x.admitOlder(ctx, j, older)
 	}
 	if len(x.usable(others, now))+len(x.usable(older, now)) == 0 && len(holders) > 0 {
@@ -167,62 +166,54 @@
 	return float64(x.Pick.Load(best.ID, now)) > min(limit, full*float64(best.Slots))
 }
 
-// spreadTo has an adapter loaded at some more engines, without waiting for it. The callers of one adapter may need twenty
-// engines; coming to one after the other, each of which is known to all hosts a second later, it would take half a minute.
-func (x *Direct) spreadTo(j *job, others, older []target.Target, version, more int, now time.Time) {
+// spreadTo has an adapter loaded at one more engine, without waiting for it.
+func (x *Direct) spreadTo(j *job, others, older []target.Target, version int, now time.Time) {
 	if len(others)+len(older) == 0 || !x.spread.due(j.d.Adapter, now) {
 		return
 	}
-	for range more {
-		t := x.first(j, others, older)
-		if t.ID == "" {
-			return
-		}
-		go x.loadAside(t, j, version)
-		others, older = without(others, t.ID), without(older, t.ID)
-	}
+	go x.loadAside(x.first(j, others, older), j, version)
 }
 
-// admitAny waits for its turn at one of the engines, trying the less busy ones first and those that know of a long wait
-// last; most bounds the wait at the one that is taken in the end, 0 means any; crowd is called where all that were asked have a long wait. An engine whose host cannot be asked is sent the request all the same: it holds the adapter.
+// admitAny waits for its turn at one of the engines. The less busy ones are asked first for a short wait; where all that were
+// asked have a longer one, crowd is called and the request waits where the wait is shortest, for as long as most at the
+// longest, 0 for any time that is of use. An engine whose host cannot be asked is sent the request all the same: it holds the
+// adapter.
 func (x *Direct) admitAny(
 	ctx context.Context, j *job, list []target.Target, version int, most time.Duration, crowd func(),
 ) (target.Target, int, *refuse.Refusal) {
 	ordered := x.Pick.Order(list, time.Now())
 	best, shortest := ordered[0], time.Duration(-1)
-	for i, t := range ordered {
-		bound := shortWait
-		if i == len(ordered)-1 || i == mostAsked {
-			t, bound = best, most
-			if i > 0 && x.Pick.Waiting(t.ID, time.Now()) > longWait {
-				crowd()
-			}
-		}
-		err := x.ask(ctx, j, t, version, bound)
-		if errors.Is(err, want.ErrCrowded) {
-			wait := want.Wait(err)
-			x.Pick.Waits(t.ID, wait, time.Now())
-			if shortest < 0 || wait < shortest {
-				best, shortest = t, wait
-			}
-			if bound == most {
-				return target.Target{}, 0, x.full(j, t)
-			}
-			continue
+	for _, t := range ordered[:min(len(ordered), mostAsked)] {
+		if len(ordered) == 1 {
+			break
 		}
-		if ctx.Err() != nil {
-			return target.Target{}, 0, x.ended(ctx, j)
+		err := x.ask(ctx, j, t, version, shortWait)
+		if !errors.Is(err, want.ErrCrowded) {
+			return x.admitted(ctx, j, t, version, err)
 		}
-		if j.waited(err) {
-			return target.Target{}, 0, x.full(j, t)
+		if wait := want.Wait(err); shortest < 0 || wait < shortest {
+			best, shortest = t, wait
 		}
-		if errors.Is(err, want.ErrFailed) || !x.still(t) {
-			j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
-			return x.place(ctx, j)
-		}
-		return t, version, nil
 	}
-	return ordered[0], version, nil
+	if shortest > longWait {
+		crowd()
+	}
+	return x.admitted(ctx, j, best, version, x.ask(ctx, j, best, version, most))
+}
+
+// admitted takes the answer to asking for a turn.
+func (x *Direct) admitted(ctx context.Context, j *job, t target.Target, version int, err error) (target.Target, int, *refuse.Refusal) {
+	if ctx.Err() != nil {
+		return target.Target{}, 0, x.ended(ctx, j)
+	}
+	if errors.Is(err, want.ErrCrowded) || j.waited(err) {
+		return target.Target{}, 0, x.full(j, t)
+	}
+	if errors.Is(err, want.ErrFailed) || !x.still(t) {
+		j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
+		return x.place(ctx, j)
+	}
+	return t, version, nil
 }
 
 // full returns the refusal of a request for which no engine that holds its adapter has a turn in time. Sent all the same, its
@@ -248,6 +239,9 @@
 	defer cancel()
 	err := x.Admit(ctx, x.want(j, t, version, bound))
 	x.turned(err)
+	if errors.Is(err, want.ErrCrowded) {
+		x.Pick.Waits(t.ID, want.Wait(err), time.Now())
+	}
 	if err != nil {
 		j.note += " " + want.Code(err)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,7 +121,7 @@
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Holder: s.IP, Log: e.Log, Stats: e.Stats,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Told: e.toldEvery, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// toldEvery returns how often other hosts tell of their requests.
+func (e *Edge) toldEvery() time.Duration {
+	if m := e.mates.Load(); m != nil {
+		return m.Every()
+	}
+	return selfEvery
+}
+
 // hear takes what another host said.
 func (e *Edge) hear(g gossip.Gossip) {
 	now := time.Now()
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -35,6 +35,7 @@
 type engine struct {
 	mu       sync.Mutex
 	places   int
+	told     time.Duration // how often hosts tell of their requests
 	sequence int64
 	held     map[string]int
 	pending  map[string]time.Time
@@ -47,7 +48,7 @@
 }
 
 func newEngine(places int) *engine {
-	e := &engine{places: places, held: map[string]int{}, pending: map[string]time.Time{}, using: map[string]bool{}}
+	e := &engine{places: places, told: 200 * time.Millisecond, held: map[string]int{}, pending: map[string]time.Time{}, using: map[string]bool{}}
 	e.note()
 	return e
 }
@@ -149,7 +150,8 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: func() []string { return []string{"e"} },
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Flow: flow.NewFlow(), Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Flow: flow.NewFlow(), Told: func() time.Duration { return e.told },
+		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -45,6 +45,8 @@
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
 	// first after one of theirs.
 	Others func() (loading int, first time.Duration)
+	// Told returns how often each host tells which adapters its requests use.
+	Told func() time.Duration
 	// Window returns the time over which loads of base models from the weight store are counted.
 	Window func() time.Duration
 	Holder string
--- a/internal/giver/giver_test.go
+++ b/internal/giver/giver_test.go
@@ -1,6 +1,7 @@
 package giver_test
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskreach/internal/turns"
 	"damaskreach/internal/want"
 )
 
@@ -129,3 +131,31 @@
 		}
 	})
 }
+
+// Seventy hosts tell of their requests every 0.75 s. An adapter in use must not count as unused between two messages: its
+// unload would wait for the request, and the engine take no other unload until that has ended.
+func TestAdaptersInUseAreNotUnloadedWhereHostsTellRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(1)
+		e.told = 750 * time.Millisecond
+		g := desk(t, e)
+		if err := admit(t, g, name(0)); err != nil {
+			t.Fatalf("load: %v, want none", err)
+		}
+		e.using[name(0)] = true
+		ctx, stop := context.WithCancel(t.Context())
+		go func() {
+			for range turns.Every(ctx, e.told) {
+				g.Used("e", []string{name(0)}, time.Now())
+			}
+		}()
+		orders := e.orders
+		if err := admit(t, g, name(1)); err == nil {
+			t.Error("the load was served, want it refused")
+		}
+		stop()
+		if got, want := e.orders, orders; got != want {
+			t.Errorf("orders = %d, want %d: no unload", got, want)
+		}
+	})
+}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -192,6 +192,13 @@
 	return d.cold * 9 / 10
 }
 
+// lately returns how recently an adapter must have been in use for its unload to be put off. An unload that waits for a request
+// keeps the engine from any other unload until that has ended. Hosts tell of their requests the more rarely the more of them
+// there are: an adapter in use by seventy hosts may look unused for most of a second.
+func (d *desk) lately() time.Duration {
+	return time.Duration(tells * float64(d.g.Told()))
+}
+
 // place reports whether a place is free or can be freed now.
 func (d *desk) place(t target.Target, w waiter) bool {
 	m, ok := d.pool(t).Model(w.Model)
@@ -199,7 +206,7 @@
 		return true // a model that the configuration does not have is refused behind
 	}
 	victim, idle := d.oldest()
-	return victim != "" && idle >= lately
+	return victim != "" && idle >= d.lately()
 }
 
 // room frees a place where there is none. An adapter that was used a moment ago stays.
@@ -215,7 +222,7 @@
 		return true
 	}
 	victim, idle := d.oldest()
-	if victim == "" || idle < lately {
+	if victim == "" || idle < d.lately() {
 		*w.block = "places"
 		return false
 	}
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -98,10 +98,20 @@
 				go m.tell(ctx, ip, addrs[0])
 			}
 		}
-		m.pause(ctx, max(tellEvery, time.Duration(len(hosts))*time.Second/mostTold))
+		m.pause(ctx, every(len(hosts)))
 	}
 }
 
+// every returns the pause between two messages to one host.
+func every(hosts int) time.Duration {
+	return max(tellEvery, time.Duration(hosts)*time.Second/mostTold)
+}
+
+// Every returns the same for the hosts of now.
+func (m *Mates) Every() time.Duration {
+	return every(len(m.Hosts()))
+}
+
 func (m *Mates) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
