--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -220,7 +220,8 @@
 // prompt would hold up the streams of others. Its caller comes back when the prompts that wait now should be read.
 func (x *Direct) full(j *job, t target.Target) *refuse.Refusal {
 	wait := max(comeBack, x.Pick.Waiting(t.ID, time.Now()))
-	return refuse.NewRefusal(j.verdict(), refuse.Overloaded, "no turn for a prompt within %v", time.Until(j.hopeless()).Round(time.Millisecond)).WithRetry(wait)
+	left := time.Until(j.hopeless()).Round(time.Millisecond)
+	return refuse.NewRefusal(j.verdict(), refuse.Overloaded, "no turn for a prompt within %v", left).WithRetry(wait)
 }
 
 // still reports whether an upstream that was chosen before a wait may still get new requests.
@@ -265,7 +266,8 @@
 	}
 	cost := time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
 	return want.Want{
-		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound, Rank: j.route.Priority,
+		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.route.Priority,
+		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
 		Limit: time.Until(j.hopeless()), Patience: max(0, j.route.Target-time.Since(j.begun)-cost-2*gap),
 	}
 }
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -174,7 +174,10 @@
 		end(time.Now(), false)
 		return true
 	case effect.Accepted:
-		l := &load{version: w.Version, since: started, waited: started.Sub(w.since), block: *w.block, warm: d.recent[w.Adapter], end: end, waiters: []waiter{w}}
+		l := &load{
+			version: w.Version, since: started, waited: started.Sub(w.since), block: *w.block, warm: d.recent[w.Adapter],
+			end: end, waiters: []waiter{w},
+		}
 		l.due = started.Add(d.expected(l.warm))
 		d.pending[w.Adapter] = l
 		delete(d.held, w.Adapter)
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -101,8 +101,8 @@
 	t.write(ctx, "secret of the hosts made", "", rows.Row{Key: keyRow, Value: fresh})
 }
 
-// free returns the rows by which this host claims engines now, and how many engines have no host. The host that an engine hashes to goes first; another one
-// claims it only where it stayed without a host for two readings.
+// free returns the rows by which this host claims engines now, and how many engines have no host. The host that an engine
+// hashes to goes first; another one claims it only where it stayed without a host for two readings.
 func (t *Tenure) free() (edits []rows.Row, left int) {
 	engines := t.Engines()
 	t.mu.Lock()
