Keep a connection whose answer was there before its writer could say so

The answer was read to its end before the goroutine that had written the request had its turn to tell; the connection was closed as if the request were still being written. Busy hosts opened connections they did not need.

--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -36,6 +36,9 @@
 	// shrink and grow change the bound after a connection broke, and after one did not: some hundred that hold undo a break.
 	shrink = 0.7
 	grow   = 1.01
+	// writtenFor is how long a whole answer waits for the end of its request's writing to be told: a goroutine's turn on a busy
+	// host. Where an upstream answered before it read a long body, the answer's end is held up for so long.
+	writtenFor = 50 * time.Millisecond
 	// strays is how many answers to other requests are skipped before a connection is given up.
 	strays = 2
 )
@@ -133,12 +136,15 @@
 }
 
 // sent reports whether the whole request was written. Were a connection kept before that, the rest of the body would be
-// taken for the start of the next request.
+// taken for the start of the next request. On a busy host the answer may be there before the goroutine that wrote the request
+// has run again to say so; without a moment's wait such a connection would be closed, and the next request need a new one.
 func sent(written <-chan error) bool {
+	timer := time.NewTimer(writtenFor)
+	defer timer.Stop()
 	select {
 	case err := <-written:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
