Serve both programs by one command line; wait, rank and evict in one place

Found on reading the whole change again: - internal/start had written the command line of internal/launch once more. internal/shell has it now. Once now; a model that the configuration does not have is answered before the flow is asked, and its waiter leaves the queue, where it stayed until its caller had left. - direct looked through all engines for idle ones on every request; now only where a request would wait.

Behaviour is otherwise as it was; all tests keep their assertions.

--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/target"
+	"damaskreach/internal/turns"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
 )
@@ -178,14 +179,7 @@
 	if now.Sub(j.ownerless) > ownerWait || !now.Add(ownerLook).Before(j.hopeless()) {
 		return false
 	}
-	timer := time.NewTimer(ownerLook)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return turns.Sleep(ctx, ownerLook)
 }
 
 // staying returns the engines of a list that have not begun to leave since it was made: a load before may have taken seconds.
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"damaskreach/internal/stats"
@@ -62,7 +63,7 @@
 		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine holds %s", j.d.Model).WithRetry(comeBack)
 	}
 	if j.d.Adapter == "" {
-		return x.admitAny(ctx, j, able, 0, 0, func() {})
+		return x.admitAny(ctx, j, able, 0, anyTime, func() {})
 	}
 	return x.placeAdapter(ctx, j, able)
 }
@@ -98,22 +99,26 @@
 		if x.crowded(sound, able, now) {
 			x.spreadTo(j, others, older, version, now)
 		}
-		idle, most := x.idle(others), time.Duration(0)
-		if len(idle) > 0 {
-			most = worthLoad
+		// Looked for only where a request would wait: most get their turn at once, and sites have hundreds of engines.
+		idle := sync.OnceValue(func() []target.Target { return x.idle(others) })
+		most := func() time.Duration {
+			if len(idle()) > 0 {
+				return worthLoad
+			}
+			return 0
 		}
 		t, v, refusal := x.admitAny(ctx, j, sound, version, most, func() { x.spreadTo(j, others, older, version, time.Now()) })
-		if refusal == nil || refusal.Code != refuse.Overloaded || len(idle) == 0 {
+		if refusal == nil || refusal.Code != refuse.Overloaded || len(idle()) == 0 {
 			return t, v, refusal
 		}
-		return x.load(ctx, j, idle, nil, version)
+		return x.load(ctx, j, idle(), nil, version)
 	}
 	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
 		x.spreadTo(j, others, older, version, now)
 		return x.admitOlder(ctx, j, older)
 	}
 	if len(x.usable(others, now))+len(x.usable(older, now)) == 0 && len(holders) > 0 {
-		return x.admitAny(ctx, j, holders, version, 0, func() {})
+		return x.admitAny(ctx, j, holders, version, anyTime, func() {})
 	}
 	return x.load(ctx, j, others, older, version)
 }
@@ -137,7 +142,7 @@
 	until := j.view.Named[j.d.Adapter].Add(x.Grace())
 	waitCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	t, version, refusal := x.admitAny(waitCtx, j, older, 0, 0, func() {})
+	t, version, refusal := x.admitAny(waitCtx, j, older, 0, anyTime, func() {})
 	if waitCtx.Err() != nil && ctx.Err() == nil {
 		return x.place(ctx, j)
 	}
@@ -174,12 +179,15 @@
 	go x.loadAside(x.first(j, others, older), j, version)
 }
 
+// anyTime lets a request wait for a turn for as long as that is of use.
+func anyTime() time.Duration { return 0 }
+
 // admitAny waits for its turn at one of the engines. The less busy ones are asked first for a short wait; where all that were
-// asked have a longer one, crowd is called and the request waits where the wait is shortest, for as long as most at the
-// longest, 0 for any time that is of use. An engine whose host cannot be asked is sent the request all the same: it holds the
+// asked have a longer one, crowd is called and the request waits where the wait is shortest, for as long as most says at
+// the longest, 0 for any time that is of use. An engine whose host cannot be asked is sent the request all the same: it holds the
 // adapter.
 func (x *Direct) admitAny(
-	ctx context.Context, j *job, list []target.Target, version int, most time.Duration, crowd func(),
+	ctx context.Context, j *job, list []target.Target, version int, most func() time.Duration, crowd func(),
 ) (target.Target, int, *refuse.Refusal) {
 	ordered := x.Pick.Order(list, time.Now())
 	best, shortest := ordered[0], time.Duration(-1)
@@ -198,7 +206,7 @@
 	if shortest > longWait {
 		crowd()
 	}
-	return x.admitted(ctx, j, best, version, x.ask(ctx, j, best, version, most))
+	return x.admitted(ctx, j, best, version, x.ask(ctx, j, best, version, most()))
 }
 
 // admitted takes the answer to asking for a turn.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/peer"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/stock"
+	"damaskreach/internal/turns"
 	"damaskreach/internal/want"
 )
 
@@ -34,10 +35,8 @@
 // runPeers joins the other hosts once their secret is known.
 func (e *Edge) runPeers(ctx context.Context, s setup.Setup) {
 	for e.tenure.Secret() == nil {
-		select {
-		case <-ctx.Done():
+		if !turns.Sleep(ctx, secretWait) {
 			return
-		case <-time.After(secretWait):
 		}
 	}
 	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -1,6 +1,7 @@
 package giver
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -123,11 +124,19 @@
 		*w.block = "transit"
 		return false
 	}
-	if w.Spread && !d.spare(t, w) {
+	m, ok := d.pool(t).Model(w.Model)
+	if !ok {
+		w.done <- merry.Prependf(want.ErrFailed, "the configuration has no model %q", w.Model)
+		return true
+	}
+	victim, idle := d.victim(d.pool(t).Room(m))
+	if w.Spread && (idle < unused || !d.recent[w.Adapter] && !d.g.Flow.Spare(time.Now())) {
+		// Nobody waits for it. Where every place is in use, one more engine for a busy adapter costs another adapter its only
+		// one, and where loads queue up, a request its time.
 		w.done <- want.ErrBusy
 		return true
 	}
-	if !d.place(t, w) {
+	if idle < d.lately() {
 		*w.block = "places"
 		return false
 	}
@@ -140,27 +149,13 @@
 		*w.block = "flow"
 		return false
 	}
-	if !d.room(t, w) || !d.begin(t, w, end) {
+	if victim != "" && !d.evict(t, victim, idle, w) || !d.begin(t, w, end) {
 		end(time.Now(), false)
 		return false
 	}
 	return true
 }
 
-// spare reports whether the engine has room for a load that no request waits for. Where every place is in use, one more engine
-// for a busy adapter costs another adapter its only one, and where loads queue up, a request its time.
-func (d *desk) spare(t target.Target, w waiter) bool {
-	if !d.recent[w.Adapter] && !d.g.Flow.Spare(time.Now()) {
-		return false
-	}
-	m, ok := d.pool(t).Model(w.Model)
-	if !ok {
-		return false
-	}
-	_, idle := d.oldest()
-	return len(d.held)+len(d.pending) < d.pool(t).Room(m) || idle >= unused
-}
-
 // begin gives the order of a load; it reports false where the engine did not take it.
 func (d *desk) begin(t target.Target, w waiter, end func(now time.Time, counts bool)) bool {
 	model, short := name(w.Adapter)
@@ -202,33 +197,17 @@
 	return time.Duration(tells * float64(d.g.Told()))
 }
 
-// place reports whether a place is free or can be freed now.
-func (d *desk) place(t target.Target, w waiter) bool {
-	m, ok := d.pool(t).Model(w.Model)
-	if !ok || len(d.held)+len(d.pending) < d.pool(t).Room(m) {
-		return true // a model that the configuration does not have is refused behind
+// victim returns the adapter that must go for one more to be loaded, and for how long it was not in use; none, and for ever, where
+// a place is free.
+func (d *desk) victim(places int) (adapter string, idle time.Duration) {
+	if len(d.held)+len(d.pending) < places {
+		return "", math.MaxInt64
 	}
-	victim, idle := d.oldest()
-	return victim != "" && idle >= d.lately()
+	return d.oldest()
 }
 
-// room frees a place where there is none. An adapter that was used a moment ago stays.
-func (d *desk) room(t target.Target, w waiter) bool {
-	p := d.pool(t)
-	m, ok := p.Model(w.Model)
-	if !ok {
-		w.done <- merry.Prependf(want.ErrFailed, "the configuration has no model %q", w.Model)
-		return false
-	}
-	taken := len(d.held) + len(d.pending)
-	if taken < p.Room(m) {
-		return true
-	}
-	victim, idle := d.oldest()
-	if victim == "" || idle < d.lately() {
-		*w.block = "places"
-		return false
-	}
+// evict unloads an adapter to free its place; it reports false where the place is not free yet.
+func (d *desk) evict(t target.Target, victim string, idle time.Duration, w waiter) bool {
 	model, short := name(victim)
 	e := d.give(t, change.Change{Model: model, Adapter: short})
 	switch e {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/rules"
 	"damaskreach/internal/table"
 	"damaskreach/internal/target"
+	"damaskreach/internal/turns"
 	"damaskreach/internal/view"
 )
 
@@ -99,7 +100,7 @@
 		list, next, err := i.readConf(ctx, rev)
 		if err != nil {
 			i.Log.Debug("configuration not read", zap.Error(err))
-			pause(ctx, after)
+			turns.Sleep(ctx, after)
 			continue
 		}
 		for _, row := range list {
@@ -161,26 +162,14 @@
 				i.lost = began
 				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
 			}
-			pause(ctx, after)
+			turns.Sleep(ctx, after)
 			continue
 		}
-		pause(ctx, i.Every()-time.Since(began))
+		turns.Sleep(ctx, i.Every()-time.Since(began))
 		i.rest(ctx, i.targetWake)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (i *Intake) readTargets(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
--- a/internal/launch/run.go
+++ b/internal/launch/run.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,73 +13,40 @@
 	"syscall"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/conf"
 	"damaskreach/internal/node"
+	"damaskreach/internal/shell"
 )
 
 // Version of the program, shown by --version.
 const Version = "0.1.0"
 
-// Exit codes.
-const (
-	exitOK    = 0
-	exitFault = 1 // the node could not run
-	exitUsage = 2 // the command line or the settings are wrong
-)
-
-type options struct {
-	Config  string `short:"c" long:"config" value-name:"FILE" description:"TOML file with the node's settings"`
-	Version bool   `long:"version" description:"print the version and exit"`
-}
-
 // Run runs the node with command-line arguments args and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
-	var o options
-	parser := flags.NewNamedParser("damaskreach", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "damaskreach serves requests for very many LoRA adapters from a fleet of model engines.\n" +
-		"It runs one node. 'damaskreach check FILE' checks a settings file and names the line and key of every fault."
-	parser.Usage = "[OPTIONS] [check FILE]"
-	if _, err := parser.AddGroup("Options", "", &o); err != nil {
-		panic(err) // the options above are a constant of the program
-	}
-	rest, err := parser.ParseArgs(args)
-	var flagErr *flags.Error
-	switch {
-	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
-		fmt.Fprintln(out, err)
-		return exitOK
-	case err != nil:
-		fmt.Fprintln(errOut, err)
-		return exitUsage
-	case o.Version:
-		fmt.Fprintln(out, "damaskreach", Version)
-		return exitOK
-	case len(rest) == 2 && rest[0] == "check":
-		return check(rest[1], out, errOut)
-	case len(rest) > 0 || o.Config == "":
-		fmt.Fprintln(errOut, "damaskreach: give --config FILE or check FILE; see --help")
-		return exitUsage
-	}
-	return run(o.Config, errOut)
+	return shell.Shell{
+		Name: "damaskreach", Version: Version,
+		About: "damaskreach serves requests for very many LoRA adapters from a fleet of model engines.\n" +
+			"It runs one node. 'damaskreach check FILE' checks a settings file and names the line and key of every fault.",
+		File:  "TOML file with the node's settings",
+		Check: check,
+		Serve: func(path string) int { return run(path, errOut) },
+		Out:   out,
+		Err:   errOut,
+	}.Run(args)
 }
 
-func check(path string, out, errOut io.Writer) int {
-	if _, err := conf.Load(path); err != nil {
-		fmt.Fprintln(errOut, err)
-		return exitUsage
-	}
-	fmt.Fprintln(out, path+": no fault found")
-	return exitOK
+func check(path string) error {
+	_, err := conf.Load(path)
+	return err
 }
 
 func run(path string, errOut io.Writer) int {
 	c, err := conf.Load(path)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
-		return exitUsage
+		return shell.Usage
 	}
 	if c.Node == "" {
 		c.Node = "node-" + rand.Text()[:8]
@@ -88,13 +54,13 @@
 	log, err := newLog(c)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
-		return exitUsage
+		return shell.Usage
 	}
 	if err := serve(path, c, log); err != nil {
 		log.Error("the node ended with a fault", zap.Error(err))
-		return exitFault
+		return shell.Fault
 	}
-	return exitOK
+	return shell.OK
 }
 
 func newLog(c conf.Conf) (*zap.Logger, error) {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/strm"
+	"damaskreach/internal/turns"
 	"damaskreach/internal/wire"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -53,7 +54,7 @@
 			return merry.Prependf(err, "accepting connections at %s", l.Addr())
 		}
 		m.log.Warn("accepting a connection failed", zap.Error(err))
-		pause(m.ctx, pauseAccept)
+		turns.Sleep(m.ctx, pauseAccept)
 	}
 }
 
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,13 +12,13 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"damaskreach/internal/edge"
 	"damaskreach/internal/logger"
 	"damaskreach/internal/setup"
+	"damaskreach/internal/shell"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/turns"
 )
@@ -27,13 +26,6 @@
 // Version of the program, shown by --version.
 const Version = "0.2.0"
 
-// Exit codes.
-const (
-	exitOK    = 0
-	exitFault = 1 // the host could not run
-	exitUsage = 2 // the command line or the settings are wrong
-)
-
 const (
 	// reloadEvery is how often the settings file is compared: it may change without a signal.
 	reloadEvery = 2 * time.Second
@@ -43,11 +35,6 @@
 	flushFor = 300 * time.Millisecond
 )
 
-type options struct {
-	Config  string `short:"c" long:"config" value-name:"FILE" description:"TOML file with the host's settings; in place of the one that the environment names"`
-	Version bool   `long:"version" description:"print the version and exit"`
-}
-
 // Start is the way from the command line to a running host.
 type Start struct {
 	// Path returns the settings file where the command line names none.
@@ -60,51 +47,29 @@
 
 // Run runs the host with command-line arguments and returns the exit code.
 func (s Start) Run(args []string) int {
-	var o options
-	parser := flags.NewNamedParser("damaskedge", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "damaskedge runs one entry host on the users' platform.\n" +
-		"'damaskedge check FILE' checks a settings file and names the key of every fault."
-	parser.Usage = "[OPTIONS] [check FILE]"
-	if _, err := parser.AddGroup("Options", "", &o); err != nil {
-		panic(err) // the options above are a constant of the program
-	}
-	rest, err := parser.ParseArgs(args)
-	var flagErr *flags.Error
-	switch {
-	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
-		fmt.Fprintln(s.Out, err)
-		return exitOK
-	case err != nil:
-		fmt.Fprintln(s.Err, err)
-		return exitUsage
-	case o.Version:
-		fmt.Fprintln(s.Out, "damaskedge", Version)
-		return exitOK
-	case len(rest) == 2 && rest[0] == "check":
-		return s.check(rest[1])
-	case len(rest) > 0:
-		fmt.Fprintln(s.Err, "damaskedge: give --config FILE or check FILE; see --help")
-		return exitUsage
-	case o.Config == "":
-		o.Config = s.Path()
-	}
-	return s.run(o.Config)
+	return shell.Shell{
+		Name: "damaskedge", Version: Version,
+		About: "damaskedge runs one entry host on the users' platform.\n" +
+			"'damaskedge check FILE' checks a settings file and names the key of every fault.",
+		File:  "TOML file with the host's settings; in place of the one that the environment names",
+		Path:  s.Path,
+		Check: check,
+		Serve: s.run,
+		Out:   s.Out,
+		Err:   s.Err,
+	}.Run(args)
 }
 
-func (s Start) check(path string) int {
-	if _, err := setup.Load(path); err != nil {
-		fmt.Fprintln(s.Err, err)
-		return exitUsage
-	}
-	fmt.Fprintln(s.Out, path+": no fault found")
-	return exitOK
+func check(path string) error {
+	_, err := setup.Load(path)
+	return err
 }
 
 func (s Start) run(path string) int {
 	first, err := setup.Load(path)
 	if err != nil {
 		fmt.Fprintln(s.Err, err)
-		return exitUsage
+		return shell.Usage
 	}
 	debug.SetMemoryLimit(int64(float64(first.Memory<<20) * memoryShare))
 	log := logger.NewLogger(s.Out, level(first.Level))
@@ -126,9 +91,9 @@
 		// starting the next one.
 	}
 	if err != nil {
-		return exitFault
+		return shell.Fault
 	}
-	return exitOK
+	return shell.OK
 }
 
 // level returns the level of a text that was checked.
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -189,26 +189,24 @@
 	return before < max(leastHolders, len(t.Engines())/perHolder)
 }
 
-// rank orders hosts the same way everywhere.
-func rank(ip string) uint64 {
+// rank orders hosts, or hosts for an engine, the same way everywhere.
+func rank(text string) uint64 {
 	sum := fnv.New64a()
-	sum.Write([]byte(ip))
+	sum.Write([]byte(text))
 	return mix(sum.Sum64())
 }
 
 // first returns the live host that an engine hashes to, those in its own data centre before others: an order and a
 // report that stay there cost no bytes between data centres.
 func (t *Tenure) first(id, centre string) string {
-	best, bestRank, near := "", uint64(0), false
+	best, highest, near := "", uint64(0), false
 	for ip, h := range t.hosts {
 		if h.Ended || h.Passive {
 			continue
 		}
-		sum := fnv.New64a()
-		sum.Write([]byte(ip + "/" + id))
-		rank, here := mix(sum.Sum64()), h.Centre == centre
-		if best == "" || here && !near || here == near && rank > bestRank {
-			best, bestRank, near = ip, rank, here
+		place, here := rank(ip+"/"+id), h.Centre == centre
+		if best == "" || here && !near || here == near && place > highest {
+			best, highest, near = ip, place, here
 		}
 	}
 	return best
