End the time of vanished upstreams at one moment after the store's return

Its host had been turned away by the store until 11.8 s; the engine left at 12.4 s and its registration vanished before the next reading, at 13.0 s. Since the store had been away a moment ago, it got 2.2 s, counted from then, and was dropped at the reading behind them, at 16.4 s.

Ruled out: the new choice of engines (the host's view held the engine; any choice could have taken it).

What is missing 2.2 s after the return is gone now, and a reading comes at that moment, also where another host reads for this one. The new test failed before (still used 2.7 s after the return) and passes.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,8 +23,9 @@
 	callFor = 700 * time.Millisecond
 	// after is the pause after a failed reading.
 	after = 250 * time.Millisecond
-	// absent is how long an upstream is still used that vanished while the store was away: registrations that lapsed with it
-	// are back within two seconds of its return.
+	// absent is how long after the store's return an upstream is still used that vanished: registrations that lapsed with the store
+	// are back within two seconds of its return. It ends at one moment for all: counted from when each was missed, one that
+	// began to leave after the return would be used for a reading and these seconds more.
 	absent = 2200 * time.Millisecond
 	// away is how long a reading must have failed for the store to count as having been away.
 	away = 1500 * time.Millisecond
@@ -165,6 +166,10 @@
 			turns.Sleep(ctx, after)
 			continue
 		}
+		if len(i.missing) > 0 {
+			turns.Sleep(ctx, min(i.Every()-time.Since(began), time.Until(i.back.Add(absent))))
+			continue
+		}
 		turns.Sleep(ctx, i.Every()-time.Since(began))
 		i.rest(ctx, i.targetWake)
 	}
@@ -239,8 +244,8 @@
 			i.miss(targets, id, now)
 		}
 	}
-	for id, since := range i.missing {
-		if now.Sub(since) > absent {
+	if now.Sub(i.back) >= absent {
+		for id, since := range i.missing {
 			changed = true
 			delete(i.missing, id)
 			delete(targets, id)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -144,6 +144,29 @@
 	})
 }
 
+// The store is back and an upstream's registration vanishes a second later. It gets no time of its own: what is missing 2.2 s after
+// the return is gone, also where the next regular reading would come later. Counted from when it was missed, requests went
+// to an engine that had begun to leave three seconds before.
+func TestUpstreamThatVanishesAfterTheReturnGetsNoMoreTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
+		i := start(t, s)
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down = false })
+		time.Sleep(800 * time.Millisecond) // within which the host has read again
+		s.set(func() { s.rows["up/"] = []rows.Row{gone("a")} })
+		time.Sleep(1900 * time.Millisecond)
+		if _, ok := i.View().Targets["a"]; ok {
+			t.Error("a is still used 2.7 s after the store's return, want it gone")
+		}
+		if _, ok := i.View().Targets["b"]; !ok {
+			t.Error("b is not used any more, want it used")
+		}
+	})
+}
+
 // A registration is overwritten by something that cannot be read. It names no upstream; the others stay.
 func TestUnreadableRegistrationHarmsNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
