Show from hosts' lines which requests were not served in time, and why

Cause: worth is lost in seconds that metrics average away; scripts of the moment found the reasons so far. Change: damaskctl losses reads lines of hosts and prints requests by route and by two seconds (in time, late and why, refused, cut), adapters loaded by what for, what loads waited for, and attempts that failed. Cut, foreign and out-of-order lines are counted or sorted; memory is bounded.

--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -156,7 +156,7 @@
 			return t, version, nil
 		}
 		x.Log.Info("load failed", zap.String("request", j.d.ID), zap.String("adapter", j.d.Adapter), zap.String("target", t.ID),
-			zap.Duration("waited", time.Since(began)), zap.Error(err))
+			zap.Duration("waited", time.Since(began)), zap.String("cause", cause(err)), zap.Error(err))
 		if ctx.Err() != nil {
 			return target.Target{}, 0, x.ended(ctx, j)
 		}
@@ -168,6 +168,14 @@
 	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
 }
 
+// cause names why a load failed, for the line about it.
+func cause(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "no answer"
+	}
+	return want.Code(err)
+}
+
 // awaitOwner waits a moment where no engine can be given orders; it reports false where the request has waited long enough.
 // After many hosts have ended together, engines have no host for a second or two. A caller that is refused then comes back
 // once, to the same refusal, while engines have room for it.
--- a/internal/opctl/parser.go
+++ b/internal/opctl/parser.go
@@ -23,6 +23,7 @@
 
   damaskctl --table 10.0.0.1:5000 status --watch
   damaskctl --node 10.0.0.7:9000 explain --adapter order-7 --since 10m
+  damaskctl losses edge-1.log edge-2.log
 
 Exit codes: 0 done; 1 something was not done, and the output says what; 2 wrong command line;
 3 all was written, but it is not known to be in force on every node.`
@@ -44,6 +45,7 @@
 	add("rollback", "Go back to an adapter's former version shares", rollbackText, new(rollback))
 	add("status", "Show nodes, runners, loads and refusals", statusText, new(status))
 	add("explain", "Show why something was decided", explainText, new(explain))
+	add("losses", "Show which requests were not served in time, and why", lossesText, new(lossesCommand))
 	add("drain", "Take a node or runner out of service", drainText, new(drain))
 	add("remove", "Remove one row of the table", removeText, new(remove))
 	return parser, commands
--- a/internal/opctl/tool.go
+++ b/internal/opctl/tool.go
@@ -30,6 +30,7 @@
 
 // Tool runs commands. Its fields are seams for tests.
 type Tool struct {
+	In   io.Reader
 	Out  io.Writer
 	Err  io.Writer
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
@@ -59,7 +60,7 @@
 
 // NewTool returns the tool as operators use it.
 func NewTool(out, errOut io.Writer) *Tool {
-	t := &Tool{Out: out, Err: errOut, Edit: rand.Text}
+	t := &Tool{In: os.Stdin, Out: out, Err: errOut, Edit: rand.Text}
 	t.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
