Start from what hosts measured of engines before they ended

Cause: a host that starts guesses 60 us a token of a prompt until it has measured; on the new site engines need 27. Times 1.3 for care and a third for rest, an engine is given less than half of the prompts that it could read, just in the second in which all callers come back. Change: each host's row in the store tells what it has measured; one that starts takes the median until it has measured itself.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,6 +119,8 @@
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed,
 	}
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
+	measured := &speed.Speed{Before: e.tenure.Rates}
+	e.tenure.Measured = measured.Rates
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
 		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Told: e.toldEvery, Holder: s.IP, Log: e.Log, Stats: e.Stats,
@@ -131,7 +133,7 @@
 		return s.Share, s.Extra, s.Window
 	}}
 	return &direct.Direct{
-		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: &speed.Speed{}, Use: e.use,
+		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: measured, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
 		Spare: e.spare, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
 	}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -6,9 +6,12 @@
 package speed
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
+
+	"damaskreach/internal/rates"
 )
 
 const (
@@ -29,6 +32,9 @@
 
 // Speed may be used from several goroutines.
 type Speed struct {
+	// Before returns what was known before this host started, for as long as it has measured nothing itself; nil for nothing.
+	Before func() rates.Rates
+
 	mu    sync.Mutex
 	ring  []sample
 	next  int
@@ -83,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.event == 0 {
-		s.event = firstEvent
+		s.event = s.startEvent()
 	}
 	// The median is found by small steps: prompts of others make the mean longer than a plain step.
 	step := max(100*time.Microsecond, s.event/50)
@@ -99,7 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.token == 0 {
-		return time.Duration(tokens) * firstToken
+		return time.Duration(tokens) * cmp.Or(s.before().Token, firstToken)
 	}
 	return time.Duration(tokens) * s.token
 }
@@ -109,7 +115,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.event == 0 {
-		return firstEvent
+		return s.startEvent()
 	}
 	return s.event
 }
+
+// Rates returns what this host has measured or, where it has not, found before.
+func (s *Speed) Rates() rates.Rates {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.before()
+	return rates.Rates{Token: cmp.Or(s.token, before.Token), Event: cmp.Or(s.event, before.Event)}
+}
+
+func (s *Speed) before() rates.Rates {
+	if s.Before == nil {
+		return rates.Rates{}
+	}
+	return s.Before()
+}
+
+// startEvent returns the time between events from which the estimate starts.
+func (s *Speed) startEvent() time.Duration {
+	return cmp.Or(s.before().Event, firstEvent)
+}
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -81,7 +81,7 @@
 		t.Log.Warn("row of a host cannot be read", zap.String("host", ip), zap.Error(err))
 		return
 	}
-	if old.session != s {
+	if old.session != s.withRates(old.Rates) {
 		t.mark = max(t.mark, row.Rev)
 	}
 	t.hosts[ip] = seen{session: s, rev: row.Rev, since: now}
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -1,6 +1,10 @@
 package tenure
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"damaskreach/internal/rates"
+)
 
 // Prefix is the prefix of all rows that hosts keep in the store. They lie together so that one reading finds all changes.
 const Prefix = "fleet/"
@@ -22,6 +26,14 @@
 	Epoch   int64  `msgpack:"epoch"`   // counts the sessions that ended; an engine's row names the one it belongs to
 	Passive bool   `msgpack:"passive"` // it gives no orders and does not renew the row
 	Ended   bool   `msgpack:"ended"`   // others have seen it lapse; it holds nothing any more
+	// Rates is what the host has measured, for those that start later.
+	Rates rates.Rates `msgpack:"rates"`
+}
+
+// withRates returns a copy with other measurements.
+func (s session) withRates(r rates.Rates) session {
+	s.Rates = r
+	return s
 }
 
 // ownership is the row of one engine: which host gives it its orders.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -21,6 +21,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/rates"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
@@ -63,6 +64,8 @@
 	Engines func() map[string]target.Target // that need a host
 	// Live reports whether another host answered a moment ago.
 	Live func(ip string) bool
+	// Measured returns what this host has measured of engines, for those that start later.
+	Measured func() rates.Rates
 	// Relaxed reports whether another host reads the rows for this one at present.
 	Relaxed func() bool
 	Log     *zap.Logger
@@ -189,6 +192,7 @@
 	sent := t.Clock()
 	s := session{
 		IP: t.IP, Peers: t.Peers, Callers: t.Callers, Centre: t.Centre, Start: t.start, Epoch: known.Epoch, Passive: passive,
+		Rates: t.Measured(),
 	}
 	if known.Ended || known.rev == 0 {
 		s.Epoch++
@@ -295,6 +299,17 @@
 	return t.secret
 }
 
+// Rates returns what hosts have measured of engines, as their rows tell, also those of hosts that are gone.
+func (t *Tenure) Rates() rates.Rates {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]rates.Rates, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		list = append(list, h.Rates)
+	}
+	return rates.Median(list)
+}
+
 // Hosts returns the addresses for other hosts and for callers, and the data centre, of all hosts whose sessions have not
 // lapsed, by IP.
 func (t *Tenure) Hosts() map[string][3]string {
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/rates"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stand/rowdb"
 	"damaskreach/internal/table"
@@ -32,11 +33,12 @@
 
 // site is some hosts and engines around one store.
 type site struct {
-	t       *testing.T
-	db      *rowdb.DB
-	begun   time.Time
-	engines map[string]target.Target
-	unknown time.Duration // how long after the start hosts learn of the engines
+	t        *testing.T
+	db       *rowdb.DB
+	begun    time.Time
+	engines  map[string]target.Target
+	unknown  time.Duration // how long after the start hosts learn of the engines
+	measured rates.Rates   // by each host
 }
 
 func newSite(t *testing.T, engines ...string) *site {
@@ -63,7 +65,7 @@
 	h.Tenure = &tenure.Tenure{
 		Table: h.through(s.db.TableFor(ip)), IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
 		Turn: func() time.Duration { return turn }, Clock: func() time.Duration { return time.Since(s.begun) },
-		Engines: s.known, Log: zap.NewNop(),
+		Engines: s.known, Log: zap.NewNop(), Measured: func() rates.Rates { return s.measured },
 		Live: func(string) bool { return true }, Relaxed: func() bool { return false },
 	}
 	go h.Run(ctx)
@@ -295,3 +297,26 @@
 		}
 	})
 }
+
+// All hosts lose power together. What they had measured of the engines must be there when they come back, before any of them has
+// measured anything anew: it is the moment at which most callers wait.
+func TestMeasurementsOutliveAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, "e1", "e2")
+		s.measured = rates.Rates{Token: 27 * time.Microsecond, Event: 32 * time.Millisecond}
+		var hosts []*host
+		for _, ip := range []string{"10.0.0.1", "10.0.0.2"} {
+			hosts = append(hosts, s.start(ip))
+		}
+		time.Sleep(5 * time.Second)
+		for _, h := range hosts {
+			h.cancel()
+		}
+		synctest.Wait()
+		h := s.start("10.0.0.1")
+		time.Sleep(100 * time.Millisecond)
+		if got := h.Rates(); got != s.measured {
+			t.Errorf("Rates of a host that has just started = %v, want %v", got, s.measured)
+		}
+	})
+}
