Measure how fast engines read from the first few prompts

Change: the slope is taken from 8 prompts on, and anew after every 4; the median of slopes bounds what a few odd ones do.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -23,9 +23,9 @@
 	mostToken  = 2 * time.Millisecond
 	// samples is how many of the newest prompts count, and fitEvery after how many new ones the slope is found anew.
 	samples  = 256
-	fitEvery = 16
+	fitEvery = 4
 	// enough is how many samples a slope needs.
-	enough = 24
+	enough = 8
 	// apart is how many tokens two prompts must differ by for the slope between them to say anything.
 	apart = 200
 )
