--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -86,6 +86,7 @@
 	}
 	e.news.loading(g.IP, g.Models)
 	e.blame.Hear(g.Broke, now)
+	e.bulk.Hear(g.IP, g.Bulk, now)
 	e.giver.Running(g.IP, g.Running, now)
 }
 
