--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -17,7 +17,6 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/blame"
-	"damaskreach/internal/bulk"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/pick"
@@ -80,7 +79,6 @@
 	Spare   *spare.Spare
 	Blame   *blame.Blame
 	Speed   *speed.Speed
-	Bulk    *bulk.Bulk
 	Log     *zap.Logger
 	// Requests takes the line that every request ends with.
 	Requests *zap.Logger
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -14,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/blame"
-	"damaskreach/internal/bulk"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
 	"damaskreach/internal/holds"
@@ -87,7 +85,7 @@
 		Decode: func(r *http.Request) (demand.Demand, error) {
 			return demand.Demand{
 				ID: "r1", Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: http.Header{}, Model: r.Header.Get("M"),
-				Adapter: r.Header.Get("A"), LastSeen: r.Header.Get(headLast), Prompt: number(r.Header.Get("Tokens")),
+				Adapter: r.Header.Get("A"), LastSeen: r.Header.Get(headLast),
 			}, nil
 		},
 		Headers: func(id string, left time.Duration, version int, last string) http.Header {
@@ -103,7 +101,7 @@
 		NotRun: func(status int, h http.Header) bool {
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
-		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Blame: &blame.Blame{}, Speed: &speed.Speed{}, Bulk: &bulk.Bulk{}, Use: func(string, string) func() { return func() {} },
+		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Blame: &blame.Blame{}, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
@@ -114,15 +112,6 @@
 	return b
 }
 
-// number returns what a header says, zero for nothing.
-func number(text string) int {
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // add registers an upstream that holds adapters.
 func (b *bench) add(id string, adapters map[string]int) {
 	b.view.Targets[id] = target.Target{
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -37,8 +37,6 @@
 	version   int             // of the adapter that was asked of the upstream; 0 means any
 	last      string          // id of the last event that was passed on
 	ownerless time.Time       // since when it waits for an engine that can be given orders
-	noted     bool            // its prompt is counted as one that holds streams up
-	anywhere  bool            // the engines that it should go to cannot serve it
 	headed    bool            // the status has gone to the caller
 	first     time.Time       // when the first byte of the answer went to the caller
 	sent      time.Time       // when it was last sent
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -65,7 +65,7 @@
 	if j.d.Adapter == "" {
 		return x.admitAny(ctx, j, able, 0, anyTime, func() {})
 	}
-	return x.placeApart(ctx, j, able)
+	return x.placeAdapter(ctx, j, able)
 }
 
 // candidates returns the ready upstreams of the group that have not failed this request.
@@ -267,24 +267,19 @@
 }
 
 func (x *Direct) want(j *job, t target.Target, version int, bound time.Duration) want.Want {
-	gap, cost := x.Speed.Gap(), x.cost(j)
+	gap := x.Speed.Gap()
+	room := j.route.Gap - gap - gapSlack
+	if j.route.Gap == 0 {
+		room = leastRoom
+	}
+	cost := time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
 	return want.Want{
 		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.route.Priority,
-		Cost: max(time.Millisecond, cost), Room: x.room(j), Tail: gap, Bound: bound,
+		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
 		Limit: time.Until(j.hopeless()), Patience: max(0, j.route.Target-time.Since(j.begun)-cost-2*gap),
 	}
 }
 
-// cost returns how long the prompt is taken to be read.
-func (x *Direct) cost(j *job) time.Duration {
-	return time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
-}
-
-// room returns how long reading prompts may hold up a stream.
-func (x *Direct) room(j *job) time.Duration {
-	return max(leastRoom, j.route.Gap-x.Speed.Gap()-gapSlack)
-}
-
 // ended returns the refusal of a request whose caller left or whose time is over.
 func (x *Direct) ended(ctx context.Context, j *job) *refuse.Refusal {
 	if ctx.Err() == context.Canceled {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/blame"
-	"damaskreach/internal/bulk"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
@@ -100,7 +99,6 @@
 	news    *news
 	conns   conns.Conns
 	blame   blame.Blame
-	bulk    bulk.Bulk
 	leaving atomic.Bool
 	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
@@ -135,7 +133,7 @@
 		return s.Share, s.Extra, s.Window
 	}}
 	return &direct.Direct{
-		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: measured, Bulk: &e.bulk, Use: e.use,
+		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: measured, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
 		Spare: e.spare, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
 	}
@@ -263,7 +261,6 @@
 	return gossip.Gossip{
 		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Read: e.marks(), Loads: e.loads(),
 		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running, Broke: e.blame.News(to), Models: e.giver.Models(),
-		Bulk: e.bulk.Rate(time.Now()),
 	}
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -86,7 +86,6 @@
 	}
 	e.news.loading(g.IP, g.Models)
 	e.blame.Hear(g.Broke, now)
-	e.bulk.Hear(g.IP, g.Bulk, now)
 	e.giver.Running(g.IP, g.Running, now)
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,6 +18,5 @@
 	Used    map[string][]string `msgpack:"u,omitempty"` // adapters used at engines that the receiver orders
 	Models  int                 `msgpack:"o,omitempty"` // base models on their way to engines that the sender orders
 	Broke   []string            `msgpack:"b,omitempty"` // requests under which upstreams broke off, see package blame
-	Bulk    float64             `msgpack:"k,omitempty"` // seconds a second that prompts take to read which hold streams up, see package bulk
 	Waits   map[string]int      `msgpack:"w,omitempty"` // ms that a prompt would wait at engines that this host orders
 }
