Keep on the platform which adapters of an engine were used last and are at hand

Cause: which adapters of an engine are busy and which weights it has at hand lived in one host's memory. Change: the host that orders an engine writes the order of use along with a renewal, every 4 s, as hints without a condition; one that takes the engine reads it; adapters of which nothing is known count as in use. Hosts that are reached anew are told what is at hand.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -99,6 +99,7 @@
 	news    *news
 	conns   conns.Conns
 	blame   blame.Blame
+	keeper  keeper
 	leaving atomic.Bool
 	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
@@ -120,9 +121,9 @@
 	}
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
 	measured := &speed.Speed{Before: e.tenure.Rates}
-	e.tenure.Measured = measured.Rates
+	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
-		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn,
+		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
 		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Told: e.toldEvery, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
 	e.uplink = &uplink.Uplink{
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -12,6 +12,7 @@
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/memo"
 	"damaskreach/internal/model"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/stats"
@@ -46,6 +47,10 @@
 	giveUp = 8 * time.Second
 	// idle is the pause of a desk with nothing to do.
 	idle = 300 * time.Millisecond
+	// noteEvery is how often what is to outlive this host is brought up to date: a renewal writes it.
+	noteEvery = time.Second
+	// recallFor bounds the look for what others kept; without it the engine serves all the same.
+	recallFor = 300 * time.Millisecond
 	// weight is that of the newest measured load in the mean.
 	weight = 0.2
 )
@@ -60,6 +65,7 @@
 	backlog atomic.Int32 // loads that wait or are on their way
 	lane    *lane
 	ready   atomic.Pointer[map[string]int] // what the engine holds and serves; read by other goroutines
+	memo    atomic.Pointer[memo.Memo]      // what is to outlive this host
 
 	mu   sync.Mutex
 	used map[string]time.Time
@@ -72,11 +78,13 @@
 	held     map[string]int
 	leaving  map[string]bool // unloads that wait for running requests; their places are not free yet
 	pending  map[string]*load
-	recent   map[string]bool // adapters that the engine held in this incarnation: they load sooner
-	queue    []waiter        // loads that wait for others to complete
-	model    time.Time       // when to look next at the load of the base model
-	modelAt  time.Time       // when the load of the base model began that is under way
-	counted  bool            // it comes from the weight store
+	recent   map[string]time.Time // adapters that the engine held in this incarnation, and when: they load sooner
+	noted    time.Time            // when memo was made
+	recalled bool                 // what others kept was looked for
+	queue    []waiter             // loads that wait for others to complete
+	model    time.Time            // when to look next at the load of the base model
+	modelAt  time.Time            // when the load of the base model began that is under way
+	counted  bool                 // it comes from the weight store
 	cold     time.Duration
 	warm     time.Duration
 	asked    time.Time
@@ -101,7 +109,8 @@
 	d.held = map[string]int{}
 	d.models = map[string]bool{}
 	d.leaving = map[string]bool{}
-	d.recent = map[string]bool{}
+	d.recent = map[string]time.Time{}
+	d.recalled = false
 	d.fail(merry.Prepend(want.ErrFailed, "the engine restarted"))
 }
 
@@ -200,6 +209,7 @@
 		return idle / 3
 	}
 	d.serve(t)
+	d.keep(time.Now())
 	d.backlog.Store(int32(len(d.queue) + len(d.pending)))
 	return d.pause()
 }
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -15,6 +15,7 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
+	"damaskreach/internal/memo"
 	"damaskreach/internal/model"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/rules"
@@ -27,6 +28,7 @@
 
 const (
 	loadTime  = 250 * time.Millisecond
+	quickTime = 25 * time.Millisecond // for an adapter whose weights are at hand
 	reportLag = 100 * time.Millisecond
 )
 
@@ -40,11 +42,21 @@
 	held     map[string]int
 	pending  map[string]time.Time
 	using    map[string]bool
+	quick    map[string]bool // adapters whose weights are at hand
 	crashed  bool
+	inUse    int // unloads that met a request
 	orders   int
 	lose     func(n int) (lost bool, late time.Duration) // what becomes of the nth order
 	reports  []state.State                               // as of every change, for the lag
 	at       []time.Time
+	memo     *memo.Memo // what an earlier host kept
+}
+
+func (e *engine) recall(context.Context, string) (memo.Memo, bool) {
+	if e.memo == nil {
+		return memo.Memo{}, false
+	}
+	return *e.memo, true
 }
 
 func newEngine(places int) *engine {
@@ -55,7 +67,11 @@
 
 func (e *engine) settle() {
 	for a, at := range e.pending {
-		if time.Since(at) >= loadTime {
+		takes := loadTime
+		if e.quick[a] {
+			takes = quickTime
+		}
+		if time.Since(at) >= takes {
 			delete(e.pending, a)
 			e.held[a] = 1
 			e.note()
@@ -99,6 +115,7 @@
 	}
 	e.sequence++
 	if e.using[name] {
+		e.inUse++
 		e.note()
 		return effect.Accepted
 	}
@@ -140,8 +157,15 @@
 	return old, nil
 }
 
-// desk runs a giver that orders one engine.
+// desk runs a giver that orders one engine, which it knows.
 func desk(t *testing.T, e *engine) *giver.Giver {
+	g := start(t, e)
+	time.Sleep(time.Second)
+	return g
+}
+
+// start runs a giver that has just got the orders of one engine.
+func start(t *testing.T, e *engine) *giver.Giver {
 	v := view.View{
 		Rules: rules.Rules{Version: 1, Pools: map[string]pool.Pool{
 			"g": {Engine: true, Places: e.places, Memory: 1000, Models: []model.Model{{Name: "m", Adapter: 1}}},
@@ -150,14 +174,14 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: func() []string { return []string{"e"} },
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Flow: flow.NewFlow(), Told: func() time.Duration { return e.told },
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Told: func() time.Duration { return e.told },
 		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
 	go g.Run(ctx)
-	time.Sleep(time.Second)
+	time.Sleep(time.Millisecond)
 	return g
 }
 
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -17,6 +17,7 @@
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
+	"damaskreach/internal/memo"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
@@ -40,6 +41,8 @@
 	Mine  func() []string
 	View  func() view.View
 	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
+	// Recall returns what another host, or this one before it ended, kept of an engine; false where there is nothing.
+	Recall func(ctx context.Context, id string) (memo.Memo, bool)
 	// Flow bounds the loads that are on their way to all engines of this host.
 	Flow *flow.Flow
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
@@ -123,6 +126,19 @@
 	}
 }
 
+// Memos returns what is to outlive this host of each engine that it orders.
+func (g *Giver) Memos() map[string]memo.Memo {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	memos := map[string]memo.Memo{}
+	for id, d := range g.desks {
+		if m := d.memo.Load(); m != nil {
+			memos[id] = *m
+		}
+	}
+	return memos
+}
+
 // Used records that requests use adapters at an engine, so that they are not the first to go.
 func (g *Giver) Used(id string, adapters []string, now time.Time) {
 	if d := g.desk(id); d != nil {
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -43,9 +43,8 @@
 	for _, m := range s.Models {
 		d.models[m] = true
 	}
-	for a := range d.held {
-		d.recent[a] = true
-	}
+	d.recall()
+	d.assume(time.Now())
 	d.merge(s.Pending)
 	d.known = true
 	d.g.Log.Info("engine known", zap.String("target", d.id), zap.Int64("born", d.born), zap.Int64("sequence", d.sequence),
@@ -79,7 +78,7 @@
 	l.finish(true)
 	d.held[adapter] = version
 	delete(d.leaving, adapter)
-	d.recent[adapter] = true
+	d.recent[adapter] = time.Now()
 	d.touch([]string{adapter}, time.Now())
 	took := time.Since(l.since)
 	from := "store"
@@ -119,7 +118,7 @@
 		delete(held, a)
 	}
 	d.ready.Store(&held)
-	d.g.Tell(stock.Stock{ID: d.id, Born: d.born, Sequence: d.sequence, Adapters: held})
+	d.g.Tell(stock.Stock{ID: d.id, Born: d.born, Sequence: d.sequence, Adapters: held, Recent: d.names()})
 }
 
 // adopt takes versions that a registration tells and this host did not know, and loads that it shows as complete.
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -130,7 +130,7 @@
 		return true
 	}
 	victim, idle := d.victim(d.pool(t).Room(m))
-	if w.Spread && (idle < unused || !d.recent[w.Adapter] && !d.g.Flow.Spare(time.Now())) {
+	if w.Spread && (idle < unused || !d.atHand(w.Adapter) && !d.g.Flow.Spare(time.Now())) {
 		// Nobody waits for it. Where every place is in use, one more engine for a busy adapter costs another adapter its only
 		// one, and where loads queue up, a request its time.
 		w.done <- want.ErrBusy
@@ -141,7 +141,7 @@
 		return false
 	}
 	end, ok := func(time.Time, bool) {}, true
-	if !d.recent[w.Adapter] {
+	if !d.atHand(w.Adapter) {
 		// Only what is not at hand at the engine comes from the store.
 		end, ok = d.g.Flow.Begin(d.id, w.since.Add(w.Patience-d.cold), time.Now())
 	}
@@ -170,7 +170,7 @@
 		return true
 	case effect.Accepted:
 		l := &load{
-			version: w.Version, since: started, waited: started.Sub(w.since), block: *w.block, warm: d.recent[w.Adapter],
+			version: w.Version, since: started, waited: started.Sub(w.since), block: *w.block, warm: d.atHand(w.Adapter),
 			end: end, waiters: []waiter{w},
 		}
 		l.due = started.Add(d.expected(l.warm))
--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -83,6 +83,17 @@
 	h.left[adapter] = at
 }
 
+// Recall notes which adapters an engine has at hand, as its order giver tells a host that has just been reached.
+func (h *Holds) Recall(id string, born int64, adapters []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range adapters {
+		if _, known := h.left[a]; !known {
+			h.remember(a, place{id, born})
+		}
+	}
+}
+
 // Left reports whether an engine is the one from which an adapter was last evicted.
 func (h *Holds) Left(t target.Target, adapter string) bool {
 	h.mu.RLock()
--- a/internal/holds/holds_test.go
+++ b/internal/holds/holds_test.go
@@ -64,3 +64,23 @@
 		t.Error("a new life of the engine is taken to have the weights")
 	}
 }
+
+// A host starts and is told what engines have at hand. It sends an adapter back to the engine that had it, but what it has seen
+// itself counts more than what others kept.
+func TestHostThatStartsLearnsWhereWeightsAre(t *testing.T) {
+	h := holds.NewHolds()
+	e := engine(1, 5, nil)
+	h.Recall("e", 1, []string{"m/a", "m/b"})
+	if !h.Left(e, "m/a") {
+		t.Error("the engine is not taken to have m/a at hand")
+	}
+	h.Tell("other", 1, 1, map[string]int{"m/c": 1})
+	h.Tell("other", 1, 2, map[string]int{})
+	h.Recall("e", 1, []string{"m/c"})
+	if h.Left(e, "m/c") {
+		t.Error("m/c is taken to be at hand at the engine, want it at the one that was seen to unload it")
+	}
+	if h.Left(engine(2, 0, nil), "m/a") {
+		t.Error("the engine is taken to have m/a at hand after a restart")
+	}
+}
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -1,6 +1,12 @@
 // Package rows holds the record that the platform's table service stores.
 package rows
 
+import "math"
+
+// Any is the revision of an edit that is written whatever the row's own is. It is for hints, where a lost edit does no harm; with a
+// revision, one row that another host has written would fail the whole transaction.
+const Any = math.MinInt64
+
 // Row is one record of the table service.
 // In an edit, Rev is the revision the editor last saw: 0 demands that the key does not exist.
 type Row struct {
--- a/internal/stand/rowdb/db_test.go
+++ b/internal/stand/rowdb/db_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// A hint is written along with a row that must not have changed. Whoever wrote the hint last must not fail the other one; a conflict of
+// the other one fails both.
+func TestEditOfAnyRevisionIsWrittenAlong(t *testing.T) {
+	tab := rowdb.NewDB().Table()
+	mustWrite(t, tab, row("a/hint", "x", 0), row("a/row", "x", 0))
+	mustWrite(t, tab, row("a/hint", "y", 1))
+	mustWrite(t, tab, row("a/hint", "z", rows.Any), row("a/row", "y", 1))
+	_, err := tab.Write(t.Context(), row("a/hint", "w", rows.Any), row("a/row", "z", 1))
+	if !errors.Is(err, table.ErrConflict) || !slices.Equal(table.Conflicts(err), []string{"a/row"}) {
+		t.Errorf("Write = %v naming %q, want %v naming [a/row]", err, table.Conflicts(err), table.ErrConflict)
+	}
+	mustWrite(t, tab, rows.Row{Key: "a/none", Rev: rows.Any, Gone: true}, rows.Row{Key: "a/hint", Rev: rows.Any, Gone: true})
+	found, _, err := tab.List(t.Context(), "a/")
+	if got, want := show(found), "a/row=y@3"; got != want || err != nil {
+		t.Errorf("List = %q, %v, want %q, nil", got, err, want)
+	}
+}
+
 func TestInvalidWritesAreRejected(t *testing.T) {
 	tab := rowdb.NewDB().Table()
 	for name, edits := range map[string][]rows.Row{
--- a/internal/stand/rowdb/write.go
+++ b/internal/stand/rowdb/write.go
@@ -53,7 +53,7 @@
 			return merry.Append(table.ErrInvalid, "an edit has no key")
 		case seen[e.Key]:
 			return merry.Appendf(table.ErrInvalid, "key %q is edited twice", e.Key)
-		case e.Rev < 0:
+		case e.Rev < 0 && e.Rev != rows.Any:
 			return merry.Appendf(table.ErrInvalid, "key %q has the revision %d", e.Key, e.Rev)
 		case len(e.Value) > mostValue:
 			return merry.Appendf(table.ErrInvalid, "key %q has %d bytes, at most %d are taken", e.Key, len(e.Value), mostValue)
@@ -70,7 +70,7 @@
 		if rec := d.record(e.Key); rec != nil && !rec.now().Gone {
 			rev = rec.now().Rev
 		}
-		if rev != e.Rev {
+		if rev != e.Rev && e.Rev != rows.Any {
 			keys = append(keys, e.Key)
 		}
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -66,6 +66,9 @@
 	Live func(ip string) bool
 	// Measured returns what this host has measured of engines, for those that start later.
 	Measured func() rates.Rates
+	// Beside returns rows that are written along with a renewal, each whatever its revision is; a call of their own would cost as
+	// much as the renewal.
+	Beside func() []rows.Row
 	// Relaxed reports whether another host reads the rows for this one at present.
 	Relaxed func() bool
 	Log     *zap.Logger
@@ -197,7 +200,8 @@
 	if known.Ended || known.rev == 0 {
 		s.Epoch++
 	}
-	rev, err := t.Table.Write(ctx, rows.Row{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev})
+	edits := append([]rows.Row{{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev}}, t.Beside()...)
+	rev, err := t.Table.Write(ctx, edits...)
 	if err != nil {
 		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
 		t.renewFailed(ctx, err)
