Let requests that can be on time go before streams that are late already

Cause: a stream whose host or engine died asks for its turn as if it were new, with all of its goal left. After a host's loss some two hundred such streams come back at once beside new requests, and go before them by the time they must be on time. Change: what a stream may wait is counted from its last event and by its longest pause; one whose caller comes back after an event counts as late. Turns already go to those first that can be on time.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -77,6 +77,24 @@
 	return j.begun.Add(time.Duration(hope * float64(until.Sub(j.begun))))
 }
 
+// patience returns for how long the request may wait for its turn and still be on time, where the first event comes so long after
+// it. A stream that goes on after a cut is on time if it pauses no longer than it may; one whose caller lost its connection is late
+// already. Taken for new ones, they would go before requests that can still be served on time, at the moment when a host has died
+// with all its streams (TestStreamsThatAreLateLetOthersGoFirst).
+func (j *job) patience(now time.Time, takes time.Duration) time.Duration {
+	switch {
+	case !j.first.IsZero():
+		heard := j.heard
+		if heard.IsZero() {
+			heard = j.first
+		}
+		return max(0, j.route.Gap-now.Sub(heard)-takes)
+	case j.d.LastSeen != "":
+		return 0
+	}
+	return max(0, j.route.Target-now.Sub(j.begun)-takes)
+}
+
 // waited reports whether asking for a turn ended because there is none in time.
 func (j *job) waited(err error) bool {
 	return errors.Is(err, want.ErrBusy) || errors.Is(err, context.DeadlineExceeded) && !time.Now().Before(j.hopeless())
