--- a/internal/direct/patience_test.go
+++ b/internal/direct/patience_test.go
@@ -39,10 +39,10 @@
 	b := newBench(t, resumable())
 	b.add("one", map[string]int{"m/a": 1})
 	b.add("two", map[string]int{"m/a": 1})
-	b.then(func(s sent) (resp.Resp, error) {
-		return answers(http.StatusOK, nil, "id: 1\ndata: x\n\nid: 2\nda", nil)(s)
-	})
-	b.then(answers(http.StatusOK, nil, "id: 2\ndata: y\n\n", nil))
+	b.then(
+		answers(http.StatusOK, nil, "id: 1\ndata: x\n\nid: 2\nda", errors.New("reset")),
+		answers(http.StatusOK, nil, "id: 2\ndata: y\n\n", nil),
+	)
 	b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
 	last := b.loads[len(b.loads)-1]
 	if got, most := last.Patience, 250*time.Millisecond; got <= 0 || got > most {
