Have one host in each data centre read the store for the others on sites of any size

Change: what holds for more than twelve hosts holds for all: hosts read for themselves once nobody has read for them for the time that a leaving upstream may still get work, less a reading.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -7,16 +7,13 @@
 	"damaskreach/internal/marks"
 )
 
-// everyone is the number of hosts up to which each reads the store for itself. With more, one host in each data centre reads,
-// and the others read only what it has found to be newer: 73 hosts made 9,600 calls in a quiet minute, most of which
-// brought nothing new.
-const everyone = 12
-
 // ownReading is how much sooner than a leaving upstream must get no new work a host reads for itself where others do not: a
 // reading, a try that fails, and the choice that is under way.
 const ownReading = 800 * time.Millisecond
 
-// reader reports whether this host reads the store for others.
+// reader reports whether this host reads the store for others: one in each data centre does, and the others read only what it has found
+// to be newer. Where each read for itself, 73 hosts made 9,600 calls in a quiet minute, most of which brought nothing new, and eight
+// hosts 995 in fifty seconds, of which a fifth is saved.
 func (e *Edge) reader() bool {
 	m := e.mates.Load()
 	if m == nil {
@@ -41,12 +38,12 @@
 // relaxed reports whether another host reads for this one.
 func (e *Edge) relaxed() bool {
 	m := e.mates.Load()
-	return m != nil && len(e.tenure.Hosts()) > everyone && m.Reads(e.Setup().Drain-ownReading) && !e.reader()
+	return m != nil && m.Reads(e.Setup().Drain-ownReading) && !e.reader()
 }
 
 // marks returns how far this host has read, where it reads for others.
 func (e *Edge) marks() *marks.Marks {
-	if len(e.tenure.Hosts()) <= everyone || !e.reader() {
+	if !e.reader() {
 		return nil
 	}
 	read, ok := e.intake.Marks()
@@ -60,7 +57,7 @@
 // nudge tells others of a change at once, and looks for engines that have no host yet.
 func (e *Edge) nudge() {
 	e.tenure.Look()
-	if m := e.mates.Load(); m != nil && len(e.tenure.Hosts()) > everyone && e.reader() {
+	if m := e.mates.Load(); m != nil && e.reader() {
 		m.Nudge()
 	}
 }
