Bound what a host keeps of an engine's adapters

Cause: the adapters that an engine may have at hand were never dropped, and are sorted each second since they are kept on the platform. Change: from 200 on only the hundred used last count.

--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -49,6 +49,8 @@
 	idle = 300 * time.Millisecond
 	// noteEvery is how often what is to outlive this host is brought up to date: a renewal writes it.
 	noteEvery = time.Second
+	// mostRecent is how many adapters may count as at hand before the oldest are dropped: twice what is kept of an engine.
+	mostRecent = 200
 	// recallFor bounds the look for what others kept; without it the engine serves all the same.
 	recallFor = 300 * time.Millisecond
 	// weight is that of the newest measured load in the mean.
--- a/internal/giver/recall.go
+++ b/internal/giver/recall.go
@@ -68,6 +68,19 @@
 	}
 	m := memo.NewMemo(d.born, last)
 	d.memo.Store(&m)
+	if len(d.recent) >= mostRecent {
+		d.forget(m)
+	}
+}
+
+// forget drops adapters that were used too long ago to be at hand still. Without it a host that runs for weeks would sort all
+// adapters of the site each second, for each engine.
+func (d *desk) forget(m memo.Memo) {
+	newest := make(map[string]time.Time, len(m.Names))
+	for _, a := range m.Names {
+		newest[a] = d.recent[a]
+	}
+	d.recent = newest
 }
 
 // names returns the adapters that the engine has at hand, as they were noted last.
--- a/internal/giver/recall_test.go
+++ b/internal/giver/recall_test.go
@@ -105,3 +105,26 @@
 		}
 	})
 }
+
+// A host runs for weeks and every adapter of the site comes by. What it keeps of an engine must not grow with that: it is sorted each
+// second, and an engine has the weights of the newest at hand alone.
+func TestWhatIsKeptOfAnEngineIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(4)
+		g := desk(t, e)
+		for i := range 450 {
+			if err := admit(t, g, name(i)); err != nil {
+				t.Fatalf("load %d: %v, want none", i, err)
+			}
+			time.Sleep(600 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		names := g.Memos()["e"].Names
+		if got, want := len(names), 100; got != want {
+			t.Errorf("names kept = %d, want %d", got, want)
+		}
+		if got, want := names[0], name(449); got != want {
+			t.Errorf("first name = %s, want %s: it was used last", got, want)
+		}
+	})
+}
