Tell no lists of what is at hand to other hosts; collect memory as usual

Not traced; these two load small hosts and narrow links most: a megabyte from each order giver whenever a host is reached again, and four times as many collections. Change: both are taken back. What is at hand is still recalled for a host's own engines.

--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -9,12 +9,11 @@
 // news is what this host has to tell others, and what they told of their loads.
 type news struct {
 	mu     sync.Mutex
-	stocks map[string]stamped  // newest of each engine that this host orders
-	number int64               // counts changes of stocks
-	sent   map[string]int64    // number up to which each host was told
-	recent map[string][]string // adapters that each of these engines has at hand
-	models map[string]int      // base models on their way, by host
-	used   map[string]uses     // adapters in use at each engine, or since the last message to the host that orders it
+	stocks map[string]stamped // newest of each engine that this host orders
+	number int64              // counts changes of stocks
+	sent   map[string]int64   // number up to which each host was told
+	models map[string]int     // base models on their way, by host
+	used   map[string]uses    // adapters in use at each engine, or since the last message to the host that orders it
 }
 
 type stamped struct {
@@ -27,7 +26,7 @@
 
 func newNews() *news {
 	return &news{
-		stocks: map[string]stamped{}, sent: map[string]int64{}, recent: map[string][]string{}, used: map[string]uses{}, models: map[string]int{},
+		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]uses{}, models: map[string]int{},
 	}
 }
 
@@ -35,35 +34,20 @@
 func (n *news) put(s stock.Stock) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(s.Recent) > 0 {
-		n.recent[s.ID], s.Recent = s.Recent, nil
-	}
+	s.Recent = nil // told to every host it would fill the narrow links of a large site
 	n.number++
 	n.stocks[s.ID] = stamped{s, n.number}
 }
 
-// reached has a host told everything: it may have started anew.
-func (n *news) reached(host string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.sent, host)
-}
-
 // held returns what changed since the last message to a host. A message that got lost is made up for by registrations.
 func (n *news) held(to string) []stock.Stock {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var list []stock.Stock
-	all := n.sent[to] == 0
-	for id, s := range n.stocks {
-		if s.number <= n.sent[to] {
-			continue
-		}
-		told := s.Stock
-		if all {
-			told.Recent = n.recent[id]
+	for _, s := range n.stocks {
+		if s.number > n.sent[to] {
+			list = append(list, s.Stock)
 		}
-		list = append(list, told)
 	}
 	n.sent[to] = n.number
 	return list
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -42,7 +42,7 @@
 	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
 		WithBounds(bounds.NewBounds().WithKeepalive(pingEvery, cutAfter).WithBackoff(redialLeast, redialMost))
 	m := &mates.Mates{
-		Mesh: mesh, IP: s.IP, Hosts: e.tenure.Hosts, Tell: e.told, Hear: e.hear, Reached: e.news.reached, Admit: e.giver.Admit, Log: e.Log,
+		Mesh: mesh, IP: s.IP, Hosts: e.tenure.Hosts, Tell: e.told, Hear: e.hear, Admit: e.giver.Admit, Log: e.Log,
 	}
 	m.Register()
 	l, err := e.Listen(s.Peers)
@@ -77,7 +77,6 @@
 	}
 	for _, s := range g.Held {
 		e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
-		e.holds.Recall(s.ID, s.Born, s.Recent)
 	}
 	for id, ms := range g.Waits {
 		e.pick.Waits(id, time.Duration(ms)*time.Millisecond, now)
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -40,10 +40,8 @@
 	Hosts func() map[string][3]string // see tenure.Hosts
 	Tell  func(to string) gossip.Gossip
 	Hear  func(g gossip.Gossip)
-	// Reached is called when a host answers that did not before.
-	Reached func(ip string)
-	Admit   func(ctx context.Context, w want.Want) error
-	Log     *zap.Logger
+	Admit func(ctx context.Context, w want.Want) error
+	Log   *zap.Logger
 
 	nudge   chan struct{}
 	readers trust.Trust
@@ -150,7 +148,6 @@
 	if err == nil {
 		if !was {
 			m.Log.Info("host reached", zap.String("host", ip))
-			m.Reached(ip)
 		}
 		old.at = time.Now()
 	} else if was && time.Since(old.at) > alive/2 {
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -31,10 +31,6 @@
 	reloadEvery = 2 * time.Second
 	// memoryShare is the part of the allowed memory at which the collector works harder.
 	memoryShare = 0.6
-	// gcPercent is how much the heap may grow between two collections, in hundredths of what is in use. A host keeps a few MB, and its
-	// memory counts at its peak: at the runtime's usual 100 that was 19 MB, of which a fourth is saved, at a twentieth more of its
-	// processor time.
-	gcPercent = 25
 	// flushFor is how long the last lines may take to be written: a queue of them takes some milliseconds where they are read.
 	flushFor = 300 * time.Millisecond
 )
@@ -75,7 +71,6 @@
 		fmt.Fprintln(s.Err, err)
 		return shell.Usage
 	}
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(first.Memory<<20) * memoryShare))
 	log := logger.NewLogger(s.Out, level(first.Level))
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/stock/stock.go
+++ b/internal/stock/stock.go
@@ -7,6 +7,6 @@
 	Born     int64          `msgpack:"b"`
 	Sequence int64          `msgpack:"s"`
 	Adapters map[string]int `msgpack:"a"`
-	// Recent are adapters whose weights it has at hand, the one used last first; told once to each host.
-	Recent []string `msgpack:"r,omitempty"`
+	// Recent are adapters whose weights it has at hand, the one used last first; not told to other hosts.
+	Recent []string `msgpack:"-"`
 }
