--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -19,7 +19,7 @@
 	life = 2 * time.Minute
 	// most is how many requests are remembered, some 200 bytes each. A loss of many upstreams breaks thousands at once.
 	most = 20000
-	// mostTold is how many breaks one message to another host holds.
+	// mostTold is how many breaks one message holds.
 	mostTold = 200
 )
 
@@ -27,7 +27,7 @@
 type Blame struct {
 	mu    sync.Mutex
 	known map[string]*record
-	fresh map[string][]string // breaks seen here that hosts were not told of yet, by host
+	fresh []string // breaks seen here that others were not told of yet
 }
 
 type record struct {
@@ -49,10 +49,8 @@
 func (b *Blame) Broke(mark, place string, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for host, list := range b.fresh {
-		if len(list) < mostTold {
-			b.fresh[host] = append(list, mark+" "+place)
-		}
+	if len(b.fresh) < mostTold {
+		b.fresh = append(b.fresh, mark+" "+place)
 	}
 	return b.note(mark, place, now)
 }
@@ -86,15 +84,12 @@
 	delete(b.known, mark)
 }
 
-// News returns the breaks seen here since the last message to a host.
-func (b *Blame) News(host string) []string {
+// News returns the breaks seen here since the last call.
+func (b *Blame) News() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fresh == nil {
-		b.fresh = map[string][]string{}
-	}
-	list := b.fresh[host]
-	b.fresh[host] = nil
+	list := b.fresh
+	b.fresh = nil
 	return list
 }
 
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -15,7 +15,7 @@
 	hosts := []*blame.Blame{{}, {}, {}}
 	mark := blame.Print("POST", "/p/x", "body")
 	for _, h := range hosts {
-		h.News("other")
+		h.News()
 	}
 	for i, h := range hosts {
 		h.Broke(mark, string(rune('a'+i)), now)
@@ -24,7 +24,7 @@
 				other.Hear([]string{mark + " " + string(rune('a'+i))}, now)
 			}
 		}
-		if got, want := len(h.News("other")), 1; got != want {
+		if got, want := len(h.News()), 1; got != want {
 			t.Errorf("breaks to tell = %d, want %d", got, want)
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/blame"
+	"damaskreach/internal/busy"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
@@ -18,11 +19,13 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
-	"damaskreach/internal/gossip"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
+	"damaskreach/internal/marks"
 	"damaskreach/internal/mates"
+	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/roster"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
 	"damaskreach/internal/setup"
@@ -36,12 +39,13 @@
 	"damaskreach/internal/turns"
 	"damaskreach/internal/uplink"
 	"damaskreach/internal/uptime"
+	"damaskreach/internal/usage"
 )
 
 const (
 	// sweepEvery is how often idle connections and records of what is gone are dropped.
 	sweepEvery = time.Second
-	// selfEvery is how often the requests under way here are told to the desks of this host: as often as other hosts tell.
+	// selfEvery is how often the requests under way here are told to the desks of this host.
 	selfEvery = 200 * time.Millisecond
 	// answerLife is how long callers may keep the answer to a lookup. It bounds how long a host that leaves or died still
 	// gets new connections; each answer costs a host some ten microseconds.
@@ -92,6 +96,8 @@
 	tenure  *tenure.Tenure
 	giver   *giver.Giver
 	mates   atomic.Pointer[mates.Mates]
+	mesh    atomic.Pointer[peer.Mesh]
+	roster  *roster.Roster
 	holds   *holds.Holds
 	pick    *pick.Pick
 	uplink  *uplink.Uplink
@@ -116,15 +122,17 @@
 	e.intake.Every = e.readEvery
 	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
 	e.tenure = &tenure.Tenure{
-		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Clock: uptime.Now, Log: e.Log, Stats: e.Stats,
+		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: uptime.Now,
+		Log: e.Log, Stats: e.Stats,
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed,
 	}
+	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
 	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
 	measured := &speed.Speed{Before: e.tenure.Rates}
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Told: e.toldEvery, Holder: s.IP, Log: e.Log, Stats: e.Stats,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Old: e.old, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
@@ -221,19 +229,19 @@
 		}
 		e.holds.Forget(v.Targets, now)
 		e.pick.Forget(v.Targets, now)
+		e.roster.Forget(func(id string) bool {
+			_, ok := v.Targets[id]
+			return !ok
+		})
 	}
 }
 
 // tellSelf does for the engines that this host orders what messages do for those of others.
 func (e *Edge) tellSelf(ctx context.Context) {
 	for range turns.Every(ctx, selfEvery) {
-		now := time.Now()
 		ip := e.Setup().IP
-		used, running := e.news.uses(func(id string) bool { return e.tenure.Owner(id) == ip })
-		for id, adapters := range used {
-			e.giver.Used(id, adapters, now)
-		}
-		e.giver.Running(ip, running, now)
+		list := e.news.uses(ip, 2*e.old(), func(id string) bool { return e.tenure.Owner(id) == ip })
+		e.giver.Take(list, time.Now())
 	}
 }
 
@@ -250,19 +258,20 @@
 	}
 	if m := e.mates.Load(); m != nil {
 		for _, h := range m.Serving() {
-			addrs = append(addrs, h[1])
+			addrs = append(addrs, h.Callers)
 		}
 	}
 	return addrs, min(answerLife, e.Setup().Life)
 }
 
-// told returns what this host tells another one.
-func (e *Edge) told(to string) gossip.Gossip {
-	used, running := e.news.uses(func(id string) bool { return e.tenure.Owner(id) == to })
-	return gossip.Gossip{
-		IP: e.Setup().IP, Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Read: e.marks(), Loads: e.loads(),
-		Waits: e.waits(), Held: e.news.held(to), Used: used, Running: running, Broke: e.blame.News(to), Models: e.giver.Models(),
+// own returns what this host tells of itself.
+func (e *Edge) own() (own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks) {
+	own = busy.Busy{
+		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
 	}
+	ip := e.Setup().IP
+	uses = e.news.uses(ip, 2*e.old(), func(id string) bool { return e.tenure.Owner(id) != ip })
+	return own, uses, e.blame.News(), e.marks()
 }
 
 // waits returns the waits at engines that this host orders, and notes them for its own choices.
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -2,55 +2,27 @@
 
 import (
 	"sync"
+	"time"
 
-	"damaskreach/internal/stock"
+	"damaskreach/internal/usage"
 )
 
-// news is what this host has to tell others, and what they told of their loads.
+// news is what this host has to tell others of its requests, and what they told of their loads.
 type news struct {
 	mu     sync.Mutex
-	stocks map[string]stamped // newest of each engine that this host orders
-	number int64              // counts changes of stocks
-	sent   map[string]int64   // number up to which each host was told
-	models map[string]int     // base models on their way, by host
-	used   map[string]uses    // adapters in use at each engine, or since the last message to the host that orders it
+	models map[string]int             // base models on their way, by host
+	used   map[string]map[string]*use // what requests use, by engine and adapter
 }
 
-type stamped struct {
-	stock.Stock
-	number int64
+// use counts the requests under way with one adapter at one engine. One with none stays for a while, so that no lost message
+// leaves the host that orders the engine with a count that is too high.
+type use struct {
+	running int
+	ended   time.Time // when the last one ended
 }
 
-// uses counts the requests under way by adapter; one with none stays until it was told.
-type uses map[string]int
-
 func newNews() *news {
-	return &news{
-		stocks: map[string]stamped{}, sent: map[string]int64{}, used: map[string]uses{}, models: map[string]int{},
-	}
-}
-
-// put takes what an engine holds now.
-func (n *news) put(s stock.Stock) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	s.Recent = nil // told to every host it would fill the narrow links of a large site
-	n.number++
-	n.stocks[s.ID] = stamped{s, n.number}
-}
-
-// held returns what changed since the last message to a host. A message that got lost is made up for by registrations.
-func (n *news) held(to string) []stock.Stock {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var list []stock.Stock
-	for _, s := range n.stocks {
-		if s.number > n.sent[to] {
-			list = append(list, s.Stock)
-		}
-	}
-	n.sent[to] = n.number
-	return list
+	return &news{used: map[string]map[string]*use{}, models: map[string]int{}}
 }
 
 // begin records that a request uses an adapter at an engine.
@@ -58,47 +30,60 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.used[id] == nil {
-		n.used[id] = uses{}
+		n.used[id] = map[string]*use{}
+	}
+	if n.used[id][adapter] == nil {
+		n.used[id][adapter] = &use{}
 	}
-	n.used[id][adapter]++
+	n.used[id][adapter].running++
 }
 
 // end records that it does not any more.
 func (n *news) end(id, adapter string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.used[id][adapter]--
+	u := n.used[id][adapter]
+	u.running--
+	u.ended = time.Now()
 }
 
-// uses returns what to tell the host that orders the given engines: the adapters in use, and the requests under way.
-func (n *news) uses(owned func(id string) bool) (list map[string][]string, running map[string]int) {
+// uses returns what this host's requests use at the engines wanted, those that ended within the time given included.
+func (n *news) uses(host string, within time.Duration, wanted func(id string) bool) []usage.Usage {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	list, running = map[string][]string{}, map[string]int{}
+	var list []usage.Usage
 	for id, adapters := range n.used {
-		if !owned(id) {
+		if !wanted(id) {
 			continue
 		}
-		for a, count := range adapters {
-			if a != "" {
-				list[id] = append(list[id], a)
-			}
-			running[id] += count
-			if count <= 0 {
+		one := usage.Usage{Host: host, Engine: id}
+		for a, u := range adapters {
+			if u.running == 0 && time.Since(u.ended) > within {
 				delete(adapters, a)
+				continue
+			}
+			one.Running += u.running
+			if a != "" {
+				one.Adapters = append(one.Adapters, a)
 			}
 		}
 		if len(adapters) == 0 {
 			delete(n.used, id)
+			continue
 		}
+		list = append(list, one)
 	}
-	return list, running
+	return list
 }
 
 // loading takes how many base models are on their way to engines of a host.
 func (n *news) loading(host string, count int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if count == 0 {
+		delete(n.models, host)
+		return
+	}
 	n.models[host] = count
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -8,6 +8,7 @@
 
 	"damaskreach/internal/bounds"
 	"damaskreach/internal/gossip"
+	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/setup"
@@ -32,6 +33,12 @@
 	secretWait = 50 * time.Millisecond
 )
 
+// What hosts ask each other.
+const (
+	methodTell  = "tell"
+	methodAdmit = "admit"
+)
+
 // runPeers joins the other hosts once their secret is known.
 func (e *Edge) runPeers(ctx context.Context, s setup.Setup) {
 	for e.tenure.Secret() == nil {
@@ -41,15 +48,24 @@
 	}
 	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
 		WithBounds(bounds.NewBounds().WithKeepalive(pingEvery, cutAfter).WithBackoff(redialLeast, redialMost))
-	m := &mates.Mates{
-		Mesh: mesh, IP: s.IP, Hosts: e.tenure.Hosts, Tell: e.told, Hear: e.hear, Admit: e.giver.Admit, Log: e.Log,
+	m := mates.NewMates(mate.Mate{IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores})
+	m.Hosts, m.Roster, m.Own, m.Hear, m.Log = e.tenure.Hosts, e.roster, e.own, e.hear, e.Log
+	m.Ask = func(ctx context.Context, to mate.Mate, g gossip.Gossip) (answer gossip.Gossip, err error) {
+		err = mesh.Ask(ctx, to.Peers, methodTell, g, &answer)
+		return answer, err
 	}
-	m.Register()
+	peer.Answer(mesh, methodTell, func(_ context.Context, _ string, g gossip.Gossip) (gossip.Gossip, error) {
+		return m.Answer(g), nil
+	})
+	peer.Answer(mesh, methodAdmit, func(ctx context.Context, _ string, w want.Want) (string, error) {
+		return want.Text(e.giver.Admit(ctx, w)), nil
+	})
 	l, err := e.Listen(s.Peers)
 	if err != nil {
 		e.Log.Error("no port for other hosts", zap.String("addr", s.Peers), zap.Error(err))
 		return
 	}
+	e.mesh.Store(mesh)
 	e.mates.Store(m)
 	go m.Run(ctx)
 	if err := mesh.Serve(ctx, l); err != nil {
@@ -57,10 +73,10 @@
 	}
 }
 
-// toldEvery returns how often other hosts tell of their requests.
-func (e *Edge) toldEvery() time.Duration {
+// old returns how old what other hosts tell may be.
+func (e *Edge) old() time.Duration {
 	if m := e.mates.Load(); m != nil {
-		return m.Every()
+		return m.Times().Old()
 	}
 	return selfEvery
 }
@@ -68,32 +84,31 @@
 // hear takes what another host said.
 func (e *Edge) hear(g gossip.Gossip) {
 	now := time.Now()
-	for id, n := range g.Loads {
-		e.pick.Told(id, n, now)
-	}
 	if g.Read != nil {
 		e.intake.Wake(*g.Read)
 		e.tenure.Wake(g.Read.Fleet)
 	}
+	for _, b := range g.Hosts {
+		for id, n := range b.Loads {
+			e.pick.Told(id, n, now)
+		}
+		for id, ms := range b.Waits {
+			e.pick.Waits(id, time.Duration(ms)*time.Millisecond, now)
+		}
+		e.news.loading(b.IP, b.Models)
+	}
 	for _, s := range g.Held {
 		e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
 	}
-	for id, ms := range g.Waits {
-		e.pick.Waits(id, time.Duration(ms)*time.Millisecond, now)
-	}
-	for id, adapters := range g.Used {
-		e.giver.Used(id, adapters, now)
-	}
-	e.news.loading(g.IP, g.Models)
 	e.blame.Hear(g.Broke, now)
-	e.giver.Running(g.IP, g.Running, now)
+	e.giver.Take(g.Uses, now)
 }
 
 // learn takes what an engine holds that this host orders.
 func (e *Edge) learn(s stock.Stock) {
 	e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
 	e.holds.Recall(s.ID, s.Born, s.Recent)
-	e.news.put(s)
+	e.roster.Held(s)
 }
 
 // use records a use of an adapter until done is called. The host that orders the engine is told, so that the adapter is
@@ -124,20 +139,25 @@
 	if owner == w.Host {
 		return e.giver.Admit(ctx, w)
 	}
-	m := e.mates.Load()
-	if m == nil {
+	mesh := e.mesh.Load()
+	if mesh == nil {
 		return want.ErrElsewhere
 	}
-	return m.AskAdmit(ctx, owner, w)
+	var text string
+	if err := mesh.Ask(ctx, e.tenure.Hosts()[owner].Peers, methodAdmit, w, &text); err != nil {
+		return err
+	}
+	return want.FromText(text)
 }
 
 // modelLoads returns how many base models are on their way to engines of other hosts, and how long this host lets others go
 // first: hosts that wait for the same load to end have different times, so that the next one is seen before a third begins.
 func (e *Edge) modelLoads() (loading int, first time.Duration) {
-	ip := e.Setup().IP
+	hosts := e.tenure.Hosts()
+	self := hosts[e.Setup().IP]
 	before := 0
-	for other := range e.tenure.Hosts() {
-		if readRank(other) < readRank(ip) {
+	for _, other := range hosts {
+		if other.Before(self) {
 			before++
 		}
 	}
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"hash/fnv"
 	"time"
 
 	"damaskreach/internal/marks"
@@ -19,22 +18,14 @@
 	if m == nil {
 		return true
 	}
-	s := e.Setup()
-	mine := readRank(s.IP)
-	for ip, h := range m.Serving() {
-		if h[2] == s.Centre && readRank(ip) < mine {
+	for _, h := range m.Serving() {
+		if h.Centre == m.Self.Centre && h.Before(m.Self) {
 			return false
 		}
 	}
 	return true
 }
 
-func readRank(ip string) uint32 {
-	sum := fnv.New32a()
-	sum.Write([]byte("reads " + ip))
-	return sum.Sum32()
-}
-
 // relaxed reports whether another host reads for this one.
 func (e *Edge) relaxed() bool {
 	m := e.mates.Load()
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -184,7 +184,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, a := range adapters {
-		d.used[a] = now
+		if now.After(d.used[a]) {
+			d.used[a] = now
+		}
 	}
 }
 
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -22,6 +22,7 @@
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/turns"
+	"damaskreach/internal/usage"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 )
@@ -48,8 +49,8 @@
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
 	// first after one of theirs.
 	Others func() (loading int, first time.Duration)
-	// Told returns how often each host tells which adapters its requests use.
-	Told func() time.Duration
+	// Old returns how old what hosts tell of their requests may be.
+	Old func() time.Duration
 	// Window returns the time over which loads of base models from the weight store are counted.
 	Window func() time.Duration
 	Holder string
@@ -157,12 +158,15 @@
 	return waits
 }
 
-// Running takes how many requests a host has under way at engines; those that it leaves out have none of its.
-func (g *Giver) Running(host string, running map[string]int, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for id, d := range g.desks {
-		d.lane.told(host, running[id], now)
+// Take records what hosts' requests use at engines that this host orders: how many there are, and their adapters, so that these are not
+// the first to go.
+func (g *Giver) Take(uses []usage.Usage, now time.Time) {
+	for _, u := range uses {
+		if d := g.desk(u.Engine); d != nil {
+			at := u.At(now)
+			d.lane.told(u.Host, u.Running, at)
+			d.touch(u.Adapters, at)
+		}
 	}
 }
 
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -32,8 +32,8 @@
 // share is what one host has at the engine.
 type share struct {
 	under   int // requests under way, as it told
-	granted int // since then
 	at      time.Time
+	granted []time.Time // what it was granted since
 }
 
 func newLane(ctx context.Context) *lane {
@@ -115,10 +115,19 @@
 	return next
 }
 
-// told takes how many requests a host has under way at the engine.
-func (l *lane) told(host string, n int, now time.Time) {
+// told takes how many requests a host had under way at the engine at some moment. Its word comes by way of relays, and what it was
+// granted after that moment is not in it: forgotten, the engine would be sent more than it can run.
+func (l *lane) told(host string, n int, at time.Time) {
 	l.mu.Lock()
-	l.hosts[host] = &share{under: n, at: now}
+	s := l.hosts[host]
+	if s == nil {
+		s = &share{}
+		l.hosts[host] = s
+	}
+	if at.After(s.at) {
+		s.under, s.at = n, at
+		s.granted = slices.DeleteFunc(s.granted, func(t time.Time) bool { return !t.After(at) })
+	}
 	l.mu.Unlock()
 	l.nudge()
 }
@@ -138,7 +147,7 @@
 			delete(l.hosts, host)
 			continue
 		}
-		sum += s.under + s.granted
+		sum += s.under + len(s.granted)
 	}
 	return sum
 }
@@ -151,7 +160,7 @@
 		s = &share{at: now}
 		l.hosts[w.Host] = s
 	}
-	s.granted++
+	s.granted = append(s.granted, now)
 	w.done <- nil
 }
 
--- a/internal/giver/lane_test.go
+++ b/internal/giver/lane_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damaskreach/internal/giver"
+	"damaskreach/internal/usage"
 	"damaskreach/internal/want"
 )
 
@@ -62,7 +63,7 @@
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
 			g := desk(t, newEngine(2))
-			g.Running("h", nil, time.Now())
+			g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
 			if err := admit(t, g, name(0)); err != nil {
 				t.Fatalf("load: %v", err)
 			}
@@ -106,7 +107,7 @@
 func TestFullEngineServesLargePromptsToo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := desk(t, newEngine(2))
-		g.Running("h", nil, time.Now())
+		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
 		if err := admit(t, g, name(0)); err != nil {
 			t.Fatalf("load: %v", err)
 		}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -194,7 +194,7 @@
 // keeps the engine from any other unload until that has ended. Hosts tell of their requests the more rarely the more of them
 // there are: an adapter in use by seventy hosts may look unused for most of a second.
 func (d *desk) lately() time.Duration {
-	return time.Duration(tells * float64(d.g.Told()))
+	return time.Duration(tells * float64(d.g.Old()))
 }
 
 // victim returns the adapter that must go for one more to be loaded, and for how long it was not in use; none, and for ever, where
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,22 +1,25 @@
-// Package gossip holds what a host tells the others several times a second.
+// Package gossip holds what two hosts tell each other: a question and its answer have the same form.
 package gossip
 
 import (
+	"damaskreach/internal/busy"
 	"damaskreach/internal/marks"
 	"damaskreach/internal/stock"
+	"damaskreach/internal/usage"
 )
 
-// Gossip is one message. Lists are short: what did not change since the last message to a host is left out.
+// Gossip is one message. It tells what changed since what the receiver has seen; see package roster.
 type Gossip struct {
-	IP      string              `msgpack:"i"`
-	Leaving bool                `msgpack:"l,omitempty"`
-	Lapsed  bool                `msgpack:"n,omitempty"` // it may give no orders now
-	Read    *marks.Marks        `msgpack:"m,omitempty"` // set by a host that reads the store for others
-	Loads   map[string]int      `msgpack:"r,omitempty"` // requests sent of late to engines that the sender orders
-	Held    []stock.Stock       `msgpack:"h,omitempty"` // engines that this host orders, where changed
-	Running map[string]int      `msgpack:"x,omitempty"` // requests under way at engines that the receiver orders
-	Used    map[string][]string `msgpack:"u,omitempty"` // adapters used at engines that the receiver orders
-	Models  int                 `msgpack:"o,omitempty"` // base models on their way to engines that the sender orders
-	Broke   []string            `msgpack:"b,omitempty"` // requests under which upstreams broke off, see package blame
-	Waits   map[string]int      `msgpack:"w,omitempty"` // ms that a prompt would wait at engines that this host orders
+	IP     string        `msgpack:"i"`
+	Start  string        `msgpack:"s"`           // tells the sender's numbers from those of its earlier starts
+	Relay  bool          `msgpack:"r,omitempty"` // it speaks for others too
+	Number int64         `msgpack:"n,omitempty"` // of the sender's newest change
+	After  int64         `msgpack:"f,omitempty"` // it tells the changes after this one; 0 means all that there is
+	Of     string        `msgpack:"o,omitempty"` // start of the receiver, as the sender knows it
+	Seen   int64         `msgpack:"k,omitempty"` // newest change of the receiver's that the sender has seen
+	Hosts  []busy.Busy   `msgpack:"h,omitempty"`
+	Held   []stock.Stock `msgpack:"e,omitempty"` // what engines hold
+	Uses   []usage.Usage `msgpack:"u,omitempty"` // of engines whose orders come from the receiver or from hosts that it speaks for
+	Broke  []string      `msgpack:"b,omitempty"` // requests under which upstreams broke off, see package blame
+	Read   *marks.Marks  `msgpack:"m,omitempty"` // how far the store was read by a host that reads it for others
 }
--- /dev/null
+++ b/internal/mates/fleet_test.go
@@ -0,0 +1,224 @@
+package mates_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"damaskreach/internal/busy"
+	"damaskreach/internal/gossip"
+	"damaskreach/internal/marks"
+	"damaskreach/internal/mate"
+	"damaskreach/internal/mates"
+	"damaskreach/internal/roster"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/usage"
+)
+
+// way is how long a message takes.
+const way = 2 * time.Millisecond
+
+// fleet is the hosts of a site with the network between them.
+type fleet struct {
+	t       *testing.T
+	hosts   map[string]*host
+	centres int
+
+	mu     sync.Mutex
+	cut    map[string]bool // hosts that no message reaches or leaves
+	halves bool            // no message passes between the lower and the upper half of the hosts
+	sent   int
+	bytes  int
+	pairs  map[[2]string]bool
+	answer map[string]int // messages that each host answered
+}
+
+type host struct {
+	*mates.Mates
+	fleet  *fleet
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	loads map[string]int
+	uses  []usage.Usage
+	heard []usage.Usage // of engines that it orders
+	held  map[string]stock.Stock
+	broke []string
+	read  *marks.Marks
+}
+
+func newFleet(t *testing.T, hosts, centres int) *fleet {
+	f := &fleet{
+		t: t, hosts: map[string]*host{}, centres: centres, cut: map[string]bool{}, pairs: map[[2]string]bool{}, answer: map[string]int{},
+	}
+	for i := range hosts {
+		f.hosts[ip(i)] = &host{}
+	}
+	for i := range hosts {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			h.cancel()
+		}
+		time.Sleep(time.Second) // for messages under way
+		synctest.Wait()
+	})
+	return f
+}
+
+func ip(i int) string { return fmt.Sprintf("10.0.%d.%d", i/250, i%250) }
+
+func (f *fleet) mate(i int) mate.Mate {
+	return mate.Mate{IP: ip(i), Peers: ip(i), Callers: ip(i), Centre: fmt.Sprint("dc-", i%f.centres), Power: 0.2}
+}
+
+// start starts the program on a host that knows of no other but by the store's rows.
+func (f *fleet) start(i int) *host {
+	h := &host{fleet: f, held: map[string]stock.Stock{}}
+	h.Mates = mates.NewMates(f.mate(i))
+	h.Roster = roster.NewRoster(ip(i), func(engine string) string { return engine[:len(engine)-len("/e")] })
+	h.Log = zap.NewNop()
+	h.Mates.Hosts = func() map[string]mate.Mate {
+		all := make(map[string]mate.Mate, len(f.hosts))
+		for n := range len(f.hosts) {
+			all[ip(n)] = f.mate(n)
+		}
+		return all
+	}
+	h.Own = func() (busy.Busy, []usage.Usage, []string, *marks.Marks) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		broke := h.broke
+		h.broke = nil
+		return busy.Busy{Loads: h.loads}, h.uses, broke, h.read
+	}
+	h.Hear = h.hear
+	h.Ask = func(ctx context.Context, to mate.Mate, g gossip.Gossip) (gossip.Gossip, error) {
+		return f.ask(ctx, ip(i), to.IP, g)
+	}
+	ctx, cancel := context.WithCancel(f.t.Context())
+	h.cancel = cancel
+	f.mu.Lock()
+	f.hosts[ip(i)] = h
+	f.mu.Unlock()
+	go h.Run(ctx)
+	return h
+}
+
+func (h *host) hear(g gossip.Gossip) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range g.Held {
+		h.held[s.ID] = s
+	}
+	if len(g.Uses) > 0 {
+		h.heard = g.Uses
+	}
+}
+
+var errCut = errors.New("no way there")
+
+// ask carries a message there and its answer back. Nothing comes from or to a host that is cut off, not even an error.
+func (f *fleet) ask(ctx context.Context, from, to string, g gossip.Gossip) (gossip.Gossip, error) {
+	if !f.pass(ctx, from, to, g) {
+		return gossip.Gossip{}, errCut
+	}
+	f.mu.Lock()
+	h := f.hosts[to]
+	f.mu.Unlock()
+	answer := h.Answer(g)
+	if !f.pass(ctx, to, from, answer) {
+		return gossip.Gossip{}, errCut
+	}
+	return answer, nil
+}
+
+func (f *fleet) pass(ctx context.Context, from, to string, g gossip.Gossip) bool {
+	data, err := msgpack.Marshal(g)
+	if err != nil {
+		f.t.Errorf("Marshal() = %v, want nil", err)
+	}
+	f.mu.Lock()
+	f.sent++
+	f.bytes += len(data)
+	f.pairs[[2]string{min(from, to), max(from, to)}] = true
+	f.answer[to]++
+	cut := f.cut[from] || f.cut[to] || f.halves && f.half(from) != f.half(to)
+	f.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return false
+	}
+	time.Sleep(way)
+	return true
+}
+
+func (f *fleet) setCut(cut bool, hosts ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range hosts {
+		f.cut[ip(i)] = cut
+	}
+}
+
+func (f *fleet) setHalves(apart bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.halves = apart
+}
+
+func (f *fleet) half(host string) bool {
+	for i := range len(f.hosts) / 2 {
+		if ip(i) == host {
+			return true
+		}
+	}
+	return false
+}
+
+// count resets the counters and returns what they stood at.
+func (f *fleet) count() (sent, bytes, pairs, most int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.answer {
+		most = max(most, n)
+	}
+	sent, bytes, pairs = f.sent, f.bytes, len(f.pairs)
+	f.sent, f.bytes = 0, 0
+	clear(f.pairs)
+	clear(f.answer)
+	return sent, bytes, pairs, most
+}
+
+// sees returns how many of the hosts i is sure of, itself left out.
+func (f *fleet) sees(i int) int {
+	n := 0
+	for other := range len(f.hosts) {
+		if other != i && f.hosts[ip(i)].Live(ip(other)) {
+			n++
+		}
+	}
+	return n
+}
+
+// wantSeen checks that each of the hosts named, or all, sees so many others.
+func (f *fleet) wantSeen(what string, want int, but map[int]bool) {
+	f.t.Helper()
+	for i := range len(f.hosts) {
+		if but[i] {
+			continue
+		}
+		if got := f.sees(i); got != want {
+			f.t.Errorf("%s: host %d sees %d others, want %d", what, i, got, want)
+			return
+		}
+	}
+}
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -1,115 +1,151 @@
-// Package mates keeps the hosts of a site in touch: each tells the others several times a second how busy it is and what
-// its engines hold, and asks them to load adapters.
+// Package mates keeps the hosts of a site in touch: each tells a relay several times a second how busy it is and what its
+// engines hold, and hears from it of all others. It decides who speaks with whom; package roster what they say.
 package mates
 
 import (
 	"context"
+	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/busy"
 	"damaskreach/internal/gossip"
-	"damaskreach/internal/peer"
+	"damaskreach/internal/marks"
+	"damaskreach/internal/mate"
+	"damaskreach/internal/rhythm"
+	"damaskreach/internal/roster"
 	"damaskreach/internal/trust"
-	"damaskreach/internal/want"
+	"damaskreach/internal/usage"
 )
 
 const (
-	// tellEvery is the pause between two messages to one host. Counts a fifth of a second old still tell a busy runner from
-	// an idle one, where a request runs for seconds.
-	tellEvery = 200 * time.Millisecond
-	// mostTold is how many messages a second a host sends; with more hosts each hears less often.
-	mostTold = 100
 	// tellFor bounds one message.
 	tellFor = 800 * time.Millisecond
-	// alive is how long a host that answered counts as alive: some messages may be lost, and a host that froze must leave
-	// the answers to lookups within the time that callers take to try another address.
-	alive = 1200 * time.Millisecond
-)
-
-const (
-	methodTell  = "tell"
-	methodAdmit = "admit"
+	// restLeast and restMost bound how long a host that gave no answer is not asked to be this host's relay: hosts that are
+	// down would be asked again and again otherwise, each time while the others wait to be told.
+	restLeast = 300 * time.Millisecond
+	restMost  = 5 * time.Second
+	// mostNamed is how many hosts a log line names.
+	mostNamed = 8
 )
 
 // Mates may be used from several goroutines. Its fields are set before Run.
 type Mates struct {
-	Mesh  *peer.Mesh
-	IP    string
-	Hosts func() map[string][3]string // see tenure.Hosts
-	Tell  func(to string) gossip.Gossip
-	Hear  func(g gossip.Gossip)
-	Admit func(ctx context.Context, w want.Want) error
-	Log   *zap.Logger
+	Self   mate.Mate
+	Hosts  func() map[string]mate.Mate // see tenure.Hosts
+	Roster *roster.Roster
+	// Own returns what this host tells of itself.
+	Own func() (own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks)
+	// Hear takes what another host said, beside the roster.
+	Hear func(g gossip.Gossip)
+	// Ask sends a message to a host and returns what it answers.
+	Ask func(ctx context.Context, to mate.Mate, g gossip.Gossip) (gossip.Gossip, error)
+	Log *zap.Logger
 
 	nudge   chan struct{}
 	readers trust.Trust
 
-	mu   sync.Mutex
-	live map[string]mate
+	mu      sync.Mutex
+	rhythm  rhythm.Rhythm
+	calls   map[string]call
+	member  time.Time            // when a host last asked that is no relay
+	relayed map[string]time.Time // when each relay last asked
+}
+
+// call is how asking one host goes.
+type call struct {
+	since time.Time // of the question under way; zero where there is none
+	until time.Time // it is left alone until then
+	fails int       // in a row
 }
 
-type mate struct {
-	at      time.Time // of its last message or answer
-	asked   bool      // a message to it is under way
-	leaving bool
-	lapsed  bool // it may give no orders
+// NewMates returns a host that has not been in touch with any other.
+func NewMates(self mate.Mate) *Mates {
+	return &Mates{
+		Self: self, calls: map[string]call{}, relayed: map[string]time.Time{}, nudge: make(chan struct{}, 1), rhythm: rhythm.NewRhythm(0, 0),
+	}
 }
 
-// Register takes what other hosts say. It belongs before the mesh serves.
-func (m *Mates) Register() {
-	m.live = map[string]mate{}
-	m.nudge = make(chan struct{}, 1)
-	peer.Answer(m.Mesh, methodTell, func(_ context.Context, _ string, g gossip.Gossip) (bool, error) {
-		m.heard(g)
-		m.Hear(g)
-		return true, nil
-	})
-	peer.Answer(m.Mesh, methodAdmit, func(ctx context.Context, _ string, w want.Want) (string, error) {
-		return want.Text(m.Admit(ctx, w)), nil
-	})
+// Answer takes what another host asks and returns what it is told.
+func (m *Mates) Answer(g gossip.Gossip) gossip.Gossip {
+	now := time.Now()
+	m.asked(g, now)
+	m.take(g, now)
+	return m.Roster.Answer(g, now)
 }
 
-func (m *Mates) heard(g gossip.Gossip) {
+func (m *Mates) asked(g gossip.Gossip, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := m.live[g.IP]
-	if !old.leaving && g.Leaving {
-		m.Log.Info("host leaves", zap.String("host", g.IP))
+	if g.Relay {
+		m.relayed[g.IP] = now
+	} else {
+		m.member = now
 	}
-	old.at = time.Now()
-	old.leaving = g.Leaving
-	old.lapsed = g.Lapsed
+}
+
+func (m *Mates) take(g gossip.Gossip, now time.Time) {
 	age := time.Duration(-1)
 	if g.Read != nil {
 		age = time.Duration(g.Read.Age) * time.Millisecond
 	}
-	m.readers.Note(g.IP, age, old.at)
-	m.live[g.IP] = old
+	m.readers.Note(g.IP, age, now)
+	m.Roster.Hear(g, now)
+	m.Hear(g)
 }
 
-// Run tells the other hosts until ctx ends.
+// Run tells the relays until ctx ends.
 func (m *Mates) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		now := time.Now()
 		hosts := m.Hosts()
-		for ip, addrs := range hosts {
-			if ip != m.IP && m.begin(ip) {
-				go m.tell(ctx, ip, addrs[0])
+		times := m.retime(hosts)
+		own, uses, broke, read := m.Own()
+		m.Roster.Note(own, uses, broke, read, now)
+		m.look(times, now)
+		relay, partners := m.partners(hosts, now)
+		for _, p := range partners {
+			if m.begin(p.IP, now) {
+				go m.tell(ctx, p, relay)
 			}
 		}
-		m.pause(ctx, every(len(hosts)))
+		m.pause(ctx, times.Every())
 	}
 }
 
-// every returns the pause between two messages to one host.
-func every(hosts int) time.Duration {
-	return max(tellEvery, time.Duration(hosts)*time.Second/mostTold)
+// retime derives the times from the hosts of now.
+func (m *Mates) retime(hosts map[string]mate.Mate) rhythm.Rhythm {
+	centres := map[string]int{}
+	largest := 0
+	for _, h := range hosts {
+		centres[h.Centre]++
+		largest = max(largest, centres[h.Centre])
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rhythm = rhythm.NewRhythm(largest, len(centres))
+	return m.rhythm
+}
+
+func (m *Mates) look(times rhythm.Rhythm, now time.Time) {
+	reached, lost := m.Roster.Look(times.Silent(), now)
+	if len(reached) > 0 {
+		m.Log.Info("hosts reached", zap.Int("count", len(reached)), zap.Strings("first", reached[:min(mostNamed, len(reached))]))
+	}
+	if len(lost) > 0 {
+		m.Log.Info("hosts lost", zap.Int("count", len(lost)), zap.Strings("first", lost[:min(mostNamed, len(lost))]),
+			zap.Duration("silent", times.Silent()))
+	}
 }
 
-// Every returns the same for the hosts of now.
-func (m *Mates) Every() time.Duration {
-	return every(len(m.Hosts()))
+// Times returns how often hosts speak now, and what follows from it.
+func (m *Mates) Times() rhythm.Rhythm {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rhythm
 }
 
 func (m *Mates) pause(ctx context.Context, d time.Duration) {
@@ -122,58 +158,129 @@
 	}
 }
 
+// partners returns the hosts to tell now, and whether to tell them as a relay.
+func (m *Mates) partners(hosts map[string]mate.Mate, now time.Time) (relay bool, list []mate.Mate) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	centres := map[string][]mate.Mate{m.Self.Centre: {m.Self}}
+	var lost []mate.Mate
+	for ip, h := range hosts {
+		switch {
+		case ip == m.Self.IP || m.resting(ip, now):
+		case m.usable(ip, now):
+			centres[h.Centre] = append(centres[h.Centre], h)
+		default:
+			lost = append(lost, h)
+		}
+	}
+	for centre, all := range centres {
+		slices.SortFunc(all, order)
+		centres[centre] = all[:min(rhythm.Relays, len(all))]
+	}
+	own := centres[m.Self.Centre]
+	relay = now.Sub(m.member) < m.rhythm.Silent() || slices.Contains(own, m.Self)
+	if !relay {
+		return false, own[m.half(len(own)):][:1]
+	}
+	for _, all := range centres {
+		for _, h := range all {
+			if h.IP != m.Self.IP && !m.asks(h.IP, now) {
+				list = append(list, h)
+			}
+		}
+	}
+	if len(lost) > 0 {
+		// Two parts of a site that were cut apart each take the other for lost, and neither would ask again. It is asked beside
+		// those that answer and in place of none, so that a host that is down holds up nobody.
+		list = append(list, slices.MinFunc(lost, order))
+	}
+	return true, list
+}
+
+func order(a, b mate.Mate) int {
+	if a.Before(b) {
+		return -1
+	}
+	return 1
+}
+
+// usable reports whether a host may be relied on as a relay: one that has answered, or that another one hears, or of which nobody
+// knows anything yet.
+func (m *Mates) usable(ip string, now time.Time) bool {
+	if _, live := m.Roster.Find(ip, now); live {
+		return true
+	}
+	return m.calls[ip].fails == 0 && !m.Roster.Gone(ip, now)
+}
+
+// resting reports whether a host is not asked at present, since it gave no answer.
+func (m *Mates) resting(ip string, now time.Time) bool {
+	c := m.calls[ip]
+	return now.Before(c.until) || !c.since.IsZero() && now.Sub(c.since) > m.rhythm.Patience()
+}
+
+// half spreads hosts over so many relays.
+func (m *Mates) half(relays int) int {
+	sum := fnv.New32a()
+	sum.Write([]byte(m.Self.IP))
+	return int(sum.Sum32()>>8) % relays
+}
+
+// asks reports whether another relay asks this one at present, which tells both as much as the other way would. Where both have
+// begun to, the one with the lower address goes on.
+func (m *Mates) asks(ip string, now time.Time) bool {
+	return ip < m.Self.IP && now.Sub(m.relayed[ip]) < m.rhythm.Every()*3/2
+}
+
 // begin reports whether a message to a host may be sent now: one at a time, so that a silent host holds up one goroutine.
-func (m *Mates) begin(ip string) bool {
+func (m *Mates) begin(ip string, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := m.live[ip]
-	if old.asked {
+	c := m.calls[ip]
+	if !c.since.IsZero() {
 		return false
 	}
-	old.asked = true
-	m.live[ip] = old
+	c.since = now
+	m.calls[ip] = c
 	return true
 }
 
-func (m *Mates) tell(ctx context.Context, ip, addr string) {
+func (m *Mates) tell(ctx context.Context, to mate.Mate, relay bool) {
 	ctx, cancel := context.WithTimeout(ctx, tellFor)
 	defer cancel()
-	var ok bool
-	err := m.Mesh.Ask(ctx, addr, methodTell, m.Tell(ip), &ok)
+	answer, err := m.Ask(ctx, to, m.Roster.Ask(to.IP, relay, time.Now()))
+	if err == nil {
+		m.take(answer, time.Now())
+	}
+	m.ended(to.IP, err, time.Now())
+}
+
+// ended notes how a question ended.
+func (m *Mates) ended(ip string, err error, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := m.live[ip]
-	old.asked = false
-	was := time.Since(old.at) < alive
+	c := m.calls[ip]
+	c.since = time.Time{}
 	if err == nil {
-		if !was {
-			m.Log.Info("host reached", zap.String("host", ip))
-		}
-		old.at = time.Now()
-	} else if was && time.Since(old.at) > alive/2 {
-		m.Log.Info("host does not answer", zap.String("host", ip), zap.Duration("silent", time.Since(old.at)), zap.Error(err))
+		c.fails = 0
+		c.until = time.Time{}
+	} else {
+		c.until = now.Add(min(restMost, restLeast<<min(c.fails, 7)))
+		c.fails++
+		m.Log.Info("relay does not answer", zap.String("host", ip), zap.Int("fails", c.fails), zap.Error(err))
 	}
-	m.live[ip] = old
+	m.calls[ip] = c
 }
 
-// Live reports whether a host answered a moment ago.
+// Live reports whether a host is alive.
 func (m *Mates) Live(ip string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return time.Since(m.live[ip].at) < alive
+	_, live := m.Roster.Find(ip, time.Now())
+	return live
 }
 
-// Oldest returns how long ago the host was heard that was heard longest ago, of those that count as alive.
+// Oldest returns the age of the oldest word of a relay that counts.
 func (m *Mates) Oldest() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	oldest := time.Duration(0)
-	for _, known := range m.live {
-		if age := time.Since(known.at); age < alive {
-			oldest = max(oldest, age)
-		}
-	}
-	return oldest
+	return m.Roster.Oldest(time.Now())
 }
 
 // Reads reports whether some other host has read the store for others within the limit.
@@ -189,33 +296,21 @@
 	}
 }
 
-// Ordering reports whether a host answered a moment ago and may give orders.
+// Ordering reports whether a host is alive and may give orders.
 func (m *Mates) Ordering(ip string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known := m.live[ip]
-	return time.Since(known.at) < alive && !known.lapsed
+	b, live := m.Roster.Find(ip, time.Now())
+	return live && !b.Lapsed
 }
 
 // Serving returns the hosts, but for this one, that callers may be sent to.
-func (m *Mates) Serving() map[string][3]string {
+func (m *Mates) Serving() map[string]mate.Mate {
 	hosts := m.Hosts()
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	now := time.Now()
 	for ip := range hosts {
-		known := m.live[ip]
-		if ip == m.IP || known.leaving || time.Since(known.at) >= alive {
+		b, live := m.Roster.Find(ip, now)
+		if ip == m.Self.IP || !live || b.Leaving {
 			delete(hosts, ip)
 		}
 	}
 	return hosts
 }
-
-// AskAdmit asks the host that orders an engine to have an adapter loaded, and returns once a prompt may be sent.
-func (m *Mates) AskAdmit(ctx context.Context, ip string, w want.Want) error {
-	var text string
-	if err := m.Mesh.Ask(ctx, m.Hosts()[ip][0], methodAdmit, w, &text); err != nil {
-		return err
-	}
-	return want.FromText(text)
-}
--- /dev/null
+++ b/internal/mates/mates_test.go
@@ -0,0 +1,274 @@
+package mates_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/marks"
+	"damaskreach/internal/rhythm"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/usage"
+)
+
+// sites are numbers of hosts and of their data centres, the largest for runs by hand.
+var sites = flag.String("sites", "", "also this site: HOSTS/CENTRES")
+
+func sizes(t *testing.T) [][2]int {
+	list := [][2]int{{3, 3}, {6, 3}, {7, 3}, {8, 4}, {30, 5}, {72, 4}}
+	if *sites != "" {
+		var hosts, centres int
+		if _, err := fmt.Sscanf(*sites, "%d/%d", &hosts, &centres); err != nil {
+			t.Fatalf("sites = %q, want HOSTS/CENTRES: %v", *sites, err)
+		}
+		list = append(list, [2]int{hosts, centres})
+	}
+	return list
+}
+
+func times(size [2]int) rhythm.Rhythm {
+	return rhythm.NewRhythm((size[0]+size[1]-1)/size[1], size[1])
+}
+
+// A site starts, and all of its hosts know of each other within seconds. Were the pause between messages longer than the time
+// after which a host counts as lost, hosts would be lost and found all day.
+func TestHostsOfAnySiteStayKnown(t *testing.T) {
+	for _, size := range sizes(t) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, size[0], size[1])
+			time.Sleep(5 * time.Second)
+			for range 20 {
+				f.wantSeen(fmt.Sprint(size), size[0]-1, nil)
+				time.Sleep(170 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// A site grows. What a host sends, receives and keeps open must not grow with the number of hosts, or the small ones do nothing
+// else in the end.
+func TestCostOfAHostDoesNotGrowWithTheSite(t *testing.T) {
+	const span = 10
+	for _, size := range sizes(t) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, size[0], size[1])
+			time.Sleep(5 * time.Second)
+			f.count()
+			time.Sleep(span * time.Second)
+			sent, bytes, pairs, most := f.count()
+			hosts := float64(size[0])
+			t.Logf("%4d hosts in %2d data centres: a host %.1f messages and %.0f B a second, %.1f connections; a relay %.0f messages",
+				size[0], size[1], float64(sent)/hosts/span, float64(bytes)/hosts/span, float64(pairs)/hosts, float64(most)/span)
+			if got, want := float64(sent)/hosts/span, 40.0; got > want {
+				t.Errorf("%d hosts: %.1f messages a host and second, want at most %.0f", size[0], got, want)
+			}
+			if got, want := float64(pairs)/hosts, 4.0; got > want {
+				t.Errorf("%d hosts: %.1f connections a host, want at most %.0f", size[0], got, want)
+			}
+			if got, want := float64(most)/span, 250.0; got > want {
+				t.Errorf("%d hosts: %.0f messages a second at one host, want at most %.0f", size[0], got, want)
+			}
+		})
+	}
+}
+
+// A host dies without a word. It leaves what every other host believes within the time that callers take to try another address,
+// and nobody else does; when it is back, all know within seconds.
+func TestDeadHostIsFoundLost(t *testing.T) {
+	for _, size := range sizes(t)[1:] {
+		for dead := range min(size[0], 9) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size[0], size[1])
+				time.Sleep(5 * time.Second)
+				f.setCut(true, dead)
+				times := times(size)
+				time.Sleep(times.Silent() + times.Patience() + 2*times.Old())
+				f.wantSeen(fmt.Sprint(size, " without ", dead), size[0]-2, map[int]bool{dead: true})
+				f.setCut(false, dead)
+				time.Sleep(times.Silent() + 4*time.Second)
+				f.wantSeen(fmt.Sprint(size, " with ", dead, " again"), size[0]-1, nil)
+			})
+		}
+	}
+}
+
+// A relay dies without a word. Its hosts must be told of the others by another one before they take these for lost, and the others
+// must not lose them: lookups would name few hosts, and loads would find nobody to order them.
+func TestHostsOutliveTheirRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, 4)
+		time.Sleep(5 * time.Second)
+		dead := f.relays()[0]
+		f.setCut(true, dead)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			for i := range 40 {
+				if got, want := f.sees(i), 38; i != dead && got < want {
+					t.Fatalf("host %d sees %d others, want %d at least", i, got, want)
+				}
+			}
+		}
+	})
+}
+
+// Both relays of a data centre die at once. Its hosts find others to tell them within seconds, and the rest of the site finds these.
+func TestHostsOutliveAllTheirRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, 4)
+		time.Sleep(5 * time.Second)
+		relays := f.relays()
+		if got, want := len(relays), 4*rhythm.Relays; got != want {
+			t.Fatalf("relays = %d, want %d", got, want)
+		}
+		gone := map[int]bool{}
+		for _, i := range relays[:rhythm.Relays] {
+			gone[i] = true
+			f.setCut(true, i)
+		}
+		time.Sleep(3 * time.Second)
+		f.wantSeen("without two relays", 40-len(gone)-1, gone)
+	})
+}
+
+// Two halves of a site are cut apart for long, relays and all. Each takes the other for lost; when the way is open again they must
+// find each other.
+func TestHalvesFindEachOtherAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, 4)
+		time.Sleep(5 * time.Second)
+		f.setHalves(true)
+		time.Sleep(10 * time.Second)
+		f.wantSeen("apart", 19, nil)
+		f.setHalves(false)
+		time.Sleep(5 * time.Second)
+		f.wantSeen("together again", 39, nil)
+	})
+}
+
+// relays returns the hosts that answer most, those of one data centre together.
+func (f *fleet) relays() []int {
+	f.count()
+	time.Sleep(2 * time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []int
+	for centre := range f.centres {
+		var here []int
+		for i := centre; i < len(f.hosts); i += f.centres {
+			here = append(here, i)
+		}
+		slices.SortFunc(here, func(a, b int) int { return f.answer[ip(b)] - f.answer[ip(a)] })
+		list = append(list, here[:rhythm.Relays]...)
+	}
+	return list
+}
+
+// More than half of all hosts lose power at the same moment, relays among them, and come back without any memory. Those that
+// are left find each other, and then all do.
+func TestMassLossAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 60, 5)
+		time.Sleep(5 * time.Second)
+		gone := map[int]bool{}
+		for i := range 60 {
+			if i%9 < 5 {
+				gone[i] = true
+				f.hosts[ip(i)].cancel()
+				f.setCut(true, i)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		f.wantSeen("after the loss", 60-len(gone)-1, gone)
+		for i := range gone {
+			f.setCut(false, i)
+			f.start(i)
+		}
+		time.Sleep(4 * time.Second)
+		f.wantSeen("after the return", 59, nil)
+	})
+}
+
+// All hosts lose power and come back at once: nobody can tell anybody who is alive.
+func TestAllHostsStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 60, 5)
+		time.Sleep(5 * time.Second)
+		for i := range 60 {
+			f.hosts[ip(i)].cancel()
+		}
+		time.Sleep(time.Second)
+		for i := range 60 {
+			f.start(i)
+		}
+		time.Sleep(3 * time.Second)
+		f.wantSeen("after the return", 59, nil)
+	})
+}
+
+// What an engine holds changes, a host uses it, and an upstream breaks off. Each reaches those that need it within the age that
+// bounds are derived from, also from and to hosts that are no relays.
+func TestNewsReachesThoseWhoNeedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, 4)
+		time.Sleep(5 * time.Second)
+		times := times([2]int{40, 4})
+		for i, h := range f.hosts {
+			engine := i + "/e"
+			h.Roster.Held(stock.Stock{ID: engine, Born: 1, Sequence: 1, Adapters: map[string]int{"a": 1}})
+		}
+		time.Sleep(times.Old() + times.Every())
+		for i, h := range f.hosts {
+			h.mu.Lock()
+			delete(h.held, i+"/e")
+			if got, want := len(h.held), 39; got != want {
+				t.Errorf("%s knows what %d engines hold, want %d", i, got, want)
+			}
+			h.mu.Unlock()
+		}
+		user, owner := f.hosts[ip(11)], f.hosts[ip(30)]
+		user.mu.Lock()
+		user.uses = []usage.Usage{{Host: ip(11), Engine: ip(30) + "/e", Running: 3, Adapters: []string{"a"}}}
+		user.mu.Unlock()
+		time.Sleep(times.Old() + times.Every())
+		owner.mu.Lock()
+		defer owner.mu.Unlock()
+		if len(owner.heard) != 1 || owner.heard[0].Running != 3 {
+			t.Errorf("uses told = %v, want 3 requests", owner.heard)
+		}
+	})
+}
+
+// One host of a data centre reads the store for the others. Its hosts rely on it while its reading is young, whichever relay
+// they hear it from, and no longer.
+func TestReadingIsPassedOnWithItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40, 4)
+		for _, h := range f.hosts {
+			h.mu.Lock()
+			h.read = nil
+			h.mu.Unlock()
+		}
+		reader := f.hosts[ip(f.relays()[0])]
+		reader.mu.Lock()
+		reader.read = &marks.Marks{Conf: 7}
+		reader.mu.Unlock()
+		time.Sleep(time.Second)
+		for i := range 40 {
+			h := f.hosts[ip(i)]
+			if h != reader && i%4 == 0 && !h.Reads(time.Second) {
+				t.Errorf("host %d knows of no reading within a second", i)
+			}
+		}
+		reader.cancel()
+		f.setCut(true, f.relays()[0])
+		time.Sleep(3 * time.Second)
+		for i := range 40 {
+			if h := f.hosts[ip(i)]; h != reader && h.Reads(2*time.Second) {
+				t.Errorf("host %d relies on a reading of a host that is dead for three seconds", i)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/roster/look.go
@@ -0,0 +1,131 @@
+package roster
+
+import (
+	"time"
+
+	"damaskreach/internal/busy"
+)
+
+// Look finds hosts that fell silent or are heard again since the last look, and forgets those that are long gone. Silent is how long a host
+// counts as alive after it was last heard.
+func (r *Roster) Look(silent time.Duration, now time.Time) (reached, lost []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = silent
+	r.dropSilent(now)
+	for ip := range r.changed {
+		_, live := r.find(ip, now)
+		if live == r.alive[ip] {
+			continue
+		}
+		r.alive[ip] = live
+		r.changed[ip] = r.next()
+		if ip == r.self {
+			continue
+		}
+		if live {
+			reached = append(reached, ip)
+		} else {
+			lost = append(lost, ip)
+		}
+	}
+	return reached, lost
+}
+
+// dropSilent marks hosts of this host's own realm that it has not heard for too long, and forgets what is old.
+func (r *Roster) dropSilent(now time.Time) {
+	mine := r.realms[r.self]
+	for ip, at := range mine.heard {
+		if ip == r.self || now.Sub(at) < r.silent {
+			continue
+		}
+		if !mine.gone[ip] {
+			mine.gone[ip] = true
+			r.changed[ip] = r.next()
+		}
+		if now.Sub(at) > forget {
+			delete(mine.hosts, ip)
+			delete(mine.heard, ip)
+			delete(mine.gone, ip)
+		}
+	}
+	for relay, m := range r.realms {
+		if relay != r.self && now.Sub(m.at) > forget {
+			delete(r.realms, relay)
+			delete(r.peers, relay)
+		}
+	}
+	for host, one := range r.uses {
+		if now.Sub(one.at) > usesFor {
+			delete(r.uses, host)
+		}
+	}
+	for host, one := range r.read {
+		if now.Sub(one.at) > forget {
+			delete(r.read, host)
+		}
+	}
+	for ip := range r.changed {
+		if _, live := r.find(ip, now); !live && !r.known(ip) {
+			delete(r.changed, ip)
+			delete(r.alive, ip)
+		}
+	}
+}
+
+// known reports whether any realm still tells of a host.
+func (r *Roster) known(ip string) bool {
+	for _, m := range r.realms {
+		if _, ok := m.hosts[ip]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Forget drops engines that are gone.
+func (r *Roster) Forget(gone func(engine string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.held {
+		if gone(id) {
+			delete(r.held, id)
+		}
+	}
+}
+
+// Find returns the newest that is known of a host; ok is false where it is not alive.
+func (r *Roster) Find(ip string, now time.Time) (b busy.Busy, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.find(ip, now)
+}
+
+// Gone reports whether a host is known to be lost: some host that counts has heard it, and none does any more. One of which nobody
+// who counts says anything may well be alive.
+func (r *Roster) Gone(ip string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, live := r.find(ip, now); live {
+		return false
+	}
+	for relay, m := range r.realms {
+		if _, ok := m.hosts[ip]; ok && r.fresh(relay, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Oldest returns how long ago the relay was heard that was heard longest ago, of those that count.
+func (r *Roster) Oldest(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	oldest := time.Duration(0)
+	for relay, m := range r.realms {
+		if relay != r.self && r.fresh(relay, now) {
+			oldest = max(oldest, now.Sub(m.at))
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/roster/own.go
@@ -0,0 +1,80 @@
+package roster
+
+import (
+	"time"
+
+	"damaskreach/internal/busy"
+	"damaskreach/internal/marks"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/usage"
+)
+
+// repeat is how often what has not changed is told again: receivers believe counts of requests for a few seconds.
+const repeat = time.Second
+
+// Note takes what this host tells of itself, and what its requests use.
+func (r *Roster) Note(own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own.IP = r.self
+	old := r.own
+	stale := len(own.Loads)+len(own.Waits) > 0 && now.UnixMilli()-old.Beat >= repeat.Milliseconds()
+	if old.Beat == 0 || stale || !own.Same(old) {
+		own.Beat = max(now.UnixMilli(), old.Beat+1)
+		r.own = own
+		r.put(r.self, own, now)
+	}
+	r.realms[r.self].heard[r.self] = now
+	r.uses[r.self] = using{list: uses, at: now, own: true}
+	for _, text := range broke {
+		r.addBroke(text, true)
+	}
+	if read == nil {
+		delete(r.read, r.self)
+	} else {
+		r.read[r.self] = reading{*read, now}
+	}
+}
+
+// Held takes what an engine holds that this host orders.
+func (r *Roster) Held(s stock.Stock) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addHeld(s, true)
+}
+
+// put records what is known of a host of this host's own realm.
+func (r *Roster) put(ip string, b busy.Busy, now time.Time) {
+	mine := r.realms[r.self]
+	r.hears(ip, now)
+	if old, ok := mine.hosts[ip]; ok && old.Beat >= b.Beat {
+		return
+	}
+	mine.hosts[ip] = b
+	r.changed[ip] = r.next()
+}
+
+// hears records that a host of this host's own realm was heard.
+func (r *Roster) hears(ip string, now time.Time) {
+	mine := r.realms[r.self]
+	mine.heard[ip] = now
+	if mine.gone[ip] {
+		delete(mine.gone, ip)
+		r.changed[ip] = r.next()
+	}
+}
+
+func (r *Roster) addHeld(s stock.Stock, own bool) {
+	old, ok := r.held[s.ID]
+	if ok && (old.Born > s.Born || old.Born == s.Born && old.Sequence > s.Sequence) {
+		return
+	}
+	r.held[s.ID] = stocked{Stock: s, number: r.next(), own: own}
+}
+
+func (r *Roster) addBroke(text string, own bool) {
+	if len(r.broke) >= mostBroke {
+		r.broke = append(r.broke[:0], r.broke[mostBroke/2:]...)
+	}
+	r.broke = append(r.broke, broken{text: text, number: r.next(), own: own})
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -25,6 +25,7 @@
 	Peers   string        `toml:"peers"`   // IP and port for other hosts
 	Metrics string        `toml:"metrics"` // IP and port for scrapers; empty means none
 	Store   string        `toml:"store"`   // IP and port of the platform's store
+	Cores   float64       `toml:"cores"`   // that the process may use
 	Memory  int64         `toml:"memory"`  // that the process may use, in MB
 	Files   int           `toml:"files"`   // descriptors that the process may use
 	Beat    time.Duration `toml:"beat"`    // interval of upstreams' registrations
@@ -103,6 +104,9 @@
 	if s.Share < 0 || s.Extra < 0 {
 		faults = append(faults, fault.NewFault("share", "and extra must not be below zero"))
 	}
+	if s.Cores <= 0 {
+		faults = append(faults, fault.NewFault("cores", "must be above zero"))
+	}
 	if s.Memory <= 0 {
 		faults = append(faults, fault.NewFault("memory", "must be above zero"))
 	}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -19,6 +19,7 @@
 peers = "10.0.0.1:7380"
 metrics = "10.0.0.1:9464"
 store = "10.0.9.9:8142"
+cores = 0.4
 memory = 284
 files = 4100
 beat = "1200ms"
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -18,14 +18,15 @@
 
 // session is the row of one host. Its revision changes with each renewal, which is all that others look at.
 type session struct {
-	IP      string `msgpack:"ip"`
-	Peers   string `msgpack:"peers"`   // address for other hosts
-	Callers string `msgpack:"callers"` // address for callers
-	Centre  string `msgpack:"centre"`
-	Start   string `msgpack:"start"`   // tells one start of the program from another
-	Epoch   int64  `msgpack:"epoch"`   // counts the sessions that ended; an engine's row names the one it belongs to
-	Passive bool   `msgpack:"passive"` // it gives no orders and does not renew the row
-	Ended   bool   `msgpack:"ended"`   // others have seen it lapse; it holds nothing any more
+	IP      string  `msgpack:"ip"`
+	Peers   string  `msgpack:"peers"`   // address for other hosts
+	Callers string  `msgpack:"callers"` // address for callers
+	Centre  string  `msgpack:"centre"`
+	Power   float64 `msgpack:"power"`   // cores that it may use
+	Start   string  `msgpack:"start"`   // tells one start of the program from another
+	Epoch   int64   `msgpack:"epoch"`   // counts the sessions that ended; an engine's row names the one it belongs to
+	Passive bool    `msgpack:"passive"` // it gives no orders and does not renew the row
+	Ended   bool    `msgpack:"ended"`   // others have seen it lapse; it holds nothing any more
 	// Rates is what the host has measured, for those that start later.
 	Rates rates.Rates `msgpack:"rates"`
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -21,6 +21,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/mate"
 	"damaskreach/internal/rates"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stats"
@@ -59,6 +60,7 @@
 	Peers   string
 	Callers string
 	Centre  string
+	Power   float64                         // cores that this process may use
 	Turn    func() time.Duration            // that orders of two hosts must lie apart
 	Clock   func() time.Duration            // goes on through suspensions
 	Engines func() map[string]target.Target // that need a host
@@ -194,8 +196,8 @@
 	}
 	sent := t.Clock()
 	s := session{
-		IP: t.IP, Peers: t.Peers, Callers: t.Callers, Centre: t.Centre, Start: t.start, Epoch: known.Epoch, Passive: passive,
-		Rates: t.Measured(),
+		IP: t.IP, Peers: t.Peers, Callers: t.Callers, Centre: t.Centre, Power: t.Power, Start: t.start, Epoch: known.Epoch,
+		Passive: passive, Rates: t.Measured(),
 	}
 	if known.Ended || known.rev == 0 {
 		s.Epoch++
@@ -314,15 +316,14 @@
 	return rates.Median(list)
 }
 
-// Hosts returns the addresses for other hosts and for callers, and the data centre, of all hosts whose sessions have not
-// lapsed, by IP.
-func (t *Tenure) Hosts() map[string][3]string {
+// Hosts returns all hosts whose sessions have not lapsed, by IP.
+func (t *Tenure) Hosts() map[string]mate.Mate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	hosts := map[string][3]string{}
+	hosts := map[string]mate.Mate{}
 	for ip, h := range t.hosts {
 		if !h.Ended {
-			hosts[ip] = [3]string{h.Peers, h.Callers, h.Centre}
+			hosts[ip] = mate.Mate{IP: ip, Peers: h.Peers, Callers: h.Callers, Centre: h.Centre, Power: h.Power}
 		}
 	}
 	return hosts
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,18 @@
+// Package usage holds what the requests of one host use at one engine.
+package usage
+
+import "time"
+
+// Usage is immutable.
+type Usage struct {
+	Host     string   `msgpack:"h"`
+	Engine   string   `msgpack:"e"`
+	Running  int      `msgpack:"r,omitempty"` // requests under way
+	Adapters []string `msgpack:"a,omitempty"` // that they use, or used a moment ago
+	Age      int64    `msgpack:"t,omitempty"` // ms since the host counted, when this was sent
+}
+
+// At returns when the host counted, for one that receives this now.
+func (u Usage) At(now time.Time) time.Time {
+	return now.Add(-time.Duration(u.Age) * time.Millisecond)
+}
