Pass changes of the store's rows on within a data centre; name hosts of the caller's own data centre

Lookups named all hosts, 195 where an answer may hold 64.

Change: the rows that matter to others go along with the messages between hosts of one data centre (feeds); a host that missed some reads the store. Lookups name the caller's own data centre first, 16 hosts at least, 64 at most.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,11 +17,14 @@
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/feeds"
 	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
+	"damaskreach/internal/lookup"
 	"damaskreach/internal/marks"
+	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
@@ -98,6 +101,7 @@
 	mates   atomic.Pointer[mates.Mates]
 	mesh    atomic.Pointer[peer.Mesh]
 	roster  *roster.Roster
+	feeds   *feeds.Feeds
 	holds   *holds.Holds
 	pick    *pick.Pick
 	uplink  *uplink.Uplink
@@ -113,7 +117,8 @@
 // build makes the parts and connects them.
 func (e *Edge) build() *direct.Direct {
 	s := e.Setup()
-	e.Table = measured(e.Table, e.Stats)
+	e.feeds = feeds.NewFeeds()
+	e.Table = e.shared(measured(e.Table, e.Stats))
 	e.holds = holds.NewHolds()
 	e.pick = pick.NewPick(s.Centre)
 	e.news = newNews()
@@ -124,10 +129,10 @@
 	e.tenure = &tenure.Tenure{
 		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: uptime.Now,
 		Log: e.Log, Stats: e.Stats,
-		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed,
+		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
 	}
 	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
-	e.intake.Relaxed, e.intake.Changed = e.relaxed, e.nudge
+	e.intake.Relaxed, e.intake.Changed, e.intake.Keep = e.relaxed, e.nudge, e.feeds.Keep
 	measured := &speed.Speed{Before: e.tenure.Rates}
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
@@ -233,6 +238,7 @@
 			_, ok := v.Targets[id]
 			return !ok
 		})
+		e.feeds.Forget(func(ip string) bool { return !e.live(ip) })
 	}
 }
 
@@ -250,18 +256,23 @@
 	return !e.leaving.Load() && v.Known() && len(v.Targets) > 0
 }
 
-// names returns the addresses for callers of hosts that serve, this one first.
-func (e *Edge) names(string) ([]string, time.Duration) {
-	var addrs []string
+// names returns the addresses of hosts that serve, for callers in a data centre.
+func (e *Edge) names(centre string) ([]string, time.Duration) {
+	s := e.Setup()
+	var hosts []mate.Mate
 	if e.ready() {
-		addrs = append(addrs, e.Setup().Callers)
+		hosts = append(hosts, s.Mate())
 	}
 	if m := e.mates.Load(); m != nil {
 		for _, h := range m.Serving() {
-			addrs = append(addrs, h.Callers)
+			hosts = append(hosts, h)
 		}
 	}
-	return addrs, min(answerLife, e.Setup().Life)
+	var addrs []string
+	for _, h := range lookup.Hosts(hosts, centre) {
+		addrs = append(addrs, h.Callers)
+	}
+	return addrs, min(answerLife, s.Life)
 }
 
 // own returns what this host tells of itself.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -48,8 +48,8 @@
 	}
 	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
 		WithBounds(bounds.NewBounds().WithKeepalive(pingEvery, cutAfter).WithBackoff(redialLeast, redialMost))
-	m := mates.NewMates(mate.Mate{IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores})
-	m.Hosts, m.Roster, m.Own, m.Hear, m.Log = e.tenure.Hosts, e.roster, e.own, e.hear, e.Log
+	m := mates.NewMates(s.Mate())
+	m.Hosts, m.Roster, m.Own, m.Add, m.Hear, m.Log = e.tenure.Hosts, e.roster, e.own, e.addFeeds, e.hear, e.Log
 	m.Ask = func(ctx context.Context, to mate.Mate, g gossip.Gossip) (answer gossip.Gossip, err error) {
 		err = mesh.Ask(ctx, to.Peers, methodTell, g, &answer)
 		return answer, err
@@ -84,6 +84,7 @@
 // hear takes what another host said.
 func (e *Edge) hear(g gossip.Gossip) {
 	now := time.Now()
+	e.feeds.Hear(g.IP, g.Known, g.Feeds)
 	if g.Read != nil {
 		e.intake.Wake(*g.Read)
 		e.tenure.Wake(g.Read.Fleet)
@@ -144,7 +145,7 @@
 		return want.ErrElsewhere
 	}
 	var text string
-	if err := mesh.Ask(ctx, e.tenure.Hosts()[owner].Peers, methodAdmit, w, &text); err != nil {
+	if err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodAdmit, w, &text); err != nil {
 		return err
 	}
 	return want.FromText(text)
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -1,9 +1,13 @@
 package edge
 
 import (
+	"context"
 	"time"
 
+	"damaskreach/internal/gossip"
 	"damaskreach/internal/marks"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/table"
 )
 
 // ownReading is how much sooner than a leaving upstream must get no new work a host reads for itself where others do not: a
@@ -59,6 +63,29 @@
 	return m != nil && m.Live(ip)
 }
 
+// shared returns the store with changes that another host has passed on taken from there, while one reads for this host.
+func (e *Edge) shared(t table.Table) table.Table {
+	tail := t.Tail
+	t.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
+		if e.relaxed() {
+			if list, rev, ok := e.feeds.Tail(prefix, after); ok {
+				return list, rev, nil
+			}
+		}
+		return tail(ctx, prefix, after)
+	}
+	return t
+}
+
+// addFeeds adds to a message how far this host knows the store, and what its receiver has not seen of it. Other data centres have
+// readers of their own: rows that pass between data centres would cost more than their calls.
+func (e *Edge) addFeeds(to string, g *gossip.Gossip) {
+	if e.tenure.Host(to).Centre == e.Setup().Centre {
+		g.Known = e.feeds.Known()
+		g.Feeds = e.feeds.For(to)
+	}
+}
+
 // loads returns how busy the engines are that this host orders, and notes it for its own choices.
 func (e *Edge) loads() map[string]int {
 	loads := e.giver.Loads()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,6 +3,7 @@
 
 import (
 	"damaskreach/internal/busy"
+	"damaskreach/internal/feed"
 	"damaskreach/internal/marks"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/usage"
@@ -22,4 +23,6 @@
 	Uses   []usage.Usage `msgpack:"u,omitempty"` // of engines whose orders come from the receiver or from hosts that it speaks for
 	Broke  []string      `msgpack:"b,omitempty"` // requests under which upstreams broke off, see package blame
 	Read   *marks.Marks  `msgpack:"m,omitempty"` // how far the store was read by a host that reads it for others
+	Known  []feed.Feed   `msgpack:"v,omitempty"` // how far the sender knows rows of the store; no rows in it
+	Feeds  []feed.Feed   `msgpack:"d,omitempty"` // rows of the store that the receiver does not know yet
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,6 +27,8 @@
 	// are back within two seconds of its return. It ends at one moment for all: counted from when each was missed, one that
 	// began to leave after the return would be used for a reading and these seconds more.
 	absent = 2200 * time.Millisecond
+	// unbroken stands for the revision after which changes are known where all rows were read.
+	unbroken = -1
 	// away is how long a reading must have failed for the store to count as having been away.
 	away = 1500 * time.Millisecond
 )
@@ -45,6 +47,9 @@
 	Relaxed func() bool
 	// Changed is called after a change that others should know of.
 	Changed func()
+	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
+	// zero where deletions may have been missed.
+	Keep func(prefix string, after, rev int64, list []rows.Row)
 	Log     *zap.Logger
 
 	current atomic.Pointer[view.View]
@@ -69,7 +74,7 @@
 func NewIntake() *Intake {
 	i := &Intake{
 		missing: map[string]time.Time{}, bad: map[string]int64{}, confWake: make(chan struct{}, 1), targetWake: make(chan struct{}, 1),
-		Relaxed: func() bool { return false }, Changed: func() {},
+		Relaxed: func() bool { return false }, Changed: func() {}, Keep: func(string, int64, int64, []rows.Row) {},
 	}
 	i.current.Store(&view.View{})
 	return i
@@ -98,7 +103,7 @@
 		if rev > 0 {
 			i.rest(ctx, i.confWake)
 		}
-		list, next, err := i.readConf(ctx, rev)
+		list, next, whole, err := i.readConf(ctx, rev)
 		if err != nil {
 			i.Log.Debug("configuration not read", zap.Error(err))
 			turns.Sleep(ctx, after)
@@ -107,6 +112,11 @@
 		for _, row := range list {
 			i.takeConf(row)
 		}
+		after := rev
+		if whole {
+			after = unbroken
+		}
+		i.Keep(i.Conf, after, max(rev, next), list)
 		rev = max(rev, next)
 		i.confAt.Store(rev)
 		i.confRead.Store(time.Now().UnixNano())
@@ -117,20 +127,19 @@
 	}
 }
 
-func (i *Intake) readConf(ctx context.Context, rev int64) ([]rows.Row, int64, error) {
-	if rev == 0 {
-		callCtx, cancel := context.WithTimeout(ctx, callFor)
-		defer cancel()
-		return i.Table.List(callCtx, i.Conf)
-	}
-	list, next, err := i.Table.Tail(ctx, i.Conf, rev)
-	if errors.Is(err, table.ErrCompacted) {
+// readConf returns the operators' rows that changed after a revision, or all of them.
+func (i *Intake) readConf(ctx context.Context, rev int64) (list []rows.Row, next int64, whole bool, err error) {
+	if rev > 0 {
+		list, next, err = i.Table.Tail(ctx, i.Conf, rev)
+		if !errors.Is(err, table.ErrCompacted) {
+			return list, next, false, err
+		}
 		i.Log.Info("history of the configuration is gone; reading all of it", zap.Int64("after", rev))
-		callCtx, cancel := context.WithTimeout(ctx, callFor)
-		defer cancel()
-		return i.Table.List(callCtx, i.Conf)
 	}
-	return list, next, err
+	callCtx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	list, next, err = i.Table.List(callCtx, i.Conf)
+	return list, next, true, err
 }
 
 func (i *Intake) takeConf(row rows.Row) {
@@ -201,8 +210,13 @@
 		}
 	}
 	i.lost = time.Time{}
+	after := i.at
+	if whole {
+		after = unbroken
+	}
 	i.at = rev
-	changed := i.apply(list, whole, now)
+	changed, news := i.apply(list, whole, now)
+	i.Keep(i.Targets, after, rev, news)
 	i.targetAt.Store(rev)
 	i.targetRead.Store(now.UnixNano())
 	if changed {
@@ -214,8 +228,8 @@
 
 // apply works out which upstreams there are. One that vanished is gone, unless the store was away a moment ago: then its
 // registration may have lapsed with the store, and it gets the time in which it registers again. It reports whether
-// anything changed that other hosts should know of.
-func (i *Intake) apply(list []rows.Row, whole bool, now time.Time) (changed bool) {
+// anything changed that other hosts should know of, and returns the rows that say so.
+func (i *Intake) apply(list []rows.Row, whole bool, now time.Time) (changed bool, news []rows.Row) {
 	targets := maps.Clone(i.View().Targets)
 	if targets == nil {
 		targets = map[string]target.Target{}
@@ -225,18 +239,23 @@
 		id := row.Key[len(i.Targets):]
 		if row.Gone {
 			changed = true
+			news = append(news, row)
 			i.miss(targets, id, now)
 			continue
 		}
 		t, err := i.Target(row)
 		if err != nil {
 			i.warnBad(id, row.Rev, err)
+			news = append(news, row)
 			i.miss(targets, id, now)
 			continue
 		}
 		present[id] = true
 		delete(i.missing, id)
-		changed = i.logChange(targets[id], t) || changed
+		if i.logChange(targets[id], t) {
+			changed = true
+			news = append(news, row)
+		}
 		targets[id] = t
 	}
 	for id := range targets {
@@ -253,7 +272,7 @@
 		}
 	}
 	i.swap(func(v view.View) view.View { return v.WithTargets(targets, now) })
-	return changed
+	return changed, news
 }
 
 func (i *Intake) miss(targets map[string]target.Target, id string, now time.Time) {
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -11,7 +11,7 @@
 	// restCheck is how often a host that lets another one read looks whether that one still does.
 	restCheck = 200 * time.Millisecond
 	// restMost is how long it goes without a reading of its own.
-	restMost = 15 * time.Second
+	restMost = time.Minute
 	// recent is how old the last reading of the operators' rows may be for a host to read for others: the wait for a change, and
 	// the time in which a silent connection shows.
 	recent = 3 * time.Second
--- a/internal/mates/fleet_test.go
+++ b/internal/mates/fleet_test.go
@@ -101,6 +101,7 @@
 		return busy.Busy{Loads: h.loads}, h.uses, broke, h.read
 	}
 	h.Hear = h.hear
+	h.Add = func(string, *gossip.Gossip) {}
 	h.Ask = func(ctx context.Context, to mate.Mate, g gossip.Gossip) (gossip.Gossip, error) {
 		return f.ask(ctx, ip(i), to.IP, g)
 	}
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,7 +40,8 @@
 	Roster *roster.Roster
 	// Own returns what this host tells of itself.
 	Own func() (own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks)
-	// Hear takes what another host said, beside the roster.
+	// Add adds to a message what is not the roster's, and Hear takes it.
+	Add  func(to string, g *gossip.Gossip)
 	Hear func(g gossip.Gossip)
 	// Ask sends a message to a host and returns what it answers.
 	Ask func(ctx context.Context, to mate.Mate, g gossip.Gossip) (gossip.Gossip, error)
@@ -48,6 +50,9 @@
 	nudge   chan struct{}
 	readers trust.Trust
 
+	// serving is as of the last message: a walk over all hosts for each caller that asks would cost more than its answer.
+	serving atomic.Pointer[map[string]mate.Mate]
+
 	mu      sync.Mutex
 	rhythm  rhythm.Rhythm
 	calls   map[string]call
@@ -64,9 +69,11 @@
 
 // NewMates returns a host that has not been in touch with any other.
 func NewMates(self mate.Mate) *Mates {
-	return &Mates{
+	m := &Mates{
 		Self: self, calls: map[string]call{}, relayed: map[string]time.Time{}, nudge: make(chan struct{}, 1), rhythm: rhythm.NewRhythm(0, 0),
 	}
+	m.serving.Store(&map[string]mate.Mate{})
+	return m
 }
 
 // Answer takes what another host asks and returns what it is told.
@@ -74,7 +81,9 @@
 	now := time.Now()
 	m.asked(g, now)
 	m.take(g, now)
-	return m.Roster.Answer(g, now)
+	answer := m.Roster.Answer(g, now)
+	m.Add(g.IP, &answer)
+	return answer
 }
 
 func (m *Mates) asked(g gossip.Gossip, now time.Time) {
@@ -106,6 +115,7 @@
 		own, uses, broke, read := m.Own()
 		m.Roster.Note(own, uses, broke, read, now)
 		m.look(times, now)
+		m.serve(hosts, now)
 		relay, partners := m.partners(hosts, now)
 		for _, p := range partners {
 			if m.begin(p.IP, now) {
@@ -248,7 +258,9 @@
 func (m *Mates) tell(ctx context.Context, to mate.Mate, relay bool) {
 	ctx, cancel := context.WithTimeout(ctx, tellFor)
 	defer cancel()
-	answer, err := m.Ask(ctx, to, m.Roster.Ask(to.IP, relay, time.Now()))
+	g := m.Roster.Ask(to.IP, relay, time.Now())
+	m.Add(to.IP, &g)
+	answer, err := m.Ask(ctx, to, g)
 	if err == nil {
 		m.take(answer, time.Now())
 	}
@@ -302,15 +314,17 @@
 	return live && !b.Lapsed
 }
 
-// Serving returns the hosts, but for this one, that callers may be sent to.
+// Serving returns the hosts, but for this one, that callers may be sent to. The map must not be changed.
 func (m *Mates) Serving() map[string]mate.Mate {
-	hosts := m.Hosts()
-	now := time.Now()
-	for ip := range hosts {
-		b, live := m.Roster.Find(ip, now)
-		if ip == m.Self.IP || !live || b.Leaving {
-			delete(hosts, ip)
+	return *m.serving.Load()
+}
+
+func (m *Mates) serve(hosts map[string]mate.Mate, now time.Time) {
+	serving := make(map[string]mate.Mate, len(hosts))
+	for ip, h := range hosts {
+		if b, live := m.Roster.Find(ip, now); ip != m.Self.IP && live && !b.Leaving {
+			serving[ip] = h
 		}
 	}
-	return hosts
+	m.serving.Store(&serving)
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -12,6 +12,7 @@
 
 	"damaskreach/internal/bind"
 	"damaskreach/internal/fault"
+	"damaskreach/internal/mate"
 )
 
 // Setup is immutable. docs/SETTINGS.md explains each option.
@@ -41,6 +42,11 @@
 	Level   string        `toml:"level"`   // debug, info, warn or error
 }
 
+// Mate returns what other hosts are told of this one.
+func (s Setup) Mate() mate.Mate {
+	return mate.Mate{IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores}
+}
+
 // Load reads and checks the settings in a file. The error lists every fault with its key.
 func Load(path string) (Setup, error) {
 	data, err := os.ReadFile(path)
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -28,6 +28,7 @@
 	} else {
 		list, rev, err = t.Table.Tail(callCtx, Prefix, after)
 		if errors.Is(err, table.ErrCompacted) {
+			after = 0
 			list, rev, err = t.Table.List(callCtx, Prefix)
 		}
 	}
@@ -35,8 +36,15 @@
 		t.Log.Debug("hosts not read", zap.Error(err))
 		return firstEvery
 	}
-	t.apply(list, rev)
-	t.endLapsed(ctx)
+	news := t.apply(list, rev)
+	if after == 0 {
+		after = unbroken
+	}
+	t.Keep(Prefix, after, rev, news)
+	if !t.Relaxed() {
+		// Renewals are not passed on: to a host that lets another one read, all hosts would seem to have lapsed.
+		t.endLapsed(ctx)
+	}
 	if !t.claim(ctx, age) {
 		return firstEvery
 	}
@@ -46,60 +54,71 @@
 	return min(readEvery, firstEvery+age/2)
 }
 
-func (t *Tenure) apply(list []rows.Row, rev int64) {
+// apply takes rows read up to a revision, and returns those that matter to others.
+func (t *Tenure) apply(list []rows.Row, rev int64) (news []rows.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock()
 	for _, row := range list {
-		t.take(row, now)
+		if t.take(row, now) {
+			news = append(news, row)
+		}
 	}
 	t.at = max(t.at, rev)
+	return news
 }
 
-func (t *Tenure) take(row rows.Row, now time.Duration) {
+// take reports whether others should know of a row: not of renewals that change nothing else.
+func (t *Tenure) take(row rows.Row, now time.Duration) bool {
 	switch {
 	case row.Key == keyRow && !row.Gone:
 		t.secret = row.Value
+		return true
 	case strings.HasPrefix(row.Key, hostPrefix):
-		t.takeHost(strings.TrimPrefix(row.Key, hostPrefix), row, now)
+		return t.takeHost(strings.TrimPrefix(row.Key, hostPrefix), row, now)
 	case strings.HasPrefix(row.Key, ownPrefix):
-		t.takeOwn(strings.TrimPrefix(row.Key, ownPrefix), row)
+		return t.takeOwn(strings.TrimPrefix(row.Key, ownPrefix), row)
 	}
+	return false
 }
 
-func (t *Tenure) takeHost(ip string, row rows.Row, now time.Duration) {
+func (t *Tenure) takeHost(ip string, row rows.Row, now time.Duration) bool {
 	if row.Gone {
 		delete(t.hosts, ip)
-		return
+		return true
 	}
 	old := t.hosts[ip]
 	if old.rev >= row.Rev {
-		return
+		// This host has written it itself, and the others have not heard of it: the end of a session, or its own renewal.
+		return old.rev == row.Rev && ip != t.IP
 	}
 	var s session
 	if err := msgpack.Unmarshal(row.Value, &s); err != nil {
 		t.Log.Warn("row of a host cannot be read", zap.String("host", ip), zap.Error(err))
-		return
+		return false
 	}
-	if old.session != s.withRates(old.Rates) {
+	changed := old.session != s.withRates(old.Rates)
+	if changed {
 		t.mark = max(t.mark, row.Rev)
 	}
 	t.hosts[ip] = seen{session: s, rev: row.Rev, since: now}
+	return changed
 }
 
-func (t *Tenure) takeOwn(id string, row rows.Row) {
+func (t *Tenure) takeOwn(id string, row rows.Row) bool {
 	if row.Gone {
 		delete(t.own, id)
-		return
+		return true
 	}
 	if t.own[id].rev >= row.Rev {
-		return
+		return t.own[id].rev == row.Rev
 	}
 	var o ownership
 	if err := msgpack.Unmarshal(row.Value, &o); err != nil {
 		t.Log.Warn("row of an engine cannot be read", zap.String("target", id), zap.Error(err))
-		return
+		return false
 	}
 	t.mark = max(t.mark, row.Rev)
 	t.own[id] = owned{ownership: o, rev: row.Rev}
+	return true
 }
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
+	"damaskreach/internal/mate"
 	"damaskreach/internal/rates"
 )
 
@@ -31,6 +32,11 @@
 	Rates rates.Rates `msgpack:"rates"`
 }
 
+// mate returns what others need to know of the host.
+func (s session) mate() mate.Mate {
+	return mate.Mate{IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Power}
+}
+
 // withRates returns a copy with other measurements.
 func (s session) withRates(r rates.Rates) session {
 	s.Rates = r
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -41,7 +41,9 @@
 	// firstEvery is how often they are read in the first seconds, when all hosts start and engines have no host yet.
 	firstEvery = 500 * time.Millisecond
 	// restEvery is how often a host reads them that lets another one read.
-	restEvery = 20 * time.Second
+	restEvery = time.Minute
+	// unbroken stands for the revision after which changes are known where all rows were read.
+	unbroken = -1
 	// callFor bounds a call to the store.
 	callFor = time.Second
 	// margin is kept between the last order of one host and the first of the next, beside the time they must lie apart:
@@ -73,6 +75,9 @@
 	Beside func() []rows.Row
 	// Relaxed reports whether another host reads the rows for this one at present.
 	Relaxed func() bool
+	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
+	// zero where all were read.
+	Keep func(prefix string, after, rev int64, list []rows.Row)
 	Log     *zap.Logger
 	Stats   *stats.Stats
 
@@ -323,8 +328,15 @@
 	hosts := map[string]mate.Mate{}
 	for ip, h := range t.hosts {
 		if !h.Ended {
-			hosts[ip] = mate.Mate{IP: ip, Peers: h.Peers, Callers: h.Callers, Centre: h.Centre, Power: h.Power}
+			hosts[ip] = h.mate()
 		}
 	}
 	return hosts
 }
+
+// Host returns one host, also where its session has lapsed; an empty one where it is not known.
+func (t *Tenure) Host(ip string) mate.Mate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hosts[ip].mate()
+}
