Let hosts of a site that starts wait before they begin sessions

Each such session is a write, a whole reading and a second write.

Change: where no engine has a host yet, a host writes its row as passive until it has seen the others.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -168,6 +168,12 @@
 	return max(0, 2*engines/max(1, active)+1-mine)
 }
 
+// young reports whether the whole site seems to start, this host with it, and who should give orders cannot be told yet. Each host
+// would take itself for one of the first, and begin a session that it ends a second later: some calls a host, all at once.
+func (t *Tenure) young() bool {
+	return len(t.own) == 0 && t.Clock()-t.begun < settleFor
+}
+
 // holder reports whether this host should give orders: it does already, or it is one of as many hosts as the engines need.
 // Each host that may give orders renews its session; with a hundred hosts those renewals would be most calls to the store.
 func (t *Tenure) holder() bool {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -84,6 +84,7 @@
 	wake    chan struct{}
 	mu      sync.Mutex
 	start   string
+	begun   time.Duration // when this process began
 	epoch   int64         // of this host's session
 	sent    time.Duration // when the last renewal that succeeded was sent
 	renewed bool
@@ -118,6 +119,9 @@
 	t.fresh = map[string]time.Duration{}
 	t.mu.Unlock()
 	begun := t.Clock()
+	t.mu.Lock()
+	t.begun = begun
+	t.mu.Unlock()
 	var renewAt, readAt time.Duration
 	for ctx.Err() == nil {
 		now := t.Clock()
@@ -193,7 +197,7 @@
 	defer cancel()
 	t.mu.Lock()
 	known := t.hosts[t.IP]
-	passive := !t.holder()
+	passive := t.young() || !t.holder()
 	t.mu.Unlock()
 	if passive && known.Passive && !known.Ended && known.Start == t.start {
 		// Once it knows of more engines, or fewer hosts, it may be one of those that give orders.
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -320,3 +320,47 @@
 		}
 	})
 }
+
+// A site of many hosts starts at once. Before a host knows the others it would take itself for one of the few that give orders,
+// and each would write and read its row twice over in the first second, all at the same time.
+func TestHostsThatStartTogetherBeginNoSessionInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+		const count = 60
+		var hosts []*host
+		for i := range count {
+			hosts = append(hosts, s.start(fmt.Sprintf("10.0.0.%d", i)))
+		}
+		time.Sleep(4 * time.Second)
+		writes, holders := 0, 0
+		for _, h := range hosts {
+			h.mu.Lock()
+			writes += h.writes
+			h.mu.Unlock()
+			if h.Left() > 0 {
+				holders++
+			}
+		}
+		if holders < 8 || holders > 12 {
+			t.Errorf("hosts that may give orders = %d, want about 8", holders)
+		}
+		if got, want := writes, count+holders*4; got > want {
+			t.Errorf("writes = %d, want at most %d: one a host, and few more for those that give orders", got, want)
+		}
+		for _, id := range []string{"a", "e", "j"} {
+			if s.giver(hosts, id) == "" {
+				t.Errorf("engine %s has no host", id)
+			}
+		}
+	})
+}
+
+// giver returns the host that may give an engine its orders.
+func (s *site) giver(hosts []*host, id string) string {
+	for _, h := range hosts {
+		if _, ok := h.Fence(id); ok {
+			return h.IP
+		}
+	}
+	return ""
+}
