--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -50,7 +50,7 @@
 	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
 	// zero where deletions may have been missed.
 	Keep func(prefix string, after, rev int64, list []rows.Row)
-	Log     *zap.Logger
+	Log  *zap.Logger
 
 	current atomic.Pointer[view.View]
 	at      int64 // revision up to which registrations are read
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -77,9 +77,9 @@
 	Relaxed func() bool
 	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
 	// zero where all were read.
-	Keep func(prefix string, after, rev int64, list []rows.Row)
-	Log     *zap.Logger
-	Stats   *stats.Stats
+	Keep  func(prefix string, after, rev int64, list []rows.Row)
+	Log   *zap.Logger
+	Stats *stats.Stats
 
 	wake    chan struct{}
 	mu      sync.Mutex
