Keep processes that tests freeze from being woken when the tests' shell ends

Cause of TestDeliveryOverProcesses' one failure (KNOWN-RED.txt): in its log all three nodes read their keys anew at the same millisecond, 530.281, which they do at a hangup only, and no test sends one; the frozen node went on at once, so nobody took its runners. The system sends a hangup and a continue to a process group that becomes orphaned while a member is stopped, and the nodes shared the group of the tests, whose shell had ended. Ruled out: a rekeying by time (there is none), a lost lease (no node lost a connection), the owner's rows (nobody was frozen for longer than a moment).

--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -98,7 +98,7 @@
 // start runs a program; its log goes to the test's folder and is shown when the test fails.
 func (f *fleet) start(name, program string, args ...string) {
 	f.t.Helper()
-	cmd := exec.Command(filepath.Join(f.dir, program), args...)
+	cmd := command(filepath.Join(f.dir, program), args...)
 	log, err := os.Create(filepath.Join(f.dir, name+".log"))
 	if err != nil {
 		f.t.Fatal(err)
@@ -123,6 +123,13 @@
 	})
 }
 
+// command returns a process for a test to start, see TestFreezeOutlastsTheShell.
+func command(program string, args ...string) *exec.Cmd {
+	cmd := exec.Command(program, args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	return cmd
+}
+
 func tail(text []byte) []byte {
 	const most = 4000
 	return text[max(0, len(text)-most):]
