Rely on any data centre's reading, and try a store that is away the more rarely the more hosts there are

Change: how far a host knows the store is told with the age of the newest reading that covers it, by readers and by those that rely on them; word from another data centre waits for the rows from the own reader; a host that rests reads the hosts' rows only where there are newer ones; after a failed reading a host waits the longer the more hosts its data centre has, and goes on when another one tells that it has read; the reader's duty goes on to a host that the store answers.

Tests: a reading does not get younger on its way (trust), the store's return is learnt from others (intake).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,7 +23,6 @@
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
 	"damaskreach/internal/lookup"
-	"damaskreach/internal/marks"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
@@ -39,6 +38,7 @@
 	"damaskreach/internal/table"
 	"damaskreach/internal/target"
 	"damaskreach/internal/tenure"
+	"damaskreach/internal/trust"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/uplink"
 	"damaskreach/internal/uptime"
@@ -102,6 +102,7 @@
 	mesh    atomic.Pointer[peer.Mesh]
 	roster  *roster.Roster
 	feeds   *feeds.Feeds
+	readers trust.Trust
 	holds   *holds.Holds
 	pick    *pick.Pick
 	uplink  *uplink.Uplink
@@ -129,10 +130,10 @@
 	e.tenure = &tenure.Tenure{
 		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: uptime.Now,
 		Log: e.Log, Stats: e.Stats,
-		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
+		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep, Pause: e.retryPause,
 	}
 	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
-	e.intake.Relaxed, e.intake.Changed, e.intake.Keep = e.relaxed, e.nudge, e.feeds.Keep
+	e.intake.Relaxed, e.intake.Changed, e.intake.Keep, e.intake.Pause = e.relaxed, e.nudge, e.feeds.Keep, e.retryPause
 	measured := &speed.Speed{Before: e.tenure.Rates}
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
@@ -238,7 +239,9 @@
 			_, ok := v.Targets[id]
 			return !ok
 		})
-		e.feeds.Forget(func(ip string) bool { return !e.live(ip) })
+		gone := func(ip string) bool { return !e.live(ip) }
+		e.feeds.Forget(gone)
+		e.readers.Forget(gone)
 	}
 }
 
@@ -276,13 +279,13 @@
 }
 
 // own returns what this host tells of itself.
-func (e *Edge) own() (own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks) {
+func (e *Edge) own() (own busy.Busy, uses []usage.Usage, broke []string) {
 	own = busy.Busy{
-		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
+		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
 	}
 	ip := e.Setup().IP
 	uses = e.news.uses(ip, 2*e.old(), func(id string) bool { return e.tenure.Owner(id) != ip })
-	return own, uses, e.blame.News(), e.marks()
+	return own, uses, e.blame.News()
 }
 
 // waits returns the waits at engines that this host orders, and notes them for its own choices.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -85,10 +85,7 @@
 func (e *Edge) hear(g gossip.Gossip) {
 	now := time.Now()
 	e.feeds.Hear(g.IP, g.Known, g.Feeds)
-	if g.Read != nil {
-		e.intake.Wake(*g.Read)
-		e.tenure.Wake(g.Read.Fleet)
-	}
+	e.hearMarks(g, now)
 	for _, b := range g.Hosts {
 		for id, n := range b.Loads {
 			e.pick.Told(id, n, now)
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"damaskreach/internal/gossip"
@@ -10,20 +11,28 @@
 	"damaskreach/internal/table"
 )
 
+const (
+	// retryLeast is the pause of a host that reads for others after the store did not answer it.
+	retryLeast = 250 * time.Millisecond
+	// retryMost is the longest mean pause of another host.
+	retryMost = 3 * time.Second
+)
+
 // ownReading is how much sooner than a leaving upstream must get no new work a host reads for itself where others do not: a
 // reading, a try that fails, and the choice that is under way.
 const ownReading = 800 * time.Millisecond
 
-// reader reports whether this host reads the store for others: one in each data centre does, and the others read only what it has found
-// to be newer. Where each read for itself, 73 hosts made 9,600 calls in a quiet minute, most of which brought nothing new, and eight
+// reader reports whether this host reads the store for others: one in each data centre does, the first that the store answers, and
+// the others read only what it has found to be newer. Where each read for itself, 73 hosts made 9,600 calls in a quiet minute, most of which brought nothing new, and eight
 // hosts 995 in fifty seconds, of which a fifth is saved.
 func (e *Edge) reader() bool {
 	m := e.mates.Load()
 	if m == nil {
 		return true
 	}
+	away := e.intake.Away()
 	for _, h := range m.Serving() {
-		if h.Centre == m.Self.Centre && h.Before(m.Self) {
+		if h.Centre == m.Self.Centre && h.Before(m.Self) && (away || !m.Away(h.IP)) {
 			return false
 		}
 	}
@@ -32,21 +41,63 @@
 
 // relaxed reports whether another host reads for this one.
 func (e *Edge) relaxed() bool {
-	m := e.mates.Load()
-	return m != nil && m.Reads(e.Setup().Drain-ownReading) && !e.reader()
+	return e.readers.Fresh(e.Setup().Drain-ownReading, time.Now()) && !e.reader()
 }
 
-// marks returns how far this host has read, where it reads for others.
+// marks returns how far this host knows the store and how old that is; nothing where it is too old to be of use.
 func (e *Edge) marks() *marks.Marks {
-	if !e.reader() {
-		return nil
+	known, ok := e.intake.Marks()
+	if !ok || !e.reader() {
+		age, heard := e.readers.Age(time.Now())
+		if !heard {
+			return nil
+		}
+		known.Age = age.Milliseconds()
+	}
+	known.Fleet = e.tenure.Mark()
+	return &known
+}
+
+// retryPause returns how long this host waits after the store did not answer it: the one that reads for its data centre tries soon,
+// and all others together as often, so that one of them finds out where the store turned away that one alone.
+func (e *Edge) retryPause() time.Duration {
+	if e.reader() {
+		return retryLeast
+	}
+	near := 0
+	for _, h := range e.mates.Load().Serving() {
+		if h.Centre == e.Setup().Centre {
+			near++
+		}
+	}
+	pause := min(retryMost, time.Duration(near)*retryLeast)
+	return pause/2 + rand.N(pause+1)
+}
+
+// hearMarks takes how far another host knows the store. Where this one knows as much, it relies on that reading; else the rows are
+// under way if the other is of its own data centre, and come from the reader there if not, and it looks for itself only
+// where they do not.
+func (e *Edge) hearMarks(g gossip.Gossip, now time.Time) {
+	if g.Read == nil {
+		return
+	}
+	read := *g.Read
+	if e.intake.Covers(read) && e.tenure.Covers(read.Fleet) {
+		e.readers.Note(g.IP, time.Duration(read.Age)*time.Millisecond, now)
+		if e.intake.Away() {
+			e.intake.Wake(read)
+		}
+		return
+	}
+	wake := func() {
+		e.intake.Wake(read)
+		e.tenure.Wake(read.Fleet)
 	}
-	read, ok := e.intake.Marks()
-	if !ok {
-		return nil
+	if e.tenure.Host(g.IP).Centre == e.Setup().Centre {
+		wake()
+		return
 	}
-	read.Fleet = e.tenure.Mark()
-	return &read
+	time.AfterFunc(2*e.old()+selfEvery, wake)
 }
 
 // nudge tells others of a change at once, and looks for engines that have no host yet.
@@ -78,8 +129,10 @@
 }
 
 // addFeeds adds to a message how far this host knows the store, and what its receiver has not seen of it. Other data centres have
-// readers of their own: rows that pass between data centres would cost more than their calls.
+// readers of their own: rows that pass between data centres would cost more than their calls, and word of something newer without
+// the rows would have each host there read it.
 func (e *Edge) addFeeds(to string, g *gossip.Gossip) {
+	g.Read = e.marks()
 	if e.tenure.Host(to).Centre == e.Setup().Centre {
 		g.Known = e.feeds.Known()
 		g.Feeds = e.feeds.For(to)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -21,8 +21,6 @@
 const (
 	// callFor bounds a reading; a connection that fell silent shows in nothing else.
 	callFor = 700 * time.Millisecond
-	// after is the pause after a failed reading.
-	after = 250 * time.Millisecond
 	// absent is how long after the store's return an upstream is still used that vanished: registrations that lapsed with the store
 	// are back within two seconds of its return. It ends at one moment for all: counted from when each was missed, one that
 	// began to leave after the return would be used for a reading and these seconds more.
@@ -45,6 +43,9 @@
 	Version func(row rows.Row) (adapter string, version int, ok bool, err error)
 	// Relaxed reports whether another host reads for this one at present.
 	Relaxed func() bool
+	// Pause returns how long to wait after a failed reading. Where the store is away from all, hundreds of hosts that tried a few times
+	// a second each would be most of its calls when it comes back.
+	Pause func() time.Duration
 	// Changed is called after a change that others should know of.
 	Changed func()
 	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
@@ -106,7 +107,7 @@
 		list, next, whole, err := i.readConf(ctx, rev)
 		if err != nil {
 			i.Log.Debug("configuration not read", zap.Error(err))
-			turns.Sleep(ctx, after)
+			i.pause(ctx, i.confWake)
 			continue
 		}
 		for _, row := range list {
@@ -172,7 +173,7 @@
 				i.lost = began
 				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
 			}
-			turns.Sleep(ctx, after)
+			i.pause(ctx, i.targetWake)
 			continue
 		}
 		if len(i.missing) > 0 {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/intake"
+	"damaskreach/internal/marks"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
 	"damaskreach/internal/table"
@@ -70,6 +71,7 @@
 	i := intake.NewIntake()
 	i.Table, i.Conf, i.Targets, i.Log = s.table(), "op/", "up/", zap.NewNop()
 	i.Every = func() time.Duration { return time.Second }
+	i.Pause = func() time.Duration { return 250 * time.Millisecond }
 	i.Rules = func(row rows.Row) (rules.Rules, bool, error) {
 		if len(row.Value) == 0 {
 			return rules.Rules{}, false, errors.New("unreadable")
@@ -167,6 +169,29 @@
 	})
 }
 
+// The store was away from hundreds of hosts, which try it the more rarely the more of them there are. The host that reads for a
+// data centre finds it back first; the others must not wait for their own next try, or they would use upstreams that have left
+// since for as much longer.
+func TestReturnOfTheStoreIsLearntFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
+		i := start(t, s)
+		i.Pause = func() time.Duration { return time.Hour }
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(5 * time.Second)
+		s.set(func() {
+			s.down, s.gone = false, true
+			s.rows["up/"] = []rows.Row{reg("a")}
+		})
+		i.Wake(marks.Marks{Age: 100})
+		time.Sleep(4 * time.Second)
+		if _, ok := i.View().Targets["b"]; ok || i.Away() {
+			t.Errorf("upstreams = %v, away = %v, want a alone and the store back", i.View().Targets, i.Away())
+		}
+	})
+}
+
 // A registration is overwritten by something that cannot be read. It names no upstream; the others stay.
 func TestUnreadableRegistrationHarmsNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -33,12 +33,30 @@
 	}
 }
 
-// Wake ends the rest where another host has read something newer.
+// Covers reports whether this host has read as far as another one.
+func (i *Intake) Covers(m marks.Marks) bool {
+	return m.Conf <= i.confAt.Load() && m.Targets <= i.targetAt.Load()
+}
+
+// pause waits after a failed reading, no longer than until another host has read.
+func (i *Intake) pause(ctx context.Context, wake <-chan struct{}) {
+	timer := time.NewTimer(i.Pause())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
+// Wake ends the rest where another host has read something newer, or has read at all while the store seemed to be away: what lapsed
+// with the store has its time from the store's return, which must not be noticed late.
 func (i *Intake) Wake(m marks.Marks) {
-	if m.Conf > i.confAt.Load() {
+	back := i.away.Load() && time.Duration(m.Age)*time.Millisecond < away
+	if back || m.Conf > i.confAt.Load() {
 		nudge(i.confWake)
 	}
-	if m.Targets > i.targetAt.Load() {
+	if back || m.Targets > i.targetAt.Load() {
 		nudge(i.targetWake)
 	}
 }
--- a/internal/mates/fleet_test.go
+++ b/internal/mates/fleet_test.go
@@ -14,7 +14,6 @@
 
 	"damaskreach/internal/busy"
 	"damaskreach/internal/gossip"
-	"damaskreach/internal/marks"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/roster"
@@ -51,7 +50,6 @@
 	heard []usage.Usage // of engines that it orders
 	held  map[string]stock.Stock
 	broke []string
-	read  *marks.Marks
 }
 
 func newFleet(t *testing.T, hosts, centres int) *fleet {
@@ -93,12 +91,12 @@
 		}
 		return all
 	}
-	h.Own = func() (busy.Busy, []usage.Usage, []string, *marks.Marks) {
+	h.Own = func() (busy.Busy, []usage.Usage, []string) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		broke := h.broke
 		h.broke = nil
-		return busy.Busy{Loads: h.loads}, h.uses, broke, h.read
+		return busy.Busy{Loads: h.loads}, h.uses, broke
 	}
 	h.Hear = h.hear
 	h.Add = func(string, *gossip.Gossip) {}
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -14,11 +14,9 @@
 
 	"damaskreach/internal/busy"
 	"damaskreach/internal/gossip"
-	"damaskreach/internal/marks"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/rhythm"
 	"damaskreach/internal/roster"
-	"damaskreach/internal/trust"
 	"damaskreach/internal/usage"
 )
 
@@ -39,7 +37,7 @@
 	Hosts  func() map[string]mate.Mate // see tenure.Hosts
 	Roster *roster.Roster
 	// Own returns what this host tells of itself.
-	Own func() (own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks)
+	Own func() (own busy.Busy, uses []usage.Usage, broke []string)
 	// Add adds to a message what is not the roster's, and Hear takes it.
 	Add  func(to string, g *gossip.Gossip)
 	Hear func(g gossip.Gossip)
@@ -47,8 +45,7 @@
 	Ask func(ctx context.Context, to mate.Mate, g gossip.Gossip) (gossip.Gossip, error)
 	Log *zap.Logger
 
-	nudge   chan struct{}
-	readers trust.Trust
+	nudge chan struct{}
 
 	// serving is as of the last message: a walk over all hosts for each caller that asks would cost more than its answer.
 	serving atomic.Pointer[map[string]mate.Mate]
@@ -97,11 +94,6 @@
 }
 
 func (m *Mates) take(g gossip.Gossip, now time.Time) {
-	age := time.Duration(-1)
-	if g.Read != nil {
-		age = time.Duration(g.Read.Age) * time.Millisecond
-	}
-	m.readers.Note(g.IP, age, now)
 	m.Roster.Hear(g, now)
 	m.Hear(g)
 }
@@ -112,8 +104,8 @@
 		now := time.Now()
 		hosts := m.Hosts()
 		times := m.retime(hosts)
-		own, uses, broke, read := m.Own()
-		m.Roster.Note(own, uses, broke, read, now)
+		own, uses, broke := m.Own()
+		m.Roster.Note(own, uses, broke, now)
 		m.look(times, now)
 		m.serve(hosts, now)
 		relay, partners := m.partners(hosts, now)
@@ -295,11 +287,6 @@
 	return m.Roster.Oldest(time.Now())
 }
 
-// Reads reports whether some other host has read the store for others within the limit.
-func (m *Mates) Reads(limit time.Duration) bool {
-	return m.readers.Fresh(limit, time.Now())
-}
-
 // Nudge sends the next messages at once.
 func (m *Mates) Nudge() {
 	select {
@@ -314,6 +301,12 @@
 	return live && !b.Lapsed
 }
 
+// Away reports whether a host says that the store does not answer it.
+func (m *Mates) Away(ip string) bool {
+	b, live := m.Roster.Find(ip, time.Now())
+	return live && b.Away
+}
+
 // Serving returns the hosts, but for this one, that callers may be sent to. The map must not be changed.
 func (m *Mates) Serving() map[string]mate.Mate {
 	return *m.serving.Load()
--- a/internal/mates/mates_test.go
+++ b/internal/mates/mates_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"damaskreach/internal/marks"
 	"damaskreach/internal/rhythm"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/usage"
@@ -240,35 +239,3 @@
 		}
 	})
 }
-
-// One host of a data centre reads the store for the others. Its hosts rely on it while its reading is young, whichever relay
-// they hear it from, and no longer.
-func TestReadingIsPassedOnWithItsAge(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 40, 4)
-		for _, h := range f.hosts {
-			h.mu.Lock()
-			h.read = nil
-			h.mu.Unlock()
-		}
-		reader := f.hosts[ip(f.relays()[0])]
-		reader.mu.Lock()
-		reader.read = &marks.Marks{Conf: 7}
-		reader.mu.Unlock()
-		time.Sleep(time.Second)
-		for i := range 40 {
-			h := f.hosts[ip(i)]
-			if h != reader && i%4 == 0 && !h.Reads(time.Second) {
-				t.Errorf("host %d knows of no reading within a second", i)
-			}
-		}
-		reader.cancel()
-		f.setCut(true, f.relays()[0])
-		time.Sleep(3 * time.Second)
-		for i := range 40 {
-			if h := f.hosts[ip(i)]; h != reader && h.Reads(2*time.Second) {
-				t.Errorf("host %d relies on a reading of a host that is dead for three seconds", i)
-			}
-		}
-	})
-}
--- a/internal/roster/hear.go
+++ b/internal/roster/hear.go
@@ -31,11 +31,6 @@
 		r.addBroke(text, !g.Relay)
 	}
 	r.hearUses(g, now)
-	if g.Read == nil {
-		delete(r.read, g.IP)
-	} else {
-		r.read[g.IP] = reading{*g.Read, now}
-	}
 }
 
 // hearHost takes what a host says of itself alone.
--- a/internal/roster/look.go
+++ b/internal/roster/look.go
@@ -60,11 +60,6 @@
 			delete(r.uses, host)
 		}
 	}
-	for host, one := range r.read {
-		if now.Sub(one.at) > forget {
-			delete(r.read, host)
-		}
-	}
 	for ip := range r.changed {
 		if _, live := r.find(ip, now); !live && !r.known(ip) {
 			delete(r.changed, ip)
--- a/internal/roster/own.go
+++ b/internal/roster/own.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"damaskreach/internal/busy"
-	"damaskreach/internal/marks"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/usage"
 )
@@ -13,7 +12,7 @@
 const repeat = time.Second
 
 // Note takes what this host tells of itself, and what its requests use.
-func (r *Roster) Note(own busy.Busy, uses []usage.Usage, broke []string, read *marks.Marks, now time.Time) {
+func (r *Roster) Note(own busy.Busy, uses []usage.Usage, broke []string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	own.IP = r.self
@@ -29,11 +28,6 @@
 	for _, text := range broke {
 		r.addBroke(text, true)
 	}
-	if read == nil {
-		delete(r.read, r.self)
-	} else {
-		r.read[r.self] = reading{*read, now}
-	}
 }
 
 // Held takes what an engine holds that this host orders.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"damaskreach/internal/busy"
-	"damaskreach/internal/marks"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/usage"
 )
@@ -47,7 +46,6 @@
 	held    map[string]stocked
 	broke   []broken
 	uses    map[string]using // by host
-	read    map[string]reading
 	peers   map[string]*peer
 }
 
@@ -78,11 +76,6 @@
 	own  bool
 }
 
-type reading struct {
-	marks.Marks
-	at time.Time
-}
-
 // peer is what was said between this host and another one.
 type peer struct {
 	start string // of the other's numbers
@@ -107,7 +100,7 @@
 		owner: owner, self: self, start: rand.Text(), silent: time.Second, own: busy.Busy{IP: self},
 		realms:  map[string]*realm{self: newRealm()},
 		changed: map[string]int64{}, alive: map[string]bool{}, held: map[string]stocked{}, uses: map[string]using{},
-		read: map[string]reading{}, peers: map[string]*peer{},
+		peers: map[string]*peer{},
 	}
 }
 
--- a/internal/roster/tell.go
+++ b/internal/roster/tell.go
@@ -6,7 +6,6 @@
 
 	"damaskreach/internal/busy"
 	"damaskreach/internal/gossip"
-	"damaskreach/internal/marks"
 	"damaskreach/internal/usage"
 )
 
@@ -27,7 +26,6 @@
 	r.fillHeld(&g, func(s stocked) bool { return s.own && r.owner(s.ID) == r.self })
 	r.fillBroke(&g, func(b broken) bool { return b.own })
 	g.Uses = r.usesOf(now, func(host, _ string) bool { return host == r.self })
-	g.Read = r.reads(false, now)
 	return g
 }
 
@@ -43,7 +41,6 @@
 	r.fillHeld(&g, func(stocked) bool { return true })
 	r.fillBroke(&g, func(broken) bool { return true })
 	g.Uses = r.usesOf(now, func(host, owner string) bool { return owner == q.IP && host != q.IP })
-	g.Read = r.reads(true, now)
 	return g
 }
 
@@ -63,7 +60,6 @@
 	r.fillHeld(&g, func(s stocked) bool { return s.own })
 	r.fillBroke(&g, func(b broken) bool { return b.own })
 	g.Uses = r.usesOf(now, func(host, owner string) bool { return r.uses[host].own && r.speaksFor(to, owner) })
-	g.Read = r.reads(false, now)
 	return g
 }
 
@@ -155,25 +151,3 @@
 	}
 	return list
 }
-
-// reads returns how far the store was read: by this host where it reads for others, else by the one that did so last, where it
-// may be passed on.
-func (r *Roster) reads(pass bool, now time.Time) *marks.Marks {
-	best := reading{}
-	ok := false
-	for host, one := range r.read {
-		if host != r.self && !pass || r.aged(one, now) > r.aged(best, now) && ok {
-			continue
-		}
-		best, ok = one, true
-	}
-	if !ok {
-		return nil
-	}
-	best.Age = r.aged(best, now).Milliseconds()
-	return &best.Marks
-}
-
-func (r *Roster) aged(one reading, now time.Time) time.Duration {
-	return now.Sub(one.at) + time.Duration(one.Age)*time.Millisecond
-}
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -84,12 +84,20 @@
 		return left == 0
 	}
 	if !t.write(ctx, "engines claimed", strconv.Itoa(len(edits)), edits...) {
+		t.reread()
 		return false
 	}
 	t.Stats.Add(stats.Claims, int64(len(edits)))
 	return left == len(edits)
 }
 
+// reread has the rows read at the next look, also where another host reads for this one: they are not what this host believes.
+func (t *Tenure) reread() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.full = -restEvery
+}
+
 func (t *Tenure) makeSecret(ctx context.Context) {
 	if t.Secret() != nil {
 		return
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -13,8 +13,31 @@
 	"damaskreach/internal/table"
 )
 
-// read brings the rows up to date, claims what is free, and returns when to read next.
+// read brings the rows up to date, claims what is free, and returns when to look next. While another host reads for this one, it reads
+// only what that one has found to be newer.
 func (t *Tenure) read(ctx context.Context, age time.Duration) time.Duration {
+	if !t.resting() {
+		if err := t.fetch(ctx); err != nil {
+			t.Log.Debug("hosts not read", zap.Error(err))
+			return t.Pause()
+		}
+	}
+	if !t.claim(ctx, age) {
+		return firstEvery
+	}
+	return min(readEvery, firstEvery+age/2)
+}
+
+// resting reports whether there is nothing to read at present.
+func (t *Tenure) resting() bool {
+	relaxed := t.Relaxed()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return relaxed && t.at > 0 && t.heard <= t.at && t.Clock()-t.full < restEvery
+}
+
+// fetch reads what is new.
+func (t *Tenure) fetch(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
 	t.mu.Lock()
@@ -33,8 +56,7 @@
 		}
 	}
 	if err != nil {
-		t.Log.Debug("hosts not read", zap.Error(err))
-		return firstEvery
+		return err
 	}
 	news := t.apply(list, rev)
 	if after == 0 {
@@ -45,13 +67,7 @@
 		// Renewals are not passed on: to a host that lets another one read, all hosts would seem to have lapsed.
 		t.endLapsed(ctx)
 	}
-	if !t.claim(ctx, age) {
-		return firstEvery
-	}
-	if t.Relaxed() {
-		return restEvery
-	}
-	return min(readEvery, firstEvery+age/2)
+	return nil
 }
 
 // apply takes rows read up to a revision, and returns those that matter to others.
@@ -65,6 +81,7 @@
 		}
 	}
 	t.at = max(t.at, rev)
+	t.full = now
 	return news
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -75,6 +75,8 @@
 	Beside func() []rows.Row
 	// Relaxed reports whether another host reads the rows for this one at present.
 	Relaxed func() bool
+	// Pause returns how long to wait after a failed reading.
+	Pause func() time.Duration
 	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
 	// zero where all were read.
 	Keep  func(prefix string, after, rev int64, list []rows.Row)
@@ -91,7 +93,9 @@
 	at      int64 // revision up to which rows are read
 	hosts   map[string]seen
 	own     map[string]owned
-	mark    int64 // revision of the newest change that matters to others
+	mark    int64         // revision of the newest change that matters to others
+	heard   int64         // revision up to which another host has read, where that is more than at
+	full    time.Duration // when the rows were last read from the store or from another host
 	secret  []byte
 	fresh   map[string]time.Duration // engines without a host, since when
 	known   int                      // most engines that it has known of while none had a host
@@ -150,6 +154,13 @@
 	return false
 }
 
+// Covers reports whether this host has read as far as another one.
+func (t *Tenure) Covers(mark int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return mark <= t.at
+}
+
 // Wake reads the rows where another host has read newer ones.
 func (t *Tenure) Wake(mark int64) {
 	t.mu.Lock()
@@ -157,13 +168,14 @@
 	if mark <= t.at || t.wake == nil {
 		return
 	}
+	t.heard = max(t.heard, mark)
 	select {
 	case t.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Look reads the rows now, and claims what has no host: an engine that has just registered holds nothing, and the load of its
+// Look claims what has no host, after a reading where this host reads for itself: an engine that has just registered holds nothing, and the load of its
 // base model takes seconds.
 func (t *Tenure) Look() {
 	t.mu.Lock()
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -66,7 +66,7 @@
 		Table: h.through(s.db.TableFor(ip)), IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
 		Turn: func() time.Duration { return turn }, Clock: func() time.Duration { return time.Since(s.begun) },
 		Engines: s.known, Log: zap.NewNop(), Measured: func() rates.Rates { return s.measured }, Beside: func() []rows.Row { return nil },
-		Live: func(string) bool { return true }, Relaxed: func() bool { return false }, Keep: func(string, int64, int64, []rows.Row) {},
+		Live: func(string) bool { return true }, Relaxed: func() bool { return false }, Pause: func() time.Duration { return 500 * time.Millisecond }, Keep: func(string, int64, int64, []rows.Row) {},
 	}
 	go h.Run(ctx)
 	s.t.Cleanup(func() { cancel(); synctest.Wait() })
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -32,12 +32,30 @@
 
 // Fresh reports whether some host has read within the limit.
 func (t *Trust) Fresh(limit time.Duration, now time.Time) bool {
+	age, ok := t.Age(now)
+	return ok && age < limit
+}
+
+// Age returns the age of the last reading of all hosts that read for others; ok is false where there are none. Whoever passes it on
+// says how old it is by then, so that no way round makes it younger.
+func (t *Trust) Age(now time.Time) (age time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, at := range t.read {
-		if now.Sub(at) < limit {
-			return true
+		if !ok || now.Sub(at) < age {
+			age, ok = now.Sub(at), true
+		}
+	}
+	return age, ok
+}
+
+// Forget drops hosts that are gone.
+func (t *Trust) Forget(gone func(host string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for host := range t.read {
+		if gone(host) {
+			delete(t.read, host)
 		}
 	}
-	return false
 }
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -43,3 +43,27 @@
 		t.Error("relied on after it stopped")
 	}
 }
+
+// The word of a reader reaches a host by way of two others, and these go on passing it to each other after the reader has died. It
+// must not get younger on the way, or all would rely on a host that is dead.
+func TestReadingDoesNotGetYoungerOnItsWay(t *testing.T) {
+	var relay, other, member trust.Trust
+	at := now
+	relay.Note("reader", 0, at)
+	for range 30 {
+		at = at.Add(100 * time.Millisecond)
+		for _, hop := range []struct{ from, to *trust.Trust }{{&relay, &other}, {&other, &relay}, {&other, &member}} {
+			if age, ok := hop.from.Age(at); ok {
+				hop.to.Note("neighbour", age, at)
+			}
+		}
+	}
+	for name, tr := range map[string]*trust.Trust{"relay": &relay, "other": &other, "member": &member} {
+		if got, ok := tr.Age(at); !ok || got < 3*time.Second {
+			t.Errorf("%s takes the reading for %v old, want 3 s", name, got)
+		}
+		if tr.Fresh(limit, at) {
+			t.Errorf("%s relies on a reading of 3 s ago", name)
+		}
+	}
+}
