Guard adapters in use for as long as news of their use may take

Cause: where a data centre has more than two hosts, news takes three messages, and 2.5 times their age (1.5 s) was waited before an adapter counted as unused, 0.5 s before relays. Change: the age of news and one and a half pauses, from the rhythm: 0.5 s where all hosts are relays, 0.9 s elsewhere.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -138,7 +138,7 @@
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Old: e.old, Holder: s.IP, Log: e.Log, Stats: e.Stats,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Unused: e.unused, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -81,6 +81,14 @@
 	return selfEvery
 }
 
+// unused returns how long no use of an adapter must have been heard of for it to be taken as unused.
+func (e *Edge) unused() time.Duration {
+	if m := e.mates.Load(); m != nil {
+		return m.Times().Unused()
+	}
+	return selfEvery
+}
+
 // hear takes what another host said.
 func (e *Edge) hear(g gossip.Gossip) {
 	now := time.Now()
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -32,9 +32,6 @@
 	reportLag = 130 * time.Millisecond
 	// transit is how many adapters may be on their way to one engine.
 	transit = 4
-	// tells is how many times the pause between two messages of a host an adapter must not have been in use for it to be unloaded:
-	// one message may be lost or late.
-	tells = 2.5
 	// unused is how long an adapter must not have been in use for its place to go to one that nobody waits for: some times what a
 	// stream takes, so that the place is not one that the next request asks for.
 	unused = 5 * time.Second
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -174,7 +174,7 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: func() []string { return []string{"e"} },
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Old: func() time.Duration { return e.told },
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Unused: func() time.Duration { return e.told * 5 / 2 },
 		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -49,8 +49,9 @@
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
 	// first after one of theirs.
 	Others func() (loading int, first time.Duration)
-	// Old returns how old what hosts tell of their requests may be.
-	Old func() time.Duration
+	// Unused returns how long no use of an adapter must have been heard of for it to be taken as unused. An unload that waits for a
+	// request keeps the engine from any other unload until that has ended.
+	Unused func() time.Duration
 	// Window returns the time over which loads of base models from the weight store are counted.
 	Window func() time.Duration
 	Holder string
--- a/internal/giver/recall.go
+++ b/internal/giver/recall.go
@@ -27,7 +27,7 @@
 	defer d.mu.Unlock()
 	for i, a := range m.Names {
 		// Their order is what counts. None of them was in use for as long as nobody has told of it.
-		at := now.Add(-d.lately() - time.Duration(i+1)*time.Millisecond)
+		at := now.Add(-d.g.Unused() - time.Duration(i+1)*time.Millisecond)
 		d.recent[a] = at
 		if _, told := d.used[a]; !told {
 			d.used[a] = at
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -136,7 +136,7 @@
 		w.done <- want.ErrBusy
 		return true
 	}
-	if idle < d.lately() {
+	if idle < d.g.Unused() {
 		*w.block = "places"
 		return false
 	}
@@ -190,13 +190,6 @@
 	return d.cold * 9 / 10
 }
 
-// lately returns how recently an adapter must have been in use for its unload to be put off. An unload that waits for a request
-// keeps the engine from any other unload until that has ended. Hosts tell of their requests the more rarely the more of them
-// there are: an adapter in use by seventy hosts may look unused for most of a second.
-func (d *desk) lately() time.Duration {
-	return time.Duration(tells * float64(d.g.Old()))
-}
-
 // victim returns the adapter that must go for one more to be loaded, and for how long it was not in use; none, and for ever, where
 // a place is free.
 func (d *desk) victim(places int) (adapter string, idle time.Duration) {
--- a/internal/rhythm/rhythm.go
+++ b/internal/rhythm/rhythm.go
@@ -52,6 +52,12 @@
 	return r.Silent() / 3
 }
 
+// Unused returns how long no use of an adapter must have been heard of for it to be taken as unused: its last use is told as late as any
+// news, and told again with the next message.
+func (r Rhythm) Unused() time.Duration {
+	return r.Old() + r.every*3/2
+}
+
 // Old returns how old news may be when it reaches the last host, where no message is lost.
 func (r Rhythm) Old() time.Duration {
 	return r.hops * r.every
