--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,194 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"damaskreach/internal/busy"
+	"damaskreach/internal/gossip"
+	"damaskreach/internal/roster"
+	"damaskreach/internal/stock"
+	"damaskreach/internal/usage"
+)
+
+const silent = time.Second
+
+var start = time.Unix(1000, 0)
+
+// hostOf returns the host that orders an engine named "HOST/...".
+func hostOf(engine string) string { return engine[:1] }
+
+func host(ip string, now time.Time) *roster.Roster {
+	r := roster.NewRoster(ip, hostOf)
+	r.Look(silent, now)
+	r.Note(busy.Busy{}, nil, nil, now)
+	return r
+}
+
+// speak carries a question and its answer.
+func speak(from, to *roster.Roster, fromIP, toIP string, relay bool, now time.Time) (question, answer gossip.Gossip) {
+	question = from.Ask(toIP, relay, now)
+	to.Hear(question, now)
+	answer = to.Answer(question, now)
+	from.Hear(answer, now)
+	return question, answer
+}
+
+func wantLive(t *testing.T, r *roster.Roster, now time.Time, live bool, ips ...string) {
+	t.Helper()
+	for _, ip := range ips {
+		if _, got := r.Find(ip, now); got != live {
+			t.Errorf("%s alive = %v, want %v", ip, got, live)
+		}
+	}
+}
+
+// An answer is lost on its way. What it told must come with the next one, or a host would not learn what an engine holds until that
+// changes again.
+func TestLostAnswerIsMadeUpFor(t *testing.T) {
+	now := start
+	member, relay := host("m", now), host("r", now)
+	speak(member, relay, "m", "r", false, now)
+	relay.Held(stock.Stock{ID: "r/1", Born: 1, Sequence: 3, Adapters: map[string]int{"a": 1}})
+	q := member.Ask("r", false, now)
+	relay.Hear(q, now)
+	if lost := relay.Answer(q, now); len(lost.Held) != 1 {
+		t.Fatalf("told = %d engines, want 1", len(lost.Held))
+	}
+	if _, next := speak(member, relay, "m", "r", false, now); len(next.Held) != 1 {
+		t.Errorf("told after a lost answer = %d engines, want 1", len(next.Held))
+	}
+	if _, next := speak(member, relay, "m", "r", false, now); len(next.Held) != 0 {
+		t.Errorf("told again = %d engines, want none", len(next.Held))
+	}
+}
+
+// A relay restarts and knows nothing. Its hosts must tell it all of themselves again, and take what it tells as a whole: a host that
+// it says nothing of any more may be gone.
+func TestRestartedRelayIsToldEverything(t *testing.T) {
+	now := start
+	member, other, relay := host("m", now), host("o", now), host("r", now)
+	for range 3 {
+		speak(member, relay, "m", "r", false, now)
+		speak(other, relay, "o", "r", false, now)
+	}
+	member.Held(stock.Stock{ID: "m/1", Born: 1, Sequence: 1})
+	speak(member, relay, "m", "r", false, now)
+	wantLive(t, member, now, true, "o", "r")
+	relay = host("r", now)
+	for range 3 {
+		speak(member, relay, "m", "r", false, now)
+	}
+	wantLive(t, relay, now, true, "m")
+	wantLive(t, member, now, false, "o")
+	speak(other, relay, "o", "r", false, now)
+	if _, answer := speak(other, relay, "o", "r", false, now); len(answer.Held) != 0 {
+		t.Errorf("told twice = %v, want once", answer.Held)
+	}
+	speak(member, relay, "m", "r", false, now)
+	wantLive(t, member, now, true, "o")
+}
+
+// A host goes from one relay to another. Its old one still takes it for silent a second later; nobody else may lose it.
+func TestHostThatChangesItsRelayIsNotLost(t *testing.T) {
+	now := start
+	member, first, second, far := host("m", now), host("r", now), host("s", now), host("f", now)
+	for i := range 40 {
+		now = now.Add(100 * time.Millisecond)
+		if i < 10 {
+			speak(member, first, "m", "r", false, now)
+		} else {
+			speak(member, second, "m", "s", false, now)
+		}
+		speak(first, far, "r", "f", true, now)
+		speak(second, far, "s", "f", true, now)
+		for _, r := range []*roster.Roster{first, second, far} {
+			r.Look(silent, now)
+		}
+		if i > 0 {
+			wantLive(t, far, now, true, "m")
+		}
+	}
+}
+
+// A host dies. Everyone knows within the time after which a silent host counts as lost, and the next messages.
+func TestSilentHostIsLostEverywhere(t *testing.T) {
+	now := start
+	dead, member, near, far := host("d", now), host("m", now), host("r", now), host("f", now)
+	for i := range 20 {
+		now = now.Add(100 * time.Millisecond)
+		if i < 5 {
+			speak(dead, near, "d", "r", false, now)
+		}
+		speak(near, far, "r", "f", true, now)
+		speak(member, far, "m", "f", false, now)
+		near.Look(silent, now)
+		far.Look(silent, now)
+		member.Look(silent, now)
+		if i > 0 && i < 14 {
+			wantLive(t, member, now, true, "d")
+		}
+	}
+	wantLive(t, near, now, false, "d")
+	wantLive(t, far, now, false, "d")
+	wantLive(t, member, now, false, "d")
+	if !member.Gone("d", now) {
+		t.Error("d is not known to be gone, want it to be")
+	}
+}
+
+// A message overtakes another one. The older one must not bring back what a host has told since.
+func TestOvertakenMessageChangesNothing(t *testing.T) {
+	now := start
+	member, relay := host("m", now), host("r", now)
+	old := member.Ask("r", false, now)
+	member.Note(busy.Busy{Leaving: true}, nil, nil, now.Add(time.Millisecond))
+	relay.Hear(member.Ask("r", false, now), now)
+	relay.Hear(old, now)
+	if b, ok := relay.Find("m", now); !ok || !b.Leaving {
+		t.Errorf("m = %+v, %v, want it leaving", b, ok)
+	}
+}
+
+// Hosts tell how many requests they have at engines. A count that took half a second by way of two relays must say so: the host that
+// orders the engine would take what it has granted since for ended.
+func TestCountsCarryTheirAge(t *testing.T) {
+	now := start
+	user, near, far, owner := host("u", now), host("r", now), host("f", now), host("o", now)
+	for range 2 {
+		speak(owner, far, "o", "f", false, now)
+		speak(near, far, "r", "f", true, now)
+	}
+	user.Note(busy.Busy{}, []usage.Usage{{Host: "u", Engine: "o/1", Running: 2}}, nil, now)
+	now = now.Add(100 * time.Millisecond)
+	speak(user, near, "u", "r", false, now)
+	now = now.Add(200 * time.Millisecond)
+	speak(near, far, "r", "f", true, now)
+	now = now.Add(200 * time.Millisecond)
+	_, answer := speak(owner, far, "o", "f", false, now)
+	if len(answer.Uses) != 1 || answer.Uses[0].Age != 500 || answer.Uses[0].Running != 2 {
+		t.Errorf("told = %+v, want 2 requests, 500 ms old", answer.Uses)
+	}
+	if _, other := speak(user, near, "u", "r", false, now); len(other.Uses) != 0 {
+		t.Errorf("told to a host that does not order the engine: %v", other.Uses)
+	}
+}
+
+// Hundreds of upstreams break off at once. What is kept of it for hosts that have not heard is bounded.
+func TestBreaksKeptAreBounded(t *testing.T) {
+	now := start
+	relay := host("r", now)
+	for i := range 100 {
+		var broke []string
+		for n := range 200 {
+			broke = append(broke, fmt.Sprint(i, "-", n))
+		}
+		relay.Note(busy.Busy{}, nil, broke, now)
+	}
+	member := host("m", now)
+	_, answer := speak(member, relay, "m", "r", false, now)
+	if got, want := len(answer.Broke), 2000; got == 0 || got > want {
+		t.Errorf("breaks told = %d, want some, %d at most", got, want)
+	}
+}
