Unload adapters as soon as hosts say that no request uses them

Change: hosts tell of adapters that requests use now, and an engine's desk knows which are in use: those told, granted and not yet told, and waiting for their turn. An adapter that none of them uses may go after 0.1 s; a desk that was opened a moment ago waits as before.

Two tests told of uses by a call that the path no longer makes; they tell as hosts do now, and want the same.

--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -47,7 +47,7 @@
 	u.ended = time.Now()
 }
 
-// uses returns what this host's requests use at the engines wanted, those that ended within the time given included.
+// uses returns what this host's requests use at the engines wanted, also where the last of them ended within the time given.
 func (n *news) uses(host string, within time.Duration, wanted func(id string) bool) []usage.Usage {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -63,7 +63,7 @@
 				continue
 			}
 			one.Running += u.running
-			if a != "" {
+			if a != "" && u.running > 0 {
 				one.Adapters = append(one.Adapters, a)
 			}
 		}
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -32,6 +32,9 @@
 	reportLag = 130 * time.Millisecond
 	// transit is how many adapters may be on their way to one engine.
 	transit = 4
+	// settled is how long an adapter must not have been in use for its place to go to one that a request waits for: the next request
+	// of a caller that has just got its answer may want it.
+	settled = 100 * time.Millisecond
 	// unused is how long an adapter must not have been in use for its place to go to one that nobody waits for: some times what a
 	// stream takes, so that the place is not one that the next request asks for.
 	unused = 5 * time.Second
@@ -78,6 +81,7 @@
 	leaving  map[string]bool // unloads that wait for running requests; their places are not free yet
 	pending  map[string]*load
 	recent   map[string]time.Time // adapters that the engine held in this incarnation, and when: they load sooner
+	opened   time.Time            // when this desk was
 	noted    time.Time            // when memo was made
 	recalled bool                 // what others kept was looked for
 	queue    []waiter             // loads that wait for others to complete
@@ -93,7 +97,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	d := &desk{
 		g: g, id: id, ctx: ctx, end: cancel, wants: make(chan waiter, backlog), used: map[string]time.Time{},
-		cold: firstCold, warm: firstWarm,
+		cold: firstCold, warm: firstWarm, opened: time.Now(),
 	}
 	d.lane = newLane(ctx)
 	d.reset()
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -165,7 +165,7 @@
 	for _, u := range uses {
 		if d := g.desk(u.Engine); d != nil {
 			at := u.At(now)
-			d.lane.told(u.Host, u.Running, at)
+			d.lane.told(u.Host, u.Running, u.Adapters, at)
 			d.touch(u.Adapters, at)
 		}
 	}
--- a/internal/giver/giver_test.go
+++ b/internal/giver/giver_test.go
@@ -9,7 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"damaskreach/internal/giver"
 	"damaskreach/internal/turns"
+	"damaskreach/internal/usage"
 	"damaskreach/internal/want"
 )
 
@@ -82,7 +84,7 @@
 		e := newEngine(2)
 		g := desk(t, e)
 		for i := range 2 {
-			if err := admit(t, g, name(i)); err != nil {
+			if err := send(t, g, name(i)); err != nil {
 				t.Fatalf("load %d: %v, want none", i, err)
 			}
 			e.using[name(i)] = true
@@ -94,7 +96,7 @@
 				case <-stop:
 					return
 				case <-time.After(200 * time.Millisecond):
-					g.Used("e", []string{name(0), name(1)}, time.Now())
+					g.Take([]usage.Usage{{Host: "h", Engine: "e", Running: 2, Adapters: []string{name(0), name(1)}}}, time.Now())
 				}
 			}
 		}()
@@ -109,6 +111,11 @@
 	})
 }
 
+// send asks for an adapter and for the turn of a prompt, as a host does that sends the request then.
+func send(t *testing.T, g *giver.Giver, adapter string) error {
+	return g.Admit(t.Context(), want.Want{ID: "e", Host: "h", Model: "m", Adapter: adapter, Cost: time.Millisecond})
+}
+
 // All places of an engine are taken by adapters in use, and a busy adapter that others hold already is to come to it too, for
 // nobody in particular. Given a place, it would push out an adapter whose next caller then waits for a load.
 func TestSpreadingTakesNoPlaceThatIsInUse(t *testing.T) {
@@ -146,7 +153,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		go func() {
 			for range turns.Every(ctx, e.told) {
-				g.Used("e", []string{name(0)}, time.Now())
+				g.Take([]usage.Usage{{Host: "h", Engine: "e", Running: 1, Adapters: []string{name(0)}}}, time.Now())
 			}
 		}()
 		orders := e.orders
@@ -159,3 +166,57 @@
 		}
 	})
 }
+
+// All places of an engine are taken, and the requests that used them have ended a moment ago, as their hosts say. A request that waits
+// for another adapter must get a place at once: where a place stays blocked for some time after each use, an engine with few of
+// them serves fewer adapters, and callers wait for places that nobody uses.
+func TestPlaceIsFreeOnceItsRequestsHaveEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(1)
+		e.told = 600 * time.Millisecond
+		g := desk(t, e)
+		if err := admit(t, g, name(0)); err != nil {
+			t.Fatalf("load: %v, want none", err)
+		}
+		tell := func(running int, adapters ...string) {
+			g.Take([]usage.Usage{{Host: "h", Engine: "e", Running: running, Adapters: adapters}}, time.Now())
+		}
+		for range 40 {
+			tell(1, name(0))
+			time.Sleep(100 * time.Millisecond)
+		}
+		tell(0)
+		began := time.Now()
+		if err := admit(t, g, name(1)); err != nil {
+			t.Fatalf("load: %v, want none", err)
+		}
+		if got, want := time.Since(began), loadTime+300*time.Millisecond; got > want {
+			t.Errorf("served after %v, want %v at most", got, want)
+		}
+	})
+}
+
+// A request was granted its turn just before its host counted its requests, and is not in that count. Its adapter must not be taken for
+// unused: the request would find it gone, or the unload wait for the request.
+func TestAdapterOfAGrantUnderWayIsNotUnloaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(1)
+		g := desk(t, e)
+		time.Sleep(5 * time.Second)
+		if err := send(t, g, name(0)); err != nil {
+			t.Fatalf("load: %v, want none", err)
+		}
+		e.using[name(0)] = true
+		time.Sleep(50 * time.Millisecond)
+		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		orders := e.orders
+		if err := g.Admit(ctx, want.Want{ID: "e", Host: "g", Model: "m", Adapter: name(1), Cost: time.Millisecond}); err == nil {
+			t.Error("the load was served, want it to wait")
+		}
+		if got, want := e.orders, orders; got != want {
+			t.Errorf("orders = %d, want %d: no unload", got, want)
+		}
+	})
+}
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -13,6 +13,8 @@
 const (
 	// toldFor is how long a host's count of its requests is believed.
 	toldFor = 4 * time.Second
+	// grantWay is how long a grant may be on its way before its host counts the request.
+	grantWay = 100 * time.Millisecond
 	// slotWait is how long a prompt is taken to wait for a slot where all are taken, for those who compare engines.
 	slotWait = 200 * time.Millisecond
 )
@@ -31,9 +33,16 @@
 
 // share is what one host has at the engine.
 type share struct {
-	under   int // requests under way, as it told
+	under    int      // requests under way, as it told
+	adapters []string // that they use
+	at       time.Time
+	granted  []grant // since then
+}
+
+// grant is a prompt that was let go.
+type grant struct {
 	at      time.Time
-	granted []time.Time // what it was granted since
+	adapter string
 }
 
 func newLane(ctx context.Context) *lane {
@@ -115,9 +124,10 @@
 	return next
 }
 
-// told takes how many requests a host had under way at the engine at some moment. Its word comes by way of relays, and what it was
-// granted after that moment is not in it: forgotten, the engine would be sent more than it can run.
-func (l *lane) told(host string, n int, at time.Time) {
+// told takes how many requests a host had under way at the engine at some moment, and the adapters that they use. Its word comes by
+// way of relays, and what it was granted shortly before that moment or after it is not in it: forgotten, the engine would be sent
+// more than it can run, and an adapter unloaded that a request is about to use.
+func (l *lane) told(host string, n int, adapters []string, at time.Time) {
 	l.mu.Lock()
 	s := l.hosts[host]
 	if s == nil {
@@ -125,8 +135,8 @@
 		l.hosts[host] = s
 	}
 	if at.After(s.at) {
-		s.under, s.at = n, at
-		s.granted = slices.DeleteFunc(s.granted, func(t time.Time) bool { return !t.After(at) })
+		s.under, s.adapters, s.at = n, adapters, at
+		s.granted = slices.DeleteFunc(s.granted, func(g grant) bool { return at.Sub(g.at) > grantWay })
 	}
 	l.mu.Unlock()
 	l.nudge()
@@ -152,6 +162,28 @@
 	return sum
 }
 
+// uses returns the adapters that requests use, are about to, or wait for.
+func (l *lane) uses() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	used := map[string]bool{}
+	for _, w := range l.waiting {
+		used[w.Adapter] = true
+	}
+	for _, s := range l.hosts {
+		if time.Since(s.at) > toldFor {
+			continue
+		}
+		for _, a := range s.adapters {
+			used[a] = true
+		}
+		for _, g := range s.granted {
+			used[g.adapter] = true
+		}
+	}
+	return used
+}
+
 // grant lets a prompt go.
 func (l *lane) grant(w waiter, now time.Time) {
 	l.pace.Send(now, w.Cost, w.Tail)
@@ -160,7 +192,7 @@
 		s = &share{at: now}
 		l.hosts[w.Host] = s
 	}
-	s.granted = append(s.granted, now)
+	s.granted = append(s.granted, grant{now, w.Adapter})
 	w.done <- nil
 }
 
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -129,14 +129,15 @@
 		w.done <- merry.Prependf(want.ErrFailed, "the configuration has no model %q", w.Model)
 		return true
 	}
+	now := time.Now()
 	victim, idle := d.victim(d.pool(t).Room(m))
-	if w.Spread && (idle < unused || !d.atHand(w.Adapter) && !d.g.Flow.Spare(time.Now())) {
+	if w.Spread && (idle < unused || !d.atHand(w.Adapter) && !d.g.Flow.Spare(now)) {
 		// Nobody waits for it. Where every place is in use, one more engine for a busy adapter costs another adapter its only
 		// one, and where loads queue up, a request its time.
 		w.done <- want.ErrBusy
 		return true
 	}
-	if idle < d.g.Unused() {
+	if idle < d.guard(now) {
 		*w.block = "places"
 		return false
 	}
@@ -190,6 +191,16 @@
 	return d.cold * 9 / 10
 }
 
+// guard returns how long an adapter that no request is known to use must not have been in use to be unloaded. An unload that waits for
+// a request keeps the engine from any other until that has ended. Hosts tell which adapters their requests use; a desk that was
+// opened a moment ago has not heard of all yet.
+func (d *desk) guard(now time.Time) time.Duration {
+	if heard := d.g.Unused(); now.Sub(d.opened) < 2*heard {
+		return heard
+	}
+	return settled
+}
+
 // victim returns the adapter that must go for one more to be loaded, and for how long it was not in use; none, and for ever, where
 // a place is free.
 func (d *desk) victim(places int) (adapter string, idle time.Duration) {
@@ -222,14 +233,15 @@
 	return e == effect.Done
 }
 
-// oldest returns the adapter that was not used for the longest time, and for how long.
+// oldest returns the adapter that was not used for the longest time, and for how long; none where requests use all of them.
 func (d *desk) oldest() (adapter string, idle time.Duration) {
+	using := d.lane.uses()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	idle = -1
 	for a := range d.held {
-		if d.leaving[a] {
+		if d.leaving[a] || using[a] {
 			continue
 		}
 		if since := now.Sub(d.used[a]); since > idle {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -8,7 +8,7 @@
 	Host     string   `msgpack:"h"`
 	Engine   string   `msgpack:"e"`
 	Running  int      `msgpack:"r,omitempty"` // requests under way
-	Adapters []string `msgpack:"a,omitempty"` // that they use, or used a moment ago
+	Adapters []string `msgpack:"a,omitempty"` // that they use
 	Age      int64    `msgpack:"t,omitempty"` // ms since the host counted, when this was sent
 }
 
