--- a/internal/mates/fleet_test.go
+++ b/internal/mates/fleet_test.go
@@ -27,10 +27,11 @@
 // fleet is the hosts of a site with the network between them.
 type fleet struct {
 	t       *testing.T
-	hosts   map[string]*host
+	size    int
 	centres int
 
 	mu     sync.Mutex
+	hosts  map[string]*host
 	cut    map[string]bool // hosts that no message reaches or leaves
 	halves bool            // no message passes between the lower and the upper half of the hosts
 	sent   int
@@ -54,10 +55,7 @@
 
 func newFleet(t *testing.T, hosts, centres int) *fleet {
 	f := &fleet{
-		t: t, hosts: map[string]*host{}, centres: centres, cut: map[string]bool{}, pairs: map[[2]string]bool{}, answer: map[string]int{},
-	}
-	for i := range hosts {
-		f.hosts[ip(i)] = &host{}
+		t: t, size: hosts, hosts: map[string]*host{}, centres: centres, cut: map[string]bool{}, pairs: map[[2]string]bool{}, answer: map[string]int{},
 	}
 	for i := range hosts {
 		f.start(i)
@@ -85,8 +83,8 @@
 	h.Roster = roster.NewRoster(ip(i), func(engine string) string { return engine[:len(engine)-len("/e")] })
 	h.Log = zap.NewNop()
 	h.Mates.Hosts = func() map[string]mate.Mate {
-		all := make(map[string]mate.Mate, len(f.hosts))
-		for n := range len(f.hosts) {
+		all := make(map[string]mate.Mate, f.size)
+		for n := range f.size {
 			all[ip(n)] = f.mate(n)
 		}
 		return all
@@ -131,8 +129,11 @@
 		return gossip.Gossip{}, errCut
 	}
 	f.mu.Lock()
-	h := f.hosts[to]
+	h, up := f.hosts[to]
 	f.mu.Unlock()
+	if !up {
+		return gossip.Gossip{}, errCut
+	}
 	answer := h.Answer(g)
 	if !f.pass(ctx, to, from, answer) {
 		return gossip.Gossip{}, errCut
@@ -175,7 +176,7 @@
 }
 
 func (f *fleet) half(host string) bool {
-	for i := range len(f.hosts) / 2 {
+	for i := range f.size / 2 {
 		if ip(i) == host {
 			return true
 		}
@@ -200,7 +201,7 @@
 // sees returns how many of the hosts i is sure of, itself left out.
 func (f *fleet) sees(i int) int {
 	n := 0
-	for other := range len(f.hosts) {
+	for other := range f.size {
 		if other != i && f.hosts[ip(i)].Live(ip(other)) {
 			n++
 		}
@@ -211,7 +212,7 @@
 // wantSeen checks that each of the hosts named, or all, sees so many others.
 func (f *fleet) wantSeen(what string, want int, but map[int]bool) {
 	f.t.Helper()
-	for i := range len(f.hosts) {
+	for i := range f.size {
 		if but[i] {
 			continue
 		}
--- a/internal/mates/mates_test.go
+++ b/internal/mates/mates_test.go
@@ -156,7 +156,7 @@
 	var list []int
 	for centre := range f.centres {
 		var here []int
-		for i := centre; i < len(f.hosts); i += f.centres {
+		for i := centre; i < f.size; i += f.centres {
 			here = append(here, i)
 		}
 		slices.SortFunc(here, func(a, b int) int { return f.answer[ip(b)] - f.answer[ip(a)] })
