--- a/internal/busy/busy.go
+++ b/internal/busy/busy.go
@@ -14,12 +14,10 @@
 	Models  int            `msgpack:"o,omitempty"` // base models on their way to engines that it orders
 	Loads   map[string]int `msgpack:"r,omitempty"` // requests at engines that it orders
 	Waits   map[string]int `msgpack:"w,omitempty"` // ms that a prompt would wait at them
-	Room    map[string]int `msgpack:"p,omitempty"` // adapters that each of them could load now without waiting for a place
 }
 
 // Same reports whether two say the same, whenever they were said.
 func (b Busy) Same(other Busy) bool {
 	return b.Gone == other.Gone && b.Leaving == other.Leaving && b.Lapsed == other.Lapsed && b.Away == other.Away && b.Models == other.Models &&
-		maps.Equal(b.Loads, other.Loads) && maps.Equal(b.Waits, other.Waits) &&
-		maps.Equal(b.Room, other.Room)
+		maps.Equal(b.Loads, other.Loads) && maps.Equal(b.Waits, other.Waits)
 }
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -52,8 +52,7 @@
 }
 
 // first returns the engine at which an adapter is loaded next: the one that has its weights at hand, unless that is much
-// busier than others, or the least busy of the few that the adapter hashes to. Engines where requests use all places are passed over while
-// others have one: a load there waits until some request ends, and its caller is refused or late though there is room.
+// busier than others, or the least busy of the few that the adapter hashes to.
 func (x *Direct) first(j *job, others, older []target.Target) target.Target {
 	now := time.Now()
 	usable := x.usable(others, now)
@@ -63,7 +62,7 @@
 	if len(usable) == 0 {
 		return target.Target{}
 	}
-	best := x.steady(ranked(j.d.Adapter, x.open(usable, now)), now)
+	best := x.steady(ranked(j.d.Adapter, usable), now)
 	for _, t := range usable {
 		if x.Holds.Left(t, j.d.Adapter) && x.Pick.Load(t.ID, now) <= 2*x.Pick.Load(best.ID, now)+slack {
 			return t
@@ -72,20 +71,6 @@
 	return best
 }
 
-// open returns the engines of a list that could load an adapter without waiting for a place, or all where none could.
-func (x *Direct) open(list []target.Target, now time.Time) []target.Target {
-	var open []target.Target
-	for _, t := range list {
-		if x.Pick.Open(t.ID, now) {
-			open = append(open, t)
-		}
-	}
-	if len(open) == 0 {
-		return list
-	}
-	return open
-}
-
 // steady returns the first of the engines that an adapter hashes to which is not much busier than the others. Hosts that
 // get requests for one adapter at the same time choose the same engine; chosen by who is the least busy at the moment, they
 // would have it loaded to several.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -281,8 +281,7 @@
 // own returns what this host tells of itself.
 func (e *Edge) own() (own busy.Busy, uses []usage.Usage, broke []string) {
 	own = busy.Busy{
-		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(),
-		Room: e.room(), Models: e.giver.Models(),
+		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
 	}
 	ip := e.Setup().IP
 	uses = e.news.uses(ip, 2*e.old(), func(id string) bool { return e.tenure.Owner(id) != ip })
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -101,9 +101,6 @@
 		for id, ms := range b.Waits {
 			e.pick.Waits(id, time.Duration(ms)*time.Millisecond, now)
 		}
-		for id, room := range b.Room {
-			e.pick.Room(id, room, now)
-		}
 		e.news.loading(b.IP, b.Models)
 	}
 	for _, s := range g.Held {
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -139,16 +139,6 @@
 	}
 }
 
-// room returns how many adapters each engine that this host orders could load at once, and notes it for its own choices.
-func (e *Edge) room() map[string]int {
-	room := e.giver.Room()
-	now := time.Now()
-	for id, n := range room {
-		e.pick.Room(id, n, now)
-	}
-	return room
-}
-
 // loads returns how busy the engines are that this host orders, and notes it for its own choices.
 func (e *Edge) loads() map[string]int {
 	loads := e.giver.Loads()
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -65,7 +65,6 @@
 	end     context.CancelFunc
 	wants   chan waiter
 	backlog atomic.Int32 // loads that wait or are on their way
-	room    atomic.Int32 // adapters that the engine could load now without waiting for a place
 	lane    *lane
 	ready   atomic.Pointer[map[string]int] // what the engine holds and serves; read by other goroutines
 	memo    atomic.Pointer[memo.Memo]      // what is to outlive this host
@@ -217,7 +216,6 @@
 	d.serve(t)
 	d.keep(time.Now())
 	d.backlog.Store(int32(len(d.queue) + len(d.pending)))
-	d.room.Store(int32(d.free(t)))
 	return d.pause()
 }
 
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -171,17 +171,6 @@
 	}
 }
 
-// Room returns how many adapters each engine that this host orders could load now without waiting for a place.
-func (g *Giver) Room() map[string]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	room := map[string]int{}
-	for id, d := range g.desks {
-		room[id] = int(d.room.Load())
-	}
-	return room
-}
-
 // Loads returns how many requests run at each engine that this host orders.
 func (g *Giver) Loads() map[string]int {
 	g.mu.Lock()
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -201,26 +201,6 @@
 	return settled
 }
 
-// free returns how many adapters could be loaded now without waiting for a place: places that are empty or whose adapters no request
-// uses, but for those that loads wait for already.
-func (d *desk) free(t target.Target) int {
-	now := time.Now()
-	guard := d.guard(now)
-	using := d.lane.uses()
-	free := -len(d.queue) - len(d.pending) - len(d.leaving)
-	for _, m := range d.pool(t).Models {
-		free += d.pool(t).Room(m)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for a := range d.held {
-		if using[a] || d.leaving[a] || now.Sub(d.used[a]) < guard {
-			free--
-		}
-	}
-	return max(0, free)
-}
-
 // victim returns the adapter that must go for one more to be loaded, and for how long it was not in use; none, and for ever, where
 // a place is free.
 func (d *desk) victim(places int) (adapter string, idle time.Duration) {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -47,8 +47,6 @@
 	until   time.Time
 	wait    time.Duration
 	waitAt  time.Time // when wait was told
-	room    int       // adapters that it could load without waiting for a place
-	roomAt  time.Time // when that was told
 	told    int
 	begun   int // requests that this host has sent since
 	toldAt  time.Time
@@ -114,22 +112,6 @@
 	l.wait, l.waitAt = wait, now
 }
 
-// Room records how many adapters an engine could load without waiting for a place.
-func (p *Pick) Room(id string, room int, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.of(id)
-	l.room, l.roomAt = room, now
-}
-
-// Open reports whether an engine could load an adapter without waiting for a place, as far as is known.
-func (p *Pick) Open(id string, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l, ok := p.loads[id]
-	return !ok || l.room > 0 || now.Sub(l.roomAt) > toldLife
-}
-
 // Waiting returns how long a prompt would wait at an engine.
 func (p *Pick) Waiting(id string, now time.Time) time.Duration {
 	p.mu.Lock()
