Forget hosts that are gone for long

Found by a test that replaces fifty hosts: the other relays kept them. What is told to be gone is dropped a minute later, and calls to hosts without rows.

--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -129,9 +129,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rhythm = rhythm.NewRhythm(largest, len(centres))
+	m.forget(hosts)
 	return m.rhythm
 }
 
+// forget drops what is known of hosts that are gone: hosts are replaced all the time, and each new one has another address.
+func (m *Mates) forget(hosts map[string]mate.Mate) {
+	for ip, c := range m.calls {
+		if _, ok := hosts[ip]; !ok && c.since.IsZero() {
+			delete(m.calls, ip)
+		}
+	}
+	for ip := range m.relayed {
+		if _, ok := hosts[ip]; !ok {
+			delete(m.relayed, ip)
+		}
+	}
+}
+
 func (m *Mates) look(times rhythm.Rhythm, now time.Time) {
 	reached, lost := m.Roster.Look(times.Silent(), now)
 	if len(reached) > 0 {
--- a/internal/roster/hear.go
+++ b/internal/roster/hear.go
@@ -58,6 +58,7 @@
 			r.changed[ip] = r.next()
 		}
 		clear(m.hosts)
+		clear(m.heard)
 	}
 	m.at = now
 	for _, b := range g.Hosts {
@@ -65,6 +66,7 @@
 			continue
 		}
 		m.hosts[b.IP] = b
+		m.heard[b.IP] = now
 		r.changed[b.IP] = r.next()
 	}
 }
--- a/internal/roster/look.go
+++ b/internal/roster/look.go
@@ -47,6 +47,7 @@
 			delete(mine.hosts, ip)
 			delete(mine.heard, ip)
 			delete(mine.gone, ip)
+			delete(r.peers, ip)
 		}
 	}
 	for relay, m := range r.realms {
@@ -54,6 +55,9 @@
 			delete(r.realms, relay)
 			delete(r.peers, relay)
 		}
+		if relay != r.self {
+			m.forget(now)
+		}
 	}
 	for host, one := range r.uses {
 		if now.Sub(one.at) > usesFor {
@@ -68,6 +72,16 @@
 	}
 }
 
+// forget drops hosts of another realm that were told to be gone long ago.
+func (m *realm) forget(now time.Time) {
+	for ip, b := range m.hosts {
+		if b.Gone && now.Sub(m.heard[ip]) > forget {
+			delete(m.hosts, ip)
+			delete(m.heard, ip)
+		}
+	}
+}
+
 // known reports whether any realm still tells of a host.
 func (r *Roster) known(ip string) bool {
 	for _, m := range r.realms {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -53,8 +53,8 @@
 type realm struct {
 	at    time.Time // when it was last heard
 	hosts map[string]busy.Busy
-	heard map[string]time.Time // in this host's own realm: when each was last heard
-	gone  map[string]bool      // there: those that were not heard for too long
+	heard map[string]time.Time // when each was last heard; in another realm when anything was told of it
+	gone  map[string]bool      // in this host's own realm: those that were not heard for too long
 }
 
 type stocked struct {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -192,3 +192,32 @@
 		t.Errorf("breaks told = %d, want some, %d at most", got, want)
 	}
 }
+
+// Hosts are replaced all day, each at another address. What a relay keeps of those that are gone must not grow as long as it runs.
+func TestHostsThatAreGoneAreForgotten(t *testing.T) {
+	now := start
+	relay, far := host("r", now), host("f", now)
+	for i := range 50 {
+		member := host(fmt.Sprint("m", i), now)
+		speak(member, relay, fmt.Sprint("m", i), "r", false, now)
+		speak(relay, far, "r", "f", true, now)
+	}
+	wantLive(t, far, now, true, "m0", "m49")
+	for range 100 {
+		now = now.Add(time.Second)
+		relay.Look(silent, now)
+		far.Look(silent, now)
+		speak(relay, far, "r", "f", true, now)
+	}
+	late := host("late", now)
+	for name, r := range map[string]*roster.Roster{"r": relay, "f": far} {
+		late.Look(silent, now)
+		_, answer := speak(late, r, "late", name, false, now)
+		if got, want := len(answer.Hosts), 2; got > want {
+			t.Errorf("%s tells of %d hosts, want %d at most", name, got, want)
+		}
+	}
+	if far.Gone("m7", now) {
+		t.Error("the other relay still keeps a host that is gone for long")
+	}
+}
