--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -74,9 +74,10 @@
 	return pause/2 + rand.N(pause+1)
 }
 
-// hearMarks takes how far another host knows the store. Where this one knows as much, it relies on that reading; else the rows are
-// under way if the other is of its own data centre, and come from the reader there if not, and it looks for itself only
-// where they do not.
+// hearMarks takes how far another host knows the store. Where this one knows as much, it relies on that reading. Else it takes the rows
+// that come along if the other is of its own data centre. Those of another data centre come from the reader of its own, which reads at
+// once; a host waits for them no longer than they take, since that reader may have died or lost the store, and an upstream that
+// leaves must get no new work in time all the same.
 func (e *Edge) hearMarks(g gossip.Gossip, now time.Time) {
 	if g.Read == nil {
 		return
@@ -93,11 +94,11 @@
 		e.intake.Wake(read)
 		e.tenure.Wake(read.Fleet)
 	}
-	if e.tenure.Host(g.IP).Centre == e.Setup().Centre {
+	if e.tenure.Host(g.IP).Centre == e.Setup().Centre || e.reader() {
 		wake()
 		return
 	}
-	time.AfterFunc(2*e.old()+selfEvery, wake)
+	time.AfterFunc(e.old()+selfEvery, wake)
 }
 
 // nudge tells others of a change at once, and looks for engines that have no host yet.
