--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -126,8 +126,7 @@
 
 // idle returns the engines of a list where a prompt would hardly wait. A request is not refused while one of them could have
 // its adapter loaded in time; where all are busy, a load would only take the place of what others use. So it would where the request
-// is late even with it: of 217 loads in the three seconds after all hosts had lost power 91 were such copies, on the way from the
-// weight store that first loads needed.
+// is late even with it: after a mass loss most loads would be such copies, in the way of first loads.
 func (x *Direct) idle(j *job, list []target.Target) []target.Target {
 	now := time.Now()
 	if j.patience(now, x.cost(j)+2*x.Speed.Gap()) < longWait {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,7 +51,7 @@
 	// selfEvery is how often the requests under way here are told to the desks of this host.
 	selfEvery = 200 * time.Millisecond
 	// answerLife is how long callers may keep the answer to a lookup. It bounds how long a host that leaves or died still
-	// gets new connections; each answer costs a host some ten microseconds.
+	// gets new connections.
 	answerLife = 2 * time.Second
 	// stayFor is how long a leaving host serves as before: lookups stop naming it at once, and callers keep their answers.
 	stayFor = 2 * time.Second
--- a/internal/feeds/feeds.go
+++ b/internal/feeds/feeds.go
@@ -29,13 +29,12 @@
 	return &Feeds{kept: map[string]feed.Feed{}, heard: map[string]feed.Feed{}, known: map[string]map[string]feed.Feed{}}
 }
 
-// Keep takes the rows that matter to others among those that changed after a revision, up to another. Where some may have been
-// missed, or the whole prefix was read, after is below zero.
+// Keep takes the rows that matter to others among those that changed after a revision, or feed.Whole, up to another.
 func (f *Feeds) Keep(prefix string, after, rev int64, list []rows.Row) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old, ok := f.kept[prefix]
-	if after < 0 || !ok || old.Rev != after {
+	if after == feed.Whole || !ok || old.Rev != after {
 		f.kept[prefix] = feed.Feed{Prefix: prefix, After: rev, Rev: rev}
 		return
 	}
--- a/internal/feeds/feeds_test.go
+++ b/internal/feeds/feeds_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"damaskreach/internal/feed"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/rows"
 )
@@ -34,14 +35,14 @@
 // An upstream leaves on a site of hundreds of hosts. Each host would make a call to the store for it; passed on, one does.
 func TestChangesArePassedOnOnce(t *testing.T) {
 	reader, member := feeds.NewFeeds(), feeds.NewFeeds()
-	reader.Keep(prefix, -1, 10, nil)
-	member.Keep(prefix, -1, 8, nil)
+	reader.Keep(prefix, feed.Whole, 10, nil)
+	member.Keep(prefix, feed.Whole, 8, nil)
 	reader.Keep(prefix, 10, 12, []rows.Row{row("a", 11)})
 	pass(reader, member)
 	if _, _, ok := member.Tail(prefix, 8); ok {
 		t.Error("Tail(8) = ok, though the reader began at 10 and may have missed a change at 9")
 	}
-	member.Keep(prefix, -1, 10, nil)
+	member.Keep(prefix, feed.Whole, 10, nil)
 	pass(reader, member)
 	wantTail(t, member, 10, 12, "a")
 	member.Keep(prefix, 10, 12, []rows.Row{row("a", 11)})
@@ -58,7 +59,7 @@
 func TestChangesPassThroughARelay(t *testing.T) {
 	reader, relay, member := feeds.NewFeeds(), feeds.NewFeeds(), feeds.NewFeeds()
 	for _, f := range []*feeds.Feeds{reader, relay, member} {
-		f.Keep(prefix, -1, 10, nil)
+		f.Keep(prefix, feed.Whole, 10, nil)
 	}
 	reader.Keep(prefix, 10, 12, []rows.Row{row("a", 11)})
 	pass(reader, relay)
@@ -72,12 +73,12 @@
 // only what was before must read for itself, or it would use an upstream that is gone.
 func TestGapIsNotPassedOver(t *testing.T) {
 	for name, gap := range map[string]func(reader *feeds.Feeds){
-		"read whole": func(r *feeds.Feeds) { r.Keep(prefix, -1, 15, []rows.Row{row("b", 14)}) },
+		"read whole": func(r *feeds.Feeds) { r.Keep(prefix, feed.Whole, 15, []rows.Row{row("b", 14)}) },
 		"one missed": func(r *feeds.Feeds) { r.Keep(prefix, 13, 15, []rows.Row{row("b", 14)}) },
 	} {
 		reader, member := feeds.NewFeeds(), feeds.NewFeeds()
-		reader.Keep(prefix, -1, 10, nil)
-		member.Keep(prefix, -1, 10, nil)
+		reader.Keep(prefix, feed.Whole, 10, nil)
+		member.Keep(prefix, feed.Whole, 10, nil)
 		gap(reader)
 		reader.Keep(prefix, 15, 16, []rows.Row{row("c", 16)})
 		pass(reader, member)
@@ -91,7 +92,7 @@
 func TestKeptChangesAreBounded(t *testing.T) {
 	reader, late, member := feeds.NewFeeds(), feeds.NewFeeds(), feeds.NewFeeds()
 	for _, f := range []*feeds.Feeds{reader, late, member} {
-		f.Keep(prefix, -1, 1, nil)
+		f.Keep(prefix, feed.Whole, 1, nil)
 	}
 	for rev := int64(2); rev < 5000; rev++ {
 		reader.Keep(prefix, rev-1, rev, []rows.Row{row(fmt.Sprint(rev), rev)})
@@ -100,7 +101,7 @@
 	if _, _, ok := late.Tail(prefix, 1); ok {
 		t.Error("Tail(1) = ok, want a reading of its own after thousands of changes")
 	}
-	member.Keep(prefix, -1, 4990, nil)
+	member.Keep(prefix, feed.Whole, 4990, nil)
 	pass(reader, member)
 	if list, rev, ok := member.Tail(prefix, 4990); !ok || rev != 4999 || len(list) != 9 {
 		t.Errorf("Tail(4990) = %d rows up to %d, %v, want 9 up to 4999", len(list), rev, ok)
@@ -110,8 +111,8 @@
 // One row changes again and again, as the configuration does in a storm of changes. Only its newest state is kept and told.
 func TestOnlyTheNewestStateIsKept(t *testing.T) {
 	reader, member := feeds.NewFeeds(), feeds.NewFeeds()
-	reader.Keep(prefix, -1, 1, nil)
-	member.Keep(prefix, -1, 1, nil)
+	reader.Keep(prefix, feed.Whole, 1, nil)
+	member.Keep(prefix, feed.Whole, 1, nil)
 	for rev := int64(2); rev < 50; rev++ {
 		reader.Keep(prefix, rev-1, rev, []rows.Row{row("conf", rev)})
 	}
--- a/internal/giver/recall.go
+++ b/internal/giver/recall.go
@@ -36,8 +36,7 @@
 }
 
 // assume takes adapters of which nothing is known as in use now, and all that the engine holds as at hand. One that a request uses
-// must not be unloaded: the unload would wait for that request, and the engine take no other one until it has ended. It was met on
-// six of eighteen engines after all hosts had lost power, for two to five seconds each.
+// must not be unloaded: the unload would wait for that request, and the engine take no other one until it has ended.
 func (d *desk) assume(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/feed"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
 	"damaskreach/internal/table"
@@ -25,8 +26,6 @@
 	// are back within two seconds of its return. It ends at one moment for all: counted from when each was missed, one that
 	// began to leave after the return would be used for a reading and these seconds more.
 	absent = 2200 * time.Millisecond
-	// unbroken stands for the revision after which changes are known where all rows were read.
-	unbroken = -1
 	// away is how long a reading must have failed for the store to count as having been away.
 	away = 1500 * time.Millisecond
 )
@@ -48,8 +47,7 @@
 	Pause func() time.Duration
 	// Changed is called after a change that others should know of.
 	Changed func()
-	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
-	// zero where deletions may have been missed.
+	// Keep takes the rows that others should know of among those that changed after a revision, or feed.Whole, up to another.
 	Keep func(prefix string, after, rev int64, list []rows.Row)
 	Log  *zap.Logger
 
@@ -115,7 +113,7 @@
 		}
 		after := rev
 		if whole {
-			after = unbroken
+			after = feed.Whole
 		}
 		i.Keep(i.Conf, after, max(rev, next), list)
 		rev = max(rev, next)
@@ -213,7 +211,7 @@
 	i.lost = time.Time{}
 	after := i.at
 	if whole {
-		after = unbroken
+		after = feed.Whole
 	}
 	i.at = rev
 	changed, news := i.apply(list, whole, now)
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -23,8 +23,8 @@
 	common = 1024
 	rare   = 512
 	// mostCommon and mostRare are how many lines of each kind a second are written; formatting and writing more would take
-	// processor time from requests just when there is least of it. A host of the sites measured ends some 40 requests a second
-	// and decides some 30 other things, five times as many in a burst.
+	// processor time from requests just when there is least of it. A loaded host ends some 40 requests a second
+	// and decides some 30 other things, and several times as many in a burst.
 	mostCommon = 300
 	mostRare   = 300
 	// sayEvery is how often dropped lines are counted in a line of their own.
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"damaskreach/internal/feed"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 )
@@ -60,7 +61,7 @@
 	}
 	news := t.apply(list, rev)
 	if after == 0 {
-		after = unbroken
+		after = feed.Whole
 	}
 	t.Keep(Prefix, after, rev, news)
 	if !t.Relaxed() {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -42,8 +42,6 @@
 	firstEvery = 500 * time.Millisecond
 	// restEvery is how often a host reads them that lets another one read.
 	restEvery = time.Minute
-	// unbroken stands for the revision after which changes are known where all rows were read.
-	unbroken = -1
 	// callFor bounds a call to the store.
 	callFor = time.Second
 	// margin is kept between the last order of one host and the first of the next, beside the time they must lie apart:
@@ -77,8 +75,7 @@
 	Relaxed func() bool
 	// Pause returns how long to wait after a failed reading.
 	Pause func() time.Duration
-	// Keep takes the rows that others should know of among those that changed after a revision, up to another; after is below
-	// zero where all were read.
+	// Keep takes the rows that others should know of among those that changed after a revision, or feed.Whole, up to another.
 	Keep  func(prefix string, after, rev int64, list []rows.Row)
 	Log   *zap.Logger
 	Stats *stats.Stats
