Share second tries and connections with hosts that are not heard too

Found in reading: a host that loses its relays hears nobody for up to a second or two, and took the whole of what all hosts share (430 second tries in 10 s at 195 hosts, connections to each upstream) for itself, with dozens of others. Before relays each pair had to be cut for that. Now hosts count until their sessions have ended. Test: 5 hosts of 5 still counted when four are cut off.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -185,12 +185,11 @@
 	return 0
 }
 
-// count returns how many hosts serve callers, this one included.
+// count returns how many hosts share what all may use together: second tries and connections to upstreams. Those that this host does not
+// hear at the moment count too: where it loses its relays it hears nobody, and dozens of hosts that each took the whole for
+// itself would send upstreams many times what they may.
 func (e *Edge) count() int {
-	if m := e.mates.Load(); m != nil {
-		return len(m.Serving()) + 1
-	}
-	return max(1, len(e.tenure.Hosts()))
+	return e.tenure.Count()
 }
 
 // Run serves until ctx ends, and then as long as the requests under way need, within the grace.
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -53,7 +53,13 @@
 	e.Stats.Gauge(stats.LeaseLeft, func() float64 { return e.tenure.Left().Seconds() })
 	e.Stats.Gauge(stats.Engines, func() float64 { return float64(len(e.tenure.Mine())) })
 	e.Stats.Gauge(stats.Upstreams, func() float64 { return float64(len(e.intake.View().Targets)) })
-	e.Stats.Gauge(stats.Hosts, func() float64 { return float64(e.count() - 1) })
+	e.Stats.Gauge(stats.Hosts, func() float64 {
+		m := e.mates.Load()
+		if m == nil {
+			return 0
+		}
+		return float64(len(m.Serving()))
+	})
 }
 
 // measured times and counts the calls to the store, by the rows that they are about.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -347,6 +347,19 @@
 	return hosts
 }
 
+// Count returns how many hosts there are whose sessions have not lapsed, this one included.
+func (t *Tenure) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for ip, h := range t.hosts {
+		if !h.Ended && ip != t.IP {
+			count++
+		}
+	}
+	return count + 1
+}
+
 // Host returns one host, also where its session has lapsed; an empty one where it is not known.
 func (t *Tenure) Host(ip string) mate.Mate {
 	t.mu.Lock()
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -364,3 +364,27 @@
 	}
 	return ""
 }
+
+// Most hosts of a site cannot be heard for a moment. They still share what all may use together, since they go on using it; only
+// hosts whose sessions have ended count no more.
+func TestHostsThatAreNotHeardStillCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, "a")
+		var hosts []*host
+		for i := range 5 {
+			hosts = append(hosts, s.start(fmt.Sprintf("10.0.0.%d", i)))
+		}
+		time.Sleep(5 * time.Second)
+		for _, h := range hosts[1:] {
+			h.setCut(true)
+		}
+		time.Sleep(5 * time.Second)
+		if got, want := hosts[0].Count(), 5; got != want {
+			t.Errorf("hosts = %d 5 s after the others were cut off, want %d", got, want)
+		}
+		time.Sleep(time.Minute)
+		if got, want := hosts[0].Count(), 1; got != want {
+			t.Errorf("hosts = %d after all other sessions have ended, want %d", got, want)
+		}
+	})
+}
