Let a moment in which a host hears nobody end no sessions and begin none

Found in reading, shown by a test: a host that rests lets its knowledge of renewals age, and where it then heard nobody for a moment (its relays had died) it took all others for gone: each passive host began to give orders (64 writes of 20 hosts in 13 s, 48 with the renewals alone), and one that reads would have ended the sessions of all passive ones after a minute. Now a host must have been silent for as long as the bound says, from when it was first missed.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -41,7 +41,7 @@
 		if ip == t.IP || h.Ended {
 			continue
 		}
-		if !h.Passive && now-h.since > wait || h.Passive && now-h.since > passiveFor && !t.Live(ip) {
+		if !h.Passive && now-h.since > wait || h.Passive && t.silentFor(ip, now) > passiveFor {
 			lapsed = append(lapsed, h)
 		}
 	}
@@ -53,6 +53,21 @@
 	}
 }
 
+// silentFor returns how long a host that does not renew its row was not heard, as far as this host has looked. Hosts that lose their relays
+// hear nobody for a moment, and would end the sessions of all others at once.
+func (t *Tenure) silentFor(ip string, now time.Duration) time.Duration {
+	if t.Live(ip) {
+		delete(t.silent, ip)
+		return 0
+	}
+	since, known := t.silent[ip]
+	if !known {
+		t.silent[ip] = now
+		return 0
+	}
+	return now - since
+}
+
 // write writes rows and, where that succeeded, believes them at once.
 func (t *Tenure) write(ctx context.Context, what, about string, edits ...rows.Row) bool {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
@@ -193,7 +208,7 @@
 	now := t.Clock()
 	mine, before := rank(t.IP), 0
 	for ip, h := range t.hosts {
-		if ip == t.IP || h.Ended || now-h.since > settled && !t.Live(ip) {
+		if ip == t.IP || h.Ended || now-h.since > settled && t.silentFor(ip, now) > settled {
 			continue
 		}
 		if rank(ip) < mine {
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -103,6 +103,7 @@
 func (t *Tenure) takeHost(ip string, row rows.Row, now time.Duration) bool {
 	if row.Gone {
 		delete(t.hosts, ip)
+		delete(t.silent, ip)
 		return true
 	}
 	old := t.hosts[ip]
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -95,6 +95,7 @@
 	full    time.Duration // when the rows were last read from the store or from another host
 	secret  []byte
 	fresh   map[string]time.Duration // engines without a host, since when
+	silent  map[string]time.Duration // hosts that do not renew their rows and are not heard, since when
 	known   int                      // most engines that it has known of while none had a host
 	knownAt time.Duration            // since when
 }
@@ -118,6 +119,7 @@
 	t.hosts = map[string]seen{}
 	t.own = map[string]owned{}
 	t.fresh = map[string]time.Duration{}
+	t.silent = map[string]time.Duration{}
 	t.mu.Unlock()
 	begun := t.Clock()
 	t.mu.Lock()
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,8 @@
 	engines  map[string]target.Target
 	unknown  time.Duration // how long after the start hosts learn of the engines
 	measured rates.Rates   // by each host
+	deaf     atomic.Bool   // no host hears another one
+	relaxed  atomic.Bool   // another host reads the rows for all
 }
 
 func newSite(t *testing.T, engines ...string) *site {
@@ -66,7 +69,7 @@
 		Table: h.through(s.db.TableFor(ip)), IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
 		Turn: func() time.Duration { return turn }, Clock: func() time.Duration { return time.Since(s.begun) },
 		Engines: s.known, Log: zap.NewNop(), Measured: func() rates.Rates { return s.measured }, Beside: func() []rows.Row { return nil },
-		Live: func(string) bool { return true }, Relaxed: func() bool { return false }, Pause: func() time.Duration { return 500 * time.Millisecond }, Keep: func(string, int64, int64, []rows.Row) {},
+		Live: func(string) bool { return !s.deaf.Load() }, Relaxed: s.relaxed.Load, Pause: func() time.Duration { return 500 * time.Millisecond }, Keep: func(string, int64, int64, []rows.Row) {},
 	}
 	go h.Run(ctx)
 	s.t.Cleanup(func() { cancel(); synctest.Wait() })
@@ -332,11 +335,8 @@
 			hosts = append(hosts, s.start(fmt.Sprintf("10.0.0.%d", i)))
 		}
 		time.Sleep(4 * time.Second)
-		writes, holders := 0, 0
+		writes, holders := written(hosts), 0
 		for _, h := range hosts {
-			h.mu.Lock()
-			writes += h.writes
-			h.mu.Unlock()
 			if h.Left() > 0 {
 				holders++
 			}
@@ -355,6 +355,17 @@
 	})
 }
 
+// written returns how often hosts have written to the store.
+func written(hosts []*host) int {
+	sum := 0
+	for _, h := range hosts {
+		h.mu.Lock()
+		sum += h.writes
+		h.mu.Unlock()
+	}
+	return sum
+}
+
 // giver returns the host that may give an engine its orders.
 func (s *site) giver(hosts []*host, id string) string {
 	for _, h := range hosts {
@@ -388,3 +399,32 @@
 		}
 	})
 }
+
+// A site runs for long, and a host hears nobody for some seconds: its relays have died. Most hosts do not renew their rows, so that only
+// others' hearing tells that they live. It must not end the sessions of all of them, nor take their place and give orders itself, as
+// all that hear nobody would at the same moment.
+func TestMomentOfSilenceEndsNoSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, "a", "b")
+		var hosts []*host
+		for i := range 20 {
+			hosts = append(hosts, s.start(fmt.Sprintf("10.0.0.%d", i)))
+		}
+		time.Sleep(3 * time.Minute)
+		s.relaxed.Store(true)
+		time.Sleep(30 * time.Second)
+		before := written(hosts)
+		s.deaf.Store(true)
+		time.Sleep(2 * time.Second)
+		s.relaxed.Store(false)
+		time.Sleep(6 * time.Second)
+		s.deaf.Store(false)
+		time.Sleep(5 * time.Second)
+		if got, want := len(hosts[0].Hosts()), 20; got != want {
+			t.Errorf("hosts = %d after a moment of silence, want %d", got, want)
+		}
+		if got, want := written(hosts)-before, 8*6; got > want {
+			t.Errorf("writes = %d in 13 s, want %d at most: the renewals of those that give orders", got, want)
+		}
+	})
+}
