Shuffle no hosts that an answer does not name

Found in the last reading: where a caller's data centre has enough hosts, each lookup shuffled all others and threw them away, some 150 at 195 hosts. The answer is the same. A comment told what other data centres heard before.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -129,9 +129,8 @@
 	return t
 }
 
-// addFeeds adds to a message how far this host knows the store, and what its receiver has not seen of it. Other data centres have
-// readers of their own: rows that pass between data centres would cost more than their calls, and word of something newer without
-// the rows would have each host there read it.
+// addFeeds adds to a message how far this host knows the store, and what its receiver has not seen of it. Other data centres are
+// told how far alone: they have readers of their own, and rows that pass between data centres would cost more than their calls.
 func (e *Edge) addFeeds(to string, g *gossip.Gossip) {
 	g.Read = e.marks()
 	if e.tenure.Host(to).Centre == e.Setup().Centre {
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -33,9 +33,12 @@
 
 // draw returns at most so many of the hosts.
 func draw(hosts []mate.Mate, count int) []mate.Mate {
+	if count <= 0 {
+		return nil
+	}
 	if len(hosts) <= count {
 		return hosts
 	}
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return hosts[:max(0, count)]
+	return hosts[:count]
 }
