--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/marks"
 	"damaskreach/internal/rows"
@@ -115,16 +117,23 @@
 	return m != nil && m.Live(ip)
 }
 
-// shared returns the store with changes that another host has passed on taken from there, while one reads for this host.
+// shared returns the store with changes that another host has passed on taken from there, while one reads for this host. Each reading
+// writes a line, by which on-call engineers tell what a host could know at a moment, and from whom.
 func (e *Edge) shared(t table.Table) table.Table {
 	tail := t.Tail
 	t.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
 		if e.relaxed() {
 			if list, rev, ok := e.feeds.Tail(prefix, after); ok {
+				e.Log.Info("changes taken from another host", zap.String("rows", prefix), zap.Int64("after", after),
+					zap.Int64("revision", rev), zap.Int("count", len(list)))
 				return list, rev, nil
 			}
 		}
-		return tail(ctx, prefix, after)
+		begun := time.Now()
+		list, rev, err := tail(ctx, prefix, after)
+		e.Log.Info("store read", zap.String("rows", prefix), zap.Int64("after", after), zap.Int64("revision", rev),
+			zap.Int("count", len(list)), zap.Bool("reader", e.reader()), zap.Duration("took", time.Since(begun)), zap.Error(err))
+		return list, rev, err
 	}
 	return t
 }
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"damaskreach/internal/marks"
 )
 
@@ -22,14 +24,24 @@
 	begun := time.Now()
 	timer := time.NewTicker(restCheck)
 	defer timer.Stop()
-	for i.Relaxed() && time.Since(begun) < restMost {
+	why := "nobody reads"
+	for i.Relaxed() {
+		if time.Since(begun) >= restMost {
+			why = "long enough"
+			break
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-wake:
-			return
+			why = "woken"
 		case <-timer.C:
+			continue
 		}
+		break
+	}
+	if rested := time.Since(begun); rested > 0 {
+		i.Log.Info("rest ended", zap.String("why", why), zap.Duration("rested", rested))
 	}
 }
 
