--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,7 +41,6 @@
 	"damaskreach/internal/trust"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/uplink"
-	"damaskreach/internal/uptime"
 	"damaskreach/internal/usage"
 )
 
@@ -87,6 +86,7 @@
 	Ask     func(ctx context.Context, c change.Change) (state.State, error)
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Listen  func(addr string) (net.Listener, error)
+	Clock   func() time.Duration // goes on through suspensions
 	// Serve returns the handlers for lookups and for the platform's question whether the host is ready.
 	Lookup func(names func(centre string) (addrs []string, life time.Duration)) http.Handler
 	Ready  func(ready func() bool) http.Handler
@@ -128,7 +128,7 @@
 	e.intake.Every = e.readEvery
 	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
 	e.tenure = &tenure.Tenure{
-		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: uptime.Now,
+		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: e.Clock,
 		Log: e.Log, Stats: e.Stats,
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep, Pause: e.retryPause,
 	}
--- /dev/null
+++ b/internal/edge/store_test.go
@@ -0,0 +1,170 @@
+//go:build !race
+
+package edge_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"damaskreach/internal/rows"
+	"damaskreach/internal/table"
+)
+
+const (
+	// callTakes is how long the store takes for a call, and rowTakes the part of a narrow link that one row takes.
+	callTakes = 4 * time.Millisecond
+	rowTakes  = 400 * time.Microsecond
+	// mostRows is how many changes the store has in one answer.
+	mostRows = 500
+	// confWait is how long it keeps a reading of the operators' rows waiting for a change.
+	confWait = 2200 * time.Millisecond
+)
+
+// store is the platform's store as its adapter shows it, with a history of every change.
+type store struct {
+	mu      sync.Mutex
+	rows    map[string]rows.Row
+	log     []rows.Row
+	rev     int64
+	refused map[string]bool
+}
+
+func newStore() *store {
+	return &store{rows: map[string]rows.Row{}, refused: map[string]bool{}}
+}
+
+func (s *store) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.set(rows.Row{Key: key, Value: []byte(value), Rev: s.rev})
+}
+
+func (s *store) set(row rows.Row) {
+	s.rows[row.Key] = row
+	s.log = append(s.log, row)
+}
+
+func (s *store) refuse(host string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[host] = on
+}
+
+// serve takes all hosts again.
+func (s *store) serve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.refused)
+}
+
+// call does what a host asks for, unless it is turned away, and lets the answer take its time.
+func (s *store) call(ctx context.Context, host string, do func() (list []rows.Row, err error)) error {
+	s.mu.Lock()
+	refused := s.refused[host]
+	var list []rows.Row
+	var err error
+	if !refused {
+		list, err = do()
+	}
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return table.ErrLost
+	case <-time.After(callTakes + time.Duration(len(list))*rowTakes):
+	}
+	if refused {
+		return table.ErrDown
+	}
+	return err
+}
+
+// table returns the store as one host reaches it.
+func (s *store) table(host string) table.Table {
+	return table.Table{
+		Read: func(ctx context.Context, key string) (row rows.Row, err error) {
+			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				found, ok := s.rows[key]
+				if !ok {
+					return nil, table.ErrAbsent
+				}
+				row = found
+				return nil, nil
+			})
+			return row, err
+		},
+		List: func(ctx context.Context, prefix string) (list []rows.Row, rev int64, err error) {
+			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				rev = s.rev
+				for key, row := range s.rows {
+					if strings.HasPrefix(key, prefix) && !row.Gone {
+						list = append(list, row)
+					}
+				}
+				return list, nil
+			})
+			return list, rev, err
+		},
+		Write: func(ctx context.Context, edits ...rows.Row) (rev int64, err error) {
+			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				rev, err = s.commit(edits)
+				return nil, err
+			})
+			return rev, err
+		},
+		Tail: func(ctx context.Context, prefix string, after int64) (list []rows.Row, rev int64, err error) {
+			s.await(ctx, prefix, after)
+			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				list, rev = s.since(prefix, after), s.rev
+				if len(list) > mostRows {
+					return list[:mostRows], table.ErrCompacted
+				}
+				return list, nil
+			})
+			return list, rev, err
+		},
+	}
+}
+
+// await keeps a reading of the operators' rows waiting for a change.
+func (s *store) await(ctx context.Context, prefix string, after int64) {
+	if prefix != "op/" {
+		return
+	}
+	until := time.Now().Add(confWait)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		s.mu.Lock()
+		changed := len(s.since(prefix, after)) > 0
+		s.mu.Unlock()
+		if changed {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *store) since(prefix string, after int64) []rows.Row {
+	var list []rows.Row
+	for i := len(s.log) - 1; i >= 0 && s.log[i].Rev > after; i-- {
+		if strings.HasPrefix(s.log[i].Key, prefix) {
+			list = append([]rows.Row{s.log[i]}, list...)
+		}
+	}
+	return list
+}
+
+func (s *store) commit(edits []rows.Row) (int64, error) {
+	for _, e := range edits {
+		if now := s.rows[e.Key]; e.Rev != rows.Any && now.Rev != e.Rev {
+			return 0, table.NewConflict([]string{e.Key})
+		}
+	}
+	s.rev++
+	for _, e := range edits {
+		e.Rev = s.rev
+		s.set(e)
+	}
+	return s.rev, nil
+}
