Read all rows where the store's answer cannot hold all changes

What callers saw: requests reached upstreams over 3 s after these had said that they leave, on the grown site, while and after the store turned hosts away.

Cause: the store answers 'what changed since' with 500 rows at most and does not say so: the answer names the revision of its last row. The adapter passed that on as all changes. A host that others had read for was behind by half a minute of heartbeats (97 rows a second here), so that its first reading ended seconds in the past, its next one 1.2 s later a step further; meanwhile it covered nobody's marks, relied on nobody, and took nothing that was passed on. A relay in that state held up half of its data centre.

Ruled out as the first cause: rows passed on too late (the lines show readings of the store), the put-off wake (it only chose the moment of the first reading).

No caller needed a change: all three treat a compacted history so.

Left: steps of up to 1.2 s at each hop.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -30,9 +30,9 @@
 	ErrAbsent = merry.New("table: no such row")
 	// ErrInvalid means that the service rejects the call itself: nothing was written and a retry is of no use.
 	ErrInvalid = merry.New("table: invalid call")
-	// ErrCompacted comes with the rows of a Tail that reached back beyond the service's history.
-	// The rows are valid and complete, but deletions may be missing: a follower drops each row
-	// it holds that is not among them.
+	// ErrCompacted comes with the rows of a Tail that reached back beyond the service's history, or beyond
+	// what one answer holds. The rows are valid and complete, but deletions may be missing: a follower drops
+	// each row it holds that is not among them. Without rows, the follower lists them.
 	ErrCompacted = merry.New("table: history compacted")
 )
 
