--- /dev/null
+++ b/internal/intake/targets.go
@@ -0,0 +1,179 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/feed"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/table"
+	"damaskreach/internal/target"
+	"damaskreach/internal/turns"
+	"damaskreach/internal/view"
+)
+
+const (
+	// absent is how long after the store's return an upstream is still used that vanished: registrations that lapsed with the store
+	// are back within two seconds of its return. It ends at one moment for all: counted from when each was missed, one that
+	// began to leave after the return would be used for a reading and these seconds more.
+	absent = 2200 * time.Millisecond
+	// away is how long a reading must have failed for the store to count as having been away.
+	away = 1500 * time.Millisecond
+)
+
+// RunTargets follows the upstreams' registrations until ctx ends.
+func (i *Intake) RunTargets(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		if err := i.readTargets(ctx); err != nil {
+			i.Log.Debug("registrations not read", zap.Error(err))
+			i.away.Store(true)
+			if i.lost.IsZero() {
+				i.lost = began
+				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
+			}
+			i.pause(ctx, i.targetWake)
+			continue
+		}
+		if len(i.missing) > 0 {
+			turns.Sleep(ctx, min(i.Every()-time.Since(began), time.Until(i.back.Add(absent))))
+			continue
+		}
+		turns.Sleep(ctx, i.Every()-time.Since(began))
+		i.rest(ctx, i.targetWake)
+	}
+}
+
+func (i *Intake) readTargets(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	whole := i.at == 0
+	var list []rows.Row
+	var rev int64
+	var err error
+	if !whole {
+		list, rev, err = i.Table.Tail(callCtx, i.Targets, i.at)
+		whole = errors.Is(err, table.ErrCompacted)
+	}
+	if whole {
+		list, rev, err = i.Table.List(callCtx, i.Targets)
+	}
+	if err != nil {
+		return err
+	}
+	i.away.Store(false)
+	now := time.Now()
+	if !i.lost.IsZero() {
+		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
+		if now.Sub(i.lost) > away {
+			i.back = now
+		}
+	}
+	i.lost = time.Time{}
+	after := i.at
+	if whole {
+		after = feed.Whole
+	}
+	i.at = rev
+	changed, news := i.apply(list, whole, now)
+	i.Keep(i.Targets, after, rev, news)
+	i.targetAt.Store(rev)
+	i.targetRead.Store(now.UnixNano())
+	if changed {
+		i.targetMark.Store(rev)
+		i.Changed()
+	}
+	return nil
+}
+
+// apply works out which upstreams there are. One that vanished is gone, unless the store was away a moment ago: then its
+// registration may have lapsed with the store, and it gets the time in which it registers again. It reports whether
+// anything changed that other hosts should know of, and returns the rows that say so.
+func (i *Intake) apply(list []rows.Row, whole bool, now time.Time) (changed bool, news []rows.Row) {
+	targets := maps.Clone(i.View().Targets)
+	if targets == nil {
+		targets = map[string]target.Target{}
+	}
+	present := map[string]bool{}
+	for _, row := range list {
+		id := row.Key[len(i.Targets):]
+		if row.Gone {
+			changed = true
+			news = append(news, row)
+			i.miss(targets, id, now)
+			continue
+		}
+		t, err := i.Target(row)
+		if err != nil {
+			i.warnBad(id, row.Rev, err)
+			news = append(news, row)
+			i.miss(targets, id, now)
+			continue
+		}
+		present[id] = true
+		delete(i.missing, id)
+		if i.logChange(targets[id], t) {
+			changed = true
+			news = append(news, row)
+		}
+		targets[id] = t
+	}
+	for id := range targets {
+		if whole && !present[id] {
+			i.miss(targets, id, now)
+		}
+	}
+	if now.Sub(i.back) >= absent {
+		for id, since := range i.missing {
+			changed = true
+			delete(i.missing, id)
+			delete(targets, id)
+			i.Log.Info("upstream gone", zap.String("target", id), zap.Duration("missing", now.Sub(since)))
+		}
+	}
+	i.swap(func(v view.View) view.View { return v.WithTargets(targets, now) })
+	return changed, news
+}
+
+func (i *Intake) miss(targets map[string]target.Target, id string, now time.Time) {
+	t, ok := targets[id]
+	if !ok {
+		return
+	}
+	if now.Sub(i.back) < absent && !t.Draining {
+		if _, ok := i.missing[id]; !ok {
+			i.missing[id] = now
+		}
+		return
+	}
+	delete(targets, id)
+	i.Log.Info("upstream gone", zap.String("target", id))
+}
+
+// warnBad says once for each revision that a registration cannot be read.
+func (i *Intake) warnBad(id string, rev int64, err error) {
+	if i.bad[id] == 0 {
+		i.Log.Warn("registration cannot be read", zap.String("target", id), zap.Error(err))
+	}
+	i.bad[id] = rev
+}
+
+// logChange says what is new about an upstream; it reports false where that is nothing but counts.
+func (i *Intake) logChange(old, t target.Target) bool {
+	switch {
+	case old.ID == "":
+		i.Log.Info("upstream found", zap.String("target", t.ID), zap.String("group", t.Group), zap.String("addr", t.Addr),
+			zap.String("centre", t.Centre), zap.Int64("born", t.Born), zap.Bool("draining", t.Draining))
+	case old.Born != t.Born:
+		i.Log.Info("upstream restarted", zap.String("target", t.ID), zap.Int64("born", t.Born))
+	case old.Draining != t.Draining:
+		i.Log.Info("upstream leaves", zap.String("target", t.ID), zap.Bool("draining", t.Draining))
+	default:
+		return old.Addr != t.Addr || old.Group != t.Group || len(old.Models) != len(t.Models)
+	}
+	return true
+}
