Take what other hosts pass on at once, and not with the next reading

A host that its marks had left behind for 2.2 s then read the store beside the reader, every 1.2 s, and still relied on nobody. One that the store turned away and that relied on nobody for 2.2 s took nothing that was passed on at all, since that was only looked for in place of a reading.

Changes that are passed on are now a way of their own into a host (Passed): taken as soon as they come, whether the host reads for itself, rests or was turned away. They do not count as a reading of its own, which others may rely on. The rows of hosts (tenure) keep the old way: what is passed on leaves out renewals, and a host that read them in place of the store would end sessions.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,7 +119,7 @@
 func (e *Edge) build() *direct.Direct {
 	s := e.Setup()
 	e.feeds = feeds.NewFeeds()
-	e.Table = e.shared(measured(e.Table, e.Stats))
+	e.Table = e.noted(measured(e.Table, e.Stats))
 	e.holds = holds.NewHolds()
 	e.pick = pick.NewPick(s.Centre)
 	e.news = newNews()
@@ -128,12 +128,13 @@
 	e.intake.Every = e.readEvery
 	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
 	e.tenure = &tenure.Tenure{
-		Table: e.Table, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: e.Clock,
+		Table: e.shared(e.Table), IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: e.Clock,
 		Log: e.Log, Stats: e.Stats,
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep, Pause: e.retryPause,
 	}
 	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
 	e.intake.Relaxed, e.intake.Changed, e.intake.Keep, e.intake.Pause = e.relaxed, e.nudge, e.feeds.Keep, e.retryPause
+	e.intake.Passed = e.passed
 	measured := &speed.Speed{Before: e.tenure.Rates}
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -117,18 +117,34 @@
 	return m != nil && m.Live(ip)
 }
 
-// shared returns the store with changes that another host has passed on taken from there, while one reads for this host. Each reading
-// writes a line, by which on-call engineers tell what a host could know at a moment, and from whom.
+// passed returns rows that another host has passed on.
+func (e *Edge) passed(prefix string, after int64) (list []rows.Row, rev int64, ok bool) {
+	list, rev, ok = e.feeds.Tail(prefix, after)
+	if ok {
+		e.Log.Info("changes taken from another host", zap.String("rows", prefix), zap.Int64("after", after),
+			zap.Int64("revision", rev), zap.Int("count", len(list)))
+	}
+	return list, rev, ok
+}
+
+// shared returns the store with changes that another host has passed on taken from there, while one reads for this host.
 func (e *Edge) shared(t table.Table) table.Table {
 	tail := t.Tail
 	t.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
 		if e.relaxed() {
-			if list, rev, ok := e.feeds.Tail(prefix, after); ok {
-				e.Log.Info("changes taken from another host", zap.String("rows", prefix), zap.Int64("after", after),
-					zap.Int64("revision", rev), zap.Int("count", len(list)))
+			if list, rev, ok := e.passed(prefix, after); ok {
 				return list, rev, nil
 			}
 		}
+		return tail(ctx, prefix, after)
+	}
+	return t
+}
+
+// noted returns the store with a line for each reading, by which on-call engineers tell what a host could know at a moment.
+func (e *Edge) noted(t table.Table) table.Table {
+	tail := t.Tail
+	t.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
 		begun := time.Now()
 		list, rev, err := tail(ctx, prefix, after)
 		e.Log.Info("store read", zap.String("rows", prefix), zap.Int64("after", after), zap.Int64("revision", rev),
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,6 +35,8 @@
 	// Pause returns how long to wait after a failed reading. Where the store is away from all, hundreds of hosts that tried a few times
 	// a second each would be most of its calls when it comes back.
 	Pause func() time.Duration
+	// Passed returns rows under a prefix that changed after a revision, up to another, where another host has passed them on.
+	Passed func(prefix string, after int64) (list []rows.Row, rev int64, ok bool)
 	// Changed is called after a change that others should know of.
 	Changed func()
 	// Keep takes the rows that others should know of among those that changed after a revision, or feed.Whole, up to another.
@@ -42,7 +44,6 @@
 	Log  *zap.Logger
 
 	current atomic.Pointer[view.View]
-	at      int64 // revision up to which registrations are read
 	missing map[string]time.Time
 	lost    time.Time // when readings of registrations began to fail
 	away    atomic.Bool
@@ -63,7 +64,8 @@
 func NewIntake() *Intake {
 	i := &Intake{
 		missing: map[string]time.Time{}, bad: map[string]int64{}, confWake: make(chan struct{}, 1), targetWake: make(chan struct{}, 1),
-		Relaxed: func() bool { return false }, Changed: func() {}, Keep: func(string, int64, int64, []rows.Row) {},
+		Relaxed: func() bool { return false }, Changed: func() {},
+		Passed: func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
 	}
 	i.current.Store(&view.View{})
 	return i
@@ -87,32 +89,46 @@
 
 // RunConf follows the operators' rows until ctx ends.
 func (i *Intake) RunConf(ctx context.Context) {
-	rev := int64(0)
 	for ctx.Err() == nil {
-		if rev > 0 {
-			i.rest(ctx, i.confWake)
+		if i.confAt.Load() > 0 {
+			i.passedConf()
+			i.rest(ctx, i.confWake, i.passedConf)
 		}
-		list, next, whole, err := i.readConf(ctx, rev)
+		after := i.confAt.Load()
+		list, rev, whole, err := i.readConf(ctx, after)
 		if err != nil {
 			i.Log.Debug("configuration not read", zap.Error(err))
 			i.pause(ctx, i.confWake)
 			continue
 		}
-		for _, row := range list {
-			i.takeConf(row)
-		}
-		after := rev
 		if whole {
 			after = feed.Whole
 		}
-		i.Keep(i.Conf, after, max(rev, next), list)
-		rev = max(rev, next)
-		i.confAt.Store(rev)
+		i.takeConf(list, after, max(rev, i.confAt.Load()))
 		i.confRead.Store(time.Now().UnixNano())
-		if len(list) > 0 {
-			i.confMark.Store(rev)
-			i.Changed()
-		}
+	}
+}
+
+// passedConf takes operators' rows that another host has passed on; it reports false where there are none.
+func (i *Intake) passedConf() bool {
+	after := i.confAt.Load()
+	list, rev, ok := i.Passed(i.Conf, after)
+	if ok {
+		i.takeConf(list, after, rev)
+	}
+	return ok
+}
+
+// takeConf takes operators' rows that changed after a revision, or all of them after feed.Whole, up to another.
+func (i *Intake) takeConf(list []rows.Row, after, rev int64) {
+	for _, row := range list {
+		i.takeConfRow(row)
+	}
+	i.Keep(i.Conf, after, rev, list)
+	i.confAt.Store(rev)
+	if len(list) > 0 {
+		i.confMark.Store(rev)
+		i.Changed()
 	}
 }
 
@@ -131,7 +147,7 @@
 	return list, next, true, err
 }
 
-func (i *Intake) takeConf(row rows.Row) {
+func (i *Intake) takeConfRow(row rows.Row) {
 	if row.Gone {
 		return
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -67,7 +67,8 @@
 
 func gone(key string) rows.Row { return rows.Row{Key: "up/" + key, Gone: true} }
 
-func start(t *testing.T, s *source) *intake.Intake {
+// start runs an intake; prepare changes it before.
+func start(t *testing.T, s *source, prepare ...func(i *intake.Intake)) *intake.Intake {
 	i := intake.NewIntake()
 	i.Table, i.Conf, i.Targets, i.Log = s.table(), "op/", "up/", zap.NewNop()
 	i.Every = func() time.Duration { return time.Second }
@@ -85,6 +86,9 @@
 		return target.Target{ID: row.Key[3:], Slots: 1}, nil
 	}
 	i.Version = func(rows.Row) (string, int, bool, error) { return "", 0, false, nil }
+	for _, change := range prepare {
+		change(i)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
 	go i.RunConf(ctx)
@@ -169,14 +173,44 @@
 	})
 }
 
+// An upstream begins to leave just after a host has read, and another host passes that on. Were it to wait for the next reading, each host on
+// its way would use the upstream for as much longer.
+func TestPassedOnChangesWaitForNoReading(t *testing.T) {
+	for name, relaxed := range map[string]bool{"reads for itself": false, "lets another one read": true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
+			passed := false
+			i := start(t, s, func(i *intake.Intake) {
+				i.Relaxed = func() bool { return relaxed }
+				i.Every = func() time.Duration { return time.Hour }
+				i.Passed = func(prefix string, after int64) ([]rows.Row, int64, bool) {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					if !passed || prefix != "up/" {
+						return nil, 0, false
+					}
+					passed = false
+					return []rows.Row{gone("a")}, after + 10, true
+				}
+			})
+			time.Sleep(3 * time.Second)
+			s.set(func() { passed = true })
+			i.Wake(marks.Marks{Targets: 1000})
+			synctest.Wait()
+			if _, ok := i.View().Targets["a"]; ok || len(i.View().Targets) != 1 {
+				t.Errorf("%s: upstreams = %v, want b alone at once", name, i.View().Targets)
+			}
+		})
+	}
+}
+
 // The store was away from hundreds of hosts, which try it the more rarely the more of them there are. The host that reads for a
 // data centre finds it back first; the others must not wait for their own next try, or they would use upstreams that have left
 // since for as much longer.
 func TestReturnOfTheStoreIsLearntFromOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
-		i := start(t, s)
-		i.Pause = func() time.Duration { return time.Hour }
+		i := start(t, s, func(i *intake.Intake) { i.Pause = func() time.Duration { return time.Hour } })
 		time.Sleep(3 * time.Second)
 		s.set(func() { s.down = true })
 		time.Sleep(5 * time.Second)
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -19,8 +19,12 @@
 	recent = 3 * time.Second
 )
 
-// rest waits while another host reads, until that one knows of something newer.
-func (i *Intake) rest(ctx context.Context, wake <-chan struct{}) {
+// rest waits while another host reads, until that one knows of something newer that it does not pass on. Take takes what it does pass on
+// and reports whether that was anything.
+func (i *Intake) rest(ctx context.Context, wake <-chan struct{}, take func() bool) {
+	if !i.Relaxed() {
+		return
+	}
 	begun := time.Now()
 	timer := time.NewTicker(restCheck)
 	defer timer.Stop()
@@ -34,15 +38,55 @@
 		case <-ctx.Done():
 			return
 		case <-wake:
+			if take() {
+				continue
+			}
 			why = "woken"
 		case <-timer.C:
 			continue
 		}
 		break
 	}
-	if rested := time.Since(begun); rested > 0 {
-		i.Log.Info("rest ended", zap.String("why", why), zap.Duration("rested", rested))
+	i.Log.Info("rest ended", zap.String("why", why), zap.Duration("rested", time.Since(begun)))
+}
+
+// await waits until registrations are to be read from the store, not before next, and takes those that other hosts pass on meanwhile.
+func (i *Intake) await(ctx context.Context, next time.Time) {
+	if len(i.missing) > 0 {
+		next = earlier(next, i.back.Add(absent))
+	}
+	i.sleep(ctx, next)
+	if len(i.missing) == 0 {
+		i.rest(ctx, i.targetWake, i.passedTargets)
+	}
+}
+
+// sleep waits until the next reading, no longer than until another host passes something on.
+func (i *Intake) sleep(ctx context.Context, next time.Time) {
+	woken := false
+	for ctx.Err() == nil && time.Now().Before(next) {
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-i.targetWake:
+			woken = true
+		}
+		timer.Stop()
+		if i.passedTargets() {
+			woken = false
+		}
+	}
+	if woken {
+		nudge(i.targetWake)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
 // Covers reports whether this host has read as far as another one.
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -12,7 +12,6 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 	"damaskreach/internal/target"
-	"damaskreach/internal/turns"
 	"damaskreach/internal/view"
 )
 
@@ -29,6 +28,7 @@
 func (i *Intake) RunTargets(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
+		i.passedTargets()
 		if err := i.readTargets(ctx); err != nil {
 			i.Log.Debug("registrations not read", zap.Error(err))
 			i.away.Store(true)
@@ -39,27 +39,51 @@
 			i.pause(ctx, i.targetWake)
 			continue
 		}
-		if len(i.missing) > 0 {
-			turns.Sleep(ctx, min(i.Every()-time.Since(began), time.Until(i.back.Add(absent))))
-			continue
-		}
-		turns.Sleep(ctx, i.Every()-time.Since(began))
-		i.rest(ctx, i.targetWake)
+		i.await(ctx, began.Add(i.Every()))
+	}
+}
+
+// passedTargets takes registrations that another host has passed on; it reports false where there are none. They wait for no reading: each
+// host on their way would add the pause between two readings to the time for which an upstream that leaves gets new work.
+func (i *Intake) passedTargets() bool {
+	after := i.targetAt.Load()
+	if after == 0 {
+		return false
+	}
+	list, rev, ok := i.Passed(i.Targets, after)
+	if !ok {
+		return false
+	}
+	i.takeTargets(list, after, rev, time.Now())
+	return true
+}
+
+// takeTargets takes registrations that changed after a revision, or all of them after feed.Whole, up to another.
+func (i *Intake) takeTargets(list []rows.Row, after, rev int64, now time.Time) {
+	changed, news := i.apply(list, after == feed.Whole, now)
+	i.Keep(i.Targets, after, rev, news)
+	i.targetAt.Store(rev)
+	if changed {
+		i.targetMark.Store(rev)
+		i.Changed()
 	}
 }
 
+// readTargets reads the store.
 func (i *Intake) readTargets(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
-	whole := i.at == 0
+	after := i.targetAt.Load()
+	whole := after == 0
 	var list []rows.Row
 	var rev int64
 	var err error
 	if !whole {
-		list, rev, err = i.Table.Tail(callCtx, i.Targets, i.at)
+		list, rev, err = i.Table.Tail(callCtx, i.Targets, after)
 		whole = errors.Is(err, table.ErrCompacted)
 	}
 	if whole {
+		after = feed.Whole
 		list, rev, err = i.Table.List(callCtx, i.Targets)
 	}
 	if err != nil {
@@ -74,19 +98,8 @@
 		}
 	}
 	i.lost = time.Time{}
-	after := i.at
-	if whole {
-		after = feed.Whole
-	}
-	i.at = rev
-	changed, news := i.apply(list, whole, now)
-	i.Keep(i.Targets, after, rev, news)
-	i.targetAt.Store(rev)
+	i.takeTargets(list, after, rev, now)
 	i.targetRead.Store(now.UnixNano())
-	if changed {
-		i.targetMark.Store(rev)
-		i.Changed()
-	}
 	return nil
 }
 
