End the time to come back also for losses that are passed on to a resting host

Where the loss was passed on while the host rested, nothing looked: the upstream stayed in use for up to a minute. The rest now ends there.

TestPassedOnLossEndsWithTheTimeToComeBack failed on that code ('a is still used 3.7 s after the store's return') and passes, ten times under the race detector.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -204,6 +204,45 @@
 	}
 }
 
+// The store is back, and another host passes on that a registration has vanished, within the time that upstreams get to register again.
+// The host lets others read, and must end that time all the same, or it uses the upstream for a minute more.
+func TestPassedOnLossEndsWithTheTimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
+		passed, relaxed := false, false
+		i := start(t, s, func(i *intake.Intake) {
+			i.Relaxed = func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return relaxed
+			}
+			i.Passed = func(prefix string, after int64) ([]rows.Row, int64, bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if !passed || prefix != "up/" {
+					return nil, 0, false
+				}
+				passed = false
+				return []rows.Row{gone("a")}, after + 10, true
+			}
+		})
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down, relaxed = false, true })
+		time.Sleep(1700 * time.Millisecond) // it has read again, and rests
+		s.set(func() {
+			passed = true
+			s.rows["up/"] = nil
+		})
+		i.Wake(marks.Marks{Targets: 1000})
+		time.Sleep(2 * time.Second)
+		if _, ok := i.View().Targets["a"]; ok {
+			t.Error("a is still used 3.7 s after the store's return, want it gone")
+		}
+	})
+}
+
 // The store was away from hundreds of hosts, which try it the more rarely the more of them there are. The host that reads for a
 // data centre finds it back first; the others must not wait for their own next try, or they would use upstreams that have left
 // since for as much longer.
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -57,7 +57,7 @@
 	}
 	i.sleep(ctx, next)
 	if len(i.missing) == 0 {
-		i.rest(ctx, i.targetWake, i.passedTargets)
+		i.rest(ctx, i.targetWake, func() bool { return i.passedTargets() && len(i.missing) == 0 })
 	}
 }
 
