Tell other hosts what a whole reading of the registrations finds changed

What callers saw: requests at upstreams that had left without a word. Found while looking for the same cause elsewhere (a host's knowledge is older than its age says), by a test, not in the users' record.

Cause: where the store had forgotten its history, or more had changed than one answer holds, the host that reads for a data centre lists all registrations. What that list lacks it dropped for itself, but neither raised the mark by which others see that there is something newer, nor passed the loss on. These relied on its reading, which was fresh, and used the upstream until something else changed. Besides, it began its changes anew, so that hosts behind it had to read the store. Losses that are confirmed after the store's return raised the mark but were not passed on, so that every host of the site read the store at once; an entry that cannot be read any more was passed on without a mark.

Every change of what a host believes is now one row that is passed on, and raises the mark: one list for both. Changes go on from the last reading, since a list compared with what was known leaves no gap.

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -83,20 +83,26 @@
 			return
 		case <-time.After(wait):
 		}
-		value := "ready"
-		if f.leftAt(id) {
-			value = leaving
+		if !f.hasLeft(id) {
+			f.store.put("servers/"+id, "ready")
 		}
-		f.store.put("servers/"+id, value)
 	}
 }
 
-func (f *fleet) leftAt(id string) bool {
+func (f *fleet) hasLeft(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.left[id].IsZero()
 }
 
+// vanish has an upstream's registration dropped without a word before.
+func (f *fleet) vanish(id string) {
+	f.mu.Lock()
+	f.left[id] = time.Now()
+	f.mu.Unlock()
+	f.store.drop("servers/" + id)
+}
+
 // leave has an upstream begin to leave.
 func (f *fleet) leave(id string) {
 	f.mu.Lock()
--- a/internal/edge/leave_test.go
+++ b/internal/edge/leave_test.go
@@ -38,3 +38,22 @@
 		})
 	}
 }
+
+// The store forgets its history now and then while upstreams vanish without a word. The hosts that read find out from what a list of all
+// registrations lacks, and must tell the others.
+func TestVanishingIsKnownEverywhereInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		luck := rand.New(rand.NewPCG(1, 27))
+		f := newFleet(t, 24, 4, 112)
+		time.Sleep(15 * time.Second)
+		for next := range 30 {
+			time.Sleep(time.Duration(luck.IntN(800)) * time.Millisecond)
+			f.vanish(fmt.Sprint("u", next))
+			if next%5 == 0 {
+				f.store.forget()
+			}
+		}
+		time.Sleep(drain)
+		f.wantKnown(drain - atHost)
+	})
+}
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -29,6 +29,7 @@
 	log     []rows.Row
 	rev     int64
 	refused map[string]bool
+	lost    int64 // revision up to which the history is gone
 }
 
 func newStore() *store {
@@ -60,6 +61,20 @@
 	clear(s.refused)
 }
 
+func (s *store) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.set(rows.Row{Key: key, Rev: s.rev, Gone: true})
+}
+
+// forget drops the history.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = s.rev
+}
+
 // call does what a host asks for, unless it is turned away, and lets the answer take its time.
 func (s *store) call(ctx context.Context, host string, do func() (list []rows.Row, err error)) error {
 	s.mu.Lock()
@@ -118,8 +133,8 @@
 			s.await(ctx, prefix, after)
 			err = s.call(ctx, host, func() ([]rows.Row, error) {
 				list, rev = s.since(prefix, after), s.rev
-				if len(list) > mostRows {
-					return list[:mostRows], table.ErrCompacted
+				if len(list) > mostRows || after < s.lost {
+					return list[:min(mostRows, len(list))], table.ErrCompacted
 				}
 				return list, nil
 			})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -173,6 +173,49 @@
 	})
 }
 
+// The store has forgotten its history, and meanwhile an upstream vanished and another one came. A host that reads for others must tell them
+// both: they would go on to use the upstream that is gone, for as long as that host reads on.
+func TestWhatAWholeReadingFindsIsToldToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
+		var mu sync.Mutex
+		told, tellsAfter := map[string]rows.Row{}, int64(0)
+		i := start(t, s, func(i *intake.Intake) {
+			i.Keep = func(prefix string, after, _ int64, list []rows.Row) {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, row := range list {
+					if prefix == "up/" {
+						told[row.Key], tellsAfter = row, after
+					}
+				}
+			}
+		})
+		time.Sleep(3500 * time.Millisecond)
+		before, _ := i.Marks()
+		mu.Lock()
+		clear(told)
+		mu.Unlock()
+		s.set(func() {
+			s.gone = true
+			s.rows["up/"] = []rows.Row{reg("b"), reg("c")}
+		})
+		time.Sleep(time.Second)
+		after, _ := i.Marks()
+		if after.Targets <= before.Targets {
+			t.Errorf("mark = %d after %d, want a newer one: others would not ask", after.Targets, before.Targets)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if got := told["up/a"]; !got.Gone || got.Rev != after.Targets {
+			t.Errorf("told of a: %+v, want it gone at %d", got, after.Targets)
+		}
+		if got, want := len(told), 2; got != want || tellsAfter < before.Targets {
+			t.Errorf("told %v after %d, want a and c after %d", told, tellsAfter, before.Targets)
+		}
+	})
+}
+
 // An upstream begins to leave just after a host has read, and another host passes that on. Were it to wait for the next reading, each host on
 // its way would use the upstream for as much longer.
 func TestPassedOnChangesWaitForNoReading(t *testing.T) {
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -1,9 +1,11 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,16 +56,20 @@
 	if !ok {
 		return false
 	}
-	i.takeTargets(list, after, rev, time.Now())
+	i.takeTargets(list, false, rev, time.Now())
 	return true
 }
 
-// takeTargets takes registrations that changed after a revision, or all of them after feed.Whole, up to another.
-func (i *Intake) takeTargets(list []rows.Row, after, rev int64, now time.Time) {
-	changed, news := i.apply(list, after == feed.Whole, now)
+// takeTargets takes registrations that changed since the last that were taken, up to a revision, or all that there are at that revision.
+func (i *Intake) takeTargets(list []rows.Row, whole bool, rev int64, now time.Time) {
+	news := i.apply(list, whole, rev, now)
+	after := i.targetAt.Load()
+	if after == 0 {
+		after = feed.Whole
+	}
 	i.Keep(i.Targets, after, rev, news)
 	i.targetAt.Store(rev)
-	if changed {
+	if len(news) > 0 {
 		i.targetMark.Store(rev)
 		i.Changed()
 	}
@@ -83,7 +89,6 @@
 		whole = errors.Is(err, table.ErrCompacted)
 	}
 	if whole {
-		after = feed.Whole
 		list, rev, err = i.Table.List(callCtx, i.Targets)
 	}
 	if err != nil {
@@ -98,15 +103,15 @@
 		}
 	}
 	i.lost = time.Time{}
-	i.takeTargets(list, after, rev, now)
+	i.takeTargets(list, whole, rev, now)
 	i.targetRead.Store(now.UnixNano())
 	return nil
 }
 
 // apply works out which upstreams there are. One that vanished is gone, unless the store was away a moment ago: then its
-// registration may have lapsed with the store, and it gets the time in which it registers again. It reports whether
-// anything changed that other hosts should know of, and returns the rows that say so.
-func (i *Intake) apply(list []rows.Row, whole bool, now time.Time) (changed bool, news []rows.Row) {
+// registration may have lapsed with the store, and it gets the time in which it registers again. It returns the rows that say what
+// changed, oldest first, also where that shows in what a list of all rows lacks: hosts that let this one read learn it from nothing else.
+func (i *Intake) apply(list []rows.Row, whole bool, rev int64, now time.Time) (news []rows.Row) {
 	targets := maps.Clone(i.View().Targets)
 	if targets == nil {
 		targets = map[string]target.Target{}
@@ -115,7 +120,6 @@
 	for _, row := range list {
 		id := row.Key[len(i.Targets):]
 		if row.Gone {
-			changed = true
 			news = append(news, row)
 			i.miss(targets, id, now)
 			continue
@@ -123,33 +127,41 @@
 		t, err := i.Target(row)
 		if err != nil {
 			i.warnBad(id, row.Rev, err)
-			news = append(news, row)
+			if _, known := targets[id]; known {
+				news = append(news, row)
+			}
 			i.miss(targets, id, now)
 			continue
 		}
 		present[id] = true
 		delete(i.missing, id)
 		if i.logChange(targets[id], t) {
-			changed = true
 			news = append(news, row)
 		}
 		targets[id] = t
 	}
 	for id := range targets {
-		if whole && !present[id] {
+		if _, waits := i.missing[id]; whole && !present[id] && !waits {
+			news = append(news, i.lack(id, rev))
 			i.miss(targets, id, now)
 		}
 	}
 	if now.Sub(i.back) >= absent {
 		for id, since := range i.missing {
-			changed = true
+			news = append(news, i.lack(id, rev))
 			delete(i.missing, id)
 			delete(targets, id)
 			i.Log.Info("upstream gone", zap.String("target", id), zap.Duration("missing", now.Sub(since)))
 		}
 	}
 	i.swap(func(v view.View) view.View { return v.WithTargets(targets, now) })
-	return changed, news
+	slices.SortStableFunc(news, func(a, b rows.Row) int { return cmp.Compare(a.Rev, b.Rev) })
+	return news
+}
+
+// lack returns the row that says that an upstream has no registration at a revision.
+func (i *Intake) lack(id string, rev int64) rows.Row {
+	return rows.Row{Key: i.Targets + id, Rev: rev, Gone: true}
 }
 
 func (i *Intake) miss(targets map[string]target.Target, id string, now time.Time) {
