Count the age of a reading from when the store was asked

What a store says that takes 0.6 s is up to 0.6 s old when it arrives; hosts that relied on it counted from the arrival, and might use an upstream that leaves for as much longer.

TestAgeCountsFromTheQuestion failed before ('age = 450ms, want 600ms at least') and passes.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -56,7 +56,7 @@
 	confWake   chan struct{}
 	targetAt   atomic.Int64
 	targetMark atomic.Int64
-	targetRead atomic.Int64
+	targetRead atomic.Int64 // when their last reading began
 	targetWake chan struct{}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -24,21 +24,29 @@
 	rows map[string][]rows.Row // all rows by prefix
 	down bool
 	gone bool // the history is gone
+	slow time.Duration
 	rev  int64
 }
 
 func (s *source) table() table.Table {
-	list := func(prefix string) ([]rows.Row, int64, error) {
+	list := func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
+		s.mu.Lock()
+		slow, list := s.slow, s.rows[prefix]
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(slow):
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.down {
 			return nil, 0, table.ErrDown
 		}
 		s.rev++
-		return s.rows[prefix], s.rev, nil
+		return list, s.rev, nil
 	}
 	return table.Table{
-		List: func(_ context.Context, prefix string) ([]rows.Row, int64, error) { return list(prefix) },
+		List: list,
 		Tail: func(ctx context.Context, prefix string, _ int64) ([]rows.Row, int64, error) {
 			if prefix == "op/" {
 				select {
@@ -52,7 +60,7 @@
 			if gone {
 				return nil, 0, table.ErrCompacted
 			}
-			return list(prefix)
+			return list(ctx, prefix)
 		},
 	}
 }
@@ -173,6 +181,25 @@
 	})
 }
 
+// The store takes long to answer, or its answer crosses a full link. What it says is as of some moment since it was asked; hosts that count the age
+// from the answer rely on it for as much longer, and send requests to upstreams that have left meanwhile.
+func TestAgeCountsFromTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow = 600 * time.Millisecond
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a")}}, slow: slow}
+		i := start(t, s)
+		time.Sleep(3*time.Second + 50*time.Millisecond)
+		for range 40 {
+			// A reading begins each second, and is there 0.6 s later: the newest that is there began 0.6 to 1.6 s ago.
+			m, ok := i.Marks()
+			if age := time.Duration(m.Age) * time.Millisecond; !ok || age < slow || age > slow+time.Second {
+				t.Fatalf("age = %v, %v, want %v at least and no more than a second over it", age, ok, slow)
+			}
+			time.Sleep(90 * time.Millisecond)
+		}
+	})
+}
+
 // The store has forgotten its history, and meanwhile an upstream vanished and another one came. A host that reads for others must tell them
 // both: they would go on to use the upstream that is gone, for as long as that host reads on.
 func TestWhatAWholeReadingFindsIsToldToOthers(t *testing.T) {
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -31,7 +31,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		i.passedTargets()
-		if err := i.readTargets(ctx); err != nil {
+		if err := i.readTargets(ctx, began); err != nil {
 			i.Log.Debug("registrations not read", zap.Error(err))
 			i.away.Store(true)
 			if i.lost.IsZero() {
@@ -75,8 +75,8 @@
 	}
 }
 
-// readTargets reads the store.
-func (i *Intake) readTargets(ctx context.Context) error {
+// readTargets reads the store. What it says may be as of any moment since the reading began.
+func (i *Intake) readTargets(ctx context.Context, began time.Time) error {
 	callCtx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
 	after := i.targetAt.Load()
@@ -104,7 +104,7 @@
 	}
 	i.lost = time.Time{}
 	i.takeTargets(list, whole, rev, now)
-	i.targetRead.Store(now.UnixNano())
+	i.targetRead.Store(began.UnixNano())
 	return nil
 }
 
