Count the way of an answer into the age of the reading that it tells of

A message says how old a reading of the store was when it was put together; a busy host may send it, and another take it, up to 0.8 s later, and each host on its way adds as much. Whoever asks now adds the whole time since it asked, an upper bound of the answer's way.

Not covered: a relay that is asked by another one learns from the question, whose way it cannot know; the answer that it gives is covered.

TestAgeOfAReadingCountsTheWay failed before ('age = 100ms, want 400ms at least') and passes under the race detector.

--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -265,15 +265,26 @@
 func (m *Mates) tell(ctx context.Context, to mate.Mate, relay bool) {
 	ctx, cancel := context.WithTimeout(ctx, tellFor)
 	defer cancel()
-	g := m.Roster.Ask(to.IP, relay, time.Now())
+	asked := time.Now()
+	g := m.Roster.Ask(to.IP, relay, asked)
 	m.Add(to.IP, &g)
 	answer, err := m.Ask(ctx, to, g)
 	if err == nil {
-		m.take(answer, time.Now())
+		m.take(older(answer, time.Since(asked)), time.Now())
 	}
 	m.ended(to.IP, err, time.Now())
 }
 
+// older returns an answer whose reading of the store is older by the time that the answer may have been on its way: a busy host may send it,
+// or take it, long after it was put together.
+func older(answer gossip.Gossip, way time.Duration) gossip.Gossip {
+	if answer.Read != nil {
+		read := answer.Read.WithLater(way)
+		answer.Read = &read
+	}
+	return answer
+}
+
 // ended notes how a question ended.
 func (m *Mates) ended(ip string, err error, now time.Time) {
 	m.mu.Lock()
--- a/internal/mates/mates_test.go
+++ b/internal/mates/mates_test.go
@@ -1,6 +1,7 @@
 package mates_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"slices"
@@ -8,7 +9,15 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
+	"damaskreach/internal/busy"
+	"damaskreach/internal/gossip"
+	"damaskreach/internal/marks"
+	"damaskreach/internal/mate"
+	"damaskreach/internal/mates"
 	"damaskreach/internal/rhythm"
+	"damaskreach/internal/roster"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/usage"
 )
@@ -239,3 +248,37 @@
 		}
 	})
 }
+
+// An answer waits for its turn at a busy host after it was put together. The reading of the store that it tells of is as much older by then;
+// a host that took it for fresh would rely on it for too long.
+func TestAgeOfAReadingCountsTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const told, held = 100 * time.Millisecond, 300 * time.Millisecond
+		var heard []time.Duration
+		m := mates.NewMates(mate.Mate{IP: "10.0.0.1", Centre: "a"})
+		m.Roster = roster.NewRoster("10.0.0.1", func(string) string { return "" })
+		m.Hosts = func() map[string]mate.Mate { return map[string]mate.Mate{"10.0.0.2": {IP: "10.0.0.2", Centre: "a"}} }
+		m.Own = func() (busy.Busy, []usage.Usage, []string) { return busy.Busy{}, nil, nil }
+		m.Add = func(string, *gossip.Gossip) {}
+		m.Ask = func(context.Context, mate.Mate, gossip.Gossip) (gossip.Gossip, error) {
+			time.Sleep(held)
+			return gossip.Gossip{IP: "10.0.0.2", Start: "s", Read: &marks.Marks{Age: told.Milliseconds()}}, nil
+		}
+		m.Hear = func(g gossip.Gossip) { heard = append(heard, time.Duration(g.Read.Age)*time.Millisecond) }
+		m.Log = zap.NewNop()
+		ctx, cancel := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		time.Sleep(3 * time.Second)
+		cancel()
+		time.Sleep(time.Second) // for a message under way
+		synctest.Wait()
+		for _, age := range heard {
+			if age < told+held {
+				t.Fatalf("age = %v, want %v at least", age, told+held)
+			}
+		}
+		if len(heard) == 0 {
+			t.Error("no answer was heard, want some")
+		}
+	})
+}
