Do not send to an upstream that began to leave while a connection was opened

The choice is now looked at once more when the connection is there, as it already was behind waits for turns and loads. A request that goes elsewhere so has not run.

Before: TestUpstreamThatBeganToLeaveDuringADialIsNotUsed fails (sent to the first upstream all the same).

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -57,8 +57,8 @@
 	Headers func(id string, left time.Duration, version int, last string) http.Header
 	// NotRun reports whether an upstream's answer says that it did not run the request.
 	NotRun func(status int, h http.Header) bool
-	// Do sends a request to an upstream.
-	Do func(ctx context.Context, addr string, d demand.Demand, extra http.Header) (resp.Resp, error)
+	// Do sends a request to an upstream, unless still says by then that it may not get any more.
+	Do func(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error)
 	// Owner reports whether loads on an engine can be asked for now.
 	Owner func(id string) bool
 	// Admit has an adapter loaded and returns once a prompt may be sent.
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -29,6 +30,7 @@
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
+	"damaskreach/pkg/verd"
 )
 
 // Headers of the fakes' own protocol.
@@ -63,8 +65,11 @@
 	busy    map[string]bool          // engines that have no turn in time
 	away    bool                     // the store does not answer
 	late    bool
+	dial    func(addr string) // opens a connection; nil means at once
 }
 
+var errLeft = errors.New("the upstream has begun to leave")
+
 func newBench(t *testing.T, rt route.Route) *bench {
 	rt.Host, rt.Prefix, rt.Groups, rt.Weights = "a.example", "/p/", []string{"g"}, []int{1}
 	if rt.Timeout == 0 {
@@ -119,7 +124,13 @@
 	}
 }
 
-func (b *bench) do(_ context.Context, addr string, d demand.Demand, extra http.Header) (resp.Resp, error) {
+func (b *bench) do(_ context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error) {
+	if b.dial != nil {
+		b.dial(addr)
+	}
+	if !still() {
+		return resp.Resp{}, verd.Mark(errLeft, verd.NotRun)
+	}
 	b.mu.Lock()
 	s := sent{addr, extra, d}
 	b.sent = append(b.sent, s)
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -319,3 +320,27 @@
 		t.Errorf("sent to %s, want %s", got, want)
 	}
 }
+
+// An upstream begins to leave while the connection to it is opened. The booking goes to another one, since it has not run.
+func TestUpstreamThatBeganToLeaveDuringADialIsNotUsed(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+	first := ""
+	b.dial = func(addr string) {
+		if first != "" {
+			return
+		}
+		first = addr
+		id := strings.TrimSuffix(addr, ":1")
+		leaves := b.view.Targets[id]
+		leaves.Draining = true
+		b.view.Targets[id] = leaves
+	}
+	b.then(answers(200, nil, "done", nil))
+	rec, _ := b.call(nil)
+	if got, want := rec.Body.String(), "done"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+	if len(b.sent) != 1 || b.sent[0].addr == first {
+		t.Errorf("sent to %v, want one other than %s", b.sent, first)
+	}
+}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -75,7 +75,7 @@
 	defer watch.Stop()
 	j.sent = time.Now()
 	j.version = version
-	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last))
+	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last), func() bool { return x.still(t) })
 	if err != nil && caller.Err() == context.Canceled {
 		// The caller left, and the upstream was told by the end of its connection; it is not to blame.
 		x.outcome(t, "left")
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -46,6 +46,8 @@
 var (
 	// ErrFull means that no more connections to the upstream may be opened now.
 	ErrFull = merry.Sentinel("uplink: all connections to the upstream are in use")
+	// ErrLeft means that the upstream began to leave while a connection to it was opened.
+	ErrLeft = merry.Sentinel("uplink: the upstream has begun to leave")
 	// ErrStray means that only answers to other requests came.
 	ErrStray = merry.Sentinel("uplink: the answer belongs to another request")
 )
@@ -93,9 +95,14 @@
 
 // Do sends a request with the given headers beside its own and returns the answer once its headers are there. The
 // verdict of an error says whether the request may have run. The connection is closed when ctx ends, which is how an
-// upstream learns that nobody waits for the answer any more.
-func (u *Uplink) Do(ctx context.Context, addr string, d demand.Demand, extra http.Header) (resp.Resp, error) {
+// upstream learns that nobody waits for the answer any more. Still reports whether the upstream may get the request; it is asked once there
+// is a connection, since opening one may take longer than an upstream that leaves has left.
+func (u *Uplink) Do(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error) {
 	c, err := u.take(ctx, addr)
+	if err == nil && !still() {
+		c.Close()
+		err = merry.Wrap(ErrLeft)
+	}
 	if err != nil {
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
 	}
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -82,7 +83,7 @@
 func ask(t *testing.T, u *uplink.Uplink, s *server, id string) (string, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	r, err := u.Do(ctx, s.l.Addr().String(), demand.Demand{ID: id, Method: "POST", Host: "a", URI: "/x?y=%2f", Body: []byte("b")}, nil)
+	r, err := u.Do(ctx, s.l.Addr().String(), demand.Demand{ID: id, Method: "POST", Host: "a", URI: "/x?y=%2f", Body: []byte("b")}, nil, func() bool { return true })
 	if err != nil {
 		return "", err
 	}
@@ -199,3 +200,24 @@
 		t.Error("the connection was used again after the same idle time, want a new one")
 	}
 }
+
+// An upstream begins to leave while the connection to it is opened, which takes long where its queue is full. The request must not be sent
+// there any more, and counts as not run.
+func TestRequestIsNotSentToAnUpstreamThatLeftMeanwhile(t *testing.T) {
+	s := newServer(t, answer("1", "one"))
+	u := newUplink()
+	left, dial := false, u.Dial
+	u.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		left = true
+		return dial(ctx, addr)
+	}
+	_, err := u.Do(t.Context(), s.l.Addr().String(), demand.Demand{ID: "1", Method: "POST", Host: "a", URI: "/x"}, nil, func() bool { return !left })
+	if got, want := verd.Of(err), verd.NotRun; !errors.Is(err, uplink.ErrLeft) || got != want {
+		t.Errorf("Do() = %v with verdict %v, want %v with %v", err, got, uplink.ErrLeft, want)
+	}
+	select {
+	case seen := <-s.seen:
+		t.Errorf("the upstream got %q, want nothing", seen)
+	default:
+	}
+}
