Take being turned away by the store for no outage while others read it

To notice the return early it asked the store at every message that told of a fresh reading, five times a second and host.

Now the store counts as away from when nobody that the host hears has read it, and as back at the first reading that it hears of; a host that is turned away asks as rarely as hosts do in an outage, and takes what is passed on meanwhile.

Before: TestHostThatIsTurnedAwayTakesThatForNoOutage fails ('asked the store 36 times in 8 s, want 18 at most'; the upstream that vanished is still used). After: it passes, as do the tests of real outages, unchanged.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -87,9 +87,7 @@
 	read := *g.Read
 	if e.intake.Covers(read) && e.tenure.Covers(read.Fleet) {
 		e.readers.Note(g.IP, time.Duration(read.Age)*time.Millisecond, now)
-		if e.intake.Away() {
-			e.intake.Wake(read)
-		}
+		e.intake.Wake(read)
 		return
 	}
 	wake := func() {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -47,7 +47,7 @@
 	missing map[string]time.Time
 	lost    time.Time // when readings of registrations began to fail
 	away    atomic.Bool
-	back    time.Time // when they succeeded again after the store was away
+	outage  outage
 	bad     map[string]int64
 
 	confAt     atomic.Int64 // revision up to which the operators' rows are read
@@ -98,7 +98,7 @@
 		list, rev, whole, err := i.readConf(ctx, after)
 		if err != nil {
 			i.Log.Debug("configuration not read", zap.Error(err))
-			i.pause(ctx, i.confWake)
+			i.pause(ctx, i.confWake, i.passedConf)
 			continue
 		}
 		if whole {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -25,6 +25,7 @@
 	down bool
 	gone bool // the history is gone
 	slow time.Duration
+	asks int // calls about upstreams
 	rev  int64
 }
 
@@ -32,6 +33,9 @@
 	list := func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
 		s.mu.Lock()
 		slow, list := s.slow, s.rows[prefix]
+		if prefix == "up/" {
+			s.asks++
+		}
 		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -181,6 +185,34 @@
 	})
 }
 
+// The store turns a host away for seconds while it serves the others, which go on telling it how far they have read. Nothing lapses meanwhile:
+// an upstream that vanishes after the host's return is gone at once. And the host need not ask the store at each message: hundreds
+// that did would be most of its calls.
+func TestHostThatIsTurnedAwayTakesThatForNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
+		i := start(t, s, func(i *intake.Intake) { i.Pause = func() time.Duration { return time.Second } })
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.down, s.asks = true, 0 })
+		for range 40 {
+			time.Sleep(200 * time.Millisecond)
+			i.Wake(marks.Marks{Age: 300})
+		}
+		s.set(func() {
+			if got, want := s.asks, 2*9; got > want { // a list may follow a tail
+				t.Errorf("asked the store %d times in 8 s, want %d at most", got, want)
+			}
+			s.down = false
+		})
+		time.Sleep(1100 * time.Millisecond)
+		s.set(func() { s.rows["up/"] = []rows.Row{gone("a")} })
+		time.Sleep(1100 * time.Millisecond)
+		if _, ok := i.View().Targets["a"]; ok || i.Away() {
+			t.Errorf("upstreams = %v, away = %v, want b alone and the store back", i.View().Targets, i.Away())
+		}
+	})
+}
+
 // The store takes long to answer, or its answer crosses a full link. What it says is as of some moment since it was asked; hosts that count the age
 // from the answer rely on it for as much longer, and send requests to upstreams that have left meanwhile.
 func TestAgeCountsFromTheQuestion(t *testing.T) {
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -53,7 +53,7 @@
 // await waits until registrations are to be read from the store, not before next, and takes those that other hosts pass on meanwhile.
 func (i *Intake) await(ctx context.Context, next time.Time) {
 	if len(i.missing) > 0 {
-		next = earlier(next, i.back.Add(absent))
+		next = earlier(next, i.outage.ends())
 	}
 	i.sleep(ctx, next)
 	if len(i.missing) == 0 {
@@ -94,21 +94,30 @@
 	return m.Conf <= i.confAt.Load() && m.Targets <= i.targetAt.Load()
 }
 
-// pause waits after a failed reading, no longer than until another host has read.
-func (i *Intake) pause(ctx context.Context, wake <-chan struct{}) {
+// pause waits after a failed reading, no longer than until another host knows of something newer that it does not pass on, or tells that the
+// store is back.
+func (i *Intake) pause(ctx context.Context, wake <-chan struct{}, take func() bool) {
 	timer := time.NewTimer(i.Pause())
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-	case <-timer.C:
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-wake:
+			if !take() {
+				return
+			}
+		}
 	}
 }
 
-// Wake ends the rest where another host has read something newer, or has read at all while the store seemed to be away: what lapsed
-// with the store has its time from the store's return, which must not be noticed late.
+// Wake ends the rest where another host has read something newer, or has read at all after nobody had: what lapsed with the store has its
+// time from the store's return, which must not be noticed late.
 func (i *Intake) Wake(m marks.Marks) {
-	back := i.away.Load() && time.Duration(m.Age)*time.Millisecond < away
+	age := time.Duration(m.Age) * time.Millisecond
+	back := i.outage.note(time.Now().Add(-age), i.away.Load(), i.Every())
 	if back || m.Conf > i.confAt.Load() {
 		nudge(i.confWake)
 	}
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -17,15 +17,6 @@
 	"damaskreach/internal/view"
 )
 
-const (
-	// absent is how long after the store's return an upstream is still used that vanished: registrations that lapsed with the store
-	// are back within two seconds of its return. It ends at one moment for all: counted from when each was missed, one that
-	// began to leave after the return would be used for a reading and these seconds more.
-	absent = 2200 * time.Millisecond
-	// away is how long a reading must have failed for the store to count as having been away.
-	away = 1500 * time.Millisecond
-)
-
 // RunTargets follows the upstreams' registrations until ctx ends.
 func (i *Intake) RunTargets(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -38,7 +29,7 @@
 				i.lost = began
 				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
 			}
-			i.pause(ctx, i.targetWake)
+			i.pause(ctx, i.targetWake, i.passedTargets)
 			continue
 		}
 		i.await(ctx, began.Add(i.Every()))
@@ -94,15 +85,12 @@
 	if err != nil {
 		return err
 	}
-	i.away.Store(false)
 	now := time.Now()
 	if !i.lost.IsZero() {
 		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
-		if now.Sub(i.lost) > away {
-			i.back = now
-		}
 	}
 	i.lost = time.Time{}
+	i.outage.note(began, i.away.Swap(false), i.Every())
 	i.takeTargets(list, whole, rev, now)
 	i.targetRead.Store(began.UnixNano())
 	return nil
@@ -146,7 +134,7 @@
 			i.miss(targets, id, now)
 		}
 	}
-	if now.Sub(i.back) >= absent {
+	if !now.Before(i.outage.ends()) {
 		for id, since := range i.missing {
 			news = append(news, i.lack(id, rev))
 			delete(i.missing, id)
@@ -169,7 +157,7 @@
 	if !ok {
 		return
 	}
-	if now.Sub(i.back) < absent && !t.Draining {
+	if now.Before(i.outage.ends()) && !t.Draining {
 		if _, ok := i.missing[id]; !ok {
 			i.missing[id] = now
 		}
