Tell how old the reading is that a host relies on, in lines and metrics

'age' in the lines of requests and the gauge belief_age_seconds{belief=upstreams} counted from the last change that a host took, up to a minute ago where another one reads for it, and from nothing that decides anything. Both now tell the age that decisions rest on: of the newest reading, its own or another host's. The field of the view that nothing decided by is gone.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -70,6 +70,8 @@
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
+	// Age returns how old the newest reading of the upstreams is that this host relies on, its own or another one's.
+	Age func() time.Duration
 	// Away reports whether the store did not answer the last reading.
 	Away func() bool
 	// Started is when this host began to read the store.
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -82,7 +82,6 @@
 			Pools: map[string]pool.Pool{"g": {Name: "g", Engine: true, Models: []model.Model{{Name: "m"}}, Places: 4}},
 		},
 		Targets: map[string]target.Target{},
-		Read:    time.Now(),
 	}
 	b.add("one", nil)
 	b.add("two", nil)
@@ -111,6 +110,7 @@
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
 		Away:  func() bool { return b.away },
+		Age:   func() time.Duration { return 0 },
 		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
 		Stats: stats.NewStats(),
 	}
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -38,7 +38,7 @@
 	x.Log.Info("refused", zap.String("request", j.d.ID), zap.String("code", r.Code), zap.Stringer("verdict", r.Verdict),
 		zap.String("why", r.Text), zap.String("route", j.route.Name), zap.String("adapter", j.d.Adapter),
 		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.Duration("after", time.Since(j.begun)),
-		zap.Int64("rules", j.view.Rules.Version), zap.Duration("age", time.Since(j.view.Read)))
+		zap.Int64("rules", j.view.Rules.Version), zap.Duration("age", x.Age()))
 	if j.headed {
 		panic(http.ErrAbortHandler)
 	}
@@ -74,7 +74,7 @@
 		zap.Int("prompt", j.d.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
 		zap.Duration("turn", j.turn()), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
 		zap.Duration("goal", j.route.Target), zap.Duration("most", j.route.Gap), zap.Int64("rules", j.view.Rules.Version),
-		zap.Duration("age", now.Sub(j.view.Read)))
+		zap.Duration("age", x.Age()))
 }
 
 // count counts a request that has ended, by its route.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,7 +150,7 @@
 	}}
 	return &direct.Direct{
 		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: measured, Use: e.use,
-		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Holds: e.holds, Pick: e.pick,
+		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Holds: e.holds, Pick: e.pick,
 		Spare: e.spare, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
 	}
 }
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -30,11 +30,10 @@
 func (e *Edge) gauges() {
 	age := func(belief string, read func() float64) { e.Stats.Gauge(stats.Age, read, "belief", belief) }
 	age("upstreams", func() float64 {
-		read := e.intake.View().Read
-		if read.IsZero() {
+		if e.intake.Read().IsZero() {
 			return unknown
 		}
-		return time.Since(read).Seconds()
+		return e.relied().Seconds()
 	})
 	age("configuration", func() float64 {
 		old, ok := e.intake.Age()
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -46,6 +46,16 @@
 	return e.readers.Fresh(e.Setup().Drain-ownReading, time.Now()) && !e.reader()
 }
 
+// relied returns how old the newest reading of the upstreams is that this host relies on, its own or another one's.
+func (e *Edge) relied() time.Duration {
+	now := time.Now()
+	age := now.Sub(e.intake.Read())
+	if heard, ok := e.readers.Age(now); ok {
+		age = min(age, heard)
+	}
+	return age
+}
+
 // marks returns how far this host knows the store and how old that is; nothing where it has not heard of any reading.
 func (e *Edge) marks() *marks.Marks {
 	known, ok := e.intake.Marks()
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -144,6 +144,15 @@
 	return time.Since(time.Unix(0, at)), at > 0
 }
 
+// Read returns when this host last began to read the upstreams' registrations from the store; the zero time where it never did.
+func (i *Intake) Read() time.Time {
+	at := i.targetRead.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
 // Marks returns the revisions of the newest changes read, and whether this host reads well enough to do it for others.
 func (i *Intake) Marks() (m marks.Marks, ok bool) {
 	now := time.Now()
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -27,7 +27,7 @@
 			i.away.Store(true)
 			if i.lost.IsZero() {
 				i.lost = began
-				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.View().Read)), zap.Error(err))
+				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.Read())), zap.Error(err))
 			}
 			i.pause(ctx, i.targetWake, i.passedTargets)
 			continue
@@ -142,7 +142,7 @@
 			i.Log.Info("upstream gone", zap.String("target", id), zap.Duration("missing", now.Sub(since)))
 		}
 	}
-	i.swap(func(v view.View) view.View { return v.WithTargets(targets, now) })
+	i.swap(func(v view.View) view.View { return v.WithTargets(targets) })
 	slices.SortStableFunc(news, func(a, b rows.Row) int { return cmp.Compare(a.Rev, b.Rev) })
 	return news
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -14,7 +14,6 @@
 	Targets  map[string]target.Target // by id
 	Versions map[string]int           // newest version that operators named, by "model/adapter"
 	Named    map[string]time.Time     // when this host learned of it
-	Read     time.Time                // when the upstreams were last read
 }
 
 // WithRules returns a copy with a newer configuration. An older one changes nothing: a reading that was under way when
@@ -26,10 +25,9 @@
 	return v
 }
 
-// WithTargets returns a copy with other upstreams, read at now.
-func (v View) WithTargets(targets map[string]target.Target, now time.Time) View {
+// WithTargets returns a copy with other upstreams.
+func (v View) WithTargets(targets map[string]target.Target) View {
 	v.Targets = targets
-	v.Read = now
 	return v
 }
 
