Count the time for which what another data centre knows is put off into its age

A relay that hears of something newer in another data centre waits 0.8 s for its own reader before it reads; the age of what it heard stood still meanwhile, so that the store seemed to have been read 0.8 s later than it was. A wait in a test ends with its context.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -100,15 +100,18 @@
 		e.intake.Wake(read)
 		return
 	}
-	wake := func() {
-		e.intake.Wake(read)
-		e.tenure.Wake(read.Fleet)
-	}
 	if e.tenure.Host(g.IP).Centre == e.Setup().Centre || e.reader() {
-		wake()
+		e.wake(read)
 		return
 	}
-	time.AfterFunc(e.old()+selfEvery, wake)
+	wait := e.old() + selfEvery
+	time.AfterFunc(wait, func() { e.wake(read.WithLater(wait)) })
+}
+
+// wake has what another host knows of read, unless this one knows as much by now.
+func (e *Edge) wake(read marks.Marks) {
+	e.intake.Wake(read)
+	e.tenure.Wake(read.Fleet)
 }
 
 // nudge tells others of a change at once, and looks for engines that have no host yet.
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -156,7 +156,10 @@
 		if changed {
 			return
 		}
-		time.Sleep(50 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
 	}
 }
 
