Count the age of readings on the clock that goes on through suspensions

Set back by some seconds (a trouble that any site may have), the reading seems as much younger, and hosts that rely on it go on to use upstreams that leave. The steady clock would not do either: it stands still while a host is suspended.

TestAgeCountsASuspension: with the time of day in place of the clock (trial edit) 'age = 50ms, reads for others = true, want 5s at least and not'; it passes now.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,7 +134,7 @@
 	}
 	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
 	e.intake.Relaxed, e.intake.Changed, e.intake.Keep, e.intake.Pause = e.relaxed, e.nudge, e.feeds.Keep, e.retryPause
-	e.intake.Passed = e.passed
+	e.intake.Passed, e.intake.Clock = e.passed, e.Clock
 	measured := &speed.Speed{Before: e.tenure.Rates}
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -30,13 +30,13 @@
 func (e *Edge) gauges() {
 	age := func(belief string, read func() float64) { e.Stats.Gauge(stats.Age, read, "belief", belief) }
 	age("upstreams", func() float64 {
-		if e.intake.Read().IsZero() {
+		if _, read := e.intake.Age(); !read {
 			return unknown
 		}
 		return e.relied().Seconds()
 	})
 	age("configuration", func() float64 {
-		old, ok := e.intake.Age()
+		old, ok := e.intake.ConfAge()
 		if !ok {
 			return unknown
 		}
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -48,10 +48,9 @@
 
 // relied returns how old the newest reading of the upstreams is that this host relies on, its own or another one's.
 func (e *Edge) relied() time.Duration {
-	now := time.Now()
-	age := now.Sub(e.intake.Read())
-	if heard, ok := e.readers.Age(now); ok {
-		age = min(age, heard)
+	age, read := e.intake.Age()
+	if heard, ok := e.readers.Age(time.Now()); ok && (!read || heard < age) {
+		return heard
 	}
 	return age
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,7 @@
 	Conf    string // prefix of the operators' rows; its Tail waits for a change
 	Targets string // prefix of the upstreams' registrations
 	Every   func() time.Duration
+	Clock   func() time.Duration // goes on through suspensions
 	// Rules, Target and Version decode rows; a row that is none of their kind is an error and changes nothing.
 	Rules   func(row rows.Row) (rules.Rules, bool, error)
 	Target  func(row rows.Row) (target.Target, error)
@@ -52,17 +53,19 @@
 
 	confAt     atomic.Int64 // revision up to which the operators' rows are read
 	confMark   atomic.Int64 // of their newest change
-	confRead   atomic.Int64 // when they were last read, in Unix nanoseconds
+	confRead   atomic.Int64 // when they were last read, in nanoseconds of the clock; 0 means never
 	confWake   chan struct{}
 	targetAt   atomic.Int64
 	targetMark atomic.Int64
-	targetRead atomic.Int64 // when their last reading began
+	targetRead atomic.Int64 // when the last reading of registrations began, likewise
 	targetWake chan struct{}
 }
 
 // NewIntake returns an intake that knows nothing yet.
 func NewIntake() *Intake {
+	begun := time.Now()
 	i := &Intake{
+		Clock:   func() time.Duration { return time.Since(begun) },
 		missing: map[string]time.Time{}, bad: map[string]int64{}, confWake: make(chan struct{}, 1), targetWake: make(chan struct{}, 1),
 		Relaxed: func() bool { return false }, Changed: func() {},
 		Passed: func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
@@ -71,6 +74,18 @@
 	return i
 }
 
+// moment returns the clock's nanoseconds, never 0. What lies between two of them is told to other hosts as an age: the time of day may be set
+// back, and the steady clock stands still while the host is suspended; by either a reading would seem younger than it is.
+func (i *Intake) moment() int64 {
+	return max(1, i.Clock().Nanoseconds())
+}
+
+// since returns how long ago a moment was, and whether there was one.
+func (i *Intake) since(at *atomic.Int64) (age time.Duration, ok bool) {
+	then := at.Load()
+	return time.Duration(i.moment() - then), then > 0
+}
+
 // View returns the newest view.
 func (i *Intake) View() view.View {
 	return *i.current.Load()
@@ -105,7 +120,7 @@
 			after = feed.Whole
 		}
 		i.takeConf(list, after, max(rev, i.confAt.Load()))
-		i.confRead.Store(time.Now().UnixNano())
+		i.confRead.Store(i.moment())
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -232,6 +233,26 @@
 	})
 }
 
+// A host that reads for others is suspended, or its time of day is set back, and goes on without another reading. The steady clock counts no
+// suspension, the time of day counts what it is told; others would take its last reading for seconds younger than it is.
+func TestAgeCountsASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const suspended = 5 * time.Second
+		s := &source{rows: map[string][]rows.Row{"up/": {reg("a")}}}
+		var jump atomic.Int64
+		begun := time.Now()
+		i := start(t, s, func(i *intake.Intake) {
+			i.Clock = func() time.Duration { return time.Since(begun) + time.Duration(jump.Load()) }
+		})
+		time.Sleep(3*time.Second + 50*time.Millisecond)
+		jump.Store(int64(suspended))
+		m, ok := i.Marks()
+		if age := time.Duration(m.Age) * time.Millisecond; ok || age < suspended {
+			t.Errorf("age = %v, reads for others = %v, want %v at least and not", age, ok, suspended)
+		}
+	})
+}
+
 // The store has forgotten its history, and meanwhile an upstream vanished and another one came. A host that reads for others must tell them
 // both: they would go on to use the upstream that is gone, for as long as that host reads on.
 func TestWhatAWholeReadingFindsIsToldToOthers(t *testing.T) {
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -138,25 +138,20 @@
 	return i.away.Load()
 }
 
-// Age returns how long ago the operators' rows were last read, and whether they ever were.
-func (i *Intake) Age() (age time.Duration, ok bool) {
-	at := i.confRead.Load()
-	return time.Since(time.Unix(0, at)), at > 0
+// ConfAge returns how long ago the operators' rows were last read, and whether they ever were.
+func (i *Intake) ConfAge() (age time.Duration, ok bool) {
+	return i.since(&i.confRead)
 }
 
-// Read returns when this host last began to read the upstreams' registrations from the store; the zero time where it never did.
-func (i *Intake) Read() time.Time {
-	at := i.targetRead.Load()
-	if at == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, at)
+// Age returns how long ago this host last asked the store for the upstreams' registrations and was answered, and whether it ever was.
+func (i *Intake) Age() (age time.Duration, ok bool) {
+	return i.since(&i.targetRead)
 }
 
 // Marks returns the revisions of the newest changes read, and whether this host reads well enough to do it for others.
 func (i *Intake) Marks() (m marks.Marks, ok bool) {
-	now := time.Now()
-	age := now.Sub(time.Unix(0, i.targetRead.Load()))
-	ok = now.Sub(time.Unix(0, i.confRead.Load())) < recent && age < recent
+	age, read := i.Age()
+	confAge, confRead := i.ConfAge()
+	ok = read && age < recent && confRead && confAge < recent
 	return marks.Marks{Conf: i.confMark.Load(), Targets: i.targetMark.Load(), Age: age.Milliseconds()}, ok
 }
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -20,14 +20,15 @@
 // RunTargets follows the upstreams' registrations until ctx ends.
 func (i *Intake) RunTargets(ctx context.Context) {
 	for ctx.Err() == nil {
-		began := time.Now()
 		i.passedTargets()
+		began := time.Now()
 		if err := i.readTargets(ctx, began); err != nil {
 			i.Log.Debug("registrations not read", zap.Error(err))
 			i.away.Store(true)
 			if i.lost.IsZero() {
 				i.lost = began
-				i.Log.Info("store lost", zap.Duration("age", began.Sub(i.Read())), zap.Error(err))
+				age, _ := i.Age()
+				i.Log.Info("store lost", zap.Duration("age", age), zap.Error(err))
 			}
 			i.pause(ctx, i.targetWake, i.passedTargets)
 			continue
@@ -70,6 +71,7 @@
 func (i *Intake) readTargets(ctx context.Context, began time.Time) error {
 	callCtx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
+	asked := i.moment()
 	after := i.targetAt.Load()
 	whole := after == 0
 	var list []rows.Row
@@ -92,7 +94,7 @@
 	i.lost = time.Time{}
 	i.outage.note(began, i.away.Swap(false), i.Every())
 	i.takeTargets(list, whole, rev, now)
-	i.targetRead.Store(began.UnixNano())
+	i.targetRead.Store(asked)
 	return nil
 }
 
