--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -26,7 +26,8 @@
 	down bool
 	gone bool // the history is gone
 	slow time.Duration
-	asks int // calls about upstreams
+	asks int        // calls about upstreams
+	pass []rows.Row // registrations that another host passes on
 	rev  int64
 }
 
@@ -70,6 +71,18 @@
 	}
 }
 
+// passed returns once what another host passes on.
+func (s *source) passed(prefix string, after int64) ([]rows.Row, int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if prefix != "up/" || s.pass == nil {
+		return nil, 0, false
+	}
+	list := s.pass
+	s.pass = nil
+	return list, after + 10, true
+}
+
 func (s *source) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -302,22 +315,13 @@
 	for name, relaxed := range map[string]bool{"reads for itself": false, "lets another one read": true} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
-			passed := false
 			i := start(t, s, func(i *intake.Intake) {
 				i.Relaxed = func() bool { return relaxed }
 				i.Every = func() time.Duration { return time.Hour }
-				i.Passed = func(prefix string, after int64) ([]rows.Row, int64, bool) {
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					if !passed || prefix != "up/" {
-						return nil, 0, false
-					}
-					passed = false
-					return []rows.Row{gone("a")}, after + 10, true
-				}
+				i.Passed = s.passed
 			})
 			time.Sleep(3 * time.Second)
-			s.set(func() { passed = true })
+			s.set(func() { s.pass = []rows.Row{gone("a")} })
 			i.Wake(marks.Marks{Targets: 1000})
 			synctest.Wait()
 			if _, ok := i.View().Targets["a"]; ok || len(i.View().Targets) != 1 {
@@ -332,22 +336,14 @@
 func TestPassedOnLossEndsWithTheTimeToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
-		passed, relaxed := false, false
+		relaxed := false
 		i := start(t, s, func(i *intake.Intake) {
 			i.Relaxed = func() bool {
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				return relaxed
 			}
-			i.Passed = func(prefix string, after int64) ([]rows.Row, int64, bool) {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				if !passed || prefix != "up/" {
-					return nil, 0, false
-				}
-				passed = false
-				return []rows.Row{gone("a")}, after + 10, true
-			}
+			i.Passed = s.passed
 		})
 		time.Sleep(3 * time.Second)
 		s.set(func() { s.down = true })
@@ -355,7 +351,7 @@
 		s.set(func() { s.down, relaxed = false, true })
 		time.Sleep(1700 * time.Millisecond) // it has read again, and rests
 		s.set(func() {
-			passed = true
+			s.pass = []rows.Row{gone("a")}
 			s.rows["up/"] = nil
 		})
 		i.Wake(marks.Marks{Targets: 1000})
