Give versions that are there when a host starts no time on the one before

What is there at the first reading now counts as named long ago: the newest version is loaded. A version that is named while a host runs keeps its time.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -136,8 +136,13 @@
 
 // takeConf takes operators' rows that changed after a revision, or all of them after feed.Whole, up to another.
 func (i *Intake) takeConf(list []rows.Row, after, rev int64) {
+	learnt := time.Now()
+	if i.confAt.Load() == 0 {
+		// A version that is there when a host starts may have been named long ago: requests have no time left on the one before.
+		learnt = time.Time{}
+	}
 	for _, row := range list {
-		i.takeConfRow(row)
+		i.takeConfRow(row, learnt)
 	}
 	i.Keep(i.Conf, after, rev, list)
 	i.confAt.Store(rev)
@@ -162,7 +167,8 @@
 	return list, next, true, err
 }
 
-func (i *Intake) takeConfRow(row rows.Row) {
+// takeConfRow takes one of the operators' rows; learnt is since when its version of an adapter may be known, zero where that is long.
+func (i *Intake) takeConfRow(row rows.Row, learnt time.Time) {
 	if row.Gone {
 		return
 	}
@@ -176,7 +182,7 @@
 	if adapter, version, ok, err := i.Version(row); err != nil {
 		i.Log.Warn("version of an adapter cannot be read", zap.String("row", row.Key), zap.Error(err))
 	} else if ok {
-		i.swap(func(v view.View) view.View { return v.WithVersion(adapter, version, time.Now()) })
+		i.swap(func(v view.View) view.View { return v.WithVersion(adapter, version, learnt) })
 		i.Log.Info("version named", zap.String("adapter", adapter), zap.Int("version", version), zap.Int64("revision", row.Rev))
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -13,7 +13,7 @@
 	Rules    rules.Rules
 	Targets  map[string]target.Target // by id
 	Versions map[string]int           // newest version that operators named, by "model/adapter"
-	Named    map[string]time.Time     // when this host learned of it
+	Named    map[string]time.Time     // when this host learned of it; zero where it was there when the host started
 }
 
 // WithRules returns a copy with a newer configuration. An older one changes nothing: a reading that was under way when
