Have hosts read for themselves where their relays cannot

The trace has three causes, one behind the other:

- the relays hear from other data centres how far these have read, cannot read it themselves, and go on telling their hosts of the reading that they know.
They now pass on the newest reading that they have heard of once the store does not answer them or they have been behind for 300 ms; hosts read one after the other, 100 ms apart, and the first one passes the rows on.
- a host that rested for 7 s asks for what changed (510 rows), finds that it is more than one answer has, and only then lists (112 rows).
- rows that others pass on during a reading waited until the reading had failed, 700 ms where the store answers nothing.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/feed"
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/marks"
 	"damaskreach/internal/rows"
@@ -24,21 +26,34 @@
 // reading, a try that fails, and the choice that is under way.
 const ownReading = 800 * time.Millisecond
 
+const (
+	// inDoubt is how long a host takes at the usual speed of the store to know what others have read. One that has been behind for longer
+	// may be waiting for a store that does not answer.
+	inDoubt = 300 * time.Millisecond
+	// turnStep is the time between hosts that try to read for a data centre whose usual reader cannot.
+	turnStep = 100 * time.Millisecond
+)
+
 // reader reports whether this host reads the store for others: one in each data centre does, the first that the store answers, and
 // the others read only what it has found to be newer. Where each reads for itself, calls grow with the number of hosts, and most
 // bring nothing new.
 func (e *Edge) reader() bool {
+	return e.before() == 0
+}
+
+// before returns how many hosts of this data centre would read the store for the others sooner than this one.
+func (e *Edge) before() int {
 	m := e.mates.Load()
 	if m == nil {
-		return true
+		return 0
 	}
-	away := e.intake.Away()
+	away, before := e.intake.Away(), 0
 	for _, h := range m.Serving() {
 		if h.Centre == m.Self.Centre && h.Before(m.Self) && (away || !m.Away(h.IP)) {
-			return false
+			before++
 		}
 	}
-	return true
+	return before
 }
 
 // relaxed reports whether another host reads for this one.
@@ -55,8 +70,17 @@
 	return age
 }
 
-// marks returns how far this host knows the store and how old that is; nothing where it has not heard of any reading.
+// covers reports whether this host knows the store as far as another one's reading went.
+func (e *Edge) covers(read marks.Marks) bool {
+	return e.intake.Covers(read) && e.tenure.Covers(read.Fleet)
+}
+
+// marks returns how far this host knows the store and how old that is; nothing where it has not heard of any reading. One that the store
+// does not answer tells of a reading that went further than it knows itself: its hosts may be able to read what it cannot.
 func (e *Edge) marks() *marks.Marks {
+	if beyond, behind, ok := e.readers.Beyond(time.Now(), e.covers); ok && (e.intake.Away() || behind > inDoubt) {
+		return &beyond
+	}
 	known, ok := e.intake.Marks()
 	if !ok || !e.reader() {
 		age, heard := e.readers.Age(time.Now())
@@ -86,25 +110,39 @@
 }
 
 // hearMarks takes how far another host knows the store. Where this one knows as much, it relies on that reading. Else it takes the rows
-// that come along if the other is of its own data centre. Those of another data centre come from the reader of its own, which reads at
-// once; a host waits for them no longer than they take, since that reader may have died or lost the store, and an upstream that
-// leaves must get no new work in time all the same.
+// that come along if the other is of its own data centre and has them. Those that it is only told of come from the reader of its own data
+// centre, which reads at once; a host waits for them no longer than they take, since that reader may have died or lost the store, and an
+// upstream that leaves must get no new work in time all the same. Where the relay itself cannot read, hosts try one after the other.
 func (e *Edge) hearMarks(g gossip.Gossip, now time.Time) {
 	if g.Read == nil {
 		return
 	}
 	read := *g.Read
-	if e.intake.Covers(read) && e.tenure.Covers(read.Fleet) {
+	if e.covers(read) {
 		e.readers.Note(g.IP, time.Duration(read.Age)*time.Millisecond, now)
 		e.intake.Wake(read)
 		return
 	}
-	if e.tenure.Host(g.IP).Centre == e.Setup().Centre || e.reader() {
-		e.wake(read)
+	e.readers.Ahead(read, now)
+	if wait := e.untilOwn(g); wait > 0 {
+		time.AfterFunc(wait, func() { e.wake(read.WithLater(wait)) })
 		return
 	}
-	wait := e.old() + selfEvery
-	time.AfterFunc(wait, func() { e.wake(read.WithLater(wait)) })
+	e.wake(read)
+}
+
+// untilOwn returns how long this host lets others read what a message tells of.
+func (e *Edge) untilOwn(g gossip.Gossip) time.Duration {
+	before := e.before()
+	near := e.tenure.Host(g.IP).Centre == e.Setup().Centre
+	covered := slices.ContainsFunc(g.Known, func(f feed.Feed) bool { return f.Prefix == e.Targets && f.Rev >= g.Read.Targets })
+	switch {
+	case before == 0 || near && covered:
+		return 0
+	case near:
+		return min(e.old()+selfEvery, time.Duration(before)*turnStep)
+	}
+	return e.old() + selfEvery
 }
 
 // wake has what another host knows of read, unless this one knows as much by now.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -47,6 +47,7 @@
 	current atomic.Pointer[view.View]
 	missing map[string]time.Time
 	lost    time.Time // when readings of registrations began to fail
+	taken   time.Time // when registrations were last taken, from the store or from another host
 	away    atomic.Bool
 	outage  outage
 	bad     map[string]int64
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -21,14 +21,15 @@
 
 // source is a store whose answers are set by the test.
 type source struct {
-	mu   sync.Mutex
-	rows map[string][]rows.Row // all rows by prefix
-	down bool
-	gone bool // the history is gone
-	slow time.Duration
-	asks int        // calls about upstreams
-	pass []rows.Row // registrations that another host passes on
-	rev  int64
+	mu    sync.Mutex
+	rows  map[string][]rows.Row // all rows by prefix
+	down  bool
+	gone  bool // the history is gone
+	slow  time.Duration
+	asks  int        // calls about upstreams that it answered
+	tails int        // times it was asked what changed of them
+	pass  []rows.Row // registrations that another host passes on
+	rev   int64
 }
 
 func (s *source) table() table.Table {
@@ -62,6 +63,9 @@
 			}
 			s.mu.Lock()
 			gone := s.gone
+			if prefix == "up/" {
+				s.tails++
+			}
 			s.mu.Unlock()
 			if gone {
 				return nil, 0, table.ErrCompacted
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -12,7 +11,6 @@
 
 	"damaskreach/internal/feed"
 	"damaskreach/internal/rows"
-	"damaskreach/internal/table"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 )
@@ -61,43 +59,13 @@
 	}
 	i.Keep(i.Targets, after, rev, news)
 	i.targetAt.Store(rev)
+	i.taken = now
 	if len(news) > 0 {
 		i.targetMark.Store(rev)
 		i.Changed()
 	}
 }
 
-// readTargets reads the store. What it says may be as of any moment since the reading began.
-func (i *Intake) readTargets(ctx context.Context, began time.Time) error {
-	callCtx, cancel := context.WithTimeout(ctx, callFor)
-	defer cancel()
-	asked := i.moment()
-	after := i.targetAt.Load()
-	whole := after == 0
-	var list []rows.Row
-	var rev int64
-	var err error
-	if !whole {
-		list, rev, err = i.Table.Tail(callCtx, i.Targets, after)
-		whole = errors.Is(err, table.ErrCompacted)
-	}
-	if whole {
-		list, rev, err = i.Table.List(callCtx, i.Targets)
-	}
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	if !i.lost.IsZero() {
-		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
-	}
-	i.lost = time.Time{}
-	i.outage.note(began, i.away.Swap(false), i.Every())
-	i.takeTargets(list, whole, rev, now)
-	i.targetRead.Store(asked)
-	return nil
-}
-
 // apply works out which upstreams there are. One that vanished is gone, unless the store was away a moment ago: then its
 // registration may have lapsed with the store, and it gets the time in which it registers again. It returns the rows that say what
 // changed, oldest first, also where that shows in what a list of all rows lacks: hosts that let this one read learn it from nothing else.
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damaskreach/internal/marks"
 	"damaskreach/internal/trust"
 )
 
@@ -67,3 +68,25 @@
 		}
 	}
 }
+
+// Two relays that the store turns away pass on to each other how far somebody else has read. An older word that comes back must not take the
+// place of a newer one, and neither gets younger: members would be told of less than there is.
+func TestNewestReadingThatOthersToldOfIsPassedOn(t *testing.T) {
+	var tr trust.Trust
+	known := int64(4)
+	covers := func(m marks.Marks) bool { return m.Targets <= known }
+	if _, _, ok := tr.Beyond(now, covers); ok {
+		t.Error("tells of a reading though it has heard of none")
+	}
+	tr.Ahead(marks.Marks{Targets: 7, Age: 100}, now)
+	tr.Ahead(marks.Marks{Targets: 5, Age: 900}, now.Add(200*time.Millisecond))
+	tr.Note("neighbour", 0, now.Add(300*time.Millisecond)) // which knows no more
+	got, behind, ok := tr.Beyond(now.Add(time.Second), covers)
+	if want := (marks.Marks{Targets: 7, Age: 1100}); !ok || got != want || behind != time.Second {
+		t.Errorf("Beyond() = %+v, behind for %v, %v, want %+v, behind for 1 s", got, behind, ok, want)
+	}
+	known = 7
+	if got, _, ok := tr.Beyond(now.Add(2*time.Second), covers); ok {
+		t.Errorf("Beyond() = %+v though the host knows as much, want nothing", got)
+	}
+}
