Check callers' keys and hold teams to their limits over all hosts

Who asks: the adapter turns the one bearer key of a request into its digest, the configuration maps digests to teams; 401 as not run for a key that no team holds but on public routes; upstreams are told our name for the team and never the key, whatever the caller sent; a team's rank goes before its route's.

Limits: a team's limit lies in two to four equal parts, each a token bucket at one host, which holds it by the lease that engines are held by (tenure). The host that a caller reached asks for the request's units before it takes a turn; what has not run is given back.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -4,6 +4,8 @@
 import (
 	"net/http"
 	"time"
+
+	"damaskreach/internal/apikey"
 )
 
 // Demand is immutable.
@@ -13,6 +15,7 @@
 	Host     string
 	URI      string      // path and query as sent, never cleaned or decoded
 	Header   http.Header // to pass on; hop-by-hop headers and those that only this program sets are left out
+	Key      apikey.Key  // by which the caller proves its team
 	Body     []byte
 	Wait     time.Duration // how long the caller waits; zero means it did not say
 	Model    string        // base model; empty for plain upstreams
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -24,6 +24,7 @@
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
 	"damaskreach/internal/stats"
+	"damaskreach/internal/team"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
@@ -46,6 +47,8 @@
 	// comeBack is when to come back where nothing better is known: about the time in which a crashed upstream's neighbours
 	// take over or a load completes.
 	comeBack = 700 * time.Millisecond
+	// chargeShare is the part of a request's time within which somebody must tell whether its team may ask.
+	chargeShare = 0.3
 )
 
 // Direct serves callers. Its fields are set before the first request.
@@ -55,6 +58,9 @@
 	// Headers returns what goes beside the caller's headers to an upstream: the incarnation that must have the address, the
 	// time left, the version that must be loaded (0 for any), and the last event that was passed on.
 	Headers func(id string, left time.Duration, version int, last string) http.Header
+	// OnBehalf returns a caller's headers as they go to an upstream in the name of a team, empty for none: without the caller's key. It is
+	// used where the configuration asks callers for keys.
+	OnBehalf func(h http.Header, team string) http.Header
 	// NotRun reports whether an upstream's answer says that it did not run the request.
 	NotRun func(status int, h http.Header) bool
 	// Do sends a request to an upstream, unless still says by then that it may not get any more.
@@ -63,6 +69,8 @@
 	Owner func(id string) bool
 	// Admit has an adapter loaded and returns once a prompt may be sent.
 	Admit func(ctx context.Context, w want.Want) error
+	// Charge counts a request against the limit of its team; back must be called where it turns out not to have run.
+	Charge func(ctx context.Context, t team.Team, version int64, units float64) (back func(), refusal *refuse.Refusal)
 	// Use records that a request uses an adapter at an engine, until done is called.
 	Use func(id, adapter string) (done func())
 	// Late reports whether the host leaves too soon to serve another request to its end.
@@ -115,6 +123,10 @@
 	}
 	j.route = rt
 	j.group = rt.Group(hash(d.ID))
+	if refusal := x.identify(j); refusal != nil {
+		x.refuse(w, j, refusal)
+		return
+	}
 	if refusal := x.body(w, r, j); refusal != nil {
 		x.refuse(w, j, refusal)
 		return
@@ -126,9 +138,40 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
+	if refusal := x.charge(ctx, j); refusal != nil {
+		x.refuse(w, j, refusal)
+		return
+	}
 	x.serve(ctx, j)
 }
 
+// charge counts the request against its team's limit. Over the limit it is refused at once, before it takes a turn or a load.
+func (x *Direct) charge(ctx context.Context, j *job) *refuse.Refusal {
+	if !j.team.Limited() {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.begun.Add(time.Duration(chargeShare*float64(j.hopeless().Sub(j.begun)))))
+	defer cancel()
+	back, refusal := x.Charge(ctx, j.team, j.view.Rules.Version, j.team.Units(j.d.Prompt, j.d.Most))
+	j.back = back
+	return refusal
+}
+
+// identify finds out which team asks. Upstreams are told its name and never the key.
+func (x *Direct) identify(j *job) *refuse.Refusal {
+	rules := j.view.Rules
+	if !rules.Guarded {
+		return nil
+	}
+	t, ok := rules.Holder(j.d.Key)
+	if !ok && !j.route.Public {
+		return refuse.NewRefusal(verd.NotRun, refuse.Unauthorized, "%v that no team holds in version %d", j.d.Key, rules.Version)
+	}
+	j.team = t
+	j.d.Header = x.OnBehalf(j.d.Header, t.Name)
+	return nil
+}
+
 // noConf returns when a configuration is likely to be there.
 func (x *Direct) noConf(now time.Time) time.Duration {
 	least := leastNoConf
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -17,7 +17,7 @@
 // other verdict.
 func status(r *refuse.Refusal) int {
 	switch r.Code {
-	case refuse.BadRequest, refuse.NoRoute, refuse.TooLarge:
+	case refuse.BadRequest, refuse.NoRoute, refuse.TooLarge, refuse.Unauthorized, refuse.Limited:
 		return r.Status()
 	case refuse.SlowBody:
 		return http.StatusRequestTimeout
@@ -36,7 +36,7 @@
 func (x *Direct) refuse(w http.ResponseWriter, j *job, r *refuse.Refusal) {
 	x.finish(j, r.Code, r.Verdict, "", status(r))
 	x.Log.Info("refused", zap.String("request", j.d.ID), zap.String("code", r.Code), zap.Stringer("verdict", r.Verdict),
-		zap.String("why", r.Text), zap.String("route", j.route.Name), zap.String("adapter", j.d.Adapter),
+		zap.String("why", r.Text), zap.String("route", j.route.Name), zap.String("team", j.team.Name), zap.String("adapter", j.d.Adapter),
 		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.Duration("after", time.Since(j.begun)),
 		zap.Int64("rules", j.view.Rules.Version), zap.Duration("age", x.Age()))
 	if j.headed {
@@ -52,6 +52,9 @@
 	if r.Retry > 0 && r.Verdict == verd.NotRun {
 		h.Set("Retry-After", strconv.FormatFloat(r.Retry.Seconds(), 'f', 2, 64))
 	}
+	if r.Code == refuse.Unauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	w.WriteHeader(status(r))
 	if _, err := w.Write(body); err != nil {
 		x.Log.Debug("caller left", zap.String("request", j.d.ID), zap.Error(err))
@@ -68,8 +71,11 @@
 	if code == "ok" && j.runs > 0 && j.print != "" {
 		x.Blame.Served(j.print)
 	}
+	if j.back != nil && verdict == verd.NotRun {
+		j.back()
+	}
 	x.count(j, code, verdict, now, first)
-	x.Requests.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("code", code),
+	x.Requests.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("team", j.team.Name), zap.String("code", code),
 		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("version", j.version),
 		zap.Int("prompt", j.d.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
 		zap.Duration("turn", j.turn()), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -11,6 +11,7 @@
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/route"
 	"damaskreach/internal/target"
+	"damaskreach/internal/team"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
@@ -26,6 +27,7 @@
 	w     http.ResponseWriter
 	view  view.View
 	route route.Route
+	team  team.Team // that asks; an empty one where callers need no key
 	group string
 	print string // what it has in common with repeats of it
 	begun time.Time
@@ -34,6 +36,7 @@
 	runs      int             // sends that may have run
 	tried     map[string]bool // upstreams that did not serve it
 	fault     *refuse.Refusal // why the last send failed
+	back      func()          // gives back what was counted against the team's limit; nil where nothing was
 	version   int             // of the adapter that was asked of the upstream; 0 means any
 	last      string          // id of the last event that was passed on
 	ownerless time.Time       // since when it waits for an engine that can be given orders
@@ -45,6 +48,14 @@
 	note      string          // what was decided on the way, for the line at its end
 }
 
+// rank says how urgent the request is, 0 the most: its team's rank goes before its route's.
+func (j *job) rank() int {
+	if j.team.Ranked {
+		return j.team.Rank
+	}
+	return j.route.Priority
+}
+
 // deadline is when the request gets its final answer at the latest.
 func (j *job) deadline() time.Time {
 	left := forever
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -278,7 +278,7 @@
 		room = leastRoom
 	}
 	return want.Want{
-		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.route.Priority,
+		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.rank(),
 		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
 		Limit: time.Until(j.hopeless()), Patience: j.patience(time.Now(), cost+2*gap),
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,11 +24,13 @@
 	"damaskreach/internal/giver"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
+	"damaskreach/internal/limits"
 	"damaskreach/internal/lookup"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/quotas"
 	"damaskreach/internal/roster"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
@@ -81,12 +85,14 @@
 	Decode  func(r *http.Request) (demand.Demand, error)
 	Headers func(id string, left time.Duration, version int, last string) http.Header
 	NotRun  func(status int, h http.Header) bool
-	Matches func(h http.Header, id string) bool
-	Give    func(ctx context.Context, c change.Change) (effect.Effect, error)
-	Ask     func(ctx context.Context, c change.Change) (state.State, error)
-	Dial    func(ctx context.Context, addr string) (net.Conn, error)
-	Listen  func(addr string) (net.Listener, error)
-	Clock   func() time.Duration // goes on through suspensions
+	// OnBehalf returns a caller's headers as they go to an upstream in the name of a team.
+	OnBehalf func(h http.Header, team string) http.Header
+	Matches  func(h http.Header, id string) bool
+	Give     func(ctx context.Context, c change.Change) (effect.Effect, error)
+	Ask      func(ctx context.Context, c change.Change) (state.State, error)
+	Dial     func(ctx context.Context, addr string) (net.Conn, error)
+	Listen   func(addr string) (net.Listener, error)
+	Clock    func() time.Duration // goes on through suspensions
 	// Serve returns the handlers for lookups and for the platform's question whether the host is ready.
 	Lookup func(names func(centre string) (addrs []string, life time.Duration)) http.Handler
 	Ready  func(ready func() bool) http.Handler
@@ -98,6 +104,8 @@
 	intake  *intake.Intake
 	tenure  *tenure.Tenure
 	giver   *giver.Giver
+	quotas  *quotas.Quotas
+	limits  *limits.Limits
 	mates   atomic.Pointer[mates.Mates]
 	mesh    atomic.Pointer[peer.Mesh]
 	roster  *roster.Roster
@@ -141,6 +149,8 @@
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
 		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Unused: e.unused, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
+	e.quotas = &quotas.Quotas{Parts: limits.Parts, Fence: e.tenure.Fence, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
+	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
 	}
@@ -149,13 +159,13 @@
 		return s.Share, s.Extra, s.Window
 	}}
 	return &direct.Direct{
-		Decode: e.Decode, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Speed: measured, Use: e.use,
+		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Charge: e.limits.Charge, Speed: measured, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Holds: e.holds, Pick: e.pick,
 		Spare: e.spare, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
 	}
 }
 
-// engines returns the upstreams that need a host for their orders.
+// engines returns the upstreams that need a host for their orders, and the parts of teams' limits that need one.
 func (e *Edge) engines() map[string]target.Target {
 	v := e.intake.View()
 	engines := map[string]target.Target{}
@@ -164,6 +174,19 @@
 			engines[id] = t
 		}
 	}
+	for _, t := range v.Rules.Teams {
+		if t.Limited() {
+			return withParts(engines)
+		}
+	}
+	return engines
+}
+
+// withParts adds the parts of teams' limits, which lie at one host each like the orders to an engine.
+func withParts(engines map[string]target.Target) map[string]target.Target {
+	for _, part := range limits.Parts() {
+		engines[part] = target.Target{ID: part}
+	}
 	return engines
 }
 
@@ -221,6 +244,7 @@
 	go e.intake.RunTargets(work)
 	go e.tenure.Run(work)
 	go e.giver.Run(work)
+	go e.quotas.Run(work)
 	go e.runPeers(work, e.Setup())
 	go e.sweep(work)
 	go e.tellSelf(work)
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -48,12 +48,20 @@
 	knew  map[string]map[string]time.Time // when each host learned of it, by upstream and host
 	hosts []string
 	ports []net.Listener
+	adapt func(e *edge.Edge, s *setup.Setup) (killed func() bool) // changes a host before it starts
 }
 
 // newFleet starts hosts in so many data centres, and upstreams that go on registering.
 func newFleet(t *testing.T, hosts, centres, upstreams int) *fleet {
+	return newFleetOf(t, hosts, centres, upstreams, func(*edge.Edge, *setup.Setup) func() bool {
+		return func() bool { return false }
+	})
+}
+
+func newFleetOf(t *testing.T, hosts, centres, upstreams int, adapt func(e *edge.Edge, s *setup.Setup) (killed func() bool)) *fleet {
 	f := &fleet{
-		t: t, net: memnet.NewNet(1), store: newStore(), begun: time.Now(), centres: centres,
+		adapt: adapt,
+		t:     t, net: memnet.NewNet(1), store: newStore(), begun: time.Now(), centres: centres,
 		left: map[string]time.Time{}, knew: map[string]map[string]time.Time{},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -70,6 +78,7 @@
 		go f.register(ctx, fmt.Sprint("u", i), time.Duration(i)*beat/time.Duration(upstreams))
 	}
 	for i := range hosts {
+		f.hosts = append(f.hosts, hostIP(i))
 		f.start(ctx, i)
 	}
 	return f
@@ -111,9 +120,13 @@
 	f.store.put("servers/"+id, leaving)
 }
 
+func hostIP(i int) string {
+	return fmt.Sprintf("10.0.%d.%d", i/250, i%250+1)
+}
+
+// start runs the program on a host until ctx ends.
 func (f *fleet) start(ctx context.Context, i int) {
-	ip := fmt.Sprintf("10.0.%d.%d", i/250, i%250+1)
-	f.hosts = append(f.hosts, ip)
+	ip := hostIP(i)
 	s := setup.Setup{
 		Name: ip, IP: ip, Centre: fmt.Sprint("dc-", i%f.centres), Callers: ip + ":8000", Ready: ip + ":8001", Lookup: ip + ":8002",
 		Peers: ip + ":7380", Cores: 0.2, Memory: 200, Files: 4000, Beat: beat, Drain: drain, Grace: 8 * time.Second, Turn: 3 * time.Second,
@@ -126,7 +139,7 @@
 		},
 		Target: func(row rows.Row) (target.Target, error) {
 			id := strings.TrimPrefix(row.Key, "servers/")
-			return target.Target{ID: id, Group: "g", Addr: "10.9.9.9:80", Slots: 6, Draining: string(row.Value) == leaving}, nil
+			return target.Target{ID: id, Group: "g", Addr: upstreamAddr, Slots: 6, Draining: string(row.Value) == leaving}, nil
 		},
 		Version: func(rows.Row) (string, int, bool, error) { return "", 0, false, nil },
 		Dial:    f.net.Dial(ip), Listen: f.listen, Clock: func() time.Duration { return time.Since(f.begun) },
@@ -134,8 +147,9 @@
 		Ready:  func(func() bool) http.Handler { return http.NotFoundHandler() },
 		Log:    zap.New(&lines{fleet: f, host: ip}), Requests: zap.NewNop(), Stats: stats.NewStats(),
 	}
+	killed := f.adapt(e, &s)
 	go func() {
-		if err := e.Run(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := e.Run(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) && !killed() {
 			f.t.Errorf("host %s ended: %v", ip, err)
 		}
 	}()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,10 +7,12 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/bounds"
+	"damaskreach/internal/charge"
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/ruling"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/turns"
@@ -35,8 +37,9 @@
 
 // What hosts ask each other.
 const (
-	methodTell  = "tell"
-	methodAdmit = "admit"
+	methodTell   = "tell"
+	methodAdmit  = "admit"
+	methodCharge = "charge"
 )
 
 // runPeers joins the other hosts once their secret is known.
@@ -60,6 +63,9 @@
 	peer.Answer(mesh, methodAdmit, func(ctx context.Context, _ string, w want.Want) (string, error) {
 		return want.Text(e.giver.Admit(ctx, w)), nil
 	})
+	peer.Answer(mesh, methodCharge, func(_ context.Context, _ string, c charge.Charge) (ruling.Ruling, error) {
+		return e.quotas.Charge(c), nil
+	})
 	l, err := e.Listen(s.Peers)
 	if err != nil {
 		e.Log.Error("no port for other hosts", zap.String("addr", s.Peers), zap.Error(err))
@@ -169,3 +175,18 @@
 	}
 	return e.news.modelLoads(e.live), time.Duration(min(before, mostFirst)) * modelStep
 }
+
+// charge asks the host that holds a part of teams' limits to count a request.
+func (e *Edge) charge(ctx context.Context, c charge.Charge) (ruling.Ruling, error) {
+	owner := e.tenure.Owner(c.Part)
+	if owner == e.Setup().IP {
+		return e.quotas.Charge(c), nil
+	}
+	mesh := e.mesh.Load()
+	if mesh == nil || !e.ordered(c.Part) {
+		return ruling.Ruling{}, want.ErrElsewhere
+	}
+	var r ruling.Ruling
+	err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodCharge, c, &r)
+	return r, err
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,274 @@
+// Package limits holds teams to their limits over all hosts.
+//
+// A team's limit lies in a few equal parts at as many hosts; see package quotas. For each request the host that the caller reached asks one
+// of them, and another one where that has nothing left or gives no answer: the loss of a host takes a part of the limit away, and not all.
+package limits
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"damaskreach/internal/charge"
+	"damaskreach/internal/ruling"
+	"damaskreach/internal/team"
+	"damaskreach/internal/turns"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+const (
+	// shards is how many hosts the limits of all teams lie at, at most.
+	shards = 16
+	// leastParts and mostParts bound in how many parts one team's limit lies.
+	leastParts = 2
+	mostParts  = 4
+	// partTokens and partRequests are what a part should hold at once, so that one long request does not use it up.
+	partTokens   = 8192
+	partRequests = 8
+	// small and large are the parts of a part's burst up to which a request gets all its units from one part, where parts hold few units and
+	// where they hold many. Larger requests get equal units from each: they would often be there and yet in no part alone, and a part
+	// that is full gets no more while another one is empty.
+	small = 0.125
+	large = 0.5
+	// few is less than any units that a request counts: sums of shares are not exact.
+	few = 1e-6
+	// askFor bounds one question, and the pause before a host that gave no answer is asked again.
+	askFor = 250 * time.Millisecond
+	// lookEvery is the pause before all parts are asked again where none gave an answer.
+	lookEvery = 100 * time.Millisecond
+	// mostFull bounds for how long a part that has nothing left is not asked again.
+	mostFull = 200 * time.Millisecond
+	// leastRetry is the earliest for a caller to come back, and unknownRetry when nobody could be asked.
+	leastRetry   = 50 * time.Millisecond
+	unknownRetry = 700 * time.Millisecond
+	// returnFor bounds giving back what was not used.
+	returnFor = time.Second
+)
+
+var (
+	// errSilent says that a part gave no answer, and errNobody that none of a team's parts did a moment ago.
+	errSilent = merry.Sentinel("limits: no answer")
+	errNobody = merry.Sentinel("limits: no part to ask")
+)
+
+// Limits may be used from several goroutines. Its fields are set before the first request.
+type Limits struct {
+	// Ask asks the host that holds the part of a charge; its error means that none can be asked.
+	Ask func(ctx context.Context, c charge.Charge) (ruling.Ruling, error)
+	Log *zap.Logger
+
+	mu   sync.Mutex
+	full map[string]full // parts that need not be asked, by part and team
+}
+
+// full is what a part had left when it was asked last.
+type full struct {
+	until  time.Time // it need not be asked before
+	units  float64   // for as many or more
+	fits   time.Time // when the units are there
+	silent bool      // it gave no answer
+}
+
+// grant is units that a part gave.
+type grant struct {
+	charge charge.Charge
+	ruling ruling.Ruling
+}
+
+// Parts returns the parts of the limits of all teams.
+func Parts() []string {
+	names := make([]string, shards)
+	for i := range names {
+		names[i] = fmt.Sprint("limits-", i)
+	}
+	return names
+}
+
+// parts returns the parts of a team's limit in the order to ask, but for those that gave no answer a moment ago.
+func (l *Limits) parts(t team.Team, version int64) []charge.Charge {
+	n := min(mostParts, max(leastParts, int(t.Burst/holds(t))))
+	sum := fnv.New32a()
+	sum.Write([]byte(t.Name))
+	first, names := int(sum.Sum32()%shards), Parts()
+	var list []charge.Charge
+	for _, at := range rand.Perm(n) {
+		c := charge.Charge{
+			Part: names[(first+at)%shards], Team: t.Name, Version: version, Rate: t.Rate / float64(n), Burst: t.Burst / float64(n),
+		}
+		if f, known := l.known(c); !known || !f.silent {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// holds returns how many units a part of a team's limit should hold at once.
+func holds(t team.Team) float64 {
+	if t.Tokens {
+		return partTokens
+	}
+	return partRequests
+}
+
+// Charge has a request counted. Back must be called where it turns out not to have run.
+func (l *Limits) Charge(ctx context.Context, t team.Team, version int64, units float64) (back func(), refusal *refuse.Refusal) {
+	for {
+		grants, wait, err := l.ask(ctx, t, l.parts(t, version), units)
+		switch {
+		case err == nil && wait == 0:
+			return func() { l.giveBack(grants) }, nil
+		case err == nil:
+			l.giveBack(grants)
+			return nil, refuse.NewRefusal(verd.NotRun, refuse.Limited, "the limit of team %s is used up", t.Name).WithRetry(max(leastRetry, wait))
+		}
+		l.giveBack(grants)
+		if !errors.Is(err, errSilent) && !turns.Sleep(ctx, lookEvery) || ctx.Err() != nil {
+			return nil, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no host tells what is left of the limit of team %s", t.Name).
+				WithRetry(unknownRetry)
+		}
+	}
+}
+
+// ask asks parts until a request has the units that it counts. Where it does not get them wait is how long it will be until they are there.
+func (l *Limits) ask(ctx context.Context, t team.Team, list []charge.Charge, units float64) (grants []grant, wait time.Duration, err error) {
+	if len(list) == 0 {
+		return nil, 0, errNobody
+	}
+	burst := list[0].Burst
+	if units <= small*burst || burst >= holds(t) && units <= large*burst {
+		return l.askOne(ctx, list, units)
+	}
+	return l.askEach(ctx, list, units)
+}
+
+// askOne asks one part after the other for all units.
+func (l *Limits) askOne(ctx context.Context, list []charge.Charge, units float64) (grants []grant, wait time.Duration, err error) {
+	err = errSilent
+	for _, c := range list {
+		c = c.WithUnits(units, 0)
+		f, known := l.known(c)
+		if !known {
+			r, failed := l.send(ctx, c)
+			if failed != nil {
+				continue
+			}
+			if r.Units > 0 {
+				return []grant{{c, r}}, 0, nil
+			}
+			f = l.note(c, full{until: time.Now().Add(min(mostFull, r.Wait)), units: units, fits: time.Now().Add(r.Wait)})
+		}
+		if fits := max(leastRetry, time.Until(f.fits)); err != nil || fits < wait {
+			wait, err = fits, nil
+		}
+	}
+	return nil, wait, err
+}
+
+// askEach asks each part for the same units, and then those for what is missing that may have more. What a request counts beyond the burst of
+// all parts together is taken from full parts alone. Where no part has its share, nothing is taken: requests that took what little there
+// is and gave it back would keep others from it.
+func (l *Limits) askEach(ctx context.Context, list []charge.Charge, units float64) (grants []grant, wait time.Duration, err error) {
+	n := float64(len(list))
+	need := min(units, n*list[0].Burst)
+	grants, wait, err = l.collect(ctx, list, need, need/n, (units-need)/n)
+	missing := need - sum(grants, need/n)
+	if err != nil || missing < few || len(grants) == 0 || units > need {
+		return grants, wait, err
+	}
+	for i, c := range list {
+		list[i] = c.WithSome(true)
+	}
+	more, _, err := l.collect(ctx, list, missing, missing, 0)
+	grants = append(grants, more...)
+	if sum(more, missing) > missing-few {
+		wait = 0
+	}
+	return grants, wait, err
+}
+
+// collect asks one part after the other for a share, up to what is needed. Wait is 0 where all is there.
+func (l *Limits) collect(ctx context.Context, list []charge.Charge, need, share, over float64) (grants []grant, wait time.Duration, err error) {
+	for _, c := range list {
+		if need < few {
+			return grants, 0, nil
+		}
+		c = c.WithUnits(min(share, need), over)
+		r, err := l.send(ctx, c)
+		if err != nil {
+			return grants, 0, err
+		}
+		if r.Units > 0 {
+			grants = append(grants, grant{c, r})
+			need -= min(c.Units, r.Units)
+		}
+		wait = max(wait, r.Wait)
+	}
+	if need < few {
+		return grants, 0, nil
+	}
+	return grants, max(leastRetry, wait), nil
+}
+
+// sum adds up what was granted, each grant up to a share: what a request counts beyond is not what it needs.
+func sum(grants []grant, share float64) float64 {
+	total := 0.0
+	for _, g := range grants {
+		total += min(share, g.ruling.Units)
+	}
+	return total
+}
+
+// send asks the host that holds a part.
+func (l *Limits) send(ctx context.Context, c charge.Charge) (ruling.Ruling, error) {
+	ctx, cancel := context.WithTimeout(ctx, askFor)
+	defer cancel()
+	r, err := l.Ask(ctx, c)
+	if err == nil && r.Counts {
+		return r, nil
+	}
+	l.note(c, full{until: time.Now().Add(lookEvery), silent: true})
+	l.Log.Info("limit not counted", zap.String("part", c.Part), zap.String("team", c.Team), zap.Error(err))
+	return ruling.Ruling{}, merry.Prependf(errSilent, "%s: %v", c.Part, err)
+}
+
+// known returns what is known of a part without asking.
+func (l *Limits) known(c charge.Charge) (full, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f, ok := l.full[c.Part+c.Team]
+	return f, ok && time.Now().Before(f.until) && (f.silent || c.Units >= f.units)
+}
+
+// note remembers that a part has nothing left, or gave no answer.
+func (l *Limits) note(c charge.Charge, f full) full {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.full == nil {
+		l.full = map[string]full{}
+	}
+	l.full[c.Part+c.Team] = f
+	return f
+}
+
+// giveBack gives units back that a request has not used. Where that fails they are lost to the team, which is as safe.
+func (l *Limits) giveBack(grants []grant) {
+	for _, g := range grants {
+		go l.returnOne(g.charge.WithReturn(g.ruling.Units, g.ruling.Life, g.ruling.Taken))
+	}
+}
+
+func (l *Limits) returnOne(c charge.Charge) {
+	ctx, cancel := context.WithTimeout(context.Background(), returnFor)
+	defer cancel()
+	if _, err := l.Ask(ctx, c); err != nil {
+		l.Log.Info("units not given back", zap.String("team", c.Team), zap.Float64("units", -c.Units), zap.Error(err))
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -19,6 +19,7 @@
 	Target    time.Duration // within which an answer, or the first event of a stream, is on time
 	Gap       time.Duration // longest pause between events for which a stream is on time
 	Priority  int           // 0 is the most urgent
+	Public    bool          // callers need no key
 	Attempts  int           // runners that one attempt of a caller may be sent to
 	Resumable bool          // a stream may go on at another runner
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -5,8 +5,10 @@
 	"strings"
 	"time"
 
+	"damaskreach/internal/apikey"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/route"
+	"damaskreach/internal/team"
 )
 
 // Rules is immutable. The zero value knows no configuration yet.
@@ -14,6 +16,9 @@
 	Version   int64                    // grows with each change by the operators
 	Routes    map[string][]route.Route // by host, longest prefix first
 	Pools     map[string]pool.Pool     // by name
+	Guarded   bool                     // callers need a key but on public routes
+	Teams     map[string]team.Team     // by name
+	Keys      map[apikey.Key]string    // name of the team that each key belongs to
 	MaxHeader int                      // of a request, in bytes
 	MaxBody   int64                    // of a request, in bytes
 	HeaderFor time.Duration            // that a caller may take to send its headers
@@ -29,3 +34,9 @@
 	}
 	return route.Route{}, false
 }
+
+// Holder returns the team that a key belongs to.
+func (r Rules) Holder(k apikey.Key) (team.Team, bool) {
+	name, ok := r.Keys[k]
+	return r.Teams[name], ok
+}
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -18,6 +18,7 @@
 	LargeHeader  = "large-header"  // the headers exceed the configured size
 	SlowBody     = "slow-body"     // the body did not arrive in time
 	UnknownModel = "unknown-model" // no such adapter or version for this tenant
+	Unauthorized = "unauthorized"  // the request names no key that is in force
 	Forbidden    = "forbidden"     // the credentials do not allow it
 	Limited      = "limited"       // a limit of the adapter or tenant is used up
 	Overloaded   = "overloaded"    // every admission queue that could serve it is full
@@ -91,6 +92,8 @@
 		return http.StatusRequestTimeout
 	case UnknownModel:
 		return http.StatusNotFound
+	case Unauthorized:
+		return http.StatusUnauthorized
 	case Forbidden:
 		return http.StatusForbidden
 	case Limited:
