--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,6 +116,7 @@
 	uplink  *uplink.Uplink
 	spare   *spare.Spare
 	news    *news
+	bundles bundles
 	conns   conns.Conns
 	blame   blame.Blame
 	keeper  keeper
@@ -136,20 +137,22 @@
 	e.intake.Every = e.readEvery
 	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
 	e.tenure = &tenure.Tenure{
-		Table: e.shared(e.Table), IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: e.Clock,
+		Table: e.shared(e.Table), Store: e.Table, Others: e.others, Patience: e.patience, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: e.Clock,
 		Log: e.Log, Stats: e.Stats,
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep, Pause: e.retryPause,
 	}
 	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
+	e.intake.Read = e.told
 	e.intake.Relaxed, e.intake.Changed, e.intake.Keep, e.intake.Pause = e.relaxed, e.nudge, e.feeds.Keep, e.retryPause
 	e.intake.Passed, e.intake.Clock = e.passed, e.Clock
+	e.intake.Others, e.intake.Patience = e.others, e.patience
 	measured := &speed.Speed{Before: e.tenure.Rates}
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
 		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Unused: e.unused, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
-	e.quotas = &quotas.Quotas{Parts: limits.Parts, Fence: e.tenure.Fence, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
+	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
 	e.uplink = &uplink.Uplink{
 		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -46,6 +46,7 @@
 	mu    sync.Mutex
 	left  map[string]time.Time            // when the store accepted that an upstream leaves
 	knew  map[string]map[string]time.Time // when each host learned of it, by upstream and host
+	found map[string]int                  // how many upstreams each host has found since its last start
 	hosts []string
 	ports []net.Listener
 	adapt func(e *edge.Edge, s *setup.Setup) (killed func() bool) // changes a host before it starts
@@ -62,7 +63,7 @@
 	f := &fleet{
 		adapt: adapt,
 		t:     t, net: memnet.NewNet(1), store: newStore(), begun: time.Now(), centres: centres,
-		left: map[string]time.Time{}, knew: map[string]map[string]time.Time{},
+		left: map[string]time.Time{}, knew: map[string]map[string]time.Time{}, found: map[string]int{},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
@@ -183,6 +184,11 @@
 }
 
 func (l *lines) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	if e.Message == "upstream found" {
+		l.fleet.mu.Lock()
+		defer l.fleet.mu.Unlock()
+		l.fleet.found[l.host]++
+	}
 	if e.Message != "upstream leaves" && e.Message != "upstream gone" {
 		return nil
 	}
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -83,6 +83,12 @@
 			note("list", prefix, begun, err)
 			return list, rev, err
 		},
+		First: func(ctx context.Context, prefix string, limit int) ([]rows.Row, int64, bool, error) {
+			begun := time.Now()
+			list, rev, more, err := t.First(ctx, prefix, limit)
+			note("first", prefix, begun, err)
+			return list, rev, more, err
+		},
 		Write: func(ctx context.Context, edits ...rows.Row) (int64, error) {
 			begun := time.Now()
 			rev, err := t.Write(ctx, edits...)
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -51,7 +51,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				luck := rand.New(rand.NewPCG(seed, 29))
-				p := newPayers(t, 18, 3, limited)
+				p := newPayers(t, 18, 3, 4, limited)
 				time.Sleep(14 * time.Second)
 				ctx, cancel := context.WithCancel(t.Context())
 				t.Cleanup(cancel)
@@ -169,7 +169,7 @@
 // A team asks for many times its limit. Others' requests are served as before, and as soon.
 func TestTeamOverItsLimitCostsOthersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPayers(t, 12, 3, limited)
+		p := newPayers(t, 12, 3, 4, limited)
 		time.Sleep(14 * time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
 		t.Cleanup(cancel)
--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -72,9 +72,9 @@
 	dead bool // killed: nothing of it reaches the network or the store any more
 }
 
-func newPayers(t *testing.T, hosts, centres int, teams func(version int64) []team.Team) *payers {
+func newPayers(t *testing.T, hosts, centres, upstreams int, teams func(version int64) []team.Team) *payers {
 	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, ctx: t.Context()}
-	p.fleet = newFleetOf(t, hosts, centres, 4, p.adapt)
+	p.fleet = newFleetOf(t, hosts, centres, upstreams, p.adapt)
 	l, err := p.net.Listen(upstreamAddr)
 	if err != nil {
 		t.Fatalf("upstream: %v", err)
@@ -128,7 +128,13 @@
 
 // mortal returns the store as a start of the program reaches it.
 func (p *payers) mortal(t table.Table, l *life) table.Table {
-	list, write, tail, read := t.List, t.Write, t.Tail, t.Read
+	list, write, tail, read, first := t.List, t.Write, t.Tail, t.Read, t.First
+	t.First = func(ctx context.Context, prefix string, limit int) ([]rows.Row, int64, bool, error) {
+		if p.dead(l) {
+			return nil, 0, false, table.ErrDown
+		}
+		return first(ctx, prefix, limit)
+	}
 	t.List = func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
 		if p.dead(l) {
 			return nil, 0, table.ErrDown
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/bounds"
+	"damaskreach/internal/bundle"
 	"damaskreach/internal/charge"
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/mate"
@@ -40,6 +41,7 @@
 	methodTell   = "tell"
 	methodAdmit  = "admit"
 	methodCharge = "charge"
+	methodRows   = "rows"
 )
 
 // runPeers joins the other hosts once their secret is known.
@@ -63,6 +65,9 @@
 	peer.Answer(mesh, methodAdmit, func(ctx context.Context, _ string, w want.Want) (string, error) {
 		return want.Text(e.giver.Admit(ctx, w)), nil
 	})
+	peer.Answer(mesh, methodRows, func(_ context.Context, _ string, prefix string) (bundle.Bundle, error) {
+		return e.bundle(prefix)
+	})
 	peer.Answer(mesh, methodCharge, func(_ context.Context, _ string, c charge.Charge) (ruling.Ruling, error) {
 		return e.quotas.Charge(c), nil
 	})
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -13,6 +13,7 @@
 	"damaskreach/internal/marks"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/tenure"
 )
 
 const (
@@ -30,18 +31,27 @@
 	// inDoubt is how long a host takes at the usual speed of the store to know what others have read. One that has been behind for longer
 	// may be waiting for a store that does not answer.
 	inDoubt = 300 * time.Millisecond
-	// turnStep is the time between hosts that try to read for a data centre whose usual reader cannot.
+	// turnStep is the time between hosts that try to read where the usual reader does not.
 	turnStep = 100 * time.Millisecond
+	// lateReading is by how much more than the pause between two readings the newest one may be old: a list of many registrations, and the
+	// messages that tell of it.
+	lateReading = 500 * time.Millisecond
 )
 
-// reader reports whether this host reads the store for others: one in each data centre does, the first that the store answers, and
-// the others read only what it has found to be newer. Where each reads for itself, calls grow with the number of hosts, and most
-// bring nothing new.
+// reader reports whether this host reads the store for others: one of all does, the first that the store answers, and the others read only
+// what it has found to be newer and not passed on. Where each reads for itself, calls and bytes grow with the number of hosts times that
+// of upstreams, and most bring nothing new. Where no reading is heard of in time, the next ones read, one after the other: the
+// first may be frozen, or cut off without knowing it yet.
 func (e *Edge) reader() bool {
-	return e.before() == 0
+	before := e.before()
+	if before == 0 {
+		return true
+	}
+	age, ok := e.readers.Age(time.Now())
+	return ok && age > e.readEvery()+lateReading+time.Duration(before)*turnStep
 }
 
-// before returns how many hosts of this data centre would read the store for the others sooner than this one.
+// before returns how many hosts would read the store for the others sooner than this one.
 func (e *Edge) before() int {
 	m := e.mates.Load()
 	if m == nil {
@@ -49,7 +59,7 @@
 	}
 	away, before := e.intake.Away(), 0
 	for _, h := range m.Serving() {
-		if h.Centre == m.Self.Centre && h.Before(m.Self) && (away || !m.Away(h.IP)) {
+		if h.Before(m.Self) && (away || !m.Away(h.IP)) {
 			before++
 		}
 	}
@@ -110,9 +120,7 @@
 }
 
 // hearMarks takes how far another host knows the store. Where this one knows as much, it relies on that reading. Else it takes the rows
-// that come along if the other is of its own data centre and has them. Those that it is only told of come from the reader of its own data
-// centre, which reads at once; a host waits for them no longer than they take, since that reader may have died or lost the store, and an
-// upstream that leaves must get no new work in time all the same. Where the relay itself cannot read, hosts try one after the other.
+// that come along if the other has them. Where the other was only told of them itself and cannot read, hosts try one after the other.
 func (e *Edge) hearMarks(g gossip.Gossip, now time.Time) {
 	if g.Read == nil {
 		return
@@ -131,18 +139,18 @@
 	e.wake(read)
 }
 
-// untilOwn returns how long this host lets others read what a message tells of.
+// untilOwn returns how long this host lets others read what a message tells of and does not bring.
 func (e *Edge) untilOwn(g gossip.Gossip) time.Duration {
-	before := e.before()
-	near := e.tenure.Host(g.IP).Centre == e.Setup().Centre
-	covered := slices.ContainsFunc(g.Known, func(f feed.Feed) bool { return f.Prefix == e.Targets && f.Rev >= g.Read.Targets })
-	switch {
-	case before == 0 || near && covered:
+	missing := map[string]int64{e.Targets: g.Read.Targets, e.Conf: g.Read.Conf, tenure.Prefix: g.Read.Fleet}
+	for _, f := range slices.Concat(e.feeds.Known(), g.Feeds) {
+		if f.Rev >= missing[f.Prefix] {
+			delete(missing, f.Prefix)
+		}
+	}
+	if len(missing) == 0 {
 		return 0
-	case near:
-		return min(e.old()+selfEvery, time.Duration(before)*turnStep)
 	}
-	return e.old() + selfEvery
+	return min(e.old()+selfEvery, time.Duration(e.before())*turnStep)
 }
 
 // wake has what another host knows of read, unless this one knows as much by now.
@@ -151,6 +159,13 @@
 	e.tenure.Wake(read.Fleet)
 }
 
+// told tells others of a reading at once: a host relies on none for long.
+func (e *Edge) told() {
+	if m := e.mates.Load(); m != nil && e.reader() {
+		m.Nudge()
+	}
+}
+
 // nudge tells others of a change at once, and looks for engines that have no host yet.
 func (e *Edge) nudge() {
 	e.tenure.Look()
@@ -191,23 +206,31 @@
 
 // noted returns the store with a line for each reading, by which on-call engineers tell what a host could know at a moment.
 func (e *Edge) noted(t table.Table) table.Table {
-	tail := t.Tail
+	note := func(prefix string, after, rev int64, list []rows.Row, begun time.Time, err error) {
+		e.Log.Info("store read", zap.String("rows", prefix), zap.Int64("after", after), zap.Int64("revision", rev),
+			zap.Int("count", len(list)), zap.Bool("reader", e.reader()), zap.Duration("took", time.Since(begun)), zap.Error(err))
+	}
+	tail, whole := t.Tail, t.List
 	t.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
 		begun := time.Now()
 		list, rev, err := tail(ctx, prefix, after)
-		e.Log.Info("store read", zap.String("rows", prefix), zap.Int64("after", after), zap.Int64("revision", rev),
-			zap.Int("count", len(list)), zap.Bool("reader", e.reader()), zap.Duration("took", time.Since(begun)), zap.Error(err))
+		note(prefix, after, rev, list, begun, err)
+		return list, rev, err
+	}
+	t.List = func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
+		begun := time.Now()
+		list, rev, err := whole(ctx, prefix)
+		note(prefix, feed.Whole, rev, list, begun, err)
 		return list, rev, err
 	}
 	return t
 }
 
-// addFeeds adds to a message how far this host knows the store, and what its receiver has not seen of it. Other data centres are
-// told how far alone: they have readers of their own, and rows that pass between data centres would cost more than their calls.
+// addFeeds adds to a message how far this host knows the store, and what its receiver has not seen of it. Rows go to other data centres from
+// the host that reads alone: each relay would tell each of theirs the same.
 func (e *Edge) addFeeds(to string, g *gossip.Gossip) {
-	g.Read = e.marks()
-	if e.tenure.Host(to).Centre == e.Setup().Centre {
-		g.Known = e.feeds.Known()
+	g.Read, g.Known = e.marks(), e.feeds.Known()
+	if e.tenure.Host(to).Centre == e.Setup().Centre || e.reader() {
 		g.Feeds = e.feeds.For(to)
 	}
 }
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,8 +19,12 @@
 	rowTakes  = 400 * time.Microsecond
 	// mostRows is how many changes the store has in one answer.
 	mostRows = 500
+	// pageFor is how long the adapter lets one page of a list take.
+	pageFor = 700 * time.Millisecond
 	// confWait is how long it keeps a reading of the operators' rows waiting for a change.
 	confWait = 2200 * time.Millisecond
+	// confSlack is how much longer the adapter lets it take.
+	confSlack = 400 * time.Millisecond
 )
 
 // store is the platform's store as its adapter shows it, with a history of every change.
@@ -32,6 +37,8 @@
 	silent  bool          // it answers nothing to those that it refuses
 	slow    time.Duration // that each call takes beside its usual time
 	lost    int64         // revision up to which the history is gone
+	calls   int           // that it has answered
+	served  int           // rows in these answers
 }
 
 func newStore() *store {
@@ -93,6 +100,8 @@
 	var err error
 	if !refused {
 		list, err = do()
+		s.calls++
+		s.served += len(list)
 	}
 	s.mu.Unlock()
 	takes := callTakes + slow + time.Duration(len(list))*rowTakes
@@ -125,6 +134,8 @@
 			return row, err
 		},
 		List: func(ctx context.Context, prefix string) (list []rows.Row, rev int64, err error) {
+			ctx, cancel := context.WithTimeout(ctx, s.listFor())
+			defer cancel()
 			err = s.call(ctx, host, func() ([]rows.Row, error) {
 				rev = s.rev
 				for key, row := range s.rows {
@@ -136,6 +147,14 @@
 			})
 			return list, rev, err
 		},
+		First: func(ctx context.Context, prefix string, limit int) (list []rows.Row, rev int64, more bool, err error) {
+			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				rev = s.rev
+				list, more = s.first(prefix, limit)
+				return list, nil
+			})
+			return list, rev, more, err
+		},
 		Write: func(ctx context.Context, edits ...rows.Row) (rev int64, err error) {
 			err = s.call(ctx, host, func() ([]rows.Row, error) {
 				rev, err = s.commit(edits)
@@ -144,6 +163,11 @@
 			return rev, err
 		},
 		Tail: func(ctx context.Context, prefix string, after int64) (list []rows.Row, rev int64, err error) {
+			if prefix == "op/" {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, confWait+confSlack)
+				defer cancel()
+			}
 			s.await(ctx, prefix, after)
 			err = s.call(ctx, host, func() ([]rows.Row, error) {
 				list, rev = s.since(prefix, after), s.rev
@@ -157,6 +181,33 @@
 	}
 }
 
+// first returns the first rows under a prefix by their keys, and whether there are more.
+func (s *store) first(prefix string, limit int) (list []rows.Row, more bool) {
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && !row.Gone {
+			list = append(list, row)
+		}
+	}
+	slices.SortFunc(list, func(a, b rows.Row) int { return strings.Compare(a.Key, b.Key) })
+	return list[:min(limit, len(list))], len(list) > limit
+}
+
+// count returns how many calls and rows there were since it was asked last.
+func (s *store) count() (calls, served int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls, served = s.calls, s.served
+	s.calls, s.served = 0, 0
+	return calls, served
+}
+
+// listFor is how long the adapter lets a list take: as long as a page may, for each.
+func (s *store) listFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(1+len(s.rows)/mostRows) * pageFor
+}
+
 // await keeps a reading of the operators' rows waiting for a change.
 func (s *store) await(ctx context.Context, prefix string, after int64) {
 	if prefix != "op/" {
--- a/internal/feeds/feeds.go
+++ b/internal/feeds/feeds.go
@@ -12,9 +12,9 @@
 	"damaskreach/internal/rows"
 )
 
-// mostRows is how many rows under a prefix are kept for hosts that have not seen them; some hundred bytes each, but for the
-// configuration, of which the newest row alone is kept.
-const mostRows = 400
+// mostRows is how many rows under a prefix are kept for hosts that have not seen them: as many as a large site claims engines within the time
+// that news takes to all hosts, at some hundred bytes each. Of the configuration the newest row alone is kept.
+const mostRows = 2000
 
 // Feeds may be used from several goroutines.
 type Feeds struct {
--- /dev/null
+++ b/internal/intake/conf.go
@@ -0,0 +1,89 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/feed"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/table"
+)
+
+// RunConf follows the operators' rows until ctx ends.
+func (i *Intake) RunConf(ctx context.Context) {
+	for ctx.Err() == nil {
+		if i.confAt.Load() > 0 {
+			i.passedConf()
+			i.rest(ctx, i.confWake, i.passedConf)
+		}
+		r := await(i.askConf(ctx), i.confWake, i.passedConf)
+		if r.err != nil {
+			i.Log.Debug("configuration not read", zap.Error(r.err))
+			i.pause(ctx, i.confWake, i.passedConf)
+			continue
+		}
+		if r.rev >= i.confAt.Load() {
+			i.takeConf(r.list, r.whole, r.rev)
+		}
+		i.confRead.Store(i.moment())
+	}
+}
+
+// passedConf takes operators' rows that another host has passed on; it reports false where there are none.
+func (i *Intake) passedConf() bool {
+	list, rev, ok := i.Passed(i.Conf, i.confAt.Load())
+	if ok {
+		i.takeConf(list, false, rev)
+	}
+	return ok
+}
+
+// takeConf takes operators' rows up to a revision. Where all were read, others are told only of those that changed: a host that was told
+// of older ones as if they were new would wait for a change that it cannot find.
+func (i *Intake) takeConf(list []rows.Row, whole bool, rev int64) {
+	after, learnt := i.confAt.Load(), time.Now()
+	if after == 0 {
+		// A version that is there when a host starts may have been named long ago: requests have no time left on the one before.
+		after, learnt = feed.Whole, time.Time{}
+	}
+	var news []rows.Row
+	for _, row := range list {
+		if !whole || row.Rev > after {
+			i.takeConfRow(row, learnt)
+			news = append(news, row)
+		}
+	}
+	i.Keep(i.Conf, after, rev, news)
+	i.confAt.Store(rev)
+	if len(news) > 0 {
+		i.confMark.Store(rev)
+		i.Changed()
+	}
+}
+
+// askConf reads the operators' rows that have changed since the last that were taken, or all of them.
+func (i *Intake) askConf(ctx context.Context) <-chan reading {
+	rev := i.confAt.Load()
+	done := make(chan reading, 1)
+	go func() { done <- i.readConf(ctx, rev) }()
+	return done
+}
+
+// readConf returns the operators' rows that changed after a revision, or all of them.
+func (i *Intake) readConf(ctx context.Context, rev int64) (r reading) {
+	if rev > 0 {
+		r.list, r.rev, r.err = i.Table.Tail(ctx, i.Conf, rev)
+		if !errors.Is(r.err, table.ErrCompacted) {
+			return r
+		}
+		i.Log.Info("history of the configuration is gone; reading all of it", zap.Int64("after", rev))
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	r.whole = true
+	r.list, r.rev, r.err = i.Table.List(callCtx, i.Conf)
+	return r
+}
--- /dev/null
+++ b/internal/intake/first_test.go
@@ -0,0 +1,86 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/intake"
+	"damaskreach/internal/rows"
+)
+
+// many returns more registrations than a host reads at its start.
+func many() []rows.Row {
+	var list []rows.Row
+	for n := range 400 {
+		list = append(list, reg(fmt.Sprint("u", n)))
+	}
+	return list
+}
+
+// Hundreds of hosts start at once on a site with thousands of upstreams. Each would have the store send its whole list, over links that take
+// seconds for it; a host that is told all rows by another one must not ask for them.
+func TestHostThatStartsTakesAllFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": many()}}
+		ready := false
+		i := start(t, s, func(i *intake.Intake) {
+			i.Patience = func() time.Duration { return 3 * time.Second }
+			i.Relaxed = func() bool { return true }
+			i.Others = func(_ context.Context, prefix string) ([]rows.Row, int64, bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.rows[prefix], 7, ready
+			}
+		})
+		time.Sleep(time.Second)
+		if got := len(i.View().Targets); got != 0 {
+			t.Errorf("upstreams = %d before another host told them, want none", got)
+		}
+		s.set(func() { ready, s.asks = true, 0 })
+		time.Sleep(200 * time.Millisecond)
+		if got, want := len(i.View().Targets), 400; got != want {
+			t.Errorf("upstreams = %d, want %d", got, want)
+		}
+		s.set(func() {
+			if s.asks > 0 {
+				t.Errorf("asked the store %d times, want never", s.asks)
+			}
+		})
+		if list, rev := i.Registrations(); len(list) != 400 || rev != 7 {
+			t.Errorf("tells others %d rows at %d, want 400 at 7", len(list), rev)
+		}
+	})
+}
+
+// Nobody tells a host that starts: its relays died with the others, or know nothing yet. It reads for itself after a while, or it would refuse
+// its callers for ever.
+func TestHostThatNobodyTellsReadsForItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": many()}}
+		i := start(t, s, func(i *intake.Intake) { i.Patience = func() time.Duration { return 3 * time.Second } })
+		time.Sleep(3500 * time.Millisecond)
+		if got, want := len(i.View().Targets), 400; got != want {
+			t.Errorf("upstreams = %d after 3.5 s, want %d", got, want)
+		}
+	})
+}
+
+// The store forgets its history, and the host that reads for others lists the configuration. Nothing has changed; were it told as new, others
+// would wait for a change that they cannot find, and rely on nobody meanwhile.
+func TestListOfAnUnchangedConfigurationIsNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/config", Value: []byte{7}, Rev: 1}}, "up/": {reg("a")}}}
+		i := start(t, s)
+		time.Sleep(2500 * time.Millisecond)
+		before, _ := i.Marks()
+		s.set(func() { s.gone = true })
+		time.Sleep(4 * time.Second)
+		after, _ := i.Marks()
+		if before.Conf == 0 || after.Conf != before.Conf {
+			t.Errorf("mark of the configuration = %d after %d, want the same", after.Conf, before.Conf)
+		}
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,13 +3,12 @@
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"damaskreach/internal/feed"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
 	"damaskreach/internal/table"
@@ -38,6 +37,12 @@
 	Pause func() time.Duration
 	// Passed returns rows under a prefix that changed after a revision, up to another, where another host has passed them on.
 	Passed func(prefix string, after int64) (list []rows.Row, rev int64, ok bool)
+	// Others returns all rows under a prefix as another host knows them, and up to which revision; ok is false where none tells.
+	Others func(ctx context.Context, prefix string) (list []rows.Row, rev int64, ok bool)
+	// Patience returns for how long this host leaves the store's whole list to others when it starts.
+	Patience func() time.Duration
+	// Read is called after each reading of the registrations from the store.
+	Read func()
 	// Changed is called after a change that others should know of.
 	Changed func()
 	// Keep takes the rows that others should know of among those that changed after a revision, or feed.Whole, up to another.
@@ -48,10 +53,14 @@
 	missing map[string]time.Time
 	lost    time.Time // when readings of registrations began to fail
 	taken   time.Time // when registrations were last taken, from the store or from another host
+	tooMany float64   // upstreams times seconds whose changes are more than one answer has; 0 where none were yet
 	away    atomic.Bool
 	outage  outage
 	bad     map[string]int64
 
+	rawMu sync.Mutex
+	raw   map[string]rows.Row // registrations as they were read last, by id
+
 	confAt     atomic.Int64 // revision up to which the operators' rows are read
 	confMark   atomic.Int64 // of their newest change
 	confRead   atomic.Int64 // when they were last read, in nanoseconds of the clock; 0 means never
@@ -68,8 +77,10 @@
 	i := &Intake{
 		Clock:   func() time.Duration { return time.Since(begun) },
 		missing: map[string]time.Time{}, bad: map[string]int64{}, confWake: make(chan struct{}, 1), targetWake: make(chan struct{}, 1),
-		Relaxed: func() bool { return false }, Changed: func() {},
-		Passed: func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
+		Relaxed: func() bool { return false }, Changed: func() {}, Read: func() {}, raw: map[string]rows.Row{},
+		Others:   func(context.Context, string) ([]rows.Row, int64, bool) { return nil, 0, false },
+		Patience: func() time.Duration { return 0 },
+		Passed:   func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
 	}
 	i.current.Store(&view.View{})
 	return i
@@ -103,71 +114,6 @@
 	}
 }
 
-// RunConf follows the operators' rows until ctx ends.
-func (i *Intake) RunConf(ctx context.Context) {
-	for ctx.Err() == nil {
-		if i.confAt.Load() > 0 {
-			i.passedConf()
-			i.rest(ctx, i.confWake, i.passedConf)
-		}
-		after := i.confAt.Load()
-		list, rev, whole, err := i.readConf(ctx, after)
-		if err != nil {
-			i.Log.Debug("configuration not read", zap.Error(err))
-			i.pause(ctx, i.confWake, i.passedConf)
-			continue
-		}
-		if whole {
-			after = feed.Whole
-		}
-		i.takeConf(list, after, max(rev, i.confAt.Load()))
-		i.confRead.Store(i.moment())
-	}
-}
-
-// passedConf takes operators' rows that another host has passed on; it reports false where there are none.
-func (i *Intake) passedConf() bool {
-	after := i.confAt.Load()
-	list, rev, ok := i.Passed(i.Conf, after)
-	if ok {
-		i.takeConf(list, after, rev)
-	}
-	return ok
-}
-
-// takeConf takes operators' rows that changed after a revision, or all of them after feed.Whole, up to another.
-func (i *Intake) takeConf(list []rows.Row, after, rev int64) {
-	learnt := time.Now()
-	if i.confAt.Load() == 0 {
-		// A version that is there when a host starts may have been named long ago: requests have no time left on the one before.
-		learnt = time.Time{}
-	}
-	for _, row := range list {
-		i.takeConfRow(row, learnt)
-	}
-	i.Keep(i.Conf, after, rev, list)
-	i.confAt.Store(rev)
-	if len(list) > 0 {
-		i.confMark.Store(rev)
-		i.Changed()
-	}
-}
-
-// readConf returns the operators' rows that changed after a revision, or all of them.
-func (i *Intake) readConf(ctx context.Context, rev int64) (list []rows.Row, next int64, whole bool, err error) {
-	if rev > 0 {
-		list, next, err = i.Table.Tail(ctx, i.Conf, rev)
-		if !errors.Is(err, table.ErrCompacted) {
-			return list, next, false, err
-		}
-		i.Log.Info("history of the configuration is gone; reading all of it", zap.Int64("after", rev))
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callFor)
-	defer cancel()
-	list, next, err = i.Table.List(callCtx, i.Conf)
-	return list, next, true, err
-}
-
 // takeConfRow takes one of the operators' rows; learnt is since when its version of an adapter may be known, zero where that is long.
 func (i *Intake) takeConfRow(row rows.Row, learnt time.Time) {
 	if row.Gone {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -54,6 +54,10 @@
 	}
 	return table.Table{
 		List: list,
+		First: func(ctx context.Context, prefix string, limit int) ([]rows.Row, int64, bool, error) {
+			rows, rev, err := list(ctx, prefix)
+			return rows[:min(limit, len(rows))], rev, len(rows) > limit, err
+		},
 		Tail: func(ctx context.Context, prefix string, _ int64) ([]rows.Row, int64, error) {
 			if prefix == "op/" {
 				select {
--- a/internal/intake/reading.go
+++ b/internal/intake/reading.go
@@ -15,23 +15,34 @@
 // each of them changes about once a pause, so that the changes would be more than the list.
 const behind = 2
 
-// reading is what one reading of the registrations brought.
+// listFor bounds a list of all registrations; the store's adapter bounds each page.
+const listFor = 4 * time.Second
+
+// reading is what one reading of the store brought.
 type reading struct {
 	list  []rows.Row
-	whole bool // all registrations, not what changed
+	whole bool // all rows, not what changed
+	heard bool // from another host and not from the store
 	rev   int64
+	cut   float64 // upstreams times seconds whose changes were more than one answer has; 0 where they were not
 	err   error
 }
 
-// readTargets reads the store. What it says may be as of any moment since the reading began. Changes that other hosts pass on meanwhile are
-// taken at once: a store that answers nothing would keep them waiting for as long as a call may take.
+// readTargets reads the store. What it says may be as of any moment since the reading began.
 func (i *Intake) readTargets(ctx context.Context, began time.Time) error {
 	asked := i.moment()
-	r := i.awaitTargets(i.askTargets(ctx, began))
+	r := await(i.askTargets(ctx, began), i.targetWake, i.passedTargets)
+	if r.cut > 0 {
+		i.tooMany = r.cut
+	}
 	if r.err != nil {
 		return r.err
 	}
 	now := time.Now()
+	if r.heard {
+		i.takeTargets(r.list, true, r.rev, now)
+		return nil
+	}
 	if !i.lost.IsZero() {
 		i.Log.Info("store regained", zap.Duration("away", now.Sub(i.lost)))
 	}
@@ -41,41 +52,57 @@
 		i.takeTargets(r.list, r.whole, r.rev, now)
 	}
 	i.targetRead.Store(asked)
+	i.Read()
 	return nil
 }
 
 // askTargets asks the store for the registrations that have changed since the last that were taken, or for all of them.
 func (i *Intake) askTargets(ctx context.Context, began time.Time) <-chan reading {
 	after := i.targetAt.Load()
-	whole := after == 0 || began.Sub(i.taken) > behind*i.Every()
+	since := began.Sub(i.taken)
+	changes := float64(len(i.View().Targets)) * since.Seconds()
+	whole := after == 0 || since > behind*i.Every() || i.tooMany > 0 && changes >= i.tooMany
 	done := make(chan reading, 1)
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, callFor)
-		defer cancel()
 		r := reading{whole: whole}
-		if !whole {
-			r.list, r.rev, r.err = i.Table.Tail(callCtx, i.Targets, after)
-			r.whole = errors.Is(r.err, table.ErrCompacted)
+		switch {
+		case after == 0:
+			r = i.first(ctx)
+		case !whole:
+			r = i.tail(ctx, after)
+		}
+		if errors.Is(r.err, table.ErrCompacted) {
+			r.cut, r.whole = changes, true
 		}
 		if r.whole {
-			r.list, r.rev, r.err = i.Table.List(callCtx, i.Targets)
+			listCtx, cancel := context.WithTimeout(ctx, listFor)
+			defer cancel()
+			r.list, r.rev, r.err = i.Table.List(listCtx, i.Targets)
 		}
 		done <- r
 	}()
 	return done
 }
 
-// awaitTargets waits for a reading and takes what other hosts pass on meanwhile.
-func (i *Intake) awaitTargets(done <-chan reading) reading {
+func (i *Intake) tail(ctx context.Context, after int64) (r reading) {
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	r.list, r.rev, r.err = i.Table.Tail(ctx, i.Targets, after)
+	return r
+}
+
+// await waits for a reading and takes what other hosts pass on meanwhile: a store that does not answer, or that waits for a change, would keep
+// it for as long as a call may take.
+func await(done <-chan reading, wake chan struct{}, take func() bool) reading {
 	for woken := false; ; {
 		select {
 		case r := <-done:
 			if woken {
-				nudge(i.targetWake)
+				nudge(wake)
 			}
 			return r
-		case <-i.targetWake:
-			woken = !i.passedTargets()
+		case <-wake:
+			woken = !take()
 		}
 	}
 }
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -12,8 +12,10 @@
 const (
 	// restCheck is how often a host that lets another one read looks whether that one still does.
 	restCheck = 200 * time.Millisecond
-	// restMost is how long it goes without a reading of its own.
-	restMost = time.Minute
+	// restLeast is how long it goes without a reading of its own, and restRow as much for each upstream: a list of many is paid for over a
+	// longer time.
+	restLeast = time.Minute
+	restRow   = 200 * time.Millisecond
 	// recent is how old the last reading of the operators' rows may be for a host to read for others: the wait for a change, and
 	// the time in which a silent connection shows.
 	recent = 3 * time.Second
@@ -25,12 +27,12 @@
 	if !i.Relaxed() {
 		return
 	}
-	begun := time.Now()
+	begun, most := time.Now(), max(restLeast, time.Duration(len(i.View().Targets))*restRow)
 	timer := time.NewTicker(restCheck)
 	defer timer.Stop()
 	why := "nobody reads"
 	for i.Relaxed() {
-		if time.Since(begun) >= restMost {
+		if time.Since(begun) >= most {
 			why = "long enough"
 			break
 		}
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -92,6 +92,7 @@
 			continue
 		}
 		present[id] = true
+		i.keepRaw(id, row)
 		delete(i.missing, id)
 		if i.logChange(targets[id], t) {
 			news = append(news, row)
@@ -112,6 +113,7 @@
 			i.Log.Info("upstream gone", zap.String("target", id), zap.Duration("missing", now.Sub(since)))
 		}
 	}
+	i.dropRaw(targets)
 	i.swap(func(v view.View) view.View { return v.WithTargets(targets) })
 	slices.SortStableFunc(news, func(a, b rows.Row) int { return cmp.Compare(a.Rev, b.Rev) })
 	return news
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -100,7 +100,7 @@
 
 // Run tells the relays until ctx ends.
 func (m *Mates) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for nudged := false; ctx.Err() == nil; {
 		now := time.Now()
 		hosts := m.Hosts()
 		times := m.retime(hosts)
@@ -108,13 +108,13 @@
 		m.Roster.Note(own, uses, broke, now)
 		m.look(times, now)
 		m.serve(hosts, now)
-		relay, partners := m.partners(hosts, now)
+		relay, partners := m.partners(hosts, now, nudged)
 		for _, p := range partners {
 			if m.begin(p.IP, now) {
 				go m.tell(ctx, p, relay)
 			}
 		}
-		m.pause(ctx, times.Every())
+		nudged = m.pause(ctx, times.Every())
 	}
 }
 
@@ -165,18 +165,27 @@
 	return m.rhythm
 }
 
-func (m *Mates) pause(ctx context.Context, d time.Duration) {
+// pause waits for the next message; it reports true where there is something that others should know at once.
+func (m *Mates) pause(ctx context.Context, d time.Duration) (nudged bool) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-m.nudge:
+		return true
 	}
+	return false
+}
+
+// Partners returns the hosts that this one tells and hears, and whether it speaks for others.
+func (m *Mates) Partners() (relay bool, list []mate.Mate) {
+	return m.partners(m.Hosts(), time.Now(), true)
 }
 
-// partners returns the hosts to tell now, and whether to tell them as a relay.
-func (m *Mates) partners(hosts map[string]mate.Mate, now time.Time) (relay bool, list []mate.Mate) {
+// partners returns the hosts to tell now, and whether to tell them as a relay. Other relays that ask this one are left out, but where all are
+// to know something at once.
+func (m *Mates) partners(hosts map[string]mate.Mate, now time.Time, all bool) (relay bool, list []mate.Mate) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	centres := map[string][]mate.Mate{m.Self.Centre: {m.Self}}
@@ -190,18 +199,18 @@
 			lost = append(lost, h)
 		}
 	}
-	for centre, all := range centres {
-		slices.SortFunc(all, order)
-		centres[centre] = all[:min(rhythm.Relays, len(all))]
+	for centre, here := range centres {
+		slices.SortFunc(here, order)
+		centres[centre] = here[:min(rhythm.Relays, len(here))]
 	}
 	own := centres[m.Self.Centre]
 	relay = now.Sub(m.member) < m.rhythm.Silent() || slices.Contains(own, m.Self)
 	if !relay {
 		return false, own[m.half(len(own)):][:1]
 	}
-	for _, all := range centres {
-		for _, h := range all {
-			if h.IP != m.Self.IP && !m.asks(h.IP, now) {
+	for _, relays := range centres {
+		for _, h := range relays {
+			if h.IP != m.Self.IP && (all || !m.asks(h.IP, now)) {
 				list = append(list, h)
 			}
 		}
--- a/internal/quotas/quotas.go
+++ b/internal/quotas/quotas.go
@@ -26,8 +26,8 @@
 type Quotas struct {
 	// Parts returns the parts of the limits that there are.
 	Parts func() []string
-	// Fence returns the token by which this host holds a part now; false means that it does not.
-	Fence func(part string) (int64, bool)
+	// Held returns the token by which this host holds a part now, and since when; false means that it does not.
+	Held  func(part string) (fence int64, since time.Duration, ok bool)
 	Clock func() time.Duration // goes on through suspensions
 	Life  string               // tells this process from another on the same host
 
@@ -38,7 +38,7 @@
 // part is one part that this host holds or held last.
 type part struct {
 	fence int64
-	since time.Duration // when this host began to hold it
+	since time.Duration // when this host began to hold it; nothing was given out from then on but by this process
 	teams map[string]*count
 }
 
@@ -60,15 +60,15 @@
 	defer q.mu.Unlock()
 	now := q.Clock()
 	for _, name := range q.Parts() {
-		if p := q.held(name, now); p != nil {
+		if p := q.held(name); p != nil {
 			p.forget(now)
 		}
 	}
 }
 
 // held returns a part that this host holds; nil where it does not.
-func (q *Quotas) held(name string, now time.Duration) *part {
-	fence, ok := q.Fence(name)
+func (q *Quotas) held(name string) *part {
+	fence, since, ok := q.Held(name)
 	if !ok {
 		return nil
 	}
@@ -78,7 +78,7 @@
 	if q.parts == nil {
 		q.parts = map[string]*part{}
 	}
-	q.parts[name] = &part{fence: fence, since: now, teams: map[string]*count{}}
+	q.parts[name] = &part{fence: fence, since: since, teams: map[string]*count{}}
 	return q.parts[name]
 }
 
@@ -95,7 +95,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Clock()
-	p := q.held(c.Part, now)
+	p := q.held(c.Part)
 	if p == nil {
 		return ruling.Ruling{}
 	}
--- a/internal/quotas/quotas_test.go
+++ b/internal/quotas/quotas_test.go
@@ -13,13 +13,14 @@
 	*quotas.Quotas
 	now   time.Duration
 	fence int64
+	since time.Duration
 }
 
 func newHost(life string) *host {
 	h := &host{}
 	h.Quotas = &quotas.Quotas{
 		Parts: func() []string { return []string{"p"} },
-		Fence: func(string) (int64, bool) { return h.fence, h.fence != 0 },
+		Held:  func(string) (int64, time.Duration, bool) { return h.fence, h.since, h.fence != 0 },
 		Clock: func() time.Duration { return h.now },
 		Life:  life,
 	}
@@ -44,14 +45,14 @@
 func TestNewHolderBeginsWithNothing(t *testing.T) {
 	for name, next := range map[string]int64{"another host": 2, "the same host again": 1} {
 		first := newHost("first")
-		first.fence, first.now = 1, time.Hour
+		first.fence, first.now, first.since = 1, time.Hour, time.Hour
 		first.Charge(ask(1))
 		first.now += time.Minute
 		if got, want := first.take(), 20; got != want {
 			t.Errorf("%s: the first holder gave out %d, want %d", name, got, want)
 		}
 		second := newHost("second")
-		second.fence, second.now = next, first.now
+		second.fence, second.now, second.since = next, first.now, first.now
 		if got := second.take(); got != 0 {
 			t.Errorf("%s: gave out %d at once, want none", name, got)
 		}
@@ -65,14 +66,14 @@
 // A host loses a part and gets it back after another one had it. What it counted before says nothing any more.
 func TestPartThatComesBackBeginsWithNothing(t *testing.T) {
 	h := newHost("life")
-	h.fence, h.now = 1, time.Hour
+	h.fence, h.now, h.since = 1, time.Hour, time.Hour
 	h.Charge(ask(1))
 	h.now += time.Minute
 	h.fence = 0
 	if r := h.Charge(ask(1)); r.Counts || r.Units > 0 {
 		t.Errorf("without the part: %+v, want that it does not count", r)
 	}
-	h.fence = 3
+	h.fence, h.since = 3, h.now
 	if got := h.take(); got != 0 {
 		t.Errorf("gave out %d at once, want none", got)
 	}
@@ -81,7 +82,7 @@
 // Units come back to a process that did not take them: the host has started again since. They were never missing there.
 func TestUnitsComeBackToWhoTookThem(t *testing.T) {
 	h := newHost("new")
-	h.fence, h.now = 1, time.Hour
+	h.fence, h.now, h.since = 1, time.Hour, time.Hour
 	h.Charge(ask(1))
 	h.now += time.Second
 	h.Charge(ask(0).WithReturn(10, "old", h.now-time.Millisecond))
@@ -100,7 +101,7 @@
 // Hosts learn of a lowered limit one after the other. One that is behind asks by the old limit, which must not come back.
 func TestOlderLimitDoesNotComeBack(t *testing.T) {
 	h := newHost("life")
-	h.fence, h.now = 1, time.Hour
+	h.fence, h.now, h.since = 1, time.Hour, time.Hour
 	h.Charge(ask(1))
 	h.now += time.Minute
 	lowered := charge.Charge{Part: "p", Team: "red", Version: 2, Rate: 1, Burst: 2, Units: 2}
--- a/internal/rhythm/rhythm.go
+++ b/internal/rhythm/rhythm.go
@@ -13,7 +13,7 @@
 	// from an idle one, where a request runs for seconds.
 	least = 200 * time.Millisecond
 	// most is how many questions a second a relay answers.
-	most = 100
+	most = 200
 	// lost is how many messages in a row may be lost before a host counts as lost.
 	lost = 6
 	// steady is how long a host may be silent at least: one that freezes must leave the answers to lookups within the time
--- a/internal/stand/rowdb/direct.go
+++ b/internal/stand/rowdb/direct.go
@@ -26,6 +26,10 @@
 		List: func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
 			return list(ctx, func() (listing, error) { return d.list(prefix) })
 		},
+		First: func(ctx context.Context, prefix string, limit int) ([]rows.Row, int64, bool, error) {
+			all, rev, err := list(ctx, func() (listing, error) { return d.list(prefix) })
+			return all[:min(limit, len(all))], rev, len(all) > limit, err
+		},
 		Write: func(ctx context.Context, edits ...rows.Row) (int64, error) {
 			return gate.Write(ctx, d.Gate, client, func() (int64, error) { return d.commit(edits) })
 		},
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -42,6 +42,8 @@
 	Read func(ctx context.Context, key string) (rows.Row, error)
 	// List returns the rows whose keys start with prefix, sorted by key, and the revision of the reading.
 	List func(ctx context.Context, prefix string) ([]rows.Row, int64, error)
+	// First returns the first rows whose keys start with prefix, as many as limit, and whether there are more.
+	First func(ctx context.Context, prefix string, limit int) (list []rows.Row, rev int64, more bool, err error)
 	// Write applies all edits in one transaction or none and returns its revision.
 	// Conflicts names the keys whose revision did not hold.
 	Write func(ctx context.Context, edits ...rows.Row) (int64, error)
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -110,7 +110,7 @@
 func (t *Tenure) reread() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.full = -restEvery
+	t.full = -t.restMost()
 }
 
 func (t *Tenure) makeSecret(ctx context.Context) {
@@ -130,7 +130,7 @@
 	engines := t.Engines()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.renewed || t.left() < orderSlack || t.at == 0 {
+	if !t.renewed || t.unsure || t.left() < orderSlack || t.at == 0 {
 		return nil, 0
 	}
 	now := t.Clock()
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -12,6 +12,14 @@
 	"damaskreach/internal/feed"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/turns"
+)
+
+const (
+	// firstRows is how many rows a host reads from the store at its start before it asks others for all: those of some hundred hosts.
+	firstRows = 500
+	// othersEvery is the pause before others are asked again.
+	othersEvery = 150 * time.Millisecond
 )
 
 // read brings the rows up to date, claims what is free, and returns when to look next. While another host reads for this one, it reads
@@ -34,28 +42,20 @@
 	relaxed := t.Relaxed()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return relaxed && t.at > 0 && t.heard <= t.at && t.Clock()-t.full < restEvery
+	return relaxed && t.at > 0 && !t.unsure && t.heard <= t.at && t.Clock()-t.full < t.restMost()
+}
+
+// restMost is how long this host rests at most.
+func (t *Tenure) restMost() time.Duration {
+	return max(restLeast, time.Duration(len(t.own)+len(t.hosts))*restRow)
 }
 
 // fetch reads what is new.
 func (t *Tenure) fetch(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callFor)
-	defer cancel()
 	t.mu.Lock()
-	after := t.at
+	after, unsure := t.at, t.unsure
 	t.mu.Unlock()
-	var list []rows.Row
-	var rev int64
-	var err error
-	if after == 0 {
-		list, rev, err = t.Table.List(callCtx, Prefix)
-	} else {
-		list, rev, err = t.Table.Tail(callCtx, Prefix, after)
-		if errors.Is(err, table.ErrCompacted) {
-			after = 0
-			list, rev, err = t.Table.List(callCtx, Prefix)
-		}
-	}
+	list, rev, after, err := t.news(ctx, after, unsure)
 	if err != nil {
 		return err
 	}
@@ -64,6 +64,9 @@
 		after = feed.Whole
 	}
 	t.Keep(Prefix, after, rev, news)
+	if unsure {
+		t.sure()
+	}
 	if !t.Relaxed() {
 		// Renewals are not passed on: to a host that lets another one read, all hosts would seem to have lapsed.
 		t.endLapsed(ctx)
@@ -71,6 +74,94 @@
 	return nil
 }
 
+// sure notes that the store was read since this host's session began.
+func (t *Tenure) sure() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsure = false
+}
+
+// news returns the rows that changed after a revision, or all of them, after which revision, and up to which.
+func (t *Tenure) news(ctx context.Context, at int64, unsure bool) (list []rows.Row, rev, after int64, err error) {
+	if at == 0 {
+		return t.begin(ctx)
+	}
+	from := t.Table
+	if unsure {
+		from = t.Store
+	}
+	list, rev, err = tail(ctx, from, at)
+	if errors.Is(err, table.ErrCompacted) {
+		// What others have not seen is told from where they are: what changed is found by what this host knew before.
+		list, rev, err = t.list(ctx)
+	}
+	return list, rev, at, err
+}
+
+// begin reads the rows for the first time: those of hosts from the store, by which this host finds the others, and where there are many more
+// all that another host knows. Hundreds of hosts that start at once would else have the store send its whole list to each.
+func (t *Tenure) begin(ctx context.Context) (list []rows.Row, rev, after int64, err error) {
+	begun := t.Clock()
+	list, rev, more, err := t.head(ctx)
+	if err != nil || !more {
+		return list, rev, 0, err
+	}
+	t.apply(list, 0)
+	for t.Clock()-begun < t.Patience() {
+		if list, rev, ok := t.Others(ctx, Prefix); ok {
+			return list, rev, 0, nil
+		}
+		if !turns.Sleep(ctx, othersEvery) {
+			break
+		}
+	}
+	list, rev, err = t.list(ctx)
+	return list, rev, 0, err
+}
+
+// head returns the first rows, and the secret of the hosts, which comes last in the store's order.
+func (t *Tenure) head(ctx context.Context) (list []rows.Row, rev int64, more bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	list, rev, more, err = t.Table.First(ctx, Prefix, firstRows)
+	if err != nil || !more {
+		return list, rev, more, err
+	}
+	secret, err := t.Table.Read(ctx, keyRow)
+	if errors.Is(err, table.ErrAbsent) {
+		return list, rev, more, nil
+	}
+	return append(list, secret), rev, more, err
+}
+
+// Rows returns all rows that this host knows, and up to which revision; 0 where it knows none yet.
+func (t *Tenure) Rows() (list []rows.Row, rev int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for ip, h := range t.hosts {
+		list = append(list, rows.Row{Key: hostPrefix + ip, Value: encode(h.session), Rev: h.rev})
+	}
+	for id, o := range t.own {
+		list = append(list, rows.Row{Key: ownPrefix + id, Value: encode(o.ownership), Rev: o.rev})
+	}
+	if t.secret != nil {
+		list = append(list, rows.Row{Key: keyRow, Value: t.secret})
+	}
+	return list, t.at
+}
+
+func tail(ctx context.Context, from table.Table, after int64) ([]rows.Row, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
+	return from.Tail(ctx, Prefix, after)
+}
+
+func (t *Tenure) list(ctx context.Context) ([]rows.Row, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listFor)
+	defer cancel()
+	return t.Table.List(ctx, Prefix)
+}
+
 // apply takes rows read up to a revision, and returns those that matter to others.
 func (t *Tenure) apply(list []rows.Row, rev int64) (news []rows.Row) {
 	t.mu.Lock()
@@ -95,7 +186,7 @@
 	case strings.HasPrefix(row.Key, hostPrefix):
 		return t.takeHost(strings.TrimPrefix(row.Key, hostPrefix), row, now)
 	case strings.HasPrefix(row.Key, ownPrefix):
-		return t.takeOwn(strings.TrimPrefix(row.Key, ownPrefix), row)
+		return t.takeOwn(strings.TrimPrefix(row.Key, ownPrefix), row, now)
 	}
 	return false
 }
@@ -124,7 +215,7 @@
 	return changed
 }
 
-func (t *Tenure) takeOwn(id string, row rows.Row) bool {
+func (t *Tenure) takeOwn(id string, row rows.Row, now time.Duration) bool {
 	if row.Gone {
 		delete(t.own, id)
 		return true
@@ -138,6 +229,10 @@
 		return false
 	}
 	t.mark = max(t.mark, row.Rev)
-	t.own[id] = owned{ownership: o, rev: row.Rev}
+	since := now
+	if t.at == 0 {
+		since = t.begun
+	}
+	t.own[id] = owned{ownership: o, rev: row.Rev, since: since}
 	return true
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -40,10 +40,14 @@
 	readEvery = 4 * time.Second
 	// firstEvery is how often they are read in the first seconds, when all hosts start and engines have no host yet.
 	firstEvery = 500 * time.Millisecond
-	// restEvery is how often a host reads them that lets another one read.
-	restEvery = time.Minute
+	// restLeast is how often a host reads them that lets another one read, and restRow as much for each row: a list of many is paid for over
+	// a longer time.
+	restLeast = time.Minute
+	restRow   = 200 * time.Millisecond
 	// callFor bounds a call to the store.
 	callFor = time.Second
+	// listFor bounds a list of all rows; the store's adapter bounds each page.
+	listFor = 4 * time.Second
 	// margin is kept between the last order of one host and the first of the next, beside the time they must lie apart:
 	// an order under way, and the reading of clocks that run at slightly different rates.
 	margin = 700 * time.Millisecond
@@ -71,6 +75,12 @@
 	// Beside returns rows that are written along with a renewal, each whatever its revision is; a call of their own would cost as
 	// much as the renewal.
 	Beside func() []rows.Row
+	// Store is the store itself, where Table may answer with what another host has passed on.
+	Store table.Table
+	// Others returns all rows under a prefix as another host knows them, and up to which revision; ok is false where none tells.
+	Others func(ctx context.Context, prefix string) (list []rows.Row, rev int64, ok bool)
+	// Patience returns for how long this host leaves the store's whole list to others when it starts.
+	Patience func() time.Duration
 	// Relaxed reports whether another host reads the rows for this one at present.
 	Relaxed func() bool
 	// Pause returns how long to wait after a failed reading.
@@ -88,6 +98,7 @@
 	sent    time.Duration // when the last renewal that succeeded was sent
 	renewed bool
 	at      int64 // revision up to which rows are read
+	unsure  bool  // engines may have been taken over since: the store must be read before any of them is given an order
 	hosts   map[string]seen
 	own     map[string]owned
 	mark    int64         // revision of the newest change that matters to others
@@ -108,7 +119,8 @@
 
 type owned struct {
 	ownership
-	rev int64
+	rev   int64
+	since time.Duration // when this host got it, where it is this host's
 }
 
 // Run renews and reads until ctx ends.
@@ -133,6 +145,9 @@
 		}
 		if now = t.Clock(); now >= renewAt && t.seeded() {
 			renewAt = now + t.renew(ctx)
+			if t.doubts() {
+				readAt = 0
+			}
 		}
 		if t.pause(ctx, min(readAt, max(renewAt, now+time.Millisecond))-t.Clock()) {
 			readAt = 0
@@ -140,6 +155,13 @@
 	}
 }
 
+// doubts reports whether the store must be read before this host gives orders.
+func (t *Tenure) doubts() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unsure
+}
+
 // pause waits; it reports true where another host has read something newer.
 func (t *Tenure) pause(ctx context.Context, d time.Duration) (woken bool) {
 	timer := time.NewTimer(max(d, 10*time.Millisecond))
@@ -234,15 +256,14 @@
 	defer t.mu.Unlock()
 	if known.Ended || !t.renewed && !passive {
 		// Engines may have been taken over meanwhile. What is believed of them is as of a reading before this renewal.
-		t.at = 0
-		t.own = map[string]owned{}
+		t.unsure = true
 		t.Log.Info("session begun", zap.String("host", t.IP), zap.String("start", t.start), zap.Int64("revision", rev))
 	}
 	t.renewed = !passive
 	t.epoch = s.Epoch
 	t.sent = sent
 	t.hosts[t.IP] = seen{session: s, rev: rev, since: sent}
-	if t.at == 0 || passive {
+	if t.unsure || passive {
 		return firstEvery
 	}
 	return renewEvery
@@ -289,12 +310,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o, ok := t.own[id]
-	if !ok || o.IP != t.IP || o.Epoch != t.epoch || t.left() < orderSlack {
+	if !ok || t.unsure || o.IP != t.IP || o.Epoch != t.epoch || t.left() < orderSlack {
 		return 0, false
 	}
 	return o.Fence, true
 }
 
+// Held returns the token by which this host holds something now, and since when it has it: where it had it before this process began, since
+// then, as its predecessor was dead by that time.
+func (t *Tenure) Held(id string) (fence int64, since time.Duration, ok bool) {
+	fence, ok = t.Fence(id)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fence, t.own[id].since, ok
+}
+
 // Owner returns the IP of the host that gives an engine its orders, or an empty text where none is known.
 func (t *Tenure) Owner(id string) string {
 	t.mu.Lock()
@@ -306,7 +336,7 @@
 func (t *Tenure) Mine() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.left() < orderSlack {
+	if t.unsure || t.left() < orderSlack {
 		return nil
 	}
 	var ids []string
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -42,6 +42,17 @@
 	measured rates.Rates   // by each host
 	deaf     atomic.Bool   // no host hears another one
 	relaxed  atomic.Bool   // another host reads the rows for all
+	patience time.Duration // for which a host that starts waits for others to tell it all rows
+	teller   *host         // that tells them; nil where none does
+}
+
+// others asks the host that tells all rows.
+func (s *site) others(context.Context, string) (list []rows.Row, rev int64, ok bool) {
+	if s.teller == nil {
+		return nil, 0, false
+	}
+	list, rev = s.teller.Rows()
+	return list, rev, rev > 0
 }
 
 func newSite(t *testing.T, engines ...string) *site {
@@ -62,15 +73,22 @@
 
 // start starts the program on a host.
 func (s *site) start(ip string) *host {
+	return s.started(ip, func(*host) {})
+}
+
+// started is start with a host that is changed before.
+func (s *site) started(ip string, change func(h *host)) *host {
 	h := &host{}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	h.cancel = cancel
+	way := h.through(s.db.TableFor(ip))
 	h.Tenure = &tenure.Tenure{
-		Table: h.through(s.db.TableFor(ip)), IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
+		Table: way, Store: way, Others: s.others, Patience: func() time.Duration { return s.patience }, IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
 		Turn: func() time.Duration { return turn }, Clock: func() time.Duration { return time.Since(s.begun) },
 		Engines: s.known, Log: zap.NewNop(), Measured: func() rates.Rates { return s.measured }, Beside: func() []rows.Row { return nil },
 		Live: func(string) bool { return !s.deaf.Load() }, Relaxed: s.relaxed.Load, Pause: func() time.Duration { return 500 * time.Millisecond }, Keep: func(string, int64, int64, []rows.Row) {},
 	}
+	change(h)
 	go h.Run(ctx)
 	s.t.Cleanup(func() { cancel(); synctest.Wait() })
 	return h
@@ -104,6 +122,12 @@
 			}
 			return t.List(ctx, prefix)
 		},
+		First: func(ctx context.Context, prefix string, limit int) ([]rows.Row, int64, bool, error) {
+			if err := gate(ctx); err != nil {
+				return nil, 0, false, err
+			}
+			return t.First(ctx, prefix, limit)
+		},
 		Write: func(ctx context.Context, edits ...rows.Row) (int64, error) {
 			if err := gate(ctx); err != nil {
 				return 0, err
