Show what teams ask for and get, and do not deny a key that may be new

Lines, counters (team_requests_total, team_units_total) and a table of damaskctl losses by team. A host that has heard of no reading of the store for 3 s answers an unknown key by 503 with a time to come back, and not by 401: operators may have added it since.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -47,6 +47,9 @@
 	// comeBack is when to come back where nothing better is known: about the time in which a crashed upstream's neighbours
 	// take over or a load completes.
 	comeBack = 700 * time.Millisecond
+	// inForce is how old what a host knows of the configuration may be for it to tell that a key does not exist: operators may have
+	// added it since.
+	inForce = 3 * time.Second
 	// chargeShare is the part of a request's time within which somebody must tell whether its team may ask.
 	chargeShare = 0.3
 )
@@ -152,8 +155,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.begun.Add(time.Duration(chargeShare*float64(j.hopeless().Sub(j.begun)))))
 	defer cancel()
-	back, refusal := x.Charge(ctx, j.team, j.view.Rules.Version, j.team.Units(j.d.Prompt, j.d.Most))
+	j.units = j.team.Units(j.d.Prompt, j.d.Most)
+	back, refusal := x.Charge(ctx, j.team, j.view.Rules.Version, j.units)
 	j.back = back
+	outcome := "granted"
+	if refusal != nil {
+		outcome = refusal.Code
+	}
+	x.Stats.Add(stats.Units, int64(j.units), "team", j.team.Name, "outcome", outcome)
 	return refusal
 }
 
@@ -164,6 +173,10 @@
 		return nil
 	}
 	t, ok := rules.Holder(j.d.Key)
+	if age := x.Age(); !ok && !j.route.Public && age > inForce {
+		return refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "%v that no team held %v ago, in version %d", j.d.Key, age, rules.Version).
+			WithRetry(leastAway)
+	}
 	if !ok && !j.route.Public {
 		return refuse.NewRefusal(verd.NotRun, refuse.Unauthorized, "%v that no team holds in version %d", j.d.Key, rules.Version)
 	}
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -73,9 +73,10 @@
 	}
 	if j.back != nil && verdict == verd.NotRun {
 		j.back()
+		x.Stats.Add(stats.Units, int64(j.units), "team", j.team.Name, "outcome", "returned")
 	}
 	x.count(j, code, verdict, now, first)
-	x.Requests.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("team", j.team.Name), zap.String("code", code),
+	x.Requests.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("team", j.team.Name), zap.Float64("units", j.units), zap.String("code", code),
 		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("version", j.version),
 		zap.Int("prompt", j.d.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
 		zap.Duration("turn", j.turn()), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
@@ -87,6 +88,9 @@
 func (x *Direct) count(j *job, code string, verdict verd.Verdict, now time.Time, first time.Duration) {
 	route := j.route.Name
 	x.Stats.Add(stats.Requests, 1, "route", route, "code", code, "verdict", verdict.String())
+	if j.team.Name != "" {
+		x.Stats.Add(stats.Teams, 1, "team", j.team.Name, "code", code)
+	}
 	x.Stats.Time(stats.Took, now.Sub(j.begun), "route", route)
 	if first > 0 {
 		x.Stats.Time(stats.First, first, "route", route)
--- a/internal/direct/team_test.go
+++ b/internal/direct/team_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// A host has not heard of any reading of the store for a while, and a caller comes with a key that operators have just added. Told that there is
+// no such key it would give up, though another host serves it.
+func TestHostThatIsBehindDoesNotDenyAKey(t *testing.T) {
+	b := newBench(t, streamRoute())
+	b.guard(team.Team{})
+	b.Age = func() time.Duration { return 5 * time.Second }
+	rec, _ := b.call(withKey("new"))
+	if rec.Code != http.StatusServiceUnavailable || rec.Header().Get("Retry-After") == "" || len(b.sent) > 0 {
+		t.Errorf("status = %d, Retry-After %q after %d sends, want 503, a time and none", rec.Code, rec.Header().Get("Retry-After"), len(b.sent))
+	}
+}
+
 // A team's requests are more urgent than their route says. Ranked by the route they would wait behind others.
 func TestTeamsRankGoesBeforeTheRoutes(t *testing.T) {
 	rt := streamRoute()
--- a/internal/losses/line.go
+++ b/internal/losses/line.go
@@ -12,27 +12,29 @@
 
 // line is what counts here of a line that a host wrote; docs/OPERATIONS.md names the fields.
 type line struct {
-	Time    string `json:"ts"`
-	Msg     string `json:"msg"`
-	Route   string `json:"route"`
-	Code    string `json:"code"`
-	Target  string `json:"target"`
-	Adapter string `json:"adapter"`
-	Version int    `json:"version"`
-	Born    int64  `json:"born"`
-	Sends   int    `json:"sends"`
-	Note    string `json:"note"`
-	Turn    period `json:"turn"`
-	First   period `json:"first"`
-	Pause   period `json:"pause"`
-	Took    period `json:"took"`
-	Goal    period `json:"goal"`
-	Most    period `json:"most"`
-	Warm    bool   `json:"warm"`
-	Waited  period `json:"waited"`
-	Behind  string `json:"behind"`
-	Cause   string `json:"cause"`
-	Error   string `json:"error"`
+	Time    string  `json:"ts"`
+	Msg     string  `json:"msg"`
+	Route   string  `json:"route"`
+	Code    string  `json:"code"`
+	Team    string  `json:"team"`
+	Units   float64 `json:"units"`
+	Target  string  `json:"target"`
+	Adapter string  `json:"adapter"`
+	Version int     `json:"version"`
+	Born    int64   `json:"born"`
+	Sends   int     `json:"sends"`
+	Note    string  `json:"note"`
+	Turn    period  `json:"turn"`
+	First   period  `json:"first"`
+	Pause   period  `json:"pause"`
+	Took    period  `json:"took"`
+	Goal    period  `json:"goal"`
+	Most    period  `json:"most"`
+	Warm    bool    `json:"warm"`
+	Waited  period  `json:"waited"`
+	Behind  string  `json:"behind"`
+	Cause   string  `json:"cause"`
+	Error   string  `json:"error"`
 
 	at time.Time
 }
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -38,6 +38,7 @@
 	names    map[string]int32
 	routes   map[string]*tally
 	moments  map[int64]*tally
+	teams    map[string]*use
 	failures map[string]int
 	events   []event
 	waits    []wait
@@ -46,7 +47,7 @@
 // NewLosses returns sums of nothing.
 func NewLosses() *Losses {
 	return &Losses{
-		names: map[string]int32{}, routes: map[string]*tally{}, moments: map[int64]*tally{}, failures: map[string]int{},
+		names: map[string]int32{}, routes: map[string]*tally{}, moments: map[int64]*tally{}, teams: map[string]*use{}, failures: map[string]int{},
 	}
 }
 
@@ -85,6 +86,7 @@
 	switch x.Msg {
 	case "request ended":
 		l.request(x)
+		l.team(x)
 	case "adapter loaded", "adapter unloaded", "engine known":
 		l.keep(x)
 	case "load failed":
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -190,3 +190,24 @@
 	}
 	runtime.KeepAlive(sums)
 }
+
+// A team says that it was refused below its limit. The table shows what it had, in all and in the busiest moment, and what was over.
+func TestTeamsAreToldApart(t *testing.T) {
+	l := losses.NewLosses()
+	err := l.Read(strings.NewReader(`{"ts":"2026-12-03T11:00:01.000Z","msg":"request ended","code":"ok","team":"red","units":1500,"took":"100ms"}
+{"ts":"2026-12-03T11:00:01.500Z","msg":"request ended","code":"ok","team":"red","units":500,"took":"100ms"}
+{"ts":"2026-12-03T11:00:09.000Z","msg":"request ended","code":"limited","team":"red","units":4000,"took":"1ms"}
+{"ts":"2026-12-03T11:00:09.000Z","msg":"request ended","code":"crashed","team":"red","units":700,"took":"1ms"}
+{"ts":"2026-12-03T11:00:09.000Z","msg":"request ended","code":"unauthorized","took":"1ms"}
+`))
+	if err != nil {
+		t.Fatalf("Read() = %v, want nil", err)
+	}
+	var out strings.Builder
+	if err := l.Write(&out); err != nil {
+		t.Fatalf("Write() = %v, want nil", err)
+	}
+	if got, want := strings.Join(strings.Fields(out.String()), " "), "red 4 2 1 1 2700 2000 4000"; !strings.Contains(got, want) {
+		t.Errorf("tables = %s, want %q in them", out.String(), want)
+	}
+}
--- a/internal/losses/request.go
+++ b/internal/losses/request.go
@@ -48,11 +48,16 @@
 	adapter int32
 }
 
+// moment returns when a request began, in Unix seconds.
+func (x line) moment() int64 {
+	return x.at.Add(-time.Duration(x.Took)).Truncate(span).Unix()
+}
+
 // request counts a request that has ended, at the moment when it began.
 func (l *Losses) request(x line) {
 	kind := x.kind()
 	l.tally(l.routes, x.Route).add(kind, x.Code)
-	begun := x.at.Add(-time.Duration(x.Took)).Truncate(span).Unix()
+	begun := x.moment()
 	m, ok := l.moments[begun]
 	if !ok {
 		m = newTally()
--- a/internal/losses/write.go
+++ b/internal/losses/write.go
@@ -25,6 +25,7 @@
 	}
 	fmt.Fprintln(w)
 	l.writeRequests(w)
+	l.writeTeams(w)
 	l.writeMoments(w)
 	l.writeRefused(w)
 	groups := l.loads()
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -3,6 +3,8 @@
 // Names of metrics. The labels that each one takes stand behind it.
 const (
 	Requests    = "requests_total"              // route, code, verdict
+	Teams       = "team_requests_total"         // team, code
+	Units       = "team_units_total"            // team, outcome
 	Took        = "request_seconds"             // route
 	First       = "request_first_seconds"       // route
 	Turn        = "request_turn_seconds"        // route
@@ -30,6 +32,8 @@
 // help says what each metric is, for the page that scrapers read.
 var help = map[string]string{
 	Requests:    "requests of callers by route, outcome and whether they may have run",
+	Teams:       "requests of callers by team and outcome",
+	Units:       "units counted against limits of teams by outcome: granted, given back, or the code of the refusal",
 	Took:        "time from a request to the end of its answer",
 	First:       "time from a request to the first byte of its answer",
 	Turn:        "time that a request waited here before it was last sent",
