--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -127,7 +127,9 @@
 			return func() { l.giveBack(grants) }, nil
 		case err == nil:
 			l.giveBack(grants)
-			return nil, refuse.NewRefusal(verd.NotRun, refuse.Limited, "the limit of team %s is used up", t.Name).WithRetry(max(leastRetry, wait))
+			return nil, refuse.NewRefusal(verd.NotRun, refuse.Limited,
+				"the limit of team %s, %.0f units a second and %.0f at once, has no %.0f units left", t.Name, t.Rate, t.Burst, units).
+				WithRetry(max(leastRetry, wait))
 		}
 		l.giveBack(grants)
 		if !errors.Is(err, errSilent) && !turns.Sleep(ctx, lookEvery) || ctx.Err() != nil {
