--- a/internal/edge/starts.go
+++ b/internal/edge/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,13 @@
 const (
 	// startFor is how long a host that starts waits for others to tell it all rows, beside its relays, which read them from the store.
 	startFor = 3 * time.Second
+	// tellingFor is how long an answer is taken to be under way.
+	tellingFor = 100 * time.Millisecond
 	// rowsFor bounds one question for all rows.
 	rowsFor = time.Second
+	// mostTold is how many hosts are told all rows at once: each answer is held until it is sent, and hundreds of hosts may ask. Others ask
+	// again.
+	mostTold = 8
 	// bundleLife is how long an answer is used for all that ask: hosts start together.
 	bundleLife = time.Second
 )
@@ -25,6 +31,17 @@
 type bundles struct {
 	mu   sync.Mutex
 	made map[string]made
+	told []time.Time // when the last hosts were told
+}
+
+// room reports whether one more host may be told now.
+func (b *bundles) room(now time.Time) bool {
+	b.told = slices.DeleteFunc(b.told, func(at time.Time) bool { return now.Sub(at) > tellingFor })
+	if len(b.told) >= mostTold {
+		return false
+	}
+	b.told = append(b.told, now)
+	return true
 }
 
 type made struct {
@@ -73,6 +90,9 @@
 	e.bundles.mu.Lock()
 	defer e.bundles.mu.Unlock()
 	now := time.Now()
+	if !e.bundles.room(now) {
+		return bundle.Bundle{}, nil
+	}
 	if last, ok := e.bundles.made[prefix]; ok && now.Sub(last.at) < bundleLife {
 		return last.Bundle, nil
 	}
