--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -52,8 +52,8 @@
 	i.Log.Info("rest ended", zap.String("why", why), zap.Duration("rested", time.Since(begun)))
 }
 
-// await waits until registrations are to be read from the store, not before next, and takes those that other hosts pass on meanwhile.
-func (i *Intake) await(ctx context.Context, next time.Time) {
+// untilNext waits until registrations are to be read from the store, not before next, and takes those that other hosts pass on meanwhile.
+func (i *Intake) untilNext(ctx context.Context, next time.Time) {
 	if len(i.missing) > 0 {
 		next = earlier(next, i.outage.ends())
 	}
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -31,7 +31,7 @@
 			i.pause(ctx, i.targetWake, i.passedTargets)
 			continue
 		}
-		i.await(ctx, began.Add(i.Every()))
+		i.untilNext(ctx, began.Add(i.Every()))
 	}
 }
 
