--- a/internal/intake/first_test.go
+++ b/internal/intake/first_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,7 @@
 func TestHostThatStartsTakesAllFromOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{rows: map[string][]rows.Row{"up/": many()}}
-		ready := false
+		ready := false // under the lock of s
 		i := start(t, s, func(i *intake.Intake) {
 			i.Patience = func() time.Duration { return 3 * time.Second }
 			i.Relaxed = func() bool { return true }
@@ -91,16 +92,16 @@
 func TestUnchangedRegistrationIsDecodedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
-		decoded := 0
+		var decoded atomic.Int64
 		i := start(t, s, func(i *intake.Intake) {
 			decode := i.Target
 			i.Target = func(row rows.Row) (target.Target, error) {
-				decoded++
+				decoded.Add(1)
 				return decode(row)
 			}
 		})
 		time.Sleep(5500 * time.Millisecond)
-		if got, want := decoded, 2; got != want {
+		if got, want := decoded.Load(), int64(2); got != want {
 			t.Errorf("decoded %d times, want %d", got, want)
 		}
 		s.set(func() { s.rows["up/"] = []rows.Row{{Key: "up/a", Value: []byte("\xff")}, reg("b")} })
