Give intake's tests one way to read what a test sets

The same closure stood in intake_test.go and reading_test.go. Tests alone; assertions and plays unchanged; go test -race ./internal/intake passes.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -97,6 +97,15 @@
 	change()
 }
 
+// reads returns a function that reads what the test sets under the lock.
+func (s *source) reads(flag *bool) func() bool {
+	return func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return *flag
+	}
+}
+
 func reg(key string) rows.Row { return rows.Row{Key: "up/" + key, Value: []byte("ok")} }
 
 func gone(key string) rows.Row { return rows.Row{Key: "up/" + key, Gone: true} }
@@ -367,11 +376,7 @@
 		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
 		relaxed := false
 		i := start(t, s, func(i *intake.Intake) {
-			i.Relaxed = func() bool {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				return relaxed
-			}
+			i.Relaxed = s.reads(&relaxed)
 			i.Passed = s.passed
 		})
 		time.Sleep(3 * time.Second)
--- a/internal/intake/reading_test.go
+++ b/internal/intake/reading_test.go
@@ -35,11 +35,7 @@
 		s := &source{rows: map[string][]rows.Row{"up/": {reg("a"), reg("b")}}}
 		relaxed := false
 		i := start(t, s, func(i *intake.Intake) {
-			i.Relaxed = func() bool {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				return relaxed
-			}
+			i.Relaxed = s.reads(&relaxed)
 		})
 		time.Sleep(3 * time.Second)
 		s.set(func() { relaxed = true })
