Read the limit that an upstream names, and say when one begins and ends

The header is decoded in platform/, and each host writes a line at the first answer that names a limit, and at the first that names none again.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -19,7 +19,9 @@
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/holds"
+	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
@@ -66,6 +68,8 @@
 	OnBehalf func(h http.Header, team string) http.Header
 	// NotRun reports whether an upstream's answer says that it did not run the request.
 	NotRun func(status int, h http.Header) bool
+	// Notice decodes what an upstream says of itself beside an answer.
+	Notice func(h http.Header) (notice.Notice, error)
 	// Do sends a request to an upstream, unless still says by then that it may not get any more.
 	Do func(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error)
 	// Owner reports whether loads on an engine can be asked for now.
@@ -85,11 +89,14 @@
 	Age func() time.Duration
 	// Away reports whether the store did not answer the last reading.
 	Away func() bool
+	// Clock goes on through suspensions.
+	Clock func() time.Duration
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
 	Pick    *pick.Pick
 	Spare   *spare.Spare
+	Ration  *ration.Ration
 	Blame   *blame.Blame
 	Speed   *speed.Speed
 	Log     *zap.Logger
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -19,8 +20,10 @@
 	"damaskreach/internal/holds"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/model"
+	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
 	"damaskreach/internal/pool"
+	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/route"
 	"damaskreach/internal/rules"
@@ -40,6 +43,7 @@
 	headNot  = "Fake-Not-Run"
 	headFor  = "Fake-For"
 	headVer  = "Fake-Version"
+	headMost = "Fake-Most" // requests a second that the upstream takes
 )
 
 // sent is one request as an upstream got it.
@@ -52,8 +56,9 @@
 // bench is a Direct between a caller and upstreams that are functions.
 type bench struct {
 	*direct.Direct
-	t   *testing.T
-	ctx context.Context // of the caller; nil means that of the test
+	t     *testing.T
+	ctx   context.Context // of the caller; nil means that of the test
+	begun time.Time
 
 	mu      sync.Mutex
 	view    view.View
@@ -75,7 +80,7 @@
 	if rt.Timeout == 0 {
 		rt.Timeout = 10 * time.Second
 	}
-	b := &bench{t: t}
+	b := &bench{t: t, begun: time.Now()}
 	b.view = view.View{
 		Rules: rules.Rules{
 			Version: 1, Routes: map[string][]route.Route{"a.example": {rt}},
@@ -105,6 +110,7 @@
 		NotRun: func(status int, h http.Header) bool {
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
+		Notice: b.notice, Ration: ration.NewRation(), Clock: func() time.Duration { return time.Since(b.begun) },
 		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Blame: &blame.Blame{}, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
@@ -146,6 +152,15 @@
 	return next(s)
 }
 
+// notice decodes what an upstream says of itself.
+func (b *bench) notice(h http.Header) (n notice.Notice, err error) {
+	if text := h.Get(headMost); text != "" {
+		n.Limited = true
+		n.Limit, err = strconv.ParseFloat(text, 64)
+	}
+	return n, err
+}
+
 func (b *bench) load(_ context.Context, w want.Want) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/internal/direct/notice.go
@@ -0,0 +1,26 @@
+package direct
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/resp"
+	"damaskreach/internal/target"
+)
+
+// heed takes what an upstream says of itself beside an answer. An answer to a misdirected request may be that of another upstream, which has
+// the address now.
+func (x *Direct) heed(t target.Target, r resp.Resp) {
+	if r.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	n, err := x.Notice(r.Header)
+	if err != nil {
+		x.Log.Info("notice not understood", zap.String("target", t.ID), zap.Error(err))
+		return
+	}
+	if x.Ration.Hear(t.ID, n, x.Clock()) {
+		x.Log.Info("upstream's limit", zap.String("target", t.ID), zap.Bool("limited", n.Limited), zap.Float64("limit", n.Limit))
+	}
+}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -93,6 +93,7 @@
 
 // answered takes an upstream's answer: whether the upstream failed the request, and whether the caller has its final answer.
 func (x *Direct) answered(ctx context.Context, j *job, t target.Target, r resp.Resp, watch *time.Timer) (failed, done bool) {
+	x.heed(t, r)
 	if x.NotRun(r.Status, r.Header) {
 		x.rejected(j, t, r)
 		return r.Status != http.StatusMisdirectedRequest, false
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,9 +28,11 @@
 	"damaskreach/internal/lookup"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
+	"damaskreach/internal/notice"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
 	"damaskreach/internal/quotas"
+	"damaskreach/internal/ration"
 	"damaskreach/internal/roster"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
@@ -85,6 +87,7 @@
 	Decode  func(r *http.Request) (demand.Demand, error)
 	Headers func(id string, left time.Duration, version int, last string) http.Header
 	NotRun  func(status int, h http.Header) bool
+	Notice  func(h http.Header) (notice.Notice, error)
 	// OnBehalf returns a caller's headers as they go to an upstream in the name of a team.
 	OnBehalf func(h http.Header, team string) http.Header
 	Matches  func(h http.Header, id string) bool
@@ -113,6 +116,7 @@
 	readers trust.Trust
 	holds   *holds.Holds
 	pick    *pick.Pick
+	ration  *ration.Ration
 	uplink  *uplink.Uplink
 	spare   *spare.Spare
 	news    *news
@@ -131,6 +135,7 @@
 	e.Table = e.noted(measured(e.Table, e.Stats))
 	e.holds = holds.NewHolds()
 	e.pick = pick.NewPick(s.Centre)
+	e.ration = ration.NewRation()
 	e.news = newNews()
 	e.intake = intake.NewIntake()
 	e.intake.Table, e.intake.Conf, e.intake.Targets = e.Table, e.Conf, e.Targets
@@ -162,9 +167,9 @@
 		return s.Share, s.Extra, s.Window
 	}}
 	return &direct.Direct{
-		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Charge: e.limits.Charge, Speed: measured, Use: e.use,
+		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Charge: e.limits.Charge, Speed: measured, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Holds: e.holds, Pick: e.pick,
-		Spare: e.spare, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
+		Spare: e.spare, Ration: e.ration, Clock: e.Clock, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
 	}
 }
 
@@ -262,10 +267,12 @@
 		}
 		e.holds.Forget(v.Targets, now)
 		e.pick.Forget(v.Targets, now)
-		e.roster.Forget(func(id string) bool {
+		left := func(id string) bool {
 			_, ok := v.Targets[id]
 			return !ok
-		})
+		}
+		e.ration.Forget(left)
+		e.roster.Forget(left)
 		gone := func(ip string) bool { return !e.live(ip) }
 		e.feeds.Forget(gone)
 		e.readers.Forget(gone)
--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -19,6 +19,7 @@
 	"damaskreach/internal/demand"
 	"damaskreach/internal/edge"
 	"damaskreach/internal/kinds"
+	"damaskreach/internal/notice"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/route"
 	"damaskreach/internal/rows"
@@ -35,6 +36,9 @@
 	headKey      = "Fake-Key"
 	headUnits    = "Fake-Units"
 	headTeam     = "Fake-Team"
+	headFor      = "Fake-For"  // upstream that the request is for
+	headFrom     = "Fake-From" // host that sends it
+	headMost     = "Fake-Most" // requests a second that the upstream takes
 )
 
 // ran is one request as an upstream ran it.
@@ -43,6 +47,9 @@
 	at    time.Time
 	team  string
 	units float64
+	to    string // upstream
+	from  string // host
+	told  bool   // the answer named a limit
 }
 
 // said is the answer to one request.
@@ -65,6 +72,7 @@
 	said  []said
 	sent  map[string]time.Time
 	lives map[string]*life
+	most  map[string]string // limit that each upstream names of itself
 }
 
 // life is one start of the program on a host.
@@ -73,7 +81,7 @@
 }
 
 func newPayers(t *testing.T, hosts, centres, upstreams int, teams func(version int64) []team.Team) *payers {
-	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, ctx: t.Context()}
+	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, most: map[string]string{}, ctx: t.Context()}
 	p.fleet = newFleetOf(t, hosts, centres, upstreams, p.adapt)
 	l, err := p.net.Listen(upstreamAddr)
 	if err != nil {
@@ -105,8 +113,12 @@
 		next.Set(headTeam, team)
 		return next
 	}
-	e.Headers = func(string, time.Duration, int, string) http.Header { return http.Header{} }
+	ip := s.IP
+	e.Headers = func(id string, _ time.Duration, _ int, _ string) http.Header {
+		return http.Header{headFor: {id}, headFrom: {ip}}
+	}
 	e.NotRun = func(int, http.Header) bool { return false }
+	e.Notice = noticed
 	e.Matches = func(h http.Header, id string) bool { return h.Get(headID) == id }
 	dial := e.Dial
 	e.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
@@ -180,6 +192,15 @@
 	return r, true, err
 }
 
+// noticed decodes what an upstream says of itself.
+func noticed(h http.Header) (n notice.Notice, err error) {
+	if text := h.Get(headMost); text != "" {
+		n.Limited = true
+		n.Limit, err = strconv.ParseFloat(text, 64)
+	}
+	return n, err
+}
+
 // run is the upstream: it runs whatever comes.
 func (p *payers) run(w http.ResponseWriter, r *http.Request) {
 	id, name := r.Header.Get(headID), r.Header.Get(headTeam)
@@ -187,10 +208,15 @@
 	if err != nil || r.Header.Get(headKey) != "" {
 		p.t.Errorf("request %s with units %v and key %q, want no key", id, err, r.Header.Get(headKey))
 	}
+	to := r.Header.Get(headFor)
 	p.mu.Lock()
-	p.runs = append(p.runs, ran{sent: p.sent[id], at: time.Now(), team: name, units: units})
+	most, told := p.most[to]
+	p.runs = append(p.runs, ran{sent: p.sent[id], at: time.Now(), team: name, units: units, to: to, from: r.Header.Get(headFrom), told: told})
 	p.mu.Unlock()
 	w.Header().Set(headID, id)
+	if told {
+		w.Header().Set(headMost, most)
+	}
 }
 
 // ask sends one request of a team to a host.
