--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -81,8 +81,19 @@
 }
 
 func newPayers(t *testing.T, hosts, centres, upstreams int, teams func(version int64) []team.Team) *payers {
+	return newPayersOf(t, hosts, centres, upstreams, teams, func(*edge.Edge, *setup.Setup) {})
+}
+
+// newPayersOf changes each host before it starts.
+func newPayersOf(
+	t *testing.T, hosts, centres, upstreams int, teams func(version int64) []team.Team, adapt func(e *edge.Edge, s *setup.Setup),
+) *payers {
 	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, most: map[string]string{}, ctx: t.Context()}
-	p.fleet = newFleetOf(t, hosts, centres, upstreams, p.adapt)
+	p.fleet = newFleetOf(t, hosts, centres, upstreams, func(e *edge.Edge, s *setup.Setup) (killed func() bool) {
+		killed = p.adapt(e, s)
+		adapt(e, s)
+		return killed
+	})
 	l, err := p.net.Listen(upstreamAddr)
 	if err != nil {
 		t.Fatalf("upstream: %v", err)
