Count the requests for an upstream in need at one host

Callers saw answers of engines that had asked for less: an engine that takes 1.2 requests a second from all hosts got 23 in 4 s, 12 allowed.

The class: a bound for all hosts together that is kept by nobody together. Each host keeping to a part of the limit was weighed and left: with buckets of one request each, 195 hosts may bring an upstream 195 at once, and buckets without such a burst never let one through at a limit of 1 a second.

Now one host counts for each upstream: the one that grants an engine's turns, or else the live host that the id hashes to (rendezvous). Hosts tell it with each question what they heard last and how long ago; the newest counts, so a host that begins to count needs nothing of the one before. Uncounted requests do not go to an upstream in need. An engine in need gets no further adapters while others have room.

--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -1,7 +1,10 @@
 // Package bucket holds one token bucket: a limit in units a second with units for bursts.
 package bucket
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// never is how long it takes where nothing comes back.
@@ -37,16 +40,24 @@
 // or not: that is what a request counts beyond the burst of its whole limit, and the next ones wait for it. Wait is how long it will be
 // until the units are there where nobody else takes them.
 func (b *Bucket) Take(now time.Duration, units, over float64) (taken float64, wait time.Duration) {
+	if wait = b.Wait(now, units); wait > 0 {
+		return 0, wait
+	}
+	b.level -= units + over
+	return units + over, 0
+}
+
+// Wait returns how long it will be until so many units are there where nobody takes any.
+func (b *Bucket) Wait(now time.Duration, units float64) time.Duration {
 	b.fill(now)
 	lacks := units - b.level
-	if lacks <= 0 {
-		b.level -= units + over
-		return units + over, 0
-	}
-	if b.rate <= 0 {
-		return 0, never
+	switch {
+	case lacks <= 0:
+		return 0
+	case b.rate <= 0:
+		return never
 	}
-	return 0, min(never, time.Duration(lacks/b.rate*float64(time.Second)))
+	return min(never, time.Duration(math.Ceil(lacks/b.rate*float64(time.Second))))
 }
 
 // Return gives back units that were taken at a time and not used. As far as the bucket would have been over full with them since, they
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -76,6 +76,11 @@
 	Owner func(id string) bool
 	// Admit has an adapter loaded and returns once a prompt may be sent.
 	Admit func(ctx context.Context, w want.Want) error
+	// Permit has a request counted at an upstream that names a limit and has no host that gives it orders; an ErrCrowded tells how long it
+	// will be until the limit has room.
+	Permit func(ctx context.Context, id string) error
+	// TellLimit tells other hosts that an upstream has begun to name a limit, or has ceased to.
+	TellLimit func(id string)
 	// Charge counts a request against the limit of its team; back must be called where it turns out not to have run.
 	Charge func(ctx context.Context, t team.Team, version int64, units float64) (back func(), refusal *refuse.Refusal)
 	// Use records that a request uses an adapter at an engine, until done is called.
@@ -89,8 +94,6 @@
 	Age func() time.Duration
 	// Away reports whether the store did not answer the last reading.
 	Away func() bool
-	// Clock goes on through suspensions.
-	Clock func() time.Duration
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -96,7 +96,7 @@
 			usable = append(usable, t)
 		}
 	}
-	return usable
+	return x.unlimited(usable)
 }
 
 // ranked returns the few engines that an adapter hashes to. The choice is steady, so that an adapter which was evicted
--- a/internal/direct/notice.go
+++ b/internal/direct/notice.go
@@ -20,7 +20,8 @@
 		x.Log.Info("notice not understood", zap.String("target", t.ID), zap.Error(err))
 		return
 	}
-	if x.Ration.Hear(t.ID, n, x.Clock()) {
+	if x.Ration.Hear(t.ID, n) {
 		x.Log.Info("upstream's limit", zap.String("target", t.ID), zap.Bool("limited", n.Limited), zap.Float64("limit", n.Limit))
+		go x.TellLimit(t.ID)
 	}
 }
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -46,13 +46,12 @@
 // place returns the upstream for the next send and the version of the adapter that it must have, 0 for any.
 func (x *Direct) place(ctx context.Context, j *job) (target.Target, int, *refuse.Refusal) {
 	j.view = x.View()
-	now := time.Now()
 	all := x.candidates(j)
 	if len(all) == 0 {
 		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
 	}
 	if !j.view.Rules.Pools[j.group].Engine || j.d.Model == "" {
-		return x.Pick.Order(all, now)[0], 0, nil
+		return x.plain(ctx, j, all)
 	}
 	able := make([]target.Target, 0, len(all))
 	for _, t := range all {
@@ -214,7 +213,7 @@
 	return x.admitted(ctx, j, best, version, x.ask(ctx, j, best, version, most()))
 }
 
-// admitted takes the answer to asking for a turn.
+// admitted takes the answer to asking for a turn. An engine that names a limit gets nothing that nobody has counted.
 func (x *Direct) admitted(ctx context.Context, j *job, t target.Target, version int, err error) (target.Target, int, *refuse.Refusal) {
 	if ctx.Err() != nil {
 		return target.Target{}, 0, x.ended(ctx, j)
@@ -222,7 +221,7 @@
 	if errors.Is(err, want.ErrCrowded) || j.waited(err) {
 		return target.Target{}, 0, x.full(j, t)
 	}
-	if errors.Is(err, want.ErrFailed) || !x.still(t) {
+	if errors.Is(err, want.ErrFailed) || err != nil && x.Ration.Limited(t.ID) || !x.still(t) {
 		j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
 		return x.place(ctx, j)
 	}
@@ -247,7 +246,7 @@
 func (x *Direct) ask(ctx context.Context, j *job, t target.Target, version int, bound time.Duration) error {
 	if !x.Owner(t.ID) {
 		j.note += " unasked"
-		return nil
+		return x.permit(ctx, j, t)
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(loadFor, max(leastTurn, time.Until(j.hopeless()))))
 	defer cancel()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -41,6 +41,7 @@
 	methodTell   = "tell"
 	methodAdmit  = "admit"
 	methodCharge = "charge"
+	methodPermit = "permit"
 	methodRows   = "rows"
 )
 
@@ -63,8 +64,12 @@
 		return m.Answer(g), nil
 	})
 	peer.Answer(mesh, methodAdmit, func(ctx context.Context, _ string, w want.Want) (string, error) {
+		e.learnLimit(w)
 		return want.Text(e.giver.Admit(ctx, w)), nil
 	})
+	peer.Answer(mesh, methodPermit, func(_ context.Context, _ string, w want.Want) (ruling.Ruling, error) {
+		return e.counted(w), nil
+	})
 	peer.Answer(mesh, methodRows, func(_ context.Context, _ string, prefix string) (bundle.Bundle, error) {
 		return e.bundle(prefix)
 	})
@@ -161,7 +166,7 @@
 		return want.ErrElsewhere
 	}
 	var text string
-	if err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodAdmit, w, &text); err != nil {
+	if err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodAdmit, e.withLimit(w), &text); err != nil {
 		return err
 	}
 	return want.FromText(text)
--- /dev/null
+++ b/internal/edge/permit.go
@@ -0,0 +1,94 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/ruling"
+	"damaskreach/internal/spread"
+	"damaskreach/internal/want"
+)
+
+// tellFor bounds telling that an upstream's need is over.
+const tellFor = time.Second
+
+// permit has the host that counts the requests for an upstream count one. That host may know that the limit is over.
+func (e *Edge) permit(ctx context.Context, id string) error {
+	r, err := e.askCounter(ctx, want.Want{ID: id})
+	switch {
+	case err != nil:
+		return err
+	case !r.Counts:
+		e.ration.Told(id, 0, 0)
+	case r.Units == 0:
+		return want.NewCrowded(r.Wait)
+	}
+	return nil
+}
+
+// tellLimit tells the host that counts the requests for an upstream what this host has heard: those that still take it for limited learn from
+// there that it is not.
+func (e *Edge) tellLimit(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellFor)
+	defer cancel()
+	if _, err := e.askCounter(ctx, want.Want{ID: id, Spread: true}); err != nil {
+		e.Log.Info("upstream's limit not told", zap.String("target", id), zap.Error(err))
+	}
+}
+
+// askCounter asks the host that counts the requests for an upstream.
+func (e *Edge) askCounter(ctx context.Context, w want.Want) (r ruling.Ruling, err error) {
+	w.Host = e.Setup().IP
+	w = e.withLimit(w)
+	counts := e.counter(w.ID, w.Host)
+	if counts == w.Host {
+		return e.counted(w), nil
+	}
+	mesh := e.mesh.Load()
+	if mesh == nil {
+		return ruling.Ruling{}, want.ErrElsewhere
+	}
+	err = mesh.Ask(ctx, e.tenure.Host(counts).Peers, methodPermit, w, &r)
+	return r, err
+}
+
+// counter returns the host that counts the requests for an upstream without a host that gives it orders.
+func (e *Edge) counter(id, self string) string {
+	hosts := []string{self}
+	for ip := range e.tenure.Hosts() {
+		if ip != self && e.live(ip) {
+			hosts = append(hosts, ip)
+		}
+	}
+	return spread.Pick(hosts, id)
+}
+
+// counted counts a request for an upstream here, where one is to be sent, by the newest that any host has heard of its limit.
+func (e *Edge) counted(w want.Want) ruling.Ruling {
+	e.learnLimit(w)
+	if w.Spread || !e.ration.Limited(w.ID) {
+		return ruling.Ruling{}
+	}
+	if wait := e.ration.Take(w.ID); wait > 0 {
+		return ruling.Ruling{Counts: true, Wait: wait}
+	}
+	return ruling.Ruling{Counts: true, Units: 1}
+}
+
+// withLimit adds what this host has heard of the upstream's limit.
+func (e *Edge) withLimit(w want.Want) want.Want {
+	rate, age, ok := e.ration.Newest(w.ID)
+	if ok {
+		w.Rate, w.RateAge, w.Rated = rate, age, true
+	}
+	return w
+}
+
+// learnLimit takes what another host has heard of the upstream's limit.
+func (e *Edge) learnLimit(w want.Want) {
+	if w.Rated {
+		e.ration.Told(w.ID, w.Rate, w.RateAge)
+	}
+}
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -99,7 +99,7 @@
 		g: g, id: id, ctx: ctx, end: cancel, wants: make(chan waiter, backlog), used: map[string]time.Time{},
 		cold: firstCold, warm: firstWarm, opened: time.Now(),
 	}
-	d.lane = newLane(ctx)
+	d.lane = newLane(ctx, id, g.Ration)
 	d.reset()
 	go d.run()
 	return d
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
 	"damaskreach/internal/memo"
+	"damaskreach/internal/ration"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
@@ -44,6 +45,8 @@
 	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
 	// Recall returns what another host, or this one before it ended, kept of an engine; false where there is nothing.
 	Recall func(ctx context.Context, id string) (memo.Memo, bool)
+	// Ration bounds the requests for engines that name a limit.
+	Ration *ration.Ration
 	// Flow bounds the loads that are on their way to all engines of this host.
 	Flow *flow.Flow
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskreach/internal/pace"
+	"damaskreach/internal/ration"
 	"damaskreach/internal/want"
 )
 
@@ -22,7 +23,9 @@
 // lane lets prompts go to one engine in turn. It has a goroutine of its own: an order that gets no answer must not hold up
 // requests for what the engine holds already.
 type lane struct {
-	wake chan struct{}
+	id     string // of the engine
+	wake   chan struct{}
+	ration *ration.Ration
 
 	mu      sync.Mutex
 	waiting []waiter
@@ -45,8 +48,8 @@
 	adapter string
 }
 
-func newLane(ctx context.Context) *lane {
-	l := &lane{wake: make(chan struct{}, 1), hosts: map[string]*share{}}
+func newLane(ctx context.Context, id string, ration *ration.Ration) *lane {
+	l := &lane{id: id, ration: ration, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
 	go l.run(ctx)
 	return l
 }
@@ -95,17 +98,20 @@
 	slices.SortStableFunc(l.waiting, func(a, b waiter) int { return a.before(b, now) })
 	kept := l.waiting[:0]
 	next := idle
-	ahead := l.pace.Backlog(now)
+	limit, gap := l.ration.Wait(l.id)
+	ahead := max(limit, l.pace.Backlog(now))
 	free := l.free()
 	for _, w := range l.waiting {
 		if w.left() {
 			continue
 		}
-		wait := l.pace.Wait(now, w.Cost, w.Room, w.Tail)
+		wait := max(limit, l.pace.Wait(now, w.Cost, w.Room, w.Tail))
 		switch {
 		case len(kept) == 0 && wait == 0 && free > 0:
 			free--
 			l.grant(w, now)
+			limit, _ = l.ration.Wait(l.id)
+			ahead = max(ahead, limit)
 		case w.Bound > 0 && (free <= 0 || max(wait, ahead) > w.Bound):
 			w.done <- want.NewCrowded(max(wait, ahead) + slotTime(free))
 		case w.hopeless(now, ahead):
@@ -117,7 +123,7 @@
 				next = min(next, again)
 			}
 			kept = append(kept, w)
-			ahead += l.pace.Takes(w.Cost)
+			ahead += max(gap, l.pace.Takes(w.Cost))
 		}
 	}
 	l.waiting = kept
@@ -186,6 +192,7 @@
 
 // grant lets a prompt go.
 func (l *lane) grant(w waiter, now time.Time) {
+	l.ration.Take(l.id)
 	l.pace.Send(now, w.Cost, w.Tail)
 	s := l.hosts[w.Host]
 	if s == nil {
@@ -200,9 +207,10 @@
 func (l *lane) wait() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sum := l.pace.Backlog(time.Now())
+	limit, gap := l.ration.Wait(l.id)
+	sum := max(limit, l.pace.Backlog(time.Now()))
 	for _, w := range l.waiting {
-		sum += l.pace.Takes(w.Cost)
+		sum += max(gap, l.pace.Takes(w.Cost))
 	}
 	free := l.free()
 	if free <= 0 {
--- a/internal/giver/lane_test.go
+++ b/internal/giver/lane_test.go
@@ -129,3 +129,35 @@
 		}
 	})
 }
+
+// One host has heard that the engine takes two requests a second, the others have not. The host that grants the turns keeps to it for all,
+// and tells at once those whose turn would come too late.
+func TestTurnsKeepToTheLimitOfAnEngineInNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(2)
+		g := desk(t, e)
+		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
+		if err := admit(t, g, name(0)); err != nil {
+			t.Fatalf("load: %v", err)
+		}
+		e.ration.Told("e", 2, time.Second)
+		granted, told := 0, time.Duration(0)
+		for _, u := range ask(t, g, 3, 10, 20*time.Second) {
+			if u.err == nil {
+				granted++
+			} else {
+				told = max(told, u.waited)
+			}
+		}
+		if granted > 42+2 || granted < 36 {
+			t.Errorf("%d turns in 20 s at an engine that takes 2 a second, want about 40", granted)
+		}
+		if told > hopeless {
+			t.Errorf("a request was told after %v, want %v at most", told, hopeless)
+		}
+		e.ration.Told("e", 0, 0)
+		if err := admit(t, g, name(0)); err != nil {
+			t.Errorf("a turn after the need = %v, want it at once", err)
+		}
+	})
+}
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -18,4 +18,7 @@
 	Patience time.Duration `msgpack:"e,omitempty"` // from now within which the answer can still be on time
 	Spread   bool          `msgpack:"s,omitempty"` // no request waits: the adapter would come to one more engine
 	Rank     int           `msgpack:"p,omitempty"` // lower goes first
+	Rated    bool          `msgpack:"n,omitempty"` // Rate was heard; without it nothing is known
+	Rate     float64       `msgpack:"q,omitempty"` // requests a second that the upstream takes; 0 means no limit
+	RateAge  time.Duration `msgpack:"g,omitempty"` // how long ago it said so
 }
