Read what answers say of leaving and of rest, and write lines of it

Both are decoded beside the limit, and each such answer has a line at its host. Nothing is decided by them yet. A notice that cannot be read has a line of its own, and does not count as one that names no limit.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -69,7 +69,7 @@
 	// NotRun reports whether an upstream's answer says that it did not run the request.
 	NotRun func(status int, h http.Header) bool
 	// Notice decodes what an upstream says of itself beside an answer.
-	Notice func(h http.Header) (notice.Notice, error)
+	Notice func(status int, h http.Header) (notice.Notice, error)
 	// Do sends a request to an upstream, unless still says by then that it may not get any more.
 	Do func(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error)
 	// Owner reports whether loads on an engine can be asked for now.
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -156,7 +156,7 @@
 }
 
 // notice decodes what an upstream says of itself.
-func (b *bench) notice(h http.Header) (n notice.Notice, err error) {
+func (b *bench) notice(status int, h http.Header) (n notice.Notice, err error) {
 	if text := h.Get(headMost); text != "" {
 		n.Limited = true
 		n.Limit, err = strconv.ParseFloat(text, 64)
--- a/internal/direct/notice.go
+++ b/internal/direct/notice.go
@@ -15,12 +15,18 @@
 	if r.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	n, err := x.Notice(r.Header)
+	n, err := x.Notice(r.Status, r.Header)
 	if err != nil {
 		x.Log.Info("notice not understood", zap.String("target", t.ID), zap.Error(err))
-		return
 	}
-	if x.Ration.Hear(t.ID, n) {
+	if n.Leaving {
+		x.Log.Info("upstream says that it leaves", zap.String("target", t.ID))
+	}
+	if n.Rest > 0 {
+		x.Log.Info("upstream asks for rest", zap.String("target", t.ID), zap.Duration("rest", n.Rest))
+	}
+	// What cannot be read is no word that a limit has ended.
+	if err == nil && x.Ration.Hear(t.ID, n) {
 		x.Log.Info("upstream's limit", zap.String("target", t.ID), zap.Bool("limited", n.Limited), zap.Float64("limit", n.Limit))
 		go x.TellLimit(t.ID)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -87,7 +87,7 @@
 	Decode  func(r *http.Request) (demand.Demand, error)
 	Headers func(id string, left time.Duration, version int, last string) http.Header
 	NotRun  func(status int, h http.Header) bool
-	Notice  func(h http.Header) (notice.Notice, error)
+	Notice  func(status int, h http.Header) (notice.Notice, error)
 	// OnBehalf returns a caller's headers as they go to an upstream in the name of a team.
 	OnBehalf func(h http.Header, team string) http.Header
 	Matches  func(h http.Header, id string) bool
--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -204,7 +204,7 @@
 }
 
 // noticed decodes what an upstream says of itself.
-func noticed(h http.Header) (n notice.Notice, err error) {
+func noticed(status int, h http.Header) (n notice.Notice, err error) {
 	if text := h.Get(headMost); text != "" {
 		n.Limited = true
 		n.Limit, err = strconv.ParseFloat(text, 64)
