--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -39,17 +39,23 @@
 	headFor      = "Fake-For"  // upstream that the request is for
 	headFrom     = "Fake-From" // host that sends it
 	headMost     = "Fake-Most" // requests a second that the upstream takes
+	headLeaving  = "Fake-Leaving"
+	// restAsked is for how long upstreams that turn requests away ask for rest.
+	restAsked = 3 * time.Second
+	headRest  = "Fake-Rest" // for which the upstream wants nothing
 )
 
 // ran is one request as an upstream ran it.
 type ran struct {
-	sent  time.Time // by its caller
-	at    time.Time
-	team  string
-	units float64
-	to    string // upstream
-	from  string // host
-	told  bool   // the answer named a limit
+	sent    time.Time // by its caller
+	at      time.Time
+	team    string
+	units   float64
+	to      string // upstream
+	from    string // host
+	told    bool   // the answer named a limit
+	leaving bool   // the answer said so
+	rest    bool   // turned away, with a time to rest
 }
 
 // said is the answer to one request.
@@ -67,12 +73,14 @@
 	ctx   context.Context
 	teams func(version int64) []team.Team // in each version of the configuration
 
-	mu    sync.Mutex
-	runs  []ran
-	said  []said
-	sent  map[string]time.Time
-	lives map[string]*life
-	most  map[string]string // limit that each upstream names of itself
+	mu     sync.Mutex
+	runs   []ran
+	said   []said
+	sent   map[string]time.Time
+	lives  map[string]*life
+	most   map[string]string // limit that each upstream names of itself
+	leaves map[string]bool   // upstreams that say that they leave
+	sheds  map[string]bool   // upstreams that turn requests away
 }
 
 // life is one start of the program on a host.
@@ -88,7 +96,7 @@
 func newPayersOf(
 	t *testing.T, hosts, centres, upstreams int, teams func(version int64) []team.Team, adapt func(e *edge.Edge, s *setup.Setup),
 ) *payers {
-	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, most: map[string]string{}, ctx: t.Context()}
+	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, most: map[string]string{}, leaves: map[string]bool{}, sheds: map[string]bool{}, ctx: t.Context()}
 	p.fleet = newFleetOf(t, hosts, centres, upstreams, func(e *edge.Edge, s *setup.Setup) (killed func() bool) {
 		killed = p.adapt(e, s)
 		adapt(e, s)
@@ -128,7 +136,7 @@
 	e.Headers = func(id string, _ time.Duration, _ int, _ string) http.Header {
 		return http.Header{headFor: {id}, headFrom: {ip}}
 	}
-	e.NotRun = func(int, http.Header) bool { return false }
+	e.NotRun = func(_ int, h http.Header) bool { return h.Get(headRest) != "" }
 	e.Notice = noticed
 	e.Matches = func(h http.Header, id string) bool { return h.Get(headID) == id }
 	dial := e.Dial
@@ -204,7 +212,12 @@
 }
 
 // noticed decodes what an upstream says of itself.
-func noticed(status int, h http.Header) (n notice.Notice, err error) {
+func noticed(_ int, h http.Header) (n notice.Notice, err error) {
+	n.Leaving = h.Get(headLeaving) != ""
+	if text := h.Get(headRest); text != "" {
+		n.Rest, err = time.ParseDuration(text)
+		return n, err
+	}
 	if text := h.Get(headMost); text != "" {
 		n.Limited = true
 		n.Limit, err = strconv.ParseFloat(text, 64)
@@ -222,9 +235,18 @@
 	to := r.Header.Get(headFor)
 	p.mu.Lock()
 	most, told := p.most[to]
-	p.runs = append(p.runs, ran{sent: p.sent[id], at: time.Now(), team: name, units: units, to: to, from: r.Header.Get(headFrom), told: told})
+	p.runs = append(p.runs, ran{sent: p.sent[id], at: time.Now(), team: name, units: units, to: to, from: r.Header.Get(headFrom), told: told, leaving: p.leaves[to], rest: p.sheds[to]})
+	leaves, sheds := p.leaves[to], p.sheds[to]
 	p.mu.Unlock()
 	w.Header().Set(headID, id)
+	if leaves {
+		w.Header().Set(headLeaving, "1")
+	}
+	if sheds {
+		w.Header().Set(headRest, restAsked.String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if told {
 		w.Header().Set(headMost, most)
 	}
