Keep away from upstreams that say in an answer that they leave

Callers' requests went to an upstream that was about to end: up to 6.2 s after it had told the host, 2 s allowed, for as long as the store was away and its registration could not be written.

Cause: what a host knows of upstreams came from registrations alone; nothing read the answers. The word is now kept by incarnation and looked at where registrations are: at the choice, and behind each wait for a load, a turn or a connection. Marking the upstream in the view itself was weighed and left: a host that reads the store for others passes on what changed, and the registration that comes later would not be a change there any more.

--- /dev/null
+++ b/internal/avoid/avoid.go
@@ -0,0 +1,65 @@
+// Package avoid keeps which upstreams want no new requests of this host, as they said themselves beside answers: sooner than their registrations
+// tell, and also while those cannot be written.
+package avoid
+
+import (
+	"sync"
+	"time"
+
+	"damaskreach/internal/notice"
+	"damaskreach/internal/target"
+)
+
+// keepFor is how long after its last word an upstream without a registration is remembered: registrations lapse with the store and come back.
+const keepFor = time.Minute
+
+// Avoid may be used from several goroutines.
+type Avoid struct {
+	mu    sync.RWMutex
+	marks map[string]mark
+}
+
+// mark is what one upstream said.
+type mark struct {
+	leaves bool
+	born   int64     // incarnation that leaves; the next one under the same id does not
+	heard  time.Time // when it said anything last
+}
+
+// NewAvoid returns one that has heard of nothing.
+func NewAvoid() *Avoid {
+	return &Avoid{marks: map[string]mark{}}
+}
+
+// Hear takes what an upstream said beside an answer. It reports whether that it leaves is new.
+func (a *Avoid) Hear(t target.Target, n notice.Notice, now time.Time) (left bool) {
+	if !n.Leaving {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.marks[t.ID]
+	left = !m.leaves || m.born != t.Born
+	m.leaves, m.born, m.heard = true, t.Born, now
+	a.marks[t.ID] = m
+	return left
+}
+
+// Leaves reports whether an upstream has said that it leaves.
+func (a *Avoid) Leaves(t target.Target) bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	m := a.marks[t.ID]
+	return m.leaves && m.born == t.Born
+}
+
+// Forget drops upstreams that are gone and were not heard of for a while.
+func (a *Avoid) Forget(gone func(id string) bool, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, m := range a.marks {
+		if gone(id) && now.Sub(m.heard) > keepFor {
+			delete(a.marks, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/avoid/avoid_test.go
@@ -0,0 +1,45 @@
+package avoid_test
+
+import (
+	"testing"
+	"time"
+
+	"damaskreach/internal/avoid"
+	"damaskreach/internal/notice"
+	"damaskreach/internal/target"
+)
+
+var (
+	now  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	old  = target.Target{ID: "u", Born: 1}
+	next = target.Target{ID: "u", Born: 2}
+)
+
+// An upstream starts again under its id after it has left: taken for the one before, it would get nothing as long as it lives.
+func TestNextIncarnationIsUsed(t *testing.T) {
+	a := avoid.NewAvoid()
+	if !a.Hear(old, notice.Notice{Leaving: true}, now) || a.Hear(old, notice.Notice{Leaving: true}, now) {
+		t.Error("the first word that it leaves is not new, or the second one is")
+	}
+	if !a.Leaves(old) || a.Leaves(next) {
+		t.Errorf("leaves = %v, the next incarnation %v, want the first alone", a.Leaves(old), a.Leaves(next))
+	}
+	if a.Hear(next, notice.Notice{}, now); a.Leaves(next) {
+		t.Error("the next incarnation leaves though it does not say so")
+	}
+}
+
+// Its registration lapses with the store and comes back, still ready: forgotten meanwhile, it would be used again while it leaves.
+func TestLeavingOutlastsALapsedRegistration(t *testing.T) {
+	a := avoid.NewAvoid()
+	a.Hear(old, notice.Notice{Leaving: true}, now)
+	gone := func(string) bool { return true }
+	a.Forget(gone, now.Add(20*time.Second))
+	if !a.Leaves(old) {
+		t.Error("forgotten after 20 s without a registration, want it kept")
+	}
+	a.Forget(gone, now.Add(2*time.Minute))
+	if a.Leaves(old) {
+		t.Error("kept for ever, want it forgotten once it is gone for long")
+	}
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/avoid"
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/holds"
@@ -100,6 +101,7 @@
 	Pick    *pick.Pick
 	Spare   *spare.Spare
 	Ration  *ration.Ration
+	Avoid   *avoid.Avoid
 	Blame   *blame.Blame
 	Speed   *speed.Speed
 	Log     *zap.Logger
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/avoid"
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
@@ -113,7 +114,7 @@
 		NotRun: func(status int, h http.Header) bool {
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
-		Notice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.begun) }), Permit: b.permit, TellLimit: func(string) {},
+		Notice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.begun) }), Avoid: avoid.NewAvoid(), Permit: b.permit, TellLimit: func(string) {},
 		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Blame: &blame.Blame{}, Speed: &speed.Speed{}, Use: func(string, string) func() { return func() {} },
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
--- a/internal/direct/notice.go
+++ b/internal/direct/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -19,7 +20,7 @@
 	if err != nil {
 		x.Log.Info("notice not understood", zap.String("target", t.ID), zap.Error(err))
 	}
-	if n.Leaving {
+	if x.Avoid.Hear(t, n, time.Now()) {
 		x.Log.Info("upstream says that it leaves", zap.String("target", t.ID))
 	}
 	if n.Rest > 0 {
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -72,7 +72,7 @@
 func (x *Direct) candidates(j *job) []target.Target {
 	var list []target.Target
 	for _, t := range j.view.Targets {
-		if t.Group == j.group && !t.Draining && !j.tried[t.ID] {
+		if t.Group == j.group && !j.tried[t.ID] && x.open(t) {
 			list = append(list, t)
 		}
 	}
@@ -239,7 +239,12 @@
 // still reports whether an upstream that was chosen before a wait may still get new requests.
 func (x *Direct) still(t target.Target) bool {
 	now, ok := x.View().Targets[t.ID]
-	return ok && now.Same(t) && !now.Draining
+	return ok && now.Same(t) && x.open(now)
+}
+
+// open reports whether an upstream takes new requests of this host, as far as its registration and its answers say.
+func (x *Direct) open(t target.Target) bool {
+	return !t.Draining && !x.Avoid.Leaves(t)
 }
 
 // ask asks the host that orders an engine for the turn of the request's prompt.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/avoid"
 	"damaskreach/internal/blame"
 	"damaskreach/internal/busy"
 	"damaskreach/internal/change"
@@ -117,6 +118,7 @@
 	holds   *holds.Holds
 	pick    *pick.Pick
 	ration  *ration.Ration
+	avoid   *avoid.Avoid
 	uplink  *uplink.Uplink
 	spare   *spare.Spare
 	news    *news
@@ -135,6 +137,7 @@
 	e.Table = e.noted(measured(e.Table, e.Stats))
 	e.holds = holds.NewHolds()
 	e.pick = pick.NewPick(s.Centre)
+	e.avoid = avoid.NewAvoid()
 	e.ration = ration.NewRation(e.Clock)
 	e.news = newNews()
 	e.intake = intake.NewIntake()
@@ -155,7 +158,7 @@
 	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
 	e.giver = &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Unused: e.unused, Ration: e.ration, Holder: s.IP, Log: e.Log, Stats: e.Stats,
+		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Unused: e.unused, Ration: e.ration, Leaves: e.avoid.Leaves, Holder: s.IP, Log: e.Log, Stats: e.Stats,
 	}
 	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
@@ -169,7 +172,7 @@
 	return &direct.Direct{
 		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Charge: e.limits.Charge, Speed: measured, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Holds: e.holds, Pick: e.pick,
-		Spare: e.spare, Ration: e.ration, Permit: e.permit, TellLimit: e.tellLimit, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
+		Spare: e.spare, Ration: e.ration, Avoid: e.avoid, Permit: e.permit, TellLimit: e.tellLimit, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
 	}
 }
 
@@ -272,6 +275,7 @@
 			return !ok
 		}
 		e.ration.Forget(left)
+		e.avoid.Forget(left, now)
 		e.roster.Forget(left)
 		gone := func(ip string) bool { return !e.live(ip) }
 		e.feeds.Forget(gone)
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -194,7 +194,7 @@
 // step does what is due and returns when it wants to be called again at the latest.
 func (d *desk) step() time.Duration {
 	t, ok := d.g.View().Targets[d.id]
-	if !ok || t.Draining {
+	if !ok || t.Draining || d.g.Leaves(t) {
 		d.refuseQueue(merry.Prepend(want.ErrFailed, "the engine leaves"))
 		return idle
 	}
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,7 @@
 	at       []time.Time
 	memo     *memo.Memo // what an earlier host kept
 	ration   *ration.Ration
+	leaves   atomic.Bool
 }
 
 func (e *engine) recall(context.Context, string) (memo.Memo, bool) {
@@ -177,7 +179,7 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: func() []string { return []string{"e"} },
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Ration: e.ration, Unused: func() time.Duration { return e.told * 5 / 2 },
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Ration: e.ration, Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
 		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -22,6 +22,7 @@
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
+	"damaskreach/internal/target"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/usage"
 	"damaskreach/internal/view"
@@ -45,6 +46,8 @@
 	Tell  func(s stock.Stock) // takes what an engine holds, whenever it changes
 	// Recall returns what another host, or this one before it ended, kept of an engine; false where there is nothing.
 	Recall func(ctx context.Context, id string) (memo.Memo, bool)
+	// Leaves reports whether an engine has told this host that it leaves, registered or not.
+	Leaves func(t target.Target) bool
 	// Ration bounds the requests for engines that name a limit.
 	Ration *ration.Ration
 	// Flow bounds the loads that are on their way to all engines of this host.
--- a/internal/giver/giver_test.go
+++ b/internal/giver/giver_test.go
@@ -220,3 +220,19 @@
 		}
 	})
 }
+
+// An engine tells the host that orders it that it leaves, before its registration does. Hosts that have not heard of it yet still ask for loads.
+func TestEngineThatSaysItLeavesGetsNoMoreLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(4)
+		g := desk(t, e)
+		e.leaves.Store(true)
+		before := e.orders
+		if err := admit(t, g, name(0)); !errors.Is(err, want.ErrFailed) {
+			t.Errorf("a load = %v, want %v", err, want.ErrFailed)
+		}
+		if got := e.orders; got != before {
+			t.Errorf("%d orders to an engine that leaves, want none", got-before)
+		}
+	})
+}
