Give upstreams the rest that they ask for

Callers' requests were rejected up to three times by engines that had asked for rest: 8 and more requests reached an engine from one host in its 3 s, 2 allowed; of 517 requests in 8 s 57 were refused and 67 needed more than one send.

Cause: nothing read the time that a 503 names. A rejection only made an upstream come later in the order of choice, and an engine that alone holds an adapter was chosen all the same; four of nine requests of one host had waited for a load meanwhile. Now the time is kept for each upstream, which is out of the choice until then, and looked at behind each wait. Callers are told at once where all rest, with the time until the first takes requests again. A rejection with a time is no failure: with the share of failures kept, an upstream got nothing after its rest as long as others were idle.

Letting such an upstream rest as after a crash was ruled out: that is a preference, and one without another holder is used all the same.

--- a/internal/avoid/avoid.go
+++ b/internal/avoid/avoid.go
@@ -23,6 +23,7 @@
 type mark struct {
 	leaves bool
 	born   int64     // incarnation that leaves; the next one under the same id does not
+	rests  time.Time // until when it wants nothing
 	heard  time.Time // when it said anything last
 }
 
@@ -33,18 +34,31 @@
 
 // Hear takes what an upstream said beside an answer. It reports whether that it leaves is new.
 func (a *Avoid) Hear(t target.Target, n notice.Notice, now time.Time) (left bool) {
-	if !n.Leaving {
+	if !n.Leaving && n.Rest <= 0 {
 		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	m := a.marks[t.ID]
-	left = !m.leaves || m.born != t.Born
-	m.leaves, m.born, m.heard = true, t.Born, now
+	m.heard = now
+	if n.Leaving {
+		left = !m.leaves || m.born != t.Born
+		m.leaves, m.born = true, t.Born
+	}
+	if rests := now.Add(n.Rest); rests.After(m.rests) {
+		m.rests = rests
+	}
 	a.marks[t.ID] = m
 	return left
 }
 
+// Rest returns for how long an upstream still wants nothing, 0 where it takes requests.
+func (a *Avoid) Rest(id string, now time.Time) time.Duration {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return max(0, a.marks[id].rests.Sub(now))
+}
+
 // Leaves reports whether an upstream has said that it leaves.
 func (a *Avoid) Leaves(t target.Target) bool {
 	a.mu.RLock()
@@ -53,12 +67,12 @@
 	return m.leaves && m.born == t.Born
 }
 
-// Forget drops upstreams that are gone and were not heard of for a while.
+// Forget drops upstreams that are gone and were not heard of for a while; one that comes back rests on.
 func (a *Avoid) Forget(gone func(id string) bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, m := range a.marks {
-		if gone(id) && now.Sub(m.heard) > keepFor {
+		if gone(id) && now.Sub(m.heard) > keepFor && now.After(m.rests) {
 			delete(a.marks, id)
 		}
 	}
--- a/internal/avoid/avoid_test.go
+++ b/internal/avoid/avoid_test.go
@@ -43,3 +43,21 @@
 		t.Error("kept for ever, want it forgotten once it is gone for long")
 	}
 }
+
+// A request that was under way is turned away with a shorter time than an earlier one: the longer one still holds, and also for an incarnation
+// that registers meanwhile.
+func TestRestLastsForTheLongestTimeAsked(t *testing.T) {
+	a := avoid.NewAvoid()
+	a.Hear(old, notice.Notice{Rest: 3 * time.Second}, now)
+	a.Hear(old, notice.Notice{Rest: time.Second}, now.Add(500*time.Millisecond))
+	a.Hear(old, notice.Notice{}, now.Add(time.Second))
+	if got, want := a.Rest("u", now.Add(time.Second)), 2*time.Second; got != want {
+		t.Errorf("rest = %v, want %v", got, want)
+	}
+	if got := a.Rest("u", now.Add(3*time.Second)); got != 0 {
+		t.Errorf("rest = %v after the time asked for, want none", got)
+	}
+	if a.Leaves(old) {
+		t.Error("an upstream that rests is taken for one that leaves")
+	}
+}
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -44,6 +44,7 @@
 	headNot  = "Fake-Not-Run"
 	headFor  = "Fake-For"
 	headVer  = "Fake-Version"
+	headRest = "Fake-Rest" // for which the upstream wants nothing
 	headMost = "Fake-Most" // requests a second that the upstream takes
 )
 
@@ -158,6 +159,10 @@
 
 // notice decodes what an upstream says of itself.
 func (b *bench) notice(status int, h http.Header) (n notice.Notice, err error) {
+	if text := h.Get(headRest); text != "" {
+		n.Rest, err = time.ParseDuration(text)
+		return n, err
+	}
 	if text := h.Get(headMost); text != "" {
 		n.Limited = true
 		n.Limit, err = strconv.ParseFloat(text, 64)
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -48,7 +48,7 @@
 	j.view = x.View()
 	all := x.candidates(j)
 	if len(all) == 0 {
-		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
+		return target.Target{}, 0, x.none(j)
 	}
 	if !j.view.Rules.Pools[j.group].Engine || j.d.Model == "" {
 		return x.plain(ctx, j, all)
@@ -244,9 +244,32 @@
 
 // open reports whether an upstream takes new requests of this host, as far as its registration and its answers say.
 func (x *Direct) open(t target.Target) bool {
+	return x.stays(t) && x.Avoid.Rest(t.ID, time.Now()) == 0
+}
+
+// stays reports whether an upstream is not about to end, as far as its registration and its answers say.
+func (x *Direct) stays(t target.Target) bool {
 	return !t.Draining && !x.Avoid.Leaves(t)
 }
 
+// none returns the refusal of a request for which no upstream takes requests. Where all that there are rest, it may come back once the first has.
+func (x *Direct) none(j *job) *refuse.Refusal {
+	shortest := time.Duration(-1)
+	for _, t := range j.view.Targets {
+		if t.Group != j.group || !x.stays(t) {
+			continue
+		}
+		if rest := x.Avoid.Rest(t.ID, time.Now()); shortest < 0 || rest < shortest {
+			shortest = rest
+		}
+	}
+	if shortest > 0 {
+		return refuse.NewRefusal(j.verdict(), refuse.Overloaded, "the upstreams of %s want no requests for %v", j.group, shortest).
+			WithRetry(max(comeBack, shortest))
+	}
+	return refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
+}
+
 // ask asks the host that orders an engine for the turn of the request's prompt.
 func (x *Direct) ask(ctx context.Context, j *job, t target.Target, version int, bound time.Duration) error {
 	if !x.Owner(t.ID) {
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -33,7 +33,7 @@
 		t, version, refusal := x.place(ctx, j)
 		if refusal != nil {
 			if j.fault != nil {
-				refusal = j.fault
+				refusal = j.fault.WithRetry(max(j.fault.Retry, refusal.Retry))
 			}
 			x.refuse(j.w, j, refusal)
 			return
@@ -96,7 +96,8 @@
 	x.heed(t, r)
 	if x.NotRun(r.Status, r.Header) {
 		x.rejected(j, t, r)
-		return r.Status != http.StatusMisdirectedRequest, false
+		// One that asks for rest has said when to use it again; the record of failures would keep it from that.
+		return r.Status != http.StatusMisdirectedRequest && x.Avoid.Rest(t.ID, time.Now()) == 0, false
 	}
 	j.runs++
 	broken := r.Status >= http.StatusInternalServerError
