--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -46,6 +46,7 @@
 	mu    sync.Mutex
 	left  map[string]time.Time            // when the store accepted that an upstream leaves
 	knew  map[string]map[string]time.Time // when each host learned of it, by upstream and host
+	taken map[string]string               // host that gives each upstream its orders
 	found map[string]int                  // how many upstreams each host has found since its last start
 	hosts []string
 	ports []net.Listener
@@ -63,7 +64,7 @@
 	f := &fleet{
 		adapt: adapt,
 		t:     t, net: memnet.NewNet(1), store: newStore(), begun: time.Now(), centres: centres,
-		left: map[string]time.Time{}, knew: map[string]map[string]time.Time{}, found: map[string]int{},
+		left: map[string]time.Time{}, knew: map[string]map[string]time.Time{}, found: map[string]int{}, taken: map[string]string{},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
@@ -113,6 +114,13 @@
 	f.store.drop("servers/" + id)
 }
 
+// orders returns the host that gives an upstream its orders.
+func (f *fleet) orders(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.taken[id]
+}
+
 // leave has an upstream begin to leave.
 func (f *fleet) leave(id string) {
 	f.mu.Lock()
@@ -189,6 +197,11 @@
 		defer l.fleet.mu.Unlock()
 		l.fleet.found[l.host]++
 	}
+	if e.Message == "engine taken" {
+		l.fleet.mu.Lock()
+		defer l.fleet.mu.Unlock()
+		l.fleet.taken[fields[0].String] = l.host
+	}
 	if e.Message != "upstream leaves" && e.Message != "upstream gone" {
 		return nil
 	}
--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -78,6 +78,9 @@
 	said   []said
 	sent   map[string]time.Time
 	lives  map[string]*life
+	takes  time.Duration     // that upstreams run a request
+	under  map[string]int    // requests at each upstream now
+	peak   map[string]int    // the most that there were at once
 	most   map[string]string // limit that each upstream names of itself
 	leaves map[string]bool   // upstreams that say that they leave
 	sheds  map[string]bool   // upstreams that turn requests away
@@ -96,7 +99,7 @@
 func newPayersOf(
 	t *testing.T, hosts, centres, upstreams int, teams func(version int64) []team.Team, adapt func(e *edge.Edge, s *setup.Setup),
 ) *payers {
-	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, most: map[string]string{}, leaves: map[string]bool{}, sheds: map[string]bool{}, ctx: t.Context()}
+	p := &payers{teams: teams, sent: map[string]time.Time{}, lives: map[string]*life{}, most: map[string]string{}, under: map[string]int{}, peak: map[string]int{}, leaves: map[string]bool{}, sheds: map[string]bool{}, ctx: t.Context()}
 	p.fleet = newFleetOf(t, hosts, centres, upstreams, func(e *edge.Edge, s *setup.Setup) (killed func() bool) {
 		killed = p.adapt(e, s)
 		adapt(e, s)
@@ -236,8 +239,14 @@
 	p.mu.Lock()
 	most, told := p.most[to]
 	p.runs = append(p.runs, ran{sent: p.sent[id], at: time.Now(), team: name, units: units, to: to, from: r.Header.Get(headFrom), told: told, leaving: p.leaves[to], rest: p.sheds[to]})
-	leaves, sheds := p.leaves[to], p.sheds[to]
+	leaves, sheds, takes := p.leaves[to], p.sheds[to], p.takes
+	p.under[to]++
+	p.peak[to] = max(p.peak[to], p.under[to])
 	p.mu.Unlock()
+	defer p.ended(to)
+	if takes > 0 {
+		time.Sleep(takes)
+	}
 	w.Header().Set(headID, id)
 	if leaves {
 		w.Header().Set(headLeaving, "1")
@@ -252,6 +261,13 @@
 	}
 }
 
+// ended counts the end of a request at an upstream.
+func (p *payers) ended(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.under[id]--
+}
+
 // ask sends one request of a team to a host.
 func (p *payers) ask(client *http.Client, luck uint64, host, name string, units int) {
 	id := fmt.Sprintf("%s-%x", name, luck)
