Have another host grant the turns at engines whose host is lost

Cause: a turn came from the host that gives an engine its orders, and where that was not there nobody granted any. But a turn needs no lease: two hosts that both grant for a moment overfill an engine by what they grant, and break nothing. So the lane of an engine is apart from its desk now, and where the host of the orders is not alive, the live host among the 16 strongest that the engine hashes to grants the turns: room, order of prompts, and limits that engines name included. Hosts tell it what they have under way, as they do the owner.

Ruled out: a bound on old versions alone; the queue at the engine is what makes a bound on the wait for a turn say nothing.

--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -225,6 +225,10 @@
 		j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
 		return x.place(ctx, j)
 	}
+	if err != nil {
+		j.note += " unasked"
+		x.Stats.Add(stats.Admits, 1, "outcome", "unasked")
+	}
 	return t, version, nil
 }
 
@@ -270,15 +274,13 @@
 	return refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
 }
 
-// ask asks the host that orders an engine for the turn of the request's prompt.
+// ask asks for the turn of the request's prompt at an engine that holds what it wants.
 func (x *Direct) ask(ctx context.Context, j *job, t target.Target, version int, bound time.Duration) error {
-	if !x.Owner(t.ID) {
-		j.note += " unasked"
-		return x.permit(ctx, j, t)
-	}
 	ctx, cancel := context.WithTimeout(ctx, min(loadFor, max(leastTurn, time.Until(j.hopeless()))))
 	defer cancel()
-	err := x.Admit(ctx, x.want(j, t, version, bound))
+	w := x.want(j, t, version, bound)
+	w.Held = true
+	err := x.Admit(ctx, w)
 	x.turned(err)
 	if errors.Is(err, want.ErrCrowded) {
 		x.Pick.Waits(t.ID, want.Wait(err), time.Now())
--- /dev/null
+++ b/internal/edge/duty.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"slices"
+
+	"damaskreach/internal/mate"
+	"damaskreach/internal/spread"
+)
+
+// mostDuty is how many of the strongest hosts share what some host must do for an upstream whose own host is not there.
+const mostDuty = 16
+
+// duty is which hosts do something for others, as of a moment ago.
+type duty struct {
+	living map[string]mate.Mate // other hosts that are alive
+	hosts  []string             // that do what nobody else does
+}
+
+// newDuty returns the duty where these other hosts are alive.
+func newDuty(self mate.Mate, living map[string]mate.Mate) *duty {
+	list := []mate.Mate{self}
+	for _, m := range living {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b mate.Mate) int {
+		if a.Before(b) {
+			return -1
+		}
+		return 1
+	})
+	d := &duty{living: living}
+	for _, m := range list[:min(len(list), mostDuty)] {
+		d.hosts = append(d.hosts, m.IP)
+	}
+	return d
+}
+
+// look brings up to date which hosts do something for others.
+func (e *Edge) look() {
+	var living map[string]mate.Mate
+	if m := e.mates.Load(); m != nil {
+		living = m.Living()
+	}
+	e.duty.Store(newDuty(e.Setup().Mate(), living))
+}
+
+// counter returns the host that counts the requests for an upstream without a host that gives it orders.
+func (e *Edge) counter(id string) string {
+	return spread.Pick(e.duty.Load().hosts, id)
+}
+
+// turner returns the host that grants the turns at an engine: the one that gives it its orders, or another one where that is not there.
+func (e *Edge) turner(id string) string {
+	owner := e.tenure.Owner(id)
+	if _, alive := e.duty.Load().living[owner]; alive || owner == e.Setup().IP {
+		return owner
+	}
+	return e.counter(id)
+}
+
+// grants reports whether this host grants the turns at an engine.
+func (e *Edge) grants(id string) bool {
+	return e.turner(id) == e.Setup().IP
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,6 +119,7 @@
 	pick    *pick.Pick
 	ration  *ration.Ration
 	avoid   *avoid.Avoid
+	duty    atomic.Pointer[duty]
 	uplink  *uplink.Uplink
 	spare   *spare.Spare
 	news    *news
@@ -134,6 +135,7 @@
 func (e *Edge) build() *direct.Direct {
 	s := e.Setup()
 	e.feeds = feeds.NewFeeds()
+	e.look()
 	e.Table = e.noted(measured(e.Table, e.Stats))
 	e.holds = holds.NewHolds()
 	e.pick = pick.NewPick(s.Centre)
@@ -149,7 +151,7 @@
 		Log: e.Log, Stats: e.Stats,
 		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep, Pause: e.retryPause,
 	}
-	e.roster = roster.NewRoster(s.IP, e.tenure.Owner)
+	e.roster = roster.NewRoster(s.IP, e.turner)
 	e.intake.Read = e.told
 	e.intake.Relaxed, e.intake.Changed, e.intake.Keep, e.intake.Pause = e.relaxed, e.nudge, e.feeds.Keep, e.retryPause
 	e.intake.Passed, e.intake.Clock = e.passed, e.Clock
@@ -283,11 +285,12 @@
 	}
 }
 
-// tellSelf does for the engines that this host orders what messages do for those of others.
+// tellSelf does for the engines whose turns this host grants what messages do for those of others.
 func (e *Edge) tellSelf(ctx context.Context) {
 	for range turns.Every(ctx, selfEvery) {
+		e.look()
 		ip := e.Setup().IP
-		list := e.news.uses(ip, 2*e.old(), func(id string) bool { return e.tenure.Owner(id) == ip })
+		list := e.news.uses(ip, 2*e.old(), e.grants)
 		e.giver.Take(list, time.Now())
 	}
 }
@@ -321,8 +324,7 @@
 	own = busy.Busy{
 		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
 	}
-	ip := e.Setup().IP
-	uses = e.news.uses(ip, 2*e.old(), func(id string) bool { return e.tenure.Owner(id) != ip })
+	uses = e.news.uses(e.Setup().IP, 2*e.old(), func(id string) bool { return !e.grants(id) })
 	return own, uses, e.blame.News()
 }
 
@@ -330,7 +332,7 @@
 func (e *Edge) waits() map[string]int {
 	ms := map[string]int{}
 	now := time.Now()
-	for id, wait := range e.giver.Waits() {
+	for id, wait := range e.giver.Waits(e.grants) {
 		e.pick.Waits(id, wait, now)
 		if wait >= time.Millisecond {
 			ms[id] = int(wait.Milliseconds())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -154,9 +154,13 @@
 	return m != nil && m.Ordering(owner)
 }
 
-// admit has an adapter loaded by the host that orders the engine and waits until a prompt may be sent.
+// admit has an adapter loaded by the host that orders the engine and waits until a prompt may be sent. Where the engine holds it, another host
+// grants the turn in place of one that is lost.
 func (e *Edge) admit(ctx context.Context, w want.Want) error {
 	owner := e.tenure.Owner(w.ID)
+	if w.Held {
+		owner = e.turner(w.ID)
+	}
 	w.Host = e.Setup().IP
 	if owner == w.Host {
 		return e.giver.Admit(ctx, w)
--- a/internal/edge/permit.go
+++ b/internal/edge/permit.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/ruling"
-	"damaskreach/internal/spread"
 	"damaskreach/internal/want"
 )
 
@@ -42,7 +41,7 @@
 func (e *Edge) askCounter(ctx context.Context, w want.Want) (r ruling.Ruling, err error) {
 	w.Host = e.Setup().IP
 	w = e.withLimit(w)
-	counts := e.counter(w.ID, w.Host)
+	counts := e.counter(w.ID)
 	if counts == w.Host {
 		return e.counted(w), nil
 	}
@@ -54,17 +53,6 @@
 	return r, err
 }
 
-// counter returns the host that counts the requests for an upstream without a host that gives it orders.
-func (e *Edge) counter(id, self string) string {
-	hosts := []string{self}
-	for ip := range e.tenure.Hosts() {
-		if ip != self && e.live(ip) {
-			hosts = append(hosts, ip)
-		}
-	}
-	return spread.Pick(hosts, id)
-}
-
 // counted counts a request for an upstream here, where one is to be sent, by the newest that any host has heard of its limit.
 func (e *Edge) counted(w want.Want) ruling.Ruling {
 	e.learnLimit(w)
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -237,7 +237,7 @@
 
 // loads returns how busy the engines are that this host orders, and notes it for its own choices.
 func (e *Edge) loads() map[string]int {
-	loads := e.giver.Loads()
+	loads := e.giver.Loads(e.grants)
 	now := time.Now()
 	for id, n := range loads {
 		e.pick.Told(id, n, now)
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -93,13 +93,12 @@
 	asked    time.Time
 }
 
-func newDesk(parent context.Context, g *Giver, id string) *desk {
+func newDesk(parent context.Context, g *Giver, id string, l *lane) *desk {
 	ctx, cancel := context.WithCancel(parent)
 	d := &desk{
-		g: g, id: id, ctx: ctx, end: cancel, wants: make(chan waiter, backlog), used: map[string]time.Time{},
+		g: g, id: id, lane: l, ctx: ctx, end: cancel, wants: make(chan waiter, backlog), used: map[string]time.Time{},
 		cold: firstCold, warm: firstWarm, opened: time.Now(),
 	}
-	d.lane = newLane(ctx, id, g.Ration)
 	d.reset()
 	go d.run()
 	return d
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -65,8 +65,10 @@
 	Stats  *stats.Stats
 
 	mu     sync.Mutex
+	ctx    context.Context // of Run; nil before
 	models models
 	desks  map[string]*desk
+	lanes  map[string]*lane // of engines that it orders, and of those whose turns it grants in place of another host
 }
 
 // Run keeps a desk for each engine that this host orders until ctx ends.
@@ -76,7 +78,7 @@
 	}
 }
 
-// check opens desks for engines that this host has got and closes those of engines that it has lost.
+// check opens desks for engines that this host has got and closes those of engines that it has lost, and the lanes of engines that are gone.
 func (g *Giver) check(ctx context.Context) {
 	mine := map[string]bool{}
 	v := g.View()
@@ -87,8 +89,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.ctx = ctx
 	if g.desks == nil {
-		g.desks = map[string]*desk{}
+		g.desks, g.lanes = map[string]*desk{}, map[string]*lane{}
 	}
 	for id, d := range g.desks {
 		if !mine[id] {
@@ -100,9 +103,34 @@
 	for id := range mine {
 		if g.desks[id] == nil {
 			g.Log.Info("engine taken", zap.String("target", id))
-			g.desks[id] = newDesk(ctx, g, id)
+			g.desks[id] = newDesk(ctx, g, id, g.laneOf(id))
 		}
 	}
+	for id, l := range g.lanes {
+		if _, ok := v.Targets[id]; !ok && g.desks[id] == nil {
+			l.end()
+			delete(g.lanes, id)
+		}
+	}
+}
+
+// laneOf returns the lane of an engine, a new one where there is none. It needs the lock.
+func (g *Giver) laneOf(id string) *lane {
+	if g.lanes[id] == nil {
+		g.lanes[id] = newLane(g.ctx, id, g.Ration)
+	}
+	return g.lanes[id]
+}
+
+// lane returns the lane of an engine that there is; nil before Run.
+func (g *Giver) lane(id string) *lane {
+	t, ok := g.View().Targets[id]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !ok || g.ctx == nil || !g.View().Rules.Pools[t.Group].Engine {
+		return nil
+	}
+	return g.laneOf(id)
 }
 
 func (g *Giver) desk(id string) *desk {
@@ -113,7 +141,12 @@
 
 // Admit returns once the engine holds the adapter and may be sent the prompt, or why it will not.
 func (g *Giver) Admit(ctx context.Context, w want.Want) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	d := g.desk(w.ID)
+	if d == nil && w.Held {
+		return g.turn(ctx, w)
+	}
 	if d == nil {
 		return merry.Wrap(want.ErrElsewhere)
 	}
@@ -134,6 +167,30 @@
 	}
 }
 
+// turn returns once a prompt may be sent to an engine that holds what is asked for and that this host does not order: where no host does, one
+// grants the turns alone, since hosts that each count for themselves would overfill it.
+func (g *Giver) turn(ctx context.Context, w want.Want) error {
+	t, ok := g.View().Targets[w.ID]
+	l := g.lane(w.ID)
+	if !ok || l == nil {
+		return merry.Wrap(want.ErrElsewhere)
+	}
+	if t.Draining || g.Leaves(t) {
+		return merry.Prepend(want.ErrFailed, "the engine leaves")
+	}
+	l.resize(g.View().Rules.Pools[t.Group].Slots)
+	done := make(chan error, 1)
+	l.add(waiter{Want: w, done: done, gone: ctx.Done(), since: time.Now(), block: new(string)})
+	select {
+	case err := <-done:
+		return err
+	case <-l.ctx.Done():
+		return merry.Wrap(want.ErrElsewhere)
+	case <-ctx.Done():
+		return merry.Prepend(ctx.Err(), "waiting for a turn")
+	}
+}
+
 // Memos returns what is to outlive this host of each engine that it orders.
 func (g *Giver) Memos() map[string]memo.Memo {
 	g.mu.Lock()
@@ -154,36 +211,44 @@
 	}
 }
 
-// Waits returns how long a prompt would wait at each engine that this host orders.
-func (g *Giver) Waits() map[string]time.Duration {
+// Waits returns how long a prompt would wait at each engine whose turns this host grants.
+func (g *Giver) Waits(grants func(id string) bool) map[string]time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	waits := map[string]time.Duration{}
-	for id, d := range g.desks {
-		waits[id] = d.lane.wait() + d.loadWait()
+	for id, l := range g.lanes {
+		if !grants(id) {
+			continue
+		}
+		waits[id] = l.wait()
+		if d := g.desks[id]; d != nil {
+			waits[id] += d.loadWait()
+		}
 	}
 	return waits
 }
 
-// Take records what hosts' requests use at engines that this host orders: how many there are, and their adapters, so that these are not
+// Take records what hosts' requests use at engines whose turns this host grants: how many there are, and their adapters, so that these are not
 // the first to go.
 func (g *Giver) Take(uses []usage.Usage, now time.Time) {
 	for _, u := range uses {
+		at := u.At(now)
+		if l := g.lane(u.Engine); l != nil {
+			l.told(u.Host, u.Running, u.Adapters, at)
+		}
 		if d := g.desk(u.Engine); d != nil {
-			at := u.At(now)
-			d.lane.told(u.Host, u.Running, u.Adapters, at)
 			d.touch(u.Adapters, at)
 		}
 	}
 }
 
-// Loads returns how many requests run at each engine that this host orders.
-func (g *Giver) Loads() map[string]int {
+// Loads returns how many requests run at each engine whose turns this host grants.
+func (g *Giver) Loads(grants func(id string) bool) map[string]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	loads := map[string]int{}
-	for id, d := range g.desks {
-		if n := d.lane.running(); n > 0 {
+	for id, l := range g.lanes {
+		if n := l.running(); n > 0 && grants(id) {
 			loads[id] = n
 		}
 	}
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -26,6 +26,8 @@
 	id     string // of the engine
 	wake   chan struct{}
 	ration *ration.Ration
+	ctx    context.Context // ends with the lane
+	end    context.CancelFunc
 
 	mu      sync.Mutex
 	waiting []waiter
@@ -48,18 +50,19 @@
 	adapter string
 }
 
-func newLane(ctx context.Context, id string, ration *ration.Ration) *lane {
-	l := &lane{id: id, ration: ration, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
-	go l.run(ctx)
+func newLane(parent context.Context, id string, ration *ration.Ration) *lane {
+	ctx, end := context.WithCancel(parent)
+	l := &lane{id: id, ctx: ctx, end: end, ration: ration, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
+	go l.run()
 	return l
 }
 
-func (l *lane) run(ctx context.Context) {
+func (l *lane) run() {
 	timer := time.NewTimer(idle)
 	defer timer.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-l.ctx.Done():
 			l.refuse(want.ErrElsewhere)
 			return
 		case <-timer.C:
--- a/internal/giver/lane_test.go
+++ b/internal/giver/lane_test.go
@@ -161,3 +161,36 @@
 		}
 	})
 }
+
+// The host that orders an engine is lost. The one that grants the turns in its place has no orders to give, counts what all hosts have there, and
+// loads nothing.
+func TestTurnsAreGrantedWithoutTheOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(2)
+		e.foreign, e.slots = true, 4
+		g := start(t, e)
+		time.Sleep(time.Second)
+		w := want.Want{ID: "e", Host: "h", Model: "m", Adapter: name(0), Cost: time.Millisecond, Room: time.Second, Limit: hopeless, Bound: 10 * time.Millisecond}
+		if err := g.Admit(t.Context(), w); !errors.Is(err, want.ErrElsewhere) {
+			t.Errorf("a load at an engine of another host = %v, want %v", err, want.ErrElsewhere)
+		}
+		w.Held = true
+		granted := 0
+		for range 10 {
+			time.Sleep(20 * time.Millisecond)
+			if g.Admit(t.Context(), w) == nil {
+				granted++
+			}
+		}
+		if got, want := granted, 4; got != want {
+			t.Errorf("%d turns while none of them has ended, want %d, as many as the engine runs", got, want)
+		}
+		g.Take([]usage.Usage{{Host: "h", Engine: "e", Running: 2}}, time.Now().Add(time.Second))
+		if err := g.Admit(t.Context(), w); err != nil {
+			t.Errorf("a turn once two have ended = %v, want nil", err)
+		}
+		if e.orders > 0 {
+			t.Errorf("%d orders to the engine of another host, want none", e.orders)
+		}
+	})
+}
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -47,8 +47,9 @@
 
 	nudge chan struct{}
 
-	// serving is as of the last message: a walk over all hosts for each caller that asks would cost more than its answer.
+	// serving and living are as of the last message: a walk over all hosts for each caller that asks would cost more than its answer.
 	serving atomic.Pointer[map[string]mate.Mate]
+	living  atomic.Pointer[map[string]mate.Mate]
 
 	mu      sync.Mutex
 	rhythm  rhythm.Rhythm
@@ -70,6 +71,7 @@
 		Self: self, calls: map[string]call{}, relayed: map[string]time.Time{}, nudge: make(chan struct{}, 1), rhythm: rhythm.NewRhythm(0, 0),
 	}
 	m.serving.Store(&map[string]mate.Mate{})
+	m.living.Store(&map[string]mate.Mate{})
 	return m
 }
 
@@ -347,12 +349,23 @@
 	return *m.serving.Load()
 }
 
+// Living returns the hosts, but for this one, that are alive, also those that leave. The map must not be changed.
+func (m *Mates) Living() map[string]mate.Mate {
+	return *m.living.Load()
+}
+
 func (m *Mates) serve(hosts map[string]mate.Mate, now time.Time) {
-	serving := make(map[string]mate.Mate, len(hosts))
+	serving, living := make(map[string]mate.Mate, len(hosts)), make(map[string]mate.Mate, len(hosts))
 	for ip, h := range hosts {
-		if b, live := m.Roster.Find(ip, now); ip != m.Self.IP && live && !b.Leaving {
+		b, live := m.Roster.Find(ip, now)
+		if ip == m.Self.IP || !live {
+			continue
+		}
+		living[ip] = h
+		if !b.Leaving {
 			serving[ip] = h
 		}
 	}
 	m.serving.Store(&serving)
+	m.living.Store(&living)
 }
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -16,6 +16,7 @@
 	Bound    time.Duration `msgpack:"b,omitempty"` // longest wait for other prompts that is of use; 0 means any
 	Limit    time.Duration `msgpack:"l,omitempty"` // longest wait for a load that is of use; 0 means any
 	Patience time.Duration `msgpack:"e,omitempty"` // from now within which the answer can still be on time
+	Held     bool          `msgpack:"d,omitempty"` // the engine holds the adapter as far as the host knows that asks
 	Spread   bool          `msgpack:"s,omitempty"` // no request waits: the adapter would come to one more engine
 	Rank     int           `msgpack:"p,omitempty"` // lower goes first
 	Rated    bool          `msgpack:"n,omitempty"` // Rate was heard; without it nothing is known
