Split the building of a host, have one loop ask until patience ends, one play for both kinds of upstream

What each request asks of each upstream (does it take requests of this host?) is one look at a flag while no upstream has said anything, where it was two locked look-ups and a reading of the clock.

--- a/internal/avoid/avoid.go
+++ b/internal/avoid/avoid.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damaskreach/internal/notice"
@@ -15,6 +16,7 @@
 
 // Avoid may be used from several goroutines.
 type Avoid struct {
+	some  atomic.Bool // marks has any; asked for each upstream at each request, and mostly there are none
 	mu    sync.RWMutex
 	marks map[string]mark
 }
@@ -49,9 +51,26 @@
 		m.rests = rests
 	}
 	a.marks[t.ID] = m
+	a.some.Store(true)
 	return left
 }
 
+// Takes reports whether an upstream takes new requests of this host, as far as it has said.
+func (a *Avoid) Takes(t target.Target, now time.Time) bool {
+	if !a.some.Load() {
+		return true
+	}
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	m := a.marks[t.ID]
+	return !m.left(t) && !now.Before(m.rests)
+}
+
+// left reports whether an incarnation has said that it leaves.
+func (m mark) left(t target.Target) bool {
+	return m.leaves && m.born == t.Born
+}
+
 // Rest returns for how long an upstream still wants nothing, 0 where it takes requests.
 func (a *Avoid) Rest(id string, now time.Time) time.Duration {
 	a.mu.RLock()
@@ -63,8 +82,7 @@
 func (a *Avoid) Leaves(t target.Target) bool {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	m := a.marks[t.ID]
-	return m.leaves && m.born == t.Born
+	return a.marks[t.ID].left(t)
 }
 
 // Forget drops upstreams that are gone and were not heard of for a while; one that comes back rests on.
@@ -76,4 +94,5 @@
 			delete(a.marks, id)
 		}
 	}
+	a.some.Store(len(a.marks) > 0)
 }
--- a/internal/avoid/avoid_test.go
+++ b/internal/avoid/avoid_test.go
@@ -21,6 +21,9 @@
 	if !a.Hear(old, notice.Notice{Leaving: true}, now) || a.Hear(old, notice.Notice{Leaving: true}, now) {
 		t.Error("the first word that it leaves is not new, or the second one is")
 	}
+	if a.Takes(old, now) || !a.Takes(next, now) {
+		t.Errorf("takes requests = %v, the next incarnation %v, want the next alone", a.Takes(old, now), a.Takes(next, now))
+	}
 	if !a.Leaves(old) || a.Leaves(next) {
 		t.Errorf("leaves = %v, the next incarnation %v, want the first alone", a.Leaves(old), a.Leaves(next))
 	}
@@ -54,6 +57,9 @@
 	if got, want := a.Rest("u", now.Add(time.Second)), 2*time.Second; got != want {
 		t.Errorf("rest = %v, want %v", got, want)
 	}
+	if a.Takes(old, now.Add(2999*time.Millisecond)) || !a.Takes(old, now.Add(3*time.Second)) {
+		t.Error("takes requests within its rest, or none after it")
+	}
 	if got := a.Rest("u", now.Add(3*time.Second)); got != 0 {
 		t.Errorf("rest = %v after the time asked for, want none", got)
 	}
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -71,8 +71,9 @@
 // candidates returns the ready upstreams of the group that have not failed this request.
 func (x *Direct) candidates(j *job) []target.Target {
 	var list []target.Target
+	now := time.Now()
 	for _, t := range j.view.Targets {
-		if t.Group == j.group && !j.tried[t.ID] && x.open(t) {
+		if t.Group == j.group && !t.Draining && !j.tried[t.ID] && x.Avoid.Takes(t, now) {
 			list = append(list, t)
 		}
 	}
@@ -243,12 +244,7 @@
 // still reports whether an upstream that was chosen before a wait may still get new requests.
 func (x *Direct) still(t target.Target) bool {
 	now, ok := x.View().Targets[t.ID]
-	return ok && now.Same(t) && x.open(now)
-}
-
-// open reports whether an upstream takes new requests of this host, as far as its registration and its answers say.
-func (x *Direct) open(t target.Target) bool {
-	return x.stays(t) && x.Avoid.Rest(t.ID, time.Now()) == 0
+	return ok && now.Same(t) && !now.Draining && x.Avoid.Takes(now, time.Now())
 }
 
 // stays reports whether an upstream is not about to end, as far as its registration and its answers say.
--- /dev/null
+++ b/internal/edge/build.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"damaskreach/internal/avoid"
+	"damaskreach/internal/direct"
+	"damaskreach/internal/feeds"
+	"damaskreach/internal/flow"
+	"damaskreach/internal/giver"
+	"damaskreach/internal/holds"
+	"damaskreach/internal/intake"
+	"damaskreach/internal/limits"
+	"damaskreach/internal/pick"
+	"damaskreach/internal/quotas"
+	"damaskreach/internal/ration"
+	"damaskreach/internal/roster"
+	"damaskreach/internal/setup"
+	"damaskreach/internal/spare"
+	"damaskreach/internal/speed"
+	"damaskreach/internal/stats"
+	"damaskreach/internal/tenure"
+	"damaskreach/internal/uplink"
+)
+
+// build makes the parts and connects them.
+func (e *Edge) build() *direct.Direct {
+	s := e.Setup()
+	e.feeds = feeds.NewFeeds()
+	e.look()
+	e.Table = e.noted(measured(e.Table, e.Stats))
+	e.holds = holds.NewHolds()
+	e.pick = pick.NewPick(s.Centre)
+	e.avoid = avoid.NewAvoid()
+	e.ration = ration.NewRation(e.Clock)
+	e.news = newNews()
+	e.intake = e.buildIntake()
+	e.tenure = e.buildTenure(s)
+	e.roster = roster.NewRoster(s.IP, e.turner)
+	speeds := &speed.Speed{Before: e.tenure.Rates}
+	e.tenure.Measured, e.tenure.Beside = speeds.Rates, e.memos
+	e.giver = e.buildGiver(s)
+	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
+	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
+	e.uplink = &uplink.Uplink{
+		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
+	}
+	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
+		s := e.Setup()
+		return s.Share, s.Extra, s.Window
+	}}
+	return e.buildDirect(speeds)
+}
+
+// buildIntake makes what reads the configuration and the registrations.
+func (e *Edge) buildIntake() *intake.Intake {
+	i := intake.NewIntake()
+	i.Table, i.Conf, i.Targets = e.Table, e.Conf, e.Targets
+	i.Rules, i.Target, i.Version = e.Rules, e.Target, e.Version
+	i.Every, i.Pause, i.Clock = e.readEvery, e.retryPause, e.Clock
+	i.Read, i.Changed, i.Keep = e.told, e.nudge, e.feeds.Keep
+	i.Relaxed, i.Passed, i.Others, i.Patience = e.relaxed, e.passed, e.others, e.patience
+	i.Log = e.Log
+	return i
+}
+
+// buildTenure makes what decides which host orders which engine.
+func (e *Edge) buildTenure(s setup.Setup) *tenure.Tenure {
+	return &tenure.Tenure{
+		Table: e.shared(e.Table), Store: e.Table, Others: e.others, Patience: e.patience,
+		IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores,
+		Turn: func() time.Duration { return e.Setup().Turn }, Clock: e.Clock, Pause: e.retryPause,
+		Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
+		Log: e.Log, Stats: e.Stats,
+	}
+}
+
+// buildGiver makes what gives engines their orders.
+func (e *Edge) buildGiver(s setup.Setup) *giver.Giver {
+	return &giver.Giver{
+		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
+		Flow: flow.NewFlow(), Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
+		Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP,
+		Log: e.Log, Stats: e.Stats,
+	}
+}
+
+// buildDirect makes what serves callers.
+func (e *Edge) buildDirect(speeds *speed.Speed) *direct.Direct {
+	return &direct.Direct{
+		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do,
+		Owner: e.ordered, Admit: e.admit, Permit: e.permit, TellLimit: e.tellLimit, Charge: e.limits.Charge, Use: e.use,
+		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Away: e.intake.Away,
+		Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare, Ration: e.ration, Avoid: e.avoid, Blame: &e.blame, Speed: speeds,
+		Log: e.Log, Requests: e.Requests, Stats: e.Stats,
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -3,10 +3,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +16,8 @@
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
-	"damaskreach/internal/direct"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/feeds"
-	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
@@ -39,7 +35,6 @@
 	"damaskreach/internal/rules"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
-	"damaskreach/internal/speed"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
@@ -131,53 +126,6 @@
 	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
 
-// build makes the parts and connects them.
-func (e *Edge) build() *direct.Direct {
-	s := e.Setup()
-	e.feeds = feeds.NewFeeds()
-	e.look()
-	e.Table = e.noted(measured(e.Table, e.Stats))
-	e.holds = holds.NewHolds()
-	e.pick = pick.NewPick(s.Centre)
-	e.avoid = avoid.NewAvoid()
-	e.ration = ration.NewRation(e.Clock)
-	e.news = newNews()
-	e.intake = intake.NewIntake()
-	e.intake.Table, e.intake.Conf, e.intake.Targets = e.Table, e.Conf, e.Targets
-	e.intake.Every = e.readEvery
-	e.intake.Rules, e.intake.Target, e.intake.Version, e.intake.Log = e.Rules, e.Target, e.Version, e.Log
-	e.tenure = &tenure.Tenure{
-		Table: e.shared(e.Table), Store: e.Table, Others: e.others, Patience: e.patience, IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores, Clock: e.Clock,
-		Log: e.Log, Stats: e.Stats,
-		Turn: func() time.Duration { return e.Setup().Turn }, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep, Pause: e.retryPause,
-	}
-	e.roster = roster.NewRoster(s.IP, e.turner)
-	e.intake.Read = e.told
-	e.intake.Relaxed, e.intake.Changed, e.intake.Keep, e.intake.Pause = e.relaxed, e.nudge, e.feeds.Keep, e.retryPause
-	e.intake.Passed, e.intake.Clock = e.passed, e.Clock
-	e.intake.Others, e.intake.Patience = e.others, e.patience
-	measured := &speed.Speed{Before: e.tenure.Rates}
-	e.tenure.Measured, e.tenure.Beside = measured.Rates, e.memos
-	e.giver = &giver.Giver{
-		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Window: func() time.Duration { return e.Setup().Loads }, Others: e.modelLoads, Unused: e.unused, Ration: e.ration, Leaves: e.avoid.Leaves, Holder: s.IP, Log: e.Log, Stats: e.Stats,
-	}
-	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
-	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
-	e.uplink = &uplink.Uplink{
-		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
-	}
-	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
-		s := e.Setup()
-		return s.Share, s.Extra, s.Window
-	}}
-	return &direct.Direct{
-		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do, Owner: e.ordered, Admit: e.admit, Charge: e.limits.Charge, Speed: measured, Use: e.use,
-		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Holds: e.holds, Pick: e.pick,
-		Spare: e.spare, Ration: e.ration, Avoid: e.avoid, Permit: e.permit, TellLimit: e.tellLimit, Blame: &e.blame, Log: e.Log, Requests: e.Requests, Away: e.intake.Away, Started: time.Now(), Stats: e.Stats,
-	}
-}
-
 // engines returns the upstreams that need a host for their orders, and the parts of teams' limits that need one.
 func (e *Edge) engines() map[string]target.Target {
 	v := e.intake.View()
--- a/internal/edge/need_test.go
+++ b/internal/edge/need_test.go
@@ -37,6 +37,8 @@
 	// atOnce is within which a caller is told that its request will not be served; turnComes is for how long a turn at an engine may come.
 	atOnce    = 400 * time.Millisecond
 	turnComes = 1100 * time.Millisecond
+	// shortPrompt, in tokens, is short enough for two engines to read all of them.
+	shortPrompt = 10
 	// needHosts, needOthers are the hosts, and the upstreams, of which one is in need.
 	needHosts  = 18
 	needOthers = 4
@@ -47,11 +49,13 @@
 
 // newNeed returns a fleet whose upstreams name limits: engines, which some host gives their orders, or plain ones.
 func newNeed(t *testing.T, engines bool) *payers {
-	return newPayersOf(t, needHosts, 3, needOthers, unlimited, func(e *edge.Edge, _ *setup.Setup) {
+	p := newPayersOf(t, needHosts, 3, needOthers, unlimited, func(e *edge.Edge, _ *setup.Setup) {
 		if engines {
 			asEngines(e)
 		}
 	})
+	p.engines = engines
+	return p
 }
 
 // asEngines has a host take the upstreams for engines that hold one model and carry out every order at once.
@@ -150,84 +154,83 @@
 	}
 }
 
-// An upstream names the requests a second that it takes from all hosts together; each host that goes by itself brings it all of them once more.
-func TestUpstreamInNeedGetsNoMoreThanItTakes(t *testing.T) {
-	for _, engines := range []bool{true, false} {
-		for _, limit := range []float64{0, 1.1, 4} {
-			t.Run(fmt.Sprintf("engines %v, %v a second", engines, limit), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					p := newNeed(t, engines)
-					time.Sleep(14 * time.Second)
-					ctx, cancel := context.WithCancel(t.Context())
-					t.Cleanup(cancel)
-					p.load(ctx, 1, "red", 60, func(*rand.Rand) int { return 100 })
-					time.Sleep(4 * time.Second)
-					p.need("u0", limit)
-					begun := time.Now()
-					time.Sleep(12 * time.Second)
-					p.wantWithinNeed("u0", limit, begun.Add(needKnown), time.Now())
-					p.need("u0", -1)
-					ended := time.Now()
-					time.Sleep(14 * time.Second)
-					p.wantAnswered(begun, time.Now().Add(-2*time.Second))
-					if _, all := p.got("u0", ended.Add(8*time.Second), ended.Add(12*time.Second)); all < 30 {
-						t.Errorf("u0 got %d requests from 8 to 12 s after the end of its need, want its part again, about 60", all)
-					}
-				})
-			})
-		}
-	}
-}
-
-// Every upstream names a limit. What is over it is refused at once, as not run and with a time to come back: callers must not wait for a turn
-// that cannot come.
-func TestCallersAreToldAtOnceWhereAllUpstreamsAreInNeed(t *testing.T) {
+// eachKind plays a calm fleet under load, once with engines and once with plain upstreams; stop ends the load.
+func eachKind(t *testing.T, perSecond float64, play func(t *testing.T, p *payers, stop func())) {
 	for _, engines := range []bool{true, false} {
 		t.Run(fmt.Sprintf("engines %v", engines), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newNeed(t, engines)
 				time.Sleep(14 * time.Second)
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				p.load(ctx, 1, "red", 60, func(*rand.Rand) int { return 100 })
+				ctx, stop := context.WithCancel(t.Context())
+				t.Cleanup(stop)
+				p.load(ctx, 1, "red", perSecond, func(*rand.Rand) int { return shortPrompt })
 				time.Sleep(4 * time.Second)
-				for i := range needOthers {
-					p.need(fmt.Sprint("u", i), 2)
-				}
+				play(t, p, stop)
+			})
+		})
+	}
+}
+
+// An upstream names the requests a second that it takes from all hosts together; each host that goes by itself brings it all of them once more.
+func TestUpstreamInNeedGetsNoMoreThanItTakes(t *testing.T) {
+	for _, limit := range []float64{0, 1.1, 4} {
+		t.Run(fmt.Sprintf("%v a second", limit), func(t *testing.T) {
+			eachKind(t, 60, func(t *testing.T, p *payers, _ func()) {
+				p.need("u0", limit)
 				begun := time.Now()
 				time.Sleep(12 * time.Second)
-				cancel()
-				time.Sleep(2 * time.Second)
-				served, refused, slow := 0, 0, 0
-				p.mu.Lock()
-				for _, s := range p.said {
-					switch {
-					case s.sent.Before(begun.Add(needKnown)):
-					case s.status == http.StatusOK:
-						served++
-					case s.status != http.StatusServiceUnavailable:
-						t.Errorf("status = %d, want 503, which promises that the request has not run", s.status)
-					default:
-						refused++
-						if s.took > atOnce {
-							slow++
-						}
-						if s.took > turnComes {
-							t.Errorf("a caller was told after %v, want no wait beyond %v", s.took, turnComes)
-						}
-					}
-				}
-				p.mu.Unlock()
-				for i := range needOthers {
-					p.wantWithinNeed(fmt.Sprint("u", i), 2, begun.Add(needKnown), begun.Add(12*time.Second))
-				}
-				if want := needOthers * 2 * 9 * 8 / 10; served < want {
-					t.Errorf("%d requests were served in 9 s, want %d at least of what the upstreams take", served, want)
-				}
-				if most := refused / 20; slow > most || slow > 0 && !engines {
-					t.Errorf("%d of %d callers were told after more than %v, want none, or at engines, where a turn may come, %d", slow, refused, atOnce, most)
+				p.wantWithinNeed("u0", limit, begun.Add(needKnown), time.Now())
+				p.need("u0", -1)
+				ended := time.Now()
+				time.Sleep(14 * time.Second)
+				p.wantAnswered(begun, time.Now().Add(-2*time.Second))
+				if _, all := p.got("u0", ended.Add(8*time.Second), ended.Add(12*time.Second)); all < 30 {
+					t.Errorf("u0 got %d requests from 8 to 12 s after the end of its need, want its part again, about 60", all)
 				}
 			})
 		})
 	}
 }
+
+// Every upstream names a limit. What is over it is refused at once, as not run and with a time to come back: callers must not wait for a turn
+// that cannot come.
+func TestCallersAreToldAtOnceWhereAllUpstreamsAreInNeed(t *testing.T) {
+	eachKind(t, 60, func(t *testing.T, p *payers, stop func()) {
+		for i := range needOthers {
+			p.need(fmt.Sprint("u", i), 2)
+		}
+		begun := time.Now()
+		time.Sleep(12 * time.Second)
+		stop()
+		time.Sleep(2 * time.Second)
+		served, refused, slow := 0, 0, 0
+		p.mu.Lock()
+		for _, s := range p.said {
+			switch {
+			case s.sent.Before(begun.Add(needKnown)):
+			case s.status == http.StatusOK:
+				served++
+			case s.status != http.StatusServiceUnavailable:
+				t.Errorf("status = %d, want 503, which promises that the request has not run", s.status)
+			default:
+				refused++
+				if s.took > atOnce {
+					slow++
+				}
+				if s.took > turnComes {
+					t.Errorf("a caller was told after %v, want no wait beyond %v", s.took, turnComes)
+				}
+			}
+		}
+		p.mu.Unlock()
+		for i := range needOthers {
+			p.wantWithinNeed(fmt.Sprint("u", i), 2, begun.Add(needKnown), begun.Add(12*time.Second))
+		}
+		if want := needOthers * 2 * 9 * 8 / 10; served < want {
+			t.Errorf("%d requests were served in 9 s, want %d at least of what the upstreams take", served, want)
+		}
+		if most := refused / 20; slow > most || slow > 0 && !p.engines {
+			t.Errorf("%d of %d callers were told after more than %v, want none, or at engines, where a turn may come, %d", slow, refused, atOnce, most)
+		}
+	})
+}
--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -73,17 +73,18 @@
 	ctx   context.Context
 	teams func(version int64) []team.Team // in each version of the configuration
 
-	mu     sync.Mutex
-	runs   []ran
-	said   []said
-	sent   map[string]time.Time
-	lives  map[string]*life
-	takes  time.Duration     // that upstreams run a request
-	under  map[string]int    // requests at each upstream now
-	peak   map[string]int    // the most that there were at once
-	most   map[string]string // limit that each upstream names of itself
-	leaves map[string]bool   // upstreams that say that they leave
-	sheds  map[string]bool   // upstreams that turn requests away
+	mu      sync.Mutex
+	runs    []ran
+	said    []said
+	sent    map[string]time.Time
+	lives   map[string]*life
+	engines bool              // the upstreams take orders
+	takes   time.Duration     // that upstreams run a request
+	under   map[string]int    // requests at each upstream now
+	peak    map[string]int    // the most that there were at once
+	most    map[string]string // limit that each upstream names of itself
+	leaves  map[string]bool   // upstreams that say that they leave
+	sheds   map[string]bool   // upstreams that turn requests away
 }
 
 // life is one start of the program on a host.
@@ -245,7 +246,7 @@
 	p.mu.Unlock()
 	defer p.ended(to)
 	if takes > 0 {
-		time.Sleep(takes)
+		<-time.After(takes)
 	}
 	w.Header().Set(headID, id)
 	if leaves {
--- a/internal/edge/rest_test.go
+++ b/internal/edge/rest_test.go
@@ -3,22 +3,16 @@
 package edge_test
 
 import (
-	"context"
-	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
 const (
-	// restTold is how long after an answer that asks for rest a host may still send what it had begun to, and restMost how many requests
+	// restTold, in synctest's time as all waits here, is how long after an answer that asks for rest a host may still send what it had begun to, and restMost how many requests
 	// may come within the rest after that.
 	restTold = 500 * time.Millisecond
 	restMost = 2
-	// shortPrompt, in tokens, is short enough for two engines to read all of them.
-	shortPrompt = 10
 )
 
 // disturbed returns the most requests that came to an upstream from one host while it rested from that host.
@@ -41,68 +35,52 @@
 	return most
 }
 
+// wantRested checks that upstreams got the rest that they asked for.
+func (p *payers) wantRested() {
+	p.t.Helper()
+	if got := p.disturbed(); got > restMost {
+		p.t.Errorf("an upstream got %d requests from one host while it rested from that host, want %d at most", got, restMost)
+	}
+}
+
 // Two of four upstreams turn every request away for some seconds, and say for how long they want nothing. Sent there again and again, requests
 // are rejected until their tries are used up, and the upstreams get no rest.
 func TestUpstreamThatAsksForRestGetsIt(t *testing.T) {
-	for _, engines := range []bool{true, false} {
-		t.Run(fmt.Sprintf("engines %v", engines), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newNeed(t, engines)
-				time.Sleep(14 * time.Second)
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				p.load(ctx, 1, "red", 200, func(*rand.Rand) int { return shortPrompt })
-				time.Sleep(2 * time.Second)
-				p.shed("u0", "u1")
-				begun := time.Now()
-				time.Sleep(6 * time.Second)
-				p.shed()
-				if got := p.disturbed(); got > restMost {
-					t.Errorf("an upstream got %d requests from one host while it rested from that host, want %d at most", got, restMost)
-				}
-				p.wantAnswered(begun, time.Now())
-				ended := time.Now()
-				time.Sleep(8 * time.Second)
-				if _, all := p.got("u0", ended.Add(4*time.Second), ended.Add(8*time.Second)); all < 100 {
-					t.Errorf("u0 got %d requests from 4 to 8 s after it ceased to turn them away, want its part again, about 200", all)
-				}
-			})
-		})
-	}
+	eachKind(t, 200, func(t *testing.T, p *payers, _ func()) {
+		p.shed("u0", "u1")
+		begun := time.Now()
+		time.Sleep(6 * time.Second)
+		p.shed()
+		p.wantRested()
+		p.wantAnswered(begun, time.Now())
+		ended := time.Now()
+		time.Sleep(8 * time.Second)
+		if _, all := p.got("u0", ended.Add(4*time.Second), ended.Add(8*time.Second)); all < 100 {
+			t.Errorf("u0 got %d requests from 4 to 8 s after it ceased to turn them away, want its part again, about 200", all)
+		}
+	})
 }
 
 // Every upstream rests. Callers are told at once, and to come back once one of them wants requests again.
 func TestCallersAreToldAtOnceWhereAllUpstreamsRest(t *testing.T) {
-	for _, engines := range []bool{true, false} {
-		t.Run(fmt.Sprintf("engines %v", engines), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newNeed(t, engines)
-				time.Sleep(14 * time.Second)
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				p.load(ctx, 1, "red", 200, func(*rand.Rand) int { return shortPrompt })
-				time.Sleep(2 * time.Second)
-				p.shed("u0", "u1", "u2", "u3")
-				begun := time.Now()
-				time.Sleep(8 * time.Second)
-				if got := p.disturbed(); got > restMost {
-					t.Errorf("an upstream got %d requests from one host while it rested from that host, want %d at most", got, restMost)
-				}
-				p.mu.Lock()
-				defer p.mu.Unlock()
-				late, latest := 0, time.Duration(0)
-				for _, s := range p.said {
-					if s.sent.After(begun) && (s.status != http.StatusServiceUnavailable || s.took > atOnce) {
-						late++
-						latest = max(latest, s.took)
-					}
-				}
-				if late > 0 {
-					t.Errorf("%d callers got no 503 within %v, the latest answer came after %v", late, atOnce, latest)
-				}
-			})
-		})
-	}
+	eachKind(t, 200, func(t *testing.T, p *payers, _ func()) {
+		p.shed("u0", "u1", "u2", "u3")
+		begun := time.Now()
+		time.Sleep(8 * time.Second)
+		p.wantRested()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		late, latest := 0, time.Duration(0)
+		for _, s := range p.said {
+			if s.sent.After(begun) && (s.status != http.StatusServiceUnavailable || s.took > atOnce) {
+				late++
+				latest = max(latest, s.took)
+			}
+		}
+		if late > 0 {
+			t.Errorf("%d callers got no 503 within %v, the latest answer came after %v", late, atOnce, latest)
+		}
+	})
 }
 
 // shed has just these upstreams turn every request away.
--- a/internal/intake/first.go
+++ b/internal/intake/first.go
@@ -28,13 +28,14 @@
 		return reading{list: r.list, rev: r.rev}
 	}
 	i.away.Store(r.err != nil)
-	for time.Since(begun) < i.Patience() {
-		if list, rev, ok := i.Others(ctx, i.Targets); ok {
-			return reading{list: list, rev: rev, heard: true}
-		}
-		if !turns.Sleep(ctx, othersEvery) {
-			break
-		}
+	took := time.Since(begun)
+	left := func() time.Duration { return i.Patience() - took }
+	ask := func() (ok bool) {
+		r.list, r.rev, ok = i.Others(ctx, i.Targets)
+		return ok
+	}
+	if turns.Try(ctx, othersEvery, left, ask) {
+		return reading{list: r.list, rev: r.rev, heard: true}
 	}
 	return reading{whole: true, err: r.err}
 }
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -107,13 +107,14 @@
 		return list, rev, 0, err
 	}
 	t.apply(list, 0)
-	for t.Clock()-begun < t.Patience() {
-		if list, rev, ok := t.Others(ctx, Prefix); ok {
-			return list, rev, 0, nil
-		}
-		if !turns.Sleep(ctx, othersEvery) {
-			break
-		}
+	took := t.Clock() - begun
+	left := func() time.Duration { return t.Patience() - took }
+	ask := func() (ok bool) {
+		list, rev, ok = t.Others(ctx, Prefix)
+		return ok
+	}
+	if turns.Try(ctx, othersEvery, left, ask) {
+		return list, rev, 0, nil
 	}
 	list, rev, err = t.list(ctx)
 	return list, rev, 0, err
