Count the time of an older version from its own successor

Cause: the time for which an engine with an older version still serves counted from when the newest version was named, whatever the engine held. With each new version all older ones came into force again. Ruled out: a host that had not heard of the version (it had been alive all the while), and the lost owner (the host that sent was told its turn at once). Each host now remembers when it learned of the newest eight versions of an adapter, and an engine serves until the first one newer than what it holds is out of its time; where several engines may, the wait for a turn ends with the first of them. What is forgotten makes it stricter, not looser.

--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -114,9 +114,9 @@
 		}
 		return x.load(ctx, j, idle(), nil, version)
 	}
-	if len(older) > 0 && now.Sub(j.view.Named[j.d.Adapter]) < x.Grace() {
+	if recent, until := x.recent(j, older, now); len(recent) > 0 {
 		x.spreadTo(j, others, older, version, now)
-		return x.admitOlder(ctx, j, older)
+		return x.admitOlder(ctx, j, recent, until)
 	}
 	if len(x.usable(others, now))+len(x.usable(older, now)) == 0 && len(holders) > 0 {
 		return x.admitAny(ctx, j, holders, version, anyTime, func() {})
@@ -141,10 +141,26 @@
 	return idle
 }
 
+// recent returns the engines of a list whose version of the request's adapter went out of date so short a time ago that it still serves, and
+// until when all of them do.
+func (x *Direct) recent(j *job, older []target.Target, now time.Time) (list []target.Target, until time.Time) {
+	for _, t := range older {
+		held, _ := x.Holds.Version(t, j.d.Adapter, now)
+		ends := j.view.Replaced(j.d.Adapter, held).Add(x.Grace())
+		if !now.Before(ends) {
+			continue
+		}
+		if len(list) == 0 || ends.Before(until) {
+			until = ends
+		}
+		list = append(list, t)
+	}
+	return list, until
+}
+
 // admitOlder waits for a turn at an engine with an older version, but not beyond the time for which that still serves. The
 // request begins there after the wait; without this bound a long wait would let it begin on a version that is out of force.
-func (x *Direct) admitOlder(ctx context.Context, j *job, older []target.Target) (target.Target, int, *refuse.Refusal) {
-	until := j.view.Named[j.d.Adapter].Add(x.Grace())
+func (x *Direct) admitOlder(ctx context.Context, j *job, older []target.Target, until time.Time) (target.Target, int, *refuse.Refusal) {
 	waitCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	t, version, refusal := x.admitAny(waitCtx, j, older, 0, anyTime, func() {})
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -77,7 +77,7 @@
 	if got, want := b.sent[0].addr, "one:1"; got != want {
 		t.Errorf("sent to %s, want %s, which holds the older version", got, want)
 	}
-	b.view.Named["m/a"] = time.Now().Add(-time.Minute)
+	b.view.Named["m/a"][2] = time.Now().Add(-time.Minute)
 	b.then(answers(200, nil, "", nil))
 	b.call(header)
 	if got, want := b.sent[1].extra.Get(headVer), "new"; got != want {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -2,18 +2,24 @@
 package view
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"damaskreach/internal/rules"
 	"damaskreach/internal/target"
 )
 
+// mostNamed is how many versions of an adapter are remembered: more than are named within the time for which older ones serve.
+const mostNamed = 8
+
 // View is immutable; its With methods return changed copies.
 type View struct {
 	Rules    rules.Rules
 	Targets  map[string]target.Target // by id
 	Versions map[string]int           // newest version that operators named, by "model/adapter"
-	Named    map[string]time.Time     // when this host learned of it; zero where it was there when the host started
+	// Named is when this host learned of each of the newest versions of an adapter; zero where one was there when the host started.
+	Named map[string]map[int]time.Time
 }
 
 // WithRules returns a copy with a newer configuration. An older one changes nothing: a reading that was under way when
@@ -36,19 +42,45 @@
 	if version <= v.Versions[adapter] {
 		return v
 	}
-	versions := make(map[string]int, len(v.Versions)+1)
-	named := make(map[string]time.Time, len(v.Named)+1)
-	for k, old := range v.Versions {
-		versions[k] = old
-		named[k] = v.Named[k]
+	versions, named := maps.Clone(v.Versions), maps.Clone(v.Named)
+	if versions == nil {
+		versions, named = map[string]int{}, map[string]map[int]time.Time{}
 	}
 	versions[adapter] = version
-	named[adapter] = now
+	named[adapter] = withNamed(named[adapter], version, now)
 	v.Versions = versions
 	v.Named = named
 	return v
 }
 
+// withNamed returns a copy of the times with one more, and without the oldest of too many. The next one then counts from when that was named:
+// for the versions before it nothing changes.
+func withNamed(times map[int]time.Time, version int, now time.Time) map[int]time.Time {
+	next := maps.Clone(times)
+	if next == nil {
+		next = map[int]time.Time{}
+	}
+	next[version] = now
+	if len(next) > mostNamed {
+		order := slices.Sorted(maps.Keys(next))
+		next[order[1]] = next[order[0]]
+		delete(next, order[0])
+	}
+	return next
+}
+
+// Replaced returns when a version of an adapter went out of date: when this host learned of the first newer one.
+func (v View) Replaced(adapter string, version int) time.Time {
+	var first time.Time
+	next := 0
+	for newer, at := range v.Named[adapter] {
+		if newer > version && (next == 0 || newer < next) {
+			next, first = newer, at
+		}
+	}
+	return first
+}
+
 // Known reports whether a configuration is in force.
 func (v View) Known() bool {
 	return v.Rules.Version > 0
