Choose the hosts that stand in for others in one pass

Each host sorted all others five times a second to find the sixteen strongest, which grows faster than the hosts. One pass keeps them in order now. The choice is the same; the tests of lost hosts and of limits pass.

--- a/internal/edge/duty.go
+++ b/internal/edge/duty.go
@@ -18,18 +18,20 @@
 
 // newDuty returns the duty where these other hosts are alive.
 func newDuty(self mate.Mate, living map[string]mate.Mate) *duty {
-	list := []mate.Mate{self}
+	first := []mate.Mate{self}
 	for _, m := range living {
-		list = append(list, m)
-	}
-	slices.SortFunc(list, func(a, b mate.Mate) int {
-		if a.Before(b) {
-			return -1
+		if len(first) == mostDuty && first[mostDuty-1].Before(m) {
+			continue
+		}
+		at := slices.IndexFunc(first, m.Before)
+		if at < 0 {
+			at = len(first)
 		}
-		return 1
-	})
+		first = slices.Insert(first, at, m)
+		first = first[:min(len(first), mostDuty)]
+	}
 	d := &duty{living: living}
-	for _, m := range list[:min(len(list), mostDuty)] {
+	for _, m := range first {
 		d.hosts = append(d.hosts, m.IP)
 	}
 	return d
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -276,7 +276,7 @@
 	return own, uses, e.blame.News()
 }
 
-// waits returns the waits at engines that this host orders, and notes them for its own choices.
+// waits returns the waits at engines whose turns this host grants, and notes them for its own choices.
 func (e *Edge) waits() map[string]int {
 	ms := map[string]int{}
 	now := time.Now()
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// loads returns how busy the engines are that this host orders, and notes it for its own choices.
+// loads returns how busy the engines are whose turns this host grants, and notes it for its own choices.
 func (e *Edge) loads() map[string]int {
 	loads := e.giver.Loads(e.grants)
 	now := time.Now()
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -17,7 +17,7 @@
 	Limit    time.Duration `msgpack:"l,omitempty"` // longest wait for a load that is of use; 0 means any
 	Patience time.Duration `msgpack:"e,omitempty"` // from now within which the answer can still be on time
 	Held     bool          `msgpack:"d,omitempty"` // the engine holds the adapter as far as the host knows that asks
-	Spread   bool          `msgpack:"s,omitempty"` // no request waits: the adapter would come to one more engine
+	Spread   bool          `msgpack:"s,omitempty"` // no request waits: the adapter would come to one more engine, or what was heard of a limit is told
 	Rank     int           `msgpack:"p,omitempty"` // lower goes first
 	Rated    bool          `msgpack:"n,omitempty"` // Rate was heard; without it nothing is known
 	Rate     float64       `msgpack:"q,omitempty"` // requests a second that the upstream takes; 0 means no limit
