Remember which host stands in for an engine until hosts are looked at again

Suspected, not shown: a relay asks at each message, for each engine that each host uses, which host grants its turns, and while engines have no host each answer was worked out anew. It is worked out once for each look at the hosts now, five times a second. The choice is the same; the tests of lost hosts and of limits pass.

--- a/internal/edge/duty.go
+++ b/internal/edge/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"damaskreach/internal/mate"
 	"damaskreach/internal/spread"
@@ -12,8 +13,10 @@
 
 // duty is which hosts do something for others, as of a moment ago.
 type duty struct {
+	self   string
 	living map[string]mate.Mate // other hosts that are alive
 	hosts  []string             // that do what nobody else does
+	picked sync.Map             // which of them, by upstream: a relay asks for each engine that each host uses, at each message
 }
 
 // newDuty returns the duty where these other hosts are alive.
@@ -30,7 +33,7 @@
 		first = slices.Insert(first, at, m)
 		first = first[:min(len(first), mostDuty)]
 	}
-	d := &duty{living: living}
+	d := &duty{self: self.IP, living: living}
 	for _, m := range first {
 		d.hosts = append(d.hosts, m.IP)
 	}
@@ -48,19 +51,28 @@
 
 // counter returns the host that counts the requests for an upstream without a host that gives it orders.
 func (e *Edge) counter(id string) string {
-	return spread.Pick(e.duty.Load().hosts, id)
+	return e.duty.Load().pick(id)
+}
+
+func (d *duty) pick(id string) string {
+	if host, ok := d.picked.Load(id); ok {
+		return host.(string)
+	}
+	host := spread.Pick(d.hosts, id)
+	d.picked.Store(id, host)
+	return host
 }
 
 // turner returns the host that grants the turns at an engine: the one that gives it its orders, or another one where that is not there.
 func (e *Edge) turner(id string) string {
-	owner := e.tenure.Owner(id)
-	if _, alive := e.duty.Load().living[owner]; alive || owner == e.Setup().IP {
+	owner, d := e.tenure.Owner(id), e.duty.Load()
+	if _, alive := d.living[owner]; alive || owner == d.self {
 		return owner
 	}
-	return e.counter(id)
+	return d.pick(id)
 }
 
 // grants reports whether this host grants the turns at an engine.
 func (e *Edge) grants(id string) bool {
-	return e.turner(id) == e.Setup().IP
+	return e.turner(id) == e.duty.Load().self
 }
