Cut a silent stream only once it has its place at another engine

A pause of 1.2 s (an overloaded engine reads long prompts) ended the stream at once; it then waited for a place like a request that had not begun, was refused, and the caller's connection closed under an answer that its engine was still making. Change: a mover watches each stream. After the pause it looks for a place (turn, budget of repeats) with a copy of the request, every 250 ms, while the engine is still listened to; an event ends the search. Once there is a place, the connection to the engine is cut and the stream goes on there. A stream that may not run twice is waited for. Ruled out: a longer pause alone (an engine that goes dark would be noticed later, and an overloaded one still cut).

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -37,6 +37,7 @@
 	tried     map[string]bool // upstreams that did not serve it
 	fault     *refuse.Refusal // why the last send failed
 	units     float64         // that it counts against its team's limit; 0 where there is none
+	next      *choice         // where it goes on; nil where that is to be found
 	back      func()          // gives back what was counted against the team's limit; nil where nothing was
 	version   int             // of the adapter that was asked of the upstream; 0 means any
 	last      string          // id of the last event that was passed on
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -239,22 +239,24 @@
 // The engine that holds an adapter has more prompts to read than its callers can wait for. Sent all the same, one more would hold
 // up the streams of all others there; the caller is told at once that its request has not run, and when to come back.
 func TestRequestWithoutATurnInTimeIsSentBack(t *testing.T) {
-	b := newBench(t, route.Route{Kind: kinds.Stream, Target: time.Second})
-	b.add("one", map[string]int{"m/a": 1})
-	b.add("two", map[string]int{"m/a": 1})
-	b.busy = map[string]bool{"one": true, "two": true}
-	b.Pick.Waits("one", 1500*time.Millisecond, time.Now())
-	b.Pick.Waits("two", 1500*time.Millisecond, time.Now())
-	rec, _ := b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
-	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
-		t.Errorf("status = %d, want %d", got, want)
-	}
-	if got, want := rec.Header().Get("Retry-After"), "1.50"; got != want {
-		t.Errorf("Retry-After = %q, want %q", got, want)
-	}
-	if len(b.sent) != 0 {
-		t.Errorf("sends = %d, want none", len(b.sent))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, route.Route{Kind: kinds.Stream, Target: time.Second})
+		b.add("one", map[string]int{"m/a": 1})
+		b.add("two", map[string]int{"m/a": 1})
+		b.busy = map[string]bool{"one": true, "two": true}
+		b.Pick.Waits("one", 1500*time.Millisecond, time.Now())
+		b.Pick.Waits("two", 1500*time.Millisecond, time.Now())
+		rec, _ := b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+		if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+			t.Errorf("status = %d, want %d", got, want)
+		}
+		if got, want := rec.Header().Get("Retry-After"), "1.50"; got != want {
+			t.Errorf("Retry-After = %q, want %q", got, want)
+		}
+		if len(b.sent) != 0 {
+			t.Errorf("sends = %d, want none", len(b.sent))
+		}
+	})
 }
 
 // All engines that hold an adapter are busy while another one has nothing to do. The request is not refused: the adapter
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,13 +18,6 @@
 	"damaskreach/pkg/verd"
 )
 
-// mostGap is how many of a route's longest pauses a stream may fall silent before it goes on at another engine, where it
-// may. Engines pause for long prompts of others; a pause of so many is a lost connection or a dead engine.
-const mostGap = 4
-
-// leastGap bounds the same from below.
-const leastGap = 1200 * time.Millisecond
-
 // relay passes a stream on event by event. Only whole events go to the caller: an engine may stop in the middle of one,
 // and another engine then goes on behind the last whole one.
 func (x *Direct) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (failed, done bool) {
@@ -34,59 +26,51 @@
 		j.w.WriteHeader(r.Status)
 		j.headed = true
 	}
-	err := x.events(j, r)
+	m := x.watchSilence(ctx, j, t, r)
+	err := x.events(j, r, m)
+	j.next = m.end()
 	if err == nil {
 		x.outcome(t, "ok")
 		x.finish(j, "ok", verd.Ran, t.ID, r.Status)
 		return false, true
 	}
 	var gone *callerError
-	if errors.As(err, &gone) || ctx.Err() == context.Canceled && !errors.Is(err, errSilent) && !j.over(time.Now()) {
+	if errors.As(err, &gone) || ctx.Err() == context.Canceled && !j.over(time.Now()) {
 		x.outcome(t, "left")
 		x.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, r.Status)
 		panic(http.ErrAbortHandler)
 	}
 	x.outcome(t, "cut")
 	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
-		zap.Duration("since", time.Since(j.begun)), zap.Error(err))
+		zap.Duration("since", time.Since(j.begun)), zap.Bool("silent", j.next != nil), zap.Error(err))
 	x.broke(j, t)
 	x.Pick.Rest(t.ID, time.Now())
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
-	if !j.over(time.Now()) && j.again() && !x.Blame.Barred(j.print, time.Now()) {
+	if !j.over(time.Now()) && (j.next != nil || j.again() && !x.Blame.Barred(j.print, time.Now())) {
 		return true, false
 	}
 	x.refuse(j.w, j, j.fault)
 	return true, true
 }
 
-// errSilent means that a stream paused for too long.
-var errSilent = errors.New("no event for too long")
-
 // callerError means that the caller does not take the answer any more.
 type callerError struct{ error }
 
 // events copies events until the stream ends as complete.
-func (x *Direct) events(j *job, r resp.Resp) error {
+func (x *Direct) events(j *job, r resp.Resp, m *mover) error {
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(r.Body)
-	var silent atomic.Bool
-	gap := max(leastGap, mostGap*j.route.Gap)
-	// An engine whose connection fell silent never tells; closing the connection ends the read below.
-	timer := time.AfterFunc(gap, func() { silent.Store(true); r.Cut() })
-	defer timer.Stop()
 	var event bytes.Buffer
 	for {
 		switch err := readEvent(in, &event); {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			return nil
-		case err != nil && silent.Load():
-			return errSilent
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
 		}
-		timer.Reset(gap)
+		m.heard()
 		if j.first.IsZero() {
 			x.begun(j)
 		}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -30,22 +30,13 @@
 // serve sends a request until it is answered or refused.
 func (x *Direct) serve(ctx context.Context, j *job) {
 	for {
-		t, version, refusal := x.place(ctx, j)
+		next, refusal := x.next(ctx, j)
 		if refusal != nil {
-			if j.fault != nil {
-				refusal = j.fault.WithRetry(max(j.fault.Retry, refusal.Retry))
-			}
 			x.refuse(j.w, j, refusal)
 			return
 		}
-		if j.sends == 0 {
-			x.Spare.First(j.group, time.Now())
-		} else if !x.Spare.Again(j.group, time.Now()) {
-			x.refuse(j.w, j, j.fault)
-			return
-		}
 		j.sends++
-		if done := x.send(ctx, j, t, version); done {
+		if done := x.send(ctx, j, next.target, next.version); done {
 			return
 		}
 		if j.sends >= mostSends {
@@ -55,6 +46,32 @@
 	}
 }
 
+// next returns where the request goes: where its place was found already, or else where it finds one.
+func (x *Direct) next(ctx context.Context, j *job) (choice, *refuse.Refusal) {
+	if next := j.next; next != nil {
+		j.next = nil
+		return *next, nil
+	}
+	return x.find(ctx, j)
+}
+
+// find finds the request a place, for a repeat within the bound on those.
+func (x *Direct) find(ctx context.Context, j *job) (choice, *refuse.Refusal) {
+	t, version, refusal := x.place(ctx, j)
+	if refusal != nil && j.fault != nil {
+		return choice{}, j.fault.WithRetry(max(j.fault.Retry, refusal.Retry))
+	}
+	if refusal != nil {
+		return choice{}, refusal
+	}
+	if j.sends == 0 {
+		x.Spare.First(j.group, time.Now())
+	} else if !x.Spare.Again(j.group, time.Now()) {
+		return choice{}, j.fault
+	}
+	return choice{t, version}, nil
+}
+
 // send sends the request to one upstream; it reports true where the caller has its final answer.
 func (x *Direct) send(ctx context.Context, j *job, t target.Target, version int) (done bool) {
 	left := time.Until(j.deadline())
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -45,12 +45,25 @@
 func (s *Spare) Again(group string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, share, extra := s.at(group, now)
-	if sum(c.again)+1 > part*(share*sum(c.first)+extra/float64(max(1, s.Hosts()))) {
-		return false
+	c, ok := s.room(group, now)
+	if ok {
+		c.again[c.newest%slices]++
 	}
-	c.again[c.newest%slices]++
-	return true
+	return ok
+}
+
+// May reports whether Again would allow it, without counting it.
+func (s *Spare) May(group string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.room(group, now)
+	return ok
+}
+
+// room reports whether the bound allows one more.
+func (s *Spare) room(group string, now time.Time) (c *counts, ok bool) {
+	c, share, extra := s.at(group, now)
+	return c, sum(c.again)+1 <= part*(share*sum(c.first)+extra/float64(max(1, s.Hosts())))
 }
 
 // at returns the counts of a group with those that have left the window cleared.
