Know how fast each engine is, and choose and pace by that

Cause: engines of one pool differ by a factor of three, and one estimate for all of a host's engines took them for alike. Slow ones got prompts that held their streams up while fast ones had room. Change: each host keeps the newest times between events at each engine (gaps) and tells their lower quartile with the counts of its requests; the host that grants an engine's turns takes the median over hosts (tempo), keeps it with the memo, begins anew with a new incarnation, and tells it with what the engine holds, only where it has moved. speeds turns that into times for prompts and events by engine; pick chooses the shortest expected delay, weighted rendezvous hashing places more adapters at fast engines, and turns count what a prompt costs there. What is left are engines that turn slow for some tenths of a second (2 to 3 times, alone prompts show it).

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -25,7 +25,7 @@
 	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/spare"
-	"damaskreach/internal/speed"
+	"damaskreach/internal/speeds"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/team"
 	"damaskreach/internal/view"
@@ -103,7 +103,7 @@
 	Ration  *ration.Ration
 	Avoid   *avoid.Avoid
 	Blame   *blame.Blame
-	Speed   *speed.Speed
+	Speeds  *speeds.Speeds
 	Log     *zap.Logger
 	// Requests takes the line that every request ends with.
 	Requests *zap.Logger
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -47,6 +47,7 @@
 	sent      time.Time       // when it was last sent
 	heard     time.Time       // when the newest events went to the caller
 	pause     time.Duration   // longest between two events
+	expected  time.Duration   // from its last send to the first event
 	note      string          // what was decided on the way, for the line at its end
 }
 
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	// choices is how many engines an adapter may be loaded to for its first request; the least busy of them gets it. With
 	// one alone a busy engine's adapters wait; many make it come to an engine that has not held it before.
 	choices = 3
+	// slowSteps is in how many steps an engine goes from one speed to half of it, for the choice of where an adapter is loaded.
+	slowSteps = 2
 	// loadFor bounds the wait for a load. Where many adapters are on their way a load takes seconds; an answer that is late
 	// is worth something, and a caller that is refused comes back to the same queue.
 	loadFor = 3 * time.Second
@@ -62,9 +65,9 @@
 	if len(usable) == 0 {
 		return target.Target{}
 	}
-	best := x.steady(ranked(j.d.Adapter, usable), now)
+	best := x.steady(ranked(j.d.Adapter, usable, x.Speeds.Slow), now)
 	for _, t := range usable {
-		if x.Holds.Left(t, j.d.Adapter) && x.Pick.Load(t.ID, now) <= 2*x.Pick.Load(best.ID, now)+slack {
+		if x.Holds.Left(t, j.d.Adapter) && x.Pick.Busy(t.ID, now) <= 2*x.Pick.Busy(best.ID, now)+slack {
 			return t
 		}
 	}
@@ -75,13 +78,13 @@
 // get requests for one adapter at the same time choose the same engine; chosen by who is the least busy at the moment, they
 // would have it loaded to several.
 func (x *Direct) steady(top []target.Target, now time.Time) target.Target {
-	least, shortest := x.Pick.Load(top[0].ID, now), x.Pick.Waiting(top[0].ID, now)
+	least, shortest := x.Pick.Busy(top[0].ID, now), x.Pick.Waiting(top[0].ID, now)
 	for _, t := range top[1:] {
-		least = min(least, x.Pick.Load(t.ID, now))
+		least = min(least, x.Pick.Busy(t.ID, now))
 		shortest = min(shortest, x.Pick.Waiting(t.ID, now))
 	}
 	for _, t := range top {
-		if float64(x.Pick.Load(t.ID, now)) <= crowded*float64(least)+slack && x.Pick.Waiting(t.ID, now) <= shortest+longWait {
+		if x.Pick.Busy(t.ID, now) <= crowded*least+slack && x.Pick.Waiting(t.ID, now) <= shortest+longWait {
 			return t
 		}
 	}
@@ -99,13 +102,13 @@
 	return x.unlimited(usable)
 }
 
-// ranked returns the few engines that an adapter hashes to. The choice is steady, so that an adapter which was evicted
-// comes back to an engine that still has its weights at hand, and changes little when engines come and go.
-func ranked(adapter string, list []target.Target) []target.Target {
+// ranked returns the few engines that an adapter hashes to, fast ones more often: weighted rendezvous hashing. The choice is steady, so that
+// an adapter which was evicted comes back to an engine that still has its weights at hand, and changes little when engines come and go.
+func ranked(adapter string, list []target.Target, slow func(id string) float64) []target.Target {
 	top := make([]target.Target, 0, choices+1)
-	ranks := make([]uint32, 0, choices+1)
+	ranks := make([]float64, 0, choices+1)
 	for _, t := range list {
-		rank := mix(hash(t.ID + "/" + adapter))
+		rank := weighted(mix(hash(t.ID+"/"+adapter)), slow(t.ID))
 		at := len(top)
 		for at > 0 && ranks[at-1] < rank {
 			at--
@@ -114,7 +117,7 @@
 			continue
 		}
 		top = append(top[:at], append([]target.Target{t}, top[at:]...)...)
-		ranks = append(ranks[:at], append([]uint32{rank}, ranks[at:]...)...)
+		ranks = append(ranks[:at], append([]float64{rank}, ranks[at:]...)...)
 		if len(top) > choices {
 			top, ranks = top[:choices], ranks[:choices]
 		}
@@ -122,6 +125,13 @@
 	return top
 }
 
+// weighted returns the rank of an engine for an adapter. How slow it is counts in steps: a measurement that moves a little must not send
+// adapters elsewhere.
+func weighted(sum uint32, slow float64) float64 {
+	step := math.Exp2(math.Round(slowSteps*math.Log2(slow)) / slowSteps)
+	return math.Log((float64(sum)+1)/(1<<32+1)) * step
+}
+
 // mix spreads the bits of a hash of texts that differ in a few letters.
 func mix(x uint32) uint32 {
 	x ^= x >> 16
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -129,12 +129,9 @@
 // is late even with it: after a mass loss most loads would be such copies, in the way of first loads.
 func (x *Direct) idle(j *job, list []target.Target) []target.Target {
 	now := time.Now()
-	if j.patience(now, x.cost(j)+2*x.Speed.Gap()) < longWait {
-		return nil
-	}
 	var idle []target.Target
 	for _, t := range x.usable(list, now) {
-		if x.Pick.Waiting(t.ID, now) < longWait {
+		if x.Pick.Waiting(t.ID, now) < longWait && j.patience(now, x.takes(j, t.ID)) >= longWait {
 			idle = append(idle, t)
 		}
 	}
@@ -183,13 +180,13 @@
 
 // crowded reports whether the least busy of the engines that hold an adapter is much busier than engines are on average, or nearly full.
 func (x *Direct) crowded(holders, able []target.Target, now time.Time) bool {
-	sum := 0
+	sum := 0.0
 	for _, t := range able {
-		sum += x.Pick.Load(t.ID, now)
+		sum += x.Pick.Busy(t.ID, now)
 	}
 	best := x.Pick.Order(holders, now)[0]
-	limit := crowded*float64(sum)/float64(len(able)) + slack
-	return float64(x.Pick.Load(best.ID, now)) > min(limit, full*float64(best.Slots))
+	limit := crowded*sum/float64(len(able)) + slack
+	return x.Pick.Busy(best.ID, now) > limit || float64(x.Pick.Load(best.ID, now)) > full*float64(best.Slots)
 }
 
 // spreadTo has an adapter loaded at one more engine, without waiting for it.
@@ -313,7 +310,7 @@
 }
 
 func (x *Direct) want(j *job, t target.Target, version int, bound time.Duration) want.Want {
-	gap, cost := x.Speed.Gap(), x.cost(j)
+	gap, cost := x.Speeds.Gap(t.ID), x.cost(j, t.ID)
 	room := j.route.Gap - gap - gapSlack
 	if j.route.Gap == 0 {
 		room = leastRoom
@@ -321,13 +318,18 @@
 	return want.Want{
 		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.rank(),
 		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
-		Limit: time.Until(j.hopeless()), Patience: j.patience(time.Now(), cost+2*gap),
+		Limit: time.Until(j.hopeless()), Patience: j.patience(time.Now(), x.takes(j, t.ID)),
 	}
 }
 
-// cost returns how long the prompt is taken to be read.
-func (x *Direct) cost(j *job) time.Duration {
-	return time.Duration(careful * float64(x.Speed.Cost(j.d.Prompt)))
+// cost returns how long the prompt is taken to be read by an engine.
+func (x *Direct) cost(j *job, id string) time.Duration {
+	return time.Duration(careful * float64(x.Speeds.Cost(id, j.d.Prompt)))
+}
+
+// takes returns how long after its turn at an engine the first event is expected.
+func (x *Direct) takes(j *job, id string) time.Duration {
+	return x.cost(j, id) + 2*x.Speeds.Gap(id)
 }
 
 // ended returns the refusal of a request whose caller left or whose time is over.
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -27,7 +27,7 @@
 		j.headed = true
 	}
 	m := x.watchSilence(ctx, j, t, r)
-	err := x.events(j, r, m)
+	err := x.events(j, t, r, m)
 	j.next = m.end()
 	if err == nil {
 		x.outcome(t, "ok")
@@ -57,7 +57,7 @@
 type callerError struct{ error }
 
 // events copies events until the stream ends as complete.
-func (x *Direct) events(j *job, r resp.Resp, m *mover) error {
+func (x *Direct) events(j *job, t target.Target, r resp.Resp, m *mover) error {
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(r.Body)
 	var event bytes.Buffer
@@ -72,7 +72,7 @@
 		}
 		m.heard()
 		if j.first.IsZero() {
-			x.begun(j)
+			x.begun(j, t.ID)
 		}
 		if err := j.pass(event.Bytes()); err != nil {
 			return err
@@ -81,7 +81,7 @@
 		if in.Buffered() > 0 {
 			continue
 		}
-		x.passed(j)
+		x.passed(j, t.ID)
 		if err := control.Flush(); err != nil {
 			return &callerError{err}
 		}
@@ -101,19 +101,19 @@
 }
 
 // begun notes the first event of a stream, which tells how long its prompt took to read.
-func (x *Direct) begun(j *job) {
+func (x *Direct) begun(j *job, id string) {
 	j.first = time.Now()
 	if j.sends == 1 && j.d.Prompt > 0 {
-		x.Speed.First(j.d.Prompt, j.first.Sub(j.sent))
+		x.Speeds.First(id, j.d.Prompt, j.first.Sub(j.sent))
 	}
 }
 
 // passed notes that events go to the caller.
-func (x *Direct) passed(j *job) {
+func (x *Direct) passed(j *job, id string) {
 	now := time.Now()
 	if !j.heard.IsZero() {
 		j.pause = max(j.pause, now.Sub(j.heard))
-		x.Speed.Event(now.Sub(j.heard))
+		x.Speeds.Event(id, now.Sub(j.heard), now)
 	}
 	j.heard = now
 }
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -80,6 +80,7 @@
 		return true
 	}
 	if j.d.Model != "" {
+		j.expected = x.takes(j, t.ID)
 		defer x.Use(t.ID, j.d.Adapter)()
 	}
 	x.Pick.Begin(t.ID)
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -20,6 +20,7 @@
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
+	"damaskreach/internal/speeds"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/tenure"
 	"damaskreach/internal/uplink"
@@ -39,8 +40,10 @@
 	e.intake = e.buildIntake()
 	e.tenure = e.buildTenure(s)
 	e.roster = roster.NewRoster(s.IP, e.turner)
-	speeds := &speed.Speed{Before: e.tenure.Rates}
-	e.tenure.Measured, e.tenure.Beside = speeds.Rates, e.memos
+	usual := &speed.Speed{Before: e.tenure.Rates}
+	e.speeds = speeds.NewSpeeds(usual)
+	e.pick.Slow = e.speeds.Slow
+	e.tenure.Measured, e.tenure.Beside = usual.Rates, e.memos
 	e.giver = e.buildGiver(s)
 	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
@@ -51,7 +54,7 @@
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
-	return e.buildDirect(speeds)
+	return e.buildDirect()
 }
 
 // buildIntake makes what reads the configuration and the registrations.
@@ -88,12 +91,12 @@
 }
 
 // buildDirect makes what serves callers.
-func (e *Edge) buildDirect(speeds *speed.Speed) *direct.Direct {
+func (e *Edge) buildDirect() *direct.Direct {
 	return &direct.Direct{
 		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do,
 		Owner: e.ordered, Admit: e.admit, Permit: e.permit, TellLimit: e.tellLimit, Charge: e.limits.Charge, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Away: e.intake.Away,
-		Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare, Ration: e.ration, Avoid: e.avoid, Blame: &e.blame, Speed: speeds,
+		Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare, Ration: e.ration, Avoid: e.avoid, Blame: &e.blame, Speeds: e.speeds,
 		Log: e.Log, Requests: e.Requests, Stats: e.Stats,
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	"damaskreach/internal/rules"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
+	"damaskreach/internal/speeds"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
@@ -111,6 +112,7 @@
 	feeds   *feeds.Feeds
 	readers trust.Trust
 	holds   *holds.Holds
+	speeds  *speeds.Speeds
 	pick    *pick.Pick
 	ration  *ration.Ration
 	avoid   *avoid.Avoid
@@ -227,6 +229,7 @@
 		e.ration.Forget(left)
 		e.avoid.Forget(left, now)
 		e.roster.Forget(left)
+		e.speeds.Forget(left, now)
 		gone := func(ip string) bool { return !e.live(ip) }
 		e.feeds.Forget(gone)
 		e.readers.Forget(gone)
@@ -238,8 +241,7 @@
 	for range turns.Every(ctx, selfEvery) {
 		e.look()
 		ip := e.Setup().IP
-		list := e.news.uses(ip, 2*e.old(), e.grants)
-		e.giver.Take(list, time.Now())
+		e.giver.Take(e.uses(ip, e.grants), time.Now())
 	}
 }
 
@@ -272,10 +274,21 @@
 	own = busy.Busy{
 		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
 	}
-	uses = e.news.uses(e.Setup().IP, 2*e.old(), func(id string) bool { return !e.grants(id) })
+	uses = e.uses(e.Setup().IP, func(id string) bool { return !e.grants(id) })
 	return own, uses, e.blame.News()
 }
 
+// uses returns what this host's requests use at the engines wanted, and how fast they go there.
+func (e *Edge) uses(ip string, wanted func(id string) bool) []usage.Usage {
+	list := e.news.uses(ip, 2*e.old(), wanted)
+	now := time.Now()
+	for i, u := range list {
+		event, count := e.speeds.Measured(u.Engine, now)
+		list[i].Event, list[i].Events = event.Microseconds(), count
+	}
+	return list
+}
+
 // waits returns the waits at engines whose turns this host grants, and notes them for its own choices.
 func (e *Edge) waits() map[string]int {
 	ms := map[string]int{}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -121,6 +121,7 @@
 	}
 	for _, s := range g.Held {
 		e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
+		e.speeds.Told(s.ID, s.Event)
 	}
 	e.blame.Hear(g.Broke, now)
 	e.giver.Take(g.Uses, now)
@@ -130,6 +131,7 @@
 func (e *Edge) learn(s stock.Stock) {
 	e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
 	e.holds.Recall(s.ID, s.Born, s.Recent)
+	e.speeds.Told(s.ID, s.Event)
 	e.roster.Held(s)
 }
 
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -91,6 +91,7 @@
 	cold     time.Duration
 	warm     time.Duration
 	asked    time.Time
+	event    time.Duration // between two events of a stream, as this host told last
 }
 
 func newDesk(parent context.Context, g *Giver, id string, l *lane) *desk {
@@ -199,6 +200,7 @@
 	}
 	d.lane.resize(d.pool(t).Slots)
 	if t.Born > d.born {
+		d.lane.renew()
 		d.reset()
 		d.born = t.Born
 	}
@@ -213,6 +215,9 @@
 		return idle / 3
 	}
 	d.serve(t)
+	if d.lane.event() != d.event {
+		d.tell()
+	}
 	d.keep(time.Now())
 	d.backlog.Store(int32(len(d.queue) + len(d.pending)))
 	return d.pause()
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -228,13 +228,13 @@
 	return waits
 }
 
-// Take records what hosts' requests use at engines whose turns this host grants: how many there are, and their adapters, so that these are not
-// the first to go.
+// Take records what hosts' requests use at engines whose turns this host grants: how many there are, how fast they go, and their adapters, so
+// that these are not the first to go.
 func (g *Giver) Take(uses []usage.Usage, now time.Time) {
 	for _, u := range uses {
 		at := u.At(now)
 		if l := g.lane(u.Engine); l != nil {
-			l.told(u.Host, u.Running, u.Adapters, at)
+			l.told(u, at)
 		}
 		if d := g.desk(u.Engine); d != nil {
 			d.touch(u.Adapters, at)
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -118,7 +118,11 @@
 		delete(held, a)
 	}
 	d.ready.Store(&held)
-	d.g.Tell(stock.Stock{ID: d.id, Born: d.born, Sequence: d.sequence, Adapters: held, Recent: d.names()})
+	if event := d.lane.event(); event != d.event {
+		d.g.Log.Info("engine's speed", zap.String("target", d.id), zap.Duration("event", event), zap.Duration("before", d.event))
+		d.event = event
+	}
+	d.g.Tell(stock.Stock{ID: d.id, Born: d.born, Sequence: d.sequence, Adapters: held, Event: d.event, Recent: d.names()})
 }
 
 // adopt takes versions that a registration tells and this host did not know, and loads that it shows as complete.
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -8,6 +8,8 @@
 
 	"damaskreach/internal/pace"
 	"damaskreach/internal/ration"
+	"damaskreach/internal/tempo"
+	"damaskreach/internal/usage"
 	"damaskreach/internal/want"
 )
 
@@ -33,6 +35,7 @@
 	waiting []waiter
 	pace    pace.Pace
 	hosts   map[string]*share
+	tempo   tempo.Tempo
 	slots   int // requests that the engine runs at once; 0 means unknown
 }
 
@@ -133,24 +136,46 @@
 	return next
 }
 
-// told takes how many requests a host had under way at the engine at some moment, and the adapters that they use. Its word comes by
+// told takes how many requests a host had under way at the engine at some moment, which adapters they use, and how fast they went. Its word comes by
 // way of relays, and what it was granted shortly before that moment or after it is not in it: forgotten, the engine would be sent
 // more than it can run, and an adapter unloaded that a request is about to use.
-func (l *lane) told(host string, n int, adapters []string, at time.Time) {
+func (l *lane) told(u usage.Usage, at time.Time) {
 	l.mu.Lock()
-	s := l.hosts[host]
+	l.tempo.Take(u.Host, time.Duration(u.Event)*time.Microsecond, u.Events, at)
+	s := l.hosts[u.Host]
 	if s == nil {
 		s = &share{}
-		l.hosts[host] = s
+		l.hosts[u.Host] = s
 	}
 	if at.After(s.at) {
-		s.under, s.adapters, s.at = n, adapters, at
+		s.under, s.adapters, s.at = u.Running, u.Adapters, at
 		s.granted = slices.DeleteFunc(s.granted, func(g grant) bool { return at.Sub(g.at) > grantWay })
 	}
 	l.mu.Unlock()
 	l.nudge()
 }
 
+// event returns the usual time between two events of a stream at the engine; 0 where it is unknown.
+func (l *lane) event() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tempo.Event(time.Now())
+}
+
+// recall takes what another host found of that before.
+func (l *lane) recall(event time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tempo.Begin(event, time.Now())
+}
+
+// renew forgets how fast the engine was: it has begun anew.
+func (l *lane) renew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tempo.Reset()
+}
+
 // running returns how many requests run at the engine.
 func (l *lane) running() int {
 	l.mu.Lock()
--- a/internal/giver/recall.go
+++ b/internal/giver/recall.go
@@ -21,7 +21,8 @@
 	if !ok || m.Born != d.born {
 		return
 	}
-	d.g.Log.Info("use of adapters recalled", zap.String("target", d.id), zap.Int("adapters", len(m.Names)))
+	d.g.Log.Info("use of adapters recalled", zap.String("target", d.id), zap.Int("adapters", len(m.Names)), zap.Duration("event", m.Event))
+	d.lane.recall(m.Event)
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -65,7 +66,7 @@
 			last[a] = used
 		}
 	}
-	m := memo.NewMemo(d.born, last)
+	m := memo.NewMemo(d.born, last).WithEvent(d.event)
 	d.memo.Store(&m)
 	if len(d.recent) >= mostRecent {
 		d.forget(m)
--- a/internal/memo/memo.go
+++ b/internal/memo/memo.go
@@ -1,4 +1,4 @@
-// Package memo holds what the host that orders an engine knows of its adapters' use, as it outlives that host.
+// Package memo holds what the host that orders an engine knows of its adapters' use and of its speed, as it outlives that host.
 //
 // An engine tells what it holds, but not what was asked for last, nor which weights it still has at hand. A host that starts, or
 // takes the engine from another one, unloads busy adapters as soon as idle ones, and has loaded elsewhere what would be back within
@@ -21,6 +21,8 @@
 type Memo struct {
 	Born  int64    `msgpack:"b"` // incarnation of the engine
 	Names []string `msgpack:"n"` // adapters that it holds or has at hand, the one used last first
+	// Event is usually between two events of a stream; 0 where it is unknown.
+	Event time.Duration `msgpack:"e,omitempty"`
 }
 
 // NewMemo returns the memo of an engine whose adapters were used last at these times.
@@ -33,6 +35,12 @@
 	return Memo{Born: born, Names: names[:min(len(names), most)]}
 }
 
+// WithEvent returns the memo with what was measured between two events.
+func (m Memo) WithEvent(event time.Duration) Memo {
+	m.Event = event
+	return m
+}
+
 // Encode returns the memo as a row holds it.
 func (m Memo) Encode() []byte {
 	data, err := msgpack.Marshal(m)
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -34,6 +34,9 @@
 
 // Pick may be used from several goroutines.
 type Pick struct {
+	// Slow returns how many times slower than the usual one an upstream is; nil means that all are alike.
+	Slow func(id string) float64
+
 	centre string
 
 	mu    sync.Mutex
@@ -147,6 +150,19 @@
 	}
 }
 
+// Busy returns how much an upstream has to do: the requests that it is known to have running, each as often as the upstream is slower than
+// the usual one.
+func (p *Pick) Busy(id string, now time.Time) float64 {
+	return p.slow(id) * float64(p.Load(id, now))
+}
+
+func (p *Pick) slow(id string) float64 {
+	if p.Slow == nil {
+		return 1
+	}
+	return p.Slow(id)
+}
+
 // Load returns how many requests an upstream is known to have running.
 func (p *Pick) Load(id string, now time.Time) int {
 	p.mu.Lock()
@@ -179,7 +195,9 @@
 	for _, t := range candidates {
 		l := p.of(t.ID)
 		s := scored{target: t, rest: max(0, l.until.Sub(now))}
-		s.score = (float64(p.total(t.ID, now)+1) + float64(l.waiting(now)/perWait)) * (1 + blame*l.failed)
+		// The shortest expected delay: the streams that share an engine take turns, so that one more is done later by the number of those
+		// that run, and by what a turn takes there.
+		s.score = (p.slow(t.ID)*float64(p.total(t.ID, now)+1) + float64(l.waiting(now)/perWait)) * (1 + blame*l.failed)
 		if t.Centre != p.centre {
 			s.score += far
 		}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -1,8 +1,8 @@
-// Package speed estimates how fast engines read prompts and make events, from the streams that a host passes on.
+// Package speed estimates how fast the usual engine reads prompts and makes events, from the streams that a host passes on.
 //
 // Engines do not tell their speed and it differs between sites and models. The time to the first event grows with the
 // prompt; what else delays it does not depend on the prompt, so the slope between small and large prompts is the time per
-// token.
+// token. Streams of all engines count, each by how much slower than the usual one its engine is.
 package speed
 
 import (
@@ -34,6 +34,8 @@
 type Speed struct {
 	// Before returns what was known before this host started, for as long as it has measured nothing itself; nil for nothing.
 	Before func() rates.Rates
+	// Slow returns how many times slower than the usual one an engine is; nil means that all are alike.
+	Slow func(id string) float64
 
 	mu    sync.Mutex
 	ring  []sample
@@ -44,18 +46,27 @@
 }
 
 type sample struct {
+	id     string // of the engine
 	tokens int
 	took   time.Duration
 }
 
-// First takes the time from sending a prompt of so many tokens to its first event.
-func (s *Speed) First(tokens int, took time.Duration) {
+// usual returns the time that the usual engine would have taken.
+func (s *Speed) usual(id string, took time.Duration) time.Duration {
+	if s.Slow == nil {
+		return took
+	}
+	return time.Duration(float64(took) / s.Slow(id))
+}
+
+// First takes the time from sending a prompt of so many tokens to an engine to its first event.
+func (s *Speed) First(id string, tokens int, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.ring) < samples {
 		s.ring = append(s.ring, sample{})
 	}
-	s.ring[s.next%len(s.ring)] = sample{tokens, took}
+	s.ring[s.next%len(s.ring)] = sample{id, tokens, took}
 	s.next = (s.next + 1) % samples
 	s.fresh++
 	if s.fresh >= fitEvery && len(s.ring) >= enough {
@@ -65,9 +76,13 @@
 }
 
 // fit takes the median of the slopes between small and large prompts. Queues and lost packets delay some prompts by much
-// more than reading them takes; a mean would follow those.
+// more than reading them takes; a mean would follow those. How slow each engine is counts as it is known now: when the first samples were
+// taken it was not.
 func (s *Speed) fit() {
 	sorted := slices.Clone(s.ring)
+	for i, one := range sorted {
+		sorted[i].took = s.usual(one.id, one.took)
+	}
 	slices.SortFunc(sorted, func(a, b sample) int { return a.tokens - b.tokens })
 	half := len(sorted) / 2
 	var slopes []time.Duration
@@ -84,10 +99,11 @@
 	s.token = min(mostToken, max(leastToken, slopes[len(slopes)/2]))
 }
 
-// Event takes the time between two events of a stream.
-func (s *Speed) Event(took time.Duration) {
+// Event takes the time between two events of a stream at an engine.
+func (s *Speed) Event(id string, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	took = s.usual(id, took)
 	if s.event == 0 {
 		s.event = s.startEvent()
 	}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -21,8 +21,8 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	for range 400 {
 		tokens := 100 + r.IntN(3000)
-		s.First(tokens, 40*time.Millisecond+time.Duration(tokens)*perToken+time.Duration(r.ExpFloat64()*float64(5*time.Millisecond)))
-		s.Event(event + time.Duration(r.IntN(3))*time.Millisecond)
+		s.First("e", tokens, 40*time.Millisecond+time.Duration(tokens)*perToken+time.Duration(r.ExpFloat64()*float64(5*time.Millisecond)))
+		s.Event("e", event+time.Duration(r.IntN(3))*time.Millisecond)
 	}
 	return s
 }
@@ -56,7 +56,7 @@
 	}
 	for i := range 200 {
 		tokens := 100 + i*10
-		after.First(tokens, 2*time.Duration(tokens)*perToken)
+		after.First("e", tokens, 2*time.Duration(tokens)*perToken)
 	}
 	near(t, "cost of 1,000 tokens on slower engines", after.Cost(1000), 2000*perToken)
 	if got, want := (&speed.Speed{Before: func() rates.Rates { return rates.Rates{} }}).Cost(1000), (&speed.Speed{}).Cost(1000); got != want {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -9,6 +9,8 @@
 	Engine   string   `msgpack:"e"`
 	Running  int      `msgpack:"r,omitempty"` // requests under way
 	Adapters []string `msgpack:"a,omitempty"` // that they use
+	Event    int64    `msgpack:"v,omitempty"` // µs between two events as the host measured them of late
+	Events   int      `msgpack:"n,omitempty"` // over how many of them
 	Age      int64    `msgpack:"t,omitempty"` // ms since the host counted, when this was sent
 }
 
