End a turn when its prompt has been read, and keep to a part of the room while nobody waits for long

The host that grants turns went by its estimate alone and let the next prompts go while the last ones were being read, so that streams paused for the sum. Change: a host says when a prompt's first event has come, or that its turn is not used; until then, 1.5 s at most, the prompt counts as being read (pace.Expect, Read). Cost: one message more for each request that has a turn.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -77,6 +77,8 @@
 	Owner func(id string) bool
 	// Admit has an adapter loaded and returns once a prompt may be sent.
 	Admit func(ctx context.Context, w want.Want) error
+	// Read tells that the prompt with a turn at an engine has been read, or that the turn is not used.
+	Read func(id string, turn uint64)
 	// Permit has a request counted at an upstream that names a limit and has no host that gives it orders; an ErrCrowded tells how long it
 	// will be until the limit has room.
 	Permit func(ctx context.Context, id string) error
--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -63,6 +63,7 @@
 
 // finish counts and logs the end of a request.
 func (x *Direct) finish(j *job, code string, verdict verd.Verdict, id string, status int) {
+	x.release(j)
 	now := time.Now()
 	first := time.Duration(0)
 	if !j.first.IsZero() {
@@ -79,7 +80,7 @@
 	x.Requests.Info("request ended", zap.String("request", j.d.ID), zap.String("route", j.route.Name), zap.String("team", j.team.Name), zap.Float64("units", j.units), zap.String("code", code),
 		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.d.Adapter), zap.Int("version", j.version),
 		zap.Int("prompt", j.d.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
-		zap.Duration("turn", j.turn()), zap.Duration("expected", j.expected), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
+		zap.Duration("turn", j.waitedFor()), zap.Duration("expected", j.expected), zap.Duration("first", first), zap.Duration("pause", j.pause), zap.Duration("took", now.Sub(j.begun)),
 		zap.Duration("goal", j.route.Target), zap.Duration("most", j.route.Gap), zap.Int64("rules", j.view.Rules.Version),
 		zap.Duration("age", x.Age()))
 }
@@ -96,7 +97,7 @@
 		x.Stats.Time(stats.First, first, "route", route)
 	}
 	if !j.sent.IsZero() {
-		x.Stats.Time(stats.Turn, j.turn(), "route", route)
+		x.Stats.Time(stats.Turn, j.waitedFor(), "route", route)
 	}
 	if j.pause > 0 {
 		x.Stats.Time(stats.Pause, j.pause, "route", route)
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -38,6 +38,7 @@
 	fault     *refuse.Refusal // why the last send failed
 	units     float64         // that it counts against its team's limit; 0 where there is none
 	next      *choice         // where it goes on; nil where that is to be found
+	turn      turn            // that it has at an engine
 	back      func()          // gives back what was counted against the team's limit; nil where nothing was
 	version   int             // of the adapter that was asked of the upstream; 0 means any
 	last      string          // id of the last event that was passed on
@@ -51,6 +52,12 @@
 	note      string          // what was decided on the way, for the line at its end
 }
 
+// turn is leave to send a prompt to an engine.
+type turn struct {
+	engine string
+	number uint64 // 0 where there is none
+}
+
 // rank says how urgent the request is, 0 the most: its team's rank goes before its route's.
 func (j *job) rank() int {
 	if j.team.Ranked {
@@ -141,8 +148,8 @@
 	return verd.NotRun
 }
 
-// turn returns how long the request waited here before it was last sent: for its adapter, and for the prompts of others.
-func (j *job) turn() time.Duration {
+// waitedFor returns how long the request waited here before it was last sent: for its adapter, and for the prompts of others.
+func (j *job) waitedFor() time.Duration {
 	if j.sent.IsZero() {
 		return 0
 	}
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -157,9 +157,8 @@
 		}
 		loadCtx, cancel := context.WithTimeout(ctx, min(loadFor, left))
 		began := time.Now()
-		err := x.Admit(loadCtx, x.want(j, t, version, 0))
+		err := x.admit(loadCtx, j, x.want(j, t, version, 0))
 		cancel()
-		x.turned(err)
 		if err == nil && x.still(t) {
 			j.note = "loaded"
 			x.Holds.Hit(t.ID, j.d.Adapter)
--- a/internal/direct/mover.go
+++ b/internal/direct/mover.go
@@ -26,6 +26,7 @@
 type choice struct {
 	target  target.Target
 	version int // of the adapter that must be there; 0 for any
+	turn    turn
 }
 
 // mover watches one stream and finds it another engine when it has fallen silent. The stream is cut only once it has its place there: the
@@ -33,6 +34,7 @@
 type mover struct {
 	gap  time.Duration
 	find func(ctx context.Context) (choice, bool)
+	drop func(unused choice)
 	cut  func()
 
 	mu     sync.Mutex
@@ -59,8 +61,13 @@
 		one := scout
 		one.tried = maps.Clone(scout.tried)
 		next, refusal := x.find(ctx, &one)
-		return next, refusal == nil && ctx.Err() == nil
+		if refusal != nil || ctx.Err() != nil {
+			x.release(&one)
+			return choice{}, false
+		}
+		return next, true
 	}
+	m.drop = func(unused choice) { x.release(&job{turn: unused.turn}) }
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(m.gap, func() { m.look(ctx) })
@@ -84,9 +91,13 @@
 	m.search = cancel
 	m.mu.Unlock()
 	for ctx.Err() == nil {
-		if next, ok := m.find(ctx); ok && m.take(ctx, next) {
+		next, ok := m.find(ctx)
+		if ok && m.take(ctx, next) {
 			return
 		}
+		if ok {
+			m.drop(next)
+		}
 		turns.Sleep(ctx, moveAgain)
 	}
 }
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -289,8 +290,7 @@
 	defer cancel()
 	w := x.want(j, t, version, bound)
 	w.Held = true
-	err := x.Admit(ctx, w)
-	x.turned(err)
+	err := x.admit(ctx, j, w)
 	if errors.Is(err, want.ErrCrowded) {
 		x.Pick.Waits(t.ID, want.Wait(err), time.Now())
 	}
@@ -300,13 +300,30 @@
 	return err
 }
 
-// turned counts the outcome of asking for a turn.
-func (x *Direct) turned(err error) {
+// admit asks for a turn, which the request has then.
+func (x *Direct) admit(ctx context.Context, j *job, w want.Want) error {
+	x.release(j)
+	w.Turn = rand.Uint64()
+	err := x.Admit(ctx, w)
 	outcome := "granted"
 	if err != nil {
 		outcome = want.Code(err)
+	} else {
+		j.turn = turn{w.ID, w.Turn}
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		x.Read(w.ID, w.Turn) // it may have been granted, and the answer be on its way
 	}
 	x.Stats.Add(stats.Admits, 1, "outcome", outcome)
+	return err
+}
+
+// release gives back the turn that the request has: its prompt has been read, or will not be.
+func (x *Direct) release(j *job) {
+	if j.turn.number != 0 {
+		x.Read(j.turn.engine, j.turn.number)
+	}
+	j.turn = turn{}
 }
 
 func (x *Direct) want(j *job, t target.Target, version int, bound time.Duration) want.Want {
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -49,7 +49,7 @@
 // next returns where the request goes: where its place was found already, or else where it finds one.
 func (x *Direct) next(ctx context.Context, j *job) (choice, *refuse.Refusal) {
 	if next := j.next; next != nil {
-		j.next = nil
+		j.next, j.turn = nil, next.turn
 		return *next, nil
 	}
 	return x.find(ctx, j)
@@ -69,7 +69,7 @@
 	} else if !x.Spare.Again(j.group, time.Now()) {
 		return choice{}, j.fault
 	}
-	return choice{t, version}, nil
+	return choice{t, version, j.turn}, nil
 }
 
 // send sends the request to one upstream; it reports true where the caller has its final answer.
@@ -85,6 +85,7 @@
 	}
 	x.Pick.Begin(t.ID)
 	failed := false
+	defer x.release(j)
 	defer func() { x.Pick.End(t.ID, failed) }()
 	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -32,6 +32,8 @@
 	// how many of them it counts.
 	modelStep = 250 * time.Millisecond
 	mostFirst = 8
+	// readFor bounds telling a host that a turn has ended; it does not matter to it any more after that.
+	readFor = 500 * time.Millisecond
 	// secretWait is the pause before the hosts' secret is looked for again.
 	secretWait = 50 * time.Millisecond
 )
@@ -42,6 +44,7 @@
 	methodAdmit  = "admit"
 	methodCharge = "charge"
 	methodPermit = "permit"
+	methodRead   = "read"
 	methodRows   = "rows"
 )
 
@@ -67,6 +70,10 @@
 		e.learnLimit(w)
 		return want.Text(e.giver.Admit(ctx, w)), nil
 	})
+	peer.Answer(mesh, methodRead, func(_ context.Context, _ string, w want.Want) (struct{}, error) {
+		e.giver.Read(w.ID, w.Turn)
+		return struct{}{}, nil
+	})
 	peer.Answer(mesh, methodPermit, func(_ context.Context, _ string, w want.Want) (ruling.Ruling, error) {
 		return e.counted(w), nil
 	})
@@ -178,6 +185,28 @@
 	return want.FromText(text)
 }
 
+// read tells the host that granted a turn that its prompt has been read, or that it is not used. Where that host does not hear it, the prompt
+// counts as read some time after it should have been.
+func (e *Edge) read(id string, turn uint64) {
+	owner := e.turner(id)
+	if owner == e.Setup().IP {
+		e.giver.Read(id, turn)
+		return
+	}
+	mesh := e.mesh.Load()
+	if mesh == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), readFor)
+		defer cancel()
+		var none struct{}
+		if err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodRead, want.Want{ID: id, Turn: turn}, &none); err != nil {
+			e.Log.Debug("end of a turn not told", zap.String("target", id), zap.Error(err))
+		}
+	}()
+}
+
 // modelLoads returns how many base models are on their way to engines of other hosts, and how long this host lets others go
 // first: hosts that wait for the same load to end have different times, so that the next one is seen before a third begins.
 func (e *Edge) modelLoads() (loading int, first time.Duration) {
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -191,6 +191,16 @@
 	}
 }
 
+// Read takes that the prompt with a turn at an engine has been read, or that the turn is not used.
+func (g *Giver) Read(id string, turn uint64) {
+	g.mu.Lock()
+	l := g.lanes[id]
+	g.mu.Unlock()
+	if l != nil {
+		l.read(turn)
+	}
+}
+
 // Memos returns what is to outlive this host of each engine that it orders.
 func (g *Giver) Memos() map[string]memo.Memo {
 	g.mu.Lock()
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -111,7 +111,7 @@
 		if w.left() {
 			continue
 		}
-		wait := max(limit, l.pace.Wait(now, w.Cost, w.Room, w.Tail))
+		wait := max(limit, l.pace.Wait(now, w.Cost, w.room(now), w.Tail))
 		switch {
 		case len(kept) == 0 && wait == 0 && free > 0:
 			free--
@@ -222,6 +222,9 @@
 func (l *lane) grant(w waiter, now time.Time) {
 	l.ration.Take(l.id)
 	l.pace.Send(now, w.Cost, w.Tail)
+	if w.Turn != 0 {
+		l.pace.Expect(w.Turn, w.Cost)
+	}
 	s := l.hosts[w.Host]
 	if s == nil {
 		s = &share{at: now}
@@ -231,6 +234,14 @@
 	w.done <- nil
 }
 
+// read takes that the prompt with a turn has been read, or that its turn is not used.
+func (l *lane) read(turn uint64) {
+	l.mu.Lock()
+	l.pace.Read(turn, time.Now())
+	l.mu.Unlock()
+	l.nudge()
+}
+
 // wait returns how long a prompt would wait that comes now.
 func (l *lane) wait() time.Duration {
 	l.mu.Lock()
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -5,10 +5,14 @@
 // with prompts of some 60 ms, one reading in six held streams up for over 230 ms at half load though no prompt took so long
 // (TestPacedPromptsStallNoStreamsAtHalfLoad). One would notice late answers on engines that are far from full. So a prompt
 // is sent once those being read leave room for it in the pause that streams allow.
+//
+// How long an engine reads is an estimate, and engines turn slow for moments. Hosts say when a prompt has been read; until then it counts as
+// being read, however long that takes. By the estimate alone, a slow engine would get the next prompts while it reads the last ones.
 package pace
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -22,28 +26,49 @@
 	// burst is over before streams fall behind; resting in it makes requests late that the engine could read in time.
 	sustained = 0.5
 	memory    = 2 * time.Second
+	// look is how soon a prompt that is overdue is looked at again, and lost how long after it was due nobody is expected to say any more
+	// that it was read.
+	look = 20 * time.Millisecond
+	lost = 1500 * time.Millisecond
 )
 
 // Pace is the record of one engine. It is used from one goroutine.
 type Pace struct {
 	end  time.Time     // when the prompts that were sent should be read
+	open []prompt      // those of them that somebody will say to have been read
 	read time.Duration // how long those take that are read without a pause long enough for an event between them
 	load time.Duration // how long the prompts of the last seconds take to read, fading
 	at   time.Time     // of the last of them
 }
 
+// prompt is one that was sent.
+type prompt struct {
+	turn uint64
+	cost time.Duration
+	due  time.Time
+}
+
 // Wait returns how long a prompt that takes cost to read has to wait. Room is how long reading may hold up a stream, and
 // tail the time without reading in which every stream gets its next event. Prompts join those being read while all of them
 // fit into the room: an event may need several steps, and each of them may read prompts. Others wait for the next tail, and
 // so does a prompt that needs more than the room by itself.
 func (p *Pace) Wait(now time.Time, cost, room, tail time.Duration) time.Duration {
-	free := p.end.Add(p.pause(tail)).Sub(now)
+	free := p.ends(now).Add(p.pause(tail)).Sub(now)
 	if free <= 0 || p.read+cost <= room {
 		return 0
 	}
 	return free
 }
 
+// ends returns when the prompts that were sent should be read.
+func (p *Pace) ends(now time.Time) time.Time {
+	p.open = slices.DeleteFunc(p.open, func(o prompt) bool { return now.Sub(o.due) > lost })
+	if len(p.open) > 0 && p.end.Before(now.Add(look)) {
+		return now.Add(look)
+	}
+	return p.end
+}
+
 // pause returns how long nothing is read after the prompts that were read last.
 func (p *Pace) pause(tail time.Duration) time.Duration {
 	if !p.full() {
@@ -59,7 +84,7 @@
 
 // Send records a prompt that is sent now.
 func (p *Pace) Send(now time.Time, cost, tail time.Duration) {
-	if !now.Before(p.end.Add(p.pause(tail))) {
+	if !now.Before(p.ends(now).Add(p.pause(tail))) {
 		p.read = 0
 	}
 	p.read += cost
@@ -71,6 +96,24 @@
 	p.end = p.end.Add(cost)
 }
 
+// Expect notes that somebody will say when the prompt that was sent last, for this turn, has been read.
+func (p *Pace) Expect(turn uint64, cost time.Duration) {
+	p.open = append(p.open, prompt{turn: turn, cost: cost, due: p.end})
+}
+
+// Read notes that the prompt sent for a turn has been read, or will not be.
+func (p *Pace) Read(turn uint64, now time.Time) {
+	at := slices.IndexFunc(p.open, func(o prompt) bool { return o.turn == turn })
+	if at < 0 {
+		return
+	}
+	p.open = slices.Delete(p.open, at, at+1)
+	p.end = now
+	for _, o := range p.open {
+		p.end = p.end.Add(o.cost)
+	}
+}
+
 // Takes returns how much later the next prompt may go behind one that takes cost to read, where many wait.
 func (p *Pace) Takes(cost time.Duration) time.Duration {
 	if !p.full() {
@@ -81,5 +124,5 @@
 
 // Backlog returns how long the engine has prompts to read.
 func (p *Pace) Backlog(now time.Time) time.Duration {
-	return max(0, p.end.Sub(now))
+	return max(0, p.ends(now).Sub(now))
 }
