--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -88,9 +88,13 @@
 	hope = 0.7
 )
 
-// hopeless is when a request that has not been sent yet is refused, so that its caller comes back instead of giving up.
+// hopeless is when a request that has not been sent yet is refused, so that its caller comes back instead of giving up. One whose caller has a
+// part of the answer has nothing to come back for.
 func (j *job) hopeless() time.Time {
 	until := j.deadline()
+	if j.headed {
+		return until
+	}
 	if j.route.Kind == kinds.Stream {
 		patience := max(leastPatience, targets*j.route.Target, gaps*j.route.Gap)
 		until = j.begun.Add(min(until.Sub(j.begun), patience))
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -333,7 +333,7 @@
 		room = leastRoom
 	}
 	return want.Want{
-		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.rank(),
+		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.rank(), Begun: j.headed,
 		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
 		Limit: time.Until(j.hopeless()), Patience: j.patience(time.Now(), x.takes(j, t.ID)),
 	}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -14,6 +14,7 @@
 	"damaskreach/internal/resp"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
+	"damaskreach/internal/turns"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -46,13 +47,20 @@
 	}
 }
 
-// next returns where the request goes: where its place was found already, or else where it finds one.
+// next returns where the request goes: where its place was found already, or else where it finds one. A stream that has begun looks until its
+// time is over: its caller would lose what it has.
 func (x *Direct) next(ctx context.Context, j *job) (choice, *refuse.Refusal) {
 	if next := j.next; next != nil {
 		j.next, j.turn = nil, next.turn
 		return *next, nil
 	}
-	return x.find(ctx, j)
+	for {
+		next, refusal := x.find(ctx, j)
+		if refusal == nil || !j.headed || !turns.Sleep(ctx, moveAgain) {
+			return next, refusal
+		}
+		j.tried = nil // what did not serve it a moment ago may do so now, and there is nothing to lose
+	}
 }
 
 // find finds the request a place, for a repeat within the bound on those.
--- a/internal/direct/silent_test.go
+++ b/internal/direct/silent_test.go
@@ -137,3 +137,29 @@
 		}
 	})
 }
+
+// An engine crashes under a stream, and all others are full for two seconds. Refused like a request that has not begun, the caller would lose the
+// part that it has; it gets the rest late.
+func TestCutStreamWaitsForAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, true)
+		began := time.Now()
+		b.Admit = func(_ context.Context, w want.Want) error {
+			if w.Begun && time.Since(began) < 2*time.Second {
+				return want.ErrBusy
+			}
+			return nil
+		}
+		b.then(
+			answers(http.StatusOK, nil, firstEvent, errors.New("reset")),
+			answers(http.StatusOK, nil, lastEvent, nil),
+		)
+		rec, broken := b.call(held)
+		if got, want := rec.Body.String(), firstEvent+lastEvent; broken || got != want {
+			t.Errorf("answer = %q, broken off = %v, want %q whole", got, broken, want)
+		}
+		if got, most := time.Since(began), 3*time.Second; got > most {
+			t.Errorf("whole after %v, want %v at most", got, most)
+		}
+	})
+}
--- a/internal/giver/waiter.go
+++ b/internal/giver/waiter.go
@@ -15,10 +15,17 @@
 	block *string // what holds it up
 }
 
-// before orders those that wait: those that can still be on time go first; those that are late already follow, so that a
-// burst does not make everything late that comes behind it. Among each, the more urgent go first, then those that must be
-// on time the soonest, and of those that are late the ones that have waited longest.
+// before orders those that wait. Answers of which callers have a part go first: refused, they are lost, where others can come back.
+// Then those that can still be on time; those that are late already follow, so that a burst does not make everything late that comes
+// behind it. Among each, the more urgent go first, then those that must be on time the soonest, and of those that are late the ones that
+// have waited longest.
 func (w waiter) before(other waiter, now time.Time) int {
+	if w.Begun != other.Begun {
+		if w.Begun {
+			return -1
+		}
+		return 1
+	}
 	if late := w.late(now); late != other.late(now) {
 		if late {
 			return 1
