Share an engine among teams by what their limits entitle them to, where room is short

Cause: turns went by rank and by who must begin the soonest; a team that asks for twenty times its usual cost the others as much as itself. Change: start-time fair queueing among teams at each engine (fair): among requests that can be on time, and of one rank, those of the team that had least of its share go first. Weights are the teams' limits beside the mean of those that count the same. Where there are no teams, nothing changes. The order is one function (waiter.before), used for loads and turns.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -58,6 +58,14 @@
 	number uint64 // 0 where there is none
 }
 
+// did notes what was decided on the way.
+func (j *job) did(what string) {
+	if j.note != "" {
+		j.note += " "
+	}
+	j.note += what
+}
+
 // rank says how urgent the request is, 0 the most: its team's rank goes before its route's.
 func (j *job) rank() int {
 	if j.team.Ranked {
--- a/internal/direct/permit.go
+++ b/internal/direct/permit.go
@@ -49,7 +49,7 @@
 		// Nobody counts at the moment. Sent all the same, the requests of all hosts would add up.
 		err = want.NewCrowded(uncounted)
 	}
-	j.note += " over-limit"
+	j.did("over-limit")
 	x.Pick.Waits(t.ID, want.Wait(err), time.Now())
 	return err
 }
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -241,7 +241,7 @@
 		return x.place(ctx, j)
 	}
 	if err != nil {
-		j.note += " unasked"
+		j.did("unasked")
 		x.Stats.Add(stats.Admits, 1, "outcome", "unasked")
 	}
 	return t, version, nil
@@ -295,7 +295,7 @@
 		x.Pick.Waits(t.ID, want.Wait(err), time.Now())
 	}
 	if err != nil {
-		j.note += " " + want.Code(err)
+		j.did(want.Code(err))
 	}
 	return err
 }
@@ -334,6 +334,7 @@
 	}
 	return want.Want{
 		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.rank(), Begun: j.headed,
+		Team: j.team.Name, Weight: j.team.Weight,
 		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
 		Limit: time.Until(j.hopeless()), Patience: j.patience(time.Now(), x.takes(j, t.ID)),
 	}
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/fair"
 	"damaskreach/internal/pace"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/tempo"
@@ -36,7 +37,8 @@
 	pace    pace.Pace
 	hosts   map[string]*share
 	tempo   tempo.Tempo
-	slots   int // requests that the engine runs at once; 0 means unknown
+	shares  fair.Fair // of what the engine has read
+	slots   int       // requests that the engine runs at once; 0 means unknown
 }
 
 // share is what one host has at the engine.
@@ -101,29 +103,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	slices.SortStableFunc(l.waiting, func(a, b waiter) int { return a.before(b, now) })
+	l.waiting = slices.DeleteFunc(l.waiting, waiter.left)
+	for l.grantFirst(now) {
+	}
 	kept := l.waiting[:0]
 	next := idle
 	limit, gap := l.ration.Wait(l.id)
 	ahead := max(limit, l.pace.Backlog(now))
 	free := l.free()
 	for _, w := range l.waiting {
-		if w.left() {
-			continue
-		}
 		wait := max(limit, l.pace.Wait(now, w.Cost, w.room(now), w.Tail))
 		switch {
-		case len(kept) == 0 && wait == 0 && free > 0:
-			free--
-			l.grant(w, now)
-			limit, _ = l.ration.Wait(l.id)
-			ahead = max(ahead, limit)
 		case w.Bound > 0 && (free <= 0 || max(wait, ahead) > w.Bound):
 			w.done <- want.NewCrowded(max(wait, ahead) + slotTime(free))
 		case w.hopeless(now, ahead):
 			w.done <- want.ErrBusy
 		default:
-			// Nothing behind it overtakes it: small prompts would keep a large one waiting for ever.
 			next = min(next, max(wait, time.Millisecond))
 			if free <= 0 {
 				next = min(next, again)
@@ -136,6 +131,33 @@
 	return next
 }
 
+// grantFirst lets the first of those that wait go, where it may; nothing behind it overtakes it.
+func (l *lane) grantFirst(now time.Time) bool {
+	if len(l.waiting) == 0 || l.free() <= 0 {
+		return false
+	}
+	l.order(l.waiting, now)
+	w := l.waiting[0]
+	if limit, _ := l.ration.Wait(l.id); limit > 0 || l.pace.Wait(now, w.Cost, w.room(now), w.Tail) > 0 {
+		return false
+	}
+	l.waiting = l.waiting[1:]
+	l.grant(w, now)
+	return true
+}
+
+// sort puts those that wait in the order in which they go.
+func (l *lane) sort(waiting []waiter, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.order(waiting, now)
+}
+
+// order does so with the lock held.
+func (l *lane) order(waiting []waiter, now time.Time) {
+	slices.SortStableFunc(waiting, func(a, b waiter) int { return a.before(b, &l.shares, now) })
+}
+
 // told takes how many requests a host had under way at the engine at some moment, which adapters they use, and how fast they went. Its word comes by
 // way of relays, and what it was granted shortly before that moment or after it is not in it: forgotten, the engine would be sent
 // more than it can run, and an adapter unloaded that a request is about to use.
@@ -222,6 +244,7 @@
 func (l *lane) grant(w waiter, now time.Time) {
 	l.ration.Take(l.id)
 	l.pace.Send(now, w.Cost, w.Tail)
+	l.shares.Give(w.Team, w.Cost, w.Weight)
 	if w.Turn != 0 {
 		l.pace.Expect(w.Turn, w.Cost)
 	}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -96,7 +95,7 @@
 func (d *desk) serve(t target.Target) {
 	queue := d.queue
 	now := time.Now()
-	slices.SortStableFunc(queue, func(a, b waiter) int { return a.before(b, now) })
+	d.lane.sort(queue, now)
 	d.queue = nil
 	for i, w := range queue {
 		if !d.known {
--- a/internal/giver/waiter.go
+++ b/internal/giver/waiter.go
@@ -1,8 +1,10 @@
 package giver
 
 import (
+	"cmp"
 	"time"
 
+	"damaskreach/internal/fair"
 	"damaskreach/internal/want"
 )
 
@@ -17,28 +19,35 @@
 
 // before orders those that wait. Answers of which callers have a part go first: refused, they are lost, where others can come back.
 // Then those that can still be on time; those that are late already follow, so that a burst does not make everything late that comes
-// behind it. Among each, the more urgent go first, then those that must be on time the soonest, and of those that are late the ones that
-// have waited longest.
-func (w waiter) before(other waiter, now time.Time) int {
-	if w.Begun != other.Begun {
-		if w.Begun {
-			return -1
-		}
-		return 1
-	}
-	if late := w.late(now); late != other.late(now) {
-		if late {
-			return 1
-		}
+// behind it. Among each, the more urgent go first, then those of teams that had less than their share, then those that must be on time the
+// soonest, and of those that are late the ones that have waited longest.
+func (w waiter) before(other waiter, shares *fair.Fair, now time.Time) int {
+	return cmp.Or(
+		first(w.Begun, other.Begun),
+		first(!w.late(now), !other.late(now)),
+		cmp.Compare(w.Rank, other.Rank),
+		cmp.Compare(shares.Ahead(w.Team), shares.Ahead(other.Team)),
+		w.due(now).Compare(other.due(now)),
+	)
+}
+
+// first orders what has a property before what has not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
 		return -1
 	}
-	if w.Rank != other.Rank {
-		return w.Rank - other.Rank
-	}
+	return 1
+}
+
+// due returns when a request must begin to be on time; of one that is late, when it asked.
+func (w waiter) due(now time.Time) time.Time {
 	if w.late(now) {
-		return w.since.Compare(other.since)
+		return w.since
 	}
-	return w.since.Add(w.Patience).Compare(other.since.Add(other.Patience))
+	return w.since.Add(w.Patience)
 }
 
 const (
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -35,6 +35,27 @@
 	return route.Route{}, false
 }
 
+// WithWeights returns the rules with the weight of each team that has a limit: what the limit entitles it to, beside the mean of the teams whose
+// limits count the same.
+func (r Rules) WithWeights() Rules {
+	sums, counts := map[bool]float64{}, map[bool]float64{}
+	for _, t := range r.Teams {
+		if t.Rate > 0 {
+			sums[t.Tokens] += t.Rate
+			counts[t.Tokens]++
+		}
+	}
+	teams := make(map[string]team.Team, len(r.Teams))
+	for name, t := range r.Teams {
+		if t.Rate > 0 {
+			t.Weight = t.Rate * counts[t.Tokens] / sums[t.Tokens]
+		}
+		teams[name] = t
+	}
+	r.Teams = teams
+	return r
+}
+
 // Holder returns the team that a key belongs to.
 func (r Rules) Holder(k apikey.Key) (team.Team, bool) {
 	name, ok := r.Keys[k]
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -10,6 +10,7 @@
 	Plain  int  // units of a request that states no tokens, where units are tokens
 	Rate   float64
 	Burst  float64
+	Weight float64 // beside other teams where room is short; 0 counts as 1
 }
 
 // Limited reports whether the team has a limit: Rate units a second over all hosts, and Burst units at once.
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -19,6 +19,8 @@
 	Held     bool          `msgpack:"d,omitempty"` // the engine holds the adapter as far as the host knows that asks
 	Spread   bool          `msgpack:"s,omitempty"` // no request waits: the adapter would come to one more engine, or what was heard of a limit is told
 	Rank     int           `msgpack:"p,omitempty"` // lower goes first
+	Team     string        `msgpack:"w,omitempty"` // that asks; empty where callers need no key
+	Weight   float64       `msgpack:"y,omitempty"` // of the team beside others where room is short
 	Begun    bool          `msgpack:"f,omitempty"` // the caller has a part of the answer; goes before any Rank
 	Turn     uint64        `msgpack:"u,omitempty"` // that is asked for: whoever has it says when its prompt has been read; 0 where nobody will
 	Rated    bool          `msgpack:"n,omitempty"` // Rate was heard; without it nothing is known
