Tell others of this host's own session once it has changed

Change: a renewal that says something new of this host is remembered as untold until the row was passed on, and others are woken for it. A mere renewal is still not passed on. Before: the test fails with orders of two hosts to six of eleven engines.

--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -171,6 +171,8 @@
 	for _, row := range list {
 		if t.take(row, now) {
 			news = append(news, row)
+			// Without its session, the engines that it claims would seem to have no host.
+			t.untold = t.untold && row.Key != hostPrefix+t.IP
 		}
 	}
 	t.at = max(t.at, rev)
@@ -200,8 +202,8 @@
 	}
 	old := t.hosts[ip]
 	if old.rev >= row.Rev {
-		// This host has written it itself, and the others have not heard of it: the end of a session, or its own renewal.
-		return old.rev == row.Rev && ip != t.IP
+		// This host has written it itself, and the others have not heard of it: the end of a session, a session of its own, or a mere renewal.
+		return old.rev == row.Rev && (ip != t.IP || t.untold)
 	}
 	var s session
 	if err := msgpack.Unmarshal(row.Value, &s); err != nil {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -98,6 +98,7 @@
 	sent    time.Duration // when the last renewal that succeeded was sent
 	renewed bool
 	at      int64 // revision up to which rows are read
+	untold  bool  // others have not heard of this host's session as it is now
 	unsure  bool  // engines may have been taken over since: the store must be read before any of them is given an order
 	hosts   map[string]seen
 	own     map[string]owned
@@ -259,6 +260,10 @@
 		t.unsure = true
 		t.Log.Info("session begun", zap.String("host", t.IP), zap.String("start", t.start), zap.Int64("revision", rev))
 	}
+	if known.session != s.withRates(known.Rates) {
+		t.untold = true
+		t.mark = max(t.mark, rev)
+	}
 	t.renewed = !passive
 	t.epoch = s.Epoch
 	t.sent = sent
