Plan as much of the pause for reading as engines keep to

Where engines keep their speed, a small room costs capacity. Change: hosts tell whether a turn ended because the prompt was read (spent); the host that grants turns compares how long that took with what it expected, and how often it took twice as long decides how much of the pause is planned (sway): 0.4 from three in a hundred on, all of it up to one in a hundred. Gauge reading_room_share. Also: a mover's copy of the request no longer gives the stream's own turn back.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -26,6 +26,7 @@
 	"damaskreach/internal/resp"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speeds"
+	"damaskreach/internal/spent"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/team"
 	"damaskreach/internal/view"
@@ -77,8 +78,8 @@
 	Owner func(id string) bool
 	// Admit has an adapter loaded and returns once a prompt may be sent.
 	Admit func(ctx context.Context, w want.Want) error
-	// Read tells that the prompt with a turn at an engine has been read, or that the turn is not used.
-	Read func(id string, turn uint64)
+	// Spent tells that a turn has ended.
+	Spent func(s spent.Spent)
 	// Permit has a request counted at an upstream that names a limit and has no host that gives it orders; an ErrCrowded tells how long it
 	// will be until the limit has room.
 	Permit func(ctx context.Context, id string) error
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -31,6 +31,7 @@
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
 	"damaskreach/internal/speeds"
+	"damaskreach/internal/spent"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
@@ -117,7 +118,7 @@
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
 		Notice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.begun) }), Avoid: avoid.NewAvoid(), Permit: b.permit, TellLimit: func(string) {},
-		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Read: func(string, uint64) {}, Blame: &blame.Blame{}, Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
+		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Spent: func(spent.Spent) {}, Blame: &blame.Blame{}, Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		Late:  func() bool { return b.late },
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
--- a/internal/direct/mover.go
+++ b/internal/direct/mover.go
@@ -52,7 +52,7 @@
 		return m
 	}
 	scout := *j
-	scout.w, scout.tried = nil, maps.Clone(j.tried)
+	scout.w, scout.tried, scout.turn = nil, maps.Clone(j.tried), turn{}
 	scout.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "%s paused for too long", t.ID))
 	m.find = func(ctx context.Context) (choice, bool) {
 		if !x.Spare.May(scout.group, time.Now()) {
@@ -62,12 +62,12 @@
 		one.tried = maps.Clone(scout.tried)
 		next, refusal := x.find(ctx, &one)
 		if refusal != nil || ctx.Err() != nil {
-			x.release(&one)
+			x.release(&one, false)
 			return choice{}, false
 		}
 		return next, true
 	}
-	m.drop = func(unused choice) { x.release(&job{turn: unused.turn}) }
+	m.drop = func(unused choice) { x.release(&job{turn: unused.turn}, false) }
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(m.gap, func() { m.look(ctx) })
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/spent"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
@@ -302,7 +303,7 @@
 
 // admit asks for a turn, which the request has then.
 func (x *Direct) admit(ctx context.Context, j *job, w want.Want) error {
-	x.release(j)
+	x.release(j, false)
 	w.Turn = rand.Uint64()
 	err := x.Admit(ctx, w)
 	outcome := "granted"
@@ -312,16 +313,16 @@
 		j.turn = turn{w.ID, w.Turn}
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		x.Read(w.ID, w.Turn) // it may have been granted, and the answer be on its way
+		x.Spent(spent.Spent{Engine: w.ID, Turn: w.Turn}) // it may have been granted, and the answer be on its way
 	}
 	x.Stats.Add(stats.Admits, 1, "outcome", outcome)
 	return err
 }
 
-// release gives back the turn that the request has: its prompt has been read, or will not be.
-func (x *Direct) release(j *job) {
+// release gives back the turn that the request has; read says that its prompt has been read.
+func (x *Direct) release(j *job, read bool) {
 	if j.turn.number != 0 {
-		x.Read(j.turn.engine, j.turn.number)
+		x.Spent(spent.Spent{Engine: j.turn.engine, Turn: j.turn.number, Read: read})
 	}
 	j.turn = turn{}
 }
--- a/internal/direct/turn_test.go
+++ b/internal/direct/turn_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"damaskreach/internal/resp"
+	"damaskreach/internal/spent"
 	"damaskreach/internal/want"
 )
 
@@ -22,9 +23,9 @@
 		}
 		return err
 	}
-	b.Read = func(id string, turn uint64) {
-		if open[turn] == id {
-			delete(open, turn)
+	b.Spent = func(s spent.Spent) {
+		if open[s.Turn] == s.Engine {
+			delete(open, s.Turn)
 		}
 	}
 	return b, open
@@ -34,17 +35,18 @@
 func TestTurnEndsWithTheFirstEvent(t *testing.T) {
 	b, open := turnBench(t)
 	seen := -1
-	read := b.Read
-	b.Read = func(id string, turn uint64) {
-		read(id, turn)
+	read := false
+	end := b.Spent
+	b.Spent = func(s spent.Spent) {
+		end(s)
 		if seen < 0 {
-			seen = len(open)
+			seen, read = len(open), s.Read
 		}
 	}
 	b.then(answers(http.StatusOK, nil, firstEvent+lastEvent, nil))
 	b.call(held)
-	if seen != 0 || len(open) != 0 {
-		t.Errorf("turns open after the first event = %d, at the end = %d, want none", seen, len(open))
+	if seen != 0 || len(open) != 0 || !read {
+		t.Errorf("turns open after the first event = %d, at the end = %d, told as read = %v; want none, and told", seen, len(open), read)
 	}
 }
 
@@ -83,7 +85,7 @@
 	b, _ := turnBench(t)
 	given := 0
 	b.Admit = func(context.Context, want.Want) error { return context.DeadlineExceeded }
-	b.Read = func(string, uint64) { given++ }
+	b.Spent = func(spent.Spent) { given++ }
 	b.then(answers(http.StatusOK, nil, firstEvent, nil))
 	b.call(held)
 	if given == 0 {
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -22,6 +22,7 @@
 	"damaskreach/internal/speed"
 	"damaskreach/internal/speeds"
 	"damaskreach/internal/stats"
+	"damaskreach/internal/sway"
 	"damaskreach/internal/tenure"
 	"damaskreach/internal/uplink"
 )
@@ -44,6 +45,7 @@
 	e.speeds = speeds.NewSpeeds(usual)
 	e.pick.Slow = e.speeds.Slow
 	e.tenure.Measured, e.tenure.Beside = usual.Rates, e.memos
+	e.sway = sway.NewSway()
 	e.giver = e.buildGiver(s)
 	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
@@ -84,7 +86,7 @@
 func (e *Edge) buildGiver(s setup.Setup) *giver.Giver {
 	return &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
+		Flow: flow.NewFlow(), Sway: e.sway, Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
 		Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP,
 		Log: e.Log, Stats: e.Stats,
 	}
@@ -94,7 +96,7 @@
 func (e *Edge) buildDirect() *direct.Direct {
 	return &direct.Direct{
 		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do,
-		Owner: e.ordered, Admit: e.admit, Read: e.read, Permit: e.permit, TellLimit: e.tellLimit, Charge: e.limits.Charge, Use: e.use,
+		Owner: e.ordered, Admit: e.admit, Spent: e.spent, Permit: e.permit, TellLimit: e.tellLimit, Charge: e.limits.Charge, Use: e.use,
 		Late: e.late, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Away: e.intake.Away,
 		Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare, Ration: e.ration, Avoid: e.avoid, Blame: &e.blame, Speeds: e.speeds,
 		Log: e.Log, Requests: e.Requests, Stats: e.Stats,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,7 @@
 	"damaskreach/internal/speeds"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
+	"damaskreach/internal/sway"
 	"damaskreach/internal/table"
 	"damaskreach/internal/target"
 	"damaskreach/internal/tenure"
@@ -113,6 +114,7 @@
 	readers trust.Trust
 	holds   *holds.Holds
 	speeds  *speeds.Speeds
+	sway    *sway.Sway
 	pick    *pick.Pick
 	ration  *ration.Ration
 	avoid   *avoid.Avoid
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"damaskreach/internal/peer"
 	"damaskreach/internal/ruling"
 	"damaskreach/internal/setup"
+	"damaskreach/internal/spent"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/want"
@@ -32,8 +33,8 @@
 	// how many of them it counts.
 	modelStep = 250 * time.Millisecond
 	mostFirst = 8
-	// readFor bounds telling a host that a turn has ended; it does not matter to it any more after that.
-	readFor = 500 * time.Millisecond
+	// spentFor bounds telling a host that a turn has ended; it does not matter to it any more after that.
+	spentFor = 500 * time.Millisecond
 	// secretWait is the pause before the hosts' secret is looked for again.
 	secretWait = 50 * time.Millisecond
 )
@@ -44,7 +45,7 @@
 	methodAdmit  = "admit"
 	methodCharge = "charge"
 	methodPermit = "permit"
-	methodRead   = "read"
+	methodSpent  = "spent"
 	methodRows   = "rows"
 )
 
@@ -70,8 +71,8 @@
 		e.learnLimit(w)
 		return want.Text(e.giver.Admit(ctx, w)), nil
 	})
-	peer.Answer(mesh, methodRead, func(_ context.Context, _ string, w want.Want) (struct{}, error) {
-		e.giver.Read(w.ID, w.Turn)
+	peer.Answer(mesh, methodSpent, func(_ context.Context, _ string, s spent.Spent) (struct{}, error) {
+		e.giver.Spent(s)
 		return struct{}{}, nil
 	})
 	peer.Answer(mesh, methodPermit, func(_ context.Context, _ string, w want.Want) (ruling.Ruling, error) {
@@ -185,12 +186,12 @@
 	return want.FromText(text)
 }
 
-// read tells the host that granted a turn that its prompt has been read, or that it is not used. Where that host does not hear it, the prompt
-// counts as read some time after it should have been.
-func (e *Edge) read(id string, turn uint64) {
-	owner := e.turner(id)
+// spent tells the host that granted a turn that it has ended. Where that host does not hear it, the prompt counts as read some time after it
+// should have been.
+func (e *Edge) spent(s spent.Spent) {
+	owner := e.turner(s.Engine)
 	if owner == e.Setup().IP {
-		e.giver.Read(id, turn)
+		e.giver.Spent(s)
 		return
 	}
 	mesh := e.mesh.Load()
@@ -198,11 +199,11 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), readFor)
+		ctx, cancel := context.WithTimeout(context.Background(), spentFor)
 		defer cancel()
 		var none struct{}
-		if err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodRead, want.Want{ID: id, Turn: turn}, &none); err != nil {
-			e.Log.Debug("end of a turn not told", zap.String("target", id), zap.Error(err))
+		if err := mesh.Ask(ctx, e.tenure.Host(owner).Peers, methodSpent, s, &none); err != nil {
+			e.Log.Debug("end of a turn not told", zap.String("target", s.Engine), zap.Error(err))
 		}
 	}()
 }
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -23,6 +23,7 @@
 	"damaskreach/internal/rules"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stock"
+	"damaskreach/internal/sway"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
@@ -188,7 +189,7 @@
 	}
 	g := &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: e.mine,
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Ration: e.ration, Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Sway: sway.NewSway(), Ration: e.ration, Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
 		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -19,9 +19,11 @@
 	"damaskreach/internal/flow"
 	"damaskreach/internal/memo"
 	"damaskreach/internal/ration"
+	"damaskreach/internal/spent"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
+	"damaskreach/internal/sway"
 	"damaskreach/internal/target"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/usage"
@@ -50,6 +52,8 @@
 	Leaves func(t target.Target) bool
 	// Ration bounds the requests for engines that name a limit.
 	Ration *ration.Ration
+	// Sway is how much of the pause that streams allow is planned for reading, as engines keep to what is expected of them.
+	Sway *sway.Sway
 	// Flow bounds the loads that are on their way to all engines of this host.
 	Flow *flow.Flow
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
@@ -117,7 +121,7 @@
 // laneOf returns the lane of an engine, a new one where there is none. It needs the lock.
 func (g *Giver) laneOf(id string) *lane {
 	if g.lanes[id] == nil {
-		g.lanes[id] = newLane(g.ctx, id, g.Ration)
+		g.lanes[id] = newLane(g.ctx, id, g.Ration, g.Sway)
 	}
 	return g.lanes[id]
 }
@@ -191,13 +195,13 @@
 	}
 }
 
-// Read takes that the prompt with a turn at an engine has been read, or that the turn is not used.
-func (g *Giver) Read(id string, turn uint64) {
+// Spent takes that a turn has ended.
+func (g *Giver) Spent(s spent.Spent) {
 	g.mu.Lock()
-	l := g.lanes[id]
+	l := g.lanes[s.Engine]
 	g.mu.Unlock()
 	if l != nil {
-		l.read(turn)
+		l.spent(s)
 	}
 }
 
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -9,6 +9,8 @@
 	"damaskreach/internal/fair"
 	"damaskreach/internal/pace"
 	"damaskreach/internal/ration"
+	"damaskreach/internal/spent"
+	"damaskreach/internal/sway"
 	"damaskreach/internal/tempo"
 	"damaskreach/internal/usage"
 	"damaskreach/internal/want"
@@ -29,6 +31,7 @@
 	id     string // of the engine
 	wake   chan struct{}
 	ration *ration.Ration
+	sway   *sway.Sway      // of all engines whose turns this host grants
 	ctx    context.Context // ends with the lane
 	end    context.CancelFunc
 
@@ -55,9 +58,9 @@
 	adapter string
 }
 
-func newLane(parent context.Context, id string, ration *ration.Ration) *lane {
+func newLane(parent context.Context, id string, ration *ration.Ration, sway *sway.Sway) *lane {
 	ctx, end := context.WithCancel(parent)
-	l := &lane{id: id, ctx: ctx, end: end, ration: ration, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
+	l := &lane{id: id, ctx: ctx, end: end, ration: ration, sway: sway, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
 	go l.run()
 	return l
 }
@@ -112,7 +115,7 @@
 	ahead := max(limit, l.pace.Backlog(now))
 	free := l.free()
 	for _, w := range l.waiting {
-		wait := max(limit, l.pace.Wait(now, w.Cost, w.room(now), w.Tail))
+		wait := max(limit, l.pace.Wait(now, w.Cost, l.room(w), w.Tail))
 		switch {
 		case w.Bound > 0 && (free <= 0 || max(wait, ahead) > w.Bound):
 			w.done <- want.NewCrowded(max(wait, ahead) + slotTime(free))
@@ -138,7 +141,7 @@
 	}
 	l.order(l.waiting, now)
 	w := l.waiting[0]
-	if limit, _ := l.ration.Wait(l.id); limit > 0 || l.pace.Wait(now, w.Cost, w.room(now), w.Tail) > 0 {
+	if limit, _ := l.ration.Wait(l.id); limit > 0 || l.pace.Wait(now, w.Cost, l.room(w), w.Tail) > 0 {
 		return false
 	}
 	l.waiting = l.waiting[1:]
@@ -246,7 +249,7 @@
 	l.pace.Send(now, w.Cost, w.Tail)
 	l.shares.Give(w.Team, w.Cost, w.Weight)
 	if w.Turn != 0 {
-		l.pace.Expect(w.Turn, w.Cost)
+		l.pace.Expect(w.Turn, now, w.Cost, w.Tail)
 	}
 	s := l.hosts[w.Host]
 	if s == nil {
@@ -257,14 +260,23 @@
 	w.done <- nil
 }
 
-// read takes that the prompt with a turn has been read, or that its turn is not used.
-func (l *lane) read(turn uint64) {
+// spent takes that a turn has ended.
+func (l *lane) spent(s spent.Spent) {
 	l.mu.Lock()
-	l.pace.Read(turn, time.Now())
+	if !s.Read {
+		l.pace.Drop(s.Turn, time.Now())
+	} else if took, expected := l.pace.Read(s.Turn, time.Now()); expected > 0 {
+		l.sway.Took(took, expected)
+	}
 	l.mu.Unlock()
 	l.nudge()
 }
 
+// room returns how long reading may hold up streams, for a prompt whose streams allow so much.
+func (l *lane) room(w waiter) time.Duration {
+	return time.Duration(l.sway.Room() * float64(w.Room))
+}
+
 // wait returns how long a prompt would wait that comes now.
 func (l *lane) wait() time.Duration {
 	l.mu.Lock()
--- a/internal/giver/waiter.go
+++ b/internal/giver/waiter.go
@@ -50,23 +50,6 @@
 	return w.since.Add(w.Patience)
 }
 
-const (
-	// calm is the part of the room that prompts take while none waits for long: an engine that is some times slower for a moment
-	// reads them without holding its streams up for too long.
-	calm = 0.4
-	// hurry is the part of its patience after which a prompt may take all of the room, and mostCalm the longest that may be.
-	hurry    = 0.25
-	mostCalm = 300 * time.Millisecond
-)
-
-// room returns how long reading may hold up streams, for this prompt now: a part of what they allow at first, and all of it before the wait
-// makes the request late.
-func (w waiter) room(now time.Time) time.Duration {
-	until := min(mostCalm, max(time.Millisecond, time.Duration(hurry*float64(w.Patience))))
-	waited := min(1, float64(now.Sub(w.since))/float64(until))
-	return time.Duration((calm + (1-calm)*waited) * float64(w.Room))
-}
-
 // late reports whether the answer cannot be on time any more.
 func (w waiter) late(now time.Time) bool {
 	return now.Sub(w.since) > w.Patience
--- a/internal/pace/closed_test.go
+++ b/internal/pace/closed_test.go
@@ -50,7 +50,7 @@
 		}
 		end = end.Add(took)
 		if told {
-			p.Expect(turn, cost)
+			p.Expect(turn, now, cost, tail)
 			open = append(open, reading{turn, end})
 		}
 	}
@@ -78,7 +78,7 @@
 	var p pace.Pace
 	now := time.Unix(100, 0)
 	p.Send(now, 50*time.Millisecond, tail)
-	p.Expect(1, 50*time.Millisecond)
+	p.Expect(1, now, 50*time.Millisecond, tail)
 	if wait := p.Wait(now.Add(time.Second), 2*room, room, tail); wait == 0 {
 		t.Error("the next prompt may go while one is being read, want it to wait")
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -36,6 +36,7 @@
 type Pace struct {
 	end  time.Time     // when the prompts that were sent should be read
 	open []prompt      // those of them that somebody will say to have been read
+	last time.Time     // when the last of those was read that somebody told of
 	read time.Duration // how long those take that are read without a pause long enough for an event between them
 	load time.Duration // how long the prompts of the last seconds take to read, fading
 	at   time.Time     // of the last of them
@@ -43,9 +44,11 @@
 
 // prompt is one that was sent.
 type prompt struct {
-	turn uint64
-	cost time.Duration
-	due  time.Time
+	turn     uint64
+	cost     time.Duration
+	expected time.Duration // from when its reading begins to its first event
+	sent     time.Time
+	due      time.Time
 }
 
 // Wait returns how long a prompt that takes cost to read has to wait. Room is how long reading may hold up a stream, and
@@ -96,22 +99,44 @@
 	p.end = p.end.Add(cost)
 }
 
-// Expect notes that somebody will say when the prompt that was sent last, for this turn, has been read.
-func (p *Pace) Expect(turn uint64, cost time.Duration) {
-	p.open = append(p.open, prompt{turn: turn, cost: cost, due: p.end})
+// Expect notes that somebody will say when the prompt that was sent last, for this turn, has been read: when its first event has come, a tail
+// behind.
+func (p *Pace) Expect(turn uint64, now time.Time, cost, tail time.Duration) {
+	p.open = append(p.open, prompt{turn: turn, cost: cost, expected: cost + tail, sent: now, due: p.end})
 }
 
-// Read notes that the prompt sent for a turn has been read, or will not be.
-func (p *Pace) Read(turn uint64, now time.Time) {
+// Read notes that the prompt sent for a turn has been read, and returns how long that took and was expected to; 0 where nobody expected it.
+func (p *Pace) Read(turn uint64, now time.Time) (took, expected time.Duration) {
+	o, ok := p.close(turn, now)
+	if !ok {
+		return 0, 0
+	}
+	begun := o.sent
+	if p.last.After(begun) {
+		begun = p.last
+	}
+	p.last = now
+	return now.Sub(begun), o.expected
+}
+
+// Drop notes that the prompt of a turn is not sent, or gets no answer.
+func (p *Pace) Drop(turn uint64, now time.Time) {
+	p.close(turn, now)
+}
+
+// close takes a prompt off those that are open.
+func (p *Pace) close(turn uint64, now time.Time) (prompt, bool) {
 	at := slices.IndexFunc(p.open, func(o prompt) bool { return o.turn == turn })
 	if at < 0 {
-		return
+		return prompt{}, false
 	}
+	o := p.open[at]
 	p.open = slices.Delete(p.open, at, at+1)
 	p.end = now
-	for _, o := range p.open {
-		p.end = p.end.Add(o.cost)
+	for _, left := range p.open {
+		p.end = p.end.Add(left.cost)
 	}
+	return o, true
 }
 
 // Takes returns how much later the next prompt may go behind one that takes cost to read, where many wait.
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -22,6 +22,7 @@
 	Unloads     = "unloads_total"               // effect
 	Age         = "belief_age_seconds"          // belief
 	LeaseLeft   = "lease_left_seconds"          // none
+	Room        = "reading_room_share"          // none
 	Engines     = "engines_ordered"             // none
 	Hosts       = "hosts_serving"               // none
 	Upstreams   = "upstreams_known"             // none
@@ -51,6 +52,7 @@
 	Unloads:     "adapters unloaded to make room, by effect",
 	Age:         "time since what this host believes was last confirmed",
 	LeaseLeft:   "time for which this host may still give orders",
+	Room:        "part of the pause that streams allow which is planned for reading prompts",
 	Engines:     "engines that this host gives orders to",
 	Hosts:       "other hosts that lookups name",
 	Upstreams:   "upstreams that are registered",
--- /dev/null
+++ b/internal/sway/sway_test.go
@@ -0,0 +1,44 @@
+package sway_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"damaskreach/internal/sway"
+)
+
+const expected = 80 * time.Millisecond
+
+// after returns the room after many readings of which a share took two and a half times as long as expected, and the rest a tenth more or less.
+func after(share float64) float64 {
+	s := sway.NewSway()
+	r := rand.New(rand.NewPCG(1, 2))
+	sum := 0.0
+	const readings, counted = 900, 400
+	for i := range readings {
+		took := time.Duration((0.9 + 0.2*r.Float64()) * float64(expected))
+		if r.Float64() < share {
+			took = 5 * expected / 2
+		}
+		s.Took(took, expected)
+		if i >= readings-counted {
+			sum += s.Room()
+		}
+	}
+	return sum / counted
+}
+
+// Engines that turn slow for moments hold up their streams if readings are planned to the full; engines that never do would read a fifth less
+// than they can if all were planned small.
+func TestRoomFollowsFromHowOftenReadingsAreSlow(t *testing.T) {
+	if got := after(0.15); got > 0.55 {
+		t.Errorf("room where one reading in seven is slow = %.2f, want 0.55 at most", got)
+	}
+	if got := after(0); got < 0.99 {
+		t.Errorf("room where no reading is slow = %.2f, want all of it", got)
+	}
+	if got := after(0.005); got < 0.85 {
+		t.Errorf("room where one reading in two hundred is slow = %.2f, want nearly all of it", got)
+	}
+}
