Give back the turn of a place that a stream found and did not need

Found in reading: a stream whose last events came as it was cut, or whose time was over by then, left the turn of its next place open for 1.5 s. release takes the turn, so that the request's own and that of its next place are given back alike. Package tests with the race detector pass.

--- a/internal/direct/finish.go
+++ b/internal/direct/finish.go
@@ -63,7 +63,10 @@
 
 // finish counts and logs the end of a request.
 func (x *Direct) finish(j *job, code string, verdict verd.Verdict, id string, status int) {
-	x.release(j, false)
+	x.release(&j.turn, false)
+	if j.next != nil {
+		x.release(&j.next.turn, false)
+	}
 	now := time.Now()
 	first := time.Duration(0)
 	if !j.first.IsZero() {
--- a/internal/direct/mover.go
+++ b/internal/direct/mover.go
@@ -62,12 +62,12 @@
 		one.tried = maps.Clone(scout.tried)
 		next, refusal := x.find(ctx, &one)
 		if refusal != nil || ctx.Err() != nil {
-			x.release(&one, false)
+			x.release(&one.turn, false)
 			return choice{}, false
 		}
 		return next, true
 	}
-	m.drop = func(unused choice) { x.release(&job{turn: unused.turn}, false) }
+	m.drop = func(unused choice) { x.release(&unused.turn, false) }
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(m.gap, func() { m.look(ctx) })
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -303,7 +303,7 @@
 
 // admit asks for a turn, which the request has then.
 func (x *Direct) admit(ctx context.Context, j *job, w want.Want) error {
-	x.release(j, false)
+	x.release(&j.turn, false)
 	w.Turn = rand.Uint64()
 	err := x.Admit(ctx, w)
 	outcome := "granted"
@@ -319,12 +319,12 @@
 	return err
 }
 
-// release gives back the turn that the request has; read says that its prompt has been read.
-func (x *Direct) release(j *job, read bool) {
-	if j.turn.number != 0 {
-		x.Spent(spent.Spent{Engine: j.turn.engine, Turn: j.turn.number, Read: read})
+// release gives back a turn, where there is one; read says that its prompt has been read.
+func (x *Direct) release(t *turn, read bool) {
+	if t.number != 0 {
+		x.Spent(spent.Spent{Engine: t.engine, Turn: t.number, Read: read})
 	}
-	j.turn = turn{}
+	*t = turn{}
 }
 
 func (x *Direct) want(j *job, t target.Target, version int, bound time.Duration) want.Want {
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -71,7 +71,7 @@
 			return err
 		}
 		m.heard()
-		x.release(j, true)
+		x.release(&j.turn, true)
 		if j.first.IsZero() {
 			x.begun(j, t.ID)
 		}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -93,7 +93,7 @@
 	}
 	x.Pick.Begin(t.ID)
 	failed := false
-	defer x.release(j, false)
+	defer x.release(&j.turn, false)
 	defer func() { x.Pick.End(t.ID, failed) }()
 	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
