--- a/internal/tenure/back_test.go
+++ b/internal/tenure/back_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,20 +44,24 @@
 func TestReaderThatComesBackTellsOfItsSession(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, "e0")
+		engines12 := engines(12)
 		var news passing
-		relaxed, hears := false, time.Now()
-		a := s.started("10.0.0.1", func(h *host) { h.Keep = news.keep })
-		b := s.started("10.0.0.2", func(h *host) {
-			own := h.Table.Tail
-			h.Relaxed = func() bool { return relaxed }
-			h.Engines = func() map[string]target.Target {
-				if time.Now().Before(hears) {
-					return map[string]target.Target{"e0": s.engines["e0"]}
+		var relaxed, many, hears atomic.Bool // b lets a read; there are more engines; b has heard of them
+		of := func(more func() bool) func() map[string]target.Target {
+			few, all := newSite(t, "e0").engines, newSite(t, engines12...).engines
+			return func() map[string]target.Target {
+				if more() {
+					return all
 				}
-				return s.engines
+				return few
 			}
+		}
+		a := s.started("10.0.0.1", func(h *host) { h.Keep, h.Engines = news.keep, of(many.Load) })
+		b := s.started("10.0.0.2", func(h *host) {
+			own := h.Table.Tail
+			h.Relaxed, h.Engines = relaxed.Load, of(hears.Load)
 			h.Table.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
-				if relaxed {
+				if relaxed.Load() {
 					return news.tail(ctx, prefix, after)
 				}
 				return own(ctx, prefix, after)
@@ -70,14 +74,11 @@
 			t.Fatalf("owner while the other host is cut off = %q, want %q", got, want)
 		}
 		a.setCut(false)
-		relaxed = true
+		relaxed.Store(true)
 		time.Sleep(3 * time.Second)
-		more := map[string]target.Target{}
-		for i := range 12 {
-			id := fmt.Sprint("e", i)
-			more[id] = target.Target{ID: id, Centre: "dc"}
-		}
-		s.engines, hears = more, time.Now().Add(2*time.Second)
+		s.engines = newSite(t, engines12...).engines
+		many.Store(true)
+		time.AfterFunc(2*time.Second, func() { hears.Store(true) })
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() {
