--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"damaskreach/internal/spent"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/internal/want"
@@ -16,8 +14,6 @@
 )
 
 const (
-	// leastTurn is the shortest wait for a turn: a round trip between hosts and some.
-	leastTurn = 50 * time.Millisecond
 	// crowded and slack say when an adapter gets one more engine: where those that hold it have so many times the mean of
 	// running requests, and so many more.
 	crowded = 1.4
@@ -34,15 +30,6 @@
 	worthLoad = 400 * time.Millisecond
 	// mostAsked is how many engines are asked for a short wait; each costs a round trip between hosts.
 	mostAsked = 4
-	// gapSlack is kept free of the longest pause that a stream may have, for its way to the caller and for steps that are
-	// longer than usual.
-	gapSlack = 25 * time.Millisecond
-	// careful is how much longer than estimated a prompt counts. The estimate is a median; where reading takes longer, the next
-	// prompts come before streams got their event, and the pauses of both add up. With 1.3 an eighth fewer prompts get their turn in
-	// a burst; what streams pause for too long on the users' newest site are single large prompts, with either.
-	careful = 1.15
-	// leastRoom lets prompts through where a route names no pause or a very short one.
-	leastRoom = 60 * time.Millisecond
 )
 
 // place returns the upstream for the next send and the version of the adapter that it must have, 0 for any.
@@ -285,72 +272,6 @@
 	return refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
 }
 
-// ask asks for the turn of the request's prompt at an engine that holds what it wants.
-func (x *Direct) ask(ctx context.Context, j *job, t target.Target, version int, bound time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, min(loadFor, max(leastTurn, time.Until(j.hopeless()))))
-	defer cancel()
-	w := x.want(j, t, version, bound)
-	w.Held = true
-	err := x.admit(ctx, j, w)
-	if errors.Is(err, want.ErrCrowded) {
-		x.Pick.Waits(t.ID, want.Wait(err), time.Now())
-	}
-	if err != nil {
-		j.did(want.Code(err))
-	}
-	return err
-}
-
-// admit asks for a turn, which the request has then.
-func (x *Direct) admit(ctx context.Context, j *job, w want.Want) error {
-	x.release(&j.turn, false)
-	w.Turn = rand.Uint64()
-	err := x.Admit(ctx, w)
-	outcome := "granted"
-	if err != nil {
-		outcome = want.Code(err)
-	} else {
-		j.turn = turn{w.ID, w.Turn}
-	}
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		x.Spent(spent.Spent{Engine: w.ID, Turn: w.Turn}) // it may have been granted, and the answer be on its way
-	}
-	x.Stats.Add(stats.Admits, 1, "outcome", outcome)
-	return err
-}
-
-// release gives back a turn, where there is one; read says that its prompt has been read.
-func (x *Direct) release(t *turn, read bool) {
-	if t.number != 0 {
-		x.Spent(spent.Spent{Engine: t.engine, Turn: t.number, Read: read})
-	}
-	*t = turn{}
-}
-
-func (x *Direct) want(j *job, t target.Target, version int, bound time.Duration) want.Want {
-	gap, cost := x.Speeds.Gap(t.ID), x.cost(j, t.ID)
-	room := j.route.Gap - gap - gapSlack
-	if j.route.Gap == 0 {
-		room = leastRoom
-	}
-	return want.Want{
-		ID: t.ID, Model: j.d.Model, Adapter: j.d.Adapter, Version: version, Rank: j.rank(), Begun: j.headed,
-		Team: j.team.Name, Weight: j.team.Weight,
-		Cost: max(time.Millisecond, cost), Room: max(leastRoom, room), Tail: gap, Bound: bound,
-		Limit: time.Until(j.hopeless()), Patience: j.patience(time.Now(), x.takes(j, t.ID)),
-	}
-}
-
-// cost returns how long the prompt is taken to be read by an engine.
-func (x *Direct) cost(j *job, id string) time.Duration {
-	return time.Duration(careful * float64(x.Speeds.Cost(id, j.d.Prompt)))
-}
-
-// takes returns how long after its turn at an engine the first event is expected.
-func (x *Direct) takes(j *job, id string) time.Duration {
-	return x.cost(j, id) + 2*x.Speeds.Gap(id)
-}
-
 // ended returns the refusal of a request whose caller left or whose time is over.
 func (x *Direct) ended(ctx context.Context, j *job) *refuse.Refusal {
 	if ctx.Err() == context.Canceled {
