--- a/internal/giver/begun_test.go
+++ b/internal/giver/begun_test.go
@@ -6,7 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"damaskreach/internal/usage"
 	"damaskreach/internal/want"
 )
 
@@ -14,11 +13,7 @@
 // can be refused and come back: its caller would lose what it has. New requests get their turns behind it.
 func TestAnswersUnderWayGoBeforeNewRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := desk(t, newEngine(2))
-		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
-		if err := admit(t, g, name(0)); err != nil {
-			t.Fatalf("load: %v", err)
-		}
+		g := loaded(t, newEngine(2))
 		const fresh, begun, cost = 30, 8, 60 * time.Millisecond
 		waits := map[bool][]time.Duration{}
 		refused := map[bool]int{}
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -25,6 +25,7 @@
 	"damaskreach/internal/stock"
 	"damaskreach/internal/sway"
 	"damaskreach/internal/target"
+	"damaskreach/internal/usage"
 	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 )
@@ -179,6 +180,17 @@
 	return g
 }
 
+// loaded runs a giver that orders one engine, which holds the first adapter and runs no request.
+func loaded(t *testing.T, e *engine) *giver.Giver {
+	t.Helper()
+	g := desk(t, e)
+	g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
+	if err := admit(t, g, name(0)); err != nil {
+		t.Fatalf("load: %v", err)
+	}
+	return g
+}
+
 // start runs a giver that has just got the orders of one engine.
 func start(t *testing.T, e *engine) *giver.Giver {
 	v := view.View{
--- a/internal/giver/lane_test.go
+++ b/internal/giver/lane_test.go
@@ -62,11 +62,7 @@
 func TestFullEngineServesThoseInTimeThatCanBe(t *testing.T) {
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
-			g := desk(t, newEngine(2))
-			g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
-			if err := admit(t, g, name(0)); err != nil {
-				t.Fatalf("load: %v", err)
-			}
+			g := loaded(t, newEngine(2))
 			turns := ask(t, g, seed, 20, 20*time.Second)
 			var read, late time.Duration
 			var told []time.Duration
@@ -106,11 +102,7 @@
 // Large prompts must not be pushed out by small ones where an engine is full: their callers have waited as long as others.
 func TestFullEngineServesLargePromptsToo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := desk(t, newEngine(2))
-		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
-		if err := admit(t, g, name(0)); err != nil {
-			t.Fatalf("load: %v", err)
-		}
+		g := loaded(t, newEngine(2))
 		var asked, served, allAsked, allServed float64
 		for _, u := range ask(t, g, 9, 20, 40*time.Second) {
 			allAsked++
@@ -135,11 +127,7 @@
 func TestTurnsKeepToTheLimitOfAnEngineInNeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine(2)
-		g := desk(t, e)
-		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
-		if err := admit(t, g, name(0)); err != nil {
-			t.Fatalf("load: %v", err)
-		}
+		g := loaded(t, e)
 		e.ration.Told("e", 2, time.Second)
 		granted, told := 0, time.Duration(0)
 		for _, u := range ask(t, g, 3, 10, 20*time.Second) {
--- a/internal/giver/share_test.go
+++ b/internal/giver/share_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"damaskreach/internal/usage"
 	"damaskreach/internal/want"
 )
 
@@ -15,11 +14,7 @@
 // a team that asks for less than its share must be served as if it were alone, and the hot one gets what is left.
 func TestHotTeamDoesNotCrowdOthersOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := desk(t, newEngine(2))
-		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
-		if err := admit(t, g, name(0)); err != nil {
-			t.Fatalf("load: %v", err)
-		}
+		g := loaded(t, newEngine(2))
 		const cost, span = 50 * time.Millisecond, 15 * time.Second
 		type tally struct {
 			asked, onTime, refused int
