Take the signal for the settings until the process ends

Cause: SIGHUP was taken until the first SIGTERM came, and what the system does with a signal that nobody takes is to end the process, at once and with all requests under way. It is taken now until the process ends.

Test: start TestHostThatStopsOutlivesAHangup (go test -p 1 -count=1 ./internal/start). On the code before: "the host's output ended before "stopped""; with the change it passes.

Conclusion: a host that stops is no longer ended by the second signal.

--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -79,7 +79,10 @@
 		defer close(written)
 		log.Run(ctx)
 	}()
-	err = s.serve(path, first, log)
+	hangups := make(chan os.Signal, 1)
+	// Until the process ends: what the system does with a hangup that nobody takes is to end it, with all requests under way.
+	signal.Notify(hangups, syscall.SIGHUP)
+	err = s.serve(path, first, hangups, log)
 	if err != nil {
 		log.Zap().Error("the host ended with a fault", zap.Error(err))
 	}
@@ -106,13 +109,13 @@
 }
 
 // serve runs the host until it is told to stop.
-func (s Start) serve(path string, first setup.Setup, log *logger.Logger) error {
+func (s Start) serve(path string, first setup.Setup, hangups <-chan os.Signal, log *logger.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var current atomic.Pointer[setup.Setup]
 	current.Store(&first)
 	lines := log.Zap().With(zap.String("node", first.Name))
-	go reload(ctx, path, &current, log, lines)
+	go reload(ctx, hangups, path, &current, log, lines)
 	e := s.Build(first)
 	e.Setup = func() setup.Setup { return *current.Load() }
 	e.Log, e.Requests = lines, lines.Named(logger.Requests)
@@ -123,10 +126,9 @@
 
 // reload reads the settings anew at each SIGHUP and every reloadEvery. With a fault in the file the earlier ones stay: a host
 // with half of its settings would serve wrongly, and one that stopped would not serve at all.
-func reload(ctx context.Context, path string, current *atomic.Pointer[setup.Setup], log *logger.Logger, lines *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reload(
+	ctx context.Context, hangups <-chan os.Signal, path string, current *atomic.Pointer[setup.Setup], log *logger.Logger, lines *zap.Logger,
+) {
 	wake := make(chan struct{}, 1)
 	go forward(ctx, hangups, wake)
 	faulty := ""
