Take the signal for the settings before they are read

A host that was told to read its settings while it read them for the first time ended; no request was lost, callers were without the host until it was started once more.

Cause: the signal was taken only once the settings had been read.

Test: start TestHostThatStartsOutlivesAHangup (go test -p 1 -count=1 ./internal/start). On the parent: "the host's output ended before "started""; with the change it passes.

--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -66,6 +66,10 @@
 }
 
 func (s Start) run(path string) int {
+	hangups := make(chan os.Signal, 1)
+	// From before the settings are read until the process ends: what the system does with a hangup that nobody takes is to end it, with all
+	// requests under way.
+	signal.Notify(hangups, syscall.SIGHUP)
 	first, err := setup.Load(path)
 	if err != nil {
 		fmt.Fprintln(s.Err, err)
@@ -79,9 +83,6 @@
 		defer close(written)
 		log.Run(ctx)
 	}()
-	hangups := make(chan os.Signal, 1)
-	// Until the process ends: what the system does with a hangup that nobody takes is to end it, with all requests under way.
-	signal.Notify(hangups, syscall.SIGHUP)
 	err = s.serve(path, first, hangups, log)
 	if err != nil {
 		log.Zap().Error("the host ended with a fault", zap.Error(err))
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// A host is told to read its settings anew while it reads them for the first time: killed by that signal, it has to be started once more, and its
+// callers are without it meanwhile.
+func TestHostThatStartsOutlivesAHangup(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatalf("making a pipe: %v", err)
+	}
+	host, out := run(t, path)
+	reads, err := os.OpenFile(path, os.O_WRONLY, 0) // opens once the host reads
+	if err != nil {
+		t.Fatalf("opening the settings: %v", err)
+	}
+	signal(t, host, syscall.SIGHUP)
+	if _, err := reads.WriteString(settings); err != nil {
+		t.Fatalf("writing the settings: %v", err)
+	}
+	reads.Close()
+	lines := bufio.NewScanner(out)
+	await(t, lines, `"started"`)
+}
+
 // run starts a host, which ends with the test.
 func run(t *testing.T, path string) (host *exec.Cmd, out io.ReadCloser) {
 	t.Helper()
