Let a host outlive whoever reads its lines

Callers could see requests without an answer: where whoever reads a host's lines ends, the host ended at its next line, with all requests under way.

Cause: a write to a pipe that nobody reads raises SIGPIPE, which ends the process where it is the standard output. It is ignored now; the write fails.

Test: start TestHostOutlivesTheReaderOfItsLines (go test -p 1 -count=1 ./internal/start), which failed on the parent and passes with the change.

Conclusion: losing the lines costs the lines alone.

--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -70,6 +70,8 @@
 	// From before the settings are read until the process ends: what the system does with a hangup that nobody takes is to end it, with all
 	// requests under way.
 	signal.Notify(hangups, syscall.SIGHUP)
+	// A line that nobody reads any more would end the process too.
+	signal.Ignore(syscall.SIGPIPE)
 	first, err := setup.Load(path)
 	if err != nil {
 		fmt.Fprintln(s.Err, err)
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -95,6 +95,23 @@
 	await(t, lines, `"started"`)
 }
 
+// Whoever reads a host's lines ends. Ended by its next line, the host would leave all requests under way without an answer.
+func TestHostOutlivesTheReaderOfItsLines(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatalf("writing the settings: %v", err)
+	}
+	host, out := run(t, path)
+	await(t, bufio.NewScanner(out), `"started"`)
+	if err := out.Close(); err != nil {
+		t.Fatalf("closing the output: %v", err)
+	}
+	signal(t, host, syscall.SIGTERM)
+	if err := host.Wait(); err != nil {
+		t.Errorf("the host ended with %v, want success", err)
+	}
+}
+
 // run starts a host, which ends with the test.
 func run(t *testing.T, path string) (host *exec.Cmd, out io.ReadCloser) {
 	t.Helper()
