--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -235,12 +235,9 @@
 	}
 }
 
-// loads returns how busy the engines are whose turns this host grants, and notes it for its own choices.
-func (e *Edge) loads() map[string]int {
-	loads := e.giver.Loads(e.grants)
-	now := time.Now()
-	for id, n := range loads {
-		e.pick.Told(id, n, now)
-	}
-	return loads
+// readEvery returns how often the upstreams' registrations are read: as often as they change, and often enough for one that
+// leaves to get no new work in time though a reading fails.
+func (e *Edge) readEvery() time.Duration {
+	s := e.Setup()
+	return min(s.Beat, s.Drain*6/10)
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -6,6 +6,17 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"damaskreach/internal/lookup"
+	"damaskreach/internal/mate"
+)
+
+const (
+	// answerLife is how long callers may keep the answer to a lookup. It bounds how long a host that leaves or died still
+	// gets new connections.
+	answerLife = 2 * time.Second
+	// readTimeout bounds how long a caller may take for its headers where the configuration has no bound.
+	readTimeout = 10 * time.Second
 )
 
 // listen opens the ports and serves on them. It returns the listener for callers, and a channel that gets the error of a
@@ -66,30 +77,26 @@
 	})
 }
 
-// late reports whether a request that comes now may not end before the host does. Streams run for seconds; a caller whose
-// stream began before the signal may send its next request on the same connection at any time.
-func (e *Edge) late() bool {
-	if !e.leaving.Load() {
-		return false
-	}
-	return time.Since(time.Unix(0, e.leftAt.Load())) > min(stayFor, e.Setup().Grace/3)+leastIdle
+func (e *Edge) ready() bool {
+	v := e.intake.View()
+	return !e.leaving.Load() && v.Known() && len(v.Targets) > 0
 }
 
-// leave takes the host out of lookups, serves on while callers keep their answers, and waits for requests under way.
-func (e *Edge) leave(callers net.Listener) {
-	began := time.Now()
-	grace := e.Setup().Grace - endSlack
-	e.leftAt.Store(began.UnixNano())
-	e.leaving.Store(true)
-	e.Log.Info("leaving", zap.Duration("grace", grace))
-	time.Sleep(min(stayFor, grace/3))
-	if err := callers.Close(); err != nil {
-		e.Log.Debug("port for callers not closed", zap.Error(err))
+// names returns the addresses of hosts that serve, for callers in a data centre.
+func (e *Edge) names(centre string) ([]string, time.Duration) {
+	s := e.Setup()
+	var hosts []mate.Mate
+	if e.ready() {
+		hosts = append(hosts, s.Mate())
+	}
+	if m := e.mates.Load(); m != nil {
+		for _, h := range m.Serving() {
+			hosts = append(hosts, h)
+		}
 	}
-	left := 1
-	for left > 0 && time.Since(began) < grace {
-		left = e.conns.CloseIdle(leastIdle)
-		time.Sleep(leastIdle)
+	var addrs []string
+	for _, h := range lookup.Hosts(hosts, centre) {
+		addrs = append(addrs, h.Callers)
 	}
-	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Int("connections", left))
+	return addrs, min(answerLife, s.Life)
 }
