--- a/internal/uplink/write.go
+++ b/internal/uplink/write.go
@@ -5,12 +5,15 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"damaskreach/internal/demand"
 )
 
+// writtenFor is how long a whole answer waits for the end of its request's writing to be told: a goroutine's turn on a busy
+// host. Where an upstream answered before it read a long body, the answer's end is held up for so long.
+const writtenFor = 50 * time.Millisecond
+
 // write sends a request with its length, whatever way the caller sent its body. Headers that state a length are never
 // the caller's own, so that a second request hidden in a body stays a body.
 func write(w io.Writer, d demand.Demand, extra http.Header) error {
@@ -36,22 +39,16 @@
 	}
 }
 
-// skip reads an answer to its end, so that the next one can be read; it reports false where the connection is of no more
-// use.
-func skip(r *http.Response) bool {
-	_, err := io.Copy(io.Discard, r.Body)
-	return err == nil && !r.Close
-}
-
-// keepFor returns how long a connection may be idle after an answer with these headers.
-func keepFor(h http.Header) time.Duration {
-	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if !strings.EqualFold(name, "timeout") || err != nil {
-			continue
-		}
-		return time.Duration(seconds)*time.Second - idleSlack
+// sent reports whether the whole request was written. Were a connection kept before that, the rest of the body would be
+// taken for the start of the next request. On a busy host the answer may be there before the goroutine that wrote the request
+// has run again to say so; without a moment's wait such a connection would be closed, and the next request need a new one.
+func sent(written <-chan error) bool {
+	timer := time.NewTimer(writtenFor)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+		return false
 	}
-	return idleFor
 }
