Give an answer up without waiting for its body

Callers could see requests without an answer: an upstream that sent the head of a failure and stopped behind it was waited for when that answer was given up, and the request went nowhere else.

Cause: whether the connection may be kept was found out by reading on in the body. The body knows now whether it was read to its end.

Test: uplink TestGivingUpAnAnswerDoesNotWaitForItsBody (go test -p 1 -count=1 ./internal/uplink), which failed on the parent ("giving up the answer waits for its body") and passes with the change.

Conclusion: what is not wanted any more holds nobody up.

--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -41,9 +41,20 @@
 	return err == nil && !r.Close
 }
 
-// drained reports whether nothing of the body is left to read.
-func drained(body io.Reader) bool {
-	var one [1]byte
-	n, err := body.Read(one[:])
-	return n == 0 && errors.Is(err, io.EOF)
+// body is the body of an answer, which knows whether it was read to its end. To find that out by reading on, once it is not wanted any more, would
+// wait for an upstream that has stopped in the middle of it.
+type body struct {
+	io.Reader
+	ended bool
+}
+
+func newBody(r io.Reader) *body {
+	return &body{Reader: r, ended: r == http.NoBody}
+}
+
+// Read reads from the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
 }
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -100,10 +100,10 @@
 	if err != nil {
 		return fail(err, "waiting for the answer of")
 	}
-	body := r.Body
+	body := newBody(r.Body)
 	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Cut: func() { c.Close() }, Close: func() {
 		alive := stop()
-		if !alive || r.Close || !drained(body) || c.read.Buffered() > 0 || !sent(written) {
+		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !sent(written) {
 			c.Close()
 			return
 		}
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"damaskreach/internal/demand"
@@ -221,3 +222,37 @@
 	default:
 	}
 }
+
+// An upstream sends the head of a failure and then nothing more. The request goes on elsewhere once that answer is given up: waiting for its body,
+// giving it up would take for ever, and the caller would get no answer.
+func TestGivingUpAnAnswerDoesNotWaitForItsBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		u := newUplink()
+		u.Dial = func(context.Context, string) (net.Conn, error) { return near, nil }
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+				t.Errorf("reading the request: %v", err)
+			}
+			if _, err := io.WriteString(far, "HTTP/1.1 500 Failed\r\nId: 1\r\nContent-Length: 9\r\n\r\n"); err != nil {
+				t.Errorf("answering: %v", err)
+			}
+		}()
+		r, err := u.Do(t.Context(), "up:1", demand.Demand{ID: "1", Method: "GET", Host: "a", URI: "/x"}, nil, func() bool { return true })
+		if err != nil {
+			t.Fatalf("Do() = %v, want nil", err)
+		}
+		given := make(chan struct{})
+		go func() {
+			r.Close()
+			close(given)
+		}()
+		synctest.Wait()
+		select {
+		case <-given:
+		default:
+			t.Error("giving up the answer waits for its body")
+		}
+	})
+}
