Send no request whose time is over

A request whose time ended, or whose caller left, while a connection was taken for it was written all the same: it could run though nobody waits for it, and its verdict was that it may have run.

Cause: only the upstream was asked about again once there was a connection, not the request's context.

Test: uplink TestRequestThatIsOverIsNotSent (go test -p 1 -count=1 ./internal/uplink). On the parent the upstream got the request and the verdict was may-have-run; with the change it gets nothing and the verdict is not-run.

Conclusion: a request that is over before it is sent has not run.

--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -76,9 +76,8 @@
 // is a connection, since opening one may take longer than an upstream that leaves has left.
 func (u *Uplink) Do(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error) {
 	c, err := u.take(ctx, addr)
-	if err == nil && !still() {
-		c.Close()
-		err = merry.Wrap(ErrLeft)
+	if err == nil {
+		err = c.over(ctx, still)
 	}
 	if err != nil {
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -223,6 +223,27 @@
 	}
 }
 
+// A request's time ends, or its caller leaves, just before it is sent on a kept connection. Written all the same, it may run though nobody waits for it.
+func TestRequestThatIsOverIsNotSent(t *testing.T) {
+	s := newServer(t, answer("1", "one"), answer("2", "two"))
+	u := newUplink()
+	if _, err := ask(t, u, s, "1"); err != nil {
+		t.Fatalf("first answer: %v, want none", err)
+	}
+	<-s.seen
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := u.Do(ctx, s.l.Addr().String(), demand.Demand{ID: "2", Method: "POST", Host: "a", URI: "/x"}, nil, func() bool { return true })
+	if got, want := verd.Of(err), verd.NotRun; !errors.Is(err, context.Canceled) || got != want {
+		t.Errorf("Do() = %v with verdict %v, want %v with %v", err, got, context.Canceled, want)
+	}
+	select {
+	case seen := <-s.seen:
+		t.Errorf("the upstream got %q, want nothing", seen)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 // An upstream sends the head of a failure and then nothing more. The request goes on elsewhere once that answer is given up: waiting for its body,
 // giving it up would take for ever, and the caller would get no answer.
 func TestGivingUpAnAnswerDoesNotWaitForItsBody(t *testing.T) {
--- a/internal/uplink/write.go
+++ b/internal/uplink/write.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"damaskreach/internal/demand"
 )
 
@@ -39,6 +42,19 @@
 	}
 }
 
+// over closes a connection whose request may not be sent any more, since nobody waits for it or the upstream leaves, and returns the reason.
+func (c *conn) over(ctx context.Context, still func() bool) error {
+	err := ctx.Err()
+	if err == nil && !still() {
+		err = ErrLeft
+	}
+	if err == nil {
+		return nil
+	}
+	c.Close()
+	return merry.Wrap(err)
+}
+
 // sent reports whether the whole request was written. Were a connection kept before that, the rest of the body would be
 // taken for the start of the next request. On a busy host the answer may be there before the goroutine that wrote the request
 // has run again to say so; without a moment's wait such a connection would be closed, and the next request need a new one.
