Wait for an upstream that reads a long body late

Cause: the bound on bytes that the other side has not acknowledged does not tell a host that is gone from one that does not read. It is lifted for long bodies, for as long as the request's time lasts, and set again before the connection is kept.

Conclusion: the request's own time bounds a long body.

--- /dev/null
+++ b/internal/uplink/long_test.go
@@ -0,0 +1,88 @@
+package uplink_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"damaskreach/internal/demand"
+	"damaskreach/internal/uplink"
+)
+
+const (
+	// ackFor is how long bytes may wait for the other side on the connections of these tests.
+	ackFor = 300 * time.Millisecond
+	// longBody is more than the kernel takes for a program that does not read.
+	longBody = 32 << 20
+)
+
+// dialBounded opens a connection on which the kernel waits for the other side as long as ackFor.
+func dialBounded(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackFor.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// leaveUnread answers one request in two parts, and does not read its body before the second one.
+func leaveUnread(t *testing.T, l net.Listener) {
+	c, err := l.Accept()
+	if err != nil {
+		t.Errorf("accepting: %v", err)
+		return
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		t.Errorf("reading the request's head: %v", err)
+		return
+	}
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 8\r\n\r\nhalf"); err != nil {
+		t.Errorf("answering: %v", err)
+		return
+	}
+	<-time.After(4 * ackFor) // the kernel's time cannot be paused
+	if n, err := io.Copy(io.Discard, r.Body); n != longBody || err != nil {
+		t.Errorf("body of %d bytes, %v, want %d bytes", n, err, longBody)
+	}
+	_, _ = io.WriteString(c, "more") // where the connection is lost the other side tells
+}
+
+// An upstream answers before it has read a long body, and reads on later. Taken for one that is not there any more, it would be cut off in the middle
+// of a sound answer.
+func TestUpstreamThatReadsALongBodyLateIsWaitedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen() = %v, want nil", err)
+	}
+	var upstream sync.WaitGroup
+	defer upstream.Wait()
+	defer l.Close()
+	upstream.Go(func() { leaveUnread(t, l) })
+	u := &uplink.Uplink{Dial: dialBounded, Matches: func(h http.Header, id string) bool { return h.Get("Id") == id }}
+	d := demand.Demand{ID: "1", Method: "POST", Host: "a", URI: "/x", Body: make([]byte, longBody)}
+	r, err := u.Do(t.Context(), l.Addr().String(), d, nil, func() bool { return true })
+	if err != nil {
+		t.Fatalf("Do() = %v, want nil", err)
+	}
+	defer r.Close()
+	if got, err := io.ReadAll(r.Body); string(got) != "halfmore" || err != nil {
+		t.Errorf("answer = %q, %v, want %q", got, err, "halfmore")
+	}
+}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -56,6 +56,8 @@
 	keep   time.Duration // how long it may be idle
 	idled  time.Duration // how long it was idle before the request that is on it now; 0 for a new one
 	closed sync.Once
+	// restore sets the bound again on how long bytes wait for the upstream; nil where it was not lifted.
+	restore func() error
 }
 
 // Close closes the connection and frees its place.
@@ -79,6 +81,9 @@
 	if err == nil {
 		err = c.over(ctx, still)
 	}
+	if err == nil {
+		err = c.lift(d)
+	}
 	if err != nil {
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
 	}
@@ -102,7 +107,7 @@
 	body := newBody(r.Body)
 	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Cut: func() { c.Close() }, Close: func() {
 		alive := stop()
-		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !sent(written) {
+		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !sent(written) || !c.bound() {
 			c.Close()
 			return
 		}
--- a/internal/uplink/write.go
+++ b/internal/uplink/write.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"damaskreach/internal/acks"
 	"damaskreach/internal/demand"
 )
 
@@ -17,6 +18,33 @@
 // host. Where an upstream answered before it read a long body, the answer's end is held up for so long.
 const writtenFor = 50 * time.Millisecond
 
+// longBody is the length of a body from which an upstream's kernel may not take all of it before the upstream reads.
+const longBody = 16 << 10
+
+// lift has a long body wait for an upstream that reads it late, for as long as the request's time lasts: it may even have answered by then.
+func (c *conn) lift(d demand.Demand) error {
+	if len(d.Body) < longBody {
+		return nil
+	}
+	restore, err := acks.Lift(c.Conn)
+	if err != nil {
+		c.Close()
+		return merry.Wrap(err)
+	}
+	c.restore = restore
+	return nil
+}
+
+// bound sets the bound again that was lifted; it reports false where the connection is of no more use: one that takes no setting is closed.
+func (c *conn) bound() bool {
+	if c.restore == nil {
+		return true
+	}
+	err := c.restore()
+	c.restore = nil
+	return err == nil
+}
+
 // write sends a request with its length, whatever way the caller sent its body. Headers that state a length are never
 // the caller's own, so that a second request hidden in a body stays a body.
 func write(w io.Writer, d demand.Demand, extra http.Header) error {
