Have the goroutine that serves a connection close it

Cause: a connection's state was told by others than the goroutine that serves it. net/http tells of it only after it has read a whole head and after the handler has returned. conns follows connections from when they are accepted: bytes that are read make one busy, it is idle when its answer was written whole, and closing one only has its next wait for a request fail. The two faults have one cause and share this code, so that they are one commit.

Conclusion: no connection is closed between the first byte of a request and the last one of its answer.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -1,13 +1,15 @@
-// Package conns follows callers' connections, so that idle ones can be closed without losing a request.
+// Package conns follows callers' connections, so that idle ones can be closed without losing a request or an answer.
 //
-// net/http closes idle connections by their state, which changes only after a request was read. A request that arrives at
-// that moment is handled and sent to an upstream, and its answer has nowhere to go: the caller sees a closed connection
-// for a request that ran. Here a connection is either taken by a request or closed, whichever comes first.
+// net/http tells of a connection's state only after it has read a whole head and after it has written a whole answer. Closed by what it tells,
+// a connection may have a request on it that was read in part, or an answer that a slow caller has not taken yet: the caller sees a
+// closed connection for a request that ran. Here the goroutine that serves a connection ends it: closing only has its next wait for a request
+// fail, and bytes that arrive first are a request that is served.
 package conns
 
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -17,69 +19,92 @@
 // Conns may be used from several goroutines. The zero value follows no connection.
 type Conns struct {
 	mu  sync.Mutex
-	all map[net.Conn]*conn
+	all map[*conn]bool
 }
 
+// conn is a caller's connection.
 type conn struct {
-	busy   bool
-	closed bool
-	since  time.Time // when it last became idle
+	net.Conn
+	all *Conns
+
+	// Under the lock of all:
+	busy    bool      // a request is being read, handled or answered
+	closing bool      // nothing more is read from it, unless bytes came first
+	closed  bool      // by either side
+	since   time.Time // when it last became idle
+	until   time.Time // read deadline that the server has set
 }
 
-// Context is the ConnContext of an http.Server: it begins to follow a connection.
-func (c *Conns) Context(ctx context.Context, raw net.Conn) context.Context {
+// Follow returns a listener whose connections are followed from when they are accepted.
+func (c *Conns) Follow(l net.Listener) net.Listener {
+	return &listener{Listener: l, all: c}
+}
+
+type listener struct {
+	net.Listener
+	all *Conns
+}
+
+// Accept waits for a connection, which is followed until it is closed.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.all.add(raw), nil
+}
+
+func (c *Conns) add(raw net.Conn) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.all == nil {
-		c.all = map[net.Conn]*conn{}
+		c.all = map[*conn]bool{}
 	}
-	known := &conn{since: time.Now()}
-	c.all[raw] = known
-	return context.WithValue(ctx, key{}, known)
+	known := &conn{Conn: raw, all: c, since: time.Now()}
+	c.all[known] = true
+	return known
+}
+
+// Context is the ConnContext of an http.Server: it lets requests know their connections.
+func (c *Conns) Context(ctx context.Context, raw net.Conn) context.Context {
+	return context.WithValue(ctx, key{}, raw)
 }
 
-// Gone stops following a connection that was closed.
-func (c *Conns) Gone(raw net.Conn) {
+// State is the ConnState of an http.Server without an IdleTimeout: a connection is idle once its answer was written whole.
+func (c *Conns) State(raw net.Conn, state http.ConnState) {
+	known, ok := raw.(*conn)
+	if !ok || state != http.StateIdle {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.all, raw)
+	known.busy = false
+	known.since = time.Now()
 }
 
-// Enter takes the connection of a request's context for the request, until leave is called. It reports false where the
-// connection was closed already: the request must not be passed on then.
-func (c *Conns) Enter(ctx context.Context) (leave func(), ok bool) {
+// Enter takes the connection of a request's context for the request. It reports false where the connection was closed already: the request must
+// not be passed on then.
+func (c *Conns) Enter(ctx context.Context) (ok bool) {
 	known, followed := ctx.Value(key{}).(*conn)
 	if !followed {
-		return func() {}, true
+		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known.closed {
-		return nil, false
-	}
-	known.busy = true
-	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		known.busy = false
-		known.since = time.Now()
-	}, true
+	known.take()
+	return !known.closed
 }
 
-// CloseIdle closes the connections that have been idle for so long, and returns how many are left.
+// CloseIdle has the connections closed that have been idle for so long, and returns how many are left, those that are being closed
+// included.
 func (c *Conns) CloseIdle(idle time.Duration) int {
 	c.mu.Lock()
-	var old []net.Conn
-	for raw, known := range c.all {
-		if !known.busy && !known.closed && time.Since(known.since) >= idle {
-			known.closed = true
-			old = append(old, raw)
+	defer c.mu.Unlock()
+	for known := range c.all {
+		if !known.busy && !known.closing && time.Since(known.since) >= idle {
+			known.closing = true
+			known.stopReading()
 		}
 	}
-	left := len(c.all) - len(old)
-	c.mu.Unlock()
-	for _, raw := range old {
-		raw.Close()
-	}
-	return left
+	return len(c.all)
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -42,6 +42,7 @@
 			return nil, nil, err
 		}
 		if i == 0 {
+			l = e.conns.Follow(l)
 			callers = l
 		}
 		go func() { ended <- part.server.Serve(l) }()
@@ -53,23 +54,16 @@
 func (e *Edge) forCallers(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: e.follow(handler), ReadHeaderTimeout: readTimeout, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
-		ConnContext: e.conns.Context,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateClosed || state == http.StateHijacked {
-				e.conns.Gone(c)
-			}
-		},
+		ConnContext: e.conns.Context, ConnState: e.conns.State,
 	}
 }
 
 // follow keeps a request's connection from being closed as idle, and tells callers of a leaving host to go elsewhere.
 func (e *Edge) follow(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		done, ok := e.conns.Enter(r.Context())
-		if !ok {
+		if !e.conns.Enter(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
-		defer done()
 		if e.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
