Close no connection on which a request has arrived

Callers could see a connection closed for a request that had arrived: a host that gets no processor for a while closed its idle connections before it had read what came meanwhile.

Cause: a connection was idle until its bytes were read. Closing looks now at whether bytes wait (package peek).

Test: conns TestConnectionOnWhichARequestHasArrivedIsNotClosed (go test -p 1 -count=1 ./internal/conns), which failed on the parent and passes with the change.

Conclusion: a request that the kernel has taken for a host is read.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"damaskreach/internal/peek"
 )
 
 type key struct{}
@@ -95,16 +97,22 @@
 	return !known.closed
 }
 
-// CloseIdle has the connections closed that have been idle for so long, and returns how many are left, those that are being closed
-// included.
+// CloseIdle has the connections closed that have been idle for so long and on which nothing waits to be read, and returns how many are left, those
+// that are being closed included.
 func (c *Conns) CloseIdle(idle time.Duration) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for known := range c.all {
-		if !known.busy && !known.closing && time.Since(known.since) >= idle {
+		if !known.busy && !known.closing && time.Since(known.since) >= idle && !arrived(known.Conn) {
 			known.closing = true
 			known.stopReading()
 		}
 	}
 	return len(c.all)
 }
+
+// arrived reports whether bytes wait on a connection that were not read yet. Connections of other kinds than the kernel's are taken to have none.
+func arrived(c net.Conn) bool {
+	n, _ := peek.Peek(c)
+	return n > 0
+}
