Serve a request that was read beside the one before

A request that its caller sent before it had the answer to the one before could be taken for one whose caller had left, where idle connections were closed just behind that answer.

Cause: the server reads ahead. The first bytes of the next request were read, and made the connection busy, before the answer to the one before made it idle again. Behind an answer, the server sets a read deadline only once it has bytes of the next request; that marks the connection as busy.

Test: conns TestRequestThatWasReadAheadIsServed (go test -p 1 -count=1 ./internal/conns), which failed on the parent and passes with the change.

Conclusion: requests that are sent ahead are served like others.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -20,11 +20,15 @@
 	return n, err
 }
 
-// SetReadDeadline sets when reads give up; while the connection is about to be closed, that is at once.
+// SetReadDeadline sets when reads give up; while the connection is about to be closed, that is at once. Behind an answer the server sets one only once
+// it has the first bytes of the next request, which it may have read beside the answer.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.until = t
+	if c.answered && !t.IsZero() {
+		c.take()
+	}
 	if c.closing {
 		return nil
 	}
@@ -52,7 +56,7 @@
 
 // take marks the connection as busy. It needs the lock.
 func (c *conn) take() {
-	c.busy = true
+	c.busy, c.answered = true, false
 	if !c.closing {
 		return
 	}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -30,11 +30,12 @@
 	all *Conns
 
 	// Under the lock of all:
-	busy    bool      // a request is being read, handled or answered
-	closing bool      // nothing more is read from it, unless bytes came first
-	closed  bool      // by either side
-	since   time.Time // when it last became idle
-	until   time.Time // read deadline that the server has set
+	busy     bool      // a request is being read, handled or answered
+	answered bool      // its last request was answered, and no byte of the next one seen
+	closing  bool      // nothing more is read from it, unless bytes came first
+	closed   bool      // by either side
+	since    time.Time // when it last became idle
+	until    time.Time // read deadline that the server has set
 }
 
 // Follow returns a listener whose connections are followed from when they are accepted.
@@ -80,7 +81,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known.busy = false
+	known.busy, known.answered = false, true
 	known.since = time.Now()
 }
 
