Let a caller take the end of its answer before its connection is closed

Callers could see a part of an answer: a leaving host closes the connection behind it, and where the caller has sent its next request already and reads slowly, the connection was reset and the answer's end lost.

Cause: a connection that is closed with bytes that were not read is reset by the kernel. It is closed for writing first now, for 5 s at most, while the kernel still has bytes that the caller has not taken.

Conclusion: an answer that was written is read whole.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,11 +1,25 @@
 package conns
 
-import "time"
+import (
+	"errors"
+	"time"
+
+	"damaskreach/internal/acks"
+)
 
 // startFor is how long a caller that has sent the first bytes of a request may take until the server sets a time of its own: it does so once it
 // has some more of them.
 const startFor = 10 * time.Second
 
+const (
+	// lingerFor is how long a caller that has sent more than was read may take for the end of its answer, and lingerLook the pause between two looks.
+	lingerFor  = 5 * time.Second
+	lingerLook = 10 * time.Millisecond
+)
+
+// errNoHalf means that the connection cannot be closed in one direction.
+var errNoHalf = errors.New("conns: the connection has no half to close")
+
 // past is a read deadline that has passed.
 var past = time.Unix(1, 0)
 
@@ -35,8 +49,11 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close closes the connection and ends following it.
+// Close closes the connection and ends following it. Where the caller has sent more than was read, it takes the end of its answer first.
 func (c *conn) Close() error {
+	if arrived(c.Conn) {
+		c.linger()
+	}
 	c.all.mu.Lock()
 	c.closed = true
 	delete(c.all.all, c)
@@ -44,6 +61,27 @@
 	return c.Conn.Close()
 }
 
+// linger tells the caller that nothing more comes, and waits until it has taken all. What it has sent stays unread: it must be able to tell that a
+// request was not taken.
+func (c *conn) linger() {
+	if !acks.Pending(c.Conn) || c.CloseWrite() != nil {
+		return
+	}
+	for until := time.Now().Add(lingerFor); acks.Pending(c.Conn) && time.Now().Before(until); {
+		time.Sleep(lingerLook)
+	}
+}
+
+// CloseWrite tells the caller that nothing more comes. Closed in both directions at once, a connection on which the caller has sent something
+// that was not read is reset, and the end of the answer with it.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errNoHalf
+	}
+	return half.CloseWrite()
+}
+
 // start takes bytes that were read. Where they are the first of a request, the rest must follow in time: the server waits for it without a bound,
 // and an empty line behind a request would keep the connection open for ever. It needs the lock.
 func (c *conn) start() {
