Count a connection that is accepted as its port closes

A connection that is accepted in the moment in which a leaving host closes its port was not counted among those that are left, and could end with the host. Found by reading, not seen in a run.

Cause: the listener's Close returned while a call of Accept was still handing its connection over. It waits for that call now.

Test: conns TestConnectionAcceptedAsTheListenerClosesIsCounted (go test -p 1 -count=1 ./internal/conns), which failed on the parent and passes with the change.

Conclusion: behind Close, all connections are followed.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -40,16 +40,19 @@
 
 // Follow returns a listener whose connections are followed from when they are accepted.
 func (c *Conns) Follow(l net.Listener) net.Listener {
-	return &listener{Listener: l, all: c}
+	return &listener{Listener: l, all: c, accepting: make(chan struct{}, 1)}
 }
 
 type listener struct {
 	net.Listener
-	all *Conns
+	all       *Conns
+	accepting chan struct{} // holds a value while a call of Accept is under way
 }
 
 // Accept waits for a connection, which is followed until it is closed.
 func (l *listener) Accept() (net.Conn, error) {
+	l.accepting <- struct{}{}
+	defer func() { <-l.accepting }()
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -57,6 +60,15 @@
 	return l.all.add(raw), nil
 }
 
+// Close ends accepting. A connection that was accepted at that moment is followed once Close returns: not counted, it would end with the process
+// and its request get no answer.
+func (l *listener) Close() error {
+	err := l.Listener.Close()
+	l.accepting <- struct{}{}
+	<-l.accepting
+	return err
+}
+
 func (c *Conns) add(raw net.Conn) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -158,3 +158,41 @@
 		t.Error("the connection is being closed, want it open")
 	}
 }
+
+// lateListener has accepted a connection as it is closed, and hands it over a moment later.
+type lateListener struct {
+	net.Listener
+	conn   net.Conn
+	closed chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	time.Sleep(100 * time.Millisecond)
+	return l.conn, nil
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// A host stops taking connections in the moment in which it accepts one. Not counted among those that are left, it would end with the host, and
+// its request would get no answer.
+func TestConnectionAcceptedAsTheListenerClosesIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe()
+		defer here.Close()
+		defer there.Close()
+		var c conns.Conns
+		l := c.Follow(&lateListener{conn: here, closed: make(chan struct{})})
+		go l.Accept()
+		synctest.Wait()
+		if err := l.Close(); err != nil {
+			t.Fatalf("close: %v", err)
+		}
+		if got, want := c.CloseIdle(time.Hour), 1; got != want {
+			t.Errorf("connections left = %d, want %d", got, want)
+		}
+	})
+}
