Let a stream that was moved go on where it is not rejected

Cause: the bound on sends, rejected ones included, held for streams that had begun as it does for requests that can come back. It holds no longer for them: their runs, the shared bound on repeats and their caller's time do. Between rejections they wait, so that they do not use up the repeats that all requests share.

Tests: direct TestStreamThatWasMovedGoesOnWhereItIsNotRejected and TestStreamThatIsRejectedDoesNotUseUpTheRepeats (go test -p 1 -count=1 ./internal/direct).

Conclusion: what a caller has a part of is looked after until its time ends.

--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// mostSends bounds the sends of one request, rejected ones included.
+	// mostSends bounds the sends of a request whose answer has not begun, rejected ones included.
 	mostSends = 3
 	// mostBody is the largest answer that is read before it is passed on.
 	mostBody = 8 << 20
@@ -40,10 +40,14 @@
 		if done := x.send(ctx, j, next.target, next.version); done {
 			return
 		}
-		if j.sends >= mostSends {
+		if j.sends < mostSends {
+			continue
+		}
+		if !j.headed {
 			x.refuse(j.w, j, j.fault)
 			return
 		}
+		turns.Sleep(ctx, moveAgain) // all requests share the bound on repeats
 	}
 }
 
--- a/internal/direct/silent_test.go
+++ b/internal/direct/silent_test.go
@@ -163,3 +163,45 @@
 		}
 	})
 }
+
+// A silent stream was cut for a place that then rejects it, and the next ones do so too, for a moment.
+func TestStreamThatWasMovedGoesOnWhereItIsNotRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, true)
+		cuts := 0
+		reject := answers(http.StatusServiceUnavailable, http.Header{headNot: {"1"}}, "", nil)
+		rest := answers(http.StatusOK, nil, lastEvent, nil)
+		b.then(pausing(time.Minute, &cuts), reject, reject, reject, rest)
+		rec, broken := b.call(held)
+		if got, want := rec.Body.String(), firstEvent+lastEvent; got != want || broken {
+			t.Errorf("answer = %q, broken off: %v, want %q whole", got, broken, want)
+		}
+	})
+}
+
+// An engine breaks off under a stream, and all others reject it for a moment: sent to each of them at once, the stream would use up the repeats that
+// all requests share, for nothing.
+func TestStreamThatIsRejectedDoesNotUseUpTheRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, true)
+		for _, id := range []string{"three", "four", "five", "six", "seven", "eight", "nine", "ten"} {
+			b.add(id, map[string]int{"m/a": 1})
+		}
+		b.then(answers(http.StatusOK, nil, firstEvent, errors.New("reset")))
+		for range 100 {
+			b.answers = append(b.answers, func(s sent) (resp.Resp, error) {
+				if time.Since(b.begun) > time.Second {
+					return answers(http.StatusOK, nil, lastEvent, nil)(s)
+				}
+				return answers(http.StatusServiceUnavailable, http.Header{headNot: {"1"}}, "", nil)(s)
+			})
+		}
+		rec, broken := b.call(held)
+		if got, want := rec.Body.String(), firstEvent+lastEvent; got != want || broken {
+			t.Errorf("answer = %q, broken off: %v, want %q whole", got, broken, want)
+		}
+		if got, most := len(b.sent), 8; got > most {
+			t.Errorf("sends = %d within a second, want %d at most", got, most)
+		}
+	})
+}
