Take no stream of a slow reader for silent

Callers could see streams cut: where a caller read slowly while its engine went on, the engine was taken for silent and cut off in the middle of a sound answer.

Cause: the watch for silence ran while an event was being written to the caller. It runs now only while the next event is waited for.

Test: direct TestStreamOfASlowReaderStaysWhereItIs (go test -p 1 -count=1 ./internal/direct), which failed on the parent and passes with the change.

Conclusion: time that a caller takes is no silence of its engine.

--- a/internal/direct/mover.go
+++ b/internal/direct/mover.go
@@ -114,16 +114,31 @@
 	return true
 }
 
+// waits notes that the next event is waited for. Time in which an event goes to a caller who reads slowly is no silence of the engine.
+func (m *mover) waits() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.next != nil {
+		return
+	}
+	m.last = time.Now()
+	if m.timer != nil {
+		m.timer.Reset(m.gap)
+	}
+}
+
 // heard notes that the stream goes on.
 func (m *mover) heard() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.timer == nil || m.next != nil {
+	if m.next != nil {
 		return
 	}
 	m.stop()
 	m.last = time.Now()
-	m.timer.Reset(m.gap)
+	if m.timer != nil {
+		m.timer.Stop()
+	}
 }
 
 // end ends the watch and returns where the stream goes on; nil where it was not cut here.
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -62,6 +62,7 @@
 	in := bufio.NewReader(r.Body)
 	var event bytes.Buffer
 	for {
+		m.waits()
 		switch err := readEvent(in, &event); {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			return nil
