Leave an engine that breaks off again alone for longer

An engine that crashed under every stream, on a route that allows one run, was left alone for 150 ms again and again and got a stream several times a second; callers saw each of them lost.

Cause: whether a send failed was returned by functions that a refused stream leaves by a panic, as net/http wants it, so that the record of the engine took that send for a good one. The request keeps it now.

Test: direct TestEngineThatBreaksOffAgainIsRestedLonger (go test -p 1 -count=1 ./internal/direct).

Conclusion: an engine that does nothing but break off is asked ever more seldom.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -36,6 +36,7 @@
 	runs      int             // sends that may have run
 	tried     map[string]bool // upstreams that did not serve it
 	fault     *refuse.Refusal // why the last send failed
+	failed    bool            // for reasons of its upstream; kept here since refuse panics where part of an answer has gone out
 	units     float64         // that it counts against its team's limit; 0 where there is none
 	next      *choice         // where it goes on; nil where that is to be found
 	turn      turn            // that it has at an engine
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -20,7 +20,7 @@
 
 // relay passes a stream on event by event. Only whole events go to the caller: an engine may stop in the middle of one,
 // and another engine then goes on behind the last whole one.
-func (x *Direct) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (failed, done bool) {
+func (x *Direct) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	if !j.headed {
 		head(j.w.Header(), r.Header)
 		j.w.WriteHeader(r.Status)
@@ -32,7 +32,7 @@
 	if err == nil {
 		x.outcome(t, "ok")
 		x.finish(j, "ok", verd.Ran, t.ID, r.Status)
-		return false, true
+		return true
 	}
 	var gone *callerError
 	if errors.As(err, &gone) || ctx.Err() == context.Canceled && !j.over(time.Now()) {
@@ -40,6 +40,7 @@
 		x.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, r.Status)
 		panic(http.ErrAbortHandler)
 	}
+	j.failed = true
 	x.outcome(t, "cut")
 	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
 		zap.Duration("since", time.Since(j.begun)), zap.Bool("silent", j.next != nil), zap.Error(err))
@@ -47,10 +48,10 @@
 	x.Pick.Rest(t.ID, time.Now())
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
 	if !j.over(time.Now()) && (j.next != nil || j.again() && !x.Blame.Barred(j.print, time.Now())) {
-		return true, false
+		return false
 	}
 	x.refuse(j.w, j, j.fault)
-	return true, true
+	return true
 }
 
 // callerError means that the caller does not take the answer any more.
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -96,9 +96,9 @@
 		defer x.Use(t.ID, j.d.Adapter)()
 	}
 	x.Pick.Begin(t.ID)
-	failed := false
+	j.failed = false
 	defer x.release(&j.turn, false)
-	defer func() { x.Pick.End(t.ID, failed) }()
+	defer func() { x.Pick.End(t.ID, j.failed) }()
 	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -114,31 +114,33 @@
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
-		failed = true
+		j.failed = true
 		return x.sendFailed(ctx, j, t, err)
 	}
 	defer r.Close()
-	failed, done = x.answered(ctx, j, t, r, watch)
-	return done
+	return x.answered(ctx, j, t, r, watch)
 }
 
-// answered takes an upstream's answer: whether the upstream failed the request, and whether the caller has its final answer.
-func (x *Direct) answered(ctx context.Context, j *job, t target.Target, r resp.Resp, watch *time.Timer) (failed, done bool) {
+// answered takes an upstream's answer; it reports true where the caller has its final answer.
+func (x *Direct) answered(ctx context.Context, j *job, t target.Target, r resp.Resp, watch *time.Timer) (done bool) {
 	x.heed(t, r)
 	if x.NotRun(r.Status, r.Header) {
 		x.rejected(j, t, r)
 		// One that asks for rest has said when to use it again; the record of failures would keep it from that.
-		return r.Status != http.StatusMisdirectedRequest && x.Avoid.Rest(t.ID, time.Now()) == 0, false
+		j.failed = r.Status != http.StatusMisdirectedRequest && x.Avoid.Rest(t.ID, time.Now()) == 0
+		return false
 	}
 	j.runs++
 	broken := r.Status >= http.StatusInternalServerError
 	if broken && j.again() && j.sends < mostSends && j.route.Kind == kinds.Idempotent {
 		x.outcome(t, strconv.Itoa(r.Status/100)+"xx")
 		j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Crashed, "the upstream answered %d", r.Status))
-		return true, false
+		j.failed = true
+		return false
 	}
 	if j.headed && r.Status != http.StatusOK {
-		return true, x.notResumed(j, t, r)
+		j.failed = true
+		return x.notResumed(j, t, r)
 	}
 	if j.route.Kind == kinds.Stream && r.Status == http.StatusOK {
 		watch.Stop()
@@ -234,7 +236,7 @@
 }
 
 // whole passes on an answer that is read to its end first, so that one which breaks off can be replaced.
-func (x *Direct) whole(ctx context.Context, j *job, t target.Target, r resp.Resp) (failed, done bool) {
+func (x *Direct) whole(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
 	if err == nil && len(data) > mostBody {
 		err = errors.New("the answer is too large")
@@ -243,11 +245,12 @@
 		x.outcome(t, "cut")
 		x.Log.Info("answer cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
 		j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the answer of %s broke off", t.ID))
+		j.failed = true
 		if ctx.Err() == nil && j.again() {
-			return true, false
+			return false
 		}
 		x.refuse(j.w, j, j.fault)
-		return true, true
+		return true
 	}
 	head(j.w.Header(), r.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
@@ -259,7 +262,8 @@
 	}
 	x.outcome(t, strconv.Itoa(r.Status/100)+"xx")
 	x.finish(j, "ok", verd.Ran, t.ID, r.Status)
-	return r.Status >= http.StatusInternalServerError, true
+	j.failed = r.Status >= http.StatusInternalServerError
+	return true
 }
 
 // hop are the headers that concern one connection only.
