Tell a stream whose time ends from one that breaks off

An engine that sent events until its caller's time ended was left alone as if it had broken off, and got no requests while it was sound; after a few such streams the host refused the request as one that crashes engines.

Cause: any end of a stream but a whole one and the caller's leaving counted as the upstream's. How a stream ended is a type of its own now: whole, left, timeout, stalled, moved or broken.

Tests: direct TestEngineThatSendsUntilTheTimeEndsIsNotRested, TestStreamsThatLastTooLongAreNoCrashes and TestEngineThatStallsUntilTheTimeEndsIsRested, which failed on the parent (one engine left alone, want none; 3 sends, want 4; no refusal with code deadline), and TestEngineThatBreaksOffBeforeTheTimeEndsIsRested, which guards the other side and passed on it. With the change all pass (go test -p 1 -count=1 ./internal/direct).

Conclusion: `cut` in a line means the upstream's doing.

--- a/internal/direct/blame_test.go
+++ b/internal/direct/blame_test.go
@@ -14,6 +14,33 @@
 	"damaskreach/internal/resp"
 )
 
+// Engines are at work on a long stream when its caller's time ends, again and again: taken for crashes, the host's own cuts would have the request
+// refused as one that crashes engines.
+func TestStreamsThatLastTooLongAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, false)
+		b.add("three", map[string]int{"m/a": 1})
+		b.add("four", map[string]int{"m/a": 1})
+		sends := 0
+		b.Do = func(ctx context.Context, _ string, _ demand.Demand, _ http.Header, _ func() bool) (resp.Resp, error) {
+			sends++
+			r, w := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(w, firstEvent)
+				<-ctx.Done()
+				_ = w.CloseWithError(ctx.Err())
+			}()
+			return resp.Resp{Status: http.StatusOK, Header: http.Header{}, Body: r, Cut: func() {}, Close: func() {}}, nil
+		}
+		for range 4 {
+			b.call(held)
+		}
+		if got, want := sends, 4; got != want {
+			t.Errorf("sends = %d, want %d", got, want)
+		}
+	})
+}
+
 // sendsUntil returns a Do whose engine sends an event every tenth of a second for as long, and then nothing until ctx ends, or where fault is set
 // breaks off with it.
 func sendsUntil(sending time.Duration, fault error) func(context.Context, string, demand.Demand, http.Header, func() bool) (resp.Resp, error) {
@@ -47,6 +74,57 @@
 	return n
 }
 
+// An engine sends events of a long answer until its caller's time ends. Left alone as if it had broken off, it would get no requests while it is
+// sound, and one whose callers all set short times would hardly get any.
+func TestEngineThatSendsUntilTheTimeEndsIsNotRested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, true)
+		b.Do = sendsUntil(time.Hour, nil)
+		if _, broken := b.call(held); !broken {
+			t.Error("the answer looks whole, want the connection broken off")
+		}
+		if got, want := b.resting(), 0; got != want {
+			t.Errorf("engines left alone = %d, want %d", got, want)
+		}
+		if got, want := len(b.Blame.News()), 0; got != want {
+			t.Errorf("breaks recorded = %d, want %d", got, want)
+		}
+		b.counted(`code="deadline",verdict="may-have-run"} 1`, `outcome="timeout"} 1`)
+	})
+}
+
+// An engine stops sending in the middle of an answer and its caller's time ends while nothing comes. Used on like one that was sending, it would
+// get the next requests and hold them up as well.
+func TestEngineThatStallsUntilTheTimeEndsIsRested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, false)
+		b.Do = sendsUntil(time.Second, nil)
+		if _, broken := b.call(held); !broken {
+			t.Error("the answer looks whole, want the connection broken off")
+		}
+		if got, want := b.resting(), 1; got != want {
+			t.Errorf("engines left alone = %d, want %d", got, want)
+		}
+		b.counted(`code="deadline",verdict="may-have-run"} 1`, `outcome="cut"} 1`)
+	})
+}
+
+// An engine crashes under an answer shortly before its caller's time ends. Taken for the end of that time, it would get the next requests at once.
+func TestEngineThatBreaksOffBeforeTheTimeEndsIsRested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, false)
+		b.Do = sendsUntil(9900*time.Millisecond, errors.New("reset"))
+		b.call(held)
+		if got, want := b.resting(), 1; got != want {
+			t.Errorf("engines left alone = %d, want %d", got, want)
+		}
+		if got, want := len(b.Blame.News()), 1; got != want {
+			t.Errorf("breaks recorded = %d, want %d", got, want)
+		}
+		b.counted(`code="cut",verdict="may-have-run"} 1`, `outcome="cut"} 1`)
+	})
+}
+
 // An engine crashes under every stream, and their route allows one run. Left alone for the shortest time again and again, as if it served requests in
 // between, it would get a stream several times a second, and each of them would be lost.
 func TestEngineThatBreaksOffAgainIsRestedLonger(t *testing.T) {
--- a/internal/direct/mover.go
+++ b/internal/direct/mover.go
@@ -141,6 +141,13 @@
 	}
 }
 
+// silent reports whether no event has come for so long that another engine is looked for, where there may be one.
+func (m *mover) silent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.last) >= m.gap
+}
+
 // end ends the watch and returns where the stream goes on; nil where it was not cut here.
 func (m *mover) end() *choice {
 	m.mu.Lock()
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -28,34 +28,51 @@
 	}
 	m := x.watchSilence(ctx, j, t, r)
 	err := x.events(j, t, r, m)
+	silent := m.silent()
 	j.next = m.end()
-	if err == nil {
+	switch end := j.streamEnd(ctx, err, silent); end {
+	case endWhole:
 		x.outcome(t, "ok")
 		x.finish(j, "ok", verd.Ran, t.ID, r.Status)
 		return true
-	}
-	var gone *callerError
-	if errors.As(err, &gone) || ctx.Err() == context.Canceled && !j.over(time.Now()) {
+	case endLeft:
 		x.outcome(t, "left")
 		x.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, r.Status)
 		panic(http.ErrAbortHandler)
+	case endTimeout:
+		x.outcome(t, "timeout")
+		x.refuse(j.w, j, outlasted(t))
+		return true
+	default:
+		j.failed = true
+		return x.cut(j, t, end, err)
 	}
-	j.failed = true
+}
+
+// cut takes a stream that its upstream failed; it reports true where the stream does not go on at another one.
+func (x *Direct) cut(j *job, t target.Target, end streamEnd, err error) (done bool) {
+	now := time.Now()
 	x.outcome(t, "cut")
 	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
-		zap.Duration("since", time.Since(j.begun)), zap.Bool("silent", j.next != nil), zap.Error(err))
+		zap.Duration("since", now.Sub(j.begun)), zap.Bool("silent", end != endBroken), zap.Error(err))
+	x.Pick.Rest(t.ID, now)
+	if end == endStalled {
+		x.refuse(j.w, j, outlasted(t))
+		return true
+	}
 	x.broke(j, t)
-	x.Pick.Rest(t.ID, time.Now())
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
-	if !j.over(time.Now()) && (j.next != nil || j.again() && !x.Blame.Barred(j.print, time.Now())) {
+	if end == endMoved || j.again() && !x.Blame.Barred(j.print, now) {
 		return false
 	}
 	x.refuse(j.w, j, j.fault)
 	return true
 }
 
-// callerError means that the caller does not take the answer any more.
-type callerError struct{ error }
+// outlasted returns the refusal of a request whose time ran out in the middle of an upstream's stream.
+func outlasted(t target.Target) *refuse.Refusal {
+	return refuse.NewRefusal(verd.MayHaveRun, refuse.Deadline, "the stream of %s lasted longer than its caller waits", t.ID)
+}
 
 // events copies events until the stream ends as complete.
 func (x *Direct) events(j *job, t target.Target, r resp.Resp, m *mover) error {
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -202,7 +202,7 @@
 	return true
 }
 
-// outcome counts how a send ended: "ok", "cut", "failed", "left", "rejected", "not-resumed", or a class of statuses.
+// outcome counts how a send ended: "ok", "cut", "timeout", "failed", "left", "rejected", "not-resumed", or a class of statuses.
 func (x *Direct) outcome(t target.Target, outcome string) {
 	x.Stats.Add(stats.Sends, 1, "upstream", t.ID, "outcome", outcome)
 }
