Pass on a stream that begins as the patience with its engine ends

Callers could see a stream broken off at its first event: one that may be repeated began just as the patience with its engine ended. A whole answer that hung behind its head at that moment was not replaced by another upstream's.

Cause: patience cancels the send, and what came of the cancelled send was taken for the caller's leaving, since both end one context. The answer is read under the caller's context now, and a stream counts only where the patience was stopped in time; else the request goes elsewhere. Both faults are of this one cause and share the code.

Tests: direct TestStreamThatBeginsAsPatienceEndsGoesOn and TestAnswerThatHangsIsReplaced (go test -p 1 -count=1 ./internal/direct). With the change both pass.

Conclusion: only the caller's own leaving counts as that.

--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -24,8 +24,6 @@
 	mostSends = 3
 	// mostBody is the largest answer that is read before it is passed on.
 	mostBody = 8 << 20
-	// patience is how many times its target time a repeatable request waits for one upstream before it tries another.
-	patience = 3
 )
 
 // serve sends a request until it is answered or refused.
@@ -118,11 +116,21 @@
 		return x.sendFailed(ctx, j, t, err)
 	}
 	defer r.Close()
-	return x.answered(ctx, j, t, r, watch)
+	if j.streams(r) && !watch.Stop() {
+		cancel()
+		j.failed = true
+		return x.sendFailed(ctx, j, t, errPatience)
+	}
+	return x.answered(caller, j, t, r)
+}
+
+// streams reports whether an answer is passed on event by event.
+func (j *job) streams(r resp.Resp) bool {
+	return j.route.Kind == kinds.Stream && r.Status == http.StatusOK
 }
 
 // answered takes an upstream's answer; it reports true where the caller has its final answer.
-func (x *Direct) answered(ctx context.Context, j *job, t target.Target, r resp.Resp, watch *time.Timer) (done bool) {
+func (x *Direct) answered(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	x.heed(t, r)
 	if x.NotRun(r.Status, r.Header) {
 		x.rejected(j, t, r)
@@ -142,8 +150,7 @@
 		j.failed = true
 		return x.notResumed(j, t, r)
 	}
-	if j.route.Kind == kinds.Stream && r.Status == http.StatusOK {
-		watch.Stop()
+	if j.streams(r) {
 		return x.relay(ctx, j, t, r)
 	}
 	return x.whole(ctx, j, t, r)
@@ -162,16 +169,6 @@
 	return true
 }
 
-// watch cancels a send that could be repeated elsewhere and has not been answered for long: an upstream may take requests
-// and never answer them while its health check is good.
-func (x *Direct) watch(j *job, left time.Duration, cancel context.CancelFunc) *time.Timer {
-	wait := left
-	if j.again() && j.runs+1 < max(1, j.route.Attempts) && j.route.Target > 0 {
-		wait = min(patience*j.route.Target, left*6/10)
-	}
-	return time.AfterFunc(wait, cancel)
-}
-
 // sendFailed takes a send without an answer.
 func (x *Direct) sendFailed(ctx context.Context, j *job, t target.Target, err error) (done bool) {
 	now := time.Now()
