Give callers that neither read nor send a bound

A caller that never reads, or is cut off without a word, held its answer, its goroutine and its place at an engine for ever; one that stops in the middle of the body of a request that is refused for its head held its connection for ever and got no answer.

Cause: the time by which a body must be there was set only once a request was accepted, and nothing bounded the writing of an answer. Both are set from the request's time now, before it is refused; the caller has 5 s more to read.

Conclusion: no caller holds a request for longer than its time and 5 s.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -54,6 +54,8 @@
 	// inForce is how old what a host knows of the configuration may be for it to tell that a key does not exist: operators may have
 	// added it since.
 	inForce = 3 * time.Second
+	// readFor is how long after its request's time a caller may take to read the answer.
+	readFor = 5 * time.Second
 	// chargeShare is the part of a request's time within which somebody must tell whether its team may ask.
 	chargeShare = 0.3
 )
@@ -117,50 +119,63 @@
 
 // ServeHTTP serves one request of a caller.
 func (x *Direct) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	begun := time.Now()
+	j := &job{w: w, begun: time.Now()}
+	refusal := x.accept(r, j)
+	x.bound(w, r, j.deadline())
+	if refusal == nil {
+		refusal = x.receive(w, r, j)
+	}
+	if refusal != nil {
+		x.refuse(w, j, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
+	defer cancel()
+	if refusal := x.charge(ctx, j); refusal != nil {
+		x.refuse(w, j, refusal)
+		return
+	}
+	x.serve(ctx, j)
+}
+
+// accept finds out from a request's head what it asks for and by which route it goes, or why it is refused.
+func (x *Direct) accept(r *http.Request, j *job) *refuse.Refusal {
 	d, err := x.Decode(r)
+	j.d = d
 	if err != nil {
-		x.refuse(w, &job{d: d, begun: begun}, refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "%v", err))
-		return
+		return refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "%v", err)
 	}
-	j := &job{d: d, begun: begun, w: w, view: x.View(), last: d.LastSeen}
+	j.view, j.last = x.View(), d.LastSeen
 	if x.Late() {
 		// Taken, it would be cut off at the end of the grace, and a booking that was cut off may not be sent again.
-		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this host is about to stop").WithRetry(elsewhere))
-		return
+		return refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this host is about to stop").WithRetry(elsewhere)
 	}
 	if !j.view.Known() {
-		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(x.noConf(begun)))
-		return
+		return refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(x.noConf(j.begun))
 	}
 	path, _, _ := strings.Cut(d.URI, "?")
 	rt, ok := j.view.Rules.Match(d.Host, path)
 	if !ok {
-		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "no route for %s%s in version %d", d.Host, path, j.view.Rules.Version))
-		return
+		return refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "no route for %s%s in version %d", d.Host, path, j.view.Rules.Version)
 	}
 	j.route = rt
 	j.group = rt.Group(hash(d.ID))
+	return nil
+}
+
+// receive finds out who sent a request and reads its body, unless it is refused.
+func (x *Direct) receive(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
 	if refusal := x.identify(j); refusal != nil {
-		x.refuse(w, j, refusal)
-		return
+		return refusal
 	}
 	if refusal := x.body(w, r, j); refusal != nil {
-		x.refuse(w, j, refusal)
-		return
+		return refusal
 	}
-	j.print = blame.Print(d.Method, d.Host, d.URI, d.Adapter, string(j.d.Body))
+	j.print = blame.Print(j.d.Method, j.d.Host, j.d.URI, j.d.Adapter, string(j.d.Body))
 	if x.Blame.Barred(j.print, time.Now()) {
-		x.refuse(w, j, refuse.NewRefusal(verd.NotRun, refuse.Suspect, "upstreams broke off under earlier tries of it").WithRetry(suspect))
-		return
-	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
-	defer cancel()
-	if refusal := x.charge(ctx, j); refusal != nil {
-		x.refuse(w, j, refusal)
-		return
+		return refuse.NewRefusal(verd.NotRun, refuse.Suspect, "upstreams broke off under earlier tries of it").WithRetry(suspect)
 	}
-	x.serve(ctx, j)
+	return nil
 }
 
 // charge counts the request against its team's limit. Over the limit it is refused at once, before it takes a turn or a load.
@@ -214,11 +229,6 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
-	control := http.NewResponseController(w)
-	// Without a bound a caller that stops sending would hold the request's memory for as long as it likes.
-	if err := control.SetReadDeadline(j.deadline()); err != nil {
-		x.Log.Debug("read deadline not set", zap.Error(err))
-	}
 	limit := j.view.Rules.MaxBody
 	if limit <= 0 {
 		limit = 1 << 20
@@ -232,12 +242,28 @@
 		return refuse.NewRefusal(verd.NotRun, refuse.SlowBody, "reading the body: %v", err)
 	}
 	j.d.Body = data
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
 		x.Log.Debug("read deadline not cleared", zap.Error(err))
 	}
 	return nil
 }
 
+// bound sets until when a request's body must be there, and somewhat later its answer be read. Without bounds a caller that stops sending or reading
+// would hold the request's memory, and its place at the engine, for as long as it likes; the server reads the body of a request that is refused for
+// its head, too, before it writes the refusal.
+func (x *Direct) bound(w http.ResponseWriter, r *http.Request, until time.Time) {
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(until.Add(readFor)); err != nil {
+		x.Log.Debug("write deadline not set", zap.Error(err))
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	if err := control.SetReadDeadline(until); err != nil {
+		x.Log.Debug("read deadline not set", zap.Error(err))
+	}
+}
+
 // hash spreads requests over the groups of a split route; an attempt always goes to the same one.
 func hash(text string) uint32 {
 	sum := fnv.New32a()
