Answer what still waits before a host ends

Callers saw requests without an answer: one that a host took shortly after the signal, and that waited for a turn, a load or an upstream longer than the host had left, was under way when the process ended.

Cause: what a host still had at its end was nobody's. 250 ms before, requests whose answers have not begun are answered: as not run, to come back at once, where they waited here; as such that may have run where an upstream has them. Streams under way go on.

Conclusion: no request that has no answer yet outlives its host.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/avoid"
@@ -60,6 +61,9 @@
 	chargeShare = 0.3
 )
 
+// errEnding is why a request ends whose host does.
+var errEnding = merry.Sentinel("direct: the host ends")
+
 // Direct serves callers. Its fields are set before the first request.
 type Direct struct {
 	// Decode takes the fields of a request from its headers; its error is the caller's fault.
@@ -93,6 +97,8 @@
 	Use func(id, adapter string) (done func())
 	// Late reports whether the host leaves too soon to serve another request to its end.
 	Late func() bool
+	// Ending is done when the host is about to end: requests whose answers have not begun get their final answers then.
+	Ending context.Context
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
@@ -131,6 +137,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	j.stays = context.AfterFunc(x.Ending, func() { end(errEnding) })
+	defer j.stays()
 	if refusal := x.charge(ctx, j); refusal != nil {
 		x.refuse(w, j, refusal)
 		return
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -45,6 +45,7 @@
 	last      string          // id of the last event that was passed on
 	ownerless time.Time       // since when it waits for an engine that can be given orders
 	headed    bool            // the status has gone to the caller
+	stays     func() bool     // lets the request go on while its host ends
 	first     time.Time       // when the first byte of the answer went to the caller
 	sent      time.Time       // when it was last sent
 	heard     time.Time       // when the newest events went to the caller
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -272,8 +272,21 @@
 	return refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
 }
 
-// ended returns the refusal of a request whose caller left or whose time is over.
+// ending reports whether a request is over because its host ends.
+func ending(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errEnding)
+}
+
+// hostEnds returns the refusal of a request whose host ends.
+func hostEnds(j *job) *refuse.Refusal {
+	return refuse.NewRefusal(j.verdict(), refuse.Leaving, "this host ends").WithRetry(elsewhere)
+}
+
+// ended returns the refusal of a request whose caller left, whose time is over, or whose host ends.
 func (x *Direct) ended(ctx context.Context, j *job) *refuse.Refusal {
+	if ending(ctx) {
+		return hostEnds(j)
+	}
 	if ctx.Err() == context.Canceled {
 		return refuse.NewRefusal(verd.MayHaveRun, refuse.Canceled, "the caller left")
 	}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -22,6 +22,13 @@
 // and another engine then goes on behind the last whole one.
 func (x *Direct) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	if !j.headed {
+		if !j.stays() {
+			// The end of the request's context may not have come yet; without the cut, closing would wait for the next event.
+			r.Cut()
+			x.outcome(t, "left")
+			x.refuse(j.w, j, hostEnds(j))
+			return true
+		}
 		head(j.w.Header(), r.Header)
 		j.w.WriteHeader(r.Status)
 		j.headed = true
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -105,6 +105,9 @@
 	j.sent = time.Now()
 	j.version = version
 	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last), func() bool { return x.still(t) })
+	if err != nil && ending(caller) {
+		return x.sendEnded(caller, j, t, err)
+	}
 	if err != nil && caller.Err() == context.Canceled {
 		// The caller left, and the upstream was told by the end of its connection; it is not to blame.
 		x.outcome(t, "left")
@@ -169,6 +172,16 @@
 	return true
 }
 
+// sendEnded takes a send that was given up because the host ends; the upstream is not to blame.
+func (x *Direct) sendEnded(ctx context.Context, j *job, t target.Target, err error) (done bool) {
+	x.outcome(t, "left")
+	if verd.Of(err) != verd.NotRun {
+		j.runs++
+	}
+	x.refuse(j.w, j, x.ended(ctx, j))
+	return true
+}
+
 // sendFailed takes a send without an answer.
 func (x *Direct) sendFailed(ctx context.Context, j *job, t target.Target, err error) (done bool) {
 	now := time.Now()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,12 +96,16 @@
 	conns   conns.Conns
 	blame   blame.Blame
 	keeper  keeper
+	ending  context.Context // done shortly before the program ends
 	leaving atomic.Bool
 	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
 
 // Run serves until ctx ends, and then as long as the requests under way need, within the grace.
 func (e *Edge) Run(ctx context.Context) error {
+	ending, end := context.WithCancel(context.Background())
+	defer end()
+	e.ending = ending
 	handler := e.build()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -117,7 +121,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.leave(callers)
+	e.leave(callers, end)
 	return nil
 }
 
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -48,6 +48,7 @@
 	knew  map[string]map[string]time.Time // when each host learned of it, by upstream and host
 	taken map[string]string               // host that gives each upstream its orders
 	found map[string]int                  // how many upstreams each host has found since its last start
+	said  []line
 	hosts []string
 	ports []net.Listener
 	adapt func(e *edge.Edge, s *setup.Setup) (killed func() bool) // changes a host before it starts
@@ -175,6 +176,32 @@
 	return l, err
 }
 
+// line is what a host wrote of an upstream, of the configuration or of its end.
+type line struct {
+	host, text, target string
+	at                 time.Time
+	version            int64
+	leaves             bool
+}
+
+// note keeps what a host writes.
+func (f *fleet) note(host, text string, fields []zapcore.Field) {
+	one := line{host: host, text: text, at: time.Now()}
+	for _, field := range fields {
+		switch field.Key {
+		case "target":
+			one.target = field.String
+		case "version":
+			one.version = field.Integer
+		case "draining":
+			one.leaves = field.Integer == 1
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.said = append(f.said, one)
+}
+
 // lines notes what a host writes of upstreams that leave.
 type lines struct {
 	fleet *fleet
@@ -192,6 +219,9 @@
 }
 
 func (l *lines) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	if strings.HasPrefix(e.Message, "upstream ") || e.Message == "configuration applied" || e.Message == "stopped" {
+		l.fleet.note(l.host, e.Message, fields)
+	}
 	if e.Message == "upstream found" {
 		l.fleet.mu.Lock()
 		defer l.fleet.mu.Unlock()
--- a/internal/edge/leave.go
+++ b/internal/edge/leave.go
@@ -12,6 +12,8 @@
 	stayFor = 2 * time.Second
 	// endSlack is how much of the grace is kept for the end of the process itself.
 	endSlack = 600 * time.Millisecond
+	// lastAnswers is how long before that a leaving host gives the requests that it still has their final answers.
+	lastAnswers = 250 * time.Millisecond
 	// leastIdle is how long a connection to a leaving host must have been idle to be closed: the next request of a caller
 	// that has just got an answer is likely.
 	leastIdle = 50 * time.Millisecond
@@ -26,8 +28,10 @@
 	return time.Since(time.Unix(0, e.leftAt.Load())) > min(stayFor, e.Setup().Grace/3)+leastIdle
 }
 
-// leave takes the host out of lookups, serves on while callers keep their answers, and waits for requests under way.
-func (e *Edge) leave(callers net.Listener) {
+// leave takes the host out of lookups, serves on while callers keep their answers, and then waits until no caller has a connection any more. Where
+// one still has when little of the grace is left, it calls end, which gives the requests that have no answer yet their final ones: a connection
+// that is closed instead would not tell the caller whether the request ran.
+func (e *Edge) leave(callers net.Listener, end func()) {
 	began := time.Now()
 	grace := e.Setup().Grace - endSlack
 	e.leftAt.Store(began.UnixNano())
@@ -37,10 +41,22 @@
 	if err := callers.Close(); err != nil {
 		e.Log.Debug("port for callers not closed", zap.Error(err))
 	}
-	left := 1
-	for left > 0 && time.Since(began) < grace {
-		left = e.conns.CloseIdle(leastIdle)
-		time.Sleep(leastIdle)
+	left := e.drain(began.Add(grace - lastAnswers))
+	if left > 0 {
+		end()
+		left = e.drain(began.Add(grace))
 	}
 	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Int("connections", left))
 }
+
+// drain closes callers' connections as they become idle, until none is left or the time has come, and returns how many are left.
+func (e *Edge) drain(until time.Time) int {
+	for {
+		left := e.conns.CloseIdle(leastIdle)
+		rest := time.Until(until)
+		if left == 0 || rest <= 0 {
+			return left
+		}
+		time.Sleep(min(leastIdle, rest))
+	}
+}
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -106,6 +106,20 @@
 	return r.StatusCode
 }
 
+// stoppedAt returns when the program on the host ended.
+func (s stopping) stoppedAt(t *testing.T) time.Time {
+	t.Helper()
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for _, l := range s.fleet.said {
+		if l.host == s.host && l.text == "stopped" {
+			return l.at
+		}
+	}
+	t.Fatal("the program has not ended")
+	return time.Time{}
+}
+
 // A host that stops closes its idle connections while an answer is still on its way to a caller that reads slowly.
 func TestHostThatStopsWritesItsAnswersToTheirEnds(t *testing.T) {
 	onStopping(t, func(t *testing.T, s stopping) {
@@ -135,3 +149,24 @@
 		}
 	})
 }
+
+// A host ends while a request that it has taken waits at an upstream that does not answer.
+func TestHostThatStopsAnswersWhatStillWaits(t *testing.T) {
+	onStopping(t, func(t *testing.T, s stopping) {
+		s.mu.Lock()
+		s.takes = forLong
+		s.mu.Unlock()
+		s.stop()
+		time.Sleep(lastTaken)
+		s.send(t, request("waits"))
+		if got, want := s.answer(t, "to a request that waits"), http.StatusBadGateway; got != want {
+			t.Errorf("answer to a request that waits = %d, want %d", got, want)
+		}
+		answered := time.Now()
+		time.Sleep(forLong)
+		ended := s.stoppedAt(t)
+		if !answered.Before(ended) {
+			t.Errorf("answered %v after the program ended, want before", answered.Sub(ended))
+		}
+	})
+}
