Name the requests that are left when a host ends

The lines of a host that ended did not tell which requests were under way, nor for how long: `stopped` with a number of connections was all.

Tests: go test -p 1 -count=1 ./internal/direct and -run TestHostThatStops ./internal/edge, passed; none asks for the line itself.

Conclusion: a request without an answer can be found in its host's lines.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -121,6 +121,7 @@
 	Stats    *stats.Stats
 
 	spread spread
+	under  under
 }
 
 // ServeHTTP serves one request of a caller.
@@ -128,6 +129,8 @@
 	j := &job{w: w, begun: time.Now()}
 	refusal := x.accept(r, j)
 	x.bound(w, r, j.deadline())
+	x.under.add(j)
+	defer x.under.remove(j)
 	if refusal == nil {
 		refusal = x.receive(w, r, j)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,6 +122,7 @@
 	case <-ctx.Done():
 	}
 	e.leave(callers, end)
+	handler.Left()
 	return nil
 }
 
