Let a host whose port fails answer what is under way

Callers could see requests without an answer: where a port failed, be it the one for scrapers, the host ended at once with all requests under way.

Cause: the error of a port was returned from Run before the host left. It leaves now as after a signal, and returns the error then.

Test: edge TestHostWhosePortFailsAnswersWhatIsUnderWay (go test -p 1 -count=1 -run 'TestHostWhosePort|TestHostThatStops' ./internal/edge), which failed on the parent ("the program has not ended" as one that leaves does) and passes with the change.

Conclusion: a host ends in one way, whatever ends it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,7 +101,7 @@
 	leftAt  atomic.Int64 // when it began to leave, in Unix nanoseconds
 }
 
-// Run serves until ctx ends, and then as long as the requests under way need, within the grace.
+// Run serves until ctx ends or a port fails, and then as long as the requests under way need, within the grace.
 func (e *Edge) Run(ctx context.Context) error {
 	ending, end := context.WithCancel(context.Background())
 	defer end()
@@ -116,14 +116,15 @@
 	}
 	s := e.Setup()
 	e.Log.Info("started", zap.String("name", s.Name), zap.String("callers", s.Callers), zap.String("centre", s.Centre))
+	var fault error
 	select {
-	case err := <-failed:
-		return err
+	case fault = <-failed:
+		e.Log.Error("a port failed", zap.Error(fault))
 	case <-ctx.Done():
 	}
 	e.leave(callers, end)
 	handler.Left()
-	return nil
+	return fault
 }
 
 // begin starts all that goes on beside requests.
