Have the stand-in of the store come back from older copies

No test could: the stand-in loses nothing that it has acknowledged.

It comes back from a copy of some time ago now, also by an administrator's call, and gives the numbers of the lost transactions out again. A revision carries the era between two returns (rows.At), so that revisions rise all the same.

No other package uses a return yet.

Conclusion: what follows can be brought about by tests.

--- a/internal/stand/rowdb/db.go
+++ b/internal/stand/rowdb/db.go
@@ -19,7 +19,8 @@
 	*gate.Gate // faults of the service as a whole
 
 	mu      sync.Mutex
-	rev     int64
+	era     int64                         // counts how often the table came back from a copy
+	rev     int64                         // number of the newest transaction; beyond this package, a revision carries the era too
 	keys    map[string]map[string]*record // by first path segment of the key, then by key
 	log     []change                      // one per written key, oldest first
 	graves  []change                      // deletions remembered, oldest first
@@ -72,7 +73,7 @@
 func (d *DB) Rev() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.rev
+	return rows.At(d.era, d.rev)
 }
 
 func (d *DB) record(key string) *record {
--- a/internal/stand/rowdb/handler.go
+++ b/internal/stand/rowdb/handler.go
@@ -30,6 +30,7 @@
 //
 //	POST /admin/lag?by=5s&every=2  send each second reading to a replica behind by 5 s
 //	POST /admin/history?count=100  remember so many deletions
+//	POST /admin/copy?age=5s        come back from a copy of 5 s ago, in a new era
 func (d *DB) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/row", d.serve(serveRow))
@@ -45,6 +46,10 @@
 		count := q.Int("count")
 		return func() { d.SetHistory(count) }
 	})
+	admin.Handle(mux, "copy", func(q *admin.Query) func() {
+		age := q.Duration("age")
+		return func() { d.ComeBack(age) }
+	})
 	return mux
 }
 
--- a/internal/stand/rowdb/read.go
+++ b/internal/stand/rowdb/read.go
@@ -41,7 +41,7 @@
 		return rows.Row{}, merry.Appendf(table.ErrAbsent, "%q", key)
 	}
 	d.countRead(segment(key), []rows.Row{row})
-	return copied(row), nil
+	return d.shown(row), nil
 }
 
 func (d *DB) list(prefix string) (listing, error) {
@@ -51,7 +51,7 @@
 	found := d.scan(prefix, rev, func(r rows.Row) bool { return !r.Gone })
 	slices.SortFunc(found, func(a, b rows.Row) int { return strings.Compare(a.Key, b.Key) })
 	d.countRead(segment(prefix), found)
-	return listing{found, rev}, nil
+	return listing{found, rows.At(d.era, rev)}, nil
 }
 
 // tail returns the present state of each row changed after a revision, oldest change first.
@@ -61,7 +61,11 @@
 	defer d.mu.Unlock()
 	rev := d.visible()
 	var err error
-	if after < d.lost {
+	after, ok := d.number(after)
+	if !ok {
+		after = 0
+		err = merry.Appendf(table.ErrCompacted, "history of another era than %d", d.era)
+	} else if after < d.lost {
 		after = 0
 		err = merry.Appendf(table.ErrCompacted, "history starts after revision %d", d.lost)
 	}
@@ -75,7 +79,7 @@
 		})
 	}
 	d.countRead(segment(prefix), found)
-	return listing{found, rev}, err
+	return listing{found, rows.At(d.era, rev)}, err
 }
 
 // recent walks the log; it costs as much as there are changes, where scan costs as much as there are rows.
@@ -84,13 +88,13 @@
 	var found []rows.Row
 	for _, c := range d.log[start:] {
 		if strings.HasPrefix(c.key, prefix) && d.present(c) {
-			found = append(found, copied(d.record(c.key).now()))
+			found = append(found, d.shown(d.record(c.key).now()))
 		}
 	}
 	return found
 }
 
-// scan returns the rows under prefix as they were at rev, in no order.
+// scan returns the rows under prefix as they were at rev, in no order. What keep sees is numbered without the era.
 func (d *DB) scan(prefix string, rev int64, keep func(rows.Row) bool) []rows.Row {
 	var found []rows.Row
 	for name, bucket := range d.keys {
@@ -102,13 +106,9 @@
 				continue
 			}
 			if row, ok := rec.as(rev); ok && keep(row) {
-				found = append(found, copied(row))
+				found = append(found, d.shown(row))
 			}
 		}
 	}
 	return found
 }
-
-func copied(row rows.Row) rows.Row {
-	return row.WithValue(slices.Clone(row.Value))
-}
--- a/internal/stand/rowdb/write.go
+++ b/internal/stand/rowdb/write.go
@@ -30,7 +30,7 @@
 	}
 	edits = slices.DeleteFunc(slices.Clone(edits), func(e rows.Row) bool { return e.Gone && e.Rev == 0 })
 	if len(edits) == 0 {
-		return d.rev, nil
+		return rows.At(d.era, d.rev), nil
 	}
 	d.rev++
 	now := time.Now()
@@ -39,7 +39,7 @@
 		d.apply(edit, now)
 	}
 	d.trim(now)
-	return d.rev, nil
+	return rows.At(d.era, d.rev), nil
 }
 
 func check(edits []rows.Row) error {
@@ -70,7 +70,7 @@
 		if rec := d.record(e.Key); rec != nil && !rec.now().Gone {
 			rev = rec.now().Rev
 		}
-		if rev != e.Rev && e.Rev != rows.Any {
+		if want, ok := d.number(e.Rev); e.Rev != rows.Any && (!ok || rev != want) {
 			keys = append(keys, e.Key)
 		}
 	}
