Pause after a reading of the configuration that is not taken

Operators could not see it: no line said that a reading was thrown away, nor for which revision.

Cause: the comparison with what was taken had no other branch.

Test: intake TestReadingThatIsNotTakenIsFollowedByAPause (go test -p 1 -count=1 ./internal/intake). The stand-in store of intake's tests answers as of one moment now, as the store does.

Conclusion: whatever keeps a reading from being taken, the store is not stormed.

--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -27,6 +27,9 @@
 		}
 		if r.rev >= i.confAt.Load() {
 			i.takeConf(r.list, r.whole, r.rev)
+		} else {
+			i.Log.Info("reading not taken", zap.String("rows", i.Conf), zap.Int64("revision", r.rev), zap.Int64("taken", i.confAt.Load()))
+			i.pause(ctx, i.confWake, i.passedConf)
 		}
 		i.confRead.Store(i.moment())
 	}
--- /dev/null
+++ b/internal/intake/copied_test.go
@@ -0,0 +1,85 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/intake"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/table"
+	"damaskreach/internal/target"
+)
+
+// written returns a registration that names when its upstream started, and at which revision it was written.
+func written(key string, born byte, rev int64) rows.Row {
+	return rows.Row{Key: "up/" + key, Value: []byte{born}, Rev: rev}
+}
+
+// startBorn runs an intake whose registrations name when their upstreams started.
+func startBorn(t *testing.T, s *source) *intake.Intake {
+	return start(t, s, func(i *intake.Intake) {
+		i.Target = func(row rows.Row) (target.Target, error) {
+			return target.Target{ID: row.Key[3:], Born: int64(row.Value[0]), Slots: 1}, nil
+		}
+	})
+}
+
+// comeBack has the store come back from a copy with other rows.
+func (s *source) comeBack(list ...rows.Row) {
+	s.set(func() {
+		era, number := rows.Era(s.rev)
+		s.rev, s.gone = rows.At(era+1, number), true
+		s.rows["up/"] = list
+	})
+}
+
+// now returns the store's row of an upstream as it is written now.
+func (s *source) now(key string, born byte) rows.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return written(key, born, s.rev+1)
+}
+
+// The store says less than it did and names no new era. Asked again without a pause, it would have little else to do.
+func TestReadingThatIsNotTakenIsFollowedByAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/config", Value: []byte{7}}}}, rev: 100}
+		lists := 0
+		start(t, s, func(i *intake.Intake) {
+			list, tail := i.Table.List, i.Table.Tail
+			i.Table.List = func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
+				found, rev, err := list(ctx, prefix)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if prefix == "op/" && s.gone {
+					lists++
+					return found, 50, err
+				}
+				return found, rev, err
+			}
+			i.Table.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
+				s.mu.Lock()
+				gone := s.gone
+				s.mu.Unlock()
+				if gone {
+					select {
+					case <-ctx.Done():
+					case <-time.After(5 * time.Millisecond):
+					}
+					return nil, 0, table.ErrCompacted
+				}
+				return tail(ctx, prefix, after)
+			}
+		})
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.gone = true })
+		time.Sleep(6 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if got, want := lists, 24; got > want || got == 0 {
+			t.Errorf("listed the configuration %d times in 6 s, want %d at most: a pause of 250 ms between two", got, want)
+		}
+	})
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -33,9 +33,18 @@
 }
 
 func (s *source) table() table.Table {
-	list := func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
+	// An answer is of one moment, like the store's: rows of before the store came back don't bear a revision of after it.
+	answer := func(ctx context.Context, prefix string, tail bool) ([]rows.Row, int64, error) {
 		s.mu.Lock()
-		slow, list := s.slow, s.rows[prefix]
+		if tail && prefix == "up/" {
+			s.tails++
+		}
+		if tail && s.gone {
+			s.mu.Unlock()
+			return nil, 0, table.ErrCompacted
+		}
+		s.rev++
+		slow, list, rev := s.slow, s.rows[prefix], s.rev
 		if prefix == "up/" {
 			s.asks++
 		}
@@ -49,8 +58,10 @@
 		if s.down {
 			return nil, 0, table.ErrDown
 		}
-		s.rev++
-		return list, s.rev, nil
+		return list, rev, nil
+	}
+	list := func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
+		return answer(ctx, prefix, false)
 	}
 	return table.Table{
 		List: list,
@@ -65,16 +76,7 @@
 				case <-time.After(time.Second):
 				}
 			}
-			s.mu.Lock()
-			gone := s.gone
-			if prefix == "up/" {
-				s.tails++
-			}
-			s.mu.Unlock()
-			if gone {
-				return nil, 0, table.ErrCompacted
-			}
-			return list(ctx, prefix)
+			return answer(ctx, prefix, true)
 		},
 	}
 }
