Say that an older configuration is not applied

After the store had come back from a copy, hosts wrote `configuration applied` with the copy's older version, though the newer one stayed in force (view never takes an older one back): whoever read the lines saw a configuration go back.

Tests: edge TestChangesAreInForceAfterACopy, on fleets of 7, 24 and 60 hosts, failed by these lines on the parent ("applied version 1 after 6") and passes with the change; versions are in force in time on both.

Conclusion: the lines tell what is in force.

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -145,7 +146,8 @@
 	e := &edge.Edge{
 		Setup: func() setup.Setup { return s }, Table: f.store.table(ip), Conf: "op/", Targets: "servers/",
 		Rules: func(row rows.Row) (rules.Rules, bool, error) {
-			return rules.Rules{Version: row.Rev, Pools: map[string]pool.Pool{"g": {Name: "g"}}}, true, nil
+			version, err := strconv.ParseInt(string(row.Value), 10, 64)
+			return rules.Rules{Version: version, Pools: map[string]pool.Pool{"g": {Name: "g"}}}, true, err
 		},
 		Target: func(row rows.Row) (target.Target, error) {
 			id := strings.TrimPrefix(row.Key, "servers/")
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -32,17 +33,19 @@
 	mu      sync.Mutex
 	rows    map[string]rows.Row
 	log     []rows.Row
-	rev     int64
+	rev     int64 // of the newest change, with the store's era
 	refused map[string]bool
 	silent  bool          // it answers nothing to those that it refuses
 	slow    time.Duration // that each call takes beside its usual time
+	row     time.Duration // that each row takes
+	most    int           // changes that it has in one answer
 	lost    int64         // revision up to which the history is gone
 	calls   int           // that it has answered
 	served  int           // rows in these answers
 }
 
 func newStore() *store {
-	return &store{rows: map[string]rows.Row{}, refused: map[string]bool{}}
+	return &store{rows: map[string]rows.Row{}, refused: map[string]bool{}, row: rowTakes, most: mostRows}
 }
 
 func (s *store) put(key, value string) {
@@ -92,10 +95,51 @@
 	s.lost = s.rev
 }
 
+// stored is a copy of what the store had at a moment.
+type stored struct {
+	rows map[string]rows.Row
+	log  []rows.Row
+	rev  int64
+}
+
+// copied returns a copy of what the store has now.
+func (s *store) copied() stored {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return stored{rows: maps.Clone(s.rows), log: slices.Clone(s.log), rev: s.rev}
+}
+
+// comeBack brings the store back with what a copy has: what was written since is gone, and a new era begins.
+func (s *store) comeBack(from stored) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era, _ := rows.Era(s.rev)
+	again := func(rev int64) int64 {
+		_, number := rows.Era(rev)
+		return rows.At(era+1, number)
+	}
+	s.rev, s.rows, s.log = again(from.rev), map[string]rows.Row{}, nil
+	for key, row := range from.rows {
+		row.Rev = again(row.Rev)
+		s.rows[key] = row
+	}
+	for _, row := range from.log {
+		row.Rev = again(row.Rev)
+		s.log = append(s.log, row)
+	}
+}
+
+// older reports whether a revision is of an era before the store's.
+func (s *store) older(rev int64) bool {
+	now, _ := rows.Era(s.rev)
+	era, _ := rows.Era(rev)
+	return era < now
+}
+
 // call does what a host asks for, unless it is turned away, and lets the answer take its time.
 func (s *store) call(ctx context.Context, host string, do func() (list []rows.Row, err error)) error {
 	s.mu.Lock()
-	refused, silent, slow := s.refused[host], s.silent, s.slow
+	refused, silent, slow, row := s.refused[host], s.silent, s.slow, s.row
 	var list []rows.Row
 	var err error
 	if !refused {
@@ -104,7 +148,7 @@
 		s.served += len(list)
 	}
 	s.mu.Unlock()
-	takes := callTakes + slow + time.Duration(len(list))*rowTakes
+	takes := callTakes + slow + time.Duration(len(list))*row
 	if refused && silent {
 		takes = time.Hour
 	}
@@ -170,9 +214,12 @@
 			}
 			s.await(ctx, prefix, after)
 			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				if s.older(after) {
+					return nil, table.ErrCompacted
+				}
 				list, rev = s.since(prefix, after), s.rev
-				if len(list) > mostRows || after < s.lost {
-					return list[:min(mostRows, len(list))], table.ErrCompacted
+				if len(list) > s.most || after < s.lost {
+					return list[:min(s.most, len(list))], table.ErrCompacted
 				}
 				return list, nil
 			})
@@ -205,7 +252,7 @@
 func (s *store) listFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Duration(1+len(s.rows)/mostRows) * pageFor
+	return time.Duration(1+len(s.rows)/s.most) * pageFor
 }
 
 // await keeps a reading of the operators' rows waiting for a change.
@@ -216,7 +263,7 @@
 	until := time.Now().Add(confWait)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		s.mu.Lock()
-		changed := len(s.since(prefix, after)) > 0
+		changed := s.older(after) || len(s.since(prefix, after)) > 0
 		s.mu.Unlock()
 		if changed {
 			return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -121,6 +121,8 @@
 	}
 	if r, ok, err := i.Rules(row); err != nil {
 		i.Log.Warn("configuration cannot be read", zap.String("row", row.Key), zap.Int64("revision", row.Rev), zap.Error(err))
+	} else if known := i.View().Rules.Version; ok && r.Version < known {
+		i.Log.Info("older configuration not applied", zap.Int64("version", r.Version), zap.Int64("known", known), zap.Int64("revision", row.Rev))
 	} else if ok {
 		i.swap(func(v view.View) view.View { return v.WithRules(r) })
 		i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
