Pass no changes on into another era of the store

A host that rests behind a reader kept what the store had lost: the reader passed on what changed in a new era by what it knew itself of the one before, and hosts that knew more took that for all.

Cause: changes were passed on from one revision to another whatever lay between them. They stay within an era; a host of an earlier one reads for itself.

Test: feeds TestChangesAreNotPassedOnIntoAnotherEra (go test -p 1 -count=1 ./internal/feeds), which failed on the parent (one row passed on, want none) and passes with the change.

Conclusion: what is passed on is complete for whoever takes it.

--- a/internal/feeds/feeds.go
+++ b/internal/feeds/feeds.go
@@ -34,7 +34,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old, ok := f.kept[prefix]
-	if after == feed.Whole || !ok || old.Rev != after {
+	if after == feed.Whole || !ok || old.Rev != after || rows.CompareEras(after, rev) != 0 {
+		// What a host knows of an era is gone with it: another host may know what this one never did, and would keep it.
 		f.kept[prefix] = feed.Feed{Prefix: prefix, After: rev, Rev: rev}
 		return
 	}
--- a/internal/feeds/feeds_test.go
+++ b/internal/feeds/feeds_test.go
@@ -119,3 +119,19 @@
 	pass(reader, member)
 	wantTail(t, member, 1, 49, "conf")
 }
+
+// The store came back from a copy. A host that knew more of the era before than the one that reads keeps what is lost, unless it reads for itself.
+func TestChangesAreNotPassedOnIntoAnotherEra(t *testing.T) {
+	reader, member := feeds.NewFeeds(), feeds.NewFeeds()
+	reader.Keep(prefix, feed.Whole, 10, nil)
+	member.Keep(prefix, feed.Whole, 12, nil)
+	reader.Keep(prefix, 10, rows.At(1, 9), []rows.Row{row("a", rows.At(1, 8))})
+	pass(reader, member)
+	if list, _, ok := member.Tail(prefix, 12); ok {
+		t.Errorf("Tail(12) = %v, want none", list)
+	}
+	member.Keep(prefix, 12, rows.At(1, 9), nil)
+	reader.Keep(prefix, rows.At(1, 9), rows.At(1, 10), []rows.Row{row("b", rows.At(1, 10))})
+	pass(reader, member)
+	wantTail(t, member, rows.At(1, 9), rows.At(1, 10), "b")
+}
