Hold back what a copy says of upstreams that hosts know better

Requests went to upstreams that leave, are gone or have started again elsewhere: after the store's return the copy's registrations said otherwise until they were written again, and were taken.

Cause: what the store said last was taken for the newest. What says less than is known waits now until it is written again, for five pauses between two readings at most; an upstream that is silent for so long has lost it.

With the change all pass (go test -p 1 -count=1 ./internal/intake; -run 'StaysSoAfterACopy|StaysGoneAfter|LeavingAfter' ./internal/edge).

Conclusion: a host goes on by the newest that it has learnt.

--- a/internal/edge/copy_test.go
+++ b/internal/edge/copy_test.go
@@ -195,6 +195,22 @@
 	}
 }
 
+// Upstreams have begun to leave, and the copy says that they are ready. Taken for that, they get requests until they say so again.
+func TestLeavingUpstreamStaysSoAfterACopy(t *testing.T) {
+	eachDrill(t, func(d *drill) {
+		time.Sleep(5 * time.Second)
+		d.wantNone("upstream leaves", "an upstream that leaves became ready again", func(l line) bool { return !l.leaves })
+	})
+}
+
+// Registrations of upstreams that are gone are in the copy. Taken for news, they bring back upstreams that end unseen.
+func TestVanishedUpstreamStaysGoneAfterACopy(t *testing.T) {
+	eachDrill(t, func(d *drill) {
+		time.Sleep(5 * time.Second)
+		d.wantNone("upstream found", "an upstream came back from the copy", func(l line) bool { return !d.left[l.target].IsZero() })
+	})
+}
+
 // Every host reads what there is in a new era. Reading again and again, or each for itself without need, they would keep the store from serving.
 func TestStoreThatComesBackFromACopyIsNotStormed(t *testing.T) {
 	eachDrill(t, func(d *drill) {
--- a/internal/intake/copied_test.go
+++ b/internal/intake/copied_test.go
@@ -42,6 +42,45 @@
 	return written(key, born, s.rev+1)
 }
 
+// An upstream has started again, and the copy has its registration of before. Requests would go where it no longer is.
+func TestRestartedUpstreamStaysSoAfterACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {written("a", 2, 1)}}}
+		i := startBorn(t, s)
+		time.Sleep(3 * time.Second)
+		s.comeBack(written("a", 1, rows.At(1, 1)))
+		time.Sleep(1500 * time.Millisecond)
+		if got, want := i.View().Targets["a"].Born, int64(2); got != want {
+			t.Errorf("started at %d, want %d: the copy is older", got, want)
+		}
+		s.set(func() { s.rows["up/"] = nil })
+		again := s.now("a", 3)
+		s.set(func() { s.rows["up/"] = []rows.Row{again} })
+		time.Sleep(1500 * time.Millisecond)
+		if got, want := i.View().Targets["a"].Born, int64(3); got != want {
+			t.Errorf("started at %d, want %d: it was written after the return", got, want)
+		}
+	})
+}
+
+// An upstream that a host does not know is in the copy and is not written again. Held back for ever, it would never get a request.
+func TestRegistrationOfACopyIsTakenInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {written("a", 1, 1)}}}
+		i := startBorn(t, s)
+		time.Sleep(3 * time.Second)
+		s.comeBack(written("a", 1, rows.At(1, 1)), written("b", 1, rows.At(1, 1)))
+		time.Sleep(3 * time.Second)
+		if got, want := len(i.View().Targets), 1; got != want {
+			t.Errorf("upstreams = %d after 3 s, want %d", got, want)
+		}
+		time.Sleep(6 * time.Second)
+		if got, want := len(i.View().Targets), 2; got != want {
+			t.Errorf("upstreams = %d after 9 s, want %d", got, want)
+		}
+	})
+}
+
 // The store says less than it did and names no new era. Asked again without a pause, it would have little else to do.
 func TestReadingThatIsNotTakenIsFollowedByAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -56,6 +56,7 @@
 	tooMany float64   // upstreams times seconds whose changes are more than one answer has; 0 where none were yet
 	away    atomic.Bool
 	outage  outage
+	copied  copied
 	bad     map[string]int64
 
 	rawMu sync.Mutex
--- a/internal/intake/reading.go
+++ b/internal/intake/reading.go
@@ -63,7 +63,7 @@
 	after := i.targetAt.Load()
 	since := began.Sub(i.taken)
 	changes := float64(len(i.View().Targets)) * since.Seconds()
-	whole := after == 0 || since > behind*i.Every() || i.tooMany > 0 && changes >= i.tooMany
+	whole := after == 0 || since > behind*i.Every() || i.tooMany > 0 && changes >= i.tooMany || i.copied.long(began, i.Every())
 	done := make(chan reading, 1)
 	go func() {
 		r := reading{whole: whole}
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -58,11 +58,16 @@
 		next = earlier(next, i.outage.ends())
 	}
 	i.sleep(ctx, next)
-	if len(i.missing) == 0 {
-		i.rest(ctx, i.targetWake, func() bool { return i.passedTargets() && len(i.missing) == 0 })
+	if i.settled() {
+		i.rest(ctx, i.targetWake, func() bool { return i.passedTargets() && i.settled() })
 	}
 }
 
+// settled reports whether this host waits for nothing that it finds out by reading alone.
+func (i *Intake) settled() bool {
+	return len(i.missing)+len(i.copied.waits) == 0
+}
+
 // sleep waits until the next reading, no longer than until another host passes something on.
 func (i *Intake) sleep(ctx context.Context, next time.Time) {
 	woken := false
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -75,10 +75,15 @@
 	if targets == nil {
 		targets = map[string]target.Target{}
 	}
+	first := whole && older(i.targetAt.Load(), rev)
+	if first || whole && i.copied.long(now, i.Every()) {
+		i.copied.begin(now)
+	}
 	present := map[string]bool{}
 	for _, row := range list {
 		id := row.Key[len(i.Targets):]
 		if row.Gone {
+			i.copied.written(id, row.Rev)
 			news = append(news, row)
 			i.miss(targets, id, now)
 			continue
@@ -93,6 +98,9 @@
 			continue
 		}
 		present[id] = true
+		if i.holdBack(targets[id], t, row, first) {
+			continue
+		}
 		i.keepRaw(id, row)
 		delete(i.missing, id)
 		if i.logChange(targets[id], t) {
@@ -100,6 +108,9 @@
 		}
 		targets[id] = t
 	}
+	if whole {
+		i.copied.keep(present)
+	}
 	for id := range targets {
 		if _, waits := i.missing[id]; whole && !present[id] && !waits {
 			news = append(news, i.lack(id, rev))
