Count a new era as the store's return

Requests failed for want of upstreams that were there: new ones, lost with the copy, were dropped where the store was away for less than some seconds, and had to be found again.

Cause: upstreams that vanish with the store have their time to come back from its return, which a host took only from an outage that it saw itself. A new era counts as that return, however a host learns of it, has a line (`store is back from a copy`), and has the registrations read.

Test: edge TestNewUpstreamOutlastsACopy (go test -p 1 -count=1 -run OutlastsACopy ./internal/edge).

--- a/internal/edge/copy_test.go
+++ b/internal/edge/copy_test.go
@@ -211,6 +211,15 @@
 	})
 }
 
+// Registrations of new upstreams are lost with the copy, and written again within a moment. Taken as gone meanwhile, they would lose their
+// requests, and all of them at once where all are new.
+func TestNewUpstreamOutlastsACopy(t *testing.T) {
+	eachDrill(t, func(d *drill) {
+		time.Sleep(5 * time.Second)
+		d.wantNone("upstream gone", "an upstream was dropped that is new", func(l line) bool { return l.target[:3] == "new" })
+	})
+}
+
 // Every host reads what there is in a new era. Reading again and again, or each for itself without need, they would keep the store from serving.
 func TestStoreThatComesBackFromACopyIsNotStormed(t *testing.T) {
 	eachDrill(t, func(d *drill) {
--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -47,6 +47,7 @@
 // takeConf takes operators' rows up to a revision. Where all were read, others are told only of those that changed: a host that was told
 // of older ones as if they were new would wait for a change that it cannot find.
 func (i *Intake) takeConf(list []rows.Row, whole bool, rev int64) {
+	i.entered(rev)
 	after, learnt := i.confAt.Load(), time.Now()
 	if after == 0 {
 		// A version that is there when a host starts may have been named long ago: requests have no time left on the one before.
--- a/internal/intake/copied.go
+++ b/internal/intake/copied.go
@@ -59,6 +59,26 @@
 	return rev > 0 && rows.CompareEras(rev, than) < 0
 }
 
+// entered takes that this host has learnt of a revision. It says so once where the store's era is a new one, counts as the store's return, and
+// has registrations read: each host must know what the copy lacks, however short the store was away.
+func (i *Intake) entered(rev int64) {
+	if rev <= 0 {
+		return
+	}
+	era, number := rows.Era(rev)
+	next, known := era+1, i.era.Load()
+	for known < next && !i.era.CompareAndSwap(known, next) {
+		known = i.era.Load()
+	}
+	if known == 0 || known >= next {
+		return
+	}
+	i.outage.lost()
+	i.Log.Info("store is back from a copy", zap.Int64("era", era), zap.Int64("number", number),
+		zap.Int64("configuration", i.confAt.Load()), zap.Int64("registrations", i.targetAt.Load()))
+	nudge(i.targetWake)
+}
+
 // holdBack reports whether a registration is as it was in the copy from which the store came back, and says less than is known of its upstream.
 func (i *Intake) holdBack(old, t target.Target, row rows.Row, first bool) bool {
 	if !i.copied.written(t.ID, row.Rev) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -57,6 +57,7 @@
 	away    atomic.Bool
 	outage  outage
 	copied  copied
+	era     atomic.Int64 // the newest that this host has learnt of, and one; 0 where it knows of none yet
 	bad     map[string]int64
 
 	rawMu sync.Mutex
--- a/internal/intake/outage.go
+++ b/internal/intake/outage.go
@@ -39,6 +39,13 @@
 	return returned
 }
 
+// lost notes that the store is back without some of what it had acknowledged: registrations may be missing for having been written since.
+func (o *outage) lost() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.back = time.Now()
+}
+
 // ends returns when upstreams that vanished with the store have had their time to come back.
 func (o *outage) ends() time.Time {
 	o.mu.Lock()
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -123,6 +123,7 @@
 // Wake ends the rest where another host has read something newer, or has read at all after nobody had: what lapsed with the store has its
 // time from the store's return, which must not be noticed late.
 func (i *Intake) Wake(m marks.Marks) {
+	i.entered(max(m.Conf, m.Targets))
 	age := time.Duration(m.Age) * time.Millisecond
 	back := i.outage.note(time.Now().Add(-age), i.away.Load(), i.Every())
 	if back || m.Conf > i.confAt.Load() {
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -53,6 +53,7 @@
 
 // takeTargets takes registrations that changed since the last that were taken, up to a revision, or all that there are at that revision.
 func (i *Intake) takeTargets(list []rows.Row, whole bool, rev int64, now time.Time) {
+	i.entered(rev)
 	news := i.apply(list, whole, rev, now)
 	after := i.targetAt.Load()
 	if after == 0 {
