Ask for changes again behind a return of the store

After the store's return a host had it send all registrations with every reading from there on.

Cause: what changed since a revision of another era cannot be told; that answer was taken for one with too many changes, by which a host goes over to lists.

Test: intake TestHostAsksForChangesAgainAfterACopy (go test -p 1 -count=1 ./internal/intake), which failed on the parent and passes with the change.

Conclusion: one list in a new era, then changes.

--- a/internal/intake/copied_test.go
+++ b/internal/intake/copied_test.go
@@ -81,6 +81,25 @@
 	})
 }
 
+// The store comes back from a copy, and what changed before cannot be told. Taken for too many changes in one answer, the host would have the store
+// send all registrations with every reading from there on.
+func TestHostAsksForChangesAgainAfterACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"up/": {written("a", 1, 1), written("b", 1, 1)}}}
+		startBorn(t, s)
+		time.Sleep(3500 * time.Millisecond)
+		s.comeBack(written("a", 1, rows.At(1, 1)), written("b", 1, rows.At(1, 1)))
+		time.Sleep(time.Second) // within which there is one reading
+		s.set(func() { s.gone, s.asks, s.tails = false, 0, 0 })
+		time.Sleep(5 * time.Second)
+		s.set(func() {
+			if s.tails < 4 || s.asks > 6 {
+				t.Errorf("asked %d times in 5 s, %d times for changes, want changes alone", s.asks, s.tails)
+			}
+		})
+	})
+}
+
 // The store says less than it did and names no new era. Asked again without a pause, it would have little else to do.
 func TestReadingThatIsNotTakenIsFollowedByAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/reading.go
+++ b/internal/intake/reading.go
@@ -81,6 +81,9 @@
 			defer cancel()
 			r.list, r.rev, r.err = i.Table.List(listCtx, i.Targets)
 		}
+		if older(after, r.rev) {
+			r.cut = 0 // the changes are of another era, not too many
+		}
 		done <- r
 	}()
 	return done
