Have a host that the store turns away ask another one in a new era

A host that the store turned away after its return knew nothing of the new era's registrations and went on sending requests to upstreams that leave.

Cause: changes are passed on within an era only, and it could read none. It asks another host for all registrations now.

Test: edge TestHostsTurnedAwayAfterACopyLearnOfLeaving (go test -p 1 -count=1 -run Turned ./internal/edge).

--- a/internal/edge/copy_test.go
+++ b/internal/edge/copy_test.go
@@ -235,3 +235,20 @@
 		}
 	})
 }
+
+// The store turns some hosts away when it comes back from a copy. They learn of the new era from others alone; without what is registered in it they
+// would go on sending requests to upstreams that leave.
+func TestHostsTurnedAwayAfterACopyLearnOfLeaving(t *testing.T) {
+	eachDrill(t, func(d *drill) {
+		time.Sleep(5 * time.Second)
+		d.turnAway(d.luck, 0.3)
+		d.store.comeBack(d.store.copied())
+		time.Sleep(time.Second)
+		for n := range 10 {
+			time.Sleep(300 * time.Millisecond)
+			d.leave(fmt.Sprint("u", 20+n))
+		}
+		time.Sleep(drain)
+		d.wantKnown(drain - atHost)
+	})
+}
--- a/internal/intake/reading.go
+++ b/internal/intake/reading.go
@@ -81,6 +81,9 @@
 			defer cancel()
 			r.list, r.rev, r.err = i.Table.List(listCtx, i.Targets)
 		}
+		if r.err != nil {
+			r = i.orTold(ctx, after, r)
+		}
 		if older(after, r.rev) {
 			r.cut = 0 // the changes are of another era, not too many
 		}
@@ -89,6 +92,20 @@
 	return done
 }
 
+// orTold returns all registrations as another host knows them in the newest era, where this host knows those of an older one and the store does not
+// answer it: changes alone are passed on within an era, and it would get none.
+func (i *Intake) orTold(ctx context.Context, after int64, failed reading) reading {
+	newest := rows.At(i.era.Load()-1, 0)
+	if !older(after, newest) {
+		return failed
+	}
+	list, rev, ok := i.Others(ctx, i.Targets)
+	if !ok || older(rev, newest) {
+		return failed
+	}
+	return reading{list: list, rev: rev, heard: true}
+}
+
 func (i *Intake) tail(ctx context.Context, after int64) (r reading) {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
