Pass the configuration on whole into another era

In a new era each host read the configuration from the store for itself, one after the other and some too late.

Cause: with nothing passed on across eras, resting hosts had only the store. The configuration's rows are never taken back, so all of them are all that there is to know: they are passed on whole (feed.Start).

Test: feeds TestAllRowsArePassedOnIntoAnotherEra (go test -p 1 -count=1 ./internal/feeds), which failed with feeds.go as on the parent and passes with the change; edge TestChangesAreInForceAfterACopy passes.

Conclusion: a configuration needs one reader in any era.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,8 +3,13 @@
 
 import "damaskreach/internal/rows"
 
-// Whole stands in place of the revision after which changes are known, where all rows were read: deletions may have been missed.
-const Whole = -1
+// These stand in place of the revision after which changes are known.
+const (
+	// Whole is for all rows as they were read: deletions may have been missed, and what others know may be gone.
+	Whole = -1
+	// Start is for all rows of a kind that is never deleted: they are all that there is to know, whatever others know.
+	Start = 0
+)
 
 // Feed is immutable: the rows under a prefix that changed after a revision, up to another.
 type Feed struct {
--- a/internal/feeds/feeds.go
+++ b/internal/feeds/feeds.go
@@ -29,12 +29,14 @@
 	return &Feeds{kept: map[string]feed.Feed{}, heard: map[string]feed.Feed{}, known: map[string]map[string]feed.Feed{}}
 }
 
-// Keep takes the rows that matter to others among those that changed after a revision, or feed.Whole, up to another.
+// Keep takes the rows that matter to others among those that changed after a revision, feed.Whole or feed.Start, up to another.
 func (f *Feeds) Keep(prefix string, after, rev int64, list []rows.Row) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old, ok := f.kept[prefix]
-	if after == feed.Whole || !ok || old.Rev != after || rows.CompareEras(after, rev) != 0 {
+	if after == feed.Start {
+		old = feed.Feed{Rev: rev}
+	} else if after == feed.Whole || !ok || old.Rev != after || rows.CompareEras(after, rev) != 0 {
 		// What a host knows of an era is gone with it: another host may know what this one never did, and would keep it.
 		f.kept[prefix] = feed.Feed{Prefix: prefix, After: rev, Rev: rev}
 		return
--- a/internal/feeds/feeds_test.go
+++ b/internal/feeds/feeds_test.go
@@ -135,3 +135,21 @@
 	pass(reader, member)
 	wantTail(t, member, rows.At(1, 9), rows.At(1, 10), "b")
 }
+
+// All rows of the configuration are there in a new era. Each host would read them from the store, one after the other and too late for some.
+func TestAllRowsArePassedOnIntoAnotherEra(t *testing.T) {
+	reader, relay, member := feeds.NewFeeds(), feeds.NewFeeds(), feeds.NewFeeds()
+	for _, f := range []*feeds.Feeds{reader, relay, member} {
+		f.Keep(prefix, feed.Whole, 10, nil)
+	}
+	all := []rows.Row{row("a", rows.At(1, 3)), row("b", rows.At(1, 8))}
+	reader.Keep(prefix, feed.Start, rows.At(1, 9), all)
+	pass(reader, relay)
+	wantTail(t, relay, 10, rows.At(1, 9), "a", "b")
+	relay.Keep(prefix, feed.Start, rows.At(1, 9), all)
+	pass(relay, member)
+	wantTail(t, member, 10, rows.At(1, 9), "a", "b")
+	reader.Keep(prefix, rows.At(1, 9), rows.At(1, 12), []rows.Row{row("a", rows.At(1, 12))})
+	pass(reader, relay)
+	wantTail(t, relay, rows.At(1, 9), rows.At(1, 12), "a")
+}
--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -60,6 +60,10 @@
 			news = append(news, row)
 		}
 	}
+	if older(after, rev) {
+		// All rows came, and none is ever taken back: whoever is in the era before gets them with the next message, not by a reading.
+		after = feed.Start
+	}
 	i.Keep(i.Conf, after, rev, news)
 	i.confAt.Store(rev)
 	if len(news) > 0 {
