Have a host that starts ask another one for what is in force

A host that started between the store's return and the operators' second writing served routes and keys that had been taken away: it took the copy's configuration and versions while all others had newer ones in force.

Cause: a first reading was taken for what is in force.

Conclusion: what was acknowledged last is in force wherever a host knows of it.

--- a/internal/edge/copy_test.go
+++ b/internal/edge/copy_test.go
@@ -252,3 +252,34 @@
 		d.wantKnown(drain - atHost)
 	})
 }
+
+// A host starts when the store is back, and before operators have written again what is lost. All others have the newer configuration in force; by the
+// copy, this one would serve what operators took away.
+func TestHostThatStartsAfterACopyHasTheConfigurationInForce(t *testing.T) {
+	for _, hosts := range []int{7, 24} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &drill{fleet: newFleet(t, hosts, 4, 112), luck: rand.New(rand.NewPCG(1, 41)), acked: map[int64]time.Time{}, last: 1}
+				time.Sleep(15 * time.Second)
+				copied := d.store.copied()
+				d.configure()
+				time.Sleep(copyAge)
+				d.store.comeBack(copied)
+				d.back = time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				t.Cleanup(cancel)
+				d.start(ctx, hosts)
+				time.Sleep(startsIn)
+				newest := int64(0)
+				for _, l := range d.since("configuration applied") {
+					if l.host == hostIP(hosts) {
+						newest = max(newest, l.version)
+					}
+				}
+				if newest != d.last {
+					t.Errorf("version in force = %d, want %d as at all others", newest, d.last)
+				}
+			})
+		})
+	}
+}
--- a/internal/edge/starts.go
+++ b/internal/edge/starts.go
@@ -115,6 +115,8 @@
 	switch prefix {
 	case e.Targets:
 		return e.intake.Registrations()
+	case e.Conf:
+		return e.intake.Operators()
 	case tenure.Prefix:
 		return e.tenure.Rows()
 	}
--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -31,7 +31,9 @@
 			i.Log.Info("reading not taken", zap.String("rows", i.Conf), zap.Int64("revision", r.rev), zap.Int64("taken", i.confAt.Load()))
 			i.pause(ctx, i.confWake, i.passedConf)
 		}
-		i.confRead.Store(i.moment())
+		if i.confRead.Swap(i.moment()) == 0 {
+			go i.takeFromOthers(ctx)
+		}
 	}
 }
 
--- a/internal/intake/first_test.go
+++ b/internal/intake/first_test.go
@@ -10,6 +10,7 @@
 
 	"damaskreach/internal/intake"
 	"damaskreach/internal/rows"
+	"damaskreach/internal/rules"
 	"damaskreach/internal/target"
 )
 
@@ -111,3 +112,60 @@
 		}
 	})
 }
+
+// The store comes back from a copy, and a host starts before operators have written again what is lost. All other hosts have the newer configuration in
+// force; by the copy alone, this one would serve routes and keys that were taken away.
+func TestHostThatStartsTakesTheConfigurationInForceFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/config", Value: []byte{7}, Rev: rows.At(1, 1)}}, "up/": {reg("a")}}, rev: rows.At(1, 1)}
+		ready := false // under the lock of s
+		asked := 0
+		i := start(t, s, func(i *intake.Intake) {
+			i.Others = func(_ context.Context, prefix string) ([]rows.Row, int64, bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if prefix == "op/" && ready {
+					asked++
+				}
+				return []rows.Row{{Key: "op/config", Value: []byte{9}, Rev: 5}}, rows.At(1, 1), prefix == "op/" && ready
+			}
+		})
+		time.Sleep(time.Second)
+		if got, want := i.View().Rules.Version, int64(7); got != want {
+			t.Errorf("version = %d before others can be asked, want %d from the store", got, want)
+		}
+		s.set(func() { ready = true })
+		time.Sleep(time.Second)
+		if got, want := i.View().Rules.Version, int64(9); got != want {
+			t.Errorf("version = %d, want %d as others have it", got, want)
+		}
+		if list, _ := i.Operators(); len(list) != 1 || list[0].Value[0] != 9 {
+			t.Errorf("tells others %v, want version 9 alone", list)
+		}
+		time.Sleep(10 * time.Second)
+		s.set(func() {
+			if asked != 1 {
+				t.Errorf("others were asked %d times, want once", asked)
+			}
+		})
+	})
+}
+
+// Operators have written a version again before another host tells its own row of it. The store's is the later one, and a host that starts must keep it.
+func TestHostThatStartsKeepsTheStoresRowOfAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/config", Value: []byte{7, 2}, Rev: 1}}, "up/": {reg("a")}}}
+		i := start(t, s, func(i *intake.Intake) {
+			i.Rules = func(row rows.Row) (rules.Rules, bool, error) {
+				return rules.Rules{Version: int64(row.Value[0]), MaxHeader: int(row.Value[1])}, true, nil
+			}
+			i.Others = func(_ context.Context, prefix string) ([]rows.Row, int64, bool) {
+				return []rows.Row{{Key: "op/config", Value: []byte{7, 1}, Rev: 1}}, 1, prefix == "op/"
+			}
+		})
+		time.Sleep(500 * time.Millisecond) // the stand-in tells all rows again a second later
+		if got, want := i.View().Rules.MaxHeader, 2; got != want {
+			t.Errorf("limit of headers = %d, want %d as the store has it", got, want)
+		}
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -63,6 +63,9 @@
 	rawMu sync.Mutex
 	raw   map[string]rows.Row // registrations as they were read last, by id
 
+	operatorsMu sync.Mutex
+	operators   map[string]rows.Row // the operators' rows that are in force, by key
+
 	confAt     atomic.Int64 // revision up to which the operators' rows are read
 	confMark   atomic.Int64 // of their newest change
 	confRead   atomic.Int64 // when they were last read, in nanoseconds of the clock; 0 means never
@@ -79,7 +82,7 @@
 	i := &Intake{
 		Clock:   func() time.Duration { return time.Since(begun) },
 		missing: map[string]time.Time{}, bad: map[string]int64{}, confWake: make(chan struct{}, 1), targetWake: make(chan struct{}, 1),
-		Relaxed: func() bool { return false }, Changed: func() {}, Read: func() {}, raw: map[string]rows.Row{},
+		Relaxed: func() bool { return false }, Changed: func() {}, Read: func() {}, raw: map[string]rows.Row{}, operators: map[string]rows.Row{},
 		Others:   func(context.Context, string) ([]rows.Row, int64, bool) { return nil, 0, false },
 		Patience: func() time.Duration { return 0 },
 		Passed:   func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
@@ -121,18 +124,24 @@
 	if row.Gone {
 		return
 	}
+	i.operatorsMu.Lock()
+	defer i.operatorsMu.Unlock()
 	if r, ok, err := i.Rules(row); err != nil {
 		i.Log.Warn("configuration cannot be read", zap.String("row", row.Key), zap.Int64("revision", row.Rev), zap.Error(err))
 	} else if known := i.View().Rules.Version; ok && r.Version < known {
 		i.Log.Info("older configuration not applied", zap.Int64("version", r.Version), zap.Int64("known", known), zap.Int64("revision", row.Rev))
 	} else if ok {
 		i.swap(func(v view.View) view.View { return v.WithRules(r) })
+		i.operators[row.Key] = row
 		i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
 			zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
 	}
 	if adapter, version, ok, err := i.Version(row); err != nil {
 		i.Log.Warn("version of an adapter cannot be read", zap.String("row", row.Key), zap.Error(err))
 	} else if ok {
+		if version >= i.View().Versions[adapter] {
+			i.operators[row.Key] = row
+		}
 		i.swap(func(v view.View) view.View { return v.WithVersion(adapter, version, learnt) })
 		i.Log.Info("version named", zap.String("adapter", adapter), zap.Int("version", version), zap.Int64("revision", row.Rev))
 	}
