Pass on changes of a long list without gaps

A host that was passed changes could take itself for being up to date and go on claiming engines that others hold, or sending to what is gone.

Cause: where so much changes that the reader of a data centre lists all rows, what was kept for others was cut by the rows' keys and not by their age.

Test: feeds TestListOfManyChangesIsPassedOnWithoutGaps (go test -p 1 -count=1 ./internal/feeds), which failed on the parent and passes with the change.

Conclusion: what a host is passed is all or nothing.

--- a/internal/feeds/feeds.go
+++ b/internal/feeds/feeds.go
@@ -6,6 +6,8 @@
 package feeds
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"damaskreach/internal/feed"
@@ -53,6 +55,8 @@
 	}
 	next.Rows = append(next.Rows, list...)
 	if over := len(next.Rows) - mostRows; over > 0 {
+		// Those of a list come by their keys: dropped like that, newer changes than the one that is told would be missing.
+		slices.SortStableFunc(next.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Rev, b.Rev) })
 		next.After = next.Rows[over-1].Rev
 		next.Rows = next.Rows[over:]
 	}
--- a/internal/feeds/feeds_test.go
+++ b/internal/feeds/feeds_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// So much has changed that the reader reads a list of all, which comes by keys and not by age, and of which not all is kept. A host that has seen
+// half of the changes must get all the others or none: what it isn't told now it never is, and it goes on claiming engines that others hold.
+func TestListOfManyChangesIsPassedOnWithoutGaps(t *testing.T) {
+	const changes, stride = 3000, 7919 // the stride gives each change another place than its age
+	reader, member := feeds.NewFeeds(), feeds.NewFeeds()
+	reader.Keep(prefix, feed.Whole, 10, nil)
+	var list []rows.Row
+	for n := range changes {
+		list = append(list, row(fmt.Sprint(n), int64(11+n*stride%changes)))
+	}
+	reader.Keep(prefix, 10, 10+changes, list)
+	for _, seen := range []int64{10 + changes/4, 10 + changes/2, 10 + changes*3/4} {
+		member.Keep(prefix, feed.Whole, seen, nil)
+		pass(reader, member)
+		got, rev, ok := member.Tail(prefix, seen)
+		if want := 10 + changes - int(seen); ok && (len(got) != want || rev != 10+changes) {
+			t.Errorf("a host at %d was passed %d changes up to %d, want %d up to %d", seen, len(got), rev, want, 10+changes)
+		}
+	}
+}
+
 // One row changes again and again, as the configuration does in a storm of changes. Only its newest state is kept and told.
 func TestOnlyTheNewestStateIsKept(t *testing.T) {
 	reader, member := feeds.NewFeeds(), feeds.NewFeeds()
