Split who holds engines by what is done, and ask for less of them

No change of behaviour: renewing, holding, sharing and the secret move into files of their own, and of an engine that needs a host only its data centre is asked for.

Test: go test -p 1 -count=1 ./internal/tenure, passed.

--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -2,16 +2,15 @@
 
 import (
 	"damaskreach/internal/limits"
-	"damaskreach/internal/target"
 )
 
-// engines returns the upstreams that need a host for their orders, and the parts of teams' limits that need one.
-func (e *Edge) engines() map[string]target.Target {
+// engines returns the data centre of each upstream that needs a host for its orders, and of the parts of teams' limits that need one.
+func (e *Edge) engines() map[string]string {
 	v := e.intake.View()
-	engines := map[string]target.Target{}
+	engines := map[string]string{}
 	for id, t := range v.Targets {
 		if v.Rules.Pools[t.Group].Engine {
-			engines[id] = t
+			engines[id] = t.Centre
 		}
 	}
 	for _, t := range v.Rules.Teams {
@@ -22,10 +21,10 @@
 	return engines
 }
 
-// withParts adds the parts of teams' limits, which lie at one host each like the orders to an engine.
-func withParts(engines map[string]target.Target) map[string]target.Target {
+// withParts adds the parts of teams' limits, which lie at one host each like the orders to an engine, in no data centre.
+func withParts(engines map[string]string) map[string]string {
 	for _, part := range limits.Parts() {
-		engines[part] = target.Target{ID: part}
+		engines[part] = ""
 	}
 	return engines
 }
--- a/internal/tenure/back_test.go
+++ b/internal/tenure/back_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"damaskreach/internal/rows"
-	"damaskreach/internal/target"
 	"damaskreach/internal/turns"
 )
 
@@ -47,9 +46,9 @@
 		engines12 := engines(12)
 		var news passing
 		var relaxed, many, hears atomic.Bool // b lets a read; there are more engines; b has heard of them
-		of := func(more func() bool) func() map[string]target.Target {
+		of := func(more func() bool) func() map[string]string {
 			few, all := newSite(t, "e0").engines, newSite(t, engines12...).engines
-			return func() map[string]target.Target {
+			return func() map[string]string {
 				if more() {
 					return all
 				}
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -113,17 +112,6 @@
 	t.full = -t.restMost()
 }
 
-func (t *Tenure) makeSecret(ctx context.Context) {
-	if t.Secret() != nil {
-		return
-	}
-	fresh := make([]byte, 32)
-	for i := range fresh {
-		fresh[i] = byte(rand.Uint32())
-	}
-	t.write(ctx, "secret of the hosts made", "", rows.Row{Key: keyRow, Value: fresh})
-}
-
 // free returns the rows by which this host claims engines now, and how many engines have no host. The host that an engine
 // hashes to goes first; another one claims it only where it stayed without a host for two readings.
 func (t *Tenure) free() (edits []rows.Row, left int) {
@@ -138,7 +126,7 @@
 		return nil, len(engines)
 	}
 	room := t.room(len(engines))
-	for id, engine := range engines {
+	for id, centre := range engines {
 		o, ok := t.own[id]
 		holder, live := t.hosts[o.IP]
 		if ok && live && !holder.Ended && holder.Epoch == o.Epoch {
@@ -151,7 +139,7 @@
 			t.fresh[id] = now
 		}
 		left++
-		if len(edits) >= most || t.first(id, engine.Centre) != t.IP && now-since < 2*firstEvery {
+		if len(edits) >= most || t.first(id, centre) != t.IP && now-since < 2*firstEvery {
 			continue
 		}
 		if len(edits) >= room && now-since < evenFor {
@@ -163,34 +151,6 @@
 	return edits, left
 }
 
-// growing reports whether this host has just learned of more engines and none has a host yet.
-func (t *Tenure) growing(now time.Duration, engines int) bool {
-	if len(t.own) > 0 {
-		return false
-	}
-	if engines > t.known {
-		t.known, t.knownAt = engines, now
-	}
-	return now-t.knownAt < settleFor
-}
-
-// room returns how many more engines this host may take before others: up to twice the mean. The weight store's full speed is
-// shared by hosts, not by engines; a host with a third of all engines would load to one after the other while others idle.
-func (t *Tenure) room(engines int) int {
-	active, mine := 0, 0
-	for _, h := range t.hosts {
-		if !h.Ended && !h.Passive {
-			active++
-		}
-	}
-	for _, o := range t.own {
-		if o.IP == t.IP && o.Epoch == t.epoch {
-			mine++
-		}
-	}
-	return max(0, 2*engines/max(1, active)+1-mine)
-}
-
 // young reports whether the whole site seems to start, this host with it, and who should give orders cannot be told yet. Each host
 // would take itself for one of the first, and begin a session that it ends a second later: some calls a host, all at once.
 func (t *Tenure) young() bool {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -26,7 +25,6 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
-	"damaskreach/internal/target"
 )
 
 const (
@@ -64,10 +62,10 @@
 	Peers   string
 	Callers string
 	Centre  string
-	Power   float64                         // cores that this process may use
-	Turn    func() time.Duration            // that orders of two hosts must lie apart
-	Clock   func() time.Duration            // goes on through suspensions
-	Engines func() map[string]target.Target // that need a host
+	Power   float64                  // cores that this process may use
+	Turn    func() time.Duration     // that orders of two hosts must lie apart
+	Clock   func() time.Duration     // goes on through suspensions
+	Engines func() map[string]string // data centre of each engine that needs a host, by id
 	// Live reports whether another host answered a moment ago.
 	Live func(ip string) bool
 	// Measured returns what this host has measured of engines, for those that start later.
@@ -224,131 +222,3 @@
 	defer t.mu.Unlock()
 	return t.at > 0
 }
-
-// renew writes this host's row and returns when to do so next.
-func (t *Tenure) renew(ctx context.Context) time.Duration {
-	ctx, cancel := context.WithTimeout(ctx, callFor)
-	defer cancel()
-	t.mu.Lock()
-	known := t.hosts[t.IP]
-	passive := t.young() || !t.holder()
-	t.mu.Unlock()
-	if passive && known.Passive && !known.Ended && known.Start == t.start {
-		// Once it knows of more engines, or fewer hosts, it may be one of those that give orders.
-		return firstEvery
-	}
-	sent := t.Clock()
-	s := session{
-		IP: t.IP, Peers: t.Peers, Callers: t.Callers, Centre: t.Centre, Power: t.Power, Start: t.start, Epoch: known.Epoch,
-		Passive: passive, Rates: t.Measured(),
-	}
-	if known.Ended || known.rev == 0 {
-		s.Epoch++
-	}
-	edits := append([]rows.Row{{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev}}, t.Beside()...)
-	rev, err := t.Table.Write(ctx, edits...)
-	if err != nil {
-		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
-		t.renewFailed(ctx, err)
-		return firstEvery
-	}
-	t.Stats.Add(stats.Renewals, 1, "outcome", "ok")
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if known.Ended || !t.renewed && !passive {
-		// Engines may have been taken over meanwhile. What is believed of them is as of a reading before this renewal.
-		t.unsure = true
-		t.Log.Info("session begun", zap.String("host", t.IP), zap.String("start", t.start), zap.Int64("revision", rev))
-	}
-	if known.session != s.withRates(known.Rates) {
-		t.untold = true
-		t.mark = max(t.mark, rev)
-	}
-	t.renewed = !passive
-	t.epoch = s.Epoch
-	t.sent = sent
-	t.hosts[t.IP] = seen{session: s, rev: rev, since: sent}
-	if t.unsure || passive {
-		return firstEvery
-	}
-	return renewEvery
-}
-
-// renewFailed finds out how the row stands where the failure leaves that open. An answer that was lost may belong to a
-// renewal that took effect; its revision is not known then, and the next renewal would fail against it.
-func (t *Tenure) renewFailed(ctx context.Context, cause error) {
-	t.Log.Info("session not renewed", zap.String("host", t.IP), zap.Duration("left", t.Left()), zap.Error(cause))
-	if errors.Is(cause, table.ErrDown) {
-		return
-	}
-	row, err := t.Table.Read(ctx, hostPrefix+t.IP)
-	if errors.Is(err, table.ErrAbsent) {
-		row, err = rows.Row{Key: hostPrefix + t.IP, Gone: true}, nil
-	}
-	if err != nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.takeHost(t.IP, row, t.Clock())
-	if t.hosts[t.IP].Start != t.start {
-		t.renewed = false
-	}
-}
-
-// Left returns how much of the lease is left; it is negative once it has ended.
-func (t *Tenure) Left() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.left()
-}
-
-func (t *Tenure) left() time.Duration {
-	if !t.renewed {
-		return -Lease
-	}
-	return t.sent + Lease - t.Clock()
-}
-
-// Fence returns the fencing token by which this host may give an engine an order now; false means that it may not.
-func (t *Tenure) Fence(id string) (int64, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	o, ok := t.own[id]
-	if !ok || t.unsure || o.IP != t.IP || o.Epoch != t.epoch || t.left() < orderSlack {
-		return 0, false
-	}
-	return o.Fence, true
-}
-
-// Held returns the token by which this host holds something now, and since when it has it: where it had it before this process began, since
-// then, as its predecessor was dead by that time.
-func (t *Tenure) Held(id string) (fence int64, since time.Duration, ok bool) {
-	fence, ok = t.Fence(id)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return fence, t.own[id].since, ok
-}
-
-// Owner returns the IP of the host that gives an engine its orders, or an empty text where none is known.
-func (t *Tenure) Owner(id string) string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.own[id].IP
-}
-
-// Mine returns the engines whose orders this host gives.
-func (t *Tenure) Mine() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.unsure || t.left() < orderSlack {
-		return nil
-	}
-	var ids []string
-	for id, o := range t.own {
-		if o.IP == t.IP && o.Epoch == t.epoch {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -15,7 +15,6 @@
 	"damaskreach/internal/rows"
 	"damaskreach/internal/stand/rowdb"
 	"damaskreach/internal/table"
-	"damaskreach/internal/target"
 	"damaskreach/internal/tenure"
 )
 
@@ -37,7 +36,7 @@
 	t        *testing.T
 	db       *rowdb.DB
 	begun    time.Time
-	engines  map[string]target.Target
+	engines  map[string]string
 	unknown  time.Duration // how long after the start hosts learn of the engines
 	measured rates.Rates   // by each host
 	deaf     atomic.Bool   // no host hears another one
@@ -56,15 +55,15 @@
 }
 
 func newSite(t *testing.T, engines ...string) *site {
-	s := &site{t: t, db: rowdb.NewDB(), begun: time.Now(), engines: map[string]target.Target{}}
+	s := &site{t: t, db: rowdb.NewDB(), begun: time.Now(), engines: map[string]string{}}
 	for _, id := range engines {
-		s.engines[id] = target.Target{ID: id, Centre: "dc"}
+		s.engines[id] = "dc"
 	}
 	return s
 }
 
 // known returns the engines that hosts know of now.
-func (s *site) known() map[string]target.Target {
+func (s *site) known() map[string]string {
 	if time.Since(s.begun) < s.unknown {
 		return nil
 	}
