Give no fence out again that the store has lost

Cause: what the store had acknowledged was taken to stay. Whoever read the older row claimed with its fence and one, a number that another host had had; and a renewal that demands a revision of before conflicts until the store's versions pass it. Fences and epochs are made from the revision that a change replaces, the era in the high bits; claims and sessions of an earlier era are void; who held an engine goes on with it until its lease ends and claims it anew, all others wait for the leases of before. All of that is one rule: none of it keeps two hosts apart alone.

Tests: go test -p 1 -count=1 ./internal/tenure passes. The check of fences in tenure_test.go moves into a function and asks as much.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -32,7 +32,7 @@
 
 // endLapsed ends the sessions of hosts that have not renewed them for so long that they cannot act on them any more.
 func (t *Tenure) endLapsed(ctx context.Context) {
-	wait := Lease + t.Turn() + margin
+	wait := t.wait()
 	t.mu.Lock()
 	now := t.Clock()
 	var lapsed []seen
@@ -47,7 +47,7 @@
 	t.mu.Unlock()
 	for _, h := range lapsed {
 		s := h.session
-		s.Ended = true
+		s.Ended, s.Epoch = true, t.next(h.rev)
 		t.write(ctx, "session of a lapsed host ended", s.IP, rows.Row{Key: hostPrefix + s.IP, Value: encode(s), Rev: h.rev})
 	}
 }
@@ -80,6 +80,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock()
+	if era, _ := rows.Era(rev); era != t.era {
+		t.enter(era, now)
+		return false
+	}
 	for _, row := range edits {
 		row.Rev = rev
 		t.take(row, now)
@@ -118,34 +122,41 @@
 	engines := t.Engines()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.renewed || t.unsure || t.left() < orderSlack || t.at == 0 {
+	now := t.Clock()
+	t.opensAt = now + readEvery
+	if !t.renewed || t.unsure || t.left() < orderSlack || t.outdated() {
 		return nil, 0
 	}
-	now := t.Clock()
 	if t.growing(now, len(engines)) {
 		return nil, len(engines)
 	}
 	room := t.room(len(engines))
 	for id, centre := range engines {
-		o, ok := t.own[id]
-		holder, live := t.hosts[o.IP]
-		if ok && live && !holder.Ended && holder.Epoch == o.Epoch {
+		o := t.own[id]
+		if t.lasts(o) {
+			delete(t.fresh, id)
+			continue
+		}
+		in, mine := t.opens(id, now)
+		if in > 0 {
 			delete(t.fresh, id)
+			t.opensAt = min(t.opensAt, now+in)
 			continue
 		}
+		left++
 		since, waiting := t.fresh[id]
 		if !waiting {
 			since = now
 			t.fresh[id] = now
 		}
-		left++
-		if len(edits) >= most || t.first(id, centre) != t.IP && now-since < 2*firstEvery {
+		if len(edits) >= most || !mine && now-since < 2*firstEvery && t.first(id, centre) != t.IP {
 			continue
 		}
-		if len(edits) >= room && now-since < evenFor {
+		if !mine && len(edits) >= room && now-since < evenFor {
 			continue
 		}
-		next := ownership{IP: t.IP, Epoch: t.epoch, Fence: o.Fence + 1}
+		next := ownership{IP: t.IP, Epoch: t.epoch, Fence: t.next(o.rev)}
+		t.Log.Info("engine to be claimed", zap.String("target", id), zap.Int64("fence", next.Fence), zap.String("before", o.IP), zap.Int64("revision", o.rev))
 		edits = append(edits, rows.Row{Key: ownPrefix + id, Value: encode(next), Rev: o.rev})
 	}
 	return edits, left
@@ -160,11 +171,14 @@
 // holder reports whether this host should give orders: it does already, or it is one of as many hosts as the engines need.
 // Each host that may give orders renews its session; with a hundred hosts those renewals would be most calls to the store.
 func (t *Tenure) holder() bool {
-	for _, o := range t.own {
-		if o.IP == t.IP && o.Epoch == t.epoch && t.epoch > 0 {
+	if t.epoch > 0 {
+		for range t.claimed() {
 			return true
 		}
 	}
+	if t.keptLeft() > 0 {
+		return true
+	}
 	now := t.Clock()
 	mine, before := rank(t.IP), 0
 	for ip, h := range t.hosts {
--- a/internal/tenure/held.go
+++ b/internal/tenure/held.go
@@ -1,31 +1,44 @@
 package tenure
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Fence returns the fencing token by which this host may give an engine an order now; false means that it may not.
 func (t *Tenure) Fence(id string) (int64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	fence, _, ok := t.held(id)
+	return fence, ok
+}
+
+func (t *Tenure) held(id string) (fence int64, since time.Duration, ok bool) {
+	if k, ok := t.still(id, t.Clock()); ok {
+		return k.fence, k.since, true
+	}
 	o, ok := t.own[id]
 	if !ok || t.unsure || o.IP != t.IP || o.Epoch != t.epoch || t.left() < orderSlack {
-		return 0, false
+		return 0, 0, false
 	}
-	return o.Fence, true
+	return o.Fence, o.since, true
 }
 
 // Held returns the token by which this host holds something now, and since when it has it: where it had it before this process began, since
 // then, as its predecessor was dead by that time.
 func (t *Tenure) Held(id string) (fence int64, since time.Duration, ok bool) {
-	fence, ok = t.Fence(id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fence, t.own[id].since, ok
+	return t.held(id)
 }
 
 // Owner returns the IP of the host that gives an engine its orders, or an empty text where none is known.
 func (t *Tenure) Owner(id string) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, ok := t.still(id, t.Clock()); ok {
+		return t.IP
+	}
 	return t.own[id].IP
 }
 
@@ -33,14 +46,28 @@
 func (t *Tenure) Mine() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.unsure || t.left() < orderSlack {
-		return nil
-	}
 	var ids []string
-	for id, o := range t.own {
-		if o.IP == t.IP && o.Epoch == t.epoch {
+	for id := range t.kept {
+		if _, ok := t.still(id, t.Clock()); ok {
 			ids = append(ids, id)
 		}
 	}
+	if t.unsure || t.left() < orderSlack {
+		return ids
+	}
+	for id := range t.claimed() {
+		ids = append(ids, id)
+	}
 	return ids
 }
+
+// claimed returns the engines whose rows name this host in its session of now.
+func (t *Tenure) claimed() iter.Seq2[string, owned] {
+	return func(yield func(string, owned) bool) {
+		for id, o := range t.own {
+			if o.IP == t.IP && o.Epoch == t.epoch && !yield(id, o) {
+				return
+			}
+		}
+	}
+}
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -31,10 +31,15 @@
 			return t.Pause()
 		}
 	}
+	return t.claims(ctx, age)
+}
+
+// claims claims what is free and returns when to look next.
+func (t *Tenure) claims(ctx context.Context, age time.Duration) time.Duration {
 	if !t.claim(ctx, age) {
 		return firstEvery
 	}
-	return min(readEvery, firstEvery+age/2)
+	return max(firstEvery, min(readEvery, firstEvery+age/2, t.untilOpen()))
 }
 
 // resting reports whether there is nothing to read at present.
@@ -42,7 +47,7 @@
 	relaxed := t.Relaxed()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return relaxed && t.at > 0 && !t.unsure && t.heard <= t.at && t.Clock()-t.full < t.restMost()
+	return relaxed && !t.outdated() && !t.unsure && !t.doubt && t.heard <= t.at && t.Clock()-t.full < t.restMost()
 }
 
 // restMost is how long this host rests at most.
@@ -53,13 +58,16 @@
 // fetch reads what is new.
 func (t *Tenure) fetch(ctx context.Context) error {
 	t.mu.Lock()
-	after, unsure := t.at, t.unsure
+	after, unsure, direct, outdated := t.at, t.unsure, t.unsure || t.doubt, t.outdated()
 	t.mu.Unlock()
-	list, rev, after, err := t.news(ctx, after, unsure)
+	if outdated {
+		after = 0
+	}
+	list, rev, after, err := t.news(ctx, after, direct)
 	if err != nil {
 		return err
 	}
-	news := t.apply(list, rev)
+	news := t.apply(list, rev, after == 0)
 	if after == 0 {
 		after = feed.Whole
 	}
@@ -78,48 +86,64 @@
 func (t *Tenure) sure() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unsure = false
+	t.unsure = t.outdated()
 }
 
-// news returns the rows that changed after a revision, or all of them, after which revision, and up to which.
-func (t *Tenure) news(ctx context.Context, at int64, unsure bool) (list []rows.Row, rev, after int64, err error) {
+// news returns the rows that changed after a revision, or all of them, after which revision, and up to which; direct has the store itself asked.
+func (t *Tenure) news(ctx context.Context, at int64, direct bool) (list []rows.Row, rev, after int64, err error) {
 	if at == 0 {
 		return t.begin(ctx)
 	}
 	from := t.Table
-	if unsure {
+	if direct {
 		from = t.Store
 	}
 	list, rev, err = tail(ctx, from, at)
 	if errors.Is(err, table.ErrCompacted) {
 		// What others have not seen is told from where they are: what changed is found by what this host knew before.
 		list, rev, err = t.list(ctx)
+		if rows.CompareEras(rev, at) > 0 {
+			at = 0
+		}
 	}
 	return list, rev, at, err
 }
 
-// begin reads the rows for the first time: those of hosts from the store, by which this host finds the others, and where there are many more
-// all that another host knows. Hundreds of hosts that start at once would else have the store send its whole list to each.
+// begin reads all rows, for the first time or in a new era: those of hosts from the store, by which this host finds the others, and where there are
+// many more all that another host knows. Hundreds of hosts that begin at once would else have the store send its whole list to each.
 func (t *Tenure) begin(ctx context.Context) (list []rows.Row, rev, after int64, err error) {
 	begun := t.Clock()
-	list, rev, more, err := t.head(ctx)
+	first, start, more, err := t.head(ctx)
 	if err != nil || !more {
-		return list, rev, 0, err
+		return first, start, 0, err
 	}
-	t.apply(list, 0)
+	t.meet(first)
 	took := t.Clock() - begun
 	left := func() time.Duration { return t.Patience() - took }
 	ask := func() (ok bool) {
 		list, rev, ok = t.Others(ctx, Prefix)
-		return ok
+		return ok && rows.CompareEras(rev, start) == 0
 	}
 	if turns.Try(ctx, othersEvery, left, ask) {
-		return list, rev, 0, nil
+		return append(first, list...), rev, 0, nil
 	}
 	list, rev, err = t.list(ctx)
 	return list, rev, 0, err
 }
 
+// meet takes the first rows of a process that knows none yet.
+func (t *Tenure) meet(first []rows.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.at > 0 {
+		return
+	}
+	now := t.Clock()
+	for _, row := range first {
+		t.take(row, now)
+	}
+}
+
 // head returns the first rows, and the secret of the hosts, which comes last in the store's order.
 func (t *Tenure) head(ctx context.Context) (list []rows.Row, rev int64, more bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
@@ -163,11 +187,14 @@
 	return t.Table.List(ctx, Prefix)
 }
 
-// apply takes rows read up to a revision, and returns those that matter to others.
-func (t *Tenure) apply(list []rows.Row, rev int64) (news []rows.Row) {
+// apply takes rows read up to a revision, all that there are or those that changed, and returns those that matter to others.
+func (t *Tenure) apply(list []rows.Row, rev int64, whole bool) (news []rows.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock()
+	if whole {
+		t.replace(rev, now)
+	}
 	for _, row := range list {
 		if t.take(row, now) {
 			news = append(news, row)
@@ -175,16 +202,22 @@
 			t.untold = t.untold && row.Key != hostPrefix+t.IP
 		}
 	}
+	if t.at == 0 {
+		t.calm = t.began()
+	}
 	t.at = max(t.at, rev)
-	t.full = now
+	t.full, t.doubt = now, false
 	return news
 }
 
 // take reports whether others should know of a row: not of renewals that change nothing else.
 func (t *Tenure) take(row rows.Row, now time.Duration) bool {
+	if t.compareEra(row.Rev) < 0 {
+		return false
+	}
 	switch {
 	case row.Key == keyRow && !row.Gone:
-		t.secret = row.Value
+		t.secret, t.keyed = row.Value, true
 		return true
 	case strings.HasPrefix(row.Key, hostPrefix):
 		return t.takeHost(strings.TrimPrefix(row.Key, hostPrefix), row, now)
@@ -236,6 +269,6 @@
 	if t.at == 0 {
 		since = t.begun
 	}
-	t.own[id] = owned{ownership: o, rev: row.Rev, since: since}
+	t.own[id] = owned{ownership: o, rev: row.Rev, seen: now, since: since}
 	return true
 }
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -25,9 +25,10 @@
 	Centre  string  `msgpack:"centre"`
 	Power   float64 `msgpack:"power"`   // cores that it may use
 	Start   string  `msgpack:"start"`   // tells one start of the program from another
-	Epoch   int64   `msgpack:"epoch"`   // counts the sessions that ended; an engine's row names the one it belongs to
+	Epoch   int64   `msgpack:"epoch"`   // tells one session from the next, and rises; an engine's row names the one it belongs to
 	Passive bool    `msgpack:"passive"` // it gives no orders and does not renew the row
 	Ended   bool    `msgpack:"ended"`   // others have seen it lapse; it holds nothing any more
+	Calm    bool    `msgpack:"calm"`    // no lease of an earlier era of the store was left when it was written
 	// Rates is what the host has measured, for those that start later.
 	Rates rates.Rates `msgpack:"rates"`
 }
--- a/internal/tenure/secret.go
+++ b/internal/tenure/secret.go
@@ -2,19 +2,27 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"crypto/rand"
 
 	"damaskreach/internal/rows"
 )
 
-// makeSecret makes the secret of the hosts where there is none.
+// secretSize is the length of the secret in bytes.
+const secretSize = 32
+
+// makeSecret makes the secret of the hosts where there is none, or writes the one that this host knows where the store has lost it.
 func (t *Tenure) makeSecret(ctx context.Context) {
-	if t.Secret() != nil {
+	t.mu.Lock()
+	secret, keyed, outdated := t.secret, t.keyed, t.at > 0 && t.outdated()
+	t.mu.Unlock()
+	if keyed || outdated {
 		return
 	}
-	fresh := make([]byte, 32)
-	for i := range fresh {
-		fresh[i] = byte(rand.Uint32())
+	if secret == nil {
+		secret = make([]byte, secretSize)
+		rand.Read(secret) // ends the program rather than return an error
+	}
+	if !t.write(ctx, "secret of the hosts made", "", rows.Row{Key: keyRow, Value: secret}) {
+		t.reread()
 	}
-	t.write(ctx, "secret of the hosts made", "", rows.Row{Key: keyRow, Value: fresh})
 }
--- a/internal/tenure/share.go
+++ b/internal/tenure/share.go
@@ -22,10 +22,8 @@
 			active++
 		}
 	}
-	for _, o := range t.own {
-		if o.IP == t.IP && o.Epoch == t.epoch {
-			mine++
-		}
+	for range t.claimed() {
+		mine++
 	}
 	return max(0, 2*engines/max(1, active)+1-mine)
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -95,15 +95,23 @@
 	epoch   int64         // of this host's session
 	sent    time.Duration // when the last renewal that succeeded was sent
 	renewed bool
-	at      int64 // revision up to which rows are read
-	untold  bool  // others have not heard of this host's session as it is now
-	unsure  bool  // engines may have been taken over since: the store must be read before any of them is given an order
+	era     int64           // of the store, the latest that was seen
+	entered time.Duration   // when it was first seen
+	calm    bool            // no lease of an earlier era is left
+	kept    map[string]kept // engines that this host goes on with from an earlier era
+	starts  bool            // its session has just begun, and it may claim engines
+	doubt   bool            // the store must be read before this host's own row, or one of its claims, is believed
+	opensAt time.Duration   // when the first of the engines that wait may be claimed, a reading ahead at most
+	at      int64           // revision up to which rows are read
+	untold  bool            // others have not heard of this host's session as it is now
+	unsure  bool            // engines may have been taken over since: the store must be read before any of them is given an order
 	hosts   map[string]seen
 	own     map[string]owned
 	mark    int64         // revision of the newest change that matters to others
 	heard   int64         // revision up to which another host has read, where that is more than at
 	full    time.Duration // when the rows were last read from the store or from another host
 	secret  []byte
+	keyed   bool                     // the store has it
 	fresh   map[string]time.Duration // engines without a host, since when
 	silent  map[string]time.Duration // hosts that do not renew their rows and are not heard, since when
 	known   int                      // most engines that it has known of while none had a host
@@ -119,6 +127,7 @@
 type owned struct {
 	ownership
 	rev   int64
+	seen  time.Duration // when this revision was first seen
 	since time.Duration // when this host got it, where it is this host's
 }
 
@@ -129,6 +138,7 @@
 	t.start = strconv.FormatUint(rand.Uint64(), 36)
 	t.hosts = map[string]seen{}
 	t.own = map[string]owned{}
+	t.kept = map[string]kept{}
 	t.fresh = map[string]time.Duration{}
 	t.silent = map[string]time.Duration{}
 	t.mu.Unlock()
@@ -146,6 +156,8 @@
 			renewAt = now + t.renew(ctx)
 			if t.doubts() {
 				readAt = 0
+			} else if t.started() {
+				readAt = now + t.claims(ctx, now-begun)
 			}
 		}
 		if t.pause(ctx, min(readAt, max(renewAt, now+time.Millisecond))-t.Clock()) {
@@ -158,7 +170,7 @@
 func (t *Tenure) doubts() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.unsure
+	return t.unsure || t.doubt || t.outdated()
 }
 
 // pause waits; it reports true where another host has read something newer.
@@ -216,9 +228,9 @@
 	return t.mark
 }
 
-// seeded reports whether the rows were read once: before that this host does not know the revision of its own row.
+// seeded reports whether the rows of this era were read once: before that this host does not know the revision of its own row.
 func (t *Tenure) seeded() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.at > 0
+	return !t.outdated()
 }
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,7 @@
 	mu     sync.Mutex
 	cut    bool
 	lossy  bool // every second answer to a write is lost
+	late   bool // writes reach the store seconds after their callers have given up
 	writes int
 	frozen chan struct{} // closed when the host goes on
 	cancel context.CancelFunc
@@ -36,6 +38,7 @@
 	t        *testing.T
 	db       *rowdb.DB
 	begun    time.Time
+	adding   sync.Mutex // for engines that register while hosts run
 	engines  map[string]string
 	unknown  time.Duration // how long after the start hosts learn of the engines
 	measured rates.Rates   // by each host
@@ -67,7 +70,9 @@
 	if time.Since(s.begun) < s.unknown {
 		return nil
 	}
-	return s.engines
+	s.adding.Lock()
+	defer s.adding.Unlock()
+	return maps.Clone(s.engines)
 }
 
 // start starts the program on a host.
@@ -80,7 +85,7 @@
 	h := &host{}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	h.cancel = cancel
-	way := h.through(s.db.TableFor(ip))
+	way := h.through(s.wire(h, ip))
 	h.Tenure = &tenure.Tenure{
 		Table: way, Store: way, Others: s.others, Patience: func() time.Duration { return s.patience }, IP: ip, Peers: ip + ":1", Callers: ip + ":2", Centre: "dc",
 		Turn: func() time.Duration { return turn }, Clock: func() time.Duration { return time.Since(s.begun) },
@@ -154,32 +159,40 @@
 	h.cut = cut
 }
 
+// order is the last moment at which a host could give an engine an order.
+type order struct {
+	ip    string
+	fence int64
+	at    time.Time
+}
+
 // watch records for each engine which host may give it orders, every 50 ms, and fails where two hosts may within a turn.
 func (s *site) watch(d time.Duration, hosts ...*host) {
 	s.t.Helper()
-	type last struct {
-		ip    string
-		fence int64
-		at    time.Time
-	}
-	seen := map[string]last{}
+	seen := map[string]order{}
 	for range int(d / (50 * time.Millisecond)) {
 		time.Sleep(50 * time.Millisecond)
-		for _, h := range hosts {
-			for id := range s.engines {
-				fence, ok := h.Fence(id)
-				if !ok {
-					continue
-				}
-				before := seen[id]
-				if before.ip != "" && before.ip != h.IP && time.Since(before.at) < turn {
-					s.t.Errorf("%s orders %s %v after %s, want at least %v", h.IP, id, time.Since(before.at), before.ip, turn)
-				}
-				if fence < before.fence || fence == before.fence && before.ip != h.IP {
-					s.t.Errorf("%s orders %s with fence %d after %s with %d", h.IP, id, fence, before.ip, before.fence)
-				}
-				seen[id] = last{h.IP, fence, time.Now()}
+		s.look(seen, hosts...)
+	}
+}
+
+// look records for each engine which host may give it orders now, and fails where another one could within a turn, or with as high a fence.
+func (s *site) look(seen map[string]order, hosts ...*host) {
+	s.t.Helper()
+	for _, h := range hosts {
+		for id := range s.engines {
+			fence, ok := h.Fence(id)
+			if !ok {
+				continue
+			}
+			before := seen[id]
+			if before.ip != "" && before.ip != h.IP && time.Since(before.at) < turn {
+				s.t.Errorf("%s orders %s %v after %s, want at least %v", h.IP, id, time.Since(before.at), before.ip, turn)
+			}
+			if fence < before.fence || fence == before.fence && before.ip != h.IP {
+				s.t.Errorf("%s orders %s with fence %d after %s with %d", h.IP, id, fence, before.ip, before.fence)
 			}
+			seen[id] = order{h.IP, fence, time.Now()}
 		}
 	}
 }
