Keep a host from going back to the fence of before

A host that goes on with an engine from an earlier era, and had claimed it anew, went back to the lower fence of before where a late write voided that claim, while its next claim was under way.

Cause: what a host keeps bore the fence that it was kept with. It bears that of the new claim from when that was made.

Conclusion: no host follows its own fence by a lower one.

--- a/internal/tenure/era.go
+++ b/internal/tenure/era.go
@@ -55,6 +55,21 @@
 	return k, true
 }
 
+// raise has a claim that this host goes on with from an earlier era bear the fence of its claim in this one, by which it gives orders from now on. A late
+// write may put a claim of the earlier era over that, and a lower fence must not follow.
+func (t *Tenure) raise(id string, o owned) {
+	k, ok := t.kept[id]
+	if !ok || !t.valid(o) {
+		return
+	}
+	if o.IP != t.IP {
+		delete(t.kept, id)
+		return
+	}
+	k.fence, k.since = o.Fence, o.since
+	t.kept[id] = k
+}
+
 // keptLeft returns how much is left of the longest lease under which this host goes on with claims of an earlier era.
 func (t *Tenure) keptLeft() time.Duration {
 	now, left := t.Clock(), -Lease
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -270,5 +270,6 @@
 		since = t.begun
 	}
 	t.own[id] = owned{ownership: o, rev: row.Rev, seen: now, since: since}
+	t.raise(id, t.own[id])
 	return true
 }
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -28,6 +28,7 @@
 	cut    bool
 	lossy  bool // every second answer to a write is lost
 	late   bool // writes reach the store seconds after their callers have given up
+	blind  bool // readings get no answer
 	writes int
 	frozen chan struct{} // closed when the host goes on
 	cancel context.CancelFunc
@@ -113,21 +114,28 @@
 		}
 		return nil
 	}
+	look := func(ctx context.Context) error {
+		if h.isBlind() {
+			<-ctx.Done()
+			return table.ErrLost
+		}
+		return gate(ctx)
+	}
 	return table.Table{
 		Read: func(ctx context.Context, key string) (rows.Row, error) {
-			if err := gate(ctx); err != nil {
+			if err := look(ctx); err != nil {
 				return rows.Row{}, err
 			}
 			return t.Read(ctx, key)
 		},
 		List: func(ctx context.Context, prefix string) ([]rows.Row, int64, error) {
-			if err := gate(ctx); err != nil {
+			if err := look(ctx); err != nil {
 				return nil, 0, err
 			}
 			return t.List(ctx, prefix)
 		},
 		First: func(ctx context.Context, prefix string, limit int) ([]rows.Row, int64, bool, error) {
-			if err := gate(ctx); err != nil {
+			if err := look(ctx); err != nil {
 				return nil, 0, false, err
 			}
 			return t.First(ctx, prefix, limit)
@@ -145,7 +153,7 @@
 			return rev, err
 		},
 		Tail: func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
-			if err := gate(ctx); err != nil {
+			if err := look(ctx); err != nil {
 				return nil, 0, err
 			}
 			return t.Tail(ctx, prefix, after)
