Renew no lease over a claim that was replaced

A host that had not yet read that a write of an earlier era had replaced its claim renewed its lease until it did, longer than the others waited: two hosts could order one engine.

Cause: others wait out a lease from when they see the void row, which a host that has not seen it must not renew.

Conclusion: a renewal says that the host holds what it believes to hold, for up to 100 rows.

--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -293,8 +293,10 @@
 	}
 	s.rev++
 	for _, e := range edits {
-		e.Rev = s.rev
-		s.set(e)
+		if !e.Same {
+			e.Rev = s.rev
+			s.set(e)
+		}
 	}
 	return s.rev, nil
 }
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -14,6 +14,7 @@
 	Value []byte `json:"value,omitempty" msgpack:"value,omitempty"`
 	Rev   int64  `json:"rev" msgpack:"rev"`
 	Gone  bool   `json:"gone,omitempty" msgpack:"gone,omitempty"` // deleted at Rev, or to be deleted
+	Same  bool   `json:"-" msgpack:"-"`                           // in an edit: the row must be at Rev, and is not written
 }
 
 // WithValue returns a copy that carries value.
--- a/internal/stand/rowdb/db_test.go
+++ b/internal/stand/rowdb/db_test.go
@@ -82,6 +82,23 @@
 	}
 }
 
+// A host's write holds as long as another row is what the host believes. That row must not change by it.
+func TestEditThatStaysTheSameIsOnlyExpected(t *testing.T) {
+	tab := rowdb.NewDB().Table()
+	mustWrite(t, tab, row("a/1", "x", 0), row("a/2", "x", 0))
+	if rev := mustWrite(t, tab, row("a/1", "y", 1), rows.Row{Key: "a/2", Rev: 1, Same: true}); rev != 2 {
+		t.Errorf("revision = %d, want 2", rev)
+	}
+	_, err := tab.Write(t.Context(), row("a/1", "z", 2), rows.Row{Key: "a/2", Rev: 2, Same: true})
+	if !errors.Is(err, table.ErrConflict) || !slices.Equal(table.Conflicts(err), []string{"a/2"}) {
+		t.Errorf("Write = %v naming %q, want %v naming [a/2]", err, table.Conflicts(err), table.ErrConflict)
+	}
+	found, _, err := tab.List(t.Context(), "a/")
+	if got, want := show(found), "a/1=y@2 a/2=x@1"; got != want || err != nil {
+		t.Errorf("List = %q, %v, want %q, nil", got, err, want)
+	}
+}
+
 func TestInvalidWritesAreRejected(t *testing.T) {
 	tab := rowdb.NewDB().Table()
 	for name, edits := range map[string][]rows.Row{
--- a/internal/stand/rowdb/write.go
+++ b/internal/stand/rowdb/write.go
@@ -17,7 +17,7 @@
 )
 
 // commit applies all edits or none and returns the new revision.
-// An edit that deletes at revision 0 only demands that the key does not exist.
+// An edit that deletes at revision 0 only demands that the key does not exist, and one that is to stay the Same that it has its revision.
 func (d *DB) commit(edits []rows.Row) (int64, error) {
 	if err := check(edits); err != nil {
 		return 0, err
@@ -28,7 +28,7 @@
 	if keys := d.conflicts(edits); len(keys) > 0 {
 		return 0, table.NewConflict(keys)
 	}
-	edits = slices.DeleteFunc(slices.Clone(edits), func(e rows.Row) bool { return e.Gone && e.Rev == 0 })
+	edits = slices.DeleteFunc(slices.Clone(edits), func(e rows.Row) bool { return e.Same || e.Gone && e.Rev == 0 })
 	if len(edits) == 0 {
 		return rows.At(d.era, d.rev), nil
 	}
--- a/internal/table/client.go
+++ b/internal/table/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 
 	"github.com/ansel1/merry/v2"
@@ -48,6 +49,9 @@
 }
 
 func (c *client) write(ctx context.Context, edits ...rows.Row) (int64, error) {
+	if slices.ContainsFunc(edits, func(e rows.Row) bool { return e.Same }) {
+		return 0, merry.Prependf(ErrInvalid, "writing %d rows: the service has no edit that only expects a revision", len(edits))
+	}
 	data, err := json.Marshal(edits)
 	if err != nil {
 		return 0, merry.Prependf(ErrInvalid, "encoding %d edits: %v", len(edits), err)
--- a/internal/table/client_test.go
+++ b/internal/table/client_test.go
@@ -115,6 +115,15 @@
 	})
 }
 
+// The service cannot expect a revision without a write. Sent all the same, the edit would empty the row.
+func TestEditThatStaysTheSameIsRejected(t *testing.T) {
+	run(t, nil, func(t *testing.T, s site) {
+		_, err := s.table.Write(t.Context(), rows.Row{Key: "a/1", Same: true})
+		wantError(t, "Write", err, table.ErrInvalid)
+		wantRev(t, s, 0)
+	})
+}
+
 // The service refuses calls. A caller is told that its write had no effect, and that is so.
 func TestServiceDown(t *testing.T) {
 	run(t, nil, func(t *testing.T, s site) {
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -21,6 +21,7 @@
 	passive := t.young() || !t.holder()
 	epoch, begins := t.epochFor(known)
 	now := t.Clock()
+	checks := t.checks(begins)
 	calm, early := t.settledEra(now), begins && t.epoch > 0 && !known.Ended && now-t.sent < t.wait()
 	t.mu.Unlock()
 	if early {
@@ -37,6 +38,7 @@
 		Passive: passive, Calm: calm, Rates: t.Measured(),
 	}
 	edits := append([]rows.Row{{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev}}, t.Beside()...)
+	edits = append(edits, checks[:min(len(checks), max(0, mostEntries-1-len(edits)))]...)
 	rev, err := t.Table.Write(ctx, edits...)
 	if err != nil {
 		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
@@ -72,6 +74,18 @@
 	return renewEvery
 }
 
+// checks returns what a renewal expects of the rows by which this host holds engines: a write of an earlier era may have replaced one. The others wait out
+// the lease from when they see that, so it must not be renewed by a host that has not.
+func (t *Tenure) checks(begins bool) (edits []rows.Row) {
+	if begins {
+		return nil
+	}
+	for id, o := range t.claimed() {
+		edits = append(edits, rows.Row{Key: ownPrefix + id, Rev: o.rev, Same: true})
+	}
+	return edits
+}
+
 // epochFor returns the epoch of the session that this host's next renewal names, and whether that begins it.
 func (t *Tenure) epochFor(known seen) (epoch int64, begins bool) {
 	if t.void(known) && t.epoch > 0 && t.left() > 0 {
--- a/internal/tenure/stale_test.go
+++ b/internal/tenure/stale_test.go
@@ -55,6 +55,20 @@
 	})
 }
 
+// A write of the era before is carried out over a host's claim, and the host does not read that: the store takes its writes and answers none of its
+// readings. The others wait out its lease from when they see the row. Were it renewed all the same, two hosts would give the engine orders.
+func TestLeaseIsNotRenewedOverAClaimThatWasReplaced(t *testing.T) {
+	tell(t, func(s *story) {
+		h := s.claimed("new")
+		s.voidClaim(h, "new")
+		h.setBlind(true)
+		s.pass(takeover + turn)
+		h.setBlind(false)
+		s.pass(takeover + turn)
+		s.wantHeld("in the end")
+	})
+}
+
 func (h *host) isBlind() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -53,6 +53,8 @@
 	orderSlack = 300 * time.Millisecond
 	// most is how many engines are claimed in one transaction.
 	most = 40
+	// mostEntries is how many expectations and changes the store takes in one transaction.
+	mostEntries = 100
 )
 
 // Tenure keeps this host's part. The exported fields are set before Run.
