Spread the making of the hosts' secret

Hosts that started together at an empty store each made the secret, and the store refused all writes but one: 59 of 60.

Cause: each made it as soon as it found none. Now each waits for a time of its own within 200 ms, and one that finds other hosts leaves it to them for longer.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -116,6 +116,16 @@
 	t.full = -t.restMost()
 }
 
+// soon returns when to look next while something is to be claimed, or there is no secret yet.
+func (t *Tenure) soon() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if in := t.makeAt - t.Clock(); t.secret == nil && in > 0 {
+		return min(in, secretWithin)
+	}
+	return firstEvery
+}
+
 // free returns the rows by which this host claims engines now, and how many engines have no host. The host that an engine
 // hashes to goes first; another one claims it only where it stayed without a host for two readings.
 func (t *Tenure) free() (edits []rows.Row, left int) {
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -37,7 +37,7 @@
 // claims claims what is free and returns when to look next.
 func (t *Tenure) claims(ctx context.Context, age time.Duration) time.Duration {
 	if !t.claim(ctx, age) {
-		return firstEvery
+		return t.soon()
 	}
 	return max(firstEvery, min(readEvery, firstEvery+age/2, t.untilOpen()))
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -114,6 +114,7 @@
 	full    time.Duration // when the rows were last read from the store or from another host
 	secret  []byte
 	keyed   bool                     // the store has it
+	makeAt  time.Duration            // when this host makes it where there is none
 	fresh   map[string]time.Duration // engines without a host, since when
 	silent  map[string]time.Duration // hosts that do not renew their rows and are not heard, since when
 	known   int                      // most engines that it has known of while none had a host
