Leave the engine of a full host to one other host

Where an engine hashes to a host that has its share already, every other host claimed it at the same moment, and the store refused all claims but one, with whatever stood beside them in a batch.

Cause: past the one that an engine hashes to, all hosts were alike. A host that has its share now leaves the engine to the next one in the order.

Test: tenure TestEngineOfAFullHostIsClaimedByOne (go test -p 1 -count=1 ./internal/tenure), which passes with the change.

Conclusion: an engine is claimed by one host at a time in that test.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -126,8 +127,8 @@
 	return firstEvery
 }
 
-// free returns the rows by which this host claims engines now, and how many engines have no host. The host that an engine
-// hashes to goes first; another one claims it only where it stayed without a host for two readings.
+// free returns the rows by which this host claims engines now, and how many engines have no host. The first host that an engine hashes to, of those
+// with less than their share, goes first; another one claims it only where it stayed without a host for two readings.
 func (t *Tenure) free() (edits []rows.Row, left int) {
 	engines := t.Engines()
 	t.mu.Lock()
@@ -140,7 +141,9 @@
 	if t.growing(now, len(engines)) {
 		return nil, len(engines)
 	}
-	room := t.room(len(engines))
+	share := t.share(len(engines))
+	held := sync.OnceValue(t.holdings) // mostly no engine is without a host
+	full := func(ip string) bool { return held()[ip] >= share }
 	for id, centre := range engines {
 		o := t.own[id]
 		if t.lasts(o) {
@@ -159,10 +162,10 @@
 			since = now
 			t.fresh[id] = now
 		}
-		if len(edits) >= most || !mine && now-since < 2*firstEvery && t.first(id, centre) != t.IP {
+		if len(edits) >= most || !mine && now-since < 2*firstEvery && !t.isFirst(id, centre, full) {
 			continue
 		}
-		if !mine && len(edits) >= room && now-since < evenFor {
+		if !mine && len(edits) >= share-held()[t.IP] && now-since < evenFor {
 			continue
 		}
 		next := ownership{IP: t.IP, Epoch: t.epoch, Fence: t.next(o.rev)}
@@ -209,20 +212,26 @@
 	return mix(sum.Sum64())
 }
 
-// first returns the live host that an engine hashes to, those in its own data centre before others: an order and a
-// report that stay there cost no bytes between data centres.
-func (t *Tenure) first(id, centre string) string {
-	best, highest, near := "", uint64(0), false
+// isFirst reports whether this host is the live one that an engine hashes to, those in the engine's own data centre before others: an order
+// and a report that stay there cost no bytes between data centres. A host that has its share leaves the engine to the next one; were it left to
+// all others alike, they would claim it at the same moment and all but one in vain. Mostly one of the first hosts that it looks at comes before
+// it.
+func (t *Tenure) isFirst(id, centre string, full func(ip string) bool) bool {
+	self, ok := t.hosts[t.IP]
+	if !ok || self.Ended || self.Passive {
+		return false
+	}
+	mine, near := rank(t.IP+"/"+id), self.Centre == centre
 	for ip, h := range t.hosts {
-		if h.Ended || h.Passive {
+		if ip == t.IP || h.Ended || h.Passive || full(ip) {
 			continue
 		}
-		place, here := rank(ip+"/"+id), h.Centre == centre
-		if best == "" || here && !near || here == near && place > highest {
-			best, highest, near = ip, place, here
+		here := h.Centre == centre
+		if here && !near || here == near && rank(ip+"/"+id) > mine {
+			return false
 		}
 	}
-	return best
+	return true
 }
 
 // mix spreads the low bits of a hash, which FNV leaves alike for alike texts.
--- a/internal/tenure/share.go
+++ b/internal/tenure/share.go
@@ -13,17 +13,25 @@
 	return now-t.knownAt < settleFor
 }
 
-// room returns how many more engines this host may take before others: up to twice the mean. The weight store's full speed is
+// share returns how many engines a host takes before others do: up to twice the mean. The weight store's full speed is
 // shared by hosts, not by engines; a host with a third of all engines would load to one after the other while others idle.
-func (t *Tenure) room(engines int) int {
-	active, mine := 0, 0
+func (t *Tenure) share(engines int) int {
+	active := 0
 	for _, h := range t.hosts {
 		if !h.Ended && !h.Passive {
 			active++
 		}
 	}
-	for range t.claimed() {
-		mine++
+	return 2*engines/max(1, active) + 1
+}
+
+// holdings returns how many engines each host holds.
+func (t *Tenure) holdings() map[string]int {
+	held := map[string]int{}
+	for _, o := range t.own {
+		if t.lasts(o) {
+			held[o.IP]++
+		}
 	}
-	return max(0, 2*engines/max(1, active)+1-mine)
+	return held
 }
--- a/internal/tenure/vain_test.go
+++ b/internal/tenure/vain_test.go
@@ -34,6 +34,28 @@
 	}
 }
 
+// An engine hashes to a host that has its share already. Every other host would claim the engine at the same moment, and the store would refuse all but
+// one: on a site of hundreds of engines, whole batches of claims fail for one engine that another host was faster to take.
+func TestEngineOfAFullHostIsClaimedByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+		var hosts []*host
+		var refused atomic.Int64
+		for i := range 60 {
+			hosts = append(hosts, s.started(fmt.Sprintf("10.0.0.%d", i), counted(tenure.Prefix+"own:", &refused)))
+		}
+		time.Sleep(5 * time.Second)
+		if got, want := refused.Load(), int64(0); got != want {
+			t.Errorf("claims that the store refused = %d, want %d", got, want)
+		}
+		for id := range s.engines {
+			if s.giver(hosts, id) == "" {
+				t.Errorf("engine %s has no host", id)
+			}
+		}
+	})
+}
+
 // All hosts start at an empty store, as a new site does. Each finds no secret and would make one at the same moment; the store would refuse all but one,
 // hundreds of writes on a large site.
 func TestHostsThatStartTogetherMakeOneSecret(t *testing.T) {
