Know a host's own engines without looking at all

A host looked at all engines of the site to find its own, several times a second; on a site of thousands of engines most of that is for others' engines.

Now it keeps the ids of those whose rows name it, in whichever session.

Test: go test -p 1 -count=1 ./internal/tenure, passed.

Conclusion: the cost of asking what a host holds goes with what it holds.

--- a/internal/tenure/era.go
+++ b/internal/tenure/era.go
@@ -164,7 +164,7 @@
 	if t.compareEra(t.at) == 0 {
 		return
 	}
-	t.hosts, t.own = map[string]seen{}, map[string]owned{}
+	t.hosts, t.own, t.named = map[string]seen{}, map[string]owned{}, map[string]bool{}
 	t.fresh, t.keyed = map[string]time.Duration{}, false
 	t.mark = max(t.mark, rev)
 }
--- a/internal/tenure/held.go
+++ b/internal/tenure/held.go
@@ -64,8 +64,8 @@
 // claimed returns the engines whose rows name this host in its session of now.
 func (t *Tenure) claimed() iter.Seq2[string, owned] {
 	return func(yield func(string, owned) bool) {
-		for id, o := range t.own {
-			if o.IP == t.IP && o.Epoch == t.epoch && !yield(id, o) {
+		for id := range t.named {
+			if o := t.own[id]; o.Epoch == t.epoch && !yield(id, o) {
 				return
 			}
 		}
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -254,6 +254,7 @@
 func (t *Tenure) takeOwn(id string, row rows.Row, now time.Duration) bool {
 	if row.Gone {
 		delete(t.own, id)
+		delete(t.named, id)
 		return true
 	}
 	if t.own[id].rev >= row.Rev {
@@ -271,5 +272,10 @@
 	}
 	t.own[id] = owned{ownership: o, rev: row.Rev, seen: now, since: since}
 	t.raise(id, t.own[id])
+	if o.IP == t.IP {
+		t.named[id] = true
+	} else {
+		delete(t.named, id)
+	}
 	return true
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -109,9 +109,10 @@
 	unsure  bool            // engines may have been taken over since: the store must be read before any of them is given an order
 	hosts   map[string]seen
 	own     map[string]owned
-	mark    int64         // revision of the newest change that matters to others
-	heard   int64         // revision up to which another host has read, where that is more than at
-	full    time.Duration // when the rows were last read from the store or from another host
+	named   map[string]bool // engines of own whose rows name this host, in whichever session
+	mark    int64           // revision of the newest change that matters to others
+	heard   int64           // revision up to which another host has read, where that is more than at
+	full    time.Duration   // when the rows were last read from the store or from another host
 	secret  []byte
 	keyed   bool                     // the store has it
 	makeAt  time.Duration            // when this host makes it where there is none
@@ -140,7 +141,7 @@
 	t.wake = make(chan struct{}, 1)
 	t.start = strconv.FormatUint(rand.Uint64(), 36)
 	t.hosts = map[string]seen{}
-	t.own = map[string]owned{}
+	t.own, t.named = map[string]owned{}, map[string]bool{}
 	t.kept = map[string]kept{}
 	t.fresh = map[string]time.Duration{}
 	t.silent = map[string]time.Duration{}
