--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -44,6 +44,7 @@
 	told     time.Duration // how often hosts tell of their requests
 	sequence int64
 	held     map[string]int
+	newest   map[string]int // versions that loads bring; 1 where there is none
 	pending  map[string]time.Time
 	using    map[string]bool
 	quick    map[string]bool // adapters whose weights are at hand
@@ -69,7 +70,10 @@
 
 func newEngine(places int) *engine {
 	begun := time.Now()
-	e := &engine{ration: ration.NewRation(func() time.Duration { return time.Since(begun) }), places: places, told: 200 * time.Millisecond, held: map[string]int{}, pending: map[string]time.Time{}, using: map[string]bool{}}
+	e := &engine{
+		ration: ration.NewRation(func() time.Duration { return time.Since(begun) }), places: places, told: 200 * time.Millisecond,
+		held: map[string]int{}, pending: map[string]time.Time{}, using: map[string]bool{},
+	}
 	e.note()
 	return e
 }
@@ -89,7 +93,7 @@
 		}
 		if time.Since(at) >= takes {
 			delete(e.pending, a)
-			e.held[a] = 1
+			e.held[a] = max(1, e.newest[a])
 			e.note()
 		}
 	}
@@ -115,13 +119,13 @@
 		return effect.Conflict
 	}
 	if c.Load {
-		if _, ok := e.held[name]; ok {
+		if v, ok := e.held[name]; ok && v >= c.Version {
 			return effect.Done
 		}
 		if _, ok := e.pending[name]; ok {
 			return effect.Accepted
 		}
-		if len(e.held)+len(e.pending) >= e.places {
+		if _, replaces := e.held[name]; !replaces && e.taken() >= e.places {
 			e.crashed = true
 		}
 		e.pending[name] = time.Now()
@@ -140,6 +144,17 @@
 	return effect.Done
 }
 
+// taken returns how many places are taken: an adapter that is replaced keeps the one that it has.
+func (e *engine) taken() int {
+	taken := len(e.held)
+	for a := range e.pending {
+		if _, replaces := e.held[a]; !replaces {
+			taken++
+		}
+	}
+	return taken
+}
+
 func (e *engine) give(ctx context.Context, c change.Change) (effect.Effect, error) {
 	e.mu.Lock()
 	e.orders++
@@ -191,20 +206,27 @@
 	return g
 }
 
-// start runs a giver that has just got the orders of one engine.
-func start(t *testing.T, e *engine) *giver.Giver {
+// build returns a giver that has just got the orders of one engine, not yet run.
+func build(e *engine) *giver.Giver {
 	v := view.View{
 		Rules: rules.Rules{Version: 1, Pools: map[string]pool.Pool{
 			"g": {Engine: true, Slots: e.slots, Places: e.places, Memory: 1000, Models: []model.Model{{Name: "m", Adapter: 1}}},
 		}},
 		Targets: map[string]target.Target{"e": {ID: "e", Born: 1, Group: "g", Slots: 4, Models: []string{"m"}}},
 	}
-	g := &giver.Giver{
+	return &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: e.mine,
-		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall, Flow: flow.NewFlow(), Sway: sway.NewSway(), Ration: e.ration, Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
+		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall,
+		Flow: flow.NewFlow(), Sway: sway.NewSway(), Ration: e.ration,
+		Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
 		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
+}
+
+// start runs a giver that has just got the orders of one engine.
+func start(t *testing.T, e *engine) *giver.Giver {
+	g := build(e)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
 	go g.Run(ctx)
