Call how far readings vary by the field's word

sway is jitter now: the package, its type and its fields. No change of behaviour.

Test: go test -p 1 -count=1 ./internal/jitter ./internal/giver, passed.

Conclusion: a newcomer need not learn a word for it.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/giver"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
+	"damaskreach/internal/jitter"
 	"damaskreach/internal/limits"
 	"damaskreach/internal/pick"
 	"damaskreach/internal/quotas"
@@ -22,7 +23,6 @@
 	"damaskreach/internal/speed"
 	"damaskreach/internal/speeds"
 	"damaskreach/internal/stats"
-	"damaskreach/internal/sway"
 	"damaskreach/internal/tenure"
 	"damaskreach/internal/uplink"
 )
@@ -45,7 +45,7 @@
 	e.speeds = speeds.NewSpeeds(usual)
 	e.pick.Slow = e.speeds.Slow
 	e.tenure.Measured, e.tenure.Beside = usual.Rates, e.memos
-	e.sway = sway.NewSway()
+	e.jitter = jitter.NewJitter()
 	e.giver = e.buildGiver(s)
 	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
@@ -86,7 +86,7 @@
 func (e *Edge) buildGiver(s setup.Setup) *giver.Giver {
 	return &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Sway: e.sway, Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
+		Flow: flow.NewFlow(), Jitter: e.jitter, Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
 		Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP,
 		Log: e.Log, Stats: e.Stats,
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"damaskreach/internal/giver"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
+	"damaskreach/internal/jitter"
 	"damaskreach/internal/limits"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/notice"
@@ -35,7 +36,6 @@
 	"damaskreach/internal/speeds"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
-	"damaskreach/internal/sway"
 	"damaskreach/internal/table"
 	"damaskreach/internal/target"
 	"damaskreach/internal/tenure"
@@ -84,7 +84,7 @@
 	readers trust.Trust
 	holds   *holds.Holds
 	speeds  *speeds.Speeds
-	sway    *sway.Sway
+	jitter  *jitter.Jitter
 	pick    *pick.Pick
 	ration  *ration.Ration
 	avoid   *avoid.Avoid
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -49,7 +49,7 @@
 		}
 		return m.Oldest().Seconds()
 	})
-	e.Stats.Gauge(stats.Room, e.sway.Room)
+	e.Stats.Gauge(stats.Room, e.jitter.Room)
 	e.Stats.Gauge(stats.LeaseLeft, func() float64 { return e.tenure.Left().Seconds() })
 	e.Stats.Gauge(stats.Engines, func() float64 { return float64(len(e.tenure.Mine())) })
 	e.Stats.Gauge(stats.Upstreams, func() float64 { return float64(len(e.intake.View().Targets)) })
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -16,6 +16,7 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
 	"damaskreach/internal/giver"
+	"damaskreach/internal/jitter"
 	"damaskreach/internal/memo"
 	"damaskreach/internal/model"
 	"damaskreach/internal/pool"
@@ -23,7 +24,6 @@
 	"damaskreach/internal/rules"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stock"
-	"damaskreach/internal/sway"
 	"damaskreach/internal/target"
 	"damaskreach/internal/usage"
 	"damaskreach/internal/view"
@@ -217,7 +217,7 @@
 	return &giver.Giver{
 		Give: e.give, Ask: e.ask, Fence: func(string) (int64, bool) { return 1, true }, Mine: e.mine,
 		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall,
-		Flow: flow.NewFlow(), Sway: sway.NewSway(), Ration: e.ration,
+		Flow: flow.NewFlow(), Jitter: jitter.NewJitter(), Ration: e.ration,
 		Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
 		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -17,13 +17,13 @@
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
+	"damaskreach/internal/jitter"
 	"damaskreach/internal/memo"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/spent"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
-	"damaskreach/internal/sway"
 	"damaskreach/internal/target"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/usage"
@@ -52,8 +52,8 @@
 	Leaves func(t target.Target) bool
 	// Ration bounds the requests for engines that name a limit.
 	Ration *ration.Ration
-	// Sway is how much of the pause that streams allow is planned for reading, as engines keep to what is expected of them.
-	Sway *sway.Sway
+	// Jitter is how much of the pause that streams allow is planned for reading, as engines keep to what is expected of them.
+	Jitter *jitter.Jitter
 	// Flow bounds the loads that are on their way to all engines of this host.
 	Flow *flow.Flow
 	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
@@ -121,7 +121,7 @@
 // laneOf returns the lane of an engine, a new one where there is none. It needs the lock.
 func (g *Giver) laneOf(id string) *lane {
 	if g.lanes[id] == nil {
-		g.lanes[id] = newLane(g.ctx, id, g.Ration, g.Sway)
+		g.lanes[id] = newLane(g.ctx, id, g.Ration, g.Jitter)
 	}
 	return g.lanes[id]
 }
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"damaskreach/internal/fair"
+	"damaskreach/internal/jitter"
 	"damaskreach/internal/pace"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/spent"
-	"damaskreach/internal/sway"
 	"damaskreach/internal/tempo"
 	"damaskreach/internal/want"
 )
@@ -24,7 +24,7 @@
 	id     string // of the engine
 	wake   chan struct{}
 	ration *ration.Ration
-	sway   *sway.Sway      // of all engines whose turns this host grants
+	jitter *jitter.Jitter  // of all engines whose turns this host grants
 	ctx    context.Context // ends with the lane
 	end    context.CancelFunc
 
@@ -37,9 +37,9 @@
 	slots   int       // requests that the engine runs at once; 0 means unknown
 }
 
-func newLane(parent context.Context, id string, ration *ration.Ration, sway *sway.Sway) *lane {
+func newLane(parent context.Context, id string, ration *ration.Ration, jitter *jitter.Jitter) *lane {
 	ctx, end := context.WithCancel(parent)
-	l := &lane{id: id, ctx: ctx, end: end, ration: ration, sway: sway, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
+	l := &lane{id: id, ctx: ctx, end: end, ration: ration, jitter: jitter, wake: make(chan struct{}, 1), hosts: map[string]*share{}}
 	go l.run()
 	return l
 }
@@ -163,7 +163,7 @@
 	if !s.Read {
 		l.pace.Drop(s.Turn, time.Now())
 	} else if took, expected := l.pace.Read(s.Turn, time.Now()); expected > 0 {
-		l.sway.Took(took, expected)
+		l.jitter.Took(took, expected)
 	}
 	l.mu.Unlock()
 	l.nudge()
@@ -171,7 +171,7 @@
 
 // room returns how long reading may hold up streams, for a prompt whose streams allow so much.
 func (l *lane) room(w waiter) time.Duration {
-	return time.Duration(l.sway.Room() * float64(w.Room))
+	return time.Duration(l.jitter.Room() * float64(w.Room))
 }
 
 // wait returns how long a prompt would wait that comes now.
--- a/internal/sway/sway.go
+++ b/internal/jitter/jitter.go
@@ -1,9 +1,9 @@
-// Package sway learns how much of the pause that streams allow may be planned for reading prompts.
+// Package jitter learns how much of the pause that streams allow may be planned for reading prompts.
 //
 // Some engines read two to three times slower for moments that nobody announces. Planned to the full, a reading in such a moment holds up all
 // streams of the engine for too long; planned small, engines that never do so read a fifth less than they can. So it follows from how often
 // readings took much longer than expected.
-package sway
+package jitter
 
 import (
 	"sync"
@@ -24,32 +24,32 @@
 	unknown = 0.02
 )
 
-// Sway may be used from several goroutines.
-type Sway struct {
+// Jitter may be used from several goroutines.
+type Jitter struct {
 	mu    sync.Mutex
 	share float64 // of readings that were slow
 }
 
-// NewSway returns what is known before anything was measured.
-func NewSway() *Sway {
-	return &Sway{share: unknown}
+// NewJitter returns what is known before anything was measured.
+func NewJitter() *Jitter {
+	return &Jitter{share: unknown}
 }
 
 // Took takes how long a reading took, and how long it was expected to.
-func (s *Sway) Took(took, expected time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (j *Jitter) Took(took, expected time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	value := 0.0
 	if float64(took) > slow*float64(expected) {
 		value = 1
 	}
-	s.share += memory * (value - s.share)
+	j.share += memory * (value - j.share)
 }
 
 // Room returns the part of the pause that streams allow which may be planned for reading.
-func (s *Sway) Room() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	part := (s.share - seldom) / (often - seldom)
+func (j *Jitter) Room() float64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	part := (j.share - seldom) / (often - seldom)
 	return 1 - (1-least)*min(1, max(0, part))
 }
--- a/internal/sway/sway_test.go
+++ b/internal/jitter/jitter_test.go
@@ -1,18 +1,18 @@
-package sway_test
+package jitter_test
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"damaskreach/internal/sway"
+	"damaskreach/internal/jitter"
 )
 
 const expected = 80 * time.Millisecond
 
 // after returns the room after many readings of which a share took two and a half times as long as expected, and the rest a tenth more or less.
 func after(share float64) float64 {
-	s := sway.NewSway()
+	s := jitter.NewJitter()
 	r := rand.New(rand.NewPCG(1, 2))
 	sum := 0.0
 	const readings, counted = 900, 400
