Order those that wait also while all slots are taken

An urgent request was refused as hopeless behind less urgent ones that came before it, while all slots of its engine were taken.

Cause: those that wait were put in order as slots were granted, and none was. They are ordered at each look; a grant takes the first without ordering all, so that a burst of grants costs less as well.

Test: giver TestUrgentRequestIsNotRefusedBehindOthersWhileAllSlotsAreTaken (go test -p 1 -count=1 ./internal/giver), which failed on the parent and passes with the change.

Conclusion: who is refused does not go by who came first.

--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -88,6 +88,7 @@
 	l.waiting = slices.DeleteFunc(l.waiting, waiter.left)
 	for l.grantFirst(now) {
 	}
+	l.order(l.waiting, now)
 	kept := l.waiting[:0]
 	next := idle
 	limit, gap := l.ration.Wait(l.id)
@@ -118,16 +119,27 @@
 	if len(l.waiting) == 0 || l.free() <= 0 {
 		return false
 	}
-	l.order(l.waiting, now)
-	w := l.waiting[0]
+	at := l.first(now)
+	w := l.waiting[at]
 	if limit, _ := l.ration.Wait(l.id); limit > 0 || l.pace.Wait(now, w.Cost, l.room(w), w.Tail) > 0 {
 		return false
 	}
-	l.waiting = l.waiting[1:]
+	l.waiting = slices.Delete(l.waiting, at, at+1)
 	l.grant(w, now)
 	return true
 }
 
+// first returns where the first of those that wait stands. A grant moves its team's clock, and so the order of the others.
+func (l *lane) first(now time.Time) int {
+	at := 0
+	for i := range l.waiting {
+		if l.waiting[i].before(l.waiting[at], &l.shares, now) < 0 {
+			at = i
+		}
+	}
+	return at
+}
+
 // sort puts those that wait in the order in which they go.
 func (l *lane) sort(waiting []waiter, now time.Time) {
 	l.mu.Lock()
