Count the turn of a host that was silent

Requests waited inside an engine: of a host that had told nothing for four seconds, turns that it had been granted a moment ago were forgotten with its old count, and were granted to others too.

Cause: a host was forgotten as a whole. What it told and what it was granted go out of date each for itself.

Test: giver TestTurnOfAHostThatWasSilentCounts (go test -p 1 -count=1 ./internal/giver). On the code before "a second turn while the first one's request runs, want none"; with the change it passes.

Conclusion: no slot is granted twice for a silence.

--- a/internal/giver/slots_test.go
+++ b/internal/giver/slots_test.go
@@ -40,3 +40,26 @@
 		group.Wait()
 	})
 }
+
+// A host has had nothing at an engine for nearly as long as its count is believed, and is granted turns. Forgotten with its old count, these
+// would be granted to others too, and requests would wait inside the engine.
+func TestTurnOfAHostThatWasSilentCounts(t *testing.T) {
+	const told = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(2)
+		e.slots = 1
+		g := loaded(t, e)
+		g.Take([]usage.Usage{{Host: "h", Engine: "e"}}, time.Now())
+		time.Sleep(told - time.Millisecond)
+		w := want.Want{
+			ID: "e", Host: "h", Model: "m", Adapter: name(0), Cost: time.Millisecond, Room: time.Second, Patience: patience, Limit: time.Second,
+		}
+		if err := g.Admit(t.Context(), w); err != nil {
+			t.Fatalf("the only slot: %v, want a turn", err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := g.Admit(t.Context(), w); err == nil {
+			t.Error("a second turn while the first one's request runs, want none")
+		}
+	})
+}
--- a/internal/giver/told.go
+++ b/internal/giver/told.go
@@ -78,14 +78,25 @@
 // count adds what hosts told and what was granted to them since; a host that has told nothing for long has nothing.
 func (l *lane) count() int {
 	sum := 0
+	l.expire(time.Now())
+	for _, s := range l.hosts {
+		sum += s.under + len(s.granted)
+	}
+	return sum
+}
+
+// expire drops what is too old to be believed. A host that had nothing to tell for long may have been granted a turn just now.
+func (l *lane) expire(now time.Time) {
 	for host, s := range l.hosts {
-		if time.Since(s.at) > toldFor {
-			delete(l.hosts, host)
+		s.granted = slices.DeleteFunc(s.granted, func(g grant) bool { return now.Sub(g.at) > toldFor })
+		if now.Sub(s.at) <= toldFor {
 			continue
 		}
-		sum += s.under + len(s.granted)
+		s.under, s.adapters = 0, nil
+		if len(s.granted) == 0 {
+			delete(l.hosts, host)
+		}
 	}
-	return sum
 }
 
 // uses returns the adapters that requests use, are about to, or wait for.
@@ -96,10 +107,8 @@
 	for _, w := range l.waiting {
 		used[w.Adapter] = true
 	}
+	l.expire(time.Now())
 	for _, s := range l.hosts {
-		if time.Since(s.at) > toldFor {
-			continue
-		}
 		for _, a := range s.adapters {
 			used[a] = true
 		}
