Tell of engines that have become idle

The neighbours of an engine got all requests for seconds after its last one had ended: other hosts went on believing the count that they had heard last.

Cause: an engine without requests was not named any more. It is named with 0 for as long as others believe the count before.

Tests: edge TestEngineThatHasBecomeIdleGetsItsPartAtOnce and giver TestEngineThatHasBecomeIdleIsToldAsSuch (go test -p 1 -count=1 ./internal/giver; -run TestEngineThatHasBecomeIdle ./internal/edge). On the parent the idle engine got 0 of 17 requests; with the change both pass.

Conclusion: an idle engine has its part at once.

--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -256,13 +256,14 @@
 	}
 }
 
-// Loads returns how many requests run at each engine whose turns this host grants.
+// Loads returns how many requests run at each engine whose turns this host grants; 0 where the last of them ended a moment ago, so that nobody
+// goes on believing the count before.
 func (g *Giver) Loads(grants func(id string) bool) map[string]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	loads := map[string]int{}
 	for id, l := range g.lanes {
-		if n := l.running(); n > 0 && grants(id) {
+		if n, tell := l.running(); tell && grants(id) {
 			loads[id] = n
 		}
 	}
--- a/internal/giver/lane.go
+++ b/internal/giver/lane.go
@@ -32,6 +32,7 @@
 	waiting []waiter
 	pace    pace.Pace
 	hosts   map[string]*share
+	busy    time.Time // when it was last known to run requests
 	tempo   tempo.Tempo
 	shares  fair.Fair // of what the engine has read
 	slots   int       // requests that the engine runs at once; 0 means unknown
--- a/internal/giver/told.go
+++ b/internal/giver/told.go
@@ -12,6 +12,8 @@
 	toldFor = 4 * time.Second
 	// grantWay is how long a grant may be on its way before its host counts the request.
 	grantWay = 100 * time.Millisecond
+	// idleTold is how long an engine is named that has become idle: longer than other hosts believe its last count.
+	idleTold = 5 * time.Second
 )
 
 // share is what one host has at the engine.
@@ -68,11 +70,16 @@
 	l.tempo.Reset()
 }
 
-// running returns how many requests run at the engine.
-func (l *lane) running() int {
+// running returns how many requests run at the engine, and whether others are to know: not where none has for long.
+func (l *lane) running() (n int, tell bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.count()
+	n = l.count()
+	now := time.Now()
+	if n > 0 {
+		l.busy = now
+	}
+	return n, now.Sub(l.busy) <= idleTold
 }
 
 // count adds what hosts told and what was granted to them since; a host that has told nothing for long has nothing.
