--- /dev/null
+++ b/internal/giver/admit.go
@@ -0,0 +1,55 @@
+package giver
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"damaskreach/internal/want"
+)
+
+// errLeaves tells those that wait at an engine which has begun to leave; others may have room.
+var errLeaves = merry.Prepend(want.ErrFailed, "the engine leaves")
+
+// Admit returns once the engine holds the adapter and may be sent the prompt, or why it will not.
+func (g *Giver) Admit(ctx context.Context, w want.Want) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d := g.desk(w.ID)
+	if d == nil && w.Held {
+		return g.turn(ctx, w)
+	}
+	if d == nil {
+		return merry.Wrap(want.ErrElsewhere)
+	}
+	waiting := newWaiter(ctx, w)
+	if d.serves(w) {
+		d.lane.add(waiting)
+	} else if w.Limit > 0 && d.loadWait() > w.Limit || !d.ask(waiting) {
+		return merry.Wrap(want.ErrBusy)
+	}
+	return waiting.wait(ctx, d.ctx)
+}
+
+// leaves reports whether an engine has begun to leave, as it registered or told this host.
+func (g *Giver) leaves(id string) bool {
+	t, ok := g.View().Targets[id]
+	return ok && (t.Draining || g.Leaves(t))
+}
+
+// turn returns once a prompt may be sent to an engine that holds what is asked for and that this host does not order: where no host does, one
+// grants the turns alone, since hosts that each count for themselves would overfill it.
+func (g *Giver) turn(ctx context.Context, w want.Want) error {
+	t, ok := g.View().Targets[w.ID]
+	l := g.lane(w.ID)
+	if !ok || l == nil {
+		return merry.Wrap(want.ErrElsewhere)
+	}
+	if g.leaves(w.ID) {
+		return merry.Wrap(errLeaves)
+	}
+	l.resize(g.View().Rules.Pools[t.Group].Slots)
+	waiting := newWaiter(ctx, w)
+	l.add(waiting)
+	return waiting.wait(ctx, l.ctx)
+}
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/change"
@@ -20,15 +19,12 @@
 	"damaskreach/internal/jitter"
 	"damaskreach/internal/memo"
 	"damaskreach/internal/ration"
-	"damaskreach/internal/spent"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/target"
 	"damaskreach/internal/turns"
-	"damaskreach/internal/usage"
 	"damaskreach/internal/view"
-	"damaskreach/internal/want"
 )
 
 const (
@@ -142,130 +138,3 @@
 	defer g.mu.Unlock()
 	return g.desks[id]
 }
-
-// Admit returns once the engine holds the adapter and may be sent the prompt, or why it will not.
-func (g *Giver) Admit(ctx context.Context, w want.Want) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d := g.desk(w.ID)
-	if d == nil && w.Held {
-		return g.turn(ctx, w)
-	}
-	if d == nil {
-		return merry.Wrap(want.ErrElsewhere)
-	}
-	done := make(chan error, 1)
-	waiting := waiter{Want: w, done: done, gone: ctx.Done(), since: time.Now(), block: new(string)}
-	if d.serves(w) {
-		d.lane.add(waiting)
-	} else if w.Limit > 0 && d.loadWait() > w.Limit || !d.ask(waiting) {
-		return merry.Wrap(want.ErrBusy)
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-d.ctx.Done():
-		return merry.Wrap(want.ErrElsewhere)
-	case <-ctx.Done():
-		return merry.Prepend(ctx.Err(), "waiting for a load")
-	}
-}
-
-// turn returns once a prompt may be sent to an engine that holds what is asked for and that this host does not order: where no host does, one
-// grants the turns alone, since hosts that each count for themselves would overfill it.
-func (g *Giver) turn(ctx context.Context, w want.Want) error {
-	t, ok := g.View().Targets[w.ID]
-	l := g.lane(w.ID)
-	if !ok || l == nil {
-		return merry.Wrap(want.ErrElsewhere)
-	}
-	if t.Draining || g.Leaves(t) {
-		return merry.Prepend(want.ErrFailed, "the engine leaves")
-	}
-	l.resize(g.View().Rules.Pools[t.Group].Slots)
-	done := make(chan error, 1)
-	l.add(waiter{Want: w, done: done, gone: ctx.Done(), since: time.Now(), block: new(string)})
-	select {
-	case err := <-done:
-		return err
-	case <-l.ctx.Done():
-		return merry.Wrap(want.ErrElsewhere)
-	case <-ctx.Done():
-		return merry.Prepend(ctx.Err(), "waiting for a turn")
-	}
-}
-
-// Spent takes that a turn has ended.
-func (g *Giver) Spent(s spent.Spent) {
-	g.mu.Lock()
-	l := g.lanes[s.Engine]
-	g.mu.Unlock()
-	if l != nil {
-		l.spent(s)
-	}
-}
-
-// Memos returns what is to outlive this host of each engine that it orders.
-func (g *Giver) Memos() map[string]memo.Memo {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	memos := map[string]memo.Memo{}
-	for id, d := range g.desks {
-		if m := d.memo.Load(); m != nil {
-			memos[id] = *m
-		}
-	}
-	return memos
-}
-
-// Used records that requests use adapters at an engine, so that they are not the first to go.
-func (g *Giver) Used(id string, adapters []string, now time.Time) {
-	if d := g.desk(id); d != nil {
-		d.touch(adapters, now)
-	}
-}
-
-// Waits returns how long a prompt would wait at each engine whose turns this host grants.
-func (g *Giver) Waits(grants func(id string) bool) map[string]time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	waits := map[string]time.Duration{}
-	for id, l := range g.lanes {
-		if !grants(id) {
-			continue
-		}
-		waits[id] = l.wait()
-		if d := g.desks[id]; d != nil {
-			waits[id] += d.loadWait()
-		}
-	}
-	return waits
-}
-
-// Take records what hosts' requests use at engines whose turns this host grants: how many there are, how fast they go, and their adapters, so
-// that these are not the first to go.
-func (g *Giver) Take(uses []usage.Usage, now time.Time) {
-	for _, u := range uses {
-		at := u.At(now)
-		if l := g.lane(u.Engine); l != nil {
-			l.told(u, at)
-		}
-		if d := g.desk(u.Engine); d != nil {
-			d.touch(u.Adapters, at)
-		}
-	}
-}
-
-// Loads returns how many requests run at each engine whose turns this host grants; 0 where the last of them ended a moment ago, so that nobody
-// goes on believing the count before.
-func (g *Giver) Loads(grants func(id string) bool) map[string]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	loads := map[string]int{}
-	for id, l := range g.lanes {
-		if n, tell := l.running(); tell && grants(id) {
-			loads[id] = n
-		}
-	}
-	return loads
-}
--- a/internal/giver/waiter.go
+++ b/internal/giver/waiter.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"damaskreach/internal/fair"
 	"damaskreach/internal/want"
 )
@@ -17,6 +20,23 @@
 	block *string // what holds it up
 }
 
+// newWaiter returns a waiter that counts as gone once ctx ends.
+func newWaiter(ctx context.Context, w want.Want) waiter {
+	return waiter{Want: w, done: make(chan error, 1), gone: ctx.Done(), since: time.Now(), block: new(string)}
+}
+
+// wait returns what a waiter is told by the desk or lane that it was given to, or why it is told nothing any more; served ends with that desk or lane.
+func (w waiter) wait(ctx, served context.Context) error {
+	select {
+	case err := <-w.done:
+		return err
+	case <-served.Done():
+		return merry.Wrap(want.ErrElsewhere)
+	case <-ctx.Done():
+		return merry.Prepend(ctx.Err(), "waiting for a load or a turn")
+	}
+}
+
 // before orders those that wait. Answers of which callers have a part go first: refused, they are lost, where others can come back.
 // Then those that can still be on time; those that are late already follow, so that a burst does not make everything late that comes
 // behind it. Among each, the more urgent go first, then those of teams that had less than their share, then those that must be on time the
