Tell those that wait at an engine that leaves

Engines taken away near full: requests that waited there for a load on its way, or for a turn where no host orders the engine, were refused when their time was over, though others had room (docs/design/load.md, part 6).

Cause: nobody looked at such an engine's loads and turns any more. With the first word of the leaving, its registration's or its own, all that wait there are told, and nothing new waits. How fast an engine is is measured beside what is told of it, since a desk that only learns no longer tells.

Conclusion: who waits at an engine that leaves can go elsewhere in time.

--- a/internal/giver/admit.go
+++ b/internal/giver/admit.go
@@ -15,6 +15,9 @@
 func (g *Giver) Admit(ctx context.Context, w want.Want) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if g.leaves(w.ID) {
+		return merry.Wrap(errLeaves)
+	}
 	d := g.desk(w.ID)
 	if d == nil && w.Held {
 		return g.turn(ctx, w)
@@ -45,9 +48,6 @@
 	if !ok || l == nil {
 		return merry.Wrap(want.ErrElsewhere)
 	}
-	if g.leaves(w.ID) {
-		return merry.Wrap(errLeaves)
-	}
 	l.resize(g.View().Rules.Pools[t.Group].Slots)
 	waiting := newWaiter(ctx, w)
 	l.add(waiting)
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -87,7 +87,7 @@
 	cold     time.Duration
 	warm     time.Duration
 	asked    time.Time
-	event    time.Duration // between two events of a stream, as this host told last
+	event    time.Duration // between two events of a stream, as this host knows it
 }
 
 func newDesk(parent context.Context, g *Giver, id string, l *lane) *desk {
@@ -190,8 +190,8 @@
 // step does what is due and returns when it wants to be called again at the latest.
 func (d *desk) step() time.Duration {
 	t, ok := d.g.View().Targets[d.id]
-	if !ok || t.Draining || d.g.Leaves(t) {
-		d.refuseQueue(merry.Prepend(want.ErrFailed, "the engine leaves"))
+	if !ok || d.g.leaves(d.id) {
+		d.refuse(errLeaves)
 		return idle
 	}
 	d.lane.resize(d.pool(t).Slots)
@@ -211,7 +211,7 @@
 		return idle / 3
 	}
 	d.serve(t)
-	if d.lane.event() != d.event {
+	if d.measure() {
 		d.tell()
 	}
 	d.keep(time.Now())
@@ -231,11 +231,14 @@
 	return max(wait, time.Millisecond)
 }
 
-func (d *desk) refuseQueue(err error) {
+// refuse ends all waiting at an engine that takes nothing new. What becomes of the loads on their way is not looked at any more.
+func (d *desk) refuse(err error) {
 	for _, w := range d.queue {
 		w.done <- err
 	}
 	d.queue = nil
+	d.fail(err)
+	d.known = false
 	d.lane.refuse(err)
 }
 
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -79,6 +79,7 @@
 }
 
 // check opens desks for engines that this host has got and closes those of engines that it has lost, and the lanes of engines that are gone.
+// At those that leave nobody waits on.
 func (g *Giver) check(ctx context.Context) {
 	mine := map[string]bool{}
 	v := g.View()
@@ -110,6 +111,8 @@
 		if _, ok := v.Targets[id]; !ok && g.desks[id] == nil {
 			l.end()
 			delete(g.lanes, id)
+		} else if g.leaves(id) {
+			l.refuse(errLeaves)
 		}
 	}
 }
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -50,6 +50,7 @@
 	d.g.Log.Info("engine known", zap.String("target", d.id), zap.Int64("born", d.born), zap.Int64("sequence", d.sequence),
 		zap.Int("held", len(d.held)), zap.Int("pending", len(d.pending)), zap.Strings("models", s.Models))
 	d.leaving = map[string]bool{}
+	d.measure()
 	d.tell()
 	return true
 }
@@ -118,13 +119,20 @@
 		delete(held, a)
 	}
 	d.ready.Store(&held)
-	if event := d.lane.event(); event != d.event {
-		d.g.Log.Info("engine's speed", zap.String("target", d.id), zap.Duration("event", event), zap.Duration("before", d.event))
-		d.event = event
-	}
 	d.g.Tell(stock.Stock{ID: d.id, Born: d.born, Sequence: d.sequence, Adapters: held, Event: d.event, Recent: d.names()})
 }
 
+// measure takes how fast the engine is now, and reports whether that has changed.
+func (d *desk) measure() bool {
+	event := d.lane.event()
+	if event == d.event {
+		return false
+	}
+	d.g.Log.Info("engine's speed", zap.String("target", d.id), zap.Duration("event", event), zap.Duration("before", d.event))
+	d.event = event
+	return true
+}
+
 // adopt takes versions that a registration tells and this host did not know, and loads that it shows as complete.
 func (d *desk) adopt(t target.Target) {
 	if t.Born != d.born || t.Sequence != d.sequence {
