Sort upstreams by their groups once for each view

Each request looked at all upstreams of a site to find those of its group, and each look at who holds engines made a map of all of them.

A view sorts its upstreams once somebody asks, and returns the data centres of those that take orders.

Conclusion: a request's cost goes with its group, and not with the site.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"damaskreach/internal/rules"
@@ -20,6 +21,31 @@
 	Versions map[string]int           // newest version that operators named, by "model/adapter"
 	// Named is when this host learned of each of the newest versions of an adapter; zero where one was there when the host started.
 	Named map[string]map[int]time.Time
+
+	groups *groups // of Targets; nil where those were not set by WithTargets
+}
+
+// groups sorts upstreams by their groups once somebody asks: some hosts get fewer requests than views.
+type groups struct {
+	once sync.Once
+	by   map[string][]target.Target
+}
+
+func (g *groups) of(targets map[string]target.Target) map[string][]target.Target {
+	g.once.Do(func() {
+		sizes := map[string]int{}
+		for _, t := range targets {
+			sizes[t.Group]++
+		}
+		g.by = make(map[string][]target.Target, len(sizes))
+		for group, size := range sizes {
+			g.by[group] = make([]target.Target, 0, size)
+		}
+		for _, t := range targets {
+			g.by[t.Group] = append(g.by[t.Group], t)
+		}
+	})
+	return g.by
 }
 
 // WithRules returns a copy with a newer configuration. An older one changes nothing: a reading that was under way when
@@ -34,9 +60,18 @@
 // WithTargets returns a copy with other upstreams.
 func (v View) WithTargets(targets map[string]target.Target) View {
 	v.Targets = targets
+	v.groups = &groups{}
 	return v
 }
 
+// Group returns the upstreams of a group. The list is shared and must not be changed.
+func (v View) Group(name string) []target.Target {
+	if v.groups == nil {
+		return (&groups{}).of(v.Targets)[name]
+	}
+	return v.groups.of(v.Targets)[name]
+}
+
 // WithVersion returns a copy in which operators have named a version of an adapter; an older one changes nothing.
 func (v View) WithVersion(adapter string, version int, now time.Time) View {
 	if version <= v.Versions[adapter] {
@@ -85,3 +120,24 @@
 func (v View) Known() bool {
 	return v.Rules.Version > 0
 }
+
+// Engines returns the data centre of each upstream that takes orders, by id.
+func (v View) Engines() map[string]string {
+	engines := make(map[string]string, v.mostEngines())
+	for id, t := range v.Targets {
+		if v.Rules.Pools[t.Group].Engine {
+			engines[id] = t.Centre
+		}
+	}
+	return engines
+}
+
+// mostEngines returns how many upstreams may take orders at most.
+func (v View) mostEngines() int {
+	for _, p := range v.Rules.Pools {
+		if p.Engine {
+			return len(v.Targets)
+		}
+	}
+	return 0
+}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 )
 
@@ -34,3 +35,20 @@
 		t.Error("an older version that is told late changes something")
 	}
 }
+
+// An upstream changes its group. Requests must find it in the new one, and not in the old one any more.
+func TestUpstreamIsFoundInItsGroupOfNow(t *testing.T) {
+	before := view.View{}.WithTargets(map[string]target.Target{"a": {ID: "a", Group: "g"}, "b": {ID: "b", Group: "g"}})
+	if got, want := len(before.Group("g")), 2; got != want {
+		t.Errorf("upstreams of g = %d, want %d", got, want)
+	}
+	after := before.WithTargets(map[string]target.Target{"a": {ID: "a", Group: "g"}, "b": {ID: "b", Group: "h"}})
+	for group, want := range map[string]string{"g": "a", "h": "b"} {
+		if got := after.Group(group); len(got) != 1 || got[0].ID != want {
+			t.Errorf("upstreams of %s = %v, want %s alone", group, got, want)
+		}
+	}
+	if got := after.Group("none"); len(got) != 0 {
+		t.Errorf("upstreams of a group without any = %v, want none", got)
+	}
+}
