Find out the speed of an engine only where something has changed

How fast an engine is was worked out anew from all that was measured at each question, several times for each request.

What was found last is kept until something is measured or goes out of date.

Tests: go test -p 1 -count=1 ./internal/gaps ./internal/speed ./internal/speeds, passed. With the code before speed's TestWhatWasKnownIsNotFoundAnewForEachEngine failed (asked 6,000 times, 2 may be); that of gaps guards against an answer that is kept for too long.

Conclusion: a question costs a comparison of times.

--- a/internal/gaps/gaps.go
+++ b/internal/gaps/gaps.go
@@ -17,6 +17,14 @@
 type Gaps struct {
 	ring [size]gap
 	next int
+	last quartile
+}
+
+// quartile is what Quartile found last.
+type quartile struct {
+	took  time.Duration
+	count int
+	until time.Time // when the oldest of them counts no more; zero where a time came since
 }
 
 type gap struct {
@@ -28,20 +36,34 @@
 func (g *Gaps) Add(took time.Duration, now time.Time) {
 	g.ring[g.next%size] = gap{took, now}
 	g.next++
+	g.last = quartile{}
 }
 
 // Quartile returns the time that a quarter of those that count lie below, and how many count. Most events of an engine that is not
 // overloaded come without the prompt of another request between them and the one before; the quartile is such a plain one.
 func (g *Gaps) Quartile(now time.Time) (time.Duration, int) {
-	var fresh []time.Duration
+	if !now.Before(g.last.until) {
+		g.last = g.find(now)
+	}
+	return g.last.took, g.last.count
+}
+
+// find goes over all times that count.
+func (g *Gaps) find(now time.Time) quartile {
+	var room [size]time.Duration
+	fresh, oldest := room[:0], now
 	for _, one := range g.ring[:min(g.next, size)] {
-		if now.Sub(one.at) < life {
-			fresh = append(fresh, one.took)
+		if now.Sub(one.at) >= life {
+			continue
+		}
+		fresh = append(fresh, one.took)
+		if one.at.Before(oldest) {
+			oldest = one.at
 		}
 	}
 	if len(fresh) == 0 {
-		return 0, 0
+		return quartile{}
 	}
 	slices.Sort(fresh)
-	return fresh[len(fresh)/4], len(fresh)
+	return quartile{took: fresh[len(fresh)/4], count: len(fresh), until: oldest.Add(life)}
 }
--- a/internal/gaps/gaps_test.go
+++ b/internal/gaps/gaps_test.go
@@ -41,3 +41,30 @@
 		t.Errorf("Quartile = %v of %d, want 210ms of 1", got, n)
 	}
 }
+
+// Guards against telling a value found before a new time came, or one whose times have since grown too old.
+func TestQuartileFollowsNewTimesAndAge(t *testing.T) {
+	var g gaps.Gaps
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for i, step := range []struct {
+		add   time.Duration // 0 for none
+		at    int           // ms
+		want  time.Duration
+		count int
+	}{
+		{50 * time.Millisecond, 0, 50 * time.Millisecond, 1},
+		{0, 2999, 50 * time.Millisecond, 1},
+		{20 * time.Millisecond, 2999, 20 * time.Millisecond, 2},
+		{0, 3000, 20 * time.Millisecond, 1},
+		{0, 5998, 20 * time.Millisecond, 1},
+		{0, 5999, 0, 0},
+		{30 * time.Millisecond, 5999, 30 * time.Millisecond, 1},
+	} {
+		if step.add > 0 {
+			g.Add(step.add, at(step.at))
+		}
+		if got, n := g.Quartile(at(step.at)); got != step.want || n != step.count {
+			t.Errorf("step %d: Quartile = %v of %d, want %v of %d", i, got, n, step.want, step.count)
+		}
+	}
+}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -24,6 +24,9 @@
 	// samples is how many of the newest prompts count, and fitEvery after how many new ones the slope is found anew.
 	samples  = 256
 	fitEvery = 4
+	// knownFor is for how long what was known before this host started is not asked for again: the host asks for the time of a prompt at many
+	// engines at once, and each answer is the median over all hosts.
+	knownFor = 100 * time.Millisecond
 	// enough is how many samples a slope needs.
 	enough = 8
 	// apart is how many tokens two prompts must differ by for the slope between them to say anything.
@@ -43,6 +46,9 @@
 	fresh int
 	token time.Duration
 	event time.Duration
+
+	known   rates.Rates // that Before returned last
+	knownAt time.Time
 }
 
 type sample struct {
@@ -148,7 +154,10 @@
 	if s.Before == nil {
 		return rates.Rates{}
 	}
-	return s.Before()
+	if now := time.Now(); now.Sub(s.knownAt) >= knownFor {
+		s.known, s.knownAt = s.Before(), now
+	}
+	return s.known
 }
 
 // startEvent returns the time between events from which the estimate starts.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"damaskreach/internal/pace"
@@ -103,3 +104,27 @@
 		t.Errorf("prompts with a turn in time = %d, want more than the %d of a host that knows nothing", after, guessed)
 	}
 }
+
+// A host that has measured nothing asks for the time of a prompt at thousands of engines for one request. What hosts measured before is a median
+// over hundreds of rows, and must not be found anew for each engine; yet what is known later must count soon.
+func TestWhatWasKnownIsNotFoundAnewForEachEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked, known := 0, rates.Rates{Token: 10 * time.Microsecond}
+		s := &speed.Speed{Before: func() rates.Rates {
+			asked++
+			return known
+		}}
+		for range 3000 {
+			s.Cost(1000)
+			s.Gap()
+		}
+		if most := 2; asked > most {
+			t.Errorf("asked %d times, want %d at most", asked, most)
+		}
+		known.Token = 20 * time.Microsecond
+		time.Sleep(150 * time.Millisecond)
+		if got, want := s.Cost(1000), 20*time.Millisecond; got != want {
+			t.Errorf("cost = %v once more is known, want %v", got, want)
+		}
+	})
+}
