Look at the other engines only where a request needs them

For each request whose adapter was held somewhere, a host looked at all engines of the group for places to load it too; most such requests get their turn at once.

Holders are found in one pass; the others are looked for only where a request has waited in vain, and mostly one of the first is enough. Lists are shared where nothing is dropped from them, and limits that upstreams name are asked for only where any does.

--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -93,13 +93,12 @@
 
 // usable returns the engines to which something can be loaded now.
 func (x *Direct) usable(list []target.Target, now time.Time) []target.Target {
-	var usable []target.Target
-	for _, t := range list {
-		if x.Owner(t.ID) && !x.Pick.Resting(t.ID, now) {
-			usable = append(usable, t)
-		}
-	}
-	return x.unlimited(usable)
+	return x.unlimited(kept(list, func(t target.Target) bool { return x.loadable(t.ID, now) }))
+}
+
+// loadable reports whether an engine can be given orders, and is not left alone.
+func (x *Direct) loadable(id string, now time.Time) bool {
+	return !x.Pick.Resting(id, now) && x.Owner(id)
 }
 
 // ranked returns the few engines that an adapter hashes to, fast ones more often: weighted rendezvous hashing. The choice is steady, so that
@@ -201,23 +200,8 @@
 
 // staying returns the engines of a list that have not begun to leave since it was made: a load before may have taken seconds.
 func (x *Direct) staying(list []target.Target) []target.Target {
-	var stay []target.Target
-	for _, t := range list {
-		if x.still(t) {
-			stay = append(stay, t)
-		}
-	}
-	return stay
-}
-
-func without(list []target.Target, id string) []target.Target {
-	var left []target.Target
-	for _, t := range list {
-		if t.ID != id {
-			left = append(left, t)
-		}
-	}
-	return left
+	v, now := x.View(), time.Now()
+	return kept(list, func(t target.Target) bool { return x.stillIn(v, t, now) })
 }
 
 // loadAside has an adapter loaded that nobody waits for.
--- a/internal/direct/permit.go
+++ b/internal/direct/permit.go
@@ -56,12 +56,10 @@
 
 // unlimited returns the upstreams that name no limit, or all where each of them does: one in need gets no further adapters while others have room.
 func (x *Direct) unlimited(list []target.Target) []target.Target {
-	var free []target.Target
-	for _, t := range list {
-		if !x.Ration.Limited(t.ID) {
-			free = append(free, t)
-		}
+	if !x.Ration.Some() {
+		return list
 	}
+	free := kept(list, func(t target.Target) bool { return !x.Ration.Limited(t.ID) })
 	if len(free) == 0 {
 		return list
 	}
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -8,6 +8,7 @@
 
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
+	"damaskreach/internal/view"
 	"damaskreach/internal/want"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -42,12 +43,7 @@
 	if !j.view.Rules.Pools[j.group].Engine || j.d.Model == "" {
 		return x.plain(ctx, j, all)
 	}
-	able := make([]target.Target, 0, len(all))
-	for _, t := range all {
-		if t.Has(j.d.Model) {
-			able = append(able, t)
-		}
-	}
+	able := kept(all, func(t target.Target) bool { return t.Has(j.d.Model) })
 	if len(able) == 0 {
 		return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine holds %s", j.d.Model).WithRetry(comeBack)
 	}
@@ -59,74 +55,80 @@
 
 // candidates returns the ready upstreams of the group that have not failed this request.
 func (x *Direct) candidates(j *job) []target.Target {
-	var list []target.Target
 	now := time.Now()
-	for _, t := range j.view.Targets {
-		if t.Group == j.group && !t.Draining && !j.tried[t.ID] && x.Avoid.Takes(t, now) {
-			list = append(list, t)
-		}
-	}
-	return list
+	return kept(j.view.Group(j.group), func(t target.Target) bool {
+		return !t.Draining && !j.tried[t.ID] && x.Avoid.Takes(t, now)
+	})
 }
 
 // placeAdapter prefers an engine that holds the adapter in the newest version.
 func (x *Direct) placeAdapter(ctx context.Context, j *job, able []target.Target) (target.Target, int, *refuse.Refusal) {
 	now := time.Now()
 	version := j.view.Versions[j.d.Adapter]
-	var holders, older, others []target.Target
-	for _, t := range able {
-		held, ok := x.Holds.Version(t, j.d.Adapter, now)
-		switch {
-		case ok && held >= version:
-			holders = append(holders, t)
-		case ok:
-			older = append(older, t)
-		default:
-			others = append(others, t)
-		}
-	}
+	holders, older := x.Holds.Holders(able, j.d.Adapter, version, now)
+	// Few requests need the engines that do not hold their adapter, and those are nearly all.
+	others := sync.OnceValue(func() []target.Target { return except(able, holders, older) })
 	if sound := x.sound(holders, now); len(sound) > 0 {
 		if x.crowded(sound, able, now) {
 			x.spreadTo(j, others, older, version, now)
 		}
-		// Looked for only where a request would wait: most get their turn at once, and sites have hundreds of engines.
-		idle := sync.OnceValue(func() []target.Target { return x.idle(j, others) })
+		// All are looked for only where the request has waited in vain: most get their turn at once, and sites have thousands of engines.
+		looked := sync.OnceValue(time.Now)
 		most := func() time.Duration {
-			if len(idle()) > 0 {
+			if x.someIdle(j, able, append(holders[:len(holders):len(holders)], older...), looked()) {
 				return worthLoad
 			}
 			return 0
 		}
 		t, v, refusal := x.admitAny(ctx, j, sound, version, most, func() { x.spreadTo(j, others, older, version, time.Now()) })
-		if refusal == nil || refusal.Code != refuse.Overloaded || len(idle()) == 0 {
+		if refusal == nil || refusal.Code != refuse.Overloaded {
 			return t, v, refusal
 		}
-		return x.load(ctx, j, idle(), nil, version)
+		idle := x.idle(j, others(), looked())
+		if len(idle) == 0 {
+			return t, v, refusal
+		}
+		return x.load(ctx, j, idle, nil, version)
 	}
 	if recent, until := x.recent(j, older, now); len(recent) > 0 {
 		x.spreadTo(j, others, older, version, now)
 		return x.admitOlder(ctx, j, recent, until)
 	}
-	if len(x.usable(others, now))+len(x.usable(older, now)) == 0 && len(holders) > 0 {
+	if len(holders) > 0 && len(x.usable(others(), now))+len(x.usable(older, now)) == 0 {
 		return x.admitAny(ctx, j, holders, version, anyTime, func() {})
 	}
-	return x.load(ctx, j, others, older, version)
+	return x.load(ctx, j, others(), older, version)
 }
 
 // idle returns the engines of a list where a prompt would hardly wait. A request is not refused while one of them could have
 // its adapter loaded in time; where all are busy, a load would only take the place of what others use. So it would where the request
 // is late even with it: after a mass loss most loads would be such copies, in the way of first loads.
-func (x *Direct) idle(j *job, list []target.Target) []target.Target {
-	now := time.Now()
+func (x *Direct) idle(j *job, list []target.Target, now time.Time) []target.Target {
 	var idle []target.Target
 	for _, t := range x.usable(list, now) {
-		if x.Pick.Waiting(t.ID, now) < longWait && j.patience(now, x.takes(j, t.ID)) >= longWait {
+		if x.idles(j, t.ID, now) {
 			idle = append(idle, t)
 		}
 	}
 	return idle
 }
 
+// someIdle reports whether there is such an engine in a list beside those that hold the adapter. Mostly it is among the first.
+func (x *Direct) someIdle(j *job, list, holders []target.Target, now time.Time) bool {
+	for _, t := range list {
+		if !x.Ration.Limited(t.ID) && !among(holders, t) && x.idles(j, t.ID, now) && x.loadable(t.ID, now) {
+			return true
+		}
+	}
+	// Engines that name a limit count only where there are no others.
+	return x.Ration.Some() && len(x.idle(j, except(list, holders, nil), now)) > 0
+}
+
+// idles reports whether a prompt would hardly wait at an engine, and be on time after a load.
+func (x *Direct) idles(j *job, id string, now time.Time) bool {
+	return x.Pick.Waiting(id, now) < longWait && j.patience(now, x.takes(j, id)) >= longWait
+}
+
 // recent returns the engines of a list whose version of the request's adapter went out of date so short a time ago that it still serves, and
 // until when all of them do.
 func (x *Direct) recent(j *job, older []target.Target, now time.Time) (list []target.Target, until time.Time) {
@@ -158,32 +160,26 @@
 
 // sound returns the upstreams that are not left alone at present.
 func (x *Direct) sound(list []target.Target, now time.Time) []target.Target {
-	var sound []target.Target
-	for _, t := range list {
-		if !x.Pick.Resting(t.ID, now) {
-			sound = append(sound, t)
-		}
-	}
-	return sound
+	return kept(list, func(t target.Target) bool { return !x.Pick.Resting(t.ID, now) })
 }
 
 // crowded reports whether the least busy of the engines that hold an adapter is much busier than engines are on average, or nearly full.
 func (x *Direct) crowded(holders, able []target.Target, now time.Time) bool {
-	sum := 0.0
-	for _, t := range able {
-		sum += x.Pick.Busy(t.ID, now)
-	}
 	best := x.Pick.Order(holders, now)[0]
-	limit := crowded*sum/float64(len(able)) + slack
-	return x.Pick.Busy(best.ID, now) > limit || float64(x.Pick.Load(best.ID, now)) > full*float64(best.Slots)
+	if float64(x.Pick.Load(best.ID, now)) > full*float64(best.Slots) {
+		return true
+	}
+	busy := x.Pick.Busy(best.ID, now)
+	// Most engines are not busy enough to be crowded whatever the others have.
+	return busy > slack && busy > crowded*x.Pick.Mean(able, now)+slack
 }
 
 // spreadTo has an adapter loaded at one more engine, without waiting for it.
-func (x *Direct) spreadTo(j *job, others, older []target.Target, version int, now time.Time) {
-	if len(others)+len(older) == 0 || !x.spread.due(j.d.Adapter, now) {
+func (x *Direct) spreadTo(j *job, others func() []target.Target, older []target.Target, version int, now time.Time) {
+	if len(others())+len(older) == 0 || !x.spread.due(j.d.Adapter, now) {
 		return
 	}
-	go x.loadAside(x.first(j, others, older), j, version)
+	go x.loadAside(x.first(j, others(), older), j, version)
 }
 
 // anyTime lets a request wait for a turn for as long as that is of use.
@@ -245,8 +241,13 @@
 
 // still reports whether an upstream that was chosen before a wait may still get new requests.
 func (x *Direct) still(t target.Target) bool {
-	now, ok := x.View().Targets[t.ID]
-	return ok && now.Same(t) && !now.Draining && x.Avoid.Takes(now, time.Now())
+	return x.stillIn(x.View(), t, time.Now())
+}
+
+// stillIn reports the same as of a view and a time.
+func (x *Direct) stillIn(v view.View, t target.Target, now time.Time) bool {
+	known, ok := v.Targets[t.ID]
+	return ok && known.Same(t) && !known.Draining && x.Avoid.Takes(known, now)
 }
 
 // stays reports whether an upstream is not about to end, as far as its registration and its answers say.
@@ -257,8 +258,8 @@
 // none returns the refusal of a request for which no upstream takes requests. Where all that there are rest, it may come back once the first has.
 func (x *Direct) none(j *job) *refuse.Refusal {
 	shortest := time.Duration(-1)
-	for _, t := range j.view.Targets {
-		if t.Group != j.group || !x.stays(t) {
+	for _, t := range j.view.Group(j.group) {
+		if !x.stays(t) {
 			continue
 		}
 		if rest := x.Avoid.Rest(t.ID, time.Now()); shortest < 0 || rest < shortest {
--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -119,15 +119,39 @@
 func (h *Holds) Version(t target.Target, adapter string, now time.Time) (int, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	if at, ok := h.misses[miss{t.ID, adapter}]; ok && now.Sub(at) < missFor {
-		return Unknown, false
-	}
+	return h.version(t, adapter, now)
+}
+
+// version needs the lock.
+func (h *Holds) version(t target.Target, adapter string, now time.Time) (int, bool) {
 	held := t.Adapters
 	if known, ok := h.told[t.ID]; ok && known.born == t.Born && known.sequence >= t.Sequence {
 		held = known.adapters
 	}
 	version, ok := held[adapter]
-	return version, ok
+	if !ok {
+		return version, false
+	}
+	if at, ok := h.misses[miss{t.ID, adapter}]; ok && now.Sub(at) < missFor {
+		return Unknown, false
+	}
+	return version, true
+}
+
+// Holders returns the engines of a list that hold an adapter, those with at least a version apart from those with an older one.
+func (h *Holds) Holders(list []target.Target, adapter string, version int, now time.Time) (holders, older []target.Target) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, t := range list {
+		held, ok := h.version(t, adapter, now)
+		switch {
+		case ok && held >= version:
+			holders = append(holders, t)
+		case ok:
+			older = append(older, t)
+		}
+	}
+	return holders, older
 }
 
 // Forget drops engines that are gone and misses that have ended.
--- a/internal/holds/holds_test.go
+++ b/internal/holds/holds_test.go
@@ -84,3 +84,29 @@
 		t.Error("the engine is taken to have m/a at hand after a restart")
 	}
 }
+
+// Engines hold an adapter in the newest version, in an older one, or rejected a request for it a moment ago. A request sent to the wrong ones is
+// rejected, or served by a version that is out of force.
+func TestHoldersAreThoseThatHoldTheVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := holds.NewHolds()
+	var list []target.Target
+	for id, version := range map[string]int{"new": 3, "newer": 4, "old": 2, "rejects": 3, "none": 0} {
+		one := target.Target{ID: id, Born: 1}
+		if version > 0 {
+			one.Adapters = map[string]int{"m/a": version}
+		}
+		list = append(list, one)
+	}
+	h.Miss("rejects", "m/a", now)
+	h.Tell("none", 1, 5, map[string]int{"m/b": 3})
+	holders, older := h.Holders(list, "m/a", 3, now)
+	if len(holders) != 2 || len(older) != 1 || older[0].ID != "old" {
+		t.Errorf("holders = %v, older = %v, want new and newer, and old", holders, older)
+	}
+	for _, one := range holders {
+		if one.ID != "new" && one.ID != "newer" {
+			t.Errorf("holders has %s, want new and newer alone", one.ID)
+		}
+	}
+}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -156,6 +156,19 @@
 	return p.slow(id) * float64(p.Load(id, now))
 }
 
+// Mean returns how much upstreams have to do on average.
+func (p *Pick) Mean(list []target.Target, now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := 0.0
+	for _, t := range list {
+		if n := p.total(t.ID, now); n != 0 {
+			sum += p.slow(t.ID) * float64(n)
+		}
+	}
+	return sum / float64(len(list))
+}
+
 func (p *Pick) slow(id string) float64 {
 	if p.Slow == nil {
 		return 1
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -85,3 +85,20 @@
 		t.Errorf("chosen %d times of %d, want 0", got, draws)
 	}
 }
+
+// How crowded an engine is follows from the mean of all; it must be that of what each has to do, slow engines counting as much more.
+func TestMeanIsThatOfAllUpstreams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := pick.NewPick("dc")
+	p.Slow = func(id string) float64 { return map[string]float64{"a": 2, "b": 1, "c": 1}[id] }
+	p.Told("a", 3, now)
+	p.Begin("b")
+	list := []target.Target{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	sum := 0.0
+	for _, one := range list {
+		sum += p.Busy(one.ID, now)
+	}
+	if got, want := p.Mean(list, now), sum/3; got != want || want == 0 {
+		t.Errorf("mean = %v, want %v", got, want)
+	}
+}
--- a/internal/ration/ration.go
+++ b/internal/ration/ration.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damaskreach/internal/bucket"
@@ -21,7 +22,8 @@
 
 // Ration may be used from several goroutines.
 type Ration struct {
-	clock func() time.Duration
+	clock   func() time.Duration
+	limited atomic.Int64 // upstreams with a limit; asked for each upstream at many requests, and mostly there are none
 
 	mu     sync.Mutex
 	limits map[string]*limit
@@ -62,6 +64,12 @@
 		return false
 	}
 	changed = (l.rate > 0) != (rate > 0)
+	switch {
+	case changed && rate > 0:
+		r.limited.Add(1)
+	case changed:
+		r.limited.Add(-1)
+	}
 	l.at = now - age
 	l.set(rate, now)
 	return changed
@@ -93,8 +101,16 @@
 	return l.rate, r.clock() - l.at, true
 }
 
+// Some reports whether any upstream names a limit.
+func (r *Ration) Some() bool {
+	return r.limited.Load() > 0
+}
+
 // Limited reports whether an upstream names a limit.
 func (r *Ration) Limited(id string) bool {
+	if !r.Some() {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.limits[id]
@@ -128,9 +144,13 @@
 func (r *Ration) Forget(gone func(id string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id := range r.limits {
-		if gone(id) {
-			delete(r.limits, id)
+	for id, l := range r.limits {
+		if !gone(id) {
+			continue
+		}
+		if l.bucket != nil {
+			r.limited.Add(-1)
 		}
+		delete(r.limits, id)
 	}
 }
--- a/internal/ration/ration_test.go
+++ b/internal/ration/ration_test.go
@@ -91,3 +91,26 @@
 		t.Errorf("wait %v, gap %v at an upstream that is gone, want none", wait, gap)
 	}
 }
+
+// Limits begin, are told anew, end and go with their upstreams. Were one left out of the count of limits, the upstream that names it would get
+// whatever comes.
+func TestSomeUpstreamIsLimitedAsLongAsOneIs(t *testing.T) {
+	c := newCounter()
+	want := func(when string, some bool) {
+		t.Helper()
+		if got := c.Some(); got != some {
+			t.Errorf("%s: some limited = %v, want %v", when, got, some)
+		}
+	}
+	c.Hear("u", notice.Notice{})
+	want("after an answer without a limit", false)
+	c.Hear("u", notice.Notice{Limited: true, Limit: 3})
+	c.Hear("u", notice.Notice{Limited: true, Limit: 4})
+	c.Hear("v", notice.Notice{Limited: true, Limit: 4})
+	c.Hear("u", notice.Notice{})
+	want("with one of two", true)
+	c.Forget(func(id string) bool { return id == "v" })
+	want("after the other is gone", false)
+	c.Told("v", 2, 0)
+	want("told by another host", true)
+}
