Have a host for a team's first limit before it is set

A team whose first limit was set was refused all that it asked for until the parts of the limit had a host (docs/design/load.md, part 6).

Cause: parts were claimed once a team had a limit. They have hosts wherever there are teams now. Weighed: letting requests through uncounted until then, a limit that does not hold whenever hosts are lost.

Tests: edge TestChangedLimitIsInForceAmidABurst, which failed on the parent for a limit set and taken away (172 requests neither served nor told that they are over it) and passes with the change, and TestUnitsOfALoweredLimitAreGone, which passes on both (go test -p 1 -count=1 -run 'TestChangedLimit|TestUnitsOfALowered' ./internal/edge).

Conclusion: limits can be set, changed and taken away amid a burst.

--- a/internal/edge/engines.go
+++ b/internal/edge/engines.go
@@ -4,19 +4,13 @@
 	"damaskreach/internal/limits"
 )
 
-// engines returns the data centre of each upstream that needs a host for its orders, and of the parts of teams' limits that need one.
+// engines returns the data centre of each upstream that needs a host for its orders, and, where there are teams, the parts of their limits. Those
+// have their hosts before the first limit is set: until then nobody could count, and all that its team asks for would be refused.
 func (e *Edge) engines() map[string]string {
 	v := e.intake.View()
-	engines := map[string]string{}
-	for id, t := range v.Targets {
-		if v.Rules.Pools[t.Group].Engine {
-			engines[id] = t.Centre
-		}
-	}
-	for _, t := range v.Rules.Teams {
-		if t.Limited() {
-			return withParts(engines)
-		}
+	engines := v.Engines()
+	if v.Rules.Guarded {
+		return withParts(engines)
 	}
 	return engines
 }
