Let a host be lost of which nobody speaks any more

Cause: a relay that is lost, and that a new relay knew only by another one's word, was dropped as that one ceased to speak of it; who had asked the new relay in between was never told. The newest word of each host outlasts the realms that spoke of it, for two minutes. Finding who is alive goes over those whose word counts, once for each look and not for each host; that shares the code.

Test: roster TestHostThatIsNoLongerSpokenOfIsLost (go test -p 1 -count=1 ./internal/roster), which failed on the parent and passes with the change.

Conclusion: what hosts were told of a host is taken back.

--- a/internal/roster/hear.go
+++ b/internal/roster/hear.go
@@ -54,8 +54,9 @@
 		r.realms[g.IP] = m
 	}
 	if whole {
-		for ip := range m.hosts {
+		for ip, b := range m.hosts {
 			r.changed[ip] = r.next()
+			r.spoke(ip, b.Beat, now)
 		}
 		clear(m.hosts)
 		clear(m.heard)
@@ -68,6 +69,7 @@
 		m.hosts[b.IP] = b
 		m.heard[b.IP] = now
 		r.changed[b.IP] = r.next()
+		r.spoke(b.IP, b.Beat, now)
 	}
 }
 
--- a/internal/roster/look.go
+++ b/internal/roster/look.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"damaskreach/internal/busy"
@@ -13,8 +14,15 @@
 	defer r.mu.Unlock()
 	r.silent = silent
 	r.dropSilent(now)
+	counting := r.counting(now)
 	for ip := range r.changed {
-		_, live := r.find(ip, now)
+		_, live := find(counting, ip)
+		if !live && !r.keeps(ip, now) {
+			delete(r.changed, ip)
+			delete(r.alive, ip)
+			delete(r.words, ip)
+			continue
+		}
 		if live == r.alive[ip] {
 			continue
 		}
@@ -64,12 +72,6 @@
 			delete(r.uses, host)
 		}
 	}
-	for ip := range r.changed {
-		if _, live := r.find(ip, now); !live && !r.known(ip) {
-			delete(r.changed, ip)
-			delete(r.alive, ip)
-		}
-	}
 }
 
 // forget drops hosts of another realm that were told to be gone long ago.
@@ -82,6 +84,14 @@
 	}
 }
 
+// keeps reports whether it must stay known that a host is lost.
+func (r *Roster) keeps(ip string, now time.Time) bool {
+	if r.known(ip) {
+		r.spoke(ip, 0, now)
+	}
+	return now.Sub(r.words[ip].at) <= remember
+}
+
 // known reports whether any realm still tells of a host.
 func (r *Roster) known(ip string) bool {
 	for _, m := range r.realms {
@@ -107,7 +117,21 @@
 func (r *Roster) Find(ip string, now time.Time) (b busy.Busy, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.find(ip, now)
+	return find(r.counting(now), ip)
+}
+
+// Living returns the newest that is known of each host that is alive.
+func (r *Roster) Living(now time.Time) map[string]busy.Busy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counting := r.counting(now)
+	living := make(map[string]busy.Busy, len(r.changed))
+	for ip := range r.changed {
+		if b, ok := find(counting, ip); ok {
+			living[ip] = b
+		}
+	}
+	return living
 }
 
 // Gone reports whether a host is known to be lost: some host that counts has heard it, and none does any more. One of which nobody
@@ -115,15 +139,14 @@
 func (r *Roster) Gone(ip string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, live := r.find(ip, now); live {
+	counting := r.counting(now)
+	if _, live := find(counting, ip); live {
 		return false
 	}
-	for relay, m := range r.realms {
-		if _, ok := m.hosts[ip]; ok && r.fresh(relay, now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(counting, func(m *realm) bool {
+		_, ok := m.hosts[ip]
+		return ok
+	})
 }
 
 // Oldest returns how long ago the relay was heard that was heard longest ago, of those that count.
--- a/internal/roster/own.go
+++ b/internal/roster/own.go
@@ -46,6 +46,7 @@
 	}
 	mine.hosts[ip] = b
 	r.changed[ip] = r.next()
+	r.spoke(ip, b.Beat, now)
 }
 
 // hears records that a host of this host's own realm was heard.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -27,6 +27,8 @@
 	mostBroke = 2000
 	// forget is how long after its last message a host is kept. A host that comes back is told of as if it were new.
 	forget = time.Minute
+	// remember is how long it stays known that a host of which nobody speaks is lost: longer than others keep what this host told them.
+	remember = 2 * forget
 )
 
 // Roster may be used from several goroutines.
@@ -43,12 +45,20 @@
 	realms  map[string]*realm // by the host that speaks for them; this host's own under its IP
 	changed map[string]int64  // number of the newest change of each host
 	alive   map[string]bool   // as of the last look
+	words   map[string]word   // newest of each host
 	held    map[string]stocked
 	broke   []broken
 	uses    map[string]using // by host
 	peers   map[string]*peer
 }
 
+// word is the newest that any host said of one. It outlasts the realms that spoke of it, for those that were told so and have yet to hear that
+// the host is lost.
+type word struct {
+	beat int64
+	at   time.Time // when a realm last spoke of the host, or ceased to
+}
+
 // realm is the hosts that one host speaks for.
 type realm struct {
 	at    time.Time // when it was last heard
@@ -99,7 +109,7 @@
 	return &Roster{
 		owner: owner, self: self, start: rand.Text(), silent: time.Second, own: busy.Busy{IP: self},
 		realms:  map[string]*realm{self: newRealm()},
-		changed: map[string]int64{}, alive: map[string]bool{}, held: map[string]stocked{}, uses: map[string]using{},
+		changed: map[string]int64{}, alive: map[string]bool{}, words: map[string]word{}, held: map[string]stocked{}, uses: map[string]using{},
 		peers: map[string]*peer{},
 	}
 }
@@ -123,17 +133,33 @@
 	return p
 }
 
+// spoke notes that a realm speaks of a host, or ceases to.
+func (r *Roster) spoke(ip string, beat int64, now time.Time) {
+	r.words[ip] = word{beat: max(beat, r.words[ip].beat), at: now}
+}
+
 // fresh reports whether what a host says of those that it speaks for counts.
 func (r *Roster) fresh(ip string, now time.Time) bool {
 	m, ok := r.realms[ip]
 	return ok && (ip == r.self || now.Sub(m.at) < r.silent)
 }
 
-// find returns the newest that is known of a host, and whether it is alive.
-func (r *Roster) find(ip string, now time.Time) (best busy.Busy, ok bool) {
+// counting returns the realms of the hosts whose word counts.
+func (r *Roster) counting(now time.Time) []*realm {
+	list := make([]*realm, 0, len(r.realms))
 	for relay, m := range r.realms {
+		if r.fresh(relay, now) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// find returns the newest that some realms tell of a host, and whether it is alive.
+func find(among []*realm, ip string) (best busy.Busy, ok bool) {
+	for _, m := range among {
 		b, here := m.hosts[ip]
-		if !here || b.Gone || m.gone[ip] || !r.fresh(relay, now) || ok && b.Beat <= best.Beat {
+		if !here || b.Gone || m.gone[ip] || ok && b.Beat <= best.Beat {
 			continue
 		}
 		best, ok = b, true
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -90,6 +90,29 @@
 	wantLive(t, member, now, true, "o")
 }
 
+// A relay is lost that a new relay knows only by another one's word, and that one ceases to speak of it as the two now speak as relays. A host that
+// asked the new relay in between must hear of the loss, or it sends to the lost host for good.
+func TestHostThatIsNoLongerSpokenOfIsLost(t *testing.T) {
+	now := start
+	lost, relay, next, member := host("l", now), host("r", now), host("n", now), host("m", now)
+	speak(lost, relay, "l", "r", true, now)
+	speak(next, relay, "n", "r", false, now)
+	for range 2 {
+		speak(member, next, "m", "n", false, now)
+	}
+	wantLive(t, member, now, true, "l")
+	for range 20 {
+		now = now.Add(silent / 5)
+		speak(next, relay, "n", "r", true, now)
+		speak(member, next, "m", "n", false, now)
+		next.Look(silent, now)
+		relay.Look(silent, now)
+	}
+	wantLive(t, relay, now, false, "l")
+	wantLive(t, next, now, false, "l")
+	wantLive(t, member, now, false, "l")
+}
+
 // A host goes from one relay to another. Its old one still takes it for silent a second later; nobody else may lose it.
 func TestHostThatChangesItsRelayIsNotLost(t *testing.T) {
 	now := start
--- a/internal/roster/tell.go
+++ b/internal/roster/tell.go
@@ -77,13 +77,15 @@
 
 // fillHosts adds all hosts of which something changed.
 func (r *Roster) fillHosts(g *gossip.Gossip, to string, now time.Time) {
+	counting := r.counting(now)
+	g.Hosts = slices.Grow(g.Hosts, r.changedSince(g.After))
 	for ip, number := range r.changed {
 		if number <= g.After || ip == to {
 			continue
 		}
-		b, live := r.find(ip, now)
+		b, live := find(counting, ip)
 		if !live {
-			b = busy.Busy{IP: ip, Beat: r.beat(ip), Gone: true}
+			b = busy.Busy{IP: ip, Beat: r.words[ip].beat, Gone: true}
 		}
 		if live || g.After > 0 {
 			g.Hosts = append(g.Hosts, b)
@@ -91,13 +93,14 @@
 	}
 }
 
-// beat returns the newest beat that was heard of a host.
-func (r *Roster) beat(ip string) int64 {
-	newest := int64(0)
-	for _, m := range r.realms {
-		newest = max(newest, m.hosts[ip].Beat)
+// changedSince returns how many hosts have changed since a number.
+func (r *Roster) changedSince(after int64) (count int) {
+	for _, number := range r.changed {
+		if number > after {
+			count++
+		}
 	}
-	return newest
+	return count
 }
 
 // fillHeld adds what changed at engines.
