Sort what hosts use by order givers once for a while

A relay went over all that all hosts use, and asked who orders each engine, with each message to each of its hosts.

It keeps what each host uses by order givers for 200 ms.

Tests: roster TestNewOrderGiverHearsOfUsesSoon, which guards against keeping it for too long, and the others (go test -p 1 -count=1 ./internal/roster), passed.

--- /dev/null
+++ b/internal/roster/many_test.go
@@ -0,0 +1,94 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"damaskreach/internal/busy"
+	"damaskreach/internal/roster"
+	"damaskreach/internal/usage"
+)
+
+// A relay of a large site answers each of its hosts several times a second.
+func BenchmarkAnswerAtRelay(b *testing.B) {
+	const engines, used = 3000, 60
+	for _, hosts := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			name := func(n int) string { return fmt.Sprint("h", n%hosts) }
+			owners := map[string]string{}
+			for n := range engines {
+				owners[fmt.Sprint("e", n)] = name(n)
+			}
+			relay := roster.NewRoster("relay", func(engine string) string { return owners[engine] })
+			relay.Note(busy.Busy{}, nil, nil, start)
+			for h := range hosts {
+				one := roster.NewRoster(name(h), hostOf)
+				var uses []usage.Usage
+				for n := range used {
+					uses = append(uses, usage.Usage{Host: name(h), Engine: fmt.Sprint("e", (h*7+n*31)%engines), Running: 1})
+				}
+				one.Note(busy.Busy{}, uses, nil, start)
+				relay.Hear(one.Ask("relay", false, start), start)
+			}
+			member := roster.NewRoster(name(0), hostOf)
+			for range 3 {
+				speak(member, relay, name(0), "relay", false, start)
+			}
+			question := member.Ask("relay", false, start)
+			b.ReportAllocs()
+			for b.Loop() {
+				relay.Answer(question, start)
+			}
+		})
+	}
+}
+
+// wide returns the roster of a relay that hears a part of a site's hosts itself, and the others from five more relays.
+func wide(hosts int) *roster.Roster {
+	const relays = 6
+	relay := roster.NewRoster("relay0", hostOf)
+	relay.Note(busy.Busy{}, nil, nil, start)
+	for r := range relays {
+		other := roster.NewRoster(fmt.Sprint("relay", r), hostOf)
+		other.Note(busy.Busy{}, nil, nil, start)
+		for h := r; h < hosts; h += relays {
+			one := roster.NewRoster(fmt.Sprint("h", h), hostOf)
+			one.Note(busy.Busy{Loads: map[string]int{fmt.Sprint("e", h): 3}}, nil, nil, start)
+			heard := other
+			if r == 0 {
+				heard = relay
+			}
+			heard.Hear(one.Ask(fmt.Sprint("relay", r), false, start), start)
+		}
+		if r > 0 {
+			relay.Hear(other.Ask("relay0", true, start), start)
+		}
+	}
+	return relay
+}
+
+// A relay tells a host of all others, where something changed at each of them.
+func BenchmarkAnswerWhereAllChanged(b *testing.B) {
+	for _, hosts := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			relay := wide(hosts)
+			question := roster.NewRoster("new", hostOf).Ask("relay0", false, start)
+			for b.Loop() {
+				relay.Answer(question, start)
+			}
+		})
+	}
+}
+
+// A host looks several times a second who is alive.
+func BenchmarkLook(b *testing.B) {
+	for _, hosts := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			relay := wide(hosts)
+			for b.Loop() {
+				relay.Look(time.Second, start)
+			}
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -84,6 +84,9 @@
 	list []usage.Usage
 	at   time.Time // when it was heard
 	own  bool
+
+	owners   map[string][]usage.Usage // list by who gives the engines their orders; nil until it is asked for
+	ownersAt time.Time                // as of when
 }
 
 // peer is what was said between this host and another one.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -261,3 +261,25 @@
 		t.Errorf("told = %d engines, want 1", len(q.Held))
 	}
 }
+
+// Another host takes an engine. It must soon hear what requests use there, though the hosts that use it have said nothing since, or it would
+// unload what they use.
+func TestNewOrderGiverHearsOfUsesSoon(t *testing.T) {
+	now, owner := start, "a"
+	relay, user := roster.NewRoster("r", func(string) string { return owner }), host("u", start)
+	relay.Look(silent, now)
+	user.Note(busy.Busy{}, []usage.Usage{{Host: "u", Engine: "e", Running: 1}}, nil, now)
+	speak(user, relay, "u", "r", false, now)
+	uses := func(ip string) int { return len(relay.Answer(host(ip, now).Ask("r", false, now), now).Uses) }
+	if got := uses("a"); got != 1 {
+		t.Errorf("told the order giver of %d uses, want 1", got)
+	}
+	owner = "b"
+	now = now.Add(250 * time.Millisecond)
+	if got := uses("b"); got != 1 {
+		t.Errorf("told the new order giver of %d uses, want 1", got)
+	}
+	if got := uses("a"); got != 0 {
+		t.Errorf("told the former order giver of %d uses, want none", got)
+	}
+}
--- a/internal/roster/tell.go
+++ b/internal/roster/tell.go
@@ -9,8 +9,12 @@
 	"damaskreach/internal/usage"
 )
 
-// usesFor is how long what a host said of its requests is passed on.
-const usesFor = 2 * time.Second
+const (
+	// usesFor is how long what a host said of its requests is passed on.
+	usesFor = 2 * time.Second
+	// ownersFor is for how long it is not looked for anew which hosts give the orders to the engines that it uses.
+	ownersFor = 200 * time.Millisecond
+)
 
 // Ask returns what to tell a relay: as a relay what is known of this host's own realm, else of this host alone.
 func (r *Roster) Ask(to string, relay bool, now time.Time) gossip.Gossip {
@@ -25,7 +29,9 @@
 	}
 	r.fillHeld(&g, func(s stocked) bool { return s.own })
 	r.fillBroke(&g, func(b broken) bool { return b.own })
-	g.Uses = r.usesOf(now, func(host, _ string) bool { return host == r.self })
+	if mine := r.uses[r.self]; now.Sub(mine.at) <= usesFor {
+		g.Uses = aged(mine.list, now.Sub(mine.at))
+	}
 	return g
 }
 
@@ -40,7 +46,7 @@
 	r.fillHosts(&g, q.IP, now)
 	r.fillHeld(&g, func(stocked) bool { return true })
 	r.fillBroke(&g, func(broken) bool { return true })
-	g.Uses = r.usesOf(now, func(host, owner string) bool { return owner == q.IP && host != q.IP })
+	g.Uses = r.usesAt(q.IP, now)
 	return g
 }
 
@@ -144,13 +150,47 @@
 		if now.Sub(one.at) > usesFor {
 			continue
 		}
-		for _, u := range one.list {
-			if !wanted(host, r.owner(u.Engine)) {
-				continue
+		for owner, uses := range r.owners(host, now) {
+			if wanted(host, owner) {
+				list = append(list, aged(uses, now.Sub(one.at))...)
 			}
-			u.Age += now.Sub(one.at).Milliseconds()
-			list = append(list, u)
 		}
 	}
 	return list
 }
+
+// usesAt returns what other hosts have at engines of one order giver, with their ages as of now.
+func (r *Roster) usesAt(owner string, now time.Time) []usage.Usage {
+	var list []usage.Usage
+	for host, one := range r.uses {
+		if host != owner && now.Sub(one.at) <= usesFor {
+			list = append(list, aged(r.owners(host, now)[owner], now.Sub(one.at))...)
+		}
+	}
+	return list
+}
+
+// aged returns what a host said so long ago.
+func aged(uses []usage.Usage, age time.Duration) []usage.Usage {
+	list := slices.Clone(uses)
+	for n := range list {
+		list[n].Age += age.Milliseconds()
+	}
+	return list
+}
+
+// owners returns what a host has at engines, by their order givers. A relay asks for it with each message to each of its hosts; an order giver
+// changes seldom.
+func (r *Roster) owners(host string, now time.Time) map[string][]usage.Usage {
+	one := r.uses[host]
+	if one.owners != nil && now.Sub(one.ownersAt) < ownersFor {
+		return one.owners
+	}
+	one.owners, one.ownersAt = map[string][]usage.Usage{}, now
+	for _, u := range one.list {
+		owner := r.owner(u.Engine)
+		one.owners[owner] = append(one.owners[owner], u)
+	}
+	r.uses[host] = one
+	return one.owners
+}
