Leave slow readings of the store to few hosts

Where a list of all registrations takes long, for its size, a small processor or a store with much to do, what one host had read was too old to be relied on soon after it was heard of, and each host read for itself: more lists at once, slower ones, and no way out of that (docs/FLEET.md).

Cause: a reading began a fixed pause after the one before, whatever that had taken; a host told of its own reading only where nobody else reads. The one that reads for others begins its next reading the sooner the longer one takes, and a host tells of its own where that is the newest. Which hosts come before a host is asked for only as far as it matters.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -64,7 +64,7 @@
 	i := intake.NewIntake()
 	i.Table, i.Conf, i.Targets = e.Table, e.Conf, e.Targets
 	i.Rules, i.Target, i.Version = e.Rules, e.Target, e.Version
-	i.Every, i.Pause, i.Clock = e.readEvery, e.retryPause, e.Clock
+	i.Every, i.Again, i.Pause, i.Clock = e.readEvery, e.readAgain, e.retryPause, e.Clock
 	i.Read, i.Changed, i.Keep = e.told, e.nudge, e.feeds.Keep
 	i.Relaxed, i.Passed, i.Others, i.Patience = e.relaxed, e.passed, e.others, e.patience
 	i.Log = e.Log
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,8 @@
 	// lateReading is by how much more than the pause between two readings the newest one may be old: a list of many registrations, and the
 	// messages that tell of it.
 	lateReading = 500 * time.Millisecond
+	// anyNumber lets all hosts count that come before this one.
+	anyNumber = math.MaxInt
 )
 
 // reader reports whether this host reads the store for others: one of all does, the first that the store answers, and the others read only
@@ -43,32 +46,41 @@
 // of upstreams, and most bring nothing new. Where no reading is heard of in time, the next ones read, one after the other: the
 // first may be frozen, or cut off without knowing it yet.
 func (e *Edge) reader() bool {
-	before := e.before()
-	if before == 0 {
+	if e.before(1) == 0 {
 		return true
 	}
 	age, ok := e.readers.Age(time.Now())
-	return ok && age > e.readEvery()+lateReading+time.Duration(before)*turnStep
+	late := age - e.readEvery() - lateReading
+	// Mostly a reading was heard of in time, and how many come before this host need not be known.
+	return ok && late > turnStep && late > time.Duration(e.before(anyNumber))*turnStep
 }
 
-// before returns how many hosts would read the store for the others sooner than this one.
-func (e *Edge) before() int {
+// before returns how many hosts would read the store for the others sooner than this one, most at the most: hosts ask with each message.
+func (e *Edge) before(most int) int {
 	m := e.mates.Load()
 	if m == nil {
 		return 0
 	}
 	away, before := e.intake.Away(), 0
-	for _, h := range m.Serving() {
-		if h.Before(m.Self) && (away || !m.Away(h.IP)) {
+	for _, h := range m.Ahead() {
+		if away || !m.Away(h.IP) {
 			before++
 		}
+		if before == most {
+			break
+		}
 	}
 	return before
 }
 
 // relaxed reports whether another host reads for this one.
 func (e *Edge) relaxed() bool {
-	return e.readers.Fresh(e.Setup().Drain-ownReading, time.Now()) && !e.reader()
+	return e.readers.Fresh(e.reliance(), time.Now()) && !e.reader()
+}
+
+// reliance is how old a reading may be for a host to rely on it.
+func (e *Edge) reliance() time.Duration {
+	return e.Setup().Drain - ownReading
 }
 
 // relied returns how old the newest reading of the upstreams is that this host relies on, its own or another one's.
@@ -85,18 +97,19 @@
 	return e.intake.Covers(read) && e.tenure.Covers(read.Fleet)
 }
 
-// marks returns how far this host knows the store and how old that is; nothing where it has not heard of any reading. One that the store
-// does not answer tells of a reading that went further than it knows itself: its hosts may be able to read what it cannot.
+// marks returns how far this host knows the store and how old the newest reading is, its own or one that it heard of; nothing where there is
+// none. One that the store does not answer tells of a reading that went further than it knows itself: its hosts may be able to read what it
+// cannot.
 func (e *Edge) marks() *marks.Marks {
 	if beyond, behind, ok := e.readers.Beyond(time.Now(), e.covers); ok && (e.intake.Away() || behind > inDoubt) {
 		return &beyond
 	}
 	known, ok := e.intake.Marks()
-	if !ok || !e.reader() {
-		age, heard := e.readers.Age(time.Now())
-		if !heard {
-			return nil
-		}
+	age, heard := e.readers.Age(time.Now())
+	if !ok && !heard {
+		return nil
+	}
+	if !ok || heard && age.Milliseconds() < known.Age {
 		known.Age = age.Milliseconds()
 	}
 	known.Fleet = e.tenure.Mark()
@@ -150,7 +163,7 @@
 	if len(missing) == 0 {
 		return 0
 	}
-	return min(e.old()+selfEvery, time.Duration(e.before())*turnStep)
+	return min(e.old()+selfEvery, time.Duration(e.before(anyNumber))*turnStep)
 }
 
 // wake has what another host knows of read, unless this one knows as much by now.
@@ -207,7 +220,8 @@
 // noted returns the store with a line for each reading, by which on-call engineers tell what a host could know at a moment.
 func (e *Edge) noted(t table.Table) table.Table {
 	note := func(prefix string, after, rev int64, list []rows.Row, begun time.Time, err error) {
-		e.Log.Info("store read", zap.String("rows", prefix), zap.Int64("after", after), zap.Int64("revision", rev),
+		era, _ := rows.Era(max(after, rev, 0))
+		e.Log.Info("store read", zap.String("rows", prefix), zap.Int64("after", after), zap.Int64("revision", rev), zap.Int64("era", era),
 			zap.Int("count", len(list)), zap.Bool("reader", e.reader()), zap.Duration("took", time.Since(begun)), zap.Error(err))
 	}
 	tail, whole := t.Tail, t.List
@@ -241,3 +255,15 @@
 	s := e.Setup()
 	return min(s.Beat, s.Drain*6/10)
 }
+
+// readAgain returns how long after the beginning of a reading that took so long this host begins the next one. The one that reads for all
+// others reads again the sooner the longer a reading takes: each of the others would read for itself from the moment at which the last
+// one that it heard of is too old to be relied on, and hundreds of them would slow the store and each other so that this went on.
+func (e *Edge) readAgain(took time.Duration) time.Duration {
+	every := e.readEvery()
+	spare := e.reliance() - e.old() - every
+	if spare <= 0 || !e.reader() {
+		return every
+	}
+	return min(every, every+spare-took)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,7 +25,9 @@
 	Conf    string // prefix of the operators' rows; its Tail waits for a change
 	Targets string // prefix of the upstreams' registrations
 	Every   func() time.Duration
-	Clock   func() time.Duration // goes on through suspensions
+	// Again returns how long after the beginning of a reading of the registrations that took so long the next one begins.
+	Again func(took time.Duration) time.Duration
+	Clock func() time.Duration // goes on through suspensions
 	// Rules, Target and Version decode rows; a row that is none of their kind is an error and changes nothing.
 	Rules   func(row rows.Row) (rules.Rules, bool, error)
 	Target  func(row rows.Row) (target.Target, error)
@@ -87,6 +89,7 @@
 		Patience: func() time.Duration { return 0 },
 		Passed:   func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
 	}
+	i.Again = func(time.Duration) time.Duration { return i.Every() }
 	i.current.Store(&view.View{})
 	return i
 }
--- a/internal/intake/reading.go
+++ b/internal/intake/reading.go
@@ -50,6 +50,7 @@
 	i.outage.note(began, i.away.Swap(false), i.Every())
 	if r.rev >= i.targetAt.Load() {
 		i.takeTargets(r.list, r.whole, r.rev, now)
+		i.taken = began // what has changed while the store answered is in the next reading
 	} else {
 		i.Log.Info("reading not taken", zap.String("rows", i.Targets), zap.Int64("revision", r.rev), zap.Int64("taken", i.targetAt.Load()))
 	}
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -32,7 +32,7 @@
 			i.pause(ctx, i.targetWake, i.passedTargets)
 			continue
 		}
-		i.untilNext(ctx, began.Add(i.Every()))
+		i.untilNext(ctx, began.Add(i.Again(time.Since(began))))
 	}
 }
 
