Renew a lease that peers refuse to extend

Cause: each node's renewal under way still hung, and was given up only after seconds; its peers, which read the table again, promised nothing any more. A refusal has the node renew at once, beside the renewal that hangs; an answer that comes late changes nothing, and a renewal that meets an earlier one of its own that took effect is tried once more.

Tests: stand/site TestLeasesOutlastTheEndOfASlowTable, at ten moments of the renewals (go test -p 1 -count=1 -run 'TestNodeThatEnded|TestLeasesOutlast' ./internal/stand/site), which failed with lease and extend as on the parent (503 in those words) and passes with the change; three tests of lease pass (go test -p 1 -count=1 ./internal/lease).

Conclusion: leases outlast the end of an outage as they do the outage.

--- a/internal/extend/extend.go
+++ b/internal/extend/extend.go
@@ -26,6 +26,15 @@
 	askTimeout  = time.Second
 )
 
+// answer is what a peer says to a request for a promise. The greater outweighs the lesser ones of other peers.
+type answer int
+
+const (
+	promised answer = iota
+	silent
+	refused
+)
+
 // Extend asks for and gives promises. The fields are set before Register and not changed afterwards.
 type Extend struct {
 	Loop    *loop.Loop
@@ -85,11 +94,24 @@
 	begin := time.Now()
 	me := e.Lease.Session()
 	others, err := loop.Get(ctx, e.Loop, func() []sess.Session { return e.others(me) })
-	if err != nil || !e.unanimous(ctx, me, others) {
+	if err != nil {
 		return
 	}
-	e.Lease.Extend(me.ID(), begin.Add(e.Term))
-	e.Log.Info("peers extended the lease", zap.String("session", me.ID()), zap.Int("peers", len(others)))
+	switch e.poll(ctx, me, others) {
+	case promised:
+		e.Lease.Extend(me.ID(), begin.Add(e.Term))
+		e.Log.Info("peers extended the lease", zap.String("session", me.ID()), zap.Int("peers", len(others)))
+	case refused:
+		e.renew(ctx)
+	}
+}
+
+// renew renews the lease after a peer's refusal: the peer reads the table service, which may have just come back. Left to
+// the renewal under way, which may have been sent before, all leases of a site would lapse together and its callers be refused.
+func (e *Extend) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, e.Every/2) // well before the next turn
+	defer cancel()
+	e.Lease.Renew(ctx)
 }
 
 func (e *Extend) others(me sess.Session) []sess.Session {
@@ -102,25 +124,37 @@
 	return others
 }
 
-// unanimous asks all at once; a node alone has nobody who could take over, and nobody to tell it that this is so.
-func (e *Extend) unanimous(ctx context.Context, me sess.Session, others []sess.Session) bool {
+// poll asks all at once and returns what their answers come to: a refusal by one is refused, and only the promises of all are
+// promised. A node alone has nobody who could take over, and nobody to tell it that this is so.
+func (e *Extend) poll(ctx context.Context, me sess.Session, others []sess.Session) answer {
 	if len(others) == 0 {
-		return false
+		return silent
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answers := make(chan bool, len(others))
+	answers := make(chan answer, len(others))
 	for _, s := range others {
-		go func() {
-			var said spareSaid
-			err := e.Mesh.Ask(ctx, s.Peer, methodSpare, spareAsk{Session: me.ID(), Key: me.Key()}, &said)
-			answers <- err == nil && said.Promised
-		}()
+		go func() { answers <- e.askOne(ctx, me, s.Peer) }()
 	}
+	all := promised
 	for range others {
-		if !<-answers {
-			return false
+		all = max(all, <-answers)
+		if all == refused {
+			break
 		}
 	}
-	return true
+	return all
+}
+
+func (e *Extend) askOne(ctx context.Context, me sess.Session, peer string) answer {
+	var said spareSaid
+	err := e.Mesh.Ask(ctx, peer, methodSpare, spareAsk{Session: me.ID(), Key: me.Key()}, &said)
+	switch {
+	case err != nil:
+		return silent
+	case said.Promised:
+		return promised
+	default:
+		return refused
+	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/rows"
@@ -133,7 +135,30 @@
 	return err
 }
 
+// Renew renews the lease now, beside a renewal of Run that may hang: one sent to a slow service is given up only after
+// seconds, in which the term could end although the service answers again. It does nothing for a session that has no row
+// or has ended.
+func (l *Lease) Renew(ctx context.Context) {
+	if l.renewable() {
+		l.step(ctx)
+	}
+}
+
+func (l *Lease) renewable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rev != 0 && l.now.State != sess.Ended
+}
+
+// step renews the lease. It tries once more where an earlier renewal had taken effect unnoticed: by the next turn the term
+// may have ended.
 func (l *Lease) step(ctx context.Context) {
+	if errors.Is(l.try(ctx), errBehind) {
+		_ = l.try(ctx)
+	}
+}
+
+func (l *Lease) try(ctx context.Context) error {
 	start := time.Now()
 	next, rev := l.nextBeat()
 	l.at(BeforeRenew)
@@ -147,9 +172,10 @@
 	}
 	if err != nil {
 		l.log.Warn("renewing the session failed", zap.String("session", next.ID()), zap.Error(err))
-		return
+		return err
 	}
 	l.accept(next, rev, start)
+	return nil
 }
 
 func (l *Lease) nextBeat() (sess.Session, int64) {
@@ -165,7 +191,7 @@
 	if l.now.ID() != next.ID() {
 		return
 	}
-	l.rev = rev
+	l.rev = max(l.rev, rev) // a later renewal may have been answered first
 	until := start.Add(l.term)
 	if until.After(l.until) {
 		l.until = until
@@ -197,10 +223,11 @@
 	// An earlier renewal took effect after all: the next one must build on its revision.
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if row.Rev > l.rev && l.now.ID() == next.ID() {
-		l.rev = row.Rev
+	if row.Rev <= l.rev || l.now.ID() != next.ID() {
+		return 0, cause
 	}
-	return 0, cause
+	l.rev = row.Rev
+	return 0, merry.Wrap(errBehind, merry.WithCause(cause))
 }
 
 // settleAbsent starts another life where the row was deleted, which means that the others take this session for dead.
@@ -212,6 +239,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.now.ID() != next.ID() {
+		return cause
+	}
 	l.log.Warn("the session was ended by others; starting anew", zap.String("session", next.ID()))
 	l.now = l.now.WithEpoch(newEpoch())
 	l.own[l.now.ID()] = true
--- a/internal/stand/site/table_test.go
+++ b/internal/stand/site/table_test.go
@@ -136,6 +136,33 @@
 	})
 }
 
+// The table service hangs and then answers again, at ten moments of the nodes' renewals. Each node's renewal under way still hangs, and
+// its peers, which read the table, promise nothing any more. If leases lapsed, callers would be told that no runner is known to take work.
+func TestLeasesOutlastTheEndOfASlowTable(t *testing.T) {
+	const (
+		moments = 10
+		apart   = time.Second
+		cycle   = 10 * time.Second // of renewals that hang until they are given up
+	)
+	play(t, 3, 3, false, func(w *world) {
+		before := w.fences(3)
+		w.partAll(3)
+		for i := range moments {
+			w.DB.SetSlow(20 * time.Second)
+			w.pass(6*cycle + time.Duration(i)*apart)
+			since := time.Now()
+			stop := w.load(4, 3)
+			w.DB.SetSlow(0)
+			w.pass(3*cycle - time.Duration(i)*apart) // the next outage begins in the same phase
+			stop()
+			w.whole(since, "overloaded", "no-room")
+		}
+		w.joinAll(3)
+		w.pass(quiet)
+		w.unmoved("after", before, 3)
+	})
+}
+
 // One node is cut off from the table but reaches its peers, its runners and its callers. It learns of a new revision
 // from its peers as fast as the others do, and its callers are served.
 func TestNodeCutOffFromTheTableAlone(t *testing.T) {
