Return from a node's run with its ports closed

Callers who asked a host whose node was replaced were turned away: the next process could not open the ports that the one before had not closed yet, and ended at once.

Cause: Run returned while the goroutines that serve the ports were still ending. It waits for them.

Conclusion: a node can be replaced at its address at once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,7 +96,8 @@
 
 	keys     atomic.Pointer[[]string] // SHA-256 of operators' keys in force
 	ctx      context.Context
-	begun    time.Time // when Run began
+	ports    sync.WaitGroup // of goroutines that serve a port, and close it as they end
+	begun    time.Time      // when Run began
 	started  atomic.Bool
 	draining atomic.Bool
 	closed   atomic.Bool
@@ -123,9 +125,11 @@
 	return n
 }
 
-// Run serves until ctx ends, or until a drain is complete.
+// Run serves until ctx ends, or until a drain is complete. Its ports are closed when it returns: a node that takes its place
+// could not open them before, and would end at once.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer n.ports.Wait()
 	defer cancel()
 	n.ctx = ctx
 	n.begun = time.Now()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -34,11 +34,11 @@
 	if err != nil {
 		return merry.Prependf(err, "opening the address for other nodes")
 	}
-	go func() {
+	n.ports.Go(func() {
 		if err := n.mesh.Serve(ctx, lis); err != nil && ctx.Err() == nil {
 			n.Log.Error("serving other nodes ended", zap.Error(err))
 		}
-	}()
+	})
 	if n.callers, err = n.serveHTTP(ctx, n.Conf.HTTP, n.entry.Handler()); err != nil {
 		return merry.Prependf(err, "opening the address for callers")
 	}
@@ -62,11 +62,11 @@
 		ErrorLog:          zap.NewStdLog(n.Log),
 	}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() {
+	n.ports.Go(func() {
 		if err := server.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			n.Log.Error("serving HTTP ended", zap.String("addr", addr), zap.Error(err))
 		}
-	}()
+	})
 	return server, nil
 }
 
