Shorten what pace says of itself

The package's page told the story of its tuning, with figures that belong to the capacity page. No change of behaviour.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,10 +1,8 @@
 // Package pace spaces the prompts that one engine is given, so that the streams it runs do not stall.
 //
-// An engine reads prompts in the same steps in which it makes the next token of every stream. Prompts that arrive together
-// are read in one long step or in steps without a pause between, and all streams on the engine wait for the sum of them:
-// with prompts of some 60 ms, one reading in six held streams up for over 230 ms at half load though no prompt took so long
-// (TestPacedPromptsStallNoStreamsAtHalfLoad). One would notice late answers on engines that are far from full. So a prompt
-// is sent once those being read leave room for it in the pause that streams allow.
+// An engine reads prompts in the same steps in which it makes the next token of every stream, so that all its streams wait for the sum of the
+// prompts that arrive together. Here a prompt waits until those being read leave room for it in the pause that streams allow, and for a rest behind
+// them where the engine is asked for more than it can read.
 //
 // How long an engine reads is an estimate, and engines turn slow for moments. Hosts say when a prompt has been read; until then it counts as
 // being read, however long that takes. By the estimate alone, a slow engine would get the next prompts while it reads the last ones.
@@ -18,9 +16,8 @@
 
 const (
 	// rest is the part of the time that prompts took to read in which none is read afterwards, at an engine that is asked for more
-	// than it can do. It would read prompts nearly all the time, and each stream would get one event in a reading: none pauses too
-	// long, and the long ones do not end before their callers leave. With it an event comes about every 80 ms at the worst
-	// instead of every 280.
+	// than it can do. Reading nearly all the time, it would give each stream one event in a reading: none pauses too long, and the
+	// long ones do not end before their callers leave.
 	rest = 0.35
 	// sustained is the part of the last seconds in which an engine must have read for that, and memory how many seconds those are. A
 	// burst is over before streams fall behind; resting in it makes requests late that the engine could read in time.
