Answer a request whose upstream breaks off as its host's last answers are due

Cause: behind a failed send, `send` asked how the request's context had ended, and then asked again: `ending(caller)`, and then whether `caller.Err()` was context.Canceled. A host that ended between the two had the first say that it does not end, and the second that the caller left.

Ruled out: context.Cause itself.

Change: `send` takes context.Cause once, after the error is there, and `unanswered` decides by that alone. What takes a send without an answer stands in a file of its own. Direct gets a field for what bounds a request's context, context.WithDeadline, so that a test can have its host end right behind a look.

Before, with the field alone: go test -run TestRequestWhoseUpstreamBreaksOffAsItsHostEndsIsAnswered ./internal/direct failed with "status = 200, broken off = true, want 502 whole". After: it passes, and so does the rest of the package.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -99,6 +99,8 @@
 	Late func() bool
 	// Ending is done when the host is about to end: requests whose answers have not begun get their final answers then.
 	Ending context.Context
+	// Bound returns a request's context with the time by which it must be answered: context.WithDeadline.
+	Bound func(ctx context.Context, until time.Time) (context.Context, context.CancelFunc)
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
@@ -138,10 +140,10 @@
 		x.refuse(w, j, refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline())
-	defer cancel()
-	ctx, end := context.WithCancelCause(ctx)
+	ctx, end := context.WithCancelCause(r.Context())
 	defer end(nil)
+	ctx, cancel := x.Bound(ctx, j.deadline())
+	defer cancel()
 	j.stays = context.AfterFunc(x.Ending, func() { end(errEnding) })
 	defer j.stays()
 	if refusal := x.charge(ctx, j); refusal != nil {
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -119,7 +119,7 @@
 		},
 		Notice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.begun) }), Avoid: avoid.NewAvoid(), Permit: b.permit, TellLimit: func(string) {},
 		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Spent: func(spent.Spent) {}, Blame: &blame.Blame{}, Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
-		Late: func() bool { return b.late }, Ending: context.Background(),
+		Late: func() bool { return b.late }, Ending: context.Background(), Bound: context.WithDeadline,
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
 		Away:  func() bool { return b.away },
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -105,18 +105,8 @@
 	j.sent = time.Now()
 	j.version = version
 	r, err := x.Do(ctx, t.Addr, j.d, x.Headers(t.ID, left, version, j.last), func() bool { return x.still(t) })
-	if err != nil && ending(caller) {
-		return x.sendEnded(caller, j, t, err)
-	}
-	if err != nil && caller.Err() == context.Canceled {
-		// The caller left, and the upstream was told by the end of its connection; it is not to blame.
-		x.outcome(t, "left")
-		x.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, 0)
-		panic(http.ErrAbortHandler)
-	}
 	if err != nil {
-		j.failed = true
-		return x.sendFailed(ctx, j, t, err)
+		return x.unanswered(ctx, context.Cause(caller), j, t, err)
 	}
 	defer r.Close()
 	if j.streams(r) && !watch.Stop() {
@@ -172,59 +162,11 @@
 	return true
 }
 
-// sendEnded takes a send that was given up because the host ends; the upstream is not to blame.
-func (x *Direct) sendEnded(ctx context.Context, j *job, t target.Target, err error) (done bool) {
-	x.outcome(t, "left")
-	if verd.Of(err) != verd.NotRun {
-		j.runs++
-	}
-	x.refuse(j.w, j, x.ended(ctx, j))
-	return true
-}
-
-// sendFailed takes a send without an answer.
-func (x *Direct) sendFailed(ctx context.Context, j *job, t target.Target, err error) (done bool) {
-	now := time.Now()
-	verdict := verd.Of(err)
-	x.outcome(t, "failed")
-	if verdict != verd.NotRun {
-		j.runs++
-	}
-	if j.over(now) {
-		x.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.begun).Round(time.Millisecond)))
-		return true
-	}
-	if verdict != verd.NotRun && ctx.Err() == nil {
-		x.broke(j, t)
-	}
-	x.Pick.Rest(t.ID, now)
-	x.Log.Info("send failed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Stringer("verdict", verdict),
-		zap.Int("sends", j.sends), zap.Duration("since", now.Sub(j.begun)), zap.Error(err))
-	code := refuse.Crashed
-	if verdict == verd.NotRun {
-		code = refuse.NoUpstream
-	}
-	j.fail(t.ID, refuse.NewRefusal(j.verdict(), code, "sending to %s failed", t.ID).WithRetry(comeBack))
-	if verdict == verd.NotRun || j.again() && !x.Blame.Barred(j.print, now) {
-		return false
-	}
-	x.refuse(j.w, j, j.fault)
-	return true
-}
-
 // outcome counts how a send ended: "ok", "cut", "timeout", "failed", "left", "rejected", "not-resumed", or a class of statuses.
 func (x *Direct) outcome(t target.Target, outcome string) {
 	x.Stats.Add(stats.Sends, 1, "upstream", t.ID, "outcome", outcome)
 }
 
-// broke records that an upstream broke off under a request.
-func (x *Direct) broke(j *job, t target.Target) {
-	if n := x.Blame.Broke(j.print, place(t), time.Now()); n > 1 {
-		x.Log.Info("upstreams broke off under one request", zap.String("request", j.d.ID), zap.String("print", j.print),
-			zap.String("target", t.ID), zap.Int("upstreams", n))
-	}
-}
-
 // over reports whether the request's time has ended.
 func (j *job) over(now time.Time) bool {
 	return !now.Before(j.deadline().Add(-time.Millisecond))
