Tell a late request from one whose caller left as its host ends

What a caller could see: a request whose time was over before its timer had told so, and whose host ended just then, was refused as "the caller left", with a 502 that says it may have run. It had not been sent; it is owed a 503.

Ruled out: the other callers of `ended` (`admitted`, `load`) ask only once the context has ended, and how it ended does not change then.

Before: go test -run TestRequestThatIsLateAsItsHostEndsIsNotTakenForLeft ./internal/direct failed with "status = 502, want 503". After: it passes, and so does the rest of the package.

--- a/internal/direct/looks_test.go
+++ b/internal/direct/looks_test.go
@@ -11,6 +11,8 @@
 
 	"damaskreach/internal/demand"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/view"
+	"damaskreach/internal/want"
 	"damaskreach/pkg/verd"
 )
 
@@ -60,3 +62,25 @@
 		b.counted(`code="crashed",verdict="may-have-run"} 1`)
 	})
 }
+
+// A request's time ends before its timer tells so, and its host ends just then: refused as one whose caller left, it would be told that it may have run.
+func TestRequestThatIsLateAsItsHostEndsIsNotTakenForLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, armed := endsBehindALook(t, time.Minute)
+		admitted := false
+		b.Admit = func(context.Context, want.Want) error {
+			time.Sleep(10 * time.Second)
+			admitted = true
+			return nil
+		}
+		b.View = func() view.View {
+			armed.Store(admitted) // the last question before the request would be sent
+			return b.view
+		}
+		rec, _ := b.call(held)
+		if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+			t.Errorf("status = %d, want %d", got, want)
+		}
+		b.counted(`code="deadline",verdict="not-run"} 1`)
+	})
+}
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -273,22 +273,18 @@
 	return refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no upstream of %s is ready", j.group).WithRetry(comeBack)
 }
 
-// ending reports whether a request is over because its host ends.
-func ending(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errEnding)
-}
-
 // hostEnds returns the refusal of a request whose host ends.
 func hostEnds(j *job) *refuse.Refusal {
 	return refuse.NewRefusal(j.verdict(), refuse.Leaving, "this host ends").WithRetry(elsewhere)
 }
 
-// ended returns the refusal of a request whose caller left, whose time is over, or whose host ends.
+// ended returns the refusal of a request whose caller left, whose time is over, or whose host ends. One look tells which: the request may end between
+// two, and a host's end would be taken for a caller's leaving.
 func (x *Direct) ended(ctx context.Context, j *job) *refuse.Refusal {
-	if ending(ctx) {
+	switch over := context.Cause(ctx); {
+	case errors.Is(over, errEnding):
 		return hostEnds(j)
-	}
-	if ctx.Err() == context.Canceled {
+	case errors.Is(over, context.Canceled):
 		return refuse.NewRefusal(verd.MayHaveRun, refuse.Canceled, "the caller left")
 	}
 	return refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", time.Since(j.begun).Round(time.Millisecond))
