Send a request elsewhere whose older version and host end at once

What a caller could see: a request that waits for a turn at an engine with an older version of its adapter, as the time in which that version serves and the host end together, was refused as "not answered within" its time, with a 503 without a Retry-After. It is owed one that sends it elsewhere at once.

Cause: `admitOlder` asked whether its wait had ended and then whether the request had. Where both had, it passed on the refusal of the wait, which names the wrong cause.

Ruled out: a closed connection, or a promise that is not kept. The request has not run, and both refusals say so.

Before: go test -run TestRequestThatWaitsForAnOlderVersionIsSentElsewhereAsItsHostEnds ./internal/direct failed with "no time to come back, want one". After: it passes, and so does the rest of the package.

--- a/internal/direct/ending_test.go
+++ b/internal/direct/ending_test.go
@@ -111,3 +111,31 @@
 		b.counted(`code="leaving",verdict="may-have-run"} 1`)
 	})
 }
+
+// The time in which an older version serves ends while a request waits for a turn there, and its host ends just then: taken for one whose own time is
+// over, it would be refused without being sent elsewhere at once.
+func TestRequestThatWaitsForAnOlderVersionIsSentElsewhereAsItsHostEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := silentBench(t, true)
+		b.view = b.view.WithVersion("m/a", 2, time.Now())
+		ctx, end := context.WithCancel(t.Context())
+		b.Ending = ctx
+		b.Admit = func(ctx context.Context, w want.Want) error {
+			if w.Spread {
+				return want.ErrBusy
+			}
+			<-ctx.Done()
+			end()
+			synctest.Wait()
+			return ctx.Err()
+		}
+		rec, _ := b.call(held)
+		if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+			t.Errorf("status = %d, want %d", got, want)
+		}
+		if rec.Header().Get("Retry-After") == "" {
+			t.Error("no time to come back, want one")
+		}
+		b.counted(`code="leaving",verdict="not-run"} 1`)
+	})
+}
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -152,10 +152,13 @@
 	waitCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	t, version, refusal := x.admitAny(waitCtx, j, older, 0, anyTime, func() {})
-	if waitCtx.Err() != nil && ctx.Err() == nil {
-		return x.place(ctx, j)
+	if waitCtx.Err() == nil {
+		return t, version, refusal
+	}
+	if ctx.Err() != nil {
+		return target.Target{}, 0, x.ended(ctx, j)
 	}
-	return t, version, refusal
+	return x.place(ctx, j)
 }
 
 // sound returns the upstreams that are not left alone at present.
