Look once at how a request ended whose connection broke

What one could see: a line "send failed" that names the caller's leaving ("context canceled") for a connection that its upstream closed, where the caller left or the host ended a moment later. No caller saw it: what a caller is told does not go by this error.

Cause: `Uplink.Do` asked twice how the context had ended, once for what it learns of kept connections and once for the error. The two could differ.

Ruled out: an error of the context that is taken for the upstream's. Once ended, the context stays so, and the connection is closed for it only then.

--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -88,21 +88,19 @@
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	fail := func(err error, text string) (resp.Resp, error) {
-		stop()
-		c.Close()
-		if ctx.Err() != nil {
-			err = merry.Wrap(ctx.Err(), merry.WithCause(err))
-		}
-		return resp.Resp{}, verd.Mark(merry.Prependf(err, "%s %s", text, addr), verd.MayHaveRun)
-	}
 	written := make(chan error, 1)
 	// An upstream may answer before it has read a long body: the answer is read meanwhile.
 	go func() { written <- write(c, d, extra) }()
 	r, err := c.answer(d)
-	u.learn(c.idled, err != nil && ctx.Err() == nil)
+	over := ctx.Err()
+	u.learn(c.idled, err != nil && over == nil)
 	if err != nil {
-		return fail(err, "waiting for the answer of")
+		stop()
+		c.Close()
+		if over != nil {
+			err = merry.Wrap(over, merry.WithCause(err))
+		}
+		return resp.Resp{}, verd.Mark(merry.Prependf(err, "waiting for the answer of %s", addr), verd.MayHaveRun)
 	}
 	body := newBody(r.Body)
 	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Cut: func() { c.Close() }, Close: func() {
