Return a moved stream to the engine it left where the next one fails it

What callers could see: a stream broken off in the middle. Its engine fell silent, the stream was moved to another one, and that one failed it: with two runs allowed, it had none left.

Cause: runs are counted by sends. A route's most attempts are upstreams ("the maximum number of runners to which one requester attempt may be sent"), so a stream may return to one where it ran already, and the first one was only silent.

Ruled out: staying connected to the first engine until the next has begun. A third engine: that is one more than the route allows. An engine that rejects the stream or is not reached uses up no run; that the stream goes on then passed before.

Change: a stream that has used up its runs returns once to the engine that it was moved from, and to that one alone. Where that takes no more requests, the stream is broken off as before. The shared bound on repeats holds for this send as well.

Before: go test -run 'Moved|Returns|Gone' ./internal/direct failed in the three cases of TestStreamThatWasMovedReturnsWhereTheNextEngineFails ("answer = first event, broken off = true") and in TestStreamReturnsOnce ("sends = 2, want 3"). After: all pass, and so does the package, five times of five. Without the look for the engine's leaving, TestStreamDoesNotWaitForAnEngineThatIsGone fails ("broken off after 10s"). Not played on a site.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -35,6 +35,8 @@
 	sends     int             // to upstreams, rejected ones included
 	runs      int             // sends that may have run
 	tried     map[string]bool // upstreams that did not serve it
+	moved     *target.Target  // where it was cut off only since it was silent; nil where it was not
+	only      *target.Target  // the one upstream where it may go on; nil for any
 	fault     *refuse.Refusal // why the last send failed
 	failed    bool            // for reasons of its upstream; kept here since refuse panics where part of an answer has gone out
 	units     float64         // that it counts against its team's limit; 0 where there is none
@@ -140,6 +142,14 @@
 	return j.route.Repeatable() && j.runs < max(1, j.route.Attempts)
 }
 
+// open reports whether the request may go to an upstream, as far as its earlier sends tell.
+func (j *job) open(id string) bool {
+	if j.only != nil {
+		return id == j.only.ID
+	}
+	return !j.tried[id]
+}
+
 // place names an upstream in one incarnation.
 func place(t target.Target) string {
 	return t.ID + "/" + strconv.FormatInt(t.Born, 36)
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -53,11 +53,11 @@
 	return x.placeAdapter(ctx, j, able)
 }
 
-// candidates returns the ready upstreams of the group that have not failed this request.
+// candidates returns the ready upstreams of the group to which this request may go.
 func (x *Direct) candidates(j *job) []target.Target {
 	now := time.Now()
 	return kept(j.view.Group(j.group), func(t target.Target) bool {
-		return !t.Draining && !j.tried[t.ID] && x.Avoid.Takes(t, now)
+		return !t.Draining && j.open(t.ID) && x.Avoid.Takes(t, now)
 	})
 }
 
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -69,7 +69,11 @@
 	}
 	x.broke(j, t)
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
-	if end == endMoved || j.again() && !x.Blame.Barred(j.print, now) {
+	if end == endMoved {
+		j.moved = &t
+		return false
+	}
+	if j.goesOn() && !x.Blame.Barred(j.print, now) {
 		return false
 	}
 	x.refuse(j.w, j, j.fault)
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -58,7 +58,7 @@
 	}
 	for {
 		next, refusal := x.find(ctx, j)
-		if refusal == nil || !j.headed || !turns.Sleep(ctx, moveAgain) {
+		if refusal == nil || !j.headed || x.onlyGone(j) || !turns.Sleep(ctx, moveAgain) {
 			return next, refusal
 		}
 		j.tried = nil // what did not serve it a moment ago may do so now, and there is nothing to lose
@@ -155,7 +155,7 @@
 	x.outcome(t, "not-resumed")
 	x.Log.Info("not resumed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("status", r.Status))
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream could not go on at %s", t.ID))
-	if j.again() {
+	if j.goesOn() {
 		return false
 	}
 	x.refuse(j.w, j, j.fault)
--- a/internal/direct/unanswered.go
+++ b/internal/direct/unanswered.go
@@ -62,7 +62,7 @@
 		code = refuse.NoUpstream
 	}
 	j.fail(t.ID, refuse.NewRefusal(j.verdict(), code, "sending to %s failed", t.ID).WithRetry(comeBack))
-	if verdict == verd.NotRun || j.again() && !x.Blame.Barred(j.print, now) {
+	if verdict == verd.NotRun || j.goesOn() && !x.Blame.Barred(j.print, now) {
 		return false
 	}
 	x.refuse(j.w, j, j.fault)
