Do not blame an upstream for an answer that its caller let wait

What one could see: a sound upstream left alone for a moment, longer each time, and after three of them a request refused as one that crashes upstreams, since a caller reads a stream slowly.

Cause: events are read from the upstream only once the caller has taken those before. An upstream that cannot write gives up and closes, and that was taken for a crash.

Change: where nothing was read from the upstream for a second, since its caller did not take what was there, and the stream breaks off within a second behind that, the upstream is neither left alone nor blamed. The stream goes on as before. The line `stream cut` says `held`.

Ruled out: telling by the error. An upstream that gives up closes or resets, as one that crashes does. One that crashes under a slow caller goes unblamed for that stream; its other streams tell.

Before: go test -run 'NobodyTakes|WhileItsCaller' ./internal/direct failed in both cases of TestUpstreamThatCutsAnAnswerNobodyTakesIsNotBlamed (1 left alone and 1 recorded, want none of either). After: all pass, and so does the package, five times of five. With no bound on how long ago the pause was, or with one of no length, TestUpstreamThatBreaksOffWhileItsCallerReadsIsBlamed fails.

--- /dev/null
+++ b/internal/direct/held_test.go
@@ -0,0 +1,85 @@
+package direct_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/resp"
+)
+
+// breaking returns an answer whose engine breaks off behind its first event, so long after it, where rest is what it has written by then.
+func breaking(after time.Duration, rest string) func(s sent) (resp.Resp, error) {
+	return func(sent) (resp.Resp, error) {
+		r, w := io.Pipe()
+		broken := make(chan struct{})
+		time.AfterFunc(after, func() { close(broken) })
+		go func() {
+			_, _ = io.WriteString(w, firstEvent)
+			<-broken
+			_, _ = io.WriteString(w, rest)
+			_ = w.CloseWithError(errors.New("reset"))
+		}()
+		return resp.Resp{Status: http.StatusOK, Header: http.Header{}, Body: r, Cut: func() {}, Close: func() {}}, nil
+	}
+}
+
+// callSlowly sends a request whose caller takes its first event so late.
+func (b *bench) callSlowly(late time.Duration) *httptest.ResponseRecorder {
+	reader := &slowReader{ResponseRecorder: httptest.NewRecorder(), late: late}
+	r := httptest.NewRequestWithContext(b.t.Context(), http.MethodPost, "/p/x", nil)
+	r.Host, r.Header = "a.example", held
+	b.ServeHTTP(reader, r)
+	return reader.ResponseRecorder
+}
+
+// An upstream cuts an answer that nobody takes, since its caller reads slowly: blamed for it, a sound upstream would be left alone, and the request be
+// refused as one that crashes upstreams.
+func TestUpstreamThatCutsAnAnswerNobodyTakesIsNotBlamed(t *testing.T) {
+	for name, rest := range map[string]string{"at once": "", "behind what it has written": lastEvent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := silentBench(t, true)
+				b.then(breaking(2*time.Second, rest), answers(http.StatusOK, nil, lastEvent, nil))
+				rec := b.callSlowly(3 * time.Second)
+				if got, want := rec.Body.String(), firstEvent+lastEvent; got != want {
+					t.Errorf("answer = %q, want %q", got, want)
+				}
+				b.wantBlamed(0)
+			})
+		})
+	}
+}
+
+// An upstream crashes under an answer whose caller reads, or read slowly only a while ago: not blamed, it would get the next requests at once.
+func TestUpstreamThatBreaksOffWhileItsCallerReadsIsBlamed(t *testing.T) {
+	for name, c := range map[string]struct{ late, after time.Duration }{
+		"a caller that reads at once":       {0, time.Second},
+		"a caller that reads a little late": {200 * time.Millisecond, 200 * time.Millisecond},
+		"a caller that was slow before":     {1500 * time.Millisecond, 2600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := silentBench(t, true)
+				b.then(breaking(c.after, ""), answers(http.StatusOK, nil, lastEvent, nil))
+				b.callSlowly(c.late)
+				b.wantBlamed(1)
+			})
+		})
+	}
+}
+
+// wantBlamed checks how many upstreams are blamed for a break, and left alone.
+func (b *bench) wantBlamed(n int) {
+	b.t.Helper()
+	if got := b.resting(); got != n {
+		b.t.Errorf("upstreams left alone = %d, want %d", got, n)
+	}
+	if got := len(b.Blame.News()); got != n {
+		b.t.Errorf("breaks recorded = %d, want %d", got, n)
+	}
+}
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -34,10 +34,11 @@
 		j.headed = true
 	}
 	m := x.watchSilence(ctx, j, t, r)
-	err := x.events(j, t, r, m)
+	body := &held{Reader: r.Body}
+	err := x.events(j, t, body, m)
 	silent := m.silent()
 	j.next = m.end()
-	switch end := j.streamEnd(ctx, err, silent); end {
+	switch end := j.streamEnd(ctx, err, silent, body.excuses()); end {
 	case endWhole:
 		x.outcome(t, "ok")
 		x.finish(j, "ok", verd.Ran, t.ID, r.Status)
@@ -51,7 +52,7 @@
 		x.refuse(j.w, j, outlasted(t))
 		return true
 	default:
-		j.failed = true
+		j.failed = end != endHeld
 		return x.cut(j, t, end, err)
 	}
 }
@@ -61,13 +62,18 @@
 	now := time.Now()
 	x.outcome(t, "cut")
 	x.Log.Info("stream cut", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.String("last", j.last),
-		zap.Duration("since", now.Sub(j.begun)), zap.Bool("silent", end != endBroken), zap.Error(err))
-	x.Pick.Rest(t.ID, now)
+		zap.Duration("since", now.Sub(j.begun)), zap.Bool("silent", end == endStalled || end == endMoved),
+		zap.Bool("held", end == endHeld), zap.Error(err))
+	if end != endHeld {
+		x.Pick.Rest(t.ID, now)
+	}
 	if end == endStalled {
 		x.refuse(j.w, j, outlasted(t))
 		return true
 	}
-	x.broke(j, t)
+	if end != endHeld {
+		x.broke(j, t)
+	}
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
 	if end == endMoved {
 		j.moved = &t
@@ -86,9 +92,9 @@
 }
 
 // events copies events until the stream ends as complete.
-func (x *Direct) events(j *job, t target.Target, r resp.Resp, m *mover) error {
+func (x *Direct) events(j *job, t target.Target, body io.Reader, m *mover) error {
 	control := http.NewResponseController(j.w)
-	in := bufio.NewReader(r.Body)
+	in := bufio.NewReader(body)
 	var event bytes.Buffer
 	for {
 		m.waits()
