Tell the story of streams that outlast their callers' time once

No check is dropped.

With both cases of an ended time taken out of `streamEnd`, go test -run TestStreamsThatLastTooLong ./internal/direct fails ("sends = 3, want 4"), as it should; as the code is, the package passes.

--- a/internal/direct/blame_test.go
+++ b/internal/direct/blame_test.go
@@ -22,15 +22,10 @@
 		b.add("three", map[string]int{"m/a": 1})
 		b.add("four", map[string]int{"m/a": 1})
 		sends := 0
-		b.Do = func(ctx context.Context, _ string, _ demand.Demand, _ http.Header, _ func() bool) (resp.Resp, error) {
+		silent := sendsUntil(time.Millisecond, nil)
+		b.Do = func(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error) {
 			sends++
-			r, w := io.Pipe()
-			go func() {
-				_, _ = io.WriteString(w, firstEvent)
-				<-ctx.Done()
-				_ = w.CloseWithError(ctx.Err())
-			}()
-			return resp.Resp{Status: http.StatusOK, Header: http.Header{}, Body: r, Cut: func() {}, Close: func() {}}, nil
+			return silent(ctx, addr, d, extra, still)
 		}
 		for range 4 {
 			b.call(held)
@@ -74,6 +69,17 @@
 	return n
 }
 
+// wantBlamed checks how many upstreams are blamed for a break, and left alone.
+func (b *bench) wantBlamed(n int) {
+	b.t.Helper()
+	if got := b.resting(); got != n {
+		b.t.Errorf("upstreams left alone = %d, want %d", got, n)
+	}
+	if got := len(b.Blame.News()); got != n {
+		b.t.Errorf("breaks recorded = %d, want %d", got, n)
+	}
+}
+
 // An engine sends events of a long answer until its caller's time ends. Left alone as if it had broken off, it would get no requests while it is
 // sound, and one whose callers all set short times would hardly get any.
 func TestEngineThatSendsUntilTheTimeEndsIsNotRested(t *testing.T) {
@@ -83,12 +89,7 @@
 		if _, broken := b.call(held); !broken {
 			t.Error("the answer looks whole, want the connection broken off")
 		}
-		if got, want := b.resting(), 0; got != want {
-			t.Errorf("engines left alone = %d, want %d", got, want)
-		}
-		if got, want := len(b.Blame.News()), 0; got != want {
-			t.Errorf("breaks recorded = %d, want %d", got, want)
-		}
+		b.wantBlamed(0)
 		b.counted(`code="deadline",verdict="may-have-run"} 1`, `outcome="timeout"} 1`)
 	})
 }
@@ -115,12 +116,7 @@
 		b := silentBench(t, false)
 		b.Do = sendsUntil(9900*time.Millisecond, errors.New("reset"))
 		b.call(held)
-		if got, want := b.resting(), 1; got != want {
-			t.Errorf("engines left alone = %d, want %d", got, want)
-		}
-		if got, want := len(b.Blame.News()), 1; got != want {
-			t.Errorf("breaks recorded = %d, want %d", got, want)
-		}
+		b.wantBlamed(1)
 		b.counted(`code="cut",verdict="may-have-run"} 1`, `outcome="cut"} 1`)
 	})
 }
--- a/internal/direct/held_test.go
+++ b/internal/direct/held_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,15 +27,6 @@
 	}
 }
 
-// callSlowly sends a request whose caller takes its first event so late.
-func (b *bench) callSlowly(late time.Duration) *httptest.ResponseRecorder {
-	reader := &slowReader{ResponseRecorder: httptest.NewRecorder(), late: late}
-	r := httptest.NewRequestWithContext(b.t.Context(), http.MethodPost, "/p/x", nil)
-	r.Host, r.Header = "a.example", held
-	b.ServeHTTP(reader, r)
-	return reader.ResponseRecorder
-}
-
 // An upstream cuts an answer that nobody takes, since its caller reads slowly: blamed for it, a sound upstream would be left alone, and the request be
 // refused as one that crashes upstreams.
 func TestUpstreamThatCutsAnAnswerNobodyTakesIsNotBlamed(t *testing.T) {
@@ -72,14 +62,3 @@
 		})
 	}
 }
-
-// wantBlamed checks how many upstreams are blamed for a break, and left alone.
-func (b *bench) wantBlamed(n int) {
-	b.t.Helper()
-	if got := b.resting(); got != n {
-		b.t.Errorf("upstreams left alone = %d, want %d", got, n)
-	}
-	if got := len(b.Blame.News()); got != n {
-		b.t.Errorf("breaks recorded = %d, want %d", got, n)
-	}
-}
