Unload no adapter for one that is replaced by its newer version

What callers saw: on a full engine, the newer version of an adapter pushed out another adapter, whose next request had to load it again. Where all others were in use, the request for the newer version waited for a place for 2.5 s and was refused.

Cause: the desk looked for a place for every load, and an adapter that is replaced has one already. The desk itself counts so once the order is accepted: the older version leaves what is held as the load joins what is on its way.

Ruled out: overfilling. Before and after, the sum of what is held and on its way stays the same through a replacement, and the stand-ins of the giver's tests and of the soak count a replacement as one place.

Before, by `go test -run Replace ./internal/giver`: TestReplacementUnloadsNoOtherAdapter: held a1 and a2@2, want a0 beside them. TestReplacementWaitsForNoPlace: refused after 2.5 s, want the load within 500 ms. After: both pass, and all tests of the package.

--- a/internal/giver/evict.go
+++ b/internal/giver/evict.go
@@ -22,10 +22,10 @@
 	return settled
 }
 
-// victim returns the adapter that must go for one more to be loaded, and for how long it was not in use; none, and for ever, where
-// a place is free.
-func (d *desk) victim(places int) (adapter string, idle time.Duration) {
-	if len(d.held)+len(d.pending) < places {
+// victim returns the adapter that must go for a wanted one to be loaded, and for how long it was not in use; none, and for ever, where
+// a place is free, or the wanted one replaces its older version and takes the place of that.
+func (d *desk) victim(wanted string, places int) (adapter string, idle time.Duration) {
+	if _, replaces := d.held[wanted]; replaces || len(d.held)+len(d.pending) < places {
 		return "", math.MaxInt64
 	}
 	return d.oldest()
--- a/internal/giver/replace_test.go
+++ b/internal/giver/replace_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"damaskreach/internal/giver"
+	"damaskreach/internal/turns"
 	"damaskreach/internal/want"
 )
 
@@ -43,3 +46,62 @@
 		}
 	})
 }
+
+// An engine's places are all taken, and the newer version of one of its adapters costs another one its place, which the replacement does not need.
+func TestReplacementUnloadsNoOtherAdapter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(3)
+		g := loaded(t, e)
+		for i := 1; i < e.places; i++ {
+			if err := admit(t, g, name(i)); err != nil {
+				t.Fatalf("load %d: %v, want none", i, err)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		e.newest = map[string]int{name(2): 2}
+		if err := admitVersion(t, g, name(2), 2); err != nil {
+			t.Errorf("replacement: %v, want none", err)
+		}
+		if want := (map[string]int{name(0): 1, name(1): 1, name(2): 2}); !maps.Equal(e.held, want) {
+			t.Errorf("held = %v, want %v", e.held, want)
+		}
+		if e.crashed {
+			t.Error("the engine was overfilled")
+		}
+	})
+}
+
+// All other adapters of a full engine are in use, so none can go; a replacement that waits for one of their places is refused.
+func TestReplacementWaitsForNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(2)
+		g := loaded(t, e)
+		if err := admit(t, g, name(1)); err != nil {
+			t.Fatalf("load: %v, want none", err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for turns.Sleep(ctx, 50*time.Millisecond) {
+				g.Used("e", []string{name(0), name(1)}, time.Now())
+			}
+		}()
+		time.Sleep(time.Second)
+		e.newest = map[string]int{name(0): 2}
+		begun := time.Now()
+		err := admitVersion(t, g, name(0), 2)
+		if got, most := time.Since(begun), 2*loadTime; err != nil || got > most {
+			t.Errorf("replacement: %v after %v, want none within %v", err, got, most)
+		}
+		if e.held[name(0)] != 2 || e.held[name(1)] != 1 {
+			t.Errorf("held = %v, want %s in version 2 beside %s", e.held, name(0), name(1))
+		}
+	})
+}
+
+// admitVersion asks for an adapter in a version at least.
+func admitVersion(t *testing.T, g *giver.Giver, adapter string, version int) error {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	return g.Admit(ctx, want.Want{ID: "e", Model: "m", Adapter: adapter, Version: version})
+}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -73,7 +73,7 @@
 		return true
 	}
 	now := time.Now()
-	victim, idle := d.victim(d.pool(t).Room(m))
+	victim, idle := d.victim(w.Adapter, d.pool(t).Room(m))
 	if w.Spread && (idle < unused || !d.atHand(w.Adapter) && !d.g.Flow.Spare(now)) {
 		// Nobody waits for it. Where every place is in use, one more engine for a busy adapter costs another adapter its only
 		// one, and where loads queue up, a request its time.
