Count an adapter once whose replacement is under way in a report

What callers saw: a host that took an engine over, or asked for a report, while an adapter there was being replaced counted the older version as held and the newer as on its way. An engine with a free place passed for full, and another adapter lost its place.

Cause: the report lists both; an order of the host itself takes the older version out of what is held, the report did not.

Ruled out: the stand-in. It told every load on its way as of version 1; it now tells the version that the load brings, as engines do. With that alone the test still failed.

Before, by `go test -run UnderWayInAReport ./internal/giver`: held a0, a2@2, a3 on an engine of four places, want a1 as well. After: all four; all tests of the package pass.

--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -102,7 +102,7 @@
 func (e *engine) note() {
 	pending := map[string]int{}
 	for a := range e.pending {
-		pending[a] = 1
+		pending[a] = max(1, e.newest[a])
 	}
 	e.reports = append(e.reports, state.State{
 		Born: 1, Sequence: e.sequence, Models: []string{"m"}, Adapters: maps.Clone(e.held), Pending: pending,
--- a/internal/giver/know.go
+++ b/internal/giver/know.go
@@ -55,7 +55,8 @@
 	return true
 }
 
-// merge takes the loads under way from a report: new ones were ordered by an earlier process, others have ended.
+// merge takes the loads under way from a report: new ones were ordered by an earlier process, others have ended. One that replaces an older
+// version has the place of that.
 func (d *desk) merge(reported map[string]int) {
 	now := time.Now()
 	for a, l := range d.pending {
@@ -71,6 +72,7 @@
 		if d.pending[a] == nil {
 			d.pending[a] = &load{version: v, since: now, due: now.Add(again)}
 		}
+		delete(d.held, a)
 	}
 }
 
--- a/internal/giver/replace_test.go
+++ b/internal/giver/replace_test.go
@@ -105,3 +105,31 @@
 	defer cancel()
 	return g.Admit(ctx, want.Want{ID: "e", Model: "m", Adapter: adapter, Version: version})
 }
+
+// A host gets an engine whose adapter is just being replaced, which counts twice in the report and costs another adapter its place.
+func TestReplacementUnderWayInAReportTakesOnePlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(4)
+		for i := range 3 {
+			e.held[name(i)] = 1
+		}
+		e.newest = map[string]int{name(2): 2}
+		e.note()
+		g := build(e)
+		time.Sleep(reportLag)
+		e.pending[name(2)] = time.Now().Add(time.Second)
+		e.note()
+		time.Sleep(reportLag)
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(func() { cancel(); synctest.Wait() })
+		go g.Run(ctx)
+		time.Sleep(loadTime)
+		if err := admit(t, g, name(3)); err != nil {
+			t.Fatalf("load: %v, want none", err)
+		}
+		time.Sleep(2 * time.Second)
+		if want := (map[string]int{name(0): 1, name(1): 1, name(2): 2, name(3): 1}); !maps.Equal(e.held, want) {
+			t.Errorf("held = %v, want %v", e.held, want)
+		}
+	})
+}
