Load a newer version after the one that is on its way

What callers saw: a request for a newer version of an adapter whose older one was on its way replaced that load at the desk. Those who waited for the older load were told nothing and were refused when their time was over; the load was never ended at the flow of loads, which counted it against others until it passed for stuck.

Cause: the desk kept one load for each adapter and overwrote it. Now the newer version waits in the queue until the load ends, and is then loaded in its place, or found to be there.

Ruled out: joining the load under way. It may bring the older version, and its waiters get their turns without another look.

Before, by `go test -run Newer ./internal/giver`: one of two requests got no answer for 3 s, want both answered within 750 ms. After: both are; all tests of the package pass.

--- a/internal/giver/replace_test.go
+++ b/internal/giver/replace_test.go
@@ -133,3 +133,25 @@
 		}
 	})
 }
+
+// A newer version is asked for while the older one is on its way; those that wait for the older one must be answered as well.
+func TestNewerVersionIsLoadedAfterTheOneUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(3)
+		g := loaded(t, e)
+		begun := time.Now()
+		both := make(chan error, 2)
+		go func() { both <- admit(t, g, name(1)) }()
+		time.Sleep(loadTime / 5)
+		e.newest = map[string]int{name(1): 2}
+		go func() { both <- admitVersion(t, g, name(1), 2) }()
+		for range 2 {
+			if err := <-both; err != nil {
+				t.Errorf("admit: %v, want none", err)
+			}
+		}
+		if got, most := time.Since(begun), 3*loadTime; got > most {
+			t.Errorf("both were answered after %v, want at most %v", got, most)
+		}
+	})
+}
--- a/internal/giver/serve.go
+++ b/internal/giver/serve.go
@@ -59,11 +59,12 @@
 		d.lane.add(w)
 		return true
 	}
-	if l := d.pending[w.Adapter]; l != nil && l.version >= w.Version {
+	l := d.pending[w.Adapter]
+	if l != nil && l.version >= w.Version {
 		l.waiters = append(l.waiters, w)
 		return true
 	}
-	if len(d.pending) >= transit || d.leaving[w.Adapter] {
+	if l != nil || len(d.pending) >= transit || d.leaving[w.Adapter] {
 		*w.block = "transit"
 		return false
 	}
