Count no load as failed whose engine leaves

What callers saw: where two engines began to leave while an adapter was loaded there, the request was refused as if its loads had failed, though a third engine would have loaded it.

Cause: of the ends of a load only "another host orders the engine" did not count toward the two after which a request is refused. "The engine leaves" came as a failed load, and so did whatever a load came to whose engine had registered that it leaves by then.

--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -157,11 +157,16 @@
 
 // fail remembers why a send did not serve the request.
 func (j *job) fail(id string, r *refuse.Refusal) {
+	j.skip(id)
+	j.fault = r
+}
+
+// skip has an upstream not looked at again.
+func (j *job) skip(id string) {
 	if j.tried == nil {
 		j.tried = map[string]bool{}
 	}
 	j.tried[id] = true
-	j.fault = r
 }
 
 // verdict says whether the request may have run at any upstream so far.
--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -24,8 +24,10 @@
 	// loadFor bounds the wait for a load. Where many adapters are on their way a load takes seconds; an answer that is late
 	// is worth something, and a caller that is refused comes back to the same queue.
 	loadFor = 3 * time.Second
-	// elsewheres is how many engines are tried whose hosts have just lost them; that costs a round trip each.
+	// elsewheres is how many engines are tried, of which some may leave or have hosts that have just lost them; that costs a round trip each.
 	elsewheres = 4
+	// mostFailed is how many loads may fail before a request is refused.
+	mostFailed = 2
 	// ownerWait is how long a request waits for some engine to which its adapter can be loaded, and ownerLook the pause between
 	// two looks: hosts that restart settle for a second before they claim engines, and a reading of the store follows.
 	ownerWait = 1800 * time.Millisecond
@@ -143,15 +145,15 @@
 // load has the adapter loaded and waits for it.
 func (x *Direct) load(ctx context.Context, j *job, others, older []target.Target, version int) (target.Target, int, *refuse.Refusal) {
 	none := refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "no engine can load %s now", j.d.Adapter).WithRetry(comeBack)
-	waits := 0
+	failures := 0
 	for range elsewheres {
 		others, older = x.staying(others), x.staying(older)
 		t := x.first(j, others, older)
 		left := time.Until(j.hopeless())
-		if t.ID == "" && waits == 0 && x.awaitOwner(ctx, j) {
+		if t.ID == "" && failures == 0 && x.awaitOwner(ctx, j) {
 			return x.place(ctx, j)
 		}
-		if t.ID == "" || waits == 2 || left <= 0 {
+		if t.ID == "" || failures == mostFailed || left <= 0 {
 			return target.Target{}, 0, none
 		}
 		loadCtx, cancel := context.WithTimeout(ctx, min(loadFor, left))
@@ -168,14 +170,22 @@
 		if ctx.Err() != nil {
 			return target.Target{}, 0, x.ended(ctx, j)
 		}
-		if !errors.Is(err, want.ErrElsewhere) {
-			waits++
+		if x.failed(t, err) {
+			failures++
+		}
+		if errors.Is(err, want.ErrLeaves) {
+			j.skip(t.ID)
 		}
 		others, older = without(others, t.ID), without(older, t.ID)
 	}
 	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
 }
 
+// failed reports whether a load that was of no use tells that the next may fail too: not where its engine has a new host, or leaves.
+func (x *Direct) failed(t target.Target, err error) bool {
+	return !errors.Is(err, want.ErrElsewhere) && !errors.Is(err, want.ErrLeaves) && x.still(t)
+}
+
 // cause names why a load failed, for the line about it.
 func cause(err error) string {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/giver/admit.go
+++ b/internal/giver/admit.go
@@ -8,15 +8,12 @@
 	"damaskreach/internal/want"
 )
 
-// errLeaves tells those that wait at an engine which has begun to leave; others may have room.
-var errLeaves = merry.Prepend(want.ErrFailed, "the engine leaves")
-
 // Admit returns once the engine holds the adapter and may be sent the prompt, or why it will not.
 func (g *Giver) Admit(ctx context.Context, w want.Want) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if g.leaves(w.ID) {
-		return merry.Wrap(errLeaves)
+		return merry.Wrap(want.ErrLeaves)
 	}
 	d := g.desk(w.ID)
 	if d == nil && w.Held {
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -191,7 +191,7 @@
 func (d *desk) step() time.Duration {
 	t, ok := d.g.View().Targets[d.id]
 	if !ok || d.g.leaves(d.id) {
-		d.refuse(errLeaves)
+		d.refuse(want.ErrLeaves)
 		return idle
 	}
 	d.lane.resize(d.pool(t).Slots)
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -25,6 +25,7 @@
 	"damaskreach/internal/target"
 	"damaskreach/internal/turns"
 	"damaskreach/internal/view"
+	"damaskreach/internal/want"
 )
 
 const (
@@ -112,7 +113,7 @@
 			l.end()
 			delete(g.lanes, id)
 		} else if g.leaves(id) {
-			l.refuse(errLeaves)
+			l.refuse(want.ErrLeaves)
 		}
 	}
 }
--- a/internal/want/errors.go
+++ b/internal/want/errors.go
@@ -17,6 +17,8 @@
 	ErrCrowded = merry.Sentinel("want: too many prompts wait for the engine")
 	// ErrFailed means that the engine did not load what was asked for.
 	ErrFailed = merry.Sentinel("want: the engine does not load it")
+	// ErrLeaves means that the engine has begun to leave; others may have room.
+	ErrLeaves = merry.Sentinel("want: the engine leaves")
 )
 
 // waitKey holds how long a prompt would wait.
@@ -34,7 +36,7 @@
 }
 
 // codes name the errors between hosts.
-var codes = map[string]error{"elsewhere": ErrElsewhere, "busy": ErrBusy, "crowded": ErrCrowded, "failed": ErrFailed}
+var codes = map[string]error{"elsewhere": ErrElsewhere, "busy": ErrBusy, "crowded": ErrCrowded, "failed": ErrFailed, "leaves": ErrLeaves}
 
 // Code returns the name of an error, empty for none.
 func Code(err error) string {
