Let the lease of a claim last no longer than it is checked

What could happen: a host that holds more than 49 engines and parts of limits goes on with one that another host orders by then, for as long as the store takes its writes and answers none of its readings. Both give orders to the engine, the first with a lower fence.

Cause: a renewal expects the rows of the claims unchanged, since a write of an earlier era may have replaced one, which the others wait out from when they see it. A transaction has room for 98 of them, for 8 where 90 notes of engines go along, and each renewal took any as the map had them. One that left a claim out renewed its lease all the same; one that met the replaced row failed, and half a second later another choice passed.

Change: a renewal checks the claims first that were not checked for the longest time, each claim's lease counts from the last write or reading that found its row, and a host with more claims than a renewal has room for renews as much sooner, every 500 ms at the most: some 1,900 claims within a lease. Hosts with fewer claims write what they wrote.

Before, by `go test -run 'LeaseOfAClaim|ManyClaims' ./internal/tenure` (three hosts, 150 claims each, 90 rows beside a renewal every 4 s): TestLeaseOfAClaimLastsNoLongerThanItIsChecked failed in 3 of 3 subtests in 3 of 3 runs, with two hosts that order one engine 0 to 50 ms apart, want 3 s, and fence ...777 after ...836; 259 such lines in one run. After: it passes, and all tests of the package.

Trials: the order of the checks without each claim's own lease fails in 3 of 3 subtests. Each claim's lease without the sooner renewals fails TestManyClaimsAreCheckedInTime, as claims lapse before their turn; that test passed before. What more than 49 claims a host cost a site in calls was not played.

--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +73,7 @@
 func (t *Tenure) write(ctx context.Context, what, about string, edits ...rows.Row) bool {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
+	sent := t.Clock()
 	rev, err := t.Table.Write(ctx, edits...)
 	if err != nil {
 		t.Log.Info(what+" failed", zap.String("about", about), zap.Error(err))
@@ -88,6 +90,7 @@
 	for _, row := range edits {
 		row.Rev = rev
 		t.take(row, now)
+		t.checked(strings.TrimPrefix(row.Key, ownPrefix), sent)
 	}
 	return true
 }
--- a/internal/tenure/era.go
+++ b/internal/tenure/era.go
@@ -37,7 +37,9 @@
 		return
 	}
 	for id, o := range t.claimed() {
-		t.kept[id] = kept{fence: o.Fence, since: o.since, until: t.sent + Lease}
+		if left := t.claimLeft(o); left > 0 {
+			t.kept[id] = kept{fence: o.Fence, since: o.since, until: now + left}
+		}
 	}
 }
 
--- a/internal/tenure/held.go
+++ b/internal/tenure/held.go
@@ -18,7 +18,7 @@
 		return k.fence, k.since, true
 	}
 	o, ok := t.own[id]
-	if !ok || t.unsure || o.IP != t.IP || o.Epoch != t.epoch || t.left() < orderSlack {
+	if !ok || t.unsure || o.IP != t.IP || o.Epoch != t.epoch || t.claimLeft(o) < orderSlack {
 		return 0, 0, false
 	}
 	return o.Fence, o.since, true
@@ -55,8 +55,10 @@
 	if t.unsure || t.left() < orderSlack {
 		return ids
 	}
-	for id := range t.claimed() {
-		ids = append(ids, id)
+	for id, o := range t.claimed() {
+		if t.claimLeft(o) >= orderSlack {
+			ids = append(ids, id)
+		}
 	}
 	return ids
 }
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -58,6 +58,7 @@
 // fetch reads what is new.
 func (t *Tenure) fetch(ctx context.Context) error {
 	t.mu.Lock()
+	t.asked = t.Clock()
 	after, unsure, direct, outdated := t.at, t.unsure, t.unsure || t.doubt, t.outdated()
 	t.mu.Unlock()
 	if outdated {
@@ -270,7 +271,7 @@
 	if t.at == 0 {
 		since = t.begun
 	}
-	t.own[id] = owned{ownership: o, rev: row.Rev, seen: now, since: since}
+	t.own[id] = owned{ownership: o, rev: row.Rev, seen: now, since: since, checked: t.asked}
 	t.raise(id, t.own[id])
 	if o.IP == t.IP {
 		t.named[id] = true
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,7 +39,8 @@
 		Passive: passive, Calm: calm, Rates: t.Measured(),
 	}
 	edits := append([]rows.Row{{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev}}, t.Beside()...)
-	edits = append(edits, checks[:min(len(checks), max(0, mostEntries-1-len(edits)))]...)
+	room := min(len(checks), max(0, mostEntries-1-len(edits)))
+	edits = append(edits, checks[:room]...)
 	rev, err := t.Table.Write(ctx, edits...)
 	if err != nil {
 		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
@@ -67,23 +69,14 @@
 	t.renewed = !passive
 	t.epoch = s.Epoch
 	t.sent = sent
+	for _, row := range checks[:room] {
+		t.checked(strings.TrimPrefix(row.Key, ownPrefix), sent)
+	}
 	t.hosts[t.IP] = seen{session: s, rev: rev, since: sent}
 	if t.unsure || t.starts || passive {
 		return firstEvery
 	}
-	return renewEvery
-}
-
-// checks returns what a renewal expects of the rows by which this host holds engines: a write of an earlier era may have replaced one. The others wait out
-// the lease from when they see that, so it must not be renewed by a host that has not.
-func (t *Tenure) checks(begins bool) (edits []rows.Row) {
-	if begins {
-		return nil
-	}
-	for id, o := range t.claimed() {
-		edits = append(edits, rows.Row{Key: ownPrefix + id, Rev: o.rev, Same: true})
-	}
-	return edits
+	return renewIn(room, len(checks))
 }
 
 // epochFor returns the epoch of the session that this host's next renewal names, and whether that begins it.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -113,6 +113,7 @@
 	mark    int64           // revision of the newest change that matters to others
 	heard   int64           // revision up to which another host has read, where that is more than at
 	full    time.Duration   // when the rows were last read from the store or from another host
+	asked   time.Duration   // when the newest reading of them began
 	secret  []byte
 	keyed   bool                     // the store has it
 	makeAt  time.Duration            // when this host makes it where there is none
@@ -130,9 +131,10 @@
 
 type owned struct {
 	ownership
-	rev   int64
-	seen  time.Duration // when this revision was first seen
-	since time.Duration // when this host got it, where it is this host's
+	rev     int64
+	seen    time.Duration // when this revision was first seen
+	since   time.Duration // when this host got it, where it is this host's
+	checked time.Duration // when the store was last asked and had this revision still
 }
 
 // Run renews and reads until ctx ends.
