Look an engine up once to tell whether it leaves

The desk's step and the check of lanes looked the engine up beside leaves, which did so again. leaves takes the engine now.

--- a/internal/giver/admit.go
+++ b/internal/giver/admit.go
@@ -5,6 +5,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"damaskreach/internal/target"
 	"damaskreach/internal/want"
 )
 
@@ -12,7 +13,7 @@
 func (g *Giver) Admit(ctx context.Context, w want.Want) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if g.leaves(w.ID) {
+	if t, ok := g.View().Targets[w.ID]; ok && g.leaves(t) {
 		return merry.Wrap(want.ErrLeaves)
 	}
 	d := g.desk(w.ID)
@@ -32,9 +33,8 @@
 }
 
 // leaves reports whether an engine has begun to leave, as it registered or told this host.
-func (g *Giver) leaves(id string) bool {
-	t, ok := g.View().Targets[id]
-	return ok && (t.Draining || g.Leaves(t))
+func (g *Giver) leaves(t target.Target) bool {
+	return t.Draining || g.Leaves(t)
 }
 
 // turn returns once a prompt may be sent to an engine that holds what is asked for and that this host does not order: where no host does, one
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -190,7 +190,7 @@
 // step does what is due and returns when it wants to be called again at the latest.
 func (d *desk) step() time.Duration {
 	t, ok := d.g.View().Targets[d.id]
-	if !ok || d.g.leaves(d.id) {
+	if !ok || d.g.leaves(t) {
 		d.refuse(want.ErrLeaves)
 		return idle
 	}
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -109,10 +109,11 @@
 		}
 	}
 	for id, l := range g.lanes {
-		if _, ok := v.Targets[id]; !ok && g.desks[id] == nil {
+		t, ok := v.Targets[id]
+		if !ok && g.desks[id] == nil {
 			l.end()
 			delete(g.lanes, id)
-		} else if g.leaves(id) {
+		} else if ok && g.leaves(t) {
 			l.refuse(want.ErrLeaves)
 		}
 	}
