Decode a configuration that others tell once

A host that starts decoded each configuration of another host twice, to find out whether it is newer and to take it. Taking it compares versions already; it compares rows of one version as well now, by their revisions, in place of leaving out every row of the version that is in force. So a later row of that version is taken from another host as it is from the store.

The two loops that ask others for rows at the start are one, and taking a row is a function for configurations and one for versions.

Tried without the comparison of rows: TestHostThatStartsKeepsTheStoresRowOfAVersion fails, with the other host's row in force, want the store's. With it all tests of the package pass, unchanged.

--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -10,6 +10,7 @@
 	"damaskreach/internal/feed"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
+	"damaskreach/internal/view"
 )
 
 // RunConf follows the operators' rows until ctx ends.
@@ -97,3 +98,52 @@
 	r.list, r.rev, r.err = i.Table.List(callCtx, i.Conf)
 	return r
 }
+
+// takeConfRow takes one of the operators' rows; learnt is since when its version of an adapter may be known, zero where that is long.
+func (i *Intake) takeConfRow(row rows.Row, learnt time.Time) {
+	if row.Gone {
+		return
+	}
+	i.operatorsMu.Lock()
+	defer i.operatorsMu.Unlock()
+	i.takeRules(row)
+	i.takeVersion(row, learnt)
+}
+
+// takeRules takes a configuration that is newer than the one in force: a later version, or the same in a later row. It needs the lock.
+func (i *Intake) takeRules(row rows.Row) {
+	r, ok, err := i.Rules(row)
+	if err != nil {
+		i.Log.Warn("configuration cannot be read", zap.String("row", row.Key), zap.Int64("revision", row.Rev), zap.Error(err))
+		return
+	}
+	known := i.View().Rules.Version
+	if !ok || r.Version == known && row.Rev <= i.operators[row.Key].Rev {
+		return
+	}
+	if r.Version < known {
+		i.Log.Info("older configuration not applied", zap.Int64("version", r.Version), zap.Int64("known", known), zap.Int64("revision", row.Rev))
+		return
+	}
+	i.swap(func(v view.View) view.View { return v.WithRules(r) })
+	i.operators[row.Key] = row
+	i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
+		zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
+}
+
+// takeVersion takes the version of an adapter that operators have named. It needs the lock.
+func (i *Intake) takeVersion(row rows.Row, learnt time.Time) {
+	adapter, version, ok, err := i.Version(row)
+	if err != nil {
+		i.Log.Warn("version of an adapter cannot be read", zap.String("row", row.Key), zap.Error(err))
+		return
+	}
+	if !ok {
+		return
+	}
+	if version >= i.View().Versions[adapter] {
+		i.operators[row.Key] = row
+	}
+	i.swap(func(v view.View) view.View { return v.WithVersion(adapter, version, learnt) })
+	i.Log.Info("version named", zap.String("adapter", adapter), zap.Int("version", version), zap.Int64("revision", row.Rev))
+}
--- a/internal/intake/first.go
+++ b/internal/intake/first.go
@@ -6,7 +6,6 @@
 
 	"damaskreach/internal/rows"
 	"damaskreach/internal/target"
-	"damaskreach/internal/turns"
 )
 
 const (
@@ -30,12 +29,8 @@
 	i.away.Store(r.err != nil)
 	took := time.Since(begun)
 	left := func() time.Duration { return i.Patience() - took }
-	ask := func() (ok bool) {
-		r.list, r.rev, ok = i.Others(ctx, i.Targets)
-		return ok
-	}
-	if turns.Try(ctx, othersEvery, left, ask) {
-		return reading{list: r.list, rev: r.rev, heard: true}
+	if list, rev, ok := i.askOthers(ctx, i.Targets, othersEvery, left); ok {
+		return reading{list: list, rev: rev, heard: true}
 	}
 	return reading{whole: true, err: r.err}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -121,31 +121,3 @@
 		}
 	}
 }
-
-// takeConfRow takes one of the operators' rows; learnt is since when its version of an adapter may be known, zero where that is long.
-func (i *Intake) takeConfRow(row rows.Row, learnt time.Time) {
-	if row.Gone {
-		return
-	}
-	i.operatorsMu.Lock()
-	defer i.operatorsMu.Unlock()
-	if r, ok, err := i.Rules(row); err != nil {
-		i.Log.Warn("configuration cannot be read", zap.String("row", row.Key), zap.Int64("revision", row.Rev), zap.Error(err))
-	} else if known := i.View().Rules.Version; ok && r.Version < known {
-		i.Log.Info("older configuration not applied", zap.Int64("version", r.Version), zap.Int64("known", known), zap.Int64("revision", row.Rev))
-	} else if ok {
-		i.swap(func(v view.View) view.View { return v.WithRules(r) })
-		i.operators[row.Key] = row
-		i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
-			zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
-	}
-	if adapter, version, ok, err := i.Version(row); err != nil {
-		i.Log.Warn("version of an adapter cannot be read", zap.String("row", row.Key), zap.Error(err))
-	} else if ok {
-		if version >= i.View().Versions[adapter] {
-			i.operators[row.Key] = row
-		}
-		i.swap(func(v view.View) view.View { return v.WithVersion(adapter, version, learnt) })
-		i.Log.Info("version named", zap.String("adapter", adapter), zap.Int("version", version), zap.Int64("revision", row.Rev))
-	}
-}
--- a/internal/intake/others.go
+++ b/internal/intake/others.go
@@ -28,19 +28,20 @@
 // takeFromOthers takes the operators' rows that are in force at another host. Where the store has come back from a copy and operators have not written
 // again what is lost, this one has read older ones.
 func (i *Intake) takeFromOthers(ctx context.Context) {
-	turns.Try(ctx, askEvery, func() time.Duration { return othersFor }, func() bool {
-		list, _, ok := i.Others(ctx, i.Conf)
-		for _, row := range list {
-			if ok && !i.noNewer(row) {
-				i.takeConfRow(row, time.Time{})
-			}
-		}
-		return ok
-	})
+	list, _, _ := i.askOthers(ctx, i.Conf, askEvery, func() time.Duration { return othersFor })
+	for _, row := range list {
+		i.takeConfRow(row, time.Time{})
+	}
 }
 
-// noNewer reports whether a row holds a configuration that is no newer than this host's own. One of the same version the store may have got again since.
-func (i *Intake) noNewer(row rows.Row) bool {
-	r, ok, err := i.Rules(row)
-	return err == nil && ok && r.Version <= i.View().Rules.Version
+// askOthers asks other hosts for all rows under a prefix, with a pause after each try, until one tells them or the patience ends.
+func (i *Intake) askOthers(ctx context.Context, prefix string, pause time.Duration, patience func() time.Duration) (list []rows.Row, rev int64, ok bool) {
+	turns.Try(ctx, pause, patience, func() bool {
+		list, rev, ok = i.Others(ctx, prefix)
+		return ok
+	})
+	if !ok {
+		return nil, 0, false
+	}
+	return list, rev, true
 }
