Split the tests of intake, tenure and refusals by subject

Moved as they were: of intake the stand-in for the store, configurations and outages; of tenure the site and what concerns many hosts; of refusals what concerns engines that leave and versions. The sorted lines of all tests, but for imports, are the same before and after.

--- a/internal/direct/leaves_test.go
+++ b/internal/direct/leaves_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"damaskreach/internal/kinds"
+	"damaskreach/internal/route"
 	"damaskreach/internal/want"
 )
 
@@ -81,3 +84,52 @@
 		}
 	})
 }
+
+// The load for a request fails after seconds, and the engine that would be next has begun to leave meanwhile. A request sent
+// there would be new work for an engine that must get none any more.
+func TestEngineThatBeganToLeaveDuringALoadIsNotUsed(t *testing.T) {
+	b := newBench(t, streamRoute())
+	loads := 0
+	b.Admit = func(_ context.Context, w want.Want) error {
+		loads++
+		if loads > 1 {
+			t.Errorf("load asked of %s, want no other engine asked", w.ID)
+			return nil
+		}
+		for id, other := range b.view.Targets {
+			if id != w.ID {
+				other.Draining = true
+				b.view.Targets[id] = other
+			}
+		}
+		return want.ErrFailed
+	}
+	rec, _ := b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+}
+
+// An upstream begins to leave while the connection to it is opened. The booking goes to another one, since it has not run.
+func TestUpstreamThatBeganToLeaveDuringADialIsNotUsed(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+	first := ""
+	b.dial = func(addr string) {
+		if first != "" {
+			return
+		}
+		first = addr
+		id := strings.TrimSuffix(addr, ":1")
+		leaves := b.view.Targets[id]
+		leaves.Draining = true
+		b.view.Targets[id] = leaves
+	}
+	b.then(answers(200, nil, "done", nil))
+	rec, _ := b.call(nil)
+	if got, want := rec.Body.String(), "done"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+	if len(b.sent) != 1 || b.sent[0].addr == first {
+		t.Errorf("sent to %v, want one other than %s", b.sent, first)
+	}
+}
--- a/internal/direct/refuse_test.go
+++ b/internal/direct/refuse_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,26 +64,6 @@
 	}
 }
 
-// A request for an adapter in a new version reaches an engine only once that holds it; for a while after the version was
-// named, engines with the older one still serve, so that callers do not wait for the load.
-func TestNewVersionIsLoadedAsideAndThenRequired(t *testing.T) {
-	b := newBench(t, streamRoute())
-	b.add("one", map[string]int{"m/a": 1})
-	b.view = b.view.WithVersion("m/a", 2, time.Now())
-	header := http.Header{"M": {"m"}, "A": {"m/a"}}
-	b.then(answers(200, nil, "", nil))
-	b.call(header)
-	if got, want := b.sent[0].addr, "one:1"; got != want {
-		t.Errorf("sent to %s, want %s, which holds the older version", got, want)
-	}
-	b.view.Named["m/a"][2] = time.Now().Add(-time.Minute)
-	b.then(answers(200, nil, "", nil))
-	b.call(header)
-	if got, want := b.sent[1].extra.Get(headVer), "new"; got != want {
-		t.Errorf("version required = %q, want %q", got, want)
-	}
-}
-
 // A host was told to stop and has little of its grace left. A caller's stream that began before ends, and its next request
 // comes on the same connection. Sent to an upstream it would be cut off with the host; it is refused as not run, and the
 // caller gets it served by another host at once.
@@ -103,28 +82,6 @@
 	}
 }
 
-// A request waits for its turn at an engine with the older version until that is out of force. Sent then, it would begin on
-// the older version; it goes to an engine that has the newer one loaded instead.
-func TestWaitForAnOlderVersionEndsWithItsGrace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, streamRoute())
-		b.add("one", map[string]int{"m/a": 1})
-		b.view = b.view.WithVersion("m/a", 2, time.Now())
-		b.Admit = func(ctx context.Context, w want.Want) error {
-			if w.Version == 0 {
-				<-ctx.Done()
-				return ctx.Err()
-			}
-			return nil
-		}
-		b.then(answers(200, nil, "", nil))
-		b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
-		if got, want := b.sent[0].extra.Get(headVer), "new"; got != want {
-			t.Errorf("version required = %q, want %q", got, want)
-		}
-	})
-}
-
 // A request crashes every upstream that runs it and comes again and again. After the third upstream it is refused at once
 // and reaches no other one.
 func TestRequestThatCrashesUpstreamsIsHeldBack(t *testing.T) {
@@ -149,31 +106,6 @@
 	}
 }
 
-// The load for a request fails after seconds, and the engine that would be next has begun to leave meanwhile. A request sent
-// there would be new work for an engine that must get none any more.
-func TestEngineThatBeganToLeaveDuringALoadIsNotUsed(t *testing.T) {
-	b := newBench(t, streamRoute())
-	loads := 0
-	b.Admit = func(_ context.Context, w want.Want) error {
-		loads++
-		if loads > 1 {
-			t.Errorf("load asked of %s, want no other engine asked", w.ID)
-			return nil
-		}
-		for id, other := range b.view.Targets {
-			if id != w.ID {
-				other.Draining = true
-				b.view.Targets[id] = other
-			}
-		}
-		return want.ErrFailed
-	}
-	rec, _ := b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
-	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
-		t.Errorf("status = %d, want %d", got, want)
-	}
-}
-
 // Loads take longer than callers wait. The request is refused before its caller leaves, with a time to come back; sent
 // later, it would keep an engine busy for nobody.
 func TestRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
@@ -322,27 +254,3 @@
 		t.Errorf("sent to %s, want %s", got, want)
 	}
 }
-
-// An upstream begins to leave while the connection to it is opened. The booking goes to another one, since it has not run.
-func TestUpstreamThatBeganToLeaveDuringADialIsNotUsed(t *testing.T) {
-	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
-	first := ""
-	b.dial = func(addr string) {
-		if first != "" {
-			return
-		}
-		first = addr
-		id := strings.TrimSuffix(addr, ":1")
-		leaves := b.view.Targets[id]
-		leaves.Draining = true
-		b.view.Targets[id] = leaves
-	}
-	b.then(answers(200, nil, "done", nil))
-	rec, _ := b.call(nil)
-	if got, want := rec.Body.String(), "done"; got != want {
-		t.Errorf("body = %q, want %q", got, want)
-	}
-	if len(b.sent) != 1 || b.sent[0].addr == first {
-		t.Errorf("sent to %v, want one other than %s", b.sent, first)
-	}
-}
--- a/internal/direct/version_test.go
+++ b/internal/direct/version_test.go
@@ -1,9 +1,13 @@
 package direct_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"damaskreach/internal/want"
 )
 
 // Two versions of an adapter are named, one long ago and one just now, and an engine still holds the one before both, which nobody asked for in
@@ -25,3 +29,45 @@
 		})
 	}
 }
+
+// A request for an adapter in a new version reaches an engine only once that holds it; for a while after the version was
+// named, engines with the older one still serve, so that callers do not wait for the load.
+func TestNewVersionIsLoadedAsideAndThenRequired(t *testing.T) {
+	b := newBench(t, streamRoute())
+	b.add("one", map[string]int{"m/a": 1})
+	b.view = b.view.WithVersion("m/a", 2, time.Now())
+	header := http.Header{"M": {"m"}, "A": {"m/a"}}
+	b.then(answers(200, nil, "", nil))
+	b.call(header)
+	if got, want := b.sent[0].addr, "one:1"; got != want {
+		t.Errorf("sent to %s, want %s, which holds the older version", got, want)
+	}
+	b.view.Named["m/a"][2] = time.Now().Add(-time.Minute)
+	b.then(answers(200, nil, "", nil))
+	b.call(header)
+	if got, want := b.sent[1].extra.Get(headVer), "new"; got != want {
+		t.Errorf("version required = %q, want %q", got, want)
+	}
+}
+
+// A request waits for its turn at an engine with the older version until that is out of force. Sent then, it would begin on
+// the older version; it goes to an engine that has the newer one loaded instead.
+func TestWaitForAnOlderVersionEndsWithItsGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, streamRoute())
+		b.add("one", map[string]int{"m/a": 1})
+		b.view = b.view.WithVersion("m/a", 2, time.Now())
+		b.Admit = func(ctx context.Context, w want.Want) error {
+			if w.Version == 0 {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			return nil
+		}
+		b.then(answers(200, nil, "", nil))
+		b.call(http.Header{"M": {"m"}, "A": {"m/a"}})
+		if got, want := b.sent[0].extra.Get(headVer), "new"; got != want {
+			t.Errorf("version required = %q, want %q", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/intake/conf_test.go
@@ -0,0 +1,46 @@
+package intake_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/intake"
+	"damaskreach/internal/rows"
+)
+
+// The store answers with an older configuration after a newer one. Taken, routes that operators have changed would lead to
+// the old upstreams again.
+func TestOlderConfigurationIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/config", Value: []byte{7}}}}}
+		i := start(t, s)
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.rows["op/"] = []rows.Row{{Key: "op/config", Value: []byte{5}}, {Key: "op/config"}} })
+		time.Sleep(3 * time.Second)
+		if got, want := i.View().Rules.Version, int64(7); got != want {
+			t.Errorf("version = %d, want %d", got, want)
+		}
+	})
+}
+
+// All hosts lose power just before a new version of an adapter is named, and start seconds after. A version that is there when a host starts may
+// have been named at any time before; counted from the start, requests begin on the older one after its time is over.
+func TestVersionFromBeforeTheStartHasNoTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/old", Value: []byte{1}}}}}
+		i := start(t, s, func(i *intake.Intake) {
+			i.Version = func(row rows.Row) (string, int, bool, error) { return row.Key, 2, true, nil }
+		})
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.rows["op/"] = []rows.Row{{Key: "op/new", Value: []byte{2}}} })
+		time.Sleep(1500 * time.Millisecond)
+		v := i.View()
+		if got := v.Named["op/old"][2]; !got.IsZero() || v.Versions["op/old"] != 2 {
+			t.Errorf("version of before the start: %d, named %v, want 2 at an unknown time", v.Versions["op/old"], got)
+		}
+		if got := time.Since(v.Named["op/new"][2]); got > 2*time.Second || v.Versions["op/new"] != 2 {
+			t.Errorf("version of after the start: %d, named %v ago, want 2, a moment ago", v.Versions["op/new"], got)
+		}
+	})
+}
