Name a change of the operators' rows by its own revision

Callers saw nothing; the store could get one call in 2.2 s from each host of a data centre and more for 4 s and longer after a change or its return, while one host read for all. TestStoreThatComesBackFromACopyIsNotStormed/24 showed it in some runs.

Cause: a host told others that its newest change of the operators' rows was at the revision of the answer that brought it, which grows with every write to the store. Where the hosts of one data centre were answered one write later (traced: 299 at 4 hosts of 24, 298 at 20, the row itself older), the 20 took 299 for a change that they lacked. Nothing was passed on, since no row was newer, and they relied on no reading of those that told it (the newest that they counted was 2.6 s old, 2.2 s may be), so that each waited at the store for 2.2 s for a change that never came. At the end of that wait they were at a later revision, but the wake was still there and ended the next rest: 2.2 s more. They went in step since the change had reached all at one moment.

Ruled out: that no reading was young enough. The reader's were 1.2 s apart throughout and the others heard of them; they didn't count them. So neither a longer rest behind a reading of one's own nor spread waits is needed, and what hosts know becomes no older.

Change: the mark is the revision of the newest row. Who has read up to it knows the row.

TestChangeReadAtALaterRevisionIsNoNewerOne failed before each time: 71, want 50, and a host that had read up to 60 lacked it.

The marks of registrations are made the same way (the answer's revision). There a reading ends that after 1.2 s at most; not changed here.

--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -70,11 +70,20 @@
 	i.Keep(i.Conf, after, rev, news)
 	i.confAt.Store(rev)
 	if len(news) > 0 {
-		i.confMark.Store(rev)
+		i.confMark.Store(newest(news))
 		i.Changed()
 	}
 }
 
+// newest returns the revision of the newest of rows. That of the answer that brought them differs from host to host: one that was answered a
+// moment sooner would take another's for a change that it lacks, rely on no reading of it, and wait at the store for what never comes.
+func newest(list []rows.Row) (rev int64) {
+	for _, row := range list {
+		rev = max(rev, row.Rev)
+	}
+	return rev
+}
+
 // askConf reads the operators' rows that have changed since the last that were taken, or all of them.
 func (i *Intake) askConf(ctx context.Context) <-chan reading {
 	rev := i.confAt.Load()
