End a wake with the reading that brings what it was for

Callers saw nothing; a host that let another one read could ask the store for the operators' rows once more, and wait there for 2.2 s, after a change that it had.

Cause: a host that waits at the store and hears of a change from another one keeps the wake until its own answer is there, since that may not bring it. The next rest ended by that wake at once, also where the answer had brought the change.

Change: a host keeps the newest change of the operators' rows that it was told of. A reading that was taken drops the wake unless that change is newer still. A reading that fails or isn't taken keeps it, and so do those of registrations, where a wake also tells that the store is back.

--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -28,6 +28,7 @@
 		}
 		if r.rev >= i.confAt.Load() {
 			i.takeConf(r.list, r.whole, r.rev)
+			i.endConfWake()
 		} else {
 			i.Log.Info("reading not taken", zap.String("rows", i.Conf), zap.Int64("revision", r.rev), zap.Int64("taken", i.confAt.Load()))
 			i.pause(ctx, i.confWake, i.passedConf)
@@ -38,6 +39,25 @@
 	}
 }
 
+// endConfWake drops a wake that came while the operators' rows were read, unless it was for a change that they still lack. It would end the next
+// rest at once, and the host would wait at the store for a change although another one reads.
+func (i *Intake) endConfWake() {
+	select {
+	case <-i.confWake:
+	default:
+	}
+	if i.confTold.Load() > i.confAt.Load() { // looked at last, for a wake may have come since and been dropped
+		nudge(i.confWake)
+	}
+}
+
+// toldOfConf notes a change of the operators' rows that another host has told of.
+func (i *Intake) toldOfConf(rev int64) {
+	for known := i.confTold.Load(); known < rev && !i.confTold.CompareAndSwap(known, rev); {
+		known = i.confTold.Load()
+	}
+}
+
 // passedConf takes operators' rows that another host has passed on; it reports false where there are none.
 func (i *Intake) passedConf() bool {
 	list, rev, ok := i.Passed(i.Conf, i.confAt.Load())
--- a/internal/intake/conf_test.go
+++ b/internal/intake/conf_test.go
@@ -1,11 +1,14 @@
 package intake_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"damaskreach/internal/intake"
+	"damaskreach/internal/marks"
 	"damaskreach/internal/rows"
 )
 
@@ -44,3 +47,31 @@
 		}
 	})
 }
+
+// Guards against a host that goes on to wait at the store although another one reads, since it was told of a change that its own reading has brought.
+func TestReadingThatBringsTheChangeEndsTheWake(t *testing.T) {
+	const change, later = 50, 1000 // revisions
+	for name, c := range map[string]struct{ told, waits int64 }{"the change": {change, 1}, "a later one": {later, 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &source{rows: map[string][]rows.Row{"op/": {{Key: "op/config", Value: []byte{1}, Rev: 1}}}}
+			var waits atomic.Int64
+			i := start(t, s, func(i *intake.Intake) {
+				i.Relaxed = func() bool { return waits.Load() > 0 }
+				tail := i.Table.Tail
+				i.Table.Tail = func(ctx context.Context, prefix string, after int64) ([]rows.Row, int64, error) {
+					if prefix == "op/" {
+						waits.Add(1)
+					}
+					return tail(ctx, prefix, after)
+				}
+			})
+			time.Sleep(500 * time.Millisecond) // it waits for a change
+			s.set(func() { s.rev, s.rows["op/"] = change, []rows.Row{{Key: "op/config", Value: []byte{2}, Rev: change}} })
+			i.Wake(marks.Marks{Conf: c.told})
+			time.Sleep(time.Second)
+			if got := waits.Load(); got != c.waits {
+				t.Errorf("told of %s: waited at the store %d times, want %d", name, got, c.waits)
+			}
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -70,6 +70,7 @@
 
 	confAt     atomic.Int64 // revision up to which the operators' rows are read
 	confMark   atomic.Int64 // of their newest change
+	confTold   atomic.Int64 // of the newest change that another host has told of
 	confRead   atomic.Int64 // when they were last read, in nanoseconds of the clock; 0 means never
 	confWake   chan struct{}
 	targetAt   atomic.Int64
