Name a change of upstreams by its own revision

Callers saw nothing; a host could read the registrations for itself although another one reads for all, and with many hosts each such reading made another.

A host told that its newest change of registrations was at the revision of the answer that brought it. Hosts that had the same row in an earlier answer counted that as a change that they lack, relied on no reading of the host that told it, and read for themselves; their own answers were of later revisions again. Registrations change all the time, and the more the more upstreams there are.

Ruled out: that a row which says that a registration is missing needs the answer's revision. It bears that one itself.

TestChangeReadAtALaterRevisionIsNoNewerOne asks for upstreams too now. Before: newest change of the upstreams = 70, want 50, and a host that had read up to 60 lacked it. After: it passes, and so does the package. Not yet played on a site.

--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -63,7 +63,7 @@
 	i.targetAt.Store(rev)
 	i.taken = now
 	if len(news) > 0 {
-		i.targetMark.Store(rev)
+		i.targetMark.Store(newest(news))
 		i.Changed()
 	}
 }
