Let a host load a base model beside other hosts' loads, and rank it among those that wait

Callers could find added engines without work for seconds.

Cause: beginModel moved the time from which a host may begin on at each look while any other host loaded, so that a host which lets others go first never began beside another's load, whatever its window. And it was ranked among all hosts, of which most have no engine to load to: on a large site most waited the longest time, 2 s.

TestHostLetsOthersBeginABaseModelFirst keeps what the time is for.

--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -54,7 +54,8 @@
 	loading  []time.Time // when the loads on their way from the weight store are there
 	streamed []streamed
 	came     []came
-	loads    []came // orders to load an adapter
+	loads    []came    // orders to load an adapter
+	added    time.Time // when engines were added
 }
 
 // machine is one engine of a farm.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -214,14 +214,23 @@
 	hosts := e.tenure.Hosts()
 	self := hosts[e.Setup().IP]
 	before := 0
-	for _, other := range hosts {
-		if other.Before(self) {
+	for ip := range e.awaitingModels() {
+		if other, ok := hosts[ip]; ok && other.Before(self) {
 			before++
 		}
 	}
 	return e.news.modelLoads(e.live), time.Duration(min(before, mostFirst)) * modelStep
 }
 
+// awaitingModels returns the hosts that order an engine without its base model.
+func (e *Edge) awaitingModels() map[string]bool {
+	await := map[string]bool{}
+	for _, id := range e.intake.View().WithoutModel() {
+		await[e.tenure.Owner(id)] = true
+	}
+	return await
+}
+
 // charge asks the host that holds a part of teams' limits to count a request.
 func (e *Edge) charge(ctx context.Context, c charge.Charge) (ruling.Ruling, error) {
 	owner := e.tenure.Owner(c.Part)
--- a/internal/giver/models.go
+++ b/internal/giver/models.go
@@ -25,12 +25,19 @@
 	after  time.Time // no load begins before it
 }
 
-// begin reports whether one more load may begin, with so many on their way to engines of other hosts.
-func (m *models) begin(others int, limit rate.Limit, burst int, now time.Time) bool {
+// begin reports whether one more load may begin, with so many on their way to engines of other hosts. Hosts that wait for the same load to end
+// do not all begin when it does: each one lets others go first for a time of its own.
+func (m *models) begin(others int, first time.Duration, limit rate.Limit, burst int, now time.Time) bool {
 	if m.window < 1 {
 		m.window = 1
 	}
-	if float64(m.under+others+1) > m.window || now.Before(m.after) {
+	if float64(m.under+others+1) > m.window {
+		if others > 0 {
+			m.after = now.Add(first)
+		}
+		return false
+	}
+	if now.Before(m.after) {
 		return false
 	}
 	if m.rate == nil {
@@ -75,12 +82,7 @@
 		part := perSecond / 2 * float64(len(g.desks)) / float64(max(1, all))
 		limit, burst = rate.Limit(part), max(1, int(part*g.Window().Seconds()))
 	}
-	now := time.Now()
-	if others > 0 {
-		// Hosts that wait for the same load to end do not all begin when it does.
-		g.models.after = now.Add(first)
-	}
-	return g.models.begin(others, limit, burst, now)
+	return g.models.begin(others, first, limit, burst, time.Now())
 }
 
 // endModel takes the end of such a load.
