Have hosts learn together how many base models come as fast at once

Callers could find added engines without work for long on a site of many hosts. Cause: each host learned from its own loads alone how many the weight store serves at full speed, beginning with one. With an engine or two a host nobody ever learned, and base models came one after the other.

Hosts now tell each other what they learned (busy.Learned, package window), beside the loads on their way that they told already. A load that ends builds on the newest lesson known, its own or another host's; of two lessons the one with more loads behind it counts. That is a count and not an age: hosts' clocks are not compared, and messages pass through relays. A host tells only what its own loads taught, so that a load does not make all hosts tell all others. A fast load lets twice as many begin as were on their way with it; a slow one cuts to what its time says, to half at most; after that it takes eight fast loads to try one more. Growth by one for each fast load, as before, loses what hosts learn at the same time. A load that begins or ends is told at once. Where there is room for several, as many hosts begin at once, in their order; the others wait until they would know of those loads, which on a site with relays is three messages and not 250 ms, 2 s at most.

TestBaseModelsThatShareOneWayAreLoadedInTurn keeps what the window protects: one served at full speed, 4 s each, 12 engines, 24 hosts.

Failed tries. Three times as many after a fast load: overshoots further for one round less with 30 engines and more. Ranks that drop while a host waits, as the view of the engines changes: several hosts began at once (4 at a store that had just been seen to serve one); a host now begins its wait anew whenever what it knows of the others changes.

Not run: whole sites.

--- a/internal/giver/models_test.go
+++ b/internal/giver/models_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/beside"
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
@@ -22,6 +23,7 @@
 	"damaskreach/internal/stock"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
+	"damaskreach/internal/window"
 )
 
 const (
@@ -31,6 +33,8 @@
 	modelFirst = 250 * time.Millisecond
 	// modelLook is the pause between two looks at whether a load may begin, and some.
 	modelLook = 105 * time.Millisecond
+	// atFirst is how many loads begin before any has ended.
+	atFirst = 1
 )
 
 // empties are engines without a base model, all ordered by one host.
@@ -40,6 +44,7 @@
 	orders map[string]int64
 	view   view.View
 	others int // loads on their way to engines of other hosts
+	before int // hosts that wait and come before
 	fast   int // loads that the weight store serves at full speed
 }
 
@@ -58,7 +63,7 @@
 		Tell: func(stock.Stock) {}, Recall: newEngine(1).recall, Flow: flow.NewFlow(), Jitter: jitter.NewJitter(),
 		Ration: ration.NewRation(func() time.Duration { return time.Since(begun) }), Leaves: func(target.Target) bool { return false },
 		Unused: func() time.Duration { return time.Second }, Window: func() time.Duration { return 5 * time.Second }, Holder: "h",
-		Others: func() (int, time.Duration) { return e.beside(), modelFirst }, Log: zap.NewNop(),
+		Others: e.beside, Changed: func() {}, Log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
@@ -93,10 +98,10 @@
 	return ids
 }
 
-func (e *empties) beside() int {
+func (e *empties) beside() beside.Beside {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.others
+	return beside.Beside{Loading: e.others, Before: e.before, Step: modelFirst}
 }
 
 // tell sets how many loads are on their way to engines of other hosts.
@@ -166,13 +171,14 @@
 func TestHostLetsOthersBeginABaseModelFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e, _ := newEmpties(t)
-		e.tell(1)
+		e.before = 1
+		e.tell(atFirst)
 		e.add("e0")
 		time.Sleep(time.Second)
 		if got := e.loading(); got != 0 {
-			t.Fatalf("%d base models were ordered beside the load of another host, want none before any was seen to be as fast", got)
+			t.Fatalf("%d base models were ordered beside %d of other hosts, want none before any was seen to be as fast", got, atFirst)
 		}
-		e.tell(0)
+		e.tell(atFirst - 1)
 		ended := time.Now()
 		for e.loading() == 0 && time.Since(ended) < 2*time.Second {
 			time.Sleep(time.Millisecond)
@@ -182,3 +188,42 @@
 		}
 	})
 }
+
+// A host that has loaded nothing itself begins with one load, whatever the loads of others taught these.
+func TestHostUsesWhatOthersLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, g := newEmpties(t)
+		g.Learn(window.Window{Size: 3, Lesson: 1})
+		e.add("e0", "e1", "e2", "e3")
+		time.Sleep(time.Second + 3*modelFirst)
+		if got, want := e.loading(), 3; got != want {
+			t.Errorf("%d base models were ordered at once, want %d as another host has learned", got, want)
+		}
+	})
+}
+
+// Hosts that are not told of slow loads let as many begin as before.
+func TestHostTellsWhatItsSlowLoadsTaught(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, g := newEmpties(t)
+		g.Learn(window.Window{Size: 3, Lesson: 1})
+		e.fast = 1
+		e.add("e0", "e1", "e2")
+		time.Sleep(10 * modelTime)
+		got := g.Learned()
+		if got.Loads() != 1 || !got.Cut || got.Lesson <= 1 {
+			t.Errorf("after three loads at once that took three times as long the host tells %+v, want one at a time and more lessons than it was told of", got)
+		}
+	})
+}
+
+// Did hosts pass on what they were told as their own, each load would have every host tell all others.
+func TestHostTellsNothingOfWhatItWasTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, g := newEmpties(t)
+		g.Learn(window.Window{Size: 9, Lesson: 2})
+		if got, want := g.Learned(), (window.Window{}); got != want {
+			t.Errorf("Learned() = %+v, want %+v", got, want)
+		}
+	})
+}
