Have hosts that find engines at the same moment begin four base models together, not one each

Where many engines came at once, callers could find the first of them ready as late as all, and the weight store got more loads than it allows. Cause: at the moment that hosts find new engines none knows of a load of another host, and each one begins a load: as many as hosts with such engines. Now four begin before any load has ended, by the hosts' order; engines that nobody is known to order yet count as a host each, so that a host waits until it knows the order.

Run on this code: package edge whole without the race detector (300 s), passes; make check passes.

--- a/internal/edge/bases.go
+++ b/internal/edge/bases.go
@@ -9,13 +9,17 @@
 // modelStep is the least time after which a base model that another host has begun to load is known here: a message between hosts and some.
 const modelStep = 250 * time.Millisecond
 
-// beside returns what is known of other hosts that load base models.
+// beside returns what is known of other hosts that load base models. Engines that nobody is known to order yet count as one host each.
 func (e *Edge) beside() beside.Beside {
 	hosts := e.tenure.Hosts()
 	self := hosts[e.Setup().IP]
 	before := 0
-	for ip := range e.awaitingModels() {
-		if other, known := hosts[ip]; known && other.Before(self) {
+	for ip, engines := range e.awaitingModels() {
+		other, known := hosts[ip]
+		switch {
+		case !known:
+			before += engines
+		case other.Before(self):
 			before++
 		}
 	}
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -9,13 +9,15 @@
 	most = 64
 	// slow is how many times its stated time a load takes when too many are on their way.
 	slow = 1.4
+	// first may be on their way before any load has ended.
+	first = 4
 	// growth is how many times as many may be tried as were as fast, before any were slow.
 	growth = 2
 	// part is what a fast load adds once loads were slow: every eighth tries one more, which holds one other up.
 	part = 0.125
 )
 
-// Window is immutable. Its zero value is that of a host that has learned nothing: one load at a time.
+// Window is immutable. Its zero value is that of a host that has learned nothing.
 type Window struct {
 	Size   float64 `msgpack:"s,omitempty"`
 	Cut    bool    `msgpack:"c,omitempty"` // too many were on their way before
@@ -24,6 +26,9 @@
 
 // Loads returns how many may be on their way at once.
 func (w Window) Loads() int {
+	if w.Lesson == 0 {
+		return first
+	}
 	return max(1, min(most, int(w.Size)))
 }
 
