--- a/internal/busy/busy.go
+++ b/internal/busy/busy.go
@@ -1,11 +1,7 @@
 // Package busy holds what a host tells the others of itself and of the engines that it orders.
 package busy
 
-import (
-	"maps"
-
-	"damaskreach/internal/window"
-)
+import "maps"
 
 // Busy is immutable.
 type Busy struct {
@@ -16,13 +12,12 @@
 	Lapsed  bool           `msgpack:"n,omitempty"` // it may give no orders now
 	Away    bool           `msgpack:"a,omitempty"` // the store does not answer it
 	Models  int            `msgpack:"o,omitempty"` // base models on their way to engines that it orders
-	Learned window.Window  `msgpack:"m,omitempty"` // from its loads of base models
 	Loads   map[string]int `msgpack:"r,omitempty"` // requests at engines that it orders
 	Waits   map[string]int `msgpack:"w,omitempty"` // ms that a prompt would wait at them
 }
 
 // Same reports whether two say the same, whenever they were said.
 func (b Busy) Same(other Busy) bool {
-	return b.Gone == other.Gone && b.Leaving == other.Leaving && b.Lapsed == other.Lapsed && b.Away == other.Away && b.Models == other.Models && b.Learned == other.Learned &&
+	return b.Gone == other.Gone && b.Leaving == other.Leaving && b.Lapsed == other.Lapsed && b.Away == other.Away && b.Models == other.Models &&
 		maps.Equal(b.Loads, other.Loads) && maps.Equal(b.Waits, other.Waits)
 }
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -87,7 +87,7 @@
 func (e *Edge) buildGiver(s setup.Setup) *giver.Giver {
 	return &giver.Giver{
 		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
-		Flow: flow.NewFlow(), Jitter: e.jitter, Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.beside, Changed: e.tellNow,
+		Flow: flow.NewFlow(), Jitter: e.jitter, Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
 		Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP,
 		Log: e.Log, Stats: e.Stats,
 	}
--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -55,8 +55,6 @@
 	streamed []streamed
 	came     []came
 	loads    []came // orders to load an adapter
-	weights  weights
-	added    time.Time // when engines were added
 }
 
 // machine is one engine of a farm.
@@ -79,11 +77,7 @@
 
 // newFarm starts hosts and engines that hold the base model.
 func newFarm(t *testing.T, hosts, engines int, teams func(version int64) []team.Team) *farm {
-	return newFarmOf(t, hosts, engines, teams, weights{takes: baseTakes, fast: manyBases})
-}
-
-func newFarmOf(t *testing.T, hosts, engines int, teams func(version int64) []team.Team, w weights) *farm {
-	f := &farm{engines: map[string]*machine{}, weights: w}
+	f := &farm{engines: map[string]*machine{}}
 	f.payers = newPayersOf(t, hosts, 3, 0, teams, f.adaptHost)
 	f.serveAt(t, farmAddr, f.serve)
 	for i := range engines {
@@ -174,8 +168,8 @@
 	case c.Load && under:
 		return effect.Accepted, nil
 	case c.Load && name == "":
-		m.there[name] = now.Add(never)
-		go f.loadBase(c.Target.ID)
+		m.there[name] = now.Add(baseTakes)
+		time.AfterFunc(baseTakes, func() { f.tell(c.Target.ID) })
 	case c.Load:
 		f.loading = slices.DeleteFunc(f.loading, func(at time.Time) bool { return !now.Before(at) })
 		m.there[name] = now.Add(loadTakes * time.Duration(max(farmLoads, len(f.loading)+1)) / farmLoads)
@@ -222,8 +216,8 @@
 	e.Rules = func(row rows.Row) (rules.Rules, bool, error) {
 		r, ok, err := conf(row)
 		r.Pools = map[string]pool.Pool{"g": {
-			Name: "g", MaxConns: 5000, Engine: true, Slots: farmSlots, Places: farmPlaces, Memory: 1000, LoadRate: f.weights.rate,
-			Models: []model.Model{{Name: "m", Size: 900, Load: f.weights.takes, Adapter: 1}},
+			Name: "g", MaxConns: 5000, Engine: true, Slots: farmSlots, Places: farmPlaces, Memory: 1000,
+			Models: []model.Model{{Name: "m", Size: 900, Load: baseTakes, Adapter: 1}},
 		}}
 		r.Routes = map[string][]route.Route{"a.example": {{
 			Name: "r", Host: "a.example", Prefix: "/", Kind: kinds.Stream, Groups: []string{"g"}, Weights: []int{1}, Target: farmGoal,
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -52,7 +52,6 @@
 	e.Stats.Gauge(stats.Room, e.jitter.Room)
 	e.Stats.Gauge(stats.LeaseLeft, func() float64 { return e.tenure.Left().Seconds() })
 	e.Stats.Gauge(stats.Engines, func() float64 { return float64(len(e.tenure.Mine())) })
-	e.Stats.Gauge(stats.AtOnce, func() float64 { return float64(e.giver.AtOnce()) })
 	e.Stats.Gauge(stats.Upstreams, func() float64 { return float64(len(e.intake.View().Targets)) })
 	e.Stats.Gauge(stats.Hosts, func() float64 {
 		m := e.mates.Load()
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -87,13 +87,6 @@
 	n.models[host] = count
 }
 
-// modelsOf returns how many they are.
-func (n *news) modelsOf(host string) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.models[host]
-}
-
 // modelLoads adds them over the hosts that are alive.
 func (n *news) modelLoads(alive func(host string) bool) int {
 	n.mu.Lock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -29,6 +29,10 @@
 	// redialLeast and redialMost bound the pause before a host is dialled again.
 	redialLeast = 100 * time.Millisecond
 	redialMost  = 700 * time.Millisecond
+	// modelStep is the time between hosts that may begin to load a base model: a message between hosts and some; mostFirst is
+	// how many of them it counts.
+	modelStep = 250 * time.Millisecond
+	mostFirst = 8
 	// spentFor bounds telling a host that a turn has ended; it does not matter to it any more after that.
 	spentFor = 500 * time.Millisecond
 	// secretWait is the pause before the hosts' secret is looked for again.
@@ -122,7 +126,6 @@
 			e.pick.Waits(id, time.Duration(ms)*time.Millisecond, now)
 		}
 		e.news.loading(b.IP, b.Models)
-		e.giver.Learn(b.Learned)
 	}
 	for _, s := range g.Held {
 		e.holds.Tell(s.ID, s.Born, s.Sequence, s.Adapters)
@@ -205,6 +208,20 @@
 	}()
 }
 
+// modelLoads returns how many base models are on their way to engines of other hosts, and how long this host lets others go
+// first: hosts that wait for the same load to end have different times, so that the next one is seen before a third begins.
+func (e *Edge) modelLoads() (loading int, first time.Duration) {
+	hosts := e.tenure.Hosts()
+	self := hosts[e.Setup().IP]
+	before := 0
+	for _, other := range hosts {
+		if other.Before(self) {
+			before++
+		}
+	}
+	return e.news.modelLoads(e.live), time.Duration(min(before, mostFirst)) * modelStep
+}
+
 // charge asks the host that holds a part of teams' limits to count a request.
 func (e *Edge) charge(ctx context.Context, c charge.Charge) (ruling.Ruling, error) {
 	owner := e.tenure.Owner(c.Part)
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -187,13 +187,6 @@
 	}
 }
 
-// tellNow tells others at once of what changed at engines of this host.
-func (e *Edge) tellNow() {
-	if m := e.mates.Load(); m != nil {
-		m.Nudge()
-	}
-}
-
 // live reports whether another host answered a moment ago.
 func (e *Edge) live(ip string) bool {
 	m := e.mates.Load()
--- a/internal/edge/scale_test.go
+++ b/internal/edge/scale_test.go
@@ -75,7 +75,6 @@
 	}
 	for i := range scaleAdded {
 		id := fmt.Sprint("new", i)
-		f.t.Logf("%s ran its first request %v after it came", id, f.firstRun(id).Sub(added))
 		if during.runs[id] == 0 {
 			f.t.Errorf("%s has run nothing within %v", id, takesWork)
 		}
@@ -112,18 +111,6 @@
 	return loads, atOnce
 }
 
-// firstRun returns when an engine got the first request that it ran.
-func (f *farm) firstRun(id string) time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, c := range f.came {
-		if c.ran && c.engine == id {
-			return c.at
-		}
-	}
-	return time.Time{}
-}
-
 // ran returns how many requests for an adapter ran at engines whose ids begin so.
 func (f *farm) ran(begins, adapter string) (n int) {
 	f.mu.Lock()
--- a/internal/edge/tell.go
+++ b/internal/edge/tell.go
@@ -25,7 +25,6 @@
 func (e *Edge) own() (own busy.Busy, uses []usage.Usage, broke []string) {
 	own = busy.Busy{
 		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
-		Learned: e.giver.Learned(),
 	}
 	uses = e.uses(e.Setup().IP, func(id string) bool { return !e.grants(id) })
 	return own, uses, e.blame.News()
--- a/internal/giver/base.go
+++ b/internal/giver/base.go
@@ -27,13 +27,11 @@
 	e := effect.Unknown
 	switch {
 	case !d.modelAt.IsZero():
-		d.atOnce = max(d.atOnce, d.g.modelsAtOnce())
 		e = d.look(t, order)
 		d.model = time.Now().Add(10 * again)
 	case t.AtHand(m.Name) || d.g.beginModel(d.pool(t).LoadRate):
 		d.counted = !t.AtHand(m.Name)
-		d.modelAt, d.atOnce = time.Now(), d.g.modelsAtOnce()
-		d.g.Changed()
+		d.modelAt = time.Now()
 		e = d.give(t, order)
 		if e != effect.Accepted && e != effect.Done {
 			d.endModel(m, false)
@@ -54,7 +52,7 @@
 	}
 	took := time.Since(d.modelAt)
 	d.g.Log.Info("base model load ended", zap.String("target", d.id), zap.String("model", m.Name), zap.Bool("done", done),
-		zap.Bool("counted", d.counted), zap.Duration("took", took), zap.Int("at_once", d.atOnce))
+		zap.Bool("counted", d.counted), zap.Duration("took", took))
 	d.g.Stats.Time(stats.Loads, took, "from", "model")
 	d.modelAt = time.Time{}
 	if !d.counted {
@@ -63,5 +61,5 @@
 	if !done {
 		took = 0
 	}
-	d.g.endModel(took, m, d.atOnce)
+	d.g.endModel(took, m)
 }
--- a/internal/giver/desk.go
+++ b/internal/giver/desk.go
@@ -84,7 +84,6 @@
 	model    time.Time            // when to look next at the load of the base model
 	modelAt  time.Time            // when the load of the base model began that is under way
 	counted  bool                 // it comes from the weight store
-	atOnce   int                  // the most that were seen on their way meanwhile, over all hosts
 	cold     time.Duration
 	warm     time.Duration
 	asked    time.Time
--- a/internal/giver/engine_test.go
+++ b/internal/giver/engine_test.go
@@ -12,7 +12,6 @@
 
 	"go.uber.org/zap"
 
-	"damaskreach/internal/beside"
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
@@ -220,7 +219,7 @@
 		View: func() view.View { return v }, Tell: func(stock.Stock) {}, Recall: e.recall,
 		Flow: flow.NewFlow(), Jitter: jitter.NewJitter(), Ration: e.ration,
 		Leaves: func(target.Target) bool { return e.leaves.Load() }, Unused: func() time.Duration { return e.told * 5 / 2 },
-		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() beside.Beside { return beside.Beside{} }, Changed: func() {},
+		Window: func() time.Duration { return 5 * time.Second }, Holder: "h", Others: func() (int, time.Duration) { return 0, 0 },
 		Log: zap.NewNop(),
 	}
 }
--- a/internal/giver/giver.go
+++ b/internal/giver/giver.go
@@ -13,7 +13,6 @@
 
 	"go.uber.org/zap"
 
-	"damaskreach/internal/beside"
 	"damaskreach/internal/change"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/flow"
@@ -54,9 +53,9 @@
 	Jitter *jitter.Jitter
 	// Flow bounds the loads that are on their way to all engines of this host.
 	Flow *flow.Flow
-	// Others returns what is known of other hosts that load base models, and Changed tells them at once of a load that began or ended here.
-	Others  func() beside.Beside
-	Changed func()
+	// Others returns how many base models are on their way to engines of other hosts, and how long this host lets others go
+	// first after one of theirs.
+	Others func() (loading int, first time.Duration)
 	// Unused returns how long no use of an adapter must have been heard of for it to be taken as unused. An unload that waits for a
 	// request keeps the engine from any other unload until that has ended.
 	Unused func() time.Duration
--- a/internal/giver/models.go
+++ b/internal/giver/models.go
@@ -5,36 +5,32 @@
 
 	"golang.org/x/time/rate"
 
-	"damaskreach/internal/beside"
 	"damaskreach/internal/model"
-	"damaskreach/internal/window"
+)
+
+const (
+	// modelSlow is how many times its stated time a load of a base model takes when too many are on their way.
+	modelSlow = 1.4
+	// mostModels bounds the loads of base models that are on their way at once.
+	mostModels = 64
 )
 
 // models bounds the loads of base models from the weight store. The store serves some at full speed, and more take longer in
 // proportion: with six on their way at once where one is served at full speed, no engine is ready before the sixth could
-// have been in turn. How many those are the hosts learn together.
+// have been in turn. How many those are is not told, so it begins with one and learns from how long loads take.
 type models struct {
-	under   int // on their way to engines of this host
-	learned window.Window
-	own     window.Window // as of the last load of this host that taught something
-	rate    *rate.Limiter
-	since   time.Time     // from when on others are let go first
-	asked   time.Time     // when there was last an engine to load a base model to
-	seen    beside.Beside // what was known of other hosts then
+	under  int // on their way to engines of this host
+	window float64
+	rate   *rate.Limiter
+	after  time.Time // no load begins before it
 }
 
-// anew is after how long without a look a host counts as one that has just found engines without their base models.
-const anew = time.Second
-
-// begin reports whether one more load may begin beside those of other hosts. Hosts that wait for the same load to end do not all begin when it
-// does: each one lets others go first for a time of its own, and knows of theirs before it begins another.
-func (m *models) begin(b beside.Beside, limit rate.Limit, burst int, now time.Time) bool {
-	room := m.learned.Loads() - m.under - b.Loading
-	if room <= 0 || b != m.seen || now.Sub(m.asked) > anew {
-		m.since = later(m.since, now)
+// begin reports whether one more load may begin, with so many on their way to engines of other hosts.
+func (m *models) begin(others int, limit rate.Limit, burst int, now time.Time) bool {
+	if m.window < 1 {
+		m.window = 1
 	}
-	m.seen, m.asked = b, now
-	if room <= 0 || now.Before(m.since.Add(b.First(room))) {
+	if float64(m.under+others+1) > m.window || now.Before(m.after) {
 		return false
 	}
 	if m.rate == nil {
@@ -46,25 +42,18 @@
 		return false
 	}
 	m.under++
-	m.since = now.Add(b.Step)
 	return true
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// end takes how long a load took and how many were on their way at once; a time of zero means that it was not completed.
-func (m *models) end(took time.Duration, of model.Model, atOnce int) {
+// end takes how long a load took; zero means that it was not completed.
+func (m *models) end(took time.Duration, of model.Model) {
 	m.under--
-	if took == 0 || of.Load <= 0 {
-		return
-	}
-	if now := m.learned.WithLoad(took, of.Load, atOnce); now != m.learned {
-		m.learned, m.own = now, now
+	switch {
+	case took == 0 || of.Load <= 0:
+	case float64(took) > modelSlow*float64(of.Load):
+		m.window = max(1, m.window/2)
+	default:
+		m.window = min(mostModels, m.window+1)
 	}
 }
 
@@ -77,7 +66,7 @@
 			all++
 		}
 	}
-	b := g.Others()
+	others, first := g.Others()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limit, burst := rate.Inf, 1
@@ -86,20 +75,19 @@
 		part := perSecond / 2 * float64(len(g.desks)) / float64(max(1, all))
 		limit, burst = rate.Limit(part), max(1, int(part*g.Window().Seconds()))
 	}
-	return g.models.begin(b, limit, burst, time.Now())
-}
-
-// modelsAtOnce returns how many base models are on their way to engines of all hosts.
-func (g *Giver) modelsAtOnce() int {
-	return g.Others().Loading + g.Models()
+	now := time.Now()
+	if others > 0 {
+		// Hosts that wait for the same load to end do not all begin when it does.
+		g.models.after = now.Add(first)
+	}
+	return g.models.begin(others, limit, burst, now)
 }
 
 // endModel takes the end of such a load.
-func (g *Giver) endModel(took time.Duration, of model.Model, atOnce int) {
+func (g *Giver) endModel(took time.Duration, of model.Model) {
 	g.mu.Lock()
-	g.models.end(took, of, atOnce)
-	g.mu.Unlock()
-	g.Changed()
+	defer g.mu.Unlock()
+	g.models.end(took, of)
 }
 
 // Models returns how many base models are on their way from the weight store to engines of this host.
@@ -108,24 +96,3 @@
 	defer g.mu.Unlock()
 	return g.models.under
 }
-
-// Learned returns what this host's own loads of base models taught, built on what other hosts had learned by then.
-func (g *Giver) Learned() window.Window {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.models.own
-}
-
-// AtOnce returns how many base models may be on their way to engines of all hosts.
-func (g *Giver) AtOnce() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.models.learned.Loads()
-}
-
-// Learn takes what another host has learned from its loads of base models.
-func (g *Giver) Learn(w window.Window) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.models.learned = g.models.learned.Newer(w)
-}
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -24,7 +24,6 @@
 	LeaseLeft   = "lease_left_seconds"          // none
 	Room        = "reading_room_share"          // none
 	Engines     = "engines_ordered"             // none
-	AtOnce      = "base_models_at_once"         // none
 	Hosts       = "hosts_serving"               // none
 	Upstreams   = "upstreams_known"             // none
 	Dropped     = "log_lines_dropped_total"     // none
@@ -55,7 +54,6 @@
 	LeaseLeft:   "time for which this host may still give orders",
 	Room:        "part of the pause that streams allow which is planned for reading prompts",
 	Engines:     "engines that this host gives orders to",
-	AtOnce:      "base models that may come from the weight store at once, over all hosts",
 	Hosts:       "other hosts that lookups name",
 	Upstreams:   "upstreams that are registered",
 	Dropped:     "lines of the log that were not written",
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -60,7 +60,7 @@
 	for _, name := range []string{
 		stats.Requests, stats.Sends, stats.Connections, stats.Admits, stats.StoreFails, stats.Claims, stats.Renewals, stats.Orders,
 		stats.Unloads, stats.Other, stats.Took, stats.First, stats.Turn, stats.Pause, stats.Store, stats.Loads, stats.LoadWaits,
-		stats.Age, stats.LeaseLeft, stats.Engines, stats.AtOnce, stats.Hosts, stats.Upstreams, stats.Dropped,
+		stats.Age, stats.LeaseLeft, stats.Engines, stats.Hosts, stats.Upstreams, stats.Dropped,
 	} {
 		s.Add(name, 1, "a", "b")
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -121,17 +121,6 @@
 	return v.Rules.Version > 0
 }
 
-// WithoutModel returns the engines that have not said that they hold a base model, but for those that leave.
-func (v View) WithoutModel() []string {
-	var ids []string
-	for id, t := range v.Targets {
-		if pool := v.Rules.Pools[t.Group]; pool.Engine && len(pool.Models) > 0 && len(t.Models) == 0 && !t.Draining {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Engines returns the data centre of each upstream that takes orders, by id.
 func (v View) Engines() map[string]string {
 	engines := make(map[string]string, v.mostEngines())
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -1,13 +1,9 @@
 package view_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
-	"damaskreach/internal/model"
-	"damaskreach/internal/pool"
-	"damaskreach/internal/rules"
 	"damaskreach/internal/target"
 	"damaskreach/internal/view"
 )
@@ -56,16 +52,3 @@
 		t.Errorf("upstreams of a group without any = %v, want none", got)
 	}
 }
-
-// Hosts that wait to load base models wait for each other; one that orders an engine which needs none must not be waited for.
-func TestEnginesWithoutBaseModelAreThoseThatNeedOne(t *testing.T) {
-	v := view.View{
-		Rules: rules.Rules{Pools: map[string]pool.Pool{"g": {Engine: true, Models: []model.Model{{Name: "m"}}}, "plain": {}}},
-		Targets: map[string]target.Target{
-			"empty": {Group: "g"}, "ready": {Group: "g", Models: []string{"m"}}, "leaving": {Group: "g", Draining: true}, "plain": {Group: "plain"},
-		},
-	}
-	if got, want := v.WithoutModel(), []string{"empty"}; !slices.Equal(got, want) {
-		t.Errorf("WithoutModel() = %v, want %v", got, want)
-	}
-}
