--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"time"
 
@@ -18,6 +19,7 @@
 	"damaskreach/internal/pick"
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
+	"damaskreach/internal/reach"
 	"damaskreach/internal/roster"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
@@ -50,9 +52,8 @@
 	e.giver = e.buildGiver(s)
 	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
-	e.uplink = &uplink.Uplink{
-		Dial: e.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
-	}
+	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreams, Log: e.Log}
+	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
@@ -60,6 +61,14 @@
 	return e.buildDirect()
 }
 
+// buildUplink makes what sends requests to upstreams.
+func (e *Edge) buildUplink() *uplink.Uplink {
+	return &uplink.Uplink{
+		Dial: e.reach.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
+		Sent: func(net.Conn) { e.reach.Sent() }, Heard: func(net.Conn) { e.reach.Heard() },
+	}
+}
+
 // buildIntake makes what reads the configuration and the registrations.
 func (e *Edge) buildIntake() *intake.Intake {
 	i := intake.NewIntake()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"damaskreach/internal/pick"
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
+	"damaskreach/internal/reach"
 	"damaskreach/internal/roster"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
@@ -90,6 +91,7 @@
 	avoid   *avoid.Avoid
 	duty    atomic.Pointer[duty]
 	uplink  *uplink.Uplink
+	reach   *reach.Reach
 	spare   *spare.Spare
 	news    *news
 	bundles bundles
@@ -136,6 +138,7 @@
 	go e.giver.Run(work)
 	go e.quotas.Run(work)
 	go e.runPeers(work, e.Setup())
+	go e.reach.Run(work)
 	go e.sweep(work)
 	go e.tellSelf(work)
 }
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -53,6 +53,7 @@
 	e.Stats.Gauge(stats.LeaseLeft, func() float64 { return e.tenure.Left().Seconds() })
 	e.Stats.Gauge(stats.Engines, func() float64 { return float64(len(e.tenure.Mine())) })
 	e.Stats.Gauge(stats.Upstreams, func() float64 { return float64(len(e.intake.View().Targets)) })
+	e.Stats.Gauge(stats.Unreached, func() float64 { return e.reach.Cut().Seconds() })
 	e.Stats.Gauge(stats.Hosts, func() float64 {
 		m := e.mates.Load()
 		if m == nil {
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -26,6 +26,7 @@
 	Engines     = "engines_ordered"             // none
 	Hosts       = "hosts_serving"               // none
 	Upstreams   = "upstreams_known"             // none
+	Unreached   = "upstreams_unreached_seconds" // none
 	Dropped     = "log_lines_dropped_total"     // none
 	Other       = "metric_series_dropped_total" // metric
 )
@@ -56,6 +57,7 @@
 	Engines:     "engines that this host gives orders to",
 	Hosts:       "other hosts that lookups name",
 	Upstreams:   "upstreams that are registered",
+	Unreached:   "time for which this host has reached no upstream; 0 while it reaches some",
 	Dropped:     "lines of the log that were not written",
 	Other:       "values counted under \"other\" because a metric has too many series",
 }
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -23,7 +23,7 @@
 			break
 		}
 		c.idled = time.Since(c.since)
-		if c.idled < u.bound(c.keep) && quiet(c.Conn) {
+		if c.idled < u.bound(c.keep) && quiet(c.Conn) && u.usable(c) {
 			return c, nil
 		}
 		c.Close()
@@ -43,7 +43,13 @@
 	if u.Opened != nil {
 		u.Opened(addr)
 	}
-	return &conn{Conn: raw, up: u, addr: addr, read: bufio.NewReader(raw)}, nil
+	c := &conn{Conn: raw, up: u, addr: addr, heard: time.Now()}
+	c.read = bufio.NewReader(c)
+	return c, nil
+}
+
+func (u *Uplink) usable(c *conn) bool {
+	return u.Usable == nil || u.Usable(c.Conn, c.heard)
 }
 
 func (u *Uplink) pop(addr string) *conn {
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -39,6 +39,10 @@
 	Most func(addr string) int
 	// Opened counts new connections; it may be nil.
 	Opened func(addr string)
+	// Usable reports whether a kept connection on which something came last at a time may be used; nil means that each may.
+	Usable func(c net.Conn, heard time.Time) bool
+	// Sent and Heard are told that an answer is waited for on a connection, and that something came on one; they may be nil.
+	Sent, Heard func(c net.Conn)
 
 	mu      sync.Mutex
 	longest time.Duration // that a connection is left idle, as learnt from those that broke; 0 means no bound
@@ -55,11 +59,24 @@
 	since  time.Time     // when it last became idle
 	keep   time.Duration // how long it may be idle
 	idled  time.Duration // how long it was idle before the request that is on it now; 0 for a new one
+	heard  time.Time     // when something came last
 	closed sync.Once
 	// restore sets the bound again on how long bytes wait for the upstream; nil where it was not lifted.
 	restore func() error
 }
 
+// Read reads what has come.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard = time.Now()
+		if c.up.Heard != nil {
+			c.up.Heard(c.Conn)
+		}
+	}
+	return n, err
+}
+
 // Close closes the connection and frees its place.
 func (c *conn) Close() error {
 	var err error
@@ -87,6 +104,9 @@
 	if err != nil {
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
 	}
+	if u.Sent != nil {
+		u.Sent(c.Conn)
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := make(chan error, 1)
 	// An upstream may answer before it has read a long body: the answer is read meanwhile.
