--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -37,7 +37,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.said = append(p.said, said{sent: begun, team: name, units: float64(units), status: status, took: time.Since(begun)})
+	p.said = append(p.said, said{sent: begun, host: host, team: name, units: float64(units), status: status, took: time.Since(begun)})
 }
 
 // load has callers of a team ask at a rate until ctx ends, each request at any host.
--- a/internal/edge/crowd_test.go
+++ b/internal/edge/crowd_test.go
@@ -16,6 +16,7 @@
 // streamed is a request as its caller saw it.
 type streamed struct {
 	id, team    string
+	host        string
 	sent        time.Time
 	status      int
 	first, took time.Duration
@@ -41,7 +42,7 @@
 
 // stream asks a host for one stream and reads it.
 func (f *farm) stream(client *http.Client, team, id, host, adapter string) {
-	s := streamed{id: id, team: team, sent: time.Now()}
+	s := streamed{id: id, team: team, host: host, sent: time.Now()}
 	r, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+host+":8000/x", nil)
 	if err != nil {
 		f.t.Errorf("request: %v", err)
--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -48,6 +48,7 @@
 // farm is a fleet whose upstreams are engines: they load adapters from one weight store and answer by streams.
 type farm struct {
 	*payers
+	apart bool // each engine has an address of its own
 
 	mu       sync.Mutex
 	engines  map[string]*machine
@@ -78,15 +79,27 @@
 // newFarm starts hosts and engines that hold the base model.
 func newFarm(t *testing.T, hosts, engines int, teams func(version int64) []team.Team) *farm {
 	f := &farm{engines: map[string]*machine{}}
-	f.payers = newPayersOf(t, hosts, 3, 0, teams, f.adaptHost)
-	f.serveAt(t, farmAddr, f.serve)
+	f.start(t, hosts, engines, teams, f.adaptHost)
+	return f
+}
+
+func (f *farm) start(t *testing.T, hosts, engines int, teams func(version int64) []team.Team, adapt func(e *edge.Edge, s *setup.Setup)) {
+	f.payers = newPayersOf(t, hosts, 3, 0, teams, adapt)
+	if !f.apart {
+		f.serveAt(t, farmAddr, f.serve)
+	}
 	for i := range engines {
+		if f.apart {
+			f.serveAt(t, apartAddr(i), f.serve)
+		}
 		f.addEngine(fmt.Sprint("e", i), true)
 	}
 	time.Sleep(14 * time.Second)
-	return f
 }
 
+// apartAddr is the address of the nth upstream of a fleet whose upstreams have addresses of their own.
+func apartAddr(n int) string { return fmt.Sprintf("10.9.8.%d:80", n+1) }
+
 // addEngine starts an engine, with the base model or empty.
 func (f *farm) addEngine(id string, base bool) {
 	m := &machine{there: map[string]time.Time{}, using: map[string]int{}, doomed: map[string]bool{}}
@@ -94,8 +107,12 @@
 		m.there[""] = time.Now()
 	}
 	f.mu.Lock()
+	addr := farmAddr
+	if f.apart {
+		addr = apartAddr(len(f.engines))
+	}
 	m.target = target.Target{
-		ID: id, Born: time.Now().UnixMilli(), Group: "g", Addr: farmAddr, Centre: fmt.Sprint("dc-", len(f.engines)%3), Slots: farmSlots,
+		ID: id, Born: time.Now().UnixMilli(), Group: "g", Addr: addr, Centre: fmt.Sprint("dc-", len(f.engines)%3), Slots: farmSlots,
 	}
 	f.engines[id] = m
 	f.mu.Unlock()
--- a/internal/edge/payers_test.go
+++ b/internal/edge/payers_test.go
@@ -57,6 +57,7 @@
 // said is the answer to one request.
 type said struct {
 	sent   time.Time
+	host   string
 	team   string
 	units  float64
 	status int
