--- a/internal/busy/busy.go
+++ b/internal/busy/busy.go
@@ -11,6 +11,7 @@
 	Leaving bool           `msgpack:"l,omitempty"`
 	Lapsed  bool           `msgpack:"n,omitempty"` // it may give no orders now
 	Away    bool           `msgpack:"a,omitempty"` // the store does not answer it
+	Cut     bool           `msgpack:"c,omitempty"` // it reaches no upstream
 	Models  int            `msgpack:"o,omitempty"` // base models on their way to engines that it orders
 	Loads   map[string]int `msgpack:"r,omitempty"` // requests at engines that it orders
 	Waits   map[string]int `msgpack:"w,omitempty"` // ms that a prompt would wait at them
@@ -18,6 +19,6 @@
 
 // Same reports whether two say the same, whenever they were said.
 func (b Busy) Same(other Busy) bool {
-	return b.Gone == other.Gone && b.Leaving == other.Leaving && b.Lapsed == other.Lapsed && b.Away == other.Away && b.Models == other.Models &&
+	return b.Gone == other.Gone && b.Leaving == other.Leaving && b.Lapsed == other.Lapsed && b.Away == other.Away && b.Cut == other.Cut && b.Models == other.Models &&
 		maps.Equal(b.Loads, other.Loads) && maps.Equal(b.Waits, other.Waits)
 }
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"time"
 
@@ -52,7 +51,7 @@
 	e.giver = e.buildGiver(s)
 	e.quotas = &quotas.Quotas{Parts: limits.Parts, Held: e.tenure.Held, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
-	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreams, Log: e.Log}
+	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreams, Changed: e.wayChanged, Log: e.Log}
 	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
@@ -64,8 +63,8 @@
 // buildUplink makes what sends requests to upstreams.
 func (e *Edge) buildUplink() *uplink.Uplink {
 	return &uplink.Uplink{
-		Dial: e.reach.Dial, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
-		Sent: func(net.Conn) { e.reach.Sent() }, Heard: func(net.Conn) { e.reach.Heard() },
+		Dial: e.connect, Matches: e.Matches, Most: e.mostConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
+		Usable: e.usable, Sent: e.sentOn, Heard: e.heardOn,
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,6 +92,7 @@
 	duty    atomic.Pointer[duty]
 	uplink  *uplink.Uplink
 	reach   *reach.Reach
+	passes  atomic.Int64 // connections to upstreams that this host has opened for others
 	spare   *spare.Spare
 	news    *news
 	bundles bundles
--- a/internal/edge/gauge.go
+++ b/internal/edge/gauge.go
@@ -54,6 +54,7 @@
 	e.Stats.Gauge(stats.Engines, func() float64 { return float64(len(e.tenure.Mine())) })
 	e.Stats.Gauge(stats.Upstreams, func() float64 { return float64(len(e.intake.View().Targets)) })
 	e.Stats.Gauge(stats.Unreached, func() float64 { return e.reach.Cut().Seconds() })
+	e.Stats.Gauge(stats.Passed, func() float64 { return float64(e.passes.Load()) })
 	e.Stats.Gauge(stats.Hosts, func() float64 {
 		m := e.mates.Load()
 		if m == nil {
--- a/internal/edge/leave.go
+++ b/internal/edge/leave.go
@@ -49,10 +49,11 @@
 	e.Log.Info("stopped", zap.Duration("after", time.Since(began)), zap.Int("connections", left))
 }
 
-// drain closes callers' connections as they become idle, until none is left or the time has come, and returns how many are left.
+// drain closes callers' connections as they become idle, until none is left, nor one to an upstream that another host uses, or the time has come, and
+// returns how many are left.
 func (e *Edge) drain(until time.Time) int {
 	for {
-		left := e.conns.CloseIdle(leastIdle)
+		left := e.conns.CloseIdle(leastIdle) + int(e.passes.Load())
 		rest := time.Until(until)
 		if left == 0 || rest <= 0 {
 			return left
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -47,6 +47,7 @@
 	methodPermit = "permit"
 	methodSpent  = "spent"
 	methodRows   = "rows"
+	methodPass   = "pass"
 )
 
 // runPeers joins the other hosts once their secret is known.
@@ -84,6 +85,7 @@
 	peer.Answer(mesh, methodCharge, func(_ context.Context, _ string, c charge.Charge) (ruling.Ruling, error) {
 		return e.quotas.Charge(c), nil
 	})
+	mesh.Handle(methodPass, e.pass)
 	l, err := e.Listen(s.Peers)
 	if err != nil {
 		e.Log.Error("no port for other hosts", zap.String("addr", s.Peers), zap.Error(err))
--- a/internal/edge/tell.go
+++ b/internal/edge/tell.go
@@ -24,7 +24,8 @@
 // own returns what this host tells of itself.
 func (e *Edge) own() (own busy.Busy, uses []usage.Usage, broke []string) {
 	own = busy.Busy{
-		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
+		Leaving: e.leaving.Load(), Lapsed: e.tenure.Left() <= 0, Away: e.intake.Away(), Cut: e.reach.Cut() > 0,
+		Loads: e.loads(), Waits: e.waits(), Models: e.giver.Models(),
 	}
 	uses = e.uses(e.Setup().IP, func(id string) bool { return !e.grants(id) })
 	return own, uses, e.blame.News()
--- a/internal/mates/live.go
+++ b/internal/mates/live.go
@@ -35,6 +35,11 @@
 	return *m.serving.Load()
 }
 
+// Reaching returns those of the hosts that callers may be sent to which reach upstreams. The map must not be changed.
+func (m *Mates) Reaching() map[string]mate.Mate {
+	return *m.reaching.Load()
+}
+
 // Ahead returns those of the hosts that callers may be sent to which come before this one. The list must not be changed.
 func (m *Mates) Ahead() []mate.Mate {
 	return *m.ahead.Load()
@@ -48,6 +53,7 @@
 // serve notes which hosts are alive, this one among them, and which others callers may be sent to.
 func (m *Mates) serve(hosts map[string]mate.Mate, alive map[string]busy.Busy) {
 	serving, living := make(map[string]mate.Mate, len(hosts)), make(map[string]mate.Mate, len(hosts))
+	reaching := make(map[string]mate.Mate, len(hosts))
 	var ahead []mate.Mate
 	for ip, h := range hosts {
 		b, live := alive[ip]
@@ -59,11 +65,15 @@
 			continue
 		}
 		serving[ip] = h
+		if !b.Cut {
+			reaching[ip] = h
+		}
 		if h.Before(m.Self) {
 			ahead = append(ahead, h)
 		}
 	}
 	m.ahead.Store(&ahead)
 	m.serving.Store(&serving)
+	m.reaching.Store(&reaching)
 	m.living.Store(&living)
 }
--- a/internal/mates/mates.go
+++ b/internal/mates/mates.go
@@ -37,10 +37,11 @@
 
 	nudge chan struct{}
 
-	// serving and living are as of the last message: a walk over all hosts for each caller that asks would cost more than its answer.
-	serving atomic.Pointer[map[string]mate.Mate]
-	living  atomic.Pointer[map[string]mate.Mate]
-	ahead   atomic.Pointer[[]mate.Mate]
+	// serving, reaching and living are as of the last message: a walk over all hosts for each caller that asks would cost more than its answer.
+	serving  atomic.Pointer[map[string]mate.Mate]
+	reaching atomic.Pointer[map[string]mate.Mate]
+	living   atomic.Pointer[map[string]mate.Mate]
+	ahead    atomic.Pointer[[]mate.Mate]
 
 	mu      sync.Mutex
 	rhythm  rhythm.Rhythm
@@ -55,6 +56,7 @@
 		Self: self, calls: map[string]call{}, relayed: map[string]time.Time{}, nudge: make(chan struct{}, 1), rhythm: rhythm.NewRhythm(0, 0),
 	}
 	m.serving.Store(&map[string]mate.Mate{})
+	m.reaching.Store(&map[string]mate.Mate{})
 	m.living.Store(&map[string]mate.Mate{})
 	m.ahead.Store(&[]mate.Mate{})
 	return m
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -6,14 +6,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/turns"
@@ -21,7 +19,7 @@
 
 const (
 	// dialFor bounds a dial: upstreams are some milliseconds away.
-	dialFor = 800 * time.Millisecond
+	dialFor = 300 * time.Millisecond
 	// starved is how many times longer than its bound a dial may take to count as failed. A host without processor time finds the answer and the end of
 	// its wait at the same moment.
 	starved = 1.5
@@ -40,9 +38,6 @@
 	againEvery = 250 * time.Millisecond
 )
 
-// ErrLost means that the upstream was not reached a moment ago.
-var ErrLost = merry.Sentinel("reach: the upstream is not reached")
-
 // Reach may be used from several goroutines. Its fields are set before Run.
 type Reach struct {
 	// Open opens a connection of this host's own.
@@ -131,8 +126,15 @@
 	return m.at, lost
 }
 
-// Again reports whether an upstream that is not reached is to be tried again now; whoever asks does so.
-func (r *Reach) Again(addr string) bool {
+// Retry tries an upstream that is not reached again where that is due, and does not wait for it.
+func (r *Reach) Retry(ctx context.Context, addr string) {
+	if r.due(addr) {
+		go r.try(context.WithoutCancel(ctx), addr)
+	}
+}
+
+// due reports whether an upstream is to be tried again now, which whoever asks does. A host that reaches no upstream tries them by itself.
+func (r *Reach) due(addr string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, known := r.missed[addr]
@@ -186,7 +188,7 @@
 	addrs := r.Addrs()
 	r.forget(addrs)
 	if r.Cut() > 0 {
-		r.probe(ctx, addrs, 1)
+		r.recover(ctx, now, addrs)
 		return
 	}
 	if r.suspects(now, len(addrs)) {
@@ -195,6 +197,19 @@
 	}
 }
 
+// recover tries one of the upstreams after the other while none is reached.
+func (r *Reach) recover(ctx context.Context, now time.Time, addrs []string) {
+	r.mu.Lock()
+	due := len(addrs) > 0 && !now.Before(r.probeAt)
+	if due {
+		r.probeAt = now.Add(againEvery)
+	}
+	r.mu.Unlock()
+	if due {
+		r.try(ctx, addrs[rand.IntN(len(addrs))])
+	}
+}
+
 // sound reports whether nothing is wrong: there is nothing to look for, mostly.
 func (r *Reach) sound(now time.Time) bool {
 	waits := r.waits.Load()
@@ -250,20 +265,23 @@
 func (r *Reach) probe(ctx context.Context, addrs []string, most int) {
 	var dials sync.WaitGroup
 	for _, addr := range r.untried(addrs, most) {
-		dials.Go(func() {
-			c, err := r.Dial(ctx, addr)
-			if err != nil {
-				r.Log.Debug("upstream not reached", zap.String("addr", addr), zap.Error(err))
-				return
-			}
-			if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-				r.Log.Debug("connection not closed", zap.String("addr", addr), zap.Error(err))
-			}
-		})
+		dials.Go(func() { r.try(ctx, addr) })
 	}
 	dials.Wait()
 }
 
+// try opens a connection to an upstream and closes it again.
+func (r *Reach) try(ctx context.Context, addr string) {
+	c, err := r.Dial(ctx, addr)
+	if err != nil {
+		r.Log.Debug("upstream not reached", zap.String("addr", addr), zap.Error(err))
+		return
+	}
+	if err := c.Close(); err != nil {
+		r.Log.Debug("connection not closed", zap.String("addr", addr), zap.Error(err))
+	}
+}
+
 // untried returns so many of the upstreams, by chance, those first that were not missed.
 func (r *Reach) untried(addrs []string, most int) []string {
 	r.mu.Lock()
--- a/internal/spread/pick.go
+++ b/internal/spread/pick.go
@@ -1,7 +1,9 @@
 package spread
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 
 	"github.com/dgryski/go-rendezvous"
 )
@@ -29,3 +31,10 @@
 	}
 	return rendezvous.New(ids, hash).Lookup(key)
 }
+
+// First returns so many of the nodes, the one that a key hashes to first; when a node goes, the others keep their order.
+func First(ids []string, key string, most int) []string {
+	ranked := slices.Clone(ids)
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(hash(key+"/"+b), hash(key+"/"+a)) })
+	return ranked[:min(most, len(ranked))]
+}
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -26,6 +26,8 @@
 	Engines     = "engines_ordered"             // none
 	Hosts       = "hosts_serving"               // none
 	Upstreams   = "upstreams_known"             // none
+	Detours     = "connections_detoured_total"  // outcome
+	Passed      = "connections_passed"          // none
 	Unreached   = "upstreams_unreached_seconds" // none
 	Dropped     = "log_lines_dropped_total"     // none
 	Other       = "metric_series_dropped_total" // metric
@@ -57,6 +59,8 @@
 	Engines:     "engines that this host gives orders to",
 	Hosts:       "other hosts that lookups name",
 	Upstreams:   "upstreams that are registered",
+	Detours:     "connections to upstreams by way of other hosts, by outcome",
+	Passed:      "connections to upstreams that this host has open for others",
 	Unreached:   "time for which this host has reached no upstream; 0 while it reaches some",
 	Dropped:     "lines of the log that were not written",
 	Other:       "values counted under \"other\" because a metric has too many series",
--- a/internal/uplink/keep.go
+++ b/internal/uplink/keep.go
@@ -31,7 +31,7 @@
 	u.idle[c.addr] = append(u.idle[c.addr], c)
 }
 
-// Sweep closes connections that were idle for too long, and returns how many are left.
+// Sweep closes connections that were idle for too long or may not be used any more, and returns how many are left.
 func (u *Uplink) Sweep() int {
 	var old []*conn
 	left := 0
@@ -39,7 +39,7 @@
 	for addr, list := range u.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.since) >= c.keep {
+			if time.Since(c.since) >= c.keep || !u.usable(c) {
 				old = append(old, c)
 			} else {
 				kept = append(kept, c)
