--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -86,7 +86,7 @@
 		Table: e.shared(e.Table), Store: e.Table, Others: e.others, Patience: e.patience,
 		IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores,
 		Turn: func() time.Duration { return e.Setup().Turn }, Clock: e.Clock, Pause: e.retryPause,
-		Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
+		Blocked: e.blocked, Yields: e.yields, Able: e.able, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
 		Log: e.Log, Stats: e.Stats,
 	}
 }
--- a/internal/edge/detour.go
+++ b/internal/edge/detour.go
@@ -25,6 +25,8 @@
 	mostByway = 4
 	// triesByway is how many of them are asked for one connection.
 	triesByway = 2
+	// yieldAfter is how long a host must have lost its way to give up its engines: others may not order them for some seconds then.
+	yieldAfter = 300 * time.Millisecond
 	// passShare is the part of the process's descriptors that connections for others may take.
 	passShare = 2
 )
@@ -116,11 +118,41 @@
 	}
 }
 
-// wayChanged tells others at once that this host has lost its way to the upstreams, or has found it again.
-func (e *Edge) wayChanged(bool) {
+// wayChanged tells others at once that this host has lost its way to the upstreams, or has found it again, and has its engines looked at.
+func (e *Edge) wayChanged(cut bool) {
 	if m := e.mates.Load(); m != nil {
 		m.Nudge()
 	}
+	if cut {
+		time.Sleep(yieldAfter)
+	}
+	e.tenure.Look()
+}
+
+// blocked reports whether this host cannot reach an engine.
+func (e *Edge) blocked(id string) bool {
+	if e.reach.Cut() == 0 {
+		return false
+	}
+	_, upstream := e.intake.View().Targets[id]
+	return upstream // and no part of teams' limits, which need no way to upstreams
+}
+
+// yields reports whether this host is to give up the engines that it does not reach: others do, and it has not found its way again at once.
+func (e *Edge) yields() bool {
+	m := e.mates.Load()
+	return e.reach.Cut() >= yieldAfter && m != nil && len(m.Reaching()) > 0
+}
+
+// able reports whether another host reaches upstreams, as far as it has said.
+func (e *Edge) able(ip string) bool {
+	m := e.mates.Load()
+	if m == nil {
+		return true
+	}
+	_, serves := m.Serving()[ip]
+	_, reaches := m.Reaching()[ip]
+	return reaches || !serves
 }
 
 // pass opens a connection to an upstream for another host, of this host's own alone: two hosts that have lost their way would send each other round in
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -155,9 +155,14 @@
 	return func() { e.news.end(id, adapter) }
 }
 
-// ordered reports whether some host that is alive gives an engine its orders.
+// ordered reports whether some host that is alive, and reaches upstreams, gives an engine its orders.
 func (e *Edge) ordered(id string) bool {
 	owner := e.tenure.Owner(id)
+	return e.held(id, owner) && (owner == e.Setup().IP || e.able(owner))
+}
+
+// held reports whether the host that holds an engine, or a part of teams' limits, is alive and may act on it.
+func (e *Edge) held(id, owner string) bool {
 	if owner == e.Setup().IP {
 		_, ok := e.tenure.Fence(id)
 		return ok
@@ -231,7 +236,7 @@
 		return e.quotas.Charge(c), nil
 	}
 	mesh := e.mesh.Load()
-	if mesh == nil || !e.ordered(c.Part) {
+	if mesh == nil || !e.held(c.Part, owner) {
 		return ruling.Ruling{}, want.ErrElsewhere
 	}
 	var r ruling.Ruling
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -159,6 +159,9 @@
 			t.opensAt = min(t.opensAt, now+in)
 			continue
 		}
+		if t.Blocked != nil && t.Blocked(id) {
+			continue
+		}
 		left++
 		since, waiting := t.fresh[id]
 		if !waiting {
@@ -198,7 +201,7 @@
 	now := t.Clock()
 	mine, before := rank(t.IP), 0
 	for ip, h := range t.hosts {
-		if ip == t.IP || h.Ended || now-h.since > settled && t.silentFor(ip, now) > settled {
+		if ip == t.IP || h.Ended || !t.able(ip) || now-h.since > settled && t.silentFor(ip, now) > settled {
 			continue
 		}
 		if rank(ip) < mine {
@@ -226,7 +229,7 @@
 	}
 	mine, near := rank(t.IP+"/"+id), self.Centre == centre
 	for ip, h := range t.hosts {
-		if ip == t.IP || h.Ended || h.Passive || full(ip) {
+		if ip == t.IP || h.Ended || h.Passive || full(ip) || !t.able(ip) {
 			continue
 		}
 		here := h.Centre == centre
--- a/internal/tenure/era.go
+++ b/internal/tenure/era.go
@@ -26,6 +26,7 @@
 	t.keep(now)
 	t.era, t.entered, t.calm = era, now, false
 	t.renewed, t.unsure, t.epoch = false, false, 0
+	clear(t.yielded)
 	t.Log.Warn("store in another era", zap.Int64("before", before), zap.Int64("era", era), zap.Int64("read", t.at), zap.Int("hosts", len(t.hosts)),
 		zap.Int("engines", len(t.own)), zap.Int("kept", len(t.kept)))
 }
@@ -120,7 +121,7 @@
 // lasts reports whether a claim belongs to a session that has not ended.
 func (t *Tenure) lasts(o owned) bool {
 	h, live := t.hosts[o.IP]
-	return live && t.valid(o) && h.Epoch == o.Epoch && !h.Ended
+	return live && o.Freed == "" && t.valid(o) && h.Epoch == o.Epoch && !h.Ended
 }
 
 // opens returns how long this host must wait until it may claim an engine, as far as others' claims go, and whether it goes on with it from an
@@ -143,6 +144,13 @@
 	if h.Epoch > o.Epoch || h.Epoch == o.Epoch && h.Ended {
 		return 0, false
 	}
+	if o.Freed != "" && o.Freed == h.Start {
+		return o.seen + t.Turn() + margin - now, false
+	}
+	if o.Freed != "" {
+		// A later start of the program on that host may have gone on with the engine when it was given up.
+		return o.seen + t.wait() - now, false
+	}
 	// Its session has to be ended first.
 	return readEvery, false
 }
--- a/internal/tenure/held.go
+++ b/internal/tenure/held.go
@@ -14,11 +14,14 @@
 }
 
 func (t *Tenure) held(id string) (fence int64, since time.Duration, ok bool) {
+	if t.idles(id) {
+		return 0, 0, false
+	}
 	if k, ok := t.still(id, t.Clock()); ok {
 		return k.fence, k.since, true
 	}
 	o, ok := t.own[id]
-	if !ok || t.unsure || o.IP != t.IP || o.Epoch != t.epoch || t.claimLeft(o) < orderSlack {
+	if !ok || t.unsure || o.Freed != "" || o.IP != t.IP || o.Epoch != t.epoch || t.claimLeft(o) < orderSlack {
 		return 0, 0, false
 	}
 	return o.Fence, o.since, true
@@ -39,7 +42,10 @@
 	if _, ok := t.still(id, t.Clock()); ok {
 		return t.IP
 	}
-	return t.own[id].IP
+	if o := t.own[id]; o.Freed == "" {
+		return o.IP
+	}
+	return ""
 }
 
 // Mine returns the engines whose orders this host gives.
@@ -48,7 +54,7 @@
 	defer t.mu.Unlock()
 	var ids []string
 	for id := range t.kept {
-		if _, ok := t.still(id, t.Clock()); ok {
+		if _, ok := t.still(id, t.Clock()); ok && !t.idles(id) {
 			ids = append(ids, id)
 		}
 	}
@@ -56,18 +62,24 @@
 		return ids
 	}
 	for id, o := range t.claimed() {
-		if t.claimLeft(o) >= orderSlack {
+		if t.claimLeft(o) >= orderSlack && !t.idles(id) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// idles reports whether this host gives an engine no orders although it holds it.
+func (t *Tenure) idles(id string) bool {
+	_, yielded := t.yielded[id]
+	return yielded || t.Blocked != nil && t.Blocked(id)
+}
+
 // claimed returns the engines whose rows name this host in its session of now.
 func (t *Tenure) claimed() iter.Seq2[string, owned] {
 	return func(yield func(string, owned) bool) {
 		for id := range t.named {
-			if o := t.own[id]; o.Epoch == t.epoch && !yield(id, o) {
+			if o := t.own[id]; o.Epoch == t.epoch && o.Freed == "" && !yield(id, o) {
 				return
 			}
 		}
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -36,7 +36,7 @@
 
 // claims claims what is free and returns when to look next.
 func (t *Tenure) claims(ctx context.Context, age time.Duration) time.Duration {
-	if !t.claim(ctx, age) {
+	if !t.yield(ctx) || !t.claim(ctx, age) {
 		return t.soon()
 	}
 	return max(firstEvery, min(readEvery, firstEvery+age/2, t.untilOpen()))
@@ -256,6 +256,7 @@
 	if row.Gone {
 		delete(t.own, id)
 		delete(t.named, id)
+		delete(t.yielded, id)
 		return true
 	}
 	if t.own[id].rev >= row.Rev {
@@ -267,6 +268,7 @@
 		return false
 	}
 	t.mark = max(t.mark, row.Rev)
+	delete(t.yielded, id)
 	since := now
 	if t.at == 0 {
 		since = t.begun
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -49,6 +49,8 @@
 	IP    string `msgpack:"ip"`
 	Epoch int64  `msgpack:"epoch"` // of the host's session
 	Fence int64  `msgpack:"fence"`
+	// Freed is the start of the program that has given the engine up; empty while it is held.
+	Freed string `msgpack:"freed,omitempty"`
 }
 
 func encode(v any) []byte {
--- a/internal/tenure/share.go
+++ b/internal/tenure/share.go
@@ -17,8 +17,8 @@
 // shared by hosts, not by engines; a host with a third of all engines would load to one after the other while others idle.
 func (t *Tenure) share(engines int) int {
 	active := 0
-	for _, h := range t.hosts {
-		if !h.Ended && !h.Passive {
+	for ip, h := range t.hosts {
+		if !h.Ended && !h.Passive && (ip == t.IP || t.able(ip)) {
 			active++
 		}
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -70,6 +70,12 @@
 	Engines func() map[string]string // data centre of each engine that needs a host, by id
 	// Live reports whether another host answered a moment ago.
 	Live func(ip string) bool
+	// Blocked reports whether this host cannot reach an engine now, and gives it no orders; nil means that it reaches all.
+	Blocked func(id string) bool
+	// Yields reports whether this host is to give up the engines that it cannot reach, since others can.
+	Yields func() bool
+	// Able reports whether another host reaches engines, as far as is known; nil means that each does.
+	Able func(ip string) bool
 	// Measured returns what this host has measured of engines, for those that start later.
 	Measured func() rates.Rates
 	// Beside returns rows that are written along with a renewal, each whatever its revision is; a call of their own would cost as
@@ -97,16 +103,17 @@
 	epoch   int64         // of this host's session
 	sent    time.Duration // when the last renewal that succeeded was sent
 	renewed bool
-	era     int64           // of the store, the latest that was seen
-	entered time.Duration   // when it was first seen
-	calm    bool            // no lease of an earlier era is left
-	kept    map[string]kept // engines that this host goes on with from an earlier era
-	starts  bool            // its session has just begun, and it may claim engines
-	doubt   bool            // the store must be read before this host's own row, or one of its claims, is believed
-	opensAt time.Duration   // when the first of the engines that wait may be claimed, a reading ahead at most
-	at      int64           // revision up to which rows are read
-	untold  bool            // others have not heard of this host's session as it is now
-	unsure  bool            // engines may have been taken over since: the store must be read before any of them is given an order
+	era     int64            // of the store, the latest that was seen
+	entered time.Duration    // when it was first seen
+	calm    bool             // no lease of an earlier era is left
+	kept    map[string]kept  // engines that this host goes on with from an earlier era
+	yielded map[string]int64 // engines that it gives up, and the revisions of the claims
+	starts  bool             // its session has just begun, and it may claim engines
+	doubt   bool             // the store must be read before this host's own row, or one of its claims, is believed
+	opensAt time.Duration    // when the first of the engines that wait may be claimed, a reading ahead at most
+	at      int64            // revision up to which rows are read
+	untold  bool             // others have not heard of this host's session as it is now
+	unsure  bool             // engines may have been taken over since: the store must be read before any of them is given an order
 	hosts   map[string]seen
 	own     map[string]owned
 	named   map[string]bool // engines of own whose rows name this host, in whichever session
@@ -145,6 +152,7 @@
 	t.hosts = map[string]seen{}
 	t.own, t.named = map[string]owned{}, map[string]bool{}
 	t.kept = map[string]kept{}
+	t.yielded = map[string]int64{}
 	t.fresh = map[string]time.Duration{}
 	t.silent = map[string]time.Duration{}
 	t.mu.Unlock()
