--- a/internal/direct/unanswered.go
+++ b/internal/direct/unanswered.go
@@ -69,10 +69,25 @@
 	return true
 }
 
-// broke records that an upstream broke off under a request.
+// broke records that an upstream broke off under a request, unless it was this host that lost its way to it: the request would be taken for one that crashes
+// upstreams, and refused everywhere.
 func (x *Direct) broke(j *job, t target.Target) {
-	if n := x.Blame.Broke(j.print, place(t), time.Now()); n > 1 {
-		x.Log.Info("upstreams broke off under one request", zap.String("request", j.d.ID), zap.String("print", j.print),
+	now := time.Now()
+	if x.Sound == nil {
+		x.blame(j.d.ID, j.print, t, now)
+		return
+	}
+	id, print, sent := j.d.ID, j.print, j.sent // the job may be over by then
+	go func() {
+		if x.Sound(sent, now) {
+			x.blame(id, print, t, now)
+		}
+	}()
+}
+
+func (x *Direct) blame(id, print string, t target.Target, at time.Time) {
+	if n := x.Blame.Broke(print, place(t), at); n > 1 {
+		x.Log.Info("upstreams broke off under one request", zap.String("request", id), zap.String("print", print),
 			zap.String("target", t.ID), zap.Int("upstreams", n))
 	}
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -34,6 +34,10 @@
 	suspect = 2
 	// soundFor is how long after an upstream was reached nothing is suspected.
 	soundFor = time.Second
+	// judgedIn is within which it shows whether a failure is this host's own.
+	judgedIn = time.Second
+	// judgeEvery is the pause between two looks at that.
+	judgeEvery = 50 * time.Millisecond
 	// againEvery is the pause between two tries to reach an upstream that was missed.
 	againEvery = 250 * time.Millisecond
 )
@@ -56,6 +60,7 @@
 	reached time.Time // when an upstream was last reached by a new connection
 	probeAt time.Time // when upstreams may be tried next
 	cut     time.Time // since when no upstream is reached; zero where some are
+	healed  time.Time // when that ended last
 }
 
 // miss is an upstream that was not reached.
@@ -90,7 +95,7 @@
 		return
 	}
 	r.Log.Warn("upstreams reached again", zap.String("first", addr), zap.Duration("after", now.Sub(r.cut)), zap.Int("missed", len(r.missed)))
-	r.cut = time.Time{}
+	r.cut, r.healed = time.Time{}, now
 	clear(r.missed)
 	r.tell(false)
 }
@@ -157,6 +162,21 @@
 	return max(time.Nanosecond, time.Since(r.cut))
 }
 
+// Sound waits until it is plain whether this host kept its way to the upstreams from a time on until a failure at another one, and reports whether it did.
+func (r *Reach) Sound(from, failed time.Time) bool {
+	for time.Since(failed) < judgedIn && !r.HeardSince(failed) && !r.lostSince(from) {
+		time.Sleep(judgeEvery)
+	}
+	return !r.lostSince(from)
+}
+
+// lostSince reports whether this host had lost its way at some moment since a time.
+func (r *Reach) lostSince(from time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.cut.IsZero() || r.healed.After(from)
+}
+
 // Sent notes that a connection of this host's own waits for an upstream's answer.
 func (r *Reach) Sent() {
 	r.waits.CompareAndSwap(0, time.Now().UnixNano())
