--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -74,7 +74,7 @@
 	defer close(t.next)
 	for {
 		var p []byte
-		err := t.stream.Recv(ctx, &p)
+		err := ended(t.stream.Recv(ctx, &p))
 		if ctx.Err() != nil {
 			err = errClosed
 		}
@@ -91,6 +91,14 @@
 	}
 }
 
+// ended keeps io.EOF for the end that the upstream made. The other host's end has it as its cause, and an answer without a length would look whole.
+func ended(err error) error {
+	if err == nil || err == io.EOF {
+		return err
+	}
+	return merry.Errorf("tunnel broke: %v", err)
+}
+
 // note notes that something came, or nothing more will.
 func (t *Tunnel) note(err error) {
 	t.mu.Lock()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,34 @@
 	net *memnet.Net
 	a   *peer.Mesh
 	l   net.Listener // of the upstream
+	b   *kept        // the second host's port
+}
+
+// kept is a port that keeps what it accepts.
+type kept struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept accepts a connection.
+func (k *kept) Accept() (net.Conn, error) {
+	c, err := k.Listener.Accept()
+	if err == nil {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.conns = append(k.conns, c)
+	}
+	return c, err
+}
+
+// end closes the connections without a word, as the kernel does for a process that has exited.
+func (k *kept) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.conns {
+		c.Close()
+	}
 }
 
 func play(t *testing.T, story func(t *testing.T, w *way)) {
@@ -50,12 +79,13 @@
 		if err != nil {
 			t.Fatalf("Listen() = %v, want nil", err)
 		}
+		w.b = &kept{Listener: lb}
 		if w.l, err = w.net.Listen(addrU); err != nil {
 			t.Fatalf("Listen() = %v, want nil", err)
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		served := make(chan error, 1)
-		go func() { served <- b.Serve(ctx, lb) }()
+		go func() { served <- b.Serve(ctx, w.b) }()
 		w.a = peer.NewMesh("a", secrets, w.net.Dial(hostA), zap.NewNop())
 		story(t, w)
 		w.a.Close()
@@ -151,6 +181,27 @@
 	})
 }
 
+// The host by way of which an answer without a length comes stops amid it: told as the answer's end, the answer would look whole.
+func TestEndOfTheOtherHostIsNoEnd(t *testing.T) {
+	play(t, func(t *testing.T, w *way) {
+		c, far := w.open(t)
+		if _, err := io.WriteString(far, "half"); err != nil {
+			t.Errorf("upstream: %v", err)
+		}
+		time.Sleep(time.Second)
+		w.b.end()
+		got, err := io.ReadAll(c)
+		if string(got) != "half" || err == nil {
+			t.Errorf("ReadAll() = %q, %v, want %q and an error", got, err, "half")
+		}
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+			t.Errorf("Read() = %v, want an error that is no end", err)
+		}
+		c.Close()
+		far.Close()
+	})
+}
+
 // The caller leaves: the upstream learns of it by the end of its connection, as where no other host stands between.
 func TestClosingReachesTheUpstream(t *testing.T) {
 	play(t, func(t *testing.T, w *way) {
