--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -86,7 +86,7 @@
 		Table: e.shared(e.Table), Store: e.Table, Others: e.others, Patience: e.patience,
 		IP: s.IP, Peers: s.Peers, Callers: s.Callers, Centre: s.Centre, Power: s.Cores,
 		Turn: func() time.Duration { return e.Setup().Turn }, Clock: e.Clock, Pause: e.retryPause,
-		Blocked: e.blocked, Yields: e.yields, Able: e.able, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
+		Blocked: e.blocked, Yields: e.yields, Ordered: e.lastOrder, Able: e.able, Engines: e.engines, Live: e.live, Relaxed: e.relaxed, Keep: e.feeds.Keep,
 		Log: e.Log, Stats: e.Stats,
 	}
 }
@@ -94,7 +94,7 @@
 // buildGiver makes what gives engines their orders.
 func (e *Edge) buildGiver(s setup.Setup) *giver.Giver {
 	return &giver.Giver{
-		Give: e.Give, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
+		Give: e.order, Ask: e.Ask, Fence: e.tenure.Fence, Mine: e.tenure.Mine, View: e.intake.View, Tell: e.learn, Recall: e.recall,
 		Flow: flow.NewFlow(), Jitter: e.jitter, Ration: e.ration, Leaves: e.avoid.Leaves, Unused: e.unused, Others: e.modelLoads,
 		Window: func() time.Duration { return e.Setup().Loads }, Holder: s.IP,
 		Log: e.Log, Stats: e.Stats,
--- a/internal/edge/detour.go
+++ b/internal/edge/detour.go
@@ -10,6 +10,8 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"damaskreach/internal/change"
+	"damaskreach/internal/effect"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/spread"
 	"damaskreach/internal/stats"
@@ -62,6 +64,9 @@
 		})
 		if failed == nil {
 			e.Stats.Add(stats.Detours, 1, "outcome", "ok")
+			if e.reach.Byway(addr) {
+				time.AfterFunc(yieldAfter, e.tenure.Look)
+			}
 			e.Log.Info("connected by way of another host", zap.String("addr", addr), zap.String("host", h.IP))
 			return t, nil
 		}
@@ -105,16 +110,16 @@
 }
 
 // sentOn notes that an answer is waited for on a connection.
-func (e *Edge) sentOn(c net.Conn) {
+func (e *Edge) sentOn(c net.Conn, addr string) {
 	if _, passed := c.(*tunnel.Tunnel); !passed {
-		e.reach.Sent()
+		e.reach.Sent(addr)
 	}
 }
 
 // heardOn notes that something came on a connection.
-func (e *Edge) heardOn(c net.Conn) {
+func (e *Edge) heardOn(c net.Conn, addr string) {
 	if _, passed := c.(*tunnel.Tunnel); !passed {
-		e.reach.Heard()
+		e.reach.Heard(addr)
 	}
 }
 
@@ -124,24 +129,50 @@
 		m.Nudge()
 	}
 	if cut {
-		time.Sleep(yieldAfter)
+		time.AfterFunc(yieldAfter, e.tenure.Look)
+	} else {
+		e.tenure.Look()
 	}
-	e.tenure.Look()
 }
 
-// blocked reports whether this host cannot reach an engine.
+// order notes at engines' orders whether this host reaches them, as uplink does at requests.
+func (e *Edge) order(ctx context.Context, c change.Change) (effect.Effect, error) {
+	e.reach.Sent(c.Target.Addr)
+	e.orders.Store(c.Target.ID, e.Clock())
+	done, err := e.Give(ctx, c)
+	e.orders.Store(c.Target.ID, e.Clock()) // it may have been on its way until now
+	if done != effect.Unknown {
+		e.reach.Heard(c.Target.Addr)
+	}
+	return done, err
+}
+
+// lastOrder returns when this host gave an engine its last order.
+func (e *Edge) lastOrder(id string) (at time.Duration, ok bool) {
+	last, ok := e.orders.Load(id)
+	if !ok {
+		return 0, false
+	}
+	return last.(time.Duration), true
+}
+
+// blocked reports whether this host cannot reach an engine, while others may.
 func (e *Edge) blocked(id string) bool {
-	if e.reach.Cut() == 0 {
-		return false
+	return e.blockedFor(id) > 0
+}
+
+func (e *Edge) blockedFor(id string) time.Duration {
+	t, upstream := e.intake.View().Targets[id]
+	if !upstream {
+		return 0 // a part of teams' limits, which needs no way to upstreams
 	}
-	_, upstream := e.intake.View().Targets[id]
-	return upstream // and no part of teams' limits, which need no way to upstreams
+	return e.reach.Blocked(t.Addr)
 }
 
-// yields reports whether this host is to give up the engines that it does not reach: others do, and it has not found its way again at once.
-func (e *Edge) yields() bool {
+// yields reports whether this host is to give up an engine: others reach it, and this host has not found its way to it at once.
+func (e *Edge) yields(id string) bool {
 	m := e.mates.Load()
-	return e.reach.Cut() >= yieldAfter && m != nil && len(m.Reaching()) > 0
+	return m != nil && len(m.Reaching()) > 0 && e.blockedFor(id) >= yieldAfter
 }
 
 // able reports whether another host reaches upstreams, as far as it has said.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,7 @@
 	duty    atomic.Pointer[duty]
 	uplink  *uplink.Uplink
 	reach   *reach.Reach
+	orders  sync.Map     // when this host gave its last order to each engine, by Clock
 	passes  atomic.Int64 // connections to upstreams that this host has opened for others
 	spare   *spare.Spare
 	news    *news
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -28,6 +28,12 @@
 			return !ok
 		}
 		e.ration.Forget(left)
+		e.orders.Range(func(id, _ any) bool {
+			if left(id.(string)) {
+				e.orders.Delete(id)
+			}
+			return true
+		})
 		e.avoid.Forget(left, now)
 		e.roster.Forget(left)
 		e.speeds.Forget(left, now)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -6,40 +6,37 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-
-	"damaskreach/internal/turns"
 )
 
 const (
 	// dialFor bounds a dial: upstreams are some milliseconds away.
 	dialFor = 300 * time.Millisecond
+	// tryFor is the same for one that only tells whether the upstream is reached.
+	tryFor = 200 * time.Millisecond
 	// starved is how many times longer than its bound a dial may take to count as failed. A host without processor time finds the answer and the end of
 	// its wait at the same moment.
 	starved = 1.5
 	// lookEvery is the pause between two looks at whether upstreams are reached.
 	lookEvery = 100 * time.Millisecond
-	// silentFor is how long nothing may come from any upstream, while something is waited for, before some are dialled. One upstream may well be silent for
-	// longer.
-	silentFor = 250 * time.Millisecond
+	// silentFor is how long nothing may come from an upstream that is to answer before it is dialled: a sound one may be silent for longer, and is reached
+	// then.
+	silentFor = 300 * time.Millisecond
 	// least is how many upstreams must not be reached, all that there are where those are fewer, for the host to have lost its way.
 	least = 3
-	// suspect is how many must have been missed by requests for the others to be tried.
-	suspect = 2
-	// soundFor is how long after an upstream was reached nothing is suspected.
+	// soundFor is the pause between two dials of an upstream for its silence, and between two looks at others where some are missed.
 	soundFor = time.Second
 	// judgedIn is within which it shows whether a failure is this host's own.
 	judgedIn = time.Second
 	// judgeEvery is the pause between two looks at that.
 	judgeEvery = 50 * time.Millisecond
 	// againEvery is the pause between two tries to reach an upstream that was missed.
-	againEvery = 250 * time.Millisecond
+	againEvery = 400 * time.Millisecond
 )
 
 // Reach may be used from several goroutines. Its fields are set before Run.
@@ -52,8 +49,8 @@
 	Changed func(cut bool)
 	Log     *zap.Logger
 
-	waits atomic.Int64 // since when something is waited for and nothing was heard, in Unix nanoseconds; 0 where nothing is
 	heard atomic.Int64 // when an upstream was last heard, in Unix nanoseconds
+	paths sync.Map     // *path of each upstream that was sent something, by address
 
 	mu      sync.Mutex
 	missed  map[string]miss
@@ -63,15 +60,27 @@
 	healed  time.Time // when that ended last
 }
 
+// path is what goes over this host's own connections to one upstream. Its times are in Unix nanoseconds.
+type path struct {
+	heard atomic.Int64 // when something came last
+	waits atomic.Int64 // since when an answer is waited for and nothing was heard; 0 where none is
+	tried atomic.Int64 // when it was last dialled for its silence
+}
+
 // miss is an upstream that was not reached.
 type miss struct {
 	at    time.Time // first
 	again time.Time // when it is tried again
+	byway bool      // another host has reached it since
 }
 
 // Dial opens a connection of this host's own to an upstream.
 func (r *Reach) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	bounded, cancel := context.WithTimeout(ctx, dialFor)
+	return r.dial(ctx, addr, dialFor)
+}
+
+func (r *Reach) dial(ctx context.Context, addr string, bound time.Duration) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	begun := time.Now()
 	c, err := r.Open(bounded, addr)
@@ -79,7 +88,7 @@
 		r.found(addr)
 		return c, nil
 	}
-	if ctx.Err() == nil && time.Since(begun) < time.Duration(starved*float64(dialFor)) {
+	if ctx.Err() == nil && time.Since(begun) < time.Duration(starved*float64(bound)) {
 		r.miss(addr, begun)
 	}
 	return nil, err
@@ -96,7 +105,6 @@
 	}
 	r.Log.Warn("upstreams reached again", zap.String("first", addr), zap.Duration("after", now.Sub(r.cut)), zap.Int("missed", len(r.missed)))
 	r.cut, r.healed = time.Time{}, now
-	clear(r.missed)
 	r.tell(false)
 }
 
@@ -177,157 +185,57 @@
 	return !r.cut.IsZero() || r.healed.After(from)
 }
 
-// Sent notes that a connection of this host's own waits for an upstream's answer.
-func (r *Reach) Sent() {
-	r.waits.CompareAndSwap(0, time.Now().UnixNano())
-}
-
-// Heard notes that something came over a connection of this host's own.
-func (r *Reach) Heard() {
-	r.waits.Store(0)
-	r.heard.Store(time.Now().UnixNano())
-}
-
-// HeardSince reports whether anything came over a connection of this host's own since a time.
-func (r *Reach) HeardSince(t time.Time) bool {
-	return r.heard.Load() > t.UnixNano()
-}
-
-// Run looks for whether upstreams are reached until ctx ends.
-func (r *Reach) Run(ctx context.Context) {
-	for range turns.Every(ctx, lookEvery) {
-		r.look(ctx)
-	}
-}
-
-func (r *Reach) look(ctx context.Context) {
-	now := time.Now()
-	if r.sound(now) {
-		return
-	}
-	addrs := r.Addrs()
-	r.forget(addrs)
-	if r.Cut() > 0 {
-		r.recover(ctx, now, addrs)
-		return
-	}
-	if r.suspects(now, len(addrs)) {
-		r.probe(ctx, addrs, least)
-		r.judge(len(addrs))
-	}
-}
-
-// recover tries one of the upstreams after the other while none is reached.
-func (r *Reach) recover(ctx context.Context, now time.Time, addrs []string) {
-	r.mu.Lock()
-	due := len(addrs) > 0 && !now.Before(r.probeAt)
-	if due {
-		r.probeAt = now.Add(againEvery)
-	}
-	r.mu.Unlock()
-	if due {
-		r.try(ctx, addrs[rand.IntN(len(addrs))])
-	}
-}
-
-// sound reports whether nothing is wrong: there is nothing to look for, mostly.
-func (r *Reach) sound(now time.Time) bool {
-	waits := r.waits.Load()
+// Byway notes that another host has opened a connection to an upstream for this one: it is this host's way that is lost, and not the upstream. It reports
+// whether that is new.
+func (r *Reach) Byway(addr string) (first bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut.IsZero() && len(r.missed) == 0 && !r.silent(waits, now)
-}
-
-// forget drops the upstreams that are gone.
-func (r *Reach) forget(addrs []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.missed) == 0 {
-		return
-	}
-	there := make(map[string]bool, len(addrs))
-	for _, addr := range addrs {
-		there[addr] = true
-	}
-	for addr := range r.missed {
-		if !there[addr] {
-			delete(r.missed, addr)
-		}
+	m, missed := r.missed[addr]
+	if !missed || m.byway {
+		return false
 	}
+	m.byway = true
+	r.missed[addr] = m
+	r.Log.Info("upstream reached by way of others alone", zap.String("addr", addr), zap.Duration("after", time.Since(m.at)))
+	return true
 }
 
-// suspects reports whether this host may have lost its way.
-func (r *Reach) suspects(now time.Time, upstreams int) bool {
-	waits := r.waits.Load()
+// Blocked returns for how long this host has not reached an upstream that others reach; 0 where it reaches it, or nobody may.
+func (r *Reach) Blocked(addr string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if upstreams == 0 || now.Sub(r.reached) < soundFor && !r.silent(waits, now) || now.Before(r.probeAt) {
-		return false
-	}
-	return r.silent(waits, now) || r.misses() >= min(suspect, upstreams)
-}
-
-func (r *Reach) silent(waits int64, now time.Time) bool {
-	return waits > 0 && now.Sub(time.Unix(0, waits)) >= silentFor
-}
-
-// misses returns how many upstreams were missed since one was reached. It needs the lock.
-func (r *Reach) misses() (n int) {
-	for _, m := range r.missed {
-		if m.at.After(r.reached) {
-			n++
-		}
+	m := r.missed[addr]
+	switch {
+	case !r.cut.IsZero():
+		return max(time.Nanosecond, time.Since(r.cut))
+	case !m.byway:
+		return 0
 	}
-	return n
+	return max(time.Nanosecond, time.Since(m.at))
 }
 
-// probe dials so many of the upstreams, those that were missed last, and ends once all dials have.
-func (r *Reach) probe(ctx context.Context, addrs []string, most int) {
-	var dials sync.WaitGroup
-	for _, addr := range r.untried(addrs, most) {
-		dials.Go(func() { r.try(ctx, addr) })
-	}
-	dials.Wait()
+// Sent notes that a connection of this host's own waits for an upstream's answer.
+func (r *Reach) Sent(addr string) {
+	r.path(addr).waits.CompareAndSwap(0, time.Now().UnixNano())
 }
 
-// try opens a connection to an upstream and closes it again.
-func (r *Reach) try(ctx context.Context, addr string) {
-	c, err := r.Dial(ctx, addr)
-	if err != nil {
-		r.Log.Debug("upstream not reached", zap.String("addr", addr), zap.Error(err))
-		return
-	}
-	if err := c.Close(); err != nil {
-		r.Log.Debug("connection not closed", zap.String("addr", addr), zap.Error(err))
-	}
+// Heard notes that something came over a connection of this host's own.
+func (r *Reach) Heard(addr string) {
+	now, p := time.Now().UnixNano(), r.path(addr)
+	p.waits.Store(0)
+	p.heard.Store(now)
+	r.heard.Store(now)
 }
 
-// untried returns so many of the upstreams, by chance, those first that were not missed.
-func (r *Reach) untried(addrs []string, most int) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.probeAt = time.Now().Add(soundFor)
-	var fresh, known []string
-	for _, i := range rand.Perm(len(addrs)) {
-		if _, ok := r.missed[addrs[i]]; ok {
-			known = append(known, addrs[i])
-		} else {
-			fresh = append(fresh, addrs[i])
-		}
+func (r *Reach) path(addr string) *path {
+	if p, ok := r.paths.Load(addr); ok {
+		return p.(*path)
 	}
-	list := append(fresh, known...)
-	return list[:min(most, len(list))]
+	p, _ := r.paths.LoadOrStore(addr, &path{})
+	return p.(*path)
 }
 
-// judge notes that this host has lost its way, where it has.
-func (r *Reach) judge(upstreams int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	missed := r.misses()
-	if missed < min(least, upstreams) || !r.cut.IsZero() {
-		return
-	}
-	r.cut, r.probeAt = time.Now(), time.Time{}
-	r.Log.Warn("no upstream is reached", zap.Int("missed", missed), zap.Int("upstreams", upstreams), zap.Time("reached", r.reached))
-	r.tell(true)
+// HeardSince reports whether anything came over a connection of this host's own since a time.
+func (r *Reach) HeardSince(t time.Time) bool {
+	return r.heard.Load() > t.UnixNano()
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -80,7 +80,7 @@
 func TestHostThatHearsNothingKnowsThatItHasLostItsWay(t *testing.T) {
 	play(t, func(t *testing.T, r *reach.Reach, u *ups) {
 		u.set(nil, u.addrs...)
-		r.Sent()
+		r.Sent("a:1")
 		time.Sleep(knows)
 		if r.Cut() == 0 {
 			t.Errorf("Cut() = 0 after %v without a word from any upstream, want the time since", knows)
@@ -106,7 +106,7 @@
 			if _, err := r.Dial(t.Context(), addr); err == nil {
 				t.Errorf("Dial(%q) = nil, want an error", addr)
 			}
-			r.Heard()
+			r.Heard(addr)
 		}
 		time.Sleep(knows)
 		if r.Cut() == 0 {
@@ -142,7 +142,7 @@
 // A sound upstream is silent for a second. Nothing is lost, and it is not dialled again and again.
 func TestSilenceOfASoundUpstreamIsNoLostWay(t *testing.T) {
 	play(t, func(t *testing.T, r *reach.Reach, u *ups) {
-		r.Sent()
+		r.Sent("a:1")
 		for range 10 {
 			time.Sleep(100 * time.Millisecond)
 			if got := r.Cut(); got != 0 {
@@ -154,3 +154,35 @@
 		}
 	})
 }
+
+// A host reaches all of one service's upstreams, over connections that it keeps, and none of another's. It has not lost its way: its orders go on where it
+// reaches.
+func TestHostThatReachesSomeHasNotLostItsWay(t *testing.T) {
+	play(t, func(t *testing.T, r *reach.Reach, u *ups) {
+		u.addrs = append(u.addrs, "e:1")
+		u.set(nil, u.addrs[:4]...)
+		for range 30 {
+			for _, addr := range u.addrs[:4] {
+				r.Sent(addr)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if got := r.Cut(); got != 0 {
+				t.Fatalf("Cut() = %v of a host that reaches an upstream, want 0", got)
+			}
+		}
+		if got := r.Blocked("a:1"); got != 0 {
+			t.Errorf("Blocked() = %v of an upstream that nobody reaches, want 0", got)
+		}
+		r.Byway("a:1")
+		if got := r.Blocked("a:1"); got == 0 {
+			t.Error("Blocked() = 0 of an upstream that another host reaches, want the time since it was missed")
+		}
+		u.set(nil)
+		time.Sleep(time.Second)
+		r.Retry(t.Context(), "a:1")
+		time.Sleep(time.Second)
+		if _, lost := r.Lost("a:1"); lost {
+			t.Error("Lost() = true of an upstream that is reached again, want false")
+		}
+	})
+}
--- a/internal/tenure/era.go
+++ b/internal/tenure/era.go
@@ -145,7 +145,7 @@
 		return 0, false
 	}
 	if o.Freed != "" && o.Freed == h.Start {
-		return o.seen + t.Turn() + margin - now, false
+		return o.seen + margin + max(0, t.Turn()-o.Idle) - now, false
 	}
 	if o.Freed != "" {
 		// A later start of the program on that host may have gone on with the engine when it was given up.
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -1,6 +1,8 @@
 package tenure
 
 import (
+	"time"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"damaskreach/internal/mate"
@@ -51,6 +53,8 @@
 	Fence int64  `msgpack:"fence"`
 	// Freed is the start of the program that has given the engine up; empty while it is held.
 	Freed string `msgpack:"freed,omitempty"`
+	// Idle is how long it had given no order by then.
+	Idle time.Duration `msgpack:"idle,omitempty"`
 }
 
 func encode(v any) []byte {
--- a/internal/tenure/site_test.go
+++ b/internal/tenure/site_test.go
@@ -29,7 +29,8 @@
 	late   bool // writes reach the store seconds after their callers have given up
 	blind  bool // readings get no answer
 	writes int
-	frozen chan struct{} // closed when the host goes on
+	orders map[string]time.Duration // when it could last give each engine an order
+	frozen chan struct{}            // closed when the host goes on
 	cancel context.CancelFunc
 }
 
@@ -192,6 +193,7 @@
 			if !ok {
 				continue
 			}
+			h.ordered(id, time.Since(s.begun))
 			before := seen[id]
 			if before.ip != "" && before.ip != h.IP && time.Since(before.at) < turn {
 				s.t.Errorf("%s orders %s %v after %s, want at least %v", h.IP, id, time.Since(before.at), before.ip, turn)
@@ -204,6 +206,24 @@
 	}
 }
 
+// ordered notes that a host could give an engine an order.
+func (h *host) ordered(id string, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.orders == nil {
+		h.orders = map[string]time.Duration{}
+	}
+	h.orders[id] = at
+}
+
+// last returns when a host could last give an engine an order.
+func (h *host) last(id string) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.orders[id]
+	return at, ok
+}
+
 func (s *site) holder(id string, hosts ...*host) string {
 	for _, h := range hosts {
 		if _, ok := h.Fence(id); ok {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -72,8 +72,10 @@
 	Live func(ip string) bool
 	// Blocked reports whether this host cannot reach an engine now, and gives it no orders; nil means that it reaches all.
 	Blocked func(id string) bool
-	// Yields reports whether this host is to give up the engines that it cannot reach, since others can.
-	Yields func() bool
+	// Yields reports whether this host is to give up an engine that it cannot reach, since others can; nil means that it gives up none.
+	Yields func(id string) bool
+	// Ordered returns when this host gave an engine its last order, by Clock; false where this process has given it none.
+	Ordered func(id string) (at time.Duration, ok bool)
 	// Able reports whether another host reaches engines, as far as is known; nil means that each does.
 	Able func(ip string) bool
 	// Measured returns what this host has measured of engines, for those that start later.
--- a/internal/tenure/yield.go
+++ b/internal/tenure/yield.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,22 +30,30 @@
 	if t.Yields == nil || !t.renewed || t.outdated() {
 		return nil
 	}
-	leaves := t.Yields()
 	for id, o := range t.claimed() {
-		if _, begun := t.yielded[id]; !begun && (!leaves || !t.Blocked(id)) {
+		if _, begun := t.yielded[id]; !begun && !t.Yields(id) {
 			continue
 		}
 		if len(edits) == mostEntries-1 {
 			break
 		}
 		t.yielded[id] = o.rev
-		next := ownership{IP: t.IP, Epoch: o.Epoch, Fence: t.next(o.rev), Freed: t.start}
+		next := ownership{IP: t.IP, Epoch: o.Epoch, Fence: t.next(o.rev), Freed: t.start, Idle: t.idle(id, o)}
 		t.Log.Info("engine to be given up", zap.String("target", id), zap.Int64("fence", o.Fence), zap.Int64("revision", o.rev))
 		edits = append(edits, rows.Row{Key: ownPrefix + id, Value: encode(next), Rev: o.rev})
 	}
 	return edits
 }
 
+// idle returns how long this host has given an engine no order.
+func (t *Tenure) idle(id string, o owned) time.Duration {
+	last := o.since
+	if at, ok := t.Ordered(id); ok {
+		last = max(last, at)
+	}
+	return max(0, t.Clock()-last)
+}
+
 // able reports whether another host reaches engines, as far as is known.
 func (t *Tenure) able(ip string) bool {
 	return t.Able == nil || t.Able(ip)
--- a/internal/tenure/yield_test.go
+++ b/internal/tenure/yield_test.go
@@ -21,7 +21,8 @@
 func (s *site) blockable(ip string, blocked *atomic.Bool, of string) *host {
 	return s.started(ip, func(h *host) {
 		h.Blocked = func(string) bool { return ip == of && blocked.Load() }
-		h.Yields = func() bool { return ip == of && blocked.Load() }
+		h.Yields = func(string) bool { return ip == of && blocked.Load() }
+		h.Ordered = func(id string) (time.Duration, bool) { return h.last(id) }
 		h.Able = func(other string) bool { return other != of || !blocked.Load() }
 	})
 }
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -41,8 +41,8 @@
 	Opened func(addr string)
 	// Usable reports whether a kept connection on which something came last at a time may be used; nil means that each may.
 	Usable func(c net.Conn, heard time.Time) bool
-	// Sent and Heard are told that an answer is waited for on a connection, and that something came on one; they may be nil.
-	Sent, Heard func(c net.Conn)
+	// Sent and Heard are told that an answer is waited for on a connection to an address, and that something came on one; they may be nil.
+	Sent, Heard func(c net.Conn, addr string)
 
 	mu      sync.Mutex
 	longest time.Duration // that a connection is left idle, as learnt from those that broke; 0 means no bound
@@ -71,7 +71,7 @@
 	if n > 0 {
 		c.heard = time.Now()
 		if c.up.Heard != nil {
-			c.up.Heard(c.Conn)
+			c.up.Heard(c.Conn, c.addr)
 		}
 	}
 	return n, err
@@ -105,7 +105,7 @@
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
 	}
 	if u.Sent != nil {
-		u.Sent(c.Conn)
+		u.Sent(c.Conn, addr)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := make(chan error, 1)
