--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -20,6 +20,7 @@
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
+	"damaskreach/internal/flight"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
@@ -86,10 +87,10 @@
 	Admit func(ctx context.Context, w want.Want) error
 	// Spent tells that a turn has ended.
 	Spent func(s spent.Spent)
-	// Permit has a request counted at an upstream that names a limit and has no host that gives it orders; an ErrCrowded tells how long it
-	// will be until the limit has room.
-	Permit func(ctx context.Context, id string) error
-	// TellLimit tells other hosts that an upstream has begun to name a limit, or has ceased to.
+	// Permit has a request counted at an upstream that names a limit, or is brittle, and has no host that gives it orders; an ErrCrowded tells how long it
+	// will be until there is room. Spent tells that a request at a brittle one has ended.
+	Permit func(ctx context.Context, w want.Want) error
+	// TellLimit tells other hosts that an upstream has begun to name a limit or to be brittle, or has ceased to.
 	TellLimit func(id string)
 	// Charge counts a request against the limit of its team; back must be called where it turns out not to have run.
 	Charge func(ctx context.Context, t team.Team, version int64, units float64) (back func(), refusal *refuse.Refusal)
@@ -117,6 +118,7 @@
 	Pick    *pick.Pick
 	Spare   *spare.Spare
 	Ration  *ration.Ration
+	Flight  *flight.Flight
 	Avoid   *avoid.Avoid
 	Blame   *blame.Blame
 	Speeds  *speeds.Speeds
--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/direct"
+	"damaskreach/internal/flight"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/model"
@@ -117,7 +118,7 @@
 		NotRun: func(status int, h http.Header) bool {
 			return h.Get(headNot) != "" || status == http.StatusMisdirectedRequest
 		},
-		Notice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.begun) }), Avoid: avoid.NewAvoid(), Permit: b.permit, TellLimit: func(string) {},
+		Notice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.begun) }), Flight: flight.NewFlight(func() time.Duration { return time.Since(b.begun) }), Avoid: avoid.NewAvoid(), Permit: b.permit, TellLimit: func(string) {},
 		Do: b.do, Owner: func(string) bool { return true }, Admit: b.load, Spent: func(spent.Spent) {}, Blame: &blame.Blame{}, Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		Late: func() bool { return b.late }, Ending: context.Background(), Bound: context.WithDeadline,
 		Grace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
@@ -173,11 +174,11 @@
 }
 
 // permit counts a request at an upstream that names a limit.
-func (b *bench) permit(_ context.Context, id string) error {
+func (b *bench) permit(_ context.Context, w want.Want) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.asked = append(b.asked, id)
-	if wait := b.full[id]; wait > 0 {
+	b.asked = append(b.asked, w.ID)
+	if wait := b.full[w.ID]; wait > 0 {
 		return want.NewCrowded(wait)
 	}
 	return b.permitErr
--- a/internal/direct/job.go
+++ b/internal/direct/job.go
@@ -42,6 +42,8 @@
 	units     float64         // that it counts against its team's limit; 0 where there is none
 	next      *choice         // where it goes on; nil where that is to be found
 	turn      turn            // that it has at an engine
+	seat      turn            // under which it counts at a brittle upstream
+	away      bool            // the upstream had no room for it
 	back      func()          // gives back what was counted against the team's limit; nil where nothing was
 	version   int             // of the adapter that was asked of the upstream; 0 means any
 	last      string          // id of the last event that was passed on
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -215,7 +215,7 @@
 	return x.admitted(ctx, j, best, version, x.ask(ctx, j, best, version, most()))
 }
 
-// admitted takes the answer to asking for a turn. An engine that names a limit gets nothing that nobody has counted.
+// admitted takes the answer to asking for a turn. An engine that names a limit, or is brittle, gets nothing that nobody has counted.
 func (x *Direct) admitted(ctx context.Context, j *job, t target.Target, version int, err error) (target.Target, int, *refuse.Refusal) {
 	if ctx.Err() != nil {
 		return target.Target{}, 0, x.ended(ctx, j)
@@ -223,7 +223,7 @@
 	if errors.Is(err, want.ErrCrowded) || j.waited(err) {
 		return target.Target{}, 0, x.full(j, t)
 	}
-	if errors.Is(err, want.ErrFailed) || errors.Is(err, want.ErrLeaves) || err != nil && x.Ration.Limited(t.ID) || !x.still(t) {
+	if errors.Is(err, want.ErrFailed) || errors.Is(err, want.ErrLeaves) || err != nil && (x.Ration.Limited(t.ID) || x.Flight.Brittle(t.ID)) || !x.still(t) {
 		j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
 		return x.place(ctx, j)
 	}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/kinds"
+	"damaskreach/internal/notice"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
@@ -24,6 +25,8 @@
 	mostSends = 3
 	// mostBody is the largest answer that is read before it is passed on.
 	mostBody = 8 << 20
+	// brittleRest is how long a brittle upstream is left alone that had no room: its rejections count by the second.
+	brittleRest = time.Second
 )
 
 // serve sends a request until it is answered or refused.
@@ -96,6 +99,7 @@
 	x.Pick.Begin(t.ID)
 	j.failed = false
 	defer x.release(&j.turn, false)
+	defer x.vacate(j, t.ID)
 	defer func() { x.Pick.End(t.ID, j.failed) }()
 	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
@@ -181,6 +185,10 @@
 	if r.Status == http.StatusMisdirectedRequest && j.d.Adapter != "" {
 		x.Holds.Miss(t.ID, j.d.Adapter, now)
 	}
+	j.away = r.Status == http.StatusServiceUnavailable
+	if j.away && x.Flight.Brittle(t.ID) {
+		x.Avoid.Hear(t, notice.Notice{Rest: brittleRest}, now)
+	}
 	x.outcome(t, "rejected")
 	x.Log.Info("rejected", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Int("status", r.Status),
 		zap.String("adapter", j.d.Adapter), zap.Duration("since", now.Sub(j.begun)), zap.String("note", j.note))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/demand"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/feeds"
+	"damaskreach/internal/flight"
 	"damaskreach/internal/giver"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
@@ -89,6 +90,7 @@
 	jitter  *jitter.Jitter
 	pick    *pick.Pick
 	ration  *ration.Ration
+	flight  *flight.Flight
 	avoid   *avoid.Avoid
 	duty    atomic.Pointer[duty]
 	uplink  *uplink.Uplink
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,7 +73,7 @@
 		return want.Text(e.giver.Admit(ctx, w)), nil
 	})
 	peer.Answer(mesh, methodSpent, func(_ context.Context, _ string, s spent.Spent) (struct{}, error) {
-		e.giver.Spent(s)
+		e.ended(s)
 		return struct{}{}, nil
 	})
 	peer.Answer(mesh, methodPermit, func(_ context.Context, _ string, w want.Want) (ruling.Ruling, error) {
@@ -198,7 +198,7 @@
 func (e *Edge) spent(s spent.Spent) {
 	owner := e.turner(s.Engine)
 	if owner == e.Setup().IP {
-		e.giver.Spent(s)
+		e.ended(s)
 		return
 	}
 	mesh := e.mesh.Load()
@@ -215,6 +215,12 @@
 	}()
 }
 
+// ended takes that a turn, or a request at a brittle upstream, has ended that this host counts.
+func (e *Edge) ended(s spent.Spent) {
+	e.giver.Spent(s)
+	e.flight.Ended(s.Engine, s.Turn, s.Away)
+}
+
 // modelLoads returns how many base models are on their way to engines of other hosts, and how long this host lets others go
 // first: hosts that wait for the same load to end have different times, so that the next one is seen before a third begins.
 func (e *Edge) modelLoads() (loading int, first time.Duration) {
--- a/internal/edge/permit.go
+++ b/internal/edge/permit.go
@@ -14,13 +14,14 @@
 const tellFor = time.Second
 
 // permit has the host that counts the requests for an upstream count one. That host may know that the limit is over.
-func (e *Edge) permit(ctx context.Context, id string) error {
-	r, err := e.askCounter(ctx, want.Want{ID: id})
+func (e *Edge) permit(ctx context.Context, w want.Want) error {
+	r, err := e.askCounter(ctx, w)
 	switch {
 	case err != nil:
 		return err
 	case !r.Counts:
-		e.ration.Told(id, 0, 0)
+		e.ration.Told(w.ID, 0, 0)
+		e.flight.Told(w.ID, 0, 0)
 	case r.Units == 0:
 		return want.NewCrowded(r.Wait)
 	}
@@ -56,27 +57,35 @@
 // counted counts a request for an upstream here, where one is to be sent, by the newest that any host has heard of its limit.
 func (e *Edge) counted(w want.Want) ruling.Ruling {
 	e.learnLimit(w)
-	if w.Spread || !e.ration.Limited(w.ID) {
+	if w.Spread || !e.ration.Limited(w.ID) && !e.flight.Brittle(w.ID) {
 		return ruling.Ruling{}
 	}
+	if wait := e.flight.Take(w.ID, w.Turn, e.intake.View().Targets[w.ID].Slots, w.Limit); wait > 0 {
+		return ruling.Ruling{Counts: true, Wait: wait}
+	}
 	if wait := e.ration.Take(w.ID); wait > 0 {
+		e.flight.Ended(w.ID, w.Turn, false)
 		return ruling.Ruling{Counts: true, Wait: wait}
 	}
 	return ruling.Ruling{Counts: true, Units: 1}
 }
 
-// withLimit adds what this host has heard of the upstream's limit.
+// withLimit adds what this host has heard of the upstream's limit, and of whether it is brittle.
 func (e *Edge) withLimit(w want.Want) want.Want {
 	rate, age, ok := e.ration.Newest(w.ID)
 	if ok {
 		w.Rate, w.RateAge, w.Rated = rate, age, true
 	}
+	w.Away, w.AwayAge, w.Frail = e.flight.Newest(w.ID)
 	return w
 }
 
-// learnLimit takes what another host has heard of the upstream's limit.
+// learnLimit takes what another host has heard of that.
 func (e *Edge) learnLimit(w want.Want) {
 	if w.Rated {
 		e.ration.Told(w.ID, w.Rate, w.RateAge)
 	}
+	if w.Frail {
+		e.flight.Told(w.ID, w.Away, w.AwayAge)
+	}
 }
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -28,6 +28,7 @@
 			return !ok
 		}
 		e.ration.Forget(left)
+		e.flight.Forget(left)
 		e.orders.Range(func(id, _ any) bool {
 			if left(id.(string)) {
 				e.orders.Delete(id)
--- a/internal/want/want.go
+++ b/internal/want/want.go
@@ -26,4 +26,7 @@
 	Rated    bool          `msgpack:"n,omitempty"` // Rate was heard; without it nothing is known
 	Rate     float64       `msgpack:"q,omitempty"` // requests a second that the upstream takes; 0 means no limit
 	RateAge  time.Duration `msgpack:"g,omitempty"` // how long ago it said so
+	Frail    bool          `msgpack:"k,omitempty"` // Away was heard; without it nothing is known
+	Away     int           `msgpack:"x,omitempty"` // rejections in a second that the upstream bears; 0 means that it is not brittle
+	AwayAge  time.Duration `msgpack:"z,omitempty"` // how long ago it said so
 }
