--- a/internal/direct/notice.go
+++ b/internal/direct/notice.go
@@ -31,7 +31,7 @@
 		x.Log.Info("upstream's limit", zap.String("target", t.ID), zap.Bool("limited", n.Limited), zap.Float64("limit", n.Limit))
 		go x.TellLimit(t.ID)
 	}
-	if err == nil && x.Flight.Hear(t.ID, n) {
+	if err == nil && x.Flight.Hear(t, n) {
 		x.Log.Info("upstream's brittleness", zap.String("target", t.ID), zap.Int("bears", n.Brittle))
 		go x.TellLimit(t.ID)
 	}
--- a/internal/direct/permit.go
+++ b/internal/direct/permit.go
@@ -59,7 +59,7 @@
 
 // brittle reports whether one of the upstreams is.
 func (x *Direct) brittle(all []target.Target) bool {
-	return slices.ContainsFunc(all, func(t target.Target) bool { return x.Flight.Brittle(t.ID) })
+	return slices.ContainsFunc(all, func(t target.Target) bool { return x.Flight.Brittle(t) })
 }
 
 // noRoom returns the refusal of a request for which no upstream has room for so long.
@@ -71,7 +71,7 @@
 // permit has a request counted at an upstream that names a limit and has no host that gives it orders. Where the limit leaves no room, the error
 // is an ErrCrowded with the time until it does.
 func (x *Direct) permit(ctx context.Context, j *job, t target.Target) error {
-	brittle := x.Flight.Brittle(t.ID)
+	brittle := x.Flight.Brittle(t)
 	if !brittle && !x.Ration.Limited(t.ID) {
 		return nil
 	}
@@ -96,11 +96,11 @@
 }
 
 // vacate tells that a request at a brittle upstream has ended, and whether that had no room for it.
-func (x *Direct) vacate(j *job, id string) {
+func (x *Direct) vacate(j *job, t target.Target) {
 	seat, away := j.seat, j.away
 	j.seat, j.away = turn{}, false
-	if seat.number != 0 || away && x.Flight.Brittle(id) {
-		x.Spent(spent.Spent{Engine: id, Turn: seat.number, Away: away})
+	if seat.number != 0 || away && x.Flight.Brittle(t) {
+		x.Spent(spent.Spent{Engine: t.ID, Turn: seat.number, Away: away})
 	}
 }
 
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -223,7 +223,7 @@
 	if errors.Is(err, want.ErrCrowded) || j.waited(err) {
 		return target.Target{}, 0, x.full(j, t)
 	}
-	if errors.Is(err, want.ErrFailed) || errors.Is(err, want.ErrLeaves) || err != nil && (x.Ration.Limited(t.ID) || x.Flight.Brittle(t.ID)) || !x.still(t) {
+	if errors.Is(err, want.ErrFailed) || errors.Is(err, want.ErrLeaves) || err != nil && (x.Ration.Limited(t.ID) || x.Flight.Brittle(t)) || !x.still(t) {
 		j.fail(t.ID, refuse.NewRefusal(j.verdict(), refuse.NoUpstream, "%s does not serve %s now", t.ID, j.d.Adapter).WithRetry(comeBack))
 		return x.place(ctx, j)
 	}
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -99,7 +99,7 @@
 	x.Pick.Begin(t.ID)
 	j.failed = false
 	defer x.release(&j.turn, false)
-	defer x.vacate(j, t.ID)
+	defer x.vacate(j, t)
 	defer func() { x.Pick.End(t.ID, j.failed) }()
 	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
@@ -186,7 +186,7 @@
 		x.Holds.Miss(t.ID, j.d.Adapter, now)
 	}
 	j.away = r.Status == http.StatusServiceUnavailable
-	if j.away && x.Flight.Brittle(t.ID) {
+	if j.away && x.Flight.Brittle(t) {
 		x.Avoid.Hear(t, notice.Notice{Rest: brittleRest}, now)
 	}
 	x.outcome(t, "rejected")
--- a/internal/edge/permit.go
+++ b/internal/edge/permit.go
@@ -21,7 +21,7 @@
 		return err
 	case !r.Counts:
 		e.ration.Told(w.ID, 0, 0)
-		e.flight.Told(w.ID, 0, 0)
+		e.flight.Told(e.intake.View().Targets[w.ID], 0, 0)
 	case r.Units == 0:
 		return want.NewCrowded(r.Wait)
 	}
@@ -57,10 +57,11 @@
 // counted counts a request for an upstream here, where one is to be sent, by the newest that any host has heard of its limit.
 func (e *Edge) counted(w want.Want) ruling.Ruling {
 	e.learnLimit(w)
-	if w.Spread || !e.ration.Limited(w.ID) && !e.flight.Brittle(w.ID) {
+	t, known := e.intake.View().Targets[w.ID]
+	if w.Spread || !known || !e.ration.Limited(w.ID) && !e.flight.Brittle(t) {
 		return ruling.Ruling{}
 	}
-	if wait := e.flight.Take(w.ID, w.Turn, e.intake.View().Targets[w.ID].Slots, w.Limit); wait > 0 {
+	if wait := e.flight.Take(t, w.Turn, w.Limit); wait > 0 {
 		return ruling.Ruling{Counts: true, Wait: wait}
 	}
 	if wait := e.ration.Take(w.ID); wait > 0 {
@@ -76,7 +77,7 @@
 	if ok {
 		w.Rate, w.RateAge, w.Rated = rate, age, true
 	}
-	w.Away, w.AwayAge, w.Frail = e.flight.Newest(w.ID)
+	w.Away, w.AwayAge, w.Frail = e.flight.Newest(e.intake.View().Targets[w.ID])
 	return w
 }
 
@@ -86,6 +87,6 @@
 		e.ration.Told(w.ID, w.Rate, w.RateAge)
 	}
 	if w.Frail {
-		e.flight.Told(w.ID, w.Away, w.AwayAge)
+		e.flight.Told(e.intake.View().Targets[w.ID], w.Away, w.AwayAge)
 	}
 }
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"damaskreach/internal/notice"
+	"damaskreach/internal/target"
 )
 
 const (
@@ -27,17 +28,23 @@
 
 // Flight may be used from several goroutines.
 type Flight struct {
-	clock   func() time.Duration
-	brittle atomic.Int64 // upstreams that say so; asked at each request, and mostly there are none
+	clock func() time.Duration
+	some  atomic.Bool // an upstream has said so; asked at each request, and mostly none has
 
-	mu    sync.Mutex
-	marks map[string]*mark
+	mu     sync.Mutex
+	marks  map[string]*mark
+	groups map[string]word // newest of any upstream of a group that is brittle
+}
+
+// word is that an upstream is brittle, or is not.
+type word struct {
+	most int           // rejections in a second that it bears; 0 where it is not brittle
+	at   time.Duration // when it said so
 }
 
 // mark is what is known of one upstream.
 type mark struct {
-	most  int           // rejections in a second that it bears; 0 where it is not brittle
-	at    time.Duration // when it said so
+	word
 	under map[uint64]seat
 	away  []time.Duration // its rejections of late
 	takes time.Duration   // of a request, on average
@@ -50,77 +57,87 @@
 
 // NewFlight returns one that knows of no brittle upstream. The clock goes on through suspensions.
 func NewFlight(clock func() time.Duration) *Flight {
-	return &Flight{clock: clock, marks: map[string]*mark{}}
+	return &Flight{clock: clock, marks: map[string]*mark{}, groups: map[string]word{}}
 }
 
 // Hear takes what an upstream said in an answer that came just now. It reports whether it is brittle from now on, or is not any more.
-func (f *Flight) Hear(id string, n notice.Notice) (changed bool) {
-	return f.Told(id, n.Brittle, 0)
+func (f *Flight) Hear(t target.Target, n notice.Notice) (changed bool) {
+	return f.Told(t, n.Brittle, 0)
 }
 
 // Told takes what another host has heard of an upstream: how many rejections in a second it bears, 0 where it is not brittle, and how long ago.
-func (f *Flight) Told(id string, most int, age time.Duration) (changed bool) {
+func (f *Flight) Told(t target.Target, most int, age time.Duration) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now, m := f.clock(), f.marks[id]
-	if m == nil && most == 0 {
+	if most == 0 && len(f.groups) == 0 {
 		return false
 	}
-	if m == nil {
-		m = &mark{at: now - age, under: map[uint64]seat{}, takes: firstTakes}
-		f.marks[id] = m
-	}
-	if now-age < m.at {
+	told, m := word{most, f.clock() - age}, f.of(t)
+	if told.at < m.at {
 		return false
 	}
-	changed = (m.most > 0) != (most > 0)
-	switch {
-	case changed && most > 0:
-		f.brittle.Add(1)
-	case changed:
-		f.brittle.Add(-1)
+	before := f.newest(t)
+	m.word = told
+	if group := f.groups[t.Group]; most > 0 && told.at >= group.at {
+		f.groups[t.Group] = told
 	}
-	m.at, m.most = now-age, most
-	return changed
+	f.some.Store(true)
+	return (before.most > 0) != (most > 0)
+}
+
+// of returns the mark of an upstream, a new one where there is none. It needs the lock.
+func (f *Flight) of(t target.Target) *mark {
+	m := f.marks[t.ID]
+	if m == nil {
+		m = &mark{under: map[uint64]seat{}, takes: firstTakes}
+		f.marks[t.ID] = m
+	}
+	return m
+}
+
+// newest returns the newest word of an upstream. Those of a group are brittle together: one that has said nothing since another one did is taken to be, too,
+// or each host would send it requests that nobody counts until it has answered one of them. It needs the lock.
+func (f *Flight) newest(t target.Target) word {
+	w := f.groups[t.Group]
+	if m := f.marks[t.ID]; m != nil && m.at >= w.at {
+		w = m.word
+	}
+	return w
 }
 
 // Newest returns what is known of an upstream, to tell another host; ok is false where nothing is.
-func (f *Flight) Newest(id string) (most int, age time.Duration, ok bool) {
+func (f *Flight) Newest(t target.Target) (most int, age time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.marks[id]
-	if m == nil {
-		return 0, 0, false
-	}
-	return m.most, f.clock() - m.at, true
+	w := f.newest(t)
+	return w.most, f.clock() - w.at, w.at > 0
 }
 
 // Brittle reports whether an upstream is brittle.
-func (f *Flight) Brittle(id string) bool {
-	if f.brittle.Load() == 0 {
+func (f *Flight) Brittle(t target.Target) bool {
+	if !f.some.Load() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.marks[id]
-	return m != nil && m.most > 0
+	return f.newest(t).most > 0
 }
 
-// Take counts a request that goes to a brittle upstream with so many slots, and lasts so long at most. Where it may not go, wait is how long it will be until
+// Take counts a request that goes to a brittle upstream, and lasts so long at most. Where it may not go, wait is how long it will be until
 // one may.
-func (f *Flight) Take(id string, turn uint64, slots int, lasts time.Duration) (wait time.Duration) {
+func (f *Flight) Take(t target.Target, turn uint64, lasts time.Duration) (wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := f.marks[id]
-	if m == nil || m.most == 0 {
+	most := f.newest(t).most
+	if most == 0 {
 		return 0
 	}
-	now := f.clock()
+	now, m := f.clock(), f.of(t)
 	m.expire(now)
-	if away := len(m.away); float64(away) >= max(1, awayShare*float64(m.most)) {
+	if away := len(m.away); float64(away) >= max(1, awayShare*float64(most)) {
 		return m.away[0] + awayFor - now
 	}
-	if len(m.under) >= max(1, slots) {
+	if len(m.under) >= max(1, t.Slots) {
 		return max(leastWait, m.takes/2)
 	}
 	m.under[turn] = seat{since: now, until: now + lasts}
@@ -151,7 +168,7 @@
 	s, counted := m.under[turn]
 	delete(m.under, turn)
 	switch {
-	case rejected && m.most > 0:
+	case rejected:
 		m.away = append(m.away, now)
 	case counted:
 		m.takes += time.Duration(weight * float64(now-s.since-m.takes))
@@ -162,13 +179,9 @@
 func (f *Flight) Forget(gone func(id string) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, m := range f.marks {
-		if !gone(id) {
-			continue
-		}
-		if m.most > 0 {
-			f.brittle.Add(-1)
+	for id := range f.marks {
+		if gone(id) {
+			delete(f.marks, id)
 		}
-		delete(f.marks, id)
 	}
 }
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -7,15 +7,19 @@
 
 	"damaskreach/internal/flight"
 	"damaskreach/internal/notice"
+	"damaskreach/internal/target"
 )
 
 const slots = 3
 
+var up = target.Target{ID: "u", Group: "g", Slots: slots}
+
 func play(t *testing.T, story func(t *testing.T, f *flight.Flight)) {
 	synctest.Test(t, func(t *testing.T) {
 		begun := time.Now()
 		f := flight.NewFlight(func() time.Duration { return time.Since(begun) })
-		f.Hear("u", notice.Notice{Brittle: 4})
+		time.Sleep(time.Second)
+		f.Hear(up, notice.Notice{Brittle: 4})
 		story(t, f)
 	})
 }
@@ -25,7 +29,7 @@
 	t.Helper()
 	got := 0
 	for n := range uint64(10) {
-		if f.Take("u", first+n, slots, time.Minute) == 0 {
+		if f.Take(up, first+n, time.Minute) == 0 {
 			got++
 		}
 	}
@@ -69,15 +73,19 @@
 func TestUpstreamThatIsNotBrittleAnyMore(t *testing.T) {
 	play(t, func(t *testing.T, f *flight.Flight) {
 		time.Sleep(time.Second)
-		if !f.Hear("u", notice.Notice{}) || f.Brittle("u") {
-			t.Errorf("Brittle() = %v after an answer that says nothing of it, want false", f.Brittle("u"))
+		if !f.Hear(up, notice.Notice{}) || f.Brittle(up) {
+			t.Errorf("Brittle() = %v after an answer that says nothing of it, want false", f.Brittle(up))
 		}
-		if f.Told("u", 4, 500*time.Millisecond) || f.Brittle("u") {
+		if f.Told(up, 4, 500*time.Millisecond) || f.Brittle(up) {
 			t.Error("Brittle() = true by older word of another host, want false")
 		}
-		f.Forget(func(string) bool { return true })
-		if _, _, known := f.Newest("u"); known {
-			t.Error("Newest() knows of an upstream that is gone")
+		other := target.Target{ID: "other", Group: "g"}
+		if !f.Brittle(other) {
+			t.Error("Brittle() = false of another one of its group that has not answered since, want true")
+		}
+		f.Hear(other, notice.Notice{})
+		if f.Brittle(other) {
+			t.Error("Brittle() = true of one that has answered since, want false")
 		}
 	})
 }
