--- a/internal/direct/sound_test.go
+++ b/internal/direct/blames_test.go
@@ -13,9 +13,9 @@
 	for _, sound := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			b := silentBench(t, false)
-			b.Sound = func(sent, failed time.Time) bool {
-				if !sent.Before(failed) {
-					t.Errorf("sent at %v and failed at %v, want the failure later", sent, failed)
+			b.Blames = func(_ string, sent, failed time.Time, silent bool) bool {
+				if !sent.Before(failed) || silent {
+					t.Errorf("sent at %v and failed at %v, silent %v, want the failure later and a break", sent, failed, silent)
 				}
 				return sound
 			}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -105,9 +105,9 @@
 	// Grace returns how long requests may go to an older version of an adapter after a newer one was named.
 	Grace func() time.Duration
 	View  func() view.View
-	// Sound waits until it is plain whether this host kept its way to the upstreams from a send on until a failure, and reports whether it did; nil means
-	// that it always does.
-	Sound func(sent, failed time.Time) bool
+	// Blames waits until it is plain whether an upstream is to blame that broke off, or fell silent, under what was sent to it at a time, and reports whether it
+	// is; nil means that it always is.
+	Blames func(addr string, sent, failed time.Time, silent bool) bool
 	// Age returns how old the newest reading of the upstreams is that this host relies on, its own or another one's.
 	Age func() time.Duration
 	// Away reports whether the store did not answer the last reading.
--- a/internal/direct/relay.go
+++ b/internal/direct/relay.go
@@ -72,7 +72,7 @@
 		return true
 	}
 	if end != endHeld {
-		x.broke(j, t)
+		x.broke(j, t, end == endMoved)
 	}
 	j.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
 	if end == endMoved {
--- a/internal/direct/unanswered.go
+++ b/internal/direct/unanswered.go
@@ -52,7 +52,7 @@
 		return true
 	}
 	if verdict != verd.NotRun && ctx.Err() == nil {
-		x.broke(j, t)
+		x.broke(j, t, false)
 	}
 	x.Pick.Rest(t.ID, now)
 	x.Log.Info("send failed", zap.String("request", j.d.ID), zap.String("target", t.ID), zap.Stringer("verdict", verdict),
@@ -69,25 +69,25 @@
 	return true
 }
 
-// broke records that an upstream broke off under a request, unless it was this host that lost its way to it: the request would be taken for one that crashes
-// upstreams, and refused everywhere.
-func (x *Direct) broke(j *job, t target.Target) {
+// broke records that an upstream broke off, or fell silent, under a request, unless it was this host that lost its way to it, or the upstream goes on: the request
+// would be taken for one that crashes upstreams, and refused everywhere.
+func (x *Direct) broke(j *job, t target.Target, silent bool) {
 	now := time.Now()
-	if x.Sound == nil {
+	if x.Blames == nil {
 		x.blame(j.d.ID, j.print, t, now)
 		return
 	}
-	id, print, sent := j.d.ID, j.print, j.sent // the job may be over by then
+	id, mark, sent := j.d.ID, j.print, j.sent // the job may be over by then
 	go func() {
-		if x.Sound(sent, now) {
-			x.blame(id, print, t, now)
+		if x.Blames(t.Addr, sent, now, silent) {
+			x.blame(id, mark, t, now)
 		}
 	}()
 }
 
-func (x *Direct) blame(id, print string, t target.Target, at time.Time) {
-	if n := x.Blame.Broke(print, place(t), at); n > 1 {
-		x.Log.Info("upstreams broke off under one request", zap.String("request", id), zap.String("print", print),
+func (x *Direct) blame(id, mark string, t target.Target, at time.Time) {
+	if n := x.Blame.Broke(mark, place(t), at); n > 1 {
+		x.Log.Info("upstreams broke off under one request", zap.String("request", id), zap.String("print", mark),
 			zap.String("target", t.ID), zap.Int("upstreams", n))
 	}
 }
--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -40,11 +40,11 @@
 
 // glass is an upstream that may fall over.
 type glass struct {
-	running, waiting int
-	away             []time.Time // when it turned requests away
-	until            time.Time   // it has fallen over
-	falls            []time.Time
-	served           []time.Time
+	running int
+	away    []time.Time // when it turned requests away
+	until   time.Time   // it has fallen over
+	falls   []time.Time
+	served  []time.Time
 }
 
 // glasses are the upstreams of a fleet.
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -109,7 +109,7 @@
 		Decode: e.Decode, OnBehalf: e.OnBehalf, Headers: e.Headers, NotRun: e.NotRun, Notice: e.Notice, Do: e.uplink.Do,
 		Owner: e.ordered, Admit: e.admit, Spent: e.spent, Permit: e.permit, TellLimit: e.tellLimit, Charge: e.limits.Charge, Use: e.use,
 		Late: e.late, Ending: e.ending, Bound: context.WithDeadline, Grace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, Age: e.relied, Away: e.intake.Away,
-		Sound: e.reach.Sound, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare, Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Speeds: e.speeds,
+		Blames: e.reach.Blames, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare, Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Speeds: e.speeds,
 		Log: e.Log, Requests: e.Requests, Stats: e.Stats,
 	}
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -170,12 +170,19 @@
 	return max(time.Nanosecond, time.Since(r.cut))
 }
 
-// Sound waits until it is plain whether this host kept its way to the upstreams from a time on until a failure at another one, and reports whether it did.
-func (r *Reach) Sound(from, failed time.Time) bool {
-	for time.Since(failed) < judgedIn && !r.HeardSince(failed) && !r.lostSince(from) {
+// Blames waits until it is plain whether an upstream is to blame for a failure under what was sent at a time, and reports whether it is: not where this host
+// has lost its way to the upstreams since, nor where the upstream was only silent, and goes on.
+func (r *Reach) Blames(addr string, sent, failed time.Time, silent bool) bool {
+	for time.Since(failed) < judgedIn && !r.lostSince(sent) {
+		if silent && r.heardAt(addr) > failed.UnixNano() {
+			return false
+		}
+		if !silent && r.heard.Load() > failed.UnixNano() {
+			return true
+		}
 		time.Sleep(judgeEvery)
 	}
-	return !r.lostSince(from)
+	return !r.lostSince(sent)
 }
 
 // lostSince reports whether this host had lost its way at some moment since a time.
@@ -234,8 +241,3 @@
 	p, _ := r.paths.LoadOrStore(addr, &path{})
 	return p.(*path)
 }
-
-// HeardSince reports whether anything came over a connection of this host's own since a time.
-func (r *Reach) HeardSince(t time.Time) bool {
-	return r.heard.Load() > t.UnixNano()
-}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -186,3 +186,44 @@
 		}
 	})
 }
+
+// An upstream falls silent under a stream for longer than it is waited for, and goes on. Blamed for it, requests that meet three such moments would be
+// refused everywhere as ones that crash upstreams; one that stays silent is to blame.
+func TestUpstreamThatWasOnlySilentIsNotBlamed(t *testing.T) {
+	play(t, func(t *testing.T, r *reach.Reach, _ *ups) {
+		sent := time.Now()
+		time.Sleep(1200 * time.Millisecond)
+		failed := time.Now()
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			r.Heard("a:1")
+		}()
+		if r.Blames("a:1", sent, failed, true) {
+			t.Error("Blames() = true of an upstream that goes on, want false")
+		}
+		if !r.Blames("b:1", sent, time.Now(), true) {
+			t.Error("Blames() = false of one that stays silent, want true")
+		}
+	})
+}
+
+// Connections break off as a host loses its way, before it knows that it has.
+func TestUpstreamsAreNotBlamedForALostWay(t *testing.T) {
+	play(t, func(t *testing.T, r *reach.Reach, u *ups) {
+		u.set(nil, u.addrs...)
+		sent := time.Now()
+		for _, addr := range u.addrs {
+			r.Sent(addr)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if r.Blames("a:1", sent, time.Now(), false) {
+			t.Error("Blames() = true of an upstream to which this host lost its way, want false")
+		}
+		u.set(nil)
+		time.Sleep(knows)
+		r.Heard("a:1")
+		if r.Blames("a:1", sent, time.Now(), false) {
+			t.Error("Blames() = true under a request that was sent before the way was lost, want false")
+		}
+	})
+}
