--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -11,7 +12,8 @@
 )
 
 const (
-	// idle, every and count find connections on which nothing is sent; ackFor finds those where bytes wait for the other side.
+	// idle, every and count find connections on which nothing is sent; ackFor finds those where bytes wait for the other side, and ends the probes of the others
+	// after as long, whatever their count.
 	// A host without power or behind a partition answers nothing, and the kernel alone would wait for many minutes.
 	idle   = time.Second
 	every  = time.Second
@@ -38,3 +40,20 @@
 	}
 	return failed
 }
+
+// DialDropping opens a connection that drops what it has not sent when it is closed. An order that gets no answer would else be sent by the kernel for seconds,
+// and reach the engine between the orders of another host.
+func DialDropping(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
