--- a/internal/edge/detour.go
+++ b/internal/edge/detour.go
@@ -64,9 +64,7 @@
 		})
 		if failed == nil {
 			e.Stats.Add(stats.Detours, 1, "outcome", "ok")
-			if e.reach.Byway(addr) {
-				time.AfterFunc(yieldAfter, e.tenure.Look)
-			}
+			e.reach.Byway(addr)
 			e.Log.Info("connected by way of another host", zap.String("addr", addr), zap.String("host", h.IP))
 			return t, nil
 		}
@@ -123,12 +121,12 @@
 	}
 }
 
-// wayChanged tells others at once that this host has lost its way to the upstreams, or has found it again, and has its engines looked at.
-func (e *Edge) wayChanged(cut bool) {
+// wayChanged tells others at once that this host has lost its way to upstreams, or has found it again, and has its engines looked at.
+func (e *Edge) wayChanged(lost bool) {
 	if m := e.mates.Load(); m != nil {
 		m.Nudge()
 	}
-	if cut {
+	if lost {
 		time.AfterFunc(yieldAfter, e.tenure.Look)
 	} else {
 		e.tenure.Look()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -29,6 +29,8 @@
 	silentFor = 300 * time.Millisecond
 	// least is how many upstreams must not be reached, all that there are where those are fewer, for the host to have lost its way.
 	least = 3
+	// leastTries is how many dials of one upstream must have failed for this host's way to it to be lost.
+	leastTries = 3
 	// soundFor is the pause between two dials of an upstream for its silence, and between two looks at others where some are missed.
 	soundFor = time.Second
 	// judgedIn is within which it shows whether a failure is this host's own.
@@ -45,8 +47,8 @@
 	Open func(ctx context.Context, addr string) (net.Conn, error)
 	// Addrs returns the addresses of the upstreams that there are.
 	Addrs func() []string
-	// Changed is told when this host has lost its way to the upstreams, and when it has found it again; it may be nil.
-	Changed func(cut bool)
+	// Changed is told when this host has lost its way to the upstreams, or to one that others reach, and when it reaches some again; it may be nil.
+	Changed func(lost bool)
 	Log     *zap.Logger
 
 	heard atomic.Int64 // when an upstream was last heard, in Unix nanoseconds
@@ -71,9 +73,13 @@
 type miss struct {
 	at    time.Time // first
 	again time.Time // when it is tried again
+	tries int       // that failed
 	byway bool      // another host has reached it since
 }
 
+// blocked reports whether it is this host's way to the upstream that is lost: one packet that was lost tells nothing.
+func (m miss) blocked() bool { return m.byway && m.tries >= leastTries }
+
 // Dial opens a connection of this host's own to an upstream.
 func (r *Reach) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	return r.dial(ctx, addr, dialFor)
@@ -108,9 +114,9 @@
 	r.tell(false)
 }
 
-func (r *Reach) tell(cut bool) {
+func (r *Reach) tell(lost bool) {
 	if r.Changed != nil {
-		go r.Changed(cut)
+		go r.Changed(lost)
 	}
 }
 
@@ -125,7 +131,19 @@
 		m.at = begun
 	}
 	m.again = time.Now().Add(againEvery)
+	was := m.blocked()
+	m.tries++
 	r.missed[addr] = m
+	r.block(addr, m, was)
+}
+
+// block tells that it has turned out to be this host's way to an upstream that is lost.
+func (r *Reach) block(addr string, m miss, was bool) {
+	if was || !m.blocked() {
+		return
+	}
+	r.Log.Info("upstream reached by others alone", zap.String("addr", addr), zap.Duration("after", time.Since(m.at)))
+	r.tell(true)
 }
 
 // Lost reports whether an upstream is not reached at present, and since when.
@@ -192,19 +210,18 @@
 	return !r.cut.IsZero() || r.healed.After(from)
 }
 
-// Byway notes that another host has opened a connection to an upstream for this one: it is this host's way that is lost, and not the upstream. It reports
-// whether that is new.
-func (r *Reach) Byway(addr string) (first bool) {
+// Byway notes that another host has opened a connection to an upstream for this one: it is this host's way that is lost, and not the upstream.
+func (r *Reach) Byway(addr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, missed := r.missed[addr]
-	if !missed || m.byway {
-		return false
+	if !missed {
+		return
 	}
+	was := m.blocked()
 	m.byway = true
 	r.missed[addr] = m
-	r.Log.Info("upstream reached by way of others alone", zap.String("addr", addr), zap.Duration("after", time.Since(m.at)))
-	return true
+	r.block(addr, m, was)
 }
 
 // Blocked returns for how long this host has not reached an upstream that others reach; 0 where it reaches it, or nobody may.
@@ -215,7 +232,7 @@
 	switch {
 	case !r.cut.IsZero():
 		return max(time.Nanosecond, time.Since(r.cut))
-	case !m.byway:
+	case !m.blocked():
 		return 0
 	}
 	return max(time.Nanosecond, time.Since(m.at))
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -155,6 +155,26 @@
 	})
 }
 
+// One packet of a dial is lost, and another host opens the connection. Taken for a lost way, the engines there would be given up, and nobody could order them for
+// seconds.
+func TestOneFailedDialIsNoLostWay(t *testing.T) {
+	play(t, func(t *testing.T, r *reach.Reach, u *ups) {
+		u.set(nil, "a:1")
+		if _, err := r.Dial(t.Context(), "a:1"); err == nil {
+			t.Error("Dial() = nil, want an error")
+		}
+		r.Byway("a:1")
+		if got := r.Blocked("a:1"); got != 0 {
+			t.Errorf("Blocked() = %v after one dial that failed, want 0", got)
+		}
+		u.set(nil)
+		time.Sleep(time.Second)
+		if _, lost := r.Lost("a:1"); lost {
+			t.Error("Lost() = true a second later, want false")
+		}
+	})
+}
+
 // A host reaches all of one service's upstreams, over connections that it keeps, and none of another's. It has not lost its way: its orders go on where it
 // reaches.
 func TestHostThatReachesSomeHasNotLostItsWay(t *testing.T) {
@@ -174,6 +194,7 @@
 			t.Errorf("Blocked() = %v of an upstream that nobody reaches, want 0", got)
 		}
 		r.Byway("a:1")
+		time.Sleep(2 * time.Second)
 		if got := r.Blocked("a:1"); got == 0 {
 			t.Error("Blocked() = 0 of an upstream that another host reaches, want the time since it was missed")
 		}
