--- a/internal/direct/load.go
+++ b/internal/direct/load.go
@@ -178,7 +178,7 @@
 		}
 		others, older = without(others, t.ID), without(older, t.ID)
 	}
-	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at two engines", j.d.Adapter).WithRetry(comeBack)
+	return target.Target{}, 0, refuse.NewRefusal(j.verdict(), refuse.LoadFailed, "loading %s failed at %d engines", j.d.Adapter, elsewheres).WithRetry(comeBack)
 }
 
 // failed reports whether a load that was of no use tells that the next may fail too: not where its engine has a new host, or leaves.
--- a/internal/giver/admit.go
+++ b/internal/giver/admit.go
@@ -40,12 +40,13 @@
 // turn returns once a prompt may be sent to an engine that holds what is asked for and that this host does not order: where no host does, one
 // grants the turns alone, since hosts that each count for themselves would overfill it.
 func (g *Giver) turn(ctx context.Context, w want.Want) error {
-	t, ok := g.View().Targets[w.ID]
+	v := g.View()
+	t, ok := v.Targets[w.ID]
 	l := g.lane(w.ID)
 	if !ok || l == nil {
 		return merry.Wrap(want.ErrElsewhere)
 	}
-	l.resize(g.View().Rules.Pools[t.Group].Slots)
+	l.resize(v.Rules.Pools[t.Group].Slots)
 	waiting := newWaiter(ctx, w)
 	l.add(waiting)
 	return waiting.wait(ctx, l.ctx)
--- a/internal/tenure/check.go
+++ b/internal/tenure/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"damaskreach/internal/rows"
@@ -25,8 +26,9 @@
 	return edits
 }
 
-// checked notes that the store found a row as this host knows it, asked at a time.
-func (t *Tenure) checked(id string, at time.Duration) {
+// checked notes that the store found the row of a key as this host knows it, asked at a time.
+func (t *Tenure) checked(key string, at time.Duration) {
+	id := strings.TrimPrefix(key, ownPrefix)
 	o, ok := t.own[id]
 	if !ok {
 		return
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -90,7 +89,7 @@
 	for _, row := range edits {
 		row.Rev = rev
 		t.take(row, now)
-		t.checked(strings.TrimPrefix(row.Key, ownPrefix), sent)
+		t.checked(row.Key, sent)
 	}
 	return true
 }
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,7 +69,7 @@
 	t.epoch = s.Epoch
 	t.sent = sent
 	for _, row := range checks[:room] {
-		t.checked(strings.TrimPrefix(row.Key, ownPrefix), sent)
+		t.checked(row.Key, sent)
 	}
 	t.hosts[t.IP] = seen{session: s, rev: rev, since: sent}
 	if t.unsure || t.starts || passive {
