--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -100,7 +100,9 @@
 	return nil, err
 }
 
+// found notes that an upstream was reached. What waits for its answer, and may have been given up, says nothing any more.
 func (r *Reach) found(addr string) {
+	r.path(addr).waits.Store(0)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -175,6 +175,17 @@
 	})
 }
 
+// A caller leaves before its answer comes, and nothing else is sent to that upstream for long. It must not be dialled each second for what nobody waits for.
+func TestAnswerThatNobodyWaitsForIsNotLookedFor(t *testing.T) {
+	play(t, func(t *testing.T, r *reach.Reach, u *ups) {
+		r.Sent("a:1")
+		time.Sleep(20 * time.Second)
+		if got, most := u.opened(), 1; got > most {
+			t.Errorf("%d connections were tried in 20 s, want %d at most", got, most)
+		}
+	})
+}
+
 // A host reaches all of one service's upstreams, over connections that it keeps, and none of another's. It has not lost its way: its orders go on where it
 // reaches.
 func TestHostThatReachesSomeHasNotLostItsWay(t *testing.T) {
