Say in lines and metrics how large a configuration is and how many bytes of rows are told

Before: no line and no metric told how large a message between hosts is, so that a row that is told again and again could not be told from a store that is slow. New: rows_told_bytes_total by prefix, bytes in the lines of configurations applied and of changes taken from another host, and how long a relay was waited for. No logic changed.

--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -13,6 +13,7 @@
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/marks"
 	"damaskreach/internal/rows"
+	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
 	"damaskreach/internal/tenure"
 )
@@ -198,7 +199,7 @@
 	list, rev, ok = e.feeds.Tail(prefix, after)
 	if ok {
 		e.Log.Info("changes taken from another host", zap.String("rows", prefix), zap.Int64("after", after),
-			zap.Int64("revision", rev), zap.Int("count", len(list)))
+			zap.Int64("revision", rev), zap.Int("count", len(list)), zap.Int("bytes", size(list)))
 	}
 	return list, rev, ok
 }
@@ -247,6 +248,17 @@
 	if e.tenure.Host(to).Centre == e.Setup().Centre || e.reader() {
 		g.Feeds = e.feeds.For(to)
 	}
+	for _, f := range g.Feeds {
+		e.Stats.Add(stats.RowsTold, int64(size(f.Rows)), "rows", f.Prefix)
+	}
+}
+
+// size returns how many bytes the values of rows have.
+func size(list []rows.Row) (bytes int) {
+	for _, row := range list {
+		bytes += len(row.Value)
+	}
+	return bytes
 }
 
 // readEvery returns how often the upstreams' registrations are read: as often as they change, and often enough for one that
--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -157,7 +157,7 @@
 	i.swap(func(v view.View) view.View { return v.WithRules(r) })
 	i.operators[row.Key] = row
 	i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
-		zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
+		zap.Int("bytes", len(row.Value)), zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
 }
 
 // takeVersion takes the version of an adapter that operators have named. It needs the lock.
--- a/internal/mates/tell.go
+++ b/internal/mates/tell.go
@@ -67,6 +67,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.calls[ip]
+	began := c.since
 	c.since = time.Time{}
 	if err == nil {
 		c.fails = 0
@@ -74,7 +75,7 @@
 	} else {
 		c.until = now.Add(min(restMost, restLeast<<min(c.fails, 7)))
 		c.fails++
-		m.Log.Info("relay does not answer", zap.String("host", ip), zap.Int("fails", c.fails), zap.Error(err))
+		m.Log.Info("relay does not answer", zap.String("host", ip), zap.Int("fails", c.fails), zap.Duration("waited", now.Sub(began)), zap.Error(err))
 	}
 	m.calls[ip] = c
 }
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -28,6 +28,7 @@
 	Upstreams   = "upstreams_known"             // none
 	Detours     = "connections_detoured_total"  // outcome
 	Passed      = "connections_passed"          // none
+	RowsTold    = "rows_told_bytes_total"       // rows
 	Unreached   = "upstreams_unreached_seconds" // none
 	Dropped     = "log_lines_dropped_total"     // none
 	Other       = "metric_series_dropped_total" // metric
