Show that a configuration of thousands of routes takes hosts with narrow links apart

Three tests that fail on this code, with own stand-ins: memnet's hosts have links of a rate now. 82 hosts with 10 Mbit/s: hosts take others for lost 987 times (1,400 routes), 1,174 (2,800) and 1,312 (14,000); the last host has a version up to 3.7, 5.6 and 7.8 s after the first, and at 14,000 routes the last change is in force nowhere after 10 s. A host that starts never has a configuration of 14,000 routes.

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -221,7 +221,7 @@
 }
 
 func (l *lines) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	if strings.HasPrefix(e.Message, "upstream ") || e.Message == "configuration applied" || e.Message == "stopped" {
+	if strings.HasPrefix(e.Message, "upstream ") || e.Message == "configuration applied" || e.Message == "hosts lost" || e.Message == "stopped" {
 		l.fleet.note(l.host, e.Message, fields)
 	}
 	if e.Message == "upstream found" {
--- a/internal/stand/memnet/net.go
+++ b/internal/stand/memnet/net.go
@@ -30,6 +30,7 @@
 	listeners map[string]*listener
 	links     map[pair]*link
 	frozen    map[string]bool
+	cards     map[string]*card
 	conns     map[*conn]bool
 }
 
@@ -51,6 +52,7 @@
 		listeners: map[string]*listener{},
 		links:     map[pair]*link{},
 		frozen:    map[string]bool{},
+		cards:     map[string]*card{},
 		conns:     map[*conn]bool{},
 	}
 	n.changed = sync.NewCond(&n.mu)
--- a/internal/stand/memnet/pipe.go
+++ b/internal/stand/memnet/pipe.go
@@ -49,7 +49,8 @@
 	if n <= 0 {
 		return 0
 	}
-	p.parts = append(p.parts, part{append([]byte(nil), b[:n]...), p.arrival()})
+	due := p.net.carry(p.from, p.to, n, p.link.latency)
+	p.parts = append(p.parts, part{append([]byte(nil), b[:n]...), due})
 	p.size += n
 	p.cond.Broadcast()
 	return n
