--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -121,10 +121,10 @@
 		}
 		i.Log.Info("history of the configuration is gone; reading all of it", zap.Int64("after", rev))
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callFor)
+	listCtx, cancel := context.WithTimeout(ctx, confFor)
 	defer cancel()
 	r.whole = true
-	r.list, r.rev, r.err = i.Table.List(callCtx, i.Conf)
+	r.list, r.rev, r.err = i.Table.List(listCtx, i.Conf)
 	return r
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -19,6 +19,9 @@
 // callFor bounds a reading; a connection that fell silent shows in nothing else.
 const callFor = 700 * time.Millisecond
 
+// confFor bounds a list of the operators' rows; the store's adapter ends one that makes no progress. Thousands of routes take seconds on a narrow link.
+const confFor = 30 * time.Second
+
 // Intake holds the newest view. Its fields are set before Run.
 type Intake struct {
 	Table   table.Table
