Get a large configuration by the piece, as a difference from the one before, apart from what keeps hosts in touch

Cause: the row went whole, uncompressed, in each message of the membership to each host that a relay tells. A message has 0.8 s; with 0.7 MB for each of a dozen hosts and links of 1.25 MB/s it takes seconds. What was late was sent again whole, at the next relay, and its receiver counted as lost. The class: what must be on time shares its channel with what is large, and what is late is repeated whole.

Now a configuration of over 8 KB is only named in such messages. A host that hears of it asks for it by pieces of 16 KB, over and over as long as they come, from the host that named it, or from others where it stopped; four hosts are given to at once, the others come again. Rows are compressed (zstd), against an older version where both hosts have it: 18 KB for 1,400 routes more, under 200 B for a change of one figure, of 1 MB. A digest is checked before anything is in force. While a configuration is on its way the host is alive, relies on the other's readings of everything else, and leaves the store alone; where nobody gives it, it reads the store itself after that. Hosts that start get all rows of others the same way, so that bundles are gone; mixed releases read the store.

Ruled out: shorter or fewer messages alone (the row would still be sent whole 82 times), an upper bound of the row's size (operators decide it), each host reading the store (1 MB and 0.8 s of each link, and of the store's, each time).

TestAnotherHostGoesOnWhereTheFirstOneStopped, TestBrokenHostIsPassedOver and others state what a giver that stops or is broken may do.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -34,6 +34,7 @@
 func (e *Edge) build() *direct.Direct {
 	s := e.Setup()
 	e.feeds = feeds.NewFeeds()
+	e.depot.Rows, e.depot.Past = e.stored, &e.past
 	e.look()
 	e.Table = e.noted(measured(e.Table, e.Stats))
 	e.holds = holds.NewHolds()
@@ -78,7 +79,7 @@
 	i.Every, i.Again, i.Pause, i.Clock = e.readEvery, e.readAgain, e.retryPause, e.Clock
 	i.Read, i.Changed, i.Keep = e.told, e.nudge, e.feeds.Keep
 	i.Relaxed, i.Passed, i.Others, i.Patience = e.relaxed, e.passed, e.others, e.patience
-	i.Log = e.Log
+	i.Applied, i.Log = e.past.Add, e.Log
 	return i
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
+	"damaskreach/internal/depot"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/flight"
@@ -26,6 +27,7 @@
 	"damaskreach/internal/limits"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/notice"
+	"damaskreach/internal/past"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
 	"damaskreach/internal/quotas"
@@ -99,7 +101,9 @@
 	passes  atomic.Int64 // connections to upstreams that this host has opened for others
 	spare   *spare.Spare
 	news    *news
-	bundles bundles
+	past    past.Past
+	depot   depot.Depot
+	brings  brings
 	conns   conns.Conns
 	blame   blame.Blame
 	keeper  keeper
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,12 +7,13 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/bounds"
-	"damaskreach/internal/bundle"
 	"damaskreach/internal/charge"
+	"damaskreach/internal/chunk"
 	"damaskreach/internal/gossip"
 	"damaskreach/internal/mate"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
+	"damaskreach/internal/piece"
 	"damaskreach/internal/ruling"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spent"
@@ -46,7 +47,7 @@
 	methodCharge = "charge"
 	methodPermit = "permit"
 	methodSpent  = "spent"
-	methodRows   = "rows"
+	methodPiece  = "piece"
 	methodPass   = "pass"
 )
 
@@ -60,7 +61,7 @@
 	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
 		WithBounds(bounds.NewBounds().WithKeepalive(pingEvery, cutAfter).WithBackoff(redialLeast, redialMost))
 	m := mates.NewMates(s.Mate())
-	m.Hosts, m.Roster, m.Own, m.Add, m.Hear, m.Log = e.tenure.Hosts, e.roster, e.own, e.addFeeds, e.hear, e.Log
+	m.Hosts, m.Roster, m.Own, m.Add, m.Hear, m.Log = e.tenure.Hosts, e.roster, e.own, e.addFeeds, func(g gossip.Gossip) { e.hear(ctx, g) }, e.Log
 	m.Ask = func(ctx context.Context, to mate.Mate, g gossip.Gossip) (answer gossip.Gossip, err error) {
 		err = mesh.Ask(ctx, to.Peers, methodTell, g, &answer)
 		return answer, err
@@ -79,8 +80,8 @@
 	peer.Answer(mesh, methodPermit, func(_ context.Context, _ string, w want.Want) (ruling.Ruling, error) {
 		return e.counted(w), nil
 	})
-	peer.Answer(mesh, methodRows, func(_ context.Context, _ string, prefix string) (bundle.Bundle, error) {
-		return e.bundle(prefix)
+	peer.Answer(mesh, methodPiece, func(_ context.Context, from string, q piece.Piece) (chunk.Chunk, error) {
+		return e.depot.Answer(from, q)
 	})
 	peer.Answer(mesh, methodCharge, func(_ context.Context, _ string, c charge.Charge) (ruling.Ruling, error) {
 		return e.quotas.Charge(c), nil
@@ -116,9 +117,10 @@
 }
 
 // hear takes what another host said.
-func (e *Edge) hear(g gossip.Gossip) {
+func (e *Edge) hear(ctx context.Context, g gossip.Gossip) {
 	now := time.Now()
 	e.feeds.Hear(g.IP, g.Known, g.Feeds)
+	e.hearNamed(ctx, g)
 	e.hearMarks(g, now)
 	for _, b := range g.Hosts {
 		for id, n := range b.Loads {
--- a/internal/edge/reads.go
+++ b/internal/edge/reads.go
@@ -139,7 +139,7 @@
 	if g.Read == nil {
 		return
 	}
-	read := *g.Read
+	read := e.withoutBrought(*g.Read)
 	if e.covers(read) {
 		e.readers.Note(g.IP, time.Duration(read.Age)*time.Millisecond, now)
 		e.intake.Wake(read)
@@ -155,7 +155,7 @@
 
 // untilOwn returns how long this host lets others read what a message tells of and does not bring.
 func (e *Edge) untilOwn(g gossip.Gossip) time.Duration {
-	missing := map[string]int64{e.Targets: g.Read.Targets, e.Conf: g.Read.Conf, tenure.Prefix: g.Read.Fleet}
+	missing := map[string]int64{e.Targets: g.Read.Targets, e.Conf: e.withoutBrought(*g.Read).Conf, tenure.Prefix: g.Read.Fleet}
 	for _, f := range slices.Concat(e.feeds.Known(), g.Feeds) {
 		if f.Rev >= missing[f.Prefix] {
 			delete(missing, f.Prefix)
@@ -246,7 +246,7 @@
 func (e *Edge) addFeeds(to string, g *gossip.Gossip) {
 	g.Read, g.Known = e.marks(), e.feeds.Known()
 	if e.tenure.Host(to).Centre == e.Setup().Centre || e.reader() {
-		g.Feeds = e.feeds.For(to)
+		g.Feeds, g.Named = e.named(e.feeds.For(to))
 	}
 	for _, f := range g.Feeds {
 		e.Stats.Add(stats.RowsTold, int64(size(f.Rows)), "rows", f.Prefix)
--- a/internal/feeds/feeds.go
+++ b/internal/feeds/feeds.go
@@ -108,9 +108,7 @@
 	}
 	f.known[host] = far
 	for _, p := range passed {
-		if p.Rev > f.heard[p.Prefix].Rev {
-			f.heard[p.Prefix] = p
-		}
+		f.take(p)
 	}
 }
 
@@ -120,17 +118,42 @@
 	defer f.mu.Unlock()
 	var list []feed.Feed
 	for prefix, far := range f.known[host] {
-		kept, ok := f.kept[prefix]
-		if !ok || far.Rev < kept.After || far.Rev >= kept.Rev {
-			continue
-		}
-		if newer := since(kept.Rows, far.Rev); len(newer) > 0 {
-			list = append(list, feed.Feed{Prefix: prefix, After: far.Rev, Rev: kept.Rev, Rows: newer})
+		if newer, ok := f.since(prefix, far.Rev); ok {
+			list = append(list, newer)
 		}
 	}
 	return list
 }
 
+// Since returns what this host knows of rows under a prefix beyond a revision; ok is false where that is nothing, or not all.
+func (f *Feeds) Since(prefix string, after int64) (newer feed.Feed, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since(prefix, after)
+}
+
+func (f *Feeds) since(prefix string, after int64) (newer feed.Feed, ok bool) {
+	kept, known := f.kept[prefix]
+	if !known || after < kept.After || after >= kept.Rev {
+		return feed.Feed{}, false
+	}
+	newer = feed.Feed{Prefix: prefix, After: after, Rev: kept.Rev, Rows: since(kept.Rows, after)}
+	return newer, len(newer.Rows) > 0
+}
+
+// Take takes rows that another host has passed on.
+func (f *Feeds) Take(passed feed.Feed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(passed)
+}
+
+func (f *Feeds) take(passed feed.Feed) {
+	if passed.Rev > f.heard[passed.Prefix].Rev {
+		f.heard[passed.Prefix] = passed
+	}
+}
+
 // Forget drops what is known of a host that is gone.
 func (f *Feeds) Forget(gone func(host string) bool) {
 	f.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -25,4 +25,5 @@
 	Read   *marks.Marks  `msgpack:"m,omitempty"` // how far the store was read by a host that reads it for others
 	Known  []feed.Feed   `msgpack:"v,omitempty"` // how far the sender knows rows of the store; no rows in it
 	Feeds  []feed.Feed   `msgpack:"d,omitempty"` // rows of the store that the receiver does not know yet
+	Named  []feed.Feed   `msgpack:"w,omitempty"` // the same where the rows are too large for a message: it asks for them apart
 }
--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -156,6 +156,7 @@
 	}
 	i.swap(func(v view.View) view.View { return v.WithRules(r) })
 	i.operators[row.Key] = row
+	i.Applied(row)
 	i.Log.Info("configuration applied", zap.Int64("version", r.Version), zap.Int64("revision", row.Rev),
 		zap.Int("bytes", len(row.Value)), zap.Int("hosts", len(r.Routes)), zap.Int("pools", len(r.Pools)))
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -52,7 +52,9 @@
 	Changed func()
 	// Keep takes the rows that others should know of among those that changed after a revision, or feed.Whole, up to another.
 	Keep func(prefix string, after, rev int64, list []rows.Row)
-	Log  *zap.Logger
+	// Applied takes the row of a configuration that has come into force.
+	Applied func(row rows.Row)
+	Log     *zap.Logger
 
 	current atomic.Pointer[view.View]
 	missing map[string]time.Time
@@ -91,7 +93,7 @@
 		Relaxed: func() bool { return false }, Changed: func() {}, Read: func() {}, raw: map[string]rows.Row{}, operators: map[string]rows.Row{},
 		Others:   func(context.Context, string) ([]rows.Row, int64, bool) { return nil, 0, false },
 		Patience: func() time.Duration { return 0 },
-		Passed:   func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {},
+		Passed:   func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false }, Keep: func(string, int64, int64, []rows.Row) {}, Applied: func(rows.Row) {},
 	}
 	i.Again = func(time.Duration) time.Duration { return i.Every() }
 	i.current.Store(&view.View{})
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// WakeConf has this host take the operators' rows that another host has passed on.
+func (i *Intake) WakeConf() {
+	nudge(i.confWake)
+}
+
+// ConfRev returns the revision up to which this host has the operators' rows.
+func (i *Intake) ConfRev() int64 {
+	return i.confAt.Load()
+}
+
 func nudge(wake chan<- struct{}) {
 	select {
 	case wake <- struct{}{}:
