Renew the less often the less the store can do, and count a renewal that it carried out late

Cause: all hosts renew through one queue of the store, which does one transaction after the other and refuses what would wait for over a second. Each host went on every 2.5 s and tried again every 0.5 s after a failure; a renewal had 1 s while the store took up to 1.3 s for what it had accepted, and its outcome was then asked for in a call whose time was over, so that each late renewal cost a conflict, a reading and another renewal. Every host competes for one queue, and all lose together.

Now a renewal may take up to 2.5 s where the lease bears it; one that had to wait makes the pause 6 s at once, refusals make it longer by steps, quick answers shorter by steps; tries after a refusal are spread and fit into what is left of the lease; and where the row tells that a renewal was carried out whose answer did not come, it counts from when the first such one was sent, with what all of them expected of the host's claims.

--- a/internal/tenure/check.go
+++ b/internal/tenure/check.go
@@ -44,9 +44,9 @@
 }
 
 // renewIn returns when the next renewal is due after one that had room to check some of the claims: all are to be checked as often as one is.
-func renewIn(room, claims int) time.Duration {
+func renewIn(every time.Duration, room, claims int) time.Duration {
 	if claims <= room {
-		return renewEvery
+		return every
 	}
-	return max(firstEvery, renewEvery*time.Duration(room)/time.Duration(claims))
+	return max(firstEvery, every*time.Duration(room)/time.Duration(claims))
 }
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -14,8 +14,6 @@
 
 // renew writes this host's row and returns when to do so next.
 func (t *Tenure) renew(ctx context.Context) time.Duration {
-	ctx, cancel := context.WithTimeout(ctx, callFor)
-	defer cancel()
 	t.mu.Lock()
 	known, era := t.hosts[t.IP], t.era
 	passive := t.young() || !t.holder()
@@ -40,11 +38,11 @@
 	edits := append([]rows.Row{{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev}}, t.Beside()...)
 	room := min(len(checks), max(0, mostEntries-1-len(edits)))
 	edits = append(edits, checks[:room]...)
-	rev, err := t.Table.Write(ctx, edits...)
+	rev, err := t.writeRenewal(ctx, known.rev, s.Epoch, sent, checks[:room], edits)
 	if err != nil {
 		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
 		t.renewFailed(ctx, err)
-		return firstEvery
+		return t.again()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,10 +70,32 @@
 		t.checked(row.Key, sent)
 	}
 	t.hosts[t.IP] = seen{session: s, rev: rev, since: sent}
+	t.tried = tried{}
+	t.pace.served(t.Clock() - sent)
 	if t.unsure || t.starts || passive {
 		return firstEvery
 	}
-	return renewIn(room, len(checks))
+	return renewIn(t.pace.pause(), room, len(checks))
+}
+
+// writeRenewal writes a renewal that replaces a revision of this host's row.
+func (t *Tenure) writeRenewal(
+	ctx context.Context, rev, epoch int64, sent time.Duration, checks, edits []rows.Row,
+) (int64, error) {
+	t.mu.Lock()
+	left := t.left()
+	t.try(rev, epoch, sent, checks)
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTime(left))
+	defer cancel()
+	return t.Table.Write(ctx, edits...)
+}
+
+// again returns how long to wait after a renewal that failed.
+func (t *Tenure) again() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pace.refused(t.left())
 }
 
 // epochFor returns the epoch of the session that this host's next renewal names, and whether that begins it.
@@ -97,6 +117,8 @@
 	if errors.Is(cause, table.ErrDown) {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, callFor)
+	defer cancel()
 	row, err := t.Table.Read(ctx, hostPrefix+t.IP)
 	if err != nil && !errors.Is(err, table.ErrAbsent) {
 		return
@@ -114,6 +136,7 @@
 		return
 	}
 	t.doubt = t.doubt || errors.Is(cause, table.ErrConflict) && row.Rev == t.hosts[t.IP].rev
+	t.settle(row)
 	t.takeHost(t.IP, row, t.Clock())
 	if t.hosts[t.IP].Start != t.start {
 		t.renewed = false
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -105,6 +105,8 @@
 	epoch   int64         // of this host's session
 	sent    time.Duration // when the last renewal that succeeded was sent
 	renewed bool
+	tried   tried
+	pace    pace
 	era     int64            // of the store, the latest that was seen
 	entered time.Duration    // when it was first seen
 	calm    bool             // no lease of an earlier era is left
