Bound lines of one kind, so that a decision that every request meets does not push out its cause

Now it is written once a second and part, and no kind of rare line more than 60 times a second (zap's own sampler), the rest counted among those that are dropped. TestLinesOfOneKindDoNotPushOutOthers failed before (250 lines of one kind written, the other dropped).

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,8 @@
 	// leastRetry is the earliest for a caller to come back, and unknownRetry when nobody could be asked.
 	leastRetry   = 50 * time.Millisecond
 	unknownRetry = 700 * time.Millisecond
+	// sayEvery is how often a line tells that a part gives no answer.
+	sayEvery = time.Second
 	// returnFor bounds giving back what was not used.
 	returnFor = time.Second
 )
@@ -55,7 +57,8 @@
 	Log *zap.Logger
 
 	mu   sync.Mutex
-	full map[string]full // parts that need not be asked, by part and team
+	full map[string]full      // parts that need not be asked, by part and team
+	said map[string]time.Time // when a line last told that a part gives no answer
 }
 
 // full is what a part had left when it was asked last.
@@ -158,10 +161,26 @@
 		return r, nil
 	}
 	l.note(c, full{until: time.Now().Add(lookEvery), silent: true})
-	l.Log.Info("limit not counted", zap.String("part", c.Part), zap.String("team", c.Team), zap.Error(err))
+	if l.says(c.Part, time.Now()) {
+		l.Log.Info("limit not counted", zap.String("part", c.Part), zap.String("team", c.Team), zap.Error(err))
+	}
 	return ruling.Ruling{}, merry.Prependf(errSilent, "%s: %v", c.Part, err)
 }
 
+// says reports whether a line is to tell that a part gives no answer: each request asks for it, and its own line tells what became of that.
+func (l *Limits) says(part string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.said[part]) < sayEvery {
+		return false
+	}
+	if l.said == nil {
+		l.said = map[string]time.Time{}
+	}
+	l.said[part] = now
+	return true
+}
+
 // known returns what is known of a part without asking.
 func (l *Limits) known(c charge.Charge) (full, bool) {
 	l.mu.Lock()
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -27,6 +27,8 @@
 	// and decides some 30 other things, and several times as many in a burst.
 	mostCommon = 300
 	mostRare   = 300
+	// mostSame is how many rare lines of one kind a second are written: a decision that many requests meet at once would push out what caused it.
+	mostSame = 60
 	// sayEvery is how often dropped lines are counted in a line of their own.
 	sayEvery = 5 * time.Second
 )
@@ -57,11 +59,20 @@
 	ends := func(entry zapcore.Entry) bool { return entry.LoggerName == Requests && entry.Level < zapcore.WarnLevel }
 	others := func(entry zapcore.Entry) bool { return !ends(entry) }
 	return zap.New(zapcore.NewTee(
-		plain{zapcore.NewCore(encoder, l.common, l.level), ends},
-		plain{zapcore.NewCore(encoder, l.rare, l.level), others},
+		routed{plain{zapcore.NewCore(encoder, l.common, l.level)}, ends},
+		routed{l.sampled(plain{zapcore.NewCore(encoder, l.rare, l.level)}), others},
 	))
 }
 
+// sampled returns a core that takes so many lines of one message a second, and counts the others.
+func (l *Logger) sampled(core zapcore.Core) zapcore.Core {
+	return zapcore.NewSamplerWithOptions(core, time.Second, mostSame, 0, zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		if d&zapcore.LogDropped != 0 {
+			l.dropped.Add(1)
+		}
+	}))
+}
+
 // SetLevel changes the level.
 func (l *Logger) SetLevel(level zapcore.Level) {
 	l.level.SetLevel(level)
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -89,3 +89,32 @@
 		t.Errorf("dropped lines = %d, want at least %d", got, least)
 	}
 }
+
+// Every request of a second meets the same lost host, and each of its decisions writes a line. An engineer needs the one line that tells why; what is
+// beyond the bound of its kind is dropped and counted.
+func TestLinesOfOneKindDoNotPushOutOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		l := logger.NewLogger(&out, zapcore.InfoLevel)
+		log := l.Zap()
+		for range 250 {
+			log.Info("limit not counted", zap.String("part", "p"))
+		}
+		for range 100 {
+			log.Info("send failed")
+		}
+		log.Info("hosts lost", zap.Int("count", 1))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		l.Run(ctx)
+		if !strings.Contains(out.String(), "hosts lost") {
+			t.Error("the line on the lost host was dropped, want it written")
+		}
+		if got, most := strings.Count(out.String(), "limit not counted"), 60; got > most {
+			t.Errorf("lines of one kind = %d, want at most %d", got, most)
+		}
+		if got, want := l.Dropped(), int64(250-60+100-60); got != want {
+			t.Errorf("dropped lines = %d, want %d", got, want)
+		}
+	})
+}
--- a/internal/logger/plain.go
+++ b/internal/logger/plain.go
@@ -8,17 +8,16 @@
 // plain writes errors as their text alone: the stacks that they carry make a line twenty times as long.
 type plain struct {
 	zapcore.Core
-	takes func(entry zapcore.Entry) bool // lines that belong to this core
 }
 
 // With adds fields to all lines.
 func (p plain) With(fields []zapcore.Field) zapcore.Core {
-	return plain{p.Core.With(flat(fields)), p.takes}
+	return plain{p.Core.With(flat(fields))}
 }
 
-// Check lets this core write the line, where it is one of its own and its level is enabled.
+// Check lets this core write the line, where its level is enabled.
 func (p plain) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if p.Enabled(entry.Level) && p.takes(entry) {
+	if p.Enabled(entry.Level) {
 		return checked.AddCore(entry, p)
 	}
 	return checked
