Give a process that has just started no part of the fixed bound on second tries, and cut its window by a steady clock

Found by reading and shown by a test:

- A process that starts again has forgotten what it used and had its part of the fixed bound anew, as often as it started.
- The window was cut by the time of day: a step forward emptied it, and one back froze it.
- A process that had not read the others' rows yet counted itself as the only host.
That falls away with the first.

Now there is no fixed part until a window has passed since the start; the share of its own requests it has at once. The number of hosts that share it follows from the store's rows and not from who is heard, as before.

Conclusion: suspected, not shown, to be what the users saw.

--- a/internal/direct/fake_test.go
+++ b/internal/direct/fake_test.go
@@ -125,7 +125,7 @@
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), Requests: zap.NewNop(),
 		Away:  func() bool { return b.away },
 		Age:   func() time.Duration { return 0 },
-		Spare: &spare.Spare{Hosts: func() int { return 1 }, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
+		Spare: &spare.Spare{Hosts: func() int { return 1 }, Clock: func() time.Duration { return time.Since(b.begun) }, Begun: -10 * time.Second, Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second }},
 		Stats: stats.NewStats(),
 	}
 	return b
--- a/internal/direct/mover.go
+++ b/internal/direct/mover.go
@@ -55,7 +55,7 @@
 	scout.w, scout.tried, scout.turn = nil, maps.Clone(j.tried), turn{}
 	scout.fail(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "%s paused for too long", t.ID))
 	m.find = func(ctx context.Context) (choice, bool) {
-		if !x.Spare.May(scout.group, time.Now()) {
+		if !x.Spare.May(scout.group) {
 			return choice{}, false
 		}
 		one := scout
--- a/internal/direct/send.go
+++ b/internal/direct/send.go
@@ -78,8 +78,8 @@
 		return choice{}, refusal
 	}
 	if j.sends == 0 {
-		x.Spare.First(j.group, time.Now())
-	} else if !x.Spare.Again(j.group, time.Now()) {
+		x.Spare.First(j.group)
+	} else if !x.Spare.Again(j.group) {
 		return choice{}, j.fault
 	}
 	return choice{t, version, j.turn}, nil
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -56,7 +56,7 @@
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
 	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreams, Changed: e.wayChanged, Log: e.Log}
 	e.uplink = e.buildUplink()
-	e.spare = &spare.Spare{Hosts: e.count, Bound: func() (float64, float64, time.Duration) {
+	e.spare = &spare.Spare{Hosts: e.count, Clock: e.Clock, Begun: e.Clock(), Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -1,7 +1,9 @@
 // Package spare bounds what upstreams get beyond the first send of each request, over a sliding window.
 //
 // When many requests fail at once, second tries without a bound multiply the load just when there is least room for it.
-// All hosts share one bound; each keeps to its part of it: the share of its own requests, and an equal part of the rest.
+// All hosts share one bound; each keeps to its part of it: the share of its own requests, and an equal part of the rest. A process that has just
+// started does not know what the one before it used, and has no part of the rest until a window has passed: hosts that are killed again and again would
+// get it anew each time.
 package spare
 
 import (
@@ -22,6 +24,10 @@
 	Bound func() (share, extra float64, window time.Duration)
 	// Hosts returns how many hosts share the bound.
 	Hosts func() int
+	// Clock goes on steadily, whatever becomes of the time of day, also through suspensions.
+	Clock func() time.Duration
+	// Begun is when this process began, by Clock.
+	Begun time.Duration
 
 	mu     sync.Mutex
 	groups map[string]*counts
@@ -34,18 +40,18 @@
 }
 
 // First counts a request's first send.
-func (s *Spare) First(group string, now time.Time) {
+func (s *Spare) First(group string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, _, _ := s.at(group, now)
+	c, _, _ := s.at(group)
 	c.first[c.newest%slices]++
 }
 
 // Again reports whether a request may be sent once more, and counts it where it may.
-func (s *Spare) Again(group string, now time.Time) bool {
+func (s *Spare) Again(group string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, ok := s.room(group, now)
+	c, ok := s.room(group)
 	if ok {
 		c.again[c.newest%slices]++
 	}
@@ -53,23 +59,27 @@
 }
 
 // May reports whether Again would allow it, without counting it.
-func (s *Spare) May(group string, now time.Time) bool {
+func (s *Spare) May(group string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.room(group, now)
+	_, ok := s.room(group)
 	return ok
 }
 
 // room reports whether the bound allows one more.
-func (s *Spare) room(group string, now time.Time) (c *counts, ok bool) {
-	c, share, extra := s.at(group, now)
+func (s *Spare) room(group string) (c *counts, ok bool) {
+	c, share, extra := s.at(group)
 	return c, sum(c.again)+1 <= part*(share*sum(c.first)+extra/float64(max(1, s.Hosts())))
 }
 
 // at returns the counts of a group with those that have left the window cleared.
-func (s *Spare) at(group string, now time.Time) (c *counts, share, extra float64) {
+func (s *Spare) at(group string) (c *counts, share, extra float64) {
 	share, extra, window := s.Bound()
-	slice := now.UnixNano() / max(1, int64(window/slices))
+	now := s.Clock()
+	if now-s.Begun < window {
+		extra = 0
+	}
+	slice := int64(now / max(1, window/slices))
 	c, ok := s.groups[group]
 	if !ok {
 		c = &counts{newest: slice}
--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -7,10 +7,18 @@
 	"damaskreach/internal/spare"
 )
 
-func newSpare(hosts int) *spare.Spare {
+const window = 10 * time.Second
+
+// day is the steady clock of hosts.
+type day struct{ now time.Duration }
+
+func (d *day) pass(by time.Duration) { d.now += by }
+
+// start returns a process that begins now on one of so many hosts.
+func (d *day) start(hosts int) *spare.Spare {
 	return &spare.Spare{
-		Hosts: func() int { return hosts },
-		Bound: func() (float64, float64, time.Duration) { return 0.2, 60, 10 * time.Second },
+		Hosts: func() int { return hosts }, Clock: func() time.Duration { return d.now }, Begun: d.now,
+		Bound: func() (float64, float64, time.Duration) { return 0.2, 60, window },
 	}
 }
 
@@ -18,21 +26,21 @@
 // failing already; in no window do they get more than the hosts' common bound, whatever the window's start.
 func TestStormOfRetriesIsBoundedInEveryWindow(t *testing.T) {
 	const hosts = 3
-	all := make([]*spare.Spare, hosts)
+	d, all := &day{}, make([]*spare.Spare, hosts)
 	for i := range all {
-		all[i] = newSpare(hosts)
+		all[i] = d.start(hosts)
 	}
-	now := time.Unix(1000, 0)
-	var again []time.Time
+	d.pass(window)
+	var again []time.Duration
 	first := 0
 	for range 400 {
-		now = now.Add(100 * time.Millisecond)
+		d.pass(100 * time.Millisecond)
 		for _, s := range all {
-			s.First("g", now)
+			s.First("g")
 			first++
 			for range 3 {
-				if s.Again("g", now) {
-					again = append(again, now)
+				if s.Again("g") {
+					again = append(again, d.now)
 				}
 			}
 		}
@@ -40,7 +48,7 @@
 	perWindow := float64(first) / 4
 	for i := range again {
 		n := 0
-		for j := i; j < len(again) && again[j].Sub(again[i]) < 10*time.Second; j++ {
+		for j := i; j < len(again) && again[j]-again[i] < window; j++ {
 			n++
 		}
 		if most := 0.2*perWindow + 60; float64(n) > most {
@@ -54,11 +62,52 @@
 
 // One group's failures must not take the retries of another's requests.
 func TestGroupsHaveBoundsOfTheirOwn(t *testing.T) {
-	s := newSpare(1)
-	now := time.Unix(1000, 0)
-	for s.Again("g", now) {
+	d := &day{}
+	s := d.start(1)
+	d.pass(window)
+	for s.Again("g") {
 	}
-	if !s.Again("h", now) {
+	if !s.Again("h") {
 		t.Error("no retry for the other group, want one")
 	}
 }
+
+// Hosts are killed and start again, more than once within a window, while all requests fail. A process does not know what the one before it has used;
+// with a part of the bound for each start, upstreams that fail already would get several times what all hosts together may send again.
+func TestStartsDoNotRenewTheBound(t *testing.T) {
+	const hosts = 8
+	d, all := &day{}, make([]*spare.Spare, hosts)
+	for i := range all {
+		all[i] = d.start(hosts)
+	}
+	d.pass(window)
+	var again []time.Duration
+	first := 0
+	for step := range 300 {
+		d.pass(100 * time.Millisecond)
+		if step%40 == 39 {
+			for i := range hosts * 7 / 10 {
+				all[i] = d.start(hosts)
+			}
+		}
+		for _, s := range all {
+			if step%10 == 0 {
+				s.First("g")
+				first++
+			}
+			for s.Again("g") {
+				again = append(again, d.now)
+			}
+		}
+	}
+	perWindow := float64(first) * window.Seconds() / 30
+	for i := range again {
+		n := 0
+		for j := i; j < len(again) && again[j]-again[i] < window; j++ {
+			n++
+		}
+		if most := 0.2*perWindow + 60; float64(n) > most {
+			t.Fatalf("retries in the window from %v = %d, want at most %.0f", again[i], n, most)
+		}
+	}
+}
