--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// window is how far back repetitions are looked for, in bytes: a row and the version before it.
-	window = 16 << 20
+	// leastWindow and mostWindow bound how far back repetitions are looked for, in bytes: as far as a row and the version before it are long, since memory
+	// is taken for all of it.
+	leastWindow, mostWindow = 1 << 20, 32 << 20
 	// mostDecoded bounds what a parcel decodes to: what came may be from a broken host.
 	mostDecoded = 128 << 20
 	// dictID marks what was encoded against an older version.
@@ -40,7 +41,7 @@
 	if err != nil {
 		return Parcel{}, merry.Prepend(err, "encoding rows")
 	}
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(window), zstd.WithLowerEncoderMem(true)}
+	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(window(len(plain) + len(value))), zstd.WithLowerEncoderMem(true)}
 	if base != 0 {
 		options = append(options, zstd.WithEncoderDictRaw(dictID, value))
 	}
@@ -54,7 +55,7 @@
 
 // Rows decodes the rows, with the value of the base where there is one. Its errors are ErrDamaged.
 func (p Parcel) Rows(value []byte) ([]rows.Row, error) {
-	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(mostDecoded), zstd.WithDecoderMaxWindow(window)}
+	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(mostDecoded), zstd.WithDecoderMaxWindow(mostWindow)}
 	if p.Base != 0 {
 		options = append(options, zstd.WithDecoderDictRaw(dictID, value))
 	}
@@ -77,6 +78,15 @@
 	return list, nil
 }
 
+// window returns the window for so many bytes, a power of two.
+func window(size int) int {
+	w := leastWindow
+	for w < size && w < mostWindow {
+		w *= 2
+	}
+	return w
+}
+
 // sum tells parcels apart whose bytes differ: two hosts that encode the same rows against the same base get the same.
 func sum(plain []byte, base int64) string {
 	digest := sha256.New()
--- a/internal/parcel/parcel_test.go
+++ b/internal/parcel/parcel_test.go
@@ -19,7 +19,7 @@
 	return b.Bytes()
 }
 
-func pack(t *testing.T, value []byte, base int64, old []byte) parcel.Parcel {
+func pack(t testing.TB, value []byte, base int64, old []byte) parcel.Parcel {
 	t.Helper()
 	p, err := parcel.NewParcel([]rows.Row{{Key: "op/config", Value: value, Rev: 9}}, 12, base, old)
 	if err != nil {
