Let a host that starts keep its turn for rows of one kind when it has all of another

Found by reading: turns were kept by host alone, so that a host that starts, which asks for three kinds of rows at once, lost its turn with the first that it had whole and waited anew for the others, up to half a second each on a site of hundreds of hosts. Now they are kept by host and kind, and no wait is over 200 ms. TestRowsOfOneKindDoNotEndTheTurnOfAnother failed before (wait 40 ms, offset 0).

--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -29,8 +29,8 @@
 	seats = 4
 	// seatFor is how long a seat is kept for a host that asks for no further piece.
 	seatFor = 300 * time.Millisecond
-	// wait is when a host that gets no seat is to ask again, and longer the more of them there are: they would ask more than they get.
-	wait = 40 * time.Millisecond
+	// leastWait and mostWait bound when a host that gets no seat is to ask again, the later the more of them there are: they would ask more than they get.
+	leastWait, mostWait = 40 * time.Millisecond, 200 * time.Millisecond
 	// waitsFor is for how long a host that got no seat counts as one that waits.
 	waitsFor = time.Second
 	// keptFor is how long a parcel is kept that nobody asks for.
@@ -46,8 +46,8 @@
 
 	mu    sync.Mutex
 	kept  map[made]*kept
-	taken map[string]time.Time // when each host that has a seat asked last
-	waits map[string]time.Time // when each host that got none asked last
+	taken map[string]time.Time // when each that has a seat asked last, by host and prefix
+	waits map[string]time.Time // when each that got none asked last, likewise
 }
 
 // made is what a parcel was made of.
@@ -68,12 +68,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if !d.seat(from, now) {
-		return chunk.Chunk{WaitMS: wait.Milliseconds() * int64(1+len(d.waits)/seats)}, nil
+	seat := from + " " + q.Prefix // a host may ask for rows of several kinds at once
+	if !d.seat(seat, now) {
+		wait := min(mostWait, leastWait*time.Duration(1+len(d.waits)/seats))
+		return chunk.Chunk{WaitMS: wait.Milliseconds()}, nil
 	}
 	k, err := d.find(q)
 	if err != nil || k == nil {
-		delete(d.taken, from)
+		delete(d.taken, seat)
 		return chunk.Chunk{}, err
 	}
 	k.at = now
@@ -83,24 +85,24 @@
 	}
 	end := min(offset+size, len(k.Data))
 	if end == len(k.Data) {
-		delete(d.taken, from)
+		delete(d.taken, seat)
 	}
 	return chunk.Chunk{Rev: k.Rev, Base: k.Base, Sum: k.Sum, Size: len(k.Data), Offset: offset, Data: k.Data[offset:end]}, nil
 }
 
-// seat reports whether a host is given to now. It needs the lock.
-func (d *Depot) seat(from string, now time.Time) bool {
+// seat reports whether a host is given rows of one kind now. It needs the lock.
+func (d *Depot) seat(of string, now time.Time) bool {
 	if d.taken == nil {
 		d.taken, d.waits = map[string]time.Time{}, map[string]time.Time{}
 	}
 	forget(d.taken, now.Add(-seatFor))
 	forget(d.waits, now.Add(-waitsFor))
-	if _, ok := d.taken[from]; !ok && len(d.taken) >= seats {
-		d.waits[from] = now
+	if _, ok := d.taken[of]; !ok && len(d.taken) >= seats {
+		d.waits[of] = now
 		return false
 	}
-	delete(d.waits, from)
-	d.taken[from] = now
+	delete(d.waits, of)
+	d.taken[of] = now
 	return true
 }
 
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -192,3 +192,30 @@
 	}
 	return count
 }
+
+// A host that starts asks for rows of several kinds at once. When it has all of one kind, it must not lose its turn for the others: with many hosts that
+// start together it would wait anew for each piece.
+func TestRowsOfOneKindDoNotEndTheTurnOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(noise(2, 100<<10), noise(1, 100<<10))
+		d := s.depots["10.0.0.1"]
+		first := func(host, prefix string) chunk.Chunk {
+			c, err := d.Answer(host, piece.Piece{Prefix: prefix, After: feed.Whole})
+			if err != nil {
+				t.Fatalf("Answer = %v, want nil", err)
+			}
+			return c
+		}
+		long := first("10.1.0.1", "op/")
+		for n := range 3 {
+			first(fmt.Sprint("10.1.1.", n), "op/")
+		}
+		d.Rows = func(string, int64) ([]rows.Row, int64, bool) { return []rows.Row{{Key: "up/a", Rev: 9}}, 12, true }
+		first("10.1.0.1", "up/")
+		first("10.1.0.9", "op/") // takes what is free
+		c, err := d.Answer("10.1.0.1", piece.Piece{Prefix: "op/", After: feed.Whole, Sum: long.Sum, Offset: len(long.Data)})
+		if err != nil || c.WaitMS > 0 || c.Offset != len(long.Data) {
+			t.Errorf("the next piece: wait %d ms, offset %d, %v, want none and %d", c.WaitMS, c.Offset, err, len(long.Data))
+		}
+	})
+}
