--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -51,13 +51,6 @@
 	}
 }
 
-// toldOfConf notes a change of the operators' rows that another host has told of.
-func (i *Intake) toldOfConf(rev int64) {
-	for known := i.confTold.Load(); known < rev && !i.confTold.CompareAndSwap(known, rev); {
-		known = i.confTold.Load()
-	}
-}
-
 // passedConf takes operators' rows that another host has passed on; it reports false where there are none.
 func (i *Intake) passedConf() bool {
 	list, rev, ok := i.Passed(i.Conf, i.confAt.Load())
--- a/internal/intake/copied.go
+++ b/internal/intake/copied.go
@@ -66,11 +66,8 @@
 		return
 	}
 	era, number := rows.Era(rev)
-	next, known := era+1, i.era.Load()
-	for known < next && !i.era.CompareAndSwap(known, next) {
-		known = i.era.Load()
-	}
-	if known == 0 || known >= next {
+	known := i.era.Raise(era + 1)
+	if known == 0 || known > era {
 		return
 	}
 	i.outage.lost()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/rising"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/rules"
 	"damaskreach/internal/table"
@@ -64,7 +65,7 @@
 	away    atomic.Bool
 	outage  outage
 	copied  copied
-	era     atomic.Int64 // the newest that this host has learnt of, and one; 0 where it knows of none yet
+	era     rising.Rising // the newest that this host has learnt of, and one; 0 where it knows of none yet
 	bad     map[string]int64
 
 	rawMu sync.Mutex
@@ -73,10 +74,10 @@
 	operatorsMu sync.Mutex
 	operators   map[string]rows.Row // the operators' rows that are in force, by key
 
-	confAt     atomic.Int64 // revision up to which the operators' rows are read
-	confMark   atomic.Int64 // of their newest change
-	confTold   atomic.Int64 // of the newest change that another host has told of
-	confRead   atomic.Int64 // when they were last read, in nanoseconds of the clock; 0 means never
+	confAt     atomic.Int64  // revision up to which the operators' rows are read
+	confMark   atomic.Int64  // of their newest change
+	confTold   rising.Rising // of the newest change that another host has told of
+	confRead   atomic.Int64  // when they were last read, in nanoseconds of the clock; 0 means never
 	confWake   chan struct{}
 	targetAt   atomic.Int64
 	targetMark atomic.Int64
--- a/internal/intake/rest.go
+++ b/internal/intake/rest.go
@@ -126,7 +126,7 @@
 	i.entered(max(m.Conf, m.Targets))
 	age := time.Duration(m.Age) * time.Millisecond
 	back := i.outage.note(time.Now().Add(-age), i.away.Load(), i.Every())
-	i.toldOfConf(m.Conf)
+	i.confTold.Raise(m.Conf)
 	if back || m.Conf > i.confAt.Load() {
 		nudge(i.confWake)
 	}
--- a/internal/tenure/held.go
+++ b/internal/tenure/held.go
@@ -73,8 +73,7 @@
 
 // idles reports whether this host gives an engine no orders although it holds it.
 func (t *Tenure) idles(id string) bool {
-	_, yielded := t.yielded[id]
-	return yielded || t.Blocked != nil && t.Blocked(id)
+	return t.yielded[id] || t.Blocked != nil && t.Blocked(id)
 }
 
 // claimed returns the engines whose rows name this host in its session of now.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -107,17 +107,17 @@
 	renewed bool
 	tried   tried
 	pace    pace
-	era     int64            // of the store, the latest that was seen
-	entered time.Duration    // when it was first seen
-	calm    bool             // no lease of an earlier era is left
-	kept    map[string]kept  // engines that this host goes on with from an earlier era
-	yielded map[string]int64 // engines that it gives up, and the revisions of the claims
-	starts  bool             // its session has just begun, and it may claim engines
-	doubt   bool             // the store must be read before this host's own row, or one of its claims, is believed
-	opensAt time.Duration    // when the first of the engines that wait may be claimed, a reading ahead at most
-	at      int64            // revision up to which rows are read
-	untold  bool             // others have not heard of this host's session as it is now
-	unsure  bool             // engines may have been taken over since: the store must be read before any of them is given an order
+	era     int64           // of the store, the latest that was seen
+	entered time.Duration   // when it was first seen
+	calm    bool            // no lease of an earlier era is left
+	kept    map[string]kept // engines that this host goes on with from an earlier era
+	yielded map[string]bool // engines that it gives up
+	starts  bool            // its session has just begun, and it may claim engines
+	doubt   bool            // the store must be read before this host's own row, or one of its claims, is believed
+	opensAt time.Duration   // when the first of the engines that wait may be claimed, a reading ahead at most
+	at      int64           // revision up to which rows are read
+	untold  bool            // others have not heard of this host's session as it is now
+	unsure  bool            // engines may have been taken over since: the store must be read before any of them is given an order
 	hosts   map[string]seen
 	own     map[string]owned
 	named   map[string]bool // engines of own whose rows name this host, in whichever session
@@ -156,7 +156,7 @@
 	t.hosts = map[string]seen{}
 	t.own, t.named = map[string]owned{}, map[string]bool{}
 	t.kept = map[string]kept{}
-	t.yielded = map[string]int64{}
+	t.yielded = map[string]bool{}
 	t.fresh = map[string]time.Duration{}
 	t.silent = map[string]time.Duration{}
 	t.mu.Unlock()
--- a/internal/tenure/yield.go
+++ b/internal/tenure/yield.go
@@ -31,13 +31,13 @@
 		return nil
 	}
 	for id, o := range t.claimed() {
-		if _, begun := t.yielded[id]; !begun && !t.Yields(id) {
+		if !t.yielded[id] && !t.Yields(id) {
 			continue
 		}
 		if len(edits) == mostEntries-1 {
 			break
 		}
-		t.yielded[id] = o.rev
+		t.yielded[id] = true
 		next := ownership{IP: t.IP, Epoch: o.Epoch, Fence: t.next(o.rev), Freed: t.start, Idle: t.idle(id, o)}
 		t.Log.Info("engine to be given up", zap.String("target", id), zap.Int64("fence", o.Fence), zap.Int64("revision", o.rev))
 		edits = append(edits, rows.Row{Key: ownPrefix + id, Value: encode(next), Rev: o.rev})
