--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -22,6 +22,20 @@
 	}
 }
 
+// wantBounded checks that no window has more retries than the bound, whatever its start.
+func wantBounded(t *testing.T, again []time.Duration, most float64) {
+	t.Helper()
+	for i := range again {
+		n := 0
+		for j := i; j < len(again) && again[j]-again[i] < window; j++ {
+			n++
+		}
+		if float64(n) > most {
+			t.Fatalf("retries in the window from %v = %d, want at most %.0f", again[i], n, most)
+		}
+	}
+}
+
 // All requests of a group fail at once. Sent again without a bound, they would double the load on upstreams that are
 // failing already; in no window do they get more than the hosts' common bound, whatever the window's start.
 func TestStormOfRetriesIsBoundedInEveryWindow(t *testing.T) {
@@ -46,15 +60,7 @@
 		}
 	}
 	perWindow := float64(first) / 4
-	for i := range again {
-		n := 0
-		for j := i; j < len(again) && again[j]-again[i] < window; j++ {
-			n++
-		}
-		if most := 0.2*perWindow + 60; float64(n) > most {
-			t.Fatalf("retries in the window from %v = %d, want at most %.0f", again[i], n, most)
-		}
-	}
+	wantBounded(t, again, 0.2*perWindow+60)
 	if len(again) < 100 {
 		t.Errorf("retries = %d, want the bound used", len(again))
 	}
@@ -101,13 +107,5 @@
 		}
 	}
 	perWindow := float64(first) * window.Seconds() / 30
-	for i := range again {
-		n := 0
-		for j := i; j < len(again) && again[j]-again[i] < window; j++ {
-			n++
-		}
-		if most := 0.2*perWindow + 60; float64(n) > most {
-			t.Fatalf("retries in the window from %v = %d, want at most %.0f", again[i], n, most)
-		}
-	}
+	wantBounded(t, again, 0.2*perWindow+60)
 }
