Log which software an upstream runs and which stream a request resumes

No decision uses them yet. Measured: go test ./platform ./internal/proxy ./internal/intake ./internal/losses passes.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -24,4 +24,5 @@
 	Most     int           // tokens that the answer may have
 	Prefix   string        // what the prompt shares with others
 	LastSeen string        // id of the last event that the caller has, where it resumes
+	Resumes  string        // ID of the attempt that brought the stream's first event, where the caller resumes it
 }
--- a/internal/intake/targets.go
+++ b/internal/intake/targets.go
@@ -175,9 +175,9 @@
 	switch {
 	case old.ID == "":
 		i.Log.Info("upstream found", zap.String("target", t.ID), zap.String("group", t.Group), zap.String("addr", t.Addr),
-			zap.String("centre", t.Centre), zap.Int64("born", t.Incarnation), zap.Bool("draining", t.Draining))
+			zap.String("centre", t.Centre), zap.String("build", t.Build), zap.Int64("born", t.Incarnation), zap.Bool("draining", t.Draining))
 	case old.Incarnation != t.Incarnation:
-		i.Log.Info("upstream restarted", zap.String("target", t.ID), zap.Int64("born", t.Incarnation))
+		i.Log.Info("upstream restarted", zap.String("target", t.ID), zap.String("build", t.Build), zap.Int64("born", t.Incarnation))
 	case old.Draining != t.Draining:
 		i.Log.Info("upstream leaves", zap.String("target", t.ID), zap.Bool("draining", t.Draining))
 	default:
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -82,7 +82,8 @@
 	p.countRequest(j, code, verdict, now, firstByte)
 	p.RequestLog.Info("request ended", zap.String("request", j.req.ID), zap.String("route", j.route.Name), zap.String("team", j.team.Name),
 		zap.Float64("units", j.units), zap.String("code", code),
-		zap.Int("status", status), zap.String("target", id), zap.String("adapter", j.req.Adapter), zap.Int("version", j.version),
+		zap.Int("status", status), zap.String("target", id), zap.String("build", j.sentBuild), zap.String("resumes", j.req.Resumes),
+		zap.String("from", j.req.LastSeen), zap.String("adapter", j.req.Adapter), zap.Int("version", j.version),
 		zap.Int("prompt", j.req.Prompt), zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.String("note", j.note),
 		zap.Duration("turn", j.queueTime()), zap.Duration("expected", j.expectedFirst), zap.Duration("first", firstByte),
 		zap.Duration("pause", j.longestPause), zap.Duration("took", now.Sub(j.start)),
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -45,6 +45,7 @@
 	permit         turn            // under which it is counted at a brittle upstream
 	rejectedFull   bool            // the upstream rejected it for lack of room
 	refund         func()          // undoes the charge against the team's limit; nil if nothing was charged
+	sentBuild      string          // build of the upstream of the last send
 	version        int             // of the adapter that the last send required; 0 means any
 	lastEventID    string          // of the last event that was passed on
 	noOwnerSince   time.Time       // since when it waits for an engine that can load its adapter
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -107,7 +107,7 @@
 	timer := p.startAnswerTimer(j, left, cancel)
 	defer timer.Stop()
 	j.sentAt = time.Now()
-	j.version = version
+	j.version, j.sentBuild = version, t.Build
 	r, err := p.Send(ctx, t.Addr, j.req, p.Headers(t.ID, left, version, j.lastEventID), func() bool { return p.usable(t) })
 	if err != nil {
 		return p.handleNoAnswer(ctx, context.Cause(requestCtx), j, t, err)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -13,6 +13,7 @@
 	Group       string
 	Addr        string
 	Centre      string
+	Build       string // version of its software; streams of one build cannot go on at another
 	Slots       int
 	Draining    bool
 	GoneBy      time.Time      // deadline of its shutdown, where it has announced one
