--- /dev/null
+++ b/internal/edge/builds_test.go
@@ -0,0 +1,269 @@
+//go:build !race
+
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// A site has buildHosts hosts and buildEngines engines of each build, which are asked for buildAdapters adapters.
+	buildHosts, buildEngines, buildAdapters = 6, 4, 8
+	// buildRate is how many streams begin a second: a third of what the engines of one build can run.
+	buildRate = 15
+	// maxStreamTries is how often a caller sends a request, with resumeDelay before it comes back.
+	maxStreamTries = 6
+	resumeDelay    = 600 * time.Millisecond
+	// minResumedShare is the part of the share of streams that begin that the share of those that go on must reach.
+	minResumedShare = 0.5
+)
+
+// resumableStream is a stream as its caller put it together from the answers to all its tries.
+type resumableStream struct {
+	builds          []string // that wrote its events, in the order in which they first did
+	first           string   // attempt that brought its first event
+	last            string   // id of the last event
+	events          int
+	resumed, wentOn bool // the caller came back with it, and got further events then
+}
+
+// try sends a request for the stream, or for the rest of it, to a host and reads the answer.
+func (s *resumableStream) try(f *farm, client *http.Client, attempt, host, adapter string) {
+	r, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+host+":8000/x", nil)
+	if err != nil {
+		f.t.Errorf("request: %v", err)
+		return
+	}
+	r.Host = "a.example"
+	r.Header = http.Header{headID: {attempt}, headKey: {"key of red"}, headUnits: {"1000"}, headAdapter: {adapter}}
+	s.resumed = s.events > 0
+	if s.resumed {
+		r.Header.Set(headSeen, s.last)
+		r.Header.Set(headResumes, s.first)
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return
+	}
+	defer answer.Body.Close()
+	for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			s.last = id
+		}
+		if build, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			s.addEvent(attempt, build)
+		}
+	}
+}
+
+func (s *resumableStream) addEvent(attempt, build string) {
+	if s.events == 0 {
+		s.first = attempt
+	}
+	s.events++
+	s.wentOn = s.wentOn || s.resumed
+	if len(s.builds) == 0 || s.builds[len(s.builds)-1] != build {
+		s.builds = append(s.builds, build)
+	}
+}
+
+// resumableStreams collects the streams that callers asked for.
+type resumableStreams struct {
+	asked, begun, resumed, wentOn int
+	joined                        []string
+}
+
+// generateResumable sends requests at a rate until ctx ends, whose callers come back at another host with a stream that broke off.
+func (f *farm) generateResumable(ctx context.Context, seed uint64, perSecond float64, all *resumableStreams) {
+	rng := rand.New(rand.NewPCG(seed, 59))
+	f.callAtRate(ctx, rng, perSecond, func(client *http.Client) {
+		id, adapter, first := fmt.Sprintf("%x", rng.Uint64()), fmt.Sprint("m/a", rng.IntN(buildAdapters)), rng.IntN(len(f.hosts))
+		go func() {
+			var s resumableStream
+			for n := 0; n < maxStreamTries && s.events < farmEvents && f.ctx.Err() == nil; n++ {
+				if n > 0 {
+					time.Sleep(resumeDelay)
+				}
+				s.try(f, client, fmt.Sprint(id, "-", n), f.hosts[(first+2*n)%len(f.hosts)], adapter)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			all.add(id, s)
+		}()
+	})
+}
+
+func (a *resumableStreams) add(id string, s resumableStream) {
+	a.asked++
+	if s.events > 0 {
+		a.begun++
+	}
+	if s.resumed {
+		a.resumed++
+	}
+	if s.wentOn {
+		a.wentOn++
+	}
+	if len(s.builds) > 1 {
+		a.joined = append(a.joined, fmt.Sprint(id, " ", s.builds))
+	}
+}
+
+// wantSeparate checks that no stream holds events of two builds, and that most of those that callers came back with went on.
+func (f *farm) wantSeparate(all *resumableStreams) {
+	f.wantNoneJoined(all)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if got, want := float64(all.wentOn)/float64(all.resumed), minResumedShare*float64(all.begun)/float64(all.asked); got < want {
+		f.t.Errorf("%.2f of the resumed streams went on, want %.2f", got, want)
+	}
+}
+
+// newBuildFarm starts a site whose engines run the given builds of their software, the same number of each.
+func newBuildFarm(t *testing.T, builds ...string) *farm {
+	f := newEmptyFarm()
+	f.separateAddrs = true
+	f.start(t, buildHosts, 0, unlimitedTeams, f.adaptHost)
+	for _, build := range builds {
+		f.addBuild(t, build)
+	}
+	time.Sleep(14 * time.Second)
+	return f
+}
+
+// addBuild adds engines of a build.
+func (f *farm) addBuild(t *testing.T, build string) {
+	f.mu.Lock()
+	f.build = build
+	f.mu.Unlock()
+	for i := range buildEngines {
+		f.serveAt(t, separateAddr(f.engineCount()), f.serve)
+		f.addEngine(fmt.Sprint(build, "-", i), true)
+	}
+}
+
+func (f *farm) engineCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.engines)
+}
+
+// breakStreams resets all connections to one engine.
+func (f *farm) breakStreams(engine int) {
+	for _, host := range f.hosts {
+		f.net.Break(host, strings.TrimSuffix(separateAddr(engine), ":80"))
+	}
+}
+
+// restartHosts kills hosts at the same time and starts them again.
+func (f *farm) restartHosts(hosts ...int) {
+	for _, i := range hosts {
+		f.kill(f.hosts[i])
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, i := range hosts {
+		f.restart(i)
+	}
+}
+
+// Engines of two builds serve side by side. Engines break off streams, and hosts are killed, two at a time: neither a host that goes on with
+// a stream by itself nor one that its caller comes back to may let an engine of the other build go on.
+func TestStreamsGoOnAtTheBuildThatBeganThem(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBuildFarm(t, "v1", "v2")
+				var all resumableStreams
+				ctx, cancel := context.WithCancel(t.Context())
+				t.Cleanup(cancel)
+				f.generateResumable(ctx, seed, buildRate, &all)
+				for i := range 2 * buildEngines {
+					time.Sleep(time.Second)
+					f.breakStreams(i)
+					f.restartHosts(i%buildHosts, (i+3)%buildHosts)
+				}
+				cancel()
+				time.Sleep(14 * time.Second)
+				f.wantSeparate(&all)
+			})
+		})
+	}
+}
+
+// All hosts lose what they have in memory while engines of two builds serve. A caller that comes back with a stream of before must not be
+// sent to the other build because nobody remembers which one began it.
+func TestStreamsOfTwoBuildsStaySeparateWhenAllHostsAreKilled(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBuildFarm(t, "v1", "v2")
+				var all resumableStreams
+				ctx, cancel := context.WithCancel(t.Context())
+				t.Cleanup(cancel)
+				f.generateResumable(ctx, seed, buildRate, &all)
+				time.Sleep(3 * time.Second)
+				f.restartHosts(0, 1, 2, 3, 4, 5)
+				time.Sleep(6 * time.Second)
+				cancel()
+				time.Sleep(14 * time.Second)
+				f.wantNoneJoined(&all)
+			})
+		})
+	}
+}
+
+// A build has just replaced the one before when all hosts are killed. A stream of the old build must not go on at the new one, although it is
+// the only one that is registered; streams of a build that serves alone for long must go on whoever is asked.
+func TestStreamsOfAReplacedBuildDoNotGoOnAtTheNextOne(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBuildFarm(t, "v1")
+				var all resumableStreams
+				ctx, cancel := context.WithCancel(t.Context())
+				t.Cleanup(cancel)
+				f.generateResumable(ctx, seed, buildRate, &all)
+				time.Sleep(3 * time.Second)
+				f.restartHosts(0, 1, 2, 3, 4, 5)
+				time.Sleep(5 * time.Second)
+				f.wantSeparate(&all)
+				f.addBuild(t, "v2")
+				time.Sleep(3 * time.Second)
+				for i := range buildEngines {
+					f.startLeaving(fmt.Sprint("v1-", i))
+				}
+				time.Sleep(300 * time.Millisecond)
+				for i := range buildEngines {
+					f.store.drop(fmt.Sprint("servers/v1-", i))
+				}
+				f.restartHosts(0, 1, 2, 3, 4, 5)
+				time.Sleep(6 * time.Second)
+				cancel()
+				time.Sleep(14 * time.Second)
+				f.wantNoneJoined(&all)
+			})
+		})
+	}
+}
+
+// wantNoneJoined checks that no stream holds events of two builds.
+func (f *farm) wantNoneJoined(all *resumableStreams) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.t.Logf("%d streams, %d begun, %d resumed by callers, %d of these went on", all.asked, all.begun, all.resumed, all.wentOn)
+	if len(all.joined) > 0 {
+		f.t.Errorf("%d streams hold events of two builds, want none: %q", len(all.joined), all.joined[:min(3, len(all.joined))])
+	}
+	if all.resumed == 0 {
+		f.t.Error("no caller came back with a stream, want some")
+	}
+}
--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -32,7 +32,9 @@
 const (
 	farmAddr    = "10.9.9.7:80"
 	headAdapter = "Fake-Adapter"
-	headLast    = "Fake-Last" // last event that the caller has
+	headLast    = "Fake-Last"    // last event that the caller has, as an engine is told
+	headSeen    = "Fake-Seen"    // the same, as the caller tells it
+	headResumes = "Fake-Resumes" // attempt that brought the stream's first event
 	// farmSlots is how many requests an engine runs at once, farmPlaces how many adapters it holds.
 	farmSlots, farmPlaces = 6, 6
 	// promptTime is how long an engine reads a prompt, eventTime how long it takes for each of the farmEvents events of an answer.
@@ -48,7 +50,8 @@
 // farm is a fleet whose upstreams are engines: they load adapters from one weight store and answer with streams.
 type farm struct {
 	*teamFleet
-	separateAddrs bool // each engine has its own address
+	separateAddrs bool   // each engine has its own address
+	build         string // of the software of engines that are added from now on
 
 	mu         sync.Mutex
 	engines    map[string]*fakeEngine
@@ -78,11 +81,13 @@
 
 // newFarm starts hosts and engines that hold the base model.
 func newFarm(t *testing.T, hosts, engines int, teams func(version int64) []team.Team) *farm {
-	f := &farm{engines: map[string]*fakeEngine{}}
+	f := newEmptyFarm()
 	f.start(t, hosts, engines, teams, f.adaptHost)
 	return f
 }
 
+func newEmptyFarm() *farm { return &farm{engines: map[string]*fakeEngine{}} }
+
 func (f *farm) start(t *testing.T, hosts, engines int, teams func(version int64) []team.Team, adapt func(e *edge.Edge, s *setup.Setup)) {
 	f.teamFleet = newTeamFleetOf(t, hosts, 3, 0, teams, adapt)
 	if !f.separateAddrs {
@@ -113,6 +118,7 @@
 	}
 	m.target = target.Target{
 		ID: id, Incarnation: time.Now().UnixMilli(), Group: "g", Addr: addr, Centre: fmt.Sprint("dc-", len(f.engines)%3), Slots: farmSlots,
+		Build: f.build,
 	}
 	f.engines[id] = m
 	f.mu.Unlock()
@@ -228,6 +234,7 @@
 	e.DecodeRequest = func(r *http.Request) (demand.Demand, error) {
 		d, err := decode(r)
 		d.Model, d.Adapter, d.Wait = "m", r.Header.Get(headAdapter), 12*time.Second
+		d.LastSeen, d.Resumes = r.Header.Get(headSeen), r.Header.Get(headResumes)
 		return d, err
 	}
 	e.DecodeRules = func(row rows.Row) (rules.Rules, bool, error) {
@@ -274,6 +281,13 @@
 	return m.promptsReadAt.Sub(now), true
 }
 
+// buildOf returns the build of an engine's software.
+func (f *farm) buildOf(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[id].target.Build
+}
+
 // release ends a request at an engine.
 func (f *farm) release(id, adapter string) {
 	f.mu.Lock()
@@ -297,13 +311,14 @@
 	}
 	defer f.release(r.Header.Get(headFor), r.Header.Get(headAdapter))
 	last, _ := strconv.Atoi(r.Header.Get(headLast)) // 0 at the start of a stream
+	build := f.buildOf(r.Header.Get(headFor))
 	for n := last + 1; n <= farmEvents; n, wait = n+1, 0 {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(wait + eventTime):
 		}
-		fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, build)
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
