Let a stream go on only at the build of the software that began it

Cause: the build was neither read from registrations nor kept with a stream, so any engine of the group was a candidate. Ruled out as the main cause: engines that come back under their id. Change: a begun stream has candidates of its build alone; hosts remember where streams began and, only while a group runs several builds, tell two others, which the host that a caller comes back to asks; unknown is refused as not run. New builds get no streams until all hosts can know of them. The row builds/several, written by one host, tells a fleet that starts again which builds have served.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/blame"
+	"damaskreach/internal/builds"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
@@ -27,6 +28,7 @@
 	"damaskreach/internal/loader"
 	"damaskreach/internal/mates"
 	"damaskreach/internal/notice"
+	"damaskreach/internal/origin"
 	"damaskreach/internal/past"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
@@ -106,6 +108,10 @@
 	confFetch      confFetch
 	conns          conns.Conns
 	blame          blame.Blame
+	origins        origin.Origin
+	builds         builds.Builds
+	buildsRow      buildsRow
+	buildsRestored atomic.Bool // whether the builds that served before this host started are known
 	memoWriter     memoWriter
 	ending         context.Context // done shortly before the process exits
 	leaving        atomic.Bool
@@ -149,5 +155,6 @@
 	go e.runPeers(work, e.Setup())
 	go e.reach.Run(work)
 	go e.sweep(work)
+	go e.syncBuilds(work)
 	go e.reportToSelf(work)
 }
--- a/internal/edge/fallback.go
+++ b/internal/edge/fallback.go
@@ -2,41 +2,46 @@
 
 import (
 	"slices"
+	"sort"
 	"sync"
 
 	"damaskreach/internal/mate"
 	"damaskreach/internal/spread"
 )
 
-// maxFallbackHosts is how many of the strongest hosts share the work for upstreams whose owner is down.
-const maxFallbackHosts = 16
+const (
+	// maxFallbackHosts is how many of the strongest hosts share the work for upstreams whose owner is down.
+	maxFallbackHosts = 16
+	// maxKeepers is how many of the strongest hosts remember where streams began. It bounds the connections of a host.
+	maxKeepers = 64
+)
 
 // fallback holds the hosts that act in place of owners that are down, as of the last update.
 type fallback struct {
-	self   string
-	alive  map[string]mate.Mate // other hosts that are alive
-	hosts  []string             // act in place of owners that are down
-	picked sync.Map             // chosen host by upstream; a relay asks at each message for each engine in use
+	self  string
+	alive map[string]mate.Mate // other hosts that are alive
+	hosts []string             // act in place of owners that are down
+	// keepers remember where streams began.
+	keepers []string
+	picked  sync.Map // chosen host by upstream; a relay asks at each message for each engine in use
 }
 
 // newFallback returns the fallback hosts, given the other hosts that are alive.
 func newFallback(self mate.Mate, living map[string]mate.Mate) *fallback {
 	strongest := []mate.Mate{self}
 	for _, m := range living {
-		if len(strongest) == maxFallbackHosts && strongest[maxFallbackHosts-1].Before(m) {
+		if len(strongest) == maxKeepers && strongest[maxKeepers-1].Before(m) {
 			continue
 		}
-		pos := slices.IndexFunc(strongest, m.Before)
-		if pos < 0 {
-			pos = len(strongest)
-		}
+		pos := sort.Search(len(strongest), func(i int) bool { return m.Before(strongest[i]) })
 		strongest = slices.Insert(strongest, pos, m)
-		strongest = strongest[:min(len(strongest), maxFallbackHosts)]
+		strongest = strongest[:min(len(strongest), maxKeepers)]
 	}
 	f := &fallback{self: self.IP, alive: living}
 	for _, m := range strongest {
-		f.hosts = append(f.hosts, m.IP)
+		f.keepers = append(f.keepers, m.IP)
 	}
+	f.hosts = f.keepers[:min(len(f.keepers), maxFallbackHosts)]
 	return f
 }
 
--- /dev/null
+++ b/internal/edge/origins.go
@@ -0,0 +1,232 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/began"
+	"damaskreach/internal/mate"
+	"damaskreach/internal/rows"
+	"damaskreach/internal/spread"
+	"damaskreach/internal/stats"
+	"damaskreach/internal/table"
+	"damaskreach/internal/ticker"
+)
+
+const (
+	// buildsKey is the key of the row with the groups that run or have just run several builds of their software, for a fleet whose hosts
+	// are all killed. It exists only while there are such groups.
+	buildsKey = "builds/several"
+	// buildsInterval is the time between comparisons of that row with what this host knows.
+	buildsInterval = time.Second
+	// buildsRecheck is the time after which the row is compared again without a change: the store may come back from an older copy.
+	buildsRecheck = 10 * time.Second
+	// buildsTimeout bounds a call to the store for that row.
+	buildsTimeout = 2 * time.Second
+	// originKeepers is how many other hosts remember where a stream of a group with several builds began. More are asked, as hosts that
+	// started or ended since then change which ones come first.
+	originKeepers, originAsked = 2, 4
+	// originTimeout bounds messages about where streams began: some round trips between hosts.
+	originTimeout = 300 * time.Millisecond
+	// maxViewAge is the age of the registrations up to which a host without contact to others relies on them.
+	maxViewAge = 5 * time.Second
+)
+
+// buildsRow tracks the row under buildsKey. It belongs to the goroutine of syncBuilds.
+type buildsRow struct {
+	synced   map[string][]string // what the row held when it was last compared
+	syncedAt time.Time
+}
+
+// observeBuilds records the builds that are registered now. Streams that began before their group ran several builds are made known to other
+// hosts, which need not have known so far.
+func (e *Edge) observeBuilds() {
+	for _, group := range e.builds.Observe(e.intake.View().Targets, time.Now()) {
+		e.Log.Info("group runs several builds", zap.String("group", group), zap.Strings("builds", e.builds.Several()[group]))
+		e.tellOrigins(e.origins.Group(group))
+	}
+}
+
+// recordOrigin remembers where a stream began, at other hosts too if its group runs several builds.
+func (e *Edge) recordOrigin(b began.Began) {
+	e.origins.Add(b, time.Now())
+	if _, ok := e.builds.Sole(b.Group); !ok {
+		e.tellOrigins([]began.Began{b})
+	}
+}
+
+// tellOrigins has other hosts remember where streams began. A lost message costs the resumption of a stream whose host is lost too.
+func (e *Edge) tellOrigins(list []began.Began) {
+	mesh := e.mesh.Load()
+	if mesh == nil {
+		return
+	}
+	byKeeper := map[mate.Mate][]began.Began{}
+	for _, b := range list {
+		for _, keeper := range e.originHosts(b.Attempt, originKeepers) {
+			byKeeper[keeper] = append(byKeeper[keeper], b)
+		}
+	}
+	for keeper, list := range byKeeper {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+			defer cancel()
+			var none struct{}
+			if err := mesh.Ask(ctx, keeper.PeerAddr, methodBegan, list, &none); err != nil {
+				e.Log.Debug("failed to tell where streams began", zap.String("host", keeper.IP), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// keepOrigins remembers streams that began at other hosts.
+func (e *Edge) keepOrigins(list []began.Began) {
+	now := time.Now()
+	for _, b := range list {
+		e.origins.Add(b, now)
+	}
+}
+
+// originHosts returns the other hosts that remember a stream.
+func (e *Edge) originHosts(attempt string, count int) []mate.Mate {
+	f := e.fallback.Load()
+	others := slices.DeleteFunc(slices.Clone(f.keepers), func(ip string) bool { return ip == f.self })
+	var list []mate.Mate
+	for _, ip := range spread.Rank(others, attempt, count) {
+		list = append(list, f.alive[ip])
+	}
+	return list
+}
+
+// findBuild returns the build of a group that began a stream, whose first event answered an attempt.
+func (e *Edge) findBuild(ctx context.Context, attempt, group string) (build string, ok bool) {
+	build, outcome := e.lookUpBuild(ctx, attempt, group)
+	e.Stats.Add(stats.Origins, 1, "outcome", outcome)
+	return build, outcome != "unknown"
+}
+
+func (e *Edge) lookUpBuild(ctx context.Context, attempt, group string) (build, outcome string) {
+	if b, ok := e.origins.Find(attempt); ok && b.Group == group {
+		return b.Build, "own"
+	}
+	if build, ok := e.builds.Sole(group); ok && e.buildsRestored.Load() && e.hearsOfBuilds() {
+		return build, "sole"
+	}
+	if b, ok := e.askOrigin(ctx, attempt); ok && b.Group == group {
+		e.origins.Add(b, time.Now())
+		return b.Build, "asked"
+	}
+	return "", "unknown"
+}
+
+// hearsOfBuilds reports whether this host would know of a build that serves elsewhere: it could have read the store, or others tell it.
+func (e *Edge) hearsOfBuilds() bool {
+	if e.readAge() < maxViewAge {
+		return true
+	}
+	m := e.mates.Load()
+	return m != nil && len(m.Serving()) > 0
+}
+
+// askOrigin asks the hosts that may remember where a stream began.
+func (e *Edge) askOrigin(ctx context.Context, attempt string) (b began.Began, ok bool) {
+	mesh, hosts := e.mesh.Load(), e.originHosts(attempt, originAsked)
+	if mesh == nil || len(hosts) == 0 {
+		return b, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	answers := make(chan began.Began, len(hosts))
+	for _, h := range hosts {
+		go func() {
+			var b began.Began
+			if err := mesh.Ask(ctx, h.PeerAddr, methodOrigin, attempt, &b); err != nil {
+				e.Log.Debug("failed to ask where a stream began", zap.String("host", h.IP), zap.Error(err))
+			}
+			answers <- b
+		}()
+	}
+	for range hosts {
+		if b = <-answers; b.Attempt != "" {
+			return b, true
+		}
+	}
+	return b, false
+}
+
+// newBuilds returns the builds of a group that other hosts may not know of yet.
+func (e *Edge) newBuilds(group string) []string {
+	return e.builds.New(group, e.Setup().Drain, time.Now())
+}
+
+// restoreBuilds reads the row under buildsKey. Until then, no build counts as the only one of its group.
+func (e *Edge) restoreBuilds(ctx context.Context) {
+	for ctx.Err() == nil {
+		groups, _, err := e.readBuilds(ctx)
+		if err == nil {
+			e.builds.Restore(groups, time.Now())
+			e.buildsRow.synced = groups
+			e.buildsRestored.Store(true)
+			return
+		}
+		e.Log.Info("builds of before the start not read", zap.Error(err))
+		ticker.Sleep(ctx, e.retryDelay())
+	}
+}
+
+// syncBuilds keeps the row under buildsKey up to date while this host reads the store for the others.
+func (e *Edge) syncBuilds(ctx context.Context) {
+	e.restoreBuilds(ctx)
+	for range ticker.Every(ctx, buildsInterval) {
+		groups, now := e.builds.Several(), time.Now()
+		row := &e.buildsRow
+		if len(groups)+len(row.synced) == 0 || !e.isReader() ||
+			reflect.DeepEqual(groups, row.synced) && now.Sub(row.syncedAt) < buildsRecheck {
+			continue
+		}
+		if err := e.writeBuilds(ctx, groups); err != nil {
+			e.Log.Info("builds not written", zap.Error(err))
+			continue
+		}
+		row.synced, row.syncedAt = groups, now
+	}
+}
+
+// writeBuilds brings the row under buildsKey up to date.
+func (e *Edge) writeBuilds(ctx context.Context, groups map[string][]string) error {
+	stored, rev, err := e.readBuilds(ctx)
+	if err != nil || reflect.DeepEqual(stored, groups) {
+		return err
+	}
+	edit := rows.Row{Key: buildsKey, Rev: rev}
+	if len(groups) == 0 {
+		edit = edit.WithGone()
+	} else if edit.Value, err = json.Marshal(groups); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, buildsTimeout)
+	defer cancel()
+	_, err = e.Table.Write(ctx, edit)
+	return err
+}
+
+// readBuilds reads the row under buildsKey; it is empty if there is none.
+func (e *Edge) readBuilds(ctx context.Context) (groups map[string][]string, rev int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, buildsTimeout)
+	defer cancel()
+	groups = map[string][]string{}
+	row, err := e.Table.Read(ctx, buildsKey)
+	if errors.Is(err, table.ErrAbsent) {
+		return groups, 0, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(row.Value, &groups)
+	}
+	return groups, row.Rev, err
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/began"
 	"damaskreach/internal/bounds"
 	"damaskreach/internal/charge"
 	"damaskreach/internal/chunk"
@@ -48,6 +49,8 @@
 	methodSpent   = "spent"
 	methodPiece   = "piece"
 	methodForward = "pass"
+	methodBegan   = "began"
+	methodOrigin  = "origin"
 )
 
 // runPeers joins the other hosts once their shared secret is known.
@@ -86,6 +89,14 @@
 	peer.Answer(mesh, methodCharge, func(_ context.Context, _ string, c charge.Charge) (ruling.Ruling, error) {
 		return e.quotas.Charge(c), nil
 	})
+	peer.Answer(mesh, methodBegan, func(_ context.Context, _ string, list []began.Began) (struct{}, error) {
+		e.keepOrigins(list)
+		return struct{}{}, nil
+	})
+	peer.Answer(mesh, methodOrigin, func(_ context.Context, _, attempt string) (began.Began, error) {
+		b, _ := e.origins.Find(attempt) // the zero value if it is not remembered
+		return b, nil
+	})
 	mesh.Handle(methodForward, e.forwardConn)
 	l, err := e.Listen(s.Peers)
 	if err != nil {
--- a/internal/edge/storereads.go
+++ b/internal/edge/storereads.go
@@ -180,6 +180,7 @@
 
 // announceChange tells others of a change at once, and looks for engines without an owner.
 func (e *Edge) announceChange() {
+	e.observeBuilds()
 	e.tenure.ClaimSoon()
 	if m := e.mates.Load(); m != nil && e.isReader() {
 		m.Nudge()
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -21,6 +21,7 @@
 		if limit := v.Rules.IdleFor; limit > 0 {
 			e.conns.CloseIdle(limit + idleSlack)
 		}
+		e.observeBuilds()
 		e.holds.Forget(v.Targets, now)
 		e.pick.Forget(v.Targets, now)
 		left := func(id string) bool {
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/avoid"
+	"damaskreach/internal/began"
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/flight"
@@ -44,6 +45,7 @@
 const (
 	headID        = "Fake-Id"
 	headLastEvent = "Fake-Last"
+	headResumes   = "Fake-Resumes" // attempt that brought the stream's first event
 	headNotRun    = "Fake-Not-Run"
 	headTarget    = "Fake-For"
 	headVersion   = "Fake-Version"
@@ -78,6 +80,9 @@
 	busy       map[string]bool          // engines without a turn in time
 	storeDown  bool                     // the store does not answer
 	stopsSoon  bool
+	builds     map[string]string // builds that began streams, by attempt
+	newBuilds  []string          // that other hosts may not know of
+	origins    []began.Began     // streams that have begun
 	dial       func(addr string) // called when a connection is opened; may be nil
 }
 
@@ -102,7 +107,7 @@
 		Decode: func(r *http.Request) (demand.Demand, error) {
 			return demand.Demand{
 				ID: "r1", Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: http.Header{}, Model: r.Header.Get("M"),
-				Adapter: r.Header.Get("A"), LastSeen: r.Header.Get(headLastEvent),
+				Adapter: r.Header.Get("A"), LastSeen: r.Header.Get(headLastEvent), Resumes: r.Header.Get(headResumes),
 			}, nil
 		},
 		Headers: func(id string, left time.Duration, version int, last string) http.Header {
@@ -121,7 +126,13 @@
 		DecodeNotice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.start) }),
 		Flight: flight.NewFlight(func() time.Duration { return time.Since(b.start) }), Avoid: avoid.NewAvoid(), Permit: b.permit,
 		AnnounceLimit: func(string) {},
-		Send:          b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
+		RecordOrigin:  func(o began.Began) { b.origins = append(b.origins, o) },
+		FindBuild: func(_ context.Context, attempt, _ string) (string, bool) {
+			build, ok := b.builds[attempt]
+			return build, ok
+		},
+		NewBuilds: func(string) []string { return b.newBuilds },
+		Send:      b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
 		Blame: &blame.Blame{}, Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		StopsSoon: func() bool { return b.stopsSoon }, Stopping: context.Background(), WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
@@ -144,6 +155,13 @@
 	}
 }
 
+// setBuild registers an upstream again, with a build of its software.
+func (b *bench) setBuild(id, build string) {
+	t := b.view.Targets[id]
+	t.Build = build
+	b.view.Targets[id] = t
+}
+
 func (b *bench) do(_ context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error) {
 	if b.dial != nil {
 		b.dial(addr)
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -45,6 +45,8 @@
 	permit         turn            // under which it is counted at a brittle upstream
 	rejectedFull   bool            // the upstream rejected it for lack of room
 	refund         func()          // undoes the charge against the team's limit; nil if nothing was charged
+	begun          bool            // the caller has events of the stream
+	build          string          // that began the stream, if it has begun: no other can go on with it
 	sentBuild      string          // build of the upstream of the last send
 	version        int             // of the adapter that the last send required; 0 means any
 	lastEventID    string          // of the last event that was passed on
@@ -146,11 +148,14 @@
 }
 
 // mayUse reports whether the request's earlier sends allow an upstream.
-func (j *job) mayUse(id string) bool {
+func (j *job) mayUse(t target.Target) bool {
+	if !j.canGoOnAt(t) {
+		return false
+	}
 	if j.pinned != nil {
-		return id == j.pinned.ID
+		return t.ID == j.pinned.ID
 	}
-	return !j.tried[id]
+	return !j.tried[t.ID]
 }
 
 // incarnation returns a name for one incarnation of an upstream.
--- /dev/null
+++ b/internal/proxy/origin_test.go
@@ -0,0 +1,72 @@
+package proxy_test
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"testing"
+
+	"damaskreach/internal/began"
+	"damaskreach/internal/resp"
+)
+
+// newBuildBench returns a bench whose upstreams "one" and "two" run builds v1 and v2 of their software.
+func newBuildBench(t *testing.T) *bench {
+	b := newBench(t, streamRoute())
+	b.setBuild("one", "v1")
+	b.setBuild("two", "v2")
+	return b
+}
+
+// The engine that began a stream breaks off, and only one of another build is left. What that one writes does not fit, so the stream must break
+// off, and at once: no engine that takes new requests could go on with it.
+func TestStreamDoesNotGoOnAtAnotherBuild(t *testing.T) {
+	b := newBuildBench(t)
+	b.newBuilds = []string{"v2"} // so that it begins at v1
+	b.setAnswers(func(s sent) (r resp.Resp, err error) {
+		r, err = answers(200, nil, "id: 1\ndata: a\n\nid: 2\nda", errors.New("reset"))(s)
+		one := b.view.Targets["one"]
+		one.Draining = true
+		b.view.Targets["one"] = one
+		return r, err
+	})
+	rec, broken := b.call(nil)
+	if !broken {
+		t.Error("the answer looks whole, want the connection broken off")
+	}
+	if got, want := rec.Body.String(), "id: 1\ndata: a\n\n"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+	if got, want := b.origins, []began.Began{{Attempt: "r1", Group: "g", Build: "v1"}}; !slices.Equal(got, want) {
+		t.Errorf("recorded origins = %+v, want %+v", got, want)
+	}
+}
+
+// A caller comes back with a stream that another host began. It must go on at the build that began it, however busy that is.
+func TestResumedStreamGoesToTheBuildThatBeganIt(t *testing.T) {
+	for _, build := range []string{"v1", "v2"} {
+		b := newBuildBench(t)
+		b.builds = map[string]string{"first": build}
+		b.setAnswers(answers(200, nil, "id: 8\ndata: x\n\n", nil))
+		b.call(http.Header{headLastEvent: {"7"}, headResumes: {"first"}})
+		if got, want := b.view.Targets[b.sent[0].extra.Get(headTarget)].Build, build; got != want {
+			t.Errorf("resumed at build %q, want %q", got, want)
+		}
+		if len(b.origins) > 0 {
+			t.Errorf("recorded origins = %+v, want none for a resumed stream", b.origins)
+		}
+	}
+}
+
+// Nobody knows which build began the stream that a caller comes back with. A guess could garble it, so the caller is told at once that the
+// request has not run.
+func TestResumedStreamOfUnknownOriginIsRefused(t *testing.T) {
+	b := newBuildBench(t)
+	rec, _ := b.call(http.Header{headLastEvent: {"7"}, headResumes: {"first"}})
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status = %d, want %d", got, want)
+	}
+	if len(b.sent) > 0 {
+		t.Errorf("sent to %v, want nothing sent", b.sent)
+	}
+}
--- a/internal/proxy/place.go
+++ b/internal/proxy/place.go
@@ -56,9 +56,10 @@
 // candidates returns the group's upstreams that are ready for this request.
 func (p *Proxy) candidates(j *job) []target.Target {
 	now := time.Now()
-	return filter(j.view.Group(j.group), func(t target.Target) bool {
-		return !t.Draining && j.mayUse(t.ID) && p.Avoid.Accepts(t, now)
+	ready := filter(j.view.Group(j.group), func(t target.Target) bool {
+		return !t.Draining && j.mayUse(t) && p.Avoid.Accepts(t, now)
 	})
+	return p.withoutNewBuilds(j, ready)
 }
 
 // placeAdapter chooses an engine for a request that names an adapter, preferring engines that hold its newest version.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,6 +6,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -18,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/avoid"
+	"damaskreach/internal/began"
 	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/flight"
@@ -94,6 +96,12 @@
 	AnnounceLimit func(id string)
 	// Charge counts a request against its team's limit; refund must be called if the request turns out not to have run.
 	Charge func(ctx context.Context, t team.Team, version int64, units float64) (refund func(), refusal *refuse.Refusal)
+	// RecordOrigin takes where a stream has begun.
+	RecordOrigin func(b began.Began)
+	// FindBuild returns the build of a group that began the stream whose first event answered an attempt; ok is false if nobody knows.
+	FindBuild func(ctx context.Context, attempt, group string) (build string, ok bool)
+	// NewBuilds returns the builds of a group that other hosts may not know of yet.
+	NewBuilds func(group string) []string
 	// Use marks an adapter of an engine as in use until done is called.
 	Use func(id, adapter string) (done func())
 	// StopsSoon reports whether the host stops too soon to finish another request.
@@ -179,7 +187,7 @@
 		return refuse.NewRefusal(verd.NotRun, refuse.NoRoute, "no route for %s%s in version %d", req.Host, path, j.view.Rules.Version)
 	}
 	j.route = matched
-	j.group = matched.Group(hash(req.ID))
+	j.group = matched.Group(hash(cmp.Or(req.Resumes, req.ID)))
 	return nil
 }
 
@@ -286,7 +294,8 @@
 	}
 }
 
-// hash is a stable hash: a request and its repeats get the same group of a split route, and an adapter the same engines.
+// hash is a stable hash: a request, its repeats and what resumes its stream get the same group of a split route, and an adapter the same
+// engines.
 func hash(text string) uint32 {
 	sum := fnv.New32a()
 	sum.Write([]byte(text))
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -109,7 +109,7 @@
 		m.eventReceived()
 		p.releaseTurn(&j.turn, true)
 		if j.firstByteAt.IsZero() {
-			p.recordFirstEvent(j, t.ID)
+			p.recordFirstEvent(j, t)
 		}
 		if err := j.writeEvent(event.Bytes()); err != nil {
 			return err
@@ -138,10 +138,11 @@
 }
 
 // recordFirstEvent records the time of a stream's first event, which tells how long the prompt took to read.
-func (p *Proxy) recordFirstEvent(j *job, id string) {
+func (p *Proxy) recordFirstEvent(j *job, t target.Target) {
 	j.firstByteAt = time.Now()
+	p.recordOrigin(j, t)
 	if j.sends == 1 && j.req.Prompt > 0 {
-		p.Speeds.AddPrompt(id, j.req.Prompt, j.firstByteAt.Sub(j.sentAt))
+		p.Speeds.AddPrompt(t.ID, j.req.Prompt, j.firstByteAt.Sub(j.sentAt))
 	}
 }
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -31,6 +31,10 @@
 
 // serve sends a request to upstreams until it is answered or refused.
 func (p *Proxy) serve(ctx context.Context, j *job) {
+	if refusal := p.findOrigin(ctx, j); refusal != nil {
+		p.refuse(j.w, j, refusal)
+		return
+	}
 	for {
 		next, refusal := p.nextPlacement(ctx, j)
 		if refusal != nil {
@@ -61,7 +65,7 @@
 	}
 	for {
 		next, refusal := p.findPlacement(ctx, j)
-		if refusal == nil || !j.headerSent || p.pinnedGone(j) || !ticker.Sleep(ctx, placementInterval) {
+		if refusal == nil || !j.headerSent || p.pinnedGone(j) || p.buildGone(j) || !ticker.Sleep(ctx, placementInterval) {
 			return next, refusal
 		}
 		j.tried = nil // upstreams that failed it may serve it by now, and there is nothing to lose
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -28,6 +28,7 @@
 	Upstreams   = "upstreams_known"             // none
 	Detours     = "connections_detoured_total"  // outcome
 	Passed      = "connections_passed"          // none
+	Origins     = "stream_origins_total"        // outcome
 	RowsTold    = "rows_told_bytes_total"       // rows
 	Unreached   = "upstreams_unreached_seconds" // none
 	Dropped     = "log_lines_dropped_total"     // none
@@ -45,6 +46,7 @@
 	Pause:       "longest time between two events of a stream",
 	Sends:       "sends of requests to upstreams by outcome",
 	Connections: "new connections to upstreams",
+	Origins:     "streams that callers resume, by how the build that began them was found",
 	Admits:      "turns asked for at engines by outcome",
 	Store:       "time of calls to the store; those of the feed include the wait for a change",
 	StoreFails:  "calls to the store that failed",
