--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -22,7 +22,7 @@
 	Adapter  string        // "model/adapter"; empty for the base model itself
 	Prompt   int           // tokens of the prompt
 	Most     int           // tokens that the answer may have
-	Prefix   string        // what the prompt shares with others
+	Parts    []string      // IDs of the parts of the prompt that other requests may share, in order
 	LastSeen string        // id of the last event that the caller has, where it resumes
 	Resumes  string        // ID of the attempt that brought the stream's first event, where the caller resumes it
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -61,8 +61,8 @@
 func (p *Proxy) handleCut(j *job, t target.Target, end streamEnd, err error) (done bool) {
 	now := time.Now()
 	p.countSend(t, "cut")
-	p.Log.Info("stream cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.String("build", t.Build), zap.String("last", j.lastEventID),
-		zap.Duration("since", now.Sub(j.start)), zap.Bool("silent", end == endStalled || end == endMoved),
+	p.Log.Info("stream cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.String("build", t.Build),
+		zap.String("last", j.lastEventID), zap.Strings("parts", j.req.Parts), zap.Duration("since", now.Sub(j.start)), zap.Bool("silent", end == endStalled || end == endMoved),
 		zap.Bool("held", end == endCallerSlow), zap.Error(err))
 	if end != endCallerSlow {
 		p.Pick.BackOff(t.ID, now)
