Keep rows for a fleet that starts again under one prefix

Cause: the row builds/several is read by each host that starts; a second kind of such rows would cost a second call at each start. Change: rows under facts/ are listed once at the start and kept up to date by the host that reads for the others; the builds are one of them. No other behaviour. Conclusion: further facts cost no call unless there are any.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,8 +110,8 @@
 	blame          blame.Blame
 	origins        origin.Origin
 	builds         builds.Builds
-	buildsRow      buildsRow
-	buildsRestored atomic.Bool // whether the builds that served before this host started are known
+	facts          facts
+	factsRestored  atomic.Bool // whether the facts from before this host started are known
 	memoWriter     memoWriter
 	ending         context.Context // done shortly before the process exits
 	leaving        atomic.Bool
@@ -155,6 +155,6 @@
 	go e.runPeers(work, e.Setup())
 	go e.reach.Run(work)
 	go e.sweep(work)
-	go e.syncBuilds(work)
+	go e.syncFacts(work)
 	go e.reportToSelf(work)
 }
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"reflect"
 	"slices"
 	"time"
 
@@ -12,23 +9,11 @@
 
 	"damaskreach/internal/began"
 	"damaskreach/internal/mate"
-	"damaskreach/internal/rows"
 	"damaskreach/internal/spread"
 	"damaskreach/internal/stats"
-	"damaskreach/internal/table"
-	"damaskreach/internal/ticker"
 )
 
 const (
-	// buildsKey is the key of the row with the groups that run or have just run several builds of their software, for a fleet whose hosts
-	// are all killed. It exists only while there are such groups.
-	buildsKey = "builds/several"
-	// buildsInterval is the time between comparisons of that row with what this host knows.
-	buildsInterval = time.Second
-	// buildsRecheck is the time after which the row is compared again without a change: the store may come back from an older copy.
-	buildsRecheck = 10 * time.Second
-	// buildsTimeout bounds a call to the store for that row.
-	buildsTimeout = 2 * time.Second
 	// originKeepers is how many other hosts remember where a stream of a group with several builds began. More are asked, as hosts that
 	// started or ended since then change which ones come first.
 	originKeepers, originAsked = 2, 4
@@ -38,12 +23,6 @@
 	maxViewAge = 5 * time.Second
 )
 
-// buildsRow tracks the row under buildsKey. It belongs to the goroutine of syncBuilds.
-type buildsRow struct {
-	synced   map[string][]string // what the row held when it was last compared
-	syncedAt time.Time
-}
-
 // observeBuilds records the builds that are registered now. Streams that began before their group ran several builds are made known to other
 // hosts, which need not have known so far.
 func (e *Edge) observeBuilds() {
@@ -115,7 +94,7 @@
 	if b, ok := e.origins.Find(attempt); ok && b.Group == group {
 		return b.Build, "own"
 	}
-	if build, ok := e.builds.Sole(group); ok && e.buildsRestored.Load() && e.hearsOfBuilds() {
+	if build, ok := e.builds.Sole(group); ok && e.factsRestored.Load() && e.hearsOfBuilds() {
 		return build, "sole"
 	}
 	if b, ok := e.askOrigin(ctx, attempt); ok && b.Group == group {
@@ -164,69 +143,3 @@
 func (e *Edge) newBuilds(group string) []string {
 	return e.builds.New(group, e.Setup().Drain, time.Now())
 }
-
-// restoreBuilds reads the row under buildsKey. Until then, no build counts as the only one of its group.
-func (e *Edge) restoreBuilds(ctx context.Context) {
-	for ctx.Err() == nil {
-		groups, _, err := e.readBuilds(ctx)
-		if err == nil {
-			e.builds.Restore(groups, time.Now())
-			e.buildsRow.synced = groups
-			e.buildsRestored.Store(true)
-			return
-		}
-		e.Log.Info("builds of before the start not read", zap.Error(err))
-		ticker.Sleep(ctx, e.retryDelay())
-	}
-}
-
-// syncBuilds keeps the row under buildsKey up to date while this host reads the store for the others.
-func (e *Edge) syncBuilds(ctx context.Context) {
-	e.restoreBuilds(ctx)
-	for range ticker.Every(ctx, buildsInterval) {
-		groups, now := e.builds.Several(), time.Now()
-		row := &e.buildsRow
-		if len(groups)+len(row.synced) == 0 || !e.isReader() ||
-			reflect.DeepEqual(groups, row.synced) && now.Sub(row.syncedAt) < buildsRecheck {
-			continue
-		}
-		if err := e.writeBuilds(ctx, groups); err != nil {
-			e.Log.Info("builds not written", zap.Error(err))
-			continue
-		}
-		row.synced, row.syncedAt = groups, now
-	}
-}
-
-// writeBuilds brings the row under buildsKey up to date.
-func (e *Edge) writeBuilds(ctx context.Context, groups map[string][]string) error {
-	stored, rev, err := e.readBuilds(ctx)
-	if err != nil || reflect.DeepEqual(stored, groups) {
-		return err
-	}
-	edit := rows.Row{Key: buildsKey, Rev: rev}
-	if len(groups) == 0 {
-		edit = edit.WithGone()
-	} else if edit.Value, err = json.Marshal(groups); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, buildsTimeout)
-	defer cancel()
-	_, err = e.Table.Write(ctx, edit)
-	return err
-}
-
-// readBuilds reads the row under buildsKey; it is empty if there is none.
-func (e *Edge) readBuilds(ctx context.Context) (groups map[string][]string, rev int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, buildsTimeout)
-	defer cancel()
-	groups = map[string][]string{}
-	row, err := e.Table.Read(ctx, buildsKey)
-	if errors.Is(err, table.ErrAbsent) {
-		return groups, 0, nil
-	}
-	if err == nil {
-		err = json.Unmarshal(row.Value, &groups)
-	}
-	return groups, row.Rev, err
-}
