Block a part of prompts that crashes the engines that run it

Cause: requests that crash engines were known by path, adapter and body; no two of these are alike, so none was ever known, and each was sent twice. Change: crashes count by part of the prompt; three with no sound run in between block the last part that explains them, on all hosts; two keep a request from a second try. An engine has crashed only if nothing listens at its address, and only requests that it had just begun count. Blocked parts are facts in the store. Crashes of half the engines at once, three times, blame no part.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -115,7 +115,7 @@
 		StopsSoon: e.stopsSoon, Stopping: e.ending, WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
 		IsToBlame: e.reach.IsToBlame, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
-		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Speeds: e.speeds,
+		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Poison: &e.poison, Crashed: e.reach.Refuses, Speeds: e.speeds,
 		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, NewBuilds: e.newBuilds,
 		Log: e.Log, RequestLog: e.RequestLog, Stats: e.Stats,
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	"damaskreach/internal/past"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/poison"
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/reach"
@@ -108,6 +109,7 @@
 	confFetch      confFetch
 	conns          conns.Conns
 	blame          blame.Blame
+	poison         poison.Poison
 	origins        origin.Origin
 	builds         builds.Builds
 	facts          facts
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,12 +17,16 @@
 	factsPrefix = "facts/"
 	// buildsKey is the key of the row with the groups that run or have just run several builds of their software.
 	buildsKey = factsPrefix + "builds"
+	// partPrefix is the key prefix of the rows with parts of prompts that are blocked, one row for each.
+	partPrefix = factsPrefix + "part-"
 	// factsInterval is the time between comparisons of these rows with what this host knows.
 	factsInterval = time.Second
 	// factsRecheck is the time after which rows are compared again without a change: the store may come back from an older copy.
 	factsRecheck = 10 * time.Second
 	// factsTimeout bounds a call to the store for these rows.
 	factsTimeout = 2 * time.Second
+	// maxFactEdits bounds the rows in one write; a transaction takes a hundred.
+	maxFactEdits = 90
 )
 
 // facts tracks the rows under factsPrefix. It belongs to the goroutine of syncFacts.
@@ -30,6 +35,11 @@
 	syncedAt time.Time
 }
 
+// partFact is the value of the row of a part that is blocked.
+type partFact struct {
+	Until int64 `json:"until"` // Unix time in ms
+}
+
 // syncFacts keeps the rows under factsPrefix up to date while this host reads the store for the others.
 func (e *Edge) syncFacts(ctx context.Context) {
 	e.restoreFacts(ctx)
@@ -64,15 +74,23 @@
 }
 
 func (e *Edge) applyFacts(stored map[string]string) {
+	now, blocks := time.Now(), map[string]time.Time{}
 	for key, value := range stored {
 		var groups map[string][]string
-		if key != buildsKey || json.Unmarshal([]byte(value), &groups) != nil {
+		var fact partFact
+		part, isPart := strings.CutPrefix(key, partPrefix)
+		switch {
+		case key == buildsKey && json.Unmarshal([]byte(value), &groups) == nil:
+			e.builds.Restore(groups, now)
+		case isPart && json.Unmarshal([]byte(value), &fact) == nil:
+			blocks[part] = time.UnixMilli(fact.Until)
+		default:
 			e.Log.Warn("invalid fact", zap.String("key", key))
 			continue
 		}
-		e.builds.Restore(groups, time.Now())
 		e.Log.Info("fact from before the start", zap.String("key", key), zap.String("value", value))
 	}
+	e.poison.Restore(blocks)
 }
 
 // knownFacts returns the rows that there should be.
@@ -81,6 +99,9 @@
 	if groups := e.builds.Several(); len(groups) > 0 {
 		known[buildsKey] = encodeFact(groups)
 	}
+	for part, until := range e.poison.Blocks(time.Now()) {
+		known[partPrefix+part] = encodeFact(partFact{Until: until.UnixMilli()})
+	}
 	return known
 }
 
@@ -90,10 +111,10 @@
 	return string(data)
 }
 
-// factEdits returns what makes stored rows those that there should be.
+// factEdits returns what makes stored rows those that there should be. Hosts block a part until different times, which are left alone.
 func (e *Edge) factEdits(known, stored map[string]string) (edits []rows.Row) {
 	for key, value := range known {
-		if old, ok := stored[key]; !ok || old != value {
+		if old, ok := stored[key]; !ok || old != value && key == buildsKey {
 			edits = append(edits, rows.Row{Key: key, Value: []byte(value), Rev: rows.AnyRev})
 		}
 	}
@@ -102,7 +123,7 @@
 			edits = append(edits, rows.Row{Key: key, Gone: true, Rev: rows.AnyRev})
 		}
 	}
-	return edits
+	return edits[:min(len(edits), maxFactEdits)]
 }
 
 func (e *Edge) writeFacts(ctx context.Context, known map[string]string) error {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -147,6 +147,9 @@
 		e.speeds.SetReported(s.ID, s.EventInterval)
 	}
 	e.blame.AddBreaks(g.Breaks, now)
+	for _, part := range e.poison.AddReports(g.Breaks, now) {
+		e.Log.Warn("part of prompts crashes engines, by reports of other hosts", zap.String("part", part), zap.String("from", g.IP))
+	}
 	e.loader.RecordUsage(g.Usages, now)
 }
 
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -23,6 +23,8 @@
 	poisonedPart, openingPart = "poisoned", "opening"
 	// soundRate and poisonRate are the requests a second without and with that part.
 	soundRate, poisonRate = 20, 1.5
+	// soundParts is how many other parts follow the opening, each in a few requests.
+	soundParts = 40
 	// crashedFor is how long an engine that has crashed is away, lapseTime how long its registration stays.
 	crashedFor, lapseTime = 2 * time.Second, 3 * registrationInterval
 	// From detectTime after the crash of minCrashed engines on, no more than maxPoisoned requests with the part may reach engines. From twice
@@ -72,15 +74,16 @@
 }
 
 // generateParts sends requests whose prompts have given parts at a rate until ctx ends. Callers come back once after a failure.
-func (f *farm) generateParts(ctx context.Context, seed uint64, perSecond float64, parts string, result func(firstTry bool)) {
+func (f *farm) generateParts(ctx context.Context, seed uint64, perSecond float64, parts func(rng *rand.Rand) string, result func(firstTry bool)) {
 	rng := rand.New(rand.NewPCG(seed, 61))
 	f.callAtRate(ctx, rng, perSecond, func(client *http.Client) {
+		prompt := parts(rng)
 		id, adapter, host := fmt.Sprintf("%x", rng.Uint64()), fmt.Sprint("m/a", rng.IntN(poisonAdapters)), rng.IntN(len(f.hosts))
 		go func() {
-			ok := f.sendParts(client, id, f.hosts[host], adapter, parts)
+			ok := f.sendParts(client, id, f.hosts[host], adapter, prompt)
 			result(ok)
 			if !ok {
-				f.sendParts(client, id+"-again", f.hosts[(host+1)%len(f.hosts)], adapter, parts)
+				f.sendParts(client, id+"-again", f.hosts[(host+1)%len(f.hosts)], adapter, prompt)
 			}
 		}()
 	})
@@ -137,20 +140,19 @@
 	sound [afterwards + 1]share
 }
 
-func newPoisonFarm(t *testing.T, ctx context.Context, seed uint64) *poisonFarm {
+func newPoisonFarm(ctx context.Context, t *testing.T, seed uint64) *poisonFarm {
 	f := &poisonFarm{farm: newEmptyFarm()}
 	f.separateAddrs = true
 	f.start(t, poisonHosts, poisonEngines, unlimitedTeams, f.adaptHost)
-	for n := range 4 {
-		f.generateParts(ctx, 100*seed+uint64(n), soundRate/4, fmt.Sprint(openingPart, " part", n), func(firstTry bool) {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.sound[f.span].asked++
-			if firstTry {
-				f.sound[f.span].begun++
-			}
-		})
-	}
+	soundPrompt := func(rng *rand.Rand) string { return fmt.Sprint(openingPart, " part", rng.IntN(soundParts)) }
+	f.generateParts(ctx, 100+seed, soundRate, soundPrompt, func(firstTry bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.sound[f.span].asked++
+		if firstTry {
+			f.sound[f.span].begun++
+		}
+	})
 	time.Sleep(5 * time.Second)
 	return f
 }
@@ -158,7 +160,7 @@
 // poison sends requests with the poisoned part for a while.
 func (f *poisonFarm) poison(ctx context.Context, seed uint64) {
 	f.enter(untilDetected)
-	f.generateParts(ctx, seed, poisonRate, openingPart+" "+poisonedPart, func(bool) {})
+	f.generateParts(ctx, seed, poisonRate, func(*rand.Rand) string { return openingPart + " " + poisonedPart }, func(bool) {})
 }
 
 func (f *poisonFarm) enter(span int) {
@@ -226,7 +228,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				t.Cleanup(cancel)
-				f := newPoisonFarm(t, ctx, seed)
+				f := newPoisonFarm(ctx, t, seed)
 				f.poison(ctx, seed)
 				f.awaitDetection()
 				time.Sleep(10 * time.Second)
@@ -246,7 +248,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				t.Cleanup(cancel)
-				f := newPoisonFarm(t, ctx, seed)
+				f := newPoisonFarm(ctx, t, seed)
 				f.poison(ctx, seed)
 				f.awaitDetection()
 				f.restartHosts(0, 1, 2, 3, 4, 5)
@@ -267,7 +269,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				t.Cleanup(cancel)
-				f := newPoisonFarm(t, ctx, seed)
+				f := newPoisonFarm(ctx, t, seed)
 				for range 3 {
 					for _, id := range f.live()[:poisonEngines/2] {
 						f.crash(id)
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -25,6 +25,7 @@
 	"damaskreach/internal/model"
 	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/poison"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/proxy"
 	"damaskreach/internal/ration"
@@ -45,6 +46,7 @@
 const (
 	headID        = "Fake-Id"
 	headLastEvent = "Fake-Last"
+	headParts     = "Fake-Parts"   // parts of the prompt that other requests may share
 	headResumes   = "Fake-Resumes" // attempt that brought the stream's first event
 	headNotRun    = "Fake-Not-Run"
 	headTarget    = "Fake-For"
@@ -81,6 +83,7 @@
 	storeDown  bool                     // the store does not answer
 	stopsSoon  bool
 	builds     map[string]string // builds that began streams, by attempt
+	crashed    map[string]bool   // addresses at which nothing listens any more
 	newBuilds  []string          // that other hosts may not know of
 	origins    []began.Began     // streams that have begun
 	dial       func(addr string) // called when a connection is opened; may be nil
@@ -107,6 +110,7 @@
 		Decode: func(r *http.Request) (demand.Demand, error) {
 			return demand.Demand{
 				ID: "r1", Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: http.Header{}, Model: r.Header.Get("M"),
+				Parts:   strings.Fields(r.Header.Get(headParts)),
 				Adapter: r.Header.Get("A"), LastSeen: r.Header.Get(headLastEvent), Resumes: r.Header.Get(headResumes),
 			}, nil
 		},
@@ -133,7 +137,8 @@
 		},
 		NewBuilds: func(string) []string { return b.newBuilds },
 		Send:      b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
-		Blame: &blame.Blame{}, Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
+		Blame: &blame.Blame{}, Poison: &poison.Poison{}, Crashed: func(addr string) bool { return b.crashed[addr] },
+		Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		StopsSoon: func() bool { return b.stopsSoon }, Stopping: context.Background(), WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), RequestLog: zap.NewNop(),
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -74,6 +74,7 @@
 	}
 	if code == "ok" && j.runs > 0 && j.fingerprint != "" {
 		p.Blame.Clear(j.fingerprint)
+		p.Poison.RecordSound(j.req.Parts, now)
 	}
 	if j.refund != nil && verdict == verd.NotRun {
 		j.refund()
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -45,6 +45,7 @@
 	permit         turn            // under which it is counted at a brittle upstream
 	rejectedFull   bool            // the upstream rejected it for lack of room
 	refund         func()          // undoes the charge against the team's limit; nil if nothing was charged
+	sound          bool            // it has run long enough not to crash its engine
 	begun          bool            // the caller has events of the stream
 	build          string          // that began the stream, if it has begun: no other can go on with it
 	sentBuild      string          // build of the upstream of the last send
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -53,6 +53,7 @@
 	}
 	if verdict != verd.NotRun && ctx.Err() == nil {
 		p.recordBreak(j, t, false)
+		p.recordCrash(j, t)
 	}
 	p.Pick.BackOff(t.ID, now)
 	p.Log.Info("send failed", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Stringer("verdict", verdict),
@@ -62,7 +63,7 @@
 		code = refuse.NoUpstream
 	}
 	j.recordFailure(t.ID, refuse.NewRefusal(j.verdict(), code, "sending to %s failed", t.ID).WithRetry(defaultRetry))
-	if verdict == verd.NotRun || j.allowResend() && !p.Blame.Blocked(j.fingerprint, now) {
+	if verdict == verd.NotRun || j.allowResend() && !p.suspected(j, now) {
 		return false
 	}
 	p.refuse(j.w, j, j.lastRefusal)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,6 +27,7 @@
 	"damaskreach/internal/intent"
 	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/poison"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/spare"
@@ -116,6 +117,8 @@
 	// IsToBlame waits until it is known whether an upstream caused the break or the silence of a request sent at a time, rather than this
 	// host's network, and reports whether it did; nil means that it always did.
 	IsToBlame func(addr string, sent, failed time.Time, silent bool) bool
+	// Crashed reports whether nothing listens any more where an upstream did.
+	Crashed func(addr string) bool
 	// ViewAge returns the age of the newest reading of the upstreams that this host uses, its own or another host's.
 	ViewAge func() time.Duration
 	// StoreDown reports whether the store did not answer the last reading.
@@ -129,6 +132,7 @@
 	Flight  *flight.Flight
 	Avoid   *avoid.Avoid
 	Blame   *blame.Blame
+	Poison  *poison.Poison
 	Speeds  *speeds.Speeds
 	Log     *zap.Logger
 	// RequestLog gets one line for each request, at its end.
@@ -203,7 +207,7 @@
 	if p.Blame.Blocked(j.fingerprint, time.Now()) {
 		return refuse.NewRefusal(verd.NotRun, refuse.Suspect, "upstreams broke off under earlier tries of it").WithRetry(suspectRetry)
 	}
-	return nil
+	return p.blockedPart(j)
 }
 
 // charge counts the request against its team's limit. Over the limit it is refused before it takes a turn or a load.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -74,12 +74,15 @@
 	if end != endCallerSlow {
 		p.recordBreak(j, t, end == endMoved)
 	}
+	if end == endBroken {
+		p.recordCrash(j, t)
+	}
 	j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
 	if end == endMoved {
 		j.movedFrom = &t
 		return false
 	}
-	if j.allowResend() && !p.Blame.Blocked(j.fingerprint, now) {
+	if j.allowResend() && !p.suspected(j, now) {
 		return false
 	}
 	p.refuse(j.w, j, j.lastRefusal)
@@ -111,6 +114,7 @@
 		if j.firstByteAt.IsZero() {
 			p.recordFirstEvent(j, t)
 		}
+		p.recordSound(j, time.Now())
 		if err := j.writeEvent(event.Bytes()); err != nil {
 			return err
 		}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -41,6 +41,10 @@
 			p.refuse(j.w, j, refusal)
 			return
 		}
+		if refusal := p.blockedPart(j); refusal != nil {
+			p.refuse(j.w, j, refusal)
+			return
+		}
 		j.sends++
 		if done := p.send(ctx, j, next.target, next.version); done {
 			return
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -52,8 +53,9 @@
 	Changed func(lost bool)
 	Log     *zap.Logger
 
-	lastHeard atomic.Int64 // when anything came from any upstream, in Unix nanoseconds
-	paths     sync.Map     // *path of each upstream that was sent a request, by address
+	refusals  singleflight.Group // dials of Refuses, by address
+	lastHeard atomic.Int64       // when anything came from any upstream, in Unix nanoseconds
+	paths     sync.Map           // *path of each upstream that was sent a request, by address
 
 	mu          sync.Mutex
 	failures    map[string]failure
