Do not move a silent stream to another build of the software

Callers would have seen: a stream of two builds, where its engine falls silent behind the first event. Seen in a test, not in play. Cause: a silent stream is moved with a copy of the request that is made before the first event, when no build has begun it yet. Evidence: TestSilentStreamIsNotMovedToAnotherBuild on: 'sent to 2 engines, want 1'. Change: the copy has the build once an event has come, and a placement found just before that is dropped. After: go test -count=3 ./internal/proxy and once with -race pass. Conclusion: found by reading the mend of the streams again; the other place that copies a request, a load without a request that waits for it, sends nothing.

--- a/internal/proxy/mover.go
+++ b/internal/proxy/mover.go
@@ -42,6 +42,7 @@
 	cancelSearch context.CancelFunc // ends the current search; nil if there is none
 	next         *placement         // set when the stream is cut
 	lastEventAt  time.Time          // when the last event came, or the wait for the next one began
+	begun        bool                // an event has come
 	ended        bool
 }
 
@@ -60,6 +61,9 @@
 		}
 		attempt := template
 		attempt.tried = maps.Clone(template.tried)
+		if m.hasBegun() {
+			attempt.begun, attempt.build = true, t.Build
+		}
 		next, refusal := p.findPlacement(ctx, &attempt)
 		if refusal != nil || ctx.Err() != nil {
 			p.releaseTurn(&attempt.turn, false)
@@ -136,12 +140,18 @@
 		return
 	}
 	m.stopSearch()
-	m.lastEventAt = time.Now()
+	m.begun, m.lastEventAt = true, time.Now()
 	if m.timer != nil {
 		m.timer.Stop()
 	}
 }
 
+func (m *mover) hasBegun() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begun
+}
+
 // silent reports whether the stream has been silent for long enough to be moved, whether or not it may be.
 func (m *mover) silent() bool {
 	m.mu.Lock()
--- a/internal/proxy/origin_test.go
+++ b/internal/proxy/origin_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"damaskreach/internal/began"
 	"damaskreach/internal/resp"
@@ -70,3 +72,22 @@
 		t.Errorf("sent to %v, want nothing sent", b.sent)
 	}
 }
+
+// A stream falls silent after its first event, and only an engine of another build has room. It must not be moved there: it stays where it is, and
+// ends whole once its engine goes on.
+func TestSilentStreamIsNotMovedToAnotherBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHolderBench(t, true)
+		b.setBuild("one", "v1")
+		b.setBuild("two", "v2")
+		cuts := 0
+		b.setAnswers(pausesFor(3*time.Second, &cuts), answers(http.StatusOK, nil, lastEvent, nil))
+		rec, broken := b.call(adapterRequest)
+		if got, want := rec.Body.String(), firstEvent+lastEvent; broken || got != want {
+			t.Errorf("answer = %q, broken off = %v, want %q whole", got, broken, want)
+		}
+		if got, want := len(b.sent), 1; got != want {
+			t.Errorf("sent to %d engines, want %d", got, want)
+		}
+	})
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -65,7 +65,11 @@
 func (p *Proxy) nextPlacement(ctx context.Context, j *job) (placement, *refuse.Refusal) {
 	if next := j.nextPlacement; next != nil {
 		j.nextPlacement, j.turn = nil, next.turn
-		return *next, nil
+		if j.canGoOnAt(next.target) {
+			return *next, nil
+		}
+		// Its first event came just as the silent stream was cut, so that it can no longer go on at any build.
+		p.releaseTurn(&j.turn, false)
 	}
 	for {
 		next, refusal := p.findPlacement(ctx, j)
