Cut off an upstream that sends the head of an answer without end

Callers would have seen: the host that reads such bytes runs out of memory and is killed, with all requests on it. Cause: the head of an answer was read to its end however long that was, and so were answers to other requests. Change: 64 KiB for a head, 1 MiB for the body of an answer to another request.

--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -10,14 +10,23 @@
 	"damaskreach/internal/demand"
 )
 
-// strays is how many answers to other requests are skipped before a connection is given up.
-const strays = 2
+const (
+	// strays is how many answers to other requests are skipped before a connection is given up.
+	strays = 2
+	// maxHead and maxStray bound the head of an answer and the body of one to another request, in bytes. An upstream in trouble may send
+	// bytes without end, which would fill the memory of this host.
+	maxHead  = 64 << 10
+	maxStray = 1 << 20
+)
+
+// ErrLongHead means that the head of an answer has not ended within maxHead.
+var ErrLongHead = merry.Sentinel("uplink: the head of the answer is too long")
 
 // answer reads the answer to a request, past answers to others. An upstream may answer a request twice; the second
 // answer then lies where the next one is expected.
 func (c *conn) answer(d demand.Demand) (*http.Response, error) {
 	for range strays + 1 {
-		r, err := http.ReadResponse(c.read, &http.Request{Method: d.Method})
+		r, err := c.head(d.Method)
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
@@ -34,11 +43,18 @@
 	return nil, merry.Wrap(ErrStray)
 }
 
+// head reads the head of an answer.
+func (c *conn) head(method string) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHead
+	defer func() { c.inHead = false }()
+	return http.ReadResponse(c.read, &http.Request{Method: method})
+}
+
 // skip reads an answer to its end, so that the next one can be read; it reports false where the connection is of no more
 // use.
 func skip(r *http.Response) bool {
-	_, err := io.Copy(io.Discard, r.Body)
-	return err == nil && !r.Close
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStray))
+	return err == nil && n < maxStray && !r.Close
 }
 
 // body is the body of an answer, which knows whether it was read to its end. To find that out by reading on, once it is not wanted any more, would
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -61,13 +61,23 @@
 	idled  time.Duration // how long it was idle before the request that is on it now; 0 for a new one
 	heard  time.Time     // when something came last
 	closed sync.Once
+	// inHead says that the head of an answer is read, of which headLeft more bytes may come.
+	inHead   bool
+	headLeft int
 	// restore sets the bound again on how long bytes wait for the upstream; nil where it was not lifted.
 	restore func() error
 }
 
-// Read reads what has come.
+// Read reads what has come. While the head of an answer is read, it fails once that is too long.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.inHead {
+		p = p[:min(len(p), c.headLeft)]
+		if len(p) == 0 {
+			return 0, merry.Wrap(ErrLongHead)
+		}
+	}
 	n, err := c.Conn.Read(p)
+	c.headLeft -= n
 	if n > 0 {
 		c.heard = time.Now()
 		if c.up.Heard != nil {
