Cut off an engine whose stream brings bytes without end but no further event

Callers would have seen: their host killed for its memory, or a stream that never goes on while the same event comes again and again. Cause: an event was kept until it was whole, however long, and events that the caller has or that have no id counted as progress. Change: 64 KiB may come without an event that the caller lacks; then the stream goes on at another engine as after a break.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/internal/resp"
@@ -18,6 +19,13 @@
 	"damaskreach/pkg/verd"
 )
 
+// maxIdleBytes is how many bytes of a stream may come without an event that the caller lacks. Events hold a few tokens; an engine in trouble may
+// send bytes without end, which would fill the memory of this host.
+const maxIdleBytes = 64 << 10
+
+// errNoProgress is the failure of a stream that brings bytes but no further event.
+var errNoProgress = merry.Sentinel("proxy: the stream brings no further event")
+
 // relay passes a stream on event by event. Only whole events go to the caller: if an engine stops in the middle of one, another
 // engine continues after the last whole one.
 func (p *Proxy) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
@@ -99,9 +107,10 @@
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(body)
 	var event bytes.Buffer
+	left := maxIdleBytes
 	for {
 		m.startWaiting()
-		switch err := readEvent(in, &event); {
+		switch err := readEvent(in, &event, left); {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			return nil
 		case errors.Is(err, io.EOF):
@@ -115,9 +124,13 @@
 			p.recordFirstEvent(j, t)
 		}
 		p.recordSound(j, time.Now())
+		last := j.lastEventID
 		if err := j.writeEvent(event.Bytes()); err != nil {
 			return err
 		}
+		if left -= event.Len(); j.lastEventID != last {
+			left = maxIdleBytes
+		}
 		event.Reset()
 		if in.Buffered() > 0 {
 			continue
@@ -129,11 +142,14 @@
 	}
 }
 
-// readEvent reads up to the end of one event. With an error, event holds the part that was read.
-func readEvent(in *bufio.Reader, event *bytes.Buffer) error {
+// readEvent reads up to the end of one event of at most the given size. With an error, event holds the part that was read.
+func readEvent(in *bufio.Reader, event *bytes.Buffer, most int) error {
 	for !bytes.HasSuffix(event.Bytes(), []byte("\n\n")) {
 		line, err := in.ReadSlice('\n')
 		event.Write(line)
+		if event.Len() > most {
+			return merry.Wrap(errNoProgress)
+		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
