Let answers that are read whole share a part of the memory

Callers would have seen: their host killed for its memory, where upstreams answer many requests at once with bytes without end. Cause: each answer was bounded, 8 MB, but not all together; small hosts have 144 MB. Evidence: TestWholeAnswersWithoutEndShareTheirRoom on the code before: 223 MB of 64 answers are held at once, want 13 MB at most. Change: beyond 32 KiB an answer needs room from a sixteenth of the process's memory, and is cut off where there is none. Conclusion: short answers go on being served meanwhile.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/flight"
@@ -30,6 +32,10 @@
 	"damaskreach/internal/uplink"
 )
 
+// answerRoomShare is the part of the process's memory that answers may take while they are read whole: one in so many bytes. Reading them takes
+// up to three times as much.
+const answerRoomShare = 16
+
 // build creates the components and connects them.
 func (e *Edge) build() *proxy.Proxy {
 	s := e.Setup()
@@ -114,7 +120,8 @@
 		Charge: e.limits.Charge, Use: e.trackUse,
 		StopsSoon: e.stopsSoon, Stopping: e.ending, WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
-		IsToBlame: e.reach.IsToBlame, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
+		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
+		IsToBlame:  e.reach.IsToBlame, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
 		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Poison: &e.poison, Crashed: e.reach.Refuses, Speeds: e.speeds,
 		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, NewBuilds: e.newBuilds,
 		Log: e.Log, RequestLog: e.RequestLog, Stats: e.Stats,
--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -4,9 +4,16 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"golang.org/x/sync/semaphore"
+
+	"damaskreach/internal/kinds"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/route"
 )
 
 const (
@@ -61,3 +68,45 @@
 		})
 	}
 }
+
+// Upstreams in trouble answer many requests at once with bytes without end. Each is cut off at the size of the largest answer, but all of them
+// together must not fill the memory of the host either.
+func TestWholeAnswersWithoutEndShareTheirRoom(t *testing.T) {
+	const calls, room, slack = 64, 4 << 20, 128 << 10
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1, Target: time.Second})
+	b.AnswerRoom = semaphore.NewWeighted(room)
+	var held, most atomic.Int64
+	var started sync.WaitGroup
+	started.Add(calls)
+	for range calls {
+		b.answers = append(b.answers, func(s sent) (resp.Resp, error) {
+			started.Done()
+			started.Wait()
+			f := &flood{piece: "x"}
+			body := readerFunc(func(p []byte) (int, error) {
+				n, err := f.Read(p)
+				if sum := held.Add(int64(n)); sum > most.Load() {
+					most.Store(sum)
+				}
+				return n, err
+			})
+			return resp.Resp{Status: http.StatusOK, Header: http.Header{}, Body: body, Cut: func() {}, Close: func() { held.Add(-int64(f.read)) }}, nil
+		})
+	}
+	var all sync.WaitGroup
+	for range calls {
+		all.Go(func() { b.call(nil) })
+	}
+	all.Wait()
+	if got, want := most.Load(), int64(room+calls*slack); got > want {
+		t.Errorf("%d bytes of answers were held at once, want %d at most", got, want)
+	}
+	b.setAnswers(answers(http.StatusOK, nil, "whole", nil))
+	if rec, _ := b.call(nil); rec.Code != http.StatusOK || rec.Body.String() != "whole" {
+		t.Errorf("answer afterwards = %d %q, want it whole", rec.Code, rec.Body.String())
+	}
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/began"
@@ -148,7 +149,7 @@
 			Hosts: func() int { return 1 }, Clock: func() time.Duration { return time.Since(b.start) }, StartedAt: -10 * time.Second,
 			Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second },
 		},
-		Stats: stats.NewStats(),
+		Stats: stats.NewStats(), AnswerRoom: semaphore.NewWeighted(1 << 30),
 	}
 	return b
 }
--- a/internal/proxy/mover.go
+++ b/internal/proxy/mover.go
@@ -42,7 +42,7 @@
 	cancelSearch context.CancelFunc // ends the current search; nil if there is none
 	next         *placement         // set when the stream is cut
 	lastEventAt  time.Time          // when the last event came, or the wait for the next one began
-	begun        bool                // an event has come
+	begun        bool               // an event has come
 	ended        bool
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/began"
@@ -123,6 +124,8 @@
 	ViewAge func() time.Duration
 	// StoreDown reports whether the store did not answer the last reading.
 	StoreDown func() bool
+	// AnswerRoom bounds the bytes of answers that are read whole, of all requests together.
+	AnswerRoom *semaphore.Weighted
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,8 +22,6 @@
 const (
 	// maxSends bounds the sends of a request whose answer has not begun, including rejected ones.
 	maxSends = 3
-	// maxAnswerBytes is the largest answer that is buffered.
-	maxAnswerBytes = 8 << 20
 	// brittlePause is the pause for a brittle upstream that rejected a request for lack of room: its rejections count per second.
 	brittlePause = time.Second
 )
@@ -209,10 +206,8 @@
 
 // relayWhole passes on an answer after reading all of it, so that one that breaks off can be replaced.
 func (p *Proxy) relayWhole(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
-	if err == nil && len(data) > maxAnswerBytes {
-		err = errors.New("the answer is too large")
-	}
+	data, release, err := p.readAnswer(r.Body)
+	defer release()
 	if err != nil {
 		p.countSend(t, "cut")
 		p.Log.Info("answer cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
