Do not let a request wait for the rest of a rejection

Callers would have seen: late answers, or none, where an upstream that rejects a request sends bytes without end after that, or a few and then nothing. Cause: the body of a rejection was read to its end, up to 8 MB, before the request went elsewhere, although it tells nothing. Evidence: TestRejectionWithoutEndDoesNotDelayTheRequest on the code before: 8.4 MB taken, want 2 MB at most; with silence the request waits for ever (deadlock in the test's virtual time). Change: 32 KiB and 100 ms. After: go test ./internal/proxy passes.

--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -110,3 +111,38 @@
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// An upstream that has rejected a request sends bytes without end, or a few and then nothing more. The request has not run, so its caller must not
+// wait for the end of them.
+func TestRejectionWithoutEndDoesNotDelayTheRequest(t *testing.T) {
+	rejected := http.Header{headNotRun: {"1"}}
+	for name, slow := range map[string]bool{"flood": false, "silence": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, streamRoute())
+				f, cut := &flood{piece: "x"}, make(chan struct{})
+				body := readerFunc(func(p []byte) (int, error) {
+					if slow {
+						<-cut
+						return 0, io.ErrUnexpectedEOF
+					}
+					return f.Read(p)
+				})
+				b.setAnswers(func(sent) (resp.Resp, error) {
+					return resp.Resp{Status: http.StatusServiceUnavailable, Header: rejected, Body: body, Cut: sync.OnceFunc(func() { close(cut) }), Close: func() {}}, nil
+				}, answers(http.StatusOK, nil, firstEvent, nil))
+				began := time.Now()
+				rec, _ := b.call(nil)
+				if got, want := rec.Body.String(), firstEvent; got != want {
+					t.Errorf("answer = %q, want %q of the other engine", got, want)
+				}
+				if took, most := time.Since(began), 300*time.Millisecond; took > most {
+					t.Errorf("answered after %v, want %v at most", took, most)
+				}
+				if f.read > mostEndless {
+					t.Errorf("%d bytes taken, want %d at most", f.read, mostEndless)
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -22,6 +22,9 @@
 const (
 	// maxSends bounds the sends of a request whose answer has not begun, including rejected ones.
 	maxSends = 3
+	// maxRejectionBytes and rejectionTimeout bound the body of a rejection that is read.
+	maxRejectionBytes = 32 << 10
+	rejectionTimeout  = 100 * time.Millisecond
 	// brittlePause is the pause for a brittle upstream that rejected a request for lack of room: its rejections count per second.
 	brittlePause = time.Second
 )
@@ -187,9 +190,7 @@
 
 // handleRejection handles an answer that says the request was not run.
 func (p *Proxy) handleRejection(j *job, t target.Target, r resp.Resp) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxAnswerBytes)); err != nil {
-		p.Log.Debug("reading a rejection failed", zap.String("target", t.ID), zap.Error(err))
-	}
+	p.skipRejection(t, r)
 	now := time.Now()
 	if r.Status == http.StatusMisdirectedRequest && j.req.Adapter != "" {
 		p.Holds.RecordMiss(t.ID, j.req.Adapter, now)
@@ -204,6 +205,15 @@
 	j.recordFailure(t.ID, refuse.NewRefusal(j.verdict(), refuse.Overloaded, "%s rejected the request", t.ID).WithRetry(defaultRetry))
 }
 
+// skipRejection reads the body of a rejection, so that its connection can be kept, but the request does not wait for one that does not end.
+func (p *Proxy) skipRejection(t target.Target, r resp.Resp) {
+	timer := time.AfterFunc(rejectionTimeout, r.Cut)
+	defer timer.Stop()
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxRejectionBytes)); err != nil {
+		p.Log.Debug("reading a rejection failed", zap.String("target", t.ID), zap.Error(err))
+	}
+}
+
 // relayWhole passes on an answer after reading all of it, so that one that breaks off can be replaced.
 func (p *Proxy) relayWhole(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	data, release, err := p.readAnswer(r.Body)
