Do not take a stream for whole that ends with its crashed engine

Callers would have seen: a stream without its end, or an empty one, as if it were whole. Cause: the connection of a process that crashes ends like that of one which has finished; where nothing else marks the end, the end of the connection was believed. Change: answers say whether anything marks their end; where nothing does, an upstream at whose address nothing listens any more has broken off, and a stream without any event is not whole.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -44,6 +44,9 @@
 	m := p.watchSilence(ctx, j, t, r)
 	body := &pausedBody{Reader: r.Body}
 	err := p.copyEvents(j, t, body, m)
+	if err == nil && p.endedEarly(j, t, r) {
+		err = io.ErrUnexpectedEOF
+	}
 	silent := m.silent()
 	j.nextPlacement = m.end()
 	switch end := j.streamEnd(ctx, err, silent, body.excusesBreak()); end {
@@ -65,13 +68,22 @@
 	}
 }
 
+// endedEarly reports whether a stream whose end nothing marks but that of its connection is not whole: its engine has crashed, or there was no
+// event at all. The connection of an engine that crashes between two events ends as that of one that has finished.
+func (p *Proxy) endedEarly(j *job, t target.Target, r resp.Resp) bool {
+	if !r.Unframed {
+		return false
+	}
+	return !j.begun && j.lastEventID == "" || p.Crashed(t.Addr)
+}
+
 // handleCut handles a stream that its upstream broke off or stalled. It returns false if the stream continues at another upstream.
 func (p *Proxy) handleCut(j *job, t target.Target, end streamEnd, err error) (done bool) {
 	now := time.Now()
 	p.countSend(t, "cut")
 	p.Log.Info("stream cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.String("build", t.Build),
-		zap.String("last", j.lastEventID), zap.Strings("parts", j.req.Parts), zap.Duration("since", now.Sub(j.start)), zap.Bool("silent", end == endStalled || end == endMoved),
-		zap.Bool("held", end == endCallerSlow), zap.Error(err))
+		zap.String("last", j.lastEventID), zap.Strings("parts", j.req.Parts), zap.Duration("since", now.Sub(j.start)),
+		zap.Bool("silent", end == endStalled || end == endMoved), zap.Bool("held", end == endCallerSlow), zap.Error(err))
 	if end != endCallerSlow {
 		p.Pick.BackOff(t.ID, now)
 	}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -218,6 +218,9 @@
 func (p *Proxy) relayWhole(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	data, release, err := p.readAnswer(r.Body)
 	defer release()
+	if err == nil && r.Unframed && p.Crashed(t.Addr) {
+		err = io.ErrUnexpectedEOF // the connection may have ended with the upstream and not behind the answer
+	}
 	if err != nil {
 		p.countSend(t, "cut")
 		p.Log.Info("answer cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -11,6 +11,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
-	Cut    func() // closes the connection at once, from any goroutine
-	Close  func() // gives the connection back where the body was read to its end, else closes it
+	// Unframed says that the body has neither length nor chunks: the end of its connection alone marks its end.
+	Unframed bool
+	Cut      func() // closes the connection at once, from any goroutine
+	Close    func() // gives the connection back where the body was read to its end, else closes it
 }
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -133,7 +133,8 @@
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "waiting for the answer of %s", addr), verd.MayHaveRun)
 	}
 	body := newBody(r.Body)
-	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Cut: func() { c.Close() }, Close: func() {
+	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Cut: func() { c.Close() }, Close: func() {
 		alive := stop()
 		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !sent(written) || !c.bound() {
 			c.Close()
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -277,3 +277,24 @@
 		}
 	})
 }
+
+// An answer without length or chunks ends with its connection, and so does one whose upstream crashes. The reader must learn which answers these
+// are, to look whether the upstream is still there.
+func TestAnswerWithoutLengthIsUnframed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for text, want := range map[string]bool{
+		head + "\r\nx": true, answer("1", "x"): false, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": false,
+	} {
+		s := newServer(t, text)
+		d := demand.Demand{ID: "1", Method: "POST", Host: "a", URI: "/x"}
+		r, err := newUplink().Do(t.Context(), s.l.Addr().String(), d, nil, func() bool { return true })
+		if err != nil {
+			t.Fatalf("Do() = %v, want nil", err)
+		}
+		if got := r.Unframed; got != want {
+			t.Errorf("answer %q: unframed = %v, want %v", text, got, want)
+		}
+		r.Cut()
+		r.Close()
+	}
+}
