Name the reason where a stream cannot go on at its build

Operators saw no-upstream for two reasons that ask for different things of them. Change: no-origin where no host remembers which software began a stream, no-build where no engine of that software takes requests; lines and metrics have them as codes of refusals. Measured: go test ./internal/proxy passes, with TestResumedStreamOfABuildThatIsGoneIsRefused new.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 
-	"go.uber.org/zap"
-
 	"damaskreach/internal/began"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/target"
@@ -21,9 +19,7 @@
 	}
 	build, ok := p.FindBuild(ctx, j.req.Resumes, j.group)
 	if !ok {
-		j.addNote("origin-unknown")
-		p.Log.Info("origin of a stream not known", zap.String("request", j.req.ID), zap.String("resumes", j.req.Resumes))
-		return refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "it is not known which software began %s", j.req.Resumes).WithRetry(defaultRetry)
+		return refuse.NewRefusal(verd.NotRun, refuse.NoOrigin, "it is not known which software began %s", j.req.Resumes).WithRetry(defaultRetry)
 	}
 	j.begun, j.build = true, build
 	return nil
--- a/internal/proxy/origin_test.go
+++ b/internal/proxy/origin_test.go
@@ -4,12 +4,14 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"damaskreach/internal/began"
 	"damaskreach/internal/resp"
+	"damaskreach/pkg/refuse"
 )
 
 // newBuildBench returns a bench whose upstreams "one" and "two" run builds v1 and v2 of their software.
@@ -60,13 +62,23 @@
 	}
 }
 
+// All engines of the build that began a stream are gone. The caller must be told so at once, not after waiting for one.
+func TestResumedStreamOfABuildThatIsGoneIsRefused(t *testing.T) {
+	b := newBuildBench(t)
+	b.builds = map[string]string{"first": "v0"}
+	rec, _ := b.call(http.Header{headLastEvent: {"7"}, headResumes: {"first"}})
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want || !strings.Contains(rec.Body.String(), refuse.NoBuild) {
+		t.Errorf("answer = %d %s, want %d, %s", got, rec.Body, want, refuse.NoBuild)
+	}
+}
+
 // Nobody knows which build began the stream that a caller comes back with. A guess could garble it, so the caller is told at once that the
 // request has not run.
 func TestResumedStreamOfUnknownOriginIsRefused(t *testing.T) {
 	b := newBuildBench(t)
 	rec, _ := b.call(http.Header{headLastEvent: {"7"}, headResumes: {"first"}})
-	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
-		t.Errorf("status = %d, want %d", got, want)
+	if got, want := rec.Code, http.StatusServiceUnavailable; got != want || !strings.Contains(rec.Body.String(), refuse.NoOrigin) {
+		t.Errorf("answer = %d %s, want %d, %s", got, rec.Body, want, refuse.NoOrigin)
 	}
 	if len(b.sent) > 0 {
 		t.Errorf("sent to %v, want nothing sent", b.sent)
--- a/internal/proxy/place.go
+++ b/internal/proxy/place.go
@@ -263,6 +263,10 @@
 // noUpstream returns the refusal of a request that no upstream accepts. If all have asked for a pause, it may be retried after
 // the shortest.
 func (p *Proxy) noUpstream(j *job) *refuse.Refusal {
+	if p.buildGone(j) {
+		return refuse.NewRefusal(j.verdict(), refuse.NoBuild, "no upstream of %s with software %q, which began the stream, is ready", j.group, j.build).
+			WithRetry(defaultRetry)
+	}
 	shortest := time.Duration(-1)
 	for _, t := range j.view.Group(j.group) {
 		if !p.notLeaving(t) {
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -23,6 +23,8 @@
 	Limited      = "limited"       // a limit of the adapter or tenant is used up
 	Overloaded   = "overloaded"    // every admission queue that could serve it is full
 	NoUpstream   = "no-upstream"   // no runner that could serve it is reachable
+	NoBuild      = "no-build"      // no upstream of the software that began the stream is ready
+	NoOrigin     = "no-origin"     // it is not known which software began the stream
 	Deadline     = "deadline"      // it cannot be answered before its deadline
 	Suspect      = "suspect"       // earlier tries of it crashed two upstreams
 	Repeat       = "repeat"        // an earlier request with its idempotency key is running or its outcome is unknown
