Skip interim answers of an upstream without counting them as strays

Callers would have seen: a failed request, where a sound upstream sends three interim answers before the one that counts. Cause: answers below 200 counted like answers to other requests, of which two are skipped. Evidence: TestInterimAnswersAreSkipped fails on the code before. Change: interim answers are read as part of the head, within its bound. After: go test ./internal/uplink passes, those without end are still cut off.

--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -13,7 +13,7 @@
 const (
 	// strays is how many answers to other requests are skipped before a connection is given up.
 	strays = 2
-	// maxHead and maxStray bound the head of an answer and the body of one to another request, in bytes. An upstream in trouble may send
+	// maxHead and maxStray bound the head of an answer, with those of interim ones, and the body of one to another request, in bytes. An upstream in trouble may send
 	// bytes without end, which would fill the memory of this host.
 	maxHead  = 64 << 10
 	maxStray = 1 << 20
@@ -30,9 +30,6 @@
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
-		if r.StatusCode < http.StatusOK {
-			continue
-		}
 		if c.up.Matches(r.Header, d.ID) {
 			return r, nil
 		}
@@ -43,11 +40,16 @@
 	return nil, merry.Wrap(ErrStray)
 }
 
-// head reads the head of an answer.
+// head reads the head of an answer, past those of interim ones.
 func (c *conn) head(method string) (*http.Response, error) {
 	c.inHead, c.headLeft = true, maxHead
 	defer func() { c.inHead = false }()
-	return http.ReadResponse(c.read, &http.Request{Method: method})
+	for {
+		r, err := http.ReadResponse(c.read, &http.Request{Method: method})
+		if err != nil || r.StatusCode >= http.StatusOK {
+			return r, err
+		}
+	}
 }
 
 // skip reads an answer to its end, so that the next one can be read; it reports false where the connection is of no more
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -298,3 +298,13 @@
 		r.Close()
 	}
 }
+
+// An upstream tells several times that it is still at work before it answers. Counted like answers to other requests, these would end a sound
+// connection.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	s := newServer(t, interim+interim+interim+interim+answer("1", "one"))
+	if got, err := ask(t, newUplink(), s, "1"); err != nil || got != "one" {
+		t.Errorf("answer = %q, %v, want %q", got, err, "one")
+	}
+}
