Reword uplink

Comments, names of fields, functions and tests in the usual terms (idle timeout, reused connection, canceled request); no behaviour, no text of a log line or error changes. Exported: Most is MaxConns, Heard is Received.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -72,8 +72,8 @@
 // buildUplink creates the client that sends requests to upstreams.
 func (e *Edge) buildUplink() *uplink.Uplink {
 	return &uplink.Uplink{
-		Dial: e.connect, Matches: e.Matches, Most: e.maxConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
-		Usable: e.connUsable, Sent: e.noteSent, Heard: e.noteReceived,
+		Dial: e.connect, Matches: e.Matches, MaxConns: e.maxConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
+		Usable: e.connUsable, Sent: e.noteSent, Received: e.noteReceived,
 	}
 }
 
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// strays is how many answers to other requests are skipped before a connection is given up.
-	strays = 2
+	// maxStrays is how many answers to other requests are skipped before the connection is closed.
+	maxStrays = 2
 	// maxHead and maxStray bound the head of an answer, with those of interim ones, and the body of one to another request, in bytes. An upstream in trouble may send
 	// bytes without end, which would fill the memory of this host.
 	maxHead  = 64 << 10
@@ -22,18 +22,18 @@
 // ErrLongHead means that the head of an answer has not ended within maxHead.
 var ErrLongHead = merry.Sentinel("uplink: the head of the answer is too long")
 
-// answer reads the answer to a request, past answers to others. An upstream may answer a request twice; the second
-// answer then lies where the next one is expected.
+// answer reads the answer to a request and skips answers to other requests: an upstream may answer a request twice, and the second answer
+// then comes where the next one is expected.
 func (c *conn) answer(d demand.Demand) (*http.Response, error) {
-	for range strays + 1 {
+	for range maxStrays + 1 {
 		r, err := c.head(d.Method)
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
-		if c.up.Matches(r.Header, d.ID) {
+		if c.uplink.Matches(r.Header, d.ID) {
 			return r, nil
 		}
-		if !skip(r) {
+		if !skipBody(r) {
 			break
 		}
 	}
@@ -52,15 +52,14 @@
 	}
 }
 
-// skip reads an answer to its end, so that the next one can be read; it reports false where the connection is of no more
-// use.
-func skip(r *http.Response) bool {
+// skipBody reads an answer to its end, so that the next one can be read. It reports false if the connection cannot be used any more.
+func skipBody(r *http.Response) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStray))
 	return err == nil && n < maxStray && !r.Close
 }
 
-// body is the body of an answer, which knows whether it was read to its end. To find that out by reading on, once it is not wanted any more, would
-// wait for an upstream that has stopped in the middle of it.
+// body is the body of an answer and records whether it was read to its end. Reading on to find that out would block on an upstream that has
+// stopped in the middle of it.
 type body struct {
 	io.Reader
 	ended bool
--- a/internal/uplink/looks_test.go
+++ b/internal/uplink/cancel_test.go
@@ -8,21 +8,21 @@
 	"damaskreach/internal/demand"
 )
 
-// lookedAt is a context that calls behind once it was looked at how it ended.
-type lookedAt struct {
+// hookedContext is a context that calls afterErr behind each call of Err.
+type hookedContext struct {
 	context.Context
-	behind func()
+	afterErr func()
 }
 
-// Err looks at how the context ended.
-func (c lookedAt) Err() error {
-	defer c.behind()
+// Err implements context.Context.
+func (c hookedContext) Err() error {
+	defer c.afterErr()
 	return c.Context.Err()
 }
 
-// An upstream closes a kept connection under a request whose caller leaves a moment later: told as the caller's doing, the close would be missed by
-// whoever looks for it.
-func TestBreakJustBeforeTheCallerLeavesIsTheUpstreams(t *testing.T) {
+// An upstream closes a reused connection just before the caller cancels the request. The error must name the break: reported as a cancellation, it
+// would not count against the upstream.
+func TestBreakJustBeforeCancellationIsReported(t *testing.T) {
 	s := newServer(t, answer("1", "one"), "")
 	u := newUplink()
 	if _, err := ask(t, u, s, "1"); err != nil {
@@ -30,7 +30,7 @@
 	}
 	ctx, leave := context.WithCancel(t.Context())
 	asked := false
-	caller := lookedAt{ctx, func() {
+	caller := hookedContext{ctx, func() {
 		if asked {
 			leave()
 		}
@@ -40,6 +40,6 @@
 		return true
 	})
 	if err == nil || errors.Is(err, context.Canceled) {
-		t.Errorf("Do() = %v, want the upstream's fault", err)
+		t.Errorf("Do() = %v, want an error of the connection", err)
 	}
 }
--- a/internal/uplink/keep.go
+++ b/internal/uplink/keep.go
@@ -8,30 +8,31 @@
 )
 
 const (
-	// idleFor is how long a connection is kept without a request where the upstream names no time. Upstreams close
-	// idle connections; a request that crosses the close may have run and cannot be repeated.
-	idleFor = 4 * time.Second
-	// idleSlack is how much earlier than the upstream's own time a connection is given up, for the time a request takes
-	// to reach it.
+	// defaultIdleTimeout applies if the upstream names none. Upstreams close idle connections, and a request that is sent at that moment may
+	// have run, so that it cannot be repeated.
+	defaultIdleTimeout = 4 * time.Second
+	// idleSlack is how much earlier than its upstream would a connection is closed, for the time that a request takes to arrive.
 	idleSlack = 700 * time.Millisecond
-	// leastIdle is the shortest bound that is learnt: requests that follow each other closely share a connection whatever comes.
-	leastIdle = 100 * time.Millisecond
-	// shrink and grow change the bound after a connection broke, and after one did not: some hundred that hold undo a break.
-	shrink = 0.7
-	grow   = 1.01
+	// minLearnedTimeout is the shortest idle timeout that is learned, so that requests in quick succession always share a connection.
+	minLearnedTimeout = 100 * time.Millisecond
+	// shrinkFactor and growFactor change the learned timeout after a connection that broke and after one that did not: it takes some hundred
+	// of the latter to make up for a break.
+	shrinkFactor = 0.7
+	growFactor   = 1.01
 )
 
+// put keeps a connection for the next request.
 func (u *Uplink) put(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.idle == nil {
 		u.idle = map[string][]*conn{}
 	}
-	c.since = time.Now()
+	c.idleSince = time.Now()
 	u.idle[c.addr] = append(u.idle[c.addr], c)
 }
 
-// Sweep closes connections that were idle for too long or may not be used any more, and returns how many are left.
+// Sweep closes the connections that have been idle for too long or may not be used any more, and returns how many are left.
 func (u *Uplink) Sweep() int {
 	var old []*conn
 	left := 0
@@ -39,7 +40,7 @@
 	for addr, list := range u.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.since) >= c.keep || !u.usable(c) {
+			if time.Since(c.idleSince) >= c.idleTimeout || !u.usable(c) {
 				old = append(old, c)
 			} else {
 				kept = append(kept, c)
@@ -58,24 +59,24 @@
 	return left
 }
 
-// learn takes whether a connection that was idle for so long broke under its next request. Some upstreams drop idle
-// connections without a word and sooner than they say: a request on one is reset, and a booking cannot be sent again.
-func (u *Uplink) learn(idled time.Duration, broke bool) {
-	if idled == 0 {
+// learnIdleTimeout records whether a connection broke under the first request after it was idle for some time. Some upstreams drop idle
+// connections sooner than they announce: the next request is then reset, and one that is not idempotent cannot be sent again.
+func (u *Uplink) learnIdleTimeout(idle time.Duration, broke bool) {
+	if idle == 0 {
 		return
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
 	case broke:
-		u.longest = max(leastIdle, time.Duration(shrink*float64(idled)))
-	case u.longest > 0 && idled > u.longest/2:
-		u.longest = min(idleFor, time.Duration(float64(u.longest)*grow))
+		u.learnedTimeout = max(minLearnedTimeout, time.Duration(shrinkFactor*float64(idle)))
+	case u.learnedTimeout > 0 && idle > u.learnedTimeout/2:
+		u.learnedTimeout = min(defaultIdleTimeout, time.Duration(float64(u.learnedTimeout)*growFactor))
 	}
 }
 
-// keepFor returns how long a connection may be idle after an answer with these headers.
-func keepFor(h http.Header) time.Duration {
+// idleTimeoutOf returns how long a connection may be idle after an answer with these headers.
+func idleTimeoutOf(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
@@ -84,5 +85,5 @@
 		}
 		return time.Duration(seconds)*time.Second - idleSlack
 	}
-	return idleFor
+	return defaultIdleTimeout
 }
--- a/internal/uplink/long_test.go
+++ b/internal/uplink/long_test.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	// ackFor is how long bytes may wait for the other side on the connections of these tests.
+	// ackFor is how long sent bytes may stay unacknowledged on the connections of these tests.
 	ackFor = 300 * time.Millisecond
-	// longBody is more than the kernel takes for a program that does not read.
+	// longBody is more than the kernel buffers for a program that does not read.
 	longBody = 32 << 20
 )
 
-// dialBounded opens a connection on which the kernel waits for the other side as long as ackFor.
+// dialBounded opens a connection that the kernel closes once bytes have been unacknowledged for ackFor.
 func dialBounded(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
@@ -39,8 +39,8 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// leaveUnread answers one request in two parts, and does not read its body before the second one.
-func leaveUnread(t *testing.T, l net.Listener) {
+// answerUnread answers one request in two parts, and does not read its body before the second part.
+func answerUnread(t *testing.T, l net.Listener) {
 	c, err := l.Accept()
 	if err != nil {
 		t.Errorf("accepting: %v", err)
@@ -57,16 +57,16 @@
 		t.Errorf("answering: %v", err)
 		return
 	}
-	<-time.After(4 * ackFor) // the kernel's time cannot be paused
+	<-time.After(4 * ackFor) // the kernel's clock cannot be replaced by the test's
 	if n, err := io.Copy(io.Discard, r.Body); n != longBody || err != nil {
 		t.Errorf("body of %d bytes, %v, want %d bytes", n, err, longBody)
 	}
-	_, _ = io.WriteString(c, "more") // where the connection is lost the other side tells
+	_, _ = io.WriteString(c, "more") // the client reports a lost connection
 }
 
-// An upstream answers before it has read a long body, and reads on later. Taken for one that is not there any more, it would be cut off in the middle
-// of a sound answer.
-func TestUpstreamThatReadsALongBodyLateIsWaitedFor(t *testing.T) {
+// An upstream answers before it has read a long body, and reads the rest later. The connection must not time out meanwhile, which would break off a
+// good answer.
+func TestUpstreamMayReadALongBodyLate(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("Listen() = %v, want nil", err)
@@ -74,7 +74,7 @@
 	var upstream sync.WaitGroup
 	defer upstream.Wait()
 	defer l.Close()
-	upstream.Go(func() { leaveUnread(t, l) })
+	upstream.Go(func() { answerUnread(t, l) })
 	u := &uplink.Uplink{Dial: dialBounded, Matches: func(h http.Header, id string) bool { return h.Get("Id") == id }}
 	d := demand.Demand{ID: "1", Method: "POST", Host: "a", URI: "/x", Body: make([]byte, longBody)}
 	r, err := u.Do(t.Context(), l.Addr().String(), d, nil, func() bool { return true })
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -12,8 +12,8 @@
 	"damaskreach/internal/peek"
 )
 
-// dialFor bounds a dial. Upstreams are some milliseconds away; a host without power answers nothing.
-const dialFor = 800 * time.Millisecond
+// dialTimeout bounds a dial. Upstreams are some milliseconds away, and a machine without power does not answer.
+const dialTimeout = 800 * time.Millisecond
 
 // take returns an idle connection that still works, or a new one.
 func (u *Uplink) take(ctx context.Context, addr string) (*conn, error) {
@@ -22,8 +22,8 @@
 		if c == nil {
 			break
 		}
-		c.idled = time.Since(c.since)
-		if c.idled < u.bound(c.keep) && quiet(c.Conn) && u.usable(c) {
+		c.idleBefore = time.Since(c.idleSince)
+		if c.idleBefore < u.limitIdle(c.idleTimeout) && isQuiet(c.Conn) && u.usable(c) {
 			return c, nil
 		}
 		c.Close()
@@ -31,7 +31,7 @@
 	if !u.reserve(addr) {
 		return nil, merry.Wrap(ErrFull)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialFor)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := u.Dial(ctx, addr)
 	if err != nil {
@@ -43,15 +43,16 @@
 	if u.Opened != nil {
 		u.Opened(addr)
 	}
-	c := &conn{Conn: raw, up: u, addr: addr, heard: time.Now()}
+	c := &conn{Conn: raw, uplink: u, addr: addr, lastReceived: time.Now()}
 	c.read = bufio.NewReader(c)
 	return c, nil
 }
 
 func (u *Uplink) usable(c *conn) bool {
-	return u.Usable == nil || u.Usable(c.Conn, c.heard)
+	return u.Usable == nil || u.Usable(c.Conn, c.lastReceived)
 }
 
+// pop returns the connection that was last used, nil if there is none.
 func (u *Uplink) pop(addr string) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -66,36 +67,35 @@
 
 // reserve counts a connection that is about to be opened, unless there are too many.
 func (u *Uplink) reserve(addr string) bool {
-	most := 0
-	if u.Most != nil {
-		most = u.Most(addr)
+	limit := 0
+	if u.MaxConns != nil {
+		limit = u.MaxConns(addr)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.open == nil {
 		u.open = map[string]int{}
 	}
-	if most > 0 && u.open[addr] >= most {
+	if limit > 0 && u.open[addr] >= limit {
 		return false
 	}
 	u.open[addr]++
 	return true
 }
 
-// bound returns how long a connection may have been idle to be used.
-func (u *Uplink) bound(keep time.Duration) time.Duration {
+// limitIdle returns an idle timeout, or the learned one if that is shorter.
+func (u *Uplink) limitIdle(timeout time.Duration) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.longest == 0 {
-		return keep
+	if u.learnedTimeout == 0 {
+		return timeout
 	}
-	return min(keep, u.longest)
+	return min(timeout, u.learnedTimeout)
 }
 
-// quiet reports whether an idle connection is open and holds no bytes. Bytes on it answer nothing that was asked: given
-// to the next request they would reach the wrong caller. Connections of other kinds than the kernel's are taken for
-// quiet; their answers are still matched by id.
-func quiet(c net.Conn) bool {
+// isQuiet reports whether an idle connection is open and has received no bytes. Such bytes belong to no request and could be taken for the
+// answer to the next one. Connections that do not come from the kernel count as quiet; their answers are still matched by id.
+func isQuiet(c net.Conn) bool {
 	n, err := peek.Peek(c)
 	return n == 0 && (err == nil || errors.Is(err, errors.ErrUnsupported))
 }
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -1,8 +1,8 @@
 // Package uplink sends requests to upstreams over connections that it keeps.
 //
-// It is not net/http's transport: that one repeats requests by itself when a kept connection breaks, and takes whatever
-// answer comes next on a connection. A booking that must not run twice would run twice, and an answer that an upstream
-// sent twice would reach another caller.
+// It does not use net/http's transport, which retries requests by itself when a reused connection breaks, and accepts whatever answer comes next
+// on a connection. A request that is not idempotent could then run twice, and an answer that an upstream sent twice could reach another
+// caller.
 package uplink
 
 import (
@@ -21,54 +21,52 @@
 )
 
 var (
-	// ErrFull means that no more connections to the upstream may be opened now.
+	// ErrFull means that the limit of connections to the upstream is reached.
 	ErrFull = merry.Sentinel("uplink: all connections to the upstream are in use")
-	// ErrLeft means that the upstream began to leave while a connection to it was opened.
+	// ErrLeft means that the upstream began to shut down while a connection to it was opened.
 	ErrLeft = merry.Sentinel("uplink: the upstream has begun to leave")
-	// ErrStray means that only answers to other requests came.
+	// ErrStray means that only answers to other requests were received.
 	ErrStray = merry.Sentinel("uplink: the answer belongs to another request")
 )
 
-// Uplink keeps connections to upstreams. It may be used from several goroutines.
+// Uplink is a pool of connections to upstreams. It may be used from several goroutines.
 type Uplink struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Matches reports whether an answer's headers are those of the answer to the request with an id.
 	Matches func(h http.Header, id string) bool
-	// Most returns how many connections this host may have open to an address; zero means no bound.
-	Most func(addr string) int
-	// Opened counts new connections; it may be nil.
+	// MaxConns returns how many connections this host may have open to an address; zero means no limit.
+	MaxConns func(addr string) int
+	// Opened is called for each new connection; it may be nil.
 	Opened func(addr string)
-	// Usable reports whether a kept connection on which something came last at a time may be used; nil means that each may.
-	Usable func(c net.Conn, heard time.Time) bool
-	// Sent and Heard are told that an answer is waited for on a connection to an address, and that something came on one; they may be nil.
-	Sent, Heard func(c net.Conn, addr string)
+	// Usable reports whether an idle connection may be used, given when bytes were last received on it; nil means that each may.
+	Usable func(c net.Conn, lastReceived time.Time) bool
+	// Sent is called when a request is about to be sent to an address, Received when bytes come from one; they may be nil.
+	Sent, Received func(c net.Conn, addr string)
 
-	mu      sync.Mutex
-	longest time.Duration // that a connection is left idle, as learnt from those that broke; 0 means no bound
-	idle    map[string][]*conn
-	open    map[string]int
+	mu             sync.Mutex
+	learnedTimeout time.Duration      // idle timeout learned from connections that broke; 0 means none
+	idle           map[string][]*conn // by address, the last used one last
+	open           map[string]int     // by address, idle ones included
 }
 
-// conn is one connection with at most one request on it.
+// conn is one connection, used for one request at a time.
 type conn struct {
 	net.Conn
-	up     *Uplink
-	addr   string
-	read   *bufio.Reader
-	since  time.Time     // when it last became idle
-	keep   time.Duration // how long it may be idle
-	idled  time.Duration // how long it was idle before the request that is on it now; 0 for a new one
-	heard  time.Time     // when something came last
-	closed sync.Once
-	// inHead says that the head of an answer is read, of which headLeft more bytes may come.
-	inHead   bool
-	headLeft int
-	// restore sets the bound again on how long bytes wait for the upstream; nil where it was not lifted.
-	restore func() error
+	uplink       *Uplink
+	addr         string
+	read         *bufio.Reader
+	idleSince    time.Time
+	idleTimeout  time.Duration
+	idleBefore   time.Duration // how long it was idle before the current request; 0 for a new connection
+	lastReceived time.Time     // when bytes were last received
+	closed       sync.Once
+	inHead       bool         // the head of an answer is being read
+	headLeft     int          // how many more bytes it may have
+	restoreAcks  func() error // undoes suspendAckTimeout; nil if that was not called
 }
 
-// Read reads what has come. While the head of an answer is read, it fails once that is too long.
+// Read reads received bytes. It fails once the head of an answer is too long.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.inHead {
 		p = p[:min(len(p), c.headLeft)]
@@ -79,37 +77,36 @@
 	n, err := c.Conn.Read(p)
 	c.headLeft -= n
 	if n > 0 {
-		c.heard = time.Now()
-		if c.up.Heard != nil {
-			c.up.Heard(c.Conn, c.addr)
+		c.lastReceived = time.Now()
+		if c.uplink.Received != nil {
+			c.uplink.Received(c.Conn, c.addr)
 		}
 	}
 	return n, err
 }
 
-// Close closes the connection and frees its place.
+// Close closes the connection and stops counting it.
 func (c *conn) Close() error {
 	var err error
 	c.closed.Do(func() {
 		err = c.Conn.Close()
-		c.up.mu.Lock()
-		defer c.up.mu.Unlock()
-		c.up.open[c.addr]--
+		c.uplink.mu.Lock()
+		defer c.uplink.mu.Unlock()
+		c.uplink.open[c.addr]--
 	})
 	return err
 }
 
-// Do sends a request with the given headers beside its own and returns the answer once its headers are there. The
-// verdict of an error says whether the request may have run. The connection is closed when ctx ends, which is how an
-// upstream learns that nobody waits for the answer any more. Still reports whether the upstream may get the request; it is asked once there
-// is a connection, since opening one may take longer than an upstream that leaves has left.
-func (u *Uplink) Do(ctx context.Context, addr string, d demand.Demand, extra http.Header, still func() bool) (resp.Resp, error) {
+// Do sends a request with additional headers and returns the answer once its headers are received. The verdict of an error says whether the
+// request may have run. The connection is closed when ctx ends, which tells the upstream to cancel the request. stillUsable reports whether
+// the upstream may get the request. It is called once a connection is open, since opening one may outlast an upstream that shuts down.
+func (u *Uplink) Do(ctx context.Context, addr string, d demand.Demand, extra http.Header, stillUsable func() bool) (resp.Resp, error) {
 	c, err := u.take(ctx, addr)
 	if err == nil {
-		err = c.over(ctx, still)
+		err = c.checkWanted(ctx, stillUsable)
 	}
 	if err == nil {
-		err = c.lift(d)
+		err = c.suspendAckTimeout(d)
 	}
 	if err != nil {
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "connecting to %s", addr), verd.NotRun)
@@ -119,16 +116,16 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written := make(chan error, 1)
-	// An upstream may answer before it has read a long body: the answer is read meanwhile.
+	// The answer is read meanwhile: an upstream may answer before it has read a long body.
 	go func() { written <- write(c, d, extra) }()
 	r, err := c.answer(d)
-	over := ctx.Err()
-	u.learn(c.idled, err != nil && over == nil)
+	ctxErr := ctx.Err()
+	u.learnIdleTimeout(c.idleBefore, err != nil && ctxErr == nil)
 	if err != nil {
 		stop()
 		c.Close()
-		if over != nil {
-			err = merry.Wrap(over, merry.WithCause(err))
+		if ctxErr != nil {
+			err = merry.Wrap(ctxErr, merry.WithCause(err))
 		}
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "waiting for the answer of %s", addr), verd.MayHaveRun)
 	}
@@ -136,11 +133,11 @@
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Cut: func() { c.Close() }, Close: func() {
 		alive := stop()
-		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !sent(written) || !c.bound() {
+		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !isSent(written) || !c.restoreAckTimeout() {
 			c.Close()
 			return
 		}
-		c.keep = keepFor(r.Header)
+		c.idleTimeout = idleTimeoutOf(r.Header)
 		u.put(c)
 	}}, nil
 }
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -97,9 +97,8 @@
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
-// An upstream answers a request twice. The second answer lies on the connection where the next caller's is expected; taken
-// for it, that caller would get somebody else's answer.
-func TestSpareAnswerReachesNobody(t *testing.T) {
+// An upstream answers a request twice. The second answer comes where that to the next request is expected, whose caller must not get it.
+func TestDuplicateAnswerIsDropped(t *testing.T) {
 	s := newServer(t, answer("1", "one")+answer("1", "one"), answer("2", "two"))
 	u := newUplink()
 	for _, c := range []struct{ id, want string }{{"1", "one"}, {"2", "two"}} {
@@ -110,7 +109,7 @@
 	}
 }
 
-// The spare answer comes late, after the next request was sent on the connection. It is skipped by its id.
+// The duplicate answer comes late, after the next request was sent on the connection. It must be skipped by its id.
 func TestLateAnswerToAnotherRequestIsSkipped(t *testing.T) {
 	s := newServer(t, answer("1", "one"), answer("1", "one")+answer("2", "two"))
 	u := newUplink()
@@ -122,8 +121,8 @@
 	}
 }
 
-// A kept connection breaks as a booking is sent on it. The request may have run, so it is not sent again behind the
-// caller's back, and the error says so.
+// A reused connection breaks when a request is sent on it. The request may have run, so it must not be retried silently, and the error must say
+// so.
 func TestBrokenConnectionIsNotRetried(t *testing.T) {
 	s := newServer(t, answer("1", "one"), "", answer("2", "two"))
 	u := newUplink()
@@ -142,7 +141,7 @@
 	}
 }
 
-// Nobody listens at the address. Nothing was sent, so the request may go elsewhere.
+// An upstream refuses the connection. Nothing was sent, so the error must say that the request may be sent to another one.
 func TestRefusedConnectionHasNotRun(t *testing.T) {
 	s := newServer(t)
 	s.l.Close()
@@ -152,8 +151,8 @@
 	}
 }
 
-// Path, query and body reach the upstream byte for byte, and a connection is used again.
-func TestRequestIsPassedOnUnchangedOnAKeptConnection(t *testing.T) {
+// Path, query and body must reach the upstream unchanged, and the connection must be reused.
+func TestRequestIsForwardedUnchangedOnAReusedConnection(t *testing.T) {
 	s := newServer(t, answer("1", "one"), answer("2", "two"))
 	u := newUplink()
 	var froms []string
@@ -172,8 +171,8 @@
 	}
 }
 
-// An upstream drops idle connections without a word, so that the next request on one is reset. After the first such request
-// connections that were idle as long are not used any more.
+// An upstream drops idle connections sooner than it announces, so that the next request on one is reset. After the first such request,
+// connections that were idle for as long must not be used.
 func TestConnectionsThatBreakWhenIdleAreNotKeptAsLong(t *testing.T) {
 	s := newServer(t, answer("1", "one"), "", answer("3", "tri"), answer("4", "for"))
 	u := newUplink()
@@ -183,7 +182,7 @@
 	}
 	<-time.After(wait)
 	if _, err := ask(t, u, s, "2"); err == nil {
-		t.Fatal("second answer, want the reset that it is all about")
+		t.Fatal("second answer, want a reset")
 	}
 	if _, err := ask(t, u, s, "3"); err != nil {
 		t.Fatalf("third answer: %v, want none", err)
@@ -202,8 +201,8 @@
 	}
 }
 
-// An upstream begins to leave while the connection to it is opened, which takes long where its queue is full. The request must not be sent
-// there any more, and counts as not run.
+// An upstream begins to shut down while a connection to it is opened, which takes long if its queue is full. The request must not be sent, and
+// must count as not run.
 func TestRequestIsNotSentToAnUpstreamThatLeftMeanwhile(t *testing.T) {
 	s := newServer(t, answer("1", "one"))
 	u := newUplink()
@@ -223,8 +222,8 @@
 	}
 }
 
-// A request's time ends, or its caller leaves, just before it is sent on a kept connection. Written all the same, it may run though nobody waits for it.
-func TestRequestThatIsOverIsNotSent(t *testing.T) {
+// A request is canceled just before it is sent on a reused connection. If it were sent, it could run although nobody waits for the answer.
+func TestCanceledRequestIsNotSent(t *testing.T) {
 	s := newServer(t, answer("1", "one"), answer("2", "two"))
 	u := newUplink()
 	if _, err := ask(t, u, s, "1"); err != nil {
@@ -244,9 +243,9 @@
 	}
 }
 
-// An upstream sends the head of a failure and then nothing more. The request goes on elsewhere once that answer is given up: waiting for its body,
-// giving it up would take for ever, and the caller would get no answer.
-func TestGivingUpAnAnswerDoesNotWaitForItsBody(t *testing.T) {
+// An upstream sends the head of an error and then nothing more. The request is retried elsewhere after that answer is closed, so closing it must not
+// wait for its body.
+func TestClosingAnAnswerDoesNotWaitForItsBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		defer far.Close()
@@ -264,16 +263,16 @@
 		if err != nil {
 			t.Fatalf("Do() = %v, want nil", err)
 		}
-		given := make(chan struct{})
+		closed := make(chan struct{})
 		go func() {
 			r.Close()
-			close(given)
+			close(closed)
 		}()
 		synctest.Wait()
 		select {
-		case <-given:
+		case <-closed:
 		default:
-			t.Error("giving up the answer waits for its body")
+			t.Error("closing the answer waits for its body")
 		}
 	})
 }
--- a/internal/uplink/write.go
+++ b/internal/uplink/write.go
@@ -14,15 +14,16 @@
 	"damaskreach/internal/demand"
 )
 
-// writtenFor is how long a whole answer waits for the end of its request's writing to be told: a goroutine's turn on a busy
-// host. Where an upstream answered before it read a long body, the answer's end is held up for so long.
-const writtenFor = 50 * time.Millisecond
+// writeWait is how long a complete answer waits for the goroutine that writes its request to report its end: its turn on a busy host. If an
+// upstream has answered before it read a long body, the end of the answer is delayed by as much.
+const writeWait = 50 * time.Millisecond
 
-// longBody is the length of a body from which an upstream's kernel may not take all of it before the upstream reads.
+// longBody is the size of a body, in bytes, from which the upstream's kernel may not accept all of it before the upstream reads.
 const longBody = 16 << 10
 
-// lift has a long body wait for an upstream that reads it late, for as long as the request's time lasts: it may even have answered by then.
-func (c *conn) lift(d demand.Demand) error {
+// suspendAckTimeout lets a long body wait for an upstream that reads it late, until the request's deadline. The upstream may even have answered
+// before it reads the rest.
+func (c *conn) suspendAckTimeout(d demand.Demand) error {
 	if len(d.Body) < longBody {
 		return nil
 	}
@@ -31,28 +32,28 @@
 		c.Close()
 		return merry.Wrap(err)
 	}
-	c.restore = restore
+	c.restoreAcks = restore
 	return nil
 }
 
-// bound sets the bound again that was lifted; it reports false where the connection is of no more use: one that takes no setting is closed.
-func (c *conn) bound() bool {
-	if c.restore == nil {
+// restoreAckTimeout undoes suspendAckTimeout. It reports false if that fails, as on a closed connection.
+func (c *conn) restoreAckTimeout() bool {
+	if c.restoreAcks == nil {
 		return true
 	}
-	err := c.restore()
-	c.restore = nil
+	err := c.restoreAcks()
+	c.restoreAcks = nil
 	return err == nil
 }
 
-// write sends a request with its length, whatever way the caller sent its body. Headers that state a length are never
-// the caller's own, so that a second request hidden in a body stays a body.
+// write sends a request with a Content-Length, however the caller framed its body. The caller's own length headers are never forwarded, so that
+// a second request hidden in the body remains a part of the body.
 func write(w io.Writer, d demand.Demand, extra http.Header) error {
 	var b bytes.Buffer
 	b.Grow(512 + len(d.Body))
 	b.WriteString(d.Method + " " + d.URI + " HTTP/1.1\r\nHost: " + d.Host + "\r\n")
-	fields(&b, d.Header)
-	fields(&b, extra)
+	writeHeaders(&b, d.Header)
+	writeHeaders(&b, extra)
 	if len(d.Body) > 0 || d.Method != http.MethodGet && d.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(d.Body)) + "\r\n")
 	}
@@ -62,7 +63,7 @@
 	return err
 }
 
-func fields(b *bytes.Buffer, h http.Header) {
+func writeHeaders(b *bytes.Buffer, h http.Header) {
 	for name, values := range h {
 		for _, v := range values {
 			b.WriteString(name + ": " + v + "\r\n")
@@ -70,10 +71,11 @@
 	}
 }
 
-// over closes a connection whose request may not be sent any more, since nobody waits for it or the upstream leaves, and returns the reason.
-func (c *conn) over(ctx context.Context, still func() bool) error {
+// checkWanted closes the connection and returns the reason if its request must not be sent any more: its context has ended, or the upstream is
+// about to stop.
+func (c *conn) checkWanted(ctx context.Context, stillUsable func() bool) error {
 	err := ctx.Err()
-	if err == nil && !still() {
+	if err == nil && !stillUsable() {
 		err = ErrLeft
 	}
 	if err == nil {
@@ -83,11 +85,11 @@
 	return merry.Wrap(err)
 }
 
-// sent reports whether the whole request was written. Were a connection kept before that, the rest of the body would be
-// taken for the start of the next request. On a busy host the answer may be there before the goroutine that wrote the request
-// has run again to say so; without a moment's wait such a connection would be closed, and the next request need a new one.
-func sent(written <-chan error) bool {
-	timer := time.NewTimer(writtenFor)
+// isSent reports whether the whole request was written. If a connection were reused before that, the upstream would take the rest of the body
+// for the start of the next request. On a busy host the answer may arrive before the goroutine that wrote the request runs again; without
+// writeWait its connection would be closed, and the next request would need a new one.
+func isSent(written <-chan error) bool {
+	timer := time.NewTimer(writeWait)
 	defer timer.Stop()
 	select {
 	case err := <-written:
