--- a/internal/owner/fence.go
+++ b/internal/owner/fence.go
@@ -9,11 +9,11 @@
 	"damaskreach/internal/report"
 )
 
-// showFence orders a load of what is resident already, so that an engine that honours fences sees this owner's.
-// Unloads are held back until it has: only then does it refuse an earlier owner that may be paused. A start or an order
-// would do as well, but where each request waits for an unload none is sent, and they would all wait until their callers
-// give up. Should the model be gone meanwhile, the order is an ordinary load, for which it has its permit; it counts as
-// waited for, or a busy store would put it behind every other load.
+// showFence orders a load of a model that is resident already, so that an engine that checks fencing tokens sees the token of this owner.
+// Unloads wait for that, because only then does the engine reject orders of an earlier owner that may be paused. A start or another order
+// would show the token too, but none is sent while every request waits for an unload, and all of them would time out. If the model has been
+// unloaded meanwhile, the order is an ordinary load, for which it holds a permit. It counts as a load that a request waits for: otherwise a
+// busy weight store would serve it after all other loads.
 func (o *Owner) showFence(h *held, now time.Time, r report.Report) {
 	if !h.spec.Fences || len(h.formers) == 0 || r.Fence >= h.fence {
 		return
--- a/internal/owner/follow.go
+++ b/internal/owner/follow.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// Nudge makes the next reading of sessions and ownership rows happen now.
+// Nudge reads sessions and ownership rows now instead of at the next interval.
 func (o *Owner) Nudge() {
 	select {
 	case o.wake <- struct{}{}:
@@ -38,8 +38,8 @@
 	owns  int64
 }
 
-// readTails takes what has changed. A reading of sessions from a replica that is behind an earlier reading is left out:
-// it would make live nodes look as if they had not renewed, and bring back sessions that have ended.
+// readTails applies the rows that have changed. Sessions from a replica that is behind an earlier reading are ignored: by them, live nodes would
+// seem not to have renewed, and sessions that have ended would come back.
 func (o *Owner) readTails(ctx context.Context, at *tails) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
@@ -64,14 +64,14 @@
 	})
 }
 
-// reading is what a prefix held or what changed in it.
+// reading is the rows under a prefix, or those that have changed.
 type reading struct {
 	rows  []rows.Row
 	rev   int64
 	whole bool // all rows rather than changes
 }
 
-// read returns the changes after a revision, or all rows where the service no longer knows all deletions since.
+// read returns the changes after a revision, or all rows if the service no longer knows all deletions since then.
 func (o *Owner) read(ctx context.Context, prefix string, after int64) (reading, error) {
 	changed, rev, err := o.Table.Tail(ctx, prefix, after)
 	if errors.Is(err, table.ErrCompacted) {
@@ -90,7 +90,7 @@
 	o.Members.Learn(begin, now, o.Site, r.rows)
 }
 
-// learn takes ownership rows; an older revision than the one seen changes nothing.
+// learn applies ownership rows. A revision older than the one seen changes nothing.
 func (o *Owner) learn(changed []rows.Row) {
 	for _, row := range changed {
 		name := row.Key[len(assign.Prefix(o.Site)):]
@@ -107,7 +107,7 @@
 	}
 }
 
-// checkOwn gives a runner up as soon as its row names another owner.
+// checkOwn releases a runner as soon as its row names another owner.
 func (o *Owner) checkOwn(name string) {
 	h := o.held[name]
 	if h == nil {
@@ -115,8 +115,8 @@
 	}
 	seen := o.rows[name]
 	if seen.row.Fence == h.fence && seen.row.Session == h.row.Session && !o.busy[name] {
-		// An earlier write of this owner took effect after its answer was given up. Built on the revision before it,
-		// every later write would fail, and nothing could be unloaded any more.
+		// An earlier write of this owner took effect after it had timed out. Later writes that expect the revision before it would all fail, and
+		// nothing could be unloaded any more.
 		h.rev = max(h.rev, seen.rev)
 	}
 	if seen.rev > h.rev && seen.row.Fence > h.fence {
--- a/internal/owner/former.go
+++ b/internal/owner/former.go
@@ -10,7 +10,7 @@
 	"damaskreach/internal/report"
 )
 
-// former is an earlier owner whose requests or orders may still reach the runner.
+// former is an earlier owner, whose requests or orders may still reach the runner.
 type former struct {
 	session  string
 	peer     string
@@ -20,7 +20,7 @@
 	gone     time.Time       // when its process was first known to be gone; zero before
 }
 
-// askFormers asks each earlier owner what its requests still use, and notes which are gone.
+// askFormers asks each earlier owner which models its requests still use, and records which owners are gone.
 func (o *Owner) askFormers(h *held) {
 	for _, f := range h.formers {
 		if o.over(f.session) {
@@ -47,7 +47,7 @@
 	})
 }
 
-// formerSaid takes the answer of an earlier owner: it has closed its starts, and only the models named are in use.
+// formerSaid applies the answer of an earlier owner: it starts no more requests, and only the named models are in use.
 func (o *Owner) formerSaid(h *held, f *former, busy []string) {
 	if len(busy) == 0 {
 		o.formerDone(h, f, "the earlier owner has no request left on the runner")
@@ -61,9 +61,8 @@
 	o.repin(h)
 }
 
-// noteGone records since when an earlier owner's process cannot act any more. A lapsed lease is no proof of that:
-// the process may be paused between its check and its send. The host list, or another process that listens on the
-// same address, is.
+// noteGone records since when an earlier owner's process cannot act any more. A lapsed lease does not prove that, since the process may be paused
+// between its check and its send. The host list proves it, and so does another process that listens on the same address.
 func (o *Owner) noteGone(f *former) {
 	if !f.gone.IsZero() {
 		return
@@ -85,9 +84,9 @@
 	return false
 }
 
-// checkFormers lets go of earlier owners that are gone. Once a report must be younger than their end, only the models
-// it shows running can still be used by their requests, and those at the most for the longest allowed request.
-// On an engine that honours fences the same holds for owners not known to be gone, once it has seen the new fence.
+// checkFormers forgets earlier owners that are gone. Once a report must be newer than their end, their requests can only use the models that it
+// shows running, and those for at most the longest allowed request. On an engine that checks fencing tokens this also holds for owners that
+// are not known to be gone, once the engine has seen the new token.
 func (o *Owner) checkFormers(h *held, now time.Time, r report.Report) {
 	for _, f := range h.formers {
 		quiet := f.gone
@@ -105,7 +104,7 @@
 	o.repin(h)
 }
 
-// narrow keeps those models an earlier owner may still use.
+// narrow keeps the models that an earlier owner may still use.
 func (f *former) narrow(r report.Report, until, now time.Time) {
 	if !f.answered {
 		f.answered = true
@@ -121,7 +120,7 @@
 	}
 }
 
-// repin pins what earlier owners may still use; while one of them has not been heard of, nothing may be unloaded.
+// repin pins the models that earlier owners may still use. Nothing may be unloaded while one of them has not answered and is not known to be gone.
 func (o *Owner) repin(h *held) {
 	hold := false
 	used := map[string]bool{}
@@ -131,8 +130,8 @@
 			used[model] = true
 		}
 	}
-	// The pins come before the hold is lifted: lifting it lets the scheduler unload at once, and it would take a model
-	// that is not pinned yet. Callers would see answers through the earlier owner end early.
+	// The models are pinned first: as soon as unloads are allowed, the scheduler may unload a model that is not pinned, which would break off
+	// answers that go through the earlier owner.
 	for model := range used {
 		if !h.pinned[model] {
 			o.carry(h, h.sched.Pin(model))
@@ -147,7 +146,7 @@
 	h.pinned = used
 }
 
-// fenced returns since when the engine is known to refuse older fences.
+// fenced returns since when the engine is known to reject older fencing tokens.
 func (h *held) fenced(now time.Time) time.Time {
 	if h.fencedAt.IsZero() {
 		h.fencedAt = now
@@ -167,8 +166,8 @@
 	h.dirty = true
 }
 
-// InUse answers a successor: which models this node's requests use on a runner it owned before fence.
-// It closes the runner first if this node has not learnt of the takeover. It must be called on the control goroutine.
+// InUse returns, for the successor, the models that this node's requests use on a runner that it owned before the given fencing token. It first
+// closes the runner if this node has not learned of the takeover. It must be called on the control goroutine.
 func (o *Owner) InUse(name string, fence int64) []string {
 	if h := o.held[name]; h != nil && h.fence < fence {
 		o.giveUp(h, "another node owns the runner now")
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -11,7 +11,7 @@
 	"damaskreach/pkg/refuse"
 )
 
-// held is a runner this node owns or has owned while its requests still run.
+// held is a runner that this node owns, or that it has released while its requests still run there.
 type held struct {
 	spec     runner.Runner // as of the takeover
 	fence    int64
@@ -24,19 +24,19 @@
 	formers  map[string]*former   // earlier owners not known to have stopped, by session id
 	pinned   map[string]bool      // models earlier owners may still use
 	barred   []string             // models an earlier owner may be unloading
-	late     map[string]time.Time // models with an unload that has no answer and may still arrive, and since when
-	steady   time.Time            // since when the engine's reports have come without a gap; zero while they do not
-	orders   map[string]bool      // models with an order of this node on its way
-	unloads  []string             // unloads that wait for their announcement
-	fencedAt time.Time            // since when the engine is known to refuse older fences
-	patient  map[string]func()    // hurries the load of a model that nobody waited for when it was ordered
-	shown    time.Time            // when the engine was last sent an order for no more than its fence
+	late     map[string]time.Time // models with an unload that got no answer and may still take effect, and since when
+	steady   time.Time            // since when the engine has reported without a gap; zero if it does not
+	orders   map[string]bool      // models with an order in progress
+	unloads  []string             // unloads that are not announced yet
+	fencedAt time.Time            // since when the engine is known to reject older fencing tokens
+	patient  map[string]func()    // raises the priority of a load that no request waited for when it was ordered
+	shown    time.Time            // when the engine was last sent an order only to show it the fencing token
 	failures int                  // reports missed in a row
 	number   int64
 	plain    bool // a plain service: no reports, no orders
 	leaving  bool // closed to new starts by the operators
 	dirty    bool // row has changed since it was written
-	asking   bool // a report is on its way
+	asking   bool // a report has been requested
 }
 
 // attempt is one dispatch of a call that waits for its start or runs.
@@ -65,7 +65,7 @@
 		patient:  map[string]func(){},
 		late:     map[string]time.Time{},
 	}
-	// What the earlier owner announced stays named in this owner's row beside what this one announces.
+	// The unloads that the earlier owner announced stay in the row, beside those of this owner.
 	h.row = row.WithLate(row.Unload).WithUnload("")
 	h.barred = h.row.Late
 	g, _ := o.Catalog().Group(r.Group)
@@ -80,7 +80,7 @@
 	return h
 }
 
-// find returns the runner held or given up under a fence.
+// find returns the runner that is or was held under a fencing token.
 func (o *Owner) find(name string, fence int64) *held {
 	if h := o.held[name]; h != nil && h.fence == fence {
 		return h
@@ -93,8 +93,8 @@
 	return nil
 }
 
-// dropClosed forgets runners given up once their last request has ended and their last order is answered.
-// A successor that was told of nothing while an unload is on its way would start requests on that model.
+// dropClosed forgets released runners once their last request has ended and their last order is answered. Before that, a successor must be told
+// of an unload in progress, or it would start requests on that model.
 func (o *Owner) dropClosed() {
 	var left []*held
 	for _, h := range o.closing {
--- a/internal/owner/kept.go
+++ b/internal/owner/kept.go
@@ -5,8 +5,8 @@
 	"damaskreach/internal/spread"
 )
 
-// kept returns the versions in use of a runner's group's pinned adapters, and which of them are this runner's to load
-// where no runner has them: one runner for each, or all of them would load it at once.
+// kept returns the versions in use of the pinned adapters of a runner's group, and which of them this runner has to load if no runner has them.
+// There is one such runner for each, since otherwise all would load it at once.
 func (o *Owner) kept(h *held) map[string]bool {
 	pinned := o.Catalog().Pinned(h.spec.Group)
 	if len(pinned) == 0 {
--- a/internal/owner/late.go
+++ b/internal/owner/late.go
@@ -6,8 +6,8 @@
 	"damaskreach/pkg/verd"
 )
 
-// answered notes whether an unload may still be on its way after its order has ended. One without an answer may arrive
-// later, under this owner's own fence, and a request on the model loaded again would lose it under way.
+// answered records whether an unload may still take effect after its order has ended. One without an answer may be carried out later, as its
+// fencing token is still valid, and would take away a model that has been loaded again under a request.
 func (h *held) answered(now time.Time, model string, err error) {
 	switch {
 	case err == nil:
@@ -22,8 +22,8 @@
 	h.dirty = h.dirty || !h.spec.Fences
 }
 
-// settleLate lets models be used again whose unloads cannot arrive any more: the engine has reported without a gap for as
-// long as reports may lag since the order was given up, so nothing between here and there holds it up.
+// settleLate allows the use of models whose unloads cannot take effect any more: since the order timed out, the engine has reported without a gap
+// for as long as reports may lag, so the order is not delayed on the way.
 func (o *Owner) settleLate(h *held, now time.Time) {
 	if h.steady.IsZero() {
 		h.steady = now
@@ -42,7 +42,7 @@
 	}
 }
 
-// inherit treats what earlier owners announced as this owner's own late unloads once none of them can send anything more.
+// inherit treats the unloads that earlier owners announced as late unloads of this owner, once no earlier owner can send anything.
 func (h *held) inherit(now time.Time) {
 	for _, model := range h.barred {
 		h.late[model] = now
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -13,7 +13,7 @@
 	"damaskreach/pkg/refuse"
 )
 
-// carry hands the decisions of a runner's scheduler to the goroutines that carry them out.
+// carry passes the decisions of a runner's scheduler to the goroutines that carry them out.
 func (o *Owner) carry(h *held, orders []order.Order) {
 	o.news = o.news || len(orders) > 0
 	for _, next := range orders {
@@ -34,7 +34,7 @@
 	}
 }
 
-// request returns the request id of an attempt, by which operators ask about it.
+// request returns the request id of an attempt, which operators use to look it up.
 func (h *held) request(attempt string) string {
 	if a := h.attempts[attempt]; a != nil {
 		return a.call.ID
@@ -55,8 +55,8 @@
 	}
 }
 
-// errUnreachable fails a load before it asks for a permit. An engine that does not answer would hold the store's only
-// permit until the order times out, and every other runner's loads would wait for it.
+// errUnreachable fails a load before it requests a permit. An engine that does not answer would hold the weight store's only permit until the
+// order times out, and the loads of all other runners would wait.
 var errUnreachable = merry.New("owner: the engine does not answer")
 
 func (o *Owner) load(h *held, next order.Order) {
@@ -129,7 +129,7 @@
 	}
 }
 
-// announceUnload writes the unload into the ownership row before it is sent to an engine that ignores fences.
+// announceUnload writes the unload into the ownership row before it is sent to an engine that ignores fencing tokens.
 // If ownership has changed the write fails and nothing is sent; if it changes later, the successor finds the announcement
 // and starts nothing on the model until this node is known to have stopped.
 func (o *Owner) announceUnload(h *held, model string) {
@@ -154,8 +154,8 @@
 	}()
 }
 
-// unsent takes back an unload that could not be announced. The write may still take effect: the row then names an unload
-// that never comes, and a successor starts nothing on the model until this node is known to have stopped.
+// unsent cancels an unload that could not be announced. The write may still take effect. The row then names an unload that is never sent, and a
+// successor starts nothing on the model until this node is known to have stopped.
 func (o *Owner) unsent(h *held, model string, err error) {
 	delete(h.orders, model)
 	o.Log.Warn("announcing an unload failed; the model stays", zap.String("runner", h.spec.Name), zap.String("model", model), zap.Error(err))
@@ -172,7 +172,7 @@
 	}
 }
 
-// amend writes the row as it stands.
+// amend writes the current row.
 func (o *Owner) amend(h *held) {
 	o.busy[h.spec.Name] = true
 	h.dirty = false
@@ -211,8 +211,8 @@
 	o.dropClosed()
 }
 
-// mayAct is the last check before anything is sent to a runner. An engine that honours fences refuses an old owner
-// itself, so its owner may go on when the table service is down; on others the lease must hold, which peers may extend.
+// mayAct is the last check before anything is sent to a runner. An engine that checks fencing tokens rejects an old owner itself, so its owner may
+// continue while the table service is down. For other engines the lease must be valid, which peers may extend.
 func (o *Owner) mayAct(h *held) error {
 	if h.spec.Fences || o.Lease.Holds(h.session) {
 		return nil
@@ -220,8 +220,8 @@
 	return notOwner(h.spec.Name)
 }
 
-// lapsing reports whether this node is about to lose the right to act on a runner. Homes are told in time: a request
-// sent here after the lapse would be refused until another node has taken the runner.
+// lapsing reports whether this node's lease on a runner is about to end. Homes are told before, because a request sent here after that is refused
+// until another node has taken over the runner.
 func (o *Owner) lapsing(h *held) bool {
 	return !h.spec.Fences && o.Lease.Left() < lapsingBefore
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -1,11 +1,10 @@
-// Package owner takes, uses and hands back the ownership of runners.
+// Package owner acquires, uses and releases the ownership of runners.
 //
-// All requests of a runner and all orders to it pass through its owner, so the owner's counts are exact although the
-// engine's own reports are late. Three things keep an old owner from doing harm, since a lease alone does not:
-// it may be paused between its check and its send.
-//   - Ownership changes by compare-and-set on one row and raises a fence, which engines that honour fences check.
-//   - On engines that ignore fences an unload is first written into that row, so it fails once ownership has changed,
-//     and a successor that finds one announced starts nothing on that model.
+// All requests and orders for a runner pass through its owner, so the owner's counts are exact although the engine reports late. A lease alone
+// does not keep an old owner from doing harm, since the owner may be paused between its check and its send. Three things do:
+//   - Ownership changes by compare-and-set on one row, which raises a fencing token that some engines check.
+//   - For engines that ignore it, an unload is first written into that row, which fails once ownership has changed. A successor that finds an
+//     announced unload starts nothing on that model.
 //   - A successor unloads nothing until each earlier owner is known to have stopped.
 package owner
 
@@ -31,7 +30,7 @@
 	"damaskreach/internal/tune"
 )
 
-// Points at which a test may pause an owner.
+// Points at which tests may pause an owner.
 const (
 	BeforeStart  = "before start"  // the lease was checked, the request is not yet sent
 	BeforeUnload = "before unload" // the lease was checked and the unload announced, the order is not yet sent
@@ -40,18 +39,17 @@
 
 const (
 	tick          = 50 * time.Millisecond // of the schedulers
-	slowTick      = time.Second           // of everything that is asked of others
+	slowTick      = time.Second           // of all work that calls other processes
 	tableTimeout  = 5 * time.Second
 	engineTimeout = 2 * time.Second
 	loadTimeout   = 2 * time.Minute
 	askTimeout    = time.Second
 	endGrace      = 5 * time.Second // for the node chosen to end a lapsed session before the others do
 	lapsingBefore = 2 * slowTick    // end of a lease
-	sickAfter     = 2               // reports missed in a row
+	sickAfter     = 2               // missed reports in a row
 )
 
-// Owner holds this node's runners. The fields are set before Prepare and not changed afterwards;
-// everything below them belongs to the control goroutine.
+// Owner holds this node's runners. The exported fields are set before Prepare; the others belong to the control goroutine.
 type Owner struct {
 	Site       string
 	MaxRequest time.Duration // longest allowed request
@@ -67,9 +65,9 @@
 
 	// Catalog returns the configuration in force.
 	Catalog func() catlog.Catalog
-	// Connect returns the way to a runner.
+	// Connect returns a client of a runner.
 	Connect func(r runner.Runner) engine.Engine
-	// Permit waits for the load scheduler's leave to load a model and returns the function that gives it back.
+	// Permit waits for the load scheduler's permit to load a model and returns the function that releases it.
 	Permit func(ctx context.Context, r runner.Runner, why reason.Reason) (func(), error)
 	// Busy asks an earlier owner which models its requests still use on a runner.
 	Busy func(ctx context.Context, session, peer, runner string, fence int64) ([]string, error)
@@ -81,9 +79,9 @@
 	Note func(why reason.Reason, attempt string)
 	// Copies returns how many runners of a group have each model resident, as far as this node knows.
 	Copies func(group string) map[string]int
-	// Started is told of each start and its reason, which holds how long the call waited and for what.
+	// Started is called for each start with its reason, which says how long the call waited and for what.
 	Started func(c call.Call, why reason.Reason)
-	// Changed is told of the digests of runners held, whenever they have changed.
+	// Changed is called with the digests of the runners held whenever they have changed.
 	Changed func(digests []digest.Digest)
 	// Enter waits until a call may be sent to a runner; see package suspct. Nil lets every call through.
 	Enter func(ctx context.Context, runner string, c call.Call) (begin func() error, leave func(err error), err error)
@@ -94,8 +92,8 @@
 
 	rows    map[string]seenRow // ownership rows by runner
 	held    map[string]*held   // runners this node owns
-	closing []*held            // runners given up whose requests still run
-	busy    map[string]bool    // runners with a table write on its way
+	closing []*held            // released runners whose requests still run
+	busy    map[string]bool    // runners with a table write in progress
 	wake    chan struct{}
 	leaving bool
 	slow    time.Time // of the last slow tick
@@ -120,8 +118,8 @@
 	}
 }
 
-// Prepare makes the control state, whose work ends with ctx. It comes before the control loop runs: other nodes' questions
-// may arrive as soon as it does.
+// Prepare creates the control state, whose work ends with ctx. It must be called before the control loop runs, since other nodes may send requests
+// from then on.
 func (o *Owner) Prepare(ctx context.Context) {
 	o.ctx = ctx
 	o.rows = map[string]seenRow{}
@@ -171,7 +169,7 @@
 	o.news = true
 }
 
-// retune puts options that operators have changed in force on the runners held.
+// retune applies options that operators have changed to the runners held.
 func (o *Owner) retune() {
 	next := o.Catalog().Tune()
 	if next == o.tune {
@@ -211,7 +209,7 @@
 	return d
 }
 
-// Running returns how many requests run through this node on runners held or given up.
+// Running returns how many requests run through this node on runners that it holds or has released.
 // It must be called on the control goroutine.
 func (o *Owner) Running() int {
 	count := 0
@@ -224,7 +222,7 @@
 	return count
 }
 
-// Leave gives every runner up, so that other nodes take them. It must be called on the control goroutine.
+// Leave releases all runners, so that other nodes take them over. It must be called on the control goroutine.
 func (o *Owner) Leave() {
 	o.leaving = true
 	o.plan(time.Now())
--- a/internal/owner/permit.go
+++ b/internal/owner/permit.go
@@ -7,9 +7,8 @@
 	"damaskreach/internal/reason"
 )
 
-// permit waits for the load scheduler's leave. A load that no request waits for is ordered behind all others; as soon as
-// a request comes for its model it is asked for anew, or that request would wait longer than those for other models
-// that come after it.
+// permit waits for the load scheduler's permit. A load that no request waits for comes after all others. It is requested again as soon as a request
+// needs its model; otherwise that request would wait longer than later ones for other models.
 func (o *Owner) permit(ctx context.Context, h *held, why reason.Reason) (func(), error) {
 	if why.Waiting > 0 {
 		return o.Permit(ctx, h.spec, why)
@@ -33,7 +32,7 @@
 	return o.Permit(ctx, h.spec, why)
 }
 
-// wait notes how to hurry a load, and does so at once where a request has come since it was ordered.
+// wait records how to raise the priority of a load, and does so at once if a request has come since it was ordered.
 func (h *held) wait(model string, hurry func()) {
 	h.patient[model] = hurry
 	if h.sched.Urgency(time.Now(), model).Waiting > 0 {
@@ -41,7 +40,7 @@
 	}
 }
 
-// hurry hurries the load of a model that a request waits for now.
+// hurry raises the priority of the load of a model that a request now waits for.
 func (h *held) hurry(model string) {
 	if hurry := h.patient[model]; hurry != nil {
 		delete(h.patient, model)
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -16,7 +16,7 @@
 	"damaskreach/internal/table"
 )
 
-// plan compares the runners held with this node's fair share and takes or hands back the difference.
+// plan compares the runners held with this node's fair share, and takes over or releases runners accordingly.
 func (o *Owner) plan(now time.Time) {
 	me := o.Lease.Session()
 	serving := o.serving(now, me)
@@ -29,7 +29,7 @@
 	o.declareEnded(now, serving)
 }
 
-// runners returns the operators' rows, with those marked leaving whose hosts the platform says are.
+// runners returns the operators' rows. Those whose hosts are leaving by the platform's host list are marked as leaving.
 func (o *Owner) runners() []runner.Runner {
 	all := o.Catalog().AllRunners()
 	marked := make([]runner.Runner, 0, len(all))
@@ -48,13 +48,13 @@
 		}
 	}
 	if !o.leaving {
-		// The view may be too old to have this node; that is no reason for it to hand its runners over.
+		// The view may be too old to contain this node, which must not make it release its runners.
 		serving = append(serving, me)
 	}
 	return serving
 }
 
-// owners returns the present owner of each runner by the rows seen, without released runners.
+// owners returns the current owner of each runner by the rows read, without released runners.
 func (o *Owner) owners(now time.Time) map[string]string {
 	owners := map[string]string{}
 	for name, seen := range o.rows {
@@ -78,7 +78,7 @@
 	}
 }
 
-// free reports whether a runner has no owner that could still act on its session.
+// free reports whether a runner has no owner whose session is still valid.
 func (o *Owner) free(name string, me sess.Session) bool {
 	seen, ok := o.rows[name]
 	if !ok || seen.row.Released || seen.row.Session == me.ID() {
@@ -88,8 +88,8 @@
 	return !known || o.over(seen.row.Session)
 }
 
-// respec follows a change of the operators' row: a runner marked leaving is closed to new starts,
-// any other change is followed by taking the runner anew, so that what runs keeps the row it started with.
+// respec applies a change of the operators' row. A runner marked as leaving is closed to new starts. After any other change the runner is taken over
+// again, so that running requests keep the row with which they started.
 func (o *Owner) respec(h *held, r runner.Runner) {
 	switch {
 	case h.spec == r || h.leaving && r.Leaving:
@@ -102,7 +102,7 @@
 	}
 }
 
-// dropRemoved gives up runners that operators have deleted.
+// dropRemoved releases runners that operators have deleted.
 func (o *Owner) dropRemoved(runners []runner.Runner) {
 	named := map[string]bool{}
 	for _, r := range runners {
@@ -115,8 +115,8 @@
 	}
 }
 
-// declareEnded deletes the rows of sessions whose term is over, which frees their runners.
-// One node does it at first; the others follow only if it fails to, so that the table is spared their conflicts.
+// declareEnded deletes the rows of sessions that have expired, which frees their runners. One node does so first, and the others only if it fails
+// to, which avoids conflicts in the table service.
 func (o *Owner) declareEnded(now time.Time, serving []sess.Session) {
 	if o.leaving || !o.Lease.Valid() {
 		return
@@ -143,7 +143,7 @@
 	go o.declare(edit)
 }
 
-// Ending reports whether this node is just ending a session. It must be called on the control goroutine.
+// Ending reports whether this node is ending a session at the moment. It must be called on the control goroutine.
 func (o *Owner) Ending(key string) bool {
 	return o.busy[key]
 }
@@ -161,8 +161,8 @@
 	}
 	_ = o.Loop.Post(func() { delete(o.busy, edit.Key) })
 	if err == nil {
-		// After a conflict the view is too old. Read again at once from the same lagging replica it would lead to the
-		// same write, and the node would load the table service with nothing but that.
+		// After a conflict the view is too old. Another reading from the same lagging replica at once would lead to the same write, and the node
+		// would flood the table service.
 		o.Nudge()
 	}
 }
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -7,7 +7,7 @@
 	"damaskreach/internal/report"
 )
 
-// poll asks a runner for its report, one at a time. A plain service has none; only its answers tell how it is.
+// poll requests a runner's report, one at a time. A plain service has none, and its state is known from its answers only.
 func (o *Owner) poll(h *held) {
 	if h.asking || h.plain {
 		return
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -11,8 +11,8 @@
 	"damaskreach/internal/rows"
 )
 
-// release hands a runner back: starts are closed first, then the row asks for a successor.
-// The other way round a successor could unload a model on which a request is just being started.
+// release releases a runner: it is closed to new starts before its row asks for a successor. In the opposite order, a successor could unload a model
+// on which a request is being started.
 func (o *Owner) release(h *held) {
 	o.busy[h.spec.Name] = true
 	row, rev := h.row.WithReleased(), h.rev
@@ -38,12 +38,12 @@
 func (o *Owner) released(row assign.Assignment, err error) {
 	delete(o.busy, row.Runner)
 	if err != nil {
-		// The row still names this session; the next plan takes the runner again under a new fence or releases it then.
+		// The row still names this session. The next plan takes the runner over again under a new fencing token, or releases it.
 		o.Log.Warn("handing a runner over failed", zap.String("runner", row.Runner), zap.Error(err))
 	}
 }
 
-// giveUp closes a runner to new starts at once; requests that run go on to their end.
+// giveUp closes a runner to new starts at once. Running requests continue to their end.
 func (o *Owner) giveUp(h *held, why string) {
 	now := time.Now()
 	delete(o.held, h.spec.Name)
@@ -58,7 +58,7 @@
 	o.dropClosed()
 }
 
-// dropUnloads forgets unloads that were decided and not announced: they are never sent.
+// dropUnloads drops unloads that were decided but not announced. They are never sent.
 func (h *held) dropUnloads() {
 	for _, model := range h.unloads {
 		delete(h.orders, model)
@@ -66,7 +66,7 @@
 	h.unloads = nil
 }
 
-// dropLost gives up runners held under a session that others have ended.
+// dropLost releases runners held under a session that another node has ended.
 func (o *Owner) dropLost(now time.Time) {
 	me := o.Lease.Session().ID()
 	for _, h := range o.held {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -10,7 +10,7 @@
 	"damaskreach/pkg/verd"
 )
 
-// retryMoved is when a caller may come back after a change of owner.
+// retryMoved is after how long a caller may retry if the owner has changed.
 const retryMoved = time.Second
 
 func notOwner(runner string) *refuse.Refusal {
@@ -21,8 +21,8 @@
 	return func() error { return nil }, func(error) {}, nil
 }
 
-// Run sends a call to a runner this node owns under fence and passes its answer on piece by piece.
-// It returns nil only for a whole answer; any error carries a verdict.
+// Run sends a call to a runner that this node owns under a fencing token, and forwards its answer piece by piece. It returns nil only for a
+// complete answer; any error carries a verdict.
 func (o *Owner) Run(ctx context.Context, name string, fence int64, c call.Call, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
 	begin, leave, err := o.Enter(ctx, name, c)
 	if err != nil {
@@ -36,7 +36,7 @@
 func (o *Owner) run(ctx context.Context, name string, fence int64, c call.Call, begin func() error, head func(status int, kind string) error, emit func(token int, piece []byte) error) error {
 	s, err := loop.Get(ctx, o.Loop, func() submitted { return o.submit(name, fence, c) })
 	if err != nil {
-		// The step may still run; cancelling makes sure that the attempt it submits does not start.
+		// The step may still run. Canceling makes sure that the attempt that it submits does not start.
 		_ = o.Loop.Post(func() { o.cancel(name, fence, c.Attempt) })
 		return verd.Mark(err, verd.NotRun)
 	}
@@ -72,7 +72,7 @@
 	return submitted{held: h, attempt: a}
 }
 
-// await waits for the scheduler's decision. When the caller goes away first, the attempt is taken out of the queue.
+// await waits for the scheduler's decision. If the caller leaves first, the attempt is removed from the queue.
 func (o *Owner) await(ctx context.Context, s submitted, c call.Call) error {
 	select {
 	case refusal := <-s.attempt.decided:
@@ -92,7 +92,7 @@
 	}
 }
 
-// drop removes an attempt that has not been sent, whether or not its start was decided.
+// drop removes an attempt that has not been sent, even if it was to start.
 func (o *Owner) drop(h *held, attempt string) {
 	a := h.attempts[attempt]
 	if a == nil {
--- a/internal/owner/take.go
+++ b/internal/owner/take.go
@@ -30,7 +30,7 @@
 	}()
 }
 
-// over reports whether a session has said itself that it has ended, which it never takes back.
+// over reports whether a session has declared its own end, which is final.
 func (o *Owner) over(id string) bool {
 	s, known := o.Members.Get(id)
 	return known && s.State == sess.Ended
@@ -41,8 +41,7 @@
 	next.Runner = r.Name
 	edits := []rows.Row{{Key: assign.Key(o.Site, r.Name), Rev: seen.rev, Value: next.Encode()}}
 	if lapsed {
-		// The view may come from a lagging replica that does not have the former's session yet:
-		// the transaction demands that the session really has ended.
+		// The view may come from a lagging replica that lacks the former's session, so the transaction checks that the session has ended.
 		edits = append(edits, rows.Row{Key: sess.Key(o.Site, seen.row.Session), Gone: true})
 	}
 	o.Pause(BeforeTake)
@@ -55,8 +54,8 @@
 	return next, rev, err
 }
 
-// settle finds out whether a write of an ownership row whose answer was lost took effect.
-// Taken for failed, it would leave a runner with an owner that does not know of it.
+// settle finds out whether a write of an ownership row took effect although its answer was lost. If it were assumed to have failed, the owner of the
+// runner would not know that it is.
 func (o *Owner) settle(ctx context.Context, next assign.Assignment, cause error) (int64, error) {
 	if errors.Is(cause, table.ErrDown) {
 		return 0, cause
--- a/internal/owner/tell.go
+++ b/internal/owner/tell.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// announce passes on the digests of all runners held, at most once in a tick: between two of them many requests start
-// and end, and the other nodes count their own choices themselves. Package share sends each node what it lacks.
+// announce publishes the digests of all runners held, at most once a tick: many requests start and end between two ticks, and the other nodes count
+// their own choices. Package share sends each node what it lacks.
 func (o *Owner) announce(now time.Time) {
 	if now.Sub(o.told) < tick {
 		o.news = true
