--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -104,8 +104,8 @@
 	return "", false
 }
 
-// New returns the builds of a group that this host has known for less than a time, in which the other hosts learn of them too.
-func (b *Builds) New(group string, within time.Duration, now time.Time) (list []string) {
+// Recent returns the builds of a group that this host has known for less than a time, in which the other hosts learn of them too.
+func (b *Builds) Recent(group string, within time.Duration, now time.Time) (list []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for build, s := range b.groups[group] {
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -64,10 +64,10 @@
 	var b builds.Builds
 	b.Observe(running("v1"), start)
 	b.Observe(running("v1", "v2"), start.Add(time.Second))
-	if got, want := b.New("g", 2*time.Second, start.Add(2*time.Second)), []string{"v2"}; !slices.Equal(got, want) {
-		t.Errorf("New() = %q, want %q", got, want)
+	if got, want := b.Recent("g", 2*time.Second, start.Add(2*time.Second)), []string{"v2"}; !slices.Equal(got, want) {
+		t.Errorf("Recent() = %q, want %q", got, want)
 	}
-	if got := b.New("g", 2*time.Second, start.Add(3*time.Second)); len(got) > 0 {
-		t.Errorf("New() = %q, want none", got)
+	if got := b.Recent("g", 2*time.Second, start.Add(3*time.Second)); len(got) > 0 {
+		t.Errorf("Recent() = %q, want none", got)
 	}
 }
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -123,7 +123,7 @@
 		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
 		IsToBlame:  e.reach.IsToBlame, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
 		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Poison: &e.poison, Crashed: e.reach.Refuses, Speeds: e.speeds,
-		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, NewBuilds: e.newBuilds,
+		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, RecentBuilds: e.recentBuilds,
 		Log: e.Log, RequestLog: e.RequestLog, Stats: e.Stats,
 	}
 }
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// withSeeds runs a test in virtual time with three seeds.
+func withSeeds(t *testing.T, run func(t *testing.T, seed uint64)) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { run(t, seed) })
+		})
+	}
+}
+
 // newBuildFarm starts a site whose engines run the given builds of their software, the same number of each.
 func newBuildFarm(t *testing.T, builds ...string) *farm {
 	f := newEmptyFarm()
@@ -177,81 +186,69 @@
 // Engines of two builds serve side by side. Engines break off streams, and hosts are killed, two at a time: neither a host that goes on with
 // a stream by itself nor one that its caller comes back to may let an engine of the other build go on.
 func TestStreamsGoOnAtTheBuildThatBeganThem(t *testing.T) {
-	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newBuildFarm(t, "v1", "v2")
-				var all resumableStreams
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f.generateResumable(ctx, seed, buildRate, &all)
-				for i := range 2 * buildEngines {
-					time.Sleep(time.Second)
-					f.breakStreams(i)
-					f.restartHosts(i%buildHosts, (i+3)%buildHosts)
-				}
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.wantSeparate(&all)
-			})
-		})
-	}
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		f := newBuildFarm(t, "v1", "v2")
+		var all resumableStreams
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f.generateResumable(ctx, seed, buildRate, &all)
+		for i := range 2 * buildEngines {
+			time.Sleep(time.Second)
+			f.breakStreams(i)
+			f.restartHosts(i%buildHosts, (i+3)%buildHosts)
+		}
+		cancel()
+		time.Sleep(14 * time.Second)
+		f.wantSeparate(&all)
+	})
 }
 
 // All hosts lose what they have in memory while engines of two builds serve. A caller that comes back with a stream of before must not be
 // sent to the other build because nobody remembers which one began it.
 func TestStreamsOfTwoBuildsStaySeparateWhenAllHostsAreKilled(t *testing.T) {
-	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newBuildFarm(t, "v1", "v2")
-				var all resumableStreams
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f.generateResumable(ctx, seed, buildRate, &all)
-				time.Sleep(3 * time.Second)
-				f.restartHosts(0, 1, 2, 3, 4, 5)
-				time.Sleep(6 * time.Second)
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.wantNoneJoined(&all)
-			})
-		})
-	}
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		f := newBuildFarm(t, "v1", "v2")
+		var all resumableStreams
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f.generateResumable(ctx, seed, buildRate, &all)
+		time.Sleep(3 * time.Second)
+		f.restartHosts(0, 1, 2, 3, 4, 5)
+		time.Sleep(6 * time.Second)
+		cancel()
+		time.Sleep(14 * time.Second)
+		f.wantNoneJoined(&all)
+	})
 }
 
 // A build has just replaced the one before when all hosts are killed. A stream of the old build must not go on at the new one, although it is
 // the only one that is registered; streams of a build that serves alone for long must go on whoever is asked.
 func TestStreamsOfAReplacedBuildDoNotGoOnAtTheNextOne(t *testing.T) {
-	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newBuildFarm(t, "v1")
-				var all resumableStreams
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f.generateResumable(ctx, seed, buildRate, &all)
-				time.Sleep(3 * time.Second)
-				f.restartHosts(0, 1, 2, 3, 4, 5)
-				time.Sleep(5 * time.Second)
-				f.wantSeparate(&all)
-				f.addBuild(t, "v2")
-				time.Sleep(3 * time.Second)
-				for i := range buildEngines {
-					f.startLeaving(fmt.Sprint("v1-", i))
-				}
-				time.Sleep(300 * time.Millisecond)
-				for i := range buildEngines {
-					f.store.drop(fmt.Sprint("servers/v1-", i))
-				}
-				f.restartHosts(0, 1, 2, 3, 4, 5)
-				time.Sleep(6 * time.Second)
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.wantNoneJoined(&all)
-			})
-		})
-	}
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		f := newBuildFarm(t, "v1")
+		var all resumableStreams
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f.generateResumable(ctx, seed, buildRate, &all)
+		time.Sleep(3 * time.Second)
+		f.restartHosts(0, 1, 2, 3, 4, 5)
+		time.Sleep(5 * time.Second)
+		f.wantSeparate(&all)
+		f.addBuild(t, "v2")
+		time.Sleep(3 * time.Second)
+		for i := range buildEngines {
+			f.startLeaving(fmt.Sprint("v1-", i))
+		}
+		time.Sleep(300 * time.Millisecond)
+		for i := range buildEngines {
+			f.store.drop(fmt.Sprint("servers/v1-", i))
+		}
+		f.restartHosts(0, 1, 2, 3, 4, 5)
+		time.Sleep(6 * time.Second)
+		cancel()
+		time.Sleep(14 * time.Second)
+		f.wantNoneJoined(&all)
+	})
 }
 
 // wantNoneJoined checks that no stream holds events of two builds.
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -139,7 +139,7 @@
 	return b, false
 }
 
-// newBuilds returns the builds of a group that other hosts may not know of yet.
-func (e *Edge) newBuilds(group string) []string {
-	return e.builds.New(group, e.Setup().Drain, time.Now())
+// recentBuilds returns the builds of a group that other hosts may not know of yet.
+func (e *Edge) recentBuilds(group string) []string {
+	return e.builds.Recent(group, e.Setup().Drain, time.Now())
 }
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"damaskreach/pkg/refuse"
@@ -223,70 +222,58 @@
 // Requests of which no two are alike share a part of their prompts that crashes each engine. Unless the part is found, one engine after the
 // other crashes with all requests on it.
 func TestPromptPartThatCrashesEnginesIsFound(t *testing.T) {
-	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f := newPoisonFarm(ctx, t, seed)
-				f.poison(ctx, seed)
-				f.awaitDetection()
-				time.Sleep(10 * time.Second)
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.wantFewPoisoned()
-				f.wantSoundServed()
-			})
-		})
-	}
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f := newPoisonFarm(ctx, t, seed)
+		f.poison(ctx, seed)
+		f.awaitDetection()
+		time.Sleep(10 * time.Second)
+		cancel()
+		time.Sleep(14 * time.Second)
+		f.wantFewPoisoned()
+		f.wantSoundServed()
+	})
 }
 
 // All hosts are killed after a part was found, and requests with it go on. The hosts must not let it crash engines all over again.
 func TestPromptPartThatCrashesEnginesStaysKnown(t *testing.T) {
-	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f := newPoisonFarm(ctx, t, seed)
-				f.poison(ctx, seed)
-				f.awaitDetection()
-				f.restartHosts(0, 1, 2, 3, 4, 5)
-				time.Sleep(10 * time.Second)
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.wantFewPoisoned()
-			})
-		})
-	}
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f := newPoisonFarm(ctx, t, seed)
+		f.poison(ctx, seed)
+		f.awaitDetection()
+		f.restartHosts(0, 1, 2, 3, 4, 5)
+		time.Sleep(10 * time.Second)
+		cancel()
+		time.Sleep(14 * time.Second)
+		f.wantFewPoisoned()
+	})
 }
 
 // Half of the engines crash at once, again and again, whatever they run. No part of a prompt may be held responsible: its requests would be
 // refused although nothing is wrong with them.
 func TestCrashesOfManyEnginesBlameNoPart(t *testing.T) {
-	for seed := range uint64(3) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f := newPoisonFarm(ctx, t, seed)
-				for range 3 {
-					for _, id := range f.live()[:poisonEngines/2] {
-						f.crash(id)
-					}
-					time.Sleep(8 * time.Second)
-				}
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				t.Logf("%d engines crashed, sound requests %+v", len(f.crashes), f.sound)
-				if f.blamed > 0 {
-					t.Errorf("%d requests refused for a part of their prompt, want none", f.blamed)
-				}
-			})
-		})
-	}
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f := newPoisonFarm(ctx, t, seed)
+		for range 3 {
+			for _, id := range f.live()[:poisonEngines/2] {
+				f.crash(id)
+			}
+			time.Sleep(8 * time.Second)
+		}
+		cancel()
+		time.Sleep(14 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		t.Logf("%d engines crashed, sound requests %+v", len(f.crashes), f.sound)
+		if f.blamed > 0 {
+			t.Errorf("%d requests refused for a part of their prompt, want none", f.blamed)
+		}
+	})
 }
 
 // live returns the engines that have not crashed, sorted.
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -85,7 +85,7 @@
 	stopsSoon  bool
 	builds     map[string]string // builds that began streams, by attempt
 	crashed    map[string]bool   // addresses at which nothing listens any more
-	newBuilds  []string          // that other hosts may not know of
+	recentBuilds  []string          // that other hosts may not know of
 	origins    []began.Began     // streams that have begun
 	dial       func(addr string) // called when a connection is opened; may be nil
 }
@@ -136,7 +136,7 @@
 			build, ok := b.builds[attempt]
 			return build, ok
 		},
-		NewBuilds: func(string) []string { return b.newBuilds },
+		RecentBuilds: func(string) []string { return b.recentBuilds },
 		Send:      b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
 		Blame: &blame.Blame{}, Poison: &poison.Poison{}, Crashed: func(addr string) bool { return b.crashed[addr] },
 		Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -41,17 +41,17 @@
 	return !j.begun || t.Build == j.build
 }
 
-// withoutNewBuilds drops the upstreams of builds that other hosts may not know of yet, unless there are no others. A stream that began there
+// withoutRecentBuilds drops the upstreams of builds that other hosts may not know of yet, unless there are no others. A stream that began there
 // could be resumed at a host that takes the other build for the only one.
-func (p *Proxy) withoutNewBuilds(j *job, list []target.Target) []target.Target {
+func (p *Proxy) withoutRecentBuilds(j *job, list []target.Target) []target.Target {
 	if j.begun || !j.route.Resumable {
 		return list
 	}
-	latest := p.NewBuilds(j.group)
-	if len(latest) == 0 {
+	recent := p.RecentBuilds(j.group)
+	if len(recent) == 0 {
 		return list
 	}
-	known := filter(list, func(t target.Target) bool { return !slices.Contains(latest, t.Build) })
+	known := filter(list, func(t target.Target) bool { return !slices.Contains(recent, t.Build) })
 	if len(known) == 0 {
 		return list
 	}
--- a/internal/proxy/origin_test.go
+++ b/internal/proxy/origin_test.go
@@ -26,7 +26,7 @@
 // off, and at once: no engine that takes new requests could go on with it.
 func TestStreamDoesNotGoOnAtAnotherBuild(t *testing.T) {
 	b := newBuildBench(t)
-	b.newBuilds = []string{"v2"} // so that it begins at v1
+	b.recentBuilds = []string{"v2"} // so that it begins at v1
 	b.setAnswers(func(s sent) (r resp.Resp, err error) {
 		r, err = answers(200, nil, "id: 1\ndata: a\n\nid: 2\nda", errors.New("reset"))(s)
 		one := b.view.Targets["one"]
--- a/internal/proxy/place.go
+++ b/internal/proxy/place.go
@@ -59,7 +59,7 @@
 	ready := filter(j.view.Group(j.group), func(t target.Target) bool {
 		return !t.Draining && j.mayUse(t) && p.Avoid.Accepts(t, now)
 	})
-	return p.withoutNewBuilds(j, ready)
+	return p.withoutRecentBuilds(j, ready)
 }
 
 // placeAdapter chooses an engine for a request that names an adapter, preferring engines that hold its newest version.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -102,8 +102,8 @@
 	RecordOrigin func(b began.Began)
 	// FindBuild returns the build of a group that began the stream whose first event answered an attempt; ok is false if nobody knows.
 	FindBuild func(ctx context.Context, attempt, group string) (build string, ok bool)
-	// NewBuilds returns the builds of a group that other hosts may not know of yet.
-	NewBuilds func(group string) []string
+	// RecentBuilds returns the builds of a group that other hosts may not know of yet.
+	RecentBuilds func(group string) []string
 	// Use marks an adapter of an engine as in use until done is called.
 	Use func(id, adapter string) (done func())
 	// StopsSoon reports whether the host stops too soon to finish another request.
