Count engines that crash together once against a part of prompts

Callers would have seen: refusals as suspect for up to ten minutes, after a part of the engines crashed at the same moment for any reason. Cause: three engines that end at once under requests with one part counted as three crashes, and at hosts where no request with the part had run well in the last 1.5 s nothing spoke for it. Change: a report names the time of the crash; crashes within 150 ms count once.

--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -18,8 +18,10 @@
 
 const (
 	poisonHosts, poisonEngines, poisonAdapters = 6, 8, 12
-	// poisonedPart is the part of a prompt that crashes each engine that begins to write on it. All prompts begin with openingPart.
-	poisonedPart, openingPart = "poisoned", "opening"
+	// poisonedPart is the part of a prompt that crashes each engine that begins to write on it. Its prompts and most others begin with
+	// openingPart, one in rareShare with rareOpening, which ran well at a given host seconds ago.
+	poisonedPart, openingPart, rareOpening = "poisoned", "opening", "rare"
+	rareShare                              = 6
 	// soundRate and poisonRate are the requests a second without and with that part.
 	soundRate, poisonRate = 20, 1.5
 	// soundParts is how many other parts follow the opening, each in a few requests.
@@ -143,7 +145,13 @@
 	f := &poisonFarm{farm: newEmptyFarm()}
 	f.separateAddrs = true
 	f.start(t, poisonHosts, poisonEngines, unlimitedTeams, f.adaptHost)
-	soundPrompt := func(rng *rand.Rand) string { return fmt.Sprint(openingPart, " part", rng.IntN(soundParts)) }
+	soundPrompt := func(rng *rand.Rand) string {
+		opening := openingPart
+		if rng.IntN(rareShare) == 0 {
+			opening = rareOpening
+		}
+		return fmt.Sprint(opening, " part", rng.IntN(soundParts))
+	}
 	f.generateParts(ctx, 100+seed, soundRate, soundPrompt, func(firstTry bool) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -5,17 +5,22 @@
 package poison
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// minCrashes is the number of engines that must have crashed under a part for it to be blocked.
+	// minCrashes is how often engines must have crashed under a part for it to be blocked.
 	minCrashes = 3
 	// suspectCrashes is the number from which requests with the part are not sent a second time.
 	suspectCrashes = 2
+	// crashInterval is the time within which crashes of several engines count once: engines that crash together have another cause.
+	crashInterval = 150 * time.Millisecond
 	// soundFor is how long crashes do not count against a part after a request with it ran well at this host. Where many engines crash
 	// together for another reason, the parts that most of their requests share must not be blocked.
 	soundFor = 1500 * time.Millisecond
@@ -31,7 +36,7 @@
 	maxPending = 200
 )
 
-// Kinds of reports between hosts: "crash ENGINE PART,PART" and "sound PART".
+// Kinds of reports between hosts: "crash ENGINE TIME PART,PART", with the Unix time in ms, and "sound PART".
 const (
 	kindCrash = "crash "
 	kindSound = "sound "
@@ -47,11 +52,22 @@
 
 // record is what is known against one part.
 type record struct {
-	engines      map[string]bool // incarnations that crashed since a request with the part last ran well
-	last         time.Time       // of the crashes
+	crashes      map[string]int64 // Unix times in ms, by incarnation of engine, since a request with the part last ran well
+	last         time.Time        // when a crash was last added
 	blockedUntil time.Time
 }
 
+// count returns how often engines crashed, counting those that crashed together once.
+func (r record) count() (count int) {
+	var counted int64
+	for _, at := range slices.Sorted(maps.Values(r.crashes)) {
+		if count == 0 || at-counted >= crashInterval.Milliseconds() {
+			count, counted = count+1, at
+		}
+	}
+	return count
+}
+
 func (r record) blocked(now time.Time) bool { return now.Before(r.blockedUntil) }
 
 // soundness is what speaks for one part.
@@ -65,22 +81,22 @@
 func (p *Poison) RecordCrash(parts []string, engine string, now time.Time) (blocked string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	added, blocked := p.addCrash(parts, engine, now)
+	added, blocked := p.addCrash(parts, engine, now.UnixMilli(), now)
 	if len(added) > 0 {
-		p.report(kindCrash + engine + " " + strings.Join(added, ","))
+		p.report(fmt.Sprint(kindCrash, engine, " ", now.UnixMilli(), " ", strings.Join(added, ",")))
 	}
 	return blocked
 }
 
 // addCrash counts a crash against those parts of a prompt that did not run well here just now, and returns them if it was not known yet.
-func (p *Poison) addCrash(parts []string, engine string, now time.Time) (added []string, blocked string) {
+func (p *Poison) addCrash(parts []string, engine string, at int64, now time.Time) (added []string, blocked string) {
 	known := true
 	for _, part := range parts {
 		if now.Sub(p.sound[part].ranAt) < soundFor {
 			p.reportSound(part, now)
 			continue
 		}
-		known = !p.add(part, engine, now) && known
+		known = !p.add(part, engine, at, now) && known
 		added = append(added, part)
 	}
 	if known {
@@ -90,18 +106,18 @@
 }
 
 // add counts a crash against a part; it reports false if it is known.
-func (p *Poison) add(part, engine string, now time.Time) bool {
+func (p *Poison) add(part, engine string, at int64, now time.Time) bool {
 	if p.records == nil || len(p.records) >= maxRecords {
 		p.records = p.blockedRecords(now)
 	}
 	r := p.records[part]
-	if r.engines[engine] {
+	if _, known := r.crashes[engine]; known {
 		return false
 	}
-	if r.engines == nil || now.Sub(r.last) > crashTTL && !r.blocked(now) {
-		r = record{engines: map[string]bool{}, blockedUntil: r.blockedUntil}
+	if r.crashes == nil || now.Sub(r.last) > crashTTL && !r.blocked(now) {
+		r = record{crashes: map[string]int64{}, blockedUntil: r.blockedUntil}
 	}
-	r.engines[engine] = true
+	r.crashes[engine] = at
 	r.last = now
 	p.records[part] = r
 	return true
@@ -122,7 +138,7 @@
 // before it are in many other prompts too.
 func (p *Poison) blockDeepest(parts []string, now time.Time) (blocked string) {
 	at := len(parts) - 1
-	for at >= 0 && len(p.records[parts[at]].engines) < minCrashes {
+	for at >= 0 && p.records[parts[at]].count() < minCrashes {
 		at--
 	}
 	if at < 0 || p.records[parts[at]].blocked(now) {
@@ -197,11 +213,13 @@
 			continue
 		}
 		rest, ok := strings.CutPrefix(text, kindCrash)
-		engine, parts, _ := strings.Cut(rest, " ")
-		if !ok || parts == "" {
+		engine, rest, _ := strings.Cut(rest, " ")
+		number, parts, _ := strings.Cut(rest, " ")
+		at, err := strconv.ParseInt(number, 10, 64)
+		if !ok || err != nil || parts == "" {
 			continue
 		}
-		if _, part := p.addCrash(strings.Split(parts, ","), engine, now); part != "" {
+		if _, part := p.addCrash(strings.Split(parts, ","), engine, at, now); part != "" {
 			blocked = append(blocked, part)
 		}
 	}
@@ -226,7 +244,7 @@
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(parts, func(part string) bool {
 		r := p.records[part]
-		return r.blocked(now) || len(r.engines) >= suspectCrashes && now.Sub(r.last) <= crashTTL
+		return r.blocked(now) || r.count() >= suspectCrashes && now.Sub(r.last) <= crashTTL
 	})
 }
 
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -77,20 +77,35 @@
 	}
 }
 
+// Many engines crash together, under requests that share a part which did not run well here lately. Hosts hear of that one after the other. Something
+// else ended all the engines at once, and neither a block nor a suspicion may follow.
+func TestEnginesThatCrashTogetherCountOnce(t *testing.T) {
+	seen, told := &poison.Poison{}, &poison.Poison{}
+	for i := range 6 {
+		seen.RecordCrash([]string{"x"}, fmt.Sprint("e", i), after(0.02*float64(i)))
+		exchange(after(float64(i)), seen, told)
+	}
+	for name, p := range map[string]*poison.Poison{"seen": seen, "told": told} {
+		if p.Blocked([]string{"x"}, after(6)) != "" || p.Suspected([]string{"x"}, after(6)) {
+			t.Errorf("%s: the part is blocked or suspected, want neither", name)
+		}
+	}
+}
+
 // One engine crashes with many requests that share a part, reported by several hosts. It is one crash.
 func TestCrashOfOneEngineCountsOnce(t *testing.T) {
 	var p poison.Poison
 	for range 5 {
 		p.RecordCrash([]string{"x"}, "e", start)
 	}
-	p.AddReports([]string{"crash e x", "crash e x,y"}, start)
+	p.AddReports([]string{"crash e 1000500 x", "crash e 1000900 x,y"}, start)
 	if p.Suspected([]string{"x"}, start) {
 		t.Error("suspected after one crash, want it sent again")
 	}
 	if got, want := len(p.TakePending()), 1; got != want {
 		t.Errorf("%d reports, want %d", got, want)
 	}
-	p.RecordCrash([]string{"x"}, "f", start)
+	p.RecordCrash([]string{"x"}, "f", after(0.5))
 	if !p.Suspected([]string{"x"}, start) {
 		t.Error("not suspected after two crashes, want no further try")
 	}
@@ -100,10 +115,10 @@
 func TestBlockIsRestored(t *testing.T) {
 	var before, restarted poison.Poison
 	for i := range 3 {
-		before.RecordCrash([]string{"x"}, fmt.Sprint("e", i), start)
+		before.RecordCrash([]string{"x"}, fmt.Sprint("e", i), after(float64(i)))
 	}
-	restarted.Restore(before.Blocks(start))
-	if got, want := restarted.Blocked([]string{"x"}, after(1)), "x"; got != want {
+	restarted.Restore(before.Blocks(after(2)))
+	if got, want := restarted.Blocked([]string{"x"}, after(3)), "x"; got != want {
 		t.Errorf("blocks %q, want %q", got, want)
 	}
 }
@@ -111,7 +126,7 @@
 // A caller names hosts' own words or nothing at all as parts of its prompts. Reports must not fail on that.
 func TestOddReportsAreIgnored(t *testing.T) {
 	var p poison.Poison
-	blocked := p.AddReports([]string{"", "crash", "crash ", "crash e", "crash e ", "sound ", "x"}, start)
+	blocked := p.AddReports([]string{"", "crash", "crash ", "crash e", "crash e ", "crash e x", "crash e 1 ", "crash e now x", "sound ", "x"}, start)
 	if len(blocked) > 0 {
 		t.Errorf("blocked %q, want nothing", blocked)
 	}
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -70,24 +70,24 @@
 	ctx   context.Context // of the caller; nil means the test's
 	start time.Time
 
-	mu         sync.Mutex
-	view       view.View
-	answers    []func(s sent) (resp.Resp, error)
-	sent       []sent
-	loads      []intent.Intent
-	loadErr    error
-	permitAsks []string                 // upstreams whose permits were requested
-	limitWaits map[string]time.Duration // time until an upstream's limit has room
-	permitErr  error
-	turnWaits  map[string]time.Duration // for a turn at each engine
-	busy       map[string]bool          // engines without a turn in time
-	storeDown  bool                     // the store does not answer
-	stopsSoon  bool
-	builds     map[string]string // builds that began streams, by attempt
-	crashed    map[string]bool   // addresses at which nothing listens any more
-	recentBuilds  []string          // that other hosts may not know of
-	origins    []began.Began     // streams that have begun
-	dial       func(addr string) // called when a connection is opened; may be nil
+	mu           sync.Mutex
+	view         view.View
+	answers      []func(s sent) (resp.Resp, error)
+	sent         []sent
+	loads        []intent.Intent
+	loadErr      error
+	permitAsks   []string                 // upstreams whose permits were requested
+	limitWaits   map[string]time.Duration // time until an upstream's limit has room
+	permitErr    error
+	turnWaits    map[string]time.Duration // for a turn at each engine
+	busy         map[string]bool          // engines without a turn in time
+	storeDown    bool                     // the store does not answer
+	stopsSoon    bool
+	builds       map[string]string // builds that began streams, by attempt
+	crashed      map[string]bool   // addresses at which nothing listens any more
+	recentBuilds []string          // that other hosts may not know of
+	origins      []began.Began     // streams that have begun
+	dial         func(addr string) // called when a connection is opened; may be nil
 }
 
 var errLeaving = errors.New("the upstream has begun to leave")
@@ -137,7 +137,7 @@
 			return build, ok
 		},
 		RecentBuilds: func(string) []string { return b.recentBuilds },
-		Send:      b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
+		Send:         b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
 		Blame: &blame.Blame{}, Poison: &poison.Poison{}, Crashed: func(addr string) bool { return b.crashed[addr] },
 		Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		StopsSoon: func() bool { return b.stopsSoon }, Stopping: context.Background(), WithDeadline: context.WithDeadline,
