Wait before a failed reading of the store is tried again where a host is alone in its data centre

Traced: the one runnable goroutine is a reading of the operators' rows, begun again and again by RunConf without a pause. Cause: the pause after a failed reading is as many steps as other hosts serve in the data centre; with none, and a host of another data centre ahead, it is 0. Against a store that refuses at once such a host asks without end; in virtual time, time stands still. Change: one step at least. Conclusion: an old fault, met by a new test; a test of its own is missing.

--- a/internal/edge/storereads.go
+++ b/internal/edge/storereads.go
@@ -127,7 +127,7 @@
 			sameCentre++
 		}
 	}
-	pause := min(maxMeanRetryDelay, time.Duration(sameCentre)*readerRetryDelay)
+	pause := min(maxMeanRetryDelay, time.Duration(max(1, sameCentre))*readerRetryDelay)
 	return pause/2 + rand.N(pause+1)
 }
 
