Show that good answers to other callers hide a request that crashes runners

A lookup of one tenant crashes each runner that begins to run it; callers of other tenants ask for the same path and are served. The fingerprint of a request lacks its caller, and each good answer clears the record, so the crashes never add up to three at any host.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,7 +20,8 @@
 
 // cases are the cases by name; each returns an exit code.
 var cases = map[string]func(s *site, storeAddr string, trouble bool) (int, error){
-	"extra": playExtra,
+	"extra":  playExtra,
+	"poison": playPoison,
 }
 
 func main() {
