Show that hosts that are restarted in turn forget a request that crashes runners

Breaks under requests are kept in memory alone. A restarted host asks the others, but between relays a message holds only what was seen in the sender's own group, so nobody returns what the restarted host had seen itself. After all hosts have been restarted in turn, as by an update, the request crashes runners anew.

Ruled out: that the record expires (it lasts two minutes after the last crash, and without restarts the request stayed refused).

--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -101,6 +103,10 @@
 
 func (c *caller) exchange(addr string, a attempt) (got answered, err error) {
 	ch := c.chans[addr]
+	if ch != nil && ch.isClosed() {
+		ch.Close()
+		ch = nil
+	}
 	if ch == nil {
 		conn, err := net.DialTimeout("tcp", addr, dialTimeout)
 		if err != nil {
@@ -134,6 +140,15 @@
 	return answered{r.StatusCode, r.Header.Get("X-Server-Stamp"), r.Header.Get("X-Attempt-Id"), string(body)}, nil
 }
 
+// isClosed reports whether the host has closed an idle channel.
+func (ch *channel) isClosed() bool {
+	if err := ch.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
+		return true
+	}
+	_, err := ch.in.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // text returns the request as it goes over the wire.
 func (a attempt) text() string {
 	var b strings.Builder
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(s *site, storeAddr string, trouble bool) (int, error){
 	"extra":  playExtra,
 	"poison": playPoison,
+	"roll":   playRoll,
 }
 
 func main() {
