--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -93,6 +93,10 @@
 	addr := addrs[rand.IntN(len(addrs))]
 	c.lastAddr = addr
 	got, err := c.exchange(addr, a)
+	c.site.asked.Add(1)
+	if err == nil && got.status == http.StatusOK {
+		c.site.served.Add(1)
+	}
 	outcome := fmt.Sprintf("%d, stamp %q", got.status, got.stamp)
 	if err != nil {
 		outcome = "no answer: " + err.Error()
--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -1,8 +1,6 @@
 package main
 
-import (
-	"time"
-)
+import "time"
 
 // Names that the operator gives.
 const (
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -59,5 +59,9 @@
 		return failed, err
 	}
 	defer s.close()
-	return run(s, storeAddr, os.Getenv("TROUBLE") != "0")
+	code, err = run(s, storeAddr, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		return failed, err
+	}
+	return code, s.checkServed()
 }
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -44,6 +45,18 @@
 	dir   string // temporary
 	store *store
 	hosts []*host
+
+	asked, served atomic.Int64 // requests of all callers, and those answered 200
+}
+
+// checkServed returns an error if the hosts served so little that the case says nothing.
+func (s *site) checkServed() error {
+	asked, served := s.asked.Load(), s.served.Load()
+	s.rec.verdict("%d requests, %d answered 200", asked, served)
+	if served*4 < asked || served == 0 {
+		return errors.New("the hosts served less than a quarter of the requests")
+	}
+	return nil
 }
 
 // host is one process of the program.
