--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -77,11 +77,16 @@
 	return r != nil && len(r.upstreams) >= minUpstreams && now.Before(r.expiresAt)
 }
 
-// Clear drops the record of a request that was answered completely: it was not the cause.
-func (b *Blame) Clear(fingerprint string) {
+// Clear drops the record of a request that was answered completely: it was not the cause. It returns the number of upstreams that the record
+// named.
+func (b *Blame) Clear(fingerprint string) (upstreams int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r := b.records[fingerprint]; r != nil {
+		upstreams = len(r.upstreams)
+	}
 	delete(b.records, fingerprint)
+	return upstreams
 }
 
 // TakePending returns and clears the breaks seen here that were not sent to other hosts yet.
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -73,7 +73,7 @@
 		firstByte = j.firstByteAt.Sub(j.start)
 	}
 	if code == "ok" && j.runs > 0 && j.fingerprint != "" {
-		p.Blame.Clear(j.fingerprint)
+		p.clearBreaks(j, status)
 		p.Poison.RecordSound(j.req.Parts, now)
 	}
 	if j.refund != nil && verdict == verd.NotRun {
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -82,13 +83,27 @@
 	go func() {
 		if p.IsToBlame(t.Addr, sent, now, silent) {
 			p.countBreak(id, fingerprint, t, now)
+			return
 		}
+		p.Stats.Add(stats.Breaks, 1, "outcome", "excused")
+		p.Log.Info("upstream not to blame for a break", zap.String("request", id), zap.String("print", fingerprint), zap.String("target", t.ID))
 	}()
 }
 
 func (p *Proxy) countBreak(id, fingerprint string, t target.Target, now time.Time) {
-	if n := p.Blame.RecordBreak(fingerprint, incarnation(t), now); n > 1 {
-		p.Log.Info("several upstreams broke off while running one request", zap.String("request", id), zap.String("print", fingerprint),
-			zap.String("target", t.ID), zap.Int("upstreams", n))
+	n := p.Blame.RecordBreak(fingerprint, incarnation(t), now)
+	p.Stats.Add(stats.Breaks, 1, "outcome", "counted")
+	p.Log.Info("upstream broke off while running a request", zap.String("request", id), zap.String("print", fingerprint),
+		zap.String("target", t.ID), zap.Int("upstreams", n))
+}
+
+// clearBreaks drops what is known against a request that was answered completely.
+func (p *Proxy) clearBreaks(j *job, status int) {
+	n := p.Blame.Clear(j.fingerprint)
+	if n == 0 {
+		return
 	}
+	p.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
+	p.Log.Info("breaks of a request dropped after an answer", zap.String("request", j.req.ID), zap.String("print", j.fingerprint),
+		zap.String("team", j.team.Name), zap.Int("status", status), zap.Int("upstreams", n))
 }
