--- /dev/null
+++ b/internal/proxy/crashing_test.go
@@ -0,0 +1,60 @@
+package proxy_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"damaskreach/internal/kinds"
+	"damaskreach/internal/resp"
+	"damaskreach/internal/route"
+	"damaskreach/pkg/refuse"
+	"damaskreach/pkg/verd"
+)
+
+var errReset = errors.New("reset")
+
+// newCrashBench returns a bench with eight upstreams and a route whose requests run once at each try.
+func newCrashBench(t *testing.T) *bench {
+	b := newBench(t, route.Route{Kind: kinds.Idempotent, Attempts: 1})
+	for n := range 6 {
+		b.add(fmt.Sprint("e", n), nil)
+	}
+	return b
+}
+
+// breakOff is the answer of an upstream whose connection breaks while it runs the request.
+func breakOff(s sent) (resp.Resp, error) {
+	return failsWith(verd.Mark(errReset, verd.MayHaveRun))(s)
+}
+
+// wantSuspect checks that the request is refused without being sent.
+func (b *bench) wantSuspect() {
+	b.t.Helper()
+	before := len(b.sent)
+	rec, _ := b.call(nil)
+	if rec.Code != http.StatusServiceUnavailable || !strings.Contains(rec.Body.String(), refuse.Suspect) {
+		b.t.Errorf("answer = %d %s, want refused as %s", rec.Code, rec.Body.String(), refuse.Suspect)
+	}
+	if got := len(b.sent) - before; got != 0 {
+		b.t.Errorf("sends = %d, want 0", got)
+	}
+}
+
+// A request crashes upstreams, and some fail it with a status of 500 before they begin to run it. Taken for a sign that it runs well, that would
+// hide the crashes.
+func TestUpstreamsErrorSaysNothingForARequest(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusGatewayTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newCrashBench(t)
+			b.setAnswers(breakOff, breakOff, answers(status, nil, "", nil), breakOff)
+			for range 4 {
+				b.call(nil)
+			}
+			b.wantSuspect()
+		})
+	}
+}
