Count an upstream that crashes within a whole answer, too

A request that crashes upstreams behind the head of their answer was never recognised, and had a second try each time.

Now such a break counts like the others, unless this host ended it (its limits for large answers, its deadline, a caller that left). TestUpstreamThatCrashesWithinItsAnswerCounts: before, the request was sent a fourth time; now it is refused.

--- a/internal/proxy/crashing_test.go
+++ b/internal/proxy/crashing_test.go
@@ -58,3 +58,17 @@
 		})
 	}
 }
+
+// A request crashes each upstream as it answers, behind the head of the answer. Counted only where nothing was answered, such crashes would go on
+// for ever.
+func TestUpstreamThatCrashesWithinItsAnswerCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newCrashBench(t)
+		cut := answers(http.StatusOK, nil, "half", errReset)
+		b.setAnswers(cut, cut, cut)
+		for range 3 {
+			b.call(nil)
+		}
+		b.wantSuspect()
+	})
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -226,7 +227,12 @@
 		p.Log.Info("answer cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
 		j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the answer of %s broke off", t.ID))
 		j.upstreamFailed = true
-		if ctx.Err() == nil && j.mayRunAgain() {
+		now := time.Now()
+		if ctx.Err() == nil && !j.timedOut(now) && !errors.Is(err, errAnswerTooLarge) && !errors.Is(err, errNoAnswerRoom) {
+			p.recordBreak(j, t, false)
+			p.recordCrash(j, t)
+		}
+		if ctx.Err() == nil && j.mayRunAgain() && !p.suspected(j, now) {
 			return false
 		}
 		p.refuse(j.w, j, j.lastRefusal)
