Ask before each send whether a request crashes upstreams

Repeats that waited while the third crash became known all went out, and each ended a further upstream.

blocked asks both questions in one place, when a request arrives and before each send. A place at an upstream that was counted for it is given back, which refusals for parts of prompts did not do either.

TestWaitingRequestIsNotSentOnceItsLikeIsBlocked: before, a fourth send after three crashes; with the question alone, the place was not given back; now neither.

--- a/internal/proxy/crashing_test.go
+++ b/internal/proxy/crashing_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -8,9 +9,12 @@
 	"testing"
 	"testing/synctest"
 
+	"damaskreach/internal/intent"
 	"damaskreach/internal/kinds"
+	"damaskreach/internal/notice"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/route"
+	"damaskreach/internal/spent"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -72,3 +76,34 @@
 		b.wantSuspect()
 	})
 }
+
+// Requests wait for room at their upstreams while a third one like them crashes. Sent when their turn comes, each would end a further upstream.
+func TestWaitingRequestIsNotSentOnceItsLikeIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newCrashBench(t)
+		given, returned := uint64(0), false
+		b.EndTurn = func(s spent.Spent) { returned = returned || s.Turn == given }
+		b.Permit = func(_ context.Context, w intent.Intent) error {
+			given = w.Turn
+			b.setAnswers(breakOff, breakOff, breakOff)
+			b.Permit = b.permit
+			for range 3 {
+				b.call(nil)
+			}
+			return nil
+		}
+		for id := range b.view.Targets {
+			b.Ration.Observe(id, notice.Notice{Limited: true, Limit: 100})
+		}
+		rec, _ := b.call(nil)
+		if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+			t.Errorf("status = %d, want %d", got, want)
+		}
+		if got, want := len(b.sent), 3; got != want {
+			t.Errorf("sends = %d, want %d: not a fourth after three crashes", got, want)
+		}
+		if !returned {
+			t.Error("the place at the upstream is not given back, want it free for others")
+		}
+	})
+}
--- a/internal/proxy/poison.go
+++ b/internal/proxy/poison.go
@@ -31,12 +31,17 @@
 	p.Poison.RecordSound(j.req.Parts, now)
 }
 
-// blockedPart returns why a request must not be sent if a part of its prompt crashes engines.
-func (p *Proxy) blockedPart(j *job) *refuse.Refusal {
+// blocked returns why a request must not be sent, if it or a part of its prompt crashes upstreams. It is asked before each send: others like it may
+// have crashed upstreams while this one waited.
+func (p *Proxy) blocked(j *job) *refuse.Refusal {
+	now := time.Now()
+	if p.Blame.Blocked(j.fingerprint, now) {
+		return refuse.NewRefusal(j.verdict(), refuse.Suspect, "upstreams broke off under earlier tries of it").WithRetry(suspectRetry)
+	}
 	if j.sound {
 		return nil
 	}
-	part := p.Poison.Blocked(j.req.Parts, time.Now())
+	part := p.Poison.Blocked(j.req.Parts, now)
 	if part == "" {
 		return nil
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -208,10 +208,7 @@
 		return refusal
 	}
 	j.fingerprint = blame.Fingerprint(callerOf(j.team, r), j.req.Method, j.req.Host, j.req.URI, j.req.Adapter, string(j.req.Body))
-	if p.Blame.Blocked(j.fingerprint, time.Now()) {
-		return refuse.NewRefusal(verd.NotRun, refuse.Suspect, "upstreams broke off under earlier tries of it").WithRetry(suspectRetry)
-	}
-	return p.blockedPart(j)
+	return p.blocked(j)
 }
 
 // charge counts the request against its team's limit. Over the limit it is refused before it takes a turn or a load.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -42,7 +42,8 @@
 			p.refuse(j.w, j, refusal)
 			return
 		}
-		if refusal := p.blockedPart(j); refusal != nil {
+		if refusal := p.blocked(j); refusal != nil {
+			p.releasePermit(j, next.target)
 			p.refuse(j.w, j, refusal)
 			return
 		}
