Keep recent entries in one container

origin keeps streams in two generations, so that old ones go without a search and a full map loses only the older half. What ran well lately (poison) is kept in a map that is emptied as a whole when it is full; it can use the same, and so can requests. recent is that container; nothing changes in origin but its constructor.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -17,6 +17,7 @@
 	"damaskreach/internal/jitter"
 	"damaskreach/internal/limits"
 	"damaskreach/internal/loader"
+	"damaskreach/internal/origin"
 	"damaskreach/internal/pick"
 	"damaskreach/internal/proxy"
 	"damaskreach/internal/quotas"
@@ -43,7 +44,7 @@
 	e.depot.Rows, e.depot.Past = e.rowsForPeer, &e.past
 	e.updateFallback()
 	e.Table = e.withReadLog(withMetrics(e.Table, e.Stats))
-	e.holds = holds.NewHolds()
+	e.holds, e.origins = holds.NewHolds(), origin.NewOrigin()
 	e.pick = pick.NewPick(s.Centre)
 	e.avoid = avoid.NewAvoid()
 	e.ration = ration.NewRation(e.Clock)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,7 +110,7 @@
 	conns          conns.Conns
 	blame          blame.Blame
 	poison         poison.Poison
-	origins        origin.Origin
+	origins        *origin.Origin
 	builds         builds.Builds
 	facts          facts
 	factsRestored  atomic.Bool // whether the facts from before this host started are known
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damaskreach/internal/began"
+	"damaskreach/internal/recent"
 )
 
 const (
@@ -18,38 +19,29 @@
 	maxRecent = 20000
 )
 
-// Origin may be used from several goroutines. The zero value is empty.
+// Origin may be used from several goroutines.
 type Origin struct {
-	mu            sync.Mutex
-	recent, older map[string]began.Began // by attempt
-	since         time.Time              // of recent
+	mu      sync.Mutex
+	streams *recent.Recent[string, began.Began] // by attempt
+}
+
+// NewOrigin returns an Origin that remembers no stream.
+func NewOrigin() *Origin {
+	return &Origin{streams: recent.NewRecent[string, began.Began](Retention, maxRecent)}
 }
 
 // Add remembers where a stream began.
 func (o *Origin) Add(b began.Began, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.rotate(now)
-	o.recent[b.Attempt] = b
-}
-
-// rotate drops records after one to two retentions.
-func (o *Origin) rotate(now time.Time) {
-	if o.recent != nil && now.Sub(o.since) < Retention && len(o.recent) < maxRecent {
-		return
-	}
-	o.recent, o.older, o.since = map[string]began.Began{}, o.recent, now
+	o.streams.Set(b.Attempt, b, now)
 }
 
 // Find returns where the stream began whose first event answered an attempt.
 func (o *Origin) Find(attempt string) (b began.Began, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if b, ok = o.recent[attempt]; ok {
-		return b, true
-	}
-	b, ok = o.older[attempt]
-	return b, ok
+	return o.streams.Get(attempt)
 }
 
 // Group returns the remembered streams of a group.
@@ -57,11 +49,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []began.Began
-	for _, records := range []map[string]began.Began{o.recent, o.older} {
-		for _, b := range records {
-			if b.Group == group {
-				list = append(list, b)
-			}
+	for b := range o.streams.Values() {
+		if b.Group == group {
+			list = append(list, b)
 		}
 	}
 	return list
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -13,7 +13,7 @@
 
 // A caller comes back as late as callers may, while other streams begin all the time. Forgotten, its stream would be refused.
 func TestStreamIsRememberedForItsRetention(t *testing.T) {
-	var o origin.Origin
+	o := origin.NewOrigin()
 	o.Add(began.Began{Attempt: "a", Group: "g", Build: "v1"}, start)
 	for second := range 60 {
 		o.Add(began.Began{Attempt: fmt.Sprint(second), Group: "h", Build: "v2"}, start.Add(time.Duration(second)*time.Second))
@@ -28,7 +28,7 @@
 
 // Streams begin for hours. If all were kept, a host would run out of memory.
 func TestOldStreamsAreForgotten(t *testing.T) {
-	var o origin.Origin
+	o := origin.NewOrigin()
 	for n := range 100_000 {
 		o.Add(began.Began{Attempt: fmt.Sprint(n), Group: "g", Build: "v1"}, start)
 	}
