Keep the records of requests and of prompt parts in one place, and lose none that matters

tally now holds what speaks against and for a key, a request or a part of prompts: it drops a quarter of the records where there are too many, those with the fewest breaks first and blocked ones last. outbox queues reports, those on keys with several breaks first, up to 200 a message, the rest for later ones. blame and poison keep their thresholds and their wire texts. What was kept of parts that ran well was emptied as a whole at 20,000; it now goes by age. A part that crashes engines while it is blocked is blocked for ten minutes from then on, not from its first block.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -10,29 +10,31 @@
 	"encoding/hex"
 	"sync"
 	"time"
+
+	"damaskreach/internal/outbox"
+	"damaskreach/internal/tally"
 )
 
 const (
 	// minUpstreams is the number of upstreams that must have broken off under a request for it to be blocked.
 	minUpstreams = 3
-	// recordTTL is how long a record is kept after the last break: callers retry within minutes.
-	recordTTL = 2 * time.Minute
-	// maxRecords bounds the records, some 200 bytes each. A loss of many upstreams breaks thousands of requests at once.
-	maxRecords = 20000
-	// maxPending is the most breaks in one message.
-	maxPending = 200
+	// blockTime is how long a request is blocked after the last break: callers retry within minutes.
+	blockTime = 2 * time.Minute
+	// maxRecords bounds the records, some 200 bytes each. A loss of many upstreams breaks thousands of requests at once. maxSound bounds the
+	// requests of the last seconds that ran well, some 100 bytes each.
+	maxRecords, maxSound = 20000, 4000
 )
 
-// Blame is safe for concurrent use. The zero value is empty.
+// Blame is safe for concurrent use.
 type Blame struct {
-	mu      sync.Mutex
-	records map[string]*record
-	pending []string // own breaks not yet sent to other hosts
+	mu     sync.Mutex
+	tally  *tally.Tally
+	outbox outbox.Outbox // reports not yet sent to other hosts
 }
 
-type record struct {
-	upstreams map[string]bool // incarnations of upstreams
-	expiresAt time.Time
+// NewBlame returns a Blame without records.
+func NewBlame() *Blame {
+	return &Blame{tally: tally.NewTally(0, blockTime, maxRecords, maxSound)}
 }
 
 // Fingerprint returns a hash of the parts that identify equal requests.
@@ -45,66 +47,56 @@
 	return hex.EncodeToString(sum.Sum(nil)[:12])
 }
 
-// RecordBreak records that an upstream broke off under a request, and returns the number of upstreams that did so.
-func (b *Blame) RecordBreak(fingerprint, upstream string, now time.Time) int {
+// RecordBreak records that an upstream broke off under a request at a time before now, and returns the number of upstreams that did so.
+func (b *Blame) RecordBreak(fingerprint, upstream string, broke, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.pending) < maxPending {
-		b.pending = append(b.pending, fingerprint+" "+upstream)
+	added := b.tally.Add(fingerprint, upstream, broke.UnixMilli(), now)
+	upstreams := b.count(fingerprint, now)
+	if added {
+		b.outbox.Add(fingerprint+" "+upstream, upstreams > 1)
 	}
-	return b.addBreak(fingerprint, upstream, now)
+	return upstreams
 }
 
-func (b *Blame) addBreak(fingerprint, upstream string, now time.Time) int {
-	if b.records == nil || len(b.records) >= maxRecords {
-		b.records = map[string]*record{}
-	}
-	r := b.records[fingerprint]
-	if r == nil || now.After(r.expiresAt) {
-		r = &record{upstreams: map[string]bool{}}
-		b.records[fingerprint] = r
+// count counts the upstreams that broke off under a request, and blocks it if there are enough.
+func (b *Blame) count(fingerprint string, now time.Time) int {
+	upstreams := b.tally.Count(fingerprint, now)
+	if upstreams >= minUpstreams && !b.tally.Blocked(fingerprint, now) {
+		b.tally.Block(fingerprint, now)
 	}
-	r.upstreams[upstream] = true
-	r.expiresAt = now.Add(recordTTL)
-	return len(r.upstreams)
+	return upstreams
 }
 
 // Blocked reports whether a request must not be sent any more.
 func (b *Blame) Blocked(fingerprint string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[fingerprint]
-	return r != nil && len(r.upstreams) >= minUpstreams && now.Before(r.expiresAt)
+	return b.tally.Blocked(fingerprint, now)
 }
 
-// Clear drops the record of a request that was answered completely: it was not the cause. It returns the number of upstreams that the record
-// named.
-func (b *Blame) Clear(fingerprint string) (upstreams int) {
+// RecordSound records that a request was answered completely: it was not the cause of breaks. It returns the number of upstreams that counted against it.
+func (b *Blame) RecordSound(fingerprint string, now time.Time) (upstreams int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r := b.records[fingerprint]; r != nil {
-		upstreams = len(r.upstreams)
-	}
-	delete(b.records, fingerprint)
-	return upstreams
+	return b.tally.Forget(fingerprint)
 }
 
-// TakePending returns and clears the breaks seen here that were not sent to other hosts yet.
+// TakePending returns and clears the reports of this host that were not sent to other hosts yet, as many as go into one message.
 func (b *Blame) TakePending() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := b.pending
-	b.pending = nil
-	return list
+	return b.outbox.Take()
 }
 
-// AddBreaks records breaks that another host has seen.
-func (b *Blame) AddBreaks(list []string, now time.Time) {
+// AddReports applies reports of another host.
+func (b *Blame) AddReports(list []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, text := range list {
 		if fingerprint, upstream, ok := parseBreak(text); ok {
-			b.addBreak(fingerprint, upstream, now)
+			b.tally.Add(fingerprint, upstream, now.UnixMilli(), now)
+			b.count(fingerprint, now)
 		}
 	}
 }
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"damaskreach/internal/avoid"
+	"damaskreach/internal/blame"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/flight"
 	"damaskreach/internal/flow"
@@ -19,6 +20,7 @@
 	"damaskreach/internal/loader"
 	"damaskreach/internal/origin"
 	"damaskreach/internal/pick"
+	"damaskreach/internal/poison"
 	"damaskreach/internal/proxy"
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
@@ -47,6 +49,7 @@
 	e.holds, e.origins = holds.NewHolds(), origin.NewOrigin()
 	e.pick = pick.NewPick(s.Centre)
 	e.avoid = avoid.NewAvoid()
+	e.blame, e.poison = blame.NewBlame(), poison.NewPoison()
 	e.ration = ration.NewRation(e.Clock)
 	e.flight = flight.NewFlight(e.Clock)
 	e.activity = newActivity()
@@ -123,7 +126,7 @@
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
 		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
 		IsToBlame:  e.reach.IsToBlame, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
-		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: &e.blame, Poison: &e.poison, Crashed: e.reach.Refuses, Speeds: e.speeds,
+		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: e.blame, Poison: e.poison, Crashed: e.reach.Refuses, Speeds: e.speeds,
 		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, RecentBuilds: e.recentBuilds,
 		Log: e.Log, RequestLog: e.RequestLog, Stats: e.Stats,
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,8 +108,8 @@
 	depot          depot.Depot
 	confFetch      confFetch
 	conns          conns.Conns
-	blame          blame.Blame
-	poison         poison.Poison
+	blame          *blame.Blame
+	poison         *poison.Poison
 	origins        *origin.Origin
 	builds         builds.Builds
 	facts          facts
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -29,7 +29,7 @@
 // Requests with a part come at one host after the other, and each sees one crash. All hosts must block the part, and none the opening that
 // sound prompts share with it.
 func TestPartIsBlockedOnAllHosts(t *testing.T) {
-	hosts := []*poison.Poison{{}, {}, {}, {}}
+	hosts := []*poison.Poison{poison.NewPoison(), poison.NewPoison(), poison.NewPoison(), poison.NewPoison()}
 	for i, h := range hosts[:3] {
 		h.RecordCrash([]string{"opening", "x", fmt.Sprint("own", i)}, fmt.Sprint("e", i), after(float64(i)))
 		exchange(after(float64(i)), hosts...)
@@ -50,7 +50,7 @@
 // Engines crash under a part that many prompts hold, for another reason, and hosts with few requests hear of that. As soon as a request with it
 // runs well anywhere, no host may hold the crashes against it.
 func TestPartThatRunsWellElsewhereIsNotBlocked(t *testing.T) {
-	busy, idle, crashing := &poison.Poison{}, &poison.Poison{}, &poison.Poison{}
+	busy, idle, crashing := poison.NewPoison(), poison.NewPoison(), poison.NewPoison()
 	for i := range 8 {
 		now := after(2.5 * float64(i))
 		busy.RecordSound([]string{"opening"}, now)
@@ -67,7 +67,7 @@
 
 // Many engines crash at once with requests that all begin alike. That opening ran well a moment ago, so it is not the cause.
 func TestCrashesTogetherBlameNoPartThatJustRanWell(t *testing.T) {
-	var p poison.Poison
+	p := poison.NewPoison()
 	p.RecordSound([]string{"opening"}, start)
 	for i := range 6 {
 		p.RecordCrash([]string{"opening"}, fmt.Sprint("e", i), after(0.5))
@@ -80,7 +80,7 @@
 // Many engines crash together, under requests that share a part which did not run well here lately. Hosts hear of that one after the other. Something
 // else ended all the engines at once, and neither a block nor a suspicion may follow.
 func TestEnginesThatCrashTogetherCountOnce(t *testing.T) {
-	seen, told := &poison.Poison{}, &poison.Poison{}
+	seen, told := poison.NewPoison(), poison.NewPoison()
 	for i := range 6 {
 		seen.RecordCrash([]string{"x"}, fmt.Sprint("e", i), after(0.02*float64(i)))
 		exchange(after(float64(i)), seen, told)
@@ -94,7 +94,7 @@
 
 // One engine crashes with many requests that share a part, reported by several hosts. It is one crash.
 func TestCrashOfOneEngineCountsOnce(t *testing.T) {
-	var p poison.Poison
+	p := poison.NewPoison()
 	for range 5 {
 		p.RecordCrash([]string{"x"}, "e", start)
 	}
@@ -113,7 +113,7 @@
 
 // A host starts while a part is blocked, and reads that from the store.
 func TestBlockIsRestored(t *testing.T) {
-	var before, restarted poison.Poison
+	before, restarted := poison.NewPoison(), poison.NewPoison()
 	for i := range 3 {
 		before.RecordCrash([]string{"x"}, fmt.Sprint("e", i), after(float64(i)))
 	}
@@ -125,7 +125,7 @@
 
 // A caller names hosts' own words or nothing at all as parts of its prompts. Reports must not fail on that.
 func TestOddReportsAreIgnored(t *testing.T) {
-	var p poison.Poison
+	p := poison.NewPoison()
 	blocked := p.AddReports([]string{"", "crash", "crash ", "crash e", "crash e ", "crash e x", "crash e 1 ", "crash e now x", "sound ", "x"}, start)
 	if len(blocked) > 0 {
 		t.Errorf("blocked %q, want nothing", blocked)
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -138,7 +138,7 @@
 		},
 		RecentBuilds: func(string) []string { return b.recentBuilds },
 		Send:         b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
-		Blame: &blame.Blame{}, Poison: &poison.Poison{}, Crashed: func(addr string) bool { return b.crashed[addr] },
+		Blame: blame.NewBlame(), Poison: poison.NewPoison(), Crashed: func(addr string) bool { return b.crashed[addr] },
 		Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		StopsSoon: func() bool { return b.stopsSoon }, Stopping: context.Background(), WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -90,8 +90,8 @@
 	}()
 }
 
-func (p *Proxy) countBreak(id, fingerprint string, t target.Target, now time.Time) {
-	n := p.Blame.RecordBreak(fingerprint, incarnation(t), now)
+func (p *Proxy) countBreak(id, fingerprint string, t target.Target, broke time.Time) {
+	n := p.Blame.RecordBreak(fingerprint, incarnation(t), broke, time.Now())
 	p.Stats.Add(stats.Breaks, 1, "outcome", "counted")
 	p.Log.Info("upstream broke off while running a request", zap.String("request", id), zap.String("print", fingerprint),
 		zap.String("target", t.ID), zap.Int("upstreams", n))
@@ -99,7 +99,7 @@
 
 // clearBreaks drops what is known against a request that was answered completely.
 func (p *Proxy) clearBreaks(j *job, status int) {
-	n := p.Blame.Clear(j.fingerprint)
+	n := p.Blame.RecordSound(j.fingerprint, time.Now())
 	if n == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,191 @@
+// Package tally keeps what speaks against and for keys that may stand for what crashes upstreams: requests, or parts that prompts share.
+package tally
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"damaskreach/internal/recent"
+)
+
+const (
+	// breakTTL is how long breaks count after the last one: callers retry within minutes.
+	breakTTL = 2 * time.Minute
+	// soundTime is how long breaks do not count against a key after a request with it ran well at this host. Where many upstreams crash together
+	// for another reason, what most of their requests have in common must not be blocked.
+	soundTime = 1500 * time.Millisecond
+	// tellInterval is the shortest time between two reports that a key is sound, of this host or heard from others.
+	tellInterval = 2 * time.Second
+	// soundRetention is how long it is kept what ran well: as long as a break may be judged late, beside soundTime, and longer than tellInterval.
+	soundRetention = 3 * time.Second
+	// evictedShare is which part of the records is dropped where there are too many: a quarter.
+	evictedShare = 4
+)
+
+// Tally holds one record for each key. It may be used from one goroutine at a time.
+type Tally struct {
+	interval   time.Duration
+	blockTime  time.Duration
+	maxRecords int
+	records    map[string]record
+	sound      *recent.Recent[string, soundness]
+}
+
+// record is what speaks against one key.
+type record struct {
+	breaks       map[string]int64 // Unix times in ms, by incarnation of upstream
+	last         time.Time        // when a break was last added
+	blockedUntil time.Time
+}
+
+func (r record) blocked(now time.Time) bool { return now.Before(r.blockedUntil) }
+
+func (r record) expired(now time.Time) bool { return now.Sub(r.last) > breakTTL && !r.blocked(now) }
+
+// soundness is what speaks for one key.
+type soundness struct {
+	ranAt  time.Time // when a request with the key last ran well here
+	toldAt time.Time // when hosts were last told so, by this host or another one
+}
+
+// NewTally returns an empty tally of up to maxRecords keys with breaks and twice maxSound keys that ran well. Breaks within an interval of each other
+// count once, and keys are blocked for blockTime.
+func NewTally(interval, blockTime time.Duration, maxRecords, maxSound int) *Tally {
+	return &Tally{
+		interval: interval, blockTime: blockTime, maxRecords: maxRecords, records: map[string]record{},
+		sound: recent.NewRecent[string, soundness](soundRetention, maxSound),
+	}
+}
+
+// Add counts the break of an upstream against a key, which came at a Unix time in ms. It reports false if it is known.
+func (t *Tally) Add(key, upstream string, at int64, now time.Time) bool {
+	r := t.records[key]
+	if _, known := r.breaks[upstream]; known && !r.expired(now) {
+		return false
+	}
+	if len(t.records) >= t.maxRecords && r.breaks == nil {
+		t.evict(now)
+	}
+	if r.breaks == nil || r.expired(now) {
+		r = record{breaks: map[string]int64{}, blockedUntil: r.blockedUntil}
+	}
+	r.breaks[upstream] = at
+	r.last = now
+	if r.blocked(now) {
+		r.blockedUntil = now.Add(t.blockTime)
+	}
+	t.records[key] = r
+	return true
+}
+
+// evict drops some of the records, those that are the least likely to be of the cause first: the ones with few breaks, and blocked ones last.
+func (t *Tally) evict(now time.Time) {
+	rank := func(r record) int {
+		if r.blocked(now) {
+			return math.MaxInt
+		}
+		return len(r.breaks)
+	}
+	keys := slices.SortedFunc(maps.Keys(t.records), func(a, b string) int {
+		one, other := t.records[a], t.records[b]
+		return cmp.Or(cmp.Compare(rank(one), rank(other)), one.last.Compare(other.last))
+	})
+	for _, key := range keys[:len(keys)/evictedShare+1] {
+		delete(t.records, key)
+	}
+}
+
+// Count returns how many upstreams broke off under requests with a key, those within an interval of each other counted once.
+func (t *Tally) Count(key string, now time.Time) (count int) {
+	r := t.records[key]
+	if r.expired(now) {
+		return 0
+	}
+	if t.interval == 0 {
+		return len(r.breaks)
+	}
+	var counted int64
+	for _, at := range slices.Sorted(maps.Values(r.breaks)) {
+		if count == 0 || at-counted >= t.interval.Milliseconds() {
+			count, counted = count+1, at
+		}
+	}
+	return count
+}
+
+// Block blocks a key.
+func (t *Tally) Block(key string, now time.Time) {
+	r := t.records[key]
+	r.blockedUntil = now.Add(t.blockTime)
+	t.records[key] = r
+}
+
+// Blocked reports whether no request with a key may be sent.
+func (t *Tally) Blocked(key string, now time.Time) bool {
+	return t.records[key].blocked(now)
+}
+
+// Forget drops the breaks that count against a key and returns their number.
+func (t *Tally) Forget(key string) (breaks int) {
+	breaks = len(t.records[key].breaks)
+	delete(t.records, key)
+	return breaks
+}
+
+// RecordSound records that a request with a key ran well, which takes back all breaks. It returns their number.
+func (t *Tally) RecordSound(key string, now time.Time) (breaks int) {
+	s, _ := t.sound.Get(key)
+	s.ranAt = now
+	t.sound.Set(key, s, now)
+	return t.Forget(key)
+}
+
+// Sound reports whether requests with a key have run well here since shortly before a break, so that it says nothing against the key.
+func (t *Tally) Sound(key string, broke time.Time) bool {
+	s, _ := t.sound.Get(key)
+	return s.ranAt.After(broke.Add(-soundTime))
+}
+
+// HeardSound takes back all breaks of a key, since another host tells that requests with it run well.
+func (t *Tally) HeardSound(key string, now time.Time) {
+	t.Forget(key)
+	t.setTold(key, now)
+}
+
+// MayTell reports whether other hosts should be told that a key is sound, as they were not told just now, and records that they are.
+func (t *Tally) MayTell(key string, now time.Time) bool {
+	if s, _ := t.sound.Get(key); now.Sub(s.toldAt) < tellInterval {
+		return false
+	}
+	t.setTold(key, now)
+	return true
+}
+
+func (t *Tally) setTold(key string, now time.Time) {
+	s, _ := t.sound.Get(key)
+	s.toldAt = now
+	t.sound.Set(key, s, now)
+}
+
+// Blocks returns the keys that are blocked, and until when.
+func (t *Tally) Blocks(now time.Time) map[string]time.Time {
+	blocks := map[string]time.Time{}
+	for key, r := range t.records {
+		if r.blocked(now) {
+			blocks[key] = r.blockedUntil
+		}
+	}
+	return blocks
+}
+
+// Restore blocks keys that were blocked before this host started.
+func (t *Tally) Restore(blocks map[string]time.Time) {
+	for key, until := range blocks {
+		r := t.records[key]
+		r.blockedUntil = until
+		t.records[key] = r
+	}
+}
