Let all hosts know at once that a request runs well, and no break overtake it

Where all upstreams of a group crash together under a request that many send, nothing could take the breaks back any more: three upstreams had broken off, and the request was refused everywhere for two minutes.

Now a host tells the others when an answer takes breaks back ("whole FINGERPRINT", which hosts of the build before ignore), breaks do not count against a request that has run well at this host since 1.5 s before them, and a host at which it did says so when it hears of breaks.

A request that crashes each upstream never runs well, so it is found as before (TestRequestThatRanWellIsBlockedOnceItCrashesUpstreams: one that did until then, up to 1.5 s later).

An empty name of an upstream in a report is ignored, too.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	// maxRecords bounds the records, some 200 bytes each. A loss of many upstreams breaks thousands of requests at once. maxSound bounds the
 	// requests of the last seconds that ran well, some 100 bytes each.
 	maxRecords, maxSound = 20000, 4000
+	// kindWhole begins a report that a request ran well: "whole FINGERPRINT". That of a break is "FINGERPRINT UPSTREAM".
+	kindWhole = "whole "
 )
 
 // Blame is safe for concurrent use.
@@ -47,10 +50,15 @@
 	return hex.EncodeToString(sum.Sum(nil)[:12])
 }
 
-// RecordBreak records that an upstream broke off under a request at a time before now, and returns the number of upstreams that did so.
+// RecordBreak records that an upstream broke off under a request at a time before now, and returns the number of upstreams that did so; 0 if the
+// request has run well since.
 func (b *Blame) RecordBreak(fingerprint, upstream string, broke, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.tally.Sound(fingerprint, broke) {
+		b.reportWhole(fingerprint, now)
+		return 0
+	}
 	added := b.tally.Add(fingerprint, upstream, broke.UnixMilli(), now)
 	upstreams := b.count(fingerprint, now)
 	if added {
@@ -79,7 +87,19 @@
 func (b *Blame) RecordSound(fingerprint string, now time.Time) (upstreams int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tally.Forget(fingerprint)
+	if upstreams = b.tally.RecordSound(fingerprint, now); upstreams > 0 {
+		b.reportWhole(fingerprint, now)
+	}
+	return upstreams
+}
+
+// reportWhole tells other hosts, which may count breaks against a request, that it runs well, unless they were just told.
+func (b *Blame) reportWhole(fingerprint string, now time.Time) {
+	if !b.tally.MayTell(fingerprint, now) {
+		return
+	}
+	b.outbox.Remove(func(text string) bool { return strings.HasPrefix(text, fingerprint) })
+	b.outbox.Add(kindWhole+fingerprint, true)
 }
 
 // TakePending returns and clears the reports of this host that were not sent to other hosts yet, as many as go into one message.
@@ -94,7 +114,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, text := range list {
-		if fingerprint, upstream, ok := parseBreak(text); ok {
+		if fingerprint, ok := strings.CutPrefix(text, kindWhole); ok {
+			b.tally.HeardSound(fingerprint, now)
+			continue
+		}
+		fingerprint, upstream, ok := parseBreak(text)
+		switch {
+		case !ok:
+		case b.tally.Sound(fingerprint, now):
+			b.reportWhole(fingerprint, now)
+		default:
 			b.tally.Add(fingerprint, upstream, now.UnixMilli(), now)
 			b.count(fingerprint, now)
 		}
@@ -103,7 +132,7 @@
 
 func parseBreak(text string) (fingerprint, upstream string, ok bool) {
 	const size = 24 // length of a fingerprint
-	if len(text) <= size || text[size] != ' ' {
+	if len(text) <= size+1 || text[size] != ' ' {
 		return "", "", false
 	}
 	return text[:size], text[size+1:], true
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -105,3 +105,72 @@
 		t.Errorf("%d reports in further messages, want %d", got, want)
 	}
 }
+
+// exchange passes the reports of each host on to all others.
+func exchange(hosts ...*blame.Blame) {
+	for _, from := range hosts {
+		list := from.TakePending()
+		for _, to := range hosts {
+			if to != from {
+				to.AddReports(list, now)
+			}
+		}
+	}
+}
+
+// Two upstreams break off under a request that runs well after that, at one host. Unless all hosts hear of it, the next break blocks the request at
+// the others.
+func TestCompleteAnswerClearsRequestOnAllHosts(t *testing.T) {
+	one, two, three := blame.NewBlame(), blame.NewBlame(), blame.NewBlame()
+	fingerprint := blame.Fingerprint("x")
+	one.RecordBreak(fingerprint, "a", now, now)
+	one.RecordBreak(fingerprint, "b", now, now)
+	exchange(one, two, three)
+	two.RecordSound(fingerprint, now)
+	exchange(one, two, three)
+	three.RecordBreak(fingerprint, "c", now, now)
+	exchange(one, two, three)
+	for i, h := range []*blame.Blame{one, two, three} {
+		if h.Blocked(fingerprint, now) {
+			t.Errorf("host %d blocks a request that ran well between the breaks, want it served", i)
+		}
+	}
+}
+
+// A host judges breaks a moment after they came, and the request has run well meanwhile. They must not count any more.
+func TestBreakBeforeACompleteAnswerDoesNotCount(t *testing.T) {
+	b := blame.NewBlame()
+	fingerprint := blame.Fingerprint("x")
+	b.RecordSound(fingerprint, now.Add(500*time.Millisecond))
+	for _, upstream := range []string{"a", "b", "c"} {
+		b.RecordBreak(fingerprint, upstream, now, now.Add(time.Second))
+	}
+	if b.Blocked(fingerprint, now.Add(time.Second)) {
+		t.Error("blocked, want the breaks before the answer ignored")
+	}
+}
+
+// A request crashes upstreams from some moment on, after it ran well. It must be blocked all the same.
+func TestRequestThatRanWellIsBlockedOnceItCrashesUpstreams(t *testing.T) {
+	b := blame.NewBlame()
+	fingerprint := blame.Fingerprint("x")
+	b.RecordSound(fingerprint, now)
+	for i, upstream := range []string{"a", "b", "c", "d"} {
+		at := now.Add(time.Duration(i+1) * time.Second)
+		b.RecordBreak(fingerprint, upstream, at, at)
+	}
+	if !b.Blocked(fingerprint, now.Add(4*time.Second)) {
+		t.Error("not blocked after four crashes, want it blocked")
+	}
+}
+
+// A message from another host holds anything at all.
+func TestOddReportsAreIgnored(t *testing.T) {
+	b := blame.NewBlame()
+	fingerprint := blame.Fingerprint("x")
+	b.AddReports([]string{"", "whole", "whole ", fingerprint, fingerprint + " ", " " + fingerprint, "sound x", "crash e 1 x"}, now)
+	b.AddReports([]string{fingerprint + " a", fingerprint + " a", "whole y", fingerprint + " b"}, now)
+	if b.Blocked(fingerprint, now) {
+		t.Error("blocked, want no break counted but those of a and b")
+	}
+}
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -278,3 +278,29 @@
 		})
 	}
 }
+
+// All upstreams of a group crash at once, whatever they run, under lookups of one caller that ran well until then. Held responsible for that, these
+// would be refused although nothing is wrong with them.
+func TestUpstreamsThatCrashTogetherBlockNoSoundRequest(t *testing.T) {
+	const callers = 36 // so that each upstream runs some of their lookups at any time
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrashSite(t, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		for n := range callers {
+			time.AfterFunc(time.Duration(n)*soundInterval/callers, func() { s.sendSound(ctx, caller{"10.8.0.1", "blue"}) })
+		}
+		for range 3 {
+			time.Sleep(8 * time.Second)
+			for n := range crashUpstreams {
+				s.crash(n)
+			}
+		}
+		time.Sleep(lapseTime + 2*time.Second) // until hosts know that the upstreams that crashed are gone
+		restarted := time.Now()
+		time.Sleep(8 * time.Second)
+		cancel()
+		time.Sleep(2 * time.Second)
+		s.wantSoundAnswered(restarted)
+	})
+}
