Tell reports on crashes in the order in which they came

A report that takes breaks back ("whole", and "sound" for parts of prompts) could be applied before those that it takes back, and breaks that were over went on counting at hosts behind.

TestBreaksAreToldInTheOrderInWhichTheyCame, over two relays: before, a host was told "third", "second", "first"; now "first", "second", "third".

--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -119,12 +120,10 @@
 	}
 }
 
-// addBreaks adds the new broken requests, the latest first.
+// addBreaks adds the new reports on requests that broke off, in the order in which they came: one may take back another.
 func (r *Roster) addBreaks(g *gossip.Gossip, wanted func(b breakEntry) bool) {
-	for _, b := range slices.Backward(r.breaks) {
-		if b.sequence <= g.After {
-			return
-		}
+	first, _ := slices.BinarySearchFunc(r.breaks, g.After+1, func(b breakEntry, sequence int64) int { return cmp.Compare(b.sequence, sequence) })
+	for _, b := range r.breaks[first:] {
 		if wanted(b) {
 			g.Breaks = append(g.Breaks, b.text)
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -197,6 +198,25 @@
 	}
 }
 
+// An upstream breaks off under a request, which runs well after that. Told in the other order, a host behind relays would count a break that is over.
+func TestBreaksAreToldInTheOrderInWhichTheyCame(t *testing.T) {
+	now := start
+	source, near, far, member := newHost("s", now), newHost("n", now), newHost("f", now), newHost("m", now)
+	source.Report(status.Status{}, nil, []string{"first"}, now)
+	source.Report(status.Status{}, nil, []string{"second", "third"}, now)
+	exchange(source, near, "s", "n", false, now)
+	exchange(near, far, "n", "f", true, now)
+	_, answer := exchange(member, far, "m", "f", false, now)
+	if got, want := answer.Breaks, []string{"first", "second", "third"}; !slices.Equal(got, want) {
+		t.Errorf("told = %q, want %q", got, want)
+	}
+	source.Report(status.Status{}, nil, []string{"fourth"}, now)
+	question, _ := exchange(source, near, "s", "n", false, now)
+	if got, want := question.Breaks, []string{"fourth"}; !slices.Equal(got, want) {
+		t.Errorf("told later = %q, want %q", got, want)
+	}
+}
+
 // Hundreds of upstreams break off at once. What is kept of this for other hosts is bounded.
 func TestBreaksKeptAreBounded(t *testing.T) {
 	now := start
