Do not tell hosts that start of breaks that no longer count

A request under which an upstream broke off now and then, hours apart, was refused by hosts that start for two minutes; the message was larger than need be, too.

Reports are sent for two minutes, the time for which breaks count. TestOldBreaksAreNotToldToHostsThatStart: before, told "old" and "new"; now "new".

--- a/internal/roster/message.go
+++ b/internal/roster/message.go
@@ -29,7 +29,7 @@
 		g.Hosts = append(g.Hosts, r.ownStatus)
 	}
 	r.addStocks(&g, func(s stockEntry) bool { return s.local })
-	r.addBreaks(&g, func(b breakEntry) bool { return b.local })
+	r.addBreaks(&g, now, func(b breakEntry) bool { return b.local })
 	if own := r.usages[r.self]; now.Sub(own.heardAt) <= usageTTL {
 		g.Usages = withAge(own.usages, now.Sub(own.heardAt))
 	}
@@ -46,7 +46,7 @@
 	g := r.newMessage(q.IP, scopeAll)
 	r.addHosts(&g, q.IP, now)
 	r.addStocks(&g, func(stockEntry) bool { return true })
-	r.addBreaks(&g, func(breakEntry) bool { return true })
+	r.addBreaks(&g, now, func(breakEntry) bool { return true })
 	g.Usages = r.usagesAt(q.IP, now)
 	return g
 }
@@ -65,7 +65,7 @@
 		g.Hosts = append(g.Hosts, b)
 	}
 	r.addStocks(&g, func(s stockEntry) bool { return s.local })
-	r.addBreaks(&g, func(b breakEntry) bool { return b.local })
+	r.addBreaks(&g, now, func(b breakEntry) bool { return b.local })
 	g.Usages = r.usagesWhere(now, func(host, owner string) bool { return r.usages[host].local && r.isRelayOf(to, owner) })
 	return g
 }
@@ -121,10 +121,10 @@
 }
 
 // addBreaks adds the new reports on requests that broke off, in the order in which they came: one may take back another.
-func (r *Roster) addBreaks(g *gossip.Gossip, wanted func(b breakEntry) bool) {
+func (r *Roster) addBreaks(g *gossip.Gossip, now time.Time, wanted func(b breakEntry) bool) {
 	first, _ := slices.BinarySearchFunc(r.breaks, g.After+1, func(b breakEntry, sequence int64) int { return cmp.Compare(b.sequence, sequence) })
 	for _, b := range r.breaks[first:] {
-		if wanted(b) {
+		if wanted(b) && now.Sub(b.addedAt) <= breakRetention {
 			g.Breaks = append(g.Breaks, b.text)
 		}
 	}
--- a/internal/roster/own.go
+++ b/internal/roster/own.go
@@ -26,7 +26,7 @@
 	r.groups[r.self].heardAt[r.self] = now
 	r.usages[r.self] = hostUsage{usages: usages, heardAt: now, local: true}
 	for _, text := range breaks {
-		r.addBreak(text, true)
+		r.addBreak(text, true, now)
 	}
 }
 
@@ -67,9 +67,9 @@
 	r.stocks[s.ID] = stockEntry{Stock: s, sequence: r.next(), local: local}
 }
 
-func (r *Roster) addBreak(text string, local bool) {
+func (r *Roster) addBreak(text string, local bool, now time.Time) {
 	if len(r.breaks) >= maxBreaks {
 		r.breaks = append(r.breaks[:0], r.breaks[maxBreaks/2:]...)
 	}
-	r.breaks = append(r.breaks, breakEntry{text: text, sequence: r.next(), local: local})
+	r.breaks = append(r.breaks, breakEntry{text: text, sequence: r.next(), addedAt: now, local: local})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,8 @@
 	// maxBreaks is how many entries of breaks, texts on requests that broke off, are kept for hosts that have yet to receive them; each
 	// takes some 60 bytes.
 	maxBreaks = 2000
+	// breakRetention is how long they are sent: as long as breaks count.
+	breakRetention = 2 * time.Minute
 	// hostRetention is how long a host is kept after its last message. A host that returns later is reported as new.
 	hostRetention = time.Minute
 	// lossRetention is how long a host's loss is remembered after the last relay stopped reporting it. It exceeds the time for which other
@@ -78,6 +80,7 @@
 type breakEntry struct {
 	text     string
 	sequence int64
+	addedAt  time.Time
 	local    bool
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -217,6 +217,20 @@
 	}
 }
 
+// Upstreams broke off under a request now and then for hours. A host that starts must not take all of that for one moment, and refuse the request.
+func TestOldBreaksAreNotToldToHostsThatStart(t *testing.T) {
+	now := start
+	relay := newHost("r", now)
+	relay.Report(status.Status{}, nil, []string{"old"}, now)
+	now = now.Add(10 * time.Minute)
+	relay.Report(status.Status{}, nil, []string{"new"}, now)
+	member := newHost("m", now)
+	_, answer := exchange(member, relay, "m", "r", false, now)
+	if got, want := answer.Breaks, []string{"new"}; !slices.Equal(got, want) {
+		t.Errorf("told = %q, want %q", got, want)
+	}
+}
+
 // Hundreds of upstreams break off at once. What is kept of this for other hosts is bounded.
 func TestBreaksKeptAreBounded(t *testing.T) {
 	now := start
--- a/internal/roster/update.go
+++ b/internal/roster/update.go
@@ -28,7 +28,7 @@
 		r.addStock(s, !g.Relay)
 	}
 	for _, text := range g.Breaks {
-		r.addBreak(text, !g.Relay)
+		r.addBreak(text, !g.Relay, now)
 	}
 	r.updateUsages(g, now)
 }
