--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -261,6 +261,7 @@
 	}{
 		{"team, one at a time", red, blue, 1, 4 * time.Second},
 		{"team, six at once", red, blue, 6, 6 * time.Second},
+		{"team, ten a second", red, blue, 5, 500 * time.Millisecond},
 		{"address, one at a time", unknown, other, 1, 4 * time.Second},
 		{"address, six at once", unknown, other, 6, 6 * time.Second},
 	} {
