Judge requests that crash upstreams in one place, guard

Behaviour: a silent stream is not moved while a part of its prompt is blocked; before, it was refused a moment later.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -6,12 +6,11 @@
 package blame
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"strings"
 	"sync"
 	"time"
 
+	"damaskreach/internal/ident"
 	"damaskreach/internal/outbox"
 	"damaskreach/internal/tally"
 )
@@ -40,16 +39,6 @@
 	return &Blame{tally: tally.NewTally(0, blockTime, maxRecords, maxSound)}
 }
 
-// Fingerprint returns a hash of the parts that identify equal requests.
-func Fingerprint(parts ...string) string {
-	sum := sha256.New()
-	for _, p := range parts {
-		sum.Write([]byte(p))
-		sum.Write([]byte{0})
-	}
-	return hex.EncodeToString(sum.Sum(nil)[:12])
-}
-
 // RecordBreak records that an upstream broke off under a request at a time before now, and returns the number of upstreams that did so; 0 if the
 // request has run well since.
 func (b *Blame) RecordBreak(fingerprint, upstream string, broke, now time.Time) int {
@@ -131,9 +120,9 @@
 }
 
 func parseBreak(text string) (fingerprint, upstream string, ok bool) {
-	const size = 24 // length of a fingerprint
-	if len(text) <= size+1 || text[size] != ' ' {
+	const end = ident.FingerprintLen
+	if len(text) <= end+1 || text[end] != ' ' {
 		return "", "", false
 	}
-	return text[:size], text[size+1:], true
+	return text[:end], text[end+1:], true
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -6,15 +6,21 @@
 	"time"
 
 	"damaskreach/internal/blame"
+	"damaskreach/internal/demand"
+	"damaskreach/internal/ident"
 )
 
 var now = time.Unix(1000, 0)
 
+func fingerprintOf(uri string) string {
+	return ident.NewIdent(demand.Demand{URI: uri}, "red", "").Fingerprint
+}
+
 // A request crashes each upstream that runs it, and its caller retries it on one host after the other. Each host sees only one
 // crash; together they must block it.
 func TestCrashingRequestIsBlockedOnAllHosts(t *testing.T) {
 	hosts := []*blame.Blame{blame.NewBlame(), blame.NewBlame(), blame.NewBlame()}
-	fingerprint := blame.Fingerprint("POST", "/p/x", "body")
+	fingerprint := fingerprintOf("/p/x")
 	for _, h := range hosts {
 		h.TakePending()
 	}
@@ -42,7 +48,7 @@
 // One upstream crashes repeatedly under an innocent request, or reports the same crash twice. The request must be served on.
 func TestBreaksOfOneUpstreamCountOnce(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	for range 5 {
 		b.RecordBreak(fingerprint, "a", now, now)
 	}
@@ -54,7 +60,7 @@
 // A request that broke off twice beside the cause is then served completely. Its record must be cleared.
 func TestCompleteAnswerClearsRequest(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	b.RecordBreak(fingerprint, "a", now, now)
 	b.RecordBreak(fingerprint, "b", now, now)
 	b.RecordSound(fingerprint, now)
@@ -67,14 +73,14 @@
 // breakMany records that many other requests broke off once each, as when many upstreams are lost together.
 func breakMany(b *blame.Blame, count int) {
 	for n := range count {
-		b.RecordBreak(blame.Fingerprint("other", strconv.Itoa(n)), "lost", now, now)
+		b.RecordBreak(fingerprintOf("other"+strconv.Itoa(n)), "lost", now, now)
 	}
 }
 
 // Thousands of requests break off at once, among them one under which two upstreams have crashed already. Its record must outlast theirs.
 func TestCrashingRequestIsKnownBeyondAMassCrash(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	b.RecordBreak(fingerprint, "a", now, now)
 	b.RecordBreak(fingerprint, "b", now, now)
 	breakMany(b, 50_000)
@@ -89,7 +95,7 @@
 // next message, and of the others later.
 func TestCrashingRequestIsReportedFirst(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	b.RecordBreak(fingerprint, "a", now, now)
 	b.TakePending()
 	breakMany(b, 500)
@@ -122,7 +128,7 @@
 // the others.
 func TestCompleteAnswerClearsRequestOnAllHosts(t *testing.T) {
 	one, two, three := blame.NewBlame(), blame.NewBlame(), blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	one.RecordBreak(fingerprint, "a", now, now)
 	one.RecordBreak(fingerprint, "b", now, now)
 	exchange(one, two, three)
@@ -140,7 +146,7 @@
 // A host judges breaks a moment after they came, and the request has run well meanwhile. They must not count any more.
 func TestBreakBeforeACompleteAnswerDoesNotCount(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	b.RecordSound(fingerprint, now.Add(500*time.Millisecond))
 	for _, upstream := range []string{"a", "b", "c"} {
 		b.RecordBreak(fingerprint, upstream, now, now.Add(time.Second))
@@ -153,7 +159,7 @@
 // A request crashes upstreams from some moment on, after it ran well. It must be blocked all the same.
 func TestRequestThatRanWellIsBlockedOnceItCrashesUpstreams(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	b.RecordSound(fingerprint, now)
 	for i, upstream := range []string{"a", "b", "c", "d"} {
 		at := now.Add(time.Duration(i+1) * time.Second)
@@ -167,7 +173,7 @@
 // A message from another host holds anything at all.
 func TestOddReportsAreIgnored(t *testing.T) {
 	b := blame.NewBlame()
-	fingerprint := blame.Fingerprint("x")
+	fingerprint := fingerprintOf("x")
 	b.AddReports([]string{"", "whole", "whole ", fingerprint, fingerprint + " ", " " + fingerprint, "sound x", "crash e 1 x"}, now)
 	b.AddReports([]string{fingerprint + " a", fingerprint + " a", "whole y", fingerprint + " b"}, now)
 	if b.Blocked(fingerprint, now) {
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -9,10 +9,10 @@
 	"golang.org/x/sync/semaphore"
 
 	"damaskreach/internal/avoid"
-	"damaskreach/internal/blame"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/flight"
 	"damaskreach/internal/flow"
+	"damaskreach/internal/guard"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
 	"damaskreach/internal/jitter"
@@ -20,7 +20,6 @@
 	"damaskreach/internal/loader"
 	"damaskreach/internal/origin"
 	"damaskreach/internal/pick"
-	"damaskreach/internal/poison"
 	"damaskreach/internal/proxy"
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
@@ -49,7 +48,6 @@
 	e.holds, e.origins = holds.NewHolds(), origin.NewOrigin()
 	e.pick = pick.NewPick(s.Centre)
 	e.avoid = avoid.NewAvoid()
-	e.blame, e.poison = blame.NewBlame(), poison.NewPoison()
 	e.ration = ration.NewRation(e.Clock)
 	e.flight = flight.NewFlight(e.Clock)
 	e.activity = newActivity()
@@ -65,6 +63,8 @@
 	e.quotas = &quotas.Quotas{Shards: limits.Shards, Held: e.tenure.LimitFence, Clock: e.Clock, Life: strconv.FormatUint(rand.Uint64(), 36)}
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
 	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreamAddrs, Changed: e.reachabilityChanged, Log: e.Log}
+	e.guard = guard.NewGuard()
+	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = e.reach.IsToBlame, e.reach.Refuses, e.Log, e.Stats
 	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.hostCount, Clock: e.Clock, StartedAt: e.Clock(), Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
@@ -125,8 +125,8 @@
 		StopsSoon: e.stopsSoon, Stopping: e.ending, WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
 		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
-		IsToBlame:  e.reach.IsToBlame, Started: time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
-		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Blame: e.blame, Poison: e.poison, Crashed: e.reach.Refuses, Speeds: e.speeds,
+		Started:    time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
+		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Guard: e.guard, Speeds: e.speeds,
 		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, RecentBuilds: e.recentBuilds,
 		Log: e.Log, RequestLog: e.RequestLog, Stats: e.Stats,
 	}
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -46,6 +46,7 @@
 // crashSite is a fleet whose upstreams crash under requests with headCrash.
 type crashSite struct {
 	*teamFleet
+	books bool // callers send bookings, with a body, instead of lookups
 
 	mu       sync.Mutex
 	starts   []int       // of each upstream
@@ -67,10 +68,13 @@
 			r, ok, err := decode(row)
 			r.Guarded = guarded
 			r.Pools["other"] = pool.Pool{Name: "other", MaxConns: 5000}
-			r.Routes = map[string][]route.Route{"a.example": {{
-				Name: "r", Host: "a.example", Prefix: "/", Kind: kinds.Idempotent, Groups: []string{"g"}, Weights: []int{1},
+			lookups := route.Route{
+				Name: "lookups", Host: "a.example", Prefix: "/", Kind: kinds.Idempotent, Groups: []string{"g"}, Weights: []int{1},
 				Target: 300 * time.Millisecond, Timeout: time.Second, Attempts: 2,
-			}}}
+			}
+			bookings := lookups
+			bookings.Name, bookings.Prefix, bookings.Kind, bookings.Attempts = "bookings", "/book/", kinds.Once, 1
+			r.Routes = map[string][]route.Route{"a.example": {bookings, lookups}}
 			return r, ok, err
 		}
 		e.DecodeTarget = func(row rows.Row) (target.Target, error) {
@@ -148,11 +152,15 @@
 	time.AfterFunc(lapseTime, func() { s.store.drop("servers/" + id) })
 }
 
-// send sends a lookup, the same for all callers but for its headers, and returns the status of its answer; 0 for none.
+// send sends a lookup or a booking, the same for all callers but for its headers, and returns the status of its answer; 0 for none.
 func (s *crashSite) send(from caller, id, host string, crashes bool) int {
 	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+":8000/ticket?day=today", nil)
+	method, path, body := http.MethodGet, "/ticket?day=today", ""
+	if s.books {
+		method, path, body = http.MethodPost, "/book/slot", "a truck at noon"
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+host+":8000"+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Errorf("request: %v", err)
 		return 0
@@ -248,7 +256,7 @@
 	}
 }
 
-// One caller's lookups crash each upstream that begins to run them, while another one asks for the same and is served. Taken for the same request,
+// One caller's requests crash each upstream that begins to run them, while another one asks for the same and is served. Taken for the same request,
 // the other's answers would hide the crashes, or the crashes would shut the other out.
 func TestCrashingRequestOfOneCallerIsBlockedForItAlone(t *testing.T) {
 	red, blue := caller{"10.8.0.1", "red"}, caller{"10.8.0.1", "blue"}
@@ -258,16 +266,19 @@
 		crashing, fine caller
 		atOnce         int
 		interval       time.Duration
+		books          bool
 	}{
-		{"team, one at a time", red, blue, 1, 4 * time.Second},
-		{"team, six at once", red, blue, 6, 6 * time.Second},
-		{"team, ten a second", red, blue, 5, 500 * time.Millisecond},
-		{"address, one at a time", unknown, other, 1, 4 * time.Second},
-		{"address, six at once", unknown, other, 6, 6 * time.Second},
+		{"team, one at a time", red, blue, 1, 4 * time.Second, false},
+		{"team, six at once", red, blue, 6, 6 * time.Second, false},
+		{"team, ten a second", red, blue, 5, 500 * time.Millisecond, false},
+		{"team, bookings", red, blue, 1, 4 * time.Second, true},
+		{"address, one at a time", unknown, other, 1, 4 * time.Second, false},
+		{"address, six at once", unknown, other, 6, 6 * time.Second, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newCrashSite(t, c.crashing.team != "")
+				s.books = c.books
 				ctx, cancel := context.WithCancel(t.Context())
 				t.Cleanup(cancel)
 				go s.sendSound(ctx, c.fine)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/avoid"
-	"damaskreach/internal/blame"
 	"damaskreach/internal/builds"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
@@ -21,6 +20,7 @@
 	"damaskreach/internal/effect"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/flight"
+	"damaskreach/internal/guard"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intake"
 	"damaskreach/internal/jitter"
@@ -32,7 +32,6 @@
 	"damaskreach/internal/past"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/pick"
-	"damaskreach/internal/poison"
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/reach"
@@ -108,8 +107,7 @@
 	depot          depot.Depot
 	confFetch      confFetch
 	conns          conns.Conns
-	blame          *blame.Blame
-	poison         *poison.Poison
+	guard          *guard.Guard
 	origins        *origin.Origin
 	builds         builds.Builds
 	facts          facts
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -90,7 +90,7 @@
 		}
 		e.Log.Info("fact from before the start", zap.String("key", key), zap.String("value", value))
 	}
-	e.poison.Restore(blocks)
+	e.guard.RestoreParts(blocks)
 }
 
 // knownFacts returns the rows that there should be.
@@ -99,7 +99,7 @@
 	if groups := e.builds.Several(); len(groups) > 0 {
 		known[buildsKey] = encodeFact(groups)
 	}
-	for part, until := range e.poison.Blocks(time.Now()) {
+	for part, until := range e.guard.BlockedParts(time.Now()) {
 		known[partPrefix+part] = encodeFact(partFact{Until: until.UnixMilli()})
 	}
 	return known
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -146,10 +146,7 @@
 		e.holds.Update(s.ID, s.Incarnation, s.Sequence, s.Adapters)
 		e.speeds.SetReported(s.ID, s.EventInterval)
 	}
-	e.blame.AddReports(g.Breaks, now)
-	for _, part := range e.poison.AddReports(g.Breaks, now) {
-		e.Log.Warn("part of prompts crashes engines, by reports of other hosts", zap.String("part", part), zap.String("from", g.IP))
-	}
+	e.guard.AddReports(g.IP, g.Breaks, now)
 	e.loader.RecordUsage(g.Usages, now)
 }
 
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -28,7 +28,7 @@
 		Requests: e.engineLoads(), PromptWaits: e.engineWaits(), ModelLoads: e.loader.LoadingModels(),
 	}
 	uses = e.engineUsages(e.Setup().IP, func(id string) bool { return !e.grantsTurns(id) })
-	return own, uses, append(e.blame.TakePending(), e.poison.TakePending()...)
+	return own, uses, e.guard.TakeReports()
 }
 
 // engineUsages returns what this host's requests use at the wanted engines, and how fast they run there.
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,146 @@
+// Package guard keeps requests that crash upstreams from them. It takes what became of each send, and says what may be sent.
+//
+// A request may crash each upstream that runs it by itself (package blame) or by a part of its prompt that others share (package poison).
+package guard
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/blame"
+	"damaskreach/internal/ident"
+	"damaskreach/internal/poison"
+	"damaskreach/internal/stats"
+	"damaskreach/internal/target"
+)
+
+// Guard may be used from several goroutines. Its fields are set before it is used.
+type Guard struct {
+	// IsToBlame waits until it is known whether an upstream caused the break or the silence of a request sent at a time, rather than this
+	// host's network, and reports whether it did; nil means that it always did.
+	IsToBlame func(addr string, sent, failed time.Time, silent bool) bool
+	// Crashed reports whether nothing listens any more where an upstream did.
+	Crashed func(addr string) bool
+	Log     *zap.Logger
+	Stats   *stats.Stats
+
+	requests *blame.Blame
+	parts    *poison.Poison
+}
+
+// NewGuard returns a Guard that knows of no crash.
+func NewGuard() *Guard {
+	return &Guard{requests: blame.NewBlame(), parts: poison.NewPoison()}
+}
+
+// Blocked returns why a request must not be sent, empty if it may be. It is to be asked before each send: others like it may have crashed
+// upstreams while it waited.
+func (g *Guard) Blocked(i ident.Ident, now time.Time) (why string) {
+	if g.requests.Blocked(i.Fingerprint, now) {
+		return "upstreams broke off under earlier tries of it"
+	}
+	if part := g.parts.Blocked(i.Parts, now); part != "" {
+		return fmt.Sprintf("engines crashed under prompts with the part %s", part)
+	}
+	return ""
+}
+
+// MayRetry reports whether a request may go to a further upstream after one broke off under it: not if others crashed under what it holds, too.
+func (g *Guard) MayRetry(i ident.Ident, now time.Time) bool {
+	return !g.requests.Blocked(i.Fingerprint, now) && !g.parts.Suspected(i.Parts, now)
+}
+
+// RecordBreak records that an upstream broke off while it ran a request, or that it fell silent. It counts against the request unless this host's
+// network was the cause or the upstream goes on, which shows some time later; and against the parts of its prompt if the upstream has crashed.
+func (g *Guard) RecordBreak(i ident.Ident, t target.Target, sent time.Time, silent bool) {
+	now := time.Now()
+	switch {
+	case g.IsToBlame == nil:
+		g.countBreak(i, t, now)
+	default:
+		go g.judgeBreak(i, t, sent, now, silent)
+	}
+	if !silent {
+		g.recordCrash(i, t)
+	}
+}
+
+// judgeBreak counts a break if its upstream is to blame.
+func (g *Guard) judgeBreak(i ident.Ident, t target.Target, sent, broke time.Time, silent bool) {
+	if g.IsToBlame(t.Addr, sent, broke, silent) {
+		g.countBreak(i, t, broke)
+		return
+	}
+	g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
+	g.Log.Info("upstream not to blame for a break", zap.String("request", i.Request), zap.String("print", i.Fingerprint), zap.String("target", t.ID))
+}
+
+func (g *Guard) countBreak(i ident.Ident, t target.Target, broke time.Time) {
+	n := g.requests.RecordBreak(i.Fingerprint, incarnation(t), broke, time.Now())
+	g.Stats.Add(stats.Breaks, 1, "outcome", "counted")
+	g.Log.Info("upstream broke off while running a request", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
+		zap.String("team", i.Team), zap.String("target", t.ID), zap.Int("upstreams", n))
+}
+
+// recordCrash records the parts of a request's prompt if its upstream has crashed.
+func (g *Guard) recordCrash(i ident.Ident, t target.Target) {
+	if len(i.Parts) == 0 || !g.Crashed(t.Addr) {
+		return
+	}
+	if part := g.parts.RecordCrash(i.Parts, incarnation(t), time.Now()); part != "" {
+		g.Log.Warn("part of prompts crashes engines", zap.String("part", part), zap.String("request", i.Request), zap.String("target", t.ID))
+	}
+}
+
+// incarnation names one incarnation of an upstream.
+func incarnation(t target.Target) string {
+	return t.ID + "/" + strconv.FormatInt(t.Incarnation, 36)
+}
+
+// RecordAnswer records that a request was answered with a status and completely. An upstream's own error says nothing for a request, since the
+// upstream may not have begun to run it.
+func (g *Guard) RecordAnswer(i ident.Ident, status int, now time.Time) {
+	if status >= http.StatusInternalServerError {
+		return
+	}
+	g.RecordSound(i, now)
+	n := g.requests.RecordSound(i.Fingerprint, now)
+	if n == 0 {
+		return
+	}
+	g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
+	g.Log.Info("breaks of a request dropped after an answer", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
+		zap.String("team", i.Team), zap.Int("status", status), zap.Int("upstreams", n))
+}
+
+// RecordSound records that a request has run for long enough to clear the parts of its prompt.
+func (g *Guard) RecordSound(i ident.Ident, now time.Time) {
+	g.parts.RecordSound(i.Parts, now)
+}
+
+// TakeReports returns what other hosts have not been told yet, as much as goes into one message.
+func (g *Guard) TakeReports() []string {
+	return append(g.requests.TakePending(), g.parts.TakePending()...)
+}
+
+// AddReports applies what another host tells.
+func (g *Guard) AddReports(from string, list []string, now time.Time) {
+	g.requests.AddReports(list, now)
+	for _, part := range g.parts.AddReports(list, now) {
+		g.Log.Warn("part of prompts crashes engines, by reports of other hosts", zap.String("part", part), zap.String("from", from))
+	}
+}
+
+// BlockedParts returns the parts of prompts that are blocked, and until when.
+func (g *Guard) BlockedParts(now time.Time) map[string]time.Time {
+	return g.parts.Blocks(now)
+}
+
+// RestoreParts blocks parts of prompts that were blocked before this host started.
+func (g *Guard) RestoreParts(blocks map[string]time.Time) {
+	g.parts.Restore(blocks)
+}
--- /dev/null
+++ b/internal/ident/ident.go
@@ -0,0 +1,58 @@
+// Package ident holds what requests that may crash upstreams are known by.
+package ident
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+
+	"damaskreach/internal/demand"
+)
+
+// FingerprintLen is the number of characters of a fingerprint.
+const FingerprintLen = 24
+
+// Ident is immutable.
+type Ident struct {
+	Request     string   // ID of the caller's attempt, for log lines
+	Team        string   // of the caller; empty where it needs no key
+	Fingerprint string   // the same for all repeats of the request
+	Parts       []string // IDs of the parts of the prompt that other requests may share, in order
+}
+
+// NewIdent returns what a request is known by, given its caller's team, if it has one, and the address that it came from.
+//
+// Requests that are alike but for their callers may differ in what upstreams read of them. Known by the same fingerprint, one caller's good answers
+// would hide the crashes under another one's requests, or these would have both refused.
+func NewIdent(d demand.Demand, team, addr string) Ident {
+	return Ident{
+		Request: d.ID, Team: team, Parts: d.Parts,
+		Fingerprint: fingerprint(callerName(team, addr), d.Method, d.Host, d.URI, d.Adapter, string(d.Body)),
+	}
+}
+
+// callerName names the caller of a request: its team, or else the host that it came from, where no key tells more.
+func callerName(team, addr string) string {
+	if team != "" {
+		return "team " + team
+	}
+	if host, _, err := net.SplitHostPort(addr); err == nil {
+		return "address " + host
+	}
+	return "address " + addr
+}
+
+func fingerprint(parts ...string) string {
+	sum := sha256.New()
+	for _, p := range parts {
+		sum.Write([]byte(p))
+		sum.Write([]byte{0})
+	}
+	return hex.EncodeToString(sum.Sum(nil))[:FingerprintLen]
+}
+
+// WithParts returns a copy with other parts of the prompt.
+func (i Ident) WithParts(parts []string) Ident {
+	i.Parts = parts
+	return i
+}
--- /dev/null
+++ b/internal/ident/ident_test.go
@@ -0,0 +1,50 @@
+package ident_test
+
+import (
+	"testing"
+
+	"damaskreach/internal/demand"
+	"damaskreach/internal/ident"
+)
+
+var lookup = demand.Demand{ID: "1", Method: "GET", Host: "a.example", URI: "/ticket?day=today"}
+
+// A request comes again under another id, over another connection. It must be known as the same.
+func TestRepeatHasTheSameFingerprint(t *testing.T) {
+	repeat := lookup
+	repeat.ID = "2"
+	for team, addrs := range map[string][2]string{"red": {"10.0.0.1:1000", "10.0.0.2:1000"}, "": {"10.0.0.1:1000", "10.0.0.1:2000"}} {
+		one, other := ident.NewIdent(lookup, team, addrs[0]), ident.NewIdent(repeat, team, addrs[1])
+		if one.Fingerprint != other.Fingerprint {
+			t.Errorf("team %q: fingerprints = %s, %s, want the same", team, one.Fingerprint, other.Fingerprint)
+		}
+	}
+}
+
+// Requests differ in one thing, among them their callers. Taken for the same, each would be refused for what the other one did.
+func TestOtherRequestsHaveOtherFingerprints(t *testing.T) {
+	change := func(f func(d *demand.Demand)) demand.Demand {
+		d := lookup
+		f(&d)
+		return d
+	}
+	const addr = "10.0.0.1:1000"
+	seen := map[string]string{}
+	for name, i := range map[string]ident.Ident{
+		"team":                      ident.NewIdent(lookup, "red", addr),
+		"other team":                ident.NewIdent(lookup, "blue", addr),
+		"address":                   ident.NewIdent(lookup, "", addr),
+		"other address":             ident.NewIdent(lookup, "", "10.0.0.2:1000"),
+		"team named as the address": ident.NewIdent(lookup, "10.0.0.1", addr),
+		"method":                    ident.NewIdent(change(func(d *demand.Demand) { d.Method = "POST" }), "red", addr),
+		"host":                      ident.NewIdent(change(func(d *demand.Demand) { d.Host = "b.example" }), "red", addr),
+		"path":                      ident.NewIdent(change(func(d *demand.Demand) { d.URI = "/ticket" }), "red", addr),
+		"adapter":                   ident.NewIdent(change(func(d *demand.Demand) { d.Adapter = "m/a" }), "red", addr),
+		"body":                      ident.NewIdent(change(func(d *demand.Demand) { d.Body = []byte("x") }), "red", addr),
+	} {
+		if other, ok := seen[i.Fingerprint]; ok {
+			t.Errorf("%s and %s have the same fingerprint, want different ones", name, other)
+		}
+		seen[i.Fingerprint] = name
+	}
+}
--- a/internal/proxy/blame_test.go
+++ b/internal/proxy/blame_test.go
@@ -77,7 +77,7 @@
 	if got := b.countBackedOff(); got != n {
 		b.t.Errorf("upstreams in backoff = %d, want %d", got, n)
 	}
-	if got := len(b.Blame.TakePending()); got != n {
+	if got := len(b.Guard.TakeReports()); got != n {
 		b.t.Errorf("breaks recorded = %d, want %d", got, n)
 	}
 }
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -17,16 +17,15 @@
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/began"
-	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/flight"
+	"damaskreach/internal/guard"
 	"damaskreach/internal/holds"
 	"damaskreach/internal/intent"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/model"
 	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
-	"damaskreach/internal/poison"
 	"damaskreach/internal/pool"
 	"damaskreach/internal/proxy"
 	"damaskreach/internal/ration"
@@ -138,8 +137,7 @@
 		},
 		RecentBuilds: func(string) []string { return b.recentBuilds },
 		Send:         b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
-		Blame: blame.NewBlame(), Poison: poison.NewPoison(), Crashed: func(addr string) bool { return b.crashed[addr] },
-		Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
+		Guard: b.newGuard(), Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
 		StopsSoon: func() bool { return b.stopsSoon }, Stopping: context.Background(), WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), RequestLog: zap.NewNop(),
@@ -154,6 +152,12 @@
 	return b
 }
 
+func (b *bench) newGuard() *guard.Guard {
+	g := guard.NewGuard()
+	g.Crashed, g.Log = func(addr string) bool { return b.crashed[addr] }, zap.NewNop()
+	return g
+}
+
 // add registers an upstream that holds adapters.
 func (b *bench) add(id string, adapters map[string]int) {
 	b.view.Targets[id] = target.Target{
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -72,9 +72,8 @@
 	if !j.firstByteAt.IsZero() {
 		firstByte = j.firstByteAt.Sub(j.start)
 	}
-	if code == "ok" && j.runs > 0 && j.fingerprint != "" && status < http.StatusInternalServerError {
-		p.clearBreaks(j, status)
-		p.Poison.RecordSound(j.req.Parts, now)
+	if code == "ok" && j.runs > 0 {
+		p.Guard.RecordAnswer(j.ident, status, now)
 	}
 	if j.refund != nil && verdict == verd.NotRun {
 		j.refund()
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"damaskreach/internal/demand"
+	"damaskreach/internal/ident"
 	"damaskreach/internal/intent"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/route"
@@ -23,14 +23,14 @@
 
 // job is the state of one request. It belongs to the goroutine that serves the request.
 type job struct {
-	req         demand.Demand
-	w           http.ResponseWriter
-	view        view.View
-	route       route.Route
-	team        team.Team // of the caller; empty where callers need no key
-	group       string
-	fingerprint string // the same for repeats of the request
-	start       time.Time
+	req   demand.Demand
+	w     http.ResponseWriter
+	view  view.View
+	route route.Route
+	team  team.Team // of the caller; empty where callers need no key
+	group string
+	ident ident.Ident
+	start time.Time
 
 	sends          int             // to upstreams, including rejected ones
 	runs           int             // sends that may have run
@@ -159,11 +159,6 @@
 	return !j.tried[t.ID]
 }
 
-// incarnation returns a name for one incarnation of an upstream.
-func incarnation(t target.Target) string {
-	return t.ID + "/" + strconv.FormatInt(t.Incarnation, 36)
-}
-
 // recordFailure records why a send failed and excludes its upstream.
 func (j *job) recordFailure(id string, r *refuse.Refusal) {
 	j.skip(id)
--- a/internal/proxy/lostnetwork_test.go
+++ b/internal/proxy/lostnetwork_test.go
@@ -13,7 +13,7 @@
 	for _, sound := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			b := newHolderBench(t, false)
-			b.IsToBlame = func(_ string, sent, failed time.Time, silent bool) bool {
+			b.Guard.IsToBlame = func(_ string, sent, failed time.Time, silent bool) bool {
 				if !sent.Before(failed) || silent {
 					t.Errorf("sent at %v and failed at %v, silent %v, want the failure later and a break", sent, failed, silent)
 				}
@@ -26,7 +26,7 @@
 			if sound {
 				want = 1
 			}
-			if got := len(b.Blame.TakePending()); got != want {
+			if got := len(b.Guard.TakeReports()); got != want {
 				t.Errorf("breaks recorded where the host was sound (%v) = %d, want %d", sound, got, want)
 			}
 		})
--- a/internal/proxy/mover.go
+++ b/internal/proxy/mover.go
@@ -80,7 +80,7 @@
 
 // movable reports whether a stream in progress may continue at another engine.
 func (p *Proxy) movable(j *job) bool {
-	return j.mayRunAgain() && j.sends < maxSends && !p.Blame.Blocked(j.fingerprint, time.Now())
+	return j.mayRunAgain() && j.sends < maxSends && p.Guard.Blocked(j.suspect(), time.Now()) == ""
 }
 
 // search finds another engine and cuts the stream off, unless the stream resumes by itself first.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,7 +11,6 @@
 	"errors"
 	"hash/fnv"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -22,14 +21,14 @@
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/began"
-	"damaskreach/internal/blame"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/flight"
+	"damaskreach/internal/guard"
 	"damaskreach/internal/holds"
+	"damaskreach/internal/ident"
 	"damaskreach/internal/intent"
 	"damaskreach/internal/notice"
 	"damaskreach/internal/pick"
-	"damaskreach/internal/poison"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/spare"
@@ -116,11 +115,6 @@
 	// VersionGrace returns how long an adapter's older version may serve after a newer one was configured.
 	VersionGrace func() time.Duration
 	View         func() view.View
-	// IsToBlame waits until it is known whether an upstream caused the break or the silence of a request sent at a time, rather than this
-	// host's network, and reports whether it did; nil means that it always did.
-	IsToBlame func(addr string, sent, failed time.Time, silent bool) bool
-	// Crashed reports whether nothing listens any more where an upstream did.
-	Crashed func(addr string) bool
 	// ViewAge returns the age of the newest reading of the upstreams that this host uses, its own or another host's.
 	ViewAge func() time.Duration
 	// StoreDown reports whether the store did not answer the last reading.
@@ -135,8 +129,7 @@
 	Ration  *ration.Ration
 	Flight  *flight.Flight
 	Avoid   *avoid.Avoid
-	Blame   *blame.Blame
-	Poison  *poison.Poison
+	Guard   *guard.Guard
 	Speeds  *speeds.Speeds
 	Log     *zap.Logger
 	// RequestLog gets one line for each request, at its end.
@@ -207,7 +200,7 @@
 	if refusal := p.readBody(w, r, j); refusal != nil {
 		return refusal
 	}
-	j.fingerprint = blame.Fingerprint(callerOf(j.team, r), j.req.Method, j.req.Host, j.req.URI, j.req.Adapter, string(j.req.Body))
+	j.ident = ident.NewIdent(j.req, j.team.Name, r.RemoteAddr)
 	return p.blocked(j)
 }
 
@@ -250,19 +243,6 @@
 	return nil
 }
 
-// callerOf names the caller of a request: its team, or else the address that it comes from, where no key tells more. Requests that are alike but
-// for their callers may differ in what upstreams read of them.
-func callerOf(t team.Team, r *http.Request) string {
-	if t.Name != "" {
-		return "team " + t.Name
-	}
-	ip, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		ip = r.RemoteAddr
-	}
-	return "address " + ip
-}
-
 // noConfigRetry returns the Retry-After of a request that came before the host has a configuration.
 func (p *Proxy) noConfigRetry(now time.Time) time.Duration {
 	minRetry := minNoConfigRetry
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -74,7 +74,7 @@
 	if !r.Unframed {
 		return false
 	}
-	return !j.begun && j.lastEventID == "" || p.Crashed(t.Addr)
+	return !j.begun && j.lastEventID == "" || p.Guard.Crashed(t.Addr)
 }
 
 // handleCut handles a stream that its upstream broke off or stalled. It returns false if the stream continues at another upstream.
@@ -92,17 +92,14 @@
 		return true
 	}
 	if end != endCallerSlow {
-		p.recordBreak(j, t, end == endMoved)
-	}
-	if end == endBroken {
-		p.recordCrash(j, t)
+		p.Guard.RecordBreak(j.suspect(), t, j.sentAt, end == endMoved)
 	}
 	j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the stream of %s broke off", t.ID))
 	if end == endMoved {
 		j.movedFrom = &t
 		return false
 	}
-	if j.allowResend() && !p.suspected(j, now) {
+	if j.allowResend() && p.Guard.MayRetry(j.suspect(), now) {
 		return false
 	}
 	p.refuse(j.w, j, j.lastRefusal)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -220,7 +220,7 @@
 func (p *Proxy) relayWhole(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	data, release, err := p.readAnswer(r.Body)
 	defer release()
-	if err == nil && r.Unframed && p.Crashed(t.Addr) {
+	if err == nil && r.Unframed && p.Guard.Crashed(t.Addr) {
 		err = io.ErrUnexpectedEOF // the connection may have ended with the upstream and not behind the answer
 	}
 	if err != nil {
@@ -230,10 +230,9 @@
 		j.upstreamFailed = true
 		now := time.Now()
 		if ctx.Err() == nil && !j.timedOut(now) && !errors.Is(err, errAnswerTooLarge) && !errors.Is(err, errNoAnswerRoom) {
-			p.recordBreak(j, t, false)
-			p.recordCrash(j, t)
+			p.Guard.RecordBreak(j.suspect(), t, j.sentAt, false)
 		}
-		if ctx.Err() == nil && j.mayRunAgain() && !p.suspected(j, now) {
+		if ctx.Err() == nil && j.mayRunAgain() && p.Guard.MayRetry(j.suspect(), now) {
 			return false
 		}
 		p.refuse(j.w, j, j.lastRefusal)
