Reword the comments of test/procs

49 comments in plain technical English: suspend and resume, own process group, forwarder, fencing token, what each test checks.

--- a/test/procs/cut_test.go
+++ b/test/procs/cut_test.go
@@ -20,8 +20,8 @@
 	}
 }
 
-// One node is cut off from the table service and reaches everything else. The others take its runner, and its callers
-// are served all the same, for an adapter too that was added meanwhile. After the cut it takes its share again.
+// One node loses its connection to the table service and reaches everything else. The others must take over its runner, and its callers must still be
+// served, also on an adapter that was added meanwhile. After the cut it must own its share of the runners again.
 func TestNodeCutOffFromTheTable(t *testing.T) {
 	f := newFleet(t)
 	at := f.net + "150:7000"
@@ -45,8 +45,8 @@
 	f.serves(1)
 }
 
-// The table service goes down for longer than a lease. Callers of every node are served meanwhile, an edit is refused,
-// and afterwards an edit is in force everywhere.
+// The table service is down for longer than a lease. Callers of every node must be served meanwhile and an edit must be refused; after the outage an
+// edit must come into force everywhere.
 func TestTableDownOverProcesses(t *testing.T) {
 	f := newFleet(t)
 	for i := range nodes {
--- a/test/procs/delivery_test.go
+++ b/test/procs/delivery_test.go
@@ -29,7 +29,7 @@
 	kind    = "application/json"
 )
 
-// desk sends requests under the eyes of a judge and holds the booking service that they end at.
+// desk sends requests, has a judge check their answers, and runs the booking service.
 type desk struct {
 	f       *fleet
 	judge   *judge.Judge
@@ -43,7 +43,7 @@
 	return d.send(i, "/plain/"+site.Plain+"/slots", slot, "", key, want)
 }
 
-// stream asks node i for a long completion.
+// stream requests a long completion from node i.
 func (d *desk) stream(i, adapter int) seen.Seen {
 	model := site.AdapterName(adapter) + "@v1"
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, long)
@@ -66,7 +66,7 @@
 	return s
 }
 
-// engine returns what engine e ran by its own account.
+// engine returns what engine e has run, from its own records.
 func (d *desk) engine(e int) []recrd.Record {
 	d.f.t.Helper()
 	var all []recrd.Record
@@ -81,7 +81,7 @@
 	return slices.Concat(d.engine(0), d.engine(1), d.engine(2))
 }
 
-// busiest returns the runner that ran the most streams so far, where their adapters are therefore resident.
+// busiest returns the runner that has run the most streams, so that it holds their adapters.
 func (d *desk) busiest() string {
 	d.f.t.Helper()
 	most := slices.MaxFunc([]int{0, 1, 2}, func(a, b int) int { return len(d.engine(a)) - len(d.engine(b)) })
@@ -92,13 +92,13 @@
 	return s.Verdict == verd.NotRun.String()
 }
 
-// running counts the executions that have not come to an end.
+// running counts the executions that have not ended.
 func running(records []recrd.Record) int {
 	return len(slices.DeleteFunc(records, func(r recrd.Record) bool { return r.End != "" }))
 }
 
-// under has requests through node entry in progress while a fault comes. Another node is asked about the keyed booking
-// until it tells the outcome. It returns how many streams were answered whole.
+// under keeps requests through node entry in progress while a fault is injected, and then repeats the booking with a key at another node until its
+// outcome is known. It returns how many streams were answered completely.
 func (d *desk) under(name string, entry, other int, fault, end func()) int {
 	d.f.t.Helper()
 	slot := func(n int) string { return fmt.Sprintf(`{"slot":"%s-%d"}`, name, n) }
@@ -136,7 +136,7 @@
 	return int(whole.Load())
 }
 
-// parts returns the node that owns a runner, one that requests are sent to, and the third.
+// parts returns the node that owns a runner, the node that requests are sent to, and the third one.
 func (d *desk) parts(runner string) (owner, entry, other int) {
 	d.f.t.Helper()
 	d.f.await(runner+" has an owner", func() bool {
@@ -150,7 +150,7 @@
 	return owner, (owner + 1) % nodes, (owner + 2) % nodes
 }
 
-// freeze freezes the owner of a runner past its lease under requests.
+// freeze suspends the owner of a runner for longer than its lease while requests are in progress.
 func (d *desk) freeze(runner string) int {
 	d.f.t.Helper()
 	owner, entry, other := d.parts(runner)
@@ -163,11 +163,10 @@
 	return whole
 }
 
-// Bookings, with and without a key, and streams are in progress when the way between their entry node and the owner is
-// cut, the owner of the booking service or of the streams' runner is frozen past its lease, and the entry node is killed.
-// Callers of a keyed booking ask again through another node. A booking that ran twice sends two families to one room, and
-// one that ran although it was refused as not run will be sent again; the booking service's own record tells. A stream
-// that is not resumed leaves its caller with half an answer.
+// Bookings, with and without a key, and streams are in progress while the connection between their entry node and the owner is cut, the owner of the
+// booking service or of the streams' runner is suspended for longer than its lease, and the entry node is killed. Callers repeat a booking with a key
+// through another node. By the records of the booking service, no booking may run twice, and none that was refused as not run may have run. Streams
+// must be resumed, or their callers get half an answer.
 func TestDeliveryOverProcesses(t *testing.T) {
 	d := &desk{judge: judge.NewJudge(), service: plain.NewService()}
 	d.service.Slow(delay)
--- a/test/procs/forward_test.go
+++ b/test/procs/forward_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// forwarder passes connections on to an address until it is cut, for all who dial it or for one of them.
+// forwarder forwards connections to an address until it is cut, for all clients or for one of them.
 type forwarder struct {
 	to string
 
@@ -17,7 +17,7 @@
 	felt   bool   // something of it was held back
 }
 
-// dialled is an end of a connection, with the IP of its dialler.
+// dialled is one end of a connection, with the IP address of the client.
 type dialled struct {
 	net.Conn
 	by string
@@ -63,8 +63,8 @@
 	}
 }
 
-// pass carries bytes until either end is closed. Those of a barred dialler are lost, as on a broken way between hosts:
-// neither end is told.
+// pass copies bytes until either end is closed. Those of a barred client are dropped without an error at either end, as on a broken link between
+// hosts.
 func (f *forwarder) pass(to, from net.Conn, by string) {
 	defer func() { _, _ = to.Close(), from.Close() }()
 	buf := make([]byte, 64<<10)
@@ -86,8 +86,8 @@
 	return f.barred == by
 }
 
-// bar silences a dialler's connections, those to come included; an empty IP ends that and breaks the silenced ones, in
-// which bytes are missing.
+// bar drops all bytes of a client's connections, also of later ones. An empty IP address ends that and closes these connections, since bytes are
+// missing in them.
 func (f *forwarder) bar(ip string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -99,14 +99,14 @@
 	f.barred, f.felt = ip, false
 }
 
-// feels reports whether something was held back since the last bar.
+// feels reports whether any bytes were dropped since the last call of bar.
 func (f *forwarder) feels() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.felt
 }
 
-// cut breaks all connections and takes no more.
+// cut closes all connections and accepts no more.
 func (f *forwarder) cut() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/test/procs/group_test.go
+++ b/test/procs/group_test.go
@@ -12,12 +12,12 @@
 	"time"
 )
 
-// part tells a process of TestFreezeOutlastsTheShell which one it is.
+// part is the environment variable with the role of a process of TestFreezeOutlastsTheShell.
 const part = "PROCS_PART"
 
-// The shell that started the tests ends while a node is frozen. The system takes the processes that it has left behind for
-// abandoned, sends all of them a hangup and wakes those that are stopped: the node goes on at once, and the test waits in vain for
-// another one to take its runners. Each process that a test starts has a group of its own, and so is nobody's to wake.
+// The shell that started the tests exits while a node is suspended. The kernel sends SIGHUP and SIGCONT to the orphaned process group, so that the
+// node would resume at once, and the test would wait in vain for another node to take over its runners. Each process that a test starts must have its
+// own process group.
 func TestFreezeOutlastsTheShell(t *testing.T) {
 	switch os.Getenv(part) {
 	case "shell":
@@ -55,14 +55,14 @@
 	}
 }
 
-// again returns this test as another process.
+// again returns a command that runs this test in another process.
 func again(as string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0], "-test.run", "^TestFreezeOutlastsTheShell$")
 	cmd.Env = append(os.Environ(), part+"="+as)
 	return cmd
 }
 
-// runShell starts the tests as a shell does, in a group of their own, and ends once they have frozen a process.
+// runShell starts the tests as a shell does, in their own process group, and exits once they have suspended a process.
 func runShell(t *testing.T) {
 	tests := again("tests")
 	tests.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -80,7 +80,7 @@
 	fmt.Print(line)
 }
 
-// runTests starts and freezes a process as tests do, and stays while the shell ends.
+// runTests starts and suspends a process as tests do, and keeps running while the shell exits.
 func runTests(t *testing.T) {
 	cmd := command("/bin/sleep", "60")
 	if err := cmd.Start(); err != nil {
@@ -96,7 +96,7 @@
 	time.Sleep(5 * time.Second) // a real wait for another process; synctest cannot pause those
 }
 
-// state returns the letter by which the system tells what a process does; it is empty where there is none.
+// state returns the kernel's letter for the state of a process, empty if there is no such process.
 func state(t *testing.T, pid int) string {
 	t.Helper()
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
--- a/test/procs/operators_test.go
+++ b/test/procs/operators_test.go
@@ -20,7 +20,7 @@
 
 const racers = 8
 
-// operator is somebody with a folder of files and damaskctl.
+// operator is an operator with a folder of files who runs damaskctl.
 type operator struct {
 	f         *fleet
 	name, dir string
@@ -29,7 +29,7 @@
 	text      string
 }
 
-// run runs damaskctl as a process.
+// run runs damaskctl in a process.
 func (o *operator) run(args ...string) {
 	all := append([]string{"--config", filepath.Join(o.f.dir, "node-2.toml"), "--by", o.name, "--wait", "1m"}, args...)
 	cmd := exec.Command(filepath.Join(o.f.dir, "damaskctl"), all...)
@@ -37,7 +37,7 @@
 	o.code, o.text = cmd.ProcessState.ExitCode(), string(text)
 }
 
-// edit takes the table into the operator's files and has adapters served in a version of the operator's own.
+// edit reads the table into the operator's files and changes the version of some adapters to the operator's own.
 func (o *operator) edit(version string, adapters ...int) {
 	o.f.t.Helper()
 	o.run("get", "--overwrite", o.dir)
@@ -56,7 +56,7 @@
 	}
 }
 
-// settled checks that each edit of the operator is the table's row, or that the operator was told that it is not.
+// settled checks that each of the operator's edits is in the table, unless the operator was told that it is not.
 func (o *operator) settled(held map[int]rows.Row) {
 	o.f.t.Helper()
 	refused := 0
@@ -78,7 +78,7 @@
 	}
 }
 
-// race has all operators apply at once and returns the rows that the table holds then.
+// race has all operators apply their edits at the same time and returns the resulting rows of the table.
 func (f *fleet) race(operators []*operator) map[int]rows.Row {
 	f.t.Helper()
 	f.tableFault("slow?by=400ms") // so that most have read the table before the first one writes
@@ -100,9 +100,8 @@
 	return held
 }
 
-// Eight operators edit one row, rows that two of them share and rows of their own, and start damaskctl at the same
-// moment; answers of the table get lost. An operator who is told that an edit was applied while another's is in force
-// steers by a table that does not exist, and so do callers of a node that has an earlier row.
+// Eight operators edit one row, rows that two of them share and rows of their own, and start damaskctl at the same moment; answers of the table service
+// get lost. No operator may be told that an edit was applied while another one is in force, and no node may keep an earlier row.
 func TestOperatorsRace(t *testing.T) {
 	f := newFleet(t)
 	for i := range nodes {
@@ -139,7 +138,7 @@
 	f.inForce(held, "again-by-", 5, 5+racers)
 }
 
-// inForce waits until every node serves adapters in the versions of those whose edits the table holds.
+// inForce waits until every node serves the versions of adapters that are in the table.
 func (f *fleet) inForce(held map[int]rows.Row, version string, from, to int) {
 	f.t.Helper()
 	for n := from; n < to; n++ {
--- a/test/procs/pair_test.go
+++ b/test/procs/pair_test.go
@@ -12,13 +12,13 @@
 	"damaskreach/internal/table"
 )
 
-// ways are the ways to the nodes, on which two nodes can be kept from each other.
+// ways are the forwarders to the nodes, with which two nodes can be cut off from each other.
 type ways struct {
 	f  *fleet
 	to [nodes]*forwarder
 }
 
-// newWays has all nodes reached by way of forwarders; it belongs before their start.
+// newWays makes all nodes reachable through forwarders only. It must be called before they start.
 func newWays(f *fleet) *ways {
 	w := &ways{f: f}
 	f.peers = map[int]string{}
@@ -29,7 +29,7 @@
 	return w
 }
 
-// cut keeps two nodes from each other and waits until they feel it.
+// cut cuts two nodes off from each other and waits until bytes between them were dropped.
 func (w *ways) cut(a, b int) {
 	w.f.t.Helper()
 	w.to[a].bar(w.f.host(b))
@@ -43,7 +43,7 @@
 	}
 }
 
-// rows returns what the table has under a prefix.
+// rows returns the rows of the table with a key prefix.
 func (f *fleet) rows(prefix string) []rows.Row {
 	f.t.Helper()
 	all, _, err := f.table.List(context.Background(), prefix)
@@ -53,7 +53,7 @@
 	return all
 }
 
-// fences returns the fence of each runner, which grows with every change of its owner.
+// fences returns the fencing token of each runner, which grows with every change of its owner.
 func (f *fleet) fences() map[string]int64 {
 	f.t.Helper()
 	found := map[string]int64{}
@@ -73,7 +73,7 @@
 	return rev
 }
 
-// answers demands that every node answers for some adapters at the first asking.
+// answers checks that every node answers requests for some adapters at the first attempt.
 func (f *fleet) answers() {
 	f.t.Helper()
 	for n := range nodes * 6 {
@@ -83,9 +83,9 @@
 	}
 }
 
-// Two hosts cannot reach each other, while both reach the third, the table and the upstreams. Callers of every node are
-// served all the same, for an adapter too that was added meanwhile, and no runner loses its owner or gets a second one:
-// a node that renews its session is not taken for dead by the one that cannot reach it.
+// Two nodes cannot reach each other, while both reach the third, the table service and the upstreams. Callers of every node must still be served, also on
+// an adapter that was added meanwhile, and no runner may lose its owner or get a second one: a node that renews its session must not count as dead at
+// the node that cannot reach it.
 func TestTwoNodesCutOffFromEachOther(t *testing.T) {
 	f := newFleet(t)
 	w := newWays(f)
--- a/test/procs/path_test.go
+++ b/test/procs/path_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// A node is killed, another is frozen for longer than its lease and wakes up again. Callers who use the remaining node
-// notice a pause at the most: every runner gets an owner again, and the woken node gives up what it no longer owns.
+// A node is killed, and another is suspended for longer than its lease and then resumed. Callers of the remaining node may notice a pause at most: every
+// runner must get an owner again, and the resumed node must give up what it no longer owns.
 func TestWholePathOverProcesses(t *testing.T) {
 	f := newFleet(t)
 	for i := range nodes {
--- a/test/procs/procs_test.go
+++ b/test/procs/procs_test.go
@@ -34,7 +34,7 @@
 	tokens   = 8
 )
 
-// fleet is a running site: the stand-ins in one process and a process for each node.
+// fleet is a running site: one process with the stand-ins and one for each node.
 type fleet struct {
 	t      *testing.T
 	dir    string
@@ -45,7 +45,7 @@
 	peers  map[int]string // addresses of nodes that others are told, where they differ from those opened
 }
 
-// newFleet starts the stand-ins; plain services run in the test's own process.
+// newFleet starts the stand-ins. Plain services run in the test's process.
 func newFleet(t *testing.T, plains ...*plain.Service) *fleet {
 	t.Helper()
 	dir := t.TempDir()
@@ -95,7 +95,7 @@
 	}
 }
 
-// start runs a program; its log goes to the test's folder and is shown when the test fails.
+// start starts a program. Its log is written to the test's folder and shown if the test fails.
 func (f *fleet) start(name, program string, args ...string) {
 	f.t.Helper()
 	cmd := command(filepath.Join(f.dir, program), args...)
@@ -123,7 +123,7 @@
 	})
 }
 
-// command returns a process for a test to start, see TestFreezeOutlastsTheShell.
+// command returns a command with its own process group; TestFreezeOutlastsTheShell shows why.
 func command(program string, args ...string) *exec.Cmd {
 	cmd := exec.Command(program, args...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -180,7 +180,7 @@
 	}
 }
 
-// until looks again and again and reports whether a condition came to hold.
+// until polls a condition and reports whether it became true in time.
 func until(done func() bool) bool {
 	for limit := time.Now().Add(patience); !done(); {
 		if time.Now().After(limit) {
@@ -191,7 +191,7 @@
 	return true
 }
 
-// get reads a JSON answer.
+// get sends a GET request and decodes its JSON answer.
 func get(url string, into any) error {
 	client := http.Client{Timeout: time.Second}
 	res, err := client.Get(url)
@@ -206,7 +206,7 @@
 	Runners []digest.Digest `json:"runners"`
 }
 
-// owned returns the runners that node i says it owns.
+// owned returns the runners that node i owns, according to its status.
 func (f *fleet) owned(i int) []string {
 	var s status
 	if get("http://"+f.host(i)+":9000/status", &s) != nil {
@@ -221,7 +221,7 @@
 	return names
 }
 
-// shared reports whether each runner is owned by exactly one node and each node owns one.
+// shared reports whether each node owns one runner, and no two nodes the same.
 func (f *fleet) shared() bool {
 	found := map[string]bool{}
 	for i := range nodes {
@@ -234,14 +234,13 @@
 	return len(found) == nodes
 }
 
-// ask has node i serve an adapter's version "v1".
+// ask sends a completion for an adapter's version "v1" to node i and returns what is wrong with the answer, or an empty string.
 func (f *fleet) ask(i, adapter int) string {
 	model := site.AdapterName(adapter) + "@v1"
 	return f.askModel(i, model, model)
 }
 
-// askModel sends one completion to node i and returns what was wrong with the answer, or an empty string. The model asked
-// for may leave the version open.
+// askModel sends one completion to node i and returns what is wrong with the answer, or an empty string. The model's name may lack a version.
 func (f *fleet) askModel(i int, model, served string) string {
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, tokens)
 	status, _, answer, err := f.post(i, "/v1/completions", body, nil)
@@ -251,7 +250,7 @@
 	return compare(string(answer), engsim.Answer(served, prompt, tokens))
 }
 
-// post sends a request to node i; the answer's body is whole unless err is set.
+// post sends a request to node i. The answer's body is complete unless err is set.
 func (f *fleet) post(i int, path, body string, headers map[string]string) (int, http.Header, []byte, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+f.host(i)+":8000"+path, strings.NewReader(body))
 	if err != nil {
