--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -33,10 +33,10 @@
 	headCrash = "Fake-Crash"
 	// runTime is how long upstreams run a request, and crashTime how long one runs before it crashes. It is away for crashedFor then.
 	runTime, crashTime = 20 * time.Millisecond, 5 * time.Millisecond
-	// contactTime after the third crash, requests that crash upstreams must reach them no more than maxLateSends times.
+	// Later than contactTime after the third crash, at most maxLateSends of the requests that crash upstreams may reach them.
 	contactTime  = 4 * time.Second
 	maxLateSends = 3
-	// Others send soundInterval apart.
+	// soundInterval is the time between two requests of a caller whose requests run well.
 	soundInterval = 100 * time.Millisecond
 )
 
@@ -215,7 +215,7 @@
 	}
 }
 
-// wantBlocked checks that requests that crash upstreams reach none once the third crash is known, and returns from when on.
+// wantBlocked checks that requests that crash upstreams are blocked once the third crash must be known, and returns when that was.
 func (s *crashSite) wantBlocked() (since time.Time) {
 	s.t.Helper()
 	s.mu.Lock()
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -22,8 +22,8 @@
 
 // NewIdent returns what a request is known by, given its caller's team, if it has one, and the address that it came from.
 //
-// Requests that are alike but for their callers may differ in what upstreams read of them. Known by the same fingerprint, one caller's good answers
-// would hide the crashes under another one's requests, or these would have both refused.
+// The caller is part of the fingerprint: a request may crash upstreams for one caller only. With one fingerprint for all callers, good answers to others
+// would hide such crashes, or the crashes would have the others' requests refused.
 func NewIdent(d demand.Demand, team, addr string) Ident {
 	return Ident{
 		Request: d.ID, Team: team, Parts: d.Parts,
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -10,7 +10,7 @@
 // soundAfter is how long after its first event a request is known not to crash its engine: such requests do so as they begin to run.
 const soundAfter = 500 * time.Millisecond
 
-// suspect returns what the request may crash upstreams by.
+// suspect returns what the request is known by as one that may crash upstreams; once it has run well for a while, without the parts of its prompt.
 func (j *job) suspect() ident.Ident {
 	if j.sound {
 		return j.ident.WithParts(nil)
--- a/internal/recent/recent.go
+++ b/internal/recent/recent.go
@@ -37,7 +37,7 @@
 	return value, ok
 }
 
-// Values returns all values that were set for keys; those of a key that was set twice may both be among them.
+// Values returns the values of all keys. Of a key that was set twice, the older value may be among them too.
 func (r *Recent[K, V]) Values() iter.Seq[V] {
 	return func(yield func(V) bool) {
 		for _, entries := range []map[K]V{r.young, r.older} {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -19,10 +19,10 @@
 	soundTime = 1500 * time.Millisecond
 	// tellInterval is the shortest time between two reports that a key is sound, of this host or heard from others.
 	tellInterval = 2 * time.Second
-	// soundRetention is how long it is kept what ran well: as long as a break may be judged late, beside soundTime, and longer than tellInterval.
+	// soundRetention is how long a soundness is kept: longer than soundTime and the second in which a break is judged together, and than tellInterval.
 	soundRetention = 3 * time.Second
-	// evictedShare is which part of the records is dropped where there are too many: a quarter.
-	evictedShare = 4
+	// evictDivisor: where there are too many records, 1/evictDivisor of them is dropped.
+	evictDivisor = 4
 )
 
 // Tally holds one record for each key. It may be used from one goroutine at a time.
@@ -93,7 +93,7 @@
 		one, other := t.records[a], t.records[b]
 		return cmp.Or(cmp.Compare(rank(one), rank(other)), one.last.Compare(other.last))
 	})
-	for _, key := range keys[:len(keys)/evictedShare+1] {
+	for _, key := range keys[:len(keys)/evictDivisor+1] {
 		delete(t.records, key)
 	}
 }
