--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,7 +23,8 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
-	"memory": memoryCase,
+	"crasher": crasherCase,
+	"memory":  memoryCase,
 }
 
 func main() {
