--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -82,7 +82,8 @@
 	deadline time.Duration
 }
 
-func (req request) encode(id string) []byte {
+// head returns what is sent before the body.
+func (req request) head(id string) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n", req.method, req.route, cmp.Or(req.path, "x"), routeHost, id)
 	fmt.Fprintf(&b, "X-Deadline-Ms: %d\r\n", req.deadline.Milliseconds())
@@ -93,7 +94,6 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(req.body))
 	}
 	b.WriteString("\r\n")
-	b.Write(req.body)
 	return b.Bytes()
 }
 
@@ -117,7 +117,11 @@
 	if err := q.c.SetDeadline(a.sent.Add(req.deadline + 3*time.Second)); err != nil {
 		return err
 	}
-	if _, err := q.c.Write(req.encode(a.id)); err != nil {
+	l := links.to(a.host)
+	if err := l.send(q.c, req.head(a.id)); err != nil {
+		return err
+	}
+	if err := l.send(q.c, req.body); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(q.in, &http.Request{Method: req.method})
--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -14,10 +14,11 @@
 	memoryEngines = 6 // 128 requests at once for each host, as on the sheet
 	memoryPlain   = 3
 	memoryBookers = 24
-	memoryDrafts  = 90  // requesters that send drafts, at usual times
+	memoryDrafts  = 80  // requesters that send drafts, at usual times
 	memoryBurst   = 2.4 // times as many come in the burst
-	memoryUsual   = 10 * time.Second
-	memorySpan    = 22 * time.Second
+	memoryStagger = 60 * time.Millisecond
+	memoryUsual   = 12 * time.Second
+	memorySpan    = 25 * time.Second
 	// memoryLook is how often the platform looks at the memory of a process.
 	memoryLook = 20 * time.Millisecond
 	// contact is how long a machine must have been without disturbance to count as in touch.
@@ -55,9 +56,12 @@
 	body := bytes.Repeat([]byte("x"), maxBody)
 	for n := range drafts {
 		all.wait.Go(func() {
+			// The usual ones come one after the other, so that their first prompts do not come together.
+			wait := time.Duration(n) * memoryStagger
 			if n >= memoryDrafts {
-				time.Sleep(memoryUsual)
+				wait = memoryUsual
 			}
+			time.Sleep(wait)
 			s.sendDrafts(&all, n, body, lasts)
 		})
 	}
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -27,6 +27,7 @@
 	adapterSlots  = 20
 	maxBody       = 4194304
 	tokensInEvent = 3
+	kvTokens      = 132765
 	eventGap      = 40 * time.Millisecond
 	loadTime      = 250 * time.Millisecond
 	workTime      = 30 * time.Millisecond
@@ -220,24 +221,24 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
-			return
-		}
-		if !r.handle(c, req, body) {
+		if !r.handle(c, req) {
 			return
 		}
 	}
 }
 
 // handle answers one request; it returns false if the channel is to be closed.
-func (r *runner) handle(c net.Conn, req *http.Request, body []byte) bool {
-	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
+func (r *runner) handle(c net.Conn, req *http.Request) bool {
+	if req.URL.Path == "/-/order" {
+		return r.order(c, req)
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	if r.isOther(req) {
 		return reply(c, http.StatusMisdirectedRequest, http.Header{"X-Not-Executed": {"1"}}, "")
 	}
 	switch req.URL.Path {
-	case "/-/order":
-		return r.order(c, body)
 	case "/-/report":
 		return r.report(c)
 	case "/healthz":
@@ -259,6 +260,12 @@
 	return reply(c, http.StatusOK, r.stamp(one), one.body)
 }
 
+// isOther reports whether a request is for another runner.
+func (r *runner) isOther(req *http.Request) bool {
+	want := req.Header.Get("X-Expect-Instance")
+	return want != "" && want != r.id
+}
+
 // fail runs a request that crashes the runner after a time, unless the time that the request has left ends before.
 func (r *runner) fail(c net.Conn, req *http.Request, one *run, after time.Duration) bool {
 	ms, err := strconv.Atoi(req.Header.Get("X-Deadline-Ms"))
@@ -315,6 +322,11 @@
 		r.mu.Unlock()
 		return reply(c, http.StatusMisdirectedRequest, http.Header{"X-Not-Executed": {"1"}}, "")
 	}
+	prompt, _, _ := strings.Cut(req.Header.Get("X-Token-Count"), ",")
+	if n, _ := strconv.Atoi(prompt); n > kvTokens {
+		r.mu.Unlock()
+		return reply(c, http.StatusServiceUnavailable, http.Header{"X-Not-Executed": {"1"}}, "")
+	}
 	r.using[adapter]++
 	r.mu.Unlock()
 	defer func() {
@@ -360,11 +372,18 @@
 	return reply(c, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, string(data))
 }
 
-func (r *runner) order(c net.Conn, body []byte) bool {
+func (r *runner) order(c net.Conn, req *http.Request) bool {
 	var o struct {
 		Operation, Model, Adapter, Holder string
 		Expected                          *int64
 	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return false
+	}
+	if r.isOther(req) {
+		return reply(c, http.StatusMisdirectedRequest, http.Header{"X-Not-Executed": {"1"}}, "")
+	}
 	if err := json.Unmarshal(body, &o); err != nil || o.Holder == "" {
 		return reply(c, http.StatusBadRequest, nil, "")
 	}
