--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -46,6 +46,8 @@
 	in   *bufio.Reader
 	addr string
 	used int // attempts on the channel
+	// dropAt is when the requester loses its channel, if that is still to come.
+	dropAt time.Time
 }
 
 var attempts atomic.Int64
@@ -114,7 +116,11 @@
 }
 
 func (q *caller) exchange(req request, a *attempt) error {
-	if err := q.c.SetDeadline(a.sent.Add(req.deadline + 3*time.Second)); err != nil {
+	until := a.sent.Add(req.deadline + 3*time.Second)
+	if q.dropAt.After(a.sent) && q.dropAt.Before(until) {
+		until = q.dropAt
+	}
+	if err := q.c.SetDeadline(until); err != nil {
 		return err
 	}
 	l := links.to(a.host)
--- a/review/stand2/host.go
+++ b/review/stand2/host.go
@@ -42,7 +42,7 @@
 	cmd     *exec.Cmd
 	ended   chan struct{} // closed when cmd has ended
 	stopped bool          // it is not to be started again
-	ends    []time.Time   // when its processes ended
+	started time.Time     // when cmd was started
 }
 
 func newHost(s *site, number int, dir string) *host {
@@ -98,7 +98,7 @@
 	running.Store(cmd.Process.Pid, cmd.Process)
 	h.rec.say("%s starts at %s", h.name, h.ip)
 	ended := make(chan struct{})
-	h.cmd, h.ended = cmd, ended
+	h.cmd, h.ended, h.started = cmd, ended, time.Now()
 	go h.await(cmd, ended)
 	return nil
 }
@@ -108,9 +108,6 @@
 	err := cmd.Wait()
 	running.Delete(cmd.Process.Pid)
 	h.rec.say("%s ended: %v", h.name, err)
-	h.mu.Lock()
-	h.ends = append(h.ends, time.Now())
-	h.mu.Unlock()
 	close(ended)
 	time.Sleep(restartDelay)
 	if err := h.start(); err != nil {
@@ -148,6 +145,13 @@
 	}
 }
 
+// inTouch reports whether the process has run without disturbance for long enough.
+func (h *host) inTouch(at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return at.Sub(h.started) >= contact
+}
+
 // memory returns how many MB of its own the process holds in memory; 0 if that is not known.
 func (h *host) memory() int {
 	p := h.process()
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"crasher": crasherCase,
 	"memory":  memoryCase,
+	"resume":  resumeCase,
 }
 
 func main() {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -52,6 +52,7 @@
 	id     string
 	addr   string
 	engine bool
+	build  string // version of its software
 	done   chan struct{}
 	// fatal returns after which time a request that has begun to run crashes the runner; ok is false for one that does not.
 	fatal func(req *http.Request) (after time.Duration, ok bool)
@@ -69,13 +70,13 @@
 	runs    []*run
 }
 
-func newRunner(s *site, number int, engine bool) (*runner, error) {
+func newRunner(s *site, number int, engine bool, build string) (*runner, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
-		site: s, id: fmt.Sprintf("i-%d", number), addr: l.Addr().String(), engine: engine, l: l, done: make(chan struct{}),
+		site: s, id: fmt.Sprintf("i-%d", number), addr: l.Addr().String(), engine: engine, build: build, l: l, done: make(chan struct{}),
 		conns: map[net.Conn]bool{}, using: map[string]int{}, fatal: func(*http.Request) (time.Duration, bool) { return 0, false },
 	}
 	r.reset()
@@ -165,7 +166,7 @@
 	}
 	r.settle()
 	entry := map[string]any{
-		"service": service, "address": r.addr, "zone": "hall-marcus", "version": "v1", "slots": count, "state": "ready", "sequence": r.seq,
+		"service": service, "address": r.addr, "zone": "hall-marcus", "version": r.build, "slots": count, "state": "ready", "sequence": r.seq,
 		"born": r.born, "models": r.models(),
 	}
 	r.mu.Unlock()
@@ -345,7 +346,7 @@
 	b.WriteString("\r\n")
 	for n := from + 1; n <= tokens/tokensInEvent; n++ {
 		time.Sleep(eventGap)
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, id, r.build)
 		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(event), event)
 		if _, err := io.WriteString(c, b.String()); err != nil {
 			return false
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -24,8 +24,11 @@
 	hosts     []*host
 }
 
-// newSite starts the stand-ins and the hosts.
-func newSite(rec *record, hosts, engines, plain int) (*site, error) {
+// newSite starts the stand-ins and the hosts. Model runners take turns with the builds of their software.
+func newSite(rec *record, hosts, engines, plain int, builds ...string) (*site, error) {
+	if len(builds) == 0 {
+		builds = []string{"v1"}
+	}
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -43,7 +46,7 @@
 	go s.server.Serve(l)
 	s.configure()
 	for n := range engines + plain {
-		r, err := newRunner(s, n, n < engines)
+		r, err := newRunner(s, n, n < engines, builds[n%len(builds)])
 		if err != nil {
 			return nil, err
 		}
