--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -76,7 +76,7 @@
 // buildUplink creates the client that sends requests to upstreams.
 func (e *Edge) buildUplink() *uplink.Uplink {
 	return &uplink.Uplink{
-		Dial: e.connect, Matches: e.Matches, MaxConns: e.maxConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
+		Dial: e.connect, AnswerID: e.AnswerID, MaxConns: e.maxConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
 		Usable: e.connUsable, Sent: e.noteSent, Received: e.noteReceived,
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,12 +65,13 @@
 	DecodeNotice    func(status int, h http.Header) (notice.Notice, error)
 	// TeamHeaders returns a caller's headers as sent to an upstream on behalf of a team.
 	TeamHeaders func(h http.Header, team string) http.Header
-	Matches     func(h http.Header, id string) bool
-	SendOrder   func(ctx context.Context, c change.Change) (effect.Effect, error)
-	QueryState  func(ctx context.Context, c change.Change) (state.State, error)
-	Dial        func(ctx context.Context, addr string) (net.Conn, error)
-	Listen      func(addr string) (net.Listener, error)
-	Clock       func() time.Duration // also counts time in which the machine is suspended
+	// AnswerID returns the id of the request that an answer belongs to, empty where it names none.
+	AnswerID   func(h http.Header) string
+	SendOrder  func(ctx context.Context, c change.Change) (effect.Effect, error)
+	QueryState func(ctx context.Context, c change.Change) (state.State, error)
+	Dial       func(ctx context.Context, addr string) (net.Conn, error)
+	Listen     func(addr string) (net.Listener, error)
+	Clock      func() time.Duration // also counts time in which the machine is suspended
 	// Lookup and Ready return the handlers for address lookups and for the platform's readiness probe.
 	Lookup func(names func(centre string) (addrs []string, life time.Duration)) http.Handler
 	Ready  func(ready func() bool) http.Handler
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -13,6 +13,8 @@
 	Body   io.Reader
 	// Unframed says that the body has neither length nor chunks: the end of its connection alone marks its end.
 	Unframed bool
+	Named    bool   // it names the request that it belongs to
+	Reused   bool   // its connection has carried other requests before
 	Cut      func() // closes the connection at once, from any goroutine
 	Close    func() // gives the connection back where the body was read to its end, else closes it
 }
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -10,6 +10,7 @@
 	Turn        = "request_turn_seconds"        // route
 	Pause       = "request_pause_seconds"       // route
 	Sends       = "sends_total"                 // upstream, outcome
+	Rejections  = "rejections_total"            // status, named, reused
 	Breaks      = "request_breaks_total"        // outcome
 	Connections = "connections_opened_total"    // none
 	Admits      = "turns_total"                 // outcome
@@ -46,6 +47,7 @@
 	Turn:        "time that a request waited here before it was last sent",
 	Pause:       "longest time between two events of a stream",
 	Sends:       "sends of requests to upstreams by outcome",
+	Rejections:  "answers that say that the request was not run, by status, whether they named it, and whether their connection was used before",
 	Breaks:      "upstreams that broke off while they ran a request, by what was made of it: counted, excused, or cleared by an answer",
 	Connections: "new connections to upstreams",
 	Origins:     "streams that callers resume, by how the build that began them was found",
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
-		if c.uplink.Matches(r.Header, d.ID) {
+		if id := c.uplink.AnswerID(r.Header); id == d.ID || id == "" {
 			return r, nil
 		}
 		if !skipBody(r) {
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -22,6 +22,7 @@
 		if c == nil {
 			break
 		}
+		c.reused = true
 		c.idleBefore = time.Since(c.idleSince)
 		if c.idleBefore < u.limitIdle(c.idleTimeout) && isQuiet(c.Conn) && u.usable(c) {
 			return c, nil
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -33,8 +33,8 @@
 type Uplink struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// Matches reports whether an answer's headers are those of the answer to the request with an id.
-	Matches func(h http.Header, id string) bool
+	// AnswerID returns the id of the request that an answer belongs to, empty where it names none.
+	AnswerID func(h http.Header) string
 	// MaxConns returns how many connections this host may have open to an address; zero means no limit.
 	MaxConns func(addr string) int
 	// Opened is called for each new connection; it may be nil.
@@ -58,6 +58,7 @@
 	read         *bufio.Reader
 	idleSince    time.Time
 	idleTimeout  time.Duration
+	reused       bool          // it has carried a request before the current one
 	idleBefore   time.Duration // how long it was idle before the current request; 0 for a new connection
 	lastReceived time.Time     // when bytes were last received
 	closed       sync.Once
@@ -131,7 +132,8 @@
 	}
 	body := newBody(r.Body)
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
-	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Cut: func() { c.Close() }, Close: func() {
+	named := u.AnswerID(r.Header) != ""
+	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Named: named, Reused: c.reused, Cut: func() { c.Close() }, Close: func() {
 		alive := stop()
 		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !isSent(written) || !c.restoreAckTimeout() {
 			c.Close()
