Believe an upstream's answer only for the request that it names, and only what it states

Callers saw: bookings that ran twice (TWICE), bookings answered 503, 429 or 408 that had run (REFUSED), lookups answered with bytes of no request (MIXED).

Cause: an answer without an id counted as the answer to whatever request waited on its connection, any answer with status 421 and any with the header counted as 'not run' whatever else it said, and a status that tells callers 'not run' was passed on though its upstream had not stated it. Class: a promise is made from what looks like a statement.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 
 	"damaskreach/internal/avoid"
@@ -76,11 +77,17 @@
 // buildUplink creates the client that sends requests to upstreams.
 func (e *Edge) buildUplink() *uplink.Uplink {
 	return &uplink.Uplink{
-		Dial: e.connect, AnswerID: e.AnswerID, MaxConns: e.maxConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
+		Dial: e.connect, AnswerID: e.AnswerID, NotRun: e.NotRun, Stray: e.strayAnswer, MaxConns: e.maxConns, Opened: func(string) { e.Stats.Add(stats.Connections, 1) },
 		Usable: e.connUsable, Sent: e.noteSent, Received: e.noteReceived,
 	}
 }
 
+// strayAnswer counts and logs an answer that does not belong to the request that waited for one.
+func (e *Edge) strayAnswer(addr string, status int, named bool) {
+	e.Stats.Add(stats.Strays, 1, "named", strconv.FormatBool(named))
+	e.Log.Info("answer belongs to no request", zap.String("addr", addr), zap.Int("status", status), zap.Bool("named", named))
+}
+
 // buildIntake creates the reader of configuration and registrations.
 func (e *Edge) buildIntake() *intake.Intake {
 	i := intake.NewIntake()
@@ -119,7 +126,7 @@
 // buildProxy creates the proxy, which handles callers' requests.
 func (e *Edge) buildProxy() *proxy.Proxy {
 	return &proxy.Proxy{
-		Decode: e.DecodeRequest, TeamHeaders: e.TeamHeaders, Headers: e.UpstreamHeaders, NotRun: e.NotRun, DecodeNotice: e.DecodeNotice, Send: e.uplink.Do,
+		Decode: e.DecodeRequest, TeamHeaders: e.TeamHeaders, Headers: e.UpstreamHeaders, DecodeNotice: e.DecodeNotice, Send: e.uplink.Do,
 		CanLoad: e.hasOwner, Admit: e.admit, EndTurn: e.reportTurnEnd, Permit: e.permit, AnnounceLimit: e.reportLimit,
 		Charge: e.limits.Charge, Use: e.trackUse,
 		StopsSoon: e.stopsSoon, Stopping: e.ending, WithDeadline: context.WithDeadline,
--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -270,7 +270,7 @@
 	e.UpstreamHeaders = func(id string, _ time.Duration, _ int, last string) http.Header {
 		return http.Header{headFor: {id}, headFrom: {ip}, headLast: {last}}
 	}
-	e.NotRun = func(status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest }
+	e.NotRun = func(_ http.Header, status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest }
 	e.SendOrder, e.QueryState = f.applyOrder, f.engineState
 }
 
--- a/internal/edge/teams_test.go
+++ b/internal/edge/teams_test.go
@@ -146,7 +146,7 @@
 	e.UpstreamHeaders = func(id string, _ time.Duration, _ int, _ string) http.Header {
 		return http.Header{headFor: {id}, headFrom: {ip}}
 	}
-	e.NotRun = func(_ int, h http.Header) bool { return h.Get(headPause) != "" }
+	e.NotRun = func(_ http.Header, _ int, h http.Header) bool { return h.Get(headPause) != "" }
 	e.DecodeNotice = decodeNotice
 	e.AnswerID = func(h http.Header) string { return h.Get(headID) }
 	dial := e.Dial
--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -129,7 +129,7 @@
 					return f.Read(p)
 				})
 				b.setAnswers(func(sent) (resp.Resp, error) {
-					return resp.Resp{Status: http.StatusServiceUnavailable, Header: rejected, Body: body, Cut: sync.OnceFunc(func() { close(cut) }), Close: func() {}}, nil
+					return resp.Resp{Status: http.StatusServiceUnavailable, Header: rejected, Body: body, Rejected: true, Cut: sync.OnceFunc(func() { close(cut) }), Close: func() {}}, nil
 				}, answers(http.StatusOK, nil, firstEvent, nil))
 				began := time.Now()
 				rec, _ := b.call(nil)
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -124,9 +124,6 @@
 			}
 			return h
 		},
-		NotRun: func(status int, h http.Header) bool {
-			return h.Get(headNotRun) != "" || status == http.StatusMisdirectedRequest
-		},
 		DecodeNotice: b.notice, Ration: ration.NewRation(func() time.Duration { return time.Since(b.start) }),
 		Flight: flight.NewFlight(func() time.Duration { return time.Since(b.start) }), Avoid: avoid.NewAvoid(), Permit: b.permit,
 		AnnounceLimit: func(string) {},
@@ -271,7 +268,7 @@
 		if err != nil {
 			r = io.MultiReader(r, errReader{err})
 		}
-		return resp.Resp{Status: status, Header: h, Body: r, Cut: func() {}, Close: func() {}}, nil
+		return resp.Resp{Status: status, Header: h, Body: r, Rejected: h.Get(headNotRun) != "", Named: true, Cut: func() {}, Close: func() {}}, nil
 	}
 }
 
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/target"
+	"damaskreach/internal/uplink"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -51,7 +52,8 @@
 		p.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.start).Round(time.Millisecond)))
 		return true
 	}
-	if verdict != verd.NotRun && ctx.Err() == nil {
+	// An upstream that answers something else goes on.
+	if verdict != verd.NotRun && ctx.Err() == nil && !errors.Is(err, uplink.ErrStray) {
 		p.Guard.RecordBreak(j.suspect(), t, j.sentAt, false)
 	}
 	p.Pick.BackOff(t.ID, now)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,8 +79,6 @@
 	// TeamHeaders returns a caller's headers with the name of its team (empty for none) in place of its key. It is used where the
 	// configuration requires keys.
 	TeamHeaders func(h http.Header, team string) http.Header
-	// NotRun reports whether an upstream's answer means that it did not run the request.
-	NotRun func(status int, h http.Header) bool
 	// DecodeNotice reads what an upstream announces about itself in the headers of an answer.
 	DecodeNotice func(status int, h http.Header) (notice.Notice, error)
 	// Send sends a request to an upstream, unless stillUsable reports false once the connection is open.
--- a/internal/proxy/refuse_test.go
+++ b/internal/proxy/refuse_test.go
@@ -40,6 +40,29 @@
 	}
 }
 
+// An upstream answers a booking with a status that tells its caller to book again, but does not state that it has not run it. Passed on, two trucks come.
+func TestStatusWithoutAStatementIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+		b.setAnswers(answers(status, nil, "", nil))
+		rec, _ := b.call(nil)
+		if got, want := rec.Code, http.StatusBadGateway; got != want {
+			t.Errorf("upstream answers %d: status = %d, want %d", status, got, want)
+		}
+		b.wantMetrics(`code="unclear",verdict="may-have-run"} 1`)
+	}
+}
+
+// An upstream answers a lookup so. It may run again, and the caller gets the other upstream's answer.
+func TestLookupWithoutAClearAnswerGoesToAnotherUpstream(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Idempotent, Attempts: 2})
+	b.setAnswers(answers(503, nil, "", nil), answers(200, nil, "done", nil))
+	rec, _ := b.call(nil)
+	if got, want := rec.Body.String(), "done"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
+
 // No upstream is ready. The caller is told at once that its request has not run and when to retry.
 func TestRefusalNamesATimeToComeBack(t *testing.T) {
 	b := newBench(t, route.Route{Kind: kinds.Once})
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -143,13 +143,17 @@
 // handleAnswer handles an upstream's answer. It returns true if the caller has its final answer.
 func (p *Proxy) handleAnswer(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	p.applyNotice(t, r)
-	if p.NotRun(r.Status, r.Header) {
+	verdict := r.Verdict(j.route.Repeatable())
+	if verdict == verd.NotRun {
 		p.handleRejection(j, t, r)
 		// A backoff for the failure could outlast a pause that the upstream itself has asked for.
 		j.upstreamFailed = r.Status != http.StatusMisdirectedRequest && p.Avoid.Pause(t.ID, time.Now()) == 0
 		return false
 	}
 	j.runs++
+	if verdict == verd.MayHaveRun && !j.headerSent {
+		return p.handleUnclear(j, t, r)
+	}
 	serverError := r.Status >= http.StatusInternalServerError
 	if serverError && j.mayRunAgain() && j.sends < maxSends && j.route.Kind == kinds.Idempotent {
 		p.countSend(t, strconv.Itoa(r.Status/100)+"xx")
@@ -167,6 +171,21 @@
 	return p.relayWhole(ctx, j, t, r)
 }
 
+// handleUnclear handles an answer that would tell the caller that its request has not run, though the upstream does not state that. Passed on, it
+// would have the caller send a booking again that has run.
+func (p *Proxy) handleUnclear(j *job, t target.Target, r resp.Resp) (done bool) {
+	p.countSend(t, refuse.Unclear)
+	p.Log.Info("answer leaves unclear whether the request has run", zap.String("request", j.req.ID), zap.String("target", t.ID),
+		zap.Int("status", r.Status), zap.Bool("rejected", r.Rejected))
+	j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Unclear, "%s answered %d and did not state whether it has run the request", t.ID, r.Status))
+	j.upstreamFailed = true
+	if j.mayRunAgain() {
+		return false
+	}
+	p.refuse(j.w, j, j.lastRefusal)
+	return true
+}
+
 // handleNotResumed handles an answer other than a stream from an engine that was to continue one. None of it may reach the
 // caller: after the events that were passed on it would look like the end of the stream.
 func (p *Proxy) handleNotResumed(j *job, t target.Target, r resp.Resp) (done bool) {
@@ -180,7 +199,7 @@
 	return true
 }
 
-// countSend counts a send by its outcome: "ok", "cut", "timeout", "failed", "left", "rejected", "not-resumed", or a class of statuses.
+// countSend counts a send by its outcome: "ok", "cut", "timeout", "failed", "left", "rejected", "unclear", "not-resumed", or a class of statuses.
 func (p *Proxy) countSend(t target.Target, outcome string) {
 	p.Stats.Add(stats.Sends, 1, "upstream", t.ID, "outcome", outcome)
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -4,6 +4,8 @@
 import (
 	"io"
 	"net/http"
+
+	"damaskreach/pkg/verd"
 )
 
 // Resp is one answer. Close must be called once its body was read or is not wanted any more.
@@ -13,8 +15,30 @@
 	Body   io.Reader
 	// Unframed says that the body has neither length nor chunks: the end of its connection alone marks its end.
 	Unframed bool
+	Rejected bool   // it states that the request was not run
 	Named    bool   // it names the request that it belongs to
 	Reused   bool   // its connection has carried other requests before
 	Cut      func() // closes the connection at once, from any goroutine
 	Close    func() // gives the connection back where the body was read to its end, else closes it
 }
+
+// Verdict returns whether the request has run. Callers take some statuses for the promise that it has not; an upstream that does not state so may
+// have run it all the same. repeatable says that the request may run more than once, so that believing a bare 421 does no harm.
+func (r Resp) Verdict(repeatable bool) verd.Verdict {
+	switch {
+	case r.Rejected && r.Status >= http.StatusBadRequest, repeatable && r.Status == http.StatusMisdirectedRequest:
+		return verd.NotRun
+	case r.Rejected, promisesNotRun(r.Status):
+		return verd.MayHaveRun
+	}
+	return verd.Ran
+}
+
+// promisesNotRun reports whether callers take a status for the promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -11,6 +11,7 @@
 	Pause       = "request_pause_seconds"       // route
 	Sends       = "sends_total"                 // upstream, outcome
 	Rejections  = "rejections_total"            // status, named, reused
+	Strays      = "answers_skipped_total"       // named
 	Breaks      = "request_breaks_total"        // outcome
 	Connections = "connections_opened_total"    // none
 	Admits      = "turns_total"                 // outcome
@@ -48,6 +49,7 @@
 	Pause:       "longest time between two events of a stream",
 	Sends:       "sends of requests to upstreams by outcome",
 	Rejections:  "answers that say that the request was not run, by status, whether they named it, and whether their connection was used before",
+	Strays:      "answers of upstreams that do not belong to the request that waited for one, by whether they name another",
 	Breaks:      "upstreams that broke off while they ran a request, by what was made of it: counted, excused, or cleared by an answer",
 	Connections: "new connections to upstreams",
 	Origins:     "streams that callers resume, by how the build that began them was found",
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -58,7 +58,7 @@
 func TestEveryMetricIsExplained(t *testing.T) {
 	s := stats.NewStats()
 	for _, name := range []string{
-		stats.Requests, stats.Sends, stats.Rejections, stats.Breaks, stats.Connections, stats.Admits, stats.StoreFails, stats.Claims, stats.Renewals, stats.Orders,
+		stats.Requests, stats.Sends, stats.Rejections, stats.Strays, stats.Breaks, stats.Connections, stats.Admits, stats.StoreFails, stats.Claims, stats.Renewals, stats.Orders,
 		stats.Unloads, stats.Other, stats.Took, stats.First, stats.Turn, stats.Pause, stats.Store, stats.Loads, stats.LoadWaits,
 		stats.Age, stats.LeaseLeft, stats.Engines, stats.Hosts, stats.Upstreams, stats.Dropped,
 	} {
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -22,18 +22,23 @@
 // ErrLongHead means that the head of an answer has not ended within maxHead.
 var ErrLongHead = merry.Sentinel("uplink: the head of the answer is too long")
 
-// answer reads the answer to a request and skips answers to other requests: an upstream may answer a request twice, and the second answer
-// then comes where the next one is expected.
-func (c *conn) answer(d demand.Demand) (*http.Response, error) {
-	for range maxStrays + 1 {
+// answer reads the answer to a request and skips answers to other requests: an upstream may answer a request twice, or send bytes behind an answer,
+// and these come where the next one is expected.
+func (c *conn) answer(d demand.Demand, extra http.Header) (*http.Response, error) {
+	for n := range maxStrays + 1 {
+		first := n == 0 && !c.reused // nothing else can have been answered yet
 		r, err := c.head(d.Method)
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
-		if id := c.uplink.AnswerID(r.Header); id == d.ID || id == "" {
+		id := c.uplink.AnswerID(r.Header)
+		if id == d.ID || id == "" && first && c.uplink.NotRun(extra, r.StatusCode, r.Header) {
 			return r, nil
 		}
-		if !skipBody(r) {
+		if c.uplink.Stray != nil {
+			c.uplink.Stray(c.addr, r.StatusCode, id != "")
+		}
+		if first && id == "" || !skipBody(r) {
 			break
 		}
 	}
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -33,6 +33,10 @@
 type Uplink struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// NotRun reports whether an answer states that its request was not run, given the additional headers of the request.
+	NotRun func(extra http.Header, status int, h http.Header) bool
+	// Stray, if set, is called for each answer that does not belong to the request that waits for one.
+	Stray func(addr string, status int, named bool)
 	// AnswerID returns the id of the request that an answer belongs to, empty where it names none.
 	AnswerID func(h http.Header) string
 	// MaxConns returns how many connections this host may have open to an address; zero means no limit.
@@ -119,7 +123,7 @@
 	written := make(chan error, 1)
 	// The answer is read meanwhile: an upstream may answer before it has read a long body.
 	go func() { written <- write(c, d, extra) }()
-	r, err := c.answer(d)
+	r, err := c.answer(d, extra)
 	ctxErr := ctx.Err()
 	u.learnIdleTimeout(c.idleBefore, err != nil && ctxErr == nil)
 	if err != nil {
@@ -132,8 +136,11 @@
 	}
 	body := newBody(r.Body)
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
-	named := u.AnswerID(r.Header) != ""
-	return resp.Resp{Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Named: named, Reused: c.reused, Cut: func() { c.Close() }, Close: func() {
+	answer := resp.Resp{
+		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Cut: func() { c.Close() },
+		Rejected: u.NotRun(extra, r.StatusCode, r.Header), Named: u.AnswerID(r.Header) != "", Reused: c.reused,
+	}
+	answer.Close = func() {
 		alive := stop()
 		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !isSent(written) || !c.restoreAckTimeout() {
 			c.Close()
@@ -141,5 +148,6 @@
 		}
 		c.idleTimeout = idleTimeoutOf(r.Header)
 		u.put(c)
-	}}, nil
+	}
+	return answer, nil
 }
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -77,7 +77,7 @@
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", addr)
 		},
-		AnswerID: func(h http.Header) string { return h.Get("Id") },
+		AnswerID: func(h http.Header) string { return h.Get("Id") }, NotRun: func(_ http.Header, _ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 	}
 }
 
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -29,6 +29,7 @@
 	Suspect      = "suspect"       // earlier tries of it crashed two upstreams
 	Repeat       = "repeat"        // an earlier request with its idempotency key is running or its outcome is unknown
 	Cut          = "cut"           // the answer broke off before its end
+	Unclear      = "unclear"       // the upstream's answer leaves open whether the request has run
 	Crashed      = "crashed"       // the connection to the upstream broke while the request ran
 	Leaving      = "leaving"       // this node is shutting down
 	TableDown    = "table-down"    // the table service cannot record the claim
