Count upstreams that end under requests which their hosts have given up

Cause: a break was recorded only by the host that still waited for the answer; a send that was given up (another upstream is tried, the caller left, the time is over) closed the connection that would have told it. Class: what is seen at one moment alone is taken for all that there is to see. The same cause elsewhere: callers that leave, streams given up before they have run well for a while, answers given up while they are read; the last counted a break although the host itself had closed the connection.

Change: orphan keeps what was given up until its deadline and six seconds more, and counts the upstream that ends meanwhile: a new registration at its address, or none and nothing listens. An upstream that has announced its end does not count.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -46,7 +47,9 @@
 // crashSite is a fleet whose upstreams crash under requests with headCrash.
 type crashSite struct {
 	*teamFleet
-	books bool // callers send bookings, with a body, instead of lookups
+	books      bool          // callers send bookings, with a body, instead of lookups
+	crashAfter time.Duration // how long upstreams run a request before it crashes them
+	patience   time.Duration // how long callers wait for an answer
 
 	mu       sync.Mutex
 	starts   []int       // of each upstream
@@ -60,7 +63,9 @@
 // newCrashSite starts a site of the teams red and blue; without teams, callers need no key.
 func newCrashSite(t *testing.T, guarded bool) *crashSite {
 	const upstreams = crashUpstreams + otherUpstreams
-	s := &crashSite{starts: make([]int, upstreams), down: make([]bool, upstreams), statuses: map[int]int{}}
+	s := &crashSite{
+		starts: make([]int, upstreams), down: make([]bool, upstreams), statuses: map[int]int{}, crashAfter: crashTime, patience: time.Second,
+	}
 	teams := func(int64) []team.Team { return []team.Team{{Name: "red"}, {Name: "blue"}} }
 	s.teamFleet = newTeamFleetOf(t, crashHosts, 3, 0, teams, func(e *edge.Edge, _ *setup.Setup) {
 		decode := e.DecodeRules
@@ -130,13 +135,23 @@
 		s.mu.Lock()
 		s.arrivals = append(s.arrivals, time.Now())
 		s.mu.Unlock()
-		time.Sleep(crashTime)
-		s.crash(n)
+		start := s.startOf(n)
+		time.Sleep(s.crashAfter)
+		if start == s.startOf(n) {
+			s.crash(n)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(runTime)
 }
 
+// startOf returns the number of an upstream's current start.
+func (s *crashSite) startOf(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[n]
+}
+
 // crash ends an upstream with all its requests.
 func (s *crashSite) crash(n int) {
 	s.mu.Lock()
@@ -154,7 +169,7 @@
 
 // send sends a lookup or a booking, the same for all callers but for its headers, and returns the status of its answer; 0 for none.
 func (s *crashSite) send(from caller, id, host string, crashes bool) int {
-	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+	ctx, cancel := context.WithTimeout(s.ctx, s.patience)
 	defer cancel()
 	method, path, body := http.MethodGet, "/ticket?day=today", ""
 	if s.books {
@@ -316,3 +331,92 @@
 		s.wantSoundAnswered(restarted)
 	})
 }
+
+// A request crashes each upstream some time after its host has given the upstream up, or after its caller has left. Not counted, each repeat takes down one
+// more upstream with all that runs there.
+func TestCrashAfterItsRequestWasGivenUpCounts(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		crashAfter, patience time.Duration
+		books                bool
+	}{
+		{"host tries another upstream", 800 * time.Millisecond, time.Second, false},
+		{"caller leaves", 400 * time.Millisecond, 200 * time.Millisecond, false},
+		{"caller of a booking leaves", 400 * time.Millisecond, 200 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, true)
+				s.crashAfter, s.patience, s.books = c.crashAfter, c.patience, c.books
+				s.sendCrashing(caller{"10.8.0.1", "red"}, 1, 2500*time.Millisecond, time.Minute)
+				s.wantBlocked()
+			})
+		})
+	}
+}
+
+// Upstreams end for another reason while they run requests that are given up, now and then under the same ones. Requests that run well must not be refused for that.
+func TestUpstreamsThatEndAfterAGivenUpRequestBlockNoSoundRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrashSite(t, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		blue := caller{"10.8.0.1", "blue"}
+		go s.sendSound(ctx, blue)
+		for n := range 3 * crashUpstreams {
+			s.patience = runTime / 2
+			s.send(blue, fmt.Sprint("left", n), s.hosts[n%len(s.hosts)], false)
+			s.patience = time.Second
+			s.crash(n % crashUpstreams)
+			time.Sleep(2*lapseTime + crashedFor)
+		}
+		restarted := time.Now()
+		time.Sleep(8 * time.Second)
+		cancel()
+		time.Sleep(2 * time.Second)
+		s.wantSoundAnswered(restarted)
+	})
+}
+
+// Hosts start again, one after the other or all at once, while a request that crashes upstreams comes again and again. Forgotten, it takes down three more
+// upstreams after each round.
+func TestCrashingRequestStaysBlockedOverRestarts(t *testing.T) {
+	for name, restart := range map[string]func(s *crashSite){
+		"in turn": func(s *crashSite) {
+			for i := range s.hosts {
+				s.kill(s.hosts[i])
+				time.Sleep(500 * time.Millisecond)
+				s.restart(i)
+				time.Sleep(4 * time.Second)
+			}
+		},
+		"all at once": func(s *crashSite) { s.powerCycle(rand.New(rand.NewPCG(1, 67))) },
+		"in turn, the store away": func(s *crashSite) {
+			for i, host := range s.hosts {
+				s.kill(host)
+				s.store.refuse(host, true)
+				time.Sleep(500 * time.Millisecond)
+				s.restart(i)
+				time.Sleep(4 * time.Second)
+			}
+			s.store.serveAll()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, true)
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					s.sendCrashing(caller{"10.8.0.1", "red"}, 1, 2*time.Second, 100*time.Second)
+				}()
+				for range 4 {
+					time.Sleep(10 * time.Second)
+					restart(s)
+				}
+				<-ended
+				s.wantBlocked()
+			})
+		})
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -156,6 +156,7 @@
 	go e.runPeers(work, e.Setup())
 	go e.reach.Run(work)
 	go e.sweep(work)
+	go e.checkGivenUp(work)
 	go e.syncFacts(work)
 	go e.reportToSelf(work)
 }
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -14,6 +14,13 @@
 	idleSlack = 500 * time.Millisecond
 )
 
+// checkGivenUp counts upstreams that end under requests that were given up. It is apart from sweep since it may dial upstreams that do not answer.
+func (e *Edge) checkGivenUp(ctx context.Context) {
+	for range ticker.Every(ctx, sweepInterval) {
+		e.guard.CheckGivenUp(e.intake.View().Targets, e.avoid.Leaving)
+	}
+}
+
 func (e *Edge) sweep(ctx context.Context) {
 	for range ticker.Every(ctx, sweepInterval) {
 		v, now := e.intake.View(), time.Now()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -13,6 +13,7 @@
 
 	"damaskreach/internal/blame"
 	"damaskreach/internal/ident"
+	"damaskreach/internal/orphan"
 	"damaskreach/internal/poison"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
@@ -30,6 +31,7 @@
 
 	requests *blame.Blame
 	parts    *poison.Poison
+	orphans  orphan.Orphan
 }
 
 // NewGuard returns a Guard that knows of no crash.
@@ -91,6 +93,18 @@
 		zap.String("team", i.Team), zap.String("target", t.ID), zap.Int("upstreams", n))
 }
 
+// RecordGivenUp records that this host has given up a request that its upstream may go on running until a deadline. If the upstream ends meanwhile, that
+// counts like a break.
+func (g *Guard) RecordGivenUp(i ident.Ident, t target.Target, deadline time.Time) {
+	g.orphans.Add(i, t, deadline, time.Now())
+}
+
+// CheckGivenUp counts the upstreams that have ended under requests that were given up, given the registrations. leaves reports whether an upstream has
+// announced that it leaves.
+func (g *Guard) CheckGivenUp(registered map[string]target.Target, leaves func(t target.Target) bool) {
+	g.orphans.Check(registered, leaves, g.Crashed, time.Now(), g.countBreak)
+}
+
 // recordCrash records the parts of a request's prompt if its upstream has crashed.
 func (g *Guard) recordCrash(i ident.Ident, t target.Target) {
 	if len(i.Parts) == 0 || !g.Crashed(t.Addr) {
--- /dev/null
+++ b/internal/orphan/orphan_test.go
@@ -0,0 +1,66 @@
+package orphan_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"damaskreach/internal/ident"
+	"damaskreach/internal/orphan"
+	"damaskreach/internal/target"
+)
+
+var start = time.Unix(1000, 0)
+
+func upstream(id, addr string, incarnation int64) target.Target {
+	return target.Target{ID: id, Addr: addr, Incarnation: incarnation}
+}
+
+func registered(list ...target.Target) map[string]target.Target {
+	all := map[string]target.Target{}
+	for _, t := range list {
+		all[t.ID] = t
+	}
+	return all
+}
+
+// An upstream ends after its host has given a request up. Each sign of that must count once, and what has another reason must not: an upstream that is
+// shut down, one that merely cannot be read of in the store, a registration of its predecessor that has not lapsed yet.
+func TestEndOfAnUpstreamIsSeenInRegistrations(t *testing.T) {
+	ran := upstream("u", "a:1", 5)
+	draining := ran
+	draining.Draining = true
+	for _, c := range []struct {
+		name    string
+		later   map[string]target.Target
+		after   time.Duration
+		leaves  bool
+		refuses bool
+		want    int
+	}{
+		{"still there", registered(ran), time.Second, false, false, 0},
+		{"successor beside its registration", registered(ran, upstream("w", "a:1", 9)), 3 * time.Second, false, false, 1},
+		{"successor alone", registered(upstream("w", "a:1", 9)), 5 * time.Second, false, false, 1},
+		{"restarted under its id", registered(upstream("u", "a:1", 9)), 3 * time.Second, false, false, 1},
+		{"gone, nothing listens", registered(), 5 * time.Second, false, true, 1},
+		{"gone, something listens", registered(), 5 * time.Second, false, false, 0},
+		{"predecessor's registration", registered(ran, upstream("t", "a:1", 1)), time.Second, false, false, 0},
+		{"shut down", registered(draining), time.Second, false, true, 0},
+		{"announced in an answer", registered(), time.Second, true, true, 0},
+		{"ended long after", registered(), 30 * time.Second, false, true, 0},
+	} {
+		var o orphan.Orphan
+		o.Add(ident.Ident{Fingerprint: "f"}, ran, start.Add(time.Second), start)
+		var got []string
+		check := func(all map[string]target.Target, leaves, refuses bool, now time.Time) {
+			o.Check(all, func(target.Target) bool { return leaves }, func(string) bool { return refuses }, now,
+				func(i ident.Ident, t target.Target, _ time.Time) { got = append(got, i.Fingerprint+" "+t.ID) })
+		}
+		check(registered(ran, upstream("t", "a:1", 1)), false, false, start)
+		check(c.later, c.leaves, c.refuses, start.Add(c.after))
+		check(c.later, c.leaves, c.refuses, start.Add(c.after+time.Second))
+		if len(got) != c.want || slices.ContainsFunc(got, func(s string) bool { return s != "f u" }) {
+			t.Errorf("%s: ended = %v, want %d times the request at u", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -21,8 +21,11 @@
 	case errors.Is(cause, errHostStopping):
 		return p.handleHostStopping(j, t, err)
 	case errors.Is(cause, context.Canceled):
-		// The caller left, and closing the connection told the upstream, which is not to blame.
+		// The caller left, and closing the connection told the upstream, which is not to blame so far.
 		p.countSend(t, "left")
+		if verd.Of(err) != verd.NotRun {
+			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+		}
 		p.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, 0)
 		panic(http.ErrAbortHandler)
 	}
@@ -47,6 +50,9 @@
 	p.countSend(t, "failed")
 	if verdict != verd.NotRun {
 		j.runs++
+		if ctx.Err() != nil {
+			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+		}
 	}
 	if j.timedOut(now) {
 		p.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.start).Round(time.Millisecond)))
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -49,7 +49,11 @@
 	}
 	silent := m.silent()
 	j.nextPlacement = m.end()
-	switch end := j.streamEnd(ctx, err, silent, body.excusesBreak()); end {
+	end := j.streamEnd(ctx, err, silent, body.excusesBreak())
+	if !j.sound && (end == endCallerLeft || end == endTimeout || end == endStalled) {
+		p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+	}
+	switch end {
 	case endComplete:
 		p.countSend(t, "ok")
 		p.finish(j, "ok", verd.Ran, t.ID, r.Status)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -132,7 +132,7 @@
 		j.upstreamFailed = true
 		return p.handleFailedSend(ctx, j, t, errAnsweredTooLate)
 	}
-	return p.handleAnswer(requestCtx, j, t, r)
+	return p.handleAnswer(requestCtx, ctx, j, t, r)
 }
 
 // isStream reports whether an answer is passed on event by event.
@@ -141,7 +141,7 @@
 }
 
 // handleAnswer handles an upstream's answer. It returns true if the caller has its final answer.
-func (p *Proxy) handleAnswer(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
+func (p *Proxy) handleAnswer(ctx, sendCtx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	p.applyNotice(t, r)
 	verdict := r.Verdict(j.route.Repeatable())
 	if verdict == verd.NotRun {
@@ -168,7 +168,7 @@
 	if j.isStream(r) {
 		return p.relay(ctx, j, t, r)
 	}
-	return p.relayWhole(ctx, j, t, r)
+	return p.relayWhole(ctx, sendCtx, j, t, r)
 }
 
 // handleUnclear handles an answer that would tell the caller that its request has not run, though the upstream does not state that. Passed on, it
@@ -237,8 +237,9 @@
 	}
 }
 
-// relayWhole passes on an answer after reading all of it, so that one that breaks off can be replaced.
-func (p *Proxy) relayWhole(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
+// relayWhole passes on an answer after reading all of it, so that one that breaks off can be replaced. sendCtx ends with ctx or when this host gives the
+// send up.
+func (p *Proxy) relayWhole(ctx, sendCtx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
 	data, release, err := p.readAnswer(r.Body)
 	defer release()
 	if err == nil && r.Unframed && p.Guard.Crashed(t.Addr) {
@@ -250,7 +251,11 @@
 		j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the answer of %s broke off", t.ID))
 		j.upstreamFailed = true
 		now := time.Now()
-		if ctx.Err() == nil && !j.timedOut(now) && !errors.Is(err, errAnswerTooLarge) && !errors.Is(err, errNoAnswerRoom) {
+		switch {
+		case errors.Is(err, errAnswerTooLarge), errors.Is(err, errNoAnswerRoom):
+		case sendCtx.Err() != nil, j.timedOut(now):
+			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+		default:
 			p.Guard.RecordBreak(j.suspect(), t, j.sentAt, false)
 		}
 		if ctx.Err() == nil && j.mayRunAgain() && p.Guard.MayRetry(j.suspect(), now) {
