Keep what is known of requests that crash upstreams over restarts, and longer each time

Cause: the record was in the memory of hosts alone, relays give a restarted host back nothing of what it had seen itself, and a block ended two minutes after the last break, whatever came meanwhile. Class: what is known does not last as long as what it is needed for.

Change: blocks of requests are rows, as those of parts are. Package facts, taken out of edge, keeps them: a host that starts asks the store and the other hosts at the same time, and the writer takes over rows that it does not know before it removes any (before, a writer that did not know a row removed it).

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/block"
 	"damaskreach/internal/ident"
 	"damaskreach/internal/outbox"
 	"damaskreach/internal/tally"
@@ -18,8 +19,10 @@
 const (
 	// minUpstreams is the number of upstreams that must have broken off under a request for it to be blocked.
 	minUpstreams = 3
-	// blockTime is how long a request is blocked after the last break: callers retry within minutes.
-	blockTime = 2 * time.Minute
+	// blockTime is how long a request is blocked at first. Callers may go on for hours; those that it was wrong for wait no longer.
+	blockTime = 10 * time.Minute
+	// maxBlocks bounds the blocks that are kept beyond this host.
+	maxBlocks = 200
 	// maxRecords bounds the records, some 200 bytes each. A loss of many upstreams breaks thousands of requests at once. maxSound bounds the
 	// requests of the last seconds that ran well, some 100 bytes each.
 	maxRecords, maxSound = 20000, 4000
@@ -59,7 +62,7 @@
 // count counts the upstreams that broke off under a request, and blocks it if there are enough.
 func (b *Blame) count(fingerprint string, now time.Time) int {
 	upstreams := b.tally.Count(fingerprint, now)
-	if upstreams >= minUpstreams && !b.tally.Blocked(fingerprint, now) {
+	if (upstreams >= minUpstreams || b.tally.OnTrial(fingerprint, now)) && !b.tally.Blocked(fingerprint, now) {
 		b.tally.Block(fingerprint, now)
 	}
 	return upstreams
@@ -72,6 +75,27 @@
 	return b.tally.Blocked(fingerprint, now)
 }
 
+// OnTrial reports whether a request was blocked and may now show, by a single send, that it runs well.
+func (b *Blame) OnTrial(fingerprint string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tally.OnTrial(fingerprint, now)
+}
+
+// Blocks returns the requests that are blocked or on trial.
+func (b *Blame) Blocks(now time.Time) map[string]block.Block {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tally.Blocks(maxBlocks, now)
+}
+
+// Restore adds blocks that were begun before this host started or that another host knows.
+func (b *Blame) Restore(blocks map[string]block.Block, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tally.Restore(blocks, now)
+}
+
 // RecordSound records that a request was answered completely: it was not the cause of breaks. It returns the number of upstreams that counted against it.
 func (b *Blame) RecordSound(fingerprint string, now time.Time) (upstreams int) {
 	b.mu.Lock()
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -66,6 +66,7 @@
 	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreamAddrs, Changed: e.reachabilityChanged, Log: e.Log}
 	e.guard = guard.NewGuard()
 	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = e.reach.IsToBlame, e.reach.Refuses, e.Log, e.Stats
+	e.facts = e.buildFacts()
 	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.hostCount, Clock: e.Clock, StartedAt: e.Clock(), Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"damaskreach/internal/demand"
 	"damaskreach/internal/depot"
 	"damaskreach/internal/effect"
+	"damaskreach/internal/facts"
 	"damaskreach/internal/feeds"
 	"damaskreach/internal/flight"
 	"damaskreach/internal/guard"
@@ -111,8 +112,7 @@
 	guard          *guard.Guard
 	origins        *origin.Origin
 	builds         builds.Builds
-	facts          facts
-	factsRestored  atomic.Bool // whether the facts from before this host started are known
+	facts          *facts.Facts
 	memoWriter     memoWriter
 	ending         context.Context // done shortly before the process exits
 	leaving        atomic.Bool
@@ -157,6 +157,6 @@
 	go e.reach.Run(work)
 	go e.sweep(work)
 	go e.checkGivenUp(work)
-	go e.syncFacts(work)
+	go e.facts.Run(work)
 	go e.reportToSelf(work)
 }
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -8,89 +8,66 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/block"
+	"damaskreach/internal/facts"
 	"damaskreach/internal/rows"
-	"damaskreach/internal/ticker"
 )
 
 const (
-	// factsPrefix is the key prefix of the rows with what a fleet whose hosts were all killed must know. Usually there are none.
+	// factsPrefix is the key prefix of the rows with what a fleet whose hosts were all killed must know.
 	factsPrefix = "facts/"
 	// buildsKey is the key of the row with the groups that run or have just run several builds of their software.
 	buildsKey = factsPrefix + "builds"
-	// partPrefix is the key prefix of the rows with parts of prompts that are blocked, one row for each.
-	partPrefix = factsPrefix + "part-"
-	// factsInterval is the time between comparisons of these rows with what this host knows.
-	factsInterval = time.Second
-	// factsRecheck is the time after which rows are compared again without a change: the store may come back from an older copy.
-	factsRecheck = 10 * time.Second
-	// factsTimeout bounds a call to the store for these rows.
-	factsTimeout = 2 * time.Second
-	// maxFactEdits bounds the rows in one write; a transaction takes a hundred.
-	maxFactEdits = 90
+	// partPrefix and requestPrefix are the key prefixes of the rows with parts of prompts and with requests that are blocked, one row for each.
+	partPrefix    = factsPrefix + "part-"
+	requestPrefix = factsPrefix + "request-"
+	// factsRev stands for the revision of facts that one host tells another: they have none of their own.
+	factsRev = 1
 )
 
-// facts tracks the rows under factsPrefix. It belongs to the goroutine of syncFacts.
-type facts struct {
-	synced   map[string]string // the rows as they were last compared, by key
-	syncedAt time.Time
+// blockFact is the value of the row of a part or a request that is blocked.
+type blockFact struct {
+	Until int64 `json:"until"`           // Unix time in ms
+	Times int   `json:"times,omitempty"` // how often it has been blocked in succession
 }
 
-// partFact is the value of the row of a part that is blocked.
-type partFact struct {
-	Until int64 `json:"until"` // Unix time in ms
-}
-
-// syncFacts keeps the rows under factsPrefix up to date while this host reads the store for the others.
-func (e *Edge) syncFacts(ctx context.Context) {
-	e.restoreFacts(ctx)
-	for range ticker.Every(ctx, factsInterval) {
-		known, now := e.knownFacts(), time.Now()
-		same := len(e.factEdits(known, e.facts.synced)) == 0
-		if len(known)+len(e.facts.synced) == 0 || !e.isReader() || same && now.Sub(e.facts.syncedAt) < factsRecheck {
-			continue
-		}
-		if err := e.writeFacts(ctx, known); err != nil {
-			e.Log.Info("facts not written", zap.Error(err))
-			continue
-		}
-		e.facts.synced, e.facts.syncedAt = known, now
-	}
-}
-
-// restoreFacts reads the facts from before this host started. Until then, no build counts as the only one of its group.
-func (e *Edge) restoreFacts(ctx context.Context) {
-	for ctx.Err() == nil {
-		stored, err := e.listFacts(ctx)
-		if err != nil {
-			e.Log.Info("facts from before the start not read", zap.Error(err))
-			ticker.Sleep(ctx, e.retryDelay())
-			continue
-		}
-		e.applyFacts(stored)
-		e.facts.synced = stored
-		e.factsRestored.Store(true)
-		return
+// buildFacts creates what keeps the rows under factsPrefix.
+func (e *Edge) buildFacts() *facts.Facts {
+	return &facts.Facts{
+		Table: e.Table, Prefix: factsPrefix, IsWriter: e.isReader, Known: e.knownFacts, Learn: e.learnFacts, RetryDelay: e.retryDelay, Log: e.Log,
+		FromPeers: func(ctx context.Context) ([]rows.Row, bool) {
+			list, _, ok := e.rowsFromPeers(ctx, factsPrefix)
+			return list, ok
+		},
 	}
 }
 
-func (e *Edge) applyFacts(stored map[string]string) {
-	now, blocks := time.Now(), map[string]time.Time{}
+func (e *Edge) learnFacts(stored map[string]string) {
+	now := time.Now()
+	requests, parts := map[string]block.Block{}, map[string]block.Block{}
 	for key, value := range stored {
 		var groups map[string][]string
-		var fact partFact
+		var fact blockFact
 		part, isPart := strings.CutPrefix(key, partPrefix)
+		request, isRequest := strings.CutPrefix(key, requestPrefix)
 		switch {
 		case key == buildsKey && json.Unmarshal([]byte(value), &groups) == nil:
 			e.builds.Restore(groups, now)
 		case isPart && json.Unmarshal([]byte(value), &fact) == nil:
-			blocks[part] = time.UnixMilli(fact.Until)
+			parts[part] = fact.block()
+		case isRequest && json.Unmarshal([]byte(value), &fact) == nil:
+			requests[request] = fact.block()
 		default:
 			e.Log.Warn("invalid fact", zap.String("key", key))
 			continue
 		}
-		e.Log.Info("fact from before the start", zap.String("key", key), zap.String("value", value))
+		e.Log.Info("fact learned", zap.String("key", key), zap.String("value", value))
 	}
-	e.guard.RestoreParts(blocks)
+	e.guard.Restore(requests, parts, now)
+}
+
+func (f blockFact) block() block.Block {
+	return block.Block{Until: time.UnixMilli(f.Until), Times: max(1, f.Times)}
 }
 
 // knownFacts returns the rows that there should be.
@@ -99,8 +76,12 @@
 	if groups := e.builds.Several(); len(groups) > 0 {
 		known[buildsKey] = encodeFact(groups)
 	}
-	for part, until := range e.guard.BlockedParts(time.Now()) {
-		known[partPrefix+part] = encodeFact(partFact{Until: until.UnixMilli()})
+	requests, parts := e.guard.Blocks(time.Now())
+	for part, b := range parts {
+		known[partPrefix+part] = encodeFact(blockFact{b.Until.UnixMilli(), b.Times})
+	}
+	for request, b := range requests {
+		known[requestPrefix+request] = encodeFact(blockFact{b.Until.UnixMilli(), b.Times})
 	}
 	return known
 }
@@ -110,45 +91,3 @@
 	data, _ := json.Marshal(value)
 	return string(data)
 }
-
-// factEdits returns what makes stored rows those that there should be. Hosts block a part until different times, which are left alone.
-func (e *Edge) factEdits(known, stored map[string]string) (edits []rows.Row) {
-	for key, value := range known {
-		if old, ok := stored[key]; !ok || old != value && key == buildsKey {
-			edits = append(edits, rows.Row{Key: key, Value: []byte(value), Rev: rows.AnyRev})
-		}
-	}
-	for key := range stored {
-		if _, ok := known[key]; !ok {
-			edits = append(edits, rows.Row{Key: key, Gone: true, Rev: rows.AnyRev})
-		}
-	}
-	return edits[:min(len(edits), maxFactEdits)]
-}
-
-func (e *Edge) writeFacts(ctx context.Context, known map[string]string) error {
-	stored, err := e.listFacts(ctx)
-	if err != nil {
-		return err
-	}
-	edits := e.factEdits(known, stored)
-	if len(edits) == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, factsTimeout)
-	defer cancel()
-	_, err = e.Table.Write(ctx, edits...)
-	return err
-}
-
-// listFacts reads the rows under factsPrefix.
-func (e *Edge) listFacts(ctx context.Context) (map[string]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, factsTimeout)
-	defer cancel()
-	list, _, err := e.Table.List(ctx, factsPrefix)
-	stored := map[string]string{}
-	for _, row := range list {
-		stored[row.Key] = string(row.Value)
-	}
-	return stored, err
-}
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -94,7 +94,7 @@
 	if b, ok := e.origins.Find(attempt); ok && b.Group == group {
 		return b.Build, "own"
 	}
-	if build, ok := e.builds.Sole(group); ok && e.factsRestored.Load() && e.hearsOfBuilds() {
+	if build, ok := e.builds.Sole(group); ok && e.facts.Restored() && e.hearsOfBuilds() {
 		return build, "sole"
 	}
 	if b, ok := e.askOrigin(ctx, attempt); ok && b.Group == group {
--- a/internal/edge/startup.go
+++ b/internal/edge/startup.go
@@ -64,6 +64,10 @@
 		return e.intake.OperatorRows()
 	case tenure.Prefix:
 		return e.tenure.Rows()
+	case factsPrefix:
+		if list, ok := e.facts.Rows(); ok {
+			return list, factsRev
+		}
 	}
 	return nil, 0
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/blame"
+	"damaskreach/internal/block"
 	"damaskreach/internal/ident"
 	"damaskreach/internal/orphan"
 	"damaskreach/internal/poison"
@@ -53,7 +54,7 @@
 
 // MayRetry reports whether a request may go to a further upstream after one broke off under it: not if others crashed under what it holds, too.
 func (g *Guard) MayRetry(i ident.Ident, now time.Time) bool {
-	return !g.requests.Blocked(i.Fingerprint, now) && !g.parts.Suspected(i.Parts, now)
+	return !g.requests.Blocked(i.Fingerprint, now) && !g.requests.OnTrial(i.Fingerprint, now) && !g.parts.Suspected(i.Parts, now)
 }
 
 // RecordBreak records that an upstream broke off while it ran a request, or that it fell silent. It counts against the request unless this host's
@@ -154,12 +155,13 @@
 	}
 }
 
-// BlockedParts returns the parts of prompts that are blocked, and until when.
-func (g *Guard) BlockedParts(now time.Time) map[string]time.Time {
-	return g.parts.Blocks(now)
+// Blocks returns the fingerprints of requests and the parts of prompts that are blocked, or were until a while ago.
+func (g *Guard) Blocks(now time.Time) (requests, parts map[string]block.Block) {
+	return g.requests.Blocks(now), g.parts.Blocks(now)
 }
 
-// RestoreParts blocks parts of prompts that were blocked before this host started.
-func (g *Guard) RestoreParts(blocks map[string]time.Time) {
-	g.parts.Restore(blocks)
+// Restore adds blocks that were begun before this host started or that another host knows.
+func (g *Guard) Restore(requests, parts map[string]block.Block, now time.Time) {
+	g.requests.Restore(requests, now)
+	g.parts.Restore(parts, now)
 }
--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -73,7 +73,9 @@
 			continue
 		}
 		ended(r.ident, r.target, r.givenUp)
-		o.drop(func(other run) bool { return other.target.ID == r.target.ID && other.ident.Fingerprint == r.ident.Fingerprint })
+		o.drop(func(other run) bool {
+			return other.target.ID == r.target.ID && other.ident.Fingerprint == r.ident.Fingerprint
+		})
 	}
 }
 
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/block"
 	"damaskreach/internal/outbox"
 	"damaskreach/internal/tally"
 )
@@ -23,8 +24,10 @@
 	suspectCrashes = 2
 	// crashInterval is the time within which crashes of several engines count once: engines that crash together have another cause.
 	crashInterval = 150 * time.Millisecond
-	// blockTime is how long a part is blocked after the last crash.
+	// blockTime is how long a part is blocked at first.
 	blockTime = 10 * time.Minute
+	// maxBlocks bounds the blocks that are kept beyond this host.
+	maxBlocks = 200
 	// maxRecords bounds the parts with crashes, and maxSound those that ran well in the last seconds, some 100 bytes each.
 	maxRecords, maxSound = 5000, 10000
 )
@@ -80,7 +83,7 @@
 // before it are in many other prompts too.
 func (p *Poison) blockDeepest(parts []string, now time.Time) (blocked string) {
 	at := len(parts) - 1
-	for at >= 0 && p.tally.Count(parts[at], now) < minCrashes {
+	for at >= 0 && p.tally.Count(parts[at], now) < minCrashes && !p.tally.OnTrial(parts[at], now) {
 		at--
 	}
 	if at < 0 || p.tally.Blocked(parts[at], now) {
@@ -161,20 +164,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(parts, func(part string) bool {
-		return p.tally.Blocked(part, now) || p.tally.Count(part, now) >= suspectCrashes
+		return p.tally.Blocked(part, now) || p.tally.OnTrial(part, now) || p.tally.Count(part, now) >= suspectCrashes
 	})
 }
 
-// Blocks returns the parts that are blocked, and until when.
-func (p *Poison) Blocks(now time.Time) map[string]time.Time {
+// Blocks returns the parts that are blocked or on trial.
+func (p *Poison) Blocks(now time.Time) map[string]block.Block {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.tally.Blocks(now)
+	return p.tally.Blocks(maxBlocks, now)
 }
 
-// Restore blocks parts that were blocked before this host started.
-func (p *Poison) Restore(blocks map[string]time.Time) {
+// Restore adds blocks that were begun before this host started or that another host knows.
+func (p *Poison) Restore(blocks map[string]block.Block, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tally.Restore(blocks)
+	p.tally.Restore(blocks, now)
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -117,7 +117,7 @@
 	for i := range 3 {
 		before.RecordCrash([]string{"x"}, fmt.Sprint("e", i), after(float64(i)))
 	}
-	restarted.Restore(before.Blocks(after(2)))
+	restarted.Restore(before.Blocks(after(2)), after(2))
 	if got, want := restarted.Blocked([]string{"x"}, after(3)), "x"; got != want {
 		t.Errorf("blocks %q, want %q", got, want)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,8 +52,8 @@
 	minStoreDownRetry = 2 * time.Second
 	// otherHostRetry is the Retry-After of a host that stops; another host can serve the request at once.
 	otherHostRetry = 20 * time.Millisecond
-	// suspectRetry is the Retry-After of a request that seems to crash upstreams: its record has expired by then.
-	suspectRetry = 2 * time.Minute
+	// suspectRetry is the Retry-After of a request that seems to crash upstreams: a first block has ended by then.
+	suspectRetry = 10 * time.Minute
 	// defaultRetry is the Retry-After where nothing better is known: about the time in which the neighbours of a crashed upstream
 	// take over or a load completes.
 	defaultRetry = 700 * time.Millisecond
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"damaskreach/internal/block"
 	"damaskreach/internal/recent"
 )
 
@@ -21,6 +22,10 @@
 	tellInterval = 2 * time.Second
 	// soundRetention is how long a soundness is kept: longer than soundTime and the second in which a break is judged together, and than tellInterval.
 	soundRetention = 3 * time.Second
+	// blockGrowth is by how much each block of a key is longer than the one before, up to maxBlock. When a block ends, one request is let through: nothing
+	// else can show that the key is sound.
+	blockGrowth = 8
+	maxBlock    = 24 * time.Hour
 	// evictDivisor: where there are too many records, 1/evictDivisor of them is dropped.
 	evictDivisor = 4
 )
@@ -36,14 +41,22 @@
 
 // record is what speaks against one key.
 type record struct {
-	breaks       map[string]int64 // Unix times in ms, by incarnation of upstream
-	last         time.Time        // when a break was last added
-	blockedUntil time.Time
+	breaks map[string]int64 // Unix times in ms, by incarnation of upstream
+	last   time.Time        // when a break was last added
+	block  block.Block      // the last one; the zero value if there was none
+	length time.Duration    // of that block
 }
 
-func (r record) blocked(now time.Time) bool { return now.Before(r.blockedUntil) }
+func (r record) blocked(now time.Time) bool { return now.Before(r.block.Until) }
 
-func (r record) expired(now time.Time) bool { return now.Sub(r.last) > breakTTL && !r.blocked(now) }
+// onTrial reports whether the last block has ended and one more break begins the next: that is so for as long as the block has lasted.
+func (r record) onTrial(now time.Time) bool {
+	return r.block.Times > 0 && !r.blocked(now) && now.Before(r.block.Until.Add(r.length))
+}
+
+func (r record) expired(now time.Time) bool {
+	return now.Sub(r.last) > breakTTL && !r.blocked(now) && !r.onTrial(now)
+}
 
 // soundness is what speaks for one key.
 type soundness struct {
@@ -70,12 +83,15 @@
 		t.evict(now)
 	}
 	if r.breaks == nil || r.expired(now) {
-		r = record{breaks: map[string]int64{}, blockedUntil: r.blockedUntil}
+		if r.expired(now) {
+			r = record{}
+		}
+		r.breaks = map[string]int64{}
 	}
 	r.breaks[upstream] = at
 	r.last = now
 	if r.blocked(now) {
-		r.blockedUntil = now.Add(t.blockTime)
+		r.block = r.block.WithLater(block.Block{Until: now.Add(t.blockTime)})
 	}
 	t.records[key] = r
 	return true
@@ -84,7 +100,7 @@
 // evict drops some of the records, those that are the least likely to be of the cause first: the ones with few breaks, and blocked ones last.
 func (t *Tally) evict(now time.Time) {
 	rank := func(r record) int {
-		if r.blocked(now) {
+		if r.blocked(now) || r.onTrial(now) {
 			return math.MaxInt
 		}
 		return len(r.breaks)
@@ -119,10 +135,25 @@
 // Block blocks a key.
 func (t *Tally) Block(key string, now time.Time) {
 	r := t.records[key]
-	r.blockedUntil = now.Add(t.blockTime)
+	r.length = t.blockLength(r.block.Times)
+	r.block = block.Block{Until: now.Add(r.length), Times: r.block.Times + 1}
 	t.records[key] = r
 }
 
+// blockLength returns the length of a block after a number of others.
+func (t *Tally) blockLength(before int) time.Duration {
+	length := t.blockTime
+	for ; before > 0 && length < maxBlock; before-- {
+		length = min(blockGrowth*length, maxBlock)
+	}
+	return length
+}
+
+// OnTrial reports whether the last block of a key has ended and one more break begins the next.
+func (t *Tally) OnTrial(key string, now time.Time) bool {
+	return t.records[key].onTrial(now)
+}
+
 // Blocked reports whether no request with a key may be sent.
 func (t *Tally) Blocked(key string, now time.Time) bool {
 	return t.records[key].blocked(now)
@@ -170,22 +201,34 @@
 	t.sound.Set(key, s, now)
 }
 
-// Blocks returns the keys that are blocked, and until when.
-func (t *Tally) Blocks(now time.Time) map[string]time.Time {
-	blocks := map[string]time.Time{}
+// Blocks returns the keys that are blocked or on trial, no more than a number of those whose blocks end last.
+func (t *Tally) Blocks(most int, now time.Time) map[string]block.Block {
+	blocks := map[string]block.Block{}
 	for key, r := range t.records {
-		if r.blocked(now) {
-			blocks[key] = r.blockedUntil
+		if r.blocked(now) || r.onTrial(now) {
+			blocks[key] = r.block
+		}
+	}
+	if len(blocks) > most {
+		keys := slices.SortedFunc(maps.Keys(blocks), func(a, b string) int { return blocks[a].Until.Compare(blocks[b].Until) })
+		for _, key := range keys[:len(keys)-most] {
+			delete(blocks, key)
 		}
 	}
 	return blocks
 }
 
-// Restore blocks keys that were blocked before this host started.
-func (t *Tally) Restore(blocks map[string]time.Time) {
-	for key, until := range blocks {
+// Restore adds blocks that were begun before this host started or that another host knows.
+func (t *Tally) Restore(blocks map[string]block.Block, now time.Time) {
+	for key, b := range blocks {
 		r := t.records[key]
-		r.blockedUntil = until
-		t.records[key] = r
+		if b.Until.After(now.Add(maxBlock)) {
+			b.Until = now.Add(maxBlock) // of a host whose clock is wrong
+		}
+		r.block = r.block.WithLater(b)
+		r.length = max(r.length, t.blockLength(r.block.Times-1))
+		if !r.expired(now) {
+			t.records[key] = r
+		}
 	}
 }
