Take a build for the only one only if the row of builds says so too

Cause: facts/builds was written only while a group ran several builds, so that a missing row could mean one build or a change that nobody wrote down: the store took no writes, or came back from an older copy. Class: a fact that is not known is taken for its absence.

Change: the row is there from the first start on and names the builds of all groups; what it says and what is registered both count. A host without a row still takes what is registered for all: hosts that could never write a row hold no leases either and serve next to nothing.

TestBuildThatIsNewAtTheStartIsNew fails before by reading of the code it replaces.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -22,7 +22,7 @@
 
 // seen is when a host saw upstreams of one build.
 type seen struct {
-	first time.Time // zero where the host knew the build from its start
+	first time.Time // zero where the build served before this host started
 	last  time.Time
 }
 
@@ -30,8 +30,7 @@
 func (b *Builds) Observe(targets map[string]target.Target, now time.Time) (mixed []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	starting := b.groups == nil
-	if starting {
+	if b.groups == nil {
 		b.groups = map[string]map[string]seen{}
 	}
 	before := map[string]int{}
@@ -40,7 +39,7 @@
 	}
 	for _, t := range targets {
 		s, known := b.groups[t.Group][t.Build]
-		if !known && !starting {
+		if !known {
 			s.first = now
 		}
 		s.last = now
@@ -72,7 +71,7 @@
 	}
 }
 
-// Restore adds builds that served before this host started, as Several has returned them at another host.
+// Restore adds builds that served before this host started, as All has returned them at another host.
 func (b *Builds) Restore(groups map[string][]string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,15 +115,13 @@
 	return list
 }
 
-// Several returns the builds of each group that runs or has just run several, sorted.
-func (b *Builds) Several() map[string][]string {
+// All returns the builds that each group runs or has just run, sorted.
+func (b *Builds) All() map[string][]string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	groups := map[string][]string{}
 	for group, list := range b.groups {
-		if len(list) > 1 {
-			groups[group] = slices.Sorted(maps.Keys(list))
-		}
+		groups[group] = slices.Sorted(maps.Keys(list))
 	}
 	return groups
 }
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -49,15 +49,25 @@
 	var before, after builds.Builds
 	before.Observe(running("v1", "v2"), start)
 	after.Observe(running("v2"), start)
-	after.Restore(before.Several(), start)
+	after.Restore(before.All(), start)
 	if got, ok := after.Sole("g"); ok {
 		t.Errorf("Sole() = %q, want none", got)
 	}
-	if got, want := slices.Collect(maps.Keys(after.Several())), []string{"g"}; !slices.Equal(got, want) {
+	if got, want := slices.Collect(maps.Keys(after.All())), []string{"g"}; !slices.Equal(got, want) {
 		t.Errorf("groups of several builds = %q, want %q", got, want)
 	}
 }
 
+// A host starts while a build is new. That it has seen the build from its start does not mean that others know it.
+func TestBuildThatIsNewAtTheStartIsNew(t *testing.T) {
+	var b builds.Builds
+	b.Observe(running("v1", "v2"), start)
+	b.Restore(map[string][]string{"g": {"v1"}}, start)
+	if got, want := b.Recent("g", 2*time.Second, start.Add(time.Second)), []string{"v2"}; !slices.Equal(got, want) {
+		t.Errorf("Recent() = %q, want %q", got, want)
+	}
+}
+
 // One host learns of a build sooner than another. A stream that it begins there at once could come to the other, which takes it for one of
 // the build that it knows.
 func TestBuildIsNewUntilOtherHostsKnowIt(t *testing.T) {
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -234,15 +234,7 @@
 		f.restartHosts(0, 1, 2, 3, 4, 5)
 		time.Sleep(5 * time.Second)
 		f.wantSeparate(&all)
-		f.addBuild(t, "v2")
-		time.Sleep(3 * time.Second)
-		for i := range buildEngines {
-			f.startLeaving(fmt.Sprint("v1-", i))
-		}
-		time.Sleep(300 * time.Millisecond)
-		for i := range buildEngines {
-			f.store.drop(fmt.Sprint("servers/v1-", i))
-		}
+		f.replaceBuild(t, "v1", "v2", 3*time.Second)
 		f.restartHosts(0, 1, 2, 3, 4, 5)
 		time.Sleep(6 * time.Second)
 		cancel()
@@ -251,6 +243,74 @@
 	})
 }
 
+// A build replaces the one before within two seconds, in which the store carries out no writes or comes back from an older copy, and then all hosts are
+// killed. Those that start see one build only, and nothing says that there was another: a stream of the old one must not go on at it.
+func TestStreamsStaySeparateWhenAChangeOfBuildsIsNotWrittenDown(t *testing.T) {
+	for name, lose := range map[string]func(s *store) (found func()){
+		"no writes": func(s *store) func() {
+			s.setReadOnly(true)
+			return func() { s.setReadOnly(false) }
+		},
+		"older copy": func(s *store) func() {
+			before := s.backup()
+			return func() {
+				now := s.backup()
+				for key, row := range now.rows {
+					if strings.HasPrefix(key, "servers/") {
+						before.rows[key] = row
+					}
+				}
+				for key := range before.rows {
+					if _, ok := now.rows[key]; !ok && strings.HasPrefix(key, "servers/") {
+						delete(before.rows, key)
+					}
+				}
+				s.restore(before)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withSeeds(t, func(t *testing.T, seed uint64) {
+				f := newBuildFarm(t, "v1")
+				var all resumableStreams
+				ctx, cancel := context.WithCancel(t.Context())
+				t.Cleanup(cancel)
+				f.generateResumable(ctx, seed, buildRate, &all)
+				time.Sleep(5 * time.Second)
+				found := lose(f.store)
+				time.Sleep(500 * time.Millisecond)
+				f.replaceBuild(t, "v1", "v2", time.Second)
+				time.Sleep(300 * time.Millisecond)
+				for i := range f.hosts {
+					f.kill(f.hosts[i])
+				}
+				time.Sleep(500 * time.Millisecond)
+				found()
+				for i := range f.hosts {
+					f.restart(i)
+				}
+				time.Sleep(6 * time.Second)
+				cancel()
+				time.Sleep(14 * time.Second)
+				f.wantNoneJoined(&all)
+			})
+		})
+	}
+}
+
+// replaceBuild starts engines of a build, and some time later those of another one are gone.
+func (f *farm) replaceBuild(t *testing.T, old, next string, after time.Duration) {
+	f.addBuild(t, next)
+	time.Sleep(after)
+	for i := range buildEngines {
+		f.startLeaving(fmt.Sprint(old, "-", i))
+	}
+	time.Sleep(300 * time.Millisecond)
+	for i := range buildEngines {
+		f.store.drop(fmt.Sprint("servers/", old, "-", i))
+	}
+}
+
 // wantNoneJoined checks that no stream holds events of two builds.
 func (f *farm) wantNoneJoined(all *resumableStreams) {
 	f.t.Helper()
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -16,7 +16,8 @@
 const (
 	// factsPrefix is the key prefix of the rows with what a fleet whose hosts were all killed must know.
 	factsPrefix = "facts/"
-	// buildsKey is the key of the row with the groups that run or have just run several builds of their software.
+	// buildsKey is the key of the row with the builds of their software that the groups run or have just run. It is written as soon as hosts have started for
+	// the first time, also for groups of one build: a change of builds that nobody could write down shows in that the row and the registrations differ.
 	buildsKey = factsPrefix + "builds"
 	// partPrefix and requestPrefix are the key prefixes of the rows with parts of prompts and with requests that are blocked, one row for each.
 	partPrefix    = factsPrefix + "part-"
@@ -73,7 +74,7 @@
 // knownFacts returns the rows that there should be.
 func (e *Edge) knownFacts() map[string]string {
 	known := map[string]string{}
-	if groups := e.builds.Several(); len(groups) > 0 {
+	if groups := e.builds.All(); len(groups) > 0 {
 		known[buildsKey] = encodeFact(groups)
 	}
 	requests, parts := e.guard.Blocks(time.Now())
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -27,7 +27,7 @@
 // hosts, which need not have known so far.
 func (e *Edge) observeBuilds() {
 	for _, group := range e.builds.Observe(e.intake.View().Targets, time.Now()) {
-		e.Log.Info("group runs several builds", zap.String("group", group), zap.Strings("builds", e.builds.Several()[group]))
+		e.Log.Info("group runs several builds", zap.String("group", group), zap.Strings("builds", e.builds.All()[group]))
 		e.tellOrigins(e.origins.Group(group))
 	}
 }
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -35,6 +35,7 @@
 	log          []rows.Row
 	rev          int64 // of the newest change, including the store's era
 	refused      map[string]bool
+	readOnly     bool          // writes of hosts are refused
 	silent       bool          // refused hosts get no answer at all
 	delay        time.Duration // of each call beside its usual time
 	rowTime      time.Duration // time that each row takes
@@ -73,6 +74,13 @@
 	s.silent, s.delay = silent, slow
 }
 
+// setReadOnly makes the store refuse all writes of hosts, or ends that.
+func (s *store) setReadOnly(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readOnly = on
+}
+
 // serveAll makes the store serve all hosts again.
 func (s *store) serveAll() {
 	s.setFaults(false, 0)
@@ -201,6 +209,9 @@
 		},
 		Write: func(ctx context.Context, edits ...rows.Row) (rev int64, err error) {
 			err = s.call(ctx, host, func() ([]rows.Row, error) {
+				if s.readOnly {
+					return nil, table.ErrDown
+				}
 				rev, err = s.commit(edits)
 				return nil, err
 			})
