Write down where streams began while a group runs several builds

Refusing all keeps ORDER and loses what the other half of the promise is about.

Cause: where a stream began was in the memory of hosts alone. Class, as before: what is known does not last as long as what it is needed for.

Change: spool writes what has begun since the last row, once a second from each host and 50 a second from all, only while a group is not of one build; hosts that start read it; one host removes the rows a minute after. 64 rows a host.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -115,6 +115,18 @@
 	return list
 }
 
+// Mixed reports whether any group runs or has just run several builds.
+func (b *Builds) Mixed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, list := range b.groups {
+		if len(list) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns the builds that each group runs or has just run, sorted.
 func (b *Builds) All() map[string][]string {
 	b.mu.Lock()
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -30,6 +30,7 @@
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speed"
 	"damaskreach/internal/speeds"
+	"damaskreach/internal/spool"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/tenure"
 	"damaskreach/internal/uplink"
@@ -67,6 +68,7 @@
 	e.guard = guard.NewGuard()
 	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = e.reach.IsToBlame, e.reach.Refuses, e.Log, e.Stats
 	e.facts = e.buildFacts()
+	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
 	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.hostCount, Clock: e.Clock, StartedAt: e.Clock(), Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -221,6 +221,26 @@
 	})
 }
 
+// The same, with streams of some seconds: most of them were begun early enough to be written down, and must go on at their build.
+func TestLongStreamsOfTwoBuildsGoOnWhenAllHostsAreKilled(t *testing.T) {
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		f := newBuildFarm(t, "v1", "v2")
+		f.eventPause = 120 * time.Millisecond
+		var all resumableStreams
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		f.generateResumable(ctx, seed, buildRate/2, &all)
+		for range 2 {
+			time.Sleep(5 * time.Second)
+			f.restartHosts(0, 1, 2, 3, 4, 5)
+		}
+		time.Sleep(6 * time.Second)
+		cancel()
+		time.Sleep(20 * time.Second)
+		f.wantSeparate(&all)
+	})
+}
+
 // A build has just replaced the one before when all hosts are killed. A stream of the old build must not go on at the new one, although it is
 // the only one that is registered; streams of a build that serves alone for long must go on whoever is asked.
 func TestStreamsOfAReplacedBuildDoNotGoOnAtTheNextOne(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,7 @@
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speeds"
+	"damaskreach/internal/spool"
 	"damaskreach/internal/state"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/table"
@@ -112,6 +113,7 @@
 	guard          *guard.Guard
 	origins        *origin.Origin
 	builds         builds.Builds
+	spool          *spool.Spool
 	facts          *facts.Facts
 	memoWriter     memoWriter
 	ending         context.Context // done shortly before the process exits
@@ -158,5 +160,8 @@
 	go e.sweep(work)
 	go e.checkGivenUp(work)
 	go e.facts.Run(work)
+	go e.spool.Run(work)
+	go e.restoreOrigins(work)
+	go e.clearOrigins(work)
 	go e.reportToSelf(work)
 }
--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -52,8 +52,9 @@
 // farm is a fleet whose upstreams are engines: they load adapters from one weight store and answer with streams.
 type farm struct {
 	*teamFleet
-	separateAddrs bool   // each engine has its own address
-	build         string // of the software of engines that are added from now on
+	separateAddrs bool          // each engine has its own address
+	eventPause    time.Duration // between two events beside eventTime
+	build         string        // of the software of engines that are added from now on
 
 	mu         sync.Mutex
 	engines    map[string]*fakeEngine
@@ -337,7 +338,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(wait + eventTime):
+		case <-time.After(wait + eventTime + f.eventPause):
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, build)
 		if http.NewResponseController(w).Flush() != nil {
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -11,6 +11,7 @@
 	"damaskreach/internal/mate"
 	"damaskreach/internal/spread"
 	"damaskreach/internal/stats"
+	"damaskreach/internal/ticker"
 )
 
 const (
@@ -19,6 +20,10 @@
 	originKeepers, originAsked = 2, 4
 	// originTimeout bounds messages about where streams began: some round trips between hosts.
 	originTimeout = 300 * time.Millisecond
+	// streamPrefix is the key prefix of the rows that tell where streams began.
+	streamPrefix = "began/"
+	// clearInterval is the time between two looks at whether these rows may be removed.
+	clearInterval = 5 * time.Second
 	// maxViewAge is the age of the registrations up to which a host without contact to others relies on them.
 	maxViewAge = 5 * time.Second
 )
@@ -28,7 +33,46 @@
 func (e *Edge) observeBuilds() {
 	for _, group := range e.builds.Observe(e.intake.View().Targets, time.Now()) {
 		e.Log.Info("group runs several builds", zap.String("group", group), zap.Strings("builds", e.builds.All()[group]))
-		e.tellOrigins(e.origins.Group(group))
+		e.shareOrigins(e.origins.Group(group))
+	}
+}
+
+// shareOrigins makes known where streams began: to other hosts at once, in case this one is lost, and in rows, in case all are.
+func (e *Edge) shareOrigins(list []began.Began) {
+	e.tellOrigins(list)
+	e.spool.Add(list)
+}
+
+// restoreOrigins reads where streams began before this host started.
+func (e *Edge) restoreOrigins(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := e.spool.Load(ctx)
+		if err == nil {
+			e.keepOrigins(list)
+			e.Log.Info("beginnings of streams read", zap.Int("streams", len(list)))
+			return
+		}
+		e.Log.Info("beginnings of streams not read", zap.Error(err))
+		ticker.Sleep(ctx, e.retryDelay())
+	}
+}
+
+// clearOrigins removes the rows of streams once no group runs several builds any more, while this host reads the store for the others.
+func (e *Edge) clearOrigins(ctx context.Context) {
+	left := true
+	for range ticker.Every(ctx, clearInterval) {
+		if e.builds.Mixed() {
+			left = true
+			continue
+		}
+		if !left || !e.isReader() {
+			continue
+		}
+		empty, err := e.spool.Clear(ctx)
+		if err != nil {
+			e.Log.Info("rows of streams not removed", zap.Error(err))
+		}
+		left = !empty
 	}
 }
 
@@ -36,7 +80,7 @@
 func (e *Edge) recordOrigin(b began.Began) {
 	e.origins.Add(b, time.Now())
 	if _, ok := e.builds.Sole(b.Group); !ok {
-		e.tellOrigins([]began.Began{b})
+		e.shareOrigins([]began.Began{b})
 	}
 }
 
