Let streams that callers take up go before new ones of their route

Cause: such a stream asked for its turn as one that is late already and yielded to all that can be on time. With twice the usual load and half of the engines, that is for ever. Change: it asks one step more urgently than its route, with as long to wait as a new one; replicas are loaded for it as little as before.

Also: orphan dials an upstream without a registration once and not each second for each request (TestUpstreamWithoutRegistrationIsDialledOnce).

--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -65,14 +65,22 @@
 		return now.After(r.until) || leaves(r.target) || known && t.Draining
 	})
 	at := o.registeredAt(registered)
+	silent := map[string]bool{} // whether nothing listens, by address
 	for _, r := range o.look(at) {
-		replaced := slices.ContainsFunc(at[r.target.Addr], func(t target.Target) bool {
+		addr := r.target.Addr
+		replaced := slices.ContainsFunc(at[addr], func(t target.Target) bool {
 			return !t.SameIncarnation(r.target) && !slices.Contains(r.beside, t.ID)
 		})
-		if _, known := registered[r.target.ID]; !replaced && (known || !refuses(r.target.Addr)) {
+		if _, known := registered[r.target.ID]; known && !replaced {
 			continue
 		}
-		ended(r.ident, r.target, r.givenUp)
+		if _, dialled := silent[addr]; !dialled && !replaced {
+			silent[addr] = refuses(addr)
+		}
+		if replaced || silent[addr] {
+			ended(r.ident, r.target, r.givenUp)
+		}
+		// One that is not registered any more and still listens tells nothing further: dialling it each second would hold its slots.
 		o.drop(func(other run) bool {
 			return other.target.ID == r.target.ID && other.ident.Fingerprint == r.ident.Fingerprint
 		})
--- a/internal/orphan/orphan_test.go
+++ b/internal/orphan/orphan_test.go
@@ -1,6 +1,7 @@
 package orphan_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -24,6 +25,25 @@
 	return all
 }
 
+// Many requests were given up at one upstream whose registration has lapsed while it goes on. It must be dialled once, not once for each of them and every second.
+func TestUpstreamWithoutRegistrationIsDialledOnce(t *testing.T) {
+	var o orphan.Orphan
+	for n := range 50 {
+		o.Add(ident.Ident{Fingerprint: fmt.Sprint(n)}, upstream("u", "a:1", 5), start.Add(time.Minute), start)
+	}
+	dials := 0
+	for second := range 10 {
+		now := start.Add(time.Duration(second) * time.Second)
+		o.Check(registered(), func(target.Target) bool { return false }, func(string) bool { dials++; return false }, now,
+			func(i ident.Ident, _ target.Target, _ time.Time) {
+				t.Errorf("request %s counts, want none", i.Fingerprint)
+			})
+	}
+	if dials != 1 {
+		t.Errorf("%d dials, want 1", dials)
+	}
+}
+
 // An upstream ends after its host has given a request up. Each sign of that must count once, and what has another reason must not: an upstream that is
 // shut down, one that merely cannot be read of in the store, a registration of its predecessor that has not lapsed yet.
 func TestEndOfAnUpstreamIsSeenInRegistrations(t *testing.T) {
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -74,11 +74,15 @@
 	if j.route.Gap == 0 {
 		room = minRoom
 	}
+	priority, timeLeft := j.rank(), j.waitBudget(time.Now(), p.firstEventDelay(j, t.ID))
+	if j.isTakenUp() {
+		priority, timeLeft = priority-1, max(0, j.route.Target-time.Since(j.start)-p.firstEventDelay(j, t.ID))
+	}
 	return intent.Intent{
-		EngineID: t.ID, Model: j.req.Model, Adapter: j.req.Adapter, Version: version, Priority: j.rank(), Streaming: j.headerSent,
+		EngineID: t.ID, Model: j.req.Model, Adapter: j.req.Adapter, Version: version, Priority: priority, Streaming: j.headerSent,
 		Team: j.team.Name, TeamWeight: j.team.Weight,
 		PromptCost: max(time.Millisecond, cost), StallBudget: max(minRoom, room), PauseTail: gap, MaxPromptWait: bound,
-		MaxLoadWait: time.Until(j.sendDeadline()), TimeLeft: j.waitBudget(time.Now(), p.firstEventDelay(j, t.ID)),
+		MaxLoadWait: time.Until(j.sendDeadline()), TimeLeft: timeLeft,
 	}
 }
 
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -120,10 +120,15 @@
 	return j.start.Add(time.Duration(maxQueueShare * float64(deadline.Sub(j.start))))
 }
 
+// isTakenUp reports whether the request's caller comes back with a stream that broke off, and has no event of the rest yet. Such streams go before new ones
+// of their route: an overload would leave them no turn at all, and their callers lose what they have.
+func (j *job) isTakenUp() bool {
+	return j.req.LastSeen != "" && j.firstByteAt.IsZero()
+}
+
 // waitBudget returns how long the request may wait for its turn and still be on time, if the first event comes firstEvent after
 // the turn. A stream that continues after a cut is on time if its pause isn't too long; one whose caller reconnects is late
-// already. Treated as new, such streams would delay requests that can still be on time, just when a host has died with all its
-// streams (TestLateStreamsAskForTurnsWithoutUrgency).
+// already, and loads no replicas of its adapter.
 func (j *job) waitBudget(now time.Time, firstEvent time.Duration) time.Duration {
 	switch {
 	case !j.firstByteAt.IsZero():
