--- a/test/deliv/break_test.go
+++ b/test/deliv/break_test.go
@@ -20,7 +20,7 @@
 	mostTry  = 20
 )
 
-// hop returns the pairs of hosts between which a request to entry passes.
+// hop returns the pairs of hosts whose connections a request to entry uses.
 type hop struct {
 	name  string
 	pairs func(f *trial.Trial, entry int) [][2]string
@@ -50,7 +50,7 @@
 	return []hop{{"caller and entry", caller}, {"entry and owner", peers}, {"owner and upstream", upstreams}}
 }
 
-// offsets covers a request that takes about 100 ms, more closely where it starts.
+// offsets are moments of a request that takes about 100 ms, denser at its start.
 func offsets() []time.Duration {
 	var all []time.Duration
 	for at := time.Duration(0); at < 130*time.Millisecond; at += 300*time.Microsecond + at/8 {
@@ -59,7 +59,7 @@
 	return all
 }
 
-// again repeats a booking with its key until it is answered or its outcome is said to be unknown.
+// again retries a booking with its idempotency key until it is answered or its outcome is reported as unknown.
 func again(t *testing.T, f *trial.Trial, entry int, key, body string) seen.Seen {
 	t.Helper()
 	var s seen.Seen
@@ -74,8 +74,8 @@
 	return s
 }
 
-// Connections break at one hop, at any moment from before a request is sent until after its answer. The caller sees a
-// broken answer or an error, and asks again. A booking must not run twice, and no answer may be mixed up or half.
+// Connections break at one hop, at any moment from before a request is sent until after its answer. The caller gets a
+// broken answer or an error, and retries. A booking must not run twice, and no answer may be another's or incomplete.
 func TestConnectionBreaks(t *testing.T) {
 	for _, h := range hops() {
 		t.Run(h.name, func(t *testing.T) {
@@ -113,8 +113,8 @@
 	}
 }
 
-// An upstream's answer to a booking is lost, and the same caller repeats it with its key: the repeat is told that the
-// first may have run and nothing runs again, or it gets the first one's answer.
+// An upstream's answer to a booking is lost, and its caller retries it with the same idempotency key. The retry must not run: it gets
+// the answer of the first attempt, or is told that the first may have run.
 func TestAnswerOfABookingIsLost(t *testing.T) {
 	run(t, 3, 0, 1, func(t *testing.T, f *trial.Trial) {
 		f.Site.Plains[0].CutAnswers(1)
@@ -133,8 +133,8 @@
 	})
 }
 
-// One service executes an idempotent call and dies before its answer, and the other is down. The last try certainly did
-// not run, but the call did: were its caller told what became of the last try only, it would take the call for not run.
+// One service executes an idempotent call and crashes before it answers, and the other is down. The last attempt has not run, but
+// the first one has: with the verdict of the last attempt alone, the caller would take the call for not run.
 func TestVerdictCoversAllTries(t *testing.T) {
 	run(t, 3, 0, 2, func(t *testing.T, f *trial.Trial) {
 		for n := range 2 {
--- a/test/deliv/claim_test.go
+++ b/test/deliv/claim_test.go
@@ -18,8 +18,8 @@
 
 const booking = `{"slot":7}`
 
-// A caller whose connections are slow sends one booking over and over, through all nodes at once, always with the same
-// key. It must run once, and every repeat must get the answer of that one run.
+// A caller with slow connections sends one booking repeatedly, through all nodes at once, with the same idempotency key. It must
+// run once, and every repeat must get the answer of that run.
 func TestConcurrentRepeatsOfOneKeyRunOnce(t *testing.T) {
 	run(t, 6, 0, 3, func(t *testing.T, f *trial.Trial) {
 		for _, p := range f.Site.Plains {
@@ -41,8 +41,8 @@
 	})
 }
 
-// A caller gives up on a slow booking and sends it again through another node at once. The first goes on without its
-// caller, and the repeat gets its answer.
+// A caller gives up on a slow booking and retries it at once through another node. The first attempt continues without its
+// caller, and the retry gets its answer.
 func TestCallerGoesAwayAndSendsAgain(t *testing.T) {
 	run(t, 3, 0, 1, func(t *testing.T, f *trial.Trial) {
 		f.Site.Plains[0].Slow(500 * time.Millisecond)
@@ -59,8 +59,8 @@
 	})
 }
 
-// An answer comes after the caller's own timeout, and the caller has asked again by then. The late answer must not be
-// taken for another request's, and must reach the repeat.
+// An answer comes after the caller's own timeout, when the caller has already retried. The late answer must not be
+// taken for that of another request, and must reach the retry.
 func TestAnswerComesAfterATimeoutAndARetry(t *testing.T) {
 	run(t, 3, 0, 1, func(t *testing.T, f *trial.Trial) {
 		f.Site.Plains[0].Slow(3 * time.Second)
@@ -86,9 +86,9 @@
 	})
 }
 
-// The node that serves a booking dies at any step from before its claim until after its answer. The caller asks again
-// through another node, which knows the claim from the table only: it must not run the booking a second time, and once
-// the dead node's session has ended it must say what is known.
+// The node that serves a booking crashes at any step from before its claim until after its answer. The caller retries
+// through another node, which knows the claim from the table only. It must not run the booking a second time, and must report
+// what is known once the session of the crashed node has ended.
 func TestNodeDiesHoldingAClaim(t *testing.T) {
 	for _, at := range []time.Duration{0, 2, 8, 15, 21, 23, 25, 30, 40, 60, 72, 74, 80, 95, 110} {
 		t.Run(fmt.Sprint(at*time.Millisecond), func(t *testing.T) {
@@ -117,8 +117,8 @@
 	}
 }
 
-// A node dies while it holds the claim of an idempotent request. Nothing forbids another run, so the repeat must be
-// served, and not be told for ever that the first is in progress.
+// A node crashes while it holds the claim of an idempotent request. The request may run again, so the retry must be
+// served instead of being refused as in progress for ever.
 func TestIdempotentClaimOfADeadNodeIsTakenOver(t *testing.T) {
 	run(t, 4, 2, 0, func(t *testing.T, f *trial.Trial) {
 		headers := map[string]string{entry.HeaderKey: "key"}
@@ -135,8 +135,8 @@
 	})
 }
 
-// The table service writes a claim and its answer gets lost. The node cannot tell whether the key is its own; it must
-// find out rather than refuse for good or run a claim twice.
+// The table service writes a claim, but its answer is lost. The node does not know whether the claim is its own, and must read
+// it: it must neither refuse the request for good nor run it twice.
 func TestClaimIsWrittenAndItsAnswerIsLost(t *testing.T) {
 	run(t, 3, 0, 1, func(t *testing.T, f *trial.Trial) {
 		for i := range 5 {
@@ -153,8 +153,8 @@
 	})
 }
 
-// The table service is down. No key can be claimed, so a booking with one is refused as not run at once with when to come
-// back; requests without keys are served. After the outage the same key is served.
+// The table service is down, so that no key can be claimed. A booking with a key is refused at once as not run, with a
+// Retry-After; requests without keys are served. After the outage the same key is served.
 func TestTableDown(t *testing.T) {
 	run(t, 3, 1, 1, func(t *testing.T, f *trial.Trial) {
 		f.Site.DB.SetDown(true)
@@ -176,8 +176,8 @@
 	})
 }
 
-// The outage begins after a booking was claimed and ends after it was answered. Its outcome could not be written in
-// time; it must be written later, so that a repeat gets the answer and not that nothing is known.
+// The outage begins after a booking was claimed and ends after it was answered, so that its outcome could not be written in
+// time. It must be written later: a retry must get the answer, not that the outcome is unknown.
 func TestTableGoesDownBetweenClaimAndOutcome(t *testing.T) {
 	run(t, 3, 0, 1, func(t *testing.T, f *trial.Trial) {
 		f.Site.Plains[0].Slow(time.Second)
@@ -193,8 +193,8 @@
 	})
 }
 
-// A key is used again for another booking, which is a fault of the caller. Neither booking may be answered with the
-// other's outcome.
+// A caller wrongly uses a key again for another booking. Neither booking may be answered with the outcome of the
+// other.
 func TestKeyIsUsedForAnotherRequest(t *testing.T) {
 	run(t, 3, 0, 1, func(t *testing.T, f *trial.Trial) {
 		f.Book(t.Context(), 0, "key", booking)
--- a/test/deliv/deliv_test.go
+++ b/test/deliv/deliv_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-// Package deliv_test shows what becomes of requests when parts of a site fail, in virtual time.
+// Package deliv_test tests the delivery of requests and answers while parts of a site fail, in virtual time.
 package deliv_test
 
 import (
@@ -17,13 +17,13 @@
 	time.Sleep(d)
 }
 
-// run starts a trial in a bubble, calls test and has every caller's and upstream's record checked.
+// run starts a trial in a synctest bubble, calls test, and then checks the records of all callers and upstreams.
 func run(t *testing.T, nodes, engines, plains int, test func(t *testing.T, f *trial.Trial)) {
 	t.Helper()
 	runSet(t, nodes, engines, plains, func(*trial.Trial) {}, test)
 }
 
-// runSet is run with settings made before the start.
+// runSet is like run, with settings that are changed before the start.
 func runSet(t *testing.T, nodes, engines, plains int, set func(f *trial.Trial), test func(t *testing.T, f *trial.Trial)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- a/test/deliv/expire_test.go
+++ b/test/deliv/expire_test.go
@@ -17,8 +17,8 @@
 	"damaskreach/internal/trial"
 )
 
-// Callers use a new key for each booking. Unless claims are deleted at the end of their life, the table grows with every
-// request there ever was. Until then each key must be answered with its first outcome, also when its keeper is gone.
+// Callers use a new key for each booking. Claims must be deleted when they expire, or the table grows with every request. Until
+// then each key must be answered with its first outcome, even if the node that kept it is gone.
 func TestClaimsExpire(t *testing.T) {
 	set := func(f *trial.Trial) { f.Site.Conf.ClaimLife = time.Hour }
 	runSet(t, 4, 0, 1, set, func(t *testing.T, f *trial.Trial) {
@@ -46,7 +46,7 @@
 	})
 }
 
-// counted has a node's writes of claims counted.
+// counted counts the writes of claims of a node.
 func counted(writes *atomic.Int64) func(n *node.Node) {
 	return func(n *node.Node) {
 		write := n.Table.Write
@@ -59,8 +59,8 @@
 	}
 }
 
-// The table service takes several hundred writes a second. Claims must be gathered, so that more bookings a second cost
-// fewer transactions each; the log has the figures.
+// The table service accepts several hundred writes a second. Claims must be batched, so that a booking costs fewer transactions
+// when there are more of them.
 func TestCostOfClaims(t *testing.T) {
 	for _, load := range []struct {
 		rate int
--- a/test/deliv/flow_test.go
+++ b/test/deliv/flow_test.go
@@ -16,7 +16,7 @@
 )
 
 // Many requests of different length share the connections between nodes, so that their answers come back in another
-// order than they were sent. Each caller must get its own.
+// order. Each caller must get its own answer.
 func TestAnswersComeOutOfOrder(t *testing.T) {
 	run(t, 3, 3, 2, func(t *testing.T, f *trial.Trial) {
 		var all sync.WaitGroup
@@ -37,7 +37,7 @@
 	})
 }
 
-// stall asks for a long answer through a node and reads none of it.
+// stall requests a long answer through a node and does not read it.
 func stall(t *testing.T, f *trial.Trial, entry int) {
 	t.Helper()
 	id := f.ID()
@@ -57,8 +57,8 @@
 	f.Judge.Got(id, 0, "may-have-run", false, "")
 }
 
-// Some callers ask for long answers and read nothing of them. What they do not take must not fill the connections between
-// nodes that other callers' answers use; these must see no delay, and the slow ones are given up in the end.
+// Some callers request long answers and do not read them. Their unread bytes must not fill the connections between
+// nodes, which answers to other callers use: these must not be delayed, and the slow callers are disconnected in the end.
 func TestSlowCallersDoNotHoldUpOthers(t *testing.T) {
 	run(t, 3, 1, 0, func(t *testing.T, f *trial.Trial) {
 		owner := f.Owner(site.RunnerName(0))
@@ -82,7 +82,7 @@
 	})
 }
 
-// patient sends request i, which is idempotent, and comes back when it is told to.
+// patient sends request i, which is idempotent, and retries it after the Retry-After that it gets.
 func patient(t *testing.T, f *trial.Trial, entry, i int) {
 	t.Helper()
 	for range 5 {
@@ -99,8 +99,8 @@
 	t.Errorf("request %d was refused five times, want its answer", i)
 }
 
-// A node is shut down while it serves callers and owns a runner, and an engine crashes and connections break meanwhile.
-// Callers that still use the node, as its discovery answer allows, lose nothing: they are answered, or told to come back and then answered. It ends when the last request has.
+// A node is shut down while it serves callers and owns a runner; meanwhile an engine crashes and connections break. Callers that still use the
+// node, as its discovery answer allows, must be answered, at once or after a retry. The node must exit after the last request.
 func TestShutdownAmidFaults(t *testing.T) {
 	run(t, 4, 4, 1, func(t *testing.T, f *trial.Trial) {
 		f.Site.Plains[0].Slow(200 * time.Millisecond)
@@ -122,7 +122,7 @@
 	})
 }
 
-// A node is shut down under a long stream. It must go on until the stream has ended, however long that takes.
+// A node is shut down during a long stream. It must not exit before the stream has ended.
 func TestShutdownCutsOffNoStream(t *testing.T) {
 	run(t, 3, 1, 0, func(t *testing.T, f *trial.Trial) {
 		owner := f.Owner(site.RunnerName(0))
--- a/test/deliv/golden_test.go
+++ b/test/deliv/golden_test.go
@@ -27,7 +27,7 @@
 
 var update = flag.Bool("update", false, "write the golden files of sessions anew")
 
-// session writes down what a caller sends and gets, and what the upstreams executed.
+// session records what a caller sends and receives, and what the upstreams executed.
 type session struct {
 	f   *trial.Trial
 	out bytes.Buffer
@@ -93,12 +93,12 @@
 	return fmt.Appendf(nil, "%q for %v seconds", answer.Entries, answer.Life)
 }
 
-// say writes a line about what happens.
+// say records a line about an event.
 func (s *session) say(format string, args ...any) {
 	fmt.Fprintf(&s.out, "# "+format+"\n\n", args...)
 }
 
-// records writes what the upstreams executed.
+// records records what the upstreams executed.
 func (s *session) records() {
 	for _, r := range s.f.Records() {
 		fmt.Fprintf(&s.out, "= %s %s executed %s, %d tokens after %d, %s\n", r.Method, r.Path, r.Request+" "+r.Model, r.Tokens, r.From, r.End)
@@ -196,7 +196,7 @@
 	s.f.Site.DB.SetDown(false)
 }
 
-// Whole sessions of callers, byte for byte as they see them. A change of what callers get shows up in the golden files.
+// Whole sessions of callers must stay as they are byte for byte: any change of what callers receive must show in the golden files.
 func TestSessions(t *testing.T) {
 	for name, play := range sessions() {
 		t.Run(name, func(t *testing.T) {
--- a/test/deliv/soak_test.go
+++ b/test/deliv/soak_test.go
@@ -16,14 +16,13 @@
 	first = flag.Int64("first", 1, "the first of them")
 )
 
-// regressions are seeds that have found a fault once.
+// regressions are seeds that failed once.
 var regressions = []int64{
 	739, // a frozen node's connection was closed under an answer, and half of it passed for all
 }
 
-// Any of the failures may come at any moment, together or twice. From each seed, a site serves callers who repeat what
-// they may repeat, while nodes, engines, services, connections and the table fail; no request may run twice that may not,
-// no refusal be untrue and no answer be another's or half.
+// Nodes, engines, services, connections and the table fail at random moments, also together and repeatedly, while callers retry what
+// they may. No request may run twice that may not, no refusal may be untrue, and no answer may be another's or incomplete.
 func TestSoak(t *testing.T) {
 	for _, seed := range regressions {
 		t.Run(fmt.Sprintf("regression %d", seed), func(t *testing.T) { soak(t, seed) })
--- a/test/deliv/stream_test.go
+++ b/test/deliv/stream_test.go
@@ -31,7 +31,7 @@
 	return -1
 }
 
-// resumed returns how many executions went on from where another had stopped.
+// resumed returns how many executions continued where another had stopped.
 func resumed(f *trial.Trial) int {
 	count := 0
 	for _, r := range f.Records() {
@@ -93,8 +93,8 @@
 	})
 }
 
-// An engine that cannot resume crashes in the middle of a stream. Half of the answer is with the caller already, so it
-// must see that this is not all: an error in the stream, with the verdict, and no end mark.
+// An engine that cannot resume crashes in the middle of a stream, of which the caller has a part. The caller must notice that it is
+// incomplete: by an error in the stream, with the verdict, and no end mark.
 func TestStreamThatCannotBeResumedIsMarked(t *testing.T) {
 	set := func(f *trial.Trial) {
 		f.Site.Spec = func(r runner.Runner) runner.Runner {
@@ -131,8 +131,8 @@
 	})
 }
 
-// Every engine accepts a request and dies before its first token, one after the other. The caller sees no half answer: it
-// is told after the second one, and a request that is not to blame is served later.
+// Every engine that accepts a request crashes before its first token. The caller must get an error after the second crash and no
+// partial answer, and a request that did not cause the crashes must be served later.
 func TestEngineDiesBeforeTheFirstToken(t *testing.T) {
 	run(t, 3, 2, 0, func(t *testing.T, f *trial.Trial) {
 		go func() {
@@ -154,8 +154,8 @@
 	})
 }
 
-// The only runner crashes under a request and is up again, with nothing loaded, when the caller comes back as it was
-// told. The adapter is loaded anew and the answer is whole.
+// The only runner crashes during a request and has restarted, with nothing loaded, when the caller retries after its
+// Retry-After. The adapter must be loaded again and the answer be complete.
 func TestRunnerRestartsBetweenRetryAndAnswer(t *testing.T) {
 	set := func(f *trial.Trial) { f.Site.Engines[0].Restart = 500 * time.Millisecond }
 	runSet(t, 3, 1, 0, set, func(t *testing.T, f *trial.Trial) {
@@ -175,9 +175,8 @@
 	})
 }
 
-// A caller hangs up while an engine takes long over its next token, so that no failed write tells anyone. The engine must
-// learn of it at once, also through a node that does not own the runner, or it goes on with an answer that nobody reads
-// while others wait for the place.
+// A caller disconnects while an engine takes long for its next token, so that no write fails. The engine must be told at once, also
+// through a node that does not own the runner, or it continues an answer that nobody reads while others wait for its slot.
 func TestCancellationFreesTheEnginesPlace(t *testing.T) {
 	run(t, 4, 1, 0, func(t *testing.T, f *trial.Trial) {
 		owner := f.Owner(site.RunnerName(0))
@@ -203,9 +202,8 @@
 	})
 }
 
-// Requests have deadlines that their answers cannot meet. One that cannot be met from the start is refused at once as not
-// run. Another runs when its engine turns slow: its caller is told at the deadline, not later, and the engine's place is
-// free again.
+// Requests have deadlines that cannot be met. One that cannot be met from the start must be refused at once as not run. Another one is
+// running when its engine becomes slow: its caller must get an error at the deadline, and the engine's slot must be freed.
 func TestDeadlinePasses(t *testing.T) {
 	run(t, 3, 1, 0, func(t *testing.T, f *trial.Trial) {
 		f.Complete(t.Context(), 0, trial.Model(0), "loads the adapter", tokens, nil)
@@ -225,9 +223,9 @@
 	})
 }
 
-// The owner of the runner hears nothing from the entry node any more, while its own bytes still arrive there. It takes the
-// connection for dead and closes it in the middle of a stream. The entry node must not take the end of the connection for
-// the end of the answer, or its caller would take half an answer for all of it.
+// The owner of the runner receives nothing from the entry node any more, while its own bytes still arrive there, and closes the
+// connection in the middle of a stream. The entry node must not take the end of the connection for the end of the answer, or its caller
+// would take an incomplete answer for a complete one.
 func TestOwnerClosesTheConnectionInAStream(t *testing.T) {
 	run(t, 4, 4, 0, func(t *testing.T, f *trial.Trial) {
 		for node := range f.Nodes {
--- a/test/deliv/suspect_test.go
+++ b/test/deliv/suspect_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// crashed returns how often engines crashed with requests on them.
+// crashed returns how often engines crashed while they ran requests.
 func crashed(f *trial.Trial) int {
 	boots := map[string]bool{}
 	for _, r := range f.Records() {
@@ -37,9 +37,8 @@
 	return len(boots)
 }
 
-// A caller's request makes each engine that runs it crash, and the caller sends it again and again, through all nodes at
-// once, while others use the site. Without a record of it engine after engine would go down; the others would see their
-// answers cut over and over.
+// A request crashes each engine that runs it, and its caller retries it through all nodes at once while others use the site. If it were
+// not recorded, engines would crash one after the other, and the answers to other callers would be cut off again and again.
 func TestCrashRequestStopsAtTwoUpstreams(t *testing.T) {
 	for _, down := range []bool{false, true} {
 		t.Run(fmt.Sprintf("table down %v", down), func(t *testing.T) {
@@ -80,8 +79,8 @@
 	}
 }
 
-// Fifteen good requests run beside the one that crashes their engine. They become suspects like it, and must still be
-// answered, each alone, and then count as ordinary again.
+// Fifteen good requests run beside the one that crashes their engine, and become suspects as well. They must still be
+// answered, one at a time, and must not be suspects afterwards.
 func TestGoodRequestsBesideACrashAreClearedByTheirAnswers(t *testing.T) {
 	set := func(f *trial.Trial) {
 		poisoned(f)
