--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -64,7 +64,8 @@
 	}
 	p.Pick.BackOff(t.ID, now)
 	p.Log.Info("send failed", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Stringer("verdict", verdict),
-		zap.Bool("canceled", ctx.Err() != nil), zap.String("print", j.ident.Fingerprint), zap.Strings("parts", j.req.Parts), zap.Int("sends", j.sends), zap.Duration("since", now.Sub(j.start)), zap.Error(err))
+		zap.Bool("canceled", ctx.Err() != nil), zap.String("print", j.ident.Fingerprint), zap.Strings("parts", j.req.Parts),
+		zap.Int("sends", j.sends), zap.Duration("since", now.Sub(j.start)), zap.Error(err))
 	code := refuse.Crashed
 	if verdict == verd.NotRun {
 		code = refuse.NoUpstream
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,11 +22,12 @@
 )
 
 const (
-	// minInterval is the shortest time between two rows of a host: of streams that began since the last one nobody knows if all hosts are killed.
-	minInterval = time.Second
-	// maxRate is how many rows all hosts together write per second, a small part of what the store takes.
+	// minInterval is the shortest time between two writes of a host: of streams that began since the last one nobody knows if all hosts are killed. Streams
+	// last some seconds.
+	minInterval = 300 * time.Millisecond
+	// maxRate is how many writes all hosts together make per second, a small part of what the store takes.
 	maxRate = 50
-	// slots is how many rows a host has. Each is overwritten after as many seconds, when callers no longer come back with its streams.
+	// slots is how many rows a host has, one for each second. Each is overwritten after as many seconds, when callers no longer come back with its streams.
 	slots = 64
 	// maxRow bounds the streams of one row, some 60 bytes each, and maxQueued those that wait to be written.
 	maxRow, maxQueued = 500, 5000
@@ -46,6 +48,9 @@
 
 	mu     sync.Mutex
 	queued []began.Began
+
+	slot    int64         // of the last write; it belongs to the goroutine of Run, like written
+	written []began.Began // in that slot
 }
 
 // row is the value of one row.
@@ -71,37 +76,42 @@
 	}
 }
 
-// interval returns the time between two rows of this host.
+// interval returns the time between two writes of this host.
 func (s *Spool) interval() time.Duration {
 	return max(minInterval, time.Duration(s.Hosts())*time.Second/maxRate)
 }
 
-// write writes one row of what is queued, if anything is.
+// write adds what is queued to the row of the current second.
 func (s *Spool) write(ctx context.Context) error {
 	now := time.Now()
-	list := s.take()
+	if slot := now.Unix() % slots; slot != s.slot {
+		s.slot, s.written = slot, nil
+	}
+	list := s.take(maxRow - len(s.written))
 	if len(list) == 0 {
 		return nil
 	}
-	value, err := msgpack.Marshal(row{At: now.UnixMilli(), Streams: list})
+	all := slices.Concat(s.written, list)
+	value, err := msgpack.Marshal(row{At: now.UnixMilli(), Streams: all})
 	if err != nil {
 		return merry.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := fmt.Sprintf("%s%s/%02d", s.Prefix, s.Host, now.Unix()%slots)
+	key := fmt.Sprintf("%s%s/%02d", s.Prefix, s.Host, s.slot)
 	if _, err := s.Table.Write(ctx, rows.Row{Key: key, Value: value, Rev: rows.AnyRev}); err != nil {
 		s.Add(list)
 		return err
 	}
+	s.written = all
 	return nil
 }
 
-// take removes the newest of the queued streams, as many as fit into a row.
-func (s *Spool) take() []began.Began {
+// take removes the newest of the queued streams, up to a number.
+func (s *Spool) take(most int) []began.Began {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := max(0, len(s.queued)-maxRow)
+	first := max(0, len(s.queued)-most)
 	list := s.queued[first:]
 	s.queued = s.queued[:first:first]
 	return list
