--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,9 @@
 
 var errDown = errors.New("the store is down")
 
-// store keeps rows and counts writes. It belongs to one goroutine at a time.
+// store keeps rows and counts writes.
 type store struct {
+	mu     sync.Mutex
 	rows   map[string]rows.Row
 	writes int
 	down   bool
@@ -30,12 +32,16 @@
 func (s *store) table() table.Table {
 	return table.Table{
 		List: func(context.Context, string) (list []rows.Row, rev int64, err error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			for _, row := range s.rows {
 				list = append(list, row)
 			}
 			return list, 1, nil
 		},
 		Write: func(_ context.Context, edits ...rows.Row) (int64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if s.down {
 				return 0, errDown
 			}
@@ -52,6 +58,20 @@
 	}
 }
 
+// count returns the writes so far and the rows that there are.
+func (s *store) count() (writes, stored int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, len(s.rows)
+}
+
+// change changes the store.
+func (s *store) change(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+}
+
 func newSpool(s *store, host string, hosts int) *spool.Spool {
 	return &spool.Spool{Table: s.table(), Prefix: "began/", Host: host, Hosts: func() int { return hosts }, Log: zap.NewNop()}
 }
@@ -90,12 +110,12 @@
 // Streams begin while the store is away for some seconds, and then all hosts are killed. Those that were written down afterwards must be found.
 func TestStreamsAreWrittenOnceTheStoreIsBack(t *testing.T) {
 	run(t, 6, func(t *testing.T, s *store, host *spool.Spool) {
-		s.down = true
+		s.change(func() { s.down = true })
 		for n := range 3 {
 			host.Add([]began.Began{stream(n)})
 			time.Sleep(time.Second)
 		}
-		s.down = false
+		s.change(func() { s.down = false })
 		time.Sleep(1500 * time.Millisecond)
 		if got, want := load(t, s), []string{"r0", "r1", "r2"}; !slices.Equal(got, want) {
 			t.Errorf("streams = %q, want %q", got, want)
@@ -111,16 +131,18 @@
 				host.Add([]began.Began{stream(n)})
 				time.Sleep(100 * time.Millisecond)
 			}
-			if s.writes > c.writes+1 || len(s.rows) > 64 {
-				t.Errorf("%d hosts: %d writes of one in an hour and %d rows, want %d and 64 at most", c.hosts, s.writes, len(s.rows), c.writes)
+			writes, stored := s.count()
+			if writes > c.writes+1 || stored > 64 {
+				t.Errorf("%d hosts: %d writes of one in an hour and %d rows, want %d and 64 at most", c.hosts, writes, stored, c.writes)
 			}
 			if got, want := len(load(t, s)), c.streams; got > want {
 				t.Errorf("%d streams are read, want %d at most", got, want)
 			}
 			for range 2 {
-				before := len(s.rows)
-				if empty, err := host.Clear(t.Context()); err != nil || empty != (before == 0) || len(s.rows) > 0 {
-					t.Errorf("Clear() of %d rows = %v, %v and leaves %d, want none", before, empty, err, len(s.rows))
+				_, before := s.count()
+				empty, err := host.Clear(t.Context())
+				if _, left := s.count(); err != nil || empty != (before == 0) || left > 0 {
+					t.Errorf("Clear() of %d rows = %v, %v and leaves %d, want none", before, empty, err, left)
 				}
 			}
 		})
@@ -132,7 +154,7 @@
 	run(t, 1, func(t *testing.T, s *store, host *spool.Spool) {
 		host.Add([]began.Began{stream(1)})
 		time.Sleep(1500 * time.Millisecond)
-		s.rows["began/b/00"] = rows.Row{Key: "began/b/00", Value: []byte(strings.Repeat("\xc1", 9))}
+		s.change(func() { s.rows["began/b/00"] = rows.Row{Key: "began/b/00", Value: []byte(strings.Repeat("\xc1", 9))} })
 		if got, want := load(t, s), []string{"r1"}; !slices.Equal(got, want) {
 			t.Errorf("streams = %q, want %q", got, want)
 		}
