Forget a given-up request by its key, and share what the change had twice

Each run that ended was dropped by going through all of them: where one lapse ends thousands, that is millions of comparisons at a host with a fifth of a core. spool kept its own copy of origin.Retention, and the rows of both kinds of blocks were encoded by two loops.

--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -78,15 +78,18 @@
 		known[buildsKey] = encodeFact(groups)
 	}
 	requests, parts := e.guard.Blocks(time.Now())
-	for part, b := range parts {
-		known[partPrefix+part] = encodeFact(blockFact{b.Until.UnixMilli(), b.Times})
-	}
-	for request, b := range requests {
-		known[requestPrefix+request] = encodeFact(blockFact{b.Until.UnixMilli(), b.Times})
-	}
+	addBlocks(known, partPrefix, parts)
+	addBlocks(known, requestPrefix, requests)
 	return known
 }
 
+// addBlocks adds the rows of blocks.
+func addBlocks(known map[string]string, prefix string, blocks map[string]block.Block) {
+	for name, b := range blocks {
+		known[prefix+name] = encodeFact(blockFact{b.Until.UnixMilli(), b.Times})
+	}
+}
+
 // encodeFact encodes plain data, which cannot fail.
 func encodeFact(value any) string {
 	data, _ := json.Marshal(value)
--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -81,12 +81,16 @@
 			ended(r.ident, r.target, r.givenUp)
 		}
 		// One that is not registered any more and still listens tells nothing further: dialling it each second would hold its slots.
-		o.drop(func(other run) bool {
-			return other.target.ID == r.target.ID && other.ident.Fingerprint == r.ident.Fingerprint
-		})
+		o.forget(r)
 	}
 }
 
+func (o *Orphan) forget(r run) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.runs, key{r.ident.Fingerprint, r.target.ID})
+}
+
 func (o *Orphan) drop(unwanted func(r run) bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/began"
+	"damaskreach/internal/origin"
 	"damaskreach/internal/rows"
 	"damaskreach/internal/table"
 	"damaskreach/internal/ticker"
@@ -31,8 +32,6 @@
 	slots = 64
 	// maxRow bounds the streams of one row, some 60 bytes each, and maxQueued those that wait to be written.
 	maxRow, maxQueued = 500, 5000
-	// retention is how long after a row was written its streams matter: longer than callers wait for one.
-	retention = time.Minute
 	// callTimeout bounds a call to the store, and maxEdits the rows that one removes.
 	callTimeout = 2 * time.Second
 	maxEdits    = 90
@@ -131,7 +130,7 @@
 			s.Log.Warn("invalid beginnings of streams", zap.String("key", stored.Key), zap.Error(err))
 			continue
 		}
-		if time.Since(time.UnixMilli(r.At)) <= retention {
+		if time.Since(time.UnixMilli(r.At)) <= origin.Retention {
 			streams = append(streams, r.Streams...)
 		}
 	}
