--- a/internal/edge/brittle_test.go
+++ b/internal/edge/brittle_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/edge"
 	"damaskreach/internal/notice"
 	"damaskreach/internal/rows"
@@ -143,7 +144,9 @@
 						n, err := strconv.Atoi(strings.TrimPrefix(id, "u"))
 						return target.Target{ID: id, Group: "g", Addr: separateAddr(n), Slots: brittleSlots}, err
 					}
-					e.NotRun = func(_ http.Header, _ int, h http.Header) bool { return h.Get(headFull) != "" }
+					e.NotRun = func(_ http.Header, _ int, h http.Header) (bool, doubt.Doubt) {
+						return h.Get(headFull) != "", doubt.None
+					}
 					e.DecodeNotice = func(_ int, h http.Header) (n notice.Notice, err error) {
 						if text := h.Get(headBrittle); text != "" {
 							n.Brittle, err = strconv.Atoi(text)
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -85,10 +85,14 @@
 	}
 }
 
+// maxLoggedID bounds what is logged of an id that an upstream sent, in bytes.
+const maxLoggedID = 64
+
 // strayAnswer counts and logs an answer that does not belong to the request that waited for one.
-func (e *Edge) strayAnswer(addr string, status int, named bool) {
-	e.Stats.Add(stats.Strays, 1, "named", strconv.FormatBool(named))
-	e.Log.Info("answer belongs to no request", zap.String("addr", addr), zap.Int("status", status), zap.Bool("named", named))
+func (e *Edge) strayAnswer(addr string, status int, id, waiting string) {
+	e.Stats.Add(stats.Strays, 1, "named", strconv.FormatBool(id != ""))
+	e.Log.Info("answer belongs to no request", zap.String("addr", addr), zap.Int("status", status), zap.Bool("named", id != ""),
+		zap.String("names", id[:min(len(id), maxLoggedID)]), zap.String("waiting", waiting))
 }
 
 // buildIntake creates the reader of configuration and registrations.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/depot"
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/facts"
 	"damaskreach/internal/feeds"
@@ -63,7 +64,7 @@
 	DecodeVersion   func(row rows.Row) (adapter string, version int, ok bool, err error)
 	DecodeRequest   func(r *http.Request) (demand.Demand, error)
 	UpstreamHeaders func(id string, left time.Duration, version int, last string) http.Header
-	NotRun          func(sent http.Header, status int, h http.Header) bool
+	NotRun          func(sent http.Header, status int, h http.Header) (stated bool, d doubt.Doubt)
 	DecodeNotice    func(status int, h http.Header) (notice.Notice, error)
 	// TeamHeaders returns a caller's headers as sent to an upstream on behalf of a team.
 	TeamHeaders func(h http.Header, team string) http.Header
--- a/internal/edge/farm_test.go
+++ b/internal/edge/farm_test.go
@@ -16,6 +16,7 @@
 
 	"damaskreach/internal/change"
 	"damaskreach/internal/demand"
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/edge"
 	"damaskreach/internal/effect"
 	"damaskreach/internal/kinds"
@@ -271,7 +272,9 @@
 	e.UpstreamHeaders = func(id string, _ time.Duration, _ int, last string) http.Header {
 		return http.Header{headFor: {id}, headFrom: {ip}, headLast: {last}}
 	}
-	e.NotRun = func(_ http.Header, status int, _ http.Header) bool { return status == http.StatusMisdirectedRequest }
+	e.NotRun = func(_ http.Header, status int, _ http.Header) (bool, doubt.Doubt) {
+		return status == http.StatusMisdirectedRequest, doubt.None
+	}
 	e.SendOrder, e.QueryState = f.applyOrder, f.engineState
 }
 
--- a/internal/edge/teams_test.go
+++ b/internal/edge/teams_test.go
@@ -13,6 +13,7 @@
 
 	"damaskreach/internal/apikey"
 	"damaskreach/internal/demand"
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/edge"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/notice"
@@ -146,7 +147,9 @@
 	e.UpstreamHeaders = func(id string, _ time.Duration, _ int, _ string) http.Header {
 		return http.Header{headFor: {id}, headFrom: {ip}}
 	}
-	e.NotRun = func(_ http.Header, _ int, h http.Header) bool { return h.Get(headPause) != "" }
+	e.NotRun = func(_ http.Header, _ int, h http.Header) (bool, doubt.Doubt) {
+		return h.Get(headPause) != "", doubt.None
+	}
 	e.DecodeNotice = decodeNotice
 	e.AnswerID = func(h http.Header) string { return h.Get(headID) }
 	dial := e.Dial
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -221,9 +221,10 @@
 		p.Avoid.Record(t, notice.Notice{Rest: brittlePause}, now)
 	}
 	p.countSend(t, "rejected")
-	p.Stats.Add(stats.Rejections, 1, "status", strconv.Itoa(r.Status), "named", strconv.FormatBool(r.Named), "reused", strconv.FormatBool(r.Reused))
+	p.Stats.Add(stats.Rejections, 1, "status", strconv.Itoa(r.Status), "doubt", r.Doubt.String(), "named", strconv.FormatBool(r.Named), "reused", strconv.FormatBool(r.Reused))
 	p.Log.Info("rejected", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int("status", r.Status),
-		zap.Bool("named", r.Named), zap.Bool("reused", r.Reused), zap.Bool("repeatable", j.route.Repeatable()),
+		zap.Stringer("doubt", r.Doubt), zap.Bool("named", r.Named), zap.Bool("reused", r.Reused), zap.Bool("repeatable", j.route.Repeatable()),
+		zap.Int("sends", j.sends), zap.Duration("waited", now.Sub(j.sentAt)),
 		zap.String("adapter", j.req.Adapter), zap.Duration("since", now.Sub(j.start)), zap.String("note", j.note))
 	j.recordFailure(t.ID, refuse.NewRefusal(j.verdict(), refuse.Overloaded, "%s rejected the request", t.ID).WithRetry(defaultRetry))
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"damaskreach/internal/doubt"
 	"damaskreach/pkg/verd"
 )
 
@@ -15,11 +16,12 @@
 	Body   io.Reader
 	// Unframed says that the body has neither length nor chunks: the end of its connection alone marks its end.
 	Unframed bool
-	Rejected bool   // it states that the request was not run
-	Named    bool   // it names the request that it belongs to
-	Reused   bool   // its connection has carried other requests before
-	Cut      func() // closes the connection at once, from any goroutine
-	Close    func() // gives the connection back where the body was read to its end, else closes it
+	Rejected bool        // it states that the request was not run
+	Doubt    doubt.Doubt // what speaks against that statement
+	Named    bool        // it names the request that it belongs to
+	Reused   bool        // its connection has carried other requests before
+	Cut      func()      // closes the connection at once, from any goroutine
+	Close    func()      // gives the connection back where the body was read to its end, else closes it
 }
 
 // Verdict returns whether the request has run. Callers take some statuses for the promise that it has not; an upstream that does not state so may
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -10,7 +10,7 @@
 	Turn        = "request_turn_seconds"        // route
 	Pause       = "request_pause_seconds"       // route
 	Sends       = "sends_total"                 // upstream, outcome
-	Rejections  = "rejections_total"            // status, named, reused
+	Rejections  = "rejections_total"            // status, doubt, named, reused
 	Strays      = "answers_skipped_total"       // named
 	Breaks      = "request_breaks_total"        // outcome
 	Connections = "connections_opened_total"    // none
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -32,11 +32,12 @@
 			return nil, merry.Wrap(err)
 		}
 		id := c.uplink.AnswerID(r.Header)
-		if id == d.ID || id == "" && first && c.uplink.NotRun(extra, r.StatusCode, r.Header) {
+		rejected, _ := c.uplink.NotRun(extra, r.StatusCode, r.Header)
+		if id == d.ID || id == "" && first && rejected {
 			return r, nil
 		}
 		if c.uplink.Stray != nil {
-			c.uplink.Stray(c.addr, r.StatusCode, id != "")
+			c.uplink.Stray(c.addr, r.StatusCode, id, d.ID)
 		}
 		if first && id == "" || !skipBody(r) {
 			break
--- a/internal/uplink/long_test.go
+++ b/internal/uplink/long_test.go
@@ -75,7 +75,7 @@
 	defer upstream.Wait()
 	defer l.Close()
 	upstream.Go(func() { answerUnread(t, l) })
-	u := &uplink.Uplink{Dial: dialBounded, AnswerID: func(h http.Header) string { return h.Get("Id") }, NotRun: func(_ http.Header, _ int, h http.Header) bool { return h.Get("Not-Run") != "" }}
+	u := &uplink.Uplink{Dial: dialBounded, AnswerID: func(h http.Header) string { return h.Get("Id") }, NotRun: notRun}
 	d := demand.Demand{ID: "1", Method: "POST", Host: "a", URI: "/x", Body: make([]byte, longBody)}
 	r, err := u.Do(t.Context(), l.Addr().String(), d, nil, func() bool { return true })
 	if err != nil {
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"damaskreach/internal/demand"
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/resp"
 	"damaskreach/pkg/verd"
 )
@@ -33,10 +34,12 @@
 type Uplink struct {
 	// Dial opens a connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// NotRun reports whether an answer states that its request was not run, given the additional headers of the request.
-	NotRun func(extra http.Header, status int, h http.Header) bool
-	// Stray, if set, is called for each answer that does not belong to the request that waits for one.
-	Stray func(addr string, status int, named bool)
+	// NotRun reports whether an answer states that its request was not run, given the additional headers of the request, and what speaks against
+	// that statement.
+	NotRun func(extra http.Header, status int, h http.Header) (stated bool, d doubt.Doubt)
+	// Stray, if set, is called for each answer that does not belong to the request that waits for one; id is that of the request that it names,
+	// empty for none.
+	Stray func(addr string, status int, id, waiting string)
 	// AnswerID returns the id of the request that an answer belongs to, empty where it names none.
 	AnswerID func(h http.Header) string
 	// MaxConns returns how many connections this host may have open to an address; zero means no limit.
@@ -136,9 +139,10 @@
 	}
 	body := newBody(r.Body)
 	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	rejected, why := u.NotRun(extra, r.StatusCode, r.Header)
 	answer := resp.Resp{
 		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Cut: func() { c.Close() },
-		Rejected: u.NotRun(extra, r.StatusCode, r.Header), Named: u.AnswerID(r.Header) != "", Reused: c.reused,
+		Rejected: rejected, Doubt: why, Named: u.AnswerID(r.Header) != "", Reused: c.reused,
 	}
 	answer.Close = func() {
 		alive := stop()
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"damaskreach/internal/demand"
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/uplink"
 	"damaskreach/pkg/verd"
 )
@@ -71,13 +72,23 @@
 	}
 }
 
+func notRun(_ http.Header, _ int, h http.Header) (stated bool, d doubt.Doubt) {
+	if h.Get("Not-Run") == "" {
+		return false, doubt.None
+	}
+	if h.Get("Id") == "" {
+		return true, doubt.Unnamed
+	}
+	return true, doubt.None
+}
+
 func newUplink() *uplink.Uplink {
 	return &uplink.Uplink{
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", addr)
 		},
-		AnswerID: func(h http.Header) string { return h.Get("Id") }, NotRun: func(_ http.Header, _ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+		AnswerID: func(h http.Header) string { return h.Get("Id") }, NotRun: notRun,
 	}
 }
 
