Believe a rejection without an id on a new connection no more

What callers saw: bookings that ran twice, or were answered 503 though they had run.

An answer belongs to a request only if it names it, on any connection; what does not is skipped, and the true answer, if it comes, is passed on.

--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -22,24 +22,24 @@
 // ErrLongHead means that the head of an answer has not ended within maxHead.
 var ErrLongHead = merry.Sentinel("uplink: the head of the answer is too long")
 
-// answer reads the answer to a request and skips answers to other requests: an upstream may answer a request twice, or send bytes behind an answer,
-// and these come where the next one is expected.
+// answer reads the answer to a request and skips those that do not name it, on a new connection too: an upstream may answer a request twice, or send
+// bytes that belong to no request, and these come where an answer is expected. Only what has taken over the upstream's address need not name it.
 func (c *conn) answer(d demand.Demand, extra http.Header) (*http.Response, error) {
 	for n := range maxStrays + 1 {
-		first := n == 0 && !c.reused // nothing else can have been answered yet
+		first := n == 0 && !c.reused
 		r, err := c.head(d.Method)
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
 		id := c.uplink.AnswerID(r.Header)
 		rejected, _ := c.uplink.NotRun(extra, r.StatusCode, r.Header)
-		if id == d.ID || id == "" && first && rejected {
+		if id == d.ID || id == "" && first && rejected && r.StatusCode == http.StatusMisdirectedRequest {
 			return r, nil
 		}
 		if c.uplink.Stray != nil {
 			c.uplink.Stray(c.addr, r.StatusCode, id, d.ID)
 		}
-		if first && id == "" || !skipBody(r) {
+		if !skipBody(r) {
 			break
 		}
 	}
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -20,9 +20,10 @@
 
 // server accepts connections and answers the nth request over all of them with the nth text.
 type server struct {
-	l     net.Listener
-	texts chan string
-	seen  chan string
+	l       net.Listener
+	closing bool // connections end with the first answer
+	texts   chan string
+	seen    chan string
 }
 
 func newServer(t *testing.T, texts ...string) *server {
@@ -66,7 +67,7 @@
 		if text == "" {
 			return
 		}
-		if _, err := io.WriteString(c, text); err != nil {
+		if _, err := io.WriteString(c, text); err != nil || s.closing {
 			return
 		}
 	}
