Leave the verdict open where an answer's head speaks against its own 'not run'

What callers saw: bookings that ran twice or were answered 503 though they had run. The header for 'not run' was believed with every status from 400 on, with any value, and beside the stamp of a run: with an upstream's own 500 or 504, which count as run, with the value 0, and in a head into which half an answer and the next one had run together.

Only the agreed statement counts now: the value 1, a status with which upstreams reject requests, no stamp, the request's id. Anything less leaves the verdict open: what may run once is answered 502 with code 'unclear', the rest may be sent again within its route's attempts.

--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -24,11 +24,11 @@
 	Close    func()      // gives the connection back where the body was read to its end, else closes it
 }
 
-// Verdict returns whether the request has run. Callers take some statuses for the promise that it has not; an upstream that does not state so, or not
-// for this request, may have run it all the same. repeatable says that the request may run more than once, so that believing a bare 421 does no harm.
+// Verdict returns whether the request has run. Callers take some statuses for the promise that it has not; an upstream that does not state so, or says
+// something else in the same head, may have run it all the same. repeatable says that the request may run more than once, so that believing a bare 421 does no harm.
 func (r Resp) Verdict(repeatable bool) verd.Verdict {
 	switch {
-	case r.Rejected && r.Doubt != doubt.Unnamed && r.Status >= http.StatusBadRequest, repeatable && r.Status == http.StatusMisdirectedRequest:
+	case r.Rejected && r.Doubt == doubt.None && r.Status >= http.StatusBadRequest, repeatable && r.Status == http.StatusMisdirectedRequest:
 		return verd.NotRun
 	case r.Rejected, promisesNotRun(r.Status):
 		return verd.MayHaveRun
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/resp"
 	"damaskreach/pkg/verd"
 )
@@ -38,3 +39,16 @@
 		}
 	}
 }
+
+// Upstreams that have run a booking answer it with the header that says "not run" and with something else that speaks against it. Believed, the booking runs
+// twice, or its caller books again.
+func TestAStatementInDoubtMeansThatTheRequestMayHaveRun(t *testing.T) {
+	for _, status := range []int{400, 421, 429, 500, 503, 504} {
+		for _, d := range []doubt.Doubt{doubt.Unnamed, doubt.Status, doubt.Value, doubt.Stamped} {
+			r := resp.Resp{Status: status, Rejected: true, Doubt: d}
+			if got, want := r.Verdict(false), verd.MayHaveRun; got != want {
+				t.Errorf("status %d, doubt %v: Verdict() = %v, want %v", status, d, got, want)
+			}
+		}
+	}
+}
