Take two heads that ran together for no answer

An upstream that stops in the middle of a head and begins the next answer on the same connection makes one head of two where the first part ends in a header's value: the status of the one goes with the body, the id and the stamp of the other. One would notice it by answers whose status and body do not fit.

A value with a status line in it marks such a head; it is an error that leaves the verdict open. TestTwoHeadsThatRanTogetherAreNoAnswer failed before in three of its six cases: 'failed' came as the body of a 200 or a 503. TestHeadThatStopsIsNoAnswer, every place of a head, passed before too: a head that stops and closes is no answer here.

--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 
@@ -22,6 +24,9 @@
 // ErrLongHead means that the head of an answer has not ended within maxHead.
 var ErrLongHead = merry.Sentinel("uplink: the head of the answer is too long")
 
+// ErrMerged means that the heads of two answers have run together.
+var ErrMerged = merry.Sentinel("uplink: two heads have run together")
+
 // answer reads the answer to a request and skips those that do not name it, on a new connection too: an upstream may answer a request twice, or send
 // bytes that belong to no request, and these come where an answer is expected. Only what has taken over the upstream's address need not name it.
 func (c *conn) answer(d demand.Demand, extra http.Header) (*http.Response, error) {
@@ -52,12 +57,26 @@
 	defer func() { c.inHead = false }()
 	for {
 		r, err := http.ReadResponse(c.read, &http.Request{Method: method})
+		if err == nil && merged(r.Header) {
+			err = merry.Wrap(ErrMerged)
+		}
 		if err != nil || r.StatusCode >= http.StatusOK {
 			return r, err
 		}
 	}
 }
 
+// merged reports whether a head has a status line in it: an upstream has stopped in the middle of one head and begun the next, so that the status is that
+// of one answer and the body that of the other.
+func merged(h http.Header) bool {
+	for _, values := range h {
+		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, "HTTP/1.") }) {
+			return true
+		}
+	}
+	return false
+}
+
 // skipBody reads an answer to its end, so that the next one can be read. It reports false if the connection cannot be used any more.
 func skipBody(r *http.Response) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStray))
