Wait for an upstream that answers behind its rejection before a booking goes on

What callers saw: bookings that ran twice, or were answered 503 though they had run. An upstream that rejects a request by name and runs it all the same (bytes of a second answer that come first, a queue that keeps what it has turned away) was believed at once.

What may run once, streams aside, now waits behind a rejection for half of its route's target time. An answer that comes is passed on; else the connection is closed, so that the upstream drops what it still holds, and another upstream gets the request.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -145,6 +145,11 @@
 	p.applyNotice(t, r)
 	verdict := r.Verdict(j.route.Repeatable())
 	if verdict == verd.NotRun {
+		p.skipRejection(t, r)
+		if later, ok := p.takenBack(j, t, r); ok {
+			defer later.Close()
+			return p.handleAnswer(ctx, sendCtx, j, t, later)
+		}
 		p.handleRejection(j, t, r)
 		// A backoff for the failure could outlast a pause that the upstream itself has asked for.
 		j.upstreamFailed = r.Status != http.StatusMisdirectedRequest && p.Avoid.Pause(t.ID, time.Now()) == 0
@@ -199,7 +204,7 @@
 	return true
 }
 
-// countSend counts a send by its outcome: "ok", "cut", "timeout", "failed", "left", "rejected", "unclear", "not-resumed", or a class of statuses.
+// countSend counts a send by its outcome: "ok", "cut", "timeout", "failed", "left", "rejected", "taken-back", "unclear", "not-resumed", or a class of statuses.
 func (p *Proxy) countSend(t target.Target, outcome string) {
 	p.Stats.Add(stats.Sends, 1, "upstream", t.ID, "outcome", outcome)
 }
@@ -211,7 +216,6 @@
 
 // handleRejection handles an answer that says the request was not run.
 func (p *Proxy) handleRejection(j *job, t target.Target, r resp.Resp) {
-	p.skipRejection(t, r)
 	now := time.Now()
 	if r.Status == http.StatusMisdirectedRequest && j.req.Adapter != "" {
 		p.Holds.RecordMiss(t.ID, j.req.Adapter, now)
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"damaskreach/internal/doubt"
 	"damaskreach/pkg/verd"
@@ -21,7 +22,10 @@
 	Named    bool        // it names the request that it belongs to
 	Reused   bool        // its connection has carried other requests before
 	Cut      func()      // closes the connection at once, from any goroutine
-	Close    func()      // gives the connection back where the body was read to its end, else closes it
+	// Later waits for another answer to the same request, which takes the place of this one; this one must have been read to its end. It reports false
+	// where none comes within a time, and closes the connection then, so that the upstream drops what it still holds.
+	Later func(wait time.Duration) (Resp, bool)
+	Close func() // gives the connection back where the body was read to its end, else closes it
 }
 
 // Verdict returns whether the request has run. Callers take some statuses for the promise that it has not; an upstream that does not state so, or says
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -69,6 +69,7 @@
 	idleBefore   time.Duration // how long it was idle before the current request; 0 for a new connection
 	lastReceived time.Time     // when bytes were last received
 	closed       sync.Once
+	single       bool         // it carries no further request
 	inHead       bool         // the head of an answer is being read
 	headLeft     int          // how many more bytes it may have
 	restoreAcks  func() error // undoes suspendAckTimeout; nil if that was not called
@@ -137,21 +138,54 @@
 		}
 		return resp.Resp{}, verd.Mark(merry.Prependf(err, "waiting for the answer of %s", addr), verd.MayHaveRun)
 	}
+	return u.respond(c, exchange{d, extra, written, stop}, r), nil
+}
+
+// exchange is a request that was sent on a connection, and what its answer needs.
+type exchange struct {
+	demand  demand.Demand
+	extra   http.Header
+	written <-chan error // gets how writing it ended
+	stop    func() bool  // keeps the connection from being closed with the request's context
+}
+
+// respond returns an answer whose head was read.
+func (u *Uplink) respond(c *conn, x exchange, r *http.Response) resp.Resp {
 	body := newBody(r.Body)
-	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
-	rejected, why := u.NotRun(extra, r.StatusCode, r.Header)
-	answer := resp.Resp{
-		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Cut: func() { c.Close() },
+	rejected, why := u.NotRun(x.extra, r.StatusCode, r.Header)
+	return resp.Resp{
+		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
 		Rejected: rejected, Doubt: why, Named: u.AnswerID(r.Header) != "", Reused: c.reused,
+		Cut:   func() { c.Close() },
+		Later: func(wait time.Duration) (resp.Resp, bool) { return u.later(c, x, body, wait) },
+		Close: func() {
+			alive := x.stop()
+			if !alive || c.single || r.Close || !body.ended || c.read.Buffered() > 0 || !isSent(x.written) || !c.restoreAckTimeout() {
+				c.Close()
+				return
+			}
+			c.idleTimeout = idleTimeoutOf(r.Header)
+			u.put(c)
+		},
 	}
-	answer.Close = func() {
-		alive := stop()
-		if !alive || r.Close || !body.ended || c.read.Buffered() > 0 || !isSent(written) || !c.restoreAckTimeout() {
-			c.Close()
-			return
-		}
-		c.idleTimeout = idleTimeoutOf(r.Header)
-		u.put(c)
+}
+
+// later waits for a further answer to a request on its connection, which is not used again.
+func (u *Uplink) later(c *conn, x exchange, first *body, wait time.Duration) (resp.Resp, bool) {
+	c.single = true
+	timer := time.AfterFunc(wait, func() { c.Close() })
+	defer timer.Stop()
+	if !first.ended {
+		c.Close()
+		return resp.Resp{}, false
+	}
+	r, err := c.answer(x.demand, x.extra)
+	if err != nil {
+		c.Close() // no further answer is the usual case
+		return resp.Resp{}, false
+	}
+	if !timer.Stop() {
+		return resp.Resp{}, false
 	}
-	return answer, nil
+	return u.respond(c, x, r), true
 }
--- a/internal/uplink/uplink_test.go
+++ b/internal/uplink/uplink_test.go
@@ -21,7 +21,8 @@
 // server accepts connections and answers the nth request over all of them with the nth text.
 type server struct {
 	l       net.Listener
-	closing bool // connections end with the first answer
+	closing bool          // connections end with the first answer
+	gone    chan struct{} // gets one for each connection that the client has closed
 	texts   chan string
 	seen    chan string
 }
@@ -31,7 +32,7 @@
 	if err != nil {
 		t.Fatalf("Listen() = %v, want nil", err)
 	}
-	s := &server{l: l, texts: make(chan string, len(texts)), seen: make(chan string, 16)}
+	s := &server{l: l, texts: make(chan string, len(texts)), seen: make(chan string, 16), gone: make(chan struct{}, 16)}
 	for _, text := range texts {
 		s.texts <- text
 	}
@@ -56,6 +57,7 @@
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
+			s.gone <- struct{}{}
 			return
 		}
 		body, err := io.ReadAll(r.Body)
