--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -3,7 +3,6 @@
 
 import (
 	"slices"
-	"time"
 )
 
 // Target is one registration. It is immutable.
@@ -16,7 +15,6 @@
 	Build       string // version of its software; streams of one build cannot go on at another
 	Slots       int
 	Draining    bool
-	GoneBy      time.Time      // deadline of its shutdown, where it has announced one
 	Sequence    int64          // number of orders that it has accepted since it started
 	Models      []string       // base models that it holds
 	Cached      []string       // base models whose weights it need not fetch from the weight store
