--- a/internal/uplink/head_test.go
+++ b/internal/uplink/head_test.go
@@ -30,3 +30,22 @@
 		}
 	}
 }
+
+// An upstream stops anywhere in an answer, its head or its body, and closes. What came of the answer must not pass for a whole one with a short body.
+func TestAnswerThatStopsAnywhereIsNotWhole(t *testing.T) {
+	for _, whole := range []string{
+		answer("1", "one"), "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Type: text/event-stream\r\nId: 1\r\n\r\nid: 1\ndata\n\n",
+	} {
+		for end := range len(whole) {
+			s := newServer(t, whole[:end])
+			s.closing = true
+			if got, err := ask(t, newUplink(), s, "1"); err == nil {
+				t.Errorf("%q: answer %q without an error, want one", whole[:end], got)
+			}
+		}
+		if _, err := ask(t, newUplink(), newServer(t, whole), "1"); err != nil {
+			t.Errorf("%q: error %v, want none", whole, err)
+		}
+	}
+}
