Keep versions of adapters in force over the loss of all hosts where the store says an older one

The store had carried out a lost write of the operator's late, over the newer version that it had acknowledged; running hosts keep the highest version, in memory alone, and hosts that start took the row for the newest.

A host that reads a row with an older version than the one in force remembers that; the host that writes the facts for all writes it to facts/version-ADAPTER, hosts that start take it over, and the row goes once the operators' row has caught up. There is no such row as long as no write comes late.

--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -22,6 +22,8 @@
 	// partPrefix and requestPrefix are the key prefixes of the rows with parts of prompts and with requests that are blocked, one row for each.
 	partPrefix    = factsPrefix + "part-"
 	requestPrefix = factsPrefix + "request-"
+	// versionPrefix is the key prefix of the rows with the versions of adapters in force where the operators' rows in the store say an older one.
+	versionPrefix = factsPrefix + "version-"
 	// factsRev stands for the revision of facts that one host tells another: they have none of their own.
 	factsRev = 1
 )
@@ -32,6 +34,11 @@
 	Times int   `json:"times,omitempty"` // how often it has been blocked in succession
 }
 
+// versionFact is the value of the row of an adapter's version.
+type versionFact struct {
+	Version int `json:"version"`
+}
+
 // buildFacts creates what keeps the rows under factsPrefix.
 func (e *Edge) buildFacts() *facts.Facts {
 	return &facts.Facts{
@@ -49,6 +56,8 @@
 	for key, value := range stored {
 		var groups map[string][]string
 		var fact blockFact
+		var named versionFact
+		adapter, isVersion := strings.CutPrefix(key, versionPrefix)
 		part, isPart := strings.CutPrefix(key, partPrefix)
 		request, isRequest := strings.CutPrefix(key, requestPrefix)
 		switch {
@@ -58,6 +67,8 @@
 			parts[part] = fact.block()
 		case isRequest && json.Unmarshal([]byte(value), &fact) == nil:
 			requests[request] = fact.block()
+		case isVersion && json.Unmarshal([]byte(value), &named) == nil:
+			e.intake.LearnVersion(adapter, named.Version)
 		default:
 			e.Log.Warn("invalid fact", zap.String("key", key))
 			continue
@@ -80,6 +91,9 @@
 	requests, parts := e.guard.Blocks(time.Now())
 	addBlocks(known, partPrefix, parts)
 	addBlocks(known, requestPrefix, requests)
+	for adapter, version := range e.intake.Overtaken() {
+		known[versionPrefix+adapter] = encodeFact(versionFact{version})
+	}
 	return known
 }
 
--- a/internal/intake/conf.go
+++ b/internal/intake/conf.go
@@ -73,6 +73,7 @@
 	for _, row := range list {
 		if !whole || row.Rev > after {
 			i.applyConfRow(row, learnt)
+			i.compareStored(row)
 			changes = append(changes, row)
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -74,6 +74,7 @@
 
 	operatorsMu sync.Mutex
 	operators   map[string]rows.Row // operators' rows in force, by key
+	overtaken   map[string]int      // versions in force, by adapter, where the store's row names an older one
 
 	confAt       atomic.Int64  // revision up to which the operators' rows are applied
 	confMark     atomic.Int64  // revision of their latest change
@@ -93,7 +94,7 @@
 		Clock:   func() time.Duration { return time.Since(begun) },
 		missing: map[string]time.Time{}, unreadable: map[string]int64{}, confWake: make(chan struct{}, 1), targetWake: make(chan struct{}, 1),
 		ReadDelegated: func() bool { return false }, OnChange: func() {}, OnRead: func() {},
-		raw: map[string]rows.Row{}, operators: map[string]rows.Row{},
+		raw: map[string]rows.Row{}, operators: map[string]rows.Row{}, overtaken: map[string]int{},
 		FetchFromHost:   func(context.Context, string) ([]rows.Row, int64, bool) { return nil, 0, false },
 		ListDelay:       func() time.Duration { return 0 },
 		Forwarded:       func(string, int64) ([]rows.Row, int64, bool) { return nil, 0, false },
