Bound the memory of requests' bodies, and refuse long ones without room

What callers saw: in a burst of requests with bodies of the greatest size allowed, hosts passed their memory and were killed again and again, and what ran there got no answer. Each body was held as long as its request, copied once more for each send, and nothing bounded them together.

Bodies above 32 KB share a third of the process's memory now. One without room is read and dropped, so that its caller sees the refusal, and answered 503 with a time to come back. Bodies with a length are read into one piece, and long ones are written without a copy.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -40,6 +40,9 @@
 // up to three times as much.
 const answerRoomShare = 16
 
+// bodyRoomShare is the part of the process's memory that requests' bodies may take: one in so many bytes.
+const bodyRoomShare = 3
+
 // build creates the components and connects them.
 func (e *Edge) build() *proxy.Proxy {
 	s := e.Setup()
@@ -139,6 +142,7 @@
 		StopsSoon: e.stopsSoon, Stopping: e.ending, WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
 		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
+		BodyRoom:   semaphore.NewWeighted(e.Setup().Memory << 20 / bodyRoomShare),
 		Started:    time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
 		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Guard: e.guard, Speeds: e.speeds,
 		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, RecentBuilds: e.recentBuilds,
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -144,7 +144,7 @@
 			Hosts: func() int { return 1 }, Clock: func() time.Duration { return time.Since(b.start) }, StartedAt: -10 * time.Second,
 			Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second },
 		},
-		Stats: stats.NewStats(), AnswerRoom: semaphore.NewWeighted(1 << 30),
+		Stats: stats.NewStats(), AnswerRoom: semaphore.NewWeighted(1 << 30), BodyRoom: semaphore.NewWeighted(1 << 30),
 	}
 	return b
 }
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -43,6 +43,7 @@
 	nextPlacement  *placement      // of the next send, if found in advance; otherwise nil
 	turn           turn            // currently held at an engine
 	permit         turn            // under which it is counted at a brittle upstream
+	bodyRoom       int64           // bytes of BodyRoom that it holds
 	rejectedFull   bool            // the upstream rejected it for lack of room
 	refund         func()          // undoes the charge against the team's limit; nil if nothing was charged
 	sound          bool            // it has run long enough not to crash its engine
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,9 +8,7 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -117,8 +115,8 @@
 	ViewAge func() time.Duration
 	// StoreDown reports whether the store did not answer the last reading.
 	StoreDown func() bool
-	// AnswerRoom bounds the bytes of answers that are read whole, of all requests together.
-	AnswerRoom *semaphore.Weighted
+	// AnswerRoom and BodyRoom bound the bytes of answers that are read whole, and those of requests' bodies, of all requests together.
+	AnswerRoom, BodyRoom *semaphore.Weighted
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
@@ -145,6 +143,7 @@
 	p.setDeadlines(w, r, j.deadline())
 	p.inFlight.add(j)
 	defer p.inFlight.remove(j)
+	defer p.releaseBody(j)
 	if refusal == nil {
 		refusal = p.receive(w, r, j)
 	}
@@ -250,30 +249,6 @@
 	return min(maxNoConfigRetry, max(minRetry, now.Sub(p.Started)))
 }
 
-// readBody reads the whole body: it may have to be sent twice, and the upstream gets its length.
-func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	limit := j.view.Rules.MaxBody
-	if limit <= 0 {
-		limit = 1 << 20
-	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "body over %d bytes", limit)
-	}
-	if err != nil {
-		return refuse.NewRefusal(verd.NotRun, refuse.SlowBody, "reading the body: %v", err)
-	}
-	j.req.Body = data
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
-		p.Log.Debug("read deadline not cleared", zap.Error(err))
-	}
-	return nil
-}
-
 // setDeadlines sets the deadlines for reading the request's body and for writing its answer. Otherwise a caller that stops
 // sending or reading could hold memory and a place at the engine forever. This comes before any refusal: the server reads the
 // body of a refused request, too, before it writes the refusal.
--- a/internal/uplink/write.go
+++ b/internal/uplink/write.go
@@ -48,9 +48,11 @@
 
 // write sends a request with a Content-Length, however the caller framed its body. The caller's own length headers are never forwarded, so that
 // a second request hidden in the body remains a part of the body.
+//
+// A long body is written by itself: a copy of it for each send could take as much memory as all bodies together.
 func write(w io.Writer, d demand.Demand, extra http.Header) error {
 	var b bytes.Buffer
-	b.Grow(512 + len(d.Body))
+	b.Grow(512 + min(len(d.Body), longBody))
 	b.WriteString(d.Method + " " + d.URI + " HTTP/1.1\r\nHost: " + d.Host + "\r\n")
 	writeHeaders(&b, d.Header)
 	writeHeaders(&b, extra)
@@ -58,8 +60,13 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(d.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(d.Body)
-	_, err := w.Write(b.Bytes())
+	if len(d.Body) < longBody {
+		b.Write(d.Body)
+	}
+	if _, err := w.Write(b.Bytes()); err != nil || len(d.Body) < longBody {
+		return err
+	}
+	_, err := w.Write(d.Body)
 	return err
 }
 
