Take room for bodies in chunks as they grow, and tell heads that ran together by a status line

A body in chunks took room for the longest body allowed, so that 23 short ones at once would have left none for others: normal load would have been refused. It takes room as it grows now, by the way in which answers already did. TestShortBodiesInChunksNeedNoRoom failed on the code before.

A head counted as two where a value held 'HTTP/1.', which a Via header may; it takes a status line now.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -6,21 +6,18 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
 
-const (
-	// defaultMaxBody bounds a body where the configuration does not, in bytes.
-	defaultMaxBody = 1 << 20
-	// freeBody is the size of a body, in bytes, up to which it needs no room.
-	freeBody = 32 << 10
-)
+// defaultMaxBody bounds a body where the configuration does not, in bytes.
+const defaultMaxBody = 1 << 20
 
-// readBody reads the whole body: it may have to be sent twice, and the upstream gets its length. Its room is held until releaseBody. Without room the body is
-// read and dropped, since callers that still send it would not see the refusal: held, a burst of long bodies could fill the memory of the process, which would end with all requests.
+// readBody reads the whole body: it may have to be sent twice, and the upstream gets its length. Its room is held until releaseBody. Held without a bound, a
+// burst of long bodies could fill the memory of the process, which would end with all its requests.
 func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
@@ -29,28 +26,17 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	if r.ContentLength > limit {
-		return refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "body over %d bytes", limit)
-	}
-	need := r.ContentLength
-	if need < 0 {
-		need = limit
-	}
-	if need > freeBody {
-		if !p.BodyRoom.TryAcquire(need) {
-			if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit)); err != nil {
-				p.Log.Debug("dropping a body failed", zap.String("request", j.req.ID), zap.Error(err))
-			}
-			return refuse.NewRefusal(verd.NotRun, refuse.Overloaded, "no room for a body of %d bytes beside those of other requests", need).WithRetry(defaultRetry)
-		}
-		j.bodyRoom = need
-	}
-	data, err := readSized(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	body := http.MaxBytesReader(w, r.Body, limit)
+	data, held, err := p.readRoomed(body, r.ContentLength, limit)
+	j.bodyRoom = held
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, errNoRoom):
+		p.releaseBody(j)
+		return p.dropBody(body, j)
+	case errors.As(err, &tooLarge), errors.Is(err, errTooLarge):
 		return refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "body over %d bytes", limit)
-	}
-	if err != nil {
+	case err != nil:
 		return refuse.NewRefusal(verd.NotRun, refuse.SlowBody, "reading the body: %v", err)
 	}
 	j.req.Body = data
@@ -60,14 +46,29 @@
 	return nil
 }
 
-// readSized reads a body of a length, or of any length where it is negative.
-func readSized(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(body)
+// readRoomed reads a body of a length, or of any up to a limit where it is negative; held is the room that it takes.
+func (p *Proxy) readRoomed(body io.Reader, length, limit int64) (data []byte, held int64, err error) {
+	switch {
+	case length > limit:
+		return nil, 0, merry.Wrap(errTooLarge)
+	case length < 0:
+		return readWithin(body, int(limit), p.BodyRoom)
+	case length > roomStep && !p.BodyRoom.TryAcquire(length):
+		return nil, 0, merry.Wrap(errNoRoom)
+	case length > roomStep:
+		held = length
+	}
+	data = make([]byte, length)
+	_, err = io.ReadFull(body, data)
+	return data, held, err
+}
+
+// dropBody reads the rest of a body for which there is no room: a caller that still sends it would not see the refusal.
+func (p *Proxy) dropBody(body io.Reader, j *job) *refuse.Refusal {
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		p.Log.Debug("dropping a body failed", zap.String("request", j.req.ID), zap.Error(err))
 	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	return data, err
+	return refuse.NewRefusal(verd.NotRun, refuse.Overloaded, "no room for the body beside those of other requests").WithRetry(defaultRetry)
 }
 
 // releaseBody gives back the room of the request's body.
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -48,3 +48,14 @@
 		}
 	}
 }
+
+// Callers send short bodies in chunks, whose length nobody knows before. Counted as the longest ones allowed, a few of them would leave no room for others.
+func TestShortBodiesInChunksNeedNoRoom(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
+	b.view.Rules.MaxBody = longBody
+	b.BodyRoom = semaphore.NewWeighted(0)
+	b.setAnswers(answers(200, nil, "done", nil))
+	if got, want := b.post("short", -1).Body.String(), "done"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -257,7 +257,7 @@
 		j.upstreamFailed = true
 		now := time.Now()
 		switch {
-		case errors.Is(err, errAnswerTooLarge), errors.Is(err, errNoAnswerRoom):
+		case errors.Is(err, errTooLarge), errors.Is(err, errNoRoom):
 		case sendCtx.Err() != nil, j.timedOut(now):
 			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
 		default:
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -4,8 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"slices"
-	"strings"
 
 	"github.com/ansel1/merry/v2"
 
@@ -66,11 +66,14 @@
 	}
 }
 
+// statusLine is the begin of an answer's head.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
 // merged reports whether a head has a status line in it: an upstream has stopped in the middle of one head and begun the next, so that the status is that
 // of one answer and the body that of the other.
 func merged(h http.Header) bool {
 	for _, values := range h {
-		if slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, "HTTP/1.") }) {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
 			return true
 		}
 	}
