--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -81,6 +81,18 @@
 	joined                        []string
 }
 
+// playStreams has callers ask for streams at a rate while faults come, and returns what became of them some time later.
+func (f *farm) playStreams(t *testing.T, seed uint64, perSecond float64, drain time.Duration, faults func(all *resumableStreams)) *resumableStreams {
+	var all resumableStreams
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	f.generateResumable(ctx, seed, perSecond, &all)
+	faults(&all)
+	cancel()
+	time.Sleep(drain)
+	return &all
+}
+
 // generateResumable sends requests at a rate until ctx ends, whose callers come back at another host with a stream that broke off.
 func (f *farm) generateResumable(ctx context.Context, seed uint64, perSecond float64, all *resumableStreams) {
 	rng := rand.New(rand.NewPCG(seed, 59))
@@ -188,18 +200,14 @@
 func TestStreamsGoOnAtTheBuildThatBeganThem(t *testing.T) {
 	withSeeds(t, func(t *testing.T, seed uint64) {
 		f := newBuildFarm(t, "v1", "v2")
-		var all resumableStreams
-		ctx, cancel := context.WithCancel(t.Context())
-		t.Cleanup(cancel)
-		f.generateResumable(ctx, seed, buildRate, &all)
-		for i := range 2 * buildEngines {
-			time.Sleep(time.Second)
-			f.breakStreams(i)
-			f.restartHosts(i%buildHosts, (i+3)%buildHosts)
-		}
-		cancel()
-		time.Sleep(14 * time.Second)
-		f.wantSeparate(&all)
+		all := f.playStreams(t, seed, buildRate, 14*time.Second, func(*resumableStreams) {
+			for i := range 2 * buildEngines {
+				time.Sleep(time.Second)
+				f.breakStreams(i)
+				f.restartHosts(i%buildHosts, (i+3)%buildHosts)
+			}
+		})
+		f.wantSeparate(all)
 	})
 }
 
@@ -208,16 +216,12 @@
 func TestStreamsOfTwoBuildsGoOnWhenAllHostsAreKilled(t *testing.T) {
 	withSeeds(t, func(t *testing.T, seed uint64) {
 		f := newBuildFarm(t, "v1", "v2")
-		var all resumableStreams
-		ctx, cancel := context.WithCancel(t.Context())
-		t.Cleanup(cancel)
-		f.generateResumable(ctx, seed, buildRate, &all)
-		time.Sleep(3 * time.Second)
-		f.restartHosts(0, 1, 2, 3, 4, 5)
-		time.Sleep(6 * time.Second)
-		cancel()
-		time.Sleep(14 * time.Second)
-		f.wantSeparate(&all)
+		all := f.playStreams(t, seed, buildRate, 14*time.Second, func(*resumableStreams) {
+			time.Sleep(3 * time.Second)
+			f.restartHosts(0, 1, 2, 3, 4, 5)
+			time.Sleep(6 * time.Second)
+		})
+		f.wantSeparate(all)
 	})
 }
 
@@ -226,18 +230,14 @@
 	withSeeds(t, func(t *testing.T, seed uint64) {
 		f := newBuildFarm(t, "v1", "v2")
 		f.eventPause = 120 * time.Millisecond
-		var all resumableStreams
-		ctx, cancel := context.WithCancel(t.Context())
-		t.Cleanup(cancel)
-		f.generateResumable(ctx, seed, buildRate/2, &all)
-		for range 2 {
-			time.Sleep(5 * time.Second)
-			f.restartHosts(0, 1, 2, 3, 4, 5)
-		}
-		time.Sleep(6 * time.Second)
-		cancel()
-		time.Sleep(20 * time.Second)
-		f.wantSeparate(&all)
+		all := f.playStreams(t, seed, buildRate/2, 20*time.Second, func(*resumableStreams) {
+			for range 2 {
+				time.Sleep(5 * time.Second)
+				f.restartHosts(0, 1, 2, 3, 4, 5)
+			}
+			time.Sleep(6 * time.Second)
+		})
+		f.wantSeparate(all)
 	})
 }
 
@@ -246,20 +246,16 @@
 func TestStreamsOfAReplacedBuildDoNotGoOnAtTheNextOne(t *testing.T) {
 	withSeeds(t, func(t *testing.T, seed uint64) {
 		f := newBuildFarm(t, "v1")
-		var all resumableStreams
-		ctx, cancel := context.WithCancel(t.Context())
-		t.Cleanup(cancel)
-		f.generateResumable(ctx, seed, buildRate, &all)
-		time.Sleep(3 * time.Second)
-		f.restartHosts(0, 1, 2, 3, 4, 5)
-		time.Sleep(5 * time.Second)
-		f.wantSeparate(&all)
-		f.replaceBuild(t, "v1", "v2", 3*time.Second)
-		f.restartHosts(0, 1, 2, 3, 4, 5)
-		time.Sleep(6 * time.Second)
-		cancel()
-		time.Sleep(14 * time.Second)
-		f.wantNoneJoined(&all)
+		all := f.playStreams(t, seed, buildRate, 14*time.Second, func(all *resumableStreams) {
+			time.Sleep(3 * time.Second)
+			f.restartHosts(0, 1, 2, 3, 4, 5)
+			time.Sleep(5 * time.Second)
+			f.wantSeparate(all)
+			f.replaceBuild(t, "v1", "v2", 3*time.Second)
+			f.restartHosts(0, 1, 2, 3, 4, 5)
+			time.Sleep(6 * time.Second)
+		})
+		f.wantNoneJoined(all)
 	})
 }
 
@@ -292,27 +288,23 @@
 		t.Run(name, func(t *testing.T) {
 			withSeeds(t, func(t *testing.T, seed uint64) {
 				f := newBuildFarm(t, "v1")
-				var all resumableStreams
-				ctx, cancel := context.WithCancel(t.Context())
-				t.Cleanup(cancel)
-				f.generateResumable(ctx, seed, buildRate, &all)
-				time.Sleep(5 * time.Second)
-				found := lose(f.store)
-				time.Sleep(500 * time.Millisecond)
-				f.replaceBuild(t, "v1", "v2", time.Second)
-				time.Sleep(300 * time.Millisecond)
-				for i := range f.hosts {
-					f.kill(f.hosts[i])
-				}
-				time.Sleep(500 * time.Millisecond)
-				found()
-				for i := range f.hosts {
-					f.restart(i)
-				}
-				time.Sleep(6 * time.Second)
-				cancel()
-				time.Sleep(14 * time.Second)
-				f.wantNoneJoined(&all)
+				all := f.playStreams(t, seed, buildRate, 14*time.Second, func(*resumableStreams) {
+					time.Sleep(5 * time.Second)
+					found := lose(f.store)
+					time.Sleep(500 * time.Millisecond)
+					f.replaceBuild(t, "v1", "v2", time.Second)
+					time.Sleep(300 * time.Millisecond)
+					for i := range f.hosts {
+						f.kill(f.hosts[i])
+					}
+					time.Sleep(500 * time.Millisecond)
+					found()
+					for i := range f.hosts {
+						f.restart(i)
+					}
+					time.Sleep(6 * time.Second)
+				})
+				f.wantNoneJoined(all)
 			})
 		})
 	}
