Keep the waits behind all rejections of a booking within its target

A booking that three upstreams reject one after the other waited for half of its target behind each, so that callers whom nobody could serve were told late.

Each wait is a third of the target now, since three sends are the most.

--- a/internal/proxy/takenback.go
+++ b/internal/proxy/takenback.go
@@ -12,8 +12,8 @@
 )
 
 // takeBackParts is the part of its route's target time, one in so many, for which a request that may run once waits after a rejection: an upstream that runs
-// it all the same answers again meanwhile.
-const takeBackParts = 2
+// it all the same answers again meanwhile. The waits of all sends together stay within the target.
+const takeBackParts = maxSends
 
 // takenBack waits for an upstream that has rejected a request to answer it all the same. Only requests that may run once are worth the wait: sent on, they would run
 // twice. Streams answer too late to be waited for.
