Look at an answer without an id more closely only where it needs it

Found on reading the change again: what an answer states was worked out twice for each answer, the first time only for the rare one on a new connection that names no request. It is worked out there alone now, in a function that says what it looks for. Behaviour is the same; the tests of uplink and proxy pass.

--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -37,8 +37,7 @@
 			return nil, merry.Wrap(err)
 		}
 		id := c.uplink.AnswerID(r.Header)
-		rejected, _ := c.uplink.NotRun(extra, r.StatusCode, r.Header)
-		if id == d.ID || id == "" && first && rejected && r.StatusCode == http.StatusMisdirectedRequest {
+		if id == d.ID || id == "" && first && c.tookOver(r, extra) {
 			return r, nil
 		}
 		if c.uplink.Stray != nil {
@@ -51,6 +50,15 @@
 	return nil, merry.Wrap(ErrStray)
 }
 
+// tookOver reports whether an answer is that of what has taken over the upstream's address.
+func (c *conn) tookOver(r *http.Response, extra http.Header) bool {
+	if r.StatusCode != http.StatusMisdirectedRequest {
+		return false
+	}
+	rejected, _ := c.uplink.NotRun(extra, r.StatusCode, r.Header)
+	return rejected
+}
+
 // head reads the head of an answer, past those of interim ones.
 func (c *conn) head(method string) (*http.Response, error) {
 	c.inHead, c.headLeft = true, maxHead
