Show how near a group is to its bound of retries, and what a rejection came behind

The lines could not tell the hypotheses of the repeats apart: nothing said how much of the bound of retries a host had used, among how many hosts it divides it, how many sends before a rejection may have run, which incarnation a break was counted for, or that a request was given up while its upstream may run it. No logic changes. Tests of the packages passed.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -91,12 +91,14 @@
 	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "counted")
 	g.Log.Info("upstream broke off while running a request", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
-		zap.String("team", i.Team), zap.String("target", t.ID), zap.Int("upstreams", n))
+		zap.String("team", i.Team), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("upstreams", n))
 }
 
 // RecordGivenUp records that this host has given up a request that its upstream may go on running until a deadline. If the upstream ends meanwhile, that
 // counts like a break.
 func (g *Guard) RecordGivenUp(i ident.Ident, t target.Target, deadline time.Time) {
+	g.Log.Debug("request given up that its upstream may run", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
+		zap.String("incarnation", incarnation(t)), zap.Time("until", deadline))
 	g.orphans.Add(i, t, deadline, time.Now())
 }
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -93,12 +93,25 @@
 	}
 	if j.sends == 0 {
 		p.Spare.CountFirst(j.group)
-	} else if !p.Spare.TryRetry(j.group) {
+	} else if !p.tryRetry(j) {
 		return placement{}, j.lastRefusal
 	}
 	return placement{t, version, j.turn}, nil
 }
 
+// tryRetry reports whether the retry budget allows one more send of the request.
+func (p *Proxy) tryRetry(j *job) bool {
+	if p.Spare.TryRetry(j.group) {
+		p.Stats.Add(stats.Retries, 1, "group", j.group, "outcome", "allowed")
+		return true
+	}
+	p.Stats.Add(stats.Retries, 1, "group", j.group, "outcome", "denied")
+	used, bound, hosts := p.Spare.Usage(j.group)
+	p.Log.Info("no retry left", zap.String("request", j.req.ID), zap.String("group", j.group), zap.Int("sends", j.sends),
+		zap.Float64("used", used), zap.Float64("bound", bound), zap.Int("hosts", hosts))
+	return false
+}
+
 // send sends the request to one upstream. It returns true if the caller has its final answer.
 func (p *Proxy) send(ctx context.Context, j *job, t target.Target, version int) (done bool) {
 	left := time.Until(j.deadline())
@@ -228,7 +241,7 @@
 	p.Stats.Add(stats.Rejections, 1, "status", strconv.Itoa(r.Status), "doubt", r.Doubt.String(), "named", strconv.FormatBool(r.Named), "reused", strconv.FormatBool(r.Reused))
 	p.Log.Info("rejected", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int("status", r.Status),
 		zap.Stringer("doubt", r.Doubt), zap.Bool("named", r.Named), zap.Bool("reused", r.Reused), zap.Bool("repeatable", j.route.Repeatable()),
-		zap.Int("sends", j.sends), zap.Duration("waited", now.Sub(j.sentAt)),
+		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.Duration("waited", now.Sub(j.sentAt)),
 		zap.String("adapter", j.req.Adapter), zap.Duration("since", now.Sub(j.start)), zap.String("note", j.note))
 	j.recordFailure(t.ID, refuse.NewRefusal(j.verdict(), refuse.Overloaded, "%s rejected the request", t.ID).WithRetry(defaultRetry))
 }
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -27,6 +27,8 @@
 	Clock func() time.Duration
 	// StartedAt is the start of this process by Clock.
 	StartedAt time.Duration
+	// Opened, if set, is called with each group that is counted for the first time.
+	Opened func(group string)
 
 	mu     sync.Mutex
 	groups map[string]*counts
@@ -65,6 +67,15 @@
 	return ok
 }
 
+// Usage returns how many retries of the window this host has used, how many it may use, and how many hosts share the bound.
+func (s *Spare) Usage(group string) (used, bound float64, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, share, extra := s.advance(group)
+	hosts = max(1, s.Hosts())
+	return sum(c.retries), usableShare * (share*sum(c.firstSends) + extra/float64(hosts)), hosts
+}
+
 // hasRoom reports whether the bound allows one more retry.
 func (s *Spare) hasRoom(group string) (c *counts, ok bool) {
 	c, share, extra := s.advance(group)
@@ -86,6 +97,9 @@
 			s.groups = map[string]*counts{}
 		}
 		s.groups[group] = c
+		if s.Opened != nil {
+			s.Opened(group)
+		}
 	}
 	for ; c.current < slice && slice-c.current < sliceCount; c.current++ {
 		c.firstSends[(c.current+1)%sliceCount] = 0
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -13,6 +13,10 @@
 	Rejections  = "rejections_total"            // status, doubt, named, reused
 	Strays      = "answers_skipped_total"       // named
 	Breaks      = "request_breaks_total"        // outcome
+	Retries     = "retries_total"               // group, outcome
+	RetryUsed   = "retry_budget_used"           // group
+	RetryBound  = "retry_budget_bound"          // group
+	RetryHosts  = "retry_budget_hosts"          // group
 	Connections = "connections_opened_total"    // none
 	Admits      = "turns_total"                 // outcome
 	Store       = "store_seconds"               // call, rows
@@ -51,6 +55,10 @@
 	Rejections:  "answers that say that the request was not run, by status, whether they named it, and whether their connection was used before",
 	Strays:      "answers of upstreams that do not belong to the request that waited for one, by whether they name another",
 	Breaks:      "upstreams that broke off while they ran a request, by what was made of it: counted, excused, or cleared by an answer",
+	Retries:     "sends of requests beyond the first, by whether the bound of retries allowed them",
+	RetryUsed:   "retries of the window that this host has used of its part of the bound",
+	RetryBound:  "this host's part of the bound of retries of the window",
+	RetryHosts:  "hosts among which this host divides the bound of retries",
 	Connections: "new connections to upstreams",
 	Origins:     "streams that callers resume, by how the build that began them was found",
 	Admits:      "turns asked for at engines by outcome",
