--- a/internal/proxy/answertimer.go
+++ b/internal/proxy/answertimer.go
@@ -17,7 +17,7 @@
 // may accept requests and never answer them while its health check succeeds.
 func (p *Proxy) startAnswerTimer(j *job, left time.Duration, cancel context.CancelFunc) *time.Timer {
 	wait := left
-	if j.mayRunAgain() && j.runs+1 < max(1, j.route.Attempts) && j.route.Target > 0 {
+	if j.mayRunAgain() && j.attempts()+1 < max(1, j.route.Attempts) && j.route.Target > 0 {
 		wait = min(answerTargets*j.route.Target, left*6/10)
 	}
 	return time.AfterFunc(wait, cancel)
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"damaskreach/internal/demand"
+	"damaskreach/internal/doubt"
 	"damaskreach/internal/ident"
 	"damaskreach/internal/intent"
 	"damaskreach/internal/kinds"
+	"damaskreach/internal/resp"
 	"damaskreach/internal/route"
 	"damaskreach/internal/target"
 	"damaskreach/internal/team"
@@ -34,6 +36,7 @@
 
 	sends          int             // to upstreams, including rejected ones
 	runs           int             // sends that may have run
+	rejections     int             // sends that were rejected, but for misses
 	tried          map[string]bool // ids of upstreams that failed or rejected it
 	movedFrom      *target.Target  // upstream at which the stream was cut because it was silent; nil if none
 	pinned         *target.Target  // the one upstream where it may continue; nil for any
@@ -151,7 +154,28 @@
 
 // mayRunAgain reports whether the request may be sent to another upstream after a send that may have run.
 func (j *job) mayRunAgain() bool {
-	return j.route.Repeatable() && j.runs < max(1, j.route.Attempts)
+	return j.route.Repeatable() && j.attempts() < max(1, j.route.Attempts)
+}
+
+// attempts returns how many sends count against the attempts of the request's route: rejected ones too, since an upstream may run what it rejects. A
+// stream that has begun goes on whatever was rejected before: its caller would lose the part that it has.
+func (j *job) attempts() int {
+	if j.headerSent {
+		return j.runs
+	}
+	return j.runs + j.rejections
+}
+
+// mayFollowRejection reports whether a rejected request may be sent to another upstream. One that may run once has its own proof that it was not run,
+// see takenBack.
+func (j *job) mayFollowRejection() bool {
+	return j.headerSent || !j.route.Repeatable() || j.mayRunAgain()
+}
+
+// isMiss reports whether an engine states that it does not hold what the request needs. That is found out by sending it, and says that it cannot
+// have run.
+func (j *job) isMiss(r resp.Resp) bool {
+	return j.req.Adapter != "" && r.Status == http.StatusMisdirectedRequest && r.Rejected && r.Doubt == doubt.None
 }
 
 // mayUse reports whether the request's earlier sends allow an upstream.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -166,7 +166,11 @@
 		p.handleRejection(j, t, r)
 		// A backoff for the failure could outlast a pause that the upstream itself has asked for.
 		j.upstreamFailed = r.Status != http.StatusMisdirectedRequest && p.Avoid.Pause(t.ID, time.Now()) == 0
-		return false
+		if j.mayFollowRejection() {
+			return false
+		}
+		p.refuse(j.w, j, j.lastRefusal)
+		return true
 	}
 	j.runs++
 	if verdict == verd.MayHaveRun && !j.headerSent {
@@ -243,6 +247,9 @@
 		zap.Stringer("doubt", r.Doubt), zap.Bool("named", r.Named), zap.Bool("reused", r.Reused), zap.Bool("repeatable", j.route.Repeatable()),
 		zap.Int("sends", j.sends), zap.Int("runs", j.runs), zap.Duration("waited", now.Sub(j.sentAt)),
 		zap.String("adapter", j.req.Adapter), zap.Duration("since", now.Sub(j.start)), zap.String("note", j.note))
+	if !j.isMiss(r) {
+		j.rejections++
+	}
 	j.recordFailure(t.ID, refuse.NewRefusal(j.verdict(), refuse.Overloaded, "%s rejected the request", t.ID).WithRetry(defaultRetry))
 }
 
