Count an upstream that starts again under its id elsewhere as ended under what was given up

Found by reading; the case in TestEndOfAnUpstreamIsSeenInRegistrations failed before. Whether the users' upstreams do so is not known.

--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -68,10 +68,11 @@
 	silent := map[string]bool{} // whether nothing listens, by address
 	for _, r := range o.look(at) {
 		addr := r.target.Addr
-		replaced := slices.ContainsFunc(at[addr], func(t target.Target) bool {
-			return !t.SameIncarnation(r.target) && !slices.Contains(r.beside, t.ID)
+		current, known := registered[r.target.ID]
+		replaced := known && !current.SameIncarnation(r.target) || slices.ContainsFunc(at[addr], func(t target.Target) bool {
+			return t.ID != r.target.ID && !slices.Contains(r.beside, t.ID)
 		})
-		if _, known := registered[r.target.ID]; known && !replaced {
+		if known && !replaced {
 			continue
 		}
 		if _, dialled := silent[addr]; !dialled && !replaced {
--- a/internal/orphan/orphan_test.go
+++ b/internal/orphan/orphan_test.go
@@ -62,6 +62,8 @@
 		{"successor beside its registration", registered(ran, upstream("w", "a:1", 9)), 3 * time.Second, false, false, 1},
 		{"successor alone", registered(upstream("w", "a:1", 9)), 5 * time.Second, false, false, 1},
 		{"restarted under its id", registered(upstream("u", "a:1", 9)), 3 * time.Second, false, false, 1},
+		{"restarted under its id at another address", registered(upstream("u", "b:1", 9)), 3 * time.Second, false, true, 1},
+		{"moved to another address", registered(upstream("u", "b:1", 5)), 3 * time.Second, false, true, 0},
 		{"gone, nothing listens", registered(), 5 * time.Second, false, true, 1},
 		{"gone, something listens", registered(), 5 * time.Second, false, false, 0},
 		{"predecessor's registration", registered(ran, upstream("t", "a:1", 1)), time.Second, false, false, 0},
