Take a build for the only one only if others say so after the stream was taken up

A host stood still, or was cut off, while engines of a new build joined. Cause: a reading of at most 5 s, or any other host that counted as alive, was taken for the present; both were what was believed before the pause, and answers that had waited in the kernel looked new.

Failed tries: a later reading of the registrations (upstreams of the new build were gone again by then, 4 to 9 joined in 8 s plays); a shortcut for hosts that count no others (a host that stood still for 8 s counts none).

Hosts of the build before do not answer the new question (recall, it was origin), so that while hosts are replaced such streams may be refused.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -103,6 +103,13 @@
 	return "", false
 }
 
+// Of returns the builds that a group runs or has just run, sorted.
+func (b *Builds) Of(group string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Sorted(maps.Keys(b.groups[group]))
+}
+
 // Recent returns the builds of a group that this host has known for less than a time, in which the other hosts learn of them too.
 func (b *Builds) Recent(group string, within time.Duration, now time.Time) (list []string) {
 	b.mu.Lock()
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -71,6 +71,7 @@
 	e.guard = guard.NewGuard()
 	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = e.reach.IsToBlame, e.reach.Refuses, e.Log, e.Stats
 	e.facts = e.buildFacts()
+	e.buildsTurn = semaphore.NewWeighted(1)
 	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
 	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.hostCount, Clock: e.Clock, StartedAt: e.Clock(), Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -50,12 +50,17 @@
 	})
 }
 
-// callAtRate calls ask at a rate until ctx ends, with a client that all requests share.
-func (p *teamFleet) callAtRate(ctx context.Context, rng *rand.Rand, perSecond float64, ask func(client *http.Client)) {
-	client := &http.Client{Transport: &http.Transport{
+// newClient returns a client of the callers' network.
+func (p *teamFleet) newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		DialContext:     func(ctx context.Context, _, addr string) (net.Conn, error) { return p.net.Dial(callerIP)(ctx, addr) },
 		IdleConnTimeout: time.Second,
 	}}
+}
+
+// callAtRate calls ask at a rate until ctx ends, with a client that all requests share.
+func (p *teamFleet) callAtRate(ctx context.Context, rng *rand.Rand, perSecond float64, ask func(client *http.Client)) {
+	client := p.newClient()
 	go func() {
 		defer client.CloseIdleConnections()
 		for ctx.Err() == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/builds"
@@ -114,6 +115,8 @@
 	guard          *guard.Guard
 	origins        *origin.Origin
 	builds         builds.Builds
+	buildsTurn     *semaphore.Weighted // held while the builds that are written down are read
+	buildsRead     time.Duration       // when that last began, by Clock; needs buildsTurn
 	spool          *spool.Spool
 	facts          *facts.Facts
 	memoWriter     memoWriter
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -9,6 +9,7 @@
 
 	"damaskreach/internal/began"
 	"damaskreach/internal/mate"
+	"damaskreach/internal/recall"
 	"damaskreach/internal/spread"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/ticker"
@@ -24,8 +25,9 @@
 	streamPrefix = "began/"
 	// clearInterval is the time between two looks at whether these rows may be removed.
 	clearInterval = 5 * time.Second
-	// maxViewAge is the age of the registrations up to which a host without contact to others relies on them.
-	maxViewAge = 5 * time.Second
+	// lookUpTimeout is how long the build of a stream is looked for: until hosts that are lost count as alive no longer. Others are asked again each askInterval.
+	lookUpTimeout = 1500 * time.Millisecond
+	askInterval   = 100 * time.Millisecond
 )
 
 // observeBuilds records the builds that are registered now. Streams that began before their group ran several builds are made known to other
@@ -134,53 +136,104 @@
 	return build, outcome != "unknown"
 }
 
+// lookUpBuild also tells how the build was found. It asks until enough of the others answer, as hosts that are lost still count as alive for a while.
 func (e *Edge) lookUpBuild(ctx context.Context, attempt, group string) (build, outcome string) {
 	if b, ok := e.origins.Find(attempt); ok && b.Group == group {
 		return b.Build, "own"
 	}
-	if build, ok := e.builds.Sole(group); ok && e.facts.Restored() && e.hearsOfBuilds() {
-		return build, "sole"
-	}
-	if b, ok := e.askOrigin(ctx, attempt); ok && b.Group == group {
-		e.origins.Add(b, time.Now())
-		return b.Build, "asked"
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
+	since := e.Clock()
+	for {
+		asked, answers := e.askOrigin(ctx, attempt, group)
+		for _, r := range answers {
+			if r.Knows(group) {
+				e.origins.Add(r.Began, time.Now())
+				return r.Began.Build, "asked"
+			}
+		}
+		sole, ok := e.soleBuild(group, answers)
+		if !ok {
+			return "", "unknown"
+		}
+		if 2*len(answers) > asked {
+			return sole, "sole"
+		}
+		if e.readBuilds(ctx, since) {
+			if later, ok := e.builds.Sole(group); ok && later == sole {
+				return sole, "read"
+			}
+			return "", "unknown"
+		}
+		if !ticker.Sleep(ctx, askInterval) {
+			return "", "unknown"
+		}
 	}
-	return "", "unknown"
 }
 
-// hearsOfBuilds reports whether this host would know of a build that serves elsewhere: it could have read the store, or others tell it.
-func (e *Edge) hearsOfBuilds() bool {
-	if e.readAge() < maxViewAge {
+// readBuilds learns the builds that hosts have written down, unless it has done so since a time by the clock. It reports false where the store does not tell.
+func (e *Edge) readBuilds(ctx context.Context, since time.Duration) bool {
+	if e.buildsTurn.Acquire(ctx, 1) != nil {
+		return false
+	}
+	defer e.buildsTurn.Release(1)
+	if e.buildsRead > since {
 		return true
 	}
-	m := e.mates.Load()
-	return m != nil && len(m.Serving()) > 0
+	begun := e.Clock()
+	row, err := e.Table.Read(ctx, buildsKey)
+	if err != nil {
+		e.Log.Info("builds not read", zap.Error(err))
+		return false
+	}
+	e.learnFacts(map[string]string{buildsKey: string(row.Value)})
+	e.buildsRead = begun
+	return true
+}
+
+// soleBuild returns the one build of a group that this host and those that have answered know. It counts only if most others say so, or this host has read what is
+// written down since it was asked: a host that was cut off or stood still does not know what has come meanwhile, nor that it does not know.
+func (e *Edge) soleBuild(group string, answers []recall.Recall) (build string, ok bool) {
+	build, ok = e.builds.Sole(group)
+	knowsOthers := func(r recall.Recall) bool { return !r.KnowsOnly(build) }
+	return build, ok && e.facts.Restored() && !slices.ContainsFunc(answers, knowsOthers)
 }
 
-// askOrigin asks the hosts that may remember where a stream began.
-func (e *Edge) askOrigin(ctx context.Context, attempt string) (b began.Began, ok bool) {
+// askOrigin asks the hosts that may remember where a stream began, and returns how many it asked and the answers that came. It waits for no further answers once one
+// knows the stream.
+func (e *Edge) askOrigin(ctx context.Context, attempt, group string) (asked int, answers []recall.Recall) {
 	mesh, hosts := e.mesh.Load(), e.originHosts(attempt, originAsked)
-	if mesh == nil || len(hosts) == 0 {
-		return b, false
+	if mesh == nil {
+		return len(hosts), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	answers := make(chan began.Began, len(hosts))
+	came := make(chan recall.Recall, len(hosts))
 	for _, h := range hosts {
 		go func() {
-			var b began.Began
-			if err := mesh.Ask(ctx, h.PeerAddr, methodOrigin, attempt, &b); err != nil {
+			var r recall.Recall
+			if err := mesh.Ask(ctx, h.PeerAddr, methodRecall, began.Began{Attempt: attempt, Group: group}, &r); err != nil {
 				e.Log.Debug("failed to ask where a stream began", zap.String("host", h.IP), zap.Error(err))
 			}
-			answers <- b
+			came <- r
 		}()
 	}
 	for range hosts {
-		if b = <-answers; b.Attempt != "" {
-			return b, true
+		r := <-came
+		if r.Knows(group) {
+			return len(hosts), []recall.Recall{r}
+		}
+		if len(r.Builds) > 0 {
+			answers = append(answers, r)
 		}
 	}
-	return b, false
+	return len(hosts), answers
+}
+
+// recallStream answers another host that asks which build began a stream.
+func (e *Edge) recallStream(q began.Began) recall.Recall {
+	b, _ := e.origins.Find(q.Attempt) // the zero value if it is not remembered
+	return recall.Recall{Began: b, Builds: e.builds.Of(q.Group)}
 }
 
 // recentBuilds returns the builds of a group that other hosts may not know of yet.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -16,6 +16,7 @@
 	"damaskreach/internal/mates"
 	"damaskreach/internal/peer"
 	"damaskreach/internal/piece"
+	"damaskreach/internal/recall"
 	"damaskreach/internal/ruling"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spent"
@@ -50,7 +51,7 @@
 	methodPiece   = "piece"
 	methodForward = "pass"
 	methodBegan   = "began"
-	methodOrigin  = "origin"
+	methodRecall  = "recall"
 )
 
 // runPeers joins the other hosts once their shared secret is known.
@@ -93,9 +94,8 @@
 		e.keepOrigins(list)
 		return struct{}{}, nil
 	})
-	peer.Answer(mesh, methodOrigin, func(_ context.Context, _, attempt string) (began.Began, error) {
-		b, _ := e.origins.Find(attempt) // the zero value if it is not remembered
-		return b, nil
+	peer.Answer(mesh, methodRecall, func(_ context.Context, _ string, q began.Began) (recall.Recall, error) {
+		return e.recallStream(q), nil
 	})
 	mesh.Handle(methodForward, e.forwardConn)
 	l, err := e.Listen(s.Peers)
