Check again that a bound of retries is used, not only that it holds

When the tests of spare were put in terms of the operators' rule, TestRetriesAreBoundedInEveryWindow lost its check that at least 100 retries are allowed in 40 s of failures; the new one, half of the bound in the worst window, would pass where a host stops after one burst. Both stand now.

--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -142,6 +142,9 @@
 	if share < 0.5 {
 		t.Errorf("retries in one window = %.2f of the bound, want the bound used", share)
 	}
+	if len(p.retries) < 100 {
+		t.Errorf("retries = %d, want the bound used", len(p.retries))
+	}
 }
 
 // The failures of one group must not use up the retries of another.
