Show this host's part of the constant extra of retries, and whether others had ended its session

The hypotheses of the repeats across restarts could not be told apart by logs: `no retry left` gave the bound as one figure, so that nobody could see whether a process took its part of the constant extra, and `session begun` did not say whether the other hosts had counted this one until then.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -66,12 +66,13 @@
 
 // showRetries registers how near a group is to its bound of retries.
 func (e *Edge) showRetries(group string) {
-	read := func(part func(used, bound float64, hosts int) float64) func() float64 {
+	read := func(part func(used, bound, extra float64, hosts int) float64) func() float64 {
 		return func() float64 { return part(e.spare.Usage(group)) }
 	}
-	e.Stats.Gauge(stats.RetryUsed, read(func(used, _ float64, _ int) float64 { return used }), "group", group)
-	e.Stats.Gauge(stats.RetryBound, read(func(_, bound float64, _ int) float64 { return bound }), "group", group)
-	e.Stats.Gauge(stats.RetryHosts, read(func(_, _ float64, hosts int) float64 { return float64(hosts) }), "group", group)
+	e.Stats.Gauge(stats.RetryUsed, read(func(used, _, _ float64, _ int) float64 { return used }), "group", group)
+	e.Stats.Gauge(stats.RetryBound, read(func(_, bound, _ float64, _ int) float64 { return bound }), "group", group)
+	e.Stats.Gauge(stats.RetryExtra, read(func(_, _, extra float64, _ int) float64 { return extra }), "group", group)
+	e.Stats.Gauge(stats.RetryHosts, read(func(_, _, _ float64, hosts int) float64 { return float64(hosts) }), "group", group)
 }
 
 // withMetrics wraps the store to time and count its calls by row group.
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -74,9 +74,9 @@
 	return ok
 }
 
-// Usage returns how many retries this host has used and how many it may use in the window that has the least room left, and how many hosts share the
-// bound.
-func (s *Spare) Usage(group string) (used, bound float64, hosts int) {
+// Usage returns how many retries this host has used and how many it may use in the window that has the least room left, how much of that is its part of
+// the constant extra, and how many hosts share the bound.
+func (s *Spare) Usage(group string) (used, bound, extra float64, hosts int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.tightest(s.advance(group))
@@ -85,28 +85,29 @@
 // hasRoom reports whether the bound allows one more retry.
 func (s *Spare) hasRoom(group string) (c *counts, ok bool) {
 	c = s.advance(group)
-	used, bound, _ := s.tightest(c)
+	used, bound, _, _ := s.tightest(c)
 	return c, used+1 <= bound
 }
 
-// tightest returns the retries and the bound of the window with the least room among those that a retry now would fall into, and the number of
-// hosts that share the bound. Each window counts from the slice that it begins in, so that the bound holds for all, whenever they begin.
-func (s *Spare) tightest(c *counts) (used, bound float64, hosts int) {
+// tightest returns the retries and the bound of the window with the least room among those that a retry now would fall into, this host's part of the
+// constant extra, and the number of hosts that share the bound. Each window counts from the slice that it begins in, so that the bound holds for all, whenever they begin.
+func (s *Spare) tightest(c *counts) (used, bound, extra float64, hosts int) {
 	share, extra, window := s.Bound()
 	if s.Clock()-s.StartedAt < window {
 		extra = 0
 	}
 	hosts = max(s.Hosts(), c.mostHosts())
+	extra *= usableShare / float64(hosts)
 	retries := 0
 	for back := int64(0); back <= sliceCount; back++ {
 		begin := c.current - back
 		retries += c.retries[place(begin)]
-		allowed := usableShare * (share*float64(c.requests(begin)) + extra/float64(hosts))
+		allowed := usableShare*share*float64(c.requests(begin)) + extra
 		if back == 0 || allowed-float64(retries) < bound-used {
 			used, bound = float64(retries), allowed
 		}
 	}
-	return used, bound, hosts
+	return used, bound, extra, hosts
 }
 
 // requests returns the requests that count for a window that begins within a slice, as far as they are known now. Slices that the window covers only in
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -16,6 +16,7 @@
 	Retries     = "retries_total"               // group, outcome
 	RetryUsed   = "retry_budget_used"           // group
 	RetryBound  = "retry_budget_bound"          // group
+	RetryExtra  = "retry_budget_extra"          // group
 	RetryHosts  = "retry_budget_hosts"          // group
 	Connections = "connections_opened_total"    // none
 	Admits      = "turns_total"                 // outcome
@@ -58,6 +59,7 @@
 	Retries:     "sends of requests beyond the first, by whether the bound of retries allowed them",
 	RetryUsed:   "retries of the window that this host has used of its part of the bound",
 	RetryBound:  "this host's part of the bound of retries of the window",
+	RetryExtra:  "what of that bound is this host's part of the constant extra, 0 while it has none",
 	RetryHosts:  "hosts among which this host divides the bound of retries",
 	Connections: "new connections to upstreams",
 	Origins:     "streams that callers resume, by how the build that began them was found",
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -57,7 +57,8 @@
 		// Engines may have been taken over meanwhile, and known rows are older than this renewal. Not so for a session that has just begun: it
 		// has no claims yet, and each new claim expects the revision of the row that it replaces.
 		t.ownersStale, t.sessionBegan = !begins, begins && !passive
-		t.Log.Info("session begun", zap.String("host", t.IP), zap.String("start", t.startID), zap.Int64("revision", rev))
+		t.Log.Info("session begun", zap.String("host", t.IP), zap.String("start", t.startID), zap.Int64("revision", rev),
+			zap.Bool("ended", known.Ended), zap.Duration("after", sent-t.lastRenewal))
 	}
 	if known.session != s.withRates(known.Rates) {
 		t.sessionUnpublished = true
