Take only what a predecessor had to leave of the retries, for a window after a start

What callers saw: retries beyond the bound of a window where hosts are killed while all upstreams of a group fail; upstreams that are just failing get more load.

Cause: a process that starts has empty counts. It took no constant extra for a window, but at once the share of its own requests, though its predecessor may have spent the share of the whole window before. At high rates the sum of both is far beyond the bound.

Change: within its first window a process uses 0.2 of the share of its own requests, the part that each process leaves of its bound.

--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -2,7 +2,8 @@
 //
 // When many requests fail at once, unbounded retries multiply the load just when there is least capacity. All hosts share one
 // bound: each has the share of its own requests and an equal part of the constant extra. A new process doesn't know what its
-// predecessor used and gets no extra until a window has passed; otherwise hosts that crash repeatedly would get it each time.
+// predecessor used. Until a window has passed it gets no extra, and of the share only what its predecessor had to leave; otherwise hosts that
+// start again would send as much once more in the same window.
 package spare
 
 import (
@@ -10,8 +11,7 @@
 	"time"
 )
 
-// usableShare is the part of its bound that a host uses. The rest is for hosts that others have ceased to count while they go on, and for
-// requests whose rates differ between hosts.
+// usableShare is the part of its bound that a host uses. The rest is for processes that start, and for what arrives later than it was sent.
 const usableShare = 0.8
 
 // sliceCount is the number of slices of the window. A window that begins within a slice ends within the one sliceCount later, so that it touches
@@ -93,16 +93,17 @@
 // constant extra, and the number of hosts that share the bound. Each window counts from the slice that it begins in, so that the bound holds for all, whenever they begin.
 func (s *Spare) tightest(c *counts) (used, bound, extra float64, hosts int) {
 	share, extra, window := s.Bound()
-	if s.Clock()-s.StartedAt < window {
-		extra = 0
-	}
 	hosts = max(s.Hosts(), c.mostHosts())
 	extra *= usableShare / float64(hosts)
+	usable := usableShare
+	if s.Clock()-s.StartedAt < window {
+		extra, usable = 0, 1-usableShare
+	}
 	retries := 0
 	for back := int64(0); back <= sliceCount; back++ {
 		begin := c.current - back
 		retries += c.retries[place(begin)]
-		allowed := usableShare*share*float64(c.requests(begin)) + extra
+		allowed := usable*share*float64(c.requests(begin)) + extra
 		if back == 0 || allowed-float64(retries) < bound-used {
 			used, bound = float64(retries), allowed
 		}
--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// All upstreams of a group fail for seconds, and meanwhile hosts are killed, some or all of them, and start again with empty counts. What their predecessors
+// used lies in the same windows.
+func TestStartsLeaveEveryWindowWithinTheBound(t *testing.T) {
+	for seed := range uint64(400) {
+		r := rand.New(rand.NewPCG(seed, 79))
+		hosts, usual, rushed := 1+r.IntN(6), r.IntN(20), r.IntN(30)
+		p := newPlay(hosts, r)
+		for range 200 + r.IntN(50) {
+			p.step(50*time.Millisecond, usual, false)
+		}
+		for range 400 {
+			p.step(50*time.Millisecond, rushed, true)
+			if r.IntN(40) > 0 {
+				continue
+			}
+			all := r.IntN(2) == 0
+			for i := range p.hosts {
+				if all || r.IntN(2) == 0 {
+					p.hosts[i] = p.clock.newHost(hosts)
+				}
+			}
+		}
+		if share := (rule{p.requests, p.retries}).worst(); share > 1 {
+			t.Errorf("seed %d, %d hosts: retries in one window = %.2f of the bound, want 1 at most", seed, hosts, share)
+		}
+	}
+}
+
 // All requests of a group fail at once. Unbounded retries would double the load on failing upstreams; no window may have
 // more than the common bound of all hosts.
 func TestRetriesAreBoundedInEveryWindow(t *testing.T) {
