Take a part of the extra retries only while all other hosts count this one

What callers saw: retries beyond the bound of a window after hosts had stood still or were cut off; failing upstreams get more load.

Cause: the constant extra is divided by the number of hosts that each host believes. One that stood still for longer than its lease is not counted by the others, which take its part; as it goes on it counts itself and takes its part at once. A process that starts waits for a window, a host that was away did not.

Change: tenure says since when all others count this host, from its session; spare gives no extra before they have for a window.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -74,7 +74,7 @@
 	e.buildsTurn = semaphore.NewWeighted(1)
 	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
 	e.uplink = e.buildUplink()
-	e.spare = &spare.Spare{Hosts: e.hostCount, Clock: e.Clock, StartedAt: e.Clock(), Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
+	e.spare = &spare.Spare{Hosts: e.hostCount, CountedSince: e.tenure.CountedSince, Clock: e.Clock, StartedAt: e.Clock(), Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -3,7 +3,8 @@
 // When many requests fail at once, unbounded retries multiply the load just when there is least capacity. All hosts share one
 // bound: each has the share of its own requests and an equal part of the constant extra. A new process doesn't know what its
 // predecessor used. Until a window has passed it gets no extra, and of the share only what its predecessor had to leave; otherwise hosts that
-// start again would send as much once more in the same window.
+// start again would send as much once more in the same window. A host that the others had ceased to count gets no extra until they have counted it
+// for a window.
 package spare
 
 import (
@@ -28,6 +29,8 @@
 	Bound func() (share, extra float64, window time.Duration)
 	// Hosts returns how many hosts share the bound.
 	Hosts func() int
+	// CountedSince returns since when all others count this host among those, by Clock; ok is false while they may not.
+	CountedSince func() (since time.Duration, ok bool)
 	// Clock returns a monotonic time that also advances while the machine is suspended.
 	Clock func() time.Duration
 	// StartedAt is the start of this process by Clock.
@@ -95,6 +98,9 @@
 	share, extra, window := s.Bound()
 	hosts = max(s.Hosts(), c.mostHosts())
 	extra *= usableShare / float64(hosts)
+	if since, ok := s.CountedSince(); !ok || s.Clock()-since < window {
+		extra = 0 // the others may have taken this host's part
+	}
 	usable := usableShare
 	if s.Clock()-s.StartedAt < window {
 		extra, usable = 0, 1-usableShare
--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -19,7 +19,7 @@
 // newHost starts a process on one of the given number of hosts.
 func (d *fakeClock) newHost(hosts int) *spare.Spare {
 	return &spare.Spare{
-		Hosts: func() int { return hosts }, Clock: func() time.Duration { return d.now }, StartedAt: d.now,
+		Hosts: func() int { return hosts }, CountedSince: func() (time.Duration, bool) { return 0, true }, Clock: func() time.Duration { return d.now }, StartedAt: d.now,
 		Bound: func() (float64, float64, time.Duration) { return 0.2, 60, window },
 	}
 }
@@ -156,6 +156,30 @@
 	}
 }
 
+// The others cease to count a host that stands still or is cut off, and divide its part of the extra among themselves. One that takes its part as it goes on
+// sends upstreams what others have sent already.
+func TestNoExtraUntilOthersHaveCountedTheHostForAWindow(t *testing.T) {
+	d := &fakeClock{}
+	s := d.newHost(2)
+	counted, since := true, time.Duration(0)
+	s.CountedSince = func() (time.Duration, bool) { return since, counted }
+	steps := []struct {
+		when    string
+		counted bool
+		want    bool
+	}{{"counted for a window", true, true}, {"not counted", false, false}, {"counted again", true, false}, {"counted again for a window", true, true}}
+	for _, step := range steps {
+		d.advance(window)
+		if step.counted && !counted {
+			since = d.now
+		}
+		counted = step.counted
+		if _, _, extra, _ := s.Usage("g"); (extra > 0) != step.want {
+			t.Errorf("%s: extra = %v, want some: %v", step.when, extra, step.want)
+		}
+	}
+}
+
 // All requests of a group fail at once. Unbounded retries would double the load on failing upstreams; no window may have
 // more than the common bound of all hosts.
 func TestRetriesAreBoundedInEveryWindow(t *testing.T) {
--- a/internal/tenure/era.go
+++ b/internal/tenure/era.go
@@ -25,7 +25,7 @@
 	before := t.era
 	t.carryOver(now)
 	t.era, t.eraSeenAt, t.eraSettled = era, now, false
-	t.hasSession, t.ownersStale, t.epoch = false, false, 0
+	t.hasSession, t.passiveSession, t.ownersStale, t.epoch = false, false, false, 0
 	clear(t.releasing)
 	t.Log.Warn("store in another era", zap.Int64("before", before), zap.Int64("era", era), zap.Int64("read", t.readRev),
 		zap.Int("hosts", len(t.hosts)), zap.Int("engines", len(t.owners)), zap.Int("kept", len(t.carried)))
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -64,6 +64,7 @@
 		t.sessionUnpublished = true
 		t.newestRev = max(t.newestRev, rev)
 	}
+	t.noteCounted(begins, passive, sent)
 	t.hasSession = !passive
 	t.epoch = s.Epoch
 	t.lastRenewal = sent
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -104,6 +104,9 @@
 	epoch              int64         // of this host's session
 	lastRenewal        time.Duration // when the last successful renewal was sent
 	hasSession         bool
+	passiveSession     bool          // this host has a session that it does not renew
+	countedAt          time.Duration // since when all other hosts count this one, while it has a session
+	heardAt            time.Duration // when another host was last heard of
 	unconfirmed        unconfirmedRenewals
 	pace               pace
 	era                int64                   // newest era of the store that was seen
@@ -165,6 +168,7 @@
 	t.mu.Unlock()
 	var renewAt, readAt time.Duration
 	for ctx.Err() == nil {
+		t.noteHeard()
 		now := t.Clock()
 		if now >= readAt {
 			readAt = now + t.readAndClaim(ctx, now-begun)
