Tell without a lock whether a host is alive

What an operator would see: a host that goes on accepting requests and answers no other host any more, renews no session and serves fewer and fewer callers.

Cause: tenure asks whether hosts are alive while it holds its lock (for hosts whose rows have not changed for 10 s, and for those that do not renew their sessions), for which the roster took its own; the roster asks tenure for the owner of an engine while it holds its lock. Where both happen at the same moment, neither ends.

Evidence: since asks in each round, TestEnginesLeaveWhileOthersAreNearlyFull/0 stood still in one run of the tests of that package named Stop or Leav (an earlier run of these did not end within 10 minutes either); the goroutines of one host wait in Roster.Find, from Tenure.Run, and in Tenure.Owner, from Roster.Answer. The same two locks were taken in the same orders before, though more seldom (silentFor). TestLivenessIsToldWhileTheRosterAsksForAnOwner failed before.

Change: IsAlive reads the list that each round of messages makes and takes no lock. Tests of mates and those named Leav or Lost of edge pass.

--- a/internal/mates/live.go
+++ b/internal/mates/live.go
@@ -7,10 +7,11 @@
 	"damaskreach/internal/status"
 )
 
-// IsAlive reports whether a host is alive.
+// IsAlive reports whether another host is alive. It takes no lock: it is called under locks for which the roster waits while it holds its own, to learn who owns
+// an engine, and both would wait for ever.
 func (m *Mates) IsAlive(ip string) bool {
-	_, live := m.Roster.Find(ip, time.Now())
-	return live
+	_, alive := m.Alive()[ip]
+	return alive
 }
 
 // MaxRelayAge returns the age of the oldest report among the relays that count.
