Refuse what has not run yet when its host is about to stop, whatever it waited for

What callers saw (a report of other operators): in a planned stop in calm, requests that came late in the grace period were passed on and cut off at its end, among them some that may not be sent again.

Cause: whether the host is about to stop was asked once, when a request's head had come. The rest of a body, an adapter, a place or a turn may come seconds later, and nobody asked again.

Change: the moment at which a host takes no further request is a context. It ends the waits of requests that have not run, and is asked behind the body and before each send; what has run may go on as before.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -140,7 +140,7 @@
 		Decode: e.DecodeRequest, TeamHeaders: e.TeamHeaders, Headers: e.UpstreamHeaders, DecodeNotice: e.DecodeNotice, Send: e.uplink.Do,
 		CanLoad: e.hasOwner, Admit: e.admit, EndTurn: e.reportTurnEnd, Permit: e.permit, AnnounceLimit: e.reportLimit,
 		Charge: e.limits.Charge, Use: e.trackUse,
-		StopsSoon: e.stopsSoon, Stopping: e.ending, WithDeadline: context.WithDeadline,
+		Closing: e.closing, Stopping: e.ending, WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
 		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
 		BodyRoom:   semaphore.NewWeighted(e.Setup().Memory << 20 / bodyRoomShare),
--- a/internal/edge/detour.go
+++ b/internal/edge/detour.go
@@ -110,7 +110,7 @@
 	if err := s.Recv(ctx, &addr); err != nil {
 		return err
 	}
-	if e.stopsSoon() {
+	if e.closing.Err() != nil {
 		return refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this host is about to stop")
 	}
 	if !slices.Contains(e.upstreamAddrs(), addr) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,16 +120,18 @@
 	spool          *spool.Spool
 	facts          *facts.Facts
 	memoWriter     memoWriter
+	closing        context.Context // done when the host stops too soon to finish another request
 	ending         context.Context // done shortly before the process exits
 	leaving        atomic.Bool
-	leavingSince   atomic.Int64 // when graceful shutdown began, in Unix nanoseconds
 }
 
 // Run serves until ctx ends or a port fails, then finishes requests in flight within the grace period.
 func (e *Edge) Run(ctx context.Context) error {
+	closing, closeEntry := context.WithCancel(context.Background())
+	defer closeEntry()
 	ending, end := context.WithCancel(context.Background())
 	defer end()
-	e.ending = ending
+	e.closing, e.ending = closing, ending
 	handler := e.build()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -146,7 +148,7 @@
 		e.Log.Error("listener failed", zap.Error(fault))
 	case <-ctx.Done():
 	}
-	e.leave(callers, end)
+	e.leave(callers, closeEntry, end)
 	handler.LogUnfinished()
 	return fault
 }
--- a/internal/edge/leave.go
+++ b/internal/edge/leave.go
@@ -19,24 +19,16 @@
 	minIdle = 50 * time.Millisecond
 )
 
-// stopsSoon reports whether a request arriving now may not finish before the host exits. Streams run for seconds; a caller whose stream
-// began before the signal may send its next request on the same connection at any time.
-func (e *Edge) stopsSoon() bool {
-	if !e.leaving.Load() {
-		return false
-	}
-	return time.Since(time.Unix(0, e.leavingSince.Load())) > min(leaveDelay, e.Setup().Grace/3)+minIdle
-}
-
-// leave takes the host out of lookups, serves on while callers use cached answers, and then waits until no caller is connected. If some
-// still are shortly before the grace period ends, it calls end, which sends pending requests their final answers: closing their connections
-// instead would not tell the callers whether the requests ran.
-func (e *Edge) leave(callers net.Listener, end func()) {
+// leave takes the host out of lookups, serves on while callers use cached answers, and then waits until no caller is connected. It calls closeEntry when a
+// request that comes then may not finish any more: streams run for seconds, and a caller whose stream began before the signal may send its next
+// request on the same connection at any time. If some callers still are connected shortly before the grace period ends, it calls end, which
+// sends pending requests their final answers: closing their connections instead would not tell the callers whether the requests ran.
+func (e *Edge) leave(callers net.Listener, closeEntry, end func()) {
 	start := time.Now()
 	grace := e.Setup().Grace - exitReserve
-	e.leavingSince.Store(start.UnixNano())
 	e.leaving.Store(true)
 	e.Log.Info("leaving", zap.Duration("grace", grace))
+	defer time.AfterFunc(min(leaveDelay, e.Setup().Grace/3)+minIdle, closeEntry).Stop()
 	time.Sleep(min(leaveDelay, grace/3))
 	if err := callers.Close(); err != nil {
 		e.Log.Debug("failed to close the listener for callers", zap.Error(err))
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -150,6 +150,23 @@
 	})
 }
 
+// A host is told to stop while it has a request's head and a part of its body. Passed on when the rest has come, late in the grace period, the request would be cut
+// off at its end, though nothing kept another host from serving it.
+func TestStoppingHostRefusesRequestWhoseBodyCameLate(t *testing.T) {
+	withStoppingHost(t, func(t *testing.T, s stoppingHost) {
+		s.mu.Lock()
+		s.serviceTime = longTimeout
+		s.mu.Unlock()
+		s.stop()
+		s.send(t, strings.Replace(request("late"), "Content-Length: 0", "Content-Length: 8", 1)+"half")
+		time.Sleep(idleClosed)
+		s.send(t, "half")
+		if got, want := s.readAnswer(t, "to a request with a late body"), http.StatusServiceUnavailable; got != want {
+			t.Errorf("answer to a request with a late body = %d, want %d", got, want)
+		}
+	})
+}
+
 // A host exits while a request that it accepted waits for an upstream that does not answer.
 func TestStoppingHostAnswersWaitingRequest(t *testing.T) {
 	withStoppingHost(t, func(t *testing.T, s stoppingHost) {
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -81,12 +81,11 @@
 	turnWaits    map[string]time.Duration // for a turn at each engine
 	busy         map[string]bool          // engines without a turn in time
 	storeDown    bool                     // the store does not answer
-	stopsSoon    bool
-	builds       map[string]string // builds that began streams, by attempt
-	crashed      map[string]bool   // addresses at which nothing listens any more
-	recentBuilds []string          // that other hosts may not know of
-	origins      []began.Began     // streams that have begun
-	dial         func(addr string) // called when a connection is opened; may be nil
+	builds       map[string]string        // builds that began streams, by attempt
+	crashed      map[string]bool          // addresses at which nothing listens any more
+	recentBuilds []string                 // that other hosts may not know of
+	origins      []began.Began            // streams that have begun
+	dial         func(addr string)        // called when a connection is opened; may be nil
 }
 
 var errLeaving = errors.New("the upstream has begun to leave")
@@ -135,7 +134,7 @@
 		RecentBuilds: func(string) []string { return b.recentBuilds },
 		Send:         b.do, CanLoad: func(string) bool { return true }, Admit: b.load, EndTurn: func(spent.Spent) {},
 		Guard: b.newGuard(), Speeds: speeds.NewSpeeds(&speed.Speed{}), Use: func(string, string) func() { return func() {} },
-		StopsSoon: func() bool { return b.stopsSoon }, Stopping: context.Background(), WithDeadline: context.WithDeadline,
+		Closing: context.Background(), Stopping: context.Background(), WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return 2 * time.Second }, View: func() view.View { return b.view },
 		Holds: holds.NewHolds(), Pick: pick.NewPick("dc"), Log: zap.NewNop(), RequestLog: zap.NewNop(),
 		StoreDown: func() bool { return b.storeDown },
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -102,8 +102,8 @@
 	RecentBuilds func(group string) []string
 	// Use marks an adapter of an engine as in use until done is called.
 	Use func(id, adapter string) (done func())
-	// StopsSoon reports whether the host stops too soon to finish another request.
-	StopsSoon func() bool
+	// Closing is done when the host stops too soon to finish another request: those that have not run yet get their final answers then.
+	Closing context.Context
 	// Stopping is done when the host is about to stop: requests whose answers have not begun get their final answers then.
 	Stopping context.Context
 	// WithDeadline is context.WithDeadline, or a replacement in tests.
@@ -172,9 +172,8 @@
 		return refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "%v", err)
 	}
 	j.view, j.lastEventID = p.View(), req.LastSeen
-	if p.StopsSoon() {
-		// Accepted, it would be cut off when the host stops, and a booking that was cut off must not be sent again.
-		return refuse.NewRefusal(verd.NotRun, refuse.Leaving, "this host is about to stop").WithRetry(otherHostRetry)
+	if refusal := p.closing(j); refusal != nil {
+		return refusal
 	}
 	if !j.view.HasRules() {
 		return refuse.NewRefusal(verd.NotRun, refuse.NoUpstream, "no configuration yet").WithRetry(p.noConfigRetry(j.start))
@@ -197,6 +196,9 @@
 	if refusal := p.readBody(w, r, j); refusal != nil {
 		return refusal
 	}
+	if refusal := p.closing(j); refusal != nil {
+		return refusal // the rest of a body may come long after its begin
+	}
 	j.ident = ident.NewIdent(j.req, j.team.Name, r.RemoteAddr)
 	return p.blocked(j)
 }
--- a/internal/proxy/refuse_test.go
+++ b/internal/proxy/refuse_test.go
@@ -90,7 +90,7 @@
 // be cut off with the host, so it is refused as not run, and another host can serve it at once.
 func TestHostThatStopsTakesNoMoreRequests(t *testing.T) {
 	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
-	b.stopsSoon = true
+	b.closeEntry()
 	rec, _ := b.call(nil)
 	if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
 		t.Errorf("status = %d, want %d", got, want)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -37,12 +38,12 @@
 		return
 	}
 	for {
-		next, refusal := p.nextPlacement(ctx, j)
+		next, refusal := p.awaitPlacement(ctx, j)
 		if refusal != nil {
 			p.refuse(j.w, j, refusal)
 			return
 		}
-		if refusal := p.blocked(j); refusal != nil {
+		if refusal := cmp.Or(p.closing(j), p.blocked(j)); refusal != nil {
 			p.releasePermit(j, next.target)
 			p.refuse(j.w, j, refusal)
 			return
--- a/internal/proxy/stopping_test.go
+++ b/internal/proxy/stopping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,7 +11,9 @@
 
 	"damaskreach/internal/demand"
 	"damaskreach/internal/intent"
+	"damaskreach/internal/kinds"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/route"
 	"damaskreach/pkg/verd"
 )
 
@@ -26,6 +29,13 @@
 	return b
 }
 
+// closeEntry has the host of a bench accept no further requests.
+func (b *bench) closeEntry() {
+	ctx, end := context.WithCancel(b.t.Context())
+	end()
+	b.Closing = ctx
+}
+
 // wantAnsweredAtStop checks that a request was answered when its host stopped.
 func (b *bench) wantAnsweredAtStop(rec *httptest.ResponseRecorder, status int) {
 	b.t.Helper()
@@ -54,6 +64,60 @@
 	})
 }
 
+// A host is told to stop while a request waits for its turn, and will stop too soon to finish it. Sent later, the request would be cut off with the
+// host, though another one could serve it at once.
+func TestQueuedRequestIsRefusedAsNotRunWhenItsHostIsAboutToStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHolderBench(t, true)
+		ctx, end := context.WithCancel(t.Context())
+		time.AfterFunc(stopsAfter, end)
+		b.Closing = ctx
+		b.Admit = func(ctx context.Context, _ intent.Intent) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		rec, _ := b.call(adapterRequest)
+		b.wantAnsweredAtStop(rec, http.StatusServiceUnavailable)
+		if got, want := rec.Header().Get("Retry-After"), "0.02"; got != want {
+			t.Errorf("Retry-After = %q, want %q", got, want)
+		}
+		b.wantMetrics(`code="leaving",verdict="not-run"} 1`)
+	})
+}
+
+// A host is about to stop just as a request gets its turn.
+func TestRequestThatGetsItsTurnAsItsHostIsAboutToStopIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHolderBench(t, true)
+		b.Admit = func(context.Context, intent.Intent) error {
+			b.closeEntry()
+			return nil
+		}
+		rec, _ := b.call(adapterRequest)
+		if got, want := rec.Code, http.StatusServiceUnavailable; got != want {
+			t.Errorf("status = %d, want %d", got, want)
+		}
+		if got, want := len(b.sent), 0; got != want {
+			t.Errorf("sends = %d, want %d", got, want)
+		}
+	})
+}
+
+// A host is about to stop while an upstream runs a request that may run again, and the upstream breaks off. The request may have run, so that the host goes
+// on with it while it can.
+func TestRequestThatMayHaveRunGoesOnWhereItsHostIsAboutToStop(t *testing.T) {
+	b := newBench(t, route.Route{Kind: kinds.Idempotent, Attempts: 2})
+	broke := answers(http.StatusOK, nil, "half", errors.New("reset"))
+	b.setAnswers(func(s sent) (resp.Resp, error) {
+		b.closeEntry()
+		return broke(s)
+	}, answers(http.StatusOK, nil, "whole", nil))
+	rec, _ := b.call(nil)
+	if got, want := rec.Body.String(), "whole"; got != want {
+		t.Errorf("body = %q, want %q", got, want)
+	}
+}
+
 // A host stops while an upstream has a request and has not answered. The caller is told that it may have run, and the upstream
 // is not blamed.
 func TestSentRequestIsAnsweredWhenItsHostStops(t *testing.T) {
