Take only what brings a stream on for one of its events

Drafts served fall where one of four engines answers a body without end, most where it sends comments.

A comment gave the engine's turn back, was measured as the first event, so that the engine looked as if it read prompts in no time and drew further requests, and restarted the time after which a silent stream is moved.

Change: only an event with an id that the caller lacks counts. Comments are passed on as before, and bounded as before. After: the stream goes on at the other engine within 3 s. The tests of proxy pass. Not shown: how many drafts are served now beside such an engine with real processes.

--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -54,6 +54,7 @@
 func TestStreamWithoutEndIsCutOff(t *testing.T) {
 	for name, piece := range map[string]string{
 		"one event": "x", "one event of many lines": "data: x\n", "nothing": "\n", "events without an id": "data: x\n\n", "the same event": firstEvent,
+		"comments": ": x\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, streamRoute())
@@ -70,6 +71,36 @@
 	}
 }
 
+// An engine in trouble answers with a comment now and then, for ever, and with no event. Taken for events they would keep the stream there until its caller gives up, and the
+// engine would look as if it read prompts in no time and draw further requests.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		b := newHolderBench(t, true)
+		r, w := io.Pipe()
+		go func() {
+			for {
+				if _, err := io.WriteString(w, ": x\n\n"); err != nil {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}()
+		cut := func() { r.CloseWithError(io.ErrClosedPipe) }
+		b.setAnswers(func(sent) (resp.Resp, error) {
+			return resp.Resp{Status: http.StatusOK, Header: http.Header{}, Body: r, Cut: cut, Close: cut}, nil
+		}, answers(http.StatusOK, nil, firstEvent+lastEvent, nil))
+		rec, broken := b.call(adapterRequest)
+		if broken || !strings.HasSuffix(rec.Body.String(), firstEvent+lastEvent) {
+			t.Errorf("answer = %q, broken off = %v, want the stream whole from the other engine", rec.Body.String(), broken)
+		}
+		if got, want := time.Since(b.start), 3*time.Second; got > want {
+			t.Errorf("answered after %v, want %v at most", got, want)
+		}
+		time.Sleep(pause) // until the engine notices
+	})
+}
+
 // Upstreams in trouble answer many requests at once with bytes without end. Each is cut off at the size of the largest answer, but all of them
 // together must not fill the memory of the host either.
 func TestWholeAnswersWithoutEndShareTheirRoom(t *testing.T) {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -120,9 +120,9 @@
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(body)
 	var event bytes.Buffer
-	left := maxIdleBytes
+	left, unflushed := maxIdleBytes, false // unflushed says that events are written that the caller does not have yet
+	m.startWaiting()
 	for {
-		m.startWaiting()
 		switch err := readEvent(in, &event, left); {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			return nil
@@ -131,30 +131,53 @@
 		case err != nil:
 			return err
 		}
-		m.eventReceived()
-		p.releaseTurn(&j.turn, true)
-		if j.firstByteAt.IsZero() {
-			p.recordFirstEvent(j, t)
+		further := j.goesOnWith(event.Bytes())
+		if further {
+			m.eventReceived()
+			p.recordEvent(j, t)
 		}
-		p.recordSound(j, time.Now())
-		last := j.lastEventID
 		if err := j.writeEvent(event.Bytes()); err != nil {
 			return err
 		}
-		if left -= event.Len(); j.lastEventID != last {
-			left = maxIdleBytes
-		}
+		left, unflushed = left-event.Len(), unflushed || further
 		event.Reset()
-		if in.Buffered() > 0 {
-			continue
+		if in.Buffered() == 0 {
+			if unflushed {
+				p.recordEvents(j, t.ID)
+			}
+			unflushed = false
+			if err := control.Flush(); err != nil {
+				return &callerError{err}
+			}
 		}
-		p.recordEvents(j, t.ID)
-		if err := control.Flush(); err != nil {
-			return &callerError{err}
+		if further {
+			left = maxIdleBytes
+			m.startWaiting()
 		}
 	}
 }
 
+// goesOnWith reports whether an event brings the stream on: it has an id, and the caller does not have it yet. Comments do not, nor what an engine in trouble repeats: taken for
+// events, they would give its turn back, make the engine look fast and keep the stream there, so that it drew requests from sound ones.
+func (j *job) goesOnWith(event []byte) bool {
+	id := eventID(event)
+	if id == "" || j.lastEventID == "" {
+		return id != ""
+	}
+	number, err := strconv.Atoi(id)
+	last, lastErr := strconv.Atoi(j.lastEventID)
+	return err != nil || lastErr != nil || number > last
+}
+
+// recordEvent records that an event of the stream has come.
+func (p *Proxy) recordEvent(j *job, t target.Target) {
+	p.releaseTurn(&j.turn, true)
+	if j.firstByteAt.IsZero() {
+		p.recordFirstEvent(j, t)
+	}
+	p.recordSound(j, time.Now())
+}
+
 // readEvent reads up to the end of one event of at most the given size. With an error, event holds the part that was read.
 func readEvent(in *bufio.Reader, event *bytes.Buffer, most int) error {
 	for !bytes.HasSuffix(event.Bytes(), []byte("\n\n")) {
@@ -192,12 +215,12 @@
 // writeEvent writes one whole event to the caller, unless the caller has it already.
 func (j *job) writeEvent(event []byte) error {
 	id := eventID(event)
+	if id != "" && !j.goesOnWith(event) {
+		return nil
+	}
 	if id != "" && j.lastEventID != "" {
 		number, err := strconv.Atoi(id)
 		last, lastErr := strconv.Atoi(j.lastEventID)
-		if err == nil && lastErr == nil && number <= last {
-			return nil
-		}
 		if err == nil && lastErr == nil && number > last+1 {
 			return errors.New("event " + id + " follows event " + j.lastEventID)
 		}
