Count from a session's begin or this process's start, whichever is later

Found on reading: a session whose row another process on the same host had written for a moment set the time since when others count this host back to the start of the process, before others had learnt of it. One rule serves all cases now. tenure's tests pass.

--- a/internal/tenure/counted.go
+++ b/internal/tenure/counted.go
@@ -19,13 +19,12 @@
 	return t.countedAt, t.sessionLeft() > 0
 }
 
-// noteCounted records a renewal: from when on others count this host. The caller holds the lock.
+// noteCounted records a renewal: from when on others count this host. One that begins no session continues that of the process before on this host, or this
+// process's own. The caller holds the lock.
 func (t *Tenure) noteCounted(begins, passive bool, sent time.Duration) {
-	switch {
-	case begins:
+	t.countedAt = max(t.countedAt, t.startedAt)
+	if begins {
 		t.countedAt = sent + learnTime
-	case !t.hasSession && !t.passiveSession:
-		t.countedAt = t.startedAt // they have counted the process before on this host
 	}
 	t.passiveSession = passive
 }
