Count no repeated event as one that brings its stream on, whatever its id

Found on reading the change once more: took each event whose id is no number for a new one, so that an engine that sends the same one again and again was passed on without end.

How far an event is ahead of the last one is worked out by one function in place of two, and the id of an event is looked for once in place of three times.

--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -54,7 +54,7 @@
 func TestStreamWithoutEndIsCutOff(t *testing.T) {
 	for name, piece := range map[string]string{
 		"one event": "x", "one event of many lines": "data: x\n", "nothing": "\n", "events without an id": "data: x\n\n", "the same event": firstEvent,
-		"comments": ": x\n\n",
+		"comments": ": x\n\n", "the same event without a number": "id: a\ndata: a\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, streamRoute())
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -131,12 +131,13 @@
 		case err != nil:
 			return err
 		}
-		further := j.goesOnWith(event.Bytes())
+		id := eventID(event.Bytes())
+		further := j.goesOnWith(id)
 		if further {
 			m.eventReceived()
 			p.recordEvent(j, t)
 		}
-		if err := j.writeEvent(event.Bytes()); err != nil {
+		if err := j.writeEvent(event.Bytes(), id); err != nil {
 			return err
 		}
 		left, unflushed = left-event.Len(), unflushed || further
@@ -157,16 +158,18 @@
 	}
 }
 
-// goesOnWith reports whether an event brings the stream on: it has an id, and the caller does not have it yet. Comments do not, nor what an engine in trouble repeats: taken for
+// goesOnWith reports whether the event with an id, empty for none, brings the stream on: the caller does not have it yet. Comments do not, nor what an engine in trouble repeats: taken for
 // events, they would give its turn back, make the engine look fast and keep the stream there, so that it drew requests from sound ones.
-func (j *job) goesOnWith(event []byte) bool {
-	id := eventID(event)
-	if id == "" || j.lastEventID == "" {
-		return id != ""
-	}
+func (j *job) goesOnWith(id string) bool {
+	by, known := j.ahead(id)
+	return id != "" && id != j.lastEventID && (!known || by > 0)
+}
+
+// ahead returns how far the event with an id is ahead of the last one that was passed on; known is false where that cannot be told.
+func (j *job) ahead(id string) (by int, known bool) {
 	number, err := strconv.Atoi(id)
 	last, lastErr := strconv.Atoi(j.lastEventID)
-	return err != nil || lastErr != nil || number > last
+	return number - last, err == nil && lastErr == nil
 }
 
 // recordEvent records that an event of the stream has come.
@@ -212,18 +215,14 @@
 	j.lastEventAt = now
 }
 
-// writeEvent writes one whole event to the caller, unless the caller has it already.
-func (j *job) writeEvent(event []byte) error {
-	id := eventID(event)
-	if id != "" && !j.goesOnWith(event) {
+// writeEvent writes one whole event with an id, empty for none, to the caller, unless the caller has it already.
+func (j *job) writeEvent(event []byte, id string) error {
+	by, known := j.ahead(id)
+	if known && by <= 0 {
 		return nil
 	}
-	if id != "" && j.lastEventID != "" {
-		number, err := strconv.Atoi(id)
-		last, lastErr := strconv.Atoi(j.lastEventID)
-		if err == nil && lastErr == nil && number > last+1 {
-			return errors.New("event " + id + " follows event " + j.lastEventID)
-		}
+	if known && by > 1 {
+		return errors.New("event " + id + " follows event " + j.lastEventID)
 	}
 	if _, err := j.w.Write(event); err != nil {
 		return &callerError{err}
