Count no refused renewal as one that may have been applied

Callers saw: where the store refuses some renewals and then applies one whose answer is lost, the host counted its lease from the first refused attempt, since that was the first of those noted. Its lease ended up to seconds early and its engines got no loads. Cause: noteRenewal notes every attempt, also one that the store did not take (table.ErrDown), and confirmRenewal counts from the first of them. Change: an attempt that the store did not take is forgotten, unless an earlier one of unknown outcome stands before it. Before: TestRefusedRenewalsTakeNothingOffTheLease had 8.44 s of 10 s left, want 9.89 s; after it passes.

--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -90,7 +90,13 @@
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout(left))
 	defer cancel()
-	return t.Table.Write(ctx, edits...)
+	written, err := t.Table.Write(ctx, edits...)
+	if errors.Is(err, table.ErrDown) {
+		t.mu.Lock()
+		t.forgetRenewal(sent)
+		t.mu.Unlock()
+	}
+	return written, err
 }
 
 // retryDelay returns how long to wait after a failed renewal.
--- a/internal/tenure/unconfirmed.go
+++ b/internal/tenure/unconfirmed.go
@@ -31,6 +31,14 @@
 	maps.DeleteFunc(t.unconfirmed.expected, func(key string, rev int64) bool { return keys[key] != rev })
 }
 
+// forgetRenewal forgets a renewal that the store did not take. Counted as the first of those that may have been applied, it would shorten the
+// lease of a later one; where an earlier one may still be applied, that is the first.
+func (t *Tenure) forgetRenewal(sent time.Duration) {
+	if t.unconfirmed.firstSent == sent {
+		t.unconfirmed = unconfirmedRenewals{}
+	}
+}
+
 // confirmRenewal counts an unconfirmed renewal that the store's row shows to be applied, as of when the first of them was sent.
 func (t *Tenure) confirmRenewal(row rows.Row) {
 	var s session
