Send no renewal again at once that the store's row shows to be applied

Callers saw: in a slow store one host now and then lost its lease, and its engines got no loads until the next renewal. Cause: a renewal whose answer came too late counted as failed, also where the host's row showed right after that it had been applied. It was sent again at once (the delay counts from before the attempt), so that each host took two places in the store's queue where one would do, and the host that came last was refused until its lease had ended. Class: an outcome that is known by a second way is not used for the pace. Change: such a renewal counts as one that took long, and the next comes an interval after it. Test: TestRenewalsWhoseAnswersAreLostAreNotRepeatedAtOnce, 33 renewals in 40 s before where 18 are allowed; passes since.

--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -41,7 +41,9 @@
 	rev, err := t.writeRenewal(ctx, known.rev, s.Epoch, sent, checks[:room], edits)
 	if err != nil {
 		t.Stats.Add(stats.Renewals, 1, "outcome", "failed")
-		t.resolveFailedRenewal(ctx, err)
+		if t.resolveFailedRenewal(ctx, err) {
+			return renewDelay(t.confirmedDelay(sent), room, len(checks))
+		}
 		return t.retryDelay()
 	}
 	t.mu.Lock()
@@ -118,18 +120,27 @@
 	return known.Epoch, false
 }
 
-// resolveFailedRenewal reads this host's row if the error leaves open whether the renewal was applied. A renewal whose answer was lost
-// may have been applied; its revision is then unknown, and the next renewal would conflict with it.
-func (t *Tenure) resolveFailedRenewal(ctx context.Context, cause error) {
+// confirmedDelay returns how long after it was sent a renewal is followed by the next, if its answer was lost and the store's row shows that it, or one
+// before it, was applied. Repeated as one that failed it would take the place of another host's in a store that is slow already.
+func (t *Tenure) confirmedDelay(sent time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pace.succeeded(t.Clock() - t.lastRenewal)
+	return max(minRetryDelay, t.lastRenewal+t.pace.delay()-sent)
+}
+
+// resolveFailedRenewal reads this host's row if the error leaves open whether the renewal was applied, and reports whether it was. A renewal whose answer
+// was lost may have been applied; its revision is then unknown, and the next renewal would conflict with it.
+func (t *Tenure) resolveFailedRenewal(ctx context.Context, cause error) (applied bool) {
 	t.Log.Info("session not renewed", zap.String("host", t.IP), zap.Duration("left", t.LeaseLeft()), zap.Error(cause))
 	if errors.Is(cause, table.ErrDown) {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := t.Table.Read(ctx, hostPrefix+t.IP)
 	if err != nil && !errors.Is(err, table.ErrAbsent) {
-		return
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -137,18 +148,19 @@
 	if err != nil {
 		// The next read tells whether the store was restored without the row.
 		t.rowsDoubtful = true
-		return
+		return false
 	}
 	if era, _ := rows.Era(row.Rev); era > t.era {
 		t.enterEra(era, t.Clock())
-		return
+		return false
 	}
 	t.rowsDoubtful = t.rowsDoubtful || errors.Is(cause, table.ErrConflict) && row.Rev == t.hosts[t.IP].rev
-	t.confirmRenewal(row)
+	applied = t.confirmRenewal(row)
 	t.applyHost(t.IP, row, t.Clock())
 	if t.hosts[t.IP].StartID != t.startID {
 		t.hasSession = false
 	}
+	return applied && !t.rowsDoubtful
 }
 
 // LeaseLeft returns how much of the lease is left; it is negative once the lease has ended.
--- a/internal/tenure/unconfirmed.go
+++ b/internal/tenure/unconfirmed.go
@@ -39,14 +39,14 @@
 	}
 }
 
-// confirmRenewal counts an unconfirmed renewal that the store's row shows to be applied, as of when the first of them was sent.
-func (t *Tenure) confirmRenewal(row rows.Row) {
+// confirmRenewal counts an unconfirmed renewal if the store's row shows it to be applied, as of when the first of them was sent, and reports whether.
+func (t *Tenure) confirmRenewal(row rows.Row) bool {
 	var s session
 	if row.Rev <= t.unconfirmed.rev || rows.CompareEras(row.Rev, t.unconfirmed.rev) != 0 || msgpack.Unmarshal(row.Value, &s) != nil {
-		return
+		return false
 	}
 	if t.epoch != t.unconfirmed.epoch || s.StartID != t.startID || s.Epoch != t.epoch || s.Ended || s.Passive || !t.hasSession {
-		return
+		return false
 	}
 	t.lastRenewal = max(t.lastRenewal, t.unconfirmed.firstSent)
 	for key, rev := range t.unconfirmed.expected {
@@ -55,4 +55,5 @@
 		}
 	}
 	t.unconfirmed = unconfirmedRenewals{}
+	return true
 }
--- a/internal/tenure/unconfirmed_test.go
+++ b/internal/tenure/unconfirmed_test.go
@@ -48,3 +48,39 @@
 		h.cancel()
 	})
 }
+
+// The store applies renewals and their answers are lost. A host that reads in its row that they were applied must not send each of them again at once:
+// where the store is slow, all hosts would do so, and the one that comes last would lose its lease.
+func TestRenewalsWhoseAnswersAreLostAreNotRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lasts, soonest = 40 * time.Second, 2250 * time.Millisecond // the renewal interval, less what delays vary by
+		s := newSite(t, "e1")
+		var failing atomic.Bool
+		var writes atomic.Int64
+		h := s.startHostWith("10.0.0.1", func(h *host) {
+			write := h.Table.Write
+			h.Table.Write = func(ctx context.Context, edits ...rows.Row) (int64, error) {
+				rev, err := write(ctx, edits...)
+				if !failing.Load() || err != nil {
+					return rev, err
+				}
+				writes.Add(1)
+				return 0, table.ErrLost
+			}
+		})
+		time.Sleep(20 * time.Second)
+		failing.Store(true)
+		least := tenure.Lease
+		for range lasts / (100 * time.Millisecond) {
+			time.Sleep(100 * time.Millisecond)
+			least = min(least, h.LeaseLeft())
+		}
+		if got, want := writes.Load(), int64(lasts/soonest)+1; got > want {
+			t.Errorf("got %d renewals in %v, want %d at most", got, lasts, want)
+		}
+		if want := tenure.Lease / 2; least < want {
+			t.Errorf("got %v of the lease left at the least, want %v", least, want)
+		}
+		h.cancel()
+	})
+}
