Retry a renewal the sooner the less of the lease is left, and not in step with the store

Callers saw: where a store refused half of all calls, a host now and then lost its lease, and its engines got no loads until the next renewal. Cause: a failed renewal was sent again after some 0.6 s while much of the lease was left and after a sixth of what was left later, at least 0.2 s: some 18 tries for a lease, all refused now and then. Where the store was full, all hosts retried alike, whatever was left of their leases, and the last tries came every 200 ms, in step with transactions of 300 ms: 11 in a row found the queue full while others got in. Change: the delay falls with the square of what is left, and the shortest is spread by half of itself, so that hosts whose leases end first try most. Evidence (traces in virtual time): TestLeasesOutlastASlowStore, all parts.

--- a/internal/tenure/pace.go
+++ b/internal/tenure/pace.go
@@ -15,7 +15,7 @@
 	intervalStep = 500 * time.Millisecond
 	// maxRenewTimeout bounds one renewal; an answer counts as long as the lease lasts, but a silent connection must be noticed.
 	maxRenewTimeout = 2500 * time.Millisecond
-	// minRetryDelay is the shortest delay before a failed renewal is retried.
+	// minRetryDelay is the shortest delay before a failed renewal is retried, on average.
 	minRetryDelay = 200 * time.Millisecond
 	// jitterShare is the part by which a delay varies at most, so that hosts that lost the store together do not return together.
 	jitterShare = 0.1
@@ -42,15 +42,16 @@
 	p.interval = max(renewInterval, p.interval-intervalStep)
 }
 
-// failed notes a failed renewal and returns the delay before the next: a tenth to three tenths of the interval, but at most a sixth of the
-// lease that is left, so that several more are tried in any case.
+// failed notes a failed renewal and returns the delay before the next: a tenth to three tenths of the interval, and less the less of the lease is left, so
+// that a store which has room for some serves those hosts first whose leases end first. What is shortest varies most: hosts that retry in step with the
+// store's own transactions may find it full each time.
 func (p *pace) failed(left time.Duration) time.Duration {
 	p.interval = min(maxRenewInterval, max(renewInterval, p.interval)+intervalStep)
 	wait := p.interval/10 + rand.N(p.interval/5)
 	if left > 0 {
-		wait = min(wait, left/6)
+		wait = min(wait, time.Duration(left.Seconds()/Lease.Seconds()*float64(left/6)))
 	}
-	return max(minRetryDelay, wait)
+	return max(wait, minRetryDelay/2+rand.N(minRetryDelay))
 }
 
 // renewTimeout returns how long a renewal may take where so much of the lease is left.
