Log and show the requests that a host's bound of retries rests on

It has the requests of the last window and of the one before now, and the metric retry_budget_requests shows the first. No logic changes.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -108,8 +108,10 @@
 	}
 	p.Stats.Add(stats.Retries, 1, "group", j.group, "outcome", "denied")
 	used, bound, extra, hosts := p.Spare.Usage(j.group)
+	last, before := p.Spare.Requests(j.group)
 	p.Log.Info("no retry left", zap.String("request", j.req.ID), zap.String("group", j.group), zap.Int("sends", j.sends),
-		zap.Float64("used", used), zap.Float64("bound", bound), zap.Float64("extra", extra), zap.Int("hosts", hosts))
+		zap.Float64("used", used), zap.Float64("bound", bound), zap.Float64("extra", extra), zap.Int("hosts", hosts),
+		zap.Int("requests", last), zap.Int("before", before))
 	return false
 }
 
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -85,6 +85,14 @@
 	return s.tightest(s.advance(group))
 }
 
+// Requests returns how many first sends this host has counted in the last window and in the one before.
+func (s *Spare) Requests(group string) (last, before int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.advance(group)
+	return c.firstSendsIn(c.current-sliceCount+1, c.current), c.firstSendsIn(c.current-2*sliceCount+1, c.current-sliceCount)
+}
+
 // hasRoom reports whether the bound allows one more retry.
 func (s *Spare) hasRoom(group string) (c *counts, ok bool) {
 	c = s.advance(group)
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -18,6 +18,7 @@
 	RetryBound  = "retry_budget_bound"          // group
 	RetryExtra  = "retry_budget_extra"          // group
 	RetryHosts  = "retry_budget_hosts"          // group
+	RetryBase   = "retry_budget_requests"       // group
 	Connections = "connections_opened_total"    // none
 	Admits      = "turns_total"                 // outcome
 	Store       = "store_seconds"               // call, rows
@@ -61,6 +62,7 @@
 	RetryBound:  "this host's part of the bound of retries of the window",
 	RetryExtra:  "what of that bound is this host's part of the constant extra, 0 while it has none",
 	RetryHosts:  "hosts among which this host divides the bound of retries",
+	RetryBase:   "requests of the last window that this host counts for its bound of retries",
 	Connections: "new connections to upstreams",
 	Origins:     "streams that callers resume, by how the build that began them was found",
 	Admits:      "turns asked for at engines by outcome",
