Give each host retries for a sum over its requests, not for its busiest window

Cause: the bound counts the requests of a window, of the one before or of the one half a window before, whichever has most over all hosts. Each host took the largest of its own. A sum of maxima is no maximum of sums: the host that callers leave counts the window before, the host that they come to counts this one.

Change: a host may use the mean of the two, which adds up to no more than the share of the larger one over all hosts, whatever callers do. The same holds for processes that start, whose own requests count from the first one on: the fifth of their share to which they were held is gone, the share of the window before is their predecessor's. They get the extra only after a window, as before.

The four tests of one shape of spare became one table; each mishap that they played is in it, and hosts now differ in load, age and phase. The test's clock is the runtime's.

--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -1,10 +1,10 @@
 // Package spare is a retry budget: it bounds the sends to upstreams beyond the first one of each request, over a sliding window.
 //
 // When many requests fail at once, unbounded retries multiply the load just when there is least capacity. All hosts share one
-// bound: each has the share of its own requests and an equal part of the constant extra. A new process doesn't know what its
-// predecessor used. Until a window has passed it gets no extra, and of the share only what its predecessor had to leave; otherwise hosts that
-// start again would send as much once more in the same window. A host that the others had ceased to count gets no extra until they have counted it
-// for a window.
+// bound: each has the share of its own requests and an equal part of the constant extra. What hosts may use is a sum over their requests, with the same weights at
+// each, so that all of them together never use more than the share of all requests, wherever callers go and however often processes start. A new process
+// gets no part of the extra until a window has passed, as it doesn't know what its predecessor used of it; nor does a host that the others had ceased to count
+// until they have counted it for a window.
 package spare
 
 import (
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// usableShare is the part of its bound that a host uses. The rest is for processes that start, and for what arrives later than it was sent.
+// usableShare is the part of its bound that a host uses. The rest is for what arrives later than it was sent.
 const usableShare = 0.8
 
 // sliceCount is the number of slices of the window. A window that begins within a slice ends within the one sliceCount later, so that it touches
@@ -25,7 +25,7 @@
 // Spare counts first sends and retries per group of upstreams. It is safe for concurrent use.
 type Spare struct {
 	// Bound returns the current settings: retries as a share of requests, the extra for all hosts, and the window. Of the window, the one before
-	// and the one half a window before, the requests of that with the most count.
+	// and the one half a window before, the requests of all hosts in that with the most count.
 	Bound func() (share, extra float64, window time.Duration)
 	// Hosts returns how many hosts share the bound.
 	Hosts func() int
@@ -109,15 +109,14 @@
 	if since, ok := s.CountedSince(); !ok || s.Clock()-since < window {
 		extra = 0 // the others may have taken this host's part
 	}
-	usable := usableShare
 	if s.Clock()-s.StartedAt < window {
-		extra, usable = 0, 1-usableShare
+		extra = 0
 	}
 	retries := 0
 	for back := int64(0); back <= sliceCount; back++ {
 		begin := c.current - back
 		retries += c.retries[place(begin)]
-		allowed := usable*share*float64(c.requests(begin)) + extra
+		allowed := usableShare*share*c.requests(begin) + extra
 		if back == 0 || allowed-float64(retries) < bound-used {
 			used, bound = float64(retries), allowed
 		}
@@ -125,13 +124,13 @@
 	return used, bound, extra, hosts
 }
 
-// requests returns the requests that count for a window that begins within a slice, as far as they are known now. Slices that the window covers only in
-// part are left out.
-func (c *counts) requests(begin int64) int {
+// requests returns the mean of the requests of a window that begins within a slice, as far as they are known now, and of the window before. Slices that a
+// window covers only in part are left out. The bound counts the requests of all hosts in one of these windows; were each host to take the one in which it
+// has most, hosts that callers leave would count one and hosts that they come to the other.
+func (c *counts) requests(begin int64) float64 {
 	inWindow := c.firstSendsIn(begin+1, c.current)
 	before := c.firstSendsIn(begin-sliceCount+1, begin-1)
-	halfBefore := c.firstSendsIn(begin-sliceCount/2+1, min(c.current, begin+sliceCount/2-1))
-	return max(inWindow, before, halfBefore)
+	return float64(inWindow+before) / 2
 }
 
 // firstSendsIn returns the first sends of the slices from one to another, both included.
--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -4,231 +4,250 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"damaskreach/internal/spare"
 )
 
-const window = 10 * time.Second
-
-// fakeClock is the monotonic clock of the hosts.
-type fakeClock struct{ now time.Duration }
-
-func (d *fakeClock) advance(by time.Duration) { d.now += by }
+const (
+	window = 10 * time.Second
+	share  = 0.2
+	extra  = 60
+	// stepTime is how much time passes between two rounds of requests.
+	stepTime = 50 * time.Millisecond
+)
 
-// newHost starts a process on one of the given number of hosts.
-func (d *fakeClock) newHost(hosts int) *spare.Spare {
+// newHost starts a process on one of a number of hosts, whose clocks began at the given time.
+func newHost(begun time.Time, hosts func() int) *spare.Spare {
+	clock := func() time.Duration { return time.Since(begun) }
 	return &spare.Spare{
-		Hosts: func() int { return hosts }, CountedSince: func() (time.Duration, bool) { return 0, true }, Clock: func() time.Duration { return d.now }, StartedAt: d.now,
-		Bound: func() (float64, float64, time.Duration) { return 0.2, 60, window },
+		Hosts: hosts, CountedSince: func() (time.Duration, bool) { return 0, true }, Clock: clock, StartedAt: clock(),
+		Bound: func() (float64, float64, time.Duration) { return share, extra, window },
 	}
 }
 
+// one is the number of hosts where there are no others.
+func one() int { return 1 }
+
 // rule is what the settings of newHost allow, as the operators put it: in each window no more retries than the share of the requests of that window, of the
 // one before or of the one half a window before, whichever has most, and the extra.
-type rule struct{ requests, retries []time.Duration }
+type rule struct{ requests, retries []time.Time }
 
 // in counts the times of a list, which is in order, that lie in the window from a moment on.
-func in(list []time.Duration, from time.Duration) int {
-	first, _ := slices.BinarySearch(list, from)
-	end, _ := slices.BinarySearch(list, from+window)
+func in(list []time.Time, from time.Time) int {
+	first, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(list, from.Add(window), time.Time.Compare)
 	return end - first
 }
 
 // worst returns the largest share of the bound that was used in any window.
-func (r rule) worst() (share float64) {
-	slices.Sort(r.requests)
-	slices.Sort(r.retries)
+func (r rule) worst() (most float64) {
+	slices.SortFunc(r.requests, time.Time.Compare)
+	slices.SortFunc(r.retries, time.Time.Compare)
 	for _, from := range r.retries {
-		requests := max(in(r.requests, from), in(r.requests, from-window/2), in(r.requests, from-window))
-		share = max(share, float64(in(r.retries, from))/(0.2*float64(requests)+60))
+		requests := max(in(r.requests, from), in(r.requests, from.Add(-window/2)), in(r.requests, from.Add(-window)))
+		most = max(most, float64(in(r.retries, from))/(share*float64(requests)+extra))
 	}
-	return share
+	return most
 }
 
-// play has hosts send requests, each of which wants retries while its group fails.
+// play has callers send requests to hosts, each of which wants retries while its group fails.
 type play struct {
-	hosts    []*spare.Spare
-	clock    *fakeClock
-	alive    int // how many hosts share the bound
-	requests []time.Duration
-	retries  []time.Duration
-}
-
-// newPlay starts hosts whose clocks have phases of their own, and lets a window pass.
-func newPlay(hosts int, r *rand.Rand) *play {
-	p := &play{clock: &fakeClock{}, alive: hosts}
-	for range hosts {
-		phase := time.Duration(r.Int64N(int64(time.Second)))
-		s := p.clock.newHost(0)
-		s.Clock = func() time.Duration { return p.clock.now + phase }
-		s.Hosts = func() int { return p.alive }
-		p.hosts = append(p.hosts, s)
+	*rand.Rand
+	rule
+	hosts   []*spare.Spare
+	begun   []time.Time // when their clocks began
+	alive   int         // how many hosts share the bound
+	callers []int       // the host that each caller uses
+	rate    int         // requests that a caller sends in a step, at most
+	fails   bool
+}
+
+// newPlay starts hosts whose clocks have phases of their own and that callers use unevenly, and lets two windows pass.
+func newPlay(seed uint64) *play {
+	r := rand.New(rand.NewPCG(seed, 82))
+	p := &play{Rand: r, alive: 1 + r.IntN(6), callers: make([]int, 1+r.IntN(12)), rate: 1 + r.IntN(4)}
+	p.hosts = make([]*spare.Spare, p.alive)
+	for i := range p.hosts {
+		p.begun = append(p.begun, time.Now().Add(-time.Duration(r.Int64N(int64(time.Minute)))))
+		p.start(i)
 	}
-	p.clock.advance(window)
+	for i := range p.callers {
+		p.move(i)
+	}
+	p.steps(int(2 * window / stepTime))
 	return p
 }
 
-// step lets the hosts take a number of requests each and, while the group fails, as many retries as they may.
-func (p *play) step(by time.Duration, requests int, fails bool) {
-	p.clock.advance(by)
-	for _, s := range p.hosts {
-		for range requests {
-			s.CountFirst("g")
-			p.requests = append(p.requests, p.clock.now)
-		}
-		for fails && s.TryRetry("g") {
-			p.retries = append(p.retries, p.clock.now)
-		}
-	}
+// start starts a process on a host.
+func (p *play) start(host int) {
+	p.hosts[host] = newHost(p.begun[host], func() int { return p.alive })
 }
 
-// All upstreams of a group fail for moments that lie about a window apart, at any phase and rate. A host that forgets its retries before the window
-// has passed lets two full portions into one window.
-func TestNoWindowHasMoreRetriesThanTheBound(t *testing.T) {
-	for seed := range uint64(400) {
-		r := rand.New(rand.NewPCG(seed, 76))
-		hosts, usual, rushed := 1+r.IntN(6), r.IntN(3), r.IntN(30)
-		p := newPlay(hosts, r)
-		for range 100 {
-			p.step(50*time.Millisecond, usual, false)
-		}
-		for range 5 {
-			gap := time.Duration(9000+r.IntN(1500)) * time.Millisecond
-			for range 1 + r.IntN(8) {
-				p.step(50*time.Millisecond, rushed, true)
-				gap -= 50 * time.Millisecond
-			}
-			for ; gap > 0; gap -= 50 * time.Millisecond {
-				p.step(min(gap, 50*time.Millisecond), usual, false)
+// move has a caller use another host. Half of them use the first one.
+func (p *play) move(caller int) {
+	p.callers[caller] = p.IntN(2) * p.IntN(len(p.hosts))
+}
+
+// steps lets callers send requests a number of times and, while the group fails, hosts send as many retries as they may.
+func (p *play) steps(count int) {
+	for range count {
+		time.Sleep(stepTime)
+		for _, host := range p.callers {
+			for range p.IntN(p.rate + 1) {
+				p.hosts[host].CountFirst("g")
+				p.requests = append(p.requests, time.Now())
 			}
 		}
-		if share := (rule{p.requests, p.retries}).worst(); share > 1 {
-			t.Errorf("seed %d, %d hosts: retries in one window = %.2f of the bound, want 1 at most", seed, hosts, share)
+		for _, s := range p.hosts {
+			for p.fails && s.TryRetry("g") {
+				p.retries = append(p.retries, time.Now())
+			}
 		}
 	}
 }
 
-// Hosts are lost while all upstreams of a group fail, and the others divide the bound among themselves. The lost ones have used their parts in the same
-// window.
-func TestPartOfALostHostIsNotUsedTwice(t *testing.T) {
-	for seed := range uint64(100) {
-		r := rand.New(rand.NewPCG(seed, 77))
-		p := newPlay(2+r.IntN(5), r)
-		for step := range 600 {
-			p.step(50*time.Millisecond, 1, true)
-			if step%100 == 50 && len(p.hosts) > 1 {
-				p.hosts = p.hosts[1+r.IntN(len(p.hosts)-1):]
-				p.alive = len(p.hosts)
-			}
-		}
-		if share := (rule{p.requests, p.retries}).worst(); share > 1 {
-			t.Errorf("seed %d: retries in one window = %.2f of the bound, want 1 at most", seed, share)
-		}
+// befall is something that may befall hosts and callers while a group fails.
+type befall struct {
+	name   string
+	least  float64 // share of the bound that hosts must be able to use in some window all the same
+	change func(p *play)
+}
+
+var befalls = []befall{
+	{"nothing", 0.5, func(*play) {}},
+	{"the group recovers for a moment", 0.5, func(p *play) { p.recover(p.IntN(200)) }},
+	{"it fails a window apart", 0.4, func(p *play) { p.recover(170 + p.IntN(30)) }},
+	{"callers press", 0.4, func(p *play) { p.rate = 1 + p.IntN(20) }},
+	{"one caller goes to another host", 0.5, func(p *play) { p.move(p.IntN(len(p.callers))) }},
+	{"all callers go to another host", 0.5, func(p *play) { p.moveAll(p.IntN(len(p.hosts))) }},
+	{"a host is lost and others get its part", 0.5, (*play).lose},
+	{"a process starts again", 0.33, func(p *play) { p.start(p.IntN(len(p.hosts))) }},
+	{"all processes start again", 0.33, (*play).startAll},
+}
+
+// anyOf is one of several, drawn each time.
+func anyOf(list []befall) befall {
+	return befall{"any of these", 0.33, func(p *play) { list[p.IntN(len(list))].change(p) }}
+}
+
+// recover has the group serve for a number of steps.
+func (p *play) recover(steps int) {
+	p.fails = false
+	p.steps(steps)
+	p.fails = true
+}
+
+func (p *play) startAll() {
+	for i := range p.hosts {
+		p.start(i)
 	}
 }
 
-// All upstreams of a group fail for seconds, and meanwhile hosts are killed, some or all of them, and start again with empty counts. What their predecessors
-// used lies in the same windows.
-func TestStartsLeaveEveryWindowWithinTheBound(t *testing.T) {
-	for seed := range uint64(400) {
-		r := rand.New(rand.NewPCG(seed, 79))
-		hosts, usual, rushed := 1+r.IntN(6), r.IntN(20), r.IntN(30)
-		p := newPlay(hosts, r)
-		for range 200 + r.IntN(50) {
-			p.step(50*time.Millisecond, usual, false)
+// moveAll has all callers use one host.
+func (p *play) moveAll(host int) {
+	for i := range p.callers {
+		p.callers[i] = host
+	}
+}
+
+// lose ends a host for good, if it is not the last one. Its callers go to the others, which divide the bound among themselves.
+func (p *play) lose() {
+	if len(p.hosts) == 1 {
+		return
+	}
+	lost := p.IntN(len(p.hosts))
+	p.hosts, p.begun = slices.Delete(p.hosts, lost, lost+1), slices.Delete(p.begun, lost, lost+1)
+	p.alive = len(p.hosts)
+	for i, host := range p.callers {
+		if host == lost {
+			p.move(i)
 		}
-		for range 400 {
-			p.step(50*time.Millisecond, rushed, true)
-			if r.IntN(40) > 0 {
-				continue
+		p.callers[i] %= len(p.hosts)
+	}
+}
+
+// Upstreams fail while hosts and callers change. Hosts that count the same requests twice, or forget what they or others have sent, send more than all of
+// them together may; hosts that allow too little give up requests that they could save.
+func TestNoWindowHasMoreRetriesThanTheBound(t *testing.T) {
+	for _, b := range append(befalls, anyOf(befalls)) {
+		t.Run(b.name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				synctest.Test(t, func(t *testing.T) {
+					p := newPlay(seed)
+					p.fails = true
+					for range 12 {
+						p.steps(1 + p.IntN(60))
+						b.change(p)
+					}
+					p.steps(10)
+					if got := p.worst(); got > 1 || got < b.least {
+						t.Errorf("seed %d, %d hosts: retries in one window = %.2f of the bound, want %.2f to 1", seed, p.alive, got, b.least)
+					}
+				})
 			}
-			all := r.IntN(2) == 0
-			for i := range p.hosts {
-				if all || r.IntN(2) == 0 {
-					p.hosts[i] = p.clock.newHost(hosts)
+		})
+	}
+}
+
+// Callers turn to another host, and a process starts again, while upstreams fail. The host knows nothing of the window before, and would give up every
+// request that fails until a window has passed.
+func TestHostWithNewCallersMayRetryAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		s := newHost(begun, one)
+		s.CountedSince = func() (time.Duration, bool) { return 0, false }
+		for second := 1; second <= 10; second++ {
+			retries := 0
+			for range 100 {
+				time.Sleep(time.Second / 100)
+				s.CountFirst("g")
+				if s.TryRetry("g") {
+					retries++
 				}
 			}
+			if want := int(100*share) / 4; second > 1 && retries < want {
+				t.Errorf("second %d: %d retries for 100 requests, want %d at least", second, retries, want)
+			}
 		}
-		if share := (rule{p.requests, p.retries}).worst(); share > 1 {
-			t.Errorf("seed %d, %d hosts: retries in one window = %.2f of the bound, want 1 at most", seed, hosts, share)
-		}
-	}
+	})
 }
 
 // The others cease to count a host that stands still or is cut off, and divide its part of the extra among themselves. One that takes its part as it goes on
 // sends upstreams what others have sent already.
 func TestNoExtraUntilOthersHaveCountedTheHostForAWindow(t *testing.T) {
-	d := &fakeClock{}
-	s := d.newHost(2)
-	counted, since := true, time.Duration(0)
-	s.CountedSince = func() (time.Duration, bool) { return since, counted }
-	steps := []struct {
-		when    string
-		counted bool
-		want    bool
-	}{{"counted for a window", true, true}, {"not counted", false, false}, {"counted again", true, false}, {"counted again for a window", true, true}}
-	for _, step := range steps {
-		d.advance(window)
-		if step.counted && !counted {
-			since = d.now
-		}
-		counted = step.counted
-		if _, _, extra, _ := s.Usage("g"); (extra > 0) != step.want {
-			t.Errorf("%s: extra = %v, want some: %v", step.when, extra, step.want)
+	synctest.Test(t, func(t *testing.T) {
+		s := newHost(time.Now(), func() int { return 2 })
+		counted, since := true, time.Duration(0)
+		s.CountedSince = func() (time.Duration, bool) { return since, counted }
+		steps := []struct {
+			when    string
+			counted bool
+			want    bool
+		}{{"counted for a window", true, true}, {"not counted", false, false}, {"counted again", true, false}, {"counted again for a window", true, true}}
+		for _, step := range steps {
+			time.Sleep(window)
+			if step.counted && !counted {
+				since = s.Clock()
+			}
+			counted = step.counted
+			if _, _, extra, _ := s.Usage("g"); (extra > 0) != step.want {
+				t.Errorf("%s: extra = %v, want some: %v", step.when, extra, step.want)
+			}
 		}
-	}
-}
-
-// All requests of a group fail at once. Unbounded retries would double the load on failing upstreams; no window may have
-// more than the common bound of all hosts.
-func TestRetriesAreBoundedInEveryWindow(t *testing.T) {
-	p := newPlay(3, rand.New(rand.NewPCG(1, 1)))
-	for range 400 {
-		p.step(100*time.Millisecond, 1, true)
-	}
-	share := (rule{p.requests, p.retries}).worst()
-	if share > 1 {
-		t.Errorf("retries in one window = %.2f of the bound, want 1 at most", share)
-	}
-	if share < 0.5 {
-		t.Errorf("retries in one window = %.2f of the bound, want the bound used", share)
-	}
-	if len(p.retries) < 100 {
-		t.Errorf("retries = %d, want the bound used", len(p.retries))
-	}
+	})
 }
 
 // The failures of one group must not use up the retries of another.
 func TestGroupsAreBoundedSeparately(t *testing.T) {
-	d := &fakeClock{}
-	s := d.newHost(1)
-	d.advance(window)
-	for s.TryRetry("g") {
-	}
-	if !s.TryRetry("h") {
-		t.Error("no retry for the other group, want one")
-	}
-}
-
-// Hosts restart several times within a window while all requests fail. If each new process had a full part of the bound,
-// upstreams would get several times the common bound.
-func TestRestartDoesNotRenewTheBound(t *testing.T) {
-	const hosts = 8
-	p := newPlay(hosts, rand.New(rand.NewPCG(2, 1)))
-	for step := range 300 {
-		if step%40 == 39 {
-			for i := range hosts * 7 / 10 {
-				p.hosts[i] = p.clock.newHost(hosts)
-			}
+	synctest.Test(t, func(t *testing.T) {
+		s := newHost(time.Now(), one)
+		time.Sleep(window)
+		for s.TryRetry("g") {
 		}
-		requests := 0
-		if step%10 == 0 {
-			requests = 1
+		if !s.TryRetry("h") {
+			t.Error("no retry for the other group, want one")
 		}
-		p.step(100*time.Millisecond, requests, true)
-	}
-	if share := (rule{p.requests, p.retries}).worst(); share > 1 {
-		t.Errorf("retries in one window = %.2f of the bound, want 1 at most", share)
-	}
+	})
 }
