Give a process that starts the part of the extra retries that nobody has used

Callers of a host that had just started lost what failed in its first seconds: 2 retries for 59 lookups 1 s after a planned stop in calm, and 2 for 59 in the first seconds after the first start of all hosts (TestHostsMayRetrySoonAfterTheyStart on the code before, real processes).

Cause: a process got no part of the constant extra for a window, and a host that began its session for 5 s more, whatever was known of its predecessor and of the others.

A host says in its row that it uses its part before it does, and reads all rows behind that; one that has begun its session and then sees of each other host that it does not use its part yet has its own at once. A process that waits for what the last one may have used says that the part is used, so that a second kill does not make it look unused. What a killed process has used rests for a window, as before.

TestProcessThatStartsKnowsWhatTheLastOneLeft, TestHostsThatStartTogetherHaveTheirPartsSoon (drawn starts; all killed twice; a host added later waits), TestNextProcessHasWhatTheLastOneLeftOfTheExtra. TestNoExtraUntilOthersHaveCountedTheHostForAWindow is now TestHostThatOthersCeasedToCountKnowsIt alone, since tenure decides it; that test asks for the learning time and a window. Six mutations of part.go fail these tests.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -74,7 +74,7 @@
 	e.buildsTurn = semaphore.NewWeighted(1)
 	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
 	e.uplink = e.buildUplink()
-	e.spare = &spare.Spare{Hosts: e.hostCount, CountedSince: e.tenure.CountedSince, Clock: e.Clock, StartedAt: e.Clock(), Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
+	e.spare = &spare.Spare{Hosts: e.hostCount, Part: e.retryPart, Refused: e.tenure.WantPart, Clock: e.Clock, Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
@@ -117,7 +117,8 @@
 		Table: e.withPassedRows(e.Table), Store: e.Table, ListFromPeers: e.rowsFromPeers, PeerTimeout: e.storePatience,
 		IP: s.IP, PeerAddr: s.Peers, CallerAddr: s.Callers, Centre: s.Centre, Cores: s.Cores,
 		OrderGap: func() time.Duration { return e.Setup().Turn }, Clock: e.Clock, RetryDelay: e.retryDelay,
-		Blocked: e.unreachable, ShouldRelease: e.shouldRelease, LastOrder: e.lastOrder, PeerReaches: e.hostReaches,
+		PartMemory: func() time.Duration { return e.Setup().Window },
+		Blocked:    e.unreachable, ShouldRelease: e.shouldRelease, LastOrder: e.lastOrder, PeerReaches: e.hostReaches,
 		Engines: e.engines, Live: e.isAlive, ReadDelegated: e.readsDelegated, Publish: e.feeds.Keep,
 		Log: e.Log, Stats: e.Stats,
 	}
--- a/internal/edge/leave.go
+++ b/internal/edge/leave.go
@@ -27,6 +27,7 @@
 	start := time.Now()
 	grace := e.Setup().Grace - exitReserve
 	e.leaving.Store(true)
+	e.tenure.ReturnPart(e.spare.Close().Encode())
 	e.Log.Info("leaving", zap.Duration("grace", grace))
 	defer time.AfterFunc(min(leaveDelay, e.Setup().Grace/3)+minIdle, closeEntry).Stop()
 	time.Sleep(min(leaveDelay, grace/3))
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -2,14 +2,15 @@
 //
 // When many requests fail at once, unbounded retries multiply the load just when there is least capacity. All hosts share one
 // bound: each has the share of its own requests and an equal part of the constant extra. What hosts may use is a sum over their requests, with the same weights at
-// each, so that all of them together never use more than the share of all requests, wherever callers go and however often processes start. A new process
-// gets no part of the extra until a window has passed, as it doesn't know what its predecessor used of it; nor does a host that the others had ceased to count
-// until they have counted it for a window.
+// each, so that all of them together never use more than the share of all requests, wherever callers go and however often processes start. Whether a host
+// has its part of the extra, and what its last process has left of it, is told by Part.
 package spare
 
 import (
 	"sync"
 	"time"
+
+	"damaskreach/internal/used"
 )
 
 // usableShare is the part of its bound that a host uses. The rest is for what arrives later than it was sent.
@@ -29,17 +30,19 @@
 	Bound func() (share, extra float64, window time.Duration)
 	// Hosts returns how many hosts share the bound.
 	Hosts func() int
-	// CountedSince returns since when all others count this host among those, by Clock; ok is false while they may not.
-	CountedSince func() (since time.Duration, ok bool)
+	// Part reports whether this host may use its part of the constant extra, and what the last process on it had used within the window, as its Close
+	// returned it.
+	Part func() (before used.Used, ok bool)
 	// Clock returns a monotonic time that also advances while the machine is suspended.
 	Clock func() time.Duration
-	// StartedAt is the start of this process by Clock.
-	StartedAt time.Duration
+	// Refused, if set, is called when a retry is refused for the bound.
+	Refused func()
 	// Opened, if set, is called with each group that is counted for the first time.
 	Opened func(group string)
 
 	mu     sync.Mutex
 	groups map[string]*counts
+	closed bool
 }
 
 // counts holds what came in each slice. A slice has the place of its number modulo keptSlices.
@@ -82,7 +85,7 @@
 func (s *Spare) Usage(group string) (used, bound, extra float64, hosts int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tightest(s.advance(group))
+	return s.tightest(group, s.advance(group))
 }
 
 // Requests returns how many first sends this host has counted in the last window and in the one before.
@@ -96,32 +99,35 @@
 // hasRoom reports whether the bound allows one more retry.
 func (s *Spare) hasRoom(group string) (c *counts, ok bool) {
 	c = s.advance(group)
-	used, bound, _, _ := s.tightest(c)
-	return c, used+1 <= bound
+	used, bound, _, _ := s.tightest(group, c)
+	ok = used+1 <= bound
+	if !ok && s.Refused != nil {
+		s.Refused()
+	}
+	return c, ok
 }
 
 // tightest returns the retries and the bound of the window with the least room among those that a retry now would fall into, this host's part of the
 // constant extra, and the number of hosts that share the bound. Each window counts from the slice that it begins in, so that the bound holds for all, whenever they begin.
-func (s *Spare) tightest(c *counts) (used, bound, extra float64, hosts int) {
-	share, extra, window := s.Bound()
-	hosts = max(s.Hosts(), c.mostHosts())
-	extra *= usableShare / float64(hosts)
-	if since, ok := s.CountedSince(); !ok || s.Clock()-since < window {
-		extra = 0 // the others may have taken this host's part
-	}
-	if s.Clock()-s.StartedAt < window {
-		extra = 0
-	}
+func (s *Spare) tightest(group string, c *counts) (used, bound, extra float64, hosts int) {
+	share, _, _ := s.Bound()
+	extra, hosts = s.part(group, c)
+	used, allowed := s.leastRoom(share, c)
+	return used, allowed + extra, extra, hosts
+}
+
+// leastRoom returns the retries and the share of the requests of the window with the least room.
+func (s *Spare) leastRoom(share float64, c *counts) (used, allowed float64) {
 	retries := 0
 	for back := int64(0); back <= sliceCount; back++ {
 		begin := c.current - back
 		retries += c.retries[place(begin)]
-		allowed := usableShare*share*c.requests(begin) + extra
-		if back == 0 || allowed-float64(retries) < bound-used {
-			used, bound = float64(retries), allowed
+		requests := usableShare * share * c.requests(begin)
+		if back == 0 || requests-float64(retries) < allowed-used {
+			used, allowed = float64(retries), requests
 		}
 	}
-	return used, bound, extra, hosts
+	return used, allowed
 }
 
 // requests returns the mean of the requests of a window that begins within a slice, as far as they are known now, and of the window before. Slices that a
--- a/internal/tenure/read.go
+++ b/internal/tenure/read.go
@@ -47,7 +47,7 @@
 	delegated := t.ReadDelegated()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return delegated && !t.eraOutdated() && !t.ownersStale && !t.rowsDoubtful &&
+	return delegated && !t.eraOutdated() && !t.ownersStale && !t.rowsDoubtful && !t.partUnread() &&
 		t.peerRev <= t.readRev && t.Clock()-t.lastRead < t.delegatedInterval()
 }
 
@@ -60,7 +60,7 @@
 func (t *Tenure) fetchRows(ctx context.Context) error {
 	t.mu.Lock()
 	t.readBegan = t.Clock()
-	after, stale, direct, outdated := t.readRev, t.ownersStale, t.ownersStale || t.rowsDoubtful, t.eraOutdated()
+	after, stale, direct, outdated := t.readRev, t.ownersStale, t.ownersStale || t.rowsDoubtful || t.partUnread(), t.eraOutdated()
 	t.mu.Unlock()
 	if outdated {
 		after = 0
@@ -211,6 +211,7 @@
 	}
 	t.readRev = max(t.readRev, rev)
 	t.lastRead, t.rowsDoubtful = now, false
+	t.checkOthers()
 	return news
 }
 
--- a/internal/tenure/renew.go
+++ b/internal/tenure/renew.go
@@ -21,19 +21,20 @@
 	now := t.Clock()
 	checks := t.renewalChecks(begins)
 	settled, early := t.checkEraSettled(now), begins && t.epoch > 0 && !known.Ended && now-t.lastRenewal < t.takeoverWait()
+	state, taken := t.nextPart(known, begins, passive)
 	t.mu.Unlock()
 	if early {
 		// Nobody has ended the previous session, so nobody has waited for its lease: others would take its engines at once.
 		return shortInterval
 	}
-	if passive && known.Passive && !known.Ended && known.StartID == t.startID {
+	if passive && known.Passive && !known.Ended && known.StartID == t.startID && known.Part == state {
 		// With more engines or fewer hosts, this host may become an owner.
 		return shortInterval
 	}
 	sent := t.Clock()
 	s := session{
 		IP: t.IP, PeerAddr: t.PeerAddr, CallerAddr: t.CallerAddr, Centre: t.Centre, Cores: t.Cores, StartID: t.startID, Epoch: epoch,
-		Passive: passive, EraSettled: settled, Rates: t.LocalRates(),
+		Passive: passive, EraSettled: settled, Part: state, Taken: taken, Rates: t.LocalRates(),
 	}
 	edits := append([]rows.Row{{Key: hostPrefix + t.IP, Value: encode(s), Rev: known.rev}}, t.ExtraRows()...)
 	room := min(len(checks), max(0, maxTxEntries-1-len(edits)))
@@ -66,14 +67,17 @@
 		t.sessionUnpublished = true
 		t.newestRev = max(t.newestRev, rev)
 	}
-	t.noteCounted(begins, passive, sent)
-	t.hasSession = !passive
+	if begins {
+		t.beginPart(sent)
+	}
+	t.hasSession, t.passiveSession = !passive, passive
 	t.epoch = s.Epoch
 	t.lastRenewal = sent
 	for _, row := range checks[:room] {
 		t.markChecked(row.Key, sent)
 	}
 	t.hosts[t.IP] = hostRow{session: s, rev: rev, seenAt: sent}
+	t.notePart(rev)
 	t.unconfirmed = unconfirmedRenewals{}
 	t.pace.succeeded(t.Clock() - sent)
 	if t.ownersStale || t.sessionBegan || passive {
@@ -152,6 +156,7 @@
 	t.rowsDoubtful = t.rowsDoubtful || errors.Is(cause, table.ErrConflict) && row.Rev == t.hosts[t.IP].rev
 	applied = t.confirmRenewal(row)
 	t.applyHost(t.IP, row, t.Clock())
+	t.notePart(row.Rev)
 	if t.hosts[t.IP].StartID != t.startID {
 		t.hasSession = false
 	}
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -31,6 +31,9 @@
 	Passive    bool    `msgpack:"passive"` // the host sends no orders and does not renew the row
 	Ended      bool    `msgpack:"ended"`   // others have seen the session lapse; it owns nothing any more
 	EraSettled bool    `msgpack:"calm"`    // no lease of an earlier era of the store could be in force when this was written
+	// Part is what became of the host's part of what all hosts divide by their number, and Taken what was used of one that is returned.
+	Part  partState `msgpack:"part"`
+	Taken string    `msgpack:"taken,omitempty"`
 	// Rates is what the host has measured, for hosts that start later.
 	Rates rates.Rates `msgpack:"rates"`
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -71,6 +71,8 @@
 	Live func(ip string) bool
 	// Blocked reports whether this host cannot reach an engine now, and so sends it no orders; nil means that it reaches all.
 	Blocked func(id string) bool
+	// PartMemory returns for how long what was used of a host's part counts.
+	PartMemory func() time.Duration
 	// ShouldRelease reports whether this host is to release an engine that it cannot reach but others can; nil means none.
 	ShouldRelease func(id string) bool
 	// LastOrder returns when this host sent an engine its last order, by Clock; false where this process has sent none.
@@ -105,7 +107,7 @@
 	lastRenewal        time.Duration // when the last successful renewal was sent
 	hasSession         bool
 	passiveSession     bool          // this host has a session that it does not renew
-	countedAt          time.Duration // since when all other hosts count this one, while it has a session
+	part               part          // of what all hosts divide by their number
 	heardAt            time.Duration // when another host was last heard of
 	unconfirmed        unconfirmedRenewals
 	pace               pace
@@ -164,7 +166,7 @@
 	t.mu.Unlock()
 	begun := t.Clock()
 	t.mu.Lock()
-	t.startedAt = begun
+	t.startedAt, t.part.unused = begun, true
 	t.mu.Unlock()
 	var renewAt, readAt time.Duration
 	for ctx.Err() == nil {
@@ -183,6 +185,9 @@
 		}
 		if t.sleep(ctx, min(readAt, max(renewAt, now+time.Millisecond))-t.Clock()) {
 			readAt = 0
+			if t.partUnreturned() {
+				renewAt = 0
+			}
 		}
 	}
 }
@@ -191,7 +196,7 @@
 func (t *Tenure) needsRead() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ownersStale || t.rowsDoubtful || t.eraOutdated()
+	return t.ownersStale || t.rowsDoubtful || t.eraOutdated() || t.partUnread()
 }
 
 // sleep waits for d; it returns true early where there is something to read or to claim.
@@ -222,6 +227,11 @@
 		return
 	}
 	t.peerRev = max(t.peerRev, rev)
+	t.wakeUp()
+}
+
+// wakeUp ends a sleep of Run, or the next one.
+func (t *Tenure) wakeUp() {
 	select {
 	case t.wake <- struct{}{}:
 	default:
@@ -236,10 +246,7 @@
 	if t.wake == nil || !t.hasSession {
 		return
 	}
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
+	t.wakeUp()
 }
 
 // NewestRev returns the revision of the newest change read that matters to other hosts.
