--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -74,7 +74,7 @@
 	e.buildsTurn = semaphore.NewWeighted(1)
 	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
 	e.uplink = e.buildUplink()
-	e.spare = &spare.Spare{Hosts: e.hostCount, Part: e.retryPart, Refused: e.tenure.WantPart, Clock: e.Clock, Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
+	e.spare = &spare.Spare{Hosts: e.hostCount, Part: e.retryPart, Refused: e.tenure.WantPart, Heard: e.reach.LastHeard, Clock: e.Clock, Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -73,6 +73,7 @@
 	e.Stats.Gauge(stats.RetryBound, read(func(_, bound, _ float64, _ int) float64 { return bound }), "group", group)
 	e.Stats.Gauge(stats.RetryExtra, read(func(_, _, extra float64, _ int) float64 { return extra }), "group", group)
 	e.Stats.Gauge(stats.RetryHosts, read(func(_, _, _ float64, hosts int) float64 { return float64(hosts) }), "group", group)
+	e.Stats.Gauge(stats.RetryLate, func() float64 { return float64(e.spare.Late(group)) }, "group", group)
 	e.Stats.Gauge(stats.RetryBase, func() float64 {
 		last, _ := e.spare.Requests(group)
 		return float64(last)
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -141,7 +141,7 @@
 		StoreDown: func() bool { return b.storeDown },
 		ViewAge:   func() time.Duration { return 0 },
 		Spare: &spare.Spare{
-			Hosts: func() int { return 1 }, Part: func() (used.Used, bool) { return used.Used{}, true },
+			Hosts: func() int { return 1 }, Part: func() (used.Used, bool) { return used.Used{}, true }, Heard: func(string) time.Time { return time.Now() },
 			Clock: func() time.Duration { return time.Since(b.start) },
 			Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second },
 		},
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -102,7 +102,7 @@
 
 // tryRetry reports whether the retry budget allows one more send of the request.
 func (p *Proxy) tryRetry(j *job) bool {
-	if p.Spare.TryRetry(j.group) {
+	if p.Spare.TryRetry(j.group, j.req.ID) {
 		p.Stats.Add(stats.Retries, 1, "group", j.group, "outcome", "allowed")
 		return true
 	}
@@ -111,7 +111,7 @@
 	last, before := p.Spare.Requests(j.group)
 	p.Log.Info("no retry left", zap.String("request", j.req.ID), zap.String("group", j.group), zap.Int("sends", j.sends),
 		zap.Float64("used", used), zap.Float64("bound", bound), zap.Float64("extra", extra), zap.Int("hosts", hosts),
-		zap.Int("requests", last), zap.Int("before", before))
+		zap.Int("requests", last), zap.Int("before", before), zap.Int("late", p.Spare.Late(j.group)))
 	return false
 }
 
@@ -142,6 +142,9 @@
 	headers := func() http.Header { return p.Headers(t.ID, time.Until(j.deadline()), version, j.lastEventID) }
 	r, err := p.Send(ctx, t.Addr, j.req, headers, func() bool { return p.usable(t) })
 	if err != nil {
+		if ctx.Err() != nil && verd.Of(err) != verd.NotRun {
+			p.Spare.GaveUp(j.group, j.req.ID, t.Addr)
+		}
 		return p.handleNoAnswer(ctx, context.Cause(requestCtx), j, t, err)
 	}
 	defer r.Close()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -260,6 +260,15 @@
 	r.lastHeard.Store(now)
 }
 
+// LastHeard returns when something last came from an upstream over a direct connection; the zero time where nothing has.
+func (r *Reach) LastHeard(addr string) time.Time {
+	heard := r.path(addr).lastHeard.Load()
+	if heard == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, heard)
+}
+
 func (r *Reach) path(addr string) *path {
 	if p, ok := r.paths.Load(addr); ok {
 		return p.(*path)
--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -35,6 +35,8 @@
 	Part func() (before used.Used, ok bool)
 	// Clock returns a monotonic time that also advances while the machine is suspended.
 	Clock func() time.Duration
+	// Heard returns when something last came from an upstream's address; the zero time where nothing has.
+	Heard func(addr string) time.Time
 	// Refused, if set, is called when a retry is refused for the bound.
 	Refused func()
 	// Opened, if set, is called with each group that is counted for the first time.
@@ -49,8 +51,11 @@
 type counts struct {
 	firstSends [keptSlices]int
 	retries    [keptSlices]int
-	hosts      [keptSlices]int // that shared the bound as the slice began
-	current    int64           // number of the current slice
+	hosts      [keptSlices]int  // that shared the bound as the slice began
+	current    int64            // number of the current slice
+	sent       map[string]*sent // requests that may yet arrive or were sent again, by id
+	late       int              // retries among those that may yet arrive, as of settledAt
+	settledAt  time.Duration
 }
 
 // CountFirst counts the first send of a request.
@@ -59,15 +64,16 @@
 	defer s.mu.Unlock()
 	c := s.advance(group)
 	c.firstSends[place(c.current)]++
+	s.settle(c)
 }
 
-// TryRetry reports whether a retry is allowed and, if so, counts it.
-func (s *Spare) TryRetry(group string) bool {
+// TryRetry reports whether a retry of a request is allowed and, if so, counts it.
+func (s *Spare) TryRetry(group, request string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c, ok := s.hasRoom(group)
 	if ok {
-		c.retries[place(c.current)]++
+		c.countRetry(request, s.Clock()+s.window())
 	}
 	return ok
 }
@@ -118,7 +124,7 @@
 
 // leastRoom returns the retries and the share of the requests of the window with the least room.
 func (s *Spare) leastRoom(share float64, c *counts) (used, allowed float64) {
-	retries := 0
+	retries := s.settle(c)
 	for back := int64(0); back <= sliceCount; back++ {
 		begin := c.current - back
 		retries += c.retries[place(begin)]
@@ -162,7 +168,7 @@
 	slice := int64(s.Clock() / max(1, window/sliceCount))
 	c, ok := s.groups[group]
 	if !ok {
-		c = &counts{current: slice}
+		c = &counts{current: slice, sent: map[string]*sent{}}
 		if s.groups == nil {
 			s.groups = map[string]*counts{}
 		}
@@ -175,7 +181,7 @@
 		return c
 	}
 	if slice-c.current >= keptSlices {
-		*c = counts{current: slice}
+		*c = counts{current: slice, sent: c.sent}
 	}
 	for c.current < slice {
 		c.current++
--- a/internal/spare/spare_test.go
+++ b/internal/spare/spare_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,7 @@
 			}
 			return *last, true
 		},
+		Heard: func(string) time.Time { return begun },
 		Bound: func() (float64, float64, time.Duration) { return share, extra, window },
 	}
 }
@@ -119,7 +121,7 @@
 			}
 		}
 		for _, s := range p.hosts {
-			for p.fails && s.TryRetry("g") {
+			for p.fails && s.TryRetry("g", "r") {
 				p.retries = append(p.retries, time.Now())
 			}
 		}
@@ -220,7 +222,7 @@
 			for range 100 {
 				time.Sleep(time.Second / 100)
 				s.CountFirst("g")
-				if s.TryRetry("g") {
+				if s.TryRetry("g", "r") {
 					retries++
 				}
 			}
@@ -239,12 +241,12 @@
 		s := newHost(begun, one, nil)
 		time.Sleep(2 * window)
 		for range 20 {
-			if !s.TryRetry("g") {
+			if !s.TryRetry("g", "r") {
 				t.Fatal("no retry for a host that has used none, want one")
 			}
 		}
 		last := s.Close()
-		if s.TryRetry("g") {
+		if s.TryRetry("g", "r") {
 			t.Error("a retry of the extra after its use was ended, want none")
 		}
 		next := newHost(begun, one, &last)
@@ -255,6 +257,9 @@
 		if _, _, got, _ := next.Usage("h"); got != all {
 			t.Errorf("extra of a group that has used none = %v, want %v", got, all)
 		}
+		if _, _, got, _ := newHost(begun, one, &used.Used{Hosts: 2}).Usage("g"); got != all/2 {
+			t.Errorf("extra after a process that shared it with another host = %v, want %v", got, all/2)
+		}
 		last = next.Close()
 		if _, _, got, _ := newHost(begun, one, &last).Usage("g"); got != all-20 {
 			t.Errorf("extra after another start = %v, want %v", got, all-20)
@@ -262,14 +267,85 @@
 	})
 }
 
+// Upstreams stand still for seconds, then read all that hosts have sent meanwhile and given up, and fail. Hosts that count retries when they are sent alone send as much
+// once more into the window in which those arrive.
+func TestRetriesThatArriveLateStayWithinTheBound(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(seed)
+			heard := time.Now()
+			for _, s := range p.hosts {
+				s.Heard = func(string) time.Time { return heard }
+			}
+			both := p.IntN(2) == 0
+			late := 0
+			for range 40 + p.IntN(250) {
+				time.Sleep(stepTime)
+				for _, host := range p.callers {
+					s, id := p.hosts[host], strconv.Itoa(len(p.requests))
+					s.CountFirst("g")
+					p.requests = append(p.requests, time.Now())
+					s.GaveUp("g", id, "a")
+					if !s.TryRetry("g", id) {
+						continue
+					}
+					late++
+					if both {
+						s.GaveUp("g", id, "b")
+					}
+				}
+			}
+			heard = time.Now()
+			p.retries = append(p.retries, slices.Repeat([]time.Time{heard}, late)...)
+			p.fails = true
+			p.steps(int(window / stepTime))
+			if got := p.worst(); got > 1 {
+				t.Errorf("seed %d, %d hosts: retries in one window = %.2f of the bound, want 1 at most", seed, p.alive, got)
+			}
+			used := len(p.retries)
+			p.steps(int(window / stepTime))
+			if got := len(p.retries) - used; got < extra/2 {
+				t.Errorf("seed %d, %d hosts: %d retries in the window after, want %d at least", seed, p.alive, got, extra/2)
+			}
+		})
+	}
+}
+
+// An upstream does not answer some requests but others. What was given up there has arrived, and must not count for longer than it was sent.
+func TestRetriesOfAnUpstreamThatIsHeardOfCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHost(time.Now(), one, &used.Used{})
+		s.Heard = func(string) time.Time { return time.Now() }
+		for i := range 10 {
+			id := strconv.Itoa(i)
+			s.GaveUp("g", id, "a")
+			time.Sleep(window / 20)
+			if !s.TryRetry("g", id) {
+				t.Fatalf("no retry of request %d, want one", i)
+			}
+			s.GaveUp("g", id, "b")
+		}
+		if got, _, _, _ := s.Usage("g"); got != 10 {
+			t.Errorf("retries = %v, want 10", got)
+		}
+		for range 12 {
+			time.Sleep(window / 10)
+			s.CountFirst("g")
+		}
+		if got, _, _, _ := s.Usage("g"); got != 0 {
+			t.Errorf("retries after a window = %v, want 0", got)
+		}
+	})
+}
+
 // The failures of one group must not use up the retries of another.
 func TestGroupsAreBoundedSeparately(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newHost(time.Now(), one, nil)
 		time.Sleep(window)
-		for s.TryRetry("g") {
+		for s.TryRetry("g", "r") {
 		}
-		if !s.TryRetry("h") {
+		if !s.TryRetry("h", "r") {
 			t.Error("no retry for the other group, want one")
 		}
 	})
--- a/internal/stats/names.go
+++ b/internal/stats/names.go
@@ -19,6 +19,7 @@
 	RetryExtra  = "retry_budget_extra"          // group
 	RetryHosts  = "retry_budget_hosts"          // group
 	RetryBase   = "retry_budget_requests"       // group
+	RetryLate   = "retry_budget_late"           // group
 	Connections = "connections_opened_total"    // none
 	Admits      = "turns_total"                 // outcome
 	Store       = "store_seconds"               // call, rows
@@ -62,6 +63,7 @@
 	RetryBound:  "this host's part of the bound of retries of the window",
 	RetryExtra:  "what of that bound is this host's part of the constant extra, 0 while it has none",
 	RetryHosts:  "hosts among which this host divides the bound of retries",
+	RetryLate:   "retries of the window that may yet arrive, as an upstream to which their requests were sent has not been heard of since",
 	RetryBase:   "requests of the last window that this host counts for its bound of retries",
 	Connections: "new connections to upstreams",
 	Origins:     "streams that callers resume, by how the build that began them was found",
