--- a/internal/tenure/part.go
+++ b/internal/tenure/part.go
@@ -154,9 +154,9 @@
 	}
 }
 
-// partUnread reports whether the rows of all hosts are to be read so that this host's part may be used.
+// partUnread reports whether all that keeps this host from using its part is that the rows of all hosts must be read before.
 func (t *Tenure) partUnread() bool {
-	return t.readRev < t.part.used
+	return t.readRev < t.part.used && t.Clock() >= t.part.from
 }
 
 // allCount reports whether no other host can have used its part without counting this one.
