--- a/internal/spare/spare.go
+++ b/internal/spare/spare.go
@@ -122,7 +122,7 @@
 	retries := s.settle(c)
 	extra, hosts = s.part(group, c)
 	if s.inheritsLate(c) {
-		// The last process may have used all but this.
+		// The last process may have used all but this, and it may arrive now.
 		share, extra = share*(1-usableShare)/usableShare, 0
 	}
 	used, allowed := s.leastRoom(share, retries, c)
--- a/internal/tenure/part.go
+++ b/internal/tenure/part.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // learnTime is how long after a session has begun some hosts may not count it yet: the time between two reads, and one read.
@@ -92,7 +94,8 @@
 	return t.part.returned && t.mayUsePart(t.Clock())
 }
 
-// nextPart returns what this host's next row says of its part, given the row before, and what was used of a part that is returned.
+// nextPart returns what this host's next row says of its part, given the row before, and what was used of a part that is returned. A part that this process still
+// leaves alone for what the last one may have used counts as used, and is not returned: the next process, too, must leave it alone.
 func (t *Tenure) nextPart(known hostRow, begins, passive bool) (state partState, taken string) {
 	now := t.Clock()
 	switch {
@@ -146,12 +149,15 @@
 	if t.part.first == 0 {
 		t.part.first = rev
 	}
-	switch {
-	case own.Part != partUsed:
-		t.part.used = 0
-	case t.part.used == 0:
+	used := own.Part == partUsed
+	if used == (t.part.used > 0) {
+		return
+	}
+	t.part.used = 0
+	if used {
 		t.part.used = rev
 	}
+	t.Log.Info("use of this host's part", zap.Bool("used", used), zap.Duration("in", max(0, t.part.from-t.Clock())), zap.Int64("revision", rev))
 }
 
 // partUnread reports whether all that keeps this host from using its part is that the rows of all hosts must be read before.
