Reproduce crowds of callers that nobody controls, with bounds on memory and descriptors

Callers sent many bodies, chunks and heads at once that stop short of their end or are far over the limits, and a host's process ran out of memory. TestCrowd starts the real program with 96 MB and 600 descriptors (2,048 where many come), sends it a crowd of 400 (800 that hold descriptors, 1,900 that are many), and checks that the process lives, that its resident memory and the unread bytes of its sockets stay within its memory, that its descriptors stay within its descriptors, and that an ordinary lookup, booking and booking with a long body are answered during the crowd's stay and after it. Over its memory the process is killed, as the platform does.

Crowd and bounds are fixed with this commit.

The tests run apart from all others (make test), without the race detector, which takes several times the memory.

--- a/Makefile
+++ b/Makefile
@@ -19,15 +19,20 @@
 # The programs that tests run as processes are built with it.
 VIRTUAL = $$(git grep -l '^//go:build !race$$' -- '*_test.go' | xargs -n1 dirname | sort -u | sed 's|^|./|')
 
-# Tests that KNOWN-RED.txt names, for .ci/run alone.
+# Tests that run with nothing beside them: they bound the memory of processes that run as they do in production, without the race detector.
+APART = ^TestCrowd
+
+# SKIP are tests that KNOWN-RED.txt names, for .ci/run alone.
 PASS_OVER = $(if $(SKIP),-skip '$(SKIP)')
+SHARED = -skip '$(APART)$(if $(SKIP),|$(SKIP))'
 
 # TESTFOR bounds the tests of one package. Those of whole sites in virtual time take minutes, and twice as long on a busy machine.
 TESTFOR ?= 20m
 
 test:
-	$(GO) test -race -timeout $(TESTFOR) $(PASS_OVER) ./...
-	$(GO) test -timeout $(TESTFOR) $(PASS_OVER) $(VIRTUAL)
+	$(GO) test -race -timeout $(TESTFOR) $(SHARED) ./...
+	$(GO) test -timeout $(TESTFOR) $(SHARED) $(VIRTUAL)
+	$(GO) test -count=1 -timeout $(TESTFOR) -run '$(APART)' $(PASS_OVER) ./platform/soak
 
 check:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
