Count all bytes that a text of unknown length holds while it is read

Callers sent many bodies in chunks at once, and a host's process ran out of memory though the bodies' room was bounded. Cause: a buffer that doubles as it grows held up to two times the text, and three times while it was copied; the room counted it once. Change: a text of unknown length is read in pieces, with room for each before it is read, and for the whole before the pieces are joined. Answers are written piece by piece and never joined.

The test of long bodies gives a body in chunks the room that it holds while its pieces are joined; it checks as much as before.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -16,6 +16,9 @@
 // defaultMaxBody bounds a body where the configuration does not, in bytes.
 const defaultMaxBody = 1 << 20
 
+// freeBody is how long a body may be that needs no room, in bytes.
+const freeBody = 32 << 10
+
 // readBody reads the whole body: it may have to be sent twice, and the upstream gets its length. Its room is held until releaseBody. Held without a bound, a
 // burst of long bodies could fill the memory of the process, which would end with all its requests.
 func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
@@ -52,10 +55,10 @@
 	case length > limit:
 		return nil, 0, merry.Wrap(errTooLarge)
 	case length < 0:
-		return readWithin(body, int(limit), p.BodyRoom)
-	case length > roomStep && !p.BodyRoom.TryAcquire(length):
+		return p.readChunked(body, limit)
+	case length > freeBody && !p.BodyRoom.TryAcquire(length):
 		return nil, 0, merry.Wrap(errNoRoom)
-	case length > roomStep:
+	case length > freeBody:
 		held = length
 	}
 	data = make([]byte, length)
@@ -63,6 +66,31 @@
 	return data, held, err
 }
 
+// readChunked reads a body of unknown length. It takes room for the pieces and for the whole, and gives that for the pieces back.
+func (p *Proxy) readChunked(body io.Reader, limit int64) (data []byte, held int64, err error) {
+	text, err := readPieces(body, limit, func(bytes int64) bool {
+		if bytes < nextPiece {
+			return true
+		}
+		if !p.BodyRoom.TryAcquire(bytes) {
+			return false
+		}
+		held += bytes
+		return true
+	})
+	switch {
+	case err != nil:
+		return nil, held, err
+	case len(text.list) == 1:
+		return text.join(), held, nil
+	case !p.BodyRoom.TryAcquire(text.size):
+		return nil, held, merry.Wrap(errNoRoom)
+	}
+	data = text.join()
+	p.BodyRoom.Release(held)
+	return data, text.size, nil
+}
+
 // dropBody reads the rest of a body for which there is no room: a caller that still sends it would not see the refusal.
 func (p *Proxy) dropBody(body io.Reader, j *job) *refuse.Refusal {
 	if _, err := io.Copy(io.Discard, body); err != nil {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -273,14 +273,14 @@
 // relayWhole passes on an answer after reading all of it, so that one that breaks off can be replaced. sendCtx ends with ctx or when this host gives the
 // send up.
 func (p *Proxy) relayWhole(ctx, sendCtx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
-	data, release, err := p.readAnswer(r.Body)
+	text, release, err := p.readAnswer(r.Body)
 	defer release()
 	if err == nil && r.Unframed && p.Guard.Crashed(t.Addr) {
 		err = io.ErrUnexpectedEOF // the connection may have ended with the upstream and not behind the answer
 	}
 	if err != nil {
 		p.countSend(t, "cut")
-		p.Log.Info("answer cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int("bytes", len(data)), zap.Error(err))
+		p.Log.Info("answer cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.Int64("bytes", text.size), zap.Error(err))
 		j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Cut, "the answer of %s broke off", t.ID))
 		j.upstreamFailed = true
 		now := time.Now()
@@ -298,11 +298,11 @@
 		return true
 	}
 	copyHeaders(j.w.Header(), r.Header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	j.w.Header().Set("Content-Length", strconv.FormatInt(text.size, 10))
 	j.w.WriteHeader(r.Status)
 	j.headerSent = true
 	j.firstByteAt = time.Now()
-	if _, err := j.w.Write(data); err != nil {
+	if err := text.write(j.w); err != nil {
 		p.Log.Debug("writing the answer failed", zap.String("request", j.req.ID), zap.Error(err))
 	}
 	p.countSend(t, strconv.Itoa(r.Status/100)+"xx")
