Bound what all callers send by one sum, and drop those that stall where others need room

Callers sent bodies that stop short of their end and stayed, or went on with a byte now and then. The first 32 KB of each body took no room, so that 1,900 callers ended the process; and longer ones held their room until their deadlines, which they choose, so that an ordinary long body was refused for as long as they stayed.

Change: package room. Each connection holds a part of one sum, a fifth of the process's memory (a third before, but for the copies and short bodies, which counted for nothing); 4 KB of each part are free, and a quarter is reserved for parts of up to 32 KB. Room is taken before bytes are read. Where there is none, callers whose requests are not whole and that sent less than 1 KB in half a second are dropped, the longest first, and the part waits for theirs for a second at most. While there is room nobody is dropped. A request that is whole is never dropped. Who is dropped or finds no room is refused as not run (503, with when to come back).

The tests of long bodies set the new room in place of the old one, with place for one such body and not for a second, as before.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -27,6 +27,7 @@
 // Read reads from the connection. Bytes that arrive make it busy, also where it was about to be closed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.part.Sent(n)
 	ended := errors.Is(err, io.EOF)
 	if n == 0 && !ended {
 		return n, err
@@ -49,7 +50,7 @@
 	if c.answered && !t.IsZero() {
 		c.take()
 	}
-	if c.closing {
+	if c.closing || c.dropped {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -64,6 +65,7 @@
 	c.closed = true
 	delete(c.all.all, c)
 	c.all.mu.Unlock()
+	c.part.Leave()
 	return c.Conn.Close()
 }
 
@@ -106,10 +108,28 @@
 	c.take()
 }
 
+// drop has nothing more read from the connection. An idle one goes on with a request whose bytes come first.
+func (c *conn) drop() {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	switch {
+	case !c.part.Dropped():
+		return // a request has begun meanwhile
+	case c.busy:
+		c.dropped = true
+	default:
+		c.closing = true
+	}
+	c.stopReading()
+}
+
 // take marks the connection as busy. It needs the lock.
 func (c *conn) take() {
+	if !c.busy {
+		c.part.Begin()
+	}
 	c.busy, c.answered = true, false
-	if !c.closing {
+	if !c.closing || c.dropped {
 		return
 	}
 	c.closing = false
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -14,12 +14,16 @@
 	"time"
 
 	"damaskreach/internal/peek"
+	"damaskreach/internal/room"
 )
 
 type key struct{}
 
 // Conns may be used from several goroutines. The zero value follows no connection.
 type Conns struct {
+	// Room is what all connections together may hold of requests; nil bounds nothing. It is set before the first connection.
+	Room *room.Room
+
 	mu  sync.Mutex
 	all map[*conn]bool
 }
@@ -27,13 +31,15 @@
 // conn is a caller's connection.
 type conn struct {
 	net.Conn
-	all *Conns
+	all  *Conns
+	part *room.Room // of all.Room
 
 	// Under the lock of all:
 	busy     bool      // a request is being read, handled or answered
 	answered bool      // its last request was answered, and no byte of the next one seen
 	closing  bool      // nothing more is read from it, unless bytes came first
 	closed   bool      // by either side
+	dropped  bool      // nothing more is read from it: its caller stopped short of the end of a request, and others needed its room
 	whole    bool      // the caller sends nothing more, and all that it has sent was read
 	since    time.Time // when it last became idle
 	until    time.Time // read deadline that the server has set
@@ -77,6 +83,7 @@
 		c.all = map[*conn]bool{}
 	}
 	known := &conn{Conn: raw, all: c, since: time.Now()}
+	known.part = c.Room.Part(known.drop)
 	c.all[known] = true
 	return known
 }
@@ -96,6 +103,15 @@
 	defer c.mu.Unlock()
 	known.busy, known.answered = false, true
 	known.since = time.Now()
+	known.part.Wait()
+}
+
+// Part returns what the connection of a request's context holds of the room, nil for a connection that is not followed.
+func (c *Conns) Part(ctx context.Context) *room.Room {
+	if known, followed := ctx.Value(key{}).(*conn); followed {
+		return known.part
+	}
+	return nil
 }
 
 // Enter takes the connection of a request's context for the request. It reports false where the connection was closed already: the request must
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -25,6 +25,7 @@
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/reach"
+	"damaskreach/internal/room"
 	"damaskreach/internal/roster"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
@@ -36,12 +37,11 @@
 	"damaskreach/internal/uplink"
 )
 
-// answerRoomShare is the part of the process's memory that answers may take while they are read whole: one in so many bytes. Reading them takes
-// up to three times as much.
+// answerRoomShare is the part of the process's memory that answers may take that are read whole: one in so many bytes.
 const answerRoomShare = 16
 
-// bodyRoomShare is the part of the process's memory that requests' bodies may take: one in so many bytes.
-const bodyRoomShare = 3
+// callerRoomShare is the part of the process's memory that callers may take with what they send: one in so many bytes.
+const callerRoomShare = 5
 
 // build creates the components and connects them.
 func (e *Edge) build() *proxy.Proxy {
@@ -78,6 +78,7 @@
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
+	e.conns.Room = room.NewRoom(s.Memory << 20 / callerRoomShare)
 	return e.buildProxy()
 }
 
@@ -144,7 +145,7 @@
 		Closing: e.closing, Stopping: e.ending, WithDeadline: context.WithDeadline,
 		VersionGrace: func() time.Duration { return e.Setup().Version / 2 }, View: e.intake.View, ViewAge: e.readAge, StoreDown: e.intake.StoreDown,
 		AnswerRoom: semaphore.NewWeighted(e.Setup().Memory << 20 / answerRoomShare),
-		BodyRoom:   semaphore.NewWeighted(e.Setup().Memory << 20 / bodyRoomShare),
+		Part:       e.conns.Part,
 		Started:    time.Now(), Holds: e.holds, Pick: e.pick, Spare: e.spare,
 		Ration: e.ration, Flight: e.flight, Avoid: e.avoid, Guard: e.guard, Speeds: e.speeds,
 		RecordOrigin: e.recordOrigin, FindBuild: e.findBuild, RecentBuilds: e.recentBuilds,
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -1,20 +1,31 @@
 package proxy_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
-	"golang.org/x/sync/semaphore"
-
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/room"
 	"damaskreach/internal/route"
 )
 
 const longBody = 64 << 10
 
+// setRoom bounds what all callers together hold; each request comes on a connection of its own.
+func (b *bench) setRoom(size int64) {
+	all := room.NewRoom(size)
+	b.Part = func(ctx context.Context) *room.Room {
+		p := all.Part(func() {})
+		p.Begin()
+		context.AfterFunc(ctx, p.Leave)
+		return p
+	}
+}
+
 // post sends a booking with a body; length is what its head says, negative for none.
 func (b *bench) post(body string, length int64) *httptest.ResponseRecorder {
 	r := httptest.NewRequestWithContext(b.t.Context(), http.MethodPost, "/p/x", strings.NewReader(body))
@@ -27,11 +38,11 @@
 // Many callers send long bodies at once. Held without a bound they would fill the memory of the host, which would end with all its requests; those without room must be told at once
 // that they have not run, short ones go on, and room must come back.
 func TestLongBodiesWithoutRoomAreRefused(t *testing.T) {
-	// Each room has place for one such body and not for a second; one in chunks needs it twice while its pieces are joined.
-	for length, room := range map[int64]int64{longBody: longBody, -1: 5 * longBody / 2} {
+	// Each room has place for one such body, with what is reserved for short ones, and not for a second.
+	for length, size := range map[int64]int64{longBody: 96 << 10, -1: 180 << 10} {
 		b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
 		b.view.Rules.MaxBody = longBody
-		b.BodyRoom = semaphore.NewWeighted(room)
+		b.setRoom(size)
 		var second, short *httptest.ResponseRecorder
 		b.setAnswers(func(s sent) (resp.Resp, error) {
 			second = b.post(strings.Repeat("x", longBody), length)
@@ -54,7 +65,7 @@
 func TestShortBodiesInChunksNeedNoRoom(t *testing.T) {
 	b := newBench(t, route.Route{Kind: kinds.Once, Attempts: 1})
 	b.view.Rules.MaxBody = longBody
-	b.BodyRoom = semaphore.NewWeighted(0)
+	b.setRoom(0)
 	b.setAnswers(answers(200, nil, "done", nil))
 	if got, want := b.post("short", -1).Body.String(), "done"; got != want {
 		t.Errorf("body = %q, want %q", got, want)
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -30,6 +30,7 @@
 	"damaskreach/internal/proxy"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/room"
 	"damaskreach/internal/route"
 	"damaskreach/internal/rules"
 	"damaskreach/internal/spare"
@@ -145,7 +146,7 @@
 			Clock: func() time.Duration { return time.Since(b.start) },
 			Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second },
 		},
-		Stats: stats.NewStats(), AnswerRoom: semaphore.NewWeighted(1 << 30), BodyRoom: semaphore.NewWeighted(1 << 30),
+		Stats: stats.NewStats(), AnswerRoom: semaphore.NewWeighted(1 << 30), Part: func(context.Context) *room.Room { return nil },
 	}
 	return b
 }
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -12,6 +12,7 @@
 	"damaskreach/internal/intent"
 	"damaskreach/internal/kinds"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/room"
 	"damaskreach/internal/route"
 	"damaskreach/internal/target"
 	"damaskreach/internal/team"
@@ -46,7 +47,8 @@
 	nextPlacement  *placement      // of the next send, if found in advance; otherwise nil
 	turn           turn            // currently held at an engine
 	permit         turn            // under which it is counted at a brittle upstream
-	bodyRoom       int64           // bytes of BodyRoom that it holds
+	part           *room.Room      // of its connection
+	bodyRoom       int64           // bytes of part that its body holds
 	rejectedFull   bool            // the upstream rejected it for lack of room
 	refund         func()          // undoes the charge against the team's limit; nil if nothing was charged
 	sound          bool            // it has run long enough not to crash its engine
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"damaskreach/internal/pick"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/resp"
+	"damaskreach/internal/room"
 	"damaskreach/internal/spare"
 	"damaskreach/internal/speeds"
 	"damaskreach/internal/spent"
@@ -115,8 +116,10 @@
 	ViewAge func() time.Duration
 	// StoreDown reports whether the store did not answer the last reading.
 	StoreDown func() bool
-	// AnswerRoom and BodyRoom bound the bytes of answers that are read whole, and those of requests' bodies, of all requests together.
-	AnswerRoom, BodyRoom *semaphore.Weighted
+	// AnswerRoom bounds the bytes of answers that are read whole, of all requests together.
+	AnswerRoom *semaphore.Weighted
+	// Part returns the room that the connection of a request holds; it may be nil.
+	Part func(ctx context.Context) *room.Room
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
@@ -138,7 +141,7 @@
 
 // ServeHTTP serves one caller's request.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{w: w, start: time.Now()}
+	j := &job{w: w, start: time.Now(), part: p.Part(r.Context())}
 	refusal := p.accept(r, j)
 	p.setDeadlines(w, r, j.deadline())
 	p.inFlight.add(j)
@@ -196,6 +199,9 @@
 	if refusal := p.readBody(w, r, j); refusal != nil {
 		return refusal
 	}
+	if !j.part.Settle() {
+		return noRoom("the caller sent too slowly while others needed its place")
+	}
 	if refusal := p.closing(j); refusal != nil {
 		return refusal // the rest of a body may come long after its begin
 	}
--- /dev/null
+++ b/internal/room/room.go
@@ -0,0 +1,193 @@
+// Package room bounds how many bytes callers' connections hold together.
+//
+// A caller that stops short of the end of its request would hold what it has sent until its deadline, which it chooses. Where there is no room left, those
+// that have sent nothing for the longest time are dropped in favour of others; while there is room, nobody is.
+package room
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+const (
+	// Free is how much a part may hold that counts for nothing, in bytes: a usual head and a short body.
+	Free = 4 << 10
+	// smallPart is the size of a part, in bytes, up to which it may use the room that is reserved for small ones.
+	smallPart = 32 << 10
+	// reservedShare is the part of the room that is reserved for small parts: one in so many bytes.
+	reservedShare = 4
+	// stallAfter is how long a caller must have sent nothing to be dropped in favour of others.
+	stallAfter = 500 * time.Millisecond
+	// progress is how many bytes a caller must send to count as sending. Those that send single bytes hold their room as long as those that send none.
+	progress = 1 << 10
+	// patience is how long a part waits for room, while others are being dropped or end, and maxWaiting how many may wait.
+	patience   = time.Second
+	maxWaiting = 32
+	// lookInterval is the time between two looks for callers that have stalled meanwhile.
+	lookInterval = 100 * time.Millisecond
+)
+
+// Room is a number of bytes, or a part of them that one connection holds. It may be used from several goroutines. A nil Room bounds nothing.
+type Room struct {
+	all  *shared
+	drop func() // of a part: has its caller dropped
+
+	// Under the lock of all:
+	held    int64
+	place   *list.Element // among those that wait for their callers; nil where it does not
+	idle    bool          // it waits for a request to begin
+	since   time.Time     // when its caller last sent something
+	sent    int64         // bytes that its caller has sent since
+	dropped bool
+}
+
+// shared is what the parts of a room share.
+type shared struct {
+	mu      sync.Mutex
+	size    int64
+	taken   int64
+	waiting *list.List    // parts that wait for their callers, the one that has waited longest first
+	given   chan struct{} // closed and replaced when bytes are given back
+	queue   int           // parts that wait for room
+}
+
+// NewRoom returns a room of a size in bytes.
+func NewRoom(size int64) *Room {
+	return &Room{all: &shared{size: size, waiting: list.New(), given: make(chan struct{})}}
+}
+
+// Part returns a part of a room for a new connection. Leave must be called at its end; drop may be called at any time until then and must not block.
+func (r *Room) Part(drop func()) *Room {
+	if r == nil {
+		return nil
+	}
+	p := &Room{all: r.all, drop: drop}
+	p.Wait()
+	return p
+}
+
+// Taken returns how many bytes of the room are held.
+func (r *Room) Taken() int64 {
+	if r == nil {
+		return 0
+	}
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	return r.all.taken
+}
+
+// Wait gives back what a part holds: its connection waits for a request.
+func (p *Room) Wait() {
+	if p == nil {
+		return
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	p.give(p.held)
+	p.idle, p.dropped = true, false
+	p.queueUp()
+}
+
+// Begin notes that bytes of a request have come.
+func (p *Room) Begin() {
+	if p == nil {
+		return
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	p.idle, p.dropped = false, false
+	p.queueUp()
+}
+
+// Sent notes that the caller has sent some bytes.
+func (p *Room) Sent(bytes int) {
+	if p == nil {
+		return
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	p.sent += int64(bytes)
+	if p.place != nil && p.sent >= progress {
+		p.queueUp()
+	}
+}
+
+// Settle notes that the request is whole: its caller is not waited for and will not be dropped. It reports false where that has happened already.
+func (p *Room) Settle() (kept bool) {
+	if p == nil {
+		return true
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	p.unqueue()
+	return !p.dropped
+}
+
+// Dropped reports whether the part's caller was chosen to be dropped, and has not begun a request since.
+func (p *Room) Dropped() bool {
+	if p == nil {
+		return false
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	return p.dropped
+}
+
+// Leave gives back what a part holds; its connection is closed.
+func (p *Room) Leave() {
+	if p == nil {
+		return
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	p.unqueue()
+	p.give(p.held)
+}
+
+// Give gives back some of the bytes that a part holds.
+func (p *Room) Give(bytes int64) {
+	if p == nil {
+		return
+	}
+	p.all.mu.Lock()
+	defer p.all.mu.Unlock()
+	p.give(bytes)
+}
+
+// queueUp makes the part the last of those that wait for their callers. It needs the lock.
+func (p *Room) queueUp() {
+	p.since, p.sent = time.Now(), 0
+	if p.place == nil {
+		p.place = p.all.waiting.PushBack(p)
+		return
+	}
+	p.all.waiting.MoveToBack(p.place)
+}
+
+// unqueue needs the lock.
+func (p *Room) unqueue() {
+	if p.place == nil {
+		return
+	}
+	p.all.waiting.Remove(p.place)
+	p.place = nil
+}
+
+// give needs the lock.
+func (p *Room) give(bytes int64) {
+	before := counted(p.held)
+	p.held = max(0, p.held-bytes)
+	freed := before - counted(p.held)
+	if freed == 0 {
+		return
+	}
+	p.all.taken -= freed
+	if p.all.queue > 0 {
+		close(p.all.given)
+		p.all.given = make(chan struct{})
+	}
+}
+
+// counted returns how many bytes of the room a part takes that holds so many.
+func counted(held int64) int64 { return max(0, held-Free) }
--- /dev/null
+++ b/internal/room/room_test.go
@@ -0,0 +1,133 @@
+package room_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskreach/internal/room"
+)
+
+const (
+	size = 1 << 20
+	half = size / 2
+	long = 600 * time.Millisecond // without a byte, after which a caller counts as stalled
+)
+
+// caller is one connection with a part of a room.
+type caller struct {
+	*room.Room
+	dropped bool
+}
+
+// begin returns a caller that has begun a request and holds some bytes of it. A caller that is dropped gives back what it holds.
+func begin(t *testing.T, r *room.Room, bytes int64) *caller {
+	c := &caller{}
+	c.Room = r.Part(func() {
+		c.dropped = true
+		go c.Leave()
+	})
+	c.Begin()
+	if bytes > 0 && !c.Take(bytes) {
+		t.Fatalf("no room for %d bytes, want some", bytes)
+	}
+	return c
+}
+
+// Callers stop short of the end of long bodies and keep their connections open. Not dropped, they would keep all others out until their deadlines.
+func TestStalledCallersAreDroppedForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := room.NewRoom(size)
+		first, second, whole := begin(t, r, half/2), begin(t, r, half/2), begin(t, r, half/4)
+		whole.Settle()
+		time.Sleep(long)
+		second.Sent(2 << 10)
+		other := begin(t, r, 0)
+		if !other.Take(half / 2) {
+			t.Error("no room for another caller, want that of the one that has stalled")
+		}
+		if !first.dropped || second.dropped || whole.dropped {
+			t.Errorf("dropped = %v, %v, %v, want the one that has stalled alone", first.dropped, second.dropped, whole.dropped)
+		}
+		if whole.Settle() != true || first.Settle() != false {
+			t.Error("a request counts as kept whose caller was dropped, or the other way round")
+		}
+	})
+}
+
+// Callers send single bytes of long bodies. Taken to be sending, they would hold their room as long as they like.
+func TestCallersOfSingleBytesCountAsStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := room.NewRoom(size)
+		slow := begin(t, r, half)
+		for range 10 {
+			time.Sleep(long / 10)
+			slow.Sent(1)
+		}
+		if other := begin(t, r, 0); !other.Take(half) || !slow.dropped {
+			t.Errorf("dropped = %v, want the slow caller to make room", slow.dropped)
+		}
+	})
+}
+
+// All callers send at full speed, and there are too many. If they were dropped for each other, none would ever be served.
+func TestSendingCallersAreNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := room.NewRoom(size)
+		sending := begin(t, r, half)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				sending.Sent(64 << 10)
+			}
+		}()
+		if other := begin(t, r, 0); other.Take(half) || sending.dropped {
+			t.Errorf("another caller got room, or dropped = %v, want neither", sending.dropped)
+		}
+		if short := begin(t, r, 0); !short.Take(30 << 10) {
+			t.Error("a short body found no room, want what is reserved")
+		}
+		<-done
+	})
+}
+
+// A host has no room and many callers. While there is room, a slow caller must be left alone, and what it holds must come back at its end.
+func TestRoomComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := room.NewRoom(size)
+		slow := begin(t, r, half)
+		time.Sleep(time.Minute)
+		other := begin(t, r, 8<<10)
+		if slow.dropped {
+			t.Error("a caller was dropped while there was room, want it kept")
+		}
+		slow.Give(half / 2)
+		slow.Wait()
+		other.Leave()
+		if got := r.Taken(); got != 0 {
+			t.Errorf("%d bytes are held at the end, want none", got)
+		}
+	})
+}
+
+// All connections are taken. Those that stall in a request must go first, then those that wait for one, and none whose request is whole.
+func TestConnectionsThatStallGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := room.NewRoom(size)
+		idle, stalled, whole := begin(t, r, 0), begin(t, r, 0), begin(t, r, 0)
+		idle.Wait()
+		whole.Settle()
+		time.Sleep(long)
+		for _, want := range []*caller{stalled, idle} {
+			if !r.DropOne() || !want.dropped {
+				t.Errorf("dropped: stalled %v, idle %v, want the stalled one and then the idle one", stalled.dropped, idle.dropped)
+			}
+			synctest.Wait()
+		}
+		if r.DropOne() {
+			t.Error("a connection was dropped whose request is whole, want none")
+		}
+	})
+}
