Bound the heads of requests, one by one and by the sum of what callers send

Callers sent many heads at once that stop short or never end, and a host's process ran out of memory, by way of the callers' port and that for lookups. Cause: no server had a bound of its own for heads, so that each could have 1 MB; and what a head takes once it is decoded, many times its length where its fields are short, counted for nothing.

Change: setting `head`, 64 KB unless set (the users' configurations allow 16 KB), on all ports. While a head is read, its connection takes room for it, 256 bytes a field and twice its text; room is the same for all ports. The first 8 KB of each connection are free (4 before): usual heads stay below. On ports other than the callers' a body has 10 s to come, where the server waited for it without end.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -18,6 +19,12 @@
 	lingerLook = 10 * time.Millisecond
 )
 
+// fieldCost is what a decoded field of a head takes beside its text, in bytes, copies of the head included.
+const fieldCost = 256
+
+// errNoRoom means that callers hold too many bytes together.
+var errNoRoom = errors.New("conns: no room for the head of a request")
+
 // errNoHalf means that the connection cannot be closed in one direction.
 var errNoHalf = errors.New("conns: the connection has no half to close")
 
@@ -32,13 +39,26 @@
 	if n == 0 && !ended {
 		return n, err
 	}
+	if inHead := c.received(n, ended); inHead && !c.part.Take(headCost(p[:n])) {
+		return 0, errNoRoom
+	}
+	return n, err
+}
+
+// received notes that bytes came or that the caller sends no more, and reports whether they belong to the head of a request.
+func (c *conn) received(n int, ended bool) (inHead bool) {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	if n > 0 {
 		c.start()
 	}
 	c.whole = ended
-	return n, err
+	return !c.entered
+}
+
+// headCost returns what some bytes of a head take in memory once they are decoded. Short fields take many times their length.
+func headCost(text []byte) int64 {
+	return int64(2*len(text) + fieldCost*bytes.Count(text, []byte{'\n'}))
 }
 
 // SetReadDeadline sets when reads give up; while the connection is about to be closed, that is at once. Behind an answer the server sets one only once
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -36,6 +36,7 @@
 
 	// Under the lock of all:
 	busy     bool      // a request is being read, handled or answered
+	entered  bool      // the head of that request is whole
 	answered bool      // its last request was answered, and no byte of the next one seen
 	closing  bool      // nothing more is read from it, unless bytes came first
 	closed   bool      // by either side
@@ -101,7 +102,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known.busy, known.answered = false, true
+	known.busy, known.answered, known.entered = false, true, false
 	known.since = time.Now()
 	known.part.Wait()
 }
@@ -124,6 +125,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known.take()
+	known.entered = true
 	return !known.closed
 }
 
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -78,7 +78,8 @@
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
-	e.conns.Room = room.NewRoom(s.Memory << 20 / callerRoomShare)
+	callers := room.NewRoom(s.Memory << 20 / callerRoomShare)
+	e.conns.Room, e.lookups.Room, e.probes.Room, e.scrapes.Room = callers, callers, callers, callers
 	return e.buildProxy()
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,7 +111,10 @@
 	past           past.Past
 	depot          depot.Depot
 	confFetch      confFetch
-	conns          conns.Conns
+	conns          conns.Conns // of callers
+	lookups        conns.Conns // of those who ask for addresses
+	probes         conns.Conns // of those who ask whether the host is ready
+	scrapes        conns.Conns // of scrapers
 	guard          *guard.Guard
 	origins        *origin.Origin
 	builds         builds.Builds
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/conns"
 	"damaskreach/internal/lookup"
 	"damaskreach/internal/mate"
 )
@@ -19,51 +20,63 @@
 	headerTimeout = 10 * time.Second
 )
 
+// port is an address on which the host listens, and what it serves there.
+type port struct {
+	addr    string // empty for none
+	handler http.Handler
+	conns   *conns.Conns
+}
+
 // listen opens the ports and serves on them. It returns the listener for callers, and a channel that receives the error of a server that
 // ends.
 func (e *Edge) listen(handler http.Handler) (callers net.Listener, failed <-chan error, err error) {
 	s := e.Setup()
-	servers := []struct {
-		addr   string
-		server *http.Server
-	}{
-		{s.Callers, e.callerServer(handler)},
-		{s.Lookup, &http.Server{Handler: e.Lookup(e.lookupAddrs), ReadHeaderTimeout: headerTimeout}},
-		{s.Ready, &http.Server{Handler: e.Ready(e.ready), ReadHeaderTimeout: headerTimeout}},
-		{s.Metrics, &http.Server{Handler: http.HandlerFunc(e.serveMetrics), ReadHeaderTimeout: headerTimeout}},
+	ports := []port{
+		{s.Callers, e.leaveCallers(handler), &e.conns},
+		{s.Lookup, bounded(e.Lookup(e.lookupAddrs)), &e.lookups},
+		{s.Ready, bounded(e.Ready(e.ready)), &e.probes},
+		{s.Metrics, bounded(http.HandlerFunc(e.serveMetrics)), &e.scrapes},
 	}
-	ended := make(chan error, len(servers))
-	for i, part := range servers {
-		if part.addr == "" {
+	ended := make(chan error, len(ports))
+	for i, p := range ports {
+		if p.addr == "" {
 			continue
 		}
-		l, err := e.Listen(part.addr)
+		l, err := e.Listen(p.addr)
 		if err != nil {
 			return nil, nil, err
 		}
+		l = p.conns.Follow(l)
 		if i == 0 {
-			l = e.conns.Follow(l)
 			callers = l
 		}
-		go func() { ended <- part.server.Serve(l) }()
+		server := e.server(p, s.Head)
+		go func() { ended <- server.Serve(l) }()
 	}
 	return callers, ended, nil
 }
 
-// callerServer returns the server for callers, whose connections are tracked.
-func (e *Edge) callerServer(handler http.Handler) *http.Server {
+// server returns the server of a port, whose connections are followed.
+func (e *Edge) server(p port, maxHead int) *http.Server {
 	return &http.Server{
-		Handler: e.trackConns(handler), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
-		ConnContext: e.conns.Context, ConnState: e.conns.State,
+		Handler: enter(p.conns, p.handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHead, ErrorLog: zap.NewStdLog(e.Log.Named("callers")),
+		ConnContext: p.conns.Context, ConnState: p.conns.State,
 	}
 }
 
-// trackConns keeps a request's connection from being closed as idle, and has callers of a leaving host connect elsewhere.
-func (e *Edge) trackConns(next http.Handler) http.Handler {
+// enter keeps a request's connection from being closed as idle.
+func enter(c *conns.Conns, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !e.conns.Enter(r.Context()) {
+		if !c.Enter(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// leaveCallers has callers of a leaving host connect elsewhere.
+func (e *Edge) leaveCallers(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -71,6 +84,17 @@
 	})
 }
 
+// bounded bounds the time in which a body must come where none is expected. The server reads it before it answers, and would wait for the rest for ever.
+func bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			// An error means that the caller has disconnected.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(headerTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Edge) ready() bool {
 	v := e.intake.View()
 	return !e.leaving.Load() && v.HasRules() && len(v.Targets) > 0
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -12,7 +12,7 @@
 
 const (
 	// Free is how much a part may hold that counts for nothing, in bytes: a usual head and a short body.
-	Free = 4 << 10
+	Free = 8 << 10
 	// smallPart is the size of a part, in bytes, up to which it may use the room that is reserved for small ones.
 	smallPart = 32 << 10
 	// reservedShare is the part of the room that is reserved for small parts: one in so many bytes.
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -15,6 +15,9 @@
 	"damaskreach/internal/mate"
 )
 
+// defaultHead is the longest head of a request where the settings name none, in bytes: four times what the users' configurations allow.
+const defaultHead = 64 << 10
+
 // Setup is immutable. docs/SETTINGS.md explains each option.
 type Setup struct {
 	Name    string        `toml:"name"`    // of the host, for logs
@@ -29,6 +32,7 @@
 	Cores   float64       `toml:"cores"`   // that the process may use
 	Memory  int64         `toml:"memory"`  // that the process may use, in MB
 	Files   int           `toml:"files"`   // descriptors that the process may use
+	Head    int           `toml:"head"`    // longest head of a request, in bytes
 	Beat    time.Duration `toml:"beat"`    // interval of upstreams' registrations
 	Drain   time.Duration `toml:"drain"`   // within which no new work goes to a leaving upstream
 	Grace   time.Duration `toml:"grace"`   // between the signal to leave and the end of the process
@@ -66,7 +70,7 @@
 
 // Parse decodes a settings text and returns every fault in it.
 func Parse(data []byte) (Setup, []fault.Fault) {
-	s := Setup{Level: "info"}
+	s := Setup{Level: "info", Head: defaultHead}
 	var table map[string]toml.Primitive
 	meta, err := toml.Decode(string(data), &table)
 	if err != nil {
@@ -119,5 +123,8 @@
 	if s.Files <= 0 {
 		faults = append(faults, fault.NewFault("files", "must be above zero"))
 	}
+	if s.Head <= 0 {
+		faults = append(faults, fault.NewFault("head", "must be above zero"))
+	}
 	return faults
 }
