Bound the connections from outside, and give places of callers that stall to others

Callers opened more connections than the process may have descriptors, and kept them without a request, or with one that stops short; each took memory as well, and the last descriptors were missing for upstreams and the store. Cause: nothing bounded the connections; those of the ports for lookups, probes and scrapers were not followed at all, and never closed as idle.

A further connection takes the place of the caller that has stalled in its request for the longest time (half a second at least), or else of the one that has been idle longest; one without a place is closed before anything is read. Connections of the other ports are closed as idle like callers'.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -17,12 +17,19 @@
 	"damaskreach/internal/room"
 )
 
+// endingShare is the part of Most that may be open beyond it while as many are ending: one in so many.
+const endingShare = 8
+
 type key struct{}
 
 // Conns may be used from several goroutines. The zero value follows no connection.
 type Conns struct {
-	// Room is what all connections together may hold of requests; nil bounds nothing. It is set before the first connection.
+	// Room is what all connections together may hold of requests; nil bounds nothing. It is set before the first connection, like the fields below.
 	Room *room.Room
+	// Most is how many connections may be open; 0 means any number. It needs a Room.
+	Most int
+	// Refused is called for each connection that finds no place; it may be nil.
+	Refused func()
 
 	mu  sync.Mutex
 	all map[*conn]bool
@@ -57,15 +64,34 @@
 	accepting chan struct{} // holds a value while a call of Accept is under way
 }
 
-// Accept waits for a connection, which is followed until it is closed.
+// Accept waits for a connection, which is followed until it is closed. One that finds no place is closed at once: its caller can tell that nothing was read,
+// and try another host.
 func (l *listener) Accept() (net.Conn, error) {
 	l.accepting <- struct{}{}
 	defer func() { <-l.accepting }()
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.all.hasPlace() {
+			return l.all.add(raw), nil
+		}
+		if l.all.Refused != nil {
+			l.all.Refused()
+		}
+		raw.Close()
 	}
-	return l.all.add(raw), nil
+}
+
+// hasPlace reports whether one more connection may be open. Where there are Most, one is dropped in its favour that has no whole request; it may take a moment to
+// end, so some more may be open meanwhile.
+func (c *Conns) hasPlace() bool {
+	open := c.Open()
+	if c.Most == 0 || open < c.Most {
+		return true
+	}
+	return open < c.Most+c.Most/endingShare+1 && c.Room.DropOne(c)
 }
 
 // Close ends accepting. A connection that was accepted at that moment is followed once Close returns: not counted, it would end with the process
@@ -77,6 +103,13 @@
 	return err
 }
 
+// Open returns how many connections are open, those that are ending included.
+func (c *Conns) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.all)
+}
+
 func (c *Conns) add(raw net.Conn) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,7 +117,7 @@
 		c.all = map[*conn]bool{}
 	}
 	known := &conn{Conn: raw, all: c, since: time.Now()}
-	known.part = c.Room.Part(known.drop)
+	known.part = c.Room.Part(c, known.drop)
 	c.all[known] = true
 	return known
 }
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -25,7 +25,6 @@
 	"damaskreach/internal/quotas"
 	"damaskreach/internal/ration"
 	"damaskreach/internal/reach"
-	"damaskreach/internal/room"
 	"damaskreach/internal/roster"
 	"damaskreach/internal/setup"
 	"damaskreach/internal/spare"
@@ -40,9 +39,6 @@
 // answerRoomShare is the part of the process's memory that answers may take that are read whole: one in so many bytes.
 const answerRoomShare = 16
 
-// callerRoomShare is the part of the process's memory that callers may take with what they send: one in so many bytes.
-const callerRoomShare = 5
-
 // build creates the components and connects them.
 func (e *Edge) build() *proxy.Proxy {
 	s := e.Setup()
@@ -78,8 +74,7 @@
 		s := e.Setup()
 		return s.Share, s.Extra, s.Window
 	}}
-	callers := room.NewRoom(s.Memory << 20 / callerRoomShare)
-	e.conns.Room, e.lookups.Room, e.probes.Room, e.scrapes.Room = callers, callers, callers, callers
+	e.boundCallers(s)
 	return e.buildProxy()
 }
 
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damaskreach/internal/conns"
 	"damaskreach/internal/ticker"
 )
 
@@ -26,7 +27,9 @@
 		v, now := e.intake.View(), time.Now()
 		e.uplink.Sweep()
 		if limit := v.Rules.IdleFor; limit > 0 {
-			e.conns.CloseIdle(limit + idleSlack)
+			for _, c := range []*conns.Conns{&e.conns, &e.lookups, &e.probes, &e.scrapes} {
+				c.CloseIdle(limit + idleSlack)
+			}
 		}
 		e.observeBuilds()
 		e.holds.Forget(v.Targets, now)
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -17,9 +17,9 @@
 
 // setRoom bounds what all callers together hold; each request comes on a connection of its own.
 func (b *bench) setRoom(size int64) {
-	all := room.NewRoom(size)
+	all := room.NewRoom(size, func() {})
 	b.Part = func(ctx context.Context) *room.Room {
-		p := all.Part(func() {})
+		p := all.Part(b, func() {})
 		p.Begin()
 		context.AfterFunc(ctx, p.Leave)
 		return p
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -30,8 +30,9 @@
 
 // Room is a number of bytes, or a part of them that one connection holds. It may be used from several goroutines. A nil Room bounds nothing.
 type Room struct {
-	all  *shared
-	drop func() // of a part: has its caller dropped
+	all   *shared
+	group any    // of a part
+	drop  func() // of a part: has its caller dropped
 
 	// Under the lock of all:
 	held    int64
@@ -44,6 +45,8 @@
 
 // shared is what the parts of a room share.
 type shared struct {
+	noteDrop func()
+
 	mu      sync.Mutex
 	size    int64
 	taken   int64
@@ -52,17 +55,17 @@
 	queue   int           // parts that wait for room
 }
 
-// NewRoom returns a room of a size in bytes.
-func NewRoom(size int64) *Room {
-	return &Room{all: &shared{size: size, waiting: list.New(), given: make(chan struct{})}}
+// NewRoom returns a room of a size in bytes; noteDrop is called for each caller that is dropped.
+func NewRoom(size int64, noteDrop func()) *Room {
+	return &Room{all: &shared{size: size, noteDrop: noteDrop, waiting: list.New(), given: make(chan struct{})}}
 }
 
-// Part returns a part of a room for a new connection. Leave must be called at its end; drop may be called at any time until then and must not block.
-func (r *Room) Part(drop func()) *Room {
+// Part returns a part of a room for a new connection of a group. Leave must be called at its end; drop may be called at any time until then and must not block.
+func (r *Room) Part(group any, drop func()) *Room {
 	if r == nil {
 		return nil
 	}
-	p := &Room{all: r.all, drop: drop}
+	p := &Room{all: r.all, group: group, drop: drop}
 	p.Wait()
 	return p
 }
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -11,7 +11,9 @@
 const (
 	size = 1 << 20
 	half = size / 2
-	long = 600 * time.Millisecond // without a byte, after which a caller counts as stalled
+
+	callers, others = "callers", "others"    // groups
+	long            = 600 * time.Millisecond // without a byte, after which a caller counts as stalled
 )
 
 // caller is one connection with a part of a room.
@@ -23,7 +25,7 @@
 // begin returns a caller that has begun a request and holds some bytes of it. A caller that is dropped gives back what it holds.
 func begin(t *testing.T, r *room.Room, bytes int64) *caller {
 	c := &caller{}
-	c.Room = r.Part(func() {
+	c.Room = r.Part(callers, func() {
 		c.dropped = true
 		go c.Leave()
 	})
@@ -37,7 +39,7 @@
 // Callers stop short of the end of long bodies and keep their connections open. Not dropped, they would keep all others out until their deadlines.
 func TestStalledCallersAreDroppedForOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := room.NewRoom(size)
+		r := room.NewRoom(size, func() {})
 		first, second, whole := begin(t, r, half/2), begin(t, r, half/2), begin(t, r, half/4)
 		whole.Settle()
 		time.Sleep(long)
@@ -58,7 +60,7 @@
 // Callers send single bytes of long bodies. Taken to be sending, they would hold their room as long as they like.
 func TestCallersOfSingleBytesCountAsStalled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := room.NewRoom(size)
+		r := room.NewRoom(size, func() {})
 		slow := begin(t, r, half)
 		for range 10 {
 			time.Sleep(long / 10)
@@ -73,7 +75,7 @@
 // All callers send at full speed, and there are too many. If they were dropped for each other, none would ever be served.
 func TestSendingCallersAreNotDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := room.NewRoom(size)
+		r := room.NewRoom(size, func() {})
 		sending := begin(t, r, half)
 		done := make(chan struct{})
 		go func() {
@@ -96,7 +98,7 @@
 // A host has no room and many callers. While there is room, a slow caller must be left alone, and what it holds must come back at its end.
 func TestRoomComesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := room.NewRoom(size)
+		r := room.NewRoom(size, func() {})
 		slow := begin(t, r, half)
 		time.Sleep(time.Minute)
 		other := begin(t, r, 8<<10)
@@ -115,18 +117,21 @@
 // All connections are taken. Those that stall in a request must go first, then those that wait for one, and none whose request is whole.
 func TestConnectionsThatStallGoFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := room.NewRoom(size)
+		r := room.NewRoom(size, func() {})
 		idle, stalled, whole := begin(t, r, 0), begin(t, r, 0), begin(t, r, 0)
 		idle.Wait()
 		whole.Settle()
 		time.Sleep(long)
+		if r.DropOne(others) {
+			t.Error("a connection of one group was dropped for another, want none")
+		}
 		for _, want := range []*caller{stalled, idle} {
-			if !r.DropOne() || !want.dropped {
+			if !r.DropOne(callers) || !want.dropped {
 				t.Errorf("dropped: stalled %v, idle %v, want the stalled one and then the idle one", stalled.dropped, idle.dropped)
 			}
 			synctest.Wait()
 		}
-		if r.DropOne() {
+		if r.DropOne(callers) {
 			t.Error("a connection was dropped whose request is whole, want none")
 		}
 	})
--- a/internal/room/take.go
+++ b/internal/room/take.go
@@ -74,7 +74,7 @@
 // dropStalled drops callers that have stalled, those first that have sent nothing for the longest time, until so many bytes are being given back.
 func (p *Room) dropStalled(bytes int64) {
 	for _, victim := range p.stalled(bytes) {
-		victim.drop()
+		victim.end()
 	}
 }
 
@@ -101,26 +101,32 @@
 	return victims
 }
 
-// DropOne drops one caller to make place for another connection: the one that has stalled in its request for the longest time, or else the one that has sent no
+// DropOne drops one caller of a group to make place for another connection: the one that has stalled in its request for the longest time, or else the one that has sent no
 // request for the longest time. It reports false where there is none.
-func (r *Room) DropOne() bool {
-	victim := r.oldest(func(p *Room) bool { return !p.idle && time.Since(p.since) >= stallAfter })
+func (r *Room) DropOne(group any) bool {
+	victim := r.oldest(group, func(p *Room) bool { return !p.idle && time.Since(p.since) >= stallAfter })
 	if victim == nil {
-		victim = r.oldest(func(p *Room) bool { return p.idle })
+		victim = r.oldest(group, func(p *Room) bool { return p.idle })
 	}
 	if victim == nil {
 		return false
 	}
-	victim.drop()
+	victim.end()
 	return true
 }
 
-// oldest returns the part that has waited for its caller for the longest time among those that match and were not dropped. It counts as dropped.
-func (r *Room) oldest(match func(p *Room) bool) *Room {
+// end has the caller of a part dropped.
+func (p *Room) end() {
+	p.all.noteDrop()
+	p.drop()
+}
+
+// oldest returns the part of a group that has waited for its caller for the longest time among those that match and were not dropped. It counts as dropped.
+func (r *Room) oldest(group any, match func(p *Room) bool) *Room {
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
 	for e := r.all.waiting.Front(); e != nil; e = e.Next() {
-		if p := e.Value.(*Room); !p.dropped && match(p) {
+		if p := e.Value.(*Room); p.group == group && !p.dropped && match(p) {
 			p.dropped = true
 			return p
 		}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -32,6 +32,7 @@
 	Cores   float64       `toml:"cores"`   // that the process may use
 	Memory  int64         `toml:"memory"`  // that the process may use, in MB
 	Files   int           `toml:"files"`   // descriptors that the process may use
+	Conns   int           `toml:"conns"`   // of callers, that may be open; 0 means as many as memory and descriptors allow
 	Head    int           `toml:"head"`    // longest head of a request, in bytes
 	Beat    time.Duration `toml:"beat"`    // interval of upstreams' registrations
 	Drain   time.Duration `toml:"drain"`   // within which no new work goes to a leaving upstream
@@ -123,6 +124,9 @@
 	if s.Files <= 0 {
 		faults = append(faults, fault.NewFault("files", "must be above zero"))
 	}
+	if s.Conns < 0 {
+		faults = append(faults, fault.NewFault("conns", "must not be below zero"))
+	}
 	if s.Head <= 0 {
 		faults = append(faults, fault.NewFault("head", "must be above zero"))
 	}
