Bound what the kernel keeps of connections that the host has not read

Callers sent more than they had announced, or chunks without end, and a host's process ran out of memory though it had read little of it: unread bytes of its sockets count as its memory. Cause: the kernel lets the receive buffer of a connection that is read quickly grow to megabytes, and nothing bounded it. What a host does not read, behind a request under way, behind a refused one or while it has no processor, stays there.

Each connection from outside may have 16 KB that are not read (the kernel keeps up to twice as many), from when it waits to be accepted. One on which a body above 64 KB comes may have 128 KB, where there is room, until it is closed: that counts as twice as much. Tried and dropped: narrowing it again behind the body.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -15,6 +15,7 @@
 
 	"damaskreach/internal/peek"
 	"damaskreach/internal/room"
+	"damaskreach/internal/unread"
 )
 
 // endingShare is the part of Most that may be open beyond it while as many are ending: one in so many.
@@ -103,6 +104,23 @@
 	return err
 }
 
+// NarrowUnread is how many bytes of a connection may wait to be read; the kernel keeps up to twice as many.
+const NarrowUnread = 16 << 10
+
+// wideUnread is how many bytes may wait of a connection on which long bodies come.
+const wideUnread = 128 << 10
+
+// Widen lets more bytes wait on the connection of a request's context until it is closed, where there is room for them: otherwise a caller that is far away could send
+// a long body only a few bytes at a time. They are not bounded more narrowly again: the kernel would drop what the caller was allowed to send, and the caller send
+// its next body slowly.
+func (c *Conns) Widen(ctx context.Context) error {
+	known, followed := ctx.Value(key{}).(*conn)
+	if !followed || !known.part.Keep(2*wideUnread) {
+		return nil
+	}
+	return unread.Limit(known.Conn, wideUnread)
+}
+
 // Open returns how many connections are open, those that are ending included.
 func (c *Conns) Open() int {
 	c.mu.Lock()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -10,6 +10,7 @@
 	"damaskreach/internal/conns"
 	"damaskreach/internal/lookup"
 	"damaskreach/internal/mate"
+	"damaskreach/internal/unread"
 )
 
 const (
@@ -46,6 +47,9 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		if err := unread.Limit(l, conns.NarrowUnread); err != nil {
+			e.Log.Warn("unread bytes not bounded", zap.String("addr", p.addr), zap.Error(err))
+		}
 		l = p.conns.Follow(l)
 		if i == 0 {
 			callers = l
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,7 +10,6 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
-	"damaskreach/internal/room"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -17,6 +17,9 @@
 // defaultMaxBody bounds a body where the configuration does not, in bytes.
 const defaultMaxBody = 1 << 20
 
+// longBody is the length of a body, in bytes, from which more of it may wait to be read than of others.
+const longBody = 64 << 10
+
 // readBody reads the whole body: it may have to be sent twice, and the upstream gets its length. Its room is held until releaseBody. Held without a bound, a
 // burst of long bodies could fill the memory of the process, which would end with all its requests.
 func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, j *job) *refuse.Refusal {
@@ -28,7 +31,7 @@
 		limit = defaultMaxBody
 	}
 	body := http.MaxBytesReader(w, r.Body, limit)
-	data, held, err := p.readRoomed(body, r.ContentLength, limit, j.part)
+	data, held, err := p.readRoomed(r.Context(), body, r.ContentLength, limit, j)
 	j.bodyRoom = held
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -49,15 +52,24 @@
 	return nil
 }
 
+// widen lets more bytes of a long body wait to be read.
+func (p *Proxy) widen(ctx context.Context, j *job) {
+	if err := p.Widen(ctx); err != nil {
+		p.Log.Debug("connection not widened", zap.String("request", j.req.ID), zap.Error(err))
+	}
+}
+
 // readRoomed reads a body of a length, or of any up to a limit where it is negative; held is the room that it takes.
-func (p *Proxy) readRoomed(body io.Reader, length, limit int64, part *room.Room) (data []byte, held int64, err error) {
+func (p *Proxy) readRoomed(ctx context.Context, body io.Reader, length, limit int64, j *job) (data []byte, held int64, err error) {
 	switch {
 	case length > limit:
 		return nil, 0, merry.Wrap(errTooLarge)
 	case length < 0:
-		return readChunked(body, limit, part)
-	case !part.Take(length):
+		return p.readChunked(ctx, body, limit, j)
+	case !j.part.Take(length):
 		return nil, 0, merry.Wrap(errNoRoom)
+	case length > longBody:
+		p.widen(ctx, j)
 	}
 	data = make([]byte, length)
 	_, err = io.ReadFull(body, data)
@@ -65,18 +77,26 @@
 }
 
 // readChunked reads a body of unknown length. It takes room for the pieces and for the whole, and gives that for the pieces back.
-func readChunked(body io.Reader, limit int64, part *room.Room) (data []byte, held int64, err error) {
-	text, err := readPieces(body, limit, part.Take)
+func (p *Proxy) readChunked(ctx context.Context, body io.Reader, limit int64, j *job) (data []byte, held int64, err error) {
+	read := int64(0)
+	text, err := readPieces(body, limit, func(bytes int64) bool {
+		before := read
+		read += bytes
+		if before <= longBody && read > longBody {
+			p.widen(ctx, j)
+		}
+		return j.part.Take(bytes)
+	})
 	switch {
 	case err != nil:
 		return nil, text.held, err
 	case len(text.list) == 1:
 		return text.join(), text.held, nil
-	case !part.Take(text.size):
+	case !j.part.Take(text.size):
 		return nil, text.held, merry.Wrap(errNoRoom)
 	}
 	data = text.join()
-	part.Give(text.held)
+	j.part.Give(text.held)
 	return data, text.size, nil
 }
 
--- a/internal/proxy/fake_test.go
+++ b/internal/proxy/fake_test.go
@@ -147,6 +147,7 @@
 			Bound: func() (float64, float64, time.Duration) { return 0.2, 100, 10 * time.Second },
 		},
 		Stats: stats.NewStats(), AnswerRoom: semaphore.NewWeighted(1 << 30), Part: func(context.Context) *room.Room { return nil },
+		Widen: func(context.Context) error { return nil },
 	}
 	return b
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,6 +120,8 @@
 	AnswerRoom *semaphore.Weighted
 	// Part returns the room that the connection of a request holds; it may be nil.
 	Part func(ctx context.Context) *room.Room
+	// Widen lets more bytes wait on the connection of a request whose long body is read.
+	Widen func(ctx context.Context) error
 	// Started is when this host began to read the store.
 	Started time.Time
 	Holds   *holds.Holds
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -36,6 +36,7 @@
 
 	// Under the lock of all:
 	held    int64
+	kept    int64         // held until it leaves, beside the rest
 	place   *list.Element // among those that wait for their callers; nil where it does not
 	idle    bool          // it waits for a request to begin
 	since   time.Time     // when its caller last sent something
@@ -80,116 +81,120 @@
 	return r.all.taken
 }
 
-// Wait gives back what a part holds: its connection waits for a request.
-func (p *Room) Wait() {
-	if p == nil {
+// Wait gives back what a part holds, but for what it keeps: its connection waits for a request.
+func (r *Room) Wait() {
+	if r == nil {
 		return
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	p.give(p.held)
-	p.idle, p.dropped = true, false
-	p.queueUp()
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.give(r.held)
+	r.idle, r.dropped = true, false
+	r.queueUp()
 }
 
 // Begin notes that bytes of a request have come.
-func (p *Room) Begin() {
-	if p == nil {
+func (r *Room) Begin() {
+	if r == nil {
 		return
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	p.idle, p.dropped = false, false
-	p.queueUp()
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.idle, r.dropped = false, false
+	r.queueUp()
 }
 
 // Sent notes that the caller has sent some bytes.
-func (p *Room) Sent(bytes int) {
-	if p == nil {
+func (r *Room) Sent(bytes int) {
+	if r == nil {
 		return
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	p.sent += int64(bytes)
-	if p.place != nil && p.sent >= progress {
-		p.queueUp()
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.sent += int64(bytes)
+	if r.place != nil && r.sent >= progress {
+		r.queueUp()
 	}
 }
 
 // Settle notes that the request is whole: its caller is not waited for and will not be dropped. It reports false where that has happened already.
-func (p *Room) Settle() (kept bool) {
-	if p == nil {
+func (r *Room) Settle() (kept bool) {
+	if r == nil {
 		return true
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	p.unqueue()
-	return !p.dropped
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.unqueue()
+	return !r.dropped
 }
 
 // Dropped reports whether the part's caller was chosen to be dropped, and has not begun a request since.
-func (p *Room) Dropped() bool {
-	if p == nil {
+func (r *Room) Dropped() bool {
+	if r == nil {
 		return false
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	return p.dropped
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	return r.dropped
 }
 
 // Leave gives back what a part holds; its connection is closed.
-func (p *Room) Leave() {
-	if p == nil {
+func (r *Room) Leave() {
+	if r == nil {
 		return
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	p.unqueue()
-	p.give(p.held)
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.unqueue()
+	r.give(r.held)
+	r.all.free(r.kept)
+	r.kept = 0
 }
 
 // Give gives back some of the bytes that a part holds.
-func (p *Room) Give(bytes int64) {
-	if p == nil {
+func (r *Room) Give(bytes int64) {
+	if r == nil {
 		return
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	p.give(bytes)
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	r.give(bytes)
 }
 
 // queueUp makes the part the last of those that wait for their callers. It needs the lock.
-func (p *Room) queueUp() {
-	p.since, p.sent = time.Now(), 0
-	if p.place == nil {
-		p.place = p.all.waiting.PushBack(p)
+func (r *Room) queueUp() {
+	r.since, r.sent = time.Now(), 0
+	if r.place == nil {
+		r.place = r.all.waiting.PushBack(r)
 		return
 	}
-	p.all.waiting.MoveToBack(p.place)
+	r.all.waiting.MoveToBack(r.place)
 }
 
 // unqueue needs the lock.
-func (p *Room) unqueue() {
-	if p.place == nil {
+func (r *Room) unqueue() {
+	if r.place == nil {
 		return
 	}
-	p.all.waiting.Remove(p.place)
-	p.place = nil
+	r.all.waiting.Remove(r.place)
+	r.place = nil
 }
 
 // give needs the lock.
-func (p *Room) give(bytes int64) {
-	before := counted(p.held)
-	p.held = max(0, p.held-bytes)
-	freed := before - counted(p.held)
-	if freed == 0 {
+func (r *Room) give(bytes int64) {
+	before := counted(r.held)
+	r.held = max(0, r.held-bytes)
+	r.all.free(before - counted(r.held))
+}
+
+// free wakes the parts that wait for room. It needs the lock.
+func (s *shared) free(bytes int64) {
+	s.taken -= bytes
+	if bytes == 0 || s.queue == 0 {
 		return
 	}
-	p.all.taken -= freed
-	if p.all.queue > 0 {
-		close(p.all.given)
-		p.all.given = make(chan struct{})
-	}
+	close(s.given)
+	s.given = make(chan struct{})
 }
 
 // counted returns how many bytes of the room a part takes that holds so many.
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -106,6 +106,13 @@
 			t.Error("a caller was dropped while there was room, want it kept")
 		}
 		slow.Give(half / 2)
+		if !other.Keep(half/2) || other.Keep(1) {
+			t.Error("kept bytes twice, or none, want them once")
+		}
+		other.Wait()
+		if got, want := r.Taken(), int64(half-room.Free); got != want {
+			t.Errorf("%d bytes are held, want %d: those of the slow caller and those that are kept", got, want)
+		}
 		slow.Wait()
 		other.Leave()
 		if got := r.Taken(); got != 0 {
--- a/internal/room/take.go
+++ b/internal/room/take.go
@@ -4,21 +4,21 @@
 
 // Take has a part hold more bytes. Where there is no room, callers that have stalled are dropped, and the part waits for theirs. It reports false where there is
 // none in time.
-func (p *Room) Take(bytes int64) bool {
-	if p.TryTake(bytes) {
+func (r *Room) Take(bytes int64) bool {
+	if r.TryTake(bytes) {
 		return true
 	}
-	exit, ok := p.enter()
+	exit, ok := r.enter()
 	if !ok {
 		return false
 	}
 	defer exit()
 	for until := time.Now().Add(patience); time.Now().Before(until); {
-		p.all.mu.Lock()
-		given := p.all.given
-		p.all.mu.Unlock()
-		p.dropStalled(bytes)
-		if p.TryTake(bytes) {
+		r.all.mu.Lock()
+		given := r.all.given
+		r.all.mu.Unlock()
+		r.dropStalled(bytes)
+		if r.TryTake(bytes) {
 			return true
 		}
 		wait := time.NewTimer(lookInterval)
@@ -28,67 +28,85 @@
 		}
 		wait.Stop()
 	}
-	return p.TryTake(bytes)
+	return r.TryTake(bytes)
 }
 
 // TryTake has a part hold more bytes where there is room at once.
-func (p *Room) TryTake(bytes int64) bool {
-	if p == nil {
+func (r *Room) TryTake(bytes int64) bool {
+	if r == nil {
 		return true
 	}
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	more := counted(p.held+bytes) - counted(p.held)
-	limit := p.all.size
-	if p.held+bytes > smallPart {
-		limit -= limit / reservedShare
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	more := counted(r.held+bytes) - counted(r.held)
+	limit := r.all.size
+	if r.held+bytes > smallPart {
+		limit = r.all.largeSize()
+	}
+	if more > 0 && r.all.taken+more > limit {
+		return false
+	}
+	r.held += bytes
+	r.all.taken += more
+	return true
+}
+
+// Keep has a part hold more bytes until it leaves, where there is room at once and it keeps none yet.
+func (r *Room) Keep(bytes int64) bool {
+	if r == nil {
+		return true
 	}
-	if more > 0 && p.all.taken+more > limit {
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	if r.kept > 0 || r.all.taken+bytes > r.all.largeSize() {
 		return false
 	}
-	p.held += bytes
-	p.all.taken += more
+	r.kept = bytes
+	r.all.taken += bytes
 	return true
 }
 
+// largeSize returns how many bytes large parts may take.
+func (s *shared) largeSize() int64 { return s.size - s.size/reservedShare }
+
 // enter has a part wait for room, which is no fault of its caller. ok is false where too many wait already.
-func (p *Room) enter() (exit func(), ok bool) {
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
-	if p.all.queue >= maxWaiting {
+func (r *Room) enter() (exit func(), ok bool) {
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
+	if r.all.queue >= maxWaiting {
 		return nil, false
 	}
-	p.all.queue++
-	waited := p.place != nil
-	p.unqueue()
+	r.all.queue++
+	waited := r.place != nil
+	r.unqueue()
 	return func() {
-		p.all.mu.Lock()
-		defer p.all.mu.Unlock()
-		p.all.queue--
+		r.all.mu.Lock()
+		defer r.all.mu.Unlock()
+		r.all.queue--
 		if waited {
-			p.queueUp()
+			r.queueUp()
 		}
 	}, true
 }
 
 // dropStalled drops callers that have stalled, those first that have sent nothing for the longest time, until so many bytes are being given back.
-func (p *Room) dropStalled(bytes int64) {
-	for _, victim := range p.stalled(bytes) {
+func (r *Room) dropStalled(bytes int64) {
+	for _, victim := range r.stalled(bytes) {
 		victim.end()
 	}
 }
 
 // stalled returns parts whose callers have stalled and that hold so many bytes together, or all of them. They count as dropped.
-func (p *Room) stalled(bytes int64) []*Room {
-	p.all.mu.Lock()
-	defer p.all.mu.Unlock()
+func (r *Room) stalled(bytes int64) []*Room {
+	r.all.mu.Lock()
+	defer r.all.mu.Unlock()
 	var victims []*Room
-	for e := p.all.waiting.Front(); e != nil && bytes > 0; e = e.Next() {
+	for e := r.all.waiting.Front(); e != nil && bytes > 0; e = e.Next() {
 		other := e.Value.(*Room)
 		if time.Since(other.since) < stallAfter {
 			break
 		}
-		holds := counted(other.held)
+		holds := counted(other.held) + other.kept
 		if holds == 0 {
 			continue
 		}
@@ -116,9 +134,9 @@
 }
 
 // end has the caller of a part dropped.
-func (p *Room) end() {
-	p.all.noteDrop()
-	p.drop()
+func (r *Room) end() {
+	r.all.noteDrop()
+	r.drop()
 }
 
 // oldest returns the part of a group that has waited for its caller for the longest time among those that match and were not dropped. It counts as dropped.
