Leave ordinary callers as much room for long bodies as before

Cause: the room was a fifth of the memory (a third before), a quarter of it reserved for short requests; and what a connection may have unread for long bodies was taken from the same room until it was closed, so that connections were dropped for it.

Change: a third again, a sixteenth reserved; what connections keep is counted apart, a quarter of the room at most, nobody is dropped for it, and it is 64 KB in place of 128.

TestCrowd, TestCrowdAtSlowHost and the two tests beside them pass, at 18 to 77 MB of 96.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -108,7 +108,7 @@
 const NarrowUnread = 16 << 10
 
 // wideUnread is how many bytes may wait of a connection on which long bodies come.
-const wideUnread = 128 << 10
+const wideUnread = 64 << 10
 
 // Widen lets more bytes wait on the connection of a request's context until it is closed, where there is room for them: otherwise a caller that is far away could send
 // a long body only a few bytes at a time. They are not bounded more narrowly again: the kernel would drop what the caller was allowed to send, and the caller send
--- a/internal/edge/bounds.go
+++ b/internal/edge/bounds.go
@@ -10,7 +10,7 @@
 const (
 	// callerRoomShare is the part of the process's memory that callers may take with what they send, beside what each connection takes anyway: one in so many
 	// bytes.
-	callerRoomShare = 5
+	callerRoomShare = 3
 	// connMemoryShare is the part of the process's memory that callers' connections may take, and connCost what one takes without a request, its buffers in the
 	// kernel included, in bytes.
 	connMemoryShare = 0.4
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -16,7 +16,9 @@
 	// smallPart is the size of a part, in bytes, up to which it may use the room that is reserved for small ones.
 	smallPart = 32 << 10
 	// reservedShare is the part of the room that is reserved for small parts: one in so many bytes.
-	reservedShare = 4
+	reservedShare = 16
+	// keepShare is how much parts may keep beside the room, all together: one byte for so many of it.
+	keepShare = 4
 	// stallAfter is how long a caller must have sent nothing to be dropped in favour of others.
 	stallAfter = 500 * time.Millisecond
 	// progress is how many bytes a caller must send to count as sending. Those that send single bytes hold their room as long as those that send none.
@@ -36,7 +38,7 @@
 
 	// Under the lock of all:
 	held    int64
-	kept    int64         // held until it leaves, beside the rest
+	kept    int64         // held until it leaves, beside the room
 	place   *list.Element // among those that wait for their callers; nil where it does not
 	idle    bool          // it waits for a request to begin
 	since   time.Time     // when its caller last sent something
@@ -51,6 +53,7 @@
 	mu      sync.Mutex
 	size    int64
 	taken   int64
+	kept    int64
 	waiting *list.List    // parts that wait for their callers, the one that has waited longest first
 	given   chan struct{} // closed and replaced when bytes are given back
 	queue   int           // parts that wait for room
@@ -81,7 +84,7 @@
 	return r.all.taken
 }
 
-// Wait gives back what a part holds, but for what it keeps: its connection waits for a request.
+// Wait gives back what a part holds of the room: its connection waits for a request.
 func (r *Room) Wait() {
 	if r == nil {
 		return
@@ -147,7 +150,7 @@
 	defer r.all.mu.Unlock()
 	r.unqueue()
 	r.give(r.held)
-	r.all.free(r.kept)
+	r.all.kept -= r.kept
 	r.kept = 0
 }
 
--- a/internal/room/take.go
+++ b/internal/room/take.go
@@ -51,18 +51,18 @@
 	return true
 }
 
-// Keep has a part hold more bytes until it leaves, where there is room at once and it keeps none yet.
+// Keep has a part hold bytes beside the room until it leaves, where it keeps none yet and all parts together do not keep too many. Nobody is dropped for them.
 func (r *Room) Keep(bytes int64) bool {
 	if r == nil {
 		return true
 	}
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
-	if r.kept > 0 || r.all.taken+bytes > r.all.largeSize() {
+	if r.kept > 0 || r.all.kept+bytes > r.all.size/keepShare {
 		return false
 	}
 	r.kept = bytes
-	r.all.taken += bytes
+	r.all.kept += bytes
 	return true
 }
 
@@ -106,7 +106,7 @@
 		if time.Since(other.since) < stallAfter {
 			break
 		}
-		holds := counted(other.held) + other.kept
+		holds := counted(other.held)
 		if holds == 0 {
 			continue
 		}
