Name the bounds on callers in the terms of the field

Read as a newcomer would: connections in their handshakes were strangers that were greeted and met, a request that is whole was settled, a connection that is closed left its room, and bytes that a host receives were sent. They are pending, complete, closed and received now; constants of the room tell what they bound. One condition that could not hold is gone (an unexpected end is never a plain end).

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -10,7 +10,7 @@
 	Credit    int           // unread messages a stream may hold at the peer; known after the handshake
 	Queue     int           // frames a connection may hold that are not written yet
 	Streams   int           // streams a peer may have open on one connection
-	Strangers int           // connections that may be in their handshakes
+	Pending   int           // connections that may be in their handshakes
 	Interval  time.Duration // between keepalive pings
 	Timeout   time.Duration // without a byte from the peer, or of a write, until the connection counts as cut
 	Handshake time.Duration // for the whole handshake
@@ -28,7 +28,7 @@
 		Credit:    256 << 10,
 		Queue:     256 << 10,
 		Streams:   16 << 10,
-		Strangers: 512,
+		Pending:   512,
 		Interval:  time.Second,
 		Timeout:   3 * time.Second,
 		Handshake: 3 * time.Second,
@@ -58,9 +58,9 @@
 	return b
 }
 
-// WithStrangers returns a copy with another number of connections that may be in their handshakes.
-func (b Bounds) WithStrangers(n int) Bounds {
-	b.Strangers = n
+// WithPending returns a copy with another number of connections that may be in their handshakes.
+func (b Bounds) WithPending(n int) Bounds {
+	b.Pending = n
 	return b
 }
 
--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -34,7 +34,7 @@
 // Read reads from the connection. Bytes that arrive make it busy, also where it was about to be closed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.part.Sent(n)
+	c.part.Received(n)
 	ended := errors.Is(err, io.EOF)
 	if n == 0 && !ended {
 		return n, err
@@ -85,7 +85,7 @@
 	c.closed = true
 	delete(c.all.all, c)
 	c.all.mu.Unlock()
-	c.part.Leave()
+	c.part.Close()
 	return c.Conn.Close()
 }
 
--- a/internal/edge/bounds.go
+++ b/internal/edge/bounds.go
@@ -21,8 +21,8 @@
 	// lookupShare and scrapeShare are how many connections the ports for lookups, and those for probes and scrapers, may have for each of callers: one in so many.
 	lookupShare = 4
 	scrapeShare = 16
-	// strangerShare is the part of the process's descriptors that connections to the port for other hosts may take until they have proved themselves: one in so many.
-	strangerShare = 8
+	// pendingShare is the part of the process's descriptors that connections to the port for other hosts may take until they have proved themselves: one in so many.
+	pendingShare = 8
 )
 
 // mostConns returns how many connections of callers may be open.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -63,7 +63,7 @@
 	}
 	mesh := peer.NewMesh(s.IP, [][]byte{e.tenure.Secret()}, e.Dial, e.Log).WithAddr(s.Peers).
 		WithBounds(bounds.NewBounds().WithKeepalive(pingInterval, pingTimeout).WithBackoff(minRedialDelay, maxRedialDelay).
-			WithStrangers(max(1, s.Files/strangerShare)))
+			WithPending(max(1, s.Files/pendingShare)))
 	m := mates.NewMates(s.Mate())
 	m.Hosts, m.Roster, m.OwnStatus, m.Attach, m.Observe, m.Log = e.tenure.Hosts, e.roster, e.ownStatus, e.addFeeds,
 		func(g gossip.Gossip) { e.applyGossip(ctx, g) }, e.Log
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -27,10 +27,10 @@
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
 
-	mu        sync.Mutex
-	links     map[string]*link
-	strangers list.List // accepted connections that are in their handshakes, the oldest first
-	closed    bool
+	mu      sync.Mutex
+	links   map[string]*link
+	pending list.List // accepted connections that are in their handshakes, the oldest first
+	closed  bool
 }
 
 // settings do not change while a mesh is used.
--- a/internal/peer/stranger_test.go
+++ b/internal/peer/pending_test.go
@@ -10,12 +10,12 @@
 // Somebody opens connections to the port for other nodes and says nothing. Kept for the time of a handshake, they would take the descriptors of the process; a node that
 // comes meanwhile must get through.
 func TestSilentConnectionsMakeWay(t *testing.T) {
-	const strangers, most = 50, 8
+	const silent, most = 50, 8
 	synctest.Test(t, func(t *testing.T) {
 		n := newNet()
-		b := newMesh(n, "b").WithBounds(bounds.NewBounds().WithStrangers(most))
+		b := newMesh(n, "b").WithBounds(bounds.NewBounds().WithPending(most))
 		defer serve(t, b, listen(t, n, addrB))()
-		for range strangers {
+		for range silent {
 			c, err := n.Dial(hostA)(t.Context(), addrB)
 			if err != nil {
 				t.Fatalf("dial: %v", err)
@@ -23,7 +23,7 @@
 			defer c.Close()
 		}
 		synctest.Wait()
-		if got, want := n.Ends(), 2*most+strangers-most; got > want {
+		if got, want := n.Ends(), 2*most+silent-most; got > want {
 			t.Errorf("%d ends are open, want %d at most", got, want)
 		}
 		a := newMesh(n, "a")
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -60,9 +60,9 @@
 
 // accept runs one connection that a peer dialled.
 func (m *Mesh) accept(nc net.Conn) {
-	met := m.greet(nc)
+	done := m.addPending(nc)
 	c, err := wire.Accept(m.ctx, nc, m.self, *m.secrets.Load(), m.bounds, m.serve)
-	met()
+	done()
 	if err != nil {
 		m.log.Warn("refused a connection", zap.Stringer("from", nc.RemoteAddr()), zap.Error(err))
 		return
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -40,7 +40,7 @@
 		return p.dropBody(body, j)
 	case errors.As(err, &tooLarge), errors.Is(err, errTooLarge):
 		return refuse.NewRefusal(verd.NotRun, refuse.TooLarge, "body over %d bytes", limit)
-	case err != nil && !j.part.Settle():
+	case err != nil && !j.part.Complete():
 		return noRoom("the caller sent nothing while others needed its room")
 	case err != nil:
 		return refuse.NewRefusal(verd.NotRun, refuse.SlowBody, "reading the body: %v", err)
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -21,7 +21,7 @@
 	b.Part = func(ctx context.Context) *room.Room {
 		p := all.Part(b, func() {})
 		p.Begin()
-		context.AfterFunc(ctx, p.Leave)
+		context.AfterFunc(ctx, p.Close)
 		return p
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -201,7 +201,7 @@
 	if refusal := p.readBody(w, r, j); refusal != nil {
 		return refusal
 	}
-	if !j.part.Settle() {
+	if !j.part.Complete() {
 		return noRoom("the caller sent too slowly while others needed its place")
 	}
 	if refusal := p.closing(j); refusal != nil {
--- a/internal/proxy/whole.go
+++ b/internal/proxy/whole.go
@@ -81,7 +81,7 @@
 		switch {
 		case p.size > limit:
 			return p, merry.Wrap(errTooLarge)
-		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		case errors.Is(err, io.EOF):
 			return p, nil
 		case err != nil:
 			return p, err
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -21,11 +21,11 @@
 	keepShare = 4
 	// stallAfter is how long a caller must have sent nothing to be dropped in favour of others.
 	stallAfter = 500 * time.Millisecond
-	// progress is how many bytes a caller must send to count as sending. Those that send single bytes hold their room as long as those that send none.
-	progress = 1 << 10
-	// patience is how long a part waits for room, while others are being dropped or end, and maxWaiting how many may wait.
-	patience   = time.Second
-	maxWaiting = 32
+	// minProgress is how many bytes a caller must send to count as sending. Those that send single bytes hold their room as long as those that send none.
+	minProgress = 1 << 10
+	// maxTakeWait is how long a part waits for room, while others are being dropped or end, and maxTakers how many may wait.
+	maxTakeWait = time.Second
+	maxTakers   = 32
 	// lookInterval is the time between two looks for callers that have stalled meanwhile.
 	lookInterval = 100 * time.Millisecond
 )
@@ -64,7 +64,7 @@
 	return &Room{all: &shared{size: size, noteDrop: noteDrop, waiting: list.New(), given: make(chan struct{})}}
 }
 
-// Part returns a part of a room for a new connection of a group. Leave must be called at its end; drop may be called at any time until then and must not block.
+// Part returns a part of a room for a new connection of a group. Close must be called at its end; drop may be called at any time until then and must not block.
 func (r *Room) Part(group any, drop func()) *Room {
 	if r == nil {
 		return nil
@@ -107,21 +107,21 @@
 	r.queueUp()
 }
 
-// Sent notes that the caller has sent some bytes.
-func (r *Room) Sent(bytes int) {
+// Received notes that the caller has sent some bytes.
+func (r *Room) Received(bytes int) {
 	if r == nil {
 		return
 	}
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
 	r.sent += int64(bytes)
-	if r.place != nil && r.sent >= progress {
+	if r.place != nil && r.sent >= minProgress {
 		r.queueUp()
 	}
 }
 
-// Settle notes that the request is whole: its caller is not waited for and will not be dropped. It reports false where that has happened already.
-func (r *Room) Settle() (kept bool) {
+// Complete notes that the request is whole: its caller is not waited for and will not be dropped. It reports false where that has happened already.
+func (r *Room) Complete() (kept bool) {
 	if r == nil {
 		return true
 	}
@@ -141,8 +141,8 @@
 	return r.dropped
 }
 
-// Leave gives back what a part holds; its connection is closed.
-func (r *Room) Leave() {
+// Close gives back what a part holds; its connection is closed.
+func (r *Room) Close() {
 	if r == nil {
 		return
 	}
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -27,7 +27,7 @@
 	c := &caller{}
 	c.Room = r.Part(callers, func() {
 		c.dropped = true
-		go c.Leave()
+		go c.Close()
 	})
 	c.Begin()
 	if bytes > 0 && !c.Take(bytes) {
@@ -41,9 +41,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := room.NewRoom(size, func() {})
 		first, second, whole := begin(t, r, half/2), begin(t, r, half/2), begin(t, r, half/4)
-		whole.Settle()
+		whole.Complete()
 		time.Sleep(long)
-		second.Sent(2 << 10)
+		second.Received(2 << 10)
 		other := begin(t, r, 0)
 		if !other.Take(half) {
 			t.Error("no room for another caller, want that of the one that has stalled")
@@ -51,7 +51,7 @@
 		if !first.dropped || second.dropped || whole.dropped {
 			t.Errorf("dropped = %v, %v, %v, want the one that has stalled alone", first.dropped, second.dropped, whole.dropped)
 		}
-		if whole.Settle() != true || first.Settle() != false {
+		if whole.Complete() != true || first.Complete() != false {
 			t.Error("a request counts as kept whose caller was dropped, or the other way round")
 		}
 	})
@@ -64,7 +64,7 @@
 		slow := begin(t, r, half)
 		for range 10 {
 			time.Sleep(long / 10)
-			slow.Sent(1)
+			slow.Received(1)
 		}
 		if other := begin(t, r, 0); !other.Take(half) || !slow.dropped {
 			t.Errorf("dropped = %v, want the slow caller to make room", slow.dropped)
@@ -82,7 +82,7 @@
 			defer close(done)
 			for range 20 {
 				time.Sleep(100 * time.Millisecond)
-				sending.Sent(64 << 10)
+				sending.Received(64 << 10)
 			}
 		}()
 		if other := begin(t, r, 0); other.Take(half) || sending.dropped {
@@ -110,7 +110,7 @@
 			t.Errorf("%d bytes are held, want the %d of the slow caller", got, want)
 		}
 		slow.Wait()
-		other.Leave()
+		other.Close()
 		if got := r.Taken(); got != 0 {
 			t.Errorf("%d bytes are held at the end, want none", got)
 		}
@@ -123,7 +123,7 @@
 		r := room.NewRoom(size, func() {})
 		idle, stalled, whole := begin(t, r, 0), begin(t, r, 0), begin(t, r, 0)
 		idle.Wait()
-		whole.Settle()
+		whole.Complete()
 		time.Sleep(long)
 		if r.DropOne(others) {
 			t.Error("a connection of one group was dropped for another, want none")
@@ -155,7 +155,7 @@
 	if keeping[0].Keep(1) {
 		t.Error("a part keeps bytes twice, want them once")
 	}
-	keeping[0].Leave()
+	keeping[0].Close()
 	if other := begin(t, r, 0); !other.Keep(size / 16) {
 		t.Error("what was kept did not come back, want it back")
 	}
--- a/internal/room/take.go
+++ b/internal/room/take.go
@@ -13,7 +13,7 @@
 		return false
 	}
 	defer exit()
-	for until := time.Now().Add(patience); time.Now().Before(until); {
+	for until := time.Now().Add(maxTakeWait); time.Now().Before(until); {
 		r.all.mu.Lock()
 		given := r.all.given
 		r.all.mu.Unlock()
@@ -73,7 +73,7 @@
 func (r *Room) enter() (exit func(), ok bool) {
 	r.all.mu.Lock()
 	defer r.all.mu.Unlock()
-	if r.all.queue >= maxWaiting {
+	if r.all.queue >= maxTakers {
 		return nil, false
 	}
 	r.all.queue++
