--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -2,8 +2,8 @@
 
 import "net"
 
-// addPending counts a connection whose far end has not proved yet that it is a peer. Where there are more than the bound, the one that has been silent for the longest time
-// is closed: whoever reaches the port could otherwise take all descriptors of the process. done must be called at the end of the handshake.
+// addPending counts a connection whose far end has not proved yet that it is a peer. Where there are more than the bound, the oldest of them is
+// closed: whoever reaches the port could otherwise take all descriptors of the process. done must be called at the end of the handshake.
 func (m *Mesh) addPending(nc net.Conn) (done func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
