Tell the reader of a connection how it ended where the writer was told

Callers got a part of an answer as the whole: an upstream answered a long upload at once and without a length, sent part of the body and reset the connection while the upload was still written. Cause: the kernel reports a connection's error once, to whichever of reader and writer comes first. The writer was told of the reset and the reader saw a plain end. The same in hosts that pass bytes on for others (package tunnel), and in net/http's transports. Change: connections that hosts and the client open are wrapped by package ends: a read that sees the end returns the error that a write was told, and waits for writes that go on though the kernel has closed the connection. EPIPE counts for nothing, as the far end had ended its side before.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"damaskreach/internal/ends"
 )
 
 const (
@@ -23,6 +25,14 @@
 
 // Dial opens a connection to an IP and port.
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return ends.NewConn(c), nil
+}
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idle, Interval: every, Count: count},
 		Control:         control,
@@ -44,16 +54,14 @@
 // DialDropping opens a connection that drops what it has not sent when it is closed. An order that gets no answer would else be sent by the kernel for seconds,
 // and reach the engine between the orders of another host.
 func DialDropping(ctx context.Context, addr string) (net.Conn, error) {
-	c, err := Dial(ctx, addr)
+	c, err := dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
-	if err := tcp.SetLinger(0); err != nil {
-		return nil, errors.Join(err, c.Close())
+	if tcp, ok := c.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
 	}
-	return c, nil
+	return ends.NewConn(c), nil
 }
--- a/internal/launch/run.go
+++ b/internal/launch/run.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"damaskreach/internal/conf"
+	"damaskreach/internal/ends"
 	"damaskreach/internal/node"
 	"damaskreach/internal/shell"
 )
@@ -86,7 +87,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	dialer := &net.Dialer{LocalAddr: local(c)}
-	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return ends.NewConn(c), nil
+	}
 	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	n := node.NewNode(c, dial, listen, log)
 	go rekey(ctx, path, n)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/ends"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
 )
@@ -61,7 +62,11 @@
 
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return ends.NewConn(c), nil
 }
 
 // Close closes the connections that no request uses.
