Take for the head of an answer only what is one

Callers got answers with a status that does not exist, with lines whose field names hold blanks or control bytes, and bodies that were not the upstream's where a length stood under such a name; behind 000 the host took what followed for the answer, or waited. Orders, states and the store's rows were believed likewise, and an order was carried on to where an engine pointed. Cause: net/http's reader, lenient on purpose, was asked for the status and the names and nothing checked them; its client follows redirections by default. Change: the uplink reads the lines of each head, interim ones too, checks them as they come (package heads), puts them back and has net/http parse them. Clients for engines, the store and hosts check what was parsed and follow nothing.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"damaskreach/internal/heads"
 	"damaskreach/internal/sseio"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -100,7 +101,7 @@
 		used.reset()
 	}}
 	req = req.WithContext(withCall(httptrace.WithClientTrace(ctx, trace)))
-	res, err := transport.RoundTrip(req)
+	res, err := heads.Transport{RoundTripper: transport}.RoundTrip(req)
 	if err == nil {
 		return res, nil
 	}
--- a/internal/force/force.go
+++ b/internal/force/force.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
+	"damaskreach/internal/heads"
 	"damaskreach/internal/sess"
 	"damaskreach/internal/table"
 	"damaskreach/internal/ticker"
@@ -40,7 +41,7 @@
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
 	}
-	return Force{table: t, site: site, token: token, http: &http.Client{Transport: transport}}
+	return Force{table: t, site: site, token: token, http: heads.NewClient(transport)}
 }
 
 // status is the part of a node's answer to GET /status that matters here.
--- a/internal/opctl/nodes.go
+++ b/internal/opctl/nodes.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"damaskreach/internal/heads"
 	"damaskreach/internal/sess"
 )
 
@@ -34,7 +35,7 @@
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return t.Dial(ctx, addr) },
 	}
-	return nodes{http: &http.Client{Transport: transport}, token: token}, nil
+	return nodes{http: heads.NewClient(transport), token: token}, nil
 }
 
 // sessions returns the sessions of the site, from the node that --node names or from the table, sorted by id.
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -58,8 +58,7 @@
 		p.refuse(j.w, j, refuse.NewRefusal(j.verdict(), refuse.Deadline, "not answered within %v", now.Sub(j.start).Round(time.Millisecond)))
 		return true
 	}
-	// An upstream that answers something else goes on.
-	if verdict != verd.NotRun && ctx.Err() == nil && !errors.Is(err, uplink.ErrStray) {
+	if verdict != verd.NotRun && ctx.Err() == nil && !uplink.Answered(err) {
 		p.Guard.RecordBreak(j.suspect(), t, j.sentAt, false)
 	}
 	p.Pick.BackOff(t.ID, now)
--- a/internal/remote/remote.go
+++ b/internal/remote/remote.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"damaskreach/internal/heads"
 )
 
 const (
@@ -49,9 +51,7 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	// A redirect would send the call on to an address that is not the service's.
-	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Remote{addrs: addrs, http: &http.Client{Transport: transport, CheckRedirect: stay}}
+	return &Remote{addrs: addrs, http: heads.NewClient(transport)}
 }
 
 // Call sends data to a path and returns the status and the whole body of the answer.
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -15,18 +15,10 @@
 const (
 	// maxStrays is how many answers to other requests are skipped before the connection is closed.
 	maxStrays = 2
-	// maxHead and maxStray bound the head of an answer, with those of interim ones, and the body of one to another request, in bytes. An upstream in trouble may send
-	// bytes without end, which would fill the memory of this host.
-	maxHead  = 64 << 10
+	// maxStray bounds the body of an answer to another request, in bytes. An upstream in trouble may send bytes without end.
 	maxStray = 1 << 20
 )
 
-// ErrLongHead means that the head of an answer has not ended within maxHead.
-var ErrLongHead = merry.Sentinel("uplink: the head of the answer is too long")
-
-// ErrMerged means that the heads of two answers have run together.
-var ErrMerged = merry.Sentinel("uplink: two heads have run together")
-
 // answer reads the answer to a request and skips those that do not name it, on a new connection too: an upstream may answer a request twice, or send
 // bytes that belong to no request, and these come where an answer is expected. Only what has taken over the upstream's address need not name it.
 func (c *conn) answer(d demand.Demand, extra http.Header) (*http.Response, error) {
@@ -59,21 +51,6 @@
 	return rejected
 }
 
-// head reads the head of an answer, past those of interim ones.
-func (c *conn) head(method string) (*http.Response, error) {
-	c.inHead, c.headLeft = true, maxHead
-	defer func() { c.inHead = false }()
-	for {
-		r, err := http.ReadResponse(c.read, &http.Request{Method: method})
-		if err == nil && merged(r.Header) {
-			err = merry.Wrap(ErrMerged)
-		}
-		if err != nil || r.StatusCode >= http.StatusOK {
-			return r, err
-		}
-	}
-}
-
 // statusLine is the begin of an answer's head.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
 
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -72,11 +72,17 @@
 	single       bool         // it carries no further request
 	inHead       bool         // the head of an answer is being read
 	headLeft     int          // how many more bytes it may have
+	unread       []byte       // received bytes that were put back
 	restoreAcks  func() error // undoes suspendAckTimeout; nil if that was not called
 }
 
 // Read reads received bytes. It fails once the head of an answer is too long.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(c.unread) > 0 {
+		n := copy(p, c.unread)
+		c.unread = c.unread[n:]
+		return n, nil
+	}
 	if c.inHead {
 		p = p[:min(len(p), c.headLeft)]
 		if len(p) == 0 {
@@ -94,6 +100,9 @@
 	return n, err
 }
 
+// buffered returns how many received bytes were not taken.
+func (c *conn) buffered() int { return len(c.unread) + c.read.Buffered() }
+
 // Close closes the connection and stops counting it.
 func (c *conn) Close() error {
 	var err error
@@ -164,7 +173,7 @@
 		Later: func(wait time.Duration) (resp.Resp, bool) { return u.later(c, x, body, wait) },
 		Close: func() {
 			alive := x.stop()
-			if !alive || c.single || r.Close || !body.ended || c.read.Buffered() > 0 || !isSent(x.written) || !c.restoreAckTimeout() {
+			if !alive || c.single || r.Close || !body.ended || c.buffered() > 0 || !isSent(x.written) || !c.restoreAckTimeout() {
 				c.Close()
 				return
 			}
--- a/pkg/client/entries.go
+++ b/pkg/client/entries.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"slices"
 	"time"
+
+	"damaskreach/internal/heads"
 )
 
 const (
@@ -63,7 +65,7 @@
 	if err != nil {
 		return list{}, false
 	}
-	res, err := c.kept.RoundTrip(req)
+	res, err := heads.Transport{RoundTripper: c.kept}.RoundTrip(req)
 	if err != nil {
 		return list{}, false
 	}
--- a/pkg/client/send.go
+++ b/pkg/client/send.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 
+	"damaskreach/internal/heads"
 	"damaskreach/pkg/head"
 	"damaskreach/pkg/refuse"
 	"damaskreach/pkg/verd"
@@ -70,7 +71,7 @@
 		next.Body = body{bytes.NewReader(content)}
 	}
 	next.Header.Set("Authorization", "Bearer "+c.key)
-	res, err := c.transport(req).RoundTrip(next)
+	res, err := heads.Transport{RoundTripper: c.transport(req)}.RoundTrip(next)
 	if err == nil {
 		return accept(res)
 	}
