Log what a request that upstreams break off under is known by

Cause: the lines of breaks had a print alone. From the record of requests that went on crashing upstreams nobody can tell whether repeats came under other names, which breaks were excused, or how long after the send. Change: the lines of counted, excused and dropped breaks have the caller, which was the team alone, and a name that is the same for requests that differ in the address and the query alone; excused ones how long after the send the break came. Nothing reads the new name yet. Measured: no logic changes; the tests of packages ident, guard and proxy pass.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -78,7 +78,7 @@
 		return
 	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
-	g.Log.Info("upstream not to blame for a break", zap.String("request", i.Request), zap.String("print", i.Fingerprint), zap.String("target", t.ID))
+	g.Log.Info("upstream not to blame for a break", append(known(i), zap.String("target", t.ID), zap.Duration("after", broke.Sub(sent)))...)
 }
 
 // countBreak counts a break against its request, unless the request has run well since.
@@ -86,19 +86,17 @@
 	n := g.requests.RecordBreak(i.Fingerprint, incarnation(t), broke, time.Now())
 	if n == 0 {
 		g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
-		g.Log.Info("request not to blame for a break", zap.String("request", i.Request), zap.String("print", i.Fingerprint), zap.String("target", t.ID))
+		g.Log.Info("request not to blame for a break", append(known(i), zap.String("target", t.ID))...)
 		return
 	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "counted")
-	g.Log.Info("upstream broke off while running a request", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
-		zap.String("team", i.Team), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("upstreams", n))
+	g.Log.Info("upstream broke off while running a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("upstreams", n))...)
 }
 
 // RecordGivenUp records that this host has given up a request that its upstream may go on running until a deadline. If the upstream ends meanwhile, that
 // counts like a break.
 func (g *Guard) RecordGivenUp(i ident.Ident, t target.Target, deadline time.Time) {
-	g.Log.Debug("request given up that its upstream may run", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
-		zap.String("incarnation", incarnation(t)), zap.Time("until", deadline))
+	g.Log.Debug("request given up that its upstream may run", append(known(i), zap.String("incarnation", incarnation(t)), zap.Time("until", deadline))...)
 	g.orphans.Add(i, t, deadline, time.Now())
 }
 
@@ -118,6 +116,11 @@
 	}
 }
 
+// known returns what log lines tell of a request: two that differ in their caller, their query or nothing can be told apart by them.
+func known(i ident.Ident) []zap.Field {
+	return []zap.Field{zap.String("request", i.Request), zap.String("print", i.Fingerprint), zap.String("wide", i.Wide), zap.String("caller", i.Caller)}
+}
+
 // incarnation names one incarnation of an upstream.
 func incarnation(t target.Target) string {
 	return t.ID + "/" + strconv.FormatInt(t.Incarnation, 36)
@@ -135,8 +138,7 @@
 		return
 	}
 	g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
-	g.Log.Info("breaks of a request dropped after an answer", zap.String("request", i.Request), zap.String("print", i.Fingerprint),
-		zap.String("team", i.Team), zap.Int("status", status), zap.Int("upstreams", n))
+	g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("status", status), zap.Int("upstreams", n))...)
 }
 
 // RecordSound records that a request has run for long enough to clear the parts of its prompt.
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
+	"strings"
 
 	"damaskreach/internal/demand"
 )
@@ -15,8 +16,9 @@
 // Ident is immutable.
 type Ident struct {
 	Request     string   // ID of the caller's attempt, for log lines
-	Team        string   // of the caller; empty where it needs no key
+	Caller      string   // its team, or the address that it came from, for log lines
 	Fingerprint string   // the same for all repeats of the request
+	Wide        string   // the same for all requests that differ in nothing but the address that they come from and the query
 	Parts       []string // IDs of the parts of the prompt that other requests may share, in order
 }
 
@@ -25,9 +27,12 @@
 // The caller is part of the fingerprint: a request may crash upstreams for one caller only. With one fingerprint for all callers, good answers to others
 // would hide such crashes, or the crashes would have the others' requests refused.
 func NewIdent(d demand.Demand, team, addr string) Ident {
+	caller := callerName(team, addr)
+	path, _, _ := strings.Cut(d.URI, "?")
 	return Ident{
-		Request: d.ID, Team: team, Parts: d.Parts,
-		Fingerprint: fingerprint(callerName(team, addr), d.Method, d.Host, d.URI, d.Adapter, string(d.Body)),
+		Request: d.ID, Caller: caller, Parts: d.Parts,
+		Fingerprint: fingerprint(caller, d.Method, d.Host, d.URI, d.Adapter, string(d.Body)),
+		Wide:        fingerprint("wide", team, d.Method, d.Host, path, d.Adapter, string(d.Body)),
 	}
 }
 
--- a/internal/ident/ident_test.go
+++ b/internal/ident/ident_test.go
@@ -48,3 +48,28 @@
 		seen[i.Fingerprint] = name
 	}
 }
+
+// A caller's requests come from several addresses, or with another query each. Known only as different ones, none of them would crash enough upstreams to be stopped.
+func TestRequestsOfSeveralAddressesAndQueriesHaveTheSameWideName(t *testing.T) {
+	want := ident.NewIdent(lookup, "", "10.0.0.1:1000").Wide
+	other := lookup
+	other.URI = "/ticket?day=tomorrow"
+	bare := lookup
+	bare.URI = "/ticket"
+	for name, got := range map[string]string{
+		"address": ident.NewIdent(lookup, "", "10.0.0.2:1000").Wide,
+		"query":   ident.NewIdent(other, "", "10.0.0.1:1000").Wide,
+		"none":    ident.NewIdent(bare, "", "10.0.0.1:1000").Wide,
+	} {
+		if got != want {
+			t.Errorf("other %s: wide name %s, want %s", name, got, want)
+		}
+	}
+	path := lookup
+	path.URI = "/tickets"
+	for name, got := range map[string]string{"team": ident.NewIdent(lookup, "red", "").Wide, "path": ident.NewIdent(path, "", "").Wide} {
+		if got == want {
+			t.Errorf("other %s: wide name %s too, want another", name, got)
+		}
+	}
+}
