Ask an upstream whether it has ended before a break counts against a request

Upstreams went on being crashed by a request: where its hosts were cut off from upstreams and sent by way of others, and where other upstreams crashed together. And a booking was refused for ten minutes because upstreams without room had reset its connections. Cause: whether a break counted was inferred from the state of the host's network. Breaks since a moment in which it reached no upstream were excused, whichever way the send had gone, and refused dials of a few upstreams were such a moment; all others counted, also of upstreams that went on. Change: package cause has the upstream dialled, by this host or, where this host's view is worth nothing, by another one (new call "look"). Gone counts, listening does not; what nobody sees is watched in the registrations for 6 s, like requests that were given up, until a successor shows. An unframed answer by way of another host is judged likewise.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -32,6 +32,8 @@
 	crashHosts, crashUpstreams, otherUpstreams = 3, 3, 3
 	// headCrash marks a request that crashes each upstream that begins to run it.
 	headCrash = "Fake-Crash"
+	// headReset marks a request whose connection each upstream resets; it goes on.
+	headReset = "Fake-Reset"
 	// runTime is how long upstreams run a request, and crashTime how long one runs before it crashes. It is away for crashedFor then.
 	runTime, crashTime = 20 * time.Millisecond, 5 * time.Millisecond
 	// Later than contactTime after the third crash, at most maxLateSends of the requests that crash upstreams may reach them.
@@ -50,6 +52,7 @@
 	books      bool          // callers send bookings, with a body, instead of lookups
 	crashAfter time.Duration // how long upstreams run a request before it crashes them
 	patience   time.Duration // how long callers wait for an answer
+	asked      []string      // hosts that get requests that crash upstreams; all where none are named
 
 	mu       sync.Mutex
 	starts   []int       // of each upstream
@@ -143,6 +146,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(runTime)
+	if r.Header.Get(headReset) != "" {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // startOf returns the number of an upstream's current start.
@@ -152,23 +158,41 @@
 	return s.starts[n]
 }
 
-// crash ends an upstream with all its requests.
+// crash ends an upstream under a request that crashes it.
 func (s *crashSite) crash(n int) {
+	if !s.fall(n) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, time.Now())
+}
+
+// fall ends an upstream with all its requests; it reports false if it is down.
+func (s *crashSite) fall(n int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down[n] {
-		return
+		return false
 	}
 	s.down[n] = true
-	s.crashes = append(s.crashes, time.Now())
 	s.net.Kill(strings.TrimSuffix(separateAddr(n), ":80"))
 	id := s.id(n)
 	time.AfterFunc(crashedFor, func() { s.startUpstream(n) })
 	time.AfterFunc(lapseTime, func() { s.store.drop("servers/" + id) })
+	return true
 }
 
 // send sends a lookup or a booking, the same for all callers but for its headers, and returns the status of its answer; 0 for none.
 func (s *crashSite) send(from caller, id, host string, crashes bool) int {
+	if crashes {
+		return s.sendWith(from, id, host, headCrash)
+	}
+	return s.sendWith(from, id, host, "")
+}
+
+// sendWith sends a request with a header that tells upstreams what to do with it, empty for none.
+func (s *crashSite) sendWith(from caller, id, host, mark string) int {
 	ctx, cancel := context.WithTimeout(s.ctx, s.patience)
 	defer cancel()
 	method, path, body := http.MethodGet, "/ticket?day=today", ""
@@ -185,8 +209,8 @@
 	if from.team != "" {
 		r.Header.Set(headKey, "key of "+from.team)
 	}
-	if crashes {
-		r.Header.Set(headCrash, "1")
+	if mark != "" {
+		r.Header.Set(mark, "1")
 	}
 	transport := &http.Transport{
 		DisableKeepAlives: true,
@@ -217,10 +241,14 @@
 
 // sendCrashing sends a number of lookups of a caller that crash upstreams at a time, at different hosts, every interval for a while.
 func (s *crashSite) sendCrashing(from caller, atOnce int, interval, duration time.Duration) {
+	hosts := s.asked
+	if len(hosts) == 0 {
+		hosts = s.hosts
+	}
 	for round := range int(duration / interval) {
 		for i := range atOnce {
 			go func() {
-				status := s.send(from, fmt.Sprintf("crash-%d-%d", round, i), s.hosts[(round+i)%len(s.hosts)], true)
+				status := s.send(from, fmt.Sprintf("crash-%d-%d", round, i), hosts[(round+i)%len(hosts)], true)
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.statuses[status]++
@@ -306,6 +334,130 @@
 	}
 }
 
+// Hosts that are cut off from all upstreams send by way of others, and requests crash upstreams there. Excused as breaks of their hosts' network, these would
+// take down one upstream after the other.
+func TestCrashingRequestIsBlockedWhereHostsAreCutOff(t *testing.T) {
+	for _, c := range []struct {
+		hosts      int
+		how        cutMode
+		interval   time.Duration
+		crashAfter time.Duration
+	}{
+		{1, silent, 700 * time.Millisecond, crashTime},
+		{1, broken, 2 * time.Second, 400 * time.Millisecond},
+		{2, silent, 4 * time.Second, 400 * time.Millisecond},
+		{2, broken, 700 * time.Millisecond, crashTime},
+	} {
+		t.Run(fmt.Sprintf("%d %s, every %v", c.hosts, c.how, c.interval), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, false)
+				s.crashAfter, s.asked = c.crashAfter, s.hosts[:c.hosts]
+				for _, host := range s.asked {
+					s.cutOff(host, c.how)
+				}
+				time.Sleep(4 * time.Second)
+				s.sendCrashing(caller{ip: "10.8.0.2"}, 1, c.interval, 60*time.Second)
+				s.wantBlocked()
+			})
+		})
+	}
+}
+
+// cutOff cuts a host off from all upstreams.
+func (s *crashSite) cutOff(host string, how cutMode) {
+	for n := range crashUpstreams + otherUpstreams {
+		upstream := strings.TrimSuffix(separateAddr(n), ":80")
+		if how == broken {
+			s.net.Break(host, upstream)
+		}
+		s.net.Cut(host, upstream)
+	}
+}
+
+// Upstreams of another group crash together again and again. Refused dials taken for a cut of this host's network would excuse all breaks, and with them a request
+// that crashes upstreams.
+func TestCrashingRequestIsBlockedWhereOthersCrashTogether(t *testing.T) {
+	for _, c := range []struct {
+		every, interval time.Duration
+		atOnce          int
+		crashAfter      time.Duration
+	}{
+		{2 * time.Second, 300 * time.Millisecond, 3, crashTime},
+		{2 * time.Second, 700 * time.Millisecond, 3, 400 * time.Millisecond},
+		{2 * time.Second, 2 * time.Second, 3, crashTime},
+		{4 * time.Second, 300 * time.Millisecond, 3, 400 * time.Millisecond},
+		{4 * time.Second, 700 * time.Millisecond, 3, crashTime},
+		{4 * time.Second, 2 * time.Second, 3, 400 * time.Millisecond},
+		{4 * time.Second, 2 * time.Second, 1, crashTime},
+		{8 * time.Second, 700 * time.Millisecond, 3, 400 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("every %v, %d every %v, after %v", c.every, c.atOnce, c.interval, c.crashAfter), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, false)
+				s.crashAfter = c.crashAfter
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() {
+					for ; ctx.Err() == nil; time.Sleep(c.every) {
+						for n := range otherUpstreams {
+							s.fall(crashUpstreams + n)
+						}
+					}
+				}()
+				time.Sleep(100 * time.Millisecond)
+				s.sendCrashing(caller{ip: "10.8.0.2"}, c.atOnce, c.interval, 48*time.Second)
+				s.wantBlocked()
+			})
+		})
+	}
+}
+
+// Upstreams that have no room reset connections, those of some request more often than three, and go on. Taken for crashes, these would have the request refused
+// for minutes, when there is room again.
+func TestUpstreamsThatResetConnectionsBlockNoRequest(t *testing.T) {
+	for _, books := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newCrashSite(t, true)
+			s.books = books
+			blue := caller{"10.8.0.1", "blue"}
+			for n := range 12 {
+				if got := s.sendWith(blue, fmt.Sprint("reset", n), s.hosts[n%len(s.hosts)], headReset); got == http.StatusOK {
+					t.Errorf("a request whose connection is reset got %d, want a refusal", got)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			if got := s.send(blue, "room", s.hosts[0], false); got != http.StatusOK {
+				t.Errorf("booking %v: once connections are kept the request got %d, want it served", books, got)
+			}
+		})
+	}
+}
+
+// A host's network to the upstreams breaks again and again while it runs the same request at several. Taken for crashes, these breaks would have it refused at all hosts.
+func TestBreaksOfAHostsNetworkBlockNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrashSite(t, true)
+		blue := caller{"10.8.0.1", "blue"}
+		for round := range 8 {
+			for n := range 9 {
+				go s.send(blue, fmt.Sprint("cut", round, n), s.hosts[0], false)
+			}
+			time.Sleep(runTime / 2)
+			s.cutOff(s.hosts[0], broken)
+			time.Sleep(2 * time.Second)
+			for n := range crashUpstreams + otherUpstreams {
+				s.net.Heal(s.hosts[0], strings.TrimSuffix(separateAddr(n), ":80"))
+			}
+			time.Sleep(2 * time.Second)
+			for _, host := range s.hosts {
+				if got := s.send(blue, fmt.Sprint("sound", round, host), host, false); got != http.StatusOK {
+					t.Errorf("after cut %d the request got %d at host %s, want it served", round, got, host)
+				}
+			}
+		}
+	})
+}
+
 // All upstreams of a group crash at once, whatever they run, under lookups of one caller that ran well until then. Held responsible for that, these
 // would be refused although nothing is wrong with them.
 func TestUpstreamsThatCrashTogetherBlockNoSoundRequest(t *testing.T) {
--- a/internal/edge/detour.go
+++ b/internal/edge/detour.go
@@ -76,16 +76,20 @@
 	if m == nil {
 		return nil
 	}
-	reaching := m.Connected()
-	ips := make([]string, 0, len(reaching))
-	for ip := range reaching {
+	return e.someOf(m.Connected())
+}
+
+// someOf returns a few hosts of a list in a random order, mostly the same ones each time.
+func (e *Edge) someOf(list map[string]mate.Mate) []mate.Mate {
+	ips := make([]string, 0, len(list))
+	for ip := range list {
 		ips = append(ips, ip)
 	}
 	ips = spread.Rank(ips, e.Setup().IP, maxDetourHosts)
 	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
 	var hosts []mate.Mate
 	for _, ip := range ips[:min(detourAttempts, len(ips))] {
-		hosts = append(hosts, reaching[ip])
+		hosts = append(hosts, list[ip])
 	}
 	return hosts
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,9 +11,11 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/builds"
+	"damaskreach/internal/cause"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
@@ -116,6 +118,8 @@
 	probes         conns.Conns // of those who ask whether the host is ready
 	scrapes        conns.Conns // of scrapers
 	guard          *guard.Guard
+	cause          *cause.Cause
+	looks          singleflight.Group // of askPeers, by address
 	origins        *origin.Origin
 	builds         builds.Builds
 	buildsTurn     *semaphore.Weighted // held while the builds that are written down are read
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,6 +19,7 @@
 	"damaskreach/internal/recall"
 	"damaskreach/internal/ruling"
 	"damaskreach/internal/setup"
+	"damaskreach/internal/sight"
 	"damaskreach/internal/spent"
 	"damaskreach/internal/stock"
 	"damaskreach/internal/ticker"
@@ -52,6 +53,7 @@
 	methodForward = "pass"
 	methodBegan   = "began"
 	methodRecall  = "recall"
+	methodLook    = "look"
 )
 
 // runPeers joins the other hosts once their shared secret is known.
@@ -98,6 +100,9 @@
 	peer.Answer(mesh, methodRecall, func(_ context.Context, _ string, q began.Began) (recall.Recall, error) {
 		return e.recallStream(q), nil
 	})
+	peer.Answer(mesh, methodLook, func(_ context.Context, _ string, addr string) (sight.Sight, error) {
+		return e.lookForPeer(addr), nil
+	})
 	mesh.Handle(methodForward, e.forwardConn)
 	l, err := e.Listen(s.Peers)
 	if err != nil {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// judgeBreak counts a break if its upstream is to blame.
+// judgeBreak counts a break if its upstream is to blame. It may show later that it has ended: in its registration.
 func (g *Guard) judgeBreak(i ident.Ident, t target.Target, sent, broke time.Time, silent bool) {
 	if g.IsToBlame(t.Addr, sent, broke, silent) {
 		g.countBreak(i, t, broke)
@@ -79,6 +79,9 @@
 	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
 	g.Log.Info("upstream not to blame for a break", append(known(i), zap.String("target", t.ID), zap.Duration("after", broke.Sub(sent)))...)
+	if !silent {
+		g.orphans.Add(i, t, broke, broke)
+	}
 }
 
 // countBreak counts a break against its request, unless the request has run well since.
--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -40,6 +40,7 @@
 	// of its successor.
 	beside []string
 	looked bool
+	dialed bool // whether it was dialled once its registration had lapsed, and listened
 }
 
 // Add tracks a request that was given up and may run until its deadline. It does nothing where too many are tracked.
@@ -49,8 +50,17 @@
 	if o.runs == nil {
 		o.runs = map[key]run{}
 	}
-	if len(o.runs) < maxRuns {
-		o.runs[key{i.Fingerprint, t.ID}] = run{ident: i, target: t, givenUp: now, until: deadline.Add(lapseTime)}
+	k := key{i.Fingerprint, t.ID}
+	r, known := o.runs[k]
+	switch until := deadline.Add(lapseTime); {
+	case known && r.target.SameIncarnation(t):
+		r.givenUp = now
+		if until.After(r.until) {
+			r.until = until
+		}
+		o.runs[k] = r
+	case known || len(o.runs) < maxRuns:
+		o.runs[k] = run{ident: i, target: t, givenUp: now, until: until}
 	}
 }
 
@@ -75,14 +85,26 @@
 		if known && !replaced {
 			continue
 		}
-		if _, dialled := silent[addr]; !dialled && !replaced {
+		if _, dialled := silent[addr]; !dialled && !replaced && !r.dialed {
 			silent[addr] = refuses(addr)
 		}
 		if replaced || silent[addr] {
 			ended(r.ident, r.target, r.givenUp)
+			o.forget(r)
+			continue
 		}
-		// One that is not registered any more and still listens tells nothing further: dialling it each second would hold its slots.
-		o.forget(r)
+		// One that is not registered any more and does not refuse tells by its successor alone: dialling it each second would hold its slots.
+		o.noteDialed(r)
+	}
+}
+
+func (o *Orphan) noteDialed(r run) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	k := key{r.ident.Fingerprint, r.target.ID}
+	if noted, tracked := o.runs[k]; tracked {
+		noted.dialed = true
+		o.runs[k] = noted
 	}
 }
 
--- a/internal/orphan/orphan_test.go
+++ b/internal/orphan/orphan_test.go
@@ -86,3 +86,19 @@
 		}
 	}
 }
+
+// An upstream is silent when its registration has lapsed, so that no dial tells whether it has ended; its successor registers some seconds later. That tells it.
+func TestSuccessorTellsTheEndOfASilentUpstream(t *testing.T) {
+	var o orphan.Orphan
+	o.Add(ident.Ident{Fingerprint: "f"}, upstream("u", "a:1", 5), start.Add(time.Second), start)
+	ended, dials := 0, 0
+	for second, all := range []map[string]target.Target{
+		registered(upstream("u", "a:1", 5)), registered(), registered(), registered(), registered(upstream("w", "a:1", 9)), registered(upstream("w", "a:1", 9)),
+	} {
+		o.Check(all, func(target.Target) bool { return false }, func(string) bool { dials++; return false }, start.Add(time.Duration(second)*time.Second),
+			func(ident.Ident, target.Target, time.Time) { ended++ })
+	}
+	if ended != 1 || dials != 1 {
+		t.Errorf("ended %d times with %d dials, want once each", ended, dials)
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -53,7 +53,7 @@
 	Changed func(lost bool)
 	Log     *zap.Logger
 
-	refusals  singleflight.Group // dials of Refuses, by address
+	looks     singleflight.Group // dials of Look, by address
 	lastHeard atomic.Int64       // when anything came from any upstream, in Unix nanoseconds
 	paths     sync.Map           // *path of each upstream that was sent a request, by address
 
