Know a request that crashes upstreams though it comes under many names

Upstreams went on being crashed by one request whose caller has several addresses, or that comes with another query each time. Cause: breaks count by a fingerprint of the caller, which is the address where no key tells more, and of the path with its query. Each name crashed fewer than three. Change: breaks also count against a wide fingerprint, without address and query, for less: those within a second count once, three block it only if they came under two requests or more, and a good answer to any of them takes all back, at all hosts. Fingerprints and their rules stay. Reports name both in one text; blocks of both are kept.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -3,9 +3,14 @@
 // Some requests crash every upstream that runs them, and callers and hosts retry them. Unrecorded, such a request takes
 // down one upstream after the other, with all requests beside it; the symptom is upstreams that restart in turn. A
 // request that merely ran beside the cause breaks off too, but seldom at three upstreams.
+//
+// A caller's requests may come from several addresses, or with another query each, so that no one is known to crash three. So breaks also count against what they
+// have in common, their wide fingerprint: for less, as it may stand for requests of many callers. Upstreams that break off together count once, those under one
+// of the requests alone do not matter, and a good answer to any of them takes all back.
 package blame
 
 import (
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -21,98 +26,149 @@
 	minUpstreams = 3
 	// blockTime is how long a request is blocked at first. Callers may go on for hours; those that it was wrong for wait no longer.
 	blockTime = 10 * time.Minute
+	// crashInterval is within which breaks under requests with one wide fingerprint count once: upstreams that end together have another cause.
+	crashInterval = time.Second
 	// maxBlocks bounds the blocks that are kept beyond this host.
 	maxBlocks = 200
 	// maxRecords bounds the records, some 200 bytes each. A loss of many upstreams breaks thousands of requests at once. maxSound bounds the
 	// requests of the last seconds that ran well, some 100 bytes each.
 	maxRecords, maxSound = 20000, 4000
-	// kindWhole begins a report that a request ran well: "whole FINGERPRINT". That of a break is "FINGERPRINT UPSTREAM".
+	// kindWhole begins a report that a request ran well: "whole FINGERPRINT", and its wide fingerprint. That of a break is "FINGERPRINT UPSTREAM", and the wide fingerprint unless requests
+	// with it run well.
 	kindWhole = "whole "
 )
 
 // Blame is safe for concurrent use.
 type Blame struct {
 	mu     sync.Mutex
-	tally  *tally.Tally
+	tally  *tally.Tally  // by fingerprint
+	wide   *tally.Tally  // by wide fingerprint; breaks are "FINGERPRINT UPSTREAM"
 	outbox outbox.Outbox // reports not yet sent to other hosts
 }
 
 // NewBlame returns a Blame without records.
 func NewBlame() *Blame {
-	return &Blame{tally: tally.NewTally(0, blockTime, maxRecords, maxSound)}
+	return &Blame{
+		tally: tally.NewTally(0, blockTime, maxRecords, maxSound),
+		wide:  tally.NewTally(crashInterval, blockTime, maxRecords, maxSound),
+	}
+}
+
+// of returns the tally that a fingerprint is in.
+func (b *Blame) of(fingerprint string) *tally.Tally {
+	if ident.IsWide(fingerprint) {
+		return b.wide
+	}
+	return b.tally
 }
 
 // RecordBreak records that an upstream broke off under a request at a time before now, and returns the number of upstreams that did so; 0 if the
-// request has run well since.
-func (b *Blame) RecordBreak(fingerprint, upstream string, broke, now time.Time) int {
+// request has run well since. wide is the number that counts against its wide fingerprint.
+func (b *Blame) RecordBreak(i ident.Ident, upstream string, broke, now time.Time) (upstreams, wide int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tally.Sound(fingerprint, broke) {
-		b.reportWhole(fingerprint, now)
-		return 0
+	if b.tally.Sound(i.Fingerprint, broke) {
+		b.reportWhole(i, now)
+		return 0, 0
+	}
+	added := b.tally.Add(i.Fingerprint, upstream, broke.UnixMilli(), now)
+	upstreams = b.count(i.Fingerprint, now)
+	text := i.Fingerprint + " " + upstream
+	if i.Wide != "" && !b.wide.Sound(i.Wide, broke) {
+		b.wide.Add(i.Wide, i.Fingerprint+" "+upstream, broke.UnixMilli(), now)
+		wide = b.count(i.Wide, now)
+		text += " " + i.Wide
 	}
-	added := b.tally.Add(fingerprint, upstream, broke.UnixMilli(), now)
-	upstreams := b.count(fingerprint, now)
 	if added {
-		b.outbox.Add(fingerprint+" "+upstream, upstreams > 1)
+		b.outbox.Add(text, max(upstreams, wide) > 1)
 	}
-	return upstreams
+	return upstreams, wide
 }
 
 // count counts the upstreams that broke off under a request, and blocks it if there are enough.
 func (b *Blame) count(fingerprint string, now time.Time) int {
-	upstreams := b.tally.Count(fingerprint, now)
-	if (upstreams >= minUpstreams || b.tally.OnTrial(fingerprint, now)) && !b.tally.Blocked(fingerprint, now) {
-		b.tally.Block(fingerprint, now)
+	t := b.of(fingerprint)
+	upstreams := t.Count(fingerprint, now)
+	enough := upstreams >= minUpstreams && (t != b.wide || b.several(fingerprint, now))
+	if (enough || t.OnTrial(fingerprint, now)) && !t.Blocked(fingerprint, now) {
+		t.Block(fingerprint, now)
 	}
 	return upstreams
 }
 
+// several reports whether upstreams broke off under more than one of the requests with a wide fingerprint.
+func (b *Blame) several(wide string, now time.Time) bool {
+	first := ""
+	for _, text := range b.wide.Upstreams(wide, now) {
+		fingerprint, _, _ := strings.Cut(text, " ")
+		if first != "" && fingerprint != first {
+			return true
+		}
+		first = fingerprint
+	}
+	return false
+}
+
 // Blocked reports whether a request must not be sent any more.
 func (b *Blame) Blocked(fingerprint string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tally.Blocked(fingerprint, now)
+	return b.of(fingerprint).Blocked(fingerprint, now)
 }
 
 // OnTrial reports whether a request was blocked and may now show, by a single send, that it runs well.
 func (b *Blame) OnTrial(fingerprint string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tally.OnTrial(fingerprint, now)
+	return b.of(fingerprint).OnTrial(fingerprint, now)
 }
 
 // Blocks returns the requests that are blocked or on trial.
 func (b *Blame) Blocks(now time.Time) map[string]block.Block {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tally.Blocks(maxBlocks, now)
+	blocks := b.tally.Blocks(maxBlocks, now)
+	maps.Copy(blocks, b.wide.Blocks(maxBlocks, now))
+	return blocks
 }
 
 // Restore adds blocks that were begun before this host started or that another host knows.
 func (b *Blame) Restore(blocks map[string]block.Block, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tally.Restore(blocks, now)
+	for fingerprint, known := range blocks {
+		b.of(fingerprint).Restore(map[string]block.Block{fingerprint: known}, now)
+	}
 }
 
-// RecordSound records that a request was answered completely: it was not the cause of breaks. It returns the number of upstreams that counted against it.
-func (b *Blame) RecordSound(fingerprint string, now time.Time) (upstreams int) {
+// RecordSound records that a request was answered completely: it was not the cause of breaks. It returns the number of upstreams that counted against it
+// and against its wide fingerprint.
+func (b *Blame) RecordSound(i ident.Ident, now time.Time) (upstreams, wide int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if upstreams = b.tally.RecordSound(fingerprint, now); upstreams > 0 {
-		b.reportWhole(fingerprint, now)
+	upstreams = b.tally.RecordSound(i.Fingerprint, now)
+	if i.Wide != "" {
+		wide = b.wide.RecordSound(i.Wide, now)
 	}
-	return upstreams
+	if upstreams > 0 || wide > 0 {
+		b.reportWhole(i, now)
+	}
+	return upstreams, wide
 }
 
 // reportWhole tells other hosts, which may count breaks against a request, that it runs well, unless they were just told.
-func (b *Blame) reportWhole(fingerprint string, now time.Time) {
-	if !b.tally.MayTell(fingerprint, now) {
+func (b *Blame) reportWhole(i ident.Ident, now time.Time) {
+	told := []string{}
+	for _, fingerprint := range []string{i.Fingerprint, i.Wide} {
+		if fingerprint != "" && b.of(fingerprint).MayTell(fingerprint, now) {
+			told = append(told, fingerprint)
+		}
+	}
+	if len(told) == 0 {
 		return
 	}
-	b.outbox.Remove(func(text string) bool { return strings.HasPrefix(text, fingerprint) })
-	b.outbox.Add(kindWhole+fingerprint, true)
+	b.outbox.Remove(func(text string) bool { return strings.HasPrefix(text, i.Fingerprint) && i.Fingerprint != "" })
+	b.outbox.Add(kindWhole+strings.Join(told, " "), true)
 }
 
 // TakePending returns and clears the reports of this host that were not sent to other hosts yet, as many as go into one message.
@@ -127,26 +183,42 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, text := range list {
-		if fingerprint, ok := strings.CutPrefix(text, kindWhole); ok {
-			b.tally.HeardSound(fingerprint, now)
+		if told, ok := strings.CutPrefix(text, kindWhole); ok {
+			for fingerprint := range strings.SplitSeq(told, " ") {
+				b.of(fingerprint).HeardSound(fingerprint, now)
+			}
 			continue
 		}
-		fingerprint, upstream, ok := parseBreak(text)
-		switch {
-		case !ok:
-		case b.tally.Sound(fingerprint, now):
-			b.reportWhole(fingerprint, now)
-		default:
-			b.tally.Add(fingerprint, upstream, now.UnixMilli(), now)
-			b.count(fingerprint, now)
+		if i, upstream, ok := parseBreak(text); ok {
+			b.addBreak(i, upstream, now)
 		}
 	}
 }
 
-func parseBreak(text string) (fingerprint, upstream string, ok bool) {
-	const end = ident.FingerprintLen
-	if len(text) <= end+1 || text[end] != ' ' {
-		return "", "", false
+// addBreak applies a break that another host reports.
+func (b *Blame) addBreak(i ident.Ident, upstream string, now time.Time) {
+	if b.tally.Sound(i.Fingerprint, now) {
+		b.reportWhole(i, now)
+		return
+	}
+	b.tally.Add(i.Fingerprint, upstream, now.UnixMilli(), now)
+	b.count(i.Fingerprint, now)
+	switch {
+	case i.Wide == "":
+	case b.wide.Sound(i.Wide, now):
+		b.reportWhole(ident.Ident{Wide: i.Wide}, now)
+	default:
+		b.wide.Add(i.Wide, i.Fingerprint+" "+upstream, now.UnixMilli(), now)
+		b.count(i.Wide, now)
+	}
+}
+
+// parseBreak returns the fingerprints and the upstream of a report.
+func parseBreak(text string) (i ident.Ident, upstream string, ok bool) {
+	fingerprint, rest, _ := strings.Cut(text, " ")
+	upstream, wide, named := strings.Cut(rest, " ")
+	if len(fingerprint) != ident.FingerprintLen || upstream == "" || named && len(wide) != ident.FingerprintLen {
+		return ident.Ident{}, "", false
 	}
-	return text[:end], text[end+1:], true
+	return ident.Ident{Fingerprint: fingerprint, Wide: wide}, upstream, true
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -46,6 +46,9 @@
 	if g.requests.Blocked(i.Fingerprint, now) {
 		return "upstreams broke off under earlier tries of it"
 	}
+	if g.requests.Blocked(i.Wide, now) {
+		return "upstreams broke off under requests that differ from it in address and query alone"
+	}
 	if part := g.parts.Blocked(i.Parts, now); part != "" {
 		return fmt.Sprintf("engines crashed under prompts with the part %s", part)
 	}
@@ -54,7 +57,12 @@
 
 // MayRetry reports whether a request may go to a further upstream after one broke off under it: not if others crashed under what it holds, too.
 func (g *Guard) MayRetry(i ident.Ident, now time.Time) bool {
-	return !g.requests.Blocked(i.Fingerprint, now) && !g.requests.OnTrial(i.Fingerprint, now) && !g.parts.Suspected(i.Parts, now)
+	for _, fingerprint := range []string{i.Fingerprint, i.Wide} {
+		if g.requests.Blocked(fingerprint, now) || g.requests.OnTrial(fingerprint, now) {
+			return false
+		}
+	}
+	return !g.parts.Suspected(i.Parts, now)
 }
 
 // RecordBreak records that an upstream broke off while it ran a request, or that it fell silent. It counts against the request unless this host's
@@ -86,14 +94,14 @@
 
 // countBreak counts a break against its request, unless the request has run well since.
 func (g *Guard) countBreak(i ident.Ident, t target.Target, broke time.Time) {
-	n := g.requests.RecordBreak(i.Fingerprint, incarnation(t), broke, time.Now())
+	n, wide := g.requests.RecordBreak(i, incarnation(t), broke, time.Now())
 	if n == 0 {
 		g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
 		g.Log.Info("request not to blame for a break", append(known(i), zap.String("target", t.ID))...)
 		return
 	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "counted")
-	g.Log.Info("upstream broke off while running a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("upstreams", n))...)
+	g.Log.Info("upstream broke off while running a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
 }
 
 // RecordGivenUp records that this host has given up a request that its upstream may go on running until a deadline. If the upstream ends meanwhile, that
@@ -136,12 +144,12 @@
 		return
 	}
 	g.RecordSound(i, now)
-	n := g.requests.RecordSound(i.Fingerprint, now)
-	if n == 0 {
+	n, wide := g.requests.RecordSound(i, now)
+	if n == 0 && wide == 0 {
 		return
 	}
 	g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
-	g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("status", status), zap.Int("upstreams", n))...)
+	g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("status", status), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
 }
 
 // RecordSound records that a request has run for long enough to clear the parts of its prompt.
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -10,9 +10,12 @@
 	"damaskreach/internal/demand"
 )
 
-// FingerprintLen is the number of characters of a fingerprint.
+// FingerprintLen is the number of characters of a fingerprint, and of a wide one.
 const FingerprintLen = 24
 
+// wide begins wide fingerprints; others are hexadecimal.
+const wide = "w"
+
 // Ident is immutable.
 type Ident struct {
 	Request     string   // ID of the caller's attempt, for log lines
@@ -22,6 +25,9 @@
 	Parts       []string // IDs of the parts of the prompt that other requests may share, in order
 }
 
+// IsWide reports whether a fingerprint is a wide one.
+func IsWide(fingerprint string) bool { return strings.HasPrefix(fingerprint, wide) }
+
 // NewIdent returns what a request is known by, given its caller's team, if it has one, and the address that it came from.
 //
 // The caller is part of the fingerprint: a request may crash upstreams for one caller only. With one fingerprint for all callers, good answers to others
@@ -32,7 +38,7 @@
 	return Ident{
 		Request: d.ID, Caller: caller, Parts: d.Parts,
 		Fingerprint: fingerprint(caller, d.Method, d.Host, d.URI, d.Adapter, string(d.Body)),
-		Wide:        fingerprint("wide", team, d.Method, d.Host, path, d.Adapter, string(d.Body)),
+		Wide:        wide + fingerprint(wide, team, d.Method, d.Host, path, d.Adapter, string(d.Body))[len(wide):],
 	}
 }
 
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -28,6 +28,8 @@
 	maxBlock    = 24 * time.Hour
 	// evictDivisor: where there are too many records, 1/evictDivisor of them is dropped.
 	evictDivisor = 4
+	// maxBreaks bounds the breaks that are kept of a key: more decide nothing.
+	maxBreaks = 64
 )
 
 // Tally holds one record for each key. It may be used from one goroutine at a time.
@@ -88,13 +90,16 @@
 		}
 		r.breaks = map[string]int64{}
 	}
-	r.breaks[upstream] = at
+	kept := len(r.breaks) < maxBreaks
+	if kept {
+		r.breaks[upstream] = at
+	}
 	r.last = now
 	if r.blocked(now) {
 		r.block = r.block.WithLater(block.Block{Until: now.Add(t.blockTime)})
 	}
 	t.records[key] = r
-	return true
+	return kept
 }
 
 // evict drops some of the records, those that are the least likely to be of the cause first: the ones with few breaks, and blocked ones last.
@@ -132,6 +137,15 @@
 	return count
 }
 
+// Upstreams returns the upstreams that count against a key.
+func (t *Tally) Upstreams(key string, now time.Time) []string {
+	r := t.records[key]
+	if r.expired(now) {
+		return nil
+	}
+	return slices.Collect(maps.Keys(r.breaks))
+}
+
 // Block blocks a key.
 func (t *Tally) Block(key string, now time.Time) {
 	r := t.records[key]
