Believe an end behind a long upload only once the upload is taken

Cause: a kernel that closes with bytes unread resets, but where the bytes come a moment later it has sent an end before. EPIPE counts.

--- a/internal/ends/conn.go
+++ b/internal/ends/conn.go
@@ -1,7 +1,8 @@
 // Package ends tells the reader of a connection how it ended.
 //
 // The kernel tells a connection's error once, to whichever of those who read and write comes first. Where the writer is told of a reset, the reader sees an
-// end like that of a connection whose far end has sent all it had, and takes a part of an answer without a length for the whole.
+// end like that of a connection whose far end has sent all it had, and takes a part of an answer without a length for the whole. A far end that closes with bytes
+// unread is no better: whether its kernel resets at once, or ends and resets behind that, depends on when these bytes came.
 package ends
 
 import (
@@ -10,27 +11,26 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a TCP connection whose reader learns of the errors that its writers were told. It may be read by one goroutine while others write.
+// minPause and maxPause bound the time between two looks at whether the far end takes what was written.
+const minPause, maxPause = time.Millisecond, 20 * time.Millisecond
+
+// Conn is a TCP connection that ends for its reader only once the far end has taken all that was written. It may be read by one goroutine while others write.
 type Conn struct {
 	net.Conn
 
 	mu      sync.Mutex
-	writing sync.Cond
 	writers int   // calls of Write that have not returned
 	broke   error // the first error of the connection that a writer was told
 }
 
 // NewConn returns a connection's Conn.
-func NewConn(c net.Conn) *Conn {
-	e := &Conn{Conn: c}
-	e.writing.L = &e.mu
-	return e
-}
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -41,20 +41,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writers--
-	if c.broke == nil && isBreak(err) {
+	var code syscall.Errno
+	if c.broke == nil && errors.As(err, &code) {
 		c.broke = err
 	}
-	c.writing.Broadcast()
 	return n, err
 }
 
-// isBreak reports whether an error of writing says that the connection broke. EPIPE does not: the far end had ended its side before.
-func isBreak(err error) bool {
-	var code syscall.Errno
-	return errors.As(err, &code) && code != syscall.EPIPE
-}
-
-// Read reads from the connection. It returns io.EOF only if the far end has ended its side.
+// Read reads from the connection. It returns io.EOF only if the far end has ended its side and taken all that was written, for which it waits: it may read late.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
@@ -63,32 +57,49 @@
 	return n, err
 }
 
-// end returns why nothing more comes. A write that goes on while the connection is dead is about to be told, or was and has not noted it yet.
+// end waits until it is known why nothing more comes.
 func (c *Conn) end() error {
-	dead := c.dead()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for dead && c.writers > 0 && c.broke == nil {
-		c.writing.Wait()
-	}
-	if c.broke != nil {
-		return merry.Prepend(c.broke, "broken off, as a write was told")
+	for pause := minPause; ; pause = min(2*pause, maxPause) {
+		c.mu.Lock()
+		writers, broke := c.writers, c.broke
+		c.mu.Unlock()
+		closed, waiting, err := c.look()
+		switch {
+		case broke != nil:
+			return merry.Prepend(broke, "broken off, as a write was told")
+		case err != nil:
+			return merry.Prepend(err, "broken off behind its end")
+		case writers == 0 && (closed || !waiting):
+			return io.EOF
+		}
+		time.Sleep(pause)
 	}
-	return io.EOF
 }
 
-// dead reports whether the kernel has closed the connection in both directions.
-func (c *Conn) dead() bool {
+// look returns whether the kernel has closed the connection in both directions, and why if that was an error, and whether bytes wait to be taken.
+func (c *Conn) look() (closed, waiting bool, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return false, false, err
 	}
-	closed := false
+	var failed error
 	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+		var info *unix.TCPInfo
+		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if failed != nil {
+			return
+		}
+		closed, waiting = info.State == unix.BPF_TCP_CLOSE, info.Unacked > 0 || info.Notsent_bytes > 0
+		if !closed {
+			return
+		}
+		var code int
+		code, failed = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		if failed == nil && code != 0 {
+			failed = syscall.Errno(code)
+		}
 	})
-	return err == nil && closed
+	return closed, waiting, errors.Join(err, failed)
 }
 
 // SyscallConn returns the kernel's connection.
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -192,6 +192,7 @@
 	if err := s.Send(ctx, true); err != nil {
 		return err
 	}
+	var w writer
 	go func() {
 		defer c.Close()
 		for {
@@ -199,7 +200,7 @@
 			if err := s.Recv(ctx, &p); err != nil {
 				return // its host has closed it, or is gone
 			}
-			if _, err := c.Write(p); err != nil {
+			if err := w.write(c, p); err != nil {
 				return // the reading side tells
 			}
 		}
@@ -213,7 +214,10 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			err = w.settle()
+			if err == nil {
+				return nil
+			}
 		}
 		if err != nil {
 			return merry.Prependf(err, "passing on for another host")
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -137,9 +137,9 @@
 		u.Sent(c.Conn, addr)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	written := make(chan error, 1)
+	written := newWriting()
 	// The answer is read meanwhile: an upstream may answer before it has read a long body.
-	go func() { written <- write(c, d, extra) }()
+	go func() { written.end(write(c, d, extra)) }()
 	r, err := c.answer(d, extra)
 	ctxErr := ctx.Err()
 	u.learnIdleTimeout(c.idleBefore, err != nil && ctxErr == nil)
@@ -158,22 +158,26 @@
 type exchange struct {
 	demand  demand.Demand
 	extra   http.Header
-	written <-chan error // gets how writing it ended
-	stop    func() bool  // keeps the connection from being closed with the request's context
+	written *writing    // how writing it ends
+	stop    func() bool // keeps the connection from being closed with the request's context
 }
 
 // respond returns an answer whose head was read.
 func (u *Uplink) respond(c *conn, x exchange, r *http.Response) resp.Resp {
+	unframed := r.ContentLength < 0 && len(r.TransferEncoding) == 0
 	body := newBody(r.Body)
+	if unframed {
+		body.Reader = endOf{r.Body, x.written}
+	}
 	rejected, why := u.NotRun(x.extra, r.StatusCode, r.Header)
 	return resp.Resp{
-		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
+		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed,
 		Rejected: rejected, Doubt: why, Named: u.AnswerID(r.Header) != "", Reused: c.reused,
 		Cut:   func() { c.Close() },
 		Later: func(wait time.Duration) (resp.Resp, bool) { return u.later(c, x, body, wait) },
 		Close: func() {
 			alive := x.stop()
-			if !alive || c.single || r.Close || !body.ended || c.buffered() > 0 || !isSent(x.written) || !c.restoreAckTimeout() {
+			if !alive || c.single || r.Close || !body.ended || c.buffered() > 0 || !x.written.succeeded(writeWait) || !c.restoreAckTimeout() {
 				c.Close()
 				return
 			}
--- a/internal/uplink/write.go
+++ b/internal/uplink/write.go
@@ -92,16 +92,50 @@
 	return merry.Wrap(err)
 }
 
-// isSent reports whether the whole request was written. If a connection were reused before that, the upstream would take the rest of the body
-// for the start of the next request. On a busy host the answer may arrive before the goroutine that wrote the request runs again; without
-// writeWait its connection would be closed, and the next request would need a new one.
-func isSent(written <-chan error) bool {
-	timer := time.NewTimer(writeWait)
+// writing is how writing a request ends.
+type writing struct {
+	ended chan struct{} // closed once err is set
+	err   error
+}
+
+func newWriting() *writing { return &writing{ended: make(chan struct{})} }
+
+// end records how writing has ended.
+func (w *writing) end(err error) {
+	w.err = err
+	close(w.ended)
+}
+
+// succeeded reports whether the whole request was written, for which it waits a while. If a connection were reused before that, the upstream would take the
+// rest of the body for the start of the next request. On a busy host the answer may arrive before the goroutine that wrote the request runs again; without
+// the wait its connection would be closed, and the next request would need a new one.
+func (w *writing) succeeded(within time.Duration) bool {
+	timer := time.NewTimer(within)
 	defer timer.Stop()
 	select {
-	case err := <-written:
-		return err == nil
+	case <-w.ended:
+		return w.err == nil
 	case <-timer.C:
 		return false
 	}
 }
+
+// endOf reads an answer that ends with its connection. That says nothing while the request is being written, or where that failed: the connection may have
+// broken. An upstream that reads a long body late ends its answer in good order all the same.
+type endOf struct {
+	io.Reader
+	request *writing
+}
+
+// Read reads from the answer. At its end it waits until the request is written, or its connection closed.
+func (e endOf) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	<-e.request.ended
+	if e.request.err != nil {
+		return n, merry.Wrap(io.ErrUnexpectedEOF, merry.WithCause(e.request.err))
+	}
+	return n, err
+}
