Keep in mind that an engine was ordered to unload an adapter that a request uses

Streams were rejected (421, not run) at hosts that all but one had lost their route to the engines, and refused: the owner took an adapter for loaded that the engine was about to drop, and ordered it unloaded again and again. Cause: reading an engine's state forgot which unloads it had accepted. The state lists such an adapter until the last request that uses it has ended. Change: an adapter whose unload was accepted counts as leaving for as long as the state lists it; the state is read on until it does not.

--- a/internal/loader/driver.go
+++ b/internal/loader/driver.go
@@ -200,6 +200,9 @@
 		d.reset()
 		d.born = t.Incarnation
 	}
+	if len(d.unloading) > 0 {
+		d.known = false // only the engine's state tells when it has dropped them
+	}
 	if !d.known && !d.syncState(t) {
 		d.expireQueue()
 		return idleInterval / 3
--- a/internal/loader/engine_test.go
+++ b/internal/loader/engine_test.go
@@ -49,7 +49,8 @@
 	activeAdapters map[string]bool
 	cached         map[string]bool // adapters that load without the weight store
 	crashed        bool
-	unloadsInUse   int // unloads of adapters that were in use
+	unloadsInUse   int             // unloads of adapters that were in use
+	leaving        map[string]bool // adapters that it drops once no request uses them
 	orders         int
 	loseReply      func(n int) (lost bool, late time.Duration) // whether the nth order gets no answer, and when it is applied
 	reports        []state.State                               // one per change, for the lag
@@ -72,7 +73,7 @@
 	begun := time.Now()
 	e := &engine{
 		ration: ration.NewRation(func() time.Duration { return time.Since(begun) }), places: places, usageInterval: 200 * time.Millisecond,
-		held: map[string]int{}, pending: map[string]time.Time{}, activeAdapters: map[string]bool{},
+		held: map[string]int{}, pending: map[string]time.Time{}, activeAdapters: map[string]bool{}, leaving: map[string]bool{},
 	}
 	e.recordState()
 	return e
@@ -99,6 +100,18 @@
 	}
 }
 
+// setActive says whether requests use an adapter.
+func (e *engine) setActive(adapter string, active bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.activeAdapters[adapter] = active
+	if !active && e.leaving[adapter] {
+		delete(e.leaving, adapter)
+		delete(e.held, adapter)
+		e.recordState()
+	}
+}
+
 func (e *engine) recordState() {
 	pending := map[string]int{}
 	for a := range e.pending {
@@ -136,6 +149,7 @@
 	e.sequence++
 	if e.activeAdapters[name] {
 		e.unloadsInUse++
+		e.leaving[name] = true
 		e.recordState()
 		return effect.Accepted
 	}
--- a/internal/loader/sync.go
+++ b/internal/loader/sync.go
@@ -49,7 +49,8 @@
 	d.known = true
 	d.loader.Log.Info("engine known", zap.String("target", d.id), zap.Int64("born", d.born), zap.Int64("sequence", d.sequence),
 		zap.Int("held", len(d.held)), zap.Int("pending", len(d.pending)), zap.Strings("models", s.Models))
-	d.unloading = map[string]bool{}
+	// An engine lists an adapter until the last request that uses it has ended, and then drops it.
+	maps.DeleteFunc(d.unloading, func(a string, _ bool) bool { _, listed := d.held[a]; return !listed })
 	d.updateEventInterval()
 	d.publish()
 	return true
