Count crashes of engines at the time of the break, and bound how long others are asked

Cause: engines that crash within 150 ms of each other count once against a part of prompts, and a crash was dated when it was seen. Since other hosts are asked that takes up to 0.7 s, so that engines that crashed together looked like ones that crashed one after the other. Change: a crash is dated when the connection broke. Other hosts are asked for 500 ms in all, not each.

--- a/internal/edge/look.go
+++ b/internal/edge/look.go
@@ -11,7 +11,7 @@
 	"damaskreach/internal/sight"
 )
 
-// lookTimeout bounds asking another host what it sees of an upstream, its dial included.
+// lookTimeout bounds asking other hosts what they see of an upstream, their dials included. A request that goes on elsewhere may wait for it.
 const lookTimeout = 500 * time.Millisecond
 
 // lookForPeer looks at an upstream for another host.
@@ -37,11 +37,11 @@
 // askPeers has other hosts look at an upstream until one sees something of it, once for those that ask at the same time.
 func (e *Edge) askPeers(addr string) sight.Sight {
 	seen, _, _ := e.looks.Do(addr, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+		defer cancel()
 		for _, h := range e.lookHosts() {
-			ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 			var seen sight.Sight
 			err := e.mesh.Load().Ask(ctx, h.PeerAddr, methodLook, addr, &seen)
-			cancel()
 			if err != nil {
 				e.Log.Debug("asking what is seen of an upstream failed", zap.String("host", h.IP), zap.Error(err))
 			}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -75,7 +75,7 @@
 		go g.judgeBreak(i, t, sent, now, silent)
 	}
 	if !silent {
-		g.recordCrash(i, t)
+		g.recordCrash(i, t, now)
 	}
 }
 
@@ -117,12 +117,13 @@
 	g.orphans.Check(registered, leaves, g.Crashed, time.Now(), g.countBreak)
 }
 
-// recordCrash records the parts of a request's prompt if its upstream has crashed.
-func (g *Guard) recordCrash(i ident.Ident, t target.Target) {
+// recordCrash records the parts of a request's prompt if its upstream has crashed. What counts is when it broke off, not when that showed: engines that crash
+// together show it one after the other.
+func (g *Guard) recordCrash(i ident.Ident, t target.Target, broke time.Time) {
 	if len(i.Parts) == 0 || !g.Crashed(t.Addr) {
 		return
 	}
-	if part := g.parts.RecordCrash(i.Parts, incarnation(t), time.Now()); part != "" {
+	if part := g.parts.RecordCrash(i.Parts, incarnation(t), broke); part != "" {
 		g.Log.Warn("part of prompts crashes engines", zap.String("part", part), zap.String("request", i.Request), zap.String("target", t.ID))
 	}
 }
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,50 @@
+package guard_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/demand"
+	"damaskreach/internal/guard"
+	"damaskreach/internal/ident"
+	"damaskreach/internal/stats"
+	"damaskreach/internal/target"
+)
+
+// Engines crash together under prompts that share a part, and it takes a while to see that, longer at each. Counted when it is seen, they would look like engines
+// that the part crashes one after the other, and all prompts with it would be refused.
+func TestEnginesThatCrashTogetherBlockNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := guard.NewGuard()
+		g.Log, g.Stats = zap.NewNop(), stats.NewStats()
+		start := time.Now()
+		crash := func(n int, seen time.Duration) {
+			g.Crashed = func(string) bool { time.Sleep(seen); return true }
+			i := ident.NewIdent(demand.Demand{URI: fmt.Sprint("/", n), Parts: []string{"shared"}}, "", "")
+			g.RecordBreak(i, target.Target{ID: fmt.Sprint("e", n)}, start, false)
+		}
+		done := make(chan struct{}, 4)
+		for n := range 4 {
+			go func() { crash(n, time.Duration(n)*400*time.Millisecond); done <- struct{}{} }()
+			synctest.Wait()
+		}
+		for range 4 {
+			<-done
+		}
+		if why := g.Blocked(ident.Ident{Parts: []string{"shared"}}, time.Now()); why != "" {
+			t.Errorf("blocked: %s, want prompts with the part served", why)
+		}
+		for n := range 3 {
+			time.Sleep(time.Second)
+			start = time.Now()
+			crash(9+n, 0)
+		}
+		if why := g.Blocked(ident.Ident{Parts: []string{"shared"}}, time.Now()); why == "" {
+			t.Error("not blocked after crashes a second apart, want it blocked")
+		}
+	})
+}
