Look at an upstream for half a second behind a break, and from here where nobody else can

And a host without others that takes itself for cut off would not see an upstream's end behind an answer without a length, as it did. Change: three looks within 0.5 s; where others tell nothing, a refused dial of this host counts for the end of an answer, as before. Measured: package cause, the crash tests of package edge and package proxy pass; nothing else was played for this.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -12,8 +12,8 @@
 	"damaskreach/internal/sight"
 )
 
-// settleTime is how long after a break an upstream is looked at for the second time: one that ends may close its connections before it ceases to listen.
-const settleTime = 100 * time.Millisecond
+// settleTimes are the pauses before an upstream that listens behind a break is looked at again: one that ends may close its connections before it ceases to listen.
+var settleTimes = []time.Duration{100 * time.Millisecond, 400 * time.Millisecond}
 
 // Cause may be used from several goroutines. Its fields are set before it is used.
 type Cause struct {
@@ -33,9 +33,11 @@
 		return c.Upstream(addr, sent, failed, silent)
 	}
 	seen := c.look(addr)
-	if seen == sight.Listens {
-		time.Sleep(settleTime)
-		seen = c.look(addr)
+	for _, pause := range settleTimes {
+		if seen == sight.Listens {
+			time.Sleep(pause)
+			seen = c.look(addr)
+		}
 	}
 	if seen == sight.Listens {
 		c.excuse(addr, seen, sight.Unknown)
@@ -65,11 +67,13 @@
 	return c.Look(addr)
 }
 
-// Gone reports whether nothing listens any more where an upstream did, as after a crash.
+// Gone reports whether nothing listens any more where an upstream did, as after a crash. Where nobody else can tell, a refused dial of this host does.
 func (c *Cause) Gone(addr string) bool {
-	seen := c.look(addr)
-	if seen == sight.Unknown {
-		seen = c.Ask(addr)
+	if !c.Cut() {
+		if seen := c.Look(addr); seen != sight.Unknown {
+			return seen == sight.Gone
+		}
 	}
-	return seen == sight.Gone
+	told := c.Ask(addr)
+	return told == sight.Gone || told == sight.Unknown && c.Look(addr) == sight.Gone
 }
