Ask what the project has already of connections, heads and breaks

Behaviour, checks and expectations stay as they are. Cause and change: package ends read TCP_INFO itself, as acks.Pending does: it asks that and keeps the connection's error alone. The status line stood in uplink and heads: heads has both forms, and Merged beside them. A writer of package tunnel counted what ends counts: what is left is when something was last written. A host's own break and a reported one were counted by two copies in package blame. Two tests cut links each in their own way. Edge kept a field that only its building uses.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -67,22 +67,31 @@
 func (b *Blame) RecordBreak(i ident.Ident, upstream string, broke, now time.Time) (upstreams, wide int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	added, upstreams, wide := b.add(i, upstream, broke, now)
+	text := i.Fingerprint + " " + upstream
+	if wide > 0 {
+		text += " " + i.Wide
+	}
+	if added {
+		b.outbox.Add(text, max(upstreams, wide) > 1)
+	}
+	return upstreams, wide
+}
+
+// add counts a break against a request and what it has in common with others, unless they have run well since. It reports whether the break was not known, and the
+// numbers of upstreams that count then; 0 where none does.
+func (b *Blame) add(i ident.Ident, upstream string, broke, now time.Time) (added bool, upstreams, wide int) {
 	if b.tally.Sound(i.Fingerprint, broke) {
 		b.reportWhole(i, now)
-		return 0, 0
+		return false, 0, 0
 	}
-	added := b.tally.Add(i.Fingerprint, upstream, broke.UnixMilli(), now)
+	added = b.tally.Add(i.Fingerprint, upstream, broke.UnixMilli(), now)
 	upstreams = b.count(i.Fingerprint, now)
-	text := i.Fingerprint + " " + upstream
 	if i.Wide != "" && !b.wide.Sound(i.Wide, broke) {
 		b.wide.Add(i.Wide, i.Fingerprint+" "+upstream, broke.UnixMilli(), now)
 		wide = b.count(i.Wide, now)
-		text += " " + i.Wide
 	}
-	if added {
-		b.outbox.Add(text, max(upstreams, wide) > 1)
-	}
-	return upstreams, wide
+	return added, upstreams, wide
 }
 
 // count counts the upstreams that broke off under a request, and blocks it if there are enough.
@@ -189,27 +198,13 @@
 			}
 			continue
 		}
-		if i, upstream, ok := parseBreak(text); ok {
-			b.addBreak(i, upstream, now)
+		i, upstream, ok := parseBreak(text)
+		if !ok {
+			continue
+		}
+		if _, upstreams, wide := b.add(i, upstream, now, now); upstreams > 0 && wide == 0 && i.Wide != "" {
+			b.reportWhole(ident.Ident{Wide: i.Wide}, now)
 		}
-	}
-}
-
-// addBreak applies a break that another host reports.
-func (b *Blame) addBreak(i ident.Ident, upstream string, now time.Time) {
-	if b.tally.Sound(i.Fingerprint, now) {
-		b.reportWhole(i, now)
-		return
-	}
-	b.tally.Add(i.Fingerprint, upstream, now.UnixMilli(), now)
-	b.count(i.Fingerprint, now)
-	switch {
-	case i.Wide == "":
-	case b.wide.Sound(i.Wide, now):
-		b.reportWhole(ident.Ident{Wide: i.Wide}, now)
-	default:
-		b.wide.Add(i.Wide, i.Fingerprint+" "+upstream, now.UnixMilli(), now)
-		b.count(i.Wide, now)
 	}
 }
 
--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -66,8 +66,8 @@
 	e.limits = &limits.Limits{Ask: e.charge, Log: e.Log}
 	e.reach = &reach.Reach{Open: e.Dial, Addrs: e.upstreamAddrs, Changed: e.reachabilityChanged, Log: e.Log}
 	e.guard = guard.NewGuard()
-	e.cause = &cause.Cause{Look: e.reach.Look, Ask: e.askPeers, Cut: func() bool { return e.reach.CutFor() > 0 }, Upstream: e.reach.IsToBlame, Log: e.Log}
-	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = e.cause.IsToBlame, e.cause.Gone, e.Log, e.Stats
+	c := &cause.Cause{Look: e.reach.Look, Ask: e.askPeers, Cut: func() bool { return e.reach.CutFor() > 0 }, Upstream: e.reach.IsToBlame, Log: e.Log}
+	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = c.IsToBlame, c.Gone, e.Log, e.Stats
 	e.facts = e.buildFacts()
 	e.buildsTurn = semaphore.NewWeighted(1)
 	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -353,7 +353,7 @@
 				s := newCrashSite(t, false)
 				s.crashAfter, s.asked = c.crashAfter, s.hosts[:c.hosts]
 				for _, host := range s.asked {
-					s.cutOff(host, c.how)
+					s.setLinks(host, crashUpstreams+otherUpstreams, c.how)
 				}
 				time.Sleep(4 * time.Second)
 				s.sendCrashing(caller{ip: "10.8.0.2"}, 1, c.interval, 60*time.Second)
@@ -363,17 +363,6 @@
 	}
 }
 
-// cutOff cuts a host off from all upstreams.
-func (s *crashSite) cutOff(host string, how cutMode) {
-	for n := range crashUpstreams + otherUpstreams {
-		upstream := strings.TrimSuffix(separateAddr(n), ":80")
-		if how == broken {
-			s.net.Break(host, upstream)
-		}
-		s.net.Cut(host, upstream)
-	}
-}
-
 // Upstreams of another group crash together again and again. Refused dials taken for a cut of this host's network would excuse all breaks, and with them a request
 // that crashes upstreams.
 func TestCrashingRequestIsBlockedWhereOthersCrashTogether(t *testing.T) {
@@ -443,11 +432,9 @@
 				go s.send(blue, fmt.Sprint("cut", round, n), s.hosts[0], false)
 			}
 			time.Sleep(runTime / 2)
-			s.cutOff(s.hosts[0], broken)
+			s.setLinks(s.hosts[0], crashUpstreams+otherUpstreams, broken)
 			time.Sleep(2 * time.Second)
-			for n := range crashUpstreams + otherUpstreams {
-				s.net.Heal(s.hosts[0], strings.TrimSuffix(separateAddr(n), ":80"))
-			}
+			s.setLinks(s.hosts[0], crashUpstreams+otherUpstreams, "")
 			time.Sleep(2 * time.Second)
 			for _, host := range s.hosts {
 				if got := s.send(blue, fmt.Sprint("sound", round, host), host, false); got != http.StatusOK {
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -104,17 +104,22 @@
 		}
 		w.cut[ip] = how
 		w.mu.Unlock()
-		for n := range cutUpstreams {
-			upstream, _, _ := strings.Cut(separateAddr(n), ":")
-			switch how {
-			case broken:
-				f.net.Break(ip, upstream)
-				f.net.Cut(ip, upstream)
-			case silent:
-				f.net.Cut(ip, upstream)
-			case "":
-				f.net.Heal(ip, upstream)
-			}
+		f.setLinks(ip, cutUpstreams, how)
+	}
+}
+
+// setLinks cuts the links of a host to a number of upstreams, or heals them if the mode is empty.
+func (f *fleet) setLinks(ip string, upstreams int, how cutMode) {
+	for n := range upstreams {
+		upstream, _, _ := strings.Cut(separateAddr(n), ":")
+		switch how {
+		case broken:
+			f.net.Break(ip, upstream)
+			f.net.Cut(ip, upstream)
+		case silent:
+			f.net.Cut(ip, upstream)
+		case "":
+			f.net.Heal(ip, upstream)
 		}
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,7 +15,6 @@
 
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/builds"
-	"damaskreach/internal/cause"
 	"damaskreach/internal/change"
 	"damaskreach/internal/conns"
 	"damaskreach/internal/demand"
@@ -118,7 +117,6 @@
 	probes         conns.Conns // of those who ask whether the host is ready
 	scrapes        conns.Conns // of scrapers
 	guard          *guard.Guard
-	cause          *cause.Cause
 	looks          singleflight.Group // of askPeers, by address
 	origins        *origin.Origin
 	builds         builds.Builds
--- a/internal/ends/conn.go
+++ b/internal/ends/conn.go
@@ -15,6 +15,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
+
+	"damaskreach/internal/acks"
 )
 
 // minPause and maxPause bound the time between two looks at whether the far end takes what was written.
@@ -63,43 +65,35 @@
 		c.mu.Lock()
 		writers, broke := c.writers, c.broke
 		c.mu.Unlock()
-		closed, waiting, err := c.look()
+		waiting := acks.Pending(c)
+		failed := c.failure() // asked last: what breaks the connection ends the waiting
 		switch {
 		case broke != nil:
 			return merry.Prepend(broke, "broken off, as a write was told")
-		case err != nil:
-			return merry.Prepend(err, "broken off behind its end")
-		case writers == 0 && (closed || !waiting):
+		case failed != nil:
+			return merry.Prepend(failed, "broken off behind its end")
+		case writers == 0 && !waiting:
 			return io.EOF
 		}
 		time.Sleep(pause)
 	}
 }
 
-// look returns whether the kernel has closed the connection in both directions, and why if that was an error, and whether bytes wait to be taken.
-func (c *Conn) look() (closed, waiting bool, err error) {
+// failure returns the connection's error that nobody was told yet.
+func (c *Conn) failure() error {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false, false, err
+		return err
 	}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
-		var info *unix.TCPInfo
-		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if failed != nil {
-			return
-		}
-		closed, waiting = info.State == unix.BPF_TCP_CLOSE, info.Unacked > 0 || info.Notsent_bytes > 0
-		if !closed {
-			return
-		}
 		var code int
 		code, failed = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
 		if failed == nil && code != 0 {
 			failed = syscall.Errno(code)
 		}
 	})
-	return closed, waiting, errors.Join(err, failed)
+	return errors.Join(err, failed)
 }
 
 // SyscallConn returns the kernel's connection.
--- a/internal/heads/heads.go
+++ b/internal/heads/heads.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"net/http"
 	"regexp"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/net/http/httpguts"
@@ -22,8 +23,13 @@
 	maxShown = 64
 )
 
-// statusLine is the first line of an answer's head.
-var statusLine = regexp.MustCompile(`^HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+// status begins a head; statusLine is its first line, and statusWithin one that stands elsewhere.
+const status = `HTTP/1\.[01] [1-5][0-9][0-9]`
+
+var (
+	statusLine   = regexp.MustCompile(`^` + status + `( |$)`)
+	statusWithin = regexp.MustCompile(status)
+)
 
 // CheckFirst returns ErrMalformed if the first line of a head, without its end, has no status.
 func CheckFirst(line []byte) error {
@@ -42,6 +48,17 @@
 	return nil
 }
 
+// Merged reports whether a head has a status line in it: an upstream has stopped in the middle of one head and begun the next, so that the status is that
+// of one answer and the body that of the other.
+func Merged(h http.Header) bool {
+	for _, values := range h {
+		if slices.ContainsFunc(values, statusWithin.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 func malformed(line []byte) error {
 	return merry.Prependf(ErrMalformed, "%q", line[:min(len(line), maxShown)])
 }
--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -40,7 +40,7 @@
 	// of its successor.
 	beside []string
 	looked bool
-	dialed bool // whether it was dialled once its registration had lapsed, and listened
+	dialed bool // whether it was dialled once its registration had lapsed, and did not refuse
 }
 
 // Add tracks a request that was given up and may run until its deadline. It does nothing where too many are tracked.
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,6 +21,10 @@
 // piece is how many bytes are passed on at once.
 const piece = 16 << 10
 
+// settleTime is for how long nothing must have come from the other host for an upstream's end to stand: pieces of a body that is being uploaded follow each other
+// more closely.
+const settleTime = 20 * time.Millisecond
+
 // errClosed is why reading ends at the side that closed the connection.
 var errClosed = merry.Sentinel("tunnel: closed here")
 
@@ -192,7 +197,7 @@
 	if err := s.Send(ctx, true); err != nil {
 		return err
 	}
-	var w writer
+	var lastWrite atomic.Int64 // in Unix nanoseconds
 	go func() {
 		defer c.Close()
 		for {
@@ -200,9 +205,11 @@
 			if err := s.Recv(ctx, &p); err != nil {
 				return // its host has closed it, or is gone
 			}
-			if err := w.write(c, p); err != nil {
+			lastWrite.Store(time.Now().UnixNano())
+			if _, err := c.Write(p); err != nil {
 				return // the reading side tells
 			}
+			lastWrite.Store(time.Now().UnixNano())
 		}
 	}()
 	buffer := make([]byte, piece)
@@ -213,11 +220,12 @@
 				return err
 			}
 		}
+		if errors.Is(err, io.EOF) && time.Since(time.Unix(0, lastWrite.Load())) < settleTime {
+			time.Sleep(settleTime / 4)
+			continue // what is on its way from the other host shows whether the upstream still takes it
+		}
 		if errors.Is(err, io.EOF) {
-			err = w.settle()
-			if err == nil {
-				return nil
-			}
+			return nil
 		}
 		if err != nil {
 			return merry.Prependf(err, "passing on for another host")
--- a/internal/uplink/answer.go
+++ b/internal/uplink/answer.go
@@ -4,8 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"regexp"
-	"slices"
 
 	"github.com/ansel1/merry/v2"
 
@@ -51,20 +49,6 @@
 	return rejected
 }
 
-// statusLine is the begin of an answer's head.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-
-// merged reports whether a head has a status line in it: an upstream has stopped in the middle of one head and begun the next, so that the status is that
-// of one answer and the body that of the other.
-func merged(h http.Header) bool {
-	for _, values := range h {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
-}
-
 // skipBody reads an answer to its end, so that the next one can be read. It reports false if the connection cannot be used any more.
 func skipBody(r *http.Response) bool {
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStray))
--- a/internal/uplink/head.go
+++ b/internal/uplink/head.go
@@ -36,7 +36,7 @@
 			return nil, err
 		}
 		r, err := http.ReadResponse(c.read, &http.Request{Method: method})
-		if err == nil && merged(r.Header) {
+		if err == nil && heads.Merged(r.Header) {
 			err = merry.Wrap(ErrMerged)
 		}
 		if err != nil || r.StatusCode >= http.StatusOK {
