Believe a refused dial only while no other host reaches the upstream

A booking was refused for ten minutes at all hosts after one host had lost its ways to the three upstreams of a group.

Cause: a host that is not cut off from all upstreams took a refused dial of its own for the upstream's end and asked nobody. Ways that are lost by resets refuse dials too. Three such moments without a good run between block a part.

A refusal counts where all that answer are refused too, or nobody answers. The question is asked before the second in which this host's own network shows what it is, so that an upstream which is back soon is not taken for one that goes on.

The test of breaks is now a table of three; its first row is as it was.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -1,7 +1,8 @@
 // Package cause finds out what broke a connection to an upstream: the upstream's end, or something else.
 //
 // A host that cannot reach upstreams sees no more than that, and would take each break for one of its network. But it may send by way of others, and a request
-// may crash upstreams there. Whether an upstream goes on is not known from this host's state: somebody that can reach it has to look.
+// may crash upstreams there. A host that loses its way to some upstreams may have its dials refused, and would take each break for an upstream's end. Whether an
+// upstream goes on is not known from this host's state: somebody that can reach it has to look.
 package cause
 
 import (
@@ -39,20 +40,15 @@
 			seen = c.look(addr)
 		}
 	}
-	if seen == sight.Listens {
-		c.excuse(addr, seen, sight.Unknown)
-		return false
-	}
-	upstream := c.Upstream(addr, sent, failed, silent)
-	if upstream && seen == sight.Gone {
-		return true
+	told := sight.Unknown
+	if seen != sight.Listens {
+		told = c.Ask(addr)
 	}
-	told := c.Ask(addr)
-	if told == sight.Gone || told == sight.Unknown && upstream {
-		return true
+	if seen == sight.Listens || told == sight.Listens || told == sight.Unknown && !c.Upstream(addr, sent, failed, silent) {
+		c.excuse(addr, seen, told)
+		return false
 	}
-	c.excuse(addr, seen, told)
-	return false
+	return true
 }
 
 func (c *Cause) excuse(addr string, seen, told sight.Sight) {
@@ -69,11 +65,10 @@
 
 // Gone reports whether nothing listens any more where an upstream did, as after a crash. Where nobody else can tell, a refused dial of this host does.
 func (c *Cause) Gone(addr string) bool {
-	if !c.Cut() {
-		if seen := c.Look(addr); seen != sight.Unknown {
-			return seen == sight.Gone
-		}
+	seen := c.look(addr)
+	if seen == sight.Listens {
+		return false
 	}
 	told := c.Ask(addr)
-	return told == sight.Gone || told == sight.Unknown && c.Look(addr) == sight.Gone
+	return told == sight.Gone || told == sight.Unknown && (seen == sight.Gone || c.Look(addr) == sight.Gone)
 }
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -28,6 +28,7 @@
 		{"goes on", false, true, sight.Listens, sight.Listens, sight.Unknown, false, false},
 		{"goes on, host is cut off", true, false, sight.Unknown, sight.Unknown, sight.Listens, false, false},
 		{"goes on, dials of this host are refused", true, false, sight.Gone, sight.Gone, sight.Listens, false, false},
+		{"goes on, dials of this host alone are refused", false, true, sight.Gone, sight.Gone, sight.Listens, false, false},
 		{"goes on, this host lacks a link to it", false, true, sight.Unknown, sight.Unknown, sight.Listens, false, false},
 		{"silent for all, others are heard", false, true, sight.Unknown, sight.Unknown, sight.Unknown, true, false},
 		{"ends, nobody else tells, host is cut off", true, false, sight.Gone, sight.Gone, sight.Unknown, false, true},
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -9,9 +9,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +55,7 @@
 	crashAfter time.Duration // how long upstreams run a request before it crashes them
 	patience   time.Duration // how long callers wait for an answer
 	asked      []string      // hosts that get requests that crash upstreams; all where none are named
+	refused    upstreamCuts  // hosts whose dials of upstreams of the group are refused
 
 	mu       sync.Mutex
 	starts   []int       // of each upstream
@@ -70,7 +73,14 @@
 		starts: make([]int, upstreams), down: make([]bool, upstreams), statuses: map[int]int{}, crashAfter: crashTime, patience: time.Second,
 	}
 	teams := func(int64) []team.Team { return []team.Team{{Name: "red"}, {Name: "blue"}} }
-	s.teamFleet = newTeamFleetOf(t, crashHosts, 3, 0, teams, func(e *edge.Edge, _ *setup.Setup) {
+	s.teamFleet = newTeamFleetOf(t, crashHosts, 3, 0, teams, func(e *edge.Edge, own *setup.Setup) {
+		ip, dial := own.IP, e.Dial
+		e.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			if s.refused.of(ip) == refused && slices.Contains(groupAddrs(), addr) {
+				return nil, syscall.ECONNREFUSED
+			}
+			return dial(ctx, addr)
+		}
 		decode := e.DecodeRules
 		e.DecodeRules = func(row rows.Row) (rules.Rules, bool, error) {
 			r, ok, err := decode(row)
@@ -108,6 +118,14 @@
 	return s
 }
 
+// groupAddrs returns the addresses of the upstreams that crash.
+func groupAddrs() (list []string) {
+	for n := range crashUpstreams {
+		list = append(list, separateAddr(n))
+	}
+	return list
+}
+
 // startUpstream starts an upstream under a new id.
 func (s *crashSite) startUpstream(n int) {
 	s.serveAt(s.t, separateAddr(n), func(w http.ResponseWriter, r *http.Request) { s.serve(n, w, r) })
@@ -422,27 +440,58 @@
 	}
 }
 
-// A host's network to the upstreams breaks again and again while it runs the same request at several. Taken for crashes, these breaks would have it refused at all hosts.
+// A host's network to all upstreams, or to those of one group, breaks again and again while it runs the same request at several. Taken for crashes, these breaks
+// would have it refused at all hosts.
 func TestBreaksOfAHostsNetworkBlockNoRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newCrashSite(t, true)
-		blue := caller{"10.8.0.1", "blue"}
-		for round := range 8 {
-			for n := range 9 {
-				go s.send(blue, fmt.Sprint("cut", round, n), s.hosts[0], false)
-			}
-			time.Sleep(runTime / 2)
-			s.setLinks(s.hosts[0], crashUpstreams+otherUpstreams, broken)
-			time.Sleep(2 * time.Second)
-			s.setLinks(s.hosts[0], crashUpstreams+otherUpstreams, "")
-			time.Sleep(2 * time.Second)
-			for _, host := range s.hosts {
-				if got := s.send(blue, fmt.Sprint("sound", round, host), host, false); got != http.StatusOK {
-					t.Errorf("after cut %d the request got %d at host %s, want it served", round, got, host)
+	for _, c := range []struct {
+		name  string
+		books bool // which no host sends once more, so that none runs well before the breaks are judged
+		start func(s *crashSite, host string)
+		end   func(s *crashSite, host string)
+	}{
+		{
+			"all, dials hang", false,
+			func(s *crashSite, host string) { s.setLinks(host, crashUpstreams+otherUpstreams, broken) },
+			func(s *crashSite, host string) { s.setLinks(host, crashUpstreams+otherUpstreams, "") },
+		},
+		{
+			"one group, dials hang", true,
+			func(s *crashSite, host string) { s.setLinks(host, crashUpstreams, broken) },
+			func(s *crashSite, host string) { s.setLinks(host, crashUpstreams, "") },
+		},
+		{
+			"one group, dials are refused", true,
+			func(s *crashSite, host string) {
+				s.refused.set(host, refused)
+				s.setLinks(host, crashUpstreams, broken)
+				s.setLinks(host, crashUpstreams, "")
+			},
+			func(s *crashSite, host string) { s.refused.set(host, "") },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, true)
+				s.books = c.books
+				blue := caller{"10.8.0.1", "blue"}
+				for round := range 8 {
+					for n := range 9 {
+						go s.send(blue, fmt.Sprint("cut", round, n), s.hosts[0], false)
+					}
+					time.Sleep(runTime / 2)
+					c.start(s, s.hosts[0])
+					time.Sleep(2 * time.Second)
+					c.end(s, s.hosts[0])
+					time.Sleep(2 * time.Second)
+					for _, host := range s.hosts {
+						if got := s.send(blue, fmt.Sprint("sound", round, host), host, false); got != http.StatusOK {
+							t.Errorf("after cut %d the request got %d at host %s, want it served", round, got, host)
+						}
+					}
 				}
-			}
-		}
-	})
+			})
+		})
+	}
 }
 
 // All upstreams of a group crash at once, whatever they run, under lookups of one caller that ran well until then. Held responsible for that, these
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -98,16 +98,21 @@
 func (w *upstreamCuts) setMode(f *fleet, how cutMode, hosts ...int) {
 	for _, i := range hosts {
 		ip := hostIP(i)
-		w.mu.Lock()
-		if w.cut == nil {
-			w.cut = map[string]cutMode{}
-		}
-		w.cut[ip] = how
-		w.mu.Unlock()
+		w.set(ip, how)
 		f.setLinks(ip, cutUpstreams, how)
 	}
 }
 
+// set notes how a host is cut off.
+func (w *upstreamCuts) set(host string, how cutMode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut == nil {
+		w.cut = map[string]cutMode{}
+	}
+	w.cut[host] = how
+}
+
 // setLinks cuts the links of a host to a number of upstreams, or heals them if the mode is empty.
 func (f *fleet) setLinks(ip string, upstreams int, how cutMode) {
 	for n := range upstreams {
--- a/internal/edge/look.go
+++ b/internal/edge/look.go
@@ -34,22 +34,27 @@
 	return nil
 }
 
-// askPeers has other hosts look at an upstream until one sees something of it, once for those that ask at the same time.
+// askPeers has other hosts look at an upstream until one reaches it, once for those that ask at the same time. One that is refused may have lost its way to the
+// upstream, as this host may.
 func (e *Edge) askPeers(addr string) sight.Sight {
 	seen, _, _ := e.looks.Do(addr, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 		defer cancel()
+		best := sight.Unknown
 		for _, h := range e.lookHosts() {
 			var seen sight.Sight
-			err := e.mesh.Load().Ask(ctx, h.PeerAddr, methodLook, addr, &seen)
-			if err != nil {
+			if err := e.mesh.Load().Ask(ctx, h.PeerAddr, methodLook, addr, &seen); err != nil {
 				e.Log.Debug("asking what is seen of an upstream failed", zap.String("host", h.IP), zap.Error(err))
+				continue
 			}
-			if err == nil && seen != sight.Unknown {
+			if seen == sight.Listens {
 				return seen, nil
 			}
+			if seen != sight.Unknown {
+				best = seen
+			}
 		}
-		return sight.Unknown, nil
+		return best, nil
 	})
 	return seen.(sight.Sight)
 }
