Give the watch over silent streams a package of its own

The proxy held the watch that finds a silent stream another engine, with its timer, lock and search, beside all that decides where a request may run. This is its first part: mover knows nothing of jobs, turns and upstreams; the proxy gives it functions that find a place and give one back. What it does stays as it was; the pause between two attempts is a field, since the proxy waits as long.

Events and their order (relay.go) are still the proxy's.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"damaskreach/internal/mover"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/target"
 	"damaskreach/pkg/refuse"
@@ -47,8 +48,8 @@
 	if err == nil && p.endedEarly(j, t, r) {
 		err = io.ErrUnexpectedEOF
 	}
-	silent := m.silent()
-	j.nextPlacement = m.end()
+	silent := m.Silent()
+	j.nextPlacement = m.End()
 	end := j.streamEnd(ctx, err, silent, body.excusesBreak())
 	if !j.sound && (end == endCallerLeft || end == endTimeout || end == endStalled) {
 		p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
@@ -116,12 +117,12 @@
 }
 
 // copyEvents passes events to the caller until the stream ends; it returns nil if the stream is complete.
-func (p *Proxy) copyEvents(j *job, t target.Target, body io.Reader, m *mover) error {
+func (p *Proxy) copyEvents(j *job, t target.Target, body io.Reader, m *mover.Mover[placement]) error {
 	control := http.NewResponseController(j.w)
 	in := bufio.NewReader(body)
 	var event bytes.Buffer
 	left, unflushed := maxIdleBytes, false // unflushed says that events are written that the caller does not have yet
-	m.startWaiting()
+	m.StartWaiting()
 	for {
 		switch err := readEvent(in, &event, left); {
 		case errors.Is(err, io.EOF) && event.Len() == 0:
@@ -134,7 +135,7 @@
 		id := eventID(event.Bytes())
 		further := j.goesOnWith(id)
 		if further {
-			m.eventReceived()
+			m.EventReceived()
 			p.recordEvent(j, t)
 		}
 		if err := j.writeEvent(event.Bytes(), id); err != nil {
@@ -153,7 +154,7 @@
 		}
 		if further {
 			left = maxIdleBytes
-			m.startWaiting()
+			m.StartWaiting()
 		}
 	}
 }
