--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -464,7 +464,7 @@
 			func(s *crashSite, host string) {
 				s.refused.set(host, refused)
 				s.setLinks(host, crashUpstreams, broken)
-				s.setLinks(host, crashUpstreams, "")
+				s.setLinks(host, crashUpstreams, "") // over a link that is cut, a reset is not told
 			},
 			func(s *crashSite, host string) { s.refused.set(host, "") },
 		},
