Open connections that tell how they ended by one piece of code

Found on reading the whole change again: the node's program and the callers' library each dialled and wrapped the connection in the same four lines. Both use ends.Dial now; what they do is as before. A comment of cause said that one other host is asked where several are.

make check, and the race detector on pkg/client, dialer, cause, uplink, tunnel and test/procs: passed.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -18,7 +18,7 @@
 
 // Cause may be used from several goroutines. Its fields are set before it is used.
 type Cause struct {
-	// Look dials an upstream from this host, Ask has another host dial it.
+	// Look dials an upstream from this host, Ask has others dial it.
 	Look, Ask func(addr string) sight.Sight
 	// Cut reports whether this host reaches no upstream at present.
 	Cut func() bool
--- a/internal/ends/conn.go
+++ b/internal/ends/conn.go
@@ -6,6 +6,7 @@
 package ends
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -34,6 +35,15 @@
 // NewConn returns a connection's Conn.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
+// Dial opens a TCP connection with a dialer and returns its Conn.
+func Dial(ctx context.Context, d *net.Dialer, addr string) (net.Conn, error) {
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(c), nil
+}
+
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/launch/run.go
+++ b/internal/launch/run.go
@@ -87,13 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	dialer := &net.Dialer{LocalAddr: local(c)}
-	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			return nil, err
-		}
-		return ends.NewConn(c), nil
-	}
+	dial := func(ctx context.Context, addr string) (net.Conn, error) { return ends.Dial(ctx, dialer, addr) }
 	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	n := node.NewNode(c, dial, listen, log)
 	go rekey(ctx, path, n)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -61,12 +61,7 @@
 }
 
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return ends.NewConn(c), nil
+	return ends.Dial(ctx, &net.Dialer{}, addr)
 }
 
 // Close closes the connections that no request uses.
