Name requests without a copy of their bodies

What the operator sees: under a crowd of whole long bodies a host of 96 MB is at 76 to 101 MB now and then and is ended by the platform.

Cause: the two names of a request (ident) were made from copies of its body, two each: as a string, and of that for the sum. 4 MB were allocated for a body of 1 MB, beside what its caller's room counts, until the collector ran. The wide name doubled that when it came.

Change: the sum reads the body itself. The names stay those of earlier releases (test); hosts of two releases tell each other of crashes by them.

TestLongBodiesAreNotCopied failed before with 4,214,360 bytes.

--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -37,8 +37,8 @@
 	path, _, _ := strings.Cut(d.URI, "?")
 	return Ident{
 		Request: d.ID, Caller: caller, Parts: d.Parts,
-		Fingerprint: fingerprint(caller, d.Method, d.Host, d.URI, d.Adapter, string(d.Body)),
-		Wide:        wide + fingerprint(wide, team, d.Method, d.Host, path, d.Adapter, string(d.Body))[len(wide):],
+		Fingerprint: fingerprint(d.Body, caller, d.Method, d.Host, d.URI, d.Adapter),
+		Wide:        wide + fingerprint(d.Body, wide, team, d.Method, d.Host, path, d.Adapter)[len(wide):],
 	}
 }
 
@@ -53,12 +53,15 @@
 	return "address " + addr
 }
 
-func fingerprint(parts ...string) string {
+// fingerprint sums up some short parts and a body, which may be long and is not copied.
+func fingerprint(body []byte, parts ...string) string {
 	sum := sha256.New()
 	for _, p := range parts {
 		sum.Write([]byte(p))
 		sum.Write([]byte{0})
 	}
+	sum.Write(body)
+	sum.Write([]byte{0})
 	return hex.EncodeToString(sum.Sum(nil))[:FingerprintLen]
 }
 
--- a/internal/ident/ident_test.go
+++ b/internal/ident/ident_test.go
@@ -1,6 +1,7 @@
 package ident_test
 
 import (
+	"runtime"
 	"testing"
 
 	"damaskreach/internal/demand"
@@ -73,3 +74,29 @@
 		}
 	}
 }
+
+// A crowd sends long bodies. Copied to be named, each would be in memory once more than its caller's room allows, several times over until the collector runs.
+func TestLongBodiesAreNotCopied(t *testing.T) {
+	long := lookup
+	long.Body = make([]byte, 1<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	ident.NewIdent(long, "red", "10.0.0.1:1000")
+	runtime.ReadMemStats(&after)
+	if got, want := after.TotalAlloc-before.TotalAlloc, uint64(len(long.Body)/4); got > want {
+		t.Errorf("%d bytes were allocated for a body of %d, want %d at most", got, len(long.Body), want)
+	}
+}
+
+// Hosts of two releases run side by side and tell each other of crashes. With other names for the same request, neither would know what the other one saw.
+func TestNamesAreThoseOfEarlierReleases(t *testing.T) {
+	long := lookup
+	long.Body, long.Adapter = []byte("a body"), "m/a"
+	got := ident.NewIdent(long, "red", "10.0.0.1:1000")
+	if want := "2985b6f5ed6b52e52e61b728"; got.Fingerprint != want {
+		t.Errorf("fingerprint = %s, want %s", got.Fingerprint, want)
+	}
+	if want := "wa938dc12931ece4dde7d476"; got.Wide != want {
+		t.Errorf("wide fingerprint = %s, want %s", got.Wide, want)
+	}
+}
