Have fifteen hosts write down for all where streams began

All hosts together may write 50 times a second, so 70 hosts write each 1.4 s, and streams last some seconds. Writes themselves took 10 to 55 ms, and all hosts had read 23,129 beginnings before the first caller came back: neither is the cause.

Change: of more than 15 hosts, the 15 strongest write for all, each 300 ms as in a small site; every other host tells one of them as each stream begins, and writes itself where that one does not take it (also one of an earlier release, which does not know the message). Hosts out of contact count as hosts that write, so that hosts that lose each other do not all write as often. The rate for the store is as it was. From 600 hosts on there is one that writes for each 40, so that what one is told does not grow.

Weighed: more writes a second, which cost the store; fewer hosts that write more often, which are told more; a third message for each stream and not one of two, since those who write change more often than those who remember.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -70,7 +70,7 @@
 	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = c.IsToBlame, c.Gone, e.Log, e.Stats
 	e.facts = e.buildFacts()
 	e.buildsTurn = semaphore.NewWeighted(1)
-	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Hosts: e.hostCount, Log: e.Log}
+	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Writers: e.writerCount, Log: e.Log}
 	e.uplink = e.buildUplink()
 	e.spare = &spare.Spare{Hosts: e.hostCount, Part: e.retryPart, Refused: e.tenure.WantPart, Heard: e.reach.LastHeard, Clock: e.Clock, Opened: e.showRetries, Bound: func() (float64, float64, time.Duration) {
 		s := e.Setup()
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -17,6 +17,8 @@
 const (
 	// A site has buildHosts hosts and buildEngines engines of each build, which are asked for buildAdapters adapters.
 	buildHosts, buildEngines, buildAdapters = 6, 4, 8
+	// manyHosts is how many a large site has.
+	manyHosts = 70
 	// buildRate is how many streams begin a second: a third of what the engines of one build can run.
 	buildRate = 15
 	// maxStreamTries is how often a caller sends a request, with resumeDelay before it comes back.
@@ -150,9 +152,14 @@
 
 // newBuildFarm starts a site whose engines run the given builds of their software, the same number of each.
 func newBuildFarm(t *testing.T, builds ...string) *farm {
+	return newBuildFarmOf(t, buildHosts, builds...)
+}
+
+// newBuildFarmOf starts such a site with a number of hosts.
+func newBuildFarmOf(t *testing.T, hosts int, builds ...string) *farm {
 	f := newEmptyFarm()
 	f.separateAddrs = true
-	f.start(t, buildHosts, 0, unlimitedTeams, f.adaptHost)
+	f.start(t, hosts, 0, unlimitedTeams, f.adaptHost)
 	for _, build := range builds {
 		f.addBuild(t, build)
 	}
@@ -241,6 +248,46 @@
 	})
 }
 
+// The same on a large site, at three moments. All its hosts may write down together only so often where streams began, and most streams under way are of the last second: if
+// each host waited for its own turn, callers would come back with streams that nobody knows.
+func TestStreamsOfTwoBuildsGoOnWhenAllOfManyHostsAreKilled(t *testing.T) {
+	withSeeds(t, func(t *testing.T, seed uint64) {
+		f := newBuildFarmOf(t, manyHosts, "v1", "v2")
+		f.eventPause = 60 * time.Millisecond
+		all := f.playStreams(t, seed, buildRate, 14*time.Second, func(*resumableStreams) {
+			time.Sleep(4*time.Second + time.Duration(seed)*300*time.Millisecond)
+			hosts := make([]int, len(f.hosts))
+			for i := range hosts {
+				hosts[i] = i
+			}
+			f.restartHosts(hosts...)
+			time.Sleep(6 * time.Second)
+		})
+		f.wantSeparate(all)
+	})
+}
+
+// All hosts of a large site lose each other, so that each takes itself for one of those that write for all. If all wrote as often as these, the store would have many times the
+// writes that it should.
+func TestHostsThatLoseEachOtherDoNotWriteMoreStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBuildFarmOf(t, manyHosts, "v1", "v2")
+		for i, host := range f.hosts {
+			for _, other := range f.hosts[:i] {
+				f.net.Cut(host, other)
+			}
+		}
+		f.playStreams(t, 1, 6*buildRate, 14*time.Second, func(*resumableStreams) {
+			time.Sleep(4 * time.Second) // until none counts as alive for the others
+			before, span := f.store.changes("began/"), 6*time.Second
+			time.Sleep(span)
+			if got, want := f.store.changes("began/")-before, int(55*span/time.Second); got > want {
+				t.Errorf("%d writes in %v, want %d at most", got, span, want)
+			}
+		})
+	})
+}
+
 // A build has just replaced the one before when all hosts are killed. A stream of the old build must not go on at the new one, although it is
 // the only one that is registered; streams of a build that serves alone for long must go on whoever is asked.
 func TestStreamsOfAReplacedBuildDoNotGoOnAtTheNextOne(t *testing.T) {
--- a/internal/edge/fallback.go
+++ b/internal/edge/fallback.go
@@ -14,6 +14,9 @@
 	maxFallbackHosts = 16
 	// maxKeepers is how many of the strongest hosts remember where streams began. It bounds the connections of a host.
 	maxKeepers = 64
+	// minWriters is how many of the strongest hosts write down for all where streams began, and hostsPerWriter from how many hosts on for each of them there are more, so
+	// that what one is told does not grow with their number.
+	minWriters, hostsPerWriter = 15, 40
 )
 
 // fallback holds the hosts that act in place of owners that are down, as of the last update.
@@ -23,6 +26,8 @@
 	hosts []string             // act in place of owners that are down
 	// keepers remember where streams began.
 	keepers []string
+	// writers write down where streams began.
+	writers []string
 	picked  sync.Map // chosen host by upstream; a relay asks at each message for each engine in use
 }
 
@@ -42,6 +47,7 @@
 		f.keepers = append(f.keepers, m.IP)
 	}
 	f.hosts = f.keepers[:min(len(f.keepers), maxFallbackHosts)]
+	f.writers = f.keepers[:min(len(f.keepers), max(minWriters, len(living)/hostsPerWriter))]
 	return f
 }
 
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -35,14 +35,49 @@
 func (e *Edge) observeBuilds() {
 	for _, group := range e.builds.Observe(e.intake.View().Targets, time.Now()) {
 		e.Log.Info("group runs several builds", zap.String("group", group), zap.Strings("builds", e.builds.All()[group]))
-		e.shareOrigins(e.origins.Group(group))
+		list := e.origins.Group(group)
+		e.tellOrigins(list)
+		e.spool.Add(list) // many from each host at once: more than one that writes for several could take beside what begins now
 	}
 }
 
-// shareOrigins makes known where streams began: to other hosts at once, in case this one is lost, and in rows, in case all are.
-func (e *Edge) shareOrigins(list []began.Began) {
-	e.tellOrigins(list)
-	e.spool.Add(list)
+// writeOrigin has where a stream began written down, by one of the hosts that do so for all: together they may write only so often, and each of many hosts would be late.
+// Where that one does not take it, this host writes.
+func (e *Edge) writeOrigin(b began.Began) {
+	list := []began.Began{b}
+	f, mesh := e.fallback.Load(), e.mesh.Load()
+	writer, ok := f.alive[f.writerOf(f.self)]
+	if !ok || mesh == nil {
+		e.spool.Add(list)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+		defer cancel()
+		var none struct{}
+		if err := mesh.Ask(ctx, writer.PeerAddr, methodSpool, list, &none); err != nil {
+			e.Log.Info("beginnings of streams not taken by their writer", zap.String("host", writer.IP), zap.String("attempt", b.Attempt), zap.Error(err))
+			e.spool.Add(list)
+		}
+	}()
+}
+
+// writerOf returns the host that writes down where streams of a host began: itself, if it is one of those that write.
+func (f *fallback) writerOf(host string) string {
+	if slices.Contains(f.writers, host) {
+		return host
+	}
+	return spread.OwnerOf(f.writers, host)
+}
+
+// writerCount returns how many hosts write as often as this one may: those that do so for all and those out of contact, which may take themselves for some of them; or
+// all, where this one writes only what none of them took.
+func (e *Edge) writerCount() int {
+	f, hosts := e.fallback.Load(), e.hostCount()
+	if !slices.Contains(f.writers, f.self) {
+		return hosts
+	}
+	return len(f.writers) + max(0, hosts-1-len(f.alive))
 }
 
 // restoreOrigins reads where streams began before this host started.
@@ -78,11 +113,12 @@
 	}
 }
 
-// recordOrigin remembers where a stream began, at other hosts too if its group runs several builds.
+// recordOrigin remembers where a stream began, and while its group runs several builds other hosts do so too, in case this one is lost, and rows, in case all are.
 func (e *Edge) recordOrigin(b began.Began) {
 	e.origins.Add(b, time.Now())
 	if _, ok := e.builds.Sole(b.Group); !ok {
-		e.shareOrigins([]began.Began{b})
+		e.tellOrigins([]began.Began{b})
+		e.writeOrigin(b)
 	}
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -52,6 +52,7 @@
 	methodPiece   = "piece"
 	methodForward = "pass"
 	methodBegan   = "began"
+	methodSpool   = "spool"
 	methodRecall  = "recall"
 	methodLook    = "look"
 )
@@ -97,6 +98,10 @@
 		e.keepOrigins(list)
 		return struct{}{}, nil
 	})
+	peer.Answer(mesh, methodSpool, func(_ context.Context, _ string, list []began.Began) (struct{}, error) {
+		e.spool.Add(list)
+		return struct{}{}, nil
+	})
 	peer.Answer(mesh, methodRecall, func(_ context.Context, _ string, q began.Began) (recall.Recall, error) {
 		return e.recallStream(q), nil
 	})
--- a/internal/edge/store_test.go
+++ b/internal/edge/store_test.go
@@ -61,6 +61,18 @@
 	s.log = append(s.log, row)
 }
 
+// changes returns how many rows with a prefix were written so far.
+func (s *store) changes(prefix string) (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range s.log {
+		if strings.HasPrefix(row.Key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *store) refuse(host string, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -1,7 +1,7 @@
 // Package spool writes where streams began into rows of the store, for hosts that start after all were killed.
 //
-// It is used only while a group runs several builds. Each host writes what has begun since its last row, so that the number of calls does not grow with the
-// number of streams, and the interval grows with the number of hosts, so that all of them together make no more calls.
+// It is used only while a group runs several builds. A host writes what has begun since its last row, so that the number of calls does not grow with the number of
+// streams, and the interval grows with the number of hosts that write, so that all of them together make no more calls.
 package spool
 
 import (
@@ -26,7 +26,7 @@
 	// minInterval is the shortest time between two writes of a host: of streams that began since the last one nobody knows if all hosts are killed. Streams
 	// last some seconds.
 	minInterval = 300 * time.Millisecond
-	// maxRate is how many writes all hosts together make per second, a small part of what the store takes.
+	// maxRate is how many writes all hosts that write make together per second, a small part of what the store takes.
 	maxRate = 50
 	// slots is how many rows a host has, one for each second. Each is overwritten after as many seconds, when callers no longer come back with its streams.
 	slots = 64
@@ -40,10 +40,11 @@
 // Spool may be used from several goroutines. Its exported fields are set before it is used.
 type Spool struct {
 	Table  table.Table
-	Prefix string     // of the keys
-	Host   string     // name of this host in its keys
-	Hosts  func() int // how many hosts there are
-	Log    *zap.Logger
+	Prefix string // of the keys
+	Host   string // name of this host in its keys
+	// Writers returns how many hosts write as often as this one, itself included.
+	Writers func() int
+	Log     *zap.Logger
 
 	mu     sync.Mutex
 	queued []began.Began
@@ -77,7 +78,7 @@
 
 // interval returns the time between two writes of this host.
 func (s *Spool) interval() time.Duration {
-	return max(minInterval, time.Duration(s.Hosts())*time.Second/maxRate)
+	return max(minInterval, time.Duration(s.Writers())*time.Second/maxRate)
 }
 
 // write adds what is queued to the row of the current second.
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -73,7 +73,7 @@
 }
 
 func newSpool(s *store, host string, hosts int) *spool.Spool {
-	return &spool.Spool{Table: s.table(), Prefix: "began/", Host: host, Hosts: func() int { return hosts }, Log: zap.NewNop()}
+	return &spool.Spool{Table: s.table(), Prefix: "began/", Host: host, Writers: func() int { return hosts }, Log: zap.NewNop()}
 }
 
 func stream(n int) began.Began {
