Make places where more connections are open than may be

Cause, by reading: where all places are taken, one that stalls or is idle is dropped for each that comes, and up to an eighth more may be open until the dropped ones have ended. One that is dropped as its first bytes come stays, as it should, and its place is given away all the same. Once an eighth more are open and none of them is ending, each that comes was turned away, and nobody was dropped: 338 callers that stop short keep all places until their deadlines.

Change: where too many are open, some are still dropped, as long as fewer are ending than are open beyond the bound; the one that comes is turned away and gets in with its next try.

Before and after: TestPlaceIsMadeWhereMoreAreOpenThanWereMeantToBe, "none of three callers got a place while 19 stall"; passes 20 times with the race detector.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -86,13 +86,30 @@
 }
 
 // hasPlace reports whether one more connection may be open. Where there are Most, one is dropped in its favour that has no whole request; it may take a moment to
-// end, so some more may be open meanwhile.
+// end, so some more may be open meanwhile. One that is dropped as its first bytes come may stay, so some are dropped for those that come later even where too many are
+// open already.
 func (c *Conns) hasPlace() bool {
 	open := c.Open()
 	if c.Most == 0 || open < c.Most {
 		return true
 	}
-	return open < c.Most+c.Most/endingShare+1 && c.Room.DropOne(c)
+	fits := open < c.Most+c.Most/endingShare+1
+	if !fits && open-c.ending() < c.Most {
+		return false
+	}
+	return c.Room.DropOne(c) && fits
+}
+
+// ending returns how many connections are about to be closed.
+func (c *Conns) ending() (count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for known := range c.all {
+		if known.closing || known.dropped {
+			count++
+		}
+	}
+	return count
 }
 
 // Close ends accepting. A connection that was accepted at that moment is followed once Close returns: not counted, it would end with the process
