Work out once which host writes for this one

Each stream's beginning, while builds are mixed, ranked the hosts that write by hash anew, and whether this host is one of them was looked up in two places. Both are known once the hosts that are alive are (fallback). Telling another host where streams began stood twice, for those who remember and those who write: tellBegan. Behaviour as it was.

make check; TestStreamsOfTwoBuilds*, TestStreamsGoOnAtTheBuildThatBeganThem, TestHostsThatLoseEachOtherDoNotWriteMoreStreams passed.

--- a/internal/edge/fallback.go
+++ b/internal/edge/fallback.go
@@ -26,8 +26,9 @@
 	hosts []string             // act in place of owners that are down
 	// keepers remember where streams began.
 	keepers []string
-	// writers write down where streams began.
-	writers []string
+	// writers is how many hosts write down where streams began, and writer the one that does so for this host: itself, if it is one of them.
+	writers int
+	writer  string
 	picked  sync.Map // chosen host by upstream; a relay asks at each message for each engine in use
 }
 
@@ -47,7 +48,11 @@
 		f.keepers = append(f.keepers, m.IP)
 	}
 	f.hosts = f.keepers[:min(len(f.keepers), maxFallbackHosts)]
-	f.writers = f.keepers[:min(len(f.keepers), max(minWriters, len(living)/hostsPerWriter))]
+	writers := f.keepers[:min(len(f.keepers), max(minWriters, len(living)/hostsPerWriter))]
+	f.writers, f.writer = len(writers), self.IP
+	if !slices.Contains(writers, self.IP) {
+		f.writer = spread.OwnerOf(writers, self.IP)
+	}
 	return f
 }
 
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -9,6 +9,7 @@
 
 	"damaskreach/internal/began"
 	"damaskreach/internal/mate"
+	"damaskreach/internal/peer"
 	"damaskreach/internal/recall"
 	"damaskreach/internal/spread"
 	"damaskreach/internal/stats"
@@ -46,38 +47,35 @@
 func (e *Edge) writeOrigin(b began.Began) {
 	list := []began.Began{b}
 	f, mesh := e.fallback.Load(), e.mesh.Load()
-	writer, ok := f.alive[f.writerOf(f.self)]
+	writer, ok := f.alive[f.writer]
 	if !ok || mesh == nil {
 		e.spool.Add(list)
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
-		defer cancel()
-		var none struct{}
-		if err := mesh.Ask(ctx, writer.PeerAddr, methodSpool, list, &none); err != nil {
+		if err := tellBegan(mesh, writer, methodSpool, list); err != nil {
 			e.Log.Info("beginnings of streams not taken by their writer", zap.String("host", writer.IP), zap.String("attempt", b.Attempt), zap.Error(err))
 			e.spool.Add(list)
 		}
 	}()
 }
 
-// writerOf returns the host that writes down where streams of a host began: itself, if it is one of those that write.
-func (f *fallback) writerOf(host string) string {
-	if slices.Contains(f.writers, host) {
-		return host
-	}
-	return spread.OwnerOf(f.writers, host)
+// tellBegan tells another host where streams began, by a method.
+func tellBegan(mesh *peer.Mesh, to mate.Mate, method string, list []began.Began) error {
+	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	defer cancel()
+	var none struct{}
+	return mesh.Ask(ctx, to.PeerAddr, method, list, &none)
 }
 
 // writerCount returns how many hosts write as often as this one may: those that do so for all and those out of contact, which may take themselves for some of them; or
 // all, where this one writes only what none of them took.
 func (e *Edge) writerCount() int {
 	f, hosts := e.fallback.Load(), e.hostCount()
-	if !slices.Contains(f.writers, f.self) {
+	if f.writer != f.self {
 		return hosts
 	}
-	return len(f.writers) + max(0, hosts-1-len(f.alive))
+	return f.writers + max(0, hosts-1-len(f.alive))
 }
 
 // restoreOrigins reads where streams began before this host started.
@@ -136,10 +134,7 @@
 	}
 	for keeper, list := range byKeeper {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
-			defer cancel()
-			var none struct{}
-			if err := mesh.Ask(ctx, keeper.PeerAddr, methodBegan, list, &none); err != nil {
+			if err := tellBegan(mesh, keeper, methodBegan, list); err != nil {
 				e.Log.Debug("failed to tell where streams began", zap.String("host", keeper.IP), zap.Error(err))
 			}
 		}()
