Test looks at connections without real sleeps

await polled each millisecond, and a test slept for 20 ms in the hope that a goroutine was in its read by then. The first waits for the kernel to tell of bytes or an end now, bounded as before, the second for the reader to hold the connection, so that the look cannot come too early.

--- a/internal/peek/peek_test.go
+++ b/internal/peek/peek_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,16 +35,30 @@
 	return near, far
 }
 
+// raw returns what lies below a connection, whose waits are bounded from now on.
+func raw(t *testing.T, c net.Conn) syscall.RawConn {
+	t.Helper()
+	below, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatalf("SyscallConn = %v, want nil", err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatalf("SetReadDeadline = %v, want nil", err)
+	}
+	return below
+}
+
 // await returns the first answer other than that nothing was received.
 func await(t *testing.T, c net.Conn) (n int, err error) {
 	t.Helper()
-	for began := time.Now(); time.Since(began) < patience; time.Sleep(time.Millisecond) {
-		if n, err := peek.Peek(c); n != 0 || err != nil {
-			return n, err
-		}
+	waited := raw(t, c).Read(func(uintptr) bool {
+		n, err = peek.Peek(c)
+		return n != 0 || err != nil
+	})
+	if waited != nil {
+		t.Fatalf("Peek = 0, nil for %v, want another answer: %v", patience, waited)
 	}
-	t.Fatalf("Peek = 0, nil for %v, want another answer", patience)
-	return 0, nil
+	return n, err
 }
 
 // Bytes lie on a connection. Taken off by the look, they would be missing from the request that they begin.
@@ -88,12 +104,16 @@
 // A server's goroutine reads from an idle connection all the time. A look that waited for it would stand still until the next request.
 func TestLookDoesNotWaitForAReader(t *testing.T) {
 	near, _ := connect(t)
-	read := make(chan struct{})
+	below, reading, read := raw(t, near), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(read)
-		_, _ = near.Read(make([]byte, 1))
+		begin := sync.OnceFunc(func() { close(reading) })
+		_ = below.Read(func(uintptr) bool {
+			begin()
+			return false
+		})
 	}()
-	time.Sleep(20 * time.Millisecond) // for the goroutine to be in Read
+	<-reading // it keeps others from reading until something comes
 	if n, err := peek.Peek(near); n != 0 || err != nil {
 		t.Errorf("Peek = %d, %v, want 0, nil", n, err)
 	}
