Tell which requests were at an upstream that ended, also behind their answers

Cause: lines of breaks name a request whose upstream broke off while its answer was awaited. Change: package trail tracks which requests of this host are at which upstreams or were answered there within 150 ms (1.2 s behind the upstream's own error). Each host looks at the idle connections that were just in use, each 50 ms: where an upstream has closed all of them, cause is asked whether it has ended, as for a break. "upstream ended" counts what was there, "upstream ended behind the answer to a request" names each. An upstream that leaves is not looked at. Nothing reads what these know yet: answers clear breaks as before.

--- a/internal/edge/build.go
+++ b/internal/edge/build.go
@@ -68,6 +68,7 @@
 	e.guard = guard.NewGuard()
 	c := &cause.Cause{Look: e.reach.Look, Ask: e.askPeers, Cut: func() bool { return e.reach.CutFor() > 0 }, Upstream: e.reach.IsToBlame, Log: e.Log}
 	e.guard.IsToBlame, e.guard.Crashed, e.guard.Log, e.guard.Stats = c.IsToBlame, c.Gone, e.Log, e.Stats
+	e.guard.Stays = e.stays
 	e.facts = e.buildFacts()
 	e.buildsTurn = semaphore.NewWeighted(1)
 	e.spool = &spool.Spool{Table: e.Table, Prefix: streamPrefix, Host: s.IP, Writers: e.writerCount, Log: e.Log}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -170,6 +170,7 @@
 	go e.reach.Run(work)
 	go e.sweep(work)
 	go e.checkGivenUp(work)
+	go e.watchUpstreams(work)
 	go e.facts.Run(work)
 	go e.spool.Run(work)
 	go e.restoreOrigins(work)
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -5,12 +5,19 @@
 	"time"
 
 	"damaskreach/internal/conns"
+	"damaskreach/internal/target"
 	"damaskreach/internal/ticker"
 )
 
 const (
 	// sweepInterval is the time between sweeps of idle connections and of records of removed upstreams and hosts.
 	sweepInterval = time.Second
+	// watchInterval is the time between two looks at the idle connections that were in use within watchTime. Each longPeriod of them, those that were in use
+	// within longWatchTime are looked at.
+	watchInterval = 50 * time.Millisecond
+	watchTime     = 250 * time.Millisecond
+	longWatchTime = 1300 * time.Millisecond
+	longPeriod    = 4
 	// idleSlack is added to the time that a caller may leave its connection idle, for its next request to arrive.
 	idleSlack = 500 * time.Millisecond
 )
@@ -22,6 +29,27 @@
 	}
 }
 
+// watchUpstreams notices upstreams that end behind their answers.
+func (e *Edge) watchUpstreams(ctx context.Context) {
+	n := 0
+	for range ticker.Every(ctx, watchInterval) {
+		within := watchTime
+		if n++; n%longPeriod == 0 {
+			e.guard.Forget()
+			within = longWatchTime
+		}
+		for _, addr := range e.uplink.Lost(within) {
+			e.guard.RecordLost(addr)
+		}
+	}
+}
+
+// stays reports whether an upstream is registered and has not announced that it leaves.
+func (e *Edge) stays(t target.Target) bool {
+	known, ok := e.intake.View().Targets[t.ID]
+	return ok && known.SameIncarnation(t) && !known.Draining && !e.avoid.Leaving(t)
+}
+
 func (e *Edge) sweep(ctx context.Context) {
 	for range ticker.Every(ctx, sweepInterval) {
 		v, now := e.intake.View(), time.Now()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -18,6 +17,7 @@
 	"damaskreach/internal/poison"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
+	"damaskreach/internal/trail"
 )
 
 // Guard may be used from several goroutines. Its fields are set before it is used.
@@ -27,17 +27,20 @@
 	IsToBlame func(addr string, sent, failed time.Time, silent bool) bool
 	// Crashed reports whether nothing listens any more where an upstream did.
 	Crashed func(addr string) bool
-	Log     *zap.Logger
-	Stats   *stats.Stats
+	// Stays reports whether an upstream is registered and has not announced that it leaves; nil means that each one is.
+	Stays func(t target.Target) bool
+	Log   *zap.Logger
+	Stats *stats.Stats
 
 	requests *blame.Blame
 	parts    *poison.Poison
 	orphans  orphan.Orphan
+	trail    *trail.Trail
 }
 
 // NewGuard returns a Guard that knows of no crash.
 func NewGuard() *Guard {
-	return &Guard{requests: blame.NewBlame(), parts: poison.NewPoison()}
+	return &Guard{requests: blame.NewBlame(), parts: poison.NewPoison(), trail: trail.NewTrail()}
 }
 
 // Blocked returns why a request must not be sent, empty if it may be. It is to be asked before each send: others like it may have crashed
@@ -69,7 +72,11 @@
 // network was the cause or the upstream goes on, which shows some time later; and against the parts of its prompt if the upstream has crashed.
 func (g *Guard) RecordBreak(i ident.Ident, t target.Target, sent time.Time, silent bool) {
 	now := time.Now()
+	if !silent {
+		g.trail.Doubt(t, now)
+	}
 	if g.IsToBlame == nil {
+		g.recordEnd(t, now)
 		g.countBreak(i, t, now)
 	} else {
 		go g.judgeBreak(i, t, sent, now, silent)
@@ -82,9 +89,15 @@
 // judgeBreak counts a break if its upstream is to blame. It may show later that it has ended: in its registration.
 func (g *Guard) judgeBreak(i ident.Ident, t target.Target, sent, broke time.Time, silent bool) {
 	if g.IsToBlame(t.Addr, sent, broke, silent) {
+		if !silent {
+			g.recordEnd(t, broke)
+		}
 		g.countBreak(i, t, broke)
 		return
 	}
+	if !silent {
+		g.trail.GoOn(t, time.Now())
+	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
 	g.Log.Info("upstream not to blame for a break", append(known(i), zap.String("target", t.ID), zap.Duration("after", broke.Sub(sent)))...)
 	if !silent {
@@ -138,21 +151,6 @@
 	return t.ID + "/" + strconv.FormatInt(t.Incarnation, 36)
 }
 
-// RecordAnswer records that a request was answered with a status and completely. An upstream's own error says nothing for a request, since the
-// upstream may not have begun to run it.
-func (g *Guard) RecordAnswer(i ident.Ident, status int, now time.Time) {
-	if status >= http.StatusInternalServerError {
-		return
-	}
-	g.RecordSound(i, now)
-	n, wide := g.requests.RecordSound(i, now)
-	if n == 0 && wide == 0 {
-		return
-	}
-	g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
-	g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("status", status), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
-}
-
 // RecordSound records that a request has run for long enough to clear the parts of its prompt.
 func (g *Guard) RecordSound(i ident.Ident, now time.Time) {
 	g.parts.RecordSound(i.Parts, now)
--- /dev/null
+++ b/internal/guard/runs.go
@@ -0,0 +1,82 @@
+package guard
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"damaskreach/internal/ident"
+	"damaskreach/internal/stats"
+	"damaskreach/internal/target"
+)
+
+// Begin records that a request is sent to an upstream, and returns the number of its run for the other calls.
+func (g *Guard) Begin(i ident.Ident, t target.Target) (run uint64) {
+	return g.trail.Begin(i, t, time.Now())
+}
+
+// Dismiss records that the upstream has not run the request.
+func (g *Guard) Dismiss(run uint64) { g.trail.Dismiss(run) }
+
+// End records that a run has ended, if nothing else tells how.
+func (g *Guard) End(run uint64) { g.trail.End(run, time.Now()) }
+
+// RecordAnswer records that a request was answered with a status and completely. An upstream's own error says nothing for a request, since the
+// upstream may not have begun to run it.
+func (g *Guard) RecordAnswer(run uint64, i ident.Ident, status int, now time.Time) {
+	g.trail.Answer(run, status >= http.StatusInternalServerError, now)
+	if status >= http.StatusInternalServerError {
+		return
+	}
+	g.RecordSound(i, now)
+	n, wide := g.requests.RecordSound(i, now)
+	if n == 0 && wide == 0 {
+		return
+	}
+	g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
+	g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("status", status), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
+}
+
+// Forget drops what is no longer needed to tell which requests were at an upstream that ends.
+func (g *Guard) Forget() {
+	now := time.Now()
+	g.trail.Settle(now)
+	g.trail.Forget(now)
+}
+
+// RecordLost records that an upstream has closed all idle connections to an address. If it had just answered requests, it may have ended under them, which shows some
+// time later. One that leaves ends behind its last answers in any case.
+func (g *Guard) RecordLost(addr string) {
+	now := time.Now()
+	t, look := g.trail.Lost(addr, now)
+	if !look {
+		return
+	}
+	if g.Stays != nil && !g.Stays(t) {
+		g.trail.GoOn(t, now)
+		return
+	}
+	go g.judgeLoss(t, now)
+}
+
+// judgeLoss records the end of an upstream that closed its connections, if it has ended.
+func (g *Guard) judgeLoss(t target.Target, lost time.Time) {
+	if g.IsToBlame != nil && !g.IsToBlame(t.Addr, lost, lost, false) {
+		g.trail.GoOn(t, time.Now())
+		return
+	}
+	g.recordEnd(t, lost)
+}
+
+// recordEnd records that an upstream has ended under the requests that were there, once.
+func (g *Guard) recordEnd(t target.Target, ended time.Time) {
+	running, behind, first := g.trail.Ended(t, ended)
+	if !first {
+		return
+	}
+	for _, i := range behind {
+		g.Log.Info("upstream ended behind the answer to a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)))...)
+	}
+	g.Log.Info("upstream ended", zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("running", len(running)), zap.Int("behind", len(behind)))
+}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -62,6 +62,7 @@
 	detachFromStop func() bool     // keeps the request from being canceled when its host stops
 	firstByteAt    time.Time       // when the first byte of the answer went to the caller
 	sentAt         time.Time       // when it was last sent to an upstream
+	run            uint64          // number of that send for the guard
 	lastEventAt    time.Time       // when the newest events went to the caller
 	longestPause   time.Duration   // between two events
 	expectedFirst  time.Duration   // from the last send to the first event
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -137,10 +137,15 @@
 	timer := p.startAnswerTimer(j, left, cancel)
 	defer timer.Stop()
 	j.sentAt = time.Now()
+	j.run = p.Guard.Begin(j.suspect(), t)
+	defer p.Guard.End(j.run)
 	j.version, j.sentBuild = version, t.Build
 	// Opening the connection may take a good part of the time that is left.
 	headers := func() http.Header { return p.Headers(t.ID, time.Until(j.deadline()), version, j.lastEventID) }
 	r, err := p.Send(ctx, t.Addr, j.req, headers, func() bool { return p.usable(t) })
+	if err != nil && verd.Of(err) == verd.NotRun {
+		p.Guard.Dismiss(j.run)
+	}
 	if err != nil {
 		if ctx.Err() != nil && verd.Of(err) != verd.NotRun {
 			p.Spare.GaveUp(j.group, j.req.ID, t.Addr)
@@ -171,6 +176,7 @@
 			defer later.Close()
 			return p.handleAnswer(ctx, sendCtx, j, t, later)
 		}
+		p.Guard.Dismiss(j.run)
 		p.handleRejection(j, t, r)
 		// A backoff for the failure could outlast a pause that the upstream itself has asked for.
 		j.upstreamFailed = r.Status != http.StatusMisdirectedRequest && p.Avoid.Pause(t.ID, time.Now()) == 0
--- /dev/null
+++ b/internal/trail/trail.go
@@ -0,0 +1,270 @@
+// Package trail tracks which requests of this host run at which upstreams or have just been answered there: those that may be the cause where one ends.
+//
+// A request may crash its upstream behind its answer. The break of its connection tells nothing then, as nothing is awaited on it, and the answer looks like that of a
+// request that runs well.
+package trail
+
+import (
+	"sync"
+	"time"
+
+	"damaskreach/internal/ident"
+	"damaskreach/internal/target"
+)
+
+const (
+	// behindTime is how long after its answer a request may have been the cause of its upstream's end, and failedTime how long after one that is the upstream's failure,
+	// which sound requests seldom get.
+	behindTime = 150 * time.Millisecond
+	failedTime = 1200 * time.Millisecond
+	// settleTime is how long after its answer it is known that its upstream goes on: the time that it takes to notice closed connections is added.
+	settleTime = 300 * time.Millisecond
+	// doubtTime is how long it takes at most to find out whether an upstream has ended.
+	doubtTime = 3 * time.Second
+	// retention is how long requests that ended are kept.
+	retention = 2 * doubtTime
+	// liveTime is how long after its last request an upstream counts among those that are tracked.
+	liveTime = 10 * time.Second
+	// lookInterval is the shortest time between two looks at an upstream that closes connections behind answers and goes on.
+	lookInterval = 10 * time.Second
+	// joinTime is by how much the breaks of one upstream's connections may differ.
+	joinTime = 20 * time.Millisecond
+	// maxRuns bounds the requests that are kept, some 200 bytes each.
+	maxRuns = 20000
+)
+
+// Trail may be used from several goroutines.
+type Trail struct {
+	mu        sync.Mutex
+	last      uint64
+	runs      map[uint64]*run
+	upstreams map[key]*upstream
+	waiting   []*run // answered, and not known to have run well; in the order of their answers
+}
+
+// key identifies an incarnation of an upstream.
+type key struct {
+	id          string
+	incarnation int64
+}
+
+func keyOf(t target.Target) key { return key{t.ID, t.Incarnation} }
+
+// upstream is one incarnation of an upstream, and the requests that it runs or has run just now.
+type upstream struct {
+	target   target.Target
+	runs     []*run
+	usedAt   time.Time // when a request was last sent there
+	doubted  time.Time // since when it may have ended; zero if it goes on
+	endedAt  time.Time // zero if it is not known to have ended
+	lookedAt time.Time // when it was last looked at for connections that were closed behind answers
+}
+
+// run is one request at one upstream.
+type run struct {
+	ident    ident.Ident
+	at       *upstream
+	begunAt  time.Time
+	endedAt  time.Time // zero while it runs
+	answered bool      // with a whole answer
+	failed   bool      // the answer is the upstream's failure
+}
+
+// behind reports whether a request was answered shortly before a moment.
+func (r *run) behind(at time.Time) bool {
+	most := behindTime
+	if r.failed {
+		most = failedTime
+	}
+	return r.answered && !r.endedAt.After(at) && at.Sub(r.endedAt) <= most
+}
+
+// running reports whether a request was at its upstream at a moment.
+func (r *run) running(at time.Time) bool {
+	if r.begunAt.After(at.Add(joinTime)) {
+		return false
+	}
+	return r.endedAt.IsZero() || r.endedAt.After(at) || !r.answered && !r.endedAt.Before(at.Add(-joinTime))
+}
+
+// NewTrail returns a Trail without requests.
+func NewTrail() *Trail {
+	return &Trail{runs: map[uint64]*run{}, upstreams: map[key]*upstream{}}
+}
+
+// Begin records that a request is sent to an upstream, and returns its number; 0 where too many are tracked.
+func (t *Trail) Begin(i ident.Ident, to target.Target, now time.Time) (number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.runs) >= maxRuns {
+		return 0
+	}
+	u := t.upstreams[keyOf(to)]
+	if u == nil {
+		u = &upstream{target: to}
+		t.upstreams[keyOf(to)] = u
+	}
+	u.forget(now)
+	u.usedAt = now
+	r := &run{ident: i, at: u, begunAt: now}
+	u.runs = append(u.runs, r)
+	t.last++
+	t.runs[t.last] = r
+	return t.last
+}
+
+// forget drops the requests that ended long ago.
+func (u *upstream) forget(now time.Time) {
+	kept := u.runs[:0]
+	for _, r := range u.runs {
+		if r.endedAt.IsZero() || now.Sub(r.endedAt) <= retention {
+			kept = append(kept, r)
+		}
+	}
+	clear(u.runs[len(kept):])
+	u.runs = kept
+}
+
+// Dismiss records that a request was not run.
+func (t *Trail) Dismiss(number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.runs[number]
+	if r == nil {
+		return
+	}
+	delete(t.runs, number)
+	for n, other := range r.at.runs {
+		if other == r {
+			r.at.runs = append(r.at.runs[:n], r.at.runs[n+1:]...)
+			return
+		}
+	}
+}
+
+// End records that a request has ended without a whole answer, unless it has ended before.
+func (t *Trail) End(number uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.runs[number]; r != nil {
+		r.endedAt = now
+		delete(t.runs, number)
+	}
+}
+
+// Answer records the whole answer to a request, which may be its upstream's failure.
+func (t *Trail) Answer(number uint64, failed bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.runs[number]
+	if r == nil {
+		return
+	}
+	r.endedAt, r.answered, r.failed = now, true, failed
+	delete(t.runs, number)
+	if !failed {
+		t.waiting = append(t.waiting, r)
+	}
+}
+
+// Settle returns the requests that are known by now to have run well, each once: they were answered and their upstreams went on.
+func (t *Trail) Settle(now time.Time) (sound []ident.Ident) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.waiting) == 0 || now.Sub(t.waiting[0].endedAt) < settleTime {
+		return nil
+	}
+	kept := t.waiting[:0]
+	for _, r := range t.waiting {
+		switch {
+		case now.Sub(r.endedAt) < settleTime, r.doubtful(now):
+			kept = append(kept, r)
+		case r.at.endedAt.IsZero() || !r.behind(r.at.endedAt):
+			sound = append(sound, r.ident)
+		}
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+	return sound
+}
+
+// doubtful reports whether it is not known yet whether a request's upstream ended behind its answer.
+func (r *run) doubtful(now time.Time) bool {
+	u := r.at
+	return u.endedAt.IsZero() && !u.doubted.IsZero() && now.Sub(u.doubted) < doubtTime && r.behind(u.doubted)
+}
+
+// Doubt records that an upstream may have ended.
+func (t *Trail) Doubt(to target.Target, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u := t.upstreams[keyOf(to)]; u != nil && u.doubted.IsZero() {
+		u.doubted = at
+	}
+}
+
+// Lost records that all idle connections to an address were closed by the upstream there. It reports whether that is a reason to look whether the upstream has
+// ended: it has just answered requests, and nobody looks yet.
+func (t *Trail) Lost(addr string, now time.Time) (at target.Target, look bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range t.upstreams {
+		if u.target.Addr != addr || !u.doubted.IsZero() || !u.endedAt.IsZero() || now.Sub(u.lookedAt) < lookInterval {
+			continue
+		}
+		for _, r := range u.runs {
+			if r.behind(now) {
+				u.doubted = now
+				return u.target, true
+			}
+		}
+	}
+	return target.Target{}, false
+}
+
+// GoOn records that an upstream that may have ended goes on.
+func (t *Trail) GoOn(to target.Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u := t.upstreams[keyOf(to)]; u != nil {
+		u.doubted, u.lookedAt = time.Time{}, now
+	}
+}
+
+// Ended records that an upstream ended at a moment, and returns the requests that it ran then and those that it had just answered; first is false if its end was
+// known.
+func (t *Trail) Ended(to target.Target, at time.Time) (running, behind []ident.Ident, first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[keyOf(to)]
+	if u == nil || !u.endedAt.IsZero() {
+		return nil, nil, u == nil
+	}
+	u.endedAt = at
+	running, behind = u.present(at)
+	return running, behind, true
+}
+
+// present returns the requests that an upstream runs at a moment, and those that it had just answered.
+func (u *upstream) present(at time.Time) (running, behind []ident.Ident) {
+	for _, r := range u.runs {
+		switch {
+		case r.running(at):
+			running = append(running, r.ident)
+		case r.behind(at):
+			behind = append(behind, r.ident)
+		}
+	}
+	return running, behind
+}
+
+// Forget drops upstreams that no request has been sent to for long, and requests that ended long ago.
+func (t *Trail) Forget(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, u := range t.upstreams {
+		if u.forget(now); len(u.runs) == 0 && now.Sub(u.usedAt) > liveTime {
+			delete(t.upstreams, k)
+		}
+	}
+}
--- a/internal/uplink/keep.go
+++ b/internal/uplink/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +33,30 @@
 	u.idle[c.addr] = append(u.idle[c.addr], c)
 }
 
+// Lost returns the addresses at which the other side has closed a connection that was used within a time and is idle, and all other idle ones: what listened there
+// may have ended. It closes these connections.
+func (u *Uplink) Lost(within time.Duration) (addrs []string) {
+	var lost []*conn
+	u.mu.Lock()
+	for addr, list := range u.idle {
+		if !slices.ContainsFunc(list, func(c *conn) bool { return time.Since(c.idleSince) <= within && isClosed(c.Conn) }) {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(list), func(c *conn) bool { return isClosed(c.Conn) })
+		if len(kept) > 0 {
+			continue
+		}
+		lost = append(lost, list...)
+		addrs = append(addrs, addr)
+		delete(u.idle, addr)
+	}
+	u.mu.Unlock()
+	for _, c := range lost {
+		c.Close()
+	}
+	return addrs
+}
+
 // Sweep closes the connections that have been idle for too long or may not be used any more, and returns how many are left.
 func (u *Uplink) Sweep() int {
 	var old []*conn
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -100,3 +100,9 @@
 	n, err := peek.Peek(c)
 	return n == 0 && (err == nil || errors.Is(err, errors.ErrUnsupported))
 }
+
+// isClosed reports whether the other side of an idle connection has closed it.
+func isClosed(c net.Conn) bool {
+	_, err := peek.Peek(c)
+	return err != nil && !errors.Is(err, errors.ErrUnsupported)
+}
