Believe that a request runs well once its upstream goes on behind the answer

What callers saw: a request that crashes its upstreams behind its whole answer, or behind their own error, came again and again and was never stopped; each crash broke the requests of others. It fits the users' record: late tries that were answered, and no line of a break. Cause: the end of an upstream was noticed only by a connection on which an answer was awaited, and a whole answer was taken for proof, at that moment and at all hosts. Class: evidence is judged before it is complete. Change: an answer counts for its request 0.4 s later, unless its upstream has ended within 0.2 s behind it; then it counts against it, four of these as much as three breaks, since others are answered just before an end too. Behind an upstream's own error it counts for 1.2 s. Where the connection ends with the answer, the upstream is looked at behind that. Errors that are followed by another send are read to their end, so that their connection stays and tells.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -24,6 +24,9 @@
 const (
 	// minUpstreams is the number of upstreams that must have broken off under a request for it to be blocked.
 	minUpstreams = 3
+	// breakWeight is what an upstream counts that broke off under a request, and behindWeight one that ended just behind its answer, which many are at hand at: four of
+	// these are needed.
+	breakWeight, behindWeight = 4, 3
 	// blockTime is how long a request is blocked at first. Callers may go on for hours; those that it was wrong for wait no longer.
 	blockTime = 10 * time.Minute
 	// crashInterval is within which breaks under requests with one wide fingerprint count once: upstreams that end together have another cause.
@@ -36,6 +39,8 @@
 	// kindWhole begins a report that a request ran well: "whole FINGERPRINT", and its wide fingerprint. That of a break is "FINGERPRINT UPSTREAM", and the wide fingerprint unless requests
 	// with it run well.
 	kindWhole = "whole "
+	// behindMark ends the name of an upstream that ended behind the answer to a request.
+	behindMark = "+"
 )
 
 // Blame is safe for concurrent use.
@@ -68,14 +73,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	added, upstreams, wide := b.add(i, upstream, broke, now)
+	if added {
+		b.tellBreak(i, upstream, upstreams, wide)
+	}
+	return upstreams, wide
+}
+
+// tellBreak tells other hosts of a break, given the numbers of upstreams that count against a request and its wide fingerprint.
+func (b *Blame) tellBreak(i ident.Ident, upstream string, upstreams, wide int) {
 	text := i.Fingerprint + " " + upstream
 	if wide > 0 {
 		text += " " + i.Wide
 	}
-	if added {
-		b.outbox.Add(text, max(upstreams, wide) > 1)
-	}
-	return upstreams, wide
+	b.outbox.Add(text, max(upstreams, wide) > 1)
 }
 
 // add counts a break against a request and what it has in common with others, unless they have run well since. It reports whether the break was not known, and the
@@ -98,13 +108,26 @@
 func (b *Blame) count(fingerprint string, now time.Time) int {
 	t := b.of(fingerprint)
 	upstreams := t.Count(fingerprint, now)
-	enough := upstreams >= minUpstreams && (t != b.wide || b.several(fingerprint, now))
+	enough := b.weighEnough(t, fingerprint, now) && (t != b.wide || b.several(fingerprint, now))
 	if (enough || t.OnTrial(fingerprint, now)) && !t.Blocked(fingerprint, now) {
 		t.Block(fingerprint, now)
 	}
 	return upstreams
 }
 
+// weighEnough reports whether the upstreams that broke off under a request or ended behind its answers are enough for it to be blocked.
+func (b *Blame) weighEnough(t *tally.Tally, fingerprint string, now time.Time) bool {
+	behind := 0
+	for _, upstream := range t.Upstreams(fingerprint, now) {
+		if strings.HasSuffix(upstream, behindMark) {
+			behind++
+		}
+	}
+	count := t.Count(fingerprint, now)
+	behind = min(behind, count)
+	return breakWeight*(count-behind)+behindWeight*behind >= breakWeight*minUpstreams
+}
+
 // several reports whether upstreams broke off under more than one of the requests with a wide fingerprint.
 func (b *Blame) several(wide string, now time.Time) bool {
 	first := ""
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -46,6 +46,7 @@
 // Blocked returns why a request must not be sent, empty if it may be. It is to be asked before each send: others like it may have crashed
 // upstreams while it waited.
 func (g *Guard) Blocked(i ident.Ident, now time.Time) (why string) {
+	g.settle(now)
 	if g.requests.Blocked(i.Fingerprint, now) {
 		return "upstreams broke off under earlier tries of it"
 	}
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -22,26 +22,29 @@
 // End records that a run has ended, if nothing else tells how.
 func (g *Guard) End(run uint64) { g.trail.End(run, time.Now()) }
 
-// RecordAnswer records that a request was answered with a status and completely. An upstream's own error says nothing for a request, since the
-// upstream may not have begun to run it.
-func (g *Guard) RecordAnswer(run uint64, i ident.Ident, status int, now time.Time) {
+// RecordAnswer records that a request was answered with a status and completely. It has run well if its upstream goes on behind that, unless the answer is the upstream's
+// own error: that says nothing for a request, since the upstream may not have begun to run it.
+func (g *Guard) RecordAnswer(run uint64, status int, now time.Time) {
 	g.trail.Answer(run, status >= http.StatusInternalServerError, now)
-	if status >= http.StatusInternalServerError {
-		return
-	}
-	g.RecordSound(i, now)
-	n, wide := g.requests.RecordSound(i, now)
-	if n == 0 && wide == 0 {
-		return
+}
+
+// settle takes back what counts against requests that are known by now to have run well.
+func (g *Guard) settle(now time.Time) {
+	for _, i := range g.trail.Settle(now) {
+		g.RecordSound(i, now)
+		n, wide := g.requests.RecordSound(i, now)
+		if n == 0 && wide == 0 {
+			continue
+		}
+		g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
+		g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
 	}
-	g.Stats.Add(stats.Breaks, int64(n), "outcome", "cleared")
-	g.Log.Info("breaks of a request dropped after an answer", append(known(i), zap.Int("status", status), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
 }
 
 // Forget drops what is no longer needed to tell which requests were at an upstream that ends.
 func (g *Guard) Forget() {
 	now := time.Now()
-	g.trail.Settle(now)
+	g.settle(now)
 	g.trail.Forget(now)
 }
 
@@ -75,7 +78,8 @@
 	if !first {
 		return
 	}
-	for _, i := range behind {
+	for _, i := range g.requests.RecordEnd(incarnation(t), running, behind, ended, time.Now()) {
+		g.Stats.Add(stats.Breaks, 1, "outcome", "behind")
 		g.Log.Info("upstream ended behind the answer to a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)))...)
 	}
 	g.Log.Info("upstream ended", zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("running", len(running)), zap.Int("behind", len(behind)))
--- a/internal/proxy/finish.go
+++ b/internal/proxy/finish.go
@@ -73,7 +73,7 @@
 		firstByte = j.firstByteAt.Sub(j.start)
 	}
 	if code == "ok" && j.runs > 0 {
-		p.Guard.RecordAnswer(j.run, j.ident, status, now)
+		p.Guard.RecordAnswer(j.run, status, now)
 	}
 	if j.refund != nil && verdict == verd.NotRun {
 		j.refund()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -58,6 +58,7 @@
 	case endComplete:
 		p.countSend(t, "ok")
 		p.finish(j, "ok", verd.Ran, t.ID, r.Status)
+		p.lookBehind(t, r)
 		return true
 	case endCallerLeft:
 		p.countSend(t, "left")
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -192,6 +193,8 @@
 	}
 	serverError := r.Status >= http.StatusInternalServerError
 	if serverError && j.mayRunAgain() && j.sends < maxSends && j.route.Kind == kinds.Idempotent {
+		p.skipRejection(t, r)
+		p.Guard.RecordAnswer(j.run, r.Status, time.Now())
 		p.countSend(t, strconv.Itoa(r.Status/100)+"xx")
 		j.recordFailure(t.ID, refuse.NewRefusal(verd.MayHaveRun, refuse.Crashed, "the upstream answered %d", r.Status))
 		j.upstreamFailed = true
@@ -313,10 +316,18 @@
 	}
 	p.countSend(t, strconv.Itoa(r.Status/100)+"xx")
 	p.finish(j, "ok", verd.Ran, t.ID, r.Status)
+	p.lookBehind(t, r)
 	j.upstreamFailed = r.Status >= http.StatusInternalServerError
 	return true
 }
 
+// lookBehind has the upstream looked at if its connection ended with its whole answer: no idle connection tells then whether it has ended behind that.
+func (p *Proxy) lookBehind(t target.Target, r resp.Resp) {
+	if r.Unframed || strings.EqualFold(r.Header.Get("Connection"), "close") {
+		p.Guard.RecordLost(t.Addr)
+	}
+}
+
 // hopHeaders are the hop-by-hop headers.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true, "Te": true, "Trailer": true,
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// behindTime is how long after its answer a request may have been the cause of its upstream's end, and failedTime how long after one that is the upstream's failure,
-	// which sound requests seldom get.
-	behindTime = 150 * time.Millisecond
+	// behindTime is how long after its answer a request may have been the cause of its upstream's end, with the time that it takes to notice a closed connection, and
+	// failedTime how long after an answer that is the upstream's failure, which sound requests seldom get.
+	behindTime = 200 * time.Millisecond
 	failedTime = 1200 * time.Millisecond
-	// settleTime is how long after its answer it is known that its upstream goes on: the time that it takes to notice closed connections is added.
-	settleTime = 300 * time.Millisecond
+	// settleTime is how long after its answer it is known that its upstream has not ended just behind it.
+	settleTime = 400 * time.Millisecond
 	// doubtTime is how long it takes at most to find out whether an upstream has ended.
 	doubtTime = 3 * time.Second
 	// retention is how long requests that ended are kept.
@@ -26,7 +26,7 @@
 	// liveTime is how long after its last request an upstream counts among those that are tracked.
 	liveTime = 10 * time.Second
 	// lookInterval is the shortest time between two looks at an upstream that closes connections behind answers and goes on.
-	lookInterval = 10 * time.Second
+	lookInterval = 3 * time.Second
 	// joinTime is by how much the breaks of one upstream's connections may differ.
 	joinTime = 20 * time.Millisecond
 	// maxRuns bounds the requests that are kept, some 200 bytes each.
