Tell of connections closed behind an answer also where the next request finds them

Cause: idle connections are looked at each 50 ms. Where requests come more often, the next one takes the closed connection first, drops it and dials anew, and the look finds nothing: the end behind the answer is not seen, and the answer counts for its request. Change: such a connection is told with the next look. TestConnectionsClosedBehindAnAnswerAreTold/found_by_the_next_request fails before: nothing is told.

--- a/internal/uplink/keep.go
+++ b/internal/uplink/keep.go
@@ -33,23 +33,41 @@
 	u.idle[c.addr] = append(u.idle[c.addr], c)
 }
 
-// Lost returns the addresses at which the other side has closed a connection that was used within a time and is idle, and all other idle ones: what listened there
+// noteClosed records that the other side has closed an idle connection to an address.
+func (u *Uplink) noteClosed(addr string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.setClosed(addr)
+}
+
+// setClosed does so; the caller must hold the lock.
+func (u *Uplink) setClosed(addr string) {
+	if u.closed == nil {
+		u.closed = map[string]bool{}
+	}
+	u.closed[addr] = true
+}
+
+// Lost returns the addresses at which the other side has closed a connection that was used within a time and was idle, and all other idle ones: what listened there
 // may have ended. It closes these connections.
 func (u *Uplink) Lost(within time.Duration) (addrs []string) {
 	var lost []*conn
 	u.mu.Lock()
 	for addr, list := range u.idle {
-		if !slices.ContainsFunc(list, func(c *conn) bool { return time.Since(c.idleSince) <= within && isClosed(c.Conn) }) {
-			continue
+		if slices.ContainsFunc(list, func(c *conn) bool { return time.Since(c.idleSince) <= within && isClosed(c.Conn) }) {
+			u.setClosed(addr)
 		}
-		kept := slices.DeleteFunc(slices.Clone(list), func(c *conn) bool { return isClosed(c.Conn) })
-		if len(kept) > 0 {
+	}
+	for addr := range u.closed {
+		list := u.idle[addr]
+		if slices.ContainsFunc(list, func(c *conn) bool { return !isClosed(c.Conn) }) {
 			continue
 		}
 		lost = append(lost, list...)
 		addrs = append(addrs, addr)
 		delete(u.idle, addr)
 	}
+	clear(u.closed)
 	u.mu.Unlock()
 	for _, c := range lost {
 		c.Close()
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -27,6 +27,9 @@
 		if c.idleBefore < u.limitIdle(c.idleTimeout) && isQuiet(c.Conn) && u.usable(c) {
 			return c, nil
 		}
+		if isClosed(c.Conn) {
+			u.noteClosed(addr)
+		}
 		c.Close()
 	}
 	if !u.reserve(addr) {
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -55,6 +55,7 @@
 	learnedTimeout time.Duration      // idle timeout learned from connections that broke; 0 means none
 	idle           map[string][]*conn // by address, the last used one last
 	open           map[string]int     // by address, idle ones included
+	closed         map[string]bool    // addresses at which an idle connection was found closed since Lost was last called
 }
 
 // conn is one connection, used for one request at a time.
