Tell other hosts of requests at several ends first, and export one type from chance

Cause: the end of an upstream is told with up to four requests by each host that had sent there, all before breaks of requests with one. Where many upstreams are lost at once, that is thousands of reports about requests that nothing else speaks against, and 200 go into a message. Change: a report goes first only if its request, or others like it, were at an earlier end too, as it is for breaks. The share of a key is a plain array, as the house style has one exported type a package. Measured: the tests of blame and chance pass. No behaviour at few ends changes but for the order.

--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -63,7 +63,7 @@
 	for class, list := range chance.Suspects(fingerprints(running), fingerprints(behind)) {
 		for _, fingerprint := range list {
 			b.addHit(idents[fingerprint], group, upstream, class, now)
-			b.tellHit(idents[fingerprint], group, upstream, class)
+			b.tellHit(idents[fingerprint], group, upstream, class, now)
 			told = true
 		}
 	}
@@ -139,7 +139,8 @@
 	return known
 }
 
-func (b *Blame) tellHit(i ident.Ident, group, upstream string, class int) {
+// tellHit tells other hosts of a hit. Those of requests with several go before others: a loss of many upstreams is told with thousands.
+func (b *Blame) tellHit(i ident.Ident, group, upstream string, class int, now time.Time) {
 	wide, shares := noWide, "0,0"
 	if i.Wide != "" {
 		wide, shares = i.Wide, encodeShare(b.chance.Share(i.Wide, group))
@@ -147,7 +148,9 @@
 	words := []string{
 		kindHit, strconv.Itoa(class), upstream, i.Fingerprint, wide, b.Host, encodeShare(b.chance.Share(i.Fingerprint, group)), shares, group,
 	}
-	b.outbox.Add(strings.Join(words, " "), true)
+	hits, _, _ := b.chance.Weigh(i.Fingerprint, now)
+	wideHits, _, _ := b.chance.Weigh(i.Wide, now)
+	b.outbox.Add(strings.Join(words, " "), max(hits, wideHits) > 1)
 }
 
 // addEvidence applies another host's report on an end. It reports false if it is none.
@@ -213,16 +216,16 @@
 	}
 }
 
-func encodeShare(share chance.Share) string {
+func encodeShare(share [2]float64) string {
 	format := func(part float64) string { return strconv.FormatFloat(part, 'g', 3, 64) }
 	return format(share[chance.Running]) + "," + format(share[chance.Behind])
 }
 
-func decodeShare(text string) (share chance.Share, ok bool) {
+func decodeShare(text string) (share [2]float64, ok bool) {
 	for n, part := range strings.SplitN(text, ",", len(share)) {
 		value, err := strconv.ParseFloat(part, 64)
 		if err != nil || !(value >= 0 && value <= 1) {
-			return chance.Share{}, false
+			return [2]float64{}, false
 		}
 		share[n] = value
 		ok = n == len(share)-1
--- a/internal/chance/chance.go
+++ b/internal/chance/chance.go
@@ -41,9 +41,6 @@
 	classes
 )
 
-// Share is the part of this host's samples of live upstreams at which a key was present, by class.
-type Share [classes]float64
-
 // Chance may be used from one goroutine at a time.
 type Chance struct {
 	keys    map[string]record
@@ -61,10 +58,10 @@
 // record is what is known of one key.
 type record struct {
 	group  string
-	ends   map[string]presence // by incarnation of the upstream
-	shares map[string]Share    // of other hosts
-	last   time.Time           // when an end was last added
-	told   time.Time           // when this host last told its share
+	ends   map[string]presence         // by incarnation of the upstream
+	shares map[string][classes]float64 // of other hosts
+	last   time.Time                   // when an end was last added
+	told   time.Time                   // when this host last told its share
 }
 
 // presence is how a key was present at an end.
@@ -124,8 +121,8 @@
 	}
 }
 
-// Share returns this host's share of a key in a group.
-func (c *Chance) Share(key, group string) (share Share) {
+// Share returns this host's share of a key in a group: the part of its samples of live upstreams at which it was present, by class.
+func (c *Chance) Share(key, group string) (share [classes]float64) {
 	all := c.sampled(group)
 	for class := range share {
 		share[class] = 1
@@ -177,7 +174,7 @@
 		c.evict()
 	}
 	if !known {
-		r = record{group: group, ends: map[string]presence{}, shares: map[string]Share{}}
+		r = record{group: group, ends: map[string]presence{}, shares: map[string][classes]float64{}}
 	}
 	r.last = now
 	c.keys[key] = r
@@ -195,18 +192,18 @@
 }
 
 // SetShare records another host's share of a key; it counts where ends speak against the key.
-func (c *Chance) SetShare(key, host string, share Share) {
+func (c *Chance) SetShare(key, host string, share [classes]float64) {
 	if r, known := c.keys[key]; known {
 		r.shares[host] = share
 	}
 }
 
 // ToTell returns this host's share of a key with ends, if other hosts are to be told of it: requests with it run here, and they were not told just now.
-func (c *Chance) ToTell(key string, now time.Time) (share Share, tell bool) {
+func (c *Chance) ToTell(key string, now time.Time) (share [classes]float64, tell bool) {
 	r, known := c.keys[key]
 	sampled := c.samples[0].keys[key][Behind] + c.samples[1].keys[key][Behind]
 	if !known || sampled == 0 || now.Sub(r.told) < shareInterval {
-		return Share{}, false
+		return share, false
 	}
 	r.told = now
 	c.keys[key] = r
--- a/internal/chance/chance_test.go
+++ b/internal/chance/chance_test.go
@@ -87,7 +87,7 @@
 func TestSharesOfOtherHostsCount(t *testing.T) {
 	f := newFleet(map[string]float64{"k": 0.02})
 	f.Expect("k", group, f.now)
-	f.SetShare("k", "other", chance.Share{0.5, 0.5})
+	f.SetShare("k", "other", [2]float64{0.5, 0.5})
 	for range 4 {
 		f.end(map[string]string{"k": "k"})
 	}
