Give the events of a stream and their order a package of their own

Cause: proxy's relay read events, knew which of them a caller has, and passed them on, in one file of 246 lines; what a stream has passed on was a string that four functions interpreted. Change: package events reads one event and tells which its caller lacks, as an immutable value. What the software does stays as it is: the same checks in the same order.

--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -8,6 +8,7 @@
 
 	"damaskreach/internal/demand"
 	"damaskreach/internal/doubt"
+	"damaskreach/internal/events"
 	"damaskreach/internal/ident"
 	"damaskreach/internal/intent"
 	"damaskreach/internal/kinds"
@@ -56,7 +57,7 @@
 	build          string          // that began the stream, if it has begun: no other can go on with it
 	sentBuild      string          // build of the upstream of the last send
 	version        int             // of the adapter that the last send required; 0 means any
-	lastEventID    string          // of the last event that was passed on
+	passed         events.Passed   // how far its stream has been passed on
 	noOwnerSince   time.Time       // since when it waits for an engine that can load its adapter
 	headerSent     bool            // the status has been sent to the caller
 	detachFromStop func() bool     // keeps the request from being canceled when its host stops
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"damaskreach/internal/avoid"
 	"damaskreach/internal/began"
 	"damaskreach/internal/demand"
+	"damaskreach/internal/events"
 	"damaskreach/internal/flight"
 	"damaskreach/internal/guard"
 	"damaskreach/internal/holds"
@@ -176,7 +177,7 @@
 	if err != nil {
 		return refuse.NewRefusal(verd.NotRun, refuse.BadRequest, "%v", err)
 	}
-	j.view, j.lastEventID = p.View(), req.LastSeen
+	j.view, j.passed = p.View(), events.NewPassed(req.LastSeen)
 	if refusal := p.closing(j); refusal != nil {
 		return refusal
 	}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -7,12 +7,11 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"damaskreach/internal/events"
 	"damaskreach/internal/mover"
 	"damaskreach/internal/resp"
 	"damaskreach/internal/target"
@@ -24,9 +23,6 @@
 // send bytes without end, which would fill the memory of this host.
 const maxIdleBytes = 64 << 10
 
-// errNoProgress is the failure of a stream that brings bytes but no further event.
-var errNoProgress = merry.Sentinel("proxy: the stream brings no further event")
-
 // relay passes a stream on event by event. Only whole events go to the caller: if an engine stops in the middle of one, another
 // engine continues after the last whole one.
 func (p *Proxy) relay(ctx context.Context, j *job, t target.Target, r resp.Resp) (done bool) {
@@ -80,7 +76,7 @@
 	if !r.Unframed {
 		return false
 	}
-	return !j.begun && j.lastEventID == "" || p.Guard.Crashed(t.Addr)
+	return !j.begun && j.passed.Last() == "" || p.Guard.Crashed(t.Addr)
 }
 
 // handleCut handles a stream that its upstream broke off or stalled. It returns false if the stream continues at another upstream.
@@ -88,7 +84,7 @@
 	now := time.Now()
 	p.countSend(t, "cut")
 	p.Log.Info("stream cut", zap.String("request", j.req.ID), zap.String("target", t.ID), zap.String("build", t.Build),
-		zap.String("last", j.lastEventID), zap.Strings("parts", j.req.Parts), zap.Duration("since", now.Sub(j.start)),
+		zap.String("last", j.passed.Last()), zap.Strings("parts", j.req.Parts), zap.Duration("since", now.Sub(j.start)),
 		zap.Bool("silent", end == endStalled || end == endMoved), zap.Bool("held", end == endCallerSlow), zap.Error(err))
 	if end != endCallerSlow {
 		p.Pick.BackOff(t.ID, now)
@@ -125,16 +121,14 @@
 	left, unflushed := maxIdleBytes, false // unflushed says that events are written that the caller does not have yet
 	m.StartWaiting()
 	for {
-		switch err := readEvent(in, &event, left); {
-		case errors.Is(err, io.EOF) && event.Len() == 0:
-			return nil
+		switch err := events.Read(in, &event, left); {
 		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
+			return nil
 		case err != nil:
 			return err
 		}
-		id := eventID(event.Bytes())
-		further := j.goesOnWith(id)
+		id := events.ID(event.Bytes())
+		further := j.passed.GoesOnWith(id)
 		if further {
 			m.EventReceived()
 			p.recordEvent(j, t)
@@ -160,20 +154,6 @@
 	}
 }
 
-// goesOnWith reports whether the event with an id, empty for none, brings the stream on: the caller does not have it yet. Comments do not, nor what an engine in trouble repeats: taken for
-// events, they would give its turn back, make the engine look fast and keep the stream there, so that it drew requests from sound ones.
-func (j *job) goesOnWith(id string) bool {
-	by, known := j.ahead(id)
-	return id != "" && id != j.lastEventID && (!known || by > 0)
-}
-
-// ahead returns how far the event with an id is ahead of the last one that was passed on; known is false where that cannot be told.
-func (j *job) ahead(id string) (by int, known bool) {
-	number, err := strconv.Atoi(id)
-	last, lastErr := strconv.Atoi(j.lastEventID)
-	return number - last, err == nil && lastErr == nil
-}
-
 // recordEvent records that an event of the stream has come.
 func (p *Proxy) recordEvent(j *job, t target.Target) {
 	p.releaseTurn(&j.turn, true)
@@ -183,21 +163,6 @@
 	p.recordSound(j, time.Now())
 }
 
-// readEvent reads up to the end of one event of at most the given size. With an error, event holds the part that was read.
-func readEvent(in *bufio.Reader, event *bytes.Buffer, most int) error {
-	for !bytes.HasSuffix(event.Bytes(), []byte("\n\n")) {
-		line, err := in.ReadSlice('\n')
-		event.Write(line)
-		if event.Len() > most {
-			return merry.Wrap(errNoProgress)
-		}
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return err
-		}
-	}
-	return nil
-}
-
 // recordFirstEvent records the time of a stream's first event, which tells how long the prompt took to read.
 func (p *Proxy) recordFirstEvent(j *job, t target.Target) {
 	j.firstByteAt = time.Now()
@@ -219,28 +184,16 @@
 
 // writeEvent writes one whole event with an id, empty for none, to the caller, unless the caller has it already.
 func (j *job) writeEvent(event []byte, id string) error {
-	by, known := j.ahead(id)
-	if known && by <= 0 {
+	if j.passed.Has(id) {
 		return nil
 	}
-	if known && by > 1 {
-		return errors.New("event " + id + " follows event " + j.lastEventID)
+	passed, err := j.passed.With(id)
+	if err != nil {
+		return err
 	}
 	if _, err := j.w.Write(event); err != nil {
 		return &callerError{err}
 	}
-	if id != "" {
-		j.lastEventID = id
-	}
+	j.passed = passed
 	return nil
 }
-
-// eventID returns the id of an event, empty for none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -142,7 +142,7 @@
 	defer p.Guard.End(j.run)
 	j.version, j.sentBuild = version, t.Build
 	// Opening the connection may take a good part of the time that is left.
-	headers := func() http.Header { return p.Headers(t.ID, time.Until(j.deadline()), version, j.lastEventID) }
+	headers := func() http.Header { return p.Headers(t.ID, time.Until(j.deadline()), version, j.passed.Last()) }
 	r, err := p.Send(ctx, t.Addr, j.req, headers, func() bool { return p.usable(t) })
 	if err != nil && verd.Of(err) == verd.NotRun {
 		p.Guard.Dismiss(j.run)
