Know ends of successors, late looks and given-up requests, and sample what goes on

Change: (1) a send after an end begins another incarnation in trail; (2) nothing is settled before a look, and the time between two looks is allowed for; (3) only moments behind which the upstream goes on for a second are sampled; (4) they are present until their deadline, in samples and at ends; (5) hosts that hear of a wide block tell which of its requests ran well. Crashes after 600 ms beside identical requests remain one over the bound. Tests: trail's for each but (5), which blame's test of many names has now.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -48,7 +48,7 @@
 	behindMark = "+"
 	// soundRetention is how long a request that ran well is not held to what is known of others like it, and maxLately how many such are kept.
 	soundRetention = 2 * time.Minute
-	maxLately      = 10000
+	maxLately      = 4000
 	// barTime is how long good answers do not take back a block for the presence at ends: as long as such ends count.
 	barTime = 2 * time.Minute
 )
@@ -63,8 +63,8 @@
 	wide   *tally.Tally  // by wide fingerprint; breaks are "FINGERPRINT UPSTREAM"
 	outbox outbox.Outbox // reports not yet sent to other hosts
 	chance *chance.Chance
-	lately *recent.Recent[string, bool] // fingerprints of requests that ran well
-	barred map[string]time.Time         // when requests were last blocked for their presence at ends
+	lately *recent.Recent[string, ident.Ident] // requests that ran well, by fingerprint
+	barred map[string]time.Time                // when requests were last blocked for their presence at ends
 }
 
 // NewBlame returns a Blame without records.
@@ -72,7 +72,7 @@
 	return &Blame{
 		chance: chance.NewChance(),
 		barred: map[string]time.Time{},
-		lately: recent.NewRecent[string, bool](soundRetention, maxLately),
+		lately: recent.NewRecent[string, ident.Ident](soundRetention, maxLately),
 		tally:  tally.NewTally(0, blockTime, maxRecords, maxSound),
 		wide:   tally.NewTally(crashInterval, blockTime, maxRecords, maxSound),
 	}
@@ -205,7 +205,7 @@
 func (b *Blame) RecordSound(i ident.Ident, now time.Time) (upstreams, wide int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lately.Set(i.Fingerprint, true, now)
+	b.lately.Set(i.Fingerprint, ident.Ident{Fingerprint: i.Fingerprint, Wide: i.Wide}, now)
 	if !b.isBarred(i.Fingerprint, now) {
 		upstreams = b.tally.RecordSound(i.Fingerprint, now)
 	}
--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -11,12 +11,14 @@
 )
 
 // Kinds of reports on ends of upstreams, and the numbers of their words: "hit CLASS UPSTREAM FINGERPRINT WIDE HOST SHARES SHARES GROUP", with this host's shares of the two
-// fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends. Shares are two numbers with a comma between them.
+// fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends; "ran
+// FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone. Shares are two numbers with a comma between them.
 const (
 	kindHit, hitWords     = "hit", 9
 	kindEnd, endWords     = "end", 3
 	kindShare, shareWords = "share", 4
 	kindBlock             = "block"
+	kindRan               = "ran"
 	// noWide stands for the wide fingerprint of a request without one.
 	noWide = "-"
 )
@@ -123,12 +125,24 @@
 
 // bar blocks a request for its presence at ends: good answers do not take that back for a while.
 func (b *Blame) bar(key string, now time.Time) {
+	if !b.isBarred(key, now) && ident.IsWide(key) {
+		b.tellRan(key)
+	}
 	b.barred[key] = now
 	if t := b.of(key); !t.Blocked(key, now) {
 		t.Block(key, now)
 	}
 }
 
+// tellRan tells other hosts which requests with a wide fingerprint ran well here lately: they are not held to what is known of others like them.
+func (b *Blame) tellRan(wide string) {
+	for i := range b.lately.Values() {
+		if i.Wide == wide {
+			b.outbox.Add(kindRan+" "+i.Fingerprint, true)
+		}
+	}
+}
+
 // isBarred reports whether a request is blocked for its presence at ends.
 func (b *Blame) isBarred(key string, now time.Time) bool {
 	at, known := b.barred[key]
@@ -167,6 +181,10 @@
 		if key := strings.TrimPrefix(text, kindBlock+" "); len(key) == ident.FingerprintLen {
 			b.bar(key, now)
 		}
+	case kindRan:
+		if fingerprint := strings.TrimPrefix(text, kindRan+" "); len(fingerprint) == ident.FingerprintLen {
+			b.lately.Set(fingerprint, ident.Ident{Fingerprint: fingerprint}, now)
+		}
 	case kindShare:
 		b.hearShare(strings.SplitN(text, " ", shareWords))
 	default:
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -63,9 +63,8 @@
 	for n := range 7 {
 		at := now.Add(time.Duration(n) * time.Second)
 		hosts[n%3].RecordEnd("g", fmt.Sprint("u", n), []ident.Ident{of(fmt.Sprint("10.0.1.", n))}, nil, at, at)
-		for _, h := range hosts {
-			h.RecordSound(sound, at)
-		}
+		hosts[0].RecordSound(sound, at)
+		exchangeAt(at, hosts...)
 		exchangeAt(at, hosts...)
 	}
 	for n, h := range hosts {
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -33,7 +33,7 @@
 func (e *Edge) watchUpstreams(ctx context.Context) {
 	n := 0
 	for range ticker.Every(ctx, watchInterval) {
-		within := watchTime
+		start, within := time.Now(), watchTime
 		if n++; n%samplePeriod == 0 {
 			e.guard.Sample()
 			within = longWatchTime
@@ -41,6 +41,7 @@
 		for _, addr := range e.uplink.Lost(within) {
 			e.guard.RecordLost(addr)
 		}
+		e.guard.RecordLooked(start)
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -76,11 +76,12 @@
 func (g *Guard) RecordBreak(i ident.Ident, t target.Target, sent time.Time, silent bool) {
 	now := time.Now()
 	if !silent {
-		g.trail.Doubt(t, now)
+		g.trail.Doubt(t, sent, now)
 	}
 	if g.IsToBlame == nil {
-		g.recordEnd(t, now)
-		g.countBreak(i, t, now)
+		name := g.nameOf(t, sent)
+		g.recordEnd(t, name, sent, now)
+		g.countBreak(i, t, name, now)
 	} else {
 		go g.judgeBreak(i, t, sent, now, silent)
 	}
@@ -92,10 +93,11 @@
 // judgeBreak counts a break if its upstream is to blame. It may show later that it has ended: in its registration.
 func (g *Guard) judgeBreak(i ident.Ident, t target.Target, sent, broke time.Time, silent bool) {
 	if g.IsToBlame(t.Addr, sent, broke, silent) {
+		name := g.nameOf(t, sent)
 		if !silent {
-			g.recordEnd(t, broke)
+			g.recordEnd(t, name, sent, broke)
 		}
-		g.countBreak(i, t, broke)
+		g.countBreak(i, t, name, broke)
 		return
 	}
 	if !silent {
@@ -109,20 +111,21 @@
 }
 
 // countBreak counts a break against its request, unless the request has run well since.
-func (g *Guard) countBreak(i ident.Ident, t target.Target, broke time.Time) {
-	n, wide := g.requests.RecordBreak(i, incarnation(t), broke, time.Now())
+func (g *Guard) countBreak(i ident.Ident, t target.Target, name string, broke time.Time) {
+	n, wide := g.requests.RecordBreak(i, name, broke, time.Now())
 	if n == 0 {
 		g.Stats.Add(stats.Breaks, 1, "outcome", "excused")
 		g.Log.Info("request not to blame for a break", append(known(i), zap.String("target", t.ID))...)
 		return
 	}
 	g.Stats.Add(stats.Breaks, 1, "outcome", "counted")
-	g.Log.Info("upstream broke off while running a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
+	g.Log.Info("upstream broke off while running a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", name), zap.Int("upstreams", n), zap.Int("wide_upstreams", wide))...)
 }
 
 // RecordGivenUp records that this host has given up a request that its upstream may go on running until a deadline. If the upstream ends meanwhile, that
 // counts like a break.
-func (g *Guard) RecordGivenUp(i ident.Ident, t target.Target, deadline time.Time) {
+func (g *Guard) RecordGivenUp(run uint64, i ident.Ident, t target.Target, deadline time.Time) {
+	g.trail.GiveUp(run, deadline)
 	g.Log.Debug("request given up that its upstream may run", append(known(i), zap.String("incarnation", incarnation(t)), zap.Time("until", deadline))...)
 	g.orphans.Add(i, t, deadline, time.Now())
 }
@@ -130,7 +133,9 @@
 // CheckGivenUp counts the upstreams that have ended under requests that were given up, given the registrations. leaves reports whether an upstream has
 // announced that it leaves.
 func (g *Guard) CheckGivenUp(registered map[string]target.Target, leaves func(t target.Target) bool) {
-	g.orphans.Check(registered, leaves, g.Crashed, time.Now(), g.countBreak)
+	g.orphans.Check(registered, leaves, g.Crashed, time.Now(), func(i ident.Ident, t target.Target, givenUp time.Time) {
+		g.countBreak(i, t, g.nameOf(t, givenUp), givenUp)
+	})
 }
 
 // recordCrash records the parts of a request's prompt if its upstream has crashed. What counts is when it broke off, not when that showed: engines that crash
@@ -149,7 +154,15 @@
 	return []zap.Field{zap.String("request", i.Request), zap.String("print", i.Fingerprint), zap.String("wide", i.Wide), zap.String("caller", i.Caller)}
 }
 
-// incarnation names one incarnation of an upstream.
+// nameOf names the incarnation of an upstream that a request was sent to at a time: its registration, or one that has not registered yet.
+func (g *Guard) nameOf(t target.Target, sent time.Time) string {
+	if n := g.trail.Restarts(t, sent); n > 0 {
+		return incarnation(t) + "#" + strconv.Itoa(n)
+	}
+	return incarnation(t)
+}
+
+// incarnation names a registered incarnation of an upstream.
 func incarnation(t target.Target) string {
 	return t.ID + "/" + strconv.FormatInt(t.Incarnation, 36)
 }
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -14,11 +14,10 @@
 // tellChance is the chance, of its presence where upstreams ended, below which a request that is sent all the same gets a line.
 const tellChance = 0.01
 
-// Begin records that a request is sent to an upstream, and returns the number of its run for the other calls.
-func (g *Guard) Begin(i ident.Ident, t target.Target) (run uint64) {
-	now := time.Now()
-	g.logEvidence(i, t, now)
-	return g.trail.Begin(i, t, now)
+// Begin records that a request is sent to an upstream at a time, and returns the number of its run for the other calls.
+func (g *Guard) Begin(i ident.Ident, t target.Target, sent time.Time) (run uint64) {
+	g.logEvidence(i, t, sent)
+	return g.trail.Begin(i, t, sent)
 }
 
 // logEvidence writes what speaks against a request that is sent all the same: at how many of the ends of upstreams in its group it was present, it and all
@@ -83,24 +82,27 @@
 	go g.judgeLoss(t, now)
 }
 
+// RecordLooked records that all connections that were closed by a moment have been told by RecordLost.
+func (g *Guard) RecordLooked(at time.Time) { g.trail.Looked(at) }
+
 // judgeLoss records the end of an upstream that closed its connections, if it has ended.
 func (g *Guard) judgeLoss(t target.Target, lost time.Time) {
 	if g.IsToBlame != nil && !g.IsToBlame(t.Addr, lost, lost, false) {
 		g.trail.GoOn(t, time.Now())
 		return
 	}
-	g.recordEnd(t, lost)
+	g.recordEnd(t, g.nameOf(t, lost), lost, lost)
 }
 
-// recordEnd records that an upstream has ended under the requests that were there, once.
-func (g *Guard) recordEnd(t target.Target, ended time.Time) {
-	running, behind, first := g.trail.Ended(t, ended)
+// recordEnd records that an incarnation of an upstream has ended under the requests that were there, once.
+func (g *Guard) recordEnd(t target.Target, name string, sent, ended time.Time) {
+	running, behind, first := g.trail.Ended(t, sent, ended)
 	if !first {
 		return
 	}
-	for _, i := range g.requests.RecordEnd(t.Group, incarnation(t), running, behind, ended, time.Now()) {
+	for _, i := range g.requests.RecordEnd(t.Group, name, running, behind, ended, time.Now()) {
 		g.Stats.Add(stats.Breaks, 1, "outcome", "behind")
-		g.Log.Info("upstream ended behind the answer to a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", incarnation(t)))...)
+		g.Log.Info("upstream ended behind the answer to a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", name))...)
 	}
-	g.Log.Info("upstream ended", zap.String("target", t.ID), zap.String("incarnation", incarnation(t)), zap.Int("running", len(running)), zap.Int("behind", len(behind)))
+	g.Log.Info("upstream ended", zap.String("target", t.ID), zap.String("incarnation", name), zap.Int("running", len(running)), zap.Int("behind", len(behind)))
 }
--- a/internal/proxy/noanswer.go
+++ b/internal/proxy/noanswer.go
@@ -24,7 +24,7 @@
 		// The caller left, and closing the connection told the upstream, which is not to blame so far.
 		p.countSend(t, "left")
 		if verd.Of(err) != verd.NotRun {
-			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+			p.Guard.RecordGivenUp(j.run, j.suspect(), t, j.deadline())
 		}
 		p.finish(j, refuse.Canceled, verd.MayHaveRun, t.ID, 0)
 		panic(http.ErrAbortHandler)
@@ -51,7 +51,7 @@
 	if verdict != verd.NotRun {
 		j.runs++
 		if ctx.Err() != nil {
-			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+			p.Guard.RecordGivenUp(j.run, j.suspect(), t, j.deadline())
 		}
 	}
 	if j.timedOut(now) {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -48,7 +48,7 @@
 	j.nextPlacement = m.End()
 	end := j.streamEnd(ctx, err, silent, body.excusesBreak())
 	if !j.sound && (end == endCallerLeft || end == endTimeout || end == endStalled) {
-		p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+		p.Guard.RecordGivenUp(j.run, j.suspect(), t, j.deadline())
 	}
 	switch end {
 	case endComplete:
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -138,7 +138,7 @@
 	timer := p.startAnswerTimer(j, left, cancel)
 	defer timer.Stop()
 	j.sentAt = time.Now()
-	j.run = p.Guard.Begin(j.suspect(), t)
+	j.run = p.Guard.Begin(j.suspect(), t, j.sentAt)
 	defer p.Guard.End(j.run)
 	j.version, j.sentBuild = version, t.Build
 	// Opening the connection may take a good part of the time that is left.
@@ -296,7 +296,7 @@
 		switch {
 		case errors.Is(err, errTooLarge), errors.Is(err, errNoRoom):
 		case sendCtx.Err() != nil, j.timedOut(now):
-			p.Guard.RecordGivenUp(j.suspect(), t, j.deadline())
+			p.Guard.RecordGivenUp(j.run, j.suspect(), t, j.deadline())
 		default:
 			p.Guard.RecordBreak(j.suspect(), t, j.sentAt, false)
 		}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -27,6 +27,11 @@
 	liveTime = 10 * time.Second
 	// lookInterval is the shortest time between two looks at an upstream that closes connections behind answers and goes on.
 	lookInterval = 3 * time.Second
+	// sampleDelay is how long an upstream must go on behind a moment for what was present at that moment to be sampled. Without it, a request that runs for long before it crashes
+	// its upstream would look like one that is present there anyhow.
+	sampleDelay = time.Second
+	// maxLate bounds the time between two looks at closed connections that is allowed for.
+	maxLate = time.Second
 	// joinTime is by how much the breaks of one upstream's connections may differ.
 	joinTime = 20 * time.Millisecond
 	// maxRuns bounds the requests that are kept, some 200 bytes each.
@@ -39,7 +44,8 @@
 	last      uint64
 	runs      map[uint64]*run
 	upstreams map[key]*upstream
-	waiting   []*run // answered, and not known to have run well; in the order of their answers
+	waiting   []*run    // answered, and not known to have run well; in the order of their answers
+	lookedAt  time.Time // when connections were last looked at; zero if they never are
 }
 
 // key identifies an incarnation of an upstream.
@@ -53,11 +59,14 @@
 // upstream is one incarnation of an upstream, and the requests that it runs or has run just now.
 type upstream struct {
 	target   target.Target
+	restarts int // how often something went on at its address under its registration after it had ended: a successor that is not registered yet
 	runs     []*run
-	usedAt   time.Time // when a request was last sent there
-	doubted  time.Time // since when it may have ended; zero if it goes on
-	endedAt  time.Time // zero if it is not known to have ended
-	lookedAt time.Time // when it was last looked at for connections that were closed behind answers
+	since    time.Time     // when a request was first sent there
+	usedAt   time.Time     // when one last was
+	doubted  time.Time     // since when it may have ended; zero if it goes on
+	endedAt  time.Time     // zero if it is not known to have ended
+	lookedAt time.Time     // when it was last looked at for connections that were closed behind answers
+	late     time.Duration // by how much its end may be older than it was noticed
 }
 
 // run is one request at one upstream.
@@ -65,9 +74,10 @@
 	ident    ident.Ident
 	at       *upstream
 	begunAt  time.Time
-	endedAt  time.Time // zero while it runs
-	answered bool      // with a whole answer
-	failed   bool      // the answer is the upstream's failure
+	endedAt  time.Time // zero while it runs; when its upstream ends it at the latest if it was given up
+	givenUp  bool
+	answered bool // with a whole answer
+	failed   bool // the answer is the upstream's failure
 }
 
 // behind reports whether a request was answered shortly before a moment.
@@ -76,7 +86,7 @@
 	if r.failed {
 		most = failedTime
 	}
-	return r.answered && !r.endedAt.After(at) && at.Sub(r.endedAt) <= most
+	return r.answered && !r.endedAt.After(at) && at.Sub(r.endedAt) <= most+r.at.late
 }
 
 // running reports whether a request was at its upstream at a moment.
@@ -100,8 +110,12 @@
 		return 0
 	}
 	u := t.upstreams[keyOf(to)]
-	if u == nil {
-		u = &upstream{target: to}
+	switch {
+	case u == nil:
+		u = &upstream{target: to, since: now}
+		t.upstreams[keyOf(to)] = u
+	case !u.endedAt.IsZero():
+		u = &upstream{target: to, since: now, restarts: u.restarts + 1}
 		t.upstreams[keyOf(to)] = u
 	}
 	u.forget(now)
@@ -152,6 +166,16 @@
 	}
 }
 
+// GiveUp records that a request was given up while its upstream may run it until a moment.
+func (t *Trail) GiveUp(number uint64, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.runs[number]; r != nil {
+		r.endedAt, r.givenUp = until, true
+		delete(t.runs, number)
+	}
+}
+
 // Answer records the whole answer to a request, which may be its upstream's failure.
 func (t *Trail) Answer(number uint64, failed bool, now time.Time) {
 	t.mu.Lock()
@@ -177,7 +201,7 @@
 	kept := t.waiting[:0]
 	for _, r := range t.waiting {
 		switch {
-		case now.Sub(r.endedAt) < settleTime, r.doubtful(now):
+		case now.Sub(r.endedAt) < settleTime, t.unseen(r), r.doubtful(now):
 			kept = append(kept, r)
 		case r.at.endedAt.IsZero() || !r.behind(r.at.endedAt):
 			sound = append(sound, r.ident)
@@ -188,23 +212,49 @@
 	return sound
 }
 
+// unseen reports whether connections have not been looked at since a request was answered, for long enough to notice the end of its upstream.
+func (t *Trail) unseen(r *run) bool {
+	return !t.lookedAt.IsZero() && t.lookedAt.Sub(r.endedAt) < behindTime
+}
+
+// Looked records that all connections that were closed by a moment have been told by Lost.
+func (t *Trail) Looked(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lookedAt = at
+}
+
 // doubtful reports whether it is not known yet whether a request's upstream ended behind its answer.
 func (r *run) doubtful(now time.Time) bool {
 	u := r.at
 	return u.endedAt.IsZero() && !u.doubted.IsZero() && now.Sub(u.doubted) < doubtTime && r.behind(u.doubted)
 }
 
-// Doubt records that an upstream may have ended.
-func (t *Trail) Doubt(to target.Target, at time.Time) {
+// Doubt records that an upstream may have ended at a moment, under a request that was sent there at a time.
+func (t *Trail) Doubt(to target.Target, sent, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if u := t.upstreams[keyOf(to)]; u != nil && u.doubted.IsZero() {
+	if u := t.upstreams[keyOf(to)]; u != nil && u.doubted.IsZero() && !sent.Before(u.since) {
 		u.doubted = at
 	}
 }
 
+// Restarts returns how often an upstream had ended, and something had gone on in its place before its successor was registered, when a request was sent there.
+func (t *Trail) Restarts(to target.Target, sent time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[keyOf(to)]
+	if u == nil {
+		return 0
+	}
+	if sent.Before(u.since) {
+		return max(0, u.restarts-1)
+	}
+	return u.restarts
+}
+
 // Lost records that all idle connections to an address were closed by the upstream there. It reports whether that is a reason to look whether the upstream has
-// ended: it has just answered requests, and nobody looks yet.
+// ended: it has just answered requests, or may run some that were given up, and nobody looks yet.
 func (t *Trail) Lost(addr string, now time.Time) (at target.Target, look bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -212,8 +262,11 @@
 		if u.target.Addr != addr || !u.doubted.IsZero() || !u.endedAt.IsZero() || now.Sub(u.lookedAt) < lookInterval {
 			continue
 		}
+		if !t.lookedAt.IsZero() {
+			u.late = min(now.Sub(t.lookedAt), maxLate)
+		}
 		for _, r := range u.runs {
-			if r.behind(now) {
+			if r.behind(now) || r.givenUp && r.running(now) {
 				u.doubted = now
 				return u.target, true
 			}
@@ -227,17 +280,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u := t.upstreams[keyOf(to)]; u != nil {
-		u.doubted, u.lookedAt = time.Time{}, now
+		u.doubted, u.lookedAt, u.late = time.Time{}, now, 0
 	}
 }
 
-// Ended records that an upstream ended at a moment, and returns the requests that it ran then and those that it had just answered; first is false if its end was
-// known.
-func (t *Trail) Ended(to target.Target, at time.Time) (running, behind []ident.Ident, first bool) {
+// Ended records that an upstream ended at a moment, after a request was sent there at a time, and returns the requests that it ran then and those that it had just
+// answered; first is false if its end was known.
+func (t *Trail) Ended(to target.Target, sent, at time.Time) (running, behind []ident.Ident, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[keyOf(to)]
-	if u == nil || !u.endedAt.IsZero() {
+	if u == nil || !u.endedAt.IsZero() || sent.Before(u.since) {
 		return nil, nil, u == nil
 	}
 	u.endedAt = at
@@ -258,17 +311,18 @@
 	return running, behind
 }
 
-// Sample calls take for each live upstream with the requests that it runs and those that it has just answered.
+// Sample calls take for each live upstream with the requests that it ran a moment ago and those that it had just answered then.
 func (t *Trail) Sample(now time.Time, take func(group string, running, behind []ident.Ident)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	at := now.Add(-sampleDelay)
 	for k, u := range t.upstreams {
 		u.forget(now)
 		switch {
 		case len(u.runs) == 0 && now.Sub(u.usedAt) > liveTime:
 			delete(t.upstreams, k)
-		case u.endedAt.IsZero() && u.doubted.IsZero():
-			running, behind := u.present(now)
+		case u.endedAt.IsZero() && u.doubted.IsZero() && !u.since.After(at):
+			running, behind := u.present(at)
 			take(u.target.Group, running, behind)
 		}
 	}
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -42,8 +42,8 @@
 			}
 			behind := 0
 			if c.end > 0 {
-				_, list, first := tr.Ended(upstream, at(c.end))
-				_, _, again := tr.Ended(upstream, at(c.end))
+				_, list, first := tr.Ended(upstream, start, at(c.end))
+				_, _, again := tr.Ended(upstream, start, at(c.end))
 				if behind = len(list); !first || again {
 					t.Errorf("first = %v, again = %v, want the end told once", first, again)
 				}
@@ -72,7 +72,7 @@
 		}
 		want := 1
 		if ended {
-			tr.Ended(upstream, at(50))
+			tr.Ended(upstream, start, at(50))
 			want = 0
 		} else {
 			tr.GoOn(upstream, at(1000))
@@ -90,11 +90,82 @@
 	rejected := tr.Begin(request, upstream, at(30))
 	tr.Dismiss(rejected)
 	tr.End(broke, at(100))
-	tr.Doubt(upstream, at(100))
-	running, behind, first := tr.Ended(upstream, at(105))
+	tr.Doubt(upstream, start, at(100))
+	running, behind, first := tr.Ended(upstream, start, at(105))
 	if len(running) != 2 || len(behind) != 0 || !first {
 		t.Errorf("running = %d, behind = %d, want the one that broke off and the one that has not yet", len(running), len(behind))
 	}
 	tr.End(runs, at(110))
 	tr.Sample(at(200), func(string, []ident.Ident, []ident.Ident) { t.Error("an upstream that has ended is sampled") })
 }
+
+// A host lacks processor time, and looks at its connections half a second late. An end behind an answer must count all the same, and nothing may be settled before the look.
+func TestLateLookFindsEndsBehindAnswers(t *testing.T) {
+	tr := trail.NewTrail()
+	tr.Looked(at(100))
+	tr.Answer(tr.Begin(request, upstream, at(50)), false, at(110))
+	if got := tr.Settle(at(650)); len(got) > 0 {
+		t.Errorf("settled %v before anybody looked, want nothing", got)
+	}
+	if _, look := tr.Lost(upstream.Addr, at(700)); !look {
+		t.Error("no look at an upstream that closed its connections at an unknown time since its answer, want one")
+	}
+	if _, behind, _ := tr.Ended(upstream, at(700), at(700)); len(behind) != 1 {
+		t.Errorf("behind = %d, want the request that was answered", len(behind))
+	}
+}
+
+// A request runs for long before it crashes its upstream. Were what is present just before ends sampled, it would look like one that is present everywhere.
+func TestSamplesAreOfUpstreamsThatGoOn(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		tr := trail.NewTrail()
+		tr.Begin(request, upstream, at(0))
+		if ends {
+			tr.Doubt(upstream, start, at(900))
+		}
+		samples, running := 0, 0
+		for _, ms := range []int{500, 1100, 1300} {
+			tr.Sample(at(ms), func(_ string, list, _ []ident.Ident) { samples++; running += len(list) })
+		}
+		want := 2
+		if ends {
+			want = 0
+		}
+		if samples != want || running != want {
+			t.Errorf("ends %v: %d samples with %d requests, want %d and %d", ends, samples, running, want, want)
+		}
+	}
+}
+
+// An upstream ends and its successor serves at its address before it has registered. Its end counts apart, and late news of the first does not touch it.
+func TestSuccessorBeforeItsRegistrationIsAnother(t *testing.T) {
+	tr := trail.NewTrail()
+	tr.Begin(request, upstream, at(0))
+	tr.Ended(upstream, at(0), at(100))
+	tr.Answer(tr.Begin(request, upstream, at(1000)), false, at(1010))
+	if got, before := tr.Restarts(upstream, at(1000)), tr.Restarts(upstream, at(0)); got != 1 || before != 0 {
+		t.Errorf("restarts = %d, and %d for the first, want 1 and 0", got, before)
+	}
+	if _, _, first := tr.Ended(upstream, at(0), at(1020)); first {
+		t.Error("late news of the first ended its successor")
+	}
+	if _, behind, first := tr.Ended(upstream, at(1000), at(1050)); !first || len(behind) != 1 {
+		t.Errorf("behind = %d, first = %v, want the request that was answered, once", len(behind), first)
+	}
+	if got := tr.Settle(at(2000)); len(got) > 0 {
+		t.Errorf("settled %v, want nothing: its upstream ended behind its answer", got)
+	}
+}
+
+// A request is given up while its upstream may run it for another second, and the upstream ends then. It must be among those that may be the cause.
+func TestRequestThatWasGivenUpIsPresentUntilItsDeadline(t *testing.T) {
+	for ended, want := range map[int]int{900: 1, 1500: 0} {
+		tr := trail.NewTrail()
+		run := tr.Begin(request, upstream, at(0))
+		tr.GiveUp(run, at(1000))
+		tr.End(run, at(501))
+		if running, _, _ := tr.Ended(upstream, at(0), at(ended)); len(running) != want {
+			t.Errorf("running when its upstream ended after %d ms = %d, want %d", ended, len(running), want)
+		}
+	}
+}
