--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -34,7 +34,7 @@
 	maxLate = time.Second
 	// joinTime is by how much the breaks of one upstream's connections may differ.
 	joinTime = 20 * time.Millisecond
-	// maxRuns bounds the requests that are kept, some 200 bytes each.
+	// maxRuns bounds the requests under way that are tracked, some 200 bytes each.
 	maxRuns = 20000
 )
 
@@ -74,7 +74,7 @@
 	ident    ident.Ident
 	at       *upstream
 	begunAt  time.Time
-	endedAt  time.Time // zero while it runs; when its upstream ends it at the latest if it was given up
+	endedAt  time.Time // zero while it runs; the deadline if it was given up
 	givenUp  bool
 	answered bool // with a whole answer
 	failed   bool // the answer is the upstream's failure
@@ -118,7 +118,6 @@
 		u = &upstream{target: to, since: now, restarts: u.restarts + 1}
 		t.upstreams[keyOf(to)] = u
 	}
-	u.forget(now)
 	u.usedAt = now
 	r := &run{ident: i, at: u, begunAt: now}
 	u.runs = append(u.runs, r)
