Sample no upstream that is away, and hold nothing for answers of one that leaves

Causes: a send to an upstream that is away began another incarnation in trail, which was sampled as live and empty for seconds, so that what is popular looked seldom present; so did upstreams whose end the host had not seen. And where a successor had registered by the time of the look, its predecessor was taken for one that leaves, and its last answers for sound. Change: only upstreams that have answered this host within two seconds, and that no send has missed since, are sampled. A successor's registration is no leaving. The last answers of an upstream that leaves count neither for nor against.

--- a/internal/chance/chance.go
+++ b/internal/chance/chance.go
@@ -123,12 +123,9 @@
 
 // Share returns this host's share of a key in a group: the part of its samples of live upstreams at which it was present, by class.
 func (c *Chance) Share(key, group string) (share [classes]float64) {
-	all := c.sampled(group)
+	all := max(1, c.sampled(group)) // a host without samples has none with the key, and does not judge by that
 	for class := range share {
-		share[class] = 1
-		if all > 0 {
-			share[class] = float64(c.samples[0].keys[key][class]+c.samples[1].keys[key][class]) / float64(all)
-		}
+		share[class] = float64(c.samples[0].keys[key][class]+c.samples[1].keys[key][class]) / float64(all)
 	}
 	return share
 }
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -45,10 +45,21 @@
 	}
 }
 
-// stays reports whether an upstream is registered and has not announced that it leaves.
+// stays reports whether an upstream is registered, or has a successor, and has not announced that it leaves.
 func (e *Edge) stays(t target.Target) bool {
-	known, ok := e.intake.View().Targets[t.ID]
-	return ok && known.SameIncarnation(t) && !known.Draining && !e.avoid.Leaving(t)
+	if e.avoid.Leaving(t) {
+		return false
+	}
+	targets := e.intake.View().Targets
+	if known, ok := targets[t.ID]; ok {
+		return !known.SameIncarnation(t) || !known.Draining
+	}
+	for _, other := range targets {
+		if other.Addr == t.Addr {
+			return true
+		}
+	}
+	return false
 }
 
 func (e *Edge) sweep(ctx context.Context) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -27,7 +27,7 @@
 	IsToBlame func(addr string, sent, failed time.Time, silent bool) bool
 	// Crashed reports whether nothing listens any more where an upstream did.
 	Crashed func(addr string) bool
-	// Stays reports whether an upstream is registered and has not announced that it leaves; nil means that each one is.
+	// Stays reports whether an upstream is registered, or has a successor, and has not announced that it leaves; nil means that each one is.
 	Stays func(t target.Target) bool
 	Log   *zap.Logger
 	Stats *stats.Stats
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -32,8 +32,11 @@
 		zap.Int("all_ends", all), zap.Float64("chance", odds), zap.Float64("wide_chance", wideOdds))...)
 }
 
-// Dismiss records that the upstream has not run the request.
-func (g *Guard) Dismiss(run uint64) { g.trail.Dismiss(run) }
+// Reject records that the upstream has rejected the request.
+func (g *Guard) Reject(run uint64) { g.trail.Reject(run, time.Now()) }
+
+// Miss records that the request did not reach the upstream.
+func (g *Guard) Miss(run uint64) { g.trail.Miss(run, time.Now()) }
 
 // End records that a run has ended, if nothing else tells how.
 func (g *Guard) End(run uint64) { g.trail.End(run, time.Now()) }
@@ -68,7 +71,7 @@
 }
 
 // RecordLost records that an upstream has closed all idle connections to an address. If it had just answered requests, it may have ended under them, which shows some
-// time later. One that leaves ends behind its last answers in any case.
+// time later. One that leaves ends behind its last answers in any case, which says nothing for them nor against them.
 func (g *Guard) RecordLost(addr string) {
 	now := time.Now()
 	t, look := g.trail.Lost(addr, now)
@@ -76,7 +79,7 @@
 		return
 	}
 	if g.Stays != nil && !g.Stays(t) {
-		g.trail.GoOn(t, now)
+		g.trail.Ended(t, now, now)
 		return
 	}
 	go g.judgeLoss(t, now)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -145,7 +145,7 @@
 	headers := func() http.Header { return p.Headers(t.ID, time.Until(j.deadline()), version, j.passed.Last()) }
 	r, err := p.Send(ctx, t.Addr, j.req, headers, func() bool { return p.usable(t) })
 	if err != nil && verd.Of(err) == verd.NotRun {
-		p.Guard.Dismiss(j.run)
+		p.Guard.Miss(j.run)
 	}
 	if err != nil {
 		if ctx.Err() != nil && verd.Of(err) != verd.NotRun {
@@ -177,7 +177,7 @@
 			defer later.Close()
 			return p.handleAnswer(ctx, sendCtx, j, t, later)
 		}
-		p.Guard.Dismiss(j.run)
+		p.Guard.Reject(j.run)
 		p.handleRejection(j, t, r)
 		// A backoff for the failure could outlast a pause that the upstream itself has asked for.
 		j.upstreamFailed = r.Status != http.StatusMisdirectedRequest && p.Avoid.Pause(t.ID, time.Now()) == 0
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -23,8 +23,9 @@
 	doubtTime = 3 * time.Second
 	// retention is how long requests that ended are kept.
 	retention = 2 * doubtTime
-	// liveTime is how long after its last request an upstream counts among those that requests may be present at.
-	liveTime = 10 * time.Second
+	// liveTime is how long after its last answer an upstream counts among those that requests may be present at, and keepTime how long after the last request it is kept.
+	liveTime = 2 * time.Second
+	keepTime = 10 * time.Second
 	// lookInterval is the shortest time between two looks at an upstream that closes connections behind answers and goes on.
 	lookInterval = 3 * time.Second
 	// sampleDelay is how long an upstream must go on behind a moment for what was present at that moment to be sampled. Without it, a request that runs for long before it crashes
@@ -63,6 +64,8 @@
 	runs     []*run
 	since    time.Time     // when a request was first sent there
 	usedAt   time.Time     // when one last was
+	heardAt  time.Time     // when one was last answered, also by a rejection
+	missedAt time.Time     // when one last found nothing that listens
 	doubted  time.Time     // since when it may have ended; zero if it goes on
 	endedAt  time.Time     // zero if it is not known to have ended
 	lookedAt time.Time     // when it was last looked at for connections that were closed behind answers
@@ -138,14 +141,28 @@
 	u.runs = kept
 }
 
-// Dismiss records that a request was not run.
-func (t *Trail) Dismiss(number uint64) {
+// Reject records that an upstream has rejected a request.
+func (t *Trail) Reject(number uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.runs[number]
-	if r == nil {
-		return
+	if r := t.runs[number]; r != nil {
+		r.at.heardAt = now
+		t.dismiss(number, r)
+	}
+}
+
+// Miss records that a request did not reach its upstream.
+func (t *Trail) Miss(number uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.runs[number]; r != nil {
+		r.at.missedAt = now
+		t.dismiss(number, r)
 	}
+}
+
+// dismiss forgets a request that was not run.
+func (t *Trail) dismiss(number uint64, r *run) {
 	delete(t.runs, number)
 	for n, other := range r.at.runs {
 		if other == r {
@@ -183,7 +200,7 @@
 	if r == nil {
 		return
 	}
-	r.endedAt, r.answered, r.failed = now, true, failed
+	r.endedAt, r.answered, r.failed, r.at.heardAt = now, true, failed, now
 	delete(t.runs, number)
 	if !failed {
 		t.waiting = append(t.waiting, r)
@@ -310,6 +327,11 @@
 	return running, behind
 }
 
+// live reports whether an upstream goes on, as far as is known: taken for live while it is away, it would make what is popular look as if it were seldom there.
+func (u *upstream) live(now time.Time) bool {
+	return u.endedAt.IsZero() && u.doubted.IsZero() && now.Sub(u.heardAt) <= liveTime && u.heardAt.After(u.missedAt)
+}
+
 // Sample calls take for each live upstream with the requests that it ran a moment ago and those that it had just answered then.
 func (t *Trail) Sample(now time.Time, take func(group string, running, behind []ident.Ident)) {
 	t.mu.Lock()
@@ -318,9 +340,9 @@
 	for k, u := range t.upstreams {
 		u.forget(now)
 		switch {
-		case len(u.runs) == 0 && now.Sub(u.usedAt) > liveTime:
+		case len(u.runs) == 0 && now.Sub(u.usedAt) > keepTime:
 			delete(t.upstreams, k)
-		case u.endedAt.IsZero() && u.doubted.IsZero() && !u.since.After(at):
+		case u.live(now) && !u.since.After(at):
 			running, behind := u.present(at)
 			take(u.target.Group, running, behind)
 		}
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -88,7 +88,7 @@
 	tr := trail.NewTrail()
 	broke, runs := tr.Begin(request, upstream, at(0)), tr.Begin(request, upstream, at(20))
 	rejected := tr.Begin(request, upstream, at(30))
-	tr.Dismiss(rejected)
+	tr.Reject(rejected, at(31))
 	tr.End(broke, at(100))
 	tr.Doubt(upstream, start, at(100))
 	running, behind, first := tr.Ended(upstream, start, at(105))
@@ -120,6 +120,7 @@
 	for _, ends := range []bool{false, true} {
 		tr := trail.NewTrail()
 		tr.Begin(request, upstream, at(0))
+		tr.Reject(tr.Begin(request, upstream, at(400)), at(400))
 		if ends {
 			tr.Doubt(upstream, start, at(900))
 		}
@@ -169,3 +170,17 @@
 		}
 	}
 }
+
+// An upstream is away and its registration still stands. Sampled all the same, it would make what is popular look as if it were seldom present.
+func TestUpstreamThatIsAwayIsNotSampled(t *testing.T) {
+	tr := trail.NewTrail()
+	tr.Answer(tr.Begin(request, upstream, at(0)), false, at(10))
+	tr.Ended(upstream, at(0), at(20))
+	tr.Miss(tr.Begin(request, upstream, at(100)), at(101))
+	other := target.Target{ID: "other", Incarnation: 1, Group: "g", Addr: "10.0.0.2:80"}
+	tr.Answer(tr.Begin(request, other, at(0)), false, at(10))
+	tr.Miss(tr.Begin(request, other, at(200)), at(201))
+	for _, ms := range []int{1200, 1400} {
+		tr.Sample(at(ms), func(string, []ident.Ident, []ident.Ident) { t.Errorf("sampled after %d ms, want no upstream", ms) })
+	}
+}
