Look behind answers that came by way of another host, and count what was answered during a look

Change: (1) such answers are looked behind at once, as those whose connection ends with them; (2) the end may have come at any moment of the look; (3) three seconds hold for looks without a reason of that kind, 0.3 s for others. TestAnswerDuringALookIsAmongThoseAtTheEnd is (2).

--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -72,9 +72,14 @@
 
 // RecordLost records that an upstream has closed all idle connections to an address. If it had just answered requests, it may have ended under them, which shows some
 // time later. One that leaves ends behind its last answers in any case, which says nothing for them nor against them.
-func (g *Guard) RecordLost(addr string) {
+func (g *Guard) RecordLost(addr string) { g.look(addr, false) }
+
+// RecordUnseen records that no connection can tell whether the upstream at an address ends behind the answer that it has just given.
+func (g *Guard) RecordUnseen(addr string) { g.look(addr, true) }
+
+func (g *Guard) look(addr string, blind bool) {
 	now := time.Now()
-	t, look := g.trail.Lost(addr, now)
+	t, look := g.trail.Lost(addr, blind, now)
 	if !look {
 		return
 	}
@@ -94,7 +99,7 @@
 		g.trail.GoOn(t, time.Now())
 		return
 	}
-	g.recordEnd(t, g.nameOf(t, lost), lost, lost)
+	g.recordEnd(t, g.nameOf(t, lost), lost, time.Now())
 }
 
 // recordEnd records that an incarnation of an upstream has ended under the requests that were there, once.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -321,10 +321,11 @@
 	return true
 }
 
-// lookBehind has the upstream looked at if its connection ended with its whole answer: no idle connection tells then whether it has ended behind that.
+// lookBehind has the upstream looked at if its connection ended with its whole answer, or goes by way of another host: no idle connection tells then whether it has ended
+// behind that.
 func (p *Proxy) lookBehind(t target.Target, r resp.Resp) {
-	if r.Unframed || strings.EqualFold(r.Header.Get("Connection"), "close") {
-		p.Guard.RecordLost(t.Addr)
+	if r.Unframed || r.Blind || strings.EqualFold(r.Header.Get("Connection"), "close") {
+		p.Guard.RecordUnseen(t.Addr)
 	}
 }
 
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -17,6 +17,7 @@
 	Body   io.Reader
 	// Unframed says that the body has neither length nor chunks: the end of its connection alone marks its end.
 	Unframed bool
+	Blind    bool        // its connection goes by way of another host, so that this one cannot see whether the far end closes it while it is idle
 	Rejected bool        // it states that the request was not run
 	Doubt    doubt.Doubt // what speaks against that statement
 	Named    bool        // it names the request that it belongs to
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -26,8 +26,9 @@
 	// liveTime is how long after its last answer an upstream counts among those that requests may be present at, and keepTime how long after the last request it is kept.
 	liveTime = 2 * time.Second
 	keepTime = 10 * time.Second
-	// lookInterval is the shortest time between two looks at an upstream that closes connections behind answers and goes on.
-	lookInterval = 3 * time.Second
+	// lookInterval is the shortest time between two looks at an upstream that closes connections behind answers and goes on, and blindInterval where nothing was closed.
+	lookInterval  = 300 * time.Millisecond
+	blindInterval = 3 * time.Second
 	// sampleDelay is how long an upstream must go on behind a moment for what was present at that moment to be sampled. Without it, a request that runs for long before it crashes
 	// its upstream would look like one that is present there anyhow.
 	sampleDelay = time.Second
@@ -269,13 +270,17 @@
 	return u.restarts
 }
 
-// Lost records that all idle connections to an address were closed by the upstream there. It reports whether that is a reason to look whether the upstream has
+// Lost records that all idle connections to an address were closed by the upstream there, or, if blind, that no connection can tell. It reports whether that is a reason to look whether the upstream has
 // ended: it has just answered requests, or may run some that were given up, and nobody looks yet.
-func (t *Trail) Lost(addr string, now time.Time) (at target.Target, look bool) {
+func (t *Trail) Lost(addr string, blind bool, now time.Time) (at target.Target, look bool) {
+	interval := lookInterval
+	if blind {
+		interval = blindInterval
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.upstreams {
-		if u.target.Addr != addr || !u.doubted.IsZero() || !u.endedAt.IsZero() || now.Sub(u.lookedAt) < lookInterval {
+		if u.target.Addr != addr || !u.doubted.IsZero() || !u.endedAt.IsZero() || now.Sub(u.lookedAt) < interval {
 			continue
 		}
 		if !t.lookedAt.IsZero() {
@@ -309,6 +314,9 @@
 	if u == nil || !u.endedAt.IsZero() || sent.Before(u.since) {
 		return nil, nil, u == nil
 	}
+	if !u.doubted.IsZero() && at.After(u.doubted) {
+		u.late = min(u.late+at.Sub(u.doubted), maxLate) // it ended at some moment since
+	}
 	u.endedAt = at
 	running, behind = u.present(at)
 	return running, behind, true
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -61,10 +61,10 @@
 		tr := trail.NewTrail()
 		run := tr.Begin(request, upstream, at(0))
 		tr.Answer(run, false, at(10))
-		if _, look := tr.Lost(upstream.Addr, at(50)); !look {
+		if _, look := tr.Lost(upstream.Addr, false, at(50)); !look {
 			t.Fatal("no look at an upstream that closed its connections behind an answer, want one")
 		}
-		if _, look := tr.Lost(upstream.Addr, at(60)); look {
+		if _, look := tr.Lost(upstream.Addr, false, at(60)); look {
 			t.Error("a second look, want one at a time")
 		}
 		if got := tr.Settle(at(1000)); len(got) > 0 {
@@ -107,7 +107,7 @@
 	if got := tr.Settle(at(650)); len(got) > 0 {
 		t.Errorf("settled %v before anybody looked, want nothing", got)
 	}
-	if _, look := tr.Lost(upstream.Addr, at(700)); !look {
+	if _, look := tr.Lost(upstream.Addr, false, at(700)); !look {
 		t.Error("no look at an upstream that closed its connections at an unknown time since its answer, want one")
 	}
 	if _, behind, _ := tr.Ended(upstream, at(700), at(700)); len(behind) != 1 {
@@ -184,3 +184,19 @@
 		tr.Sample(at(ms), func(string, []ident.Ident, []ident.Ident) { t.Errorf("sampled after %d ms, want no upstream", ms) })
 	}
 }
+
+// An upstream is looked at behind one answer, gives another one meanwhile and ends behind that. Both may be the cause, and neither may count as one that ran well.
+func TestAnswerDuringALookIsAmongThoseAtTheEnd(t *testing.T) {
+	tr := trail.NewTrail()
+	tr.Answer(tr.Begin(request, upstream, at(0)), false, at(10))
+	if _, look := tr.Lost(upstream.Addr, true, at(10)); !look {
+		t.Fatal("no look at an upstream whose connections cannot tell, want one")
+	}
+	tr.Answer(tr.Begin(request, upstream, at(20)), false, at(70))
+	if _, behind, _ := tr.Ended(upstream, at(10), at(110)); len(behind) != 2 {
+		t.Errorf("behind = %d, want both answers", len(behind))
+	}
+	if got := tr.Settle(at(2000)); len(got) > 0 {
+		t.Errorf("settled %v, want nothing", got)
+	}
+}
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -104,6 +104,12 @@
 	return n == 0 && (err == nil || errors.Is(err, errors.ErrUnsupported))
 }
 
+// isBlind reports whether nothing can be told of an idle connection without reading from it.
+func isBlind(c net.Conn) bool {
+	_, err := peek.Peek(c)
+	return errors.Is(err, errors.ErrUnsupported)
+}
+
 // isClosed reports whether the other side of an idle connection has closed it.
 func isClosed(c net.Conn) bool {
 	_, err := peek.Peek(c)
--- a/internal/uplink/uplink.go
+++ b/internal/uplink/uplink.go
@@ -172,7 +172,7 @@
 	}
 	rejected, why := u.NotRun(x.extra, r.StatusCode, r.Header)
 	return resp.Resp{
-		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed,
+		Status: r.StatusCode, Header: r.Header, Body: body, Unframed: unframed, Blind: isBlind(c.Conn),
 		Rejected: rejected, Doubt: why, Named: u.AnswerID(r.Header) != "", Reused: c.reused,
 		Cut:   func() { c.Close() },
 		Later: func(wait time.Duration) (resp.Resp, bool) { return u.later(c, x, body, wait) },
