Look at no connection whose answer is being read

The kernel tells the error of a connection once: the look took a reset, and the reader saw an ordinary end. Change: whether a connection can be looked at is told by its type (peek.Able). Idle connections alone are looked at.

--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -27,6 +27,17 @@
 	return n, errors.Join(err, failed)
 }
 
+// Able reports whether Peek can tell anything of a connection. It does not look at it: the kernel tells the error of a connection once, and a reader that is not told of a
+// reset takes the part of an answer that it has for the whole.
+func Able(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	_, err := sc.SyscallConn()
+	return err == nil
+}
+
 func receive(fd int) (n int, err error) {
 	var one [1]byte
 	n, _, err = unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/internal/uplink/take.go
+++ b/internal/uplink/take.go
@@ -105,10 +105,7 @@
 }
 
 // isBlind reports whether nothing can be told of an idle connection without reading from it.
-func isBlind(c net.Conn) bool {
-	_, err := peek.Peek(c)
-	return errors.Is(err, errors.ErrUnsupported)
-}
+func isBlind(c net.Conn) bool { return !peek.Able(c) }
 
 // isClosed reports whether the other side of an idle connection has closed it.
 func isClosed(c net.Conn) bool {
