Count an end once, whatever hosts name it

Four answers in a row with an end behind them came of two ends, and the chance of presence at ends was reckoned from twice as many. Change: package alias: names of one upstream that come within a second stand for one end.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"damaskreach/internal/alias"
 	"damaskreach/internal/block"
 	"damaskreach/internal/chance"
 	"damaskreach/internal/ident"
@@ -62,6 +63,7 @@
 	tally  *tally.Tally  // by fingerprint
 	wide   *tally.Tally  // by wide fingerprint; breaks are "FINGERPRINT UPSTREAM"
 	outbox outbox.Outbox // reports not yet sent to other hosts
+	alias  *alias.Alias
 	chance *chance.Chance
 	lately *recent.Recent[string, ident.Ident] // requests that ran well, by fingerprint
 	barred map[string]time.Time                // when requests were last blocked for their presence at ends
@@ -70,6 +72,7 @@
 // NewBlame returns a Blame without records.
 func NewBlame() *Blame {
 	return &Blame{
+		alias:  alias.NewAlias(),
 		chance: chance.NewChance(),
 		barred: map[string]time.Time{},
 		lately: recent.NewRecent[string, ident.Ident](soundRetention, maxLately),
@@ -91,6 +94,7 @@
 func (b *Blame) RecordBreak(i ident.Ident, upstream string, broke, now time.Time) (upstreams, wide int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	upstream = b.alias.Name(upstream, now)
 	added, upstreams, wide := b.add(i, upstream, broke, now)
 	if added {
 		b.tellBreak(i, upstream, upstreams, wide)
@@ -260,6 +264,10 @@
 		if !ok {
 			continue
 		}
+		name, behind := strings.CutSuffix(upstream, behindMark)
+		if upstream = b.alias.Name(name, now); behind {
+			upstream += behindMark
+		}
 		if _, upstreams, wide := b.add(i, upstream, now, now); upstreams > 0 && wide == 0 && i.Wide != "" {
 			b.reportWhole(ident.Ident{Wide: i.Wide}, now)
 		}
--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -56,6 +56,7 @@
 func (b *Blame) RecordEnd(group, upstream string, running, behind []ident.Ident, ended, now time.Time) (against []ident.Ident) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	upstream = b.alias.Name(upstream, now)
 	idents := map[string]ident.Ident{}
 	for _, i := range append(slices.Clip(behind), running...) {
 		idents[i.Fingerprint] = i
@@ -175,7 +176,7 @@
 		b.hearHit(strings.SplitN(text, " ", hitWords), now)
 	case kindEnd:
 		if words := strings.SplitN(text, " ", endWords); len(words) == endWords {
-			b.chance.AddEnd(words[2], words[1], now)
+			b.chance.AddEnd(words[2], b.alias.Name(words[1], now), now)
 		}
 	case kindBlock:
 		if key := strings.TrimPrefix(text, kindBlock+" "); len(key) == ident.FingerprintLen {
@@ -205,7 +206,7 @@
 	if i.Wide == noWide {
 		i.Wide = ""
 	}
-	upstream, host, group := words[2], words[5], words[8]
+	upstream, host, group := b.alias.Name(words[2], now), words[5], words[8]
 	// The shares come first, as the hit is judged by them.
 	for n, key := range []string{i.Fingerprint, i.Wide} {
 		if share, ok := decodeShare(words[6+n]); ok && key != "" && host != b.Host {
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// Upstreams end behind answers, and each is known by its former registration at one host and by its new one at another. Each end must count once.
+func TestEndsUnderTwoNamesCountOnce(t *testing.T) {
+	i := ident.NewIdent(demand.Demand{URI: "/x"}, "red", "")
+	hosts := newHosts(2, 0.5, i)
+	for n := range 3 {
+		at := now.Add(time.Duration(n) * 2 * time.Second)
+		for h, name := range []string{fmt.Sprintf("u%d/a#1", n), fmt.Sprintf("u%d/b", n)} {
+			hosts[h].RecordEnd("g", name, nil, []ident.Ident{i}, at, at)
+			hosts[1].RecordEnd("g", name, nil, []ident.Ident{i}, at, at)
+			exchangeAt(at, hosts...)
+		}
+	}
+	at := now.Add(6 * time.Second)
+	for n, h := range hosts {
+		if with, all, _ := h.Evidence(i.Fingerprint, at); with != 3 || all != 3 {
+			t.Errorf("host %d: the request was present at %d of %d ends, want 3 of 3", n, with, all)
+		}
+		if h.Blocked(i.Fingerprint, at) {
+			t.Errorf("host %d blocks the request after 3 ends behind its answers, want 4 needed", n)
+		}
+	}
+}
+
 // Hosts of another version, or a connection that spoils bytes, tell what is no report. Nothing may be counted, and no host may end.
 func TestOddReportsOfEndsAreIgnored(t *testing.T) {
 	i := ident.NewIdent(demand.Demand{URI: "/x"}, "", "10.0.0.1:1")
