Weigh what requests have in common by those alone that have not run well

Cause: what crashes upstreams from another address each time was cleared by each good answer to any other caller of its path, and the chance of its presence was weighed against theirs, though those that ran well are not held to what is known of others like them. Change: package proven tells which requests ran well and since when. Only the others count against, for and among what is blocked by the wide fingerprint; its first good answer clears it, not each one. Hosts tell each other of requests that ran well wherever a wide fingerprint is blocked.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -23,7 +23,7 @@
 	"damaskreach/internal/chance"
 	"damaskreach/internal/ident"
 	"damaskreach/internal/outbox"
-	"damaskreach/internal/recent"
+	"damaskreach/internal/proven"
 	"damaskreach/internal/tally"
 )
 
@@ -47,9 +47,6 @@
 	kindWhole = "whole "
 	// behindMark ends the name of an upstream that ended behind the answer to a request.
 	behindMark = "+"
-	// soundRetention is how long a request that ran well is not held to what is known of others like it, and maxLately how many such are kept.
-	soundRetention = 2 * time.Minute
-	maxLately      = 4000
 	// barTime is how long good answers do not take back a block for the presence at ends: as long as such ends count.
 	barTime = 2 * time.Minute
 )
@@ -65,8 +62,8 @@
 	outbox outbox.Outbox // reports not yet sent to other hosts
 	alias  *alias.Alias
 	chance *chance.Chance
-	lately *recent.Recent[string, ident.Ident] // requests that ran well, by fingerprint
-	barred map[string]time.Time                // when requests were last blocked for their presence at ends
+	proven *proven.Proven
+	barred map[string]time.Time // when requests were last blocked for their presence at ends
 }
 
 // NewBlame returns a Blame without records.
@@ -75,7 +72,7 @@
 		alias:  alias.NewAlias(),
 		chance: chance.NewChance(),
 		barred: map[string]time.Time{},
-		lately: recent.NewRecent[string, ident.Ident](soundRetention, maxLately),
+		proven: proven.NewProven(),
 		tally:  tally.NewTally(0, blockTime, maxRecords, maxSound),
 		wide:   tally.NewTally(crashInterval, blockTime, maxRecords, maxSound),
 	}
@@ -115,12 +112,12 @@
 // numbers of upstreams that count then; 0 where none does.
 func (b *Blame) add(i ident.Ident, upstream string, broke, now time.Time) (added bool, upstreams, wide int) {
 	if b.tally.Sound(i.Fingerprint, broke) {
-		b.reportWhole(i, now)
+		b.reportWhole(ident.Ident{Fingerprint: i.Fingerprint}, now)
 		return false, 0, 0
 	}
 	added = b.tally.Add(i.Fingerprint, upstream, broke.UnixMilli(), now)
 	upstreams = b.count(i.Fingerprint, now)
-	if i.Wide != "" && !b.wide.Sound(i.Wide, broke) {
+	if i = b.unproven(i, broke); i.Wide != "" && !b.wide.Sound(i.Wide, broke) {
 		b.wide.Add(i.Wide, i.Fingerprint+" "+upstream, broke.UnixMilli(), now)
 		wide = b.count(i.Wide, now)
 	}
@@ -133,6 +130,9 @@
 	upstreams := t.Count(fingerprint, now)
 	enough := b.weighEnough(t, fingerprint, now) && (t != b.wide || b.several(fingerprint, now))
 	if (enough || t.OnTrial(fingerprint, now)) && !t.Blocked(fingerprint, now) {
+		if t == b.wide {
+			b.tellRan(fingerprint)
+		}
 		t.Block(fingerprint, now)
 	}
 	return upstreams
@@ -175,8 +175,7 @@
 func (b *Blame) RanWell(fingerprint string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, known := b.lately.Get(fingerprint)
-	return known
+	return b.proven.Has(fingerprint)
 }
 
 // OnTrial reports whether a request was blocked and may now show, by a single send, that it runs well.
@@ -204,16 +203,20 @@
 	}
 }
 
-// RecordSound records that a request was answered completely: it was not the cause of breaks. It returns the number of upstreams that counted against it
-// and against its wide fingerprint.
+// RecordSound records that a request was answered completely: it was not the cause of breaks. What it has in common with others is cleared by its first good answer
+// alone: later ones tell nothing of requests that have not run well yet. It returns the number of upstreams that counted against it and against its wide fingerprint.
 func (b *Blame) RecordSound(i ident.Ident, now time.Time) (upstreams, wide int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lately.Set(i.Fingerprint, ident.Ident{Fingerprint: i.Fingerprint, Wide: i.Wide}, now)
+	newcomer := !b.proven.Has(i.Fingerprint)
+	b.proven.Add(i, now)
+	if !newcomer || b.isBarred(i.Wide, now) {
+		i.Wide = ""
+	}
 	if !b.isBarred(i.Fingerprint, now) {
 		upstreams = b.tally.RecordSound(i.Fingerprint, now)
 	}
-	if i.Wide != "" && !b.isBarred(i.Wide, now) {
+	if i.Wide != "" {
 		wide = b.wide.RecordSound(i.Wide, now)
 	}
 	if upstreams > 0 || wide > 0 {
@@ -268,7 +271,7 @@
 		if upstream = b.alias.Name(name, now); behind {
 			upstream += behindMark
 		}
-		if _, upstreams, wide := b.add(i, upstream, now, now); upstreams > 0 && wide == 0 && i.Wide != "" {
+		if _, upstreams, _ := b.add(i, upstream, now, now); upstreams > 0 && i.Wide != "" && b.wide.Sound(i.Wide, now) {
 			b.reportWhole(ident.Ident{Wide: i.Wide}, now)
 		}
 	}
--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -30,18 +30,19 @@
 	return b.chance.Weigh(fingerprint, now)
 }
 
-// Sample records which requests run at a live upstream of a group or have just been answered there.
-func (b *Blame) Sample(group string, running, behind []ident.Ident, now time.Time) {
+// Sample records which requests ran at a live upstream of a group at a moment before now, or had just been answered there.
+func (b *Blame) Sample(group string, running, behind []ident.Ident, at, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	keys := [2][]string{chance.Running: keysOf(running)}
-	keys[chance.Behind] = keysOf(append(slices.Clip(running), behind...))
+	keys := [2][]string{chance.Running: b.keysOf(running, at)}
+	keys[chance.Behind] = b.keysOf(append(slices.Clip(running), behind...), at)
 	b.chance.Sample(group, keys, now)
 }
 
-// keysOf returns the fingerprints and the wide fingerprints of requests, each once.
-func keysOf(list []ident.Ident) (keys []string) {
+// keysOf returns the fingerprints and the wide fingerprints of requests at a moment, each once.
+func (b *Blame) keysOf(list []ident.Ident, at time.Time) (keys []string) {
 	for _, i := range list {
+		i = b.unproven(i, at)
 		keys = append(keys, i.Fingerprint)
 		if i.Wide != "" {
 			keys = append(keys, i.Wide)
@@ -51,6 +52,15 @@
 	return slices.Compact(keys)
 }
 
+// unproven returns a request without its wide fingerprint if it was known by a moment that it runs well: it is not held to what is known of others like it, so it does not
+// count among them either.
+func (b *Blame) unproven(i ident.Ident, at time.Time) ident.Ident {
+	if b.proven.HadBy(i.Fingerprint, at) {
+		i.Wide = ""
+	}
+	return i
+}
+
 // RecordEnd records that an upstream of a group has ended, given the requests of this host that it ran then and those that it had just answered. It returns those of the
 // latter that it counts against.
 func (b *Blame) RecordEnd(group, upstream string, running, behind []ident.Ident, ended, now time.Time) (against []ident.Ident) {
@@ -65,8 +75,9 @@
 	told := false
 	for class, list := range chance.Suspects(fingerprints(running), fingerprints(behind)) {
 		for _, fingerprint := range list {
-			b.addHit(idents[fingerprint], group, upstream, class, now)
-			b.tellHit(idents[fingerprint], group, upstream, class, now)
+			i := b.unproven(idents[fingerprint], ended)
+			b.addHit(i, group, upstream, class, now)
+			b.tellHit(i, group, upstream, class, now)
 			told = true
 		}
 	}
@@ -137,10 +148,8 @@
 
 // tellRan tells other hosts which requests with a wide fingerprint ran well here lately: they are not held to what is known of others like them.
 func (b *Blame) tellRan(wide string) {
-	for i := range b.lately.Values() {
-		if i.Wide == wide {
-			b.outbox.Add(kindRan+" "+i.Fingerprint, true)
-		}
+	for _, fingerprint := range b.proven.Alike(wide) {
+		b.outbox.Add(kindRan+" "+fingerprint, true)
 	}
 }
 
@@ -184,7 +193,7 @@
 		}
 	case kindRan:
 		if fingerprint := strings.TrimPrefix(text, kindRan+" "); len(fingerprint) == ident.FingerprintLen {
-			b.lately.Set(fingerprint, ident.Ident{Fingerprint: fingerprint}, now)
+			b.proven.Add(ident.Ident{Fingerprint: fingerprint}, now)
 		}
 	case kindShare:
 		b.hearShare(strings.SplitN(text, " ", shareWords))
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -25,7 +25,7 @@
 			if float64(sample) < often*evidenceSamples {
 				present = requests
 			}
-			b.Sample("g", present, nil, now)
+			b.Sample("g", present, nil, now, now)
 		}
 		hosts = append(hosts, b)
 	}
@@ -157,3 +157,30 @@
 		t.Error("blocked after odd reports, want it served")
 	}
 }
+
+// Requests of many addresses crash upstreams one after the other, while others like them run well as they have before. The former must be stopped, and the latter be served
+// at every host, also where they never ran.
+func TestGoodAnswersToRequestsThatAreKnownClearNoOthers(t *testing.T) {
+	of := func(address string) ident.Ident {
+		return ident.NewIdent(demand.Demand{URI: "/x"}, "", address+":1")
+	}
+	hosts := newHosts(3, 0, of("10.0.0.1"))
+	sound := of("10.0.0.1")
+	hosts[0].RecordSound(sound, now)
+	at := now.Add(5 * time.Second)
+	for n := range 3 {
+		at = at.Add(2 * time.Second)
+		hosts[n].RecordBreak(of(fmt.Sprint("10.0.1.", n)), fmt.Sprint("u/", n), at, at)
+		hosts[0].RecordSound(sound, at)
+		exchangeAt(at, hosts...)
+	}
+	exchangeAt(at, hosts...)
+	for n, h := range hosts {
+		if !h.Blocked(sound.Wide, at) {
+			t.Errorf("host %d does not block what the requests have in common, want it blocked", n)
+		}
+		if h.Blocked(sound.Fingerprint, at) || !h.RanWell(sound.Fingerprint) {
+			t.Errorf("host %d blocks the request that runs well, or does not know it", n)
+		}
+	}
+}
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -64,8 +64,8 @@
 func (g *Guard) Sample() {
 	now := time.Now()
 	g.settle(now)
-	g.trail.Sample(now, func(group string, running, behind []ident.Ident) {
-		g.requests.Sample(group, running, behind, now)
+	g.trail.Sample(now, func(group string, at time.Time, running, behind []ident.Ident) {
+		g.requests.Sample(group, running, behind, at, now)
 	})
 	g.requests.Judge(now)
 }
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -340,8 +340,8 @@
 	return u.endedAt.IsZero() && u.doubted.IsZero() && now.Sub(u.heardAt) <= liveTime && u.heardAt.After(u.missedAt)
 }
 
-// Sample calls take for each live upstream with the requests that it ran a moment ago and those that it had just answered then.
-func (t *Trail) Sample(now time.Time, take func(group string, running, behind []ident.Ident)) {
+// Sample calls take for each live upstream with the requests that it ran at a moment some time ago and those that it had just answered then.
+func (t *Trail) Sample(now time.Time, take func(group string, at time.Time, running, behind []ident.Ident)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at := now.Add(-sampleDelay)
@@ -352,7 +352,7 @@
 			delete(t.upstreams, k)
 		case u.live(now) && !u.since.After(at):
 			running, behind := u.present(at)
-			take(u.target.Group, running, behind)
+			take(u.target.Group, at, running, behind)
 		}
 	}
 }
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -96,7 +96,9 @@
 		t.Errorf("running = %d, behind = %d, want the one that broke off and the one that has not yet", len(running), len(behind))
 	}
 	tr.End(runs, at(110))
-	tr.Sample(at(200), func(string, []ident.Ident, []ident.Ident) { t.Error("an upstream that has ended is sampled") })
+	tr.Sample(at(200), func(string, time.Time, []ident.Ident, []ident.Ident) {
+		t.Error("an upstream that has ended is sampled")
+	})
 }
 
 // A host lacks processor time, and looks at its connections half a second late. An end behind an answer must count all the same, and nothing may be settled before the look.
@@ -126,7 +128,7 @@
 		}
 		samples, running := 0, 0
 		for _, ms := range []int{500, 1100, 1300} {
-			tr.Sample(at(ms), func(_ string, list, _ []ident.Ident) { samples++; running += len(list) })
+			tr.Sample(at(ms), func(_ string, _ time.Time, list, _ []ident.Ident) { samples++; running += len(list) })
 		}
 		want := 2
 		if ends {
@@ -181,7 +183,9 @@
 	tr.Answer(tr.Begin(request, other, at(0)), false, at(10))
 	tr.Miss(tr.Begin(request, other, at(200)), at(201))
 	for _, ms := range []int{1200, 1400} {
-		tr.Sample(at(ms), func(string, []ident.Ident, []ident.Ident) { t.Errorf("sampled after %d ms, want no upstream", ms) })
+		tr.Sample(at(ms), func(string, time.Time, []ident.Ident, []ident.Ident) {
+			t.Errorf("sampled after %d ms, want no upstream", ms)
+		})
 	}
 }
 
