Sample an upstream under its newest registration alone

Cause: an upstream that had started again was sampled under both registrations for up to two seconds, as if nothing were present at one of them. That makes what is popular look as if it were seldom at upstreams that go on. Change: the trail knows which incarnation of an upstream came last, and samples no other. Before and after, by its test: 2 samples, 1.

--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -46,8 +46,9 @@
 	last      uint64
 	runs      map[uint64]*run
 	upstreams map[key]*upstream
-	waiting   []*run    // answered, and not known to have run well; in the order of their answers
-	lookedAt  time.Time // when connections were last looked at; zero if they never are
+	newest    map[string]int64 // the incarnation of each upstream, by id, that came last
+	waiting   []*run           // answered, and not known to have run well; in the order of their answers
+	lookedAt  time.Time        // when connections were last looked at; zero if they never are
 }
 
 // key identifies an incarnation of an upstream.
@@ -103,7 +104,7 @@
 
 // NewTrail returns a Trail without requests.
 func NewTrail() *Trail {
-	return &Trail{runs: map[uint64]*run{}, upstreams: map[key]*upstream{}}
+	return &Trail{runs: map[uint64]*run{}, upstreams: map[key]*upstream{}, newest: map[string]int64{}}
 }
 
 // Begin records that a request is sent to an upstream, and returns its number; 0 where too many are tracked.
@@ -118,6 +119,7 @@
 	case u == nil:
 		u = &upstream{target: to, since: now}
 		t.upstreams[keyOf(to)] = u
+		t.newest[to.ID] = to.Incarnation
 	case !u.endedAt.IsZero():
 		u = &upstream{target: to, since: now, restarts: u.restarts + 1}
 		t.upstreams[keyOf(to)] = u
@@ -335,9 +337,9 @@
 	return running, behind
 }
 
-// live reports whether an upstream goes on, as far as is known: taken for live while it is away, it would make what is popular look as if it were seldom there.
-func (u *upstream) live(now time.Time) bool {
-	return u.endedAt.IsZero() && u.doubted.IsZero() && now.Sub(u.heardAt) <= liveTime && u.heardAt.After(u.missedAt)
+// live reports whether an upstream goes on, as far as is known: taken for live while it is away, or twice, it would make what is popular look as if it were seldom there.
+func (t *Trail) live(u *upstream, now time.Time) bool {
+	return t.newest[u.target.ID] == u.target.Incarnation && u.endedAt.IsZero() && u.doubted.IsZero() && now.Sub(u.heardAt) <= liveTime && u.heardAt.After(u.missedAt)
 }
 
 // Sample calls take for each live upstream with the requests that it ran at a moment some time ago and those that it had just answered then.
@@ -350,7 +352,10 @@
 		switch {
 		case len(u.runs) == 0 && now.Sub(u.usedAt) > keepTime:
 			delete(t.upstreams, k)
-		case u.live(now) && !u.since.After(at):
+			if t.newest[k.id] == k.incarnation {
+				delete(t.newest, k.id)
+			}
+		case t.live(u, now) && !u.since.After(at):
 			running, behind := u.present(at)
 			take(u.target.Group, at, running, behind)
 		}
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -204,3 +204,22 @@
 		t.Errorf("settled %v, want nothing", got)
 	}
 }
+
+// An upstream has started again, and is known by its new registration since. Sampled under the former one too, it would look as if nothing were present there.
+func TestUpstreamIsSampledUnderItsNewestRegistrationAlone(t *testing.T) {
+	tr := trail.NewTrail()
+	again := upstream
+	again.Incarnation++
+	tr.Answer(tr.Begin(request, upstream, at(0)), false, at(400))
+	tr.Begin(request, again, at(420))
+	tr.Reject(tr.Begin(request, again, at(600)), at(600))
+	samples := 0
+	tr.Sample(at(1500), func(_ string, _ time.Time, running, _ []ident.Ident) {
+		if samples++; len(running) != 1 {
+			t.Errorf("running = %d, want the request that runs", len(running))
+		}
+	})
+	if samples != 1 {
+		t.Errorf("%d samples, want 1", samples)
+	}
+}
