Send no request again that is like one that broke off, unless it is known to run well

Cause: a request that crashes upstreams from another address each time took down two or three with each arrival, as its retries went on until its wide fingerprint was blocked; blocks take a second between breaks. Change: where an upstream broke off under another request with the same wide fingerprint, and none of them ran well since, one that is not known to run well is not sent again after a break.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -185,6 +186,16 @@
 	return b.of(fingerprint).OnTrial(fingerprint, now)
 }
 
+// Suspected reports whether upstreams broke off under others like a request that is not known to run well. Where one has broken off under it too, it is not to
+// take down a further one.
+func (b *Blame) Suspected(i ident.Ident, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.proven.Has(i.Fingerprint) && slices.ContainsFunc(b.wide.Upstreams(i.Wide, now), func(text string) bool {
+		return !strings.HasPrefix(text, i.Fingerprint)
+	})
+}
+
 // Blocks returns the requests that are blocked or on trial.
 func (b *Blame) Blocks(now time.Time) map[string]block.Block {
 	b.mu.Lock()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -68,7 +68,7 @@
 			return false
 		}
 	}
-	return !g.parts.Suspected(i.Parts, now)
+	return !g.requests.Suspected(i, now) && !g.parts.Suspected(i.Parts, now)
 }
 
 // RecordBreak records that an upstream broke off while it ran a request, or that it fell silent. It counts against the request unless this host's
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,3 +49,30 @@
 		}
 	})
 }
+
+// An upstream broke off under a request from another address. One like it must not take down two; one that is known to run well, or that is like none of them, is sent again.
+func TestRequestLikeOneThatBrokeIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := guard.NewGuard("host")
+		g.Log, g.Stats = zap.NewNop(), stats.NewStats()
+		of := func(uri, address string) ident.Ident {
+			return ident.NewIdent(demand.Demand{URI: uri}, "", address+":1")
+		}
+		known, to := of("/x", "10.0.0.1"), target.Target{ID: "u", Incarnation: 1}
+		run := g.Begin(known, to, time.Now())
+		g.RecordAnswer(run, http.StatusOK, time.Now())
+		time.Sleep(5 * time.Second)
+		g.Sample()
+		time.Sleep(5 * time.Second)
+		broke := of("/x", "10.0.0.2")
+		g.RecordBreak(broke, target.Target{ID: "w", Incarnation: 1}, time.Now(), false)
+		for _, c := range []struct {
+			i    ident.Ident
+			want bool
+		}{{broke, true}, {of("/x", "10.0.0.3"), false}, {known, true}, {of("/y", "10.0.0.3"), true}} {
+			if got := g.MayRetry(c.i, time.Now()); got != c.want {
+				t.Errorf("%s from %s may be sent again = %v, want %v", c.i.Request, c.i.Caller, got, c.want)
+			}
+		}
+	})
+}
