Sample upstreams that hardly live, too

Cause: presence was sampled a second behind alone, so that hosts had no samples where upstreams live for less than that, and judged nothing there: 8 of 8 ends with a request, and a chance of 1. Change: a second kind of samples, of all moments of an upstream's life up to 0.1 s before its last sign of life. The chance is twice the lower one of both: either kind is an estimate for a request that crashes nothing; only the one of before holds for one that runs for long before it crashes its upstream. Shares are told for both.

--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -12,7 +12,8 @@
 
 // Kinds of reports on ends of upstreams, and the numbers of their words: "hit CLASS UPSTREAM FINGERPRINT WIDE HOST SHARES SHARES GROUP", with this host's shares of the two
 // fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends; "ran
-// FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone. Shares are two numbers with a comma between them.
+// FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone. Shares are numbers with commas between them, by kind of
+// samples and by class.
 const (
 	kindHit, hitWords     = "hit", 9
 	kindEnd, endWords     = "end", 3
@@ -30,13 +31,13 @@
 	return b.chance.Weigh(fingerprint, now)
 }
 
-// Sample records which requests ran at a live upstream of a group at a moment before now, or had just been answered there.
-func (b *Blame) Sample(group string, running, behind []ident.Ident, at, now time.Time) {
+// Sample records which requests ran at a live upstream of a group at a moment before now, or had just been answered there, for a kind of samples of package chance.
+func (b *Blame) Sample(kind int, group string, running, behind []ident.Ident, at, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	keys := [2][]string{chance.Running: b.keysOf(running, at)}
 	keys[chance.Behind] = b.keysOf(append(slices.Clip(running), behind...), at)
-	b.chance.Sample(group, keys, now)
+	b.chance.Sample(kind, group, keys, now)
 }
 
 // keysOf returns the fingerprints and the wide fingerprints of requests at a moment, each once.
@@ -165,7 +166,7 @@
 
 // tellHit tells other hosts of a hit. Those of requests with several go before others: a loss of many upstreams is told with thousands.
 func (b *Blame) tellHit(i ident.Ident, group, upstream string, class int, now time.Time) {
-	wide, shares := noWide, "0,0"
+	wide, shares := noWide, encodeShare([2][2]float64{})
 	if i.Wide != "" {
 		wide, shares = i.Wide, encodeShare(b.chance.Share(i.Wide, group))
 	}
@@ -244,19 +245,27 @@
 	}
 }
 
-func encodeShare(share [2]float64) string {
-	format := func(part float64) string { return strconv.FormatFloat(part, 'g', 3, 64) }
-	return format(share[chance.Running]) + "," + format(share[chance.Behind])
+func encodeShare(share [2][2]float64) string {
+	var parts []string
+	for _, classes := range share {
+		for _, part := range classes {
+			parts = append(parts, strconv.FormatFloat(part, 'g', 3, 64))
+		}
+	}
+	return strings.Join(parts, ",")
 }
 
-func decodeShare(text string) (share [2]float64, ok bool) {
-	for n, part := range strings.SplitN(text, ",", len(share)) {
+func decodeShare(text string) (share [2][2]float64, ok bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != len(share)*len(share[0]) {
+		return share, false
+	}
+	for n, part := range parts {
 		value, err := strconv.ParseFloat(part, 64)
 		if err != nil || !(value >= 0 && value <= 1) {
-			return [2]float64{}, false
+			return [2][2]float64{}, false
 		}
-		share[n] = value
-		ok = n == len(share)-1
+		share[n/len(share[0])][n%len(share[0])] = value
 	}
-	return share, ok
+	return share, true
 }
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskreach/internal/blame"
+	"damaskreach/internal/chance"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/ident"
 )
@@ -25,7 +26,7 @@
 			if float64(sample) < often*evidenceSamples {
 				present = requests
 			}
-			b.Sample("g", present, nil, now, now)
+			b.Sample(chance.WentOn, "g", present, nil, now, now)
 		}
 		hosts = append(hosts, b)
 	}
--- a/internal/chance/chance.go
+++ b/internal/chance/chance.go
@@ -41,11 +41,19 @@
 	classes
 )
 
+// The kinds of samples: of upstreams that went on for a while behind a moment, and of all that went on behind it at all. Where upstreams hardly live, there are none of the
+// former; at the latter, a request that runs for long before it crashes its upstream is present too. Either is an estimate for one that crashes none.
+const (
+	WentOn = iota
+	Any
+	kinds
+)
+
 // Chance may be used from one goroutine at a time.
 type Chance struct {
 	keys    map[string]record
 	ends    map[string]map[string]time.Time // when the end of an upstream became known, by group and incarnation
-	samples [2]sampled                      // the ones of the current sampleRetention, and of the one before
+	samples [kinds][2]sampled               // the ones of the current sampleRetention, and of the one before
 	since   time.Time                       // when the current one began
 }
 
@@ -58,10 +66,10 @@
 // record is what is known of one key.
 type record struct {
 	group  string
-	ends   map[string]presence         // by incarnation of the upstream
-	shares map[string][classes]float64 // of other hosts
-	last   time.Time                   // when an end was last added
-	told   time.Time                   // when this host last told its share
+	ends   map[string]presence                // by incarnation of the upstream
+	shares map[string][kinds][classes]float64 // of other hosts
+	last   time.Time                          // when an end was last added
+	told   time.Time                          // when this host last told its share
 }
 
 // presence is how a key was present at an end.
@@ -72,8 +80,8 @@
 // NewChance returns a Chance that knows nothing.
 func NewChance() *Chance {
 	c := &Chance{keys: map[string]record{}, ends: map[string]map[string]time.Time{}}
-	for n := range c.samples {
-		c.samples[n] = newSampled()
+	for kind := range c.samples {
+		c.samples[kind] = [2]sampled{newSampled(), newSampled()}
 	}
 	return c
 }
@@ -83,12 +91,15 @@
 }
 
 // Sample records which keys are present at a live upstream of a group, by class; those of Running are among those of Behind.
-func (c *Chance) Sample(group string, keys [classes][]string, now time.Time) {
+func (c *Chance) Sample(kind int, group string, keys [classes][]string, now time.Time) {
 	if now.Sub(c.since) >= sampleRetention {
-		c.samples[1], c.samples[0], c.since = c.samples[0], newSampled(), now
+		for kind, s := range c.samples {
+			c.samples[kind] = [2]sampled{newSampled(), s[0]}
+		}
+		c.since = now
 		c.forget(now)
 	}
-	s := c.samples[0]
+	s := c.samples[kind][0]
 	s.groups[group]++
 	for class, list := range keys {
 		for _, key := range list {
@@ -121,18 +132,20 @@
 	}
 }
 
-// Share returns this host's share of a key in a group: the part of its samples of live upstreams at which it was present, by class.
-func (c *Chance) Share(key, group string) (share [classes]float64) {
-	all := max(1, c.sampled(group)) // a host without samples has none with the key, and does not judge by that
-	for class := range share {
-		share[class] = float64(c.samples[0].keys[key][class]+c.samples[1].keys[key][class]) / float64(all)
+// Share returns this host's shares of a key in a group: the part of its samples of live upstreams at which it was present, by kind and class.
+func (c *Chance) Share(key, group string) (share [kinds][classes]float64) {
+	for kind, samples := range c.samples {
+		all := max(1, c.sampled(kind, group)) // a host without samples has none with the key, and does not judge by that
+		for class := range classes {
+			share[kind][class] = float64(samples[0].keys[key][class]+samples[1].keys[key][class]) / float64(all)
+		}
 	}
 	return share
 }
 
 // sampled returns how many samples of live upstreams of a group there are.
-func (c *Chance) sampled(group string) int {
-	return c.samples[0].groups[group] + c.samples[1].groups[group]
+func (c *Chance) sampled(kind int, group string) int {
+	return c.samples[kind][0].groups[group] + c.samples[kind][1].groups[group]
 }
 
 // AddEnd records the end of an upstream. It reports false if that is known.
@@ -171,7 +184,7 @@
 		c.evict()
 	}
 	if !known {
-		r = record{group: group, ends: map[string]presence{}, shares: map[string][classes]float64{}}
+		r = record{group: group, ends: map[string]presence{}, shares: map[string][kinds][classes]float64{}}
 	}
 	r.last = now
 	c.keys[key] = r
@@ -189,17 +202,20 @@
 }
 
 // SetShare records another host's share of a key; it counts where ends speak against the key.
-func (c *Chance) SetShare(key, host string, share [classes]float64) {
+func (c *Chance) SetShare(key, host string, share [kinds][classes]float64) {
 	if r, known := c.keys[key]; known {
 		r.shares[host] = share
 	}
 }
 
 // ToTell returns this host's share of a key with ends, if other hosts are to be told of it: requests with it run here, and they were not told just now.
-func (c *Chance) ToTell(key string, now time.Time) (share [classes]float64, tell bool) {
+func (c *Chance) ToTell(key string, now time.Time) (share [kinds][classes]float64, tell bool) {
 	r, known := c.keys[key]
-	sampled := c.samples[0].keys[key][Behind] + c.samples[1].keys[key][Behind]
-	if !known || sampled == 0 || now.Sub(r.told) < shareInterval {
+	seen := false
+	for _, samples := range c.samples {
+		seen = seen || samples[0].keys[key][Behind]+samples[1].keys[key][Behind] > 0
+	}
+	if !known || !seen || now.Sub(r.told) < shareInterval {
 		return share, false
 	}
 	r.told = now
@@ -235,17 +251,20 @@
 			recent[upstream] = true
 		}
 	}
-	own, unseen := c.Share(key, r.group), 1/float64(c.sampled(r.group)+1)
+	own := c.Share(key, r.group)
 	chance = 1
 	for class := range classes {
-		share := own[class] + unseen // a key that was seen in no sample may be present all the same
-		for _, other := range r.shares {
-			share += other[class]
-		}
 		hits := c.hits(key, r, class, recent, now)
 		with = max(with, hits)
-		if hits >= minEnds {
-			chance = min(chance, atLeast(hits, max(len(recent), hits), min(share, 1)))
+		if hits < minEnds {
+			continue
+		}
+		for kind := range kinds {
+			share := own[kind][class] + 1/float64(c.sampled(kind, r.group)+1) // a key that was seen in no sample may be present all the same
+			for _, other := range r.shares {
+				share += other[kind][class]
+			}
+			chance = min(chance, kinds*atLeast(hits, max(len(recent), hits), min(share, 1)))
 		}
 	}
 	return with, len(recent), chance
--- a/internal/chance/chance_test.go
+++ b/internal/chance/chance_test.go
@@ -32,7 +32,7 @@
 				keys = append(keys, key)
 			}
 		}
-		f.Sample(group, [2][]string{keys, keys}, f.now)
+		f.Sample(chance.WentOn, group, [2][]string{keys, keys}, f.now)
 	}
 	return f
 }
@@ -87,7 +87,7 @@
 func TestSharesOfOtherHostsCount(t *testing.T) {
 	f := newFleet(map[string]float64{"k": 0.02})
 	f.Expect("k", group, f.now)
-	f.SetShare("k", "other", [2]float64{0.5, 0.5})
+	f.SetShare("k", "other", [2][2]float64{{0.5, 0.5}, {0.5, 0.5}})
 	for range 4 {
 		f.end(map[string]string{"k": "k"})
 	}
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"damaskreach/internal/chance"
 	"damaskreach/internal/ident"
 	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
@@ -64,9 +65,13 @@
 func (g *Guard) Sample() {
 	now := time.Now()
 	g.settle(now)
-	g.trail.Sample(now, func(group string, at time.Time, running, behind []ident.Ident) {
-		g.requests.Sample(group, running, behind, at, now)
-	})
+	take := func(kind int) func(string, time.Time, []ident.Ident, []ident.Ident) {
+		return func(group string, at time.Time, running, behind []ident.Ident) {
+			g.requests.Sample(kind, group, running, behind, at, now)
+		}
+	}
+	g.trail.Sample(now, take(chance.WentOn))
+	g.trail.SampleAny(now, take(chance.Any))
 	g.requests.Judge(now)
 }
 
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -32,6 +32,11 @@
 	// sampleDelay is how long an upstream must go on behind a moment for what was present at that moment to be sampled. Without it, a request that runs for long before it crashes
 	// its upstream would look like one that is present there anyhow.
 	sampleDelay = time.Second
+	// anyInterval is the time between two moments of an upstream that SampleAny takes, anyMargin how long an upstream must have gone on behind one, and anyReach how long ago it
+	// may have been.
+	anyInterval = 200 * time.Millisecond
+	anyMargin   = 100 * time.Millisecond
+	anyReach    = 2 * time.Second
 	// maxLate bounds the time between two looks at closed connections that is allowed for.
 	maxLate = time.Second
 	// joinTime is by how much the breaks of one upstream's connections may differ.
@@ -49,6 +54,7 @@
 	newest    map[string]int64 // the incarnation of each upstream, by id, that came last
 	waiting   []*run           // answered, and not known to have run well; in the order of their answers
 	lookedAt  time.Time        // when connections were last looked at; zero if they never are
+	ended     []*upstream      // those that SampleAny has not taken the last moments of
 }
 
 // key identifies an incarnation of an upstream.
@@ -72,6 +78,7 @@
 	endedAt  time.Time     // zero if it is not known to have ended
 	lookedAt time.Time     // when it was last looked at for connections that were closed behind answers
 	late     time.Duration // by how much its end may be older than it was noticed
+	anyAt    time.Time     // the last moment that SampleAny took
 }
 
 // run is one request at one upstream.
@@ -320,6 +327,7 @@
 		u.late = min(u.late+at.Sub(u.doubted), maxLate) // it ended at some moment since
 	}
 	u.endedAt = at
+	t.ended = append(t.ended, u)
 	running, behind = u.present(at)
 	return running, behind, true
 }
@@ -361,3 +369,38 @@
 		}
 	}
 }
+
+// SampleAny calls take, for each upstream, with the requests at moments before its last sign of life, each once, and those that it had just answered then. Most are taken where
+// upstreams are heard of again, the last ones where they have ended.
+func (t *Trail) SampleAny(now time.Time, take func(group string, at time.Time, running, behind []ident.Ident)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range t.upstreams {
+		if u.endedAt.IsZero() && u.doubted.IsZero() {
+			u.sampleUntil(u.heardAt, now, take)
+		}
+	}
+	for _, u := range t.ended {
+		until := u.endedAt.Add(-u.late)
+		if !u.doubted.IsZero() && u.doubted.Before(until) {
+			until = u.doubted
+		}
+		u.sampleUntil(until, now, take)
+	}
+	t.ended = nil
+}
+
+// sampleUntil calls take for the moments of an upstream that are due, before one at which it was there still.
+func (u *upstream) sampleUntil(alive, now time.Time, take func(group string, at time.Time, running, behind []ident.Ident)) {
+	at := u.anyAt.Add(anyInterval)
+	for _, earliest := range []time.Time{u.since.Add(anyMargin), now.Add(-anyReach)} {
+		if at.Before(earliest) {
+			at = earliest
+		}
+	}
+	for ; at.Before(alive.Add(-anyMargin)); at = at.Add(anyInterval) {
+		running, behind := u.present(at)
+		take(u.target.Group, at, running, behind)
+		u.anyAt = at
+	}
+}
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -1,6 +1,7 @@
 package trail_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -223,3 +224,25 @@
 		t.Errorf("%d samples, want 1", samples)
 	}
 }
+
+// An upstream lives for half a second. Its moments must be sampled, each once, but for the last ones, and those after its end must not.
+func TestShortLivesAreSampled(t *testing.T) {
+	tr := trail.NewTrail()
+	tr.Answer(tr.Begin(request, upstream, at(0)), false, at(250))
+	var taken []time.Time
+	for ms := 50; ms <= 1000; ms += 50 {
+		if ms == 500 {
+			tr.Doubt(upstream, start, at(480))
+			tr.Ended(upstream, start, at(490))
+		}
+		tr.SampleAny(at(ms), func(_ string, at time.Time, running, _ []ident.Ident) {
+			taken = append(taken, at)
+			if got, want := len(running), 1; at.Before(start.Add(250*time.Millisecond)) && got != want {
+				t.Errorf("running at %v = %d, want %d", at.Sub(start), got, want)
+			}
+		})
+	}
+	if want := []time.Time{at(100), at(300)}; !slices.Equal(taken, want) {
+		t.Errorf("moments = %v, want %v", taken, want)
+	}
+}
