Tell other hosts of each block, not of the first alone

Cause: whether a block for presence at ends was told already was read from records that stay when such a block has lapsed, so a request that was blocked once and again minutes later was told of once. Records stayed until their key was asked for. Change: a lapsed one does not count, and goes with the next block. Two tests of blame share their check. TestEachBlockIsTold: fails before in its second round, passes after.

--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -130,7 +131,7 @@
 
 // block blocks a request, or those that differ in address and query alone, unless it is blocked, and tells other hosts, which may not have heard of all ends yet.
 func (b *Blame) block(key string, now time.Time) {
-	if _, known := b.barred[key]; !known {
+	if !b.isBarred(key, now) {
 		b.outbox.Add(kindBlock+" "+key, true)
 	}
 	b.bar(key, now)
@@ -141,6 +142,7 @@
 	if !b.isBarred(key, now) && ident.IsWide(key) {
 		b.tellRan(key)
 	}
+	maps.DeleteFunc(b.barred, func(_ string, at time.Time) bool { return now.Sub(at) > barTime })
 	b.barred[key] = now
 	if t := b.of(key); !t.Blocked(key, now) {
 		t.Block(key, now)
@@ -157,11 +159,7 @@
 // isBarred reports whether a request is blocked for its presence at ends.
 func (b *Blame) isBarred(key string, now time.Time) bool {
 	at, known := b.barred[key]
-	if known && now.Sub(at) > barTime {
-		delete(b.barred, key)
-		return false
-	}
-	return known
+	return known && now.Sub(at) <= barTime
 }
 
 // tellHit tells other hosts of a hit. Those of requests with several go before others: a loss of many upstreams is told with thousands.
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -53,29 +53,37 @@
 	}
 }
 
+// from returns a request from an address.
+func from(address string) ident.Ident {
+	return ident.NewIdent(demand.Demand{URI: "/x"}, "", address+":1")
+}
+
+// wantOthersServed checks that what requests have in common is blocked at all hosts, and one of them that runs well is not.
+func wantOthersServed(t *testing.T, hosts []*blame.Blame, sound ident.Ident, at time.Time) {
+	t.Helper()
+	for n, h := range hosts {
+		if !h.Blocked(sound.Wide, at) {
+			t.Errorf("host %d does not block what the requests have in common, want it blocked", n)
+		}
+		if h.Blocked(sound.Fingerprint, at) || !h.RanWell(sound.Fingerprint) {
+			t.Errorf("host %d blocks the request that runs well, or does not know it", n)
+		}
+	}
+}
+
 // A request comes from another address each time and crashes its upstream, and others that differ in the address alone run well. The former must be stopped, the
 // latter served.
 func TestRequestUnderManyNamesIsBlockedAndOthersLikeItAreNot(t *testing.T) {
-	of := func(address string) ident.Ident {
-		return ident.NewIdent(demand.Demand{URI: "/x"}, "", address+":1")
-	}
-	sound := of("10.0.0.1")
+	sound := from("10.0.0.1")
 	hosts := newHosts(3, 0.02, sound)
 	for n := range 7 {
 		at := now.Add(time.Duration(n) * time.Second)
-		hosts[n%3].RecordEnd("g", fmt.Sprint("u", n), []ident.Ident{of(fmt.Sprint("10.0.1.", n))}, nil, at, at)
+		hosts[n%3].RecordEnd("g", fmt.Sprint("u", n), []ident.Ident{from(fmt.Sprint("10.0.1.", n))}, nil, at, at)
 		hosts[0].RecordSound(sound, at)
 		exchangeAt(at, hosts...)
 		exchangeAt(at, hosts...)
 	}
-	for n, h := range hosts {
-		if !h.Blocked(sound.Wide, now.Add(7*time.Second)) {
-			t.Errorf("host %d does not block what the requests have in common, want it blocked", n)
-		}
-		if h.Blocked(sound.Fingerprint, now.Add(7*time.Second)) || !h.RanWell(sound.Fingerprint) {
-			t.Errorf("host %d blocks the request that runs well, or does not know it", n)
-		}
-	}
+	wantOthersServed(t, hosts, sound, now.Add(7*time.Second))
 }
 
 // Upstreams crash of themselves, and a popular request is at hand at each end. It must be served.
@@ -162,26 +170,31 @@
 // Requests of many addresses crash upstreams one after the other, while others like them run well as they have before. The former must be stopped, and the latter be served
 // at every host, also where they never ran.
 func TestGoodAnswersToRequestsThatAreKnownClearNoOthers(t *testing.T) {
-	of := func(address string) ident.Ident {
-		return ident.NewIdent(demand.Demand{URI: "/x"}, "", address+":1")
-	}
-	hosts := newHosts(3, 0, of("10.0.0.1"))
-	sound := of("10.0.0.1")
+	hosts := newHosts(3, 0, from("10.0.0.1"))
+	sound := from("10.0.0.1")
 	hosts[0].RecordSound(sound, now)
 	at := now.Add(5 * time.Second)
 	for n := range 3 {
 		at = at.Add(2 * time.Second)
-		hosts[n].RecordBreak(of(fmt.Sprint("10.0.1.", n)), fmt.Sprint("u/", n), at, at)
+		hosts[n].RecordBreak(from(fmt.Sprint("10.0.1.", n)), fmt.Sprint("u/", n), at, at)
 		hosts[0].RecordSound(sound, at)
 		exchangeAt(at, hosts...)
 	}
 	exchangeAt(at, hosts...)
-	for n, h := range hosts {
-		if !h.Blocked(sound.Wide, at) {
-			t.Errorf("host %d does not block what the requests have in common, want it blocked", n)
+	wantOthersServed(t, hosts, sound, at)
+}
+
+// A request is blocked for its presence at ends, and again after a while without. Other hosts must be told both times: they may not have heard of all ends.
+func TestEachBlockIsTold(t *testing.T) {
+	i := ident.NewIdent(demand.Demand{URI: "/x"}, "red", "")
+	b := newHosts(1, 0, i)[0]
+	for round := range 2 {
+		at := now.Add(time.Duration(round) * 5 * time.Minute)
+		for n := range 4 {
+			b.RecordEnd("g", fmt.Sprintf("u%d-%d/a", round, n), []ident.Ident{i}, nil, at, at)
 		}
-		if h.Blocked(sound.Fingerprint, at) || !h.RanWell(sound.Fingerprint) {
-			t.Errorf("host %d blocks the request that runs well, or does not know it", n)
+		if !slices.Contains(b.TakePending(), "block "+i.Fingerprint) {
+			t.Errorf("round %d: other hosts are not told of the block", round)
 		}
 	}
 }
