Ask other hosts whether a request ran well that is refused for others like it

Cause: a block by the wide fingerprint lasts ten minutes since its known callers' good answers do not end it, and a host that starts again reads it and knows of none of them: all callers of the path would be refused there, those that run well too. Change: a host that refuses a request so asks the others, each 2 s at most; those where it ran well tell so. It is refused once, then served. TestHostThatStartsAgainAsksWhichRequestsRanWell: not to be had before (no such question).

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -25,6 +25,7 @@
 	"damaskreach/internal/ident"
 	"damaskreach/internal/outbox"
 	"damaskreach/internal/proven"
+	"damaskreach/internal/recent"
 	"damaskreach/internal/tally"
 )
 
@@ -50,6 +51,9 @@
 	behindMark = "+"
 	// barTime is how long good answers do not take back a block for the presence at ends: as long as such ends count.
 	barTime = 2 * time.Minute
+	// askInterval is the shortest time between two questions whether a request ran well elsewhere, and maxAsked bounds those that are kept for it, some 100 bytes each.
+	askInterval = 2 * time.Second
+	maxAsked    = 1000
 )
 
 // Blame is safe for concurrent use.
@@ -64,7 +68,8 @@
 	alias  *alias.Alias
 	chance *chance.Chance
 	proven *proven.Proven
-	barred map[string]time.Time // when requests were last blocked for their presence at ends
+	asked  *recent.Recent[string, time.Time] // when other hosts were last asked what, or answered
+	barred map[string]time.Time              // when requests were last blocked for their presence at ends
 }
 
 // NewBlame returns a Blame without records.
@@ -74,6 +79,7 @@
 		chance: chance.NewChance(),
 		barred: map[string]time.Time{},
 		proven: proven.NewProven(),
+		asked:  recent.NewRecent[string, time.Time](askInterval, maxAsked),
 		tally:  tally.NewTally(0, blockTime, maxRecords, maxSound),
 		wide:   tally.NewTally(crashInterval, blockTime, maxRecords, maxSound),
 	}
@@ -172,13 +178,6 @@
 	return b.of(fingerprint).Blocked(fingerprint, now)
 }
 
-// RanWell reports whether a request has run well here lately.
-func (b *Blame) RanWell(fingerprint string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.proven.Has(fingerprint)
-}
-
 // OnTrial reports whether a request was blocked and may now show, by a single send, that it runs well.
 func (b *Blame) OnTrial(fingerprint string, now time.Time) bool {
 	b.mu.Lock()
--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -13,7 +13,8 @@
 
 // Kinds of reports on ends of upstreams, and the numbers of their words: "hit CLASS UPSTREAM FINGERPRINT WIDE HOST SHARES SHARES GROUP", with this host's shares of the two
 // fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends; "ran
-// FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone. Shares are numbers with commas between them, by kind of
+// FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone; "ask FINGERPRINT" for one that is refused like those, in case that it
+// ran well elsewhere. Shares are numbers with commas between them, by kind of
 // samples and by class.
 const (
 	kindHit, hitWords     = "hit", 9
@@ -21,6 +22,7 @@
 	kindShare, shareWords = "share", 4
 	kindBlock             = "block"
 	kindRan               = "ran"
+	kindAsk               = "ask"
 	// noWide stands for the wide fingerprint of a request without one.
 	noWide = "-"
 )
@@ -156,6 +158,29 @@
 	}
 }
 
+// Held reports whether a request must not be sent for what is known of others like it: it is not known to run well. It asks other hosts whether it ran well there, as this one
+// may have started since, or have forgotten it.
+func (b *Blame) Held(i ident.Ident, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.wide.Blocked(i.Wide, now) || b.proven.Has(i.Fingerprint) {
+		return false
+	}
+	if text := kindAsk + " " + i.Fingerprint; b.mayAsk(text, now) {
+		b.outbox.Add(text, false)
+	}
+	return true
+}
+
+// mayAsk reports whether hosts were not asked something just now, nor answered, and records that they are.
+func (b *Blame) mayAsk(text string, now time.Time) bool {
+	if at, known := b.asked.Get(text); known && now.Sub(at) < askInterval {
+		return false
+	}
+	b.asked.Set(text, now, now)
+	return true
+}
+
 // isBarred reports whether a request is blocked for its presence at ends.
 func (b *Blame) isBarred(key string, now time.Time) bool {
 	at, known := b.barred[key]
@@ -194,6 +219,10 @@
 		if fingerprint := strings.TrimPrefix(text, kindRan+" "); len(fingerprint) == ident.FingerprintLen {
 			b.proven.Add(ident.Ident{Fingerprint: fingerprint}, now)
 		}
+	case kindAsk:
+		if fingerprint := strings.TrimPrefix(text, kindAsk+" "); b.proven.Has(fingerprint) && b.mayAsk(text, now) {
+			b.outbox.Add(kindRan+" "+fingerprint, true)
+		}
 	case kindShare:
 		b.hearShare(strings.SplitN(text, " ", shareWords))
 	default:
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskreach/internal/blame"
+	"damaskreach/internal/block"
 	"damaskreach/internal/chance"
 	"damaskreach/internal/demand"
 	"damaskreach/internal/ident"
@@ -65,7 +66,7 @@
 		if !h.Blocked(sound.Wide, at) {
 			t.Errorf("host %d does not block what the requests have in common, want it blocked", n)
 		}
-		if h.Blocked(sound.Fingerprint, at) || !h.RanWell(sound.Fingerprint) {
+		if h.Blocked(sound.Fingerprint, at) || h.Held(sound, at) {
 			t.Errorf("host %d blocks the request that runs well, or does not know it", n)
 		}
 	}
@@ -198,3 +199,24 @@
 		}
 	}
 }
+
+// A host starts again while requests are refused for what others like them did. One that ran well at another host must be served again, once that has been asked.
+func TestHostThatStartsAgainAsksWhichRequestsRanWell(t *testing.T) {
+	hosts := newHosts(2, 0, from("10.0.0.1"))
+	sound, crashing := from("10.0.0.1"), from("10.0.1.1")
+	hosts[1].RecordSound(sound, now)
+	hosts[0].Restore(map[string]block.Block{sound.Wide: {Until: now.Add(time.Minute), Times: 1}}, now)
+	for _, i := range []ident.Ident{sound, crashing} {
+		if !hosts[0].Held(i, now) {
+			t.Errorf("%s is served at once, want it held until other hosts were asked", i.Caller)
+		}
+	}
+	exchangeAt(now, hosts...)
+	exchangeAt(now, hosts...)
+	if hosts[0].Held(sound, now) {
+		t.Error("the request that ran well is held, want it served")
+	}
+	if !hosts[0].Held(crashing, now) {
+		t.Error("the other one is served, want it held")
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -52,7 +52,7 @@
 	if g.requests.Blocked(i.Fingerprint, now) {
 		return "upstreams broke off under earlier tries of it"
 	}
-	if g.requests.Blocked(i.Wide, now) && !g.requests.RanWell(i.Fingerprint) {
+	if g.requests.Held(i, now) {
 		return "upstreams broke off under requests that differ from it in address and query alone"
 	}
 	if part := g.parts.Blocked(i.Parts, now); part != "" {
