Say once what blame and chance said twice, and say what they do now

Cause: found by reading the whole change once more. A break that this host saw was counted and told by the same lines in two places; what speaks against a request was asked for by two locks at each send; chance sorted the same list twice and wrapped a list in a structure; two tests of guard set it up alike; the page of blame said that any good answer takes back what requests have in common, which the first one alone does since. Change: Blame.addOwn, one Evidence, presence is the list, newGuard in the tests. Behaviour, bounds and assertions as they were.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -6,9 +6,10 @@
 //
 // A caller's requests may come from several addresses, or with another query each, so that no one is known to crash three. So breaks also count against what they
 // have in common, their wide fingerprint: for less, as it may stand for requests of many callers. Upstreams that break off together count once, those under one
-// of the requests alone do not matter, and a good answer to any of them takes all back.
+// of the requests alone do not matter, and the first good answer to any of them takes all back. What ran well before counts neither for nor against the others
+// (package proven).
 //
-// Where others like it run well, breaks are taken back before there are enough. So the ends of upstreams are also weighed (package chance): a request is blocked, though some
+// Where others with its fingerprint run well, breaks are taken back before there are enough. So the ends of upstreams are also weighed (package chance): a request is blocked, though some
 // like it run well, where it was at hand at more of them than chance explains.
 package blame
 
@@ -99,20 +100,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	upstream = b.alias.Name(upstream, now)
-	added, upstreams, wide := b.add(i, upstream, broke, now)
-	if added {
-		b.tellBreak(i, upstream, upstreams, wide)
-	}
+	_, upstreams, wide = b.addOwn(i, upstream, broke, now)
 	return upstreams, wide
 }
 
-// tellBreak tells other hosts of a break, given the numbers of upstreams that count against a request and its wide fingerprint.
-func (b *Blame) tellBreak(i ident.Ident, upstream string, upstreams, wide int) {
+// addOwn counts a break that this host saw, and tells other hosts of it unless it was known.
+func (b *Blame) addOwn(i ident.Ident, upstream string, broke, now time.Time) (added bool, upstreams, wide int) {
+	added, upstreams, wide = b.add(i, upstream, broke, now)
+	if !added {
+		return false, upstreams, wide
+	}
 	text := i.Fingerprint + " " + upstream
 	if wide > 0 {
 		text += " " + i.Wide
 	}
 	b.outbox.Add(text, max(upstreams, wide) > 1)
+	return true, upstreams, wide
 }
 
 // add counts a break against a request and what it has in common with others, unless they have run well since. It reports whether the break was not known, and the
--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -14,8 +14,7 @@
 // Kinds of reports on ends of upstreams, and the numbers of their words: "hit CLASS UPSTREAM FINGERPRINT WIDE HOST SHARES SHARES GROUP", with this host's shares of the two
 // fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends; "ran
 // FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone; "ask FINGERPRINT" for one that is refused like those, in case that it
-// ran well elsewhere. Shares are numbers with commas between them, by kind of
-// samples and by class.
+// ran well elsewhere. Shares are numbers with commas between them, by kind of samples and by class.
 const (
 	kindHit, hitWords     = "hit", 9
 	kindEnd, endWords     = "end", 3
@@ -27,11 +26,14 @@
 	noWide = "-"
 )
 
-// Evidence is what is known of ends of upstreams at which a request, or others like it, were present.
-func (b *Blame) Evidence(fingerprint string, now time.Time) (with, all int, odds float64) {
+// Evidence is what is known of ends of upstreams at which a request was present, and of those at which any with its wide fingerprint were that had not run well: at how many
+// of all, and the chance of that.
+func (b *Blame) Evidence(i ident.Ident, now time.Time) (with, wide, all int, odds, wideOdds float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.chance.Weigh(fingerprint, now)
+	with, all, odds = b.chance.Weigh(i.Fingerprint, now)
+	wide, _, wideOdds = b.chance.Weigh(i.Wide, now)
+	return with, wide, all, odds, wideOdds
 }
 
 // Sample records which requests ran at a live upstream of a group at a moment before now, or had just been answered there, for a kind of samples of package chance.
@@ -92,10 +94,7 @@
 		if slices.ContainsFunc(running, func(other ident.Ident) bool { return other.Fingerprint == i.Fingerprint }) {
 			continue
 		}
-		marked := upstream + behindMark
-		added, upstreams, wide := b.add(i, marked, ended, now)
-		if added {
-			b.tellBreak(i, marked, upstreams, wide)
+		if added, _, _ := b.addOwn(i, upstream+behindMark, ended, now); added {
 			against = append(against, i)
 		}
 	}
--- a/internal/blame/evidence_test.go
+++ b/internal/blame/evidence_test.go
@@ -133,7 +133,7 @@
 	}
 	at := now.Add(6 * time.Second)
 	for n, h := range hosts {
-		if with, all, _ := h.Evidence(i.Fingerprint, at); with != 3 || all != 3 {
+		if with, _, all, _, _ := h.Evidence(i, at); with != 3 || all != 3 {
 			t.Errorf("host %d: the request was present at %d of %d ends, want 3 of 3", n, with, all)
 		}
 		if h.Blocked(i.Fingerprint, at) {
--- a/internal/chance/chance.go
+++ b/internal/chance/chance.go
@@ -9,7 +9,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -72,10 +71,8 @@
 	told   time.Time                          // when this host last told its share
 }
 
-// presence is how a key was present at an end.
-type presence struct {
-	members [classes][]string // fingerprints of its requests, by class
-}
+// presence is how a key was present at an end: the fingerprints of its requests, by class.
+type presence [classes][]string
 
 // NewChance returns a Chance that knows nothing.
 func NewChance() *Chance {
@@ -169,8 +166,8 @@
 	r := c.keys[key]
 	p := r.ends[upstream]
 	for n := class; n < classes; n++ {
-		if !slices.Contains(p.members[n], fingerprint) {
-			p.members[n] = append(slices.Clip(p.members[n]), fingerprint)
+		if !slices.Contains(p[n], fingerprint) {
+			p[n] = append(slices.Clip(p[n]), fingerprint)
 		}
 	}
 	r.ends[upstream] = p
@@ -275,11 +272,11 @@
 func (c *Chance) hits(key string, r record, class int, recent map[string]bool, now time.Time) (n int) {
 	with := map[string]int{} // ends by fingerprint
 	for upstream, p := range r.ends {
-		if len(p.members[class]) == 0 || !recent[upstream] {
+		if len(p[class]) == 0 || !recent[upstream] {
 			continue
 		}
 		n++
-		for _, fingerprint := range p.members[class] {
+		for _, fingerprint := range p[class] {
 			with[fingerprint]++
 		}
 	}
@@ -314,17 +311,15 @@
 
 // Suspects returns those of the requests at an upstream's end, by their fingerprints, that its end speaks against by class: none where many are at hand.
 func Suspects(running, behind []string) (suspects [classes][]string) {
-	if len(distinct(running)) <= maxSuspects {
-		suspects[Running] = distinct(running)
+	if run := distinct(running); len(run) <= maxSuspects {
+		suspects[Running] = run
 	}
-	if all := distinct(append(slices.Clone(running), behind...)); len(all) <= maxBehind {
+	if all := distinct(slices.Concat(running, behind)); len(all) <= maxBehind {
 		suspects[Behind] = slices.DeleteFunc(all, func(f string) bool { return slices.Contains(suspects[Running], f) })
 	}
 	return suspects
 }
 
 func distinct(list []string) []string {
-	sorted := slices.Clone(list)
-	slices.SortFunc(sorted, strings.Compare)
-	return slices.Compact(sorted)
+	return slices.Compact(slices.Sorted(slices.Values(list)))
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -16,12 +16,18 @@
 	"damaskreach/internal/target"
 )
 
+// newGuard returns a guard that writes no lines.
+func newGuard() *guard.Guard {
+	g := guard.NewGuard("host")
+	g.Log, g.Stats = zap.NewNop(), stats.NewStats()
+	return g
+}
+
 // Engines crash together under prompts that share a part, and it takes a while to see that, longer at each. Counted when it is seen, they would look like engines
 // that the part crashes one after the other, and all prompts with it would be refused.
 func TestEnginesThatCrashTogetherBlockNoPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := guard.NewGuard("host")
-		g.Log, g.Stats = zap.NewNop(), stats.NewStats()
+		g := newGuard()
 		start := time.Now()
 		crash := func(n int, seen time.Duration) {
 			g.Crashed = func(string) bool { time.Sleep(seen); return true }
@@ -53,8 +59,7 @@
 // An upstream broke off under a request from another address. One like it must not take down two; one that is known to run well, or that is like none of them, is sent again.
 func TestRequestLikeOneThatBrokeIsNotSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := guard.NewGuard("host")
-		g.Log, g.Stats = zap.NewNop(), stats.NewStats()
+		g := newGuard()
 		of := func(uri, address string) ident.Ident {
 			return ident.NewIdent(demand.Demand{URI: uri}, "", address+":1")
 		}
--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -24,8 +24,7 @@
 // logEvidence writes what speaks against a request that is sent all the same: at how many of the ends of upstreams in its group it was present, it and all
 // that differ from it in address and query alone, and the chance of that.
 func (g *Guard) logEvidence(i ident.Ident, t target.Target, now time.Time) {
-	with, all, odds := g.requests.Evidence(i.Fingerprint, now)
-	wide, _, wideOdds := g.requests.Evidence(i.Wide, now)
+	with, wide, all, odds, wideOdds := g.requests.Evidence(i, now)
 	if min(odds, wideOdds) > tellChance {
 		return
 	}
--- a/internal/guard/runs_test.go
+++ b/internal/guard/runs_test.go
@@ -7,12 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
-
 	"damaskreach/internal/demand"
-	"damaskreach/internal/guard"
 	"damaskreach/internal/ident"
-	"damaskreach/internal/stats"
 	"damaskreach/internal/target"
 )
 
@@ -20,8 +16,7 @@
 func TestEndsBehindAnswersCountUnlessTheUpstreamLeaves(t *testing.T) {
 	for _, stays := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			g := guard.NewGuard("host")
-			g.Log, g.Stats = zap.NewNop(), stats.NewStats()
+			g := newGuard()
 			g.IsToBlame = func(string, time.Time, time.Time, bool) bool { return true }
 			g.Stays = func(target.Target) bool { return stays }
 			i := ident.NewIdent(demand.Demand{URI: "/x"}, "red", "")
