Count both ends where a request given up ends an upstream and then its successor

Cause: runs that were given up were kept by fingerprint and by the upstream's id. An upstream that was back under its id, and was given the request again before the registrations were looked at once more, each second, had the run of its former incarnation overwritten. In the trace (hosts' lines, by time) two of the first three ends are lost so: i-6 ends at 06.49, is back at 08.80 and is sent the request again at 09.48, between two looks; i-4 likewise. The request was blocked 6 s after the third crash.

Runs are kept by incarnation now. TestEndsOfAnUpstreamAndItsSuccessorBothCount fails before (no end counts where two do).

--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -27,8 +27,13 @@
 	runs map[key]run
 }
 
-// key identifies what a run tells: further runs of the same request at one upstream tell nothing more.
-type key struct{ fingerprint, id string }
+// key identifies what a run tells: further runs of the same request at one incarnation of an upstream tell nothing more.
+type key struct {
+	fingerprint, id string
+	incarnation     int64
+}
+
+func keyOf(i ident.Ident, t target.Target) key { return key{i.Fingerprint, t.ID, t.Incarnation} }
 
 // run is a request that was given up.
 type run struct {
@@ -50,16 +55,16 @@
 	if o.runs == nil {
 		o.runs = map[key]run{}
 	}
-	k := key{i.Fingerprint, t.ID}
+	k := keyOf(i, t)
 	r, known := o.runs[k]
 	switch until := deadline.Add(lapseTime); {
-	case known && r.target.SameIncarnation(t):
+	case known:
 		r.givenUp = now
 		if until.After(r.until) {
 			r.until = until
 		}
 		o.runs[k] = r
-	case known || len(o.runs) < maxRuns:
+	case len(o.runs) < maxRuns:
 		o.runs[k] = run{ident: i, target: t, givenUp: now, until: until}
 	}
 }
@@ -101,7 +106,7 @@
 func (o *Orphan) noteDialed(r run) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	k := key{r.ident.Fingerprint, r.target.ID}
+	k := keyOf(r.ident, r.target)
 	if noted, tracked := o.runs[k]; tracked {
 		noted.dialed = true
 		o.runs[k] = noted
@@ -111,7 +116,7 @@
 func (o *Orphan) forget(r run) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.runs, key{r.ident.Fingerprint, r.target.ID})
+	delete(o.runs, keyOf(r.ident, r.target))
 }
 
 func (o *Orphan) drop(unwanted func(r run) bool) {
--- a/internal/orphan/orphan_test.go
+++ b/internal/orphan/orphan_test.go
@@ -102,3 +102,24 @@
 		t.Errorf("ended %d times with %d dials, want once each", ended, dials)
 	}
 }
+
+// A request that was given up ends its upstream, which comes back under its id and is given the request again before anybody has looked. Both ends must count, each once.
+func TestEndsOfAnUpstreamAndItsSuccessorBothCount(t *testing.T) {
+	var o orphan.Orphan
+	var got []int64
+	i := ident.Ident{Fingerprint: "f"}
+	for n := range int64(3) {
+		now := start.Add(time.Duration(n) * 3 * time.Second)
+		if n > 0 {
+			o.Add(i, upstream("u", "a:1", n), now.Add(time.Second), now)
+		}
+		o.Add(i, upstream("u", "a:1", n+1), now.Add(time.Second), now)
+		for range 2 {
+			o.Check(registered(upstream("u", "a:1", n+1)), func(target.Target) bool { return false }, func(string) bool { return false }, now,
+				func(_ ident.Ident, ended target.Target, _ time.Time) { got = append(got, ended.Incarnation) })
+		}
+	}
+	if want := []int64{1, 2}; !slices.Equal(got, want) {
+		t.Errorf("incarnations whose end counts = %v, want %v", got, want)
+	}
+}
