Count the end under a request given up as soon as anybody finds its upstream gone

Callers saw a request that crashes its upstream after its host has given it up go on to two or three upstreams too many.

Cause: the connection of such a request is closed by its host, so no break tells of the end. It counted only once the successor had registered or the registration had lapsed: in the trace 2.4 s after the first end, though the same host had found the upstream gone 1.1 s after it, by another request that could not connect, and other hosts sooner, behind answers.

A request that does not reach its upstream now has the guard look whether that has ended, where one that was given up may run there; and an end that is found, in whichever way, counts at once for all that were given up there and may have run still. As before: not where the upstream leaves, not behind the deadline, each incarnation once (package alias), and judged by the host's network first.

TestEndUnderARequestGivenUpCountsOnceItIsFound fails before.

--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -35,8 +35,13 @@
 // Reject records that the upstream has rejected the request.
 func (g *Guard) Reject(run uint64) { g.trail.Reject(run, time.Now()) }
 
-// Miss records that the request did not reach the upstream.
-func (g *Guard) Miss(run uint64) { g.trail.Miss(run, time.Now()) }
+// Miss records that the request did not reach the upstream, which may have ended under one that was given up.
+func (g *Guard) Miss(run uint64) {
+	now := time.Now()
+	if t, look := g.trail.Miss(run, now); look {
+		g.look(t, now)
+	}
+}
 
 // End records that a run has ended, if nothing else tells how.
 func (g *Guard) End(run uint64) { g.trail.End(run, time.Now()) }
@@ -76,17 +81,20 @@
 
 // RecordLost records that an upstream has closed all idle connections to an address. If it had just answered requests, it may have ended under them, which shows some
 // time later. One that leaves ends behind its last answers in any case, which says nothing for them nor against them.
-func (g *Guard) RecordLost(addr string) { g.look(addr, false) }
+func (g *Guard) RecordLost(addr string) { g.lost(addr, false) }
 
 // RecordUnseen records that no connection can tell whether the upstream at an address ends behind the answer that it has just given.
-func (g *Guard) RecordUnseen(addr string) { g.look(addr, true) }
+func (g *Guard) RecordUnseen(addr string) { g.lost(addr, true) }
 
-func (g *Guard) look(addr string, blind bool) {
+func (g *Guard) lost(addr string, blind bool) {
 	now := time.Now()
-	t, look := g.trail.Lost(addr, blind, now)
-	if !look {
-		return
+	if t, look := g.trail.Lost(addr, blind, now); look {
+		g.look(t, now)
 	}
+}
+
+// look finds out whether an upstream has ended that shows a sign of it.
+func (g *Guard) look(t target.Target, now time.Time) {
 	if g.Stays != nil && !g.Stays(t) {
 		g.trail.Ended(t, now, now)
 		return
@@ -116,5 +124,8 @@
 		g.Stats.Add(stats.Breaks, 1, "outcome", "behind")
 		g.Log.Info("upstream ended behind the answer to a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", name))...)
 	}
+	if g.Stays == nil || g.Stays(t) {
+		g.orphans.End(t, ended, func(i ident.Ident, givenUp time.Time) { g.countBreak(i, t, name, givenUp) })
+	}
 	g.Log.Info("upstream ended", zap.String("target", t.ID), zap.String("incarnation", name), zap.Int("running", len(running)), zap.Int("behind", len(behind)))
 }
--- a/internal/guard/runs_test.go
+++ b/internal/guard/runs_test.go
@@ -36,3 +36,41 @@
 		})
 	}
 }
+
+// A request ends upstreams after its host has given it up, so that no connection breaks under it. It must be blocked once others find them gone, unless they leave, as in
+// a release of their software, or it may not have run any more.
+func TestEndUnderARequestGivenUpCountsOnceItIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		stays   bool
+		after   time.Duration
+		blocked bool
+	}{
+		{"ends", true, 500 * time.Millisecond, true},
+		{"leaves", false, 500 * time.Millisecond, false},
+		{"ends after the deadline", true, 2 * time.Second, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGuard()
+			g.IsToBlame = func(string, time.Time, time.Time, bool) bool { return true }
+			g.Stays = func(target.Target) bool { return c.stays }
+			i := ident.NewIdent(demand.Demand{URI: "/x"}, "red", "")
+			other := ident.NewIdent(demand.Demand{URI: "/y"}, "red", "")
+			for n := range 3 {
+				to := target.Target{ID: fmt.Sprint("u", n), Addr: fmt.Sprintf("10.0.0.%d:80", n)}
+				run := g.Begin(i, to, time.Now())
+				g.RecordGivenUp(run, i, to, time.Now().Add(time.Second))
+				g.End(run)
+				time.Sleep(c.after)
+				g.Miss(g.Begin(other, to, time.Now()))
+				synctest.Wait()
+			}
+			if blocked := g.Blocked(i, time.Now()) != ""; blocked != c.blocked {
+				t.Errorf("%s: blocked = %v, want %v", c.name, blocked, c.blocked)
+			}
+			if why := g.Blocked(other, time.Now()); why != "" {
+				t.Errorf("%s: the request that found them gone is blocked: %s", c.name, why)
+			}
+		})
+	}
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -150,14 +150,17 @@
 	}
 }
 
-// Miss records that a request did not reach its upstream.
-func (t *Trail) Miss(number uint64, now time.Time) {
+// Miss records that a request did not reach its upstream. It reports, like Lost, whether that is a reason to look whether the upstream has ended.
+func (t *Trail) Miss(number uint64, now time.Time) (at target.Target, look bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.runs[number]; r != nil {
-		r.at.missedAt = now
-		t.dismiss(number, r)
+	r := t.runs[number]
+	if r == nil {
+		return target.Target{}, false
 	}
+	r.at.missedAt = now
+	t.dismiss(number, r)
+	return r.at.target, t.suspect(r.at, lookInterval, now)
 }
 
 // dismiss forgets a request that was not run.
@@ -278,22 +281,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.upstreams {
-		if u.target.Addr != addr || !u.doubted.IsZero() || !u.endedAt.IsZero() || now.Sub(u.lookedAt) < interval {
-			continue
-		}
-		if !t.lookedAt.IsZero() {
-			u.late = min(now.Sub(t.lookedAt), maxLate)
-		}
-		for _, r := range u.runs {
-			if r.behind(now) || r.givenUp && r.running(now) {
-				u.doubted = now
-				return u.target, true
-			}
+		if u.target.Addr == addr && t.suspect(u, interval, now) {
+			return u.target, true
 		}
 	}
 	return target.Target{}, false
 }
 
+// suspect reports whether an upstream that shows a sign of its end is to be looked at, and notes since when it may have ended: it has just answered requests, or may run some
+// that were given up, and nobody looks yet, or has within an interval.
+func (t *Trail) suspect(u *upstream, interval time.Duration, now time.Time) bool {
+	if !u.doubted.IsZero() || !u.endedAt.IsZero() || now.Sub(u.lookedAt) < interval {
+		return false
+	}
+	if !t.lookedAt.IsZero() {
+		u.late = min(now.Sub(t.lookedAt), maxLate)
+	}
+	for _, r := range u.runs {
+		if r.behind(now) || r.givenUp && r.running(now) {
+			u.doubted = now
+			return true
+		}
+	}
+	return false
+}
+
 // GoOn records that an upstream that may have ended goes on.
 func (t *Trail) GoOn(to target.Target, now time.Time) {
 	t.mu.Lock()
