--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -12,9 +12,9 @@
 )
 
 // Kinds of reports on ends of upstreams, and the numbers of their words: "hit CLASS UPSTREAM FINGERPRINT WIDE HOST SHARES SHARES GROUP", with this host's shares of the two
-// fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends; "ran
-// FINGERPRINT" for each that ran well lately and differs from what is blocked in address or query alone; "ask FINGERPRINT" for one that is refused like those, in case that it
-// ran well elsewhere. Shares are numbers with commas between them, by kind of samples and by class.
+// fingerprints; "end UPSTREAM GROUP"; "share KEY HOST SHARES"; "block KEY" where a request is blocked for its presence at ends; "ran FINGERPRINT" for each that ran well
+// lately and differs from what is blocked in address or query alone; "ask FINGERPRINT" for one that is refused like those, in case that it ran well elsewhere. Shares are
+// numbers with commas between them, by kind of samples and by class.
 const (
 	kindHit, hitWords     = "hit", 9
 	kindEnd, endWords     = "end", 3
