Look behind a failed connection for an upstream that is gone, not for one that is silent

A dial that times out where nobody can tell more then counts as the end of an upstream, and what was given up at a silent one would count against its requests. It asks now what registrations that have lapsed are asked: whether nothing listens there any more. The test has a case of an upstream that goes on.

--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -39,7 +39,7 @@
 func (g *Guard) Miss(run uint64) {
 	now := time.Now()
 	if t, look := g.trail.Miss(run, now); look {
-		g.look(t, now)
+		g.look(t, now, g.Crashed)
 	}
 }
 
@@ -89,31 +89,28 @@
 func (g *Guard) lost(addr string, blind bool) {
 	now := time.Now()
 	if t, look := g.trail.Lost(addr, blind, now); look {
-		g.look(t, now)
+		g.look(t, now, func(addr string) bool { return g.IsToBlame == nil || g.IsToBlame(addr, now, now, false) })
 	}
 }
 
-// look finds out whether an upstream has ended that shows a sign of it.
-func (g *Guard) look(t target.Target, now time.Time) {
+// look finds out whether an upstream that shows a sign of it has ended, which takes ended a while to tell.
+func (g *Guard) look(t target.Target, now time.Time, ended func(addr string) bool) {
 	if g.Stays != nil && !g.Stays(t) {
 		g.trail.Ended(t, now, now)
 		return
 	}
-	go g.judgeLoss(t, now)
+	go func() {
+		if !ended(t.Addr) {
+			g.trail.GoOn(t, time.Now())
+			return
+		}
+		g.recordEnd(t, g.nameOf(t, now), now, time.Now())
+	}()
 }
 
 // RecordLooked records that all connections that were closed by a moment have been told by RecordLost.
 func (g *Guard) RecordLooked(at time.Time) { g.trail.Looked(at) }
 
-// judgeLoss records the end of an upstream that closed its connections, if it has ended.
-func (g *Guard) judgeLoss(t target.Target, lost time.Time) {
-	if g.IsToBlame != nil && !g.IsToBlame(t.Addr, lost, lost, false) {
-		g.trail.GoOn(t, time.Now())
-		return
-	}
-	g.recordEnd(t, g.nameOf(t, lost), lost, time.Now())
-}
-
 // recordEnd records that an incarnation of an upstream has ended under the requests that were there, once.
 func (g *Guard) recordEnd(t target.Target, name string, sent, ended time.Time) {
 	running, behind, first := g.trail.Ended(t, sent, ended)
--- a/internal/guard/runs_test.go
+++ b/internal/guard/runs_test.go
@@ -41,18 +41,20 @@
 // a release of their software, or it may not have run any more.
 func TestEndUnderARequestGivenUpCountsOnceItIsFound(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		stays   bool
-		after   time.Duration
-		blocked bool
+		name           string
+		crashed, stays bool
+		after          time.Duration
+		blocked        bool
 	}{
-		{"ends", true, 500 * time.Millisecond, true},
-		{"leaves", false, 500 * time.Millisecond, false},
-		{"ends after the deadline", true, 2 * time.Second, false},
+		{"ends", true, true, 500 * time.Millisecond, true},
+		{"goes on", false, true, 500 * time.Millisecond, false},
+		{"leaves", true, false, 500 * time.Millisecond, false},
+		{"ends after the deadline", true, true, 2 * time.Second, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			g := newGuard()
 			g.IsToBlame = func(string, time.Time, time.Time, bool) bool { return true }
+			g.Crashed = func(string) bool { return c.crashed }
 			g.Stays = func(target.Target) bool { return c.stays }
 			i := ident.NewIdent(demand.Demand{URI: "/x"}, "red", "")
 			other := ident.NewIdent(demand.Demand{URI: "/y"}, "red", "")
