Count the ends of upstreams that nobody notices

The class: what is counted was selected by what it is counted for.

Each host now compares, once a second, the upstreams that it used lately with the registrations: one that is not registered any more, or as a later incarnation, and has not announced that it leaves, has ended, and counts among all ends. Names of one end are one, as before (alias).

TestEndsThatNobodyNoticedCountOnce cannot be built before, as it asks for the count by its new name.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -169,7 +169,7 @@
 	go e.runPeers(work, e.Setup())
 	go e.reach.Run(work)
 	go e.sweep(work)
-	go e.checkGivenUp(work)
+	go e.checkEnded(work)
 	go e.watchUpstreams(work)
 	go e.facts.Run(work)
 	go e.spool.Run(work)
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -22,10 +22,12 @@
 	idleSlack = 500 * time.Millisecond
 )
 
-// checkGivenUp counts upstreams that end under requests that were given up. It is apart from sweep since it may dial upstreams that do not answer.
-func (e *Edge) checkGivenUp(ctx context.Context) {
+// checkEnded counts upstreams that end under requests that were given up, or without anybody's notice. It is apart from sweep since it may dial upstreams that do not answer.
+func (e *Edge) checkEnded(ctx context.Context) {
 	for range ticker.Every(ctx, sweepInterval) {
-		e.guard.CheckGivenUp(e.intake.View().Targets, e.avoid.Leaving)
+		targets := e.intake.View().Targets
+		e.guard.CheckReplaced(targets, e.avoid.Leaving)
+		e.guard.CheckGivenUp(targets, e.avoid.Leaving)
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -138,6 +138,17 @@
 	})
 }
 
+// CheckReplaced counts the ends of upstreams that nobody has noticed, as nothing of this host's was there, given the registrations: left out, it would look as if something
+// were at all ends that is at most of those that are noticed. leaves reports whether an upstream has announced that it leaves.
+func (g *Guard) CheckReplaced(registered map[string]target.Target, leaves func(t target.Target) bool) {
+	now := time.Now()
+	for _, t := range g.trail.Replaced(registered) {
+		if !leaves(t) {
+			g.requests.RecordEnd(t.Group, g.nameOf(t, now), nil, nil, now, now)
+		}
+	}
+}
+
 // recordCrash records the parts of a request's prompt if its upstream has crashed. What counts is when it broke off, not when that showed: engines that crash
 // together show it one after the other.
 func (g *Guard) recordCrash(i ident.Ident, t target.Target, broke time.Time) {
--- a/internal/guard/runs_test.go
+++ b/internal/guard/runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,50 @@
 		})
 	}
 }
+
+// Upstreams end with nothing of a host there. Left out, a request would look as if it were at all ends that is at most of those that are noticed, and sound ones are refused.
+func TestEndsThatNobodyNoticedCountOnce(t *testing.T) {
+	used := target.Target{ID: "u", Addr: "10.0.0.1:80", Group: "g", Incarnation: 1}
+	next := used
+	next.Incarnation = 2
+	for _, c := range []struct {
+		name             string
+		registered       []target.Target
+		noticed, leaving bool
+		want             int
+	}{
+		{"goes on", []target.Target{used}, false, false, 0},
+		{"starts again", []target.Target{next}, false, false, 1},
+		{"is gone", nil, false, false, 1},
+		{"leaves", nil, false, true, 0},
+		{"is known to have ended", []target.Target{next}, true, false, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGuard()
+			run := g.Begin(ident.NewIdent(demand.Demand{URI: "/x"}, "red", ""), used, time.Now())
+			g.RecordAnswer(run, http.StatusOK, time.Now())
+			g.End(run)
+			if c.noticed {
+				g.RecordLost(used.Addr)
+				synctest.Wait()
+			}
+			time.Sleep(time.Second)
+			registered := map[string]target.Target{}
+			for _, r := range c.registered {
+				registered[r.ID] = r
+			}
+			for range 2 {
+				g.CheckReplaced(registered, func(target.Target) bool { return c.leaving })
+			}
+			got := 0
+			for _, text := range g.TakeReports() {
+				if kind, _, _ := strings.Cut(text, " "); kind == "end" || kind == "hit" {
+					got++
+				}
+			}
+			if got != c.want {
+				t.Errorf("%s: %d ends are told, want %d", c.name, got, c.want)
+			}
+		})
+	}
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -68,6 +68,7 @@
 	lookedAt time.Time     // when it was last looked at for connections that were closed behind answers
 	late     time.Duration // by how much its end may be older than it was noticed
 	anyAt    time.Time     // the last moment that SampleAny took
+	replaced bool          // whether Replaced has told it
 }
 
 // run is one request at one upstream.
@@ -306,6 +307,21 @@
 	return false
 }
 
+// Replaced returns the upstreams that were used lately and are not registered any more, given the registrations, and that are not known to have ended; each once.
+func (t *Trail) Replaced(registered map[string]target.Target) (list []target.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range t.upstreams {
+		known, is := registered[u.target.ID]
+		if is && known.Incarnation <= u.target.Incarnation || !u.endedAt.IsZero() || u.replaced {
+			continue
+		}
+		u.replaced = true
+		list = append(list, u.target)
+	}
+	return list
+}
+
 // GoOn records that an upstream that may have ended goes on.
 func (t *Trail) GoOn(to target.Target, now time.Time) {
 	t.mu.Lock()
