Leave out ends in registrations that are known under another name

An upstream that shows as ended in its registration alone is left out where an end of the same id became known since this host first sent it a request under that registration. Two cases in TestEndsThatNobodyNoticedCountOnce; 'ended elsewhere under another name' fails before.

--- a/internal/alias/alias.go
+++ b/internal/alias/alias.go
@@ -39,12 +39,21 @@
 	}
 }
 
+// EndedSince reports whether an end of an upstream became known after a time, under whichever name.
+func (a *Alias) EndedSince(upstream string, since time.Time) bool {
+	last, known := a.last.Get(idOf(upstream))
+	return known && last.at.After(since)
+}
+
+// idOf returns the id of an upstream in the name of one of its ends.
+func idOf(name string) string { return name[:max(0, strings.LastIndex(name, "/"))] }
+
 // Name returns the name that the end of an upstream counts under, given the one that a host knows it by, "ID/INCARNATION".
 func (a *Alias) Name(upstream string, now time.Time) string {
 	if name, known := a.names.Get(upstream); known {
 		return name
 	}
-	id := upstream[:max(0, strings.LastIndex(upstream, "/"))]
+	id := idOf(upstream)
 	name := upstream
 	if last, known := a.last.Get(id); known && id != "" && now.Sub(last.at) < oneEnd {
 		name = last.name
--- a/internal/blame/evidence.go
+++ b/internal/blame/evidence.go
@@ -88,7 +88,7 @@
 		}
 	}
 	if fresh && !told {
-		b.outbox.Add(strings.Join([]string{kindEnd, upstream, group}, " "), false)
+		b.tellEnd(group, upstream)
 	}
 	for _, i := range behind {
 		if slices.ContainsFunc(running, func(other ident.Ident) bool { return other.Fingerprint == i.Fingerprint }) {
@@ -101,6 +101,23 @@
 	return against
 }
 
+// RecordReplaced records the end of an upstream that shows in its registration alone, unless one is known since a request was first sent there.
+func (b *Blame) RecordReplaced(group, upstream string, since, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.alias.EndedSince(upstream, since) {
+		return
+	}
+	if upstream = b.alias.Name(upstream, now); b.chance.AddEnd(group, upstream, now) {
+		b.tellEnd(group, upstream)
+	}
+}
+
+// tellEnd tells other hosts of an end at which no request of this host speaks against anything.
+func (b *Blame) tellEnd(group, upstream string) {
+	b.outbox.Add(strings.Join([]string{kindEnd, upstream, group}, " "), false)
+}
+
 func fingerprints(list []ident.Ident) (all []string) {
 	for _, i := range list {
 		all = append(all, i.Fingerprint)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -142,11 +142,11 @@
 // were at all ends that is at most of those that are noticed. leaves reports whether an upstream has announced that it leaves.
 func (g *Guard) CheckReplaced(registered map[string]target.Target, leaves func(t target.Target) bool) {
 	now := time.Now()
-	for _, t := range g.trail.Replaced(registered) {
+	g.trail.Replaced(registered, func(t target.Target, since time.Time) {
 		if !leaves(t) {
-			g.requests.RecordEnd(t.Group, g.nameOf(t, now), nil, nil, now, now)
+			g.requests.RecordReplaced(t.Group, incarnation(t), since, now)
 		}
-	}
+	})
 }
 
 // recordCrash records the parts of a request's prompt if its upstream has crashed. What counts is when it broke off, not when that showed: engines that crash
--- a/internal/guard/runs_test.go
+++ b/internal/guard/runs_test.go
@@ -87,16 +87,23 @@
 		name             string
 		registered       []target.Target
 		noticed, leaving bool
+		heard            time.Duration // when another host tells of an end, under a name that this one does not know; 0 for never
 		want             int
 	}{
-		{"goes on", []target.Target{used}, false, false, 0},
-		{"starts again", []target.Target{next}, false, false, 1},
-		{"is gone", nil, false, false, 1},
-		{"leaves", nil, false, true, 0},
-		{"is known to have ended", []target.Target{next}, true, false, 1},
+		{"goes on", []target.Target{used}, false, false, 0, 0},
+		{"starts again", []target.Target{next}, false, false, 0, 1},
+		{"is gone", nil, false, false, 0, 1},
+		{"leaves", nil, false, true, 0, 0},
+		{"is known to have ended", []target.Target{next}, true, false, 0, 1},
+		{"ended elsewhere under another name", []target.Target{next}, false, false, 3 * time.Second, 0},
+		{"its predecessor ended", []target.Target{next}, false, false, time.Second, 1},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			g := newGuard()
+			if c.heard > 0 {
+				time.AfterFunc(c.heard, func() { g.AddReports("other", []string{"end u/0#1 g"}, time.Now()) })
+			}
+			time.Sleep(2 * time.Second)
 			run := g.Begin(ident.NewIdent(demand.Demand{URI: "/x"}, "red", ""), used, time.Now())
 			g.RecordAnswer(run, http.StatusOK, time.Now())
 			g.End(run)
@@ -104,7 +111,7 @@
 				g.RecordLost(used.Addr)
 				synctest.Wait()
 			}
-			time.Sleep(time.Second)
+			time.Sleep(2 * time.Second)
 			registered := map[string]target.Target{}
 			for _, r := range c.registered {
 				registered[r.ID] = r
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -307,8 +307,9 @@
 	return false
 }
 
-// Replaced returns the upstreams that were used lately and are not registered any more, given the registrations, and that are not known to have ended; each once.
-func (t *Trail) Replaced(registered map[string]target.Target) (list []target.Target) {
+// Replaced calls take for each upstream that was used lately and is not registered any more, given the registrations, and that is not known to have ended, once, with the time
+// when a request was first sent there.
+func (t *Trail) Replaced(registered map[string]target.Target, take func(at target.Target, since time.Time)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.upstreams {
@@ -317,9 +318,8 @@
 			continue
 		}
 		u.replaced = true
-		list = append(list, u.target)
+		take(u.target, u.since)
 	}
-	return list
 }
 
 // GoOn records that an upstream that may have ended goes on.
