Keep the ports of a test's nodes open until they listen

The test opened a port to find a free one, closed it and had the node listen there some time later; another process's connection had it by then.

The listeners stay open and are handed to the node. What is checked is as before.

--- a/internal/stand/site/cost_test.go
+++ b/internal/stand/site/cost_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,13 +97,27 @@
 	t.Helper()
 	c := conf.Default()
 	c.Node, c.Site, c.Centre = name, site.Name, "centre-1"
-	c.Peer, c.HTTP, c.Admin = freeAddr(t), freeAddr(t), freeAddr(t)
+	var kept sync.Map // open listeners, by address: a port that is let go until the node listens may be another process's by then
+	free := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept.Store(l.Addr().String(), l)
+		return l.Addr().String()
+	}
+	c.Peer, c.HTTP, c.Admin = free(), free(), free()
 	c.Secrets = []string{"a shared key of the site's nodes"}
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
 	}
-	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	listen := func(addr string) (net.Listener, error) {
+		if l, ok := kept.LoadAndDelete(addr); ok {
+			return l.(net.Listener), nil
+		}
+		return net.Listen("tcp", addr)
+	}
 	n := node.NewNode(c, dial, listen, zap.NewNop())
 	n.Table = db.Table()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -117,16 +132,6 @@
 	return n, c.HTTP
 }
 
-func freeAddr(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func await(t testing.TB, done func() bool) {
 	t.Helper()
 	for limit := time.Now().Add(readyPatience); !done(); {
