Drop ended runs by the loop that orphan has, and ask in one place whether an upstream stays

Orphan.End went through all runs in a loop of its own and then took the lock once more for each that it dropped: it calls drop, as Check does. Guard asked in two ways whether Stays is set and says that an upstream leaves: one method does. trail.Replaced: 'is' is called 'listed'.

--- a/internal/guard/runs.go
+++ b/internal/guard/runs.go
@@ -95,7 +95,7 @@
 
 // look finds out whether an upstream that shows a sign of it has ended, which takes ended a while to tell.
 func (g *Guard) look(t target.Target, now time.Time, ended func(addr string) bool) {
-	if g.Stays != nil && !g.Stays(t) {
+	if !g.stays(t) {
 		g.trail.Ended(t, now, now)
 		return
 	}
@@ -108,6 +108,9 @@
 	}()
 }
 
+// stays reports whether an upstream has not announced that it leaves.
+func (g *Guard) stays(t target.Target) bool { return g.Stays == nil || g.Stays(t) }
+
 // RecordLooked records that all connections that were closed by a moment have been told by RecordLost.
 func (g *Guard) RecordLooked(at time.Time) { g.trail.Looked(at) }
 
@@ -121,7 +124,7 @@
 		g.Stats.Add(stats.Breaks, 1, "outcome", "behind")
 		g.Log.Info("upstream ended behind the answer to a request", append(known(i), zap.String("target", t.ID), zap.String("incarnation", name))...)
 	}
-	if g.Stays == nil || g.Stays(t) {
+	if g.stays(t) {
 		g.orphans.End(t, ended, func(i ident.Ident, givenUp time.Time) { g.countBreak(i, t, name, givenUp) })
 	}
 	g.Log.Info("upstream ended", zap.String("target", t.ID), zap.String("incarnation", name), zap.Int("running", len(running)), zap.Int("behind", len(behind)))
--- a/internal/orphan/orphan.go
+++ b/internal/orphan/orphan.go
@@ -105,22 +105,17 @@
 
 // End calls count for each run at an incarnation of an upstream that is known to have ended at a time, and that it may have run then, and drops these runs.
 func (o *Orphan) End(t target.Target, ended time.Time, count func(i ident.Ident, givenUp time.Time)) {
-	for _, r := range o.runsAt(t, ended) {
-		o.forget(r)
-		count(r.ident, r.givenUp)
-	}
-}
-
-// runsAt returns the runs that an incarnation of an upstream may have run at a moment.
-func (o *Orphan) runsAt(t target.Target, at time.Time) (list []run) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, r := range o.runs {
-		if r.target.SameIncarnation(t) && !r.givenUp.After(at) && !r.until.Add(-lapseTime).Before(at) {
-			list = append(list, r)
+	var under []run
+	o.drop(func(r run) bool {
+		mayRun := r.target.SameIncarnation(t) && !r.givenUp.After(ended) && !r.until.Add(-lapseTime).Before(ended)
+		if mayRun {
+			under = append(under, r)
 		}
+		return mayRun
+	})
+	for _, r := range under {
+		count(r.ident, r.givenUp)
 	}
-	return list
 }
 
 func (o *Orphan) noteDialed(r run) {
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -313,8 +313,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.upstreams {
-		known, is := registered[u.target.ID]
-		if is && known.Incarnation <= u.target.Incarnation || !u.endedAt.IsZero() || u.replaced {
+		known, listed := registered[u.target.ID]
+		if listed && known.Incarnation <= u.target.Incarnation || !u.endedAt.IsZero() || u.replaced {
 			continue
 		}
 		u.replaced = true
